--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+GOLANGCI_VERSION := v2.15.0
+BUF_VERSION      := v1.75.0
+GOBIN            := $(shell go env GOPATH)/bin
+
+.PHONY: test lint fmt fuzz bench gen tools build
+
+# All tests, with the race detector.
+test:
+	go test -race -count=1 ./...
+
+build:
+	go build -o bin/chivecroft ./cmd/chivecroft
+
+$(GOBIN)/golangci-lint:
+	go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+
+# Formatter and linter; changes nothing.
+lint: $(GOBIN)/golangci-lint
+	$(GOBIN)/golangci-lint fmt --diff
+	$(GOBIN)/golangci-lint run
+
+fmt: $(GOBIN)/golangci-lint
+	$(GOBIN)/golangci-lint fmt
+
+# Longer runs of the state machines and of the native fuzz targets.
+fuzz:
+	go test -count=1 ./internal/... -rapid.checks=2000
+
+bench:
+	go run ./cmd/chivecroft bench
+
+# Tools that make the committed generated code; not needed for a build.
+tools:
+	go install github.com/bufbuild/buf/cmd/buf@$(BUF_VERSION)
+	go install google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
+	go install connectrpc.com/connect/cmd/protoc-gen-connect-go@v1.20.0
+	go install goa.design/goa/v3/cmd/goa@v3.25.3
+
+gen: tools
+	PATH="$(GOBIN):$$PATH" buf generate
+	PATH="$(GOBIN):$$PATH" goa gen chivecroft.example/chivecroft/api/design -o api
--- /dev/null
+++ b/cmd/chivecroft/main.go
@@ -0,0 +1,4 @@
+// Command chivecroft serves rarely used models.
+package main
+
+func main() {}
