--- /dev/null
+++ b/internal/transport/peer/client.go
@@ -0,0 +1,183 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/gravitational/trace"
+
+	"chivecroft.example/chivecroft/api/peer/v1/peerv1connect"
+	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/protocol/codec"
+)
+
+// Defaults of a Client.
+const (
+	defaultTimeout   = 2 * time.Second
+	maxReplyBytes    = 64 << 20
+	compressMinBytes = 1 << 10
+	idleConnTimeout  = 30 * time.Second
+	maxIdlePerHost   = 8
+)
+
+// Client sends messages to other entries; it is a ports.Peers.
+//
+// Each peer has a connection pool of its own, so that dropping the connections
+// of one that fell silent leaves the others alone.
+type Client struct {
+	tls     *tls.Config
+	timeout time.Duration
+
+	mu    sync.Mutex
+	links map[netip.AddrPort]*link
+}
+
+// link is the connection pool and the stub for one peer.
+type link struct {
+	pool *http.Transport
+	stub peerv1connect.PeerServiceClient
+}
+
+// Option changes a Client under construction.
+type Option func(*Client)
+
+// WithTimeout bounds each call; a PullTable gets its own wait on top.
+func WithTimeout(d time.Duration) Option {
+	return func(c *Client) { c.timeout = d }
+}
+
+// WithTLS makes the client use TLS.
+func WithTLS(config *tls.Config) Option {
+	return func(c *Client) { c.tls = config }
+}
+
+// NewClient returns a client of the peer protocol.
+func NewClient(opts ...Option) *Client {
+	c := &Client{timeout: defaultTimeout, links: make(map[netip.AddrPort]*link)}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
+}
+
+// Send sends one message on a goroutine of its own and hands the answer to done.
+func (c *Client) Send(to netip.AddrPort, msg ports.PeerMessage, done func(ports.PeerReply)) {
+	go func() {
+		reply, err := c.Ask(context.Background(), to, msg)
+		if err != nil {
+			done(ports.PeerReply{Err: err})
+			return
+		}
+		done(ports.PeerReply{Msg: reply})
+	}()
+}
+
+// Ask sends one message and returns the answer.
+func (c *Client) Ask(ctx context.Context, to netip.AddrPort, msg ports.PeerMessage) (any, error) {
+	timeout := c.timeout
+	if pull, ok := msg.(ports.PullTable); ok {
+		timeout += pull.Wait
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	l := c.link(to)
+	reply, err := call(ctx, l.stub, msg)
+	if err != nil {
+		l.retire(err)
+		return nil, trace.Wrap(err, "sending %T to peer %s", msg, to)
+	}
+	return reply, nil
+}
+
+// Close drops the idle connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, l := range c.links {
+		l.pool.CloseIdleConnections()
+	}
+}
+
+func (c *Client) link(addr netip.AddrPort) *link {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l, ok := c.links[addr]
+	if !ok {
+		l = c.newLink(addr)
+		c.links[addr] = l
+	}
+	return l
+}
+
+func (c *Client) newLink(addr netip.AddrPort) *link {
+	scheme := "http"
+	if c.tls != nil {
+		scheme = "https"
+	}
+	pool := &http.Transport{
+		IdleConnTimeout:     idleConnTimeout,
+		MaxIdleConnsPerHost: maxIdlePerHost,
+		TLSClientConfig:     c.tls,
+	}
+	stub := peerv1connect.NewPeerServiceClient(&http.Client{Transport: pool}, scheme+"://"+addr.String(),
+		connect.WithReadMaxBytes(maxReplyBytes),
+		connect.WithSendGzip(),
+		connect.WithCompressMinBytes(compressMinBytes))
+	return &link{pool: pool, stub: stub}
+}
+
+// retire drops idle connections after a call that timed out: a connection that
+// something in between has forgotten stays silent for good, and the pool would
+// hand it out again.
+func (l *link) retire(err error) {
+	if connect.CodeOf(err) == connect.CodeDeadlineExceeded {
+		l.pool.CloseIdleConnections()
+	}
+}
+
+func call(ctx context.Context, to peerv1connect.PeerServiceClient, msg ports.PeerMessage) (any, error) {
+	switch m := msg.(type) {
+	case ports.Gossip:
+		r, err := to.Gossip(ctx, connect.NewRequest(codec.EncodeGossip(m)))
+		if err != nil {
+			return nil, err
+		}
+		return codec.DecodeGossip(r.Msg)
+	case ports.FetchConfig:
+		r, err := to.FetchConfig(ctx, connect.NewRequest(codec.EncodeFetchConfig(m)))
+		if err != nil {
+			return nil, err
+		}
+		return codec.DecodeConfigDelta(r.Msg)
+	case ports.Demand:
+		r, err := to.Demand(ctx, connect.NewRequest(codec.EncodeDemand(m)))
+		if err != nil {
+			return nil, err
+		}
+		return codec.DecodeDemandReply(r.Msg), nil
+	case ports.PullTable:
+		r, err := to.PullTable(ctx, connect.NewRequest(codec.EncodePullTable(m)))
+		if err != nil {
+			return nil, err
+		}
+		return codec.DecodeTableDelta(r.Msg)
+	case ports.YieldPermit:
+		r, err := to.YieldPermit(ctx, connect.NewRequest(codec.EncodeYieldPermit(m)))
+		if err != nil {
+			return nil, err
+		}
+		return ports.YieldReply{Yielded: int(r.Msg.GetYielded())}, nil
+	case ports.TargetNews:
+		_, err := to.TargetNews(ctx, connect.NewRequest(codec.EncodeTargetNews(m)))
+		return ports.Ack{}, err
+	case ports.HandOver:
+		_, err := to.HandOver(ctx, connect.NewRequest(codec.EncodeHandOver(m)))
+		return ports.Ack{}, err
+	}
+	return nil, trace.BadParameter("unknown message %T", msg)
+}
--- /dev/null
+++ b/internal/transport/peer/doc.go
@@ -0,0 +1,2 @@
+// Package peer carries the messages between entries over connect-go.
+package peer
