wire: name the reasons of stream ends and engine refusals, and the cached prefix

The engine client, the front and the stand-in have to agree on which stream ends are whole and on why an engine refuses; literals in three places would drift apart. Prefix is what cache events identify: the model, the adapter and the first message. Weighed: hashing every prefix of a conversation, which a router that only wants affinity doesn't need.

--- a/internal/protocol/wire/engine.go
+++ b/internal/protocol/wire/engine.go
@@ -1,6 +1,9 @@
 package wire
 
-import "time"
+import (
+	"hash/fnv"
+	"time"
+)
 
 // Paths of a model engine.
 const (
@@ -35,6 +38,22 @@
 	Within time.Duration `json:"withinNanos,omitempty"`
 }
 
+// Prefix identifies the part of a prompt that engines cache: the model, the
+// adapter and the first message.
+func Prefix(model, adapter string, messages []Message) uint64 {
+	h := fnv.New64a()
+	parts := []string{model, adapter}
+	if len(messages) > 0 {
+		parts = append(parts, messages[0].Role, messages[0].Content)
+	}
+	for _, part := range parts {
+		// The separator keeps ("ab", "c") and ("a", "bc") apart.
+		h.Write([]byte(part))
+		h.Write([]byte{0})
+	}
+	return h.Sum64()
+}
+
 // Chunk is one token of an answer, or its end.
 type Chunk struct {
 	RequestID string `json:"requestId"`
@@ -47,6 +66,21 @@
 	Reason string `json:"reason,omitempty"`
 }
 
+// Reasons for the end of a stream; an answer is whole after the first two.
+const (
+	FinishStop      = "stop"
+	FinishLength    = "length"
+	FinishCancelled = "cancelled"
+)
+
+// Reasons of an EngineError.
+const (
+	ReasonLeaving   = "leaving"
+	ReasonNoReplica = "noReplica"
+	ReasonNoAdapter = "noAdapter"
+	ReasonInvalid   = "invalid"
+)
+
 // EngineError is the body of an answer that is not 200. NotRun tells that the
 // engine began nothing.
 type EngineError struct {
