--- /dev/null
+++ b/internal/transport/gate/call.go
@@ -0,0 +1,91 @@
+package gate
+
+import (
+	"context"
+	"net"
+	"net/http/httptrace"
+	"sync"
+)
+
+// Call follows one HTTP/1 request over the connections that it is given.
+//
+// The transport may take several connections for one request: it tries again by
+// itself when a kept connection turns out to be closed before anything was
+// written. Every one of them counts.
+type Call struct {
+	guard func() error
+
+	mu    sync.Mutex
+	conns []*conn
+	done  bool
+}
+
+// Track returns a context that ties a request to a Call; guard, if not nil, is
+// asked immediately before each write and forbids it by returning an error.
+func Track(ctx context.Context, guard func() error) (context.Context, *Call) {
+	c := &Call{guard: guard}
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { c.take(info.Conn) },
+	}
+	return httptrace.WithClientTrace(ctx, trace), c
+}
+
+// Seal forbids further writes for the call and reports whether anything may
+// have been written.
+//
+// A cancelled request can still be on its way to the socket in the transport's
+// own goroutine, so it isn't enough to look at what was written so far: after
+// Seal that goroutine finds the connection sealed.
+func (c *Call) Seal() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.done = true
+	written := false
+	for _, held := range c.conns {
+		if held.seal(c) {
+			written = true
+		}
+	}
+	c.conns = nil
+	return written
+}
+
+// Release gives the connections back after a whole answer.
+func (c *Call) Release() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.done = true
+	for _, held := range c.conns {
+		held.release(c)
+	}
+	c.conns = nil
+}
+
+func (c *Call) take(raw net.Conn) {
+	held := unwrap(raw)
+	if held == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	held.take(c)
+	if c.done {
+		held.seal(c)
+		return
+	}
+	c.conns = append(c.conns, held)
+}
+
+// unwrap finds the package's connection, below TLS if need be.
+func unwrap(raw net.Conn) *conn {
+	for {
+		switch c := raw.(type) {
+		case *conn:
+			return c
+		case interface{ NetConn() net.Conn }:
+			raw = c.NetConn()
+		default:
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/transport/gate/dialer.go
@@ -0,0 +1,97 @@
+package gate
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	dialTimeout     = time.Second
+	idleTimeout     = 90 * time.Second
+	keepAlivePeriod = 15 * time.Second
+	idlePerHost     = 64
+	idleTotal       = 1024
+	headerBytes     = 64 << 10
+)
+
+// Dialer opens the connections of one transport and knows which are open.
+type Dialer struct {
+	dialer net.Dialer
+
+	mu    sync.Mutex
+	conns map[string]map[*conn]struct{}
+}
+
+// NewDialer returns a dialer without connections.
+func NewDialer() *Dialer {
+	return &Dialer{
+		dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod},
+		conns:  make(map[string]map[*conn]struct{}),
+	}
+}
+
+// Transport returns an HTTP/1 transport over the dialer; config may be nil.
+//
+// HTTP/2 is left out since it puts many calls on one connection, where a first
+// byte says nothing about a single call. No proxy is used and no compression.
+func (d *Dialer) Transport(config *tls.Config) *http.Transport {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	return &http.Transport{
+		DialContext:            d.Dial,
+		TLSClientConfig:        config,
+		TLSHandshakeTimeout:    dialTimeout,
+		MaxIdleConns:           idleTotal,
+		MaxIdleConnsPerHost:    idlePerHost,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: headerBytes,
+		DisableCompression:     true,
+		Protocols:              protocols,
+	}
+}
+
+// Dial opens a tracked connection.
+func (d *Dialer) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	raw, err := d.dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: raw, forget: func(c *conn) { d.forget(address, c) }}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.conns[address] == nil {
+		d.conns[address] = make(map[*conn]struct{})
+	}
+	d.conns[address][c] = struct{}{}
+	return c, nil
+}
+
+// Retire closes the idle connections to an address and keeps busy ones from
+// taking another call; it returns how many connections there were.
+func (d *Dialer) Retire(address string) int {
+	d.mu.Lock()
+	open := make([]*conn, 0, len(d.conns[address]))
+	for c := range d.conns[address] {
+		open = append(open, c)
+	}
+	d.mu.Unlock()
+	for _, c := range open {
+		if c.retire() {
+			_ = c.Close()
+		}
+	}
+	return len(open)
+}
+
+func (d *Dialer) forget(address string, c *conn) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.conns[address], c)
+	if len(d.conns[address]) == 0 {
+		delete(d.conns, address)
+	}
+}
