Own shards, plan loads and divide permits

Each shard of a zone's targets is one KV value: owner, epoch, permits and plan. An entry takes it by CAS after the KV service says that the former owner's lease key is gone; loads are written before they are ordered; permits go ledger first on a grant and shard value first on a release.

Weighed: resending a load whose answer was lost. It is not resent by the same owner; the replica stays charged until the target shows it, its fence stands above the order's epoch, or (targets that ignore fencing) the sender can send no more and the target has answered for longer than an order may travel.

--- /dev/null
+++ b/internal/coordination/owner/model.go
@@ -0,0 +1,467 @@
+package owner
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"chivecroft.example/chivecroft/internal/coordination/permit"
+	"chivecroft.example/chivecroft/internal/coordination/place"
+	"chivecroft.example/chivecroft/internal/coordination/policy"
+	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/state/config"
+)
+
+// model is what a shard knows of one model's use.
+type model struct {
+	name string
+	// demands are the callers who wait, by the entry that told of them.
+	demands map[string]demand
+
+	lastUsed time.Time
+	gaps     []time.Duration
+	// loadTime is the latest measured time of a load from the weight store.
+	loadTime time.Duration
+
+	failures int
+	retryAt  time.Time
+	reason   string
+	// refused says why the placement found no target.
+	refused string
+	// since is when the demand began that no load has been decided for.
+	since time.Time
+}
+
+type demand struct {
+	adapter string
+	waiting int
+	until   time.Time
+}
+
+// ask is a DemandAsked without an answer yet.
+type ask struct {
+	id      uint64
+	model   string
+	adapter string
+	at      time.Time
+}
+
+const (
+	// gapsKept bounds the gaps between uses that policies see.
+	gapsKept = 16
+	// failBackoffFirst and failBackoffLimit bound the wait after failed loads.
+	failBackoffFirst = 2 * time.Second
+	failBackoffLimit = 5 * time.Minute
+	// evictHold spares a replica that has just become ready.
+	evictHold = time.Second
+)
+
+func (s *Shard) model(name string) *model {
+	m := s.models[name]
+	if m == nil {
+		m = &model{name: name, demands: make(map[string]demand)}
+		s.models[name] = m
+	}
+	return m
+}
+
+// reset drops what belongs to a tenure and keeps what was learned of the use.
+func (m *model) reset() {
+	clear(m.demands)
+	m.refused = ""
+	m.since = time.Time{}
+}
+
+func (m *model) waiting(now time.Time) (int, time.Time) {
+	n := 0
+	var first time.Time
+	for from, d := range m.demands {
+		if now.After(d.until) {
+			delete(m.demands, from)
+			continue
+		}
+		n += d.waiting
+		first = earlier(first, d.until)
+	}
+	if n == 0 {
+		m.since = time.Time{}
+	}
+	return n, first
+}
+
+func (s *Shard) takeDemand(e DemandAsked) {
+	d := e.Demand
+	s.asks = append(s.asks, ask{id: e.ID, model: d.Model, adapter: d.Adapter, at: s.now})
+	if s.config != nil && s.unservable(d.Model, d.Adapter) != "" {
+		return
+	}
+	m := s.model(d.Model)
+	s.touch(m)
+	if s.stage == stageOwned && d.Waiting > 0 {
+		m.demands[d.From] = demand{adapter: d.Adapter, waiting: d.Waiting, until: s.now.Add(d.Within)}
+		if m.since.IsZero() {
+			m.since = s.now
+		}
+		s.demanded[d.Model] = true
+	}
+}
+
+// touch records a use of the model.
+func (s *Shard) touch(m *model) {
+	if !m.lastUsed.IsZero() && s.now.Sub(m.lastUsed) >= time.Second {
+		m.gaps = append(m.gaps, s.now.Sub(m.lastUsed))
+		m.gaps = m.gaps[max(0, len(m.gaps)-gapsKept):]
+	}
+	m.lastUsed = s.now
+}
+
+func (s *Shard) used(r *replica, rs *ports.ReplicaState) {
+	if rs.Running > 0 || rs.Queued > 0 || (r.seen != nil && rs.Served != r.seen.Served) {
+		s.touch(s.model(r.Model))
+	}
+}
+
+func (s *Shard) loadDone(r *replica) {
+	m := s.model(r.Model)
+	m.failures = 0
+	m.retryAt = time.Time{}
+	if r.mine && r.FromStore {
+		m.loadTime = s.now.Sub(r.decidedAt)
+	}
+}
+
+func (s *Shard) modelFailed(name, reason string) {
+	m := s.model(name)
+	m.reason = reason
+	wait := min(failBackoffFirst<<min(m.failures, 10), failBackoffLimit)
+	m.failures++
+	m.retryAt = s.now.Add(wait + s.jitter(wait/4))
+}
+
+// maximum is the model's replica limit over the whole deployment.
+func (s *Shard) maximum(name string) int {
+	return s.maximumIn(s.config, name)
+}
+
+func (s *Shard) maximumIn(c *config.Config, name string) int {
+	if name == permit.Store {
+		return s.settings.StoreSlots
+	}
+	if c == nil {
+		return 0
+	}
+	if _, known := c.Models[name]; !known {
+		return 0
+	}
+	if rule, ok := c.Rules[name]; ok {
+		return rule.MaxReplicas
+	}
+	return s.settings.DefaultMaxReplicas
+}
+
+// minimum is how many replicas this shard keeps loaded: the model's minimum at
+// its home shard, none elsewhere.
+func (s *Shard) minimum(name string) int {
+	return s.minima[name]
+}
+
+// reviewMinima finds the models that have their home at this shard.
+func (s *Shard) reviewMinima() {
+	s.minima = make(map[string]int)
+	if s.config == nil {
+		return
+	}
+	for name, rule := range s.config.Rules {
+		if rule.MinReplicas > 0 && s.isHome(name) {
+			s.minima[name] = min(rule.MinReplicas, rule.MaxReplicas)
+		}
+	}
+}
+
+func (s *Shard) isHome(name string) bool {
+	if place.ShardOf(name, s.settings.ShardCount) != s.settings.Shard {
+		return false
+	}
+	zones := map[string]bool{s.settings.Zone: true}
+	for _, m := range s.members {
+		if m.Phase == ports.MemberAlive {
+			zones[m.Zone] = true
+		}
+	}
+	return place.Rank(name, slices.Sorted(maps.Keys(zones)))[0] == s.settings.Zone
+}
+
+func (s *Shard) replicasOf(name string) []*replica {
+	var found []*replica
+	for _, id := range s.targetIDs() {
+		t := s.targets[id]
+		for _, rid := range t.replicaIDs() {
+			if r := t.replicas[rid]; r.Model == name {
+				found = append(found, r)
+			}
+		}
+	}
+	return found
+}
+
+func (s *Shard) view(m *model) policy.ModelView {
+	c := s.config.Models[m.name]
+	waiting, first := m.waiting(s.now)
+	v := policy.ModelView{
+		Model:         m.name,
+		MemoryBytes:   c.MemoryBytes,
+		LoadTime:      time.Duration(c.LoadTime),
+		LastUsed:      m.lastUsed,
+		Gaps:          m.gaps,
+		KeepAlive:     time.Duration(s.config.Rules[m.name].KeepAlive),
+		Waiting:       waiting,
+		FirstDeadline: first,
+		Max:           s.maximum(m.name),
+		Min:           s.minimum(m.name),
+		Concurrency:   c.Concurrency,
+	}
+	for _, r := range s.replicasOf(m.name) {
+		if r.isReady() {
+			v.Ready++
+			v.Running += r.seen.Running
+			v.Queued += r.seen.Queued
+		}
+	}
+	return v
+}
+
+// reviewModels unloads what is not needed and decides the loads that are.
+func (s *Shard) reviewModels() {
+	if s.config == nil {
+		return
+	}
+	if s.ticked {
+		s.ticked = false
+		s.retire()
+	}
+	wanting := s.wanting()
+	if len(wanting) == 0 {
+		return
+	}
+	requests := make([]policy.LoadRequest, len(wanting))
+	for i, m := range wanting {
+		requests[i] = policy.LoadRequest{Model: s.view(m), Since: m.since, Tier: s.bestTier(m.name)}
+	}
+	for _, i := range s.policies.Order.Decide(s.now, requests) {
+		s.load(wanting[i], requests[i].Model)
+	}
+}
+
+// wanting are the models that should have more replicas than are decided.
+func (s *Shard) wanting() []*model {
+	names := make(map[string]bool)
+	for name := range s.demanded {
+		if n, _ := s.model(name).waiting(s.now); n > 0 {
+			names[name] = true
+		} else {
+			delete(s.demanded, name)
+		}
+	}
+	for name := range s.minima {
+		names[name] = true
+	}
+	for _, t := range s.targets {
+		for _, r := range t.replicas {
+			if r.isReady() && !r.isIdle() {
+				names[r.Model] = true
+			}
+		}
+	}
+	var wanting []*model
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		if m := s.model(name); s.decided(name) < s.wanted(m) && !s.now.Before(m.retryAt) {
+			wanting = append(wanting, m)
+		}
+	}
+	return wanting
+}
+
+// wanted is the number of replicas that the model should have in this shard.
+func (s *Shard) wanted(m *model) int {
+	if _, known := s.config.Models[m.name]; !known {
+		return 0
+	}
+	v := s.view(m)
+	want := s.policies.Scale.Decide(s.now, policy.ScaleInput{Model: v})
+	if v.Waiting > 0 {
+		want = max(want, 1)
+	}
+	return min(max(want, v.Min), v.Max)
+}
+
+// decided counts the replicas that are there to stay.
+func (s *Shard) decided(name string) int {
+	n := 0
+	for _, t := range s.targets {
+		for _, r := range t.replicas {
+			if r.Model == name && r.Phase != place.PhaseUnloading && !t.isLeaving() {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (s *Shard) bestTier(name string) ports.Tier {
+	best := ports.TierRemote
+	for _, t := range s.targets {
+		switch s.tier(t, name) {
+		case ports.TierMemory:
+			return ports.TierMemory
+		case ports.TierDisk:
+			best = ports.TierDisk
+		case ports.TierRemote:
+		}
+	}
+	return best
+}
+
+func (s *Shard) tier(t *target, name string) ports.Tier {
+	if t.state != nil {
+		if tier, ok := t.state.Cached[s.config.Models[name].Checkpoint]; ok {
+			return tier
+		}
+	}
+	return ports.TierRemote
+}
+
+// load decides one more replica of the model if a permit, a place and, for a
+// load from the weight store, a slot are there.
+func (s *Shard) load(m *model, v policy.ModelView) {
+	if s.available(m.name) < 1 {
+		s.acquire(m.name, s.permits.held[m.name]+1)
+		return
+	}
+	if s.awaitsEviction(m.name) {
+		return
+	}
+	placed := s.policies.Place.Decide(s.now, policy.PlaceInput{Model: v, Targets: s.targetViews(m.name)})
+	t := s.targets[placed.Target]
+	m.refused = placed.Refused
+	if placed.Refused != "" || t == nil {
+		return
+	}
+	if len(placed.Evict) > 0 {
+		s.evict(m, t, placed.Evict)
+		return
+	}
+	if t.free() < v.MemoryBytes || !t.isUsable(s.now, usableFor) {
+		m.refused = "the chosen target has no room"
+		return
+	}
+	fromStore := s.tier(t, m.name) == ports.TierRemote
+	if fromStore && !s.takeSlot() {
+		return
+	}
+	s.decide(m, t, fromStore)
+}
+
+// usableFor is how old a target's account may be for a load to be decided on it.
+const usableFor = 10 * time.Second
+
+func (s *Shard) decide(m *model, t *target, fromStore bool) {
+	c := s.config.Models[m.name]
+	s.lastReplica++
+	r := &replica{mine: true, decidedAt: s.now, lastUsed: s.now, adapters: make(map[string]*adapter)}
+	r.Replica = place.Replica{
+		ID:          s.replicaID(),
+		Model:       m.name,
+		Revision:    c.Revision,
+		Checkpoint:  c.Checkpoint,
+		MemoryBytes: c.MemoryBytes,
+		Concurrency: c.Concurrency,
+		Phase:       place.PhaseDecided,
+		FromStore:   fromStore,
+	}
+	t.replicas[r.ID] = r
+	s.stamp(r)
+	m.since = time.Time{}
+}
+
+func (s *Shard) targetViews(name string) []policy.TargetView {
+	var views []policy.TargetView
+	for _, id := range s.targetIDs() {
+		t := s.targets[id]
+		if !t.isUsable(s.now, usableFor) || (t.ignoresFence && !s.isSafe()) {
+			continue
+		}
+		v := policy.TargetView{Target: id, FreeBytes: t.free(), TotalBytes: t.state.MemoryBytes, Tier: s.tier(t, name)}
+		for _, rid := range t.replicaIDs() {
+			r := t.replicas[rid]
+			if r.Phase != place.PhaseUnloading && !r.isReady() {
+				v.Loading++
+			}
+			if r.isReady() {
+				v.Running += r.seen.Running
+			}
+			if s.isEvictable(r, name) {
+				v.Evictable = append(v.Evictable, s.replicaView(t, r))
+			}
+		}
+		views = append(views, v)
+	}
+	return views
+}
+
+func (s *Shard) isEvictable(r *replica, name string) bool {
+	if !r.isReady() || !r.isIdle() || r.Model == name || s.now.Sub(r.readyAt) < evictHold {
+		return false
+	}
+	waiting, _ := s.model(r.Model).waiting(s.now)
+	return waiting == 0 && s.decided(r.Model) > s.minimum(r.Model)
+}
+
+func (s *Shard) replicaView(t *target, r *replica) policy.ReplicaView {
+	v := s.view(s.model(r.Model))
+	v.LastUsed = r.lastUsed
+	return policy.ReplicaView{
+		Replica:    r.ID,
+		Target:     t.id,
+		Model:      v,
+		LoadedAt:   r.readyAt,
+		ReloadTime: s.loadTime(r.Model),
+		Busy:       !r.isIdle(),
+	}
+}
+
+// evict unloads replicas to make room; the memory is used only once the target
+// confirms that they are gone.
+func (s *Shard) evict(m *model, t *target, ids []string) {
+	for _, id := range ids {
+		if r := t.replicas[id]; r != nil && s.isEvictable(r, m.name) {
+			r.evictedFor = m.name
+			s.unload(r)
+		}
+	}
+}
+
+// awaitsEviction tells whether replicas are on their way out to make room for
+// the model.
+func (s *Shard) awaitsEviction(name string) bool {
+	for _, t := range s.targets {
+		for _, r := range t.replicas {
+			if r.evictedFor == name && r.Phase == place.PhaseUnloading {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (s *Shard) loadTime(name string) time.Duration {
+	if t := s.model(name).loadTime; t > 0 {
+		return t
+	}
+	if t := time.Duration(s.config.Models[name].LoadTime); t > 0 {
+		return t
+	}
+	return defaultLoadTime
+}
+
+// defaultLoadTime is the estimate for a model that was never loaded and names none.
+const defaultLoadTime = 10 * time.Second
--- /dev/null
+++ b/internal/coordination/owner/oracle_test.go
@@ -0,0 +1,115 @@
+package owner
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"chivecroft.example/chivecroft/internal/coordination/permit"
+	"chivecroft.example/chivecroft/internal/coordination/place"
+	"chivecroft.example/chivecroft/internal/coordination/ports"
+)
+
+// check compares the true state of all engines and of the KV service with the
+// promises.
+func (r *rig) check() {
+	r.checked++
+	plans, ledger := r.plans(), r.ledger()
+	r.checkPermits(plans, ledger)
+	r.checkTargets(plans)
+	r.checkSpending(plans)
+	for _, name := range slices.Sorted(maps.Keys(r.bound)) {
+		if n := r.loaded(name); name != permit.Store && n > r.bound[name] {
+			r.failf("%d replicas of %s are loaded, the maximum is %d", n, name, r.bound[name])
+		}
+	}
+	if r.loads > defaultStoreSlots {
+		r.failf("%d loads from the weight store at once", r.loads)
+	}
+}
+
+// checkPermits: held by shards <= granted in the ledger <= maximum. A lowered
+// maximum counts from when the ledger no longer grants more.
+func (r *rig) checkPermits(plans map[string]place.Plan, ledger map[string]permit.Resource) {
+	for _, shard := range slices.Sorted(maps.Keys(plans)) {
+		for resource, held := range plans[shard].Permits {
+			if granted := ledger[resource].Grants[shard]; held > granted {
+				r.failf("shard %s holds %d of %s, the ledger grants %d", shard, held, resource, granted)
+			}
+		}
+	}
+	for _, resource := range slices.Sorted(maps.Keys(ledger)) {
+		limit := r.config.Rules[resource].MaxReplicas
+		if resource == permit.Store {
+			limit = defaultStoreSlots
+		}
+		granted := ledger[resource].Granted()
+		r.bound[resource] = max(limit, min(r.bound[resource], granted))
+		if granted > r.bound[resource] {
+			r.failf("the ledger grants %d of %s, the maximum is %d", granted, resource, r.bound[resource])
+		}
+	}
+}
+
+// checkTargets: no order would have overcommitted memory, and what a target
+// that ignores fencing holds stands in the plan.
+func (r *rig) checkTargets(plans map[string]place.Plan) {
+	for _, m := range r.targets {
+		for _, e := range append(slices.Clone(m.past), m.engine) {
+			if n := e.Record().Overcommitted; n > 0 {
+				r.failf("%d orders would have overcommitted %s", n, m.row.ID)
+			}
+		}
+		if m.fenced || m.removed {
+			continue
+		}
+		p := plans[permit.ShardName(m.row.Zone, place.ShardOf(m.row.ID, r.size.shards))].Targets[m.row.ID]
+		state := m.engine.State()
+		for _, rep := range state.Replicas {
+			planned := slices.ContainsFunc(p.Replicas, func(x place.Replica) bool { return x.ID == rep.Replica })
+			if rep.Phase != ports.PhaseFailed && (!planned || p.Boot != state.Boot) {
+				r.failf("%s holds %s, which the plan does not show", m.row.ID, rep.Replica)
+			}
+		}
+	}
+}
+
+// checkSpending: a shard's targets hold no more replicas than the shard's value
+// has permits, at any moment, planned or not.
+func (r *rig) checkSpending(plans map[string]place.Plan) {
+	spent := make(map[string]map[string]int)
+	for _, m := range r.targets {
+		if m.removed {
+			continue
+		}
+		shard := permit.ShardName(m.row.Zone, place.ShardOf(m.row.ID, r.size.shards))
+		if spent[shard] == nil {
+			spent[shard] = make(map[string]int)
+		}
+		for _, rep := range m.engine.State().Replicas {
+			if rep.Phase != ports.PhaseFailed {
+				spent[shard][rep.Model]++
+			}
+		}
+	}
+	for _, shard := range slices.Sorted(maps.Keys(spent)) {
+		for model, n := range spent[shard] {
+			if held := plans[shard].Permits[model]; n > held {
+				r.failf("shard %s has %d replicas of %s loaded and holds %d permits", shard, n, model, held)
+			}
+		}
+	}
+}
+
+// demandEverywhere keeps callers waiting for every model in every zone.
+func (r *rig) demandEverywhere(for_ time.Duration) {
+	end := r.clock.Now().Add(for_)
+	for r.clock.Now().Before(end) && r.fault == "" {
+		for z := range r.size.zones {
+			for m := range r.size.models {
+				r.demand(z, m%r.size.shards, ports.Demand{Model: modelName(m), Waiting: 1, Within: 10 * time.Second, From: "caller"})
+			}
+		}
+		r.run(2 * time.Second)
+	}
+}
--- /dev/null
+++ b/internal/coordination/owner/retire.go
@@ -0,0 +1,71 @@
+package owner
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"chivecroft.example/chivecroft/internal/coordination/place"
+)
+
+// retire unloads idle replicas after their keep-alive, those of models that
+// were removed, those on draining targets, and those above a lowered maximum.
+func (s *Shard) retire() {
+	for _, id := range s.targetIDs() {
+		t := s.targets[id]
+		for _, rid := range t.replicaIDs() {
+			if r := t.replicas[rid]; r.isReady() && s.isRetired(t, r) {
+				s.unload(r)
+			}
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.permits.quota)) {
+		s.unloadAbove(name, s.permits.quota[name])
+	}
+}
+
+func (s *Shard) isRetired(t *target, r *replica) bool {
+	if t.draining {
+		return true
+	}
+	if _, known := s.config.Models[r.Model]; !known {
+		return true
+	}
+	if !r.isIdle() || s.now.Sub(r.lastUsed) < time.Second {
+		return false
+	}
+	m := s.model(r.Model)
+	if waiting, _ := m.waiting(s.now); waiting > 0 {
+		return false
+	}
+	if s.decided(r.Model) <= s.minimum(r.Model) {
+		return false
+	}
+	v := s.view(m)
+	v.LastUsed = r.lastUsed
+	return s.now.Sub(r.lastUsed) >= s.policies.KeepAlive.Decide(s.now, v)
+}
+
+// unloadAbove unloads replicas beyond the number that a lowered maximum leaves
+// to this shard, idle ones first.
+func (s *Shard) unloadAbove(name string, quota int) {
+	var staying []*replica
+	for _, r := range s.replicasOf(name) {
+		if r.Phase != place.PhaseUnloading {
+			staying = append(staying, r)
+		}
+	}
+	slices.SortStableFunc(staying, func(a, b *replica) int {
+		if a.isIdle() != b.isIdle() {
+			if a.isIdle() {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.lastUsed.UnixNano(), b.lastUsed.UnixNano())
+	})
+	for i := 0; i < len(staying)-quota; i++ {
+		s.unload(staying[i])
+	}
+}
--- /dev/null
+++ b/internal/coordination/owner/rig_test.go
@@ -0,0 +1,569 @@
+package owner
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sort"
+	"strings"
+	"time"
+
+	"chivecroft.example/chivecroft/internal/coordination/drive"
+	"chivecroft.example/chivecroft/internal/coordination/permit"
+	"chivecroft.example/chivecroft/internal/coordination/place"
+	"chivecroft.example/chivecroft/internal/coordination/policy"
+	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/stand/engmem"
+	"chivecroft.example/chivecroft/internal/stand/kvmem"
+	"chivecroft.example/chivecroft/internal/stand/world"
+	"chivecroft.example/chivecroft/internal/state/config"
+	"chivecroft.example/chivecroft/internal/state/timer"
+)
+
+const gib = 1 << 30
+
+// rigSize is what a rig is made of.
+type rigSize struct {
+	zones, entries, targets, shards int
+	// unfenced targets are the first of each zone.
+	unfenced    int
+	memoryBytes uint64
+	models      int
+	maxReplicas int
+	latency     time.Duration
+	seed        uint64
+}
+
+// rig runs the shards of several entries in several zones on virtual time, and
+// knows the true state of everything.
+type rig struct {
+	size    rigSize
+	clock   *timer.Virtual
+	store   *kvmem.Store
+	net     *world.Net
+	list    *world.List
+	random  *rand.Rand
+	entries []*entry
+	targets []*machine
+	config  *config.Config
+	bound   map[string]int
+	loads   int
+	starts  []time.Time
+	answers map[uint64]ports.DemandReply
+	nextAsk uint64
+	events  []string
+	fault   string
+	// checked counts the checks that were made.
+	checked int
+}
+
+// machine is a target with the engines of all its boots.
+type machine struct {
+	row     ports.Instance
+	fenced  bool
+	engine  *engmem.Engine
+	past    []*engmem.Engine
+	boots   int
+	removed bool
+	failing bool
+	slow    time.Duration
+}
+
+// entry is one process with a part for each shard of its zone.
+type entry struct {
+	rig         *rig
+	member      ports.Member
+	loops       []*drive.Loop
+	shards      []*Shard
+	kv          *lateKV
+	dead        bool
+	frozen      bool
+	frozenAt    time.Time
+	held        []func()
+	owned       map[int]bool
+	stopped     int
+	incarnation uint64
+	silentSince time.Time
+}
+
+// lateKV can let a write take effect long after its answer was lost.
+type lateKV struct {
+	*world.KV
+	rig  *rig
+	late float64
+}
+
+func (k *lateKV) Call(req ports.KVRequest, done func(ports.KVReply)) {
+	if world.KindOf(req) == "write" && k.late > 0 && k.rig.random.Float64() < k.late {
+		k.rig.clock.After(time.Second, func() { done(ports.KVReply{Status: ports.KVUnknown}) })
+		k.rig.clock.After(time.Duration(1+k.rig.random.IntN(4000))*time.Millisecond, func() {
+			k.rig.store.Call(req, func(ports.KVReply) {})
+		})
+		return
+	}
+	k.KV.Call(req, done)
+}
+
+func newRig(size rigSize) *rig {
+	clock := timer.NewVirtual(time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC))
+	r := &rig{
+		size:    size,
+		clock:   clock,
+		store:   kvmem.NewStore(clock),
+		net:     world.NewNet(clock, size.latency),
+		list:    world.NewList(clock, 0),
+		random:  rand.New(rand.NewPCG(size.seed, 1)),
+		bound:   make(map[string]int),
+		answers: make(map[uint64]ports.DemandReply),
+	}
+	r.config = r.newConfig(1, size.maxReplicas)
+	for z := range size.zones {
+		for i := range size.targets {
+			r.addTarget(z, i, i >= size.unfenced)
+		}
+	}
+	r.setList()
+	for z := range size.zones {
+		for i := range size.entries {
+			r.addEntry(z, i)
+		}
+	}
+	r.every(500*time.Millisecond, r.gossip)
+	r.every(2*time.Second, r.readList)
+	return r
+}
+
+func (r *rig) newConfig(version config.Version, maxReplicas int) *config.Config {
+	c := &config.Config{Version: version, Models: make(map[string]config.Model), Rules: make(map[string]config.Rule)}
+	for m := range r.size.models {
+		name := fmt.Sprintf("model-%d", m)
+		c.Models[name] = config.Model{
+			Checkpoint: "ckpt-" + name, MemoryBytes: 4 * gib, LoadTime: config.Duration(3 * time.Second), Concurrency: 4,
+		}
+		c.Rules[name] = config.Rule{MaxReplicas: maxReplicas, KeepAlive: config.Duration(20 * time.Second)}
+		r.bound[name] = max(r.bound[name], maxReplicas)
+	}
+	c.Adapters = map[string]config.Adapter{"lora": {Model: "model-0", Checkpoint: "ckpt-lora", MemoryBytes: gib}}
+	r.bound[permit.Store] = defaultStoreSlots
+	return c
+}
+
+func (r *rig) every(d time.Duration, f func()) {
+	timer.Every(r.clock, d, f)
+}
+
+func zoneName(z int) string { return fmt.Sprintf("zone-%c", 'a'+z) }
+
+func (r *rig) addTarget(z, i int, fenced bool) {
+	m := &machine{fenced: fenced}
+	m.row = ports.Instance{
+		ID: fmt.Sprintf("target-%c%d", 'a'+z, i), Kind: ports.InstanceTarget, Zone: zoneName(z), Region: "region",
+		Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(z), 1, byte(i)}), 80),
+	}
+	r.targets = append(r.targets, m)
+	r.boot(m)
+}
+
+// boot starts a target's engine anew, empty.
+func (r *rig) boot(m *machine) {
+	if m.engine != nil {
+		m.past = append(m.past, m.engine)
+	}
+	m.boots++
+	m.engine = engmem.NewEngine(m.row.ID, fmt.Sprintf("boot-%d", m.boots), r.size.memoryBytes, r.loader(m), engmem.WithFencing(m.fenced))
+	r.net.AddEngine(m.row.Addr, m.engine)
+}
+
+func (r *rig) loader(m *machine) engmem.Loader {
+	return func(_ string, tier ports.Tier, done func(error)) {
+		if tier == ports.TierRemote {
+			r.loads++
+			r.starts = append(r.starts, r.clock.Now())
+		}
+		boots := m.boots
+		r.clock.After(engmem.LoadTime(tier, 3*time.Second)+m.slow, func() {
+			if tier == ports.TierRemote {
+				r.loads--
+			}
+			switch {
+			case m.boots != boots:
+			case m.failing:
+				done(fmt.Errorf("weight store: checksum mismatch"))
+			default:
+				done(nil)
+			}
+		})
+	}
+}
+
+func (r *rig) setList() {
+	var rows []ports.Instance
+	for _, m := range r.targets {
+		if !m.removed {
+			rows = append(rows, m.row)
+		}
+	}
+	r.list.Set(rows)
+}
+
+func (r *rig) addEntry(z, i int) *entry {
+	e := &entry{rig: r}
+	e.member = ports.Member{
+		ID: fmt.Sprintf("entry-%c%d", 'a'+z, i), Zone: zoneName(z), Region: "region", Phase: ports.MemberAlive,
+		Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(z), 0, byte(i)}), 80),
+	}
+	r.entries = append(r.entries, e)
+	e.kv = &lateKV{rig: r, KV: world.NewKV(r.store, r.clock, r.random)}
+	e.kv.SetFaults(world.KVFaults{Latency: 4 * time.Millisecond})
+	e.start()
+	return e
+}
+
+// start begins a new incarnation of the entry.
+func (e *entry) start() {
+	e.incarnation++
+	e.member.Incarnation = e.incarnation
+	e.member.Phase = ports.MemberAlive
+	e.dead, e.frozen, e.held = false, false, nil
+	e.owned = make(map[int]bool)
+	e.loops, e.shards, e.stopped = nil, nil, 0
+	env := ports.Env{KV: e.gatedKV(), Engine: e.gatedEngine(), Peers: e.gatedPeers(), Timer: gatedTimer{e, e.incarnation}}
+	for n := range e.rig.size.shards {
+		shard := New(Settings{Self: e.member, Zone: e.member.Zone, Region: e.member.Region, Shard: n, ShardCount: e.rig.size.shards},
+			testPolicies(), rand.New(rand.NewPCG(e.rig.size.seed, uint64(len(e.rig.entries)*100+n))))
+		e.shards = append(e.shards, shard)
+		e.loops = append(e.loops, drive.NewLoop(shard, env, drive.WithListener(func(v any) { e.listen(n, v) })))
+	}
+	e.rig.net.AddPeer(e.member.Addr, e.handle)
+	for _, loop := range e.loops {
+		loop.Post(ConfigChanged{e.rig.config})
+		loop.Post(Start{})
+	}
+}
+
+func (e *entry) listen(shard int, v any) {
+	r := e.rig
+	switch n := v.(type) {
+	case OwnershipChanged:
+		e.owned[shard] = n.Owned
+	case DemandAnswered:
+		r.answers[n.ID] = n.Reply
+	case YieldAnswered:
+		if done := yieldWaits[n.ID]; done != nil {
+			delete(yieldWaits, n.ID)
+			done(ports.PeerReply{Msg: n.Reply})
+		}
+	case Stopped:
+		e.stopped++
+	case Happened:
+		r.logf("%s %s %s: %s", e.member.ID, n.Kind, n.Subject, n.Detail)
+	}
+}
+
+func (r *rig) logf(format string, args ...any) {
+	r.events = append(r.events, r.clock.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
+}
+
+var yieldWaits = make(map[uint64]func(ports.PeerReply))
+
+func (e *entry) handle(msg ports.PeerMessage, done func(ports.PeerReply)) {
+	e.gate(e.incarnation, func() {
+		switch m := msg.(type) {
+		case ports.YieldPermit:
+			for n := range e.shards {
+				if permit.ShardName(e.member.Zone, n) == m.Shard {
+					e.rig.nextAsk++
+					yieldWaits[e.rig.nextAsk] = done
+					e.loops[n].Post(YieldAsked{ID: e.rig.nextAsk, Yield: m})
+				}
+			}
+		case ports.HandOver:
+			for _, n := range m.Shards {
+				e.loops[n].Post(HandOverArrived{})
+			}
+			done(ports.PeerReply{Msg: ports.Ack{}})
+		}
+	})
+}
+
+// gate runs f now, later if the entry is frozen, or never if it was replaced.
+func (e *entry) gate(incarnation uint64, f func()) {
+	switch {
+	case e.dead || e.incarnation != incarnation:
+	case e.frozen:
+		e.held = append(e.held, func() { e.gate(incarnation, f) })
+	default:
+		f()
+	}
+}
+
+type gatedTimer struct {
+	e           *entry
+	incarnation uint64
+}
+
+func (g gatedTimer) Now() time.Time { return g.e.rig.clock.Now() }
+
+func (g gatedTimer) After(d time.Duration, fire func()) timer.Cancel {
+	return g.e.rig.clock.After(d, func() { g.e.gate(g.incarnation, fire) })
+}
+
+type (
+	kvFunc    func(ports.KVRequest, func(ports.KVReply))
+	orderFunc func(netip.AddrPort, ports.Order, func(ports.OrderReply))
+	peerFunc  func(netip.AddrPort, ports.PeerMessage, func(ports.PeerReply))
+)
+
+func (f kvFunc) Call(req ports.KVRequest, done func(ports.KVReply)) { f(req, done) }
+func (f orderFunc) Order(to netip.AddrPort, o ports.Order, done func(ports.OrderReply)) {
+	f(to, o, done)
+}
+
+func (f peerFunc) Send(to netip.AddrPort, m ports.PeerMessage, done func(ports.PeerReply)) {
+	f(to, m, done)
+}
+
+func (e *entry) gatedKV() ports.KV {
+	inc := e.incarnation
+	return kvFunc(func(req ports.KVRequest, done func(ports.KVReply)) {
+		e.kv.Call(req, func(r ports.KVReply) { e.gate(inc, func() { done(r) }) })
+	})
+}
+
+func (e *entry) gatedEngine() ports.Engine {
+	inc, side := e.incarnation, e.rig.net.From(e.member.Addr)
+	return orderFunc(func(to netip.AddrPort, o ports.Order, done func(ports.OrderReply)) {
+		side.Order(to, o, func(r ports.OrderReply) { e.gate(inc, func() { done(r) }) })
+	})
+}
+
+func (e *entry) gatedPeers() ports.Peers {
+	inc, side := e.incarnation, e.rig.net.From(e.member.Addr)
+	return peerFunc(func(to netip.AddrPort, m ports.PeerMessage, done func(ports.PeerReply)) {
+		side.Send(to, m, func(r ports.PeerReply) { e.gate(inc, func() { done(r) }) })
+	})
+}
+
+func (e *entry) post(ev ports.Event) {
+	inc := e.incarnation
+	e.gate(inc, func() {
+		for _, loop := range e.loops {
+			loop.Post(ev)
+		}
+	})
+}
+
+func (e *entry) kill() {
+	e.dead = true
+	e.silentSince = e.rig.clock.Now()
+	e.rig.net.AddPeer(e.member.Addr, nil)
+	for _, loop := range e.loops {
+		loop.Stop()
+	}
+	e.rig.logf("%s killed", e.member.ID)
+}
+
+func (e *entry) freeze() {
+	e.frozen = true
+	e.frozenAt = e.rig.clock.Now()
+	e.silentSince = e.frozenAt
+	e.rig.logf("%s frozen", e.member.ID)
+}
+
+func (e *entry) resume() {
+	held := e.held
+	e.frozen, e.held = false, nil
+	e.rig.logf("%s resumed", e.member.ID)
+	for _, f := range held {
+		f()
+	}
+}
+
+// gossip tells every entry of all others: a dead or frozen one is silent after
+// two seconds.
+func (r *rig) gossip() {
+	var members []ports.Member
+	for _, e := range r.entries {
+		m := e.member
+		if (e.dead || e.frozen) && r.clock.Now().Sub(e.silentSince) >= 2*time.Second {
+			m.Phase = ports.MemberSilent
+		}
+		if !e.dead && !e.frozen {
+			e.member.Beat++
+			m.Shards = nil
+			for n := range e.shards {
+				if e.owned[n] {
+					m.Shards = append(m.Shards, n)
+				}
+			}
+			e.member.Shards = m.Shards
+		}
+		if e.dead && r.clock.Now().Sub(e.silentSince) >= 40*time.Second {
+			m.Phase = ports.MemberGone
+		}
+		members = append(members, m)
+	}
+	for _, e := range r.entries {
+		e.post(MembersChanged{append([]ports.Member(nil), members...)})
+	}
+}
+
+func (r *rig) readList() {
+	r.list.Instances(func(rows []ports.Instance, _ error) {
+		for _, e := range r.entries {
+			var zone []ports.Instance
+			for _, row := range rows {
+				if row.Zone == e.member.Zone {
+					zone = append(zone, row)
+				}
+			}
+			e.post(TargetsChanged{zone})
+		}
+	})
+}
+
+// run advances time event by event and checks the promises after each.
+func (r *rig) run(d time.Duration) {
+	end := r.clock.Now().Add(d)
+	for r.fault == "" {
+		next, ok := r.clock.Next()
+		if !ok || next.After(end) {
+			break
+		}
+		r.clock.Advance(next.Sub(r.clock.Now()))
+		r.check()
+	}
+	r.clock.Advance(max(end.Sub(r.clock.Now()), 0))
+}
+
+// demand tells the owner of a shard that a caller waits; it returns the ask's id.
+func (r *rig) demand(zone, shard int, d ports.Demand) uint64 {
+	r.nextAsk++
+	for _, e := range r.entries {
+		if e.member.Zone == zoneName(zone) && !e.dead && !e.frozen && e.owned[shard] {
+			e.loops[shard].Post(DemandAsked{ID: r.nextAsk, Demand: d})
+			return r.nextAsk
+		}
+	}
+	return 0
+}
+
+func (r *rig) ownerOf(zone, shard int) *entry {
+	for _, e := range r.entries {
+		if e.member.Zone == zoneName(zone) && !e.dead && e.owned[shard] {
+			return e
+		}
+	}
+	return nil
+}
+
+// loaded counts the replicas of a model that are truly in memory.
+func (r *rig) loaded(model string) int {
+	n := 0
+	for _, m := range r.targets {
+		if m.removed {
+			continue
+		}
+		for _, rep := range m.engine.State().Replicas {
+			if rep.Model == model && rep.Phase != ports.PhaseFailed {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (r *rig) plans() map[string]place.Plan {
+	plans := make(map[string]place.Plan)
+	for _, item := range r.store.Dump() {
+		if !strings.HasPrefix(item.Key, "zone/") {
+			continue
+		}
+		for z := range r.size.zones {
+			for n := range r.size.shards {
+				if item.Key == fmt.Sprintf("zone/%s/shard/%d", zoneName(z), n) {
+					if p, err := place.Decode(item.Value, zoneName(z), n); err == nil {
+						plans[permit.ShardName(zoneName(z), n)] = p
+					}
+				}
+			}
+		}
+	}
+	return plans
+}
+
+func (r *rig) ledger() map[string]permit.Resource {
+	all := make(map[string]permit.Resource)
+	for _, item := range r.store.Dump() {
+		if !strings.HasPrefix(item.Key, "permit/") {
+			continue
+		}
+		if l, err := permit.Decode(item.Value); err == nil {
+			for name, res := range l.Resources {
+				all[name] = res
+			}
+		}
+	}
+	return all
+}
+
+func (r *rig) failf(format string, args ...any) {
+	if r.fault == "" {
+		r.fault = r.clock.Now().Format("15:04:05.000 ") + fmt.Sprintf(format, args...)
+	}
+}
+
+func testPolicies() policy.Set {
+	return policy.Set{
+		KeepAlive: policy.Func[policy.ModelView, time.Duration](func(_ time.Time, v policy.ModelView) time.Duration {
+			return v.KeepAlive
+		}),
+		Scale: policy.Func[policy.ScaleInput, int](func(_ time.Time, in policy.ScaleInput) int {
+			busy := in.Model.Waiting + in.Model.Running + in.Model.Queued
+			return min((busy+3)/4, in.Model.Max)
+		}),
+		Order: policy.Func[[]policy.LoadRequest, []int](func(_ time.Time, in []policy.LoadRequest) []int {
+			order := make([]int, len(in))
+			for i := range order {
+				order[i] = i
+			}
+			sort.SliceStable(order, func(a, b int) bool { return in[order[a]].Since.Before(in[order[b]].Since) })
+			return order
+		}),
+		Place: policy.Func[policy.PlaceInput, policy.Placement](placeBestFit),
+		Preload: policy.Func[[]policy.ModelView, []string](func(time.Time, []policy.ModelView) []string {
+			return nil
+		}),
+	}
+}
+
+func placeBestFit(_ time.Time, in policy.PlaceInput) policy.Placement {
+	best := policy.Placement{Refused: "no target has room"}
+	var bestFree uint64
+	for _, t := range in.Targets {
+		if t.FreeBytes >= in.Model.MemoryBytes && (best.Target == "" || t.FreeBytes < bestFree) {
+			best, bestFree = policy.Placement{Target: t.Target}, t.FreeBytes
+		}
+	}
+	if best.Target != "" {
+		return best
+	}
+	for _, t := range in.Targets {
+		free := t.FreeBytes
+		var evict []string
+		sort.SliceStable(t.Evictable, func(a, b int) bool {
+			return t.Evictable[a].Model.LastUsed.Before(t.Evictable[b].Model.LastUsed)
+		})
+		for _, v := range t.Evictable {
+			if free >= in.Model.MemoryBytes {
+				break
+			}
+			free += v.Model.MemoryBytes
+			evict = append(evict, v.Replica)
+		}
+		if free >= in.Model.MemoryBytes {
+			return policy.Placement{Target: t.Target, Evict: evict}
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/coordination/owner/settings.go
@@ -0,0 +1,88 @@
+package owner
+
+import (
+	"time"
+
+	"chivecroft.example/chivecroft/internal/coordination/ports"
+)
+
+// Settings of a shard; zero durations and counts take the defaults.
+type Settings struct {
+	// Self is this entry; ID, Incarnation, Zone, Region and Addr are used.
+	Self       ports.Member
+	Zone       string
+	Region     string
+	Shard      int
+	ShardCount int
+	// LeaseTTL is the lifetime of the ownership's lease without renewal.
+	LeaseTTL time.Duration
+	// LeaseMargin is taken off the lease's end for drift between clocks.
+	LeaseMargin time.Duration
+	// Tick is the period of the shard's own checks.
+	Tick time.Duration
+	// ReportEvery is the period of reports from a target with nothing under way,
+	// and ReportFast that of one with loads or unloads under way.
+	ReportEvery, ReportFast time.Duration
+	// OrderTransit bounds how long an order may be on its way to a target that answers.
+	OrderTransit time.Duration
+	// GoneAfter is how long a target must be off the instance list and silent
+	// before it counts as gone; it exceeds the list's lag.
+	GoneAfter time.Duration
+	// PollEvery is the period at which an entry looks at a shard that it does not own.
+	PollEvery time.Duration
+	// RebalanceAfter is how long another owner must be preferred before a shard moves.
+	RebalanceAfter time.Duration
+	// StopWithin bounds the wait for unresolved orders when the shard hands over.
+	StopWithin time.Duration
+	// LedgerBuckets is the number of KV values that the permits are spread over.
+	LedgerBuckets int
+	// StoreSlots is the number of concurrent loads, and of load starts a
+	// second, that the weight store allows in all.
+	StoreSlots int
+	// AdapterLoads bounds the adapter loads in flight in the shard.
+	AdapterLoads int
+	// DefaultMaxReplicas is the maximum of a model without a rule.
+	DefaultMaxReplicas int
+}
+
+const (
+	defaultLeaseTTL       = 10 * time.Second
+	defaultTick           = 250 * time.Millisecond
+	defaultReportEvery    = 2 * time.Second
+	defaultReportFast     = 250 * time.Millisecond
+	defaultOrderTransit   = 30 * time.Second
+	defaultGoneAfter      = 60 * time.Second
+	defaultPollEvery      = 60 * time.Second
+	defaultRebalanceAfter = 30 * time.Second
+	defaultStopWithin     = 5 * time.Second
+	defaultLedgerBuckets  = 16
+	defaultStoreSlots     = 4
+	defaultAdapterLoads   = 30
+	defaultMaxReplicas    = 1
+)
+
+func (s Settings) withDefaults() Settings {
+	orElse(&s.ShardCount, 1)
+	orElse(&s.LeaseTTL, defaultLeaseTTL)
+	orElse(&s.LeaseMargin, s.LeaseTTL/10)
+	orElse(&s.Tick, defaultTick)
+	orElse(&s.ReportEvery, defaultReportEvery)
+	orElse(&s.ReportFast, defaultReportFast)
+	orElse(&s.OrderTransit, defaultOrderTransit)
+	orElse(&s.GoneAfter, defaultGoneAfter)
+	orElse(&s.PollEvery, defaultPollEvery)
+	orElse(&s.RebalanceAfter, defaultRebalanceAfter)
+	orElse(&s.StopWithin, defaultStopWithin)
+	orElse(&s.LedgerBuckets, defaultLedgerBuckets)
+	orElse(&s.StoreSlots, defaultStoreSlots)
+	orElse(&s.AdapterLoads, max(1, defaultAdapterLoads/s.ShardCount))
+	orElse(&s.DefaultMaxReplicas, defaultMaxReplicas)
+	return s
+}
+
+func orElse[T comparable](value *T, fallback T) {
+	var zero T
+	if *value == zero {
+		*value = fallback
+	}
+}
--- /dev/null
+++ b/internal/coordination/owner/status.go
@@ -0,0 +1,106 @@
+package owner
+
+import (
+	"time"
+
+	"chivecroft.example/chivecroft/internal/coordination/place"
+	"chivecroft.example/chivecroft/internal/coordination/ports"
+)
+
+// Status is what operators see of a shard.
+type Status struct {
+	Zone  string      `json:"zone"`
+	Shard int         `json:"shard"`
+	Stage string      `json:"stage"`
+	Epoch ports.Epoch `json:"epoch"`
+	Owner string      `json:"owner,omitempty"`
+	// LeaseLeft is the time for which the ownership certainly stands.
+	LeaseLeft time.Duration `json:"leaseLeftNanos"`
+	// OffPlan means that orders go ahead of their write because of an outage.
+	OffPlan bool `json:"offPlan"`
+	// Unwritten is how many changes of the plan wait for the KV service.
+	Unwritten uint64          `json:"unwritten"`
+	Permits   map[string]int  `json:"permits,omitempty"`
+	Targets   []TargetStatus  `json:"targets,omitempty"`
+	Replicas  []ports.Replica `json:"replicas,omitempty"`
+}
+
+// TargetStatus is what operators see of a target.
+type TargetStatus struct {
+	ID           string        `json:"id"`
+	Boot         string        `json:"boot"`
+	IgnoresFence bool          `json:"ignoresFence"`
+	Raised       bool          `json:"raised"`
+	Leaving      bool          `json:"leaving"`
+	Draining     bool          `json:"draining"`
+	Listed       bool          `json:"listed"`
+	Silent       time.Duration `json:"silentNanos"`
+	MemoryBytes  uint64        `json:"memoryBytes"`
+	ChargedBytes uint64        `json:"chargedBytes"`
+	Replicas     int           `json:"replicas"`
+	// Unresolved counts the replicas with a load order that may still arrive.
+	Unresolved int `json:"unresolved"`
+}
+
+// Status returns the state between two steps.
+func (s *Shard) Status() Status {
+	st := Status{
+		Zone:      s.settings.Zone,
+		Shard:     s.settings.Shard,
+		Stage:     string(s.stage),
+		Epoch:     s.session.epoch,
+		OffPlan:   s.isOffPlan(),
+		Unwritten: s.journal.changed - s.journal.written,
+		Permits:   make(map[string]int),
+	}
+	if s.stage != stageOwned && s.stage != stageReleasing {
+		st.Owner = s.gossipedOwner()
+		return st
+	}
+	st.Owner = s.settings.Self.ID
+	if s.isSafe() {
+		st.LeaseLeft = s.safeEnd().Sub(s.now)
+	}
+	for resource, n := range s.permits.held {
+		st.Permits[resource] = n
+	}
+	for _, id := range s.targetIDs() {
+		t := s.targets[id]
+		st.Targets = append(st.Targets, s.targetStatus(t))
+		for _, rid := range t.replicaIDs() {
+			st.Replicas = append(st.Replicas, s.row(t, t.replicas[rid]))
+		}
+	}
+	return st
+}
+
+func (s *Shard) targetStatus(t *target) TargetStatus {
+	st := TargetStatus{
+		ID:           t.id,
+		Boot:         t.boot,
+		IgnoresFence: t.ignoresFence,
+		Raised:       t.raised,
+		Leaving:      t.isLeaving(),
+		Draining:     t.draining,
+		Listed:       t.listed,
+		Silent:       s.silence(t),
+		ChargedBytes: t.charge(),
+		Replicas:     len(t.replicas),
+	}
+	if t.state != nil {
+		st.MemoryBytes = t.state.MemoryBytes
+	}
+	for _, r := range t.replicas {
+		if len(r.Unresolved) > 0 || r.Phase == place.PhaseDecided {
+			st.Unresolved++
+		}
+	}
+	return st
+}
+
+func (s *Shard) silence(t *target) time.Duration {
+	if t.lastOK.IsZero() {
+		return s.now.Sub(s.session.since)
+	}
+	return s.now.Sub(t.lastOK)
+}
--- /dev/null
+++ b/internal/coordination/owner/table.go
@@ -0,0 +1,98 @@
+package owner
+
+import (
+	"maps"
+	"reflect"
+	"slices"
+
+	"chivecroft.example/chivecroft/internal/coordination/place"
+	"chivecroft.example/chivecroft/internal/coordination/ports"
+)
+
+// table is what was last told of the shard's replicas.
+type table struct {
+	rows map[string]ports.Replica
+	// whole asks for a note of all rows.
+	whole bool
+	// failed are rows that are told once.
+	failed []ports.Replica
+}
+
+// fail tells of a failed load once.
+func (t *table) fail(s *Shard, on *target, r *replica, reason string) {
+	row := s.row(on, r)
+	row.Phase = ports.PhaseFailed
+	row.Reason = reason
+	row.ReadyIn = 0
+	t.failed = append(t.failed, row)
+}
+
+// publish tells of the rows that changed. Estimates alone are no change.
+func (s *Shard) publish() {
+	rows := make(map[string]ports.Replica)
+	for _, id := range s.targetIDs() {
+		t := s.targets[id]
+		for _, rid := range t.replicaIDs() {
+			rows[rid] = s.row(t, t.replicas[rid])
+		}
+	}
+	note := TableChanged{Shard: s.settings.Shard, Whole: s.table.whole, Replicas: s.table.failed}
+	for _, id := range slices.Sorted(maps.Keys(rows)) {
+		old, known := s.table.rows[id]
+		if s.table.whole || !known || !sameRow(old, rows[id]) {
+			note.Replicas = append(note.Replicas, rows[id])
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.table.rows)) {
+		if _, kept := rows[id]; !kept {
+			note.Removed = append(note.Removed, id)
+		}
+	}
+	s.table = table{rows: rows}
+	if note.Whole || len(note.Replicas) > 0 || len(note.Removed) > 0 {
+		s.note(note)
+	}
+}
+
+func sameRow(a, b ports.Replica) bool {
+	a.ReadyIn = b.ReadyIn
+	return reflect.DeepEqual(a, b)
+}
+
+func (s *Shard) row(t *target, r *replica) ports.Replica {
+	row := ports.Replica{
+		ID:          r.ID,
+		Model:       r.Model,
+		Revision:    r.Revision,
+		Target:      t.id,
+		Addr:        t.instance.Addr,
+		Zone:        s.settings.Zone,
+		Region:      s.settings.Region,
+		Shard:       s.settings.Shard,
+		Phase:       r.phase(),
+		Concurrency: r.Concurrency,
+		Leaving:     t.isLeaving(),
+	}
+	if r.seen != nil {
+		row.Adapters = r.seen.Adapters
+		row.Running, row.Queued = r.seen.Running, r.seen.Queued
+	}
+	if row.Phase == ports.PhaseLoading {
+		row.ReadyIn = s.replicaReadyIn(r)
+	}
+	return row
+}
+
+// phase is the replica's phase as routers see it: before the first report after
+// a takeover, the plan's word stands for the target's.
+func (r *replica) phase() ports.ReplicaPhase {
+	switch {
+	case r.Phase == place.PhaseUnloading:
+		return ports.PhaseUnloading
+	case r.seen != nil:
+		return r.seen.Phase
+	case r.Phase == place.PhaseConfirmed:
+		return ports.PhaseReady
+	}
+	return ports.PhaseLoading
+}
