Drive shard owners through random faults against an oracle

The state machine kills, freezes, stops and restarts entries, makes KV answers get lost, late or slow, cuts and delays orders, restarts, fails and reclaims targets and moves the maximum, several at a time, and checks after every event that loads stay within maximum, permits, memory and store slots.

--- /dev/null
+++ b/internal/coordination/owner/state_test.go
@@ -0,0 +1,79 @@
+package owner
+
+import (
+	"flag"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20300101")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// TestPromises drives entries of one or two zones through random faults, two or
+// more at a time, checks the promises after every event, and in the end that
+// every model can be loaded again.
+func TestPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rigSize{
+			zones:       rapid.IntRange(1, 2).Draw(t, "zones"),
+			entries:     rapid.IntRange(2, 3).Draw(t, "entries"),
+			targets:     rapid.IntRange(2, 4).Draw(t, "targets"),
+			shards:      rapid.IntRange(1, 2).Draw(t, "shards"),
+			memoryBytes: uint64(rapid.IntRange(1, 3).Draw(t, "room"))*4*gib + gib,
+			models:      rapid.IntRange(1, 4).Draw(t, "models"),
+			maxReplicas: rapid.IntRange(1, 3).Draw(t, "max"),
+			latency:     time.Millisecond,
+			listLag:     time.Duration(rapid.SampledFrom([]int{0, 30}).Draw(t, "lag")) * time.Second,
+			seed:        rapid.Uint64().Draw(t, "seed"),
+		}
+		size.unfenced = rapid.IntRange(0, size.targets).Draw(t, "unfenced")
+		r := newRig(size)
+		r.run(3 * time.Second)
+		actions := r.actions()
+		actions[""] = func(t *rapid.T) {
+			if r.fault != "" {
+				t.Fatalf("%s\n%s", r.fault, strings.Join(r.events, "\n"))
+			}
+		}
+		t.Repeat(actions)
+		r.recovers(t)
+	})
+}
+
+// recovers checks that nothing stays stuck once all faults are over.
+func (r *rig) recovers(t *rapid.T) {
+	r.healAll()
+	r.run(100 * time.Second)
+	for z := range r.size.zones {
+		for n := range r.size.shards {
+			if r.ownerOf(z, n) == nil && r.fault == "" {
+				r.failf("nobody owns shard %s/%d", zoneName(z), n)
+			}
+		}
+	}
+	missing := make(map[string]bool)
+	for m := range r.size.models {
+		missing[modelName(m)] = true
+	}
+	for i := 0; i < 60 && len(missing) > 0; i++ {
+		r.demandEverywhere(2 * time.Second)
+		for model := range missing {
+			if r.loaded(model) > 0 {
+				delete(missing, model)
+			}
+		}
+	}
+	if len(missing) > 0 {
+		r.failf("never loaded again: %v", missing)
+	}
+	if r.fault != "" {
+		t.Fatalf("%s\n%s", r.fault, strings.Join(r.events, "\n"))
+	}
+}
--- a/internal/coordination/owner/yield.go
+++ b/internal/coordination/owner/yield.go
@@ -114,7 +114,7 @@
 		return 0
 	}
 	m, known := s.models[resource]
-	if !known {
+	if !known || m.refused != "" {
 		return 0
 	}
 	return max(0, s.wanted(m)-s.decided(resource))
