--- /dev/null
+++ b/internal/state/config/patch.go
@@ -0,0 +1,95 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+
+	"github.com/gravitational/trace"
+)
+
+// MaxPatchBytes is the largest patch that is taken; a KV value of 1 MB holds it
+// together with its envelope.
+const MaxPatchBytes = 900_000
+
+// ParsePatch reads a patch from JSON; an *InvalidError lists every unknown,
+// duplicate or mistyped key.
+func ParsePatch(data []byte) (Patch, error) {
+	if len(data) > MaxPatchBytes {
+		return Patch{}, trace.Wrap(&InvalidError{Faults: []Fault{{
+			Kind:     FaultTooLarge,
+			Value:    fmt.Sprintf("%d bytes", len(data)),
+			Accepted: fmt.Sprintf("at most %d bytes; split the patch", MaxPatchBytes),
+		}}})
+	}
+	var p Patch
+	if faults := decodeStrict(data, &p); len(faults) > 0 {
+		return Patch{}, trace.Wrap(&InvalidError{Faults: faults})
+	}
+	return p, nil
+}
+
+// Warning is something that an operator should know about an accepted patch.
+type Warning struct {
+	Path string `json:"path"`
+	Text string `json:"text"`
+}
+
+// Apply validates a whole patch against the configuration that it names as its
+// base and returns the next one; an *InvalidError lists every fault at once.
+func Apply(c *Config, p Patch) (*Config, []Warning, error) {
+	next := merge(c, p)
+	v := &validator{before: c, after: next, patch: p}
+	v.run()
+	if len(v.faults) > 0 {
+		return nil, nil, trace.Wrap(&InvalidError{Faults: v.faults})
+	}
+	return next, v.warnings, nil
+}
+
+// Replay applies a patch that has been accepted.
+//
+// An accepted patch is applied as it is, without validation: two releases of
+// the program that run side by side may differ in what they accept, but must
+// never differ in what an accepted version means.
+func Replay(c *Config, p Patch) (*Config, error) {
+	if p.Base != c.Version {
+		return nil, trace.BadParameter("patch %q leads from version %d, not from %d", p.ID, p.Base, c.Version)
+	}
+	return merge(c, p), nil
+}
+
+// merge returns c with the patch applied; kinds that the patch does not touch
+// share their maps with c.
+func merge(c *Config, p Patch) *Config {
+	return &Config{
+		Version:  c.Version + 1,
+		Services: mergeKind(c.Services, p.Set.Services, p.Remove.Services),
+		Models:   mergeKind(c.Models, p.Set.Models, p.Remove.Models),
+		Adapters: mergeKind(c.Adapters, p.Set.Adapters, p.Remove.Adapters),
+		Rules:    mergeKind(c.Rules, p.Set.Rules, p.Remove.Rules),
+		Tenants:  mergeKind(c.Tenants, p.Set.Tenants, p.Remove.Tenants),
+	}
+}
+
+func mergeKind[T any](old, set map[string]T, remove []string) map[string]T {
+	if len(set) == 0 && len(remove) == 0 {
+		return old
+	}
+	merged := make(map[string]T, len(old)+len(set))
+	maps.Copy(merged, old)
+	for _, name := range remove {
+		delete(merged, name)
+	}
+	maps.Copy(merged, set)
+	return merged
+}
+
+// encodedBytes returns the size of a patch in JSON.
+func encodedBytes(p Patch) int {
+	data, err := json.Marshal(p)
+	if err != nil {
+		return 0
+	}
+	return len(data)
+}
