relay, member: thin versions of configuration distribution and membership

member: each entry writes its own record, ordered by incarnation and beat, and views merge by the higher one. Nobody accuses anybody, so nothing has to be refuted after a cut; weighed against SWIM's indirect probes, which would need a message kind of their own and mistake a one-way cut for a death.

relay: the accepted patch N is the create-only key config/log/N.

stand/fleet runs both parts of many entries on virtual time and checks at every adoption that versions only grow and equal the fold of the log.

Faults are not tested yet.

--- /dev/null
+++ b/internal/coordination/member/part.go
@@ -0,0 +1,267 @@
+package member
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"chivecroft.example/chivecroft/internal/coordination/ports"
+)
+
+// tickPeriod is the time between two rounds of gossip.
+const tickPeriod = time.Second
+
+// pauseAfter is the lateness of a round from which the process counts as having
+// been paused.
+const pauseAfter = 3 * tickPeriod
+
+// bridgeCount is the number of entries of a zone that gossip with other zones.
+const bridgeCount = 2
+
+// bridgeDuty ranks the members of a zone for that.
+const bridgeDuty = "bridge"
+
+// lostShare is one in how many rounds goes to an instance that does not count
+// as alive, so that the two sides of a cut find each other again.
+const lostShare = 8
+
+// tickTag is the tag of the timer of rounds; higher tags are peer calls.
+const tickTag ports.Tag = 1
+
+// Settings are what a part needs to know.
+type Settings struct {
+	// Self is this entry; its Beat and Phase are the part's to set.
+	Self ports.Member
+}
+
+// Part keeps one entry's view of the others.
+type Part struct {
+	self     ports.Member
+	random   *rand.Rand
+	view     *view
+	lastTick time.Time
+	nextTag  ports.Tag
+	// round counts the turns of the bridge over the other zones.
+	round      int
+	superseded bool
+}
+
+// New returns a part that has not started.
+func New(s Settings, random *rand.Rand) *Part {
+	self := s.Self
+	self.Beat = 1
+	if self.Phase == "" {
+		self.Phase = ports.MemberAlive
+	}
+	return &Part{self: self, random: random, view: newView(self), nextTag: tickTag}
+}
+
+// Step takes one event.
+func (p *Part) Step(now time.Time, ev ports.Event) []ports.Effect {
+	var effects []ports.Effect
+	switch e := ev.(type) {
+	case Start:
+		p.lastTick = now
+		p.view.changed = true
+		effects = append(effects, ports.ArmTimer{Tag: tickTag, After: p.stagger()})
+	case ListChanged:
+		p.takeList(e.Instances)
+	case SelfChanged:
+		p.changeSelf(e)
+	case GossipArrived:
+		effects = append(effects, p.answer(now, e)...)
+	case ports.PeerDone:
+		effects = append(effects, p.takeReply(now, e.Reply)...)
+	case ports.TimerFired:
+		effects = append(effects, p.tick(now)...)
+	}
+	if p.view.changed {
+		p.view.changed = false
+		effects = append(effects, ports.Note{Value: Changed{Members: p.Members()}})
+	}
+	return effects
+}
+
+// Members returns the view, in order of IDs, with the entry itself.
+func (p *Part) Members() []ports.Member {
+	members := append(p.view.members(), p.spoken())
+	slices.SortFunc(members, func(a, b ports.Member) int { return strings.Compare(a.ID, b.ID) })
+	return members
+}
+
+// stagger spreads the rounds of entries that start together.
+func (p *Part) stagger() time.Duration {
+	return time.Duration(p.random.Int64N(int64(tickPeriod)))
+}
+
+// spoken returns what the entry says of itself, safe to hand out.
+func (p *Part) spoken() ports.Member {
+	m := p.self
+	m.Shards = slices.Clone(m.Shards)
+	return m
+}
+
+func (p *Part) changeSelf(e SelfChanged) {
+	p.self.ConfigVersion = e.ConfigVersion
+	p.self.Shards = slices.Clone(e.Shards)
+	if e.Phase != "" {
+		p.self.Phase = e.Phase
+	}
+	// A new word needs a higher beat, or those who have the old one keep it.
+	p.self.Beat++
+	p.view.changed = true
+}
+
+func (p *Part) takeList(rows []ports.Instance) {
+	p.view.listed = make(map[string]ports.Instance, len(rows))
+	for _, row := range rows {
+		if row.Kind == ports.InstanceEntry && row.ID != p.self.ID {
+			p.view.listed[row.ID] = row
+		}
+	}
+}
+
+// tick is one round: judge the others, then speak to some.
+func (p *Part) tick(now time.Time) []ports.Effect {
+	late := now.Sub(p.lastTick) - tickPeriod
+	p.lastTick = now
+	if late > pauseAfter {
+		p.view.excuse(late)
+	}
+	p.self.Beat++
+	p.view.sweep(now)
+	effects := []ports.Effect{ports.ArmTimer{Tag: tickTag, After: tickPeriod}}
+	if to, ok := p.neighbour(); ok {
+		effects = append(effects, p.send(to, p.zoneMessage()))
+	}
+	if to, ok := p.stranger(); ok {
+		effects = append(effects, p.send(to, p.summary()))
+	}
+	return effects
+}
+
+func (p *Part) send(to netip.AddrPort, g ports.Gossip) ports.Effect {
+	p.nextTag++
+	return ports.PeerCall{Tag: p.nextTag, To: to, Msg: g}
+}
+
+// neighbour chooses an entry of the own zone for this round.
+func (p *Part) neighbour() (netip.AddrPort, bool) {
+	alive := p.addrs(p.view.ids(func(r *record) bool { return r.said.Zone == p.self.Zone && answers(r.phase) }))
+	return p.choose(alive, p.lostAddrs(func(zone string) bool { return zone == p.self.Zone }))
+}
+
+// stranger chooses an entry of another zone, if it is this entry's turn.
+func (p *Part) stranger() (netip.AddrPort, bool) {
+	zones := p.otherZones()
+	bridges := Choose(Serving(p.Members(), p.self.Zone), bridgeDuty, bridgeCount)
+	if len(zones) == 0 || !slices.Contains(bridges, p.self.ID) {
+		return netip.AddrPort{}, false
+	}
+	// The two bridges begin at different zones, so that each zone is met twice
+	// in a turn and not twice at once.
+	offset := slices.Index(bridges, p.self.ID) * len(zones) / bridgeCount
+	zone := zones[(p.round+offset)%len(zones)]
+	p.round++
+	alive := p.addrs(p.view.ids(func(r *record) bool { return r.said.Zone == zone && answers(r.phase) }))
+	return p.choose(alive, p.lostAddrs(func(z string) bool { return z == zone }))
+}
+
+// choose returns one of alive, or now and then one of lost.
+func (p *Part) choose(alive, lost []netip.AddrPort) (netip.AddrPort, bool) {
+	from := alive
+	if len(alive) == 0 || (len(lost) > 0 && p.random.IntN(lostShare) == 0) {
+		from = lost
+	}
+	if len(from) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return from[p.random.IntN(len(from))], true
+}
+
+func answers(phase ports.MemberPhase) bool {
+	return phase == ports.MemberAlive || phase == ports.MemberLeaving
+}
+
+func (p *Part) addrs(ids []string) []netip.AddrPort {
+	addrs := make([]netip.AddrPort, 0, len(ids))
+	for _, id := range ids {
+		addrs = append(addrs, p.view.records[id].said.Addr)
+	}
+	return addrs
+}
+
+// lostAddrs returns the instances of some zones that do not count as alive:
+// listed ones that are unknown here, and silent members.
+func (p *Part) lostAddrs(inZone func(string) bool) []netip.AddrPort {
+	var addrs []netip.AddrPort
+	for _, id := range sortedKeys(p.view.listed) {
+		row := p.view.listed[id]
+		r := p.view.records[id]
+		if inZone(row.Zone) && !row.Leaving && (r == nil || !answers(r.phase)) {
+			addrs = append(addrs, row.Addr)
+		}
+	}
+	for _, id := range p.view.ids(func(r *record) bool { return inZone(r.said.Zone) && r.phase == ports.MemberSilent }) {
+		if _, listed := p.view.listed[id]; !listed {
+			addrs = append(addrs, p.view.records[id].said.Addr)
+		}
+	}
+	return addrs
+}
+
+func (p *Part) otherZones() []string {
+	zones := make(map[string]bool)
+	for _, r := range p.view.records {
+		zones[r.said.Zone] = true
+	}
+	for _, row := range p.view.listed {
+		zones[row.Zone] = true
+	}
+	delete(zones, p.self.Zone)
+	return sortedKeys(zones)
+}
+
+func (p *Part) answer(now time.Time, e GossipArrived) []ports.Effect {
+	effects := p.takeIn(now, e.Gossip)
+	answer := p.summary()
+	switch {
+	case len(e.Gossip.Members) == 0:
+		answer = p.everything()
+	case e.Gossip.From.Zone == p.self.Zone:
+		answer = p.zoneMessage()
+	}
+	return append(effects, ports.Note{Value: GossipAnswered{ID: e.ID, Gossip: answer}})
+}
+
+func (p *Part) takeReply(now time.Time, reply ports.PeerReply) []ports.Effect {
+	if g, ok := reply.Msg.(ports.Gossip); ok && reply.Err == nil {
+		return p.takeIn(now, g)
+	}
+	return nil
+}
+
+func (p *Part) takeIn(now time.Time, g ports.Gossip) []ports.Effect {
+	p.view.merge(now, g.From)
+	for _, m := range g.Members {
+		p.view.merge(now, m)
+	}
+	return p.noticeSuccessor(g)
+}
+
+// noticeSuccessor reports another process under this entry's ID, as a process
+// finds that was frozen until its instance had been started anew.
+func (p *Part) noticeSuccessor(g ports.Gossip) []ports.Effect {
+	for _, m := range append([]ports.Member{g.From}, g.Members...) {
+		if m.ID != p.self.ID || m.Incarnation <= p.self.Incarnation || p.superseded {
+			continue
+		}
+		p.superseded = true
+		detail := fmt.Sprintf("incarnation %d runs at %s, this one is %d", m.Incarnation, m.Addr, p.self.Incarnation)
+		return []ports.Effect{ports.Note{Value: Happened{Kind: KindSuperseded, Subject: p.self.ID, Detail: detail}}}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/coordination/member/rank.go
@@ -0,0 +1,54 @@
+package member
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+
+	"chivecroft.example/chivecroft/internal/coordination/ports"
+)
+
+// Choose returns n of the IDs for a duty by rendezvous hashing: entries with the
+// same view choose the same ones, and the loss of one moves no other.
+func Choose(ids []string, duty string, n int) []string {
+	ranked := slices.Clone(ids)
+	slices.SortFunc(ranked, func(a, b string) int { return compareRank(duty, a, b) })
+	return ranked[:min(n, len(ranked))]
+}
+
+// Serving returns the IDs of a zone's members that are alive.
+func Serving(members []ports.Member, zone string) []string {
+	var ids []string
+	for _, m := range members {
+		if m.Zone == zone && m.Phase == ports.MemberAlive {
+			ids = append(ids, m.ID)
+		}
+	}
+	return ids
+}
+
+func compareRank(duty, a, b string) int {
+	if byHash := cmp.Compare(rankHash(duty, a), rankHash(duty, b)); byHash != 0 {
+		return byHash
+	}
+	return cmp.Compare(a, b)
+}
+
+func rankHash(duty, id string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(duty))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(id))
+	return mix(h.Sum64())
+}
+
+// mix spreads the bits of FNV sums, whose high bits differ little between IDs
+// that differ only in their last characters.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return x
+}
--- /dev/null
+++ b/internal/coordination/relay/recent.go
@@ -0,0 +1,62 @@
+package relay
+
+import (
+	"encoding/json"
+
+	"chivecroft.example/chivecroft/internal/state/config"
+)
+
+// Bounds of the patches kept in memory for other entries.
+const (
+	recentPatches = 1024
+	recentBytes   = 2 << 20
+)
+
+// recent holds the newest accepted patches without gaps.
+type recent struct {
+	records []config.Record
+	sizes   []int
+	bytes   int
+}
+
+// add appends the record that follows the last one.
+func (r *recent) add(record config.Record) {
+	data, err := json.Marshal(record.Patch)
+	if err != nil {
+		r.clear()
+		return
+	}
+	r.records = append(r.records, record)
+	r.sizes = append(r.sizes, len(data))
+	r.bytes += len(data)
+	for len(r.records) > recentPatches || r.bytes > recentBytes {
+		r.bytes -= r.sizes[0]
+		r.records = r.records[1:]
+		r.sizes = r.sizes[1:]
+	}
+}
+
+func (r *recent) clear() {
+	*r = recent{}
+}
+
+// after returns the records after a version, limited in number and bytes, and
+// false if they do not reach back that far.
+func (r *recent) after(v config.Version, limit, maxBytes int) ([]config.Record, bool) {
+	if len(r.records) == 0 || r.records[0].Version > v+1 {
+		return nil, false
+	}
+	skip := int(v + 1 - r.records[0].Version)
+	if skip > len(r.records) {
+		return nil, true
+	}
+	var found []config.Record
+	for i := skip; i < len(r.records) && len(found) < limit; i++ {
+		maxBytes -= r.sizes[i]
+		if maxBytes < 0 && len(found) > 0 {
+			break
+		}
+		found = append(found, r.records[i])
+	}
+	return found, true
+}
--- /dev/null
+++ b/internal/stand/fleet/entry.go
@@ -0,0 +1,265 @@
+package fleet
+
+import (
+	"errors"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"chivecroft.example/chivecroft/internal/coordination/drive"
+	"chivecroft.example/chivecroft/internal/coordination/member"
+	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/coordination/relay"
+	"chivecroft.example/chivecroft/internal/stand/world"
+	"chivecroft.example/chivecroft/internal/state/config"
+	"chivecroft.example/chivecroft/internal/state/timer"
+)
+
+// peerTimeout is how long an entry waits for the answer of another.
+const peerTimeout = 2 * time.Second
+
+var errTimeout = errors.New("no answer in time")
+
+// Entry is one entry's membership and configuration parts, wired as the daemon
+// wires them.
+type Entry struct {
+	Self ports.Member
+	// Notes are the values of the parts' notes that belong into a log.
+	Notes []any
+	// Sent counts what the entry sent to others.
+	Sent Traffic
+
+	fleet   *Fleet
+	kv      *world.KV
+	gate    *gate
+	running bool
+	member  *drive.Loop
+	relay   *drive.Loop
+	part    *relay.Part
+	members []ports.Member
+	config  *config.Config
+	nextID  uint64
+	waiting map[uint64]func(any)
+}
+
+// Start starts the entry as a new incarnation with empty state.
+func (e *Entry) Start() {
+	e.Stop()
+	e.Self.Incarnation = uint64(e.fleet.Timer.Now().UnixNano())
+	e.gate = &gate{}
+	e.running = true
+	e.config = &config.Config{}
+	e.members = nil
+	e.waiting = make(map[uint64]func(any))
+	e.fleet.Oracle.started(e.Self.ID)
+	env := ports.Env{
+		KV:    &gatedKV{kv: e.kv, gate: e.gate},
+		Peers: &gatedPeers{entry: e, side: e.fleet.Net.From(e.Self.Addr), gate: e.gate},
+		Timer: &gatedTimer{timer: e.fleet.Timer, gate: e.gate},
+	}
+	random := func() *rand.Rand { return rand.New(rand.NewPCG(e.fleet.random.Uint64(), 3)) }
+	e.part = relay.New(relay.Settings{Self: e.Self}, random())
+	e.member = drive.NewLoop(member.New(member.Settings{Self: e.Self}, random()), env, drive.WithListener(e.hear))
+	e.relay = drive.NewLoop(e.part, env, drive.WithListener(e.hear))
+	e.fleet.Net.AddPeer(e.Self.Addr, e.handle)
+	e.relay.Post(relay.Start{})
+	e.member.Post(member.Start{})
+	e.postList(e.fleet.listed)
+}
+
+// Stop ends the entry as a kill does.
+func (e *Entry) Stop() {
+	if !e.running {
+		return
+	}
+	e.running = false
+	e.member.Stop()
+	e.relay.Stop()
+	e.fleet.Net.AddPeer(e.Self.Addr, nil)
+}
+
+// Freeze stops the entry without ending it; Thaw lets it go on with everything
+// that came meanwhile.
+func (e *Entry) Freeze() { e.gate.close() }
+
+// Thaw ends a Freeze.
+func (e *Entry) Thaw() { e.gate.open() }
+
+// Running reports whether the entry runs.
+func (e *Entry) Running() bool { return e.running }
+
+// Version returns the version in force on the entry.
+func (e *Entry) Version() config.Version { return e.config.Version }
+
+// Config returns the configuration in force on the entry.
+func (e *Entry) Config() *config.Config { return e.config }
+
+// Members returns the entry's view of the others.
+func (e *Entry) Members() []ports.Member { return e.members }
+
+// Status returns the state of the configuration part.
+func (e *Entry) Status() relay.Status { return e.part.Status() }
+
+// Phase returns how the entry sees another, or "" if it does not know it.
+func (e *Entry) Phase(other *Entry) ports.MemberPhase {
+	for _, m := range e.members {
+		if m.ID == other.Self.ID {
+			return m.Phase
+		}
+	}
+	return ""
+}
+
+// Leave makes the entry say that it leaves.
+func (e *Entry) Leave() {
+	e.Self.Phase = ports.MemberLeaving
+	e.member.Post(member.SelfChanged{ConfigVersion: e.config.Version, Phase: ports.MemberLeaving})
+}
+
+// Ask asks the entry to accept a patch.
+func (e *Entry) Ask(p config.Patch, done func(relay.PatchAnswered)) {
+	id := e.await(func(answer any) {
+		a := answer.(relay.PatchAnswered)
+		e.fleet.Oracle.answered(p, a)
+		done(a)
+	})
+	e.gate.pass(func() { e.relay.Post(relay.PatchAsked{ID: id, Patch: p}) })
+}
+
+// Read asks the entry for a version.
+func (e *Entry) Read(v config.Version, done func(relay.ReadAnswered)) {
+	id := e.await(func(answer any) { done(answer.(relay.ReadAnswered)) })
+	e.relay.Post(relay.ReadAsked{ID: id, Version: v})
+}
+
+// History asks the entry for accepted patches.
+func (e *Entry) History(after config.Version, limit int, done func(relay.HistoryAnswered)) {
+	id := e.await(func(answer any) { done(answer.(relay.HistoryAnswered)) })
+	e.relay.Post(relay.HistoryAsked{ID: id, After: after, Limit: limit})
+}
+
+func (e *Entry) await(done func(any)) uint64 {
+	e.nextID++
+	e.waiting[e.nextID] = done
+	return e.nextID
+}
+
+func (e *Entry) answer(id uint64, value any) {
+	done := e.waiting[id]
+	delete(e.waiting, id)
+	if done != nil {
+		done(value)
+	}
+}
+
+// hear takes the notes of both parts.
+func (e *Entry) hear(value any) {
+	switch n := value.(type) {
+	case member.Changed:
+		e.members = n.Members
+		e.relay.Post(relay.MembersChanged{Members: n.Members})
+	case member.GossipAnswered:
+		e.answer(n.ID, n.Gossip)
+	case relay.Adopted:
+		e.fleet.Oracle.adopted(e, n.Config)
+		e.config = n.Config
+		e.member.Post(member.SelfChanged{ConfigVersion: n.Config.Version, Phase: e.Self.Phase})
+	case relay.FetchAnswered:
+		e.answer(n.ID, n.Delta)
+	case relay.PatchAnswered:
+		e.answer(n.ID, n)
+	case relay.ReadAnswered:
+		e.answer(n.ID, n)
+	case relay.HistoryAnswered:
+		e.answer(n.ID, n)
+	default:
+		e.Notes = append(e.Notes, value)
+	}
+}
+
+// handle answers another entry.
+func (e *Entry) handle(msg ports.PeerMessage, done func(ports.PeerReply)) {
+	id := e.await(func(answer any) {
+		e.Sent.count(answer)
+		done(ports.PeerReply{Msg: answer})
+	})
+	e.gate.pass(func() {
+		switch m := msg.(type) {
+		case ports.Gossip:
+			e.member.Post(member.GossipArrived{ID: id, Gossip: m})
+		case ports.FetchConfig:
+			e.relay.Post(relay.FetchArrived{ID: id, Fetch: m})
+		}
+	})
+}
+
+func (e *Entry) postList(rows []ports.Instance) {
+	if e.running && rows != nil {
+		e.gate.pass(func() { e.member.Post(member.ListChanged{Instances: rows}) })
+	}
+}
+
+// gate holds calls back while an entry is frozen.
+type gate struct {
+	closed bool
+	held   []func()
+}
+
+func (g *gate) pass(f func()) {
+	if g.closed {
+		g.held = append(g.held, f)
+		return
+	}
+	f()
+}
+
+func (g *gate) close() { g.closed = true }
+
+func (g *gate) open() {
+	g.closed = false
+	held := g.held
+	g.held = nil
+	for _, f := range held {
+		f()
+	}
+}
+
+type gatedTimer struct {
+	timer timer.Service
+	gate  *gate
+}
+
+func (t *gatedTimer) Now() time.Time { return t.timer.Now() }
+
+func (t *gatedTimer) After(d time.Duration, fire func()) timer.Cancel {
+	return t.timer.After(d, func() { t.gate.pass(fire) })
+}
+
+type gatedKV struct {
+	kv   ports.KV
+	gate *gate
+}
+
+func (k *gatedKV) Call(req ports.KVRequest, done func(ports.KVReply)) {
+	k.kv.Call(req, func(r ports.KVReply) { k.gate.pass(func() { done(r) }) })
+}
+
+type gatedPeers struct {
+	entry *Entry
+	side  *world.Side
+	gate  *gate
+}
+
+// Send sends a message and answers with an error when no answer came in time.
+func (p *gatedPeers) Send(to netip.AddrPort, msg ports.PeerMessage, done func(ports.PeerReply)) {
+	p.entry.Sent.count(msg)
+	ended := false
+	end := func(r ports.PeerReply) {
+		if !ended {
+			ended = true
+			p.gate.pass(func() { done(r) })
+		}
+	}
+	p.side.Send(to, msg, end)
+	p.entry.fleet.Timer.After(peerTimeout, func() { end(ports.PeerReply{Err: errTimeout}) })
+}
--- /dev/null
+++ b/internal/stand/fleet/oracle.go
@@ -0,0 +1,100 @@
+package fleet
+
+import (
+	"fmt"
+
+	"github.com/google/go-cmp/cmp"
+
+	"chivecroft.example/chivecroft/internal/coordination/relay"
+	"chivecroft.example/chivecroft/internal/state/config"
+)
+
+// Oracle knows every accepted patch and checks what each entry does against it.
+type Oracle struct {
+	// Errors are the broken promises, in order.
+	Errors []string
+
+	folds    []*config.Config
+	accepted map[config.Version]config.Patch
+	versions map[string]config.Version
+	inForce  map[string]config.Version
+}
+
+func newOracle() *Oracle {
+	return &Oracle{
+		folds:    []*config.Config{{}},
+		accepted: make(map[config.Version]config.Patch),
+		versions: make(map[string]config.Version),
+		inForce:  make(map[string]config.Version),
+	}
+}
+
+func (o *Oracle) fail(format string, args ...any) {
+	o.Errors = append(o.Errors, fmt.Sprintf(format, args...))
+}
+
+// Newest returns the highest version in the log.
+func (o *Oracle) Newest() config.Version {
+	return config.Version(len(o.folds) - 1)
+}
+
+func (o *Oracle) started(id string) {
+	delete(o.inForce, id)
+}
+
+// answered checks that a number is given to one patch and a patch gets one number.
+func (o *Oracle) answered(p config.Patch, a relay.PatchAnswered) {
+	if a.Err != nil {
+		return
+	}
+	if first, ok := o.versions[p.ID]; ok && first != a.Version {
+		o.fail("patch %s got version %d and %d", p.ID, first, a.Version)
+	}
+	o.versions[p.ID] = a.Version
+	if before, ok := o.accepted[a.Version]; ok && before.ID != p.ID {
+		o.fail("version %d was given to patches %s and %s", a.Version, before.ID, p.ID)
+	}
+	o.accepted[a.Version] = p
+}
+
+// adopted checks that an entry goes forward only, to what the log says.
+func (o *Oracle) adopted(e *Entry, c *config.Config) {
+	if before, ok := o.inForce[e.Self.ID]; ok && c.Version <= before {
+		o.fail("%s went from version %d to %d", e.Self.ID, before, c.Version)
+	}
+	o.inForce[e.Self.ID] = c.Version
+	o.extend(e.fleet)
+	if int(c.Version) >= len(o.folds) {
+		o.fail("%s adopted version %d, which the log does not hold", e.Self.ID, c.Version)
+		return
+	}
+	if want := o.folds[c.Version]; !cmp.Equal(want, c) {
+		o.fail("%s has another version %d than the log:\n%s", e.Self.ID, c.Version, cmp.Diff(want, c))
+	}
+}
+
+// extend folds the log entries that are new in the store.
+func (o *Oracle) extend(f *Fleet) {
+	for {
+		last := o.folds[len(o.folds)-1]
+		record, ok := readLog(f, last.Version+1)
+		if !ok {
+			return
+		}
+		next, err := config.Replay(last, record.Patch)
+		if err != nil {
+			o.fail("log entry %d does not follow: %v", last.Version+1, err)
+			return
+		}
+		o.folds = append(o.folds, next)
+	}
+}
+
+func readLog(f *Fleet, v config.Version) (config.Record, bool) {
+	value, ok := f.Value(LogKey(v))
+	if !ok {
+		return config.Record{}, false
+	}
+	record, err := config.DecodeRecord(v, value)
+	return record, err == nil
+}
