--- a/internal/coordination/relay/relay_test.go
+++ b/internal/coordination/relay/relay_test.go
@@ -1,12 +1,24 @@
 package relay_test
 
 import (
+	"errors"
+	"fmt"
 	"testing"
+	"time"
 
+	"github.com/google/go-cmp/cmp"
+
+	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/coordination/relay"
+	"chivecroft.example/chivecroft/internal/stand/fleet"
 	"chivecroft.example/chivecroft/internal/stand/world"
+	"chivecroft.example/chivecroft/internal/state/config"
 )
 
-var noFaults = world.KVFaults{}
+var (
+	noFaults = world.KVFaults{}
+	down     = world.KVFaults{Down: true}
+)
 
 func TestPatchReachesEveryEntry(t *testing.T) {
 	f := started(t, 1, 3, 3)
@@ -15,3 +27,269 @@
 		t.Logf("in force after %s", inForce(t, f, f.Entries, v))
 	}
 }
+
+func TestOneOfEightOperatorsWins(t *testing.T) {
+	f := started(t, 2, 3, 3)
+	accepted(t, f, f.Entries[0])
+	f.Timer.Advance(5 * time.Second)
+	var answers []relay.PatchAnswered
+	for i := range 8 {
+		p := patchOf(fmt.Sprintf("racer-%d", i), 1)
+		p.Set.Services["shared"] = config.Service{Kind: config.KindPlain, Class: config.ClassLookup}
+		f.Entries[i].Ask(p, func(a relay.PatchAnswered) { answers = append(answers, a) })
+	}
+	f.Timer.Advance(5 * time.Second)
+	won, lost := 0, 0
+	for _, a := range answers {
+		var conflict *relay.ConflictError
+		switch {
+		case a.Err == nil && a.Version == 2:
+			won++
+		case errors.As(a.Err, &conflict):
+			lost++
+			if conflict.Current != 2 || len(conflict.Since) != 1 || len(conflict.Overlap) != 1 || conflict.Overlap[0] != "services.shared" {
+				t.Errorf("conflict: %+v", conflict)
+			}
+		default:
+			t.Errorf("answer: %+v", a)
+		}
+	}
+	if won != 1 || lost != 7 {
+		t.Errorf("%d won and %d lost, want 1 and 7", won, lost)
+	}
+}
+
+// TestLostAnswers loses the answer of each KV call of a patch in turn, and then
+// of each two in a row.
+func TestLostAnswers(t *testing.T) {
+	for inRow := 1; inRow <= 2; inRow++ {
+		for first := range 5 {
+			t.Run(fmt.Sprintf("%d from call %d", inRow, first), func(t *testing.T) {
+				f := started(t, 3, 1, 3)
+				e := f.Entries[1]
+				call, writes := 0, 0
+				e.Lose = func(req ports.KVRequest) bool {
+					if _, watch := req.(ports.KVWatch); watch {
+						return false
+					}
+					if _, write := req.(ports.KVPut); write {
+						writes++
+					}
+					call++
+					return call > first && call <= first+inRow
+				}
+				answer := f.Patch(e, patchOf("a", 0))
+				var unavailable *relay.UnavailableError
+				switch {
+				case answer.Err == nil:
+					if answer.Version != 1 {
+						t.Errorf("version %d, want 1", answer.Version)
+					}
+				case errors.As(answer.Err, &unavailable) && unavailable.Outcome == relay.OutcomeNotAccepted:
+					if writes > 0 {
+						t.Errorf("refused as not accepted after a write")
+					}
+				default:
+					t.Errorf("answer: %v", answer.Err)
+				}
+				again := f.Patch(f.Entries[2], patchOf("a", 0))
+				if again.Err != nil || again.Version != 1 {
+					t.Errorf("asked again: %+v", again)
+				}
+			})
+		}
+	}
+}
+
+func TestUnknownIsSaid(t *testing.T) {
+	f := started(t, 4, 1, 3)
+	e := f.Entries[0]
+	cut := false
+	e.Lose = func(req ports.KVRequest) bool {
+		_, write := req.(ports.KVPut)
+		cut = cut || write
+		return cut
+	}
+	f.Cut([]*fleet.Entry{e}, f.Entries, true)
+	answer := f.Patch(e, patchOf("a", 0))
+	var unavailable *relay.UnavailableError
+	if !errors.As(answer.Err, &unavailable) || unavailable.Outcome != relay.OutcomeUnknown {
+		t.Fatalf("answer: %+v", answer)
+	}
+	e.Lose = nil
+	if again := f.Patch(e, patchOf("a", 0)); again.Err != nil || again.Version != 1 {
+		t.Errorf("asked again: %+v", again)
+	}
+}
+
+func TestRepeatedID(t *testing.T) {
+	f := started(t, 5, 2, 3)
+	accepted(t, f, f.Entries[0])
+	v := accepted(t, f, f.Entries[0])
+	inForce(t, f, f.Entries, v)
+	rebased := patchOf("p1", v)
+	if a := f.Patch(f.Entries[5], rebased); a.Err != nil || a.Version != 1 || !a.Repeated {
+		t.Errorf("rebased: %+v", a)
+	}
+	f.SetKV(f.Entries, down)
+	if a := f.Patch(f.Entries[3], patchOf("p1", 0)); a.Err != nil || a.Version != 1 {
+		t.Errorf("during an outage: %+v", a)
+	}
+	f.SetKV(f.Entries, noFaults)
+	if a := f.Patch(f.Entries[3], patchOf("early", v+7)); !errorAs[*relay.FutureBaseError](a.Err) {
+		t.Errorf("base of the future: %+v", a)
+	}
+	if a := f.Patch(f.Entries[3], config.Patch{ID: "bad", Base: v, Remove: config.Names{Models: []string{"x"}}}); !errorAs[*config.InvalidError](a.Err) {
+		t.Errorf("invalid: %+v", a)
+	}
+}
+
+func errorAs[E error](err error) bool {
+	var target E
+	return errors.As(err, &target)
+}
+
+func TestOutage(t *testing.T) {
+	for _, lasting := range []time.Duration{30 * time.Second, 10 * time.Minute} {
+		t.Run(lasting.String(), func(t *testing.T) {
+			f := started(t, 6, 3, 3)
+			v := accepted(t, f, f.Entries[0])
+			inForce(t, f, f.Entries, v)
+			f.SetKV(f.Entries, down)
+			a := f.Patch(f.Entries[0], patchOf("out", v))
+			var unavailable *relay.UnavailableError
+			if !errors.As(a.Err, &unavailable) || unavailable.Outcome != relay.OutcomeNotAccepted {
+				t.Errorf("patch during the outage: %+v", a)
+			}
+			f.Timer.Advance(lasting / 2)
+			for _, e := range f.Zone(1) {
+				e.Start()
+			}
+			f.Timer.Advance(lasting / 2)
+			for _, e := range f.Zone(1) {
+				if e.Version() != v {
+					t.Errorf("%s restarted during the outage has version %d, want %d", e.Self.ID, e.Version(), v)
+				}
+			}
+			f.SetKV(f.Entries, noFaults)
+			f.Timer.Advance(5 * time.Second)
+			inForce(t, f, f.Entries, accepted(t, f, f.Entries[8]))
+		})
+	}
+}
+
+func TestFlappingAndSlowKV(t *testing.T) {
+	f := started(t, 7, 3, 3)
+	for i := range 20 {
+		f.SetKV(f.Entries, down)
+		f.Timer.Advance(3 * time.Second)
+		f.SetKV(f.Entries, noFaults)
+		f.Timer.Advance(2 * time.Second)
+		if i%5 == 0 {
+			inForce(t, f, f.Entries, accepted(t, f, f.Entries[i%9]))
+		}
+	}
+	f.SetKV(f.Entries, world.KVFaults{Latency: 2 * time.Second})
+	v := accepted(t, f, f.Entries[3])
+	t.Logf("at 2 s latency in force after %s", inForce(t, f, f.Entries, v))
+}
+
+// TestCutZone cuts a zone from the KV service and from the others; it goes on
+// with what it has and catches up when it is back.
+func TestCutZone(t *testing.T) {
+	f := started(t, 8, 3, 3)
+	v := accepted(t, f, f.Entries[0])
+	inForce(t, f, f.Entries, v)
+	cut, rest := f.Zone(2), append(f.Zone(0), f.Zone(1)...)
+	f.Cut(cut, rest, true)
+	f.SetKV(cut, down)
+	for range 3 {
+		f.Timer.Advance(time.Minute)
+		inForce(t, f, rest, accepted(t, f, rest[4]))
+	}
+	for _, e := range cut {
+		if e.Version() != v {
+			t.Errorf("%s has version %d while cut off", e.Self.ID, e.Version())
+		}
+	}
+	f.Cut(cut, rest, false)
+	t.Logf("peers alone: in force after %s", inForce(t, f, cut, v+3))
+}
+
+// TestCutFromKVOnly leaves a zone its peers but not the KV service.
+func TestCutFromKVOnly(t *testing.T) {
+	f := started(t, 9, 5, 8)
+	f.SetKV(f.Zone(4), down)
+	f.Timer.Advance(time.Minute)
+	for i := range 5 {
+		v := accepted(t, f, f.Entries[i])
+		t.Logf("in force after %s", inForce(t, f, f.Entries, v))
+		f.Timer.Advance(7 * time.Second)
+	}
+}
+
+func TestOneWayCut(t *testing.T) {
+	f := started(t, 10, 2, 3)
+	for _, a := range f.Zone(0) {
+		for _, b := range f.Zone(1) {
+			f.Net.Cut(a.Self.Addr, b.Self.Addr, true)
+		}
+	}
+	f.Net.Cut(f.Entries[0].Self.Addr, f.Entries[1].Self.Addr, true)
+	f.Timer.Advance(time.Minute)
+	inForce(t, f, f.Entries, accepted(t, f, f.Entries[0]))
+	inForce(t, f, f.Entries, accepted(t, f, f.Entries[5]))
+}
+
+// TestRestartOfEverything starts all entries at once and bounds what that asks
+// of the KV service.
+func TestRestartOfEverything(t *testing.T) {
+	f := started(t, 11, 4, 20)
+	v := accepted(t, f, f.Entries[0])
+	inForce(t, f, f.Entries, v)
+	before := f.Calls()
+	for _, e := range f.Entries {
+		e.Start()
+	}
+	took := inForce(t, f, f.Entries, v)
+	reads := f.Calls()["read"] - before["read"]
+	t.Logf("80 entries in 4 zones: back after %s with %d reads", took, reads)
+	if perEntry := float64(reads) / 80; perEntry > 1 {
+		t.Errorf("%.2f reads an entry: the KV service takes two thousand reads a second for a thousand entries", perEntry)
+	}
+}
+
+func TestHistoryAndOldVersions(t *testing.T) {
+	f := started(t, 12, 1, 3)
+	var want []string
+	for range 20 {
+		want = append(want, fmt.Sprintf("p%d", accepted(t, f, f.Entries[0])))
+	}
+	var got []string
+	f.Entries[1].History(0, 0, func(a relay.HistoryAnswered) {
+		for _, r := range a.Records {
+			got = append(got, r.Patch.ID)
+			if r.At.IsZero() {
+				t.Errorf("version %d has no time", r.Version)
+			}
+		}
+	})
+	f.Timer.Advance(time.Second)
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("history (-want +got):\n%s", diff)
+	}
+	var services []int
+	for _, v := range []config.Version{0, 7, 20, 21} {
+		f.Entries[2].Read(v, func(a relay.ReadAnswered) {
+			if a.Err != nil {
+				services = append(services, -1)
+				return
+			}
+			services = append(services, len(a.Config.Services))
+		})
+		f.Timer.Advance(time.Second)
+	}
+	if diff := cmp.Diff([]int{20, 7, 20, -1}, services); diff != "" {
+		t.Errorf("services of versions (-want +got):\n%s", diff)
+	}
+}
--- a/internal/stand/fleet/entry.go
+++ b/internal/stand/fleet/entry.go
@@ -28,6 +28,9 @@
 	Notes []any
 	// Sent counts what the entry sent to others.
 	Sent Traffic
+	// Lose, where set, loses the answers of the KV calls for which it returns
+	// true, after their effect.
+	Lose func(ports.KVRequest) bool
 
 	fleet   *Fleet
 	kv      *world.KV
@@ -53,7 +56,7 @@
 	e.waiting = make(map[uint64]func(any))
 	e.fleet.Oracle.started(e.Self.ID)
 	env := ports.Env{
-		KV:    &gatedKV{kv: e.kv, gate: e.gate},
+		KV:    &gatedKV{entry: e, gate: e.gate},
 		Peers: &gatedPeers{entry: e, side: e.fleet.Net.From(e.Self.Addr), gate: e.gate},
 		Timer: &gatedTimer{timer: e.fleet.Timer, gate: e.gate},
 	}
@@ -236,12 +239,18 @@
 }
 
 type gatedKV struct {
-	kv   ports.KV
-	gate *gate
+	entry *Entry
+	gate  *gate
 }
 
+// Call carries out a KV call, whose answer may get lost.
 func (k *gatedKV) Call(req ports.KVRequest, done func(ports.KVReply)) {
-	k.kv.Call(req, func(r ports.KVReply) { k.gate.pass(func() { done(r) }) })
+	k.entry.kv.Call(req, func(r ports.KVReply) {
+		if k.entry.Lose != nil && k.entry.Lose(req) {
+			r = ports.KVReply{Status: ports.KVUnknown}
+		}
+		k.gate.pass(func() { done(r) })
+	})
 }
 
 type gatedPeers struct {
--- a/internal/stand/fleet/oracle.go
+++ b/internal/stand/fleet/oracle.go
@@ -18,6 +18,7 @@
 	accepted map[config.Version]config.Patch
 	versions map[string]config.Version
 	inForce  map[string]config.Version
+	logged   map[string]config.Version
 }
 
 func newOracle() *Oracle {
@@ -26,6 +27,7 @@
 		accepted: make(map[config.Version]config.Patch),
 		versions: make(map[string]config.Version),
 		inForce:  make(map[string]config.Version),
+		logged:   make(map[string]config.Version),
 	}
 }
 
@@ -38,6 +40,13 @@
 	return config.Version(len(o.folds) - 1)
 }
 
+// Logged returns the version under which the log holds a patch, and false if it
+// does not; a patch that stands there twice is a broken promise.
+func (o *Oracle) Logged(id string) (config.Version, bool) {
+	v, ok := o.logged[id]
+	return v, ok
+}
+
 func (o *Oracle) started(id string) {
 	delete(o.inForce, id)
 }
@@ -50,6 +59,9 @@
 	if first, ok := o.versions[p.ID]; ok && first != a.Version {
 		o.fail("patch %s got version %d and %d", p.ID, first, a.Version)
 	}
+	if logged, ok := o.logged[p.ID]; !ok || logged != a.Version {
+		o.fail("patch %s was answered with version %d, the log has it as %d", p.ID, a.Version, logged)
+	}
 	o.versions[p.ID] = a.Version
 	if before, ok := o.accepted[a.Version]; ok && before.ID != p.ID {
 		o.fail("version %d was given to patches %s and %s", a.Version, before.ID, p.ID)
@@ -86,6 +98,10 @@
 			o.fail("log entry %d does not follow: %v", last.Version+1, err)
 			return
 		}
+		if before, ok := o.logged[record.Patch.ID]; ok {
+			o.fail("patch %s stands in the log as version %d and %d", record.Patch.ID, before, next.Version)
+		}
+		o.logged[record.Patch.ID] = next.Version
 		o.folds = append(o.folds, next)
 	}
 }
