Answer callers: chat completions, plain services, typed refusals

A caller's request goes through the tenant's limits, takes a place on a replica or waits for one in a deadline-ordered queue, and is answered whole, as server-sent events or as a passed-through answer. Run-once calls are claimed in the KV service first, claims of a bucket being committed by one compare-and-swap.

Weighed: the routing table and the queues as event-driven parts like the owners. A place is taken for each request, so they are plain structures under sharded locks instead; only run-once, which has to survive lost answers, is a part with effects.

--- /dev/null
+++ b/internal/coordination/once/part.go
@@ -0,0 +1,305 @@
+package once
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"chivecroft.example/chivecroft/internal/coordination/ports"
+)
+
+// Settings are what a Part is made with.
+type Settings struct {
+	// Self and Incarnation name this entry.
+	Self        string
+	Incarnation uint64
+	// Buckets is the number of KV values that hold claims; it must be the same
+	// at all entries and may change only while none runs.
+	Buckets int
+	// InFlight bounds the KV calls under way; claims that wait for a turn are
+	// committed together.
+	InFlight int
+	// Retention is how long the outcome of a call is kept.
+	Retention time.Duration
+	// BucketBytes bounds a bucket's value.
+	BucketBytes int
+	// Patience bounds the wait for the KV service.
+	Patience time.Duration
+}
+
+// Defaults of Settings and bounds of a part.
+const (
+	defaultBuckets     = 16
+	defaultInFlight    = 4
+	defaultRetention   = 10 * time.Minute
+	defaultBucketBytes = 768 << 10
+	defaultPatience    = 3 * time.Second
+	// leastLeft is what has to be left of a call's time for it to be sent.
+	leastLeft = 50 * time.Millisecond
+	// claimMargin is added to a claim's time before others give it up.
+	claimMargin = 2 * time.Second
+	// tick is the period of looking for claims that waited too long.
+	tick = 25 * time.Millisecond
+	// backoffLeast and backoffMost bound the pause after a failed KV call.
+	backoffLeast = 20 * time.Millisecond
+	backoffMost  = 500 * time.Millisecond
+	// conflictPause bounds the random pause after a lost race for a bucket.
+	conflictPause = 4 * time.Millisecond
+	// unavailableRetry is the advice while the KV service is not reachable.
+	unavailableRetry = 2 * time.Second
+	// runningRetry is the longest advice while a call runs.
+	runningRetry = time.Second
+	// opsMost bounds what waits for one bucket.
+	opsMost = 5000
+)
+
+// Part decides which calls may run; it is a ports.Part.
+type Part struct {
+	settings Settings
+	random   *rand.Rand
+	now      time.Time
+	effects  []ports.Effect
+
+	buckets []*bucket
+	// turn are the buckets with work, first come first served.
+	turn   []*bucket
+	flying int
+	// members are the incarnations of the known entries, nil before the first news.
+	members map[string]uint64
+	tag     ports.Tag
+	pending map[ports.Tag]call
+	ticking bool
+	backlog int
+}
+
+// call is what a tag was used for.
+type call struct {
+	kind   callKind
+	bucket *bucket
+}
+
+type callKind uint8
+
+const (
+	callWrite callKind = iota
+	callRead
+	callWake
+	callTick
+)
+
+// New returns a part without claims.
+func New(settings Settings, random *rand.Rand) *Part {
+	settings = settings.withDefaults()
+	p := &Part{settings: settings, random: random, pending: make(map[ports.Tag]call)}
+	for i := range settings.Buckets {
+		p.buckets = append(p.buckets, newBucket(fmt.Sprintf("once/%04x", i)))
+	}
+	return p
+}
+
+func (s Settings) withDefaults() Settings {
+	if s.Buckets <= 0 {
+		s.Buckets = defaultBuckets
+	}
+	if s.InFlight <= 0 {
+		s.InFlight = defaultInFlight
+	}
+	if s.Retention <= 0 {
+		s.Retention = defaultRetention
+	}
+	if s.BucketBytes <= 0 {
+		s.BucketBytes = defaultBucketBytes
+	}
+	if s.Patience <= 0 {
+		s.Patience = defaultPatience
+	}
+	return s
+}
+
+// Step takes one event and returns what is to be done.
+func (p *Part) Step(now time.Time, ev ports.Event) []ports.Effect {
+	p.now = now
+	p.effects = nil
+	switch e := ev.(type) {
+	case Start:
+	case ClaimAsked:
+		p.claimAsked(e)
+	case Finished:
+		p.finished(e.Finish)
+	case MembersChanged:
+		p.membersChanged(e.Members)
+	case ports.KVDone:
+		p.kvDone(e)
+	case ports.TimerFired:
+		p.timerFired(e.Tag)
+	}
+	p.work()
+	return p.effects
+}
+
+func (p *Part) claimAsked(e ClaimAsked) {
+	id := recordID(e.Claim)
+	b := p.buckets[bucketOf(id, len(p.buckets))]
+	if v, known := p.recall(b, id, e.Claim); known {
+		p.answer(e.ID, v)
+		return
+	}
+	if len(b.ops) >= opsMost {
+		p.answer(e.ID, Verdict{Kind: VerdictFull, RetryAfter: unavailableRetry})
+		return
+	}
+	op := &op{
+		kind: opClaim, id: id, asked: e.ID, withoutKV: e.Claim.WithoutKV,
+		due: p.now.Add(min(e.Claim.Within-leastLeft, p.settings.Patience)),
+		record: newRecord(record{
+			Sum: e.Claim.BodySum, Entry: p.settings.Self, Incarnation: p.settings.Incarnation,
+			Nonce: p.random.Uint64(), Within: e.Claim.Within,
+		}),
+	}
+	b.own[id] = &own{record: op.record, phase: ownClaiming}
+	p.add(b, op)
+	p.startTick()
+}
+
+// recall answers from what this entry knows for certain: its own calls, and
+// outcomes that can't change any more.
+func (p *Part) recall(b *bucket, id string, claim Claim) (Verdict, bool) {
+	if mine := b.own[id]; mine != nil {
+		if mine.record.Sum != claim.BodySum {
+			return Verdict{Kind: VerdictMismatch}, true
+		}
+		switch mine.phase {
+		case ownClaiming, ownRunning:
+			return Verdict{Kind: VerdictInProgress, RetryAfter: runningRetry}, true
+		case ownEnded:
+			return ended(mine.record), true
+		}
+	}
+	if r := b.records[id]; r != nil && r.ended() {
+		if r.Sum != claim.BodySum {
+			return Verdict{Kind: VerdictMismatch}, true
+		}
+		return ended(r), true
+	}
+	return Verdict{}, false
+}
+
+func ended(r *record) Verdict {
+	if r.Ending != EndedAnswered || r.Outcome == nil {
+		return Verdict{Kind: VerdictUnknown}
+	}
+	return Verdict{Kind: VerdictOutcome, Outcome: *r.Outcome}
+}
+
+func (p *Part) finished(f Finish) {
+	b := p.buckets[bucketOf(f.Ticket.ID, len(p.buckets))]
+	mine := b.own[f.Ticket.ID]
+	if mine == nil || mine.record.Nonce != f.Ticket.Nonce || mine.phase != ownRunning {
+		return
+	}
+	if f.Ending == EndedNotRun {
+		p.release(b, f.Ticket.ID, mine.record, false)
+		return
+	}
+	r := *mine.record
+	r.Ending = f.Ending
+	if f.Ending == EndedAnswered {
+		r.Outcome = &f.Outcome
+	}
+	mine.record = newRecord(r)
+	mine.phase = ownEnded
+	p.add(b, &op{kind: opEnd, id: f.Ticket.ID, record: mine.record})
+}
+
+// release gives a key back whose call was not sent. In doubt whether the claim
+// was written, the bucket is written in any case, so that a write still on its
+// way can take no effect behind this one.
+func (p *Part) release(b *bucket, id string, r *record, inDoubt bool) {
+	delete(b.own, id)
+	p.add(b, &op{kind: opRelease, id: id, record: r, inDoubt: inDoubt})
+}
+
+func (p *Part) membersChanged(members []ports.Member) {
+	p.members = make(map[string]uint64, len(members))
+	for _, m := range members {
+		if m.Phase != ports.MemberGone {
+			p.members[m.ID] = m.Incarnation
+		}
+	}
+}
+
+func (p *Part) answer(asked uint64, v Verdict) {
+	p.effects = append(p.effects, ports.Note{Value: ClaimAnswered{ID: asked, Verdict: v}})
+}
+
+func (p *Part) add(b *bucket, op *op) {
+	b.ops = append(b.ops, op)
+	b.fresh = false
+	p.count(op, 1)
+	p.enqueue(b)
+}
+
+// count keeps the number of ends that are not written.
+func (p *Part) count(op *op, by int) {
+	if op.kind == opClaim {
+		return
+	}
+	p.backlog += by
+	p.effects = append(p.effects, ports.Note{Value: Backlog{Unwritten: p.backlog}})
+}
+
+func (p *Part) enqueue(b *bucket) {
+	if b.queued {
+		return
+	}
+	b.queued = true
+	p.turn = append(p.turn, b)
+}
+
+func (p *Part) newTag(c call) ports.Tag {
+	p.tag++
+	p.pending[p.tag] = c
+	return p.tag
+}
+
+func (p *Part) startTick() {
+	if p.ticking {
+		return
+	}
+	p.ticking = true
+	p.effects = append(p.effects, ports.ArmTimer{Tag: p.newTag(call{kind: callTick}), After: tick})
+}
+
+func (p *Part) timerFired(tag ports.Tag) {
+	c, ok := p.pending[tag]
+	if !ok {
+		return
+	}
+	delete(p.pending, tag)
+	switch c.kind {
+	case callWake:
+		c.bucket.waking = false
+		p.enqueue(c.bucket)
+	case callTick:
+		p.ticking = false
+		p.expire()
+	case callWrite, callRead:
+	}
+}
+
+// expire answers the claims that have waited as long as they may.
+func (p *Part) expire() {
+	waiting := false
+	for _, b := range p.buckets {
+		for _, op := range b.claims() {
+			if p.now.Before(op.due) {
+				waiting = true
+				continue
+			}
+			p.giveUp(b, op)
+		}
+	}
+	if waiting {
+		p.startTick()
+	}
+}
--- /dev/null
+++ b/internal/transport/front/caller.go
@@ -0,0 +1,170 @@
+package front
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"chivecroft.example/chivecroft/internal/coordination/admit"
+	"chivecroft.example/chivecroft/internal/state/config"
+)
+
+// Headers of the callers' interface.
+const (
+	headerRequestID  = "X-Request-Id"
+	headerRequestKey = "Idempotency-Key"
+	headerDeadline   = "X-Deadline"
+	headerTenant     = "X-Tenant"
+	headerAPIKey     = "X-Api-Key"
+)
+
+// anonymous is the tenant of callers while no tenant is configured.
+const anonymous = "anonymous"
+
+// The longest deadline that a caller may ask for.
+const deadlineMost = 24 * time.Hour
+
+// call is one request on its way through the entry.
+type call struct {
+	h        *Handler
+	w        http.ResponseWriter
+	r        *http.Request
+	ctx      context.Context
+	dir      *directory
+	start    time.Time
+	deadline time.Time
+	tenant   string
+	out      Outcome
+	// closed tells that the answer has been ended in order, though not whole.
+	closed bool
+}
+
+func newID() string {
+	var b [16]byte
+	// The system's random source does not fail; see crypto/rand.
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+// requestID echoes the caller's id if it is a sensible one.
+func requestID(r *http.Request, fresh func() string) string {
+	id := r.Header.Get(headerRequestID)
+	if id == "" || !printable(id) {
+		return fresh()
+	}
+	return id
+}
+
+func printable(s string) bool {
+	if len(s) > keyBytes {
+		return false
+	}
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+// identify finds the tenant by API key, else by a header, which may only name a
+// tenant that has no keys.
+func (c *call) identify() *Problem {
+	tenants := c.dir.config.Tenants
+	if key := apiKey(c.r); key != "" {
+		sum := sha256.Sum256([]byte(key))
+		name, ok := c.dir.keys[hex.EncodeToString(sum[:])]
+		if !ok && len(c.dir.keys) > 0 {
+			return refuse(http.StatusUnauthorized, reasonUnknownKey, "the API key belongs to no tenant")
+		}
+		if ok {
+			c.setTenant(name)
+			return nil
+		}
+	}
+	if name := c.r.Header.Get(headerTenant); name != "" {
+		tenant, ok := tenants[name]
+		if !ok || len(tenant.KeyHashes) > 0 {
+			return refuse(http.StatusUnauthorized, reasonNoTenant, "the header names no tenant that has no API key")
+		}
+		c.setTenant(name)
+		return nil
+	}
+	if len(tenants) > 0 {
+		return refuse(http.StatusUnauthorized, reasonNoTenant, "the request names no tenant")
+	}
+	c.setTenant(anonymous)
+	return nil
+}
+
+func (c *call) setTenant(name string) {
+	c.tenant = name
+	c.out.Tenant = name
+}
+
+func apiKey(r *http.Request) string {
+	if key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer "); ok {
+		return key
+	}
+	return r.Header.Get(headerAPIKey)
+}
+
+// settle fixes the class and the deadline once the service is known.
+func (c *call) settle(service, path string) *Problem {
+	c.out.Service = service
+	c.out.Class = c.dir.class(service, c.tenant, c.r.Method, path)
+	within, problem := c.within(service)
+	if problem != nil {
+		return problem
+	}
+	if within <= 0 {
+		return refuse(http.StatusGatewayTimeout, admit.ReasonDeadline, "the deadline has passed")
+	}
+	c.deadline = c.start.Add(within)
+	return nil
+}
+
+// within returns the time that the caller gives, which a header states as a
+// duration or as an RFC 3339 time.
+func (c *call) within(service string) (time.Duration, *Problem) {
+	text := c.r.Header.Get(headerDeadline)
+	if text == "" {
+		if d := time.Duration(c.dir.config.Services[service].Deadline); d > 0 {
+			return d, nil
+		}
+		return defaultDeadline(c.out.Class), nil
+	}
+	if d, err := time.ParseDuration(text); err == nil {
+		return min(d, deadlineMost), nil
+	}
+	at, err := time.Parse(time.RFC3339Nano, text)
+	if err != nil {
+		return 0, refuse(http.StatusBadRequest, reasonBadDeadline,
+			headerDeadline+" is a duration such as 2s or an RFC 3339 time, not "+quote(text))
+	}
+	return min(at.Sub(c.start), deadlineMost), nil
+}
+
+func defaultDeadline(class config.Class) time.Duration {
+	switch class {
+	case config.ClassDeferrable:
+		return 15 * time.Minute
+	case config.ClassLookup:
+		return 10 * time.Second
+	case config.ClassInteractive, config.ClassRunOnce:
+	}
+	return 30 * time.Second
+}
+
+func quote(s string) string {
+	const most = 80
+	if len(s) > most {
+		s = s[:most] + "…"
+	}
+	return strconv.Quote(s)
+}
--- /dev/null
+++ b/internal/transport/front/deps.go
@@ -0,0 +1,120 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"chivecroft.example/chivecroft/internal/coordination/admit"
+	"chivecroft.example/chivecroft/internal/coordination/await"
+	"chivecroft.example/chivecroft/internal/coordination/once"
+	"chivecroft.example/chivecroft/internal/coordination/route"
+	"chivecroft.example/chivecroft/internal/protocol/wire"
+	"chivecroft.example/chivecroft/internal/state/config"
+	"chivecroft.example/chivecroft/internal/state/timer"
+)
+
+// Stream is an answer that an engine is generating.
+type Stream interface {
+	// Next returns the next chunk; the last one has Done set.
+	Next(ctx context.Context) (wire.Chunk, error)
+	// Close gives up what has not arrived.
+	Close()
+}
+
+// Engine reaches the model engines. Its errors are *CallError where more is
+// known than that the call failed.
+type Engine interface {
+	// Generate begins an answer; the stream lives no longer than ctx.
+	Generate(ctx context.Context, at netip.AddrPort, req wire.GenerateRequest) (Stream, error)
+	// Cancel stops the work of a request.
+	Cancel(ctx context.Context, at netip.AddrPort, requestID string) error
+	// Alive asks for a sign of life on a connection that is known to work.
+	Alive(ctx context.Context, at netip.AddrPort) error
+}
+
+// Services sends calls to the instances of plain services. Its errors are
+// *CallError where more is known than that the call failed.
+type Services interface {
+	// Send sends the call; proven asks for a connection that has just shown
+	// itself to work.
+	Send(req *http.Request, proven bool) (*http.Response, error)
+}
+
+// CallError is a call to a target that failed before its answer began.
+type CallError struct {
+	// NotRun tells that the target began nothing.
+	NotRun bool
+	// Leaving tells that the target takes no new work.
+	Leaving bool
+	// Gone tells that the replica or adapter is not on the target any more.
+	Gone bool
+	// Overloaded tells that the target has too much to do.
+	Overloaded bool
+	// Invalid tells that the target finds fault with the request itself.
+	Invalid bool
+	Reason  string
+	Err     error
+}
+
+// Error describes the failure.
+func (e *CallError) Error() string {
+	text := "call failed"
+	if e.Reason != "" {
+		text += ": " + e.Reason
+	}
+	if e.Err != nil {
+		text = fmt.Sprintf("%s: %v", text, e.Err)
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *CallError) Unwrap() error {
+	return e.Err
+}
+
+// Claims keeps run-once calls from running twice.
+type Claims interface {
+	// Claim decides what a call with a request key gets; it returns before ctx
+	// ends.
+	Claim(ctx context.Context, claim once.Claim) once.Verdict
+	// Finish records how a claimed call ended, or that it never began.
+	Finish(finish once.Finish)
+}
+
+// Deps is what a Handler works with.
+type Deps struct {
+	// Config returns the configuration in force.
+	Config   func() *config.Config
+	Table    *route.Table
+	Room     *await.Room
+	Limits   *admit.Limits
+	Claims   Claims
+	Engine   Engine
+	Services Services
+	Timer    timer.Service
+	// Observe takes the outcome of each request; nil drops it.
+	Observe func(Outcome)
+	// NewID makes request ids; nil makes random ones.
+	NewID func() string
+}
+
+// Limits of requests and answers.
+const (
+	// chatBytes bounds the body of a chat completion.
+	chatBytes = 4 << 20
+	// onceBytes bounds the body of a run-once call, which is held in memory to
+	// be summed before it is sent.
+	onceBytes = 1 << 20
+	// replayBytes bounds the body of a lookup that can be sent again.
+	replayBytes = 64 << 10
+	// keyBytes bounds a request key and a request id.
+	keyBytes = 200
+	// readIdle is how long a caller may send nothing of a body that it owes.
+	readIdle = 10 * time.Second
+	// writeIdle is how long a caller may accept nothing of its answer.
+	writeIdle = 20 * time.Second
+)
--- /dev/null
+++ b/internal/transport/front/handler.go
@@ -0,0 +1,164 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"chivecroft.example/chivecroft/internal/coordination/admit"
+)
+
+// drainRetryAfter is the advice to callers of an entry that stops: another one
+// takes them as soon as the balancer has noticed.
+const drainRetryAfter = time.Second
+
+// Paths of the callers' interface.
+const (
+	pathChat     = "/v1/chat/completions"
+	pathModels   = "/v1/models"
+	pathServices = "/services/"
+)
+
+// Handler serves callers.
+type Handler struct {
+	Deps
+	directories directories
+	budgets     *budgets
+	draining    atomic.Bool
+	flying      atomic.Int64
+}
+
+// New returns a handler over its dependencies.
+func New(deps Deps) *Handler {
+	if deps.Observe == nil {
+		deps.Observe = func(Outcome) {}
+	}
+	if deps.NewID == nil {
+		deps.NewID = newID
+	}
+	return &Handler{Deps: deps, budgets: newBudgets()}
+}
+
+// Drain refuses new requests from now on; those that are here are finished.
+func (h *Handler) Drain() {
+	h.draining.Store(true)
+	h.Room.Drain()
+}
+
+// InFlight returns the number of requests that have not been answered.
+func (h *Handler) InFlight() int {
+	return int(h.flying.Load())
+}
+
+// ServeHTTP answers one request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.flying.Add(1)
+	defer h.flying.Add(-1)
+	c := h.begin(w, r)
+	problem := c.serve()
+	c.end(problem)
+}
+
+func (h *Handler) begin(w http.ResponseWriter, r *http.Request) *call {
+	now := h.Timer.Now()
+	c := &call{h: h, r: r, ctx: r.Context(), start: now, dir: h.directories.of(h.Config())}
+	c.out.StartedAt = now
+	c.out.RequestID = requestID(r, h.NewID)
+	c.w = newAnswer(w, &c.out, c.elapsed)
+	w.Header().Set(headerRequestID, c.out.RequestID)
+	return c
+}
+
+// serve returns nil once the caller has its answer, and else what to tell it.
+func (c *call) serve() *Problem {
+	if c.h.draining.Load() {
+		c.w.Header().Set("Connection", "close")
+		return refuse(http.StatusServiceUnavailable, admit.ReasonDraining, "the entry is stopping").after(drainRetryAfter)
+	}
+	if problem := c.identify(); problem != nil {
+		return problem
+	}
+	path := c.r.URL.Path
+	switch {
+	case path == pathChat:
+		return c.only(http.MethodPost, c.serveChat)
+	case path == pathModels:
+		return c.only(http.MethodGet, c.serveModels)
+	case strings.HasPrefix(path, pathServices):
+		return c.serveService()
+	}
+	return refuse(http.StatusNotFound, reasonUnknownPath, "nothing is served at "+quote(path))
+}
+
+func (c *call) only(method string, serve func() *Problem) *Problem {
+	if c.r.Method == method {
+		return serve()
+	}
+	c.w.Header().Set("Allow", method)
+	return refuse(http.StatusMethodNotAllowed, reasonMethod, "use "+method)
+}
+
+// limited runs a request under its tenant's limits and its deadline.
+func (c *call) limited(serve func() *Problem) *Problem {
+	release, refused := c.h.Limits.Admit(c.tenant, c.dir.config.Tenants[c.tenant], c.start)
+	if refused != nil {
+		return refusal(refused)
+	}
+	defer release()
+	c.h.budgets.earn(c.tenant)
+	ctx, cancel := context.WithDeadline(c.ctx, c.deadline)
+	defer cancel()
+	c.ctx = ctx
+	return serve()
+}
+
+// end writes the problem, if there is one, and reports the outcome.
+func (c *call) end(problem *Problem) {
+	c.out.Elapsed = c.elapsed()
+	switch {
+	case problem == nil:
+		c.out.Status = StatusServed
+	case c.gone():
+		c.out.Status = StatusCancelled
+		c.out.Reason = admit.ReasonCancelled
+	default:
+		c.report(problem)
+	}
+	c.h.Observe(c.out)
+	a := c.w.(*answerWriter)
+	switch {
+	case problem == nil || c.closed:
+	case !a.begun:
+		problem.write(a, c.out.RequestID)
+	default:
+		// What the caller has is not the whole answer; a connection that is cut
+		// is the only way left to tell.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (c *call) report(problem *Problem) {
+	c.out.Status = StatusFailed
+	if problem.NotRun {
+		c.out.Status = StatusRefused
+	}
+	c.out.Reason = problem.Reason
+	c.out.NotRun = problem.NotRun
+	c.out.Code = problem.Status
+}
+
+// gone tells whether the caller has left.
+func (c *call) gone() bool {
+	return errors.Is(c.r.Context().Err(), context.Canceled)
+}
+
+func (c *call) elapsed() time.Duration {
+	return c.h.Timer.Now().Sub(c.start)
+}
+
+func (c *call) left() time.Duration {
+	return c.deadline.Sub(c.h.Timer.Now())
+}
--- /dev/null
+++ b/internal/transport/front/lookup.go
@@ -0,0 +1,98 @@
+package front
+
+import (
+	"strings"
+	"sync/atomic"
+
+	"chivecroft.example/chivecroft/internal/state/config"
+)
+
+// directory answers the questions of a request about one configuration.
+type directory struct {
+	config *config.Config
+	// keys are the tenants by the hash of their API keys.
+	keys map[string]string
+}
+
+func newDirectory(c *config.Config) *directory {
+	d := &directory{config: c, keys: make(map[string]string)}
+	for name, tenant := range c.Tenants {
+		for _, hash := range tenant.KeyHashes {
+			d.keys[hash] = name
+		}
+	}
+	return d
+}
+
+// directories keeps the directory of the configuration seen last.
+type directories struct {
+	latest atomic.Pointer[directory]
+}
+
+func (d *directories) of(c *config.Config) *directory {
+	if latest := d.latest.Load(); latest != nil && latest.config == c {
+		return latest
+	}
+	fresh := newDirectory(c)
+	d.latest.Store(fresh)
+	return fresh
+}
+
+// address is what a caller's model name stands for.
+type address struct {
+	service string
+	model   string
+	adapter string
+}
+
+// resolve finds what a caller means by "model", "model:adapter" or the name of
+// an adapter alone.
+func (d *directory) resolve(name string) (address, *Problem) {
+	base, adapter, joined := strings.Cut(name, ":")
+	if model, ok := d.config.Models[base]; ok {
+		if problem := d.checkAdapter(base, adapter, joined); problem != nil {
+			return address{}, problem
+		}
+		return address{service: model.Service, model: base, adapter: adapter}, nil
+	}
+	if alone, ok := d.config.Adapters[name]; ok {
+		return address{service: d.config.Models[alone.Model].Service, model: alone.Model, adapter: name}, nil
+	}
+	return address{}, refuse(404, reasonUnknownModel, "no model is named "+quote(base))
+}
+
+func (d *directory) checkAdapter(model, adapter string, named bool) *Problem {
+	if !named {
+		return nil
+	}
+	found, ok := d.config.Adapters[adapter]
+	if !ok {
+		return refuse(404, reasonUnknownAdapter, "no adapter is named "+quote(adapter))
+	}
+	if found.Model != model {
+		return refuse(400, reasonOtherAdapter, "adapter "+quote(adapter)+" belongs to model "+quote(found.Model))
+	}
+	return nil
+}
+
+// class returns the class of a call: the first matching route's, else that of a
+// service that is run-once or lookup as a whole, else the tenant's, else the
+// service's. A tenant only chooses between waiting now and waiting long.
+func (d *directory) class(service, tenant, method, path string) config.Class {
+	s := d.config.Services[service]
+	for _, route := range s.Routes {
+		if (route.Method == "" || route.Method == method) && strings.HasPrefix(path, route.Prefix) {
+			return route.Class
+		}
+	}
+	if s.Class == config.ClassRunOnce || s.Class == config.ClassLookup {
+		return s.Class
+	}
+	if class := d.config.Tenants[tenant].Class; class != "" {
+		return class
+	}
+	if s.Class == "" {
+		return config.ClassInteractive
+	}
+	return s.Class
+}
