Tell policies where the next load would come from

A model whose checkpoint is still in a target's host memory loads again in a fraction of its time from the weight store, so the worth of keeping it ready is smaller. ModelView gets ReloadTime; zero keeps the old meaning (LoadTime), so nobody has to fill it.

--- a/internal/coordination/policy/types.go
+++ b/internal/coordination/policy/types.go
@@ -25,6 +25,9 @@
 	MemoryBytes uint64
 	// LoadTime is the expected time of a load from the weight store.
 	LoadTime time.Duration
+	// ReloadTime is the expected time of the next load from where the
+	// checkpoint is cached now, 0 for as long as LoadTime.
+	ReloadTime time.Duration
 	// LastUsed is when a request was last seen, zero for never.
 	LastUsed time.Time
 	// Gaps are the latest gaps between requests, oldest first.
