--- /dev/null
+++ b/internal/state/hist/doc.go
@@ -0,0 +1,3 @@
+// Package hist holds histograms of durations that can be merged and stored, and
+// sharded sets of them with a bounded number of keys.
+package hist
--- /dev/null
+++ b/internal/transport/meter/create.go
@@ -0,0 +1,60 @@
+package meter
+
+import (
+	"github.com/gravitational/trace"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/sdk/resource"
+)
+
+// scope names the instruments' origin.
+const scope = "chivecroft.example/chivecroft/internal/transport/meter"
+
+// create makes the instruments and returns all errors together.
+func (m *Meter) create() error {
+	c := creator{meter: m.provider.Meter(scope)}
+	m.queueWait = c.histogram("chivecroft.queue.wait.duration", "Time that a request waited at the entry before it was sent.", waitBuckets)
+	m.coldStart = c.histogram("chivecroft.cold_start.duration", "Time that a caller waited for a model to load.", waitBuckets)
+	m.firstToken = c.histogram("gen_ai.server.time_to_first_token", "Time from a request to the first token of its answer.", waitBuckets)
+	m.tokenGap = c.histogram("gen_ai.server.time_per_output_token", "Time between two tokens of an answer.", tokenBuckets)
+	m.requests = c.counter("chivecroft.requests.served", "{request}", "Whole answers.")
+	m.refusals = c.counter("chivecroft.requests.refused", "{request}", "Refusals by reason.")
+	m.kvCalls = c.counter("chivecroft.kv.calls", "{call}", "Calls of the key-value service.")
+	m.control = c.counter("chivecroft.control.io", "By", "Control traffic between instances.")
+	m.loads = c.counter("chivecroft.loads", "{load}", "Ended loads of models.")
+	m.idle = c.seconds("chivecroft.accelerator.idle.time", "Time for which accelerators were held by idle replicas.")
+	return trace.NewAggregate(c.errs...)
+}
+
+// creator collects the errors of making instruments.
+type creator struct {
+	meter metric.Meter
+	errs  []error
+}
+
+func (c *creator) histogram(name, description string, buckets []float64) metric.Float64Histogram {
+	h, err := c.meter.Float64Histogram(name, metric.WithUnit("s"), metric.WithDescription(description),
+		metric.WithExplicitBucketBoundaries(buckets...))
+	c.errs = append(c.errs, err)
+	return h
+}
+
+func (c *creator) counter(name, unit, description string) metric.Int64Counter {
+	n, err := c.meter.Int64Counter(name, metric.WithUnit(unit), metric.WithDescription(description))
+	c.errs = append(c.errs, err)
+	return n
+}
+
+func (c *creator) seconds(name, description string) metric.Float64Counter {
+	n, err := c.meter.Float64Counter(name, metric.WithUnit("s"), metric.WithDescription(description))
+	c.errs = append(c.errs, err)
+	return n
+}
+
+func resourceOf(instance, zone string) *resource.Resource {
+	return resource.NewSchemaless(
+		attribute.String("service.name", "chivecroft"),
+		attribute.String("service.instance.id", instance),
+		attribute.String("cloud.availability_zone", zone),
+	)
+}
--- /dev/null
+++ b/internal/transport/meter/meter.go
@@ -0,0 +1,198 @@
+package meter
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/state/config"
+)
+
+// Defaults of the bounds on label values.
+const (
+	defaultTenants = 50
+	defaultModels  = 100
+	defaultReasons = 30
+	maxServices    = 50
+)
+
+// Bounds of the histograms' buckets in seconds.
+var (
+	waitBuckets  = []float64{0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 1.3, 2, 5, 10, 20, 40, 80, 160}
+	tokenBuckets = []float64{0.005, 0.01, 0.02, 0.031, 0.05, 0.1, 0.25, 0.5, 1, 2.5}
+)
+
+// Option changes a Meter under construction.
+type Option func(*settings)
+
+type settings struct{ tenants, models int }
+
+// WithTenants bounds the tenants that have series of their own.
+func WithTenants(n int) Option {
+	return func(s *settings) { s.tenants = n }
+}
+
+// WithModels bounds the models that have series of their own.
+func WithModels(n int) Option {
+	return func(s *settings) { s.models = n }
+}
+
+// Call is whom a request is for; the labels of most metrics come from it.
+type Call struct {
+	Service string
+	Tenant  string
+	Class   config.Class
+}
+
+// Meter records metrics; it is safe for concurrent use.
+type Meter struct {
+	provider *sdk.MeterProvider
+	handler  http.Handler
+
+	services *labels
+	tenants  *labels
+	models   *labels
+	reasons  *labels
+
+	queueWait  metric.Float64Histogram
+	coldStart  metric.Float64Histogram
+	firstToken metric.Float64Histogram
+	tokenGap   metric.Float64Histogram
+	requests   metric.Int64Counter
+	refusals   metric.Int64Counter
+	kvCalls    metric.Int64Counter
+	control    metric.Int64Counter
+	loads      metric.Int64Counter
+	idle       metric.Float64Counter
+}
+
+// New returns a meter that marks its series with the instance and zone.
+func New(instance, zone string, opts ...Option) (*Meter, error) {
+	s := settings{tenants: defaultTenants, models: defaultModels}
+	for _, opt := range opts {
+		opt(&s)
+	}
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprom.New(otelprom.WithRegisterer(registry), otelprom.WithoutScopeInfo())
+	if err != nil {
+		return nil, trace.Wrap(err, "create metrics exporter of %s", instance)
+	}
+	m := &Meter{
+		provider: sdk.NewMeterProvider(sdk.WithReader(exporter), sdk.WithResource(resourceOf(instance, zone))),
+		handler:  promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+		services: newLabels(maxServices),
+		tenants:  newLabels(s.tenants),
+		models:   newLabels(s.models),
+		reasons:  newLabels(defaultReasons),
+	}
+	if err := m.create(); err != nil {
+		return nil, trace.Wrap(err, "create metrics of %s", instance)
+	}
+	return m, nil
+}
+
+// Handler serves the metrics in the form of Prometheus.
+func (m *Meter) Handler() http.Handler {
+	return m.handler
+}
+
+// Close stops the meter.
+func (m *Meter) Close(ctx context.Context) error {
+	return trace.Wrap(m.provider.Shutdown(ctx), "stop metrics")
+}
+
+// QueueWait records how long a request waited at the entry before it was sent.
+func (m *Meter) QueueWait(c Call, d time.Duration) {
+	m.queueWait.Record(context.Background(), d.Seconds(), m.call(c))
+}
+
+// ColdStart records how long a caller waited for a model to load.
+func (m *Meter) ColdStart(c Call, model string, d time.Duration) {
+	m.coldStart.Record(context.Background(), d.Seconds(), m.call(c), metric.WithAttributes(m.model(model)))
+}
+
+// FirstToken records the time from a request to the first token of its answer.
+func (m *Meter) FirstToken(c Call, d time.Duration) {
+	m.firstToken.Record(context.Background(), d.Seconds(), m.call(c))
+}
+
+// TokenGap records the time between two tokens of an answer.
+func (m *Meter) TokenGap(c Call, d time.Duration) {
+	m.tokenGap.Record(context.Background(), d.Seconds(), m.call(c))
+}
+
+// Served counts a whole answer.
+func (m *Meter) Served(c Call) {
+	m.requests.Add(context.Background(), 1, m.call(c))
+}
+
+// Refused counts a refusal.
+func (m *Meter) Refused(c Call, reason string, notRun bool) {
+	m.refusals.Add(context.Background(), 1, m.call(c), metric.WithAttributes(
+		attribute.String("error.type", m.reasons.admit(reason)),
+		attribute.String("chivecroft.not_run", strconv.FormatBool(notRun)),
+	))
+}
+
+// KVCall counts a call of the KV service by what it asked and how it ended.
+func (m *Meter) KVCall(operation string, status ports.KVStatus) {
+	m.kvCalls.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.String("db.operation.name", m.reasons.admit(operation)),
+		attribute.String("db.response.status_code", status.String()),
+	))
+}
+
+// ControlBytes counts bytes of control traffic by kind of message and direction.
+func (m *Meter) ControlBytes(kind string, sent bool, n int) {
+	direction := "receive"
+	if sent {
+		direction = "transmit"
+	}
+	m.control.Add(context.Background(), int64(n), metric.WithAttributes(
+		attribute.String("chivecroft.message", m.reasons.admit(kind)),
+		attribute.String("network.io.direction", direction),
+	))
+}
+
+// Load counts an ended load of a model.
+func (m *Meter) Load(model string, tier ports.Tier, ok bool) {
+	m.loads.Add(context.Background(), 1, metric.WithAttributes(
+		m.model(model),
+		attribute.String("chivecroft.tier", string(tier)),
+		attribute.String("chivecroft.outcome", outcome(ok)),
+	))
+}
+
+// IdleAccelerator adds to the time for which accelerators were held by idle replicas.
+func (m *Meter) IdleAccelerator(model string, d time.Duration) {
+	m.idle.Add(context.Background(), d.Seconds(), metric.WithAttributes(m.model(model)))
+}
+
+func outcome(ok bool) string {
+	if ok {
+		return "loaded"
+	}
+	return "failed"
+}
+
+func (m *Meter) model(name string) attribute.KeyValue {
+	return attribute.String("gen_ai.request.model", m.models.admit(name))
+}
+
+func (m *Meter) call(c Call) metric.MeasurementOption {
+	return metric.WithAttributes(
+		attribute.String("chivecroft.service", m.services.admit(c.Service)),
+		attribute.String("chivecroft.tenant", m.tenants.admit(c.Tenant)),
+		attribute.String("chivecroft.class", string(c.Class)),
+	)
+}
