Serve a request from one end to the other

Weighed: whether requests should pass through the parts' loops. They do not: the routing table, the queues and the limits are split by model under locks of their own, and only decisions (ownership, configuration, claims) go through the loops.

Whom an entry follows grows with its zone and the number of zones: each owner of its own zone, and one entry of each other zone, which publishes its zone's rows without their load.

--- a/cmd/chivecroft/main.go
+++ b/cmd/chivecroft/main.go
@@ -1,4 +1,12 @@
 // Command chivecroft serves rarely used models.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"chivecroft.example/chivecroft/internal/shell"
+)
+
+func main() {
+	os.Exit(shell.Run(os.Args[1:], shell.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}))
+}
--- a/internal/coordination/drive/loop.go
+++ b/internal/coordination/drive/loop.go
@@ -62,6 +62,18 @@
 	l.run()
 }
 
+// Inspect calls look between two steps of the part, when its state is whole;
+// after Stop it is not called.
+func (l *Loop) Inspect(look func()) {
+	l.Post(inspection{look})
+}
+
+// inspection is an event for the loop itself.
+type inspection struct{ look func() }
+
+// IsEvent marks an event.
+func (inspection) IsEvent() {}
+
 // Stop drops queued events and pending timers; a step under way ends normally.
 func (l *Loop) Stop() {
 	l.mu.Lock()
@@ -80,6 +92,10 @@
 		if !ok {
 			return
 		}
+		if i, ok := ev.(inspection); ok {
+			i.look()
+			continue
+		}
 		for _, effect := range l.part.Step(l.env.Timer.Now(), ev) {
 			l.carryOut(effect)
 		}
--- a/internal/coordination/feed/feed.go
+++ b/internal/coordination/feed/feed.go
@@ -194,8 +194,29 @@
 		a.Revision != b.Revision || a.Concurrency != b.Concurrency || !slices.Equal(a.Adapters, b.Adapters) {
 		return false
 	}
-	if a.Running != b.Running || a.Queued != b.Queued {
+	if loadIsNews(a, b) {
 		return false
 	}
 	return (a.ReadyIn - b.ReadyIn).Abs() < readyInStep
 }
+
+// loadSteps is into how many steps a replica's load is divided: only a change
+// by a step, to or from nothing, or of whether anything queues is news.
+//
+// Every entry of a zone follows every row of it. At 364 replicas a zone that
+// report twice a second, each change of a count would be 70 KB/s to each entry;
+// readers count their own requests anyway, so a coarse picture of the others'
+// is enough to choose between two replicas.
+const loadSteps = 4
+
+func loadIsNews(a, b ports.Replica) bool {
+	if (a.Running == 0) != (b.Running == 0) || (a.Queued == 0) != (b.Queued == 0) {
+		return true
+	}
+	step := max(1, b.Concurrency/loadSteps)
+	return abs(a.Running-b.Running) >= step || abs(a.Queued-b.Queued) >= step
+}
+
+func abs(n int) int {
+	return max(n, -n)
+}
--- /dev/null
+++ b/internal/entry/demand.go
@@ -0,0 +1,154 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"strings"
+
+	"github.com/gravitational/trace"
+
+	"chivecroft.example/chivecroft/internal/coordination/member"
+	"chivecroft.example/chivecroft/internal/coordination/owner"
+	"chivecroft.example/chivecroft/internal/coordination/permit"
+	"chivecroft.example/chivecroft/internal/coordination/ports"
+)
+
+// demand finds the shard that can load a model: first the shards of the own
+// zone, in an order that every entry of the zone agrees on, so that a burst at
+// many entries meets at one owner; then the other zones, the own region's first.
+func (e *Entry) demand(ctx context.Context, d ports.Demand) (ports.DemandReply, error) {
+	d.From = e.self.ID
+	d.Zone = e.self.Zone
+	reply, err := e.demandHere(ctx, d)
+	if err == nil && settled(reply) {
+		return reply, nil
+	}
+	zones := e.otherZones()
+	if at := hintedZone(reply.Hint); at != "" {
+		zones = append([]string{at}, zones...)
+	}
+	for _, zone := range zones {
+		there, errThere := e.demandThere(ctx, zone, d)
+		if errThere == nil && settled(there) {
+			return there, nil
+		}
+		if errThere == nil && err != nil {
+			reply, err = there, nil
+		}
+	}
+	return reply, err
+}
+
+// settled tells whether asking another shard could not do better.
+func settled(r ports.DemandReply) bool {
+	return r.Status == ports.DemandAccepted || r.Status == ports.DemandQueued
+}
+
+// demandHere asks the shards of the own zone.
+func (e *Entry) demandHere(ctx context.Context, d ports.Demand) (ports.DemandReply, error) {
+	var last ports.DemandReply
+	var err error = trace.ConnectionProblem(nil, "no shard of zone %s has an owner", e.self.Zone)
+	for _, shard := range e.shardOrder(d.Model) {
+		reply, errShard := e.demandShard(ctx, shard, d)
+		if errShard != nil {
+			continue
+		}
+		if settled(reply) {
+			return reply, nil
+		}
+		// A refusal says more than "elsewhere" and is kept as the answer.
+		if err != nil || reply.Status == ports.DemandRefused {
+			last = reply
+		}
+		err = nil
+	}
+	return last, err
+}
+
+// shardOrder is the order in which the zone's shards are asked for a model.
+func (e *Entry) shardOrder(model string) []int {
+	names := make([]string, e.settings.Control.Shards)
+	numbers := make(map[string]int, len(names))
+	for n := range names {
+		names[n] = permit.ShardName(e.self.Zone, n)
+		numbers[names[n]] = n
+	}
+	order := make([]int, 0, len(names))
+	for _, name := range member.Choose(names, "model/"+model, len(names)) {
+		order = append(order, numbers[name])
+	}
+	return order
+}
+
+// demandShard asks one shard's owner, which may be this entry.
+func (e *Entry) demandShard(ctx context.Context, shard int, d ports.Demand) (ports.DemandReply, error) {
+	if e.owns(shard) {
+		return e.parts.demands.ask(ctx, func(id uint64) {
+			e.parts.shards[shard].loop.Post(owner.DemandAsked{ID: id, Demand: d})
+		})
+	}
+	for _, m := range e.members() {
+		if m.Zone == e.self.Zone && m.ID != e.self.ID && m.Phase == ports.MemberAlive && slices.Contains(m.Shards, shard) {
+			return e.askDemand(ctx, m, d)
+		}
+	}
+	return ports.DemandReply{}, trace.ConnectionProblem(nil, "shard %d of zone %s has no owner", shard, e.self.Zone)
+}
+
+// demandThere asks an entry of another zone, which passes it on to its owners.
+func (e *Entry) demandThere(ctx context.Context, zone string, d ports.Demand) (ports.DemandReply, error) {
+	var err error = trace.ConnectionProblem(nil, "no entry of zone %s is known", zone)
+	for _, m := range e.members() {
+		if m.Zone != zone || m.Phase != ports.MemberAlive {
+			continue
+		}
+		var reply ports.DemandReply
+		if reply, err = e.askDemand(ctx, m, d); err == nil {
+			return reply, nil
+		}
+	}
+	return ports.DemandReply{}, err
+}
+
+func (e *Entry) askDemand(ctx context.Context, m ports.Member, d ports.Demand) (ports.DemandReply, error) {
+	answer, err := e.peers.Ask(ctx, m.Addr, d)
+	if err != nil {
+		return ports.DemandReply{}, trace.Wrap(err, "demand for %s at %s", d.Model, m.ID)
+	}
+	reply, ok := answer.(ports.DemandReply)
+	if !ok {
+		return ports.DemandReply{}, trace.BadParameter("demand for %s: %s answered with %T", d.Model, m.ID, answer)
+	}
+	return reply, nil
+}
+
+func (e *Entry) owns(shard int) bool {
+	e.parts.mu.Lock()
+	defer e.parts.mu.Unlock()
+	return e.parts.owned[shard]
+}
+
+// otherZones are the other zones with a living entry, the own region's first.
+func (e *Entry) otherZones() []string {
+	var near, far []string
+	for _, m := range e.members() {
+		if m.Zone == e.self.Zone || m.Phase != ports.MemberAlive || slices.Contains(near, m.Zone) || slices.Contains(far, m.Zone) {
+			continue
+		}
+		if m.Region == e.self.Region {
+			near = append(near, m.Zone)
+		} else {
+			far = append(far, m.Zone)
+		}
+	}
+	return append(near, far...)
+}
+
+// hintedZone is the zone of a hint that names a shard.
+func hintedZone(hint string) string {
+	zone, _, found := strings.Cut(hint, "/")
+	if !found {
+		return ""
+	}
+	return zone
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,216 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/phuslu/log"
+
+	"chivecroft.example/chivecroft/internal/coordination/admit"
+	"chivecroft.example/chivecroft/internal/coordination/await"
+	"chivecroft.example/chivecroft/internal/coordination/daily"
+	"chivecroft.example/chivecroft/internal/coordination/feed"
+	"chivecroft.example/chivecroft/internal/coordination/once"
+	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/coordination/route"
+	"chivecroft.example/chivecroft/internal/params"
+	"chivecroft.example/chivecroft/internal/state/config"
+	"chivecroft.example/chivecroft/internal/state/timer"
+	"chivecroft.example/chivecroft/internal/transport/engine"
+	"chivecroft.example/chivecroft/internal/transport/front"
+	"chivecroft.example/chivecroft/internal/transport/kvhttp"
+	"chivecroft.example/chivecroft/internal/transport/meter"
+	"chivecroft.example/chivecroft/internal/transport/peer"
+)
+
+// Entry is one running instance of the system.
+type Entry struct {
+	settings params.Settings
+	self     ports.Member
+	timer    timer.Service
+	log      *log.Logger
+
+	kv       *kvhttp.Client
+	engines  *engine.Client
+	peers    *peer.Client
+	services *services
+	meter    *meter.Meter
+
+	table    *route.Table
+	room     *await.Room
+	limits   *admit.Limits
+	claims   *once.Driver
+	recorder *daily.Recorder
+	writer   *daily.Writer
+	front    *front.Handler
+	parts    *parts
+	own      *feed.Feed
+	zone     *feed.Union
+	view     view
+
+	servers  []*listening
+	stopping atomic.Bool
+	ready    atomic.Bool
+	ctx      context.Context
+	cancel   context.CancelFunc
+	work     sync.WaitGroup
+	drained  chan struct{}
+	drain    sync.Once
+}
+
+// view is what the parts last noted, for readers on other goroutines.
+type view struct {
+	config  atomic.Pointer[config.Config]
+	members atomic.Pointer[[]ports.Member]
+}
+
+// Option changes an Entry under construction.
+type Option func(*Entry)
+
+// WithLogger sets where the entry logs.
+func WithLogger(l *log.Logger) Option {
+	return func(e *Entry) { e.log = l }
+}
+
+// WithTimer sets the timer service.
+func WithTimer(t timer.Service) Option {
+	return func(e *Entry) { e.timer = t }
+}
+
+// New returns an entry that does not listen yet.
+func New(settings params.Settings, opts ...Option) (*Entry, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &Entry{
+		settings: settings,
+		timer:    timer.NewSystem(),
+		log:      &log.Logger{Level: log.InfoLevel},
+		ctx:      ctx,
+		cancel:   cancel,
+		drained:  make(chan struct{}),
+	}
+	for _, opt := range opts {
+		opt(e)
+	}
+	e.self = ports.Member{
+		ID:          settings.Entry.ID,
+		Incarnation: uint64(e.timer.Now().UnixNano()),
+		Zone:        settings.Entry.Zone,
+		Region:      settings.Entry.Region,
+		Addr:        settings.Peers.Advertise,
+		Phase:       ports.MemberAlive,
+	}
+	if err := e.build(); err != nil {
+		cancel()
+		return nil, trace.Wrap(err, "building entry %s", settings.Entry.ID)
+	}
+	return e, nil
+}
+
+func (e *Entry) build() error {
+	var err error
+	if e.meter, err = meter.New(e.self.ID, e.self.Zone); err != nil {
+		return trace.Wrap(err)
+	}
+	if e.peers, err = e.newPeers(); err != nil {
+		return trace.Wrap(err)
+	}
+	random := rand.New(rand.NewPCG(e.self.Incarnation, 1))
+	e.kv = kvhttp.New(e.settings.Platform.URL, kvhttp.WithTimeout(e.settings.Platform.Timeout), kvhttp.WithTimer(e.timer))
+	e.engines = engine.New(engine.WithTimer(e.timer))
+	e.services = newServices()
+	e.own = feed.New(e.self.Incarnation, e.timer)
+	e.zone = feed.NewUnion(feed.New(e.self.Incarnation, e.timer))
+	e.recorder = daily.NewRecorder(e.timer, e.settings.Entry.Location)
+	e.view.config.Store(&config.Config{})
+	e.view.members.Store(&[]ports.Member{e.self})
+	e.table = route.NewTable(e.self.Zone, e.self.Region, e.timer, random.Uint64())
+	e.room = await.NewRoom(e.table, await.DemandFunc(e.demand), e.timer, await.WithLimits(await.Limits{
+		Count:     int64(e.settings.Requests.QueueCount),
+		Bytes:     e.settings.Requests.QueueBytes,
+		LineCount: e.settings.Requests.QueueCount,
+	}))
+	e.table.Listen(e.room.Wake)
+	e.limits = admit.NewLimits()
+	if e.parts, err = e.newParts(random); err != nil {
+		return trace.Wrap(err)
+	}
+	e.front = front.New(e.frontDeps())
+	return nil
+}
+
+// Start listens and begins to work; the addresses are known from then on.
+func (e *Entry) Start(ctx context.Context) error {
+	if err := e.listen(ctx); err != nil {
+		e.Close()
+		return trace.Wrap(err, "starting entry %s", e.self.ID)
+	}
+	e.parts.start()
+	e.spawn(e.followList)
+	e.spawn(e.followTables)
+	e.spawn(e.countIdle)
+	e.ready.Store(true)
+	e.log.Info().Str("entry", e.self.ID).Str("zone", e.self.Zone).
+		Str("callers", e.Addr(ListenerCallers).String()).
+		Str("operators", e.Addr(ListenerOperators).String()).
+		Str("peers", e.Addr(ListenerPeers).String()).Msg("listening")
+	return nil
+}
+
+// spawn runs a loop that ends with the entry.
+func (e *Entry) spawn(loop func(context.Context)) {
+	e.work.Add(1)
+	go func() {
+		defer e.work.Done()
+		loop(e.ctx)
+	}()
+}
+
+// Close stops at once, as a crash would, without handing anything over.
+func (e *Entry) Close() {
+	e.ready.Store(false)
+	e.cancel()
+	for _, l := range e.servers {
+		l.server.Close()
+	}
+	e.parts.stop()
+	e.work.Wait()
+	e.kv.Close()
+	e.engines.Close()
+	e.peers.Close()
+	e.services.Close()
+	if err := e.meter.Close(context.Background()); err != nil {
+		e.log.Warn().Err(err).Str("step", "closeMeter").Msg("closing")
+	}
+}
+
+// members returns the entries known, this one included.
+func (e *Entry) members() []ports.Member {
+	return *e.view.members.Load()
+}
+
+// config returns the configuration in force.
+func (e *Entry) config() *config.Config {
+	return e.view.config.Load()
+}
+
+// sleep waits for d or the end of ctx, and tells whether ctx still stands.
+func (e *Entry) sleep(ctx context.Context, d time.Duration) bool {
+	passed := make(chan struct{})
+	cancel := e.timer.After(d, func() { close(passed) })
+	defer cancel()
+	select {
+	case <-passed:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// ID returns the instance's name.
+func (e *Entry) ID() string {
+	return e.self.ID
+}
--- /dev/null
+++ b/internal/entry/parts.go
@@ -0,0 +1,272 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+
+	"github.com/gravitational/trace"
+
+	"chivecroft.example/chivecroft/internal/coordination/daily"
+	"chivecroft.example/chivecroft/internal/coordination/drive"
+	"chivecroft.example/chivecroft/internal/coordination/member"
+	"chivecroft.example/chivecroft/internal/coordination/once"
+	"chivecroft.example/chivecroft/internal/coordination/owner"
+	"chivecroft.example/chivecroft/internal/coordination/policy"
+	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/coordination/relay"
+	"chivecroft.example/chivecroft/internal/state/config"
+)
+
+// parts are the coordination parts of an entry with their loops.
+type parts struct {
+	members *drive.Loop
+	relay   *drive.Loop
+	writer  *drive.Loop
+	reader  *drive.Loop
+	shards  []*shardPart
+
+	gossip  *book[ports.Gossip]
+	patches *book[relay.PatchAnswered]
+	fetches *book[ports.ConfigDelta]
+	reads   *book[relay.ReadAnswered]
+	history *book[relay.HistoryAnswered]
+	demands *book[ports.DemandReply]
+	yields  *book[ports.YieldReply]
+	days    *book[daily.Report]
+
+	stopped *stopCount
+
+	mu    sync.Mutex
+	owned map[int]bool
+	phase ports.MemberPhase
+}
+
+// shardPart is the part that runs one shard, when this entry owns it.
+type shardPart struct {
+	part *owner.Shard
+	loop *drive.Loop
+}
+
+// stopCount closes done when the last of n stops has been noted.
+type stopCount struct {
+	mu   sync.Mutex
+	left int
+	done chan struct{}
+}
+
+func (s *stopCount) one() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.left--
+	if s.left == 0 {
+		close(s.done)
+	}
+}
+
+func (e *Entry) newParts(random *rand.Rand) (*parts, error) {
+	policies, err := e.policies()
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	p := &parts{
+		gossip:  newBook[ports.Gossip](),
+		patches: newBook[relay.PatchAnswered](),
+		fetches: newBook[ports.ConfigDelta](),
+		reads:   newBook[relay.ReadAnswered](),
+		history: newBook[relay.HistoryAnswered](),
+		demands: newBook[ports.DemandReply](),
+		yields:  newBook[ports.YieldReply](),
+		days:    newBook[daily.Report](),
+		owned:   make(map[int]bool),
+		phase:   ports.MemberAlive,
+	}
+	env := e.env()
+	loop := func(part ports.Part) *drive.Loop {
+		return drive.NewLoop(part, env, drive.WithListener(e.noted))
+	}
+	fork := func() *rand.Rand { return rand.New(rand.NewPCG(random.Uint64(), random.Uint64())) }
+	p.members = loop(member.New(member.Settings{Self: e.self}, fork()))
+	p.relay = loop(relay.New(relay.Settings{Self: e.self}, fork()))
+	e.writer = daily.NewWriter(daily.Settings{
+		Instance: e.self.ID, Incarnation: e.self.Incarnation, Zone: e.self.Zone, Location: e.settings.Entry.Location,
+	}, e.recorder, fork())
+	p.writer = loop(e.writer)
+	p.reader = loop(daily.NewReader(e.settings.Entry.Location, daily.DefaultGoals()))
+	for n := range e.settings.Control.Shards {
+		shard := owner.New(e.shardSettings(n), policies, fork())
+		p.shards = append(p.shards, &shardPart{part: shard, loop: loop(shard)})
+	}
+	e.claims = once.NewDriver(once.New(once.Settings{
+		Self: e.self.ID, Incarnation: e.self.Incarnation, Retention: e.settings.Requests.OutcomeKept,
+	}, fork()), env)
+	p.stopped = &stopCount{left: len(p.shards) + 1, done: make(chan struct{})}
+	return p, nil
+}
+
+func (e *Entry) env() ports.Env {
+	return ports.Env{
+		KV:     countedKV{kv: e.kv, meter: e.meter},
+		List:   e.kv,
+		Engine: e.engines,
+		Peers:  e.peers,
+		Timer:  e.timer,
+	}
+}
+
+func (e *Entry) policies() (policy.Set, error) {
+	s := e.settings.Policy
+	if s.Plain {
+		return policy.Plain(policy.WithKeepAlive(s.KeepAlive)), nil
+	}
+	weights := policy.Weights{ColdStart: s.ColdStartWeight, IdleHours: s.IdleHoursWeight}
+	set, err := policy.New(weights, policy.WithKeepAlive(s.KeepAlive))
+	return set, trace.Wrap(err)
+}
+
+func (e *Entry) shardSettings(n int) owner.Settings {
+	return owner.Settings{
+		Self:         e.self,
+		Zone:         e.self.Zone,
+		Region:       e.self.Region,
+		Shard:        n,
+		ShardCount:   e.settings.Control.Shards,
+		LeaseTTL:     e.settings.Platform.LeaseTTL,
+		ReportEvery:  e.settings.Platform.ReportInterval,
+		StoreSlots:   e.settings.Platform.StoreSlots,
+		AdapterLoads: max(1, e.settings.Platform.AdapterLoads/e.settings.Control.Shards),
+	}
+}
+
+func (p *parts) start() {
+	p.members.Post(member.Start{})
+	p.relay.Post(relay.Start{})
+	p.writer.Post(daily.Start{})
+	for _, s := range p.shards {
+		s.loop.Post(owner.Start{})
+	}
+}
+
+func (p *parts) stop() {
+	for _, l := range []*drive.Loop{p.members, p.relay, p.writer, p.reader} {
+		l.Stop()
+	}
+	for _, s := range p.shards {
+		s.loop.Stop()
+	}
+}
+
+// toShards posts an event to every shard's part.
+func (p *parts) toShards(ev ports.Event) {
+	for _, s := range p.shards {
+		s.loop.Post(ev)
+	}
+}
+
+// noted hands on what a part noted. It runs on the loop's goroutine and only
+// posts, stores and logs.
+func (e *Entry) noted(value any) {
+	switch n := value.(type) {
+	case member.GossipAnswered:
+		e.parts.gossip.answer(n.ID, n.Gossip)
+	case member.Changed:
+		e.membersChanged(n.Members)
+	case relay.Adopted:
+		e.adopted(n.Config)
+	case relay.PatchAnswered:
+		e.parts.patches.answer(n.ID, n)
+	case relay.FetchAnswered:
+		e.parts.fetches.answer(n.ID, n.Delta)
+	case relay.ReadAnswered:
+		e.parts.reads.answer(n.ID, n)
+	case relay.HistoryAnswered:
+		e.parts.history.answer(n.ID, n)
+	case owner.DemandAnswered:
+		e.parts.demands.answer(n.ID, n.Reply)
+	case owner.YieldAnswered:
+		e.parts.yields.answer(n.ID, n.Reply)
+	case owner.TableChanged:
+		e.tableChanged(n)
+	case owner.OwnershipChanged:
+		e.ownershipChanged(n)
+	case daily.ReadDone:
+		e.parts.days.answer(n.ID, n.Report)
+	case owner.Stopped, daily.Stopped:
+		e.parts.stopped.one()
+	default:
+		e.happened(value)
+	}
+}
+
+// happened takes note of what operators want to read of.
+func (e *Entry) happened(value any) {
+	var kind, subject, detail string
+	switch n := value.(type) {
+	case owner.Happened:
+		kind, subject, detail = string(n.Kind), n.Subject, n.Detail
+	case relay.Happened:
+		kind, subject, detail = string(n.Kind), n.Subject, n.Detail
+	case member.Happened:
+		kind, subject, detail = n.Kind, n.Subject, n.Detail
+	default:
+		e.log.Error().Str("step", "note").Msgf("no use for a note of type %T", value)
+		return
+	}
+	e.log.Warn().Str("kind", kind).Str("subject", subject).Msg(detail)
+	e.recorder.Happened(kind, subject, detail, e.timer.Now())
+}
+
+func (e *Entry) membersChanged(members []ports.Member) {
+	e.view.members.Store(&members)
+	e.limits.SetEntries(max(1, len(member.Serving(members, e.self.Zone))))
+	e.parts.relay.Post(relay.MembersChanged{Members: members})
+	e.parts.writer.Post(daily.MembersChanged{Members: members})
+	e.parts.toShards(owner.MembersChanged{Members: members})
+	e.claims.SetMembers(members)
+}
+
+func (e *Entry) adopted(c *config.Config) {
+	e.view.config.Store(c)
+	e.log.Info().Uint64("configVersion", uint64(c.Version)).Msg("configuration in force")
+	e.parts.toShards(owner.ConfigChanged{Config: c})
+	e.tellSelf()
+}
+
+func (e *Entry) ownershipChanged(n owner.OwnershipChanged) {
+	e.parts.mu.Lock()
+	e.parts.owned[n.Shard] = n.Owned
+	e.parts.mu.Unlock()
+	e.log.Info().Int("shard", n.Shard).Bool("owned", n.Owned).Uint64("epoch", uint64(n.Epoch)).Msg("ownership changed")
+	if !n.Owned {
+		mine := func(r ports.Replica) bool { return r.Shard == n.Shard }
+		e.own.Replace(mine, nil)
+	}
+	e.tellSelf()
+}
+
+// setPhase changes what the others are told of this entry.
+func (e *Entry) setPhase(phase ports.MemberPhase) {
+	e.parts.mu.Lock()
+	e.parts.phase = phase
+	e.parts.mu.Unlock()
+	e.tellSelf()
+}
+
+func (e *Entry) tellSelf() {
+	p := e.parts
+	p.mu.Lock()
+	self := member.SelfChanged{ConfigVersion: e.config().Version, Phase: p.phase, Shards: ownedShards(p.owned)}
+	p.mu.Unlock()
+	p.members.Post(self)
+}
+
+func ownedShards(owned map[int]bool) []int {
+	var shards []int
+	for shard, mine := range owned {
+		if mine {
+			shards = append(shards, shard)
+		}
+	}
+	slices.Sort(shards)
+	return shards
+}
--- /dev/null
+++ b/internal/entry/receive.go
@@ -0,0 +1,94 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/gravitational/trace"
+
+	"chivecroft.example/chivecroft/internal/coordination/member"
+	"chivecroft.example/chivecroft/internal/coordination/owner"
+	"chivecroft.example/chivecroft/internal/coordination/permit"
+	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/coordination/relay"
+)
+
+// receiver answers the messages of other entries.
+type receiver struct{ *Entry }
+
+// Gossip hands what another entry knows to the membership part.
+func (r receiver) Gossip(ctx context.Context, g ports.Gossip) (ports.Gossip, error) {
+	return r.parts.gossip.ask(ctx, func(id uint64) {
+		r.parts.members.Post(member.GossipArrived{ID: id, Gossip: g})
+	})
+}
+
+// FetchConfig returns patches that this entry knows.
+func (r receiver) FetchConfig(ctx context.Context, f ports.FetchConfig) (ports.ConfigDelta, error) {
+	return r.parts.fetches.ask(ctx, func(id uint64) {
+		r.parts.relay.Post(relay.FetchArrived{ID: id, Fetch: f})
+	})
+}
+
+// Demand answers for the shards that this entry owns. A demand from another
+// zone is passed on within this zone, once: what comes from an entry of the own
+// zone is never passed on, so no demand travels in a circle.
+func (r receiver) Demand(ctx context.Context, d ports.Demand) (ports.DemandReply, error) {
+	if d.Zone != r.self.Zone {
+		d.Zone = r.self.Zone
+		return r.demandHere(ctx, d)
+	}
+	reply := ports.DemandReply{Status: ports.DemandElsewhere, Reason: "no shard that could load the model is owned here"}
+	for _, shard := range r.shardOrder(d.Model) {
+		if !r.owns(shard) {
+			continue
+		}
+		answer, err := r.demandShard(ctx, shard, d)
+		if err != nil {
+			return ports.DemandReply{}, trace.Wrap(err)
+		}
+		if settled(answer) {
+			return answer, nil
+		}
+		reply = answer
+	}
+	return reply, nil
+}
+
+// PullTable answers from the own shards, or for other zones from the whole zone.
+func (r receiver) PullTable(ctx context.Context, p ports.PullTable) (ports.TableDelta, error) {
+	if p.Summary {
+		return r.zone.Pull(ctx, p), nil
+	}
+	return r.own.Pull(ctx, p), nil
+}
+
+// YieldPermit gives permits back if this entry owns the shard.
+func (r receiver) YieldPermit(ctx context.Context, y ports.YieldPermit) (ports.YieldReply, error) {
+	for n, s := range r.parts.shards {
+		if permit.ShardName(r.self.Zone, n) == y.Shard {
+			return r.parts.yields.ask(ctx, func(id uint64) {
+				s.loop.Post(owner.YieldAsked{ID: id, Yield: y})
+			})
+		}
+	}
+	return ports.YieldReply{}, trace.NotFound("shard %s is not one of zone %s", y.Shard, r.self.Zone)
+}
+
+// TargetNews takes what another entry saw of a target.
+func (r receiver) TargetNews(_ context.Context, n ports.TargetNews) error {
+	if n.Leaving {
+		r.table.MarkLeaving(n.Target)
+	}
+	r.parts.toShards(owner.NewsArrived{News: n})
+	return nil
+}
+
+// HandOver tells the parts of free shards to look at once.
+func (r receiver) HandOver(_ context.Context, h ports.HandOver) error {
+	for _, shard := range h.Shards {
+		if shard >= 0 && shard < len(r.parts.shards) {
+			r.parts.shards[shard].loop.Post(owner.HandOverArrived{})
+		}
+	}
+	return nil
+}
