--- /dev/null
+++ b/cmd/chivecroft/harness_test.go
@@ -0,0 +1,368 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"chivecroft.example/chivecroft/internal/demo"
+	"chivecroft.example/chivecroft/internal/protocol/wire"
+	"chivecroft.example/chivecroft/internal/stand/target"
+)
+
+// binary is the program under test, built once.
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "chivecroft")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	binary = filepath.Join(dir, "chivecroft")
+	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "building: %v\n%s", err, out)
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// process is one running process of the program.
+type process struct {
+	cmd *exec.Cmd
+	// ready is the line that it printed once it listened.
+	ready map[string]any
+	log   *bytes.Buffer
+	ended chan struct{}
+}
+
+// start runs the program and waits for its ready line.
+func start(t *testing.T, args ...string) *process {
+	t.Helper()
+	p := &process{cmd: exec.Command(binary, args...), log: new(bytes.Buffer), ended: make(chan struct{})}
+	p.cmd.Stderr = p.log
+	out, err := p.cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	lines := bufio.NewReader(out)
+	line, err := lines.ReadString('\n')
+	if err != nil {
+		_ = p.cmd.Wait()
+		t.Fatalf("%v printed no ready line: %v\n%s", args, err, p.log)
+	}
+	if err := json.Unmarshal([]byte(line), &p.ready); err != nil {
+		t.Fatalf("%v printed %q: %v", args, line, err)
+	}
+	go func() {
+		_, _ = io.Copy(io.Discard, lines)
+		_ = p.cmd.Wait()
+		close(p.ended)
+	}()
+	t.Cleanup(p.kill)
+	return p
+}
+
+func (p *process) kill() {
+	_ = p.cmd.Process.Signal(syscall.SIGCONT)
+	_ = p.cmd.Process.Kill()
+	<-p.ended
+}
+
+// stop sends SIGTERM and returns the exit code.
+func (p *process) stop(t *testing.T) int {
+	t.Helper()
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-p.ended:
+	case <-time.After(30 * time.Second):
+		t.Fatalf("did not stop; log:\n%s", p.log)
+	}
+	return p.cmd.ProcessState.ExitCode()
+}
+
+// system is a deployment of separate processes.
+type system struct {
+	t        *testing.T
+	platform string
+	entries  map[string]*process
+	targets  map[string]*process
+	services map[string]*process
+	files    string
+	callers  map[string]string
+	ops      map[string]string
+}
+
+func newSystem(t *testing.T) *system {
+	t.Helper()
+	platform := start(t, "standin", "platform")
+	return &system{
+		t: t, platform: platform.ready["url"].(string), files: t.TempDir(),
+		entries: make(map[string]*process), targets: make(map[string]*process), services: make(map[string]*process),
+		callers: make(map[string]string), ops: make(map[string]string),
+	}
+}
+
+func (s *system) startTarget(id, zone, region string, more ...string) {
+	args := append([]string{
+		"standin", "target", "--id", id, "--zone", zone, "--region", region,
+		"--platform", s.platform, "--service", "supper-assist", "--load-time", "500ms",
+	}, more...)
+	s.targets[id] = start(s.t, args...)
+}
+
+func (s *system) startService(id, zone, region string) {
+	s.services[id] = start(s.t, "standin", "service", "--id", id, "--zone", zone, "--region", region,
+		"--platform", s.platform, "--service", "ticket-desk")
+}
+
+// startEntry starts an entry, at its earlier addresses if it had any.
+func (s *system) startEntry(id, zone, region string) {
+	s.t.Helper()
+	path := filepath.Join(s.files, id+".ini")
+	if _, err := os.Stat(path); err != nil {
+		settings := fmt.Sprintf(`
+[entry]
+id = %s
+zone = %s
+region = %s
+[callers]
+listen = %s
+[operators]
+listen = %s
+keyHashes = %s
+[peers]
+listen = %s
+[platform]
+url = %s
+listEvery = 500ms
+leaseTTL = 6s
+`, id, zone, region, freeAddr(s.t), freeAddr(s.t), demo.KeyHash(demo.OperatorKey), freeAddr(s.t), s.platform)
+		if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+			s.t.Fatal(err)
+		}
+	}
+	p := start(s.t, "entry", "--config", path)
+	s.entries[id] = p
+	s.callers[id] = "http://" + p.ready["callers"].(string)
+	s.ops[id] = "http://" + p.ready["operators"].(string)
+	row := fmt.Sprintf(`{"id":%q,"kind":"entry","zone":%q,"region":%q,"addr":%q}`, id, zone, region, p.ready["peers"])
+	s.request(http.MethodPut, s.platform+"/instances/"+id, row, nil)
+}
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// request sends one request and returns the status and the body.
+func (s *system) request(method, url, body string, header http.Header) (int, string) {
+	s.t.Helper()
+	status, text, err := send(method, url, body, header)
+	if err != nil {
+		s.t.Fatalf("%s %s: %v", method, url, err)
+	}
+	return status, text
+}
+
+func send(method, url, body string, header http.Header) (int, string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		return 0, "", err
+	}
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	req.Header.Set("Authorization", "Bearer "+demo.CallerKey)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(text), err
+}
+
+// command runs an operator's command and returns its exit code and output.
+func (s *system) command(entry, stdin string, args ...string) (int, string) {
+	s.t.Helper()
+	args = append(args, "--entry", s.ops[entry], "--key", demo.OperatorKey)
+	cmd := exec.Command(binary, args...)
+	cmd.Stdin = strings.NewReader(stdin)
+	out, err := cmd.CombinedOutput()
+	if err != nil && cmd.ProcessState == nil {
+		s.t.Fatal(err)
+	}
+	return cmd.ProcessState.ExitCode(), string(out)
+}
+
+// eventually polls until check returns an empty text, which else says what is
+// still missing.
+func (s *system) eventually(within time.Duration, check func() string) {
+	s.t.Helper()
+	deadline := time.Now().Add(within)
+	for {
+		missing := check()
+		if missing == "" {
+			return
+		}
+		if time.Now().After(deadline) {
+			for id, p := range s.entries {
+				s.t.Logf("log of %s:\n%s", id, p.log)
+			}
+			s.t.Fatalf("after %v: %s", within, missing)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// statusOf is the part of the status that the tests look at.
+type statusOf struct {
+	ConfigVersion uint64 `json:"configVersion"`
+	Members       []struct {
+		ID     string `json:"id"`
+		Zone   string `json:"zone"`
+		Phase  string `json:"phase"`
+		Shards []int  `json:"shards"`
+	} `json:"members"`
+	Shards []struct {
+		Mode string `json:"mode"`
+	} `json:"shards"`
+	Replicas []struct {
+		Model string `json:"model"`
+		Phase string `json:"phase"`
+	} `json:"replicas"`
+}
+
+func (s *system) status(entry string) statusOf {
+	s.t.Helper()
+	code, out := s.command(entry, "", "status", "--json")
+	var status statusOf
+	if err := json.Unmarshal([]byte(out), &status); code != 0 || err != nil {
+		s.t.Fatalf("status of %s: exit code %d, %v\n%s", entry, code, err, out)
+	}
+	return status
+}
+
+// settled waits until the entries have a version and every shard of their zones
+// has an owner.
+func (s *system) settled(version uint64, entries ...string) {
+	s.t.Helper()
+	for _, id := range entries {
+		s.eventually(19*time.Second, func() string {
+			status := s.status(id)
+			if status.ConfigVersion < version {
+				return fmt.Sprintf("%s is at version %d of %d", id, status.ConfigVersion, version)
+			}
+			owned := 0
+			for _, m := range status.Members {
+				if m.Phase == "alive" && strings.HasPrefix(id, m.Zone) {
+					owned += len(m.Shards)
+				}
+			}
+			if owned < len(status.Shards) {
+				return fmt.Sprintf("%s sees %d of %d shards owned", id, owned, len(status.Shards))
+			}
+			return ""
+		})
+	}
+}
+
+// patch makes version 1 of every test.
+var patch = fmt.Sprintf(`{
+  "id": "test-1", "base": 0,
+  "set": {
+    "services": {
+      "supper-assist": {"kind": "model", "class": "interactive", "deadline": "20s"},
+      "ticket-desk": {"kind": "plain", "class": "lookup", "deadline": "10s",
+        "routes": [{"method": "POST", "prefix": "/tickets", "class": "runOnce"}]}
+    },
+    "models": {"menu-7b": {"service": "supper-assist", "checkpoint": "c", "memoryBytes": 17179869184, "loadTime": "500ms"}},
+    "adapters": {"menu-tagalog": {"model": "menu-7b", "checkpoint": "a", "memoryBytes": 104857600}},
+    "rules": {"menu-7b": {"maxReplicas": 2}},
+    "tenants": {"residents": {"keyHashes": [%q]}}
+  }
+}`, demo.KeyHash(demo.CallerKey))
+
+// chat asks for a streamed answer and returns the text, whole or not.
+func chat(url, model, question string, tokens int) (text string, whole bool, status int, err error) {
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"seed":7,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, model, tokens, question)
+	status, out, err := send(http.MethodPost, url+"/v1/chat/completions", body, nil)
+	if err != nil || status != http.StatusOK {
+		return out, false, status, err
+	}
+	for _, line := range strings.Split(out, "\n") {
+		data, found := strings.CutPrefix(line, "data: ")
+		if !found {
+			continue
+		}
+		if data == "[DONE]" {
+			return text, true, status, nil
+		}
+		var chunk struct {
+			Choices []struct {
+				Delta struct {
+					Content string `json:"content"`
+				} `json:"delta"`
+			} `json:"choices"`
+		}
+		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+			return text, false, status, err
+		}
+		for _, c := range chunk.Choices {
+			text += c.Delta.Content
+		}
+	}
+	return text, false, status, nil
+}
+
+// wanted is the text that a chat must get.
+func wanted(model, adapter, question string, tokens int) string {
+	return strings.Join(target.Answer(wire.GenerateRequest{
+		Model: model, Adapter: adapter, Seed: 7, MaxTokens: tokens,
+		Messages: []wire.Message{{Role: "user", Content: question}},
+	}), "")
+}
+
+// loads counts the loads that the targets began, by their own record.
+func (s *system) loads() int {
+	s.t.Helper()
+	n := 0
+	for _, p := range s.targets {
+		_, out := s.request(http.MethodGet, p.ready["url"].(string)+"/record", "", nil)
+		var record struct{ Loads map[string]int }
+		if err := json.Unmarshal([]byte(out), &record); err != nil {
+			s.t.Fatal(err)
+		}
+		for _, k := range record.Loads {
+			n += k
+		}
+	}
+	return n
+}
