Take requests only when the configuration and the table have been read

Cause, found by replacing every entry under load: a restarted entry said it was ready as soon as it listened and refused 9 of 406 chats with "no model is named menu-7b" until it had read the configuration.

Ruled out: the balancer's choice (the test asks /readyz before each request, as a balancer does) and the drain (no request of a stopping entry was refused).

Weighed: refusing with Retry-After until the configuration is there, against not being ready. Readiness was taken, since then nobody is refused at all; an entry that is cut off waits at most 3 s for a table that does not come.

--- a/cmd/chivecroft/harness_test.go
+++ b/cmd/chivecroft/harness_test.go
@@ -366,3 +366,10 @@
 	}
 	return n
 }
+
+func decode(t *testing.T, text string, into any) {
+	t.Helper()
+	if err := json.Unmarshal([]byte(text), into); err != nil {
+		t.Fatalf("%v in %q", err, text)
+	}
+}
--- a/internal/demo/session.go
+++ b/internal/demo/session.go
@@ -97,7 +97,8 @@
 	return result, s.settle(ctx, result.Version)
 }
 
-// settle waits until every entry has the version and some entry owns each shard.
+// settle waits until every entry has the version and is ready, and some entry
+// owns each shard.
 func (s *session) settle(ctx context.Context, version uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
@@ -111,7 +112,7 @@
 			if err != nil {
 				return trace.Wrap(err, "waiting for version %d", version)
 			}
-			if status.ConfigVersion >= version && ownedHere(status) {
+			if status.Ready && status.ConfigVersion >= version && ownedHere(status) {
 				break
 			}
 			time.Sleep(settlePoll)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -51,6 +51,7 @@
 	own      *feed.Feed
 	zone     *feed.Union
 	view     view
+	warmup   warmup
 
 	servers  []*listening
 	stopping atomic.Bool
@@ -152,7 +153,7 @@
 	e.spawn(e.followList)
 	e.spawn(e.followTables)
 	e.spawn(e.countIdle)
-	e.ready.Store(true)
+	e.spawn(e.becomeReady)
 	e.log.Info().Str("entry", e.self.ID).Str("zone", e.self.Zone).
 		Str("callers", e.Addr(ListenerCallers).String()).
 		Str("operators", e.Addr(ListenerOperators).String()).
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -50,6 +50,7 @@
 		}
 	}
 	e.table.ApplyInstances(rows)
+	e.warmup.sawList()
 	e.parts.members.Post(member.ListChanged{Instances: entries})
 	e.parts.toShards(owner.TargetsChanged{Targets: targets})
 }
@@ -172,6 +173,7 @@
 // the feed that other zones follow.
 func (e *Entry) took(name string, delta ports.TableDelta) {
 	e.table.Apply(name, delta)
+	e.warmup.sawSource(name)
 	if !strings.HasPrefix(name, zonePrefix) {
 		e.zone.Apply(name, delta)
 	}
--- /dev/null
+++ b/internal/entry/ready.go
@@ -0,0 +1,91 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+const (
+	// readyPoll is how often a starting entry looks whether it may take requests.
+	readyPoll = 20 * time.Millisecond
+	// sourcePatience is how long a starting entry waits for a source of the
+	// routing table that does not answer.
+	sourcePatience = 3 * time.Second
+)
+
+// warmup is what a starting entry has to hear before it can serve.
+//
+// An entry that said it was ready as soon as it listened would refuse models
+// that it has not read of yet, and would demand loads of models that are warm
+// at a target it has not heard of.
+type warmup struct {
+	mu     sync.Mutex
+	listed bool
+	heard  map[string]bool
+}
+
+func (w *warmup) sawList() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.listed = true
+}
+
+func (w *warmup) sawSource(name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.heard == nil {
+		w.heard = make(map[string]bool)
+	}
+	w.heard[name] = true
+}
+
+// unheard tells whether the list or one of the sources has not been heard of.
+func (w *warmup) unheard(sources map[string]*source) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for name := range sources {
+		if !w.heard[name] {
+			return true
+		}
+	}
+	return !w.listed
+}
+
+// becomeReady waits until the entry has a configuration, none older than any
+// that its zone's entries tell of, and the routing tables that it follows. For
+// a table it waits no longer than sourcePatience after the configuration: an
+// entry that is cut off goes on serving what it can.
+func (e *Entry) becomeReady(ctx context.Context) {
+	for !e.configured() {
+		if !e.sleep(ctx, readyPoll) {
+			return
+		}
+	}
+	until := e.timer.Now().Add(sourcePatience)
+	for e.warmup.unheard(e.sources()) && e.timer.Now().Before(until) {
+		if !e.sleep(ctx, readyPoll) {
+			return
+		}
+	}
+	if e.stopping.Load() {
+		return
+	}
+	e.ready.Store(true)
+	e.log.Info().Uint64("configVersion", uint64(e.config().Version)).Msg("ready")
+}
+
+// configured tells whether a configuration is in force that is as new as the
+// zone's.
+func (e *Entry) configured() bool {
+	version := e.config().Version
+	if version == 0 {
+		return false
+	}
+	for _, m := range e.members() {
+		if m.Zone == e.self.Zone && m.ConfigVersion > version {
+			return false
+		}
+	}
+	return true
+}
