--- a/internal/params/read.go
+++ b/internal/params/read.go
@@ -111,6 +111,10 @@
 	if errors.As(err, &sys) {
 		return sys.Err.Error()
 	}
+	var path *os.PathError
+	if errors.As(err, &path) {
+		return path.Err.Error()
+	}
 	return err.Error()
 }
 
