Test what a lost answer means, and retire silent connections after a timeout

Cause: a middlebox that loses track of one connection has usually lost the others too. With five kept connections frozen, a client lost one call to each in turn, a timeout every time. After a timeout the key-value and the engine client now retire all connections of that address: idle ones are closed, busy ones finish and are not used again (a retired connection fails before its first byte, upon which the transport takes another by itself).

Weighed: taking a 503 for "not taken". A balancer sends it after the service began as well, so only a whole reply of the service itself that says "unavailable" counts.

--- a/internal/transport/engine/client.go
+++ b/internal/transport/engine/client.go
@@ -96,6 +96,14 @@
 	return c.dialer.Retire(at.String())
 }
 
+// suspect retires the connections to an engine after a timeout: what made one
+// silent has probably lost track of the others too.
+func (c *Client) suspect(at netip.AddrPort, err error) {
+	if errors.Is(err, context.DeadlineExceeded) {
+		c.Retire(at)
+	}
+}
+
 // Cancel stops the work of a request on an engine.
 func (c *Client) Cancel(ctx context.Context, at netip.AddrPort, requestID string) error {
 	return c.exchange(ctx, "cancel", at, http.MethodPost, wire.PathCancel, wire.CancelRequest{RequestID: requestID}, nil)
@@ -128,12 +136,15 @@
 	ctx, call := gate.Track(ctx, nil)
 	resp, err := c.send(ctx, at, method, path, in)
 	if err != nil {
-		return trace.Wrap(&Error{Step: step, Peer: at, NotRun: !call.Seal(), Err: err})
+		sent := call.Seal()
+		c.suspect(at, err)
+		return trace.Wrap(&Error{Step: step, Peer: at, NotRun: !sent, Err: err})
 	}
 	defer resp.Body.Close()
 	data, err := readAll(resp.Body)
 	if err != nil {
 		call.Seal()
+		c.suspect(at, err)
 		return trace.Wrap(&Error{Step: step, Peer: at, Err: err})
 	}
 	call.Release()
--- a/internal/transport/engine/order.go
+++ b/internal/transport/engine/order.go
@@ -42,12 +42,15 @@
 	ctx, call := gate.Track(ctx, func() error { return c.inTime(order) })
 	resp, err := c.send(ctx, to, http.MethodPost, wire.PathOrder, order)
 	if err != nil {
-		return lostOrder(to, order, call.Seal(), err)
+		sent := call.Seal()
+		c.suspect(to, err)
+		return lostOrder(to, order, sent, err)
 	}
 	defer resp.Body.Close()
 	data, err := readAll(resp.Body)
 	if err != nil {
 		call.Seal()
+		c.suspect(to, err)
 		return lostOrder(to, order, true, err)
 	}
 	call.Release()
--- a/internal/transport/gate/dialer.go
+++ b/internal/transport/gate/dialer.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"crypto/tls"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -73,12 +75,7 @@
 // Retire closes the idle connections to an address and keeps busy ones from
 // taking another call; it returns how many connections there were.
 func (d *Dialer) Retire(address string) int {
-	d.mu.Lock()
-	open := make([]*conn, 0, len(d.conns[address]))
-	for c := range d.conns[address] {
-		open = append(open, c)
-	}
-	d.mu.Unlock()
+	open := d.open(address)
 	for _, c := range open {
 		if c.retire() {
 			_ = c.Close()
@@ -87,6 +84,12 @@
 	return len(open)
 }
 
+func (d *Dialer) open(address string) []*conn {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Collect(maps.Keys(d.conns[address]))
+}
+
 func (d *Dialer) forget(address string, c *conn) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- /dev/null
+++ b/internal/transport/gate/gate_test.go
@@ -0,0 +1,154 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// sink counts what reaches the socket.
+type sink struct {
+	net.Conn
+	bytes int
+}
+
+func (s *sink) Write(b []byte) (int, error) {
+	s.bytes += len(b)
+	return len(b), nil
+}
+
+func TestSealForbidsLaterWrites(t *testing.T) {
+	raw := &sink{}
+	c := &conn{Conn: raw, forget: func(*conn) {}}
+	_, call := Track(context.Background(), nil)
+	call.take(c)
+	if call.Seal() {
+		t.Error("written before the first write")
+	}
+	_, err := c.Write([]byte("late"))
+	if !errors.Is(err, errSealed) || raw.bytes != 0 {
+		t.Errorf("a write after Seal sent %d bytes and returned %v", raw.bytes, err)
+	}
+}
+
+func TestSealTellsOfWrites(t *testing.T) {
+	raw := &sink{}
+	c := &conn{Conn: raw, forget: func(*conn) {}}
+	_, first := Track(context.Background(), nil)
+	first.take(c)
+	_, _ = c.Write([]byte("first"))
+	first.Release()
+	_, second := Track(context.Background(), nil)
+	second.take(c)
+	if first.Seal() {
+		t.Error("a released call still owns its connection")
+	}
+	if second.Seal() {
+		t.Error("the first call's bytes count for the second")
+	}
+}
+
+func TestGuardIsAskedAtEachWrite(t *testing.T) {
+	errLate := errors.New("late")
+	writes := 0
+	guard := func() error {
+		writes++
+		if writes > 1 {
+			return errLate
+		}
+		return nil
+	}
+	raw := &sink{}
+	c := &conn{Conn: raw, forget: func(*conn) {}}
+	_, call := Track(context.Background(), guard)
+	call.take(c)
+	_, _ = c.Write([]byte("head"))
+	_, err := c.Write([]byte("tail"))
+	if !errors.Is(err, errLate) || raw.bytes != len("head") {
+		t.Errorf("the second write sent %d bytes in all and returned %v", raw.bytes, err)
+	}
+	if !call.Seal() {
+		t.Error("the first write is forgotten")
+	}
+}
+
+// TestRetireBusy retires a connection while a call holds it: the call ends
+// well, and the next one gets a new connection without failing.
+func TestRetireBusy(t *testing.T) {
+	var dials atomic.Int64
+	release := make(chan struct{})
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			<-release
+		}
+		_, _ = io.WriteString(w, "whole")
+	}))
+	server.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateNew {
+			dials.Add(1)
+		}
+	}
+	server.Start()
+	defer server.Close()
+	d := NewDialer()
+	transport := d.Transport(nil)
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport}
+	post := func(path string) (string, error) {
+		ctx, call := Track(t.Context(), nil)
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL+path, strings.NewReader("x"))
+		if err != nil {
+			return "", err
+		}
+		resp, err := client.Do(req)
+		if err != nil {
+			return "", err
+		}
+		defer resp.Body.Close()
+		data, err := io.ReadAll(resp.Body)
+		call.Release()
+		return string(data), err
+	}
+	if _, err := post("/first"); err != nil {
+		t.Fatal(err)
+	}
+	type result struct {
+		body string
+		err  error
+	}
+	slow := make(chan result, 1)
+	go func() {
+		body, err := post("/slow")
+		slow <- result{body, err}
+	}()
+	address := server.Listener.Addr().String()
+	for len(d.open(address)) == 0 || !busy(d.open(address)[0]) {
+	}
+	got := []int{d.Retire(address)}
+	close(release)
+	if r := <-slow; r.err != nil || r.body != "whole" {
+		t.Errorf("the call on the retired connection ended with %q, %v", r.body, r.err)
+	}
+	body, err := post("/next")
+	if err != nil || body != "whole" {
+		t.Errorf("the next call ended with %q, %v", body, err)
+	}
+	got = append(got, int(dials.Load()))
+	if diff := cmp.Diff([]int{1, 2}, got); diff != "" {
+		t.Errorf("retired and dialled connections (-want +got):\n%s", diff)
+	}
+}
+
+func busy(c *conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.holder != nil && c.written
+}
--- a/internal/transport/kvhttp/call.go
+++ b/internal/transport/kvhttp/call.go
@@ -54,18 +54,29 @@
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return 0, nil, call.Seal(), err
+		sent := call.Seal()
+		c.suspect(err)
+		return 0, nil, sent, err
 	}
 	defer resp.Body.Close()
 	answer, err := readAll(resp.Body)
 	if err != nil {
 		call.Seal()
+		c.suspect(err)
 		return 0, nil, true, err
 	}
 	call.Release()
 	return resp.StatusCode, answer, true, nil
 }
 
+// suspect retires the open connections after a timeout: what made one silent has
+// probably lost track of the others too, and each would cost a timeout of its own.
+func (c *Client) suspect(err error) {
+	if errors.Is(err, context.DeadlineExceeded) {
+		c.dialer.Retire(c.address)
+	}
+}
+
 func (c *Client) limit(req ports.KVRequest) time.Duration {
 	if w, ok := req.(ports.KVWatch); ok {
 		return w.Wait + c.watchMargin
@@ -137,12 +148,14 @@
 	resp, err := c.http.Do(req)
 	if err != nil {
 		call.Seal()
+		c.suspect(err)
 		return nil, err
 	}
 	defer resp.Body.Close()
 	data, err := readAll(resp.Body)
 	if err != nil {
 		call.Seal()
+		c.suspect(err)
 		return nil, err
 	}
 	call.Release()
--- a/internal/transport/kvhttp/client.go
+++ b/internal/transport/kvhttp/client.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"crypto/tls"
+	"net"
 	"net/http"
+	"net/url"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -24,11 +26,13 @@
 
 // Client calls the platform; it is a ports.KV and a ports.List.
 type Client struct {
-	base   string
-	config *tls.Config
-	dialer *gate.Dialer
-	http   *http.Client
-	timer  timer.Service
+	base string
+	// address is the host and port of base, as it is dialled.
+	address string
+	config  *tls.Config
+	dialer  *gate.Dialer
+	http    *http.Client
+	timer   timer.Service
 
 	timeout     time.Duration
 	watchMargin time.Duration
@@ -98,11 +102,28 @@
 	for _, opt := range opts {
 		opt(c)
 	}
+	c.address = addressOf(c.base)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.http = &http.Client{Transport: c.dialer.Transport(c.config), CheckRedirect: noRedirect}
 	return c
 }
 
+// addressOf returns the host and port behind an address; of a malformed one,
+// nothing, and each call will report it.
+func addressOf(base string) string {
+	u, err := url.Parse(base)
+	if err != nil {
+		return ""
+	}
+	if u.Port() != "" {
+		return u.Host
+	}
+	if u.Scheme == "https" {
+		return net.JoinHostPort(u.Hostname(), "443")
+	}
+	return net.JoinHostPort(u.Hostname(), "80")
+}
+
 // Close gives up the calls in flight; each still reports its end.
 func (c *Client) Close() {
 	c.cancel()
