relay: retention as an option; tests for mechanisms that no test missed

Each mechanism was taken out in turn on a scratch copy. Seen failing without it: conflict answer (TestOneOfEightOperatorsWins: 8 won), read-back after a lost answer (TestLostAnswers, state machine: refused but is version 2), remembered IDs (patch p1 in the log as version 1 and 2), IDs learnt from the log and the look at the log before a write (TestTrimmedLog: version 2 given twice), fetching from peers (TestTrimmedLog), the staggered start (TestRestartOfEverything: 160 reads), damage noted once (TestDamagedValues).

No test failed without these, so each gets one: late writes, few watchers, the KV service as last resort, fetching by entries not on duty, a second look after a quiet watch, answers of slow peers, a trim that goes too far.

--- a/internal/coordination/relay/accept.go
+++ b/internal/coordination/relay/accept.go
@@ -70,8 +70,8 @@
 		p.note(PatchAnswered{ID: e.ID, Version: v, Repeated: true})
 		return
 	}
-	if p.ids.after > wantedIDs(p.config.Version) {
-		p.learnIDs(wantedIDs(p.config.Version), func(err error) {
+	if p.ids.after > p.ids.wanted(p.config.Version) {
+		p.learnIDs(p.ids.wanted(p.config.Version), func(err error) {
 			if err != nil {
 				p.refuse(e, notAccepted(err))
 				return
@@ -115,7 +115,7 @@
 			p.learnIDs(last, then)
 			return
 		}
-		p.ids.after = wantedIDs(p.config.Version)
+		p.ids.after = p.ids.wanted(p.config.Version)
 		then(nil)
 	})
 }
--- a/internal/coordination/relay/ids.go
+++ b/internal/coordination/relay/ids.go
@@ -12,21 +12,23 @@
 	names    map[config.Version]string
 	// after is the version after which every ID is known.
 	after config.Version
+	// retain is for how many patches IDs are remembered.
+	retain config.Version
 }
 
-func newIDs() ids {
-	return ids{versions: make(map[string]config.Version), names: make(map[config.Version]string)}
+func newIDs(retain config.Version) ids {
+	return ids{retain: retain, versions: make(map[string]config.Version), names: make(map[config.Version]string)}
 }
 
-// add remembers the ID of an accepted patch and forgets the one that is retainLog
+// add remembers the ID of an accepted patch and forgets the one that is retain
 // versions older.
 func (i *ids) add(id string, v config.Version) {
 	i.versions[id] = v
 	i.names[v] = id
-	if v <= retainLog {
+	if v <= i.retain {
 		return
 	}
-	old := v - retainLog
+	old := v - i.retain
 	if i.versions[i.names[old]] == old {
 		delete(i.versions, i.names[old])
 	}
@@ -37,14 +39,14 @@
 // restart forgets everything: what came before a version that was taken as a
 // whole is not known.
 func (i *ids) restart(v config.Version) {
-	*i = newIDs()
+	*i = newIDs(i.retain)
 	i.after = v
 }
 
 // wanted returns the version after which IDs have to be known.
-func wantedIDs(current config.Version) config.Version {
-	if current <= retainLog {
+func (i *ids) wanted(current config.Version) config.Version {
+	if current <= i.retain {
 		return 0
 	}
-	return current - retainLog
+	return current - i.retain
 }
--- a/internal/coordination/relay/keep.go
+++ b/internal/coordination/relay/keep.go
@@ -20,6 +20,8 @@
 // keeping is the state of writing snapshots.
 type keeping struct {
 	busy bool
+	// every is the number of versions from one snapshot to the next.
+	every config.Version
 	// known is the newest snapshot that this entry knows of.
 	known config.Version
 }
@@ -28,7 +30,7 @@
 // do so; they are told apart by a random wait and a second look, and those who
 // race nevertheless write the same chunks.
 func (p *Part) keepSnapshots() {
-	if p.keeping.busy || p.config.Version < p.keeping.known+snapshotEvery {
+	if p.keeping.busy || p.config.Version < p.keeping.known+p.keeping.every {
 		return
 	}
 	p.keeping.busy = true
@@ -41,7 +43,7 @@
 			if len(head.Snapshots) > 0 {
 				p.keeping.known = head.Latest().Version
 			}
-			if p.config.Version < p.keeping.known+snapshotEvery {
+			if p.config.Version < p.keeping.known+p.keeping.every {
 				p.endKeeping()
 				return
 			}
@@ -83,7 +85,7 @@
 }
 
 func (p *Part) writeHead(old config.Head, ref config.SnapshotRef, at ports.Revision) {
-	kept, dropped := retained(append(old.Snapshots[:len(old.Snapshots):len(old.Snapshots)], ref))
+	kept, dropped := p.retained(append(old.Snapshots[:len(old.Snapshots):len(old.Snapshots)], ref))
 	value, err := config.EncodeHead(config.Head{Snapshots: kept})
 	if err != nil {
 		p.endKeeping()
@@ -101,13 +103,13 @@
 	})
 }
 
-// retained splits snapshots into those from which every version of the last
-// retainLog can be rebuilt, and those before.
-func retained(refs []config.SnapshotRef) (kept, dropped []config.SnapshotRef) {
+// retained splits snapshots into those that are needed to rebuild every version
+// whose patch the log keeps, and those before.
+func (p *Part) retained(refs []config.SnapshotRef) (kept, dropped []config.SnapshotRef) {
 	newest := refs[len(refs)-1].Version
 	first := 0
 	for i, ref := range refs {
-		if ref.Version+retainLog <= newest {
+		if ref.Version+p.ids.retain <= newest {
 			first = i
 		}
 	}
@@ -125,9 +127,9 @@
 }
 
 // trimLog deletes log entries up to the oldest snapshot that is kept, if that
-// leaves at least retainLog of them.
+// leaves as many as the log shall keep.
 func (p *Part) trimLog(oldest config.Version) {
-	if oldest+retainLog > p.config.Version {
+	if oldest+p.ids.retain > p.config.Version {
 		p.endKeeping()
 		return
 	}
--- a/internal/coordination/relay/keep_test.go
+++ b/internal/coordination/relay/keep_test.go
@@ -66,6 +66,7 @@
 	accepted(t, f, f.Entries[0])
 	inForce(t, f, f.Entries, 1)
 	frozen.Freeze()
+	f.Cut([]*fleet.Entry{frozen}, f.Entries, true)
 	patchUpTo(t, f, f.Entries[0], versions)
 	f.Timer.Advance(time.Minute)
 	k := keysOf(f)
@@ -87,6 +88,11 @@
 	if keysOf(f)[fleet.LogKey(2)] {
 		t.Error("version 2 was given a second time")
 	}
+	f.Timer.Advance(40 * time.Second)
+	if frozen.Version() != versions {
+		t.Errorf("an entry that was frozen and has no peers has version %d", frozen.Version())
+	}
+	f.Cut([]*fleet.Entry{frozen}, f.Entries, false)
 	inForce(t, f, f.Entries, versions)
 
 	frozen.Start()
@@ -120,6 +126,9 @@
 	if keysOf(f).count("config/snap/") == 0 {
 		t.Fatal("there is no snapshot")
 	}
+	if !keysOf(f)[fleet.LogKey(1)] {
+		t.Error("the log was trimmed though it holds fewer patches than it keeps")
+	}
 	before := f.Calls()["read"]
 	for _, e := range f.Entries {
 		e.Start()
--- a/internal/coordination/relay/part.go
+++ b/internal/coordination/relay/part.go
@@ -18,6 +18,20 @@
 	Self ports.Member
 }
 
+// Option changes a Part under construction.
+type Option func(*Part)
+
+// WithRetention sets the number of versions from one snapshot to the next, how
+// many accepted patches the log keeps at the least, and how many of them stay in
+// memory for other entries.
+func WithRetention(snapshotEvery, retainLog config.Version, recentPatches int) Option {
+	return func(p *Part) {
+		p.keeping.every = snapshotEvery
+		p.ids.retain = retainLog
+		p.recent.limit = recentPatches
+	}
+}
+
 // Part is one entry's share in accepting and spreading the configuration.
 type Part struct {
 	self   ports.Member
@@ -42,15 +56,21 @@
 }
 
 // New returns a part that has not started.
-func New(s Settings, random *rand.Rand) *Part {
-	return &Part{
+func New(s Settings, random *rand.Rand, opts ...Option) *Part {
+	p := &Part{
 		self:    s.Self,
 		random:  random,
 		calls:   make(map[ports.Tag]func(ports.Event)),
 		config:  &config.Config{},
-		ids:     newIDs(),
+		ids:     newIDs(retainLog),
+		recent:  recent{limit: recentPatches},
+		keeping: keeping{every: snapshotEvery},
 		members: []ports.Member{s.Self},
 	}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
 }
 
 // Step takes one event.
--- a/internal/coordination/relay/recent.go
+++ b/internal/coordination/relay/recent.go
@@ -14,6 +14,7 @@
 
 // recent holds the newest accepted patches without gaps.
 type recent struct {
+	limit   int
 	records []config.Record
 	sizes   []int
 	bytes   int
@@ -29,7 +30,7 @@
 	r.records = append(r.records, record)
 	r.sizes = append(r.sizes, len(data))
 	r.bytes += len(data)
-	for len(r.records) > recentPatches || r.bytes > recentBytes {
+	for len(r.records) > r.limit || r.bytes > recentBytes {
 		r.bytes -= r.sizes[0]
 		r.records = r.records[1:]
 		r.sizes = r.sizes[1:]
@@ -37,7 +38,7 @@
 }
 
 func (r *recent) clear() {
-	*r = recent{}
+	*r = recent{limit: r.limit}
 }
 
 // after returns the records after a version, limited in number and bytes, and
--- a/internal/coordination/relay/relay_test.go
+++ b/internal/coordination/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -293,3 +294,120 @@
 		t.Errorf("services of versions (-want +got):\n%s", diff)
 	}
 }
+
+// TestLateWrite lets a patch's write take effect seconds after it was read back
+// and not found.
+func TestLateWrite(t *testing.T) {
+	for _, by := range []time.Duration{20 * time.Millisecond, time.Second, 20 * time.Second} {
+		f := started(t, 13, 1, 3)
+		e := f.Entries[0]
+		writes := 0
+		e.Late = func(req ports.KVRequest) time.Duration {
+			if _, write := req.(ports.KVPut); !write {
+				return 0
+			}
+			writes++
+			return by
+		}
+		answer := f.Patch(e, patchOf("a", 0))
+		if surelyRefused(answer.Err) {
+			t.Errorf("late by %s: %v", by, answer.Err)
+		}
+		f.Timer.Advance(30 * time.Second)
+		if v, ok := f.Oracle.Logged("a"); !ok || v != 1 {
+			t.Errorf("late by %s: logged as version %d", by, v)
+		}
+	}
+}
+
+// TestFewWatch counts who waits at the KV service.
+func TestFewWatch(t *testing.T) {
+	f := started(t, 14, 3, 12)
+	f.Timer.Advance(time.Minute)
+	for z := range 3 {
+		watching := 0
+		for _, e := range f.Zone(z) {
+			if e.Status().Watching {
+				watching++
+			}
+		}
+		if watching != 2 {
+			t.Errorf("%d entries of zone %d watch, want 2", watching, z)
+		}
+	}
+}
+
+// split returns the entries of a group that watch and those that do not.
+func split(entries []*fleet.Entry) (watching, others []*fleet.Entry) {
+	for _, e := range entries {
+		if e.Status().Watching {
+			watching = append(watching, e)
+			continue
+		}
+		others = append(others, e)
+	}
+	return watching, others
+}
+
+// TestHeardButNotFetched lets an entry hear of a version and reach nobody who has it.
+func TestHeardButNotFetched(t *testing.T) {
+	f := started(t, 15, 1, 5)
+	watching, others := split(f.Entries)
+	deaf := others[0]
+	for _, e := range f.Entries {
+		f.Net.Cut(deaf.Self.Addr, e.Self.Addr, true)
+	}
+	f.Timer.Advance(30 * time.Second)
+	if deaf.Status().Watching {
+		t.Error("the entry watches, so nothing is tried")
+	}
+	inForce(t, f, f.Entries, accepted(t, f, watching[0]))
+}
+
+// TestOthersFetchWhenThoseOnDutyCannot cuts a zone from the KV service, and its
+// watchers from all other zones.
+func TestOthersFetchWhenThoseOnDutyCannot(t *testing.T) {
+	f := started(t, 16, 2, 6)
+	zone := f.Zone(1)
+	watching, others := split(zone)
+	f.SetKV(zone, down)
+	for _, w := range watching {
+		for _, e := range f.Zone(0) {
+			f.Net.Cut(w.Self.Addr, e.Self.Addr, true)
+		}
+	}
+	f.Timer.Advance(time.Minute)
+	inForce(t, f, others, accepted(t, f, f.Entries[0]))
+}
+
+// TestOlderAnswersChangeNothing hands a part the answers of a slow peer.
+func TestOlderAnswersChangeNothing(t *testing.T) {
+	self := ports.Member{ID: "a", Zone: "z", Phase: ports.MemberAlive}
+	other := ports.Member{ID: "b", Zone: "z", Phase: ports.MemberAlive, ConfigVersion: 9}
+	part := relay.New(relay.Settings{Self: self}, rand.New(rand.NewPCG(1, 1)))
+	now := time.Unix(0, 0)
+	var adopted []config.Version
+	step := func(ev ports.Event) (tags []ports.Tag) {
+		for _, effect := range part.Step(now, ev) {
+			switch e := effect.(type) {
+			case ports.PeerCall:
+				tags = append(tags, e.Tag)
+			case ports.Note:
+				if a, ok := e.Value.(relay.Adopted); ok {
+					adopted = append(adopted, a.Config.Version)
+				}
+			}
+		}
+		return tags
+	}
+	reply := func(tag ports.Tag, d ports.ConfigDelta) []ports.Tag {
+		return step(ports.PeerDone{Tag: tag, Reply: ports.PeerReply{Msg: d}})
+	}
+	tags := step(relay.MembersChanged{Members: []ports.Member{self, other}})
+	tags = reply(tags[0], ports.ConfigDelta{Snapshot: &config.Config{Version: 5}})
+	tags = reply(tags[0], ports.ConfigDelta{Patches: []config.Patch{{ID: "old", Base: 3}, {ID: "next", Base: 5}, {ID: "gap", Base: 7}}})
+	tags = reply(tags[0], ports.ConfigDelta{Snapshot: &config.Config{Version: 4}, Patches: []config.Patch{{ID: "back", Base: 4}}})
+	if diff := cmp.Diff([]config.Version{5, 6}, adopted); diff != "" || len(tags) != 0 {
+		t.Errorf("adopted, %d more calls (-want +got):\n%s", len(tags), diff)
+	}
+}
--- a/internal/stand/fleet/entry.go
+++ b/internal/stand/fleet/entry.go
@@ -31,6 +31,9 @@
 	// Lose, where set, loses the answers of the KV calls for which it returns
 	// true, after their effect.
 	Lose func(ports.KVRequest) bool
+	// Late, where set, holds KV calls up by the time it returns before their
+	// effect, while their answers count as lost at once.
+	Late func(ports.KVRequest) time.Duration
 
 	fleet   *Fleet
 	kv      *world.KV
@@ -61,7 +64,7 @@
 		Timer: &gatedTimer{timer: e.fleet.Timer, gate: e.gate},
 	}
 	random := func() *rand.Rand { return rand.New(rand.NewPCG(e.fleet.random.Uint64(), 3)) }
-	e.part = relay.New(relay.Settings{Self: e.Self}, random())
+	e.part = relay.New(relay.Settings{Self: e.Self}, random(), e.fleet.relay...)
 	e.member = drive.NewLoop(member.New(member.Settings{Self: e.Self}, random()), env, drive.WithListener(e.hear))
 	e.relay = drive.NewLoop(e.part, env, drive.WithListener(e.hear))
 	e.fleet.Net.AddPeer(e.Self.Addr, e.handle)
@@ -245,6 +248,11 @@
 
 // Call carries out a KV call, whose answer may get lost.
 func (k *gatedKV) Call(req ports.KVRequest, done func(ports.KVReply)) {
+	if late := k.late(req); late > 0 {
+		k.entry.fleet.Timer.After(late, func() { k.entry.kv.Call(req, func(ports.KVReply) {}) })
+		k.entry.fleet.Timer.After(kvLatency, func() { k.gate.pass(func() { done(ports.KVReply{Status: ports.KVUnknown}) }) })
+		return
+	}
 	k.entry.kv.Call(req, func(r ports.KVReply) {
 		if k.entry.Lose != nil && k.entry.Lose(req) {
 			r = ports.KVReply{Status: ports.KVUnknown}
@@ -253,6 +261,13 @@
 	})
 }
 
+func (k *gatedKV) late(req ports.KVRequest) time.Duration {
+	if k.entry.Late == nil {
+		return 0
+	}
+	return k.entry.Late(req)
+}
+
 type gatedPeers struct {
 	entry *Entry
 	side  *world.Side
--- a/internal/stand/fleet/fleet.go
+++ b/internal/stand/fleet/fleet.go
@@ -31,6 +31,7 @@
 	random *rand.Rand
 	listed []ports.Instance
 	lag    time.Duration
+	relay  []relay.Option
 }
 
 // Option changes a Fleet under construction.
@@ -41,6 +42,15 @@
 	return func(f *Fleet) { f.lag = lag }
 }
 
+// WithRetention makes every entry keep little, so that snapshots and trimming
+// come about within a few versions.
+func WithRetention(snapshotEvery, retainLog config.Version, recentPatches int) Option {
+	return func(f *Fleet) {
+		f.relay = append(f.relay, relay.WithRetention(snapshotEvery, retainLog, recentPatches))
+		f.Oracle.retain = retainLog
+	}
+}
+
 // New returns a fleet with perZone entries in each of the given number of zones,
 // two zones to a region; none has started.
 func New(seed uint64, zones, perZone int, opts ...Option) *Fleet {
