Fuzz the daily totals against an oracle and mend what it found

State machine over instances that are killed, stopped, replaced and started, through KV outages, lost answers and midnights: each date's totals equal what the instances counted, and a killed one's what its stored row had; every row that lacks its end is named, and no other.

Found, each seen failing first: - An event noted for a date whose row was closed made the writer start that row's counts at zero and write them over the closed ones (TestLateHappening: served 2 wanted, 0 got).

--- a/internal/coordination/daily/recorder.go
+++ b/internal/coordination/daily/recorder.go
@@ -78,18 +78,21 @@
 	d.version.Add(1)
 }
 
-// Happened notes an outage, a takeover or another event worth a line.
+// Happened notes an outage, a takeover or another event worth a line. One of a
+// date that is no longer held goes to the current date, because the row of a
+// closed date must not be written anew without its counts.
 func (r *Recorder) Happened(kind, subject, detail string, at time.Time) {
-	d := r.day(DateOf(at, r.zone))
+	d := r.held(DateOf(at, r.zone))
+	if d == nil {
+		d = r.today()
+	}
 	d.happen(Happening{At: at.UTC(), Kind: clip(kind), Subject: clip(subject), Detail: clip(detail)})
 	d.version.Add(1)
 }
 
 // Snapshot returns what was counted on a date.
 func (r *Recorder) Snapshot(date Date) Counts {
-	r.mu.Lock()
-	d := r.days[date]
-	r.mu.Unlock()
+	d := r.held(date)
 	if d == nil {
 		return Counts{}
 	}
@@ -132,6 +135,13 @@
 	return d
 }
 
+// held returns what is counted on a date, or nil if it is not held.
+func (r *Recorder) held(date Date) *day {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.days[date]
+}
+
 func (r *Recorder) day(date Date) *day {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/coordination/daily/writer.go
+++ b/internal/coordination/daily/writer.go
@@ -57,7 +57,6 @@
 	timer   ports.Tag
 	started bool
 	failed  int
-	lastPut time.Time
 
 	stopping bool
 	stopBy   time.Time
@@ -72,6 +71,7 @@
 	// version is the recorder's version of the date that was written last.
 	version uint64
 	written bool
+	putAt   time.Time
 	final   bool
 	// uncertain means that a write may have taken effect.
 	uncertain bool
@@ -203,9 +203,11 @@
 func (w *Writer) dirty(now time.Time) []Date {
 	versions := w.recorder.versions()
 	today := DateOf(now, w.settings.Location)
-	if _, ok := versions[today]; !ok {
-		versions[today] = 0
+	// A row has to be closed even if nothing was counted on its date.
+	for date := range w.rows {
+		versions[date] += 0
 	}
+	versions[today] += 0
 	var dates []Date
 	for _, date := range slices.SortedFunc(maps.Keys(versions), compareDates) {
 		row := w.row(date)
@@ -230,7 +232,7 @@
 	case w.closes(now, date):
 		return !row.final
 	default:
-		return now.Sub(w.lastPut) >= maxInterval
+		return now.Sub(row.putAt) >= maxInterval
 	}
 }
 
@@ -269,7 +271,7 @@
 	value, err := encodeRow(row, stored.limit)
 	if err != nil {
 		w.failed++
-		return w.arm(w.pause())
+		return w.arm(w.pause(now))
 	}
 	w.tag++
 	w.flight = &flight{tag: w.tag, date: date, seq: row.Seq, version: version, final: row.Final, arrived: arrived}
@@ -323,7 +325,7 @@
 	case ports.KVUnknown:
 	}
 	w.failed++
-	return w.arm(w.pause())
+	return w.arm(w.pause(now))
 }
 
 // confirm takes note of a write that took effect.
@@ -336,7 +338,7 @@
 	stored.final = f.final
 	stored.pace = max(stored.pace, f.arrived-min(f.arrived, stored.arrived))
 	stored.arrived = f.arrived
-	w.lastPut = now
+	stored.putAt = now
 	w.failed = 0
 }
 
@@ -381,12 +383,11 @@
 
 // pause is the time to the next try after failures, spread so that the
 // instances do not come back all at once.
-func (w *Writer) pause() time.Duration {
-	d := retryPause << min(w.failed-1, 10)
-	d = min(d, maxRetryPause)
+func (w *Writer) pause(now time.Time) time.Duration {
 	if w.stopping {
-		d = retryPause
+		return min(retryPause, w.stopBy.Sub(now))
 	}
+	d := min(retryPause<<min(w.failed-1, 10), maxRetryPause)
 	return d/2 + time.Duration(w.random.Int64N(int64(d/2)+1))
 }
 
