--- a/internal/coordination/route/pick.go
+++ b/internal/coordination/route/pick.go
@@ -248,3 +248,17 @@
 	}
 	return Cold
 }
+
+// Flying returns how many calls this entry has in flight for a model or service.
+func (t *Table) Flying(key string) int {
+	p := t.part(key)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	sum := 0
+	if m := p.models[key]; m != nil {
+		for _, r := range m.replicas {
+			sum += r.flying
+		}
+	}
+	return sum
+}
--- a/internal/transport/front/fake_test.go
+++ b/internal/transport/front/fake_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -57,6 +58,13 @@
 	return &engineStream{engine: e, at: at, req: req, next: req.Offset}, nil
 }
 
+// sends returns the requests that engines were asked.
+func (e *engine) sends() []wire.GenerateRequest {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.requests)
+}
+
 func (e *engine) Cancel(_ context.Context, _ netip.AddrPort, requestID string) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/transport/front/generate.go
+++ b/internal/transport/front/generate.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"chivecroft.example/chivecroft/internal/coordination/admit"
@@ -43,9 +44,11 @@
 	reason string
 	lastAt time.Time
 	legs   []*leg
-	// tried are replicas not to be used again, touched the targets that may
-	// hold work for the request.
+	// tried are replicas to be used again only if there is no other, gone those
+	// that are not there any more, touched the targets that may hold work for
+	// the request.
 	tried    []string
+	gone     []string
 	touched  []netip.AddrPort
 	attempts int
 	probing  chan error
@@ -79,7 +82,7 @@
 func (g *generation) begin() *Problem {
 	c := g.call
 	grant, err := c.h.Room.Acquire(c.ctx, await.Request{
-		Query: g.query(g.tried), Class: c.out.Class, Tenant: c.tenant,
+		Query: g.query(), Class: c.out.Class, Tenant: c.tenant,
 		Weight: c.dir.config.Tenants[c.tenant].Weight, Deadline: c.deadline, Bytes: g.size,
 	})
 	if err != nil {
@@ -90,8 +93,14 @@
 	return nil
 }
 
-func (g *generation) query(exclude []string) route.Query {
-	return route.Query{Key: g.req.Model, Adapter: g.req.Adapter, Prefix: g.prefix, Exclude: exclude}
+// query asks for a replica that was not tried, if there is one.
+func (g *generation) query(but ...string) route.Query {
+	q := route.Query{Key: g.req.Model, Adapter: g.req.Adapter, Prefix: g.prefix}
+	q.Exclude = slices.Concat(g.gone, g.tried, but)
+	if len(g.tried)+len(but) > 0 && !g.call.h.Table.Ready(q) {
+		q.Exclude = g.gone
+	}
+	return q
 }
 
 func (g *generation) start(grant await.Grant) {
@@ -213,7 +222,11 @@
 	g.finish(l, route.Result{
 		Failed: !known.Invalid && !known.Leaving, Overloaded: known.Overloaded, Leaving: known.Leaving,
 	})
-	g.tried = append(g.tried, l.choice.Replica.ID)
+	if known.Leaving || known.Gone {
+		g.gone = append(g.gone, l.choice.Replica.ID)
+	} else {
+		g.tried = append(g.tried, l.choice.Replica.ID)
+	}
 	if known.NotRun {
 		g.untouch(l.choice.Replica.Addr)
 	}
@@ -291,10 +304,7 @@
 		return
 	}
 	current := g.legs[0].choice.Replica.ID
-	choice, status := c.h.Table.Pick(g.query(append(g.tried[:len(g.tried):len(g.tried)], current)), g.now())
-	if status != route.Picked {
-		choice, status = c.h.Table.Pick(g.query(g.tried), g.now())
-	}
+	choice, status := c.h.Table.Pick(g.query(current), g.now())
 	if status != route.Picked {
 		return
 	}
--- a/internal/transport/front/service.go
+++ b/internal/transport/front/service.go
@@ -40,7 +40,9 @@
 	// repeatable tells that the call is idempotent and its body at hand.
 	repeatable bool
 	tried      []string
-	sent       bool
+	// current is the instance that the latest send went to.
+	current string
+	sent    bool
 }
 
 // reply is an instance's answer with the place that it holds.
@@ -185,7 +187,7 @@
 func (p *passage) place() (route.Choice, *Problem) {
 	c := p.call
 	grant, err := c.h.Room.Acquire(c.ctx, await.Request{
-		Query: route.Query{Key: route.ServiceKey(p.service), Exclude: p.tried},
+		Query: p.instance(),
 		Class: c.out.Class, Tenant: c.tenant, Weight: c.dir.config.Tenants[c.tenant].Weight,
 		Deadline: c.deadline, Bytes: int64(len(p.replay)), Plain: true,
 	})
@@ -204,6 +206,15 @@
 	return route.Choice{}, problem
 }
 
+// instance asks for an instance that was not tried, if there is one.
+func (p *passage) instance(but ...string) route.Query {
+	q := route.Query{Key: route.ServiceKey(p.service), Exclude: slices.Concat(p.tried, but)}
+	if len(q.Exclude) > 0 && !p.call.h.Table.Ready(q) {
+		q.Exclude = nil
+	}
+	return q
+}
+
 // placed notes what a request's place says of its wait.
 func (c *call) placed(grant await.Grant) {
 	c.out.QueueWait += grant.Waited
@@ -214,6 +225,7 @@
 
 // send begins a call on an instance; its answer comes on the channel.
 func (p *passage) send(choice route.Choice, proven bool) <-chan *reply {
+	p.current = choice.Replica.ID
 	answers := make(chan *reply, 1)
 	ctx, cancel := context.WithCancel(p.call.ctx)
 	r := &reply{choice: choice, began: p.call.h.Timer.Now(), cancel: cancel}
@@ -261,8 +273,7 @@
 	if !p.repeatable || p.call.ctx.Err() != nil || !p.call.h.budgets.spend(p.call.tenant) {
 		return nil
 	}
-	q := route.Query{Key: route.ServiceKey(p.service), Exclude: p.tried}
-	choice, status := p.call.h.Table.Pick(q, p.call.h.Timer.Now())
+	choice, status := p.call.h.Table.Pick(p.instance(p.current), p.call.h.Timer.Now())
 	if status != route.Picked {
 		return nil
 	}
