--- a/internal/transport/secure/files_test.go
+++ b/internal/transport/secure/files_test.go
@@ -110,7 +110,7 @@
 	client.ServerName = "127.0.0.1"
 	conn, err := tls.Dial("tcp", listener.Addr().String(), client)
 	if err != nil {
-		<-accepted
+		_ = <-accepted
 		return "client refuses"
 	}
 	defer conn.Close()
