Date a row's last write by when it was sent

The oracle had an error of its own: work and a row at the same instant of virtual time were told apart by time. Work now moves the time by a millisecond, and the comparison is as strict as before.

--- a/internal/coordination/daily/fleet_test.go
+++ b/internal/coordination/daily/fleet_test.go
@@ -126,6 +126,9 @@
 	c.Idle += time.Minute
 	in.counted[date] = c
 	in.history[date] = append(in.history[date], moment{now, c})
+	// No row is written at this same instant after the work, so that a row's
+	// time tells whether it holds the work.
+	f.clock.Advance(time.Millisecond)
 }
 
 func (f *fleet) kill(in *instance) {
--- a/internal/coordination/daily/writer.go
+++ b/internal/coordination/daily/writer.go
@@ -85,6 +85,7 @@
 type flight struct {
 	tag     ports.Tag
 	date    Date
+	at      time.Time
 	read    bool
 	seq     uint64
 	version uint64
@@ -274,7 +275,7 @@
 		return w.arm(w.pause(now))
 	}
 	w.tag++
-	w.flight = &flight{tag: w.tag, date: date, seq: row.Seq, version: version, final: row.Final, arrived: arrived}
+	w.flight = &flight{tag: w.tag, date: date, at: now, seq: row.Seq, version: version, final: row.Final, arrived: arrived}
 	stored.uncertain = true
 	stored.last = w.flight
 	return w.call(now, ports.KVPut{Key: w.key(date), Value: value, Expect: stored.revision})
@@ -308,7 +309,7 @@
 		if f.read {
 			return w.resolve(now, stored, e.Reply)
 		}
-		w.confirm(now, f, e.Reply.Revision)
+		w.confirm(f, e.Reply.Revision)
 		return w.proceed(now)
 	case ports.KVConflict:
 		return w.resolve(now, stored, e.Reply)
@@ -329,7 +330,7 @@
 }
 
 // confirm takes note of a write that took effect.
-func (w *Writer) confirm(now time.Time, f *flight, revision ports.Revision) {
+func (w *Writer) confirm(f *flight, revision ports.Revision) {
 	stored := w.row(f.date)
 	stored.uncertain = false
 	stored.revision = revision
@@ -338,7 +339,7 @@
 	stored.final = f.final
 	stored.pace = max(stored.pace, f.arrived-min(f.arrived, stored.arrived))
 	stored.arrived = f.arrived
-	stored.putAt = now
+	stored.putAt = f.at
 	w.failed = 0
 }
 
@@ -362,7 +363,7 @@
 	}
 	stored.revision = item.Revision
 	if stored.last != nil && stored.last.seq == row.Seq {
-		w.confirm(now, stored.last, item.Revision)
+		w.confirm(stored.last, item.Revision)
 	}
 	return w.proceed(now)
 }
