Write a call to one connection at most

Cause: net/http sends a request again by itself after a kept connection broke, if it takes the request for idempotent: by its method, or by an Idempotency-Key on a request without a body. A POST of any class that carries the key would have run twice without a word to the caller. Run-once calls go over fresh connections, which the transport never repeats; all others did not.

TestWrittenAtMostOnce was seen failing first: the broken call ended without an effect count of 1 ("2 effects"). Now a call that was written to one connection is forbidden to write to another; repeating is left to those who know the class.

Weighed: sending the header under a spelling that net/http does not recognise, which works but has to be remembered at every place that sends.

--- a/internal/transport/gate/call.go
+++ b/internal/transport/gate/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 )
 
@@ -12,6 +13,11 @@
 // The transport may take several connections for one request: it tries again by
 // itself when a kept connection turns out to be closed before anything was
 // written. Every one of them counts.
+//
+// It would also send a request again after it was written, if it takes it for
+// idempotent by its method or by an Idempotency-Key. Whether a call may be
+// repeated is not the transport's to decide, so a call that was written to one
+// connection is not written to another.
 type Call struct {
 	guard func() error
 
@@ -69,13 +75,19 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	held.take(c)
-	if c.done {
+	if c.done || c.wrote() {
 		held.seal(c)
+	}
+	if c.done {
 		return
 	}
 	c.conns = append(c.conns, held)
 }
 
+func (c *Call) wrote() bool {
+	return slices.ContainsFunc(c.conns, func(held *conn) bool { return held.wrote(c) })
+}
+
 // unwrap finds the package's connection, below TLS if need be.
 func unwrap(raw net.Conn) *conn {
 	for {
--- a/internal/transport/gate/conn.go
+++ b/internal/transport/gate/conn.go
@@ -76,6 +76,12 @@
 	return c.written
 }
 
+func (c *conn) wrote(call *Call) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.holder == call && c.written
+}
+
 func (c *conn) release(call *Call) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/transport/gate/gate_test.go
+++ b/internal/transport/gate/gate_test.go
@@ -80,6 +80,48 @@
 	}
 }
 
+// TestWrittenAtMostOnce breaks a kept connection after the request has had its
+// effect. By its Idempotency-Key and lack of a body the transport takes it for
+// one that may be sent again.
+func TestWrittenAtMostOnce(t *testing.T) {
+	var effects atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/issue" {
+			effects.Add(1)
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer server.Close()
+	transport := NewDialer().Transport(nil)
+	defer transport.CloseIdleConnections()
+	send := func(path string) (bool, error) {
+		ctx, call := Track(t.Context(), nil)
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL+path, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Idempotency-Key", "k")
+		resp, err := transport.RoundTrip(req)
+		if err != nil {
+			return call.Seal(), err
+		}
+		defer resp.Body.Close()
+		_, _ = io.Copy(io.Discard, resp.Body)
+		call.Release()
+		return true, nil
+	}
+	if _, err := send("/warm"); err != nil {
+		t.Fatal(err)
+	}
+	sent, err := send("/issue")
+	if err == nil || !sent {
+		t.Errorf("the broken call ended with sent %t, %v", sent, err)
+	}
+	if n := effects.Load(); n != 1 {
+		t.Errorf("%d effects", n)
+	}
+}
+
 // TestRetireBusy retires a connection while a call holds it: the call ends
 // well, and the next one gets a new connection without failing.
 func TestRetireBusy(t *testing.T) {
