--- a/internal/stand/fault/server.go
+++ b/internal/stand/fault/server.go
@@ -45,6 +45,16 @@
 	return netip.ParseAddrPort(inner.Addr().String())
 }
 
+// URL returns where the server listens, empty before Start.
+func (s *Server) URL() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.listener == nil {
+		return ""
+	}
+	return "http://" + s.listener.Addr().String()
+}
+
 // Freeze silences the open connections, all but that of the request r if it is
 // not nil, and returns their number.
 func (s *Server) Freeze(r *http.Request) int {
--- a/internal/stand/plain/server.go
+++ b/internal/stand/plain/server.go
@@ -149,6 +149,11 @@
 	return nil
 }
 
+// URL returns where the service listens, empty before Start.
+func (s *Server) URL() string {
+	return s.server.URL()
+}
+
 // Close stops at once, as if the process had died.
 func (s *Server) Close() {
 	if s.enrol != nil {
--- a/internal/stand/platf/server.go
+++ b/internal/stand/platf/server.go
@@ -102,6 +102,11 @@
 	return s.server.Start(ctx, addr)
 }
 
+// URL returns where the platform listens, empty before Start.
+func (s *Server) URL() string {
+	return s.server.URL()
+}
+
 // Close stops at once.
 func (s *Server) Close() {
 	s.server.Close()
--- a/internal/stand/target/server.go
+++ b/internal/stand/target/server.go
@@ -188,6 +188,11 @@
 	return nil
 }
 
+// URL returns where the target listens, empty before Start.
+func (s *Server) URL() string {
+	return s.server.URL()
+}
+
 // Close stops at once, as if the process had died.
 func (s *Server) Close() {
 	s.cancel()
