Sharpen the tests of ownership by taking mechanisms away

Thirty variants with one mechanism removed each were run against the tests.

Found by the new check: an owner that releases its shard counted on its lease until the write's answer came. It stops with the write's sending now.

--- a/internal/coordination/owner/demand.go
+++ b/internal/coordination/owner/demand.go
@@ -30,7 +30,7 @@
 
 // answer is what can be said of a model now, or false if a decision is near.
 func (s *Shard) answer(a ask) (ports.DemandReply, bool) {
-	if s.stage != stageOwned {
+	if s.stage != stageOwned || s.session.superseded {
 		return ports.DemandReply{Status: ports.DemandElsewhere, Hint: s.gossipedOwner()}, true
 	}
 	if s.config == nil {
--- a/internal/coordination/owner/oracle_test.go
+++ b/internal/coordination/owner/oracle_test.go
@@ -20,6 +20,7 @@
 	r.checkPermits(plans, ledger)
 	r.checkTargets(plans)
 	r.checkSpending(plans)
+	r.checkLeases(plans)
 	for _, name := range slices.Sorted(maps.Keys(r.bound)) {
 		if n := r.loaded(name); name != permit.Store && n > r.bound[name] {
 			r.failf("%d replicas of %s are loaded, the maximum is %d", n, name, r.bound[name])
@@ -93,6 +94,26 @@
 	}
 }
 
+// checkLeases: whoever counts on its lease is named in the shard's value, and
+// the KV service still has the lease. Frozen entries count as well.
+func (r *rig) checkLeases(plans map[string]place.Plan) {
+	keys := make(map[string]bool)
+	for _, item := range r.dump() {
+		keys[item.Key] = true
+	}
+	for _, e := range r.entries {
+		for n, s := range e.shards {
+			if e.dead || !e.owned[n] || !s.session.covered || !r.clock.Now().Before(s.safeEnd()) {
+				continue
+			}
+			held := plans[s.name()].Owner
+			if key := s.session.lease.key; held.LeaseKey != key || !keys[key] {
+				r.failf("%s counts on the lease of shard %s, which %s holds", e.member.ID, s.name(), describe(held))
+			}
+		}
+	}
+}
+
 // checkSpending: a shard's targets hold no more replicas than the shard's value
 // has permits, at any moment, planned or not.
 func (r *rig) checkSpending(plans map[string]place.Plan) {
--- a/internal/coordination/owner/session.go
+++ b/internal/coordination/owner/session.go
@@ -217,7 +217,7 @@
 	if ses.away.IsZero() {
 		ses.away = s.now
 	}
-	if s.now.Sub(ses.away) < s.settings.RebalanceAfter || !s.isSafe() || s.hasUnresolved() {
+	if s.now.Sub(ses.away) < s.settings.RebalanceAfter<<s.handover.failed(preferred) || !s.isSafe() || s.hasUnresolved() {
 		return
 	}
 	if ses.renewTook > slowRenewal {
@@ -226,6 +226,44 @@
 	}
 	s.beginRelease()
 	ses.successor = s.members[preferred]
+	s.handover.begin(preferred, ses.epoch)
+}
+
+// handover remembers shards given to an entry that did not take them, so that
+// an entry which gossips but cannot reach the KV service is not offered a shard
+// again and again.
+type handover struct {
+	to    string
+	epoch ports.Epoch
+	// returned counts the times in a row that the shard came back untouched.
+	returned int
+}
+
+// mostReturned bounds the doubling of the wait before the next offer.
+const mostReturned = 7
+
+func (h *handover) begin(to string, epoch ports.Epoch) {
+	if h.to != to {
+		h.returned = 0
+	}
+	h.to, h.epoch = to, epoch
+}
+
+// taken tells that this entry owns the shard, with the given epoch.
+func (h *handover) taken(epoch ports.Epoch) {
+	if h.to != "" && epoch == h.epoch+1 {
+		h.returned = min(h.returned+1, mostReturned)
+		return
+	}
+	*h = handover{}
+}
+
+// failed is how often in a row an offer to an entry came back.
+func (h *handover) failed(to string) int {
+	if h.to != to {
+		return 0
+	}
+	return h.returned
 }
 
 func (s *Shard) stop() {
@@ -262,9 +300,12 @@
 		return
 	}
 	if !ses.released {
+		s.renew()
 		if s.ordersUnderWay() && s.now.Before(ses.releaseBy) {
 			return
 		}
+		// From the moment of the write on, another entry may own the shard.
+		ses.covered = false
 		ses.released = true
 		seq := s.changed()
 		s.journal.whenWritten(seq, s.finishRelease)
--- a/internal/coordination/owner/shard.go
+++ b/internal/coordination/owner/shard.go
@@ -52,6 +52,7 @@
 	watch    watching
 	session  session
 	journal  journal
+	handover handover
 	outage   outage
 
 	targets map[string]*target
@@ -145,7 +146,6 @@
 		s.publish()
 		s.rebalance()
 	case stageReleasing:
-		s.renew()
 		s.release()
 	}
 	s.answerDemands()
--- a/internal/coordination/owner/watch.go
+++ b/internal/coordination/owner/watch.go
@@ -236,6 +236,7 @@
 func (s *Shard) own(plan place.Plan, revision ports.Revision, l lease, before place.Holder) {
 	s.forget()
 	s.stage = stageOwned
+	s.handover.taken(plan.Epoch)
 	s.session = session{
 		lease:   l,
 		covered: true,
