member: ask the stalest member before it counts as silent; tests of each failure

In a zone of 91 entries several members at a time were held for silent though all ran (TestTrafficGrowsWithTheZoneAlone, first run: entries saw 83 to 91 of 91 alive).

TestOneWayCutsAreNoDeaths then failed: a failed call over a cut link was taken for a death. A first mend, any beat after a failed call, let TestDeath fail (alive after 21 s), since beats from before the death still arrive by way of others; now only a beat that must be later than the failed call proves a cut.

Those who gossip with other zones are the same two that watch the KV service, so that the configuration of a zone without KV service comes in where it is fetched.

--- a/internal/coordination/member/part.go
+++ b/internal/coordination/member/part.go
@@ -18,12 +18,6 @@
 // been paused.
 const pauseAfter = 3 * tickPeriod
 
-// bridgeCount is the number of entries of a zone that gossip with other zones.
-const bridgeCount = 2
-
-// bridgeDuty ranks the members of a zone for that.
-const bridgeDuty = "bridge"
-
 // lostShare is one in how many rounds goes to an instance that does not count
 // as alive, so that the two sides of a cut find each other again.
 const lostShare = 8
@@ -44,7 +38,9 @@
 	view     *view
 	lastTick time.Time
 	nextTag  ports.Tag
-	// round counts the turns of the bridge over the other zones.
+	// calls are the members to which messages are under way.
+	calls map[ports.Tag]string
+	// round counts the turns over the other zones.
 	round      int
 	superseded bool
 }
@@ -56,7 +52,7 @@
 	if self.Phase == "" {
 		self.Phase = ports.MemberAlive
 	}
-	return &Part{self: self, random: random, view: newView(self), nextTag: tickTag}
+	return &Part{self: self, random: random, view: newView(self), nextTag: tickTag, calls: make(map[ports.Tag]string)}
 }
 
 // Step takes one event.
@@ -74,7 +70,7 @@
 	case GossipArrived:
 		effects = append(effects, p.answer(now, e)...)
 	case ports.PeerDone:
-		effects = append(effects, p.takeReply(now, e.Reply)...)
+		effects = append(effects, p.takeReply(now, e)...)
 	case ports.TimerFired:
 		effects = append(effects, p.tick(now)...)
 	}
@@ -134,7 +130,7 @@
 	p.self.Beat++
 	p.view.sweep(now)
 	effects := []ports.Effect{ports.ArmTimer{Tag: tickTag, After: tickPeriod}}
-	if to, ok := p.neighbour(); ok {
+	if to, ok := p.neighbour(now); ok {
 		effects = append(effects, p.send(to, p.zoneMessage()))
 	}
 	if to, ok := p.stranger(); ok {
@@ -143,41 +139,60 @@
 	return effects
 }
 
-func (p *Part) send(to netip.AddrPort, g ports.Gossip) ports.Effect {
+// peer is whom a message goes to; the ID may be one that only the list knows.
+type peer struct {
+	id   string
+	addr netip.AddrPort
+}
+
+func (p *Part) send(to peer, g ports.Gossip) ports.Effect {
 	p.nextTag++
-	return ports.PeerCall{Tag: p.nextTag, To: to, Msg: g}
+	p.calls[p.nextTag] = to.id
+	return ports.PeerCall{Tag: p.nextTag, To: to.addr, Msg: g}
 }
 
 // neighbour chooses an entry of the own zone for this round.
-func (p *Part) neighbour() (netip.AddrPort, bool) {
-	alive := p.addrs(p.view.ids(func(r *record) bool { return r.said.Zone == p.self.Zone && answers(r.phase) }))
-	return p.choose(alive, p.lostAddrs(func(zone string) bool { return zone == p.self.Zone }))
+//
+// Every other round goes to the member heard of longest ago. With a constant
+// number of records in a message, the news of a beat reaches most of a large
+// zone within seconds, but some entry always misses it for longer; asking the
+// member itself tells that from a death. The other rounds are random, so that
+// gossip goes on while a part of the zone does not answer.
+func (p *Part) neighbour(now time.Time) (peer, bool) {
+	if p.self.Beat%2 == 0 {
+		if id, ok := p.view.stalest(now); ok {
+			p.view.records[id].asked = now
+			return peer{id, p.view.records[id].said.Addr}, true
+		}
+	}
+	alive := p.peers(p.view.ids(func(r *record) bool { return r.said.Zone == p.self.Zone && answers(r.phase) }))
+	return p.choose(alive, p.lost(func(zone string) bool { return zone == p.self.Zone }))
 }
 
 // stranger chooses an entry of another zone, if it is this entry's turn.
-func (p *Part) stranger() (netip.AddrPort, bool) {
+func (p *Part) stranger() (peer, bool) {
 	zones := p.otherZones()
-	bridges := Choose(Serving(p.Members(), p.self.Zone), bridgeDuty, bridgeCount)
-	if len(zones) == 0 || !slices.Contains(bridges, p.self.ID) {
-		return netip.AddrPort{}, false
+	delegates := Delegates(p.Members(), p.self.Zone)
+	if len(zones) == 0 || !slices.Contains(delegates, p.self.ID) {
+		return peer{}, false
 	}
-	// The two bridges begin at different zones, so that each zone is met twice
+	// The two delegates begin at different zones, so that each zone is met twice
 	// in a turn and not twice at once.
-	offset := slices.Index(bridges, p.self.ID) * len(zones) / bridgeCount
+	offset := slices.Index(delegates, p.self.ID) * len(zones) / delegateCount
 	zone := zones[(p.round+offset)%len(zones)]
 	p.round++
-	alive := p.addrs(p.view.ids(func(r *record) bool { return r.said.Zone == zone && answers(r.phase) }))
-	return p.choose(alive, p.lostAddrs(func(z string) bool { return z == zone }))
+	alive := p.peers(p.view.ids(func(r *record) bool { return r.said.Zone == zone && answers(r.phase) }))
+	return p.choose(alive, p.lost(func(z string) bool { return z == zone }))
 }
 
 // choose returns one of alive, or now and then one of lost.
-func (p *Part) choose(alive, lost []netip.AddrPort) (netip.AddrPort, bool) {
+func (p *Part) choose(alive, lost []peer) (peer, bool) {
 	from := alive
 	if len(alive) == 0 || (len(lost) > 0 && p.random.IntN(lostShare) == 0) {
 		from = lost
 	}
 	if len(from) == 0 {
-		return netip.AddrPort{}, false
+		return peer{}, false
 	}
 	return from[p.random.IntN(len(from))], true
 }
@@ -186,31 +201,31 @@
 	return phase == ports.MemberAlive || phase == ports.MemberLeaving
 }
 
-func (p *Part) addrs(ids []string) []netip.AddrPort {
-	addrs := make([]netip.AddrPort, 0, len(ids))
+func (p *Part) peers(ids []string) []peer {
+	peers := make([]peer, 0, len(ids))
 	for _, id := range ids {
-		addrs = append(addrs, p.view.records[id].said.Addr)
+		peers = append(peers, peer{id, p.view.records[id].said.Addr})
 	}
-	return addrs
+	return peers
 }
 
-// lostAddrs returns the instances of some zones that do not count as alive:
+// lost returns the instances of some zones that do not count as alive:
 // listed ones that are unknown here, and silent members.
-func (p *Part) lostAddrs(inZone func(string) bool) []netip.AddrPort {
-	var addrs []netip.AddrPort
+func (p *Part) lost(inZone func(string) bool) []peer {
+	var peers []peer
 	for _, id := range sortedKeys(p.view.listed) {
 		row := p.view.listed[id]
 		r := p.view.records[id]
 		if inZone(row.Zone) && !row.Leaving && (r == nil || !answers(r.phase)) {
-			addrs = append(addrs, row.Addr)
+			peers = append(peers, peer{id, row.Addr})
 		}
 	}
 	for _, id := range p.view.ids(func(r *record) bool { return inZone(r.said.Zone) && r.phase == ports.MemberSilent }) {
 		if _, listed := p.view.listed[id]; !listed {
-			addrs = append(addrs, p.view.records[id].said.Addr)
+			peers = append(peers, peer{id, p.view.records[id].said.Addr})
 		}
 	}
-	return addrs
+	return peers
 }
 
 func (p *Part) otherZones() []string {
@@ -237,9 +252,18 @@
 	return append(effects, ports.Note{Value: GossipAnswered{ID: e.ID, Gossip: answer}})
 }
 
-func (p *Part) takeReply(now time.Time, reply ports.PeerReply) []ports.Effect {
-	if g, ok := reply.Msg.(ports.Gossip); ok && reply.Err == nil {
-		return p.takeIn(now, g)
+func (p *Part) takeReply(now time.Time, e ports.PeerDone) []ports.Effect {
+	id := p.calls[e.Tag]
+	delete(p.calls, e.Tag)
+	if g, ok := e.Reply.Msg.(ports.Gossip); ok && e.Reply.Err == nil {
+		effects := p.takeIn(now, g)
+		if r := p.view.records[id]; r != nil {
+			r.reach()
+		}
+		return effects
+	}
+	if r := p.view.records[id]; r != nil {
+		r.fail(now)
 	}
 	return nil
 }
--- a/internal/coordination/member/rank.go
+++ b/internal/coordination/member/rank.go
@@ -16,6 +16,15 @@
 	return ranked[:min(n, len(ranked))]
 }
 
+// delegateCount is the number of entries that act for their zone.
+const delegateCount = 2
+
+// Delegates returns the IDs of the entries that act for a zone towards others:
+// they gossip with other zones, and the configuration comes in through them.
+func Delegates(members []ports.Member, zone string) []string {
+	return Choose(Serving(members, zone), "delegate", delegateCount)
+}
+
 // Serving returns the IDs of a zone's members that are alive.
 func Serving(members []ports.Member, zone string) []string {
 	var ids []string
--- a/internal/coordination/member/view.go
+++ b/internal/coordination/member/view.go
@@ -12,19 +12,26 @@
 
 // Times after which a member is judged by its silence.
 const (
-	// silentAfter is how long the beat of a member of the own zone may stand still.
+	// silentAfter is how long the beat of a member of the own zone may stand
+	// still before a failed call to it counts.
 	silentAfter = 10 * time.Second
+	// surelySilentAfter is the same without any call.
+	surelySilentAfter = 2 * silentAfter
 	// remoteSilentAfter is the same for other zones, whose beats come by fewer hands.
-	remoteSilentAfter = 30 * time.Second
+	remoteSilentAfter = time.Minute
 	// listLag is how far the instance list may lag behind.
 	listLag = 30 * time.Second
 	// forgetAfter is how long a member that is gone is remembered, so that late
 	// gossip does not bring it back.
 	forgetAfter = 10 * time.Minute
 	// remoteForgetAfter is how long a silent member of another zone is kept.
-	remoteForgetAfter = 2 * time.Minute
+	remoteForgetAfter = 3 * time.Minute
 )
 
+// askAgainAfter is how long a member that was asked because of its silence is
+// left alone, so that one that died does not draw all rounds to itself.
+const askAgainAfter = 5 * time.Second
+
 // sampleSize is the number of members kept of each other zone.
 const sampleSize = 8
 
@@ -39,15 +46,45 @@
 	heard time.Time
 	// phase is this entry's judgement.
 	phase ports.MemberPhase
+	// asked is when this entry last called the member because of its silence, and
+	// failed tells that it did not answer since heard.
+	asked  time.Time
+	failed bool
+	// proof is the beat that shows that the member outlived the first failed call
+	// to it: the way there is cut, and a failed call says nothing about the
+	// member. Zero means that no call has failed.
+	proof uint64
 	// news is how many more times the record goes out ahead of others.
 	news int
 }
 
+// fail notes a failed call. Beats that were made before it may still arrive by
+// way of others, so only one that is beyond them proves anything.
+func (r *record) fail(now time.Time) {
+	const relayed = uint64(silentAfter / tickPeriod)
+	r.failed = true
+	if r.proof == 0 {
+		r.proof = r.said.Beat + uint64(now.Sub(r.heard)/tickPeriod) + relayed
+	}
+}
+
+// reach notes an answered call.
+func (r *record) reach() {
+	r.failed = false
+	r.proof = 0
+}
+
+func (r *record) cutOff() bool {
+	return r.proof > 0 && r.said.Beat > r.proof
+}
+
 // view is the set of records, without the entry itself.
 type view struct {
 	self    string
 	zone    string
 	records map[string]*record
+	// order is the keys of records, sorted, or nil after one came or went.
+	order []string
 	// listed is the newest instance list, nil before the first.
 	listed  map[string]ports.Instance
 	changed bool
@@ -69,6 +106,10 @@
 	r := &record{said: m, heard: now, phase: m.Phase}
 	if old != nil {
 		r.news = old.news
+		r.asked = old.asked
+		if m.Incarnation == old.said.Incarnation {
+			r.proof = old.proof
+		}
 	}
 	if old == nil || materially(old.said, m) {
 		r.news = v.newsSends()
@@ -78,6 +119,9 @@
 		v.changed = true
 	}
 	v.records[m.ID] = r
+	if old == nil {
+		v.order = nil
+	}
 	if m.Zone != v.zone && old == nil {
 		v.trimSample(m.Zone)
 	}
@@ -137,7 +181,7 @@
 		return compareRank(sampleDuty, a, b)
 	})
 	for _, id := range ids[sampleSize:] {
-		delete(v.records, id)
+		v.drop(id)
 	}
 	v.changed = true
 }
@@ -164,13 +208,13 @@
 		switch {
 		case r.phase == ports.MemberGone:
 			if still > forgetAfter && !listed {
-				delete(v.records, id)
+				v.drop(id)
 				v.changed = true
 			}
 		case v.listed != nil && !listed && still > listLag:
 			v.judge(r, ports.MemberGone)
 			r.heard = now
-		case still > silentAfter:
+		case still > surelySilentAfter || (still > silentAfter && r.failed && !r.cutOff()):
 			v.judge(r, ports.MemberSilent)
 		}
 	}
@@ -179,7 +223,7 @@
 func (v *view) sweepRemote(id string, r *record, still time.Duration) {
 	switch {
 	case still > remoteForgetAfter:
-		delete(v.records, id)
+		v.drop(id)
 		v.changed = true
 	case still > remoteSilentAfter && r.phase != ports.MemberGone:
 		v.judge(r, ports.MemberSilent)
@@ -193,6 +237,22 @@
 	}
 }
 
+// stalest returns the member of the own zone that was heard of longest ago, among
+// those that answer and have not been asked lately; false if there is none.
+func (v *view) stalest(now time.Time) (string, bool) {
+	found := ""
+	for _, id := range v.ids(func(r *record) bool { return r.said.Zone == v.zone && answers(r.phase) }) {
+		r := v.records[id]
+		if now.Sub(r.asked) < askAgainAfter {
+			continue
+		}
+		if found == "" || r.heard.Before(v.records[found].heard) {
+			found = id
+		}
+	}
+	return found, found != ""
+}
+
 // excuse moves every observation forward by a time in which this entry did not
 // run and so could hear nobody.
 func (v *view) excuse(pause time.Duration) {
@@ -203,10 +263,23 @@
 	}
 }
 
+func (v *view) drop(id string) {
+	delete(v.records, id)
+	v.order = nil
+}
+
+// sorted returns the IDs of all records in order.
+func (v *view) sorted() []string {
+	if v.order == nil {
+		v.order = slices.Sorted(maps.Keys(v.records))
+	}
+	return v.order
+}
+
 // ids returns the IDs for which keep holds, in order.
 func (v *view) ids(keep func(*record) bool) []string {
 	var ids []string
-	for _, id := range slices.Sorted(maps.Keys(v.records)) {
+	for _, id := range v.sorted() {
 		if keep(v.records[id]) {
 			ids = append(ids, id)
 		}
@@ -217,7 +290,7 @@
 // members returns the view as others see it, without the entry itself.
 func (v *view) members() []ports.Member {
 	members := make([]ports.Member, 0, len(v.records)+1)
-	for _, id := range v.ids(func(*record) bool { return true }) {
+	for _, id := range v.sorted() {
 		m := v.records[id].said
 		m.Phase = v.records[id].phase
 		members = append(members, m)
--- a/internal/coordination/relay/part.go
+++ b/internal/coordination/relay/part.go
@@ -231,15 +231,7 @@
 // onDuty reports whether this entry watches the KV service for its zone and
 // fetches from other zones.
 func (p *Part) onDuty() bool {
-	const (
-		duty     = "configWatch"
-		watchers = 2
-	)
-	serving := member.Serving(p.members, p.self.Zone)
-	if !slices.Contains(serving, p.self.ID) {
-		serving = append(serving, p.self.ID)
-	}
-	return slices.Contains(member.Choose(serving, duty, watchers), p.self.ID)
+	return slices.Contains(member.Delegates(p.members, p.self.Zone), p.self.ID)
 }
 
 // nonce returns a word that no other write has.
