Hold goodput flat under overload and answer every waiter in time

Tests on fake time: 500 first requests for 50 idle models, a load that ends too late, an owner that dies, a load that fails, a tenant at a hundred times its share, a stop, callers that leave at the moment of their grant, and random mixes.

Found: the pace of grants was averaged over times in which nobody waited.

--- a/internal/coordination/admit/shed.go
+++ b/internal/coordination/admit/shed.go
@@ -10,13 +10,13 @@
 const (
 	// shedTarget is the queue delay that is accepted for ever.
 	shedTarget = 100 * time.Millisecond
-	// shedInterval is the time over which the least delay must stay above the
-	// target before more is shed.
-	shedInterval = 250 * time.Millisecond
-	// shedStep raises the pressure after one bad interval.
-	shedStep = 0.1
-	// shedDecay lowers the pressure after one good interval.
-	shedDecay = 0.8
+	// shedInterval is the time over which the least delay is taken.
+	shedInterval = 100 * time.Millisecond
+	// shedGain is the change of the pressure in an interval whose least delay is
+	// twice the target or zero.
+	shedGain = 0.04
+	// shedSteepest bounds the change for longer delays, in gains.
+	shedSteepest = 8
 	// shedMost is the largest share of a class that is shed, so that a few of
 	// each class always pass.
 	shedMost = 0.95
@@ -27,9 +27,10 @@
 //
 // As in CoDel, the signal is the least queue delay of an interval: a burst that
 // the back end works off within the interval has a small least delay and sheds
-// nothing, a standing queue has not. The answer is a pressure between 0 and 2:
-// its first unit is taken out of deferrable work, and only what is above 1 out
-// of the other classes.
+// nothing, a standing queue has not. The delay is that which newcomers have to
+// expect, which leads the waits of those who were served by the length of the
+// queue. The answer is a pressure between 0 and 2: its first unit is taken out
+// of deferrable work, and only what is above 1 out of the other classes.
 //
 // For example at a pressure of 1.2, 95 % of deferrable arrivals and 20 % of the
 // others are refused.
@@ -42,21 +43,21 @@
 	deferrable, urgent float64
 }
 
-// Observe tells how long a request had waited when it was granted a place.
-func (s *Shedder) Observe(now time.Time, waited time.Duration) {
+// Observe tells how long a request that is not deferrable has to wait, 0 for one
+// that has a place at once.
+func (s *Shedder) Observe(now time.Time, wait time.Duration) {
 	s.roll(now)
-	if !s.seen || waited < s.least {
-		s.least = waited
+	if !s.seen || wait < s.least {
+		s.least = wait
 	}
 	s.seen = true
 }
 
 // Sheds tells whether an arrival is to be refused; idle means that nothing
-// waits, which ends any overload.
+// waits, so that nothing is.
 func (s *Shedder) Sheds(now time.Time, class config.Class, idle bool) bool {
 	s.roll(now)
 	if idle {
-		s.pressure *= shedDecay
 		return false
 	}
 	if class == config.ClassDeferrable {
@@ -85,15 +86,13 @@
 	s.seen = false
 }
 
+// adjust moves the pressure in proportion to how far the delay is from the
+// target. Steps of one size would either be too slow for a sudden overload or
+// swing between refusing too much and too little around the right pressure.
 func (s *Shedder) adjust() {
-	if s.least > shedTarget {
-		s.pressure = min(s.pressure+shedStep, 2)
-		return
-	}
-	s.pressure *= shedDecay
-	if s.pressure < shedStep/10 {
-		s.pressure = 0
-	}
+	excess := float64(s.least-shedTarget) / float64(shedTarget)
+	s.pressure += shedGain * min(excess, shedSteepest)
+	s.pressure = min(max(s.pressure, 0), 2)
 }
 
 // spend adds share to the credit and reports whether a whole refusal is due.
--- a/internal/coordination/await/line.go
+++ b/internal/coordination/await/line.go
@@ -25,6 +25,8 @@
 	demandTimeout = 2 * time.Second
 	// lineIdle is how long an empty line is remembered.
 	lineIdle = time.Minute
+	// estimateSlack is the part of an estimated wait by which it may be wrong.
+	estimateSlack = 4
 	// rateWeight is the weight of one sample in the averages of a line.
 	rateWeight = 0.1
 )
@@ -127,10 +129,8 @@
 
 // count keeps the averages that the estimates and the shedding rest on.
 func (l *line) count(now time.Time, w *waiter) {
-	if !w.cold {
-		l.shedder.Observe(now, now.Sub(w.joined))
-	}
-	if !l.grantedAt.IsZero() && l.queue.count > 0 {
+	// A sample is the time between two grants only if somebody waited all along.
+	if w.joined.Before(l.grantedAt) {
 		sample := now.Sub(l.grantedAt)
 		if l.interval == 0 {
 			l.interval = sample
--- /dev/null
+++ b/internal/coordination/await/rig_test.go
@@ -0,0 +1,124 @@
+package await_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"chivecroft.example/chivecroft/internal/coordination/admit"
+	"chivecroft.example/chivecroft/internal/coordination/await"
+	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/coordination/route"
+	"chivecroft.example/chivecroft/internal/state/config"
+	"chivecroft.example/chivecroft/internal/state/timer"
+)
+
+// rig is queues over a routing table, with an owner that a test scripts.
+type rig struct {
+	t     *testing.T
+	clock timer.System
+	table *route.Table
+	room  *await.Room
+	owner func(ctx context.Context, demand ports.Demand) (ports.DemandReply, error)
+
+	mu      sync.Mutex
+	demands []ports.Demand
+	seq     uint64
+}
+
+func newRig(t *testing.T, owner func(context.Context, ports.Demand) (ports.DemandReply, error), opts ...await.Option) *rig {
+	r := &rig{t: t, owner: owner}
+	r.table = route.NewTable("bul-a", "bulacan", r.clock, 1)
+	r.room = await.NewRoom(r.table, await.DemandFunc(r.demand), r.clock, opts...)
+	r.table.Listen(r.room.Wake)
+	// Whatever is under way ends before the test does.
+	t.Cleanup(func() { time.Sleep(time.Minute) })
+	return r
+}
+
+func (r *rig) demand(ctx context.Context, demand ports.Demand) (ports.DemandReply, error) {
+	r.mu.Lock()
+	r.demands = append(r.demands, demand)
+	r.mu.Unlock()
+	if r.owner == nil {
+		return ports.DemandReply{Status: ports.DemandAccepted}, nil
+	}
+	return r.owner(ctx, demand)
+}
+
+func (r *rig) asked() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.demands)
+}
+
+func (r *rig) row(row ports.Replica) {
+	r.mu.Lock()
+	r.seq++
+	delta := ports.TableDelta{Stream: 1, Seq: r.seq, Replicas: []ports.Replica{row}}
+	r.mu.Unlock()
+	r.table.Apply("owner", delta)
+}
+
+func ready(model string, concurrency int) ports.Replica {
+	return ports.Replica{
+		ID: model + "-1", Model: model, Target: "t-" + model, Zone: "bul-a", Region: "bulacan",
+		Addr: netip.MustParseAddrPort("127.0.0.1:9000"), Phase: ports.PhaseReady, Concurrency: concurrency,
+	}
+}
+
+// request asks for a place within a time from now.
+func (r *rig) request(model string, class config.Class, tenant string, within time.Duration) await.Request {
+	return await.Request{
+		Query: route.Query{Key: model}, Class: class, Tenant: tenant,
+		Deadline: r.clock.Now().Add(within), Bytes: 100,
+	}
+}
+
+// result is what became of one request.
+type result struct {
+	reason     admit.Reason
+	retryAfter time.Duration
+	took       time.Duration
+	grant      await.Grant
+}
+
+func (r *rig) acquire(ctx context.Context, req await.Request) result {
+	start := r.clock.Now()
+	grant, err := r.room.Acquire(ctx, req)
+	res := result{grant: grant, took: r.clock.Now().Sub(start)}
+	var refusal *admit.Refusal
+	switch {
+	case err == nil:
+	case errors.As(err, &refusal):
+		res.reason, res.retryAfter = refusal.Reason, refusal.RetryAfter
+	default:
+		r.t.Errorf("an untyped refusal: %v", err)
+	}
+	return res
+}
+
+func (r *rig) done(g await.Grant, took time.Duration) {
+	g.Choice.Done(r.clock.Now(), route.Result{Latency: took, Took: took})
+}
+
+func (r *rig) mustBeEmpty(models ...string) {
+	r.t.Helper()
+	if n, bytes := r.room.Waiting(); n != 0 || bytes != 0 {
+		r.t.Errorf("%d requests of %d bytes are still counted as waiting", n, bytes)
+	}
+	for _, model := range models {
+		if n := r.table.Flying(model); n != 0 {
+			r.t.Errorf("%d places on %s were never given back", n, model)
+		}
+	}
+}
+
+func modelName(i int) string { return fmt.Sprintf("model-%d", i) }
+
+func seeded(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 17)) }
--- a/internal/coordination/await/room.go
+++ b/internal/coordination/await/room.go
@@ -13,6 +13,7 @@
 	"chivecroft.example/chivecroft/internal/coordination/admit"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 	"chivecroft.example/chivecroft/internal/coordination/route"
+	"chivecroft.example/chivecroft/internal/state/config"
 	"chivecroft.example/chivecroft/internal/state/timer"
 )
 
@@ -236,10 +237,15 @@
 		}
 		return nil
 	}
+	if w.req.Class != config.ClassDeferrable {
+		// What a newcomer has to expect tells of a queue earlier than the waits
+		// of those who have left it.
+		l.shedder.Observe(now, wait)
+	}
 	if l.shedder.Sheds(now, w.req.Class, l.queue.count == 0) {
 		return &admit.Refusal{Reason: admit.ReasonOverload, Detail: "shed under overload", RetryAfter: orElse(wait, time.Second)}
 	}
-	if now.Add(wait).After(w.due) {
+	if now.Add(wait + wait/estimateSlack).After(w.due) {
 		return &admit.Refusal{Reason: admit.ReasonTooLate, Detail: "the queue is longer than the deadline", RetryAfter: wait}
 	}
 	return nil
--- /dev/null
+++ b/internal/coordination/await/room_test.go
@@ -0,0 +1,339 @@
+package await_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"runtime"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"chivecroft.example/chivecroft/internal/coordination/admit"
+	"chivecroft.example/chivecroft/internal/coordination/await"
+	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/state/config"
+)
+
+// TestColdBurst sends 500 first requests for 50 idle models: each gets a place
+// once its model is loaded, and the owner hears of each model once a second.
+func TestColdBurst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil)
+		r.owner = func(_ context.Context, d ports.Demand) (ports.DemandReply, error) {
+			return ports.DemandReply{Status: ports.DemandAccepted, ReadyIn: 3 * time.Second}, nil
+		}
+		var wg sync.WaitGroup
+		for i := range 500 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				res := r.acquire(t.Context(), r.request(modelName(i%50), config.ClassInteractive, "a", 10*time.Second))
+				if res.reason != "" || !res.grant.Cold {
+					t.Errorf("request %d: %s after %v, cold %v", i, res.reason, res.took, res.grant.Cold)
+					return
+				}
+				time.Sleep(100 * time.Millisecond)
+				r.done(res.grant, 100*time.Millisecond)
+			}()
+		}
+		time.Sleep(3 * time.Second)
+		for i := range 50 {
+			r.row(ready(modelName(i), 4))
+		}
+		wg.Wait()
+		if n := r.asked(); n < 50 || n > 50*4 {
+			t.Errorf("%d demands for 50 models in 3 s", n)
+		}
+		r.mustBeEmpty(modelName(0), modelName(49))
+	})
+}
+
+// TestTooLateIsToldAtOnce refuses at once who can't make it, with the time to
+// come back, and serves who can.
+func TestTooLateIsToldAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, func(context.Context, ports.Demand) (ports.DemandReply, error) {
+			time.Sleep(5 * time.Millisecond)
+			return ports.DemandReply{Status: ports.DemandAccepted, ReadyIn: 6 * time.Second}, nil
+		})
+		var patient, hasty, late result
+		var wg sync.WaitGroup
+		wg.Go(func() { patient = r.acquire(t.Context(), r.request("m", config.ClassInteractive, "a", 20*time.Second)) })
+		wg.Go(func() { hasty = r.acquire(t.Context(), r.request("m", config.ClassInteractive, "a", 4*time.Second)) })
+		time.Sleep(time.Second)
+		wg.Go(func() { late = r.acquire(t.Context(), r.request("m", config.ClassInteractive, "a", 4*time.Second)) })
+		time.Sleep(5 * time.Second)
+		r.row(ready("m", 4))
+		wg.Wait()
+		if hasty.reason != admit.ReasonTooLate || hasty.took > 10*time.Millisecond || hasty.retryAfter < 5*time.Second {
+			t.Errorf("4 s for a load of 6 s: %q after %v, retry after %v", hasty.reason, hasty.took, hasty.retryAfter)
+		}
+		if late.reason != admit.ReasonTooLate || late.took != 0 {
+			t.Errorf("4 s with 5 s of the load left: %q after %v", late.reason, late.took)
+		}
+		if patient.reason != "" {
+			t.Errorf("20 s for a load of 6 s: %q after %v", patient.reason, patient.took)
+		}
+		r.done(patient.grant, time.Second)
+		r.mustBeEmpty("m")
+	})
+}
+
+// TestOwnerDies loses the owner for a while: the demand is sent again until one
+// answers, and nobody who waits is lost.
+func TestOwnerDies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		r := newRig(t, nil)
+		r.owner = func(ctx context.Context, _ ports.Demand) (ports.DemandReply, error) {
+			switch since := time.Since(start); {
+			case since < 3*time.Second:
+				<-ctx.Done()
+				return ports.DemandReply{}, ctx.Err()
+			case since < 5*time.Second:
+				return ports.DemandReply{Status: ports.DemandElsewhere}, nil
+			}
+			time.AfterFunc(time.Second, func() { r.row(ready("m", 8)) })
+			return ports.DemandReply{Status: ports.DemandAccepted, ReadyIn: time.Second}, nil
+		}
+		var wg sync.WaitGroup
+		for range 8 {
+			wg.Go(func() {
+				res := r.acquire(t.Context(), r.request("m", config.ClassInteractive, "a", 15*time.Second))
+				if res.reason != "" || res.took > 8*time.Second {
+					t.Errorf("%q after %v", res.reason, res.took)
+					return
+				}
+				r.done(res.grant, time.Millisecond)
+			})
+		}
+		wg.Wait()
+		r.mustBeEmpty("m")
+	})
+}
+
+// TestLoadFails makes a load fail: the waiters move to the load that the owner
+// promises next, or are refused at once if it promises none.
+func TestLoadFails(t *testing.T) {
+	for _, again := range []bool{true, false} {
+		t.Run(fmt.Sprint("again=", again), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, nil)
+				failed := false
+				r.owner = func(context.Context, ports.Demand) (ports.DemandReply, error) {
+					r.mu.Lock()
+					defer r.mu.Unlock()
+					if failed && !again {
+						return ports.DemandReply{Status: ports.DemandRefused, Reason: "loadFailed", RetryAfter: 30 * time.Second}, nil
+					}
+					return ports.DemandReply{Status: ports.DemandAccepted, ReadyIn: 2 * time.Second}, nil
+				}
+				var res result
+				var wg sync.WaitGroup
+				wg.Go(func() { res = r.acquire(t.Context(), r.request("m", config.ClassDeferrable, "a", time.Minute)) })
+				time.Sleep(2100 * time.Millisecond)
+				bad := ready("m", 4)
+				bad.Phase, bad.Reason = ports.PhaseFailed, "checkpoint is damaged"
+				r.mu.Lock()
+				failed = true
+				r.mu.Unlock()
+				r.row(bad)
+				if !again {
+					wg.Wait()
+					if res.reason != admit.ReasonLoadFailed || res.took > 2150*time.Millisecond || res.retryAfter != 30*time.Second {
+						t.Errorf("%q after %v, retry after %v", res.reason, res.took, res.retryAfter)
+					}
+					return
+				}
+				time.Sleep(2 * time.Second)
+				other := ready("m", 4)
+				other.ID = "m-2"
+				r.row(other)
+				wg.Wait()
+				if res.reason != "" {
+					t.Errorf("%q after %v", res.reason, res.took)
+				}
+			})
+		})
+	}
+}
+
+// TestBusyTenant lets one tenant ask a hundred times as much as another: the
+// other's requests all get their places.
+func TestBusyTenant(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil, await.WithLimits(await.Limits{Count: 500, Bytes: 1 << 20, LineCount: 200}))
+		r.row(ready("m", 10))
+		var mu sync.Mutex
+		served := map[string]int{}
+		var wg sync.WaitGroup
+		send := func(tenant string) {
+			wg.Go(func() {
+				res := r.acquire(t.Context(), r.request("m", config.ClassInteractive, tenant, 2*time.Second))
+				if res.reason != "" {
+					return
+				}
+				time.Sleep(100 * time.Millisecond)
+				r.done(res.grant, 100*time.Millisecond)
+				mu.Lock()
+				served[tenant]++
+				mu.Unlock()
+			})
+		}
+		// The capacity is 100 a second; the quiet tenant asks for 10 of them.
+		for i := range 5000 {
+			send("loud")
+			if i%100 == 0 {
+				send("quiet")
+			}
+			time.Sleep(time.Millisecond)
+		}
+		wg.Wait()
+		if served["quiet"] < 48 || served["loud"] < 350 {
+			t.Errorf("served %d of 50 quiet and %d loud requests", served["quiet"], served["loud"])
+		}
+		r.mustBeEmpty("m")
+	})
+}
+
+// TestStop refuses newcomers while those who wait are served, and at the end
+// answers everybody who still waits.
+func TestStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil)
+		var served, refused result
+		var wg sync.WaitGroup
+		wg.Go(func() { served = r.acquire(t.Context(), r.request("m", config.ClassDeferrable, "a", time.Minute)) })
+		wg.Go(func() { refused = r.acquire(t.Context(), r.request("n", config.ClassDeferrable, "a", time.Minute)) })
+		time.Sleep(time.Second)
+		r.room.Drain()
+		if res := r.acquire(t.Context(), r.request("m", config.ClassInteractive, "a", time.Minute)); res.reason != admit.ReasonDraining {
+			t.Errorf("a newcomer got %q", res.reason)
+		}
+		r.row(ready("m", 1))
+		synctest.Wait()
+		r.room.RefuseWaiting(time.Second)
+		wg.Wait()
+		if served.reason != "" || refused.reason != admit.ReasonDraining || refused.retryAfter != time.Second {
+			t.Errorf("waiters got %q and %q", served.reason, refused.reason)
+		}
+		r.done(served.grant, time.Second)
+		r.mustBeEmpty("m", "n")
+	})
+}
+
+// TestLeavingCallerGivesBack lets callers leave at the moment of their grant.
+func TestLeavingCallerGivesBack(t *testing.T) {
+	// On one processor the grant comes before the caller notices its own end.
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil)
+		for range 100 {
+			ctx, cancel := context.WithCancel(t.Context())
+			var res result
+			var wg sync.WaitGroup
+			wg.Go(func() { res = r.acquire(ctx, r.request("m", config.ClassInteractive, "a", time.Second)) })
+			synctest.Wait()
+			cancel()
+			r.row(ready("m", 4))
+			wg.Wait()
+			if res.reason == "" {
+				r.done(res.grant, time.Millisecond)
+			}
+			away := ready("m", 4)
+			away.Phase = ports.PhaseLoading
+			r.row(away)
+		}
+		r.mustBeEmpty("m")
+	})
+}
+
+// TestLatestUsefulStart refuses who could not be answered in time any more,
+// while there is time left to go elsewhere.
+func TestLatestUsefulStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil)
+		r.row(ready("m", 1))
+		for range 200 {
+			r.done(r.acquire(t.Context(), r.request("m", config.ClassInteractive, "a", time.Minute)).grant, time.Second)
+		}
+		holds := r.acquire(t.Context(), r.request("m", config.ClassInteractive, "a", time.Minute))
+		res := r.acquire(t.Context(), r.request("m", config.ClassInteractive, "a", 3*time.Second))
+		if res.reason != admit.ReasonDeadline || res.took > 2*time.Second {
+			t.Errorf("with 3 s for a call of 1 s: %q after %v", res.reason, res.took)
+		}
+		r.done(holds.grant, time.Second)
+		r.mustBeEmpty("m")
+	})
+}
+
+// TestRandomWaits mixes deadlines, classes, owners that fail in every way and
+// callers that leave, and holds that each ends in time and nothing is kept.
+func TestRandomWaits(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { randomWaits(t, seed) })
+		})
+	}
+}
+
+func randomWaits(t *testing.T, seed uint64) {
+	random := seeded(seed)
+	var mu sync.Mutex
+	roll := func(n int) int {
+		mu.Lock()
+		defer mu.Unlock()
+		return random.IntN(n)
+	}
+	r := newRig(t, nil, await.WithLimits(await.Limits{Count: 200, Bytes: 15_000, LineCount: 60}))
+	r.owner = func(ctx context.Context, d ports.Demand) (ports.DemandReply, error) {
+		switch roll(5) {
+		case 0:
+			return ports.DemandReply{}, errors.New("no route")
+		case 1:
+			<-ctx.Done()
+			return ports.DemandReply{}, ctx.Err()
+		case 2:
+			return ports.DemandReply{Status: ports.DemandRefused, Reason: "noMemory"}, nil
+		}
+		in := time.Duration(roll(4000)) * time.Millisecond
+		time.AfterFunc(in, func() {
+			row := ready(d.Model, 1+roll(8))
+			if roll(4) == 0 {
+				row.Phase, row.Reason = ports.PhaseFailed, fmt.Sprint("failure ", roll(1000))
+			}
+			r.row(row)
+		})
+		return ports.DemandReply{Status: ports.DemandAccepted, ReadyIn: in}, nil
+	}
+	classes := []config.Class{config.ClassInteractive, config.ClassDeferrable, config.ClassLookup}
+	var wg sync.WaitGroup
+	for i := range 600 {
+		within := time.Duration(50+roll(9000)) * time.Millisecond
+		req := r.request(modelName(roll(6)), classes[roll(3)], fmt.Sprint("t", roll(4)), within)
+		ctx, cancel := context.WithCancel(t.Context())
+		if roll(5) == 0 {
+			time.AfterFunc(time.Duration(roll(2000))*time.Millisecond, cancel)
+		}
+		wg.Go(func() {
+			defer cancel()
+			res := r.acquire(ctx, req)
+			if res.took >= within {
+				t.Errorf("request %d: %q after %v of %v", i, res.reason, res.took, within)
+			}
+			if res.reason == "" {
+				time.Sleep(time.Duration(roll(300)) * time.Millisecond)
+				r.done(res.grant, 100*time.Millisecond)
+			}
+		})
+		time.Sleep(time.Duration(roll(20)) * time.Millisecond)
+	}
+	wg.Wait()
+	var models []string
+	for i := range 6 {
+		models = append(models, modelName(i))
+	}
+	r.mustBeEmpty(models...)
+}
