--- a/internal/transport/front/caller.go
+++ b/internal/transport/front/caller.go
@@ -78,8 +78,8 @@
 	tenants := c.dir.config.Tenants
 	if key := apiKey(c.r); key != "" {
 		sum := sha256.Sum256([]byte(key))
-		name, ok := c.dir.keys[hex.EncodeToString(sum[:])]
-		if !ok && len(c.dir.keys) > 0 {
+		name, _, ok := c.dir.Tenant(hex.EncodeToString(sum[:]))
+		if !ok && len(tenants) > 0 {
 			return refuse(http.StatusUnauthorized, reasonUnknownKey, "the API key belongs to no tenant")
 		}
 		if ok {
--- a/internal/transport/front/chat.go
+++ b/internal/transport/front/chat.go
@@ -150,7 +150,7 @@
 		priority = priorityDeferrable
 	}
 	return &generation{
-		call: c, size: size, prefix: promptPrefix(at, messages),
+		call: c, size: size, prefix: wire.Prefix(at.model, at.adapter, messages),
 		req: wire.GenerateRequest{
 			RequestID: id, Model: at.model, Adapter: at.adapter, Messages: messages,
 			MaxTokens: req.tokens(), Seed: seed, Priority: priority,
@@ -158,17 +158,6 @@
 	}
 }
 
-// promptPrefix identifies the part of a prompt that engines cache: the model,
-// the adapter and the first message.
-func promptPrefix(at address, messages []wire.Message) uint64 {
-	h := fnv.New64a()
-	for _, part := range []string{at.model, at.adapter, messages[0].Role, messages[0].Content} {
-		h.Write([]byte(part))
-		h.Write([]byte{0})
-	}
-	return h.Sum64()
-}
-
 func hashText(s string) uint64 {
 	h := fnv.New64a()
 	h.Write([]byte(s))
--- a/internal/transport/front/generate.go
+++ b/internal/transport/front/generate.go
@@ -188,7 +188,7 @@
 	switch {
 	case chunk.RequestID != g.req.RequestID:
 		return errors.New("a chunk of another request")
-	case chunk.Done && (chunk.Tokens != g.next || chunk.Reason == finishCancelled):
+	case chunk.Done && (chunk.Tokens != g.next || chunk.Reason == wire.FinishCancelled):
 		return errors.New("the answer ended early")
 	case !chunk.Done && chunk.Index > g.next:
 		return errors.New("a part of the answer is missing")
@@ -196,9 +196,6 @@
 	return nil
 }
 
-// finishCancelled is the engines' reason for an end that was asked for.
-const finishCancelled = "cancelled"
-
 // win makes a leg the only one once it has brought something new.
 func (g *generation) win(l *leg) {
 	if l.latency == 0 {
--- a/internal/transport/front/lookup.go
+++ b/internal/transport/front/lookup.go
@@ -9,19 +9,12 @@
 
 // directory answers the questions of a request about one configuration.
 type directory struct {
+	*config.Index
 	config *config.Config
-	// keys are the tenants by the hash of their API keys.
-	keys map[string]string
 }
 
 func newDirectory(c *config.Config) *directory {
-	d := &directory{config: c, keys: make(map[string]string)}
-	for name, tenant := range c.Tenants {
-		for _, hash := range tenant.KeyHashes {
-			d.keys[hash] = name
-		}
-	}
-	return d
+	return &directory{Index: config.NewIndex(c), config: c}
 }
 
 // directories keeps the directory of the configuration seen last.
@@ -75,24 +68,10 @@
 	return nil
 }
 
-// class returns the class of a call: the first matching route's, else that of a
-// service that is run-once or lookup as a whole, else the tenant's, else the
-// service's. A tenant only chooses between waiting now and waiting long.
+// class returns the class of a call.
 func (d *directory) class(service, tenant, method, path string) config.Class {
-	s := d.config.Services[service]
-	for _, route := range s.Routes {
-		if (route.Method == "" || route.Method == method) && strings.HasPrefix(path, route.Prefix) {
-			return route.Class
-		}
-	}
-	if s.Class == config.ClassRunOnce || s.Class == config.ClassLookup {
-		return s.Class
-	}
-	if class := d.config.Tenants[tenant].Class; class != "" {
+	if class := d.Class(service, tenant, method, path); class != "" {
 		return class
 	}
-	if s.Class == "" {
-		return config.ClassInteractive
-	}
-	return s.Class
+	return config.ClassInteractive
 }
--- a/internal/transport/front/service.go
+++ b/internal/transport/front/service.go
@@ -135,7 +135,7 @@
 		if problem != nil {
 			return nil, problem
 		}
-		r := p.await(p.send(choice, false))
+		r := p.await(p.send(choice, p.mustBeFresh()))
 		if r.err == nil && !p.badAnswer(r.resp) {
 			return r, nil
 		}
@@ -150,6 +150,12 @@
 	}
 }
 
+// mustBeFresh tells whether a kept connection would make net/http send the call
+// again by itself, as it does with a request key and no body.
+func (p *passage) mustBeFresh() bool {
+	return !p.repeatable && p.body == nil && p.call.r.Header.Get(headerRequestKey) != ""
+}
+
 // badAnswer tells whether an answer says that another instance may do better.
 func (p *passage) badAnswer(resp *http.Response) bool {
 	return p.repeatable && overloaded(resp)
@@ -350,11 +356,25 @@
 		out.Body = io.NopCloser(bytes.NewReader(p.replay))
 		out.ContentLength = int64(len(p.replay))
 	}
+	if out.Body == nil && !p.repeatable {
+		out.Body = Unrepeatable()
+	}
 	out.Header.Set(headerRequestID, c.out.RequestID)
 	out.Header.Set(headerDeadline, c.left().String())
 	return out.WithContext(ctx)
 }
 
+// Unrepeatable returns an empty body that keeps net/http from sending a call again by
+// itself when a kept connection breaks: it repeats calls without a body whose
+// method is idempotent, whatever the class of the call says.
+func Unrepeatable() io.ReadCloser { return unrepeatable{} }
+
+type unrepeatable struct{}
+
+func (unrepeatable) Read([]byte) (int, error) { return 0, io.EOF }
+
+func (unrepeatable) Close() error { return nil }
+
 // hopHeaders belong to one connection and are not passed on.
 var hopHeaders = []string{
 	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
