Spread drains over a zone, follow the targets in use, meet seeds

Cause: three gaps on the whole path. A zone's drain reached only the shards of the entry that was asked; cache events and load reports were read by nobody; an instance replaced while the platform is down could meet no peer.

Weighed for the reports: every entry reading every target of its zone grows with the product of both (91 entries and 364 targets at the target size). An entry follows the targets that it sent a request to in the last 10 s, eight a second at most; the owners' rows tell of the rest.

A drain travels as news of a target with a new field, which an older release passes over; owners write it into their plans.

--- a/internal/coordination/ports/peer.go
+++ b/internal/coordination/ports/peer.go
@@ -167,12 +167,27 @@
 // YieldReply answers YieldPermit.
 type YieldReply struct{ Yielded int }
 
-// TargetNews tells a shard's owner what an entry saw of a target.
+// DrainMark says what an operator wants with a target.
+type DrainMark string
+
+// The marks of an operator's drain.
+const (
+	// DrainNone means that no operator asked for anything.
+	DrainNone DrainMark = ""
+	// DrainBegin takes a target out of use.
+	DrainBegin DrainMark = "begin"
+	// DrainEnd takes it back into use.
+	DrainEnd DrainMark = "end"
+)
+
+// TargetNews tells a shard's owner what an entry saw of a target, or what an
+// operator wants with it; an empty Target stands for all targets of the zone.
 type TargetNews struct {
 	Target  string
 	Leaving bool
 	// Failing means that requests to it fail.
 	Failing bool
+	Drain   DrainMark
 }
 
 // HandOver tells an entry of the same zone that shards are free to be taken.
--- a/internal/entry/engines.go
+++ b/internal/entry/engines.go
@@ -12,13 +12,24 @@
 )
 
 // callerEngine is the engine client as the callers' interface uses it.
-type callerEngine struct{ client *engine.Client }
+type callerEngine struct {
+	client *engine.Client
+	// used hears of every target that is asked, and left of each that says
+	// that it leaves.
+	used func(at netip.AddrPort)
+	left func(at netip.AddrPort)
+}
 
 // Generate begins an answer.
 func (e callerEngine) Generate(ctx context.Context, at netip.AddrPort, req wire.GenerateRequest) (front.Stream, error) {
+	e.used(at)
 	stream, err := e.client.Generate(ctx, at, req)
 	if err != nil {
-		return nil, callError(err)
+		failed := callError(err)
+		if failed.Leaving {
+			e.left(at)
+		}
+		return nil, failed
 	}
 	return stream, nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -36,6 +36,7 @@
 
 	kv       *kvhttp.Client
 	engines  *engine.Client
+	used     *usedTargets
 	peers    *peer.Client
 	services *services
 	meter    *meter.Meter
@@ -52,6 +53,7 @@
 	zone     *feed.Union
 	view     view
 	warmup   warmup
+	told     told
 
 	servers  []*listening
 	stopping atomic.Bool
@@ -67,6 +69,8 @@
 type view struct {
 	config  atomic.Pointer[config.Config]
 	members atomic.Pointer[[]ports.Member]
+	// targets are the listed model targets of the own zone.
+	targets atomic.Pointer[[]ports.Instance]
 }
 
 // Option changes an Entry under construction.
@@ -122,12 +126,14 @@
 	random := rand.New(rand.NewPCG(e.self.Incarnation, 1))
 	e.kv = kvhttp.New(e.settings.Platform.URL, kvhttp.WithTimeout(e.settings.Platform.Timeout), kvhttp.WithTimer(e.timer))
 	e.engines = engine.New(engine.WithTimer(e.timer))
+	e.used = newUsedTargets()
 	e.services = newServices()
 	e.own = feed.New(e.self.Incarnation, e.timer)
 	e.zone = feed.NewUnion(feed.New(e.self.Incarnation, e.timer))
 	e.recorder = daily.NewRecorder(e.timer, e.settings.Entry.Location)
 	e.view.config.Store(&config.Config{})
 	e.view.members.Store(&[]ports.Member{e.self})
+	e.view.targets.Store(&[]ports.Instance{})
 	e.table = route.NewTable(e.self.Zone, e.self.Region, e.timer, random.Uint64())
 	e.room = await.NewRoom(e.table, await.DemandFunc(e.demand), e.timer, await.WithLimits(await.Limits{
 		Count:     int64(e.settings.Requests.QueueCount),
@@ -153,6 +159,8 @@
 	e.spawn(e.followList)
 	e.spawn(e.followTables)
 	e.spawn(e.countIdle)
+	e.spawn(e.meetSeeds)
+	e.spawn(e.followTargets)
 	e.spawn(e.becomeReady)
 	e.log.Info().Str("entry", e.self.ID).Str("zone", e.self.Zone).
 		Str("callers", e.Addr(ListenerCallers).String()).
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -49,6 +49,8 @@
 			targets = append(targets, row)
 		}
 	}
+	e.view.targets.Store(&targets)
+	e.told.keep(e.listedTarget)
 	e.table.ApplyInstances(rows)
 	e.warmup.sawList()
 	e.parts.members.Post(member.ListChanged{Instances: entries})
--- a/internal/entry/operate.go
+++ b/internal/entry/operate.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -136,9 +135,13 @@
 func (o operations) Drain(_ context.Context, p *operator.DrainPayload) (*operator.DrainResult, error) {
 	switch p.Scope {
 	case "target":
-		return o.drainTarget(p)
+		return o.drainTargets(p, p.Name)
 	case "zone":
-		return o.drainZone(p)
+		if p.Name != o.self.Zone {
+			return nil, opapi.NewProblem("notFound", http.StatusNotFound, "otherZone",
+				fmt.Sprintf("this entry serves zone %s; ask an entry of %q", o.self.Zone, p.Name))
+		}
+		return o.drainTargets(p, "")
 	}
 	if p.Undo {
 		return nil, opapi.NewProblem("invalid", http.StatusUnprocessableEntity, "cannotUndo", "the drain of an entry ends with the entry")
@@ -151,42 +154,6 @@
 	return &operator.DrainResult{Scope: p.Scope, Name: o.self.ID, State: "draining"}, nil
 }
 
-func (o operations) drainTarget(p *operator.DrainPayload) (*operator.DrainResult, error) {
-	found := false
-	for _, r := range o.zone.Rows() {
-		found = found || r.Target == p.Name
-	}
-	for _, s := range o.shardStatuses() {
-		found = found || slices.ContainsFunc(s.Targets, func(t owner.TargetStatus) bool { return t.ID == p.Name })
-	}
-	if !found {
-		return nil, opapi.NewProblem("notFound", http.StatusNotFound, "unknownTarget",
-			fmt.Sprintf("no target %q is known in zone %s; ask an entry of its zone", p.Name, o.self.Zone))
-	}
-	o.parts.toShards(owner.DrainTarget{Target: p.Name, Undo: p.Undo})
-	return &operator.DrainResult{Scope: p.Scope, Name: p.Name, State: drainState(p.Undo)}, nil
-}
-
-func (o operations) drainZone(p *operator.DrainPayload) (*operator.DrainResult, error) {
-	if p.Name != o.self.Zone {
-		return nil, opapi.NewProblem("notFound", http.StatusNotFound, "otherZone",
-			fmt.Sprintf("this entry serves zone %s; ask an entry of %q", o.self.Zone, p.Name))
-	}
-	for _, s := range o.shardStatuses() {
-		for _, t := range s.Targets {
-			o.parts.toShards(owner.DrainTarget{Target: t.ID, Undo: p.Undo})
-		}
-	}
-	return &operator.DrainResult{Scope: p.Scope, Name: p.Name, State: drainState(p.Undo)}, nil
-}
-
-func drainState(undo bool) string {
-	if undo {
-		return "in use"
-	}
-	return "draining"
-}
-
 // Status tells how this entry sees the deployment.
 func (o operations) Status(context.Context, *operator.StatusPayload) (*operator.StatusResult, error) {
 	waiting, _ := o.room.Waiting()
--- a/internal/entry/receive.go
+++ b/internal/entry/receive.go
@@ -76,6 +76,10 @@
 
 // TargetNews takes what another entry saw of a target.
 func (r receiver) TargetNews(_ context.Context, n ports.TargetNews) error {
+	if n.Drain != ports.DrainNone {
+		r.drainOwn(n.Target, n.Drain)
+		return nil
+	}
 	if n.Leaving {
 		r.table.MarkLeaving(n.Target)
 	}
--- a/internal/params/fields.go
+++ b/internal/params/fields.go
@@ -49,7 +49,7 @@
 
 // fields are the keys of the file, in the order in which faults are reported.
 var fields = slices.Concat(entryFields, listenerFields("callers", callers), operatorFields,
-	listenerFields("peers", peers), platformFields, controlFields, policyFields, requestFields, logFields)
+	listenerFields("peers", peers), seedFields, platformFields, controlFields, policyFields, requestFields, logFields)
 
 func callers(s *Settings) *Listener   { return &s.Callers }
 func peers(s *Settings) *Listener     { return &s.Peers }
@@ -84,6 +84,20 @@
 	},
 })
 
+var seedFields = []field{{
+	section: "peers", key: "seeds", accepts: "IP addresses and ports of other entries' peer listeners, separated by commas",
+	set: func(s *Settings, v string) error {
+		for _, text := range strings.Split(v, ",") {
+			seed, err := netip.ParseAddrPort(strings.TrimSpace(text))
+			if err != nil {
+				return err
+			}
+			s.Seeds = append(s.Seeds, seed)
+		}
+		return nil
+	},
+}}
+
 var platformFields = []field{
 	{
 		section: "platform", key: "url", accepts: "an http or https URL with an IP address, such as http://127.0.0.1:9000", required: true,
--- a/internal/params/read_test.go
+++ b/internal/params/read_test.go
@@ -52,7 +52,7 @@
 		{"valid", "", "", nil},
 		{"missing key", "id = bul-a-e1\n", "", []string{"e.ini: [entry] id: is missing; accepted: " + name}},
 		{"unknown key", "[peers]\n", "[peers]\nliste = 1\n", []string{
-			`e.ini: [peers] liste = "1": unknown key; accepted: listen, advertise, tlsCert, tlsKey, tlsCA`,
+			`e.ini: [peers] liste = "1": unknown key; accepted: listen, advertise, tlsCert, tlsKey, tlsCA, seeds`,
 		}},
 		{"unknown section", "[peers]\n", "[pears]\nlisten = 1\n[peers]\n", []string{
 			"e.ini: [pears]: unknown section; accepted: entry, callers, operators, peers, platform, control, policy, requests, log",
--- a/internal/params/settings.go
+++ b/internal/params/settings.go
@@ -11,11 +11,13 @@
 	Callers   Listener
 	Operators Operators
 	Peers     Listener
-	Platform  Platform
-	Control   Control
-	Policy    Policy
-	Requests  Requests
-	Log       Log
+	// Seeds are peers to ask for members while the instance list is not there.
+	Seeds    []netip.AddrPort
+	Platform Platform
+	Control  Control
+	Policy   Policy
+	Requests Requests
+	Log      Log
 }
 
 // Entry says which instance this is.
--- a/internal/protocol/codec/small.go
+++ b/internal/protocol/codec/small.go
@@ -28,12 +28,22 @@
 
 // DecodeTargetNews reads a TargetNews.
 func DecodeTargetNews(in *peerv1.TargetNewsRequest) ports.TargetNews {
-	return ports.TargetNews{Target: in.GetTarget(), Leaving: in.GetLeaving(), Failing: in.GetFailing()}
+	return ports.TargetNews{
+		Target:  in.GetTarget(),
+		Leaving: in.GetLeaving(),
+		Failing: in.GetFailing(),
+		Drain:   ports.DrainMark(in.GetDrain()),
+	}
 }
 
 // EncodeTargetNews makes a protobuf message of a TargetNews.
 func EncodeTargetNews(n ports.TargetNews) *peerv1.TargetNewsRequest {
-	return &peerv1.TargetNewsRequest{Target: n.Target, Leaving: n.Leaving, Failing: n.Failing}
+	return &peerv1.TargetNewsRequest{
+		Target:  n.Target,
+		Leaving: n.Leaving,
+		Failing: n.Failing,
+		Drain:   string(n.Drain),
+	}
 }
 
 // DecodeHandOver reads a HandOver.
