Test fences, late orders, claims and leases one by one

Variants without a mechanism that the first cases let pass are caught now: no fence raised by the successor (memory would be overcommitted), permits of a predecessor on an unreachable target not counted (3 of 2 loaded), a load struck out while its order may arrive, one seen replica taken for all copies of its order, no wait for the sender or for the transit, the lease counted from the answer, a lost claim taken for a success, the ledger lowered before the shard's value, orders without the lease's end.

Found on the way: a report of a target held up the load that was waiting for its write; no report is asked for before the load is sent.

--- a/internal/coordination/owner/cases_test.go
+++ b/internal/coordination/owner/cases_test.go
@@ -186,36 +186,67 @@
 	})
 }
 
-// TestTwoOwners: a cut-off owner and its successor load at the same moment.
-// The fence that the successor raised first stops the other.
+// TestTwoOwners: a cut-off owner and its successor load at about the same
+// moment. The fence that the successor raised first stops the other.
 func TestTwoOwners(t *testing.T) {
-	bothRegimes(t, func(t *testing.T, r *rig) {
-		r.demand(0, 0, ports.Demand{Model: "model-0", Waiting: 9, Within: 3 * time.Second, From: "caller"})
-		r.run(60 * time.Second)
-		r.expectLoaded(t, map[string]int{"model-0": 0})
-		old := r.ownerOf(0, 0)
-		old.kv.SetFaults(world.KVFaults{Down: true})
-		old.silentSince = r.clock.Now()
-		old.muted = true
-		for r.entries[0].owned[0] != r.entries[1].owned[0] {
-			r.run(10 * time.Millisecond)
+	bothRegimes(t, func(t *testing.T, first *rig) {
+		unfenced := 3
+		if first.targets[0].fenced {
+			unfenced = 0
 		}
-		r.run(100 * time.Millisecond)
-		for _, e := range r.entries {
-			r.nextAsk++
-			e.loops[0].Post(DemandAsked{ID: r.nextAsk, Demand: ports.Demand{Model: "model-0", Waiting: 9, Within: 5 * time.Second, From: "caller"}})
-		}
-		r.run(10 * time.Second)
-		r.expectLoaded(t, map[string]int{"model-0": 2})
-		r.nextAsk++
-		old.loops[0].Post(DemandAsked{ID: r.nextAsk, Demand: ports.Demand{Model: "model-0", Waiting: 9, Within: 5 * time.Second, From: "caller"}})
-		r.run(2 * time.Second)
-		if status := r.answers[r.nextAsk].Status; r.targets[0].fenced && status != ports.DemandElsewhere {
-			t.Errorf("the cut-off owner, which has seen a later fence, answers %q", status)
+		for lead := 800 * time.Millisecond; lead <= 1400*time.Millisecond; lead += 20 * time.Millisecond {
+			r := smallRig(7, unfenced)
+			old := r.twoOwners(t)
+			r.tell(old, "model-0", 9)
+			r.run(lead)
+			r.tell(r.other(old), "model-0", 9)
+			r.run(10 * time.Second)
+			r.expectLoaded(t, map[string]int{"model-0": 2})
+			id := r.tell(old, "model-0", 9)
+			r.run(2 * time.Second)
+			if status := r.answers[id].Status; r.targets[0].fenced && status != ports.DemandElsewhere {
+				t.Errorf("the cut-off owner, which has seen a later fence, answers %q", status)
+			}
+			r.mustHold(t)
 		}
 	})
 }
 
+// twoOwners makes an owner of two idle permits of model-0 lose its peers and the
+// KV service, and waits until another has taken over. It returns the old one.
+func (r *rig) twoOwners(t *testing.T) *entry {
+	t.Helper()
+	r.run(5 * time.Second)
+	r.demand(0, 0, ports.Demand{Model: "model-0", Waiting: 9, Within: 3 * time.Second, From: "caller"})
+	r.run(60 * time.Second)
+	r.expectLoaded(t, map[string]int{"model-0": 0})
+	old := r.ownerOf(0, 0)
+	old.kv.SetFaults(world.KVFaults{Down: true})
+	old.silentSince = r.clock.Now()
+	old.muted = true
+	for r.entries[0].owned[0] != r.entries[1].owned[0] {
+		r.run(10 * time.Millisecond)
+	}
+	r.run(50 * time.Millisecond)
+	return old
+}
+
+// tell demands a model of one entry, whether or not it still owns the shard.
+func (r *rig) tell(e *entry, model string, waiting int) uint64 {
+	r.nextAsk++
+	e.loops[0].Post(DemandAsked{ID: r.nextAsk, Demand: ports.Demand{Model: model, Waiting: waiting, Within: 5 * time.Second, From: "caller"}})
+	return r.nextAsk
+}
+
+func (r *rig) other(than *entry) *entry {
+	for _, e := range r.entries {
+		if e != than {
+			return e
+		}
+	}
+	return nil
+}
+
 // TestRestartedTargetLosesItsFence: an engine that starts anew has no fence, and
 // an owner that was cut off and knows nothing of its successor finds it first.
 // It may not load there, since its successor has given its permits away.
@@ -339,6 +370,9 @@
 				r.delayOrders(c.delay)
 				r.demand(0, 0, ports.Demand{Model: "model-0", Waiting: 1, Within: time.Second, From: "caller"})
 				r.run(50 * time.Millisecond)
+				if !r.hasSent("model-0") {
+					t.Fatalf("the load was not sent:\n%s", r.describe())
+				}
 				c.end(r.ownerOf(0, 0))
 				r.net.Delay = nil
 				r.run(14 * time.Second)
@@ -554,3 +588,80 @@
 	}
 	r.mustHold(t)
 }
+
+// TestUnreachableFencedTarget: a cut-off owner loads within its permits on a
+// target that its successor cannot reach; the successor must count that.
+func TestUnreachableFencedTarget(t *testing.T) {
+	r := smallRig(7, 0)
+	r.run(5 * time.Second)
+	r.demand(0, 0, ports.Demand{Model: "model-0", Waiting: 9, Within: 3 * time.Second, From: "caller"})
+	r.run(60 * time.Second)
+	old := r.ownerOf(0, 0)
+	old.kv.SetFaults(world.KVFaults{Down: true})
+	old.silentSince = r.clock.Now()
+	old.muted = true
+	for i, m := range r.targets {
+		for _, e := range r.entries {
+			r.net.Cut(e.member.Addr, m.row.Addr, (e == old) != (i == 0))
+		}
+	}
+	r.run(30 * time.Second)
+	for range 10 {
+		for _, e := range r.entries {
+			r.nextAsk++
+			e.loops[0].Post(DemandAsked{ID: r.nextAsk, Demand: ports.Demand{Model: "model-0", Waiting: 9, Within: 5 * time.Second, From: "caller"}})
+		}
+		r.run(time.Second)
+	}
+	r.expectLoaded(t, map[string]int{"model-0": 2})
+	r.mustHold(t)
+}
+
+// TestLeaseCountsFromTheSend: with calls of 8 s and then none at all, the owner
+// must not count on its lease for longer than the KV service keeps it.
+func TestLeaseCountsFromTheSend(t *testing.T) {
+	bothRegimes(t, func(_ *testing.T, r *rig) {
+		r.setKV(world.KVFaults{Latency: 8 * time.Second})
+		r.run(60 * time.Second)
+		r.setKV(world.KVFaults{Down: true})
+		r.run(30 * time.Second)
+	})
+}
+
+// TestClaimTakesEffectLate: claims whose answers are lost arrive seconds later,
+// when another entry may have claimed the shard.
+func TestClaimTakesEffectLate(t *testing.T) {
+	for seed := range uint64(6) {
+		r := smallRig(seed, int(seed)%4)
+		for _, e := range r.entries {
+			e.kv.late = 0.7
+		}
+		r.run(90 * time.Second)
+		for _, e := range r.entries {
+			e.kv.late = 0
+		}
+		r.run(30 * time.Second)
+		r.waitFor("model-0", 10*time.Second)
+		r.expectLoaded(t, map[string]int{"model-0": 1})
+		r.mustHold(t)
+	}
+}
+
+// TestOrdersCarryTheLeaseEnd: the sender checks the lease immediately before the
+// write of an order to a target that ignores fencing, however long the order
+// waited after the decision.
+func TestOrdersCarryTheLeaseEnd(t *testing.T) {
+	bothRegimes(t, func(t *testing.T, r *rig) {
+		r.waitFor("model-0", 10*time.Second)
+		r.run(30 * time.Second)
+		for _, s := range r.sent {
+			limited := s.order.Kind == ports.OrderLoad || s.order.Kind == ports.OrderUnload
+			if want := limited && !r.targets[0].fenced; want == s.order.NotAfter.IsZero() {
+				t.Errorf("%s order with NotAfter %v", s.order.Kind, s.order.NotAfter)
+			}
+			if !s.order.NotAfter.IsZero() && s.order.NotAfter.Sub(s.at) > defaultLeaseTTL-defaultLeaseTTL/10 {
+				t.Errorf("%s order at %v with NotAfter %v", s.order.Kind, s.at, s.order.NotAfter)
+			}
+		}
+	})
+}
--- a/internal/coordination/owner/oracle_test.go
+++ b/internal/coordination/owner/oracle_test.go
@@ -156,6 +156,16 @@
 	}
 }
 
+// hasSent tells whether a load of the model is on its way or through.
+func (r *rig) hasSent(model string) bool {
+	for _, rep := range r.ownerOf(0, 0).shards[0].replicasOf(model) {
+		if rep.sent {
+			return true
+		}
+	}
+	return false
+}
+
 // describe shows the shards' own view for a failure's report.
 func (r *rig) describe() string {
 	var b strings.Builder
--- a/internal/coordination/owner/rig_test.go
+++ b/internal/coordination/owner/rig_test.go
@@ -52,6 +52,7 @@
 	answers  map[uint64]ports.DemandReply
 	nextAsk  uint64
 	events   []string
+	sent     []sentOrder
 	fault    string
 	removed  int
 	items    []ports.Item
@@ -62,6 +63,14 @@
 	checked int
 }
 
+// sentOrder is an order as an entry gave it to its driver.
+type sentOrder struct {
+	at    time.Time
+	from  string
+	to    netip.AddrPort
+	order ports.Order
+}
+
 // machine is a target with the engines of all its boots.
 type machine struct {
 	row     ports.Instance
@@ -336,6 +345,7 @@
 func (e *entry) gatedEngine() ports.Engine {
 	inc, side := e.incarnation, e.rig.net.From(e.member.Addr)
 	return orderFunc(func(to netip.AddrPort, o ports.Order, done func(ports.OrderReply)) {
+		e.rig.sent = append(e.rig.sent, sentOrder{e.rig.clock.Now(), e.member.ID, to, o})
 		side.Order(to, o, func(r ports.OrderReply) { e.gate(inc, func() { done(r) }) })
 	})
 }
--- a/internal/coordination/owner/target.go
+++ b/internal/coordination/owner/target.go
@@ -180,6 +180,10 @@
 // isBusy tells whether loads or unloads are under way, which calls for frequent reports.
 func (t *target) isBusy() bool {
 	for _, r := range t.replicas {
+		if r.mine && r.Phase == place.PhaseDecided && !r.sent {
+			// A report now would only hold up the order that waits for its write.
+			continue
+		}
 		if r.Phase != place.PhaseConfirmed || r.isLoading() {
 			return true
 		}
