--- a/internal/coordination/member/part.go
+++ b/internal/coordination/member/part.go
@@ -41,7 +41,9 @@
 	// calls are the members to which messages are under way.
 	calls map[ports.Tag]string
 	// round counts the turns over the other zones.
-	round      int
+	round int
+	// delegates are those of the own zone, as the view has them.
+	delegates  []string
 	superseded bool
 }
 
@@ -76,7 +78,9 @@
 	}
 	if p.view.changed {
 		p.view.changed = false
-		effects = append(effects, ports.Note{Value: Changed{Members: p.Members()}})
+		members := p.Members()
+		p.delegates = Delegates(members, p.self.Zone)
+		effects = append(effects, ports.Note{Value: Changed{Members: members}})
 	}
 	return effects
 }
@@ -172,13 +176,13 @@
 // stranger chooses an entry of another zone, if it is this entry's turn.
 func (p *Part) stranger() (peer, bool) {
 	zones := p.otherZones()
-	delegates := Delegates(p.Members(), p.self.Zone)
-	if len(zones) == 0 || !slices.Contains(delegates, p.self.ID) {
+	mine := slices.Index(p.delegates, p.self.ID)
+	if len(zones) == 0 || mine < 0 {
 		return peer{}, false
 	}
 	// The two delegates begin at different zones, so that each zone is met twice
 	// in a turn and not twice at once.
-	offset := slices.Index(delegates, p.self.ID) * len(zones) / delegateCount
+	offset := mine * len(zones) / delegateCount
 	zone := zones[(p.round+offset)%len(zones)]
 	p.round++
 	alive := p.peers(p.view.ids(func(r *record) bool { return r.said.Zone == zone && answers(r.phase) }))
--- a/internal/coordination/member/rank.go
+++ b/internal/coordination/member/rank.go
@@ -11,9 +11,22 @@
 // Choose returns n of the IDs for a duty by rendezvous hashing: entries with the
 // same view choose the same ones, and the loss of one moves no other.
 func Choose(ids []string, duty string, n int) []string {
-	ranked := slices.Clone(ids)
-	slices.SortFunc(ranked, func(a, b string) int { return compareRank(duty, a, b) })
-	return ranked[:min(n, len(ranked))]
+	type ranked struct {
+		id   string
+		hash uint64
+	}
+	all := make([]ranked, len(ids))
+	for i, id := range ids {
+		all[i] = ranked{id, rankHash(duty, id)}
+	}
+	slices.SortFunc(all, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.id, b.id))
+	})
+	chosen := make([]string, min(n, len(all)))
+	for i := range chosen {
+		chosen[i] = all[i].id
+	}
+	return chosen
 }
 
 // delegateCount is the number of entries that act for their zone.
@@ -36,13 +49,6 @@
 	return ids
 }
 
-func compareRank(duty, a, b string) int {
-	if byHash := cmp.Compare(rankHash(duty, a), rankHash(duty, b)); byHash != 0 {
-		return byHash
-	}
-	return cmp.Compare(a, b)
-}
-
 func rankHash(duty, id string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(duty))
--- a/internal/coordination/member/view.go
+++ b/internal/coordination/member/view.go
@@ -1,7 +1,6 @@
 package member
 
 import (
-	"cmp"
 	"maps"
 	"math/bits"
 	"slices"
@@ -165,37 +164,21 @@
 // trimSample bounds the records of another zone, keeping those that answer and
 // rank highest, so that the entries of this zone keep the same ones.
 func (v *view) trimSample(zone string) {
-	var ids []string
-	for id, r := range v.records {
-		if r.said.Zone == zone {
-			ids = append(ids, id)
-		}
-	}
-	if len(ids) <= sampleSize {
+	answering := v.ids(func(r *record) bool { return r.said.Zone == zone && answers(r.phase) })
+	lost := v.ids(func(r *record) bool { return r.said.Zone == zone && !answers(r.phase) })
+	if len(answering)+len(lost) <= sampleSize {
 		return
 	}
-	slices.SortFunc(ids, func(a, b string) int {
-		if byPhase := cmp.Compare(v.lost(a), v.lost(b)); byPhase != 0 {
-			return byPhase
+	kept := Choose(answering, sampleDuty, sampleSize)
+	kept = append(kept, Choose(lost, sampleDuty, sampleSize-len(kept))...)
+	for _, id := range append(answering, lost...) {
+		if !slices.Contains(kept, id) {
+			v.drop(id)
 		}
-		return compareRank(sampleDuty, a, b)
-	})
-	for _, id := range ids[sampleSize:] {
-		v.drop(id)
 	}
 	v.changed = true
 }
 
-// lost is 1 for a member that is silent or gone.
-func (v *view) lost(id string) int {
-	switch v.records[id].phase {
-	case ports.MemberSilent, ports.MemberGone:
-		return 1
-	default:
-		return 0
-	}
-}
-
 // sweep judges every member by the time since its beat last moved.
 func (v *view) sweep(now time.Time) {
 	for id, r := range v.records {
--- a/internal/coordination/relay/part.go
+++ b/internal/coordination/relay/part.go
@@ -142,8 +142,9 @@
 	// firstPoll is when an entry without configuration asks the KV service itself.
 	firstPoll = 6 * time.Second
 	// pollPeriod is the time between two looks at the KV service by entries that
-	// do not watch.
-	pollPeriod = time.Minute
+	// do not watch. An entry that hears nobody watches, so this is for what
+	// nobody thought of, and long enough not to count at the KV service.
+	pollPeriod = 10 * time.Minute
 )
 
 func (p *Part) start() {
