--- a/internal/coordination/relay/accept.go
+++ b/internal/coordination/relay/accept.go
@@ -38,8 +38,7 @@
 // the log never loses its newest entries, so whoever sees nothing after its own
 // version is current.
 func (p *Part) ask(e PatchAsked) {
-	if v, ok := p.ids.versions[e.Patch.ID]; ok {
-		p.note(PatchAnswered{ID: e.ID, Version: v, Repeated: true})
+	if p.answerRepeated(e) {
 		return
 	}
 	p.catchUp(func(err error) {
@@ -51,6 +50,21 @@
 	})
 }
 
+// answerRepeated answers a patch whose ID has been accepted: with its version, or
+// with an error if that was a patch that does something else.
+func (p *Part) answerRepeated(e PatchAsked) bool {
+	known, ok := p.ids.patches[e.Patch.ID]
+	switch {
+	case !ok:
+		return false
+	case known.content != config.FingerprintOf(e.Patch):
+		p.refuse(e, trace.Wrap(&IDReusedError{ID: e.Patch.ID, Version: known.version}))
+	default:
+		p.note(PatchAnswered{ID: e.ID, Version: known.version, Repeated: true})
+	}
+	return true
+}
+
 func (p *Part) refuse(e PatchAsked, err error) {
 	p.note(PatchAnswered{ID: e.ID, Err: err})
 }
@@ -66,8 +80,7 @@
 
 // consider judges a patch against the current version.
 func (p *Part) consider(e PatchAsked) {
-	if v, ok := p.ids.versions[e.Patch.ID]; ok {
-		p.note(PatchAnswered{ID: e.ID, Version: v, Repeated: true})
+	if p.answerRepeated(e) {
 		return
 	}
 	if p.ids.after > p.ids.wanted(p.config.Version) {
@@ -107,8 +120,7 @@
 			}
 			last = v
 			if record, err := config.DecodeRecord(v, item.Value); err == nil {
-				p.ids.versions[record.Patch.ID] = v
-				p.ids.names[v] = record.Patch.ID
+				p.ids.learn(record.Patch, v)
 			}
 		}
 		if r.More && last < p.ids.after {
@@ -226,8 +238,7 @@
 // giveUp answers that nobody knows, unless the watch or another entry has
 // brought the patch back meanwhile.
 func (p *Part) giveUp(a *asked, status ports.KVStatus) {
-	if v, ok := p.ids.versions[a.Patch.ID]; ok {
-		p.note(PatchAnswered{ID: a.ID, Version: v, Warnings: a.warnings})
+	if p.answerRepeated(a.PatchAsked) {
 		return
 	}
 	p.refuse(a.PatchAsked, trace.Wrap(&UnavailableError{Step: "read back the log", Status: status, Outcome: OutcomeUnknown}))
--- a/internal/coordination/relay/errors.go
+++ b/internal/coordination/relay/errors.go
@@ -37,6 +37,18 @@
 	return fmt.Sprintf("the patch is for version %d, but the current one is %d", e.Base, e.Current)
 }
 
+// IDReusedError tells that a patch has the ID of another one.
+type IDReusedError struct {
+	ID string
+	// Version is the one that the patch with this ID led to.
+	Version config.Version
+}
+
+// Error says which patch has the ID.
+func (e *IDReusedError) Error() string {
+	return fmt.Sprintf("the id %q belongs to another patch, which is version %d", e.ID, e.Version)
+}
+
 // Outcome says what is known of a patch that could not be answered.
 type Outcome string
 
--- a/internal/coordination/relay/events.go
+++ b/internal/coordination/relay/events.go
@@ -44,8 +44,8 @@
 type Adopted struct{ Config *config.Config }
 
 // PatchAnswered is a note with the end of a PatchAsked. Err is one of
-// *config.InvalidError, *ConflictError, *FutureBaseError, *UnavailableError,
-// *config.DamagedError and *config.FormatError, perhaps wrapped.
+// *config.InvalidError, *ConflictError, *FutureBaseError, *IDReusedError,
+// *UnavailableError, *config.DamagedError and *config.FormatError, perhaps wrapped.
 type PatchAnswered struct {
 	ID       uint64
 	Version  config.Version
--- a/internal/coordination/relay/part.go
+++ b/internal/coordination/relay/part.go
@@ -214,7 +214,7 @@
 	p.config = next
 	p.adopted = true
 	p.recent.add(record)
-	p.ids.add(record.Patch.ID, next.Version)
+	p.ids.add(record.Patch, next.Version)
 	return nil
 }
 
--- a/internal/coordination/relay/reading.go
+++ b/internal/coordination/relay/reading.go
@@ -157,9 +157,14 @@
 	next()
 }
 
+// outageAfter is how long the KV service must not have answered before that is
+// worth a note; a single lost answer is not.
+const outageAfter = 5 * time.Second
+
 // health is what is known of the KV service and of the values in it.
 type health struct {
 	downSince time.Time
+	noted     bool
 	damage    string
 }
 
@@ -167,15 +172,19 @@
 func (p *Part) answered(step string, status ports.KVStatus) bool {
 	switch status {
 	case ports.KVOK, ports.KVNotFound, ports.KVConflict:
-		if !p.health.downSince.IsZero() {
-			lasted := p.now.Sub(p.health.downSince).Round(time.Second)
-			p.health.downSince = time.Time{}
+		lasted := p.now.Sub(p.health.downSince).Round(time.Second)
+		p.health.downSince = time.Time{}
+		if p.health.noted {
+			p.health.noted = false
 			p.note(Happened{Kind: HappenedRecovery, Subject: "KV service", Detail: fmt.Sprintf("answers again after %s", lasted)})
 		}
 		return true
 	default:
 		if p.health.downSince.IsZero() {
 			p.health.downSince = p.now
+		}
+		if !p.health.noted && p.now.Sub(p.health.downSince) >= outageAfter {
+			p.health.noted = true
 			p.note(Happened{Kind: HappenedOutage, Subject: "KV service", Detail: fmt.Sprintf("%s: %s", step, status)})
 		}
 		return false
--- a/internal/state/config/patch.go
+++ b/internal/state/config/patch.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"crypto/sha256"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -85,6 +86,20 @@
 	return merged
 }
 
+// Fingerprint is a short sum of what a patch does, whatever its ID, base and
+// author.
+type Fingerprint [8]byte
+
+// FingerprintOf returns the fingerprint of a patch.
+func FingerprintOf(p Patch) Fingerprint {
+	data, err := json.Marshal(Patch{Set: p.Set, Remove: p.Remove})
+	if err != nil {
+		return Fingerprint{}
+	}
+	sum := sha256.Sum256(data)
+	return Fingerprint(sum[:len(Fingerprint{})])
+}
+
 // encodedBytes returns the size of a patch in JSON.
 func encodedBytes(p Patch) int {
 	data, err := json.Marshal(p)
