--- a/internal/coordination/once/driver.go
+++ b/internal/coordination/once/driver.go
@@ -76,7 +76,7 @@
 	delete(d.waiting, id)
 	d.mu.Unlock()
 	if waits {
-		return Verdict{Kind: VerdictUnavailable}
+		return Verdict{Kind: VerdictUnavailable, RetryAfter: unavailableRetry}
 	}
 	return <-answer
 }
--- a/internal/transport/front/answer.go
+++ b/internal/transport/front/answer.go
@@ -11,12 +11,12 @@
 	http.ResponseWriter
 	control *http.ResponseController
 	out     *Outcome
-	elapsed func() time.Duration
+	idle    time.Duration
 	begun   bool
 }
 
-func newAnswer(w http.ResponseWriter, out *Outcome, elapsed func() time.Duration) *answerWriter {
-	return &answerWriter{ResponseWriter: w, control: http.NewResponseController(w), out: out, elapsed: elapsed}
+func newAnswer(w http.ResponseWriter, out *Outcome, idle time.Duration) *answerWriter {
+	return &answerWriter{ResponseWriter: w, control: http.NewResponseController(w), out: out, idle: idle}
 }
 
 // WriteHeader sends the status.
@@ -28,7 +28,7 @@
 	a.ResponseWriter.WriteHeader(code)
 }
 
-// Write sends a part of the body within writeIdle.
+// Write sends a part of the body within the time allowed.
 func (a *answerWriter) Write(b []byte) (int, error) {
 	if !a.begun {
 		a.WriteHeader(http.StatusOK)
@@ -44,14 +44,14 @@
 	return a.ResponseWriter
 }
 
-// flush sends what is buffered within writeIdle.
+// flush sends what is buffered within the time allowed.
 func (a *answerWriter) flush() error {
 	a.extend()
 	return a.control.Flush()
 }
 
-// extend gives the caller writeIdle from now. A writer without deadlines, as
+// extend gives the caller its time from now. A writer without deadlines, as
 // in tests of handlers, is not bounded.
 func (a *answerWriter) extend() {
-	_ = a.control.SetWriteDeadline(time.Now().Add(writeIdle))
+	_ = a.control.SetWriteDeadline(time.Now().Add(a.idle))
 }
--- a/internal/transport/front/body.go
+++ b/internal/transport/front/body.go
@@ -17,16 +17,26 @@
 	io.ReadCloser
 	control *http.ResponseController
 	out     *Outcome
-	fault   error
+	idle    time.Duration
+	// until is when the whole body has to be there.
+	until time.Time
+	fault error
 }
 
-func (c *call) body() *caught {
-	return &caught{ReadCloser: c.r.Body, control: http.NewResponseController(c.w), out: &c.out}
+func (c *call) body(until time.Time) *caught {
+	return &caught{
+		ReadCloser: c.r.Body, control: http.NewResponseController(c.w), out: &c.out,
+		idle: c.h.ReadIdle, until: until,
+	}
 }
 
-// Read gives the caller readIdle for the next part.
+// Read gives the caller its time for the next part.
 func (b *caught) Read(p []byte) (int, error) {
-	_ = b.control.SetReadDeadline(time.Now().Add(readIdle))
+	due := time.Now().Add(b.idle)
+	if b.until.Before(due) {
+		due = b.until
+	}
+	_ = b.control.SetReadDeadline(due)
 	n, err := b.ReadCloser.Read(p)
 	b.out.BytesIn += int64(n)
 	if err == nil {
@@ -41,12 +51,16 @@
 	return n, err
 }
 
-// readAll reads a body of at most limit bytes.
+// readAll reads a body of at most limit bytes into memory, if there is room.
 func (c *call) readAll(limit int64) ([]byte, *Problem) {
 	if c.r.ContentLength > limit {
 		return nil, tooLarge()
 	}
-	data, err := io.ReadAll(io.LimitReader(c.body(), limit+1))
+	if !c.hold(limit) {
+		return nil, refuse(http.StatusServiceUnavailable, admit.ReasonOverload, "too many bodies are held").after(heldRetryAfter)
+	}
+	until := c.start.Add(bodyMost)
+	data, err := io.ReadAll(io.LimitReader(c.body(until), limit+1))
 	if err != nil {
 		return nil, bodyProblem(err)
 	}
@@ -56,6 +70,16 @@
 	return data, nil
 }
 
+// hold takes room for the body, of which at most limit bytes are read.
+func (c *call) hold(limit int64) bool {
+	size := c.r.ContentLength
+	if size < 0 {
+		size = limit
+	}
+	c.held = size
+	return c.h.held.Add(size) <= heldBytes
+}
+
 func tooLarge() *Problem {
 	return refuse(http.StatusRequestEntityTooLarge, reasonTooLarge, "the body is too large")
 }
--- a/internal/transport/front/budget.go
+++ b/internal/transport/front/budget.go
@@ -11,7 +11,7 @@
 	// budgetStart lets a tenant that is new here retry at all.
 	budgetStart = 1
 	// budgetMost bounds what is saved up in quiet times.
-	budgetMost = 20
+	budgetMost = 100
 )
 
 // budgets bounds the sends beyond the first of each tenant to a tenth of its
--- a/internal/transport/front/caller.go
+++ b/internal/transport/front/caller.go
@@ -40,6 +40,8 @@
 	deadline time.Time
 	tenant   string
 	out      Outcome
+	// held is what the request takes of heldBytes.
+	held int64
 	// closed tells that the answer has been ended in order, though not whole.
 	closed bool
 }
--- a/internal/transport/front/deps.go
+++ b/internal/transport/front/deps.go
@@ -98,6 +98,10 @@
 	Timer    timer.Service
 	// Observe takes the outcome of each request; nil drops it.
 	Observe func(Outcome)
+	// ReadIdle is how long a caller may send nothing of a body that it owes, and
+	// WriteIdle how long it may accept nothing of its answer; 0 for the defaults.
+	ReadIdle  time.Duration
+	WriteIdle time.Duration
 	// NewID makes request ids; nil makes random ones.
 	NewID func() string
 }
@@ -113,8 +117,13 @@
 	replayBytes = 64 << 10
 	// keyBytes bounds a request key and a request id.
 	keyBytes = 200
-	// readIdle is how long a caller may send nothing of a body that it owes.
-	readIdle = 10 * time.Second
-	// writeIdle is how long a caller may accept nothing of its answer.
-	writeIdle = 20 * time.Second
+	// heldBytes bounds the bodies that an entry holds in memory for its callers.
+	heldBytes = 64 << 20
+	// heldRetryAfter is the advice while they take up all of that.
+	heldRetryAfter = time.Second
+	// bodyMost bounds the time in which a body that is held has to arrive.
+	bodyMost = 30 * time.Second
+	// The defaults of Deps.
+	defaultReadIdle  = 10 * time.Second
+	defaultWriteIdle = 20 * time.Second
 )
--- a/internal/transport/front/fake_test.go
+++ b/internal/transport/front/fake_test.go
@@ -175,10 +175,12 @@
 	sender *plainSender
 	// services replaces sender.
 	services front.Services
-	store    *kvmem.Store
-	driver   *once.Driver
-	handler  *front.Handler
-	demand   await.Demander
+	// idle bounds callers that stall.
+	idle    time.Duration
+	store   *kvmem.Store
+	driver  *once.Driver
+	handler *front.Handler
+	demand  await.Demander
 
 	mu       sync.Mutex
 	outcomes []front.Outcome
@@ -224,7 +226,7 @@
 		Config: func() *config.Config { return r.config },
 		Table:  r.table, Room: r.room, Limits: r.limits, Claims: r.driver,
 		Engine: r.engine, Services: r.services, Timer: clock,
-		Observe: r.observe, NewID: r.newID,
+		Observe: r.observe, NewID: r.newID, ReadIdle: r.idle, WriteIdle: r.idle,
 	})
 	return r
 }
--- a/internal/transport/front/generate.go
+++ b/internal/transport/front/generate.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"net/netip"
+	"os"
 	"slices"
 	"time"
 
@@ -57,9 +58,6 @@
 	once bool
 }
 
-// errStalled tells that the caller does not take its answer.
-var errStalled = errors.New("the caller does not take its answer")
-
 // run passes each token of the answer to emit, in order and once.
 func (g *generation) run(emit func(text string) error) *Problem {
 	g.emit = emit
@@ -397,6 +395,10 @@
 
 var noLeg leg
 
+// stalled makes the problem of a write to the caller that failed.
 func stalled(err error) *Problem {
-	return fail(http.StatusBadGateway, reasonCallerStalled, errStalled.Error()+": "+err.Error())
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return fail(http.StatusBadGateway, reasonCallerStalled, "the caller does not take its answer")
+	}
+	return fail(http.StatusBadGateway, admit.ReasonCancelled, "the caller left")
 }
--- a/internal/transport/front/handler.go
+++ b/internal/transport/front/handler.go
@@ -29,6 +29,7 @@
 	budgets     *budgets
 	draining    atomic.Bool
 	flying      atomic.Int64
+	held        atomic.Int64
 }
 
 // New returns a handler over its dependencies.
@@ -36,6 +37,12 @@
 	if deps.Observe == nil {
 		deps.Observe = func(Outcome) {}
 	}
+	if deps.ReadIdle <= 0 {
+		deps.ReadIdle = defaultReadIdle
+	}
+	if deps.WriteIdle <= 0 {
+		deps.WriteIdle = defaultWriteIdle
+	}
 	if deps.NewID == nil {
 		deps.NewID = newID
 	}
@@ -58,6 +65,7 @@
 	h.flying.Add(1)
 	defer h.flying.Add(-1)
 	c := h.begin(w, r)
+	defer func() { h.held.Add(-c.held) }()
 	problem := c.serve()
 	c.end(problem)
 }
@@ -67,7 +75,7 @@
 	c := &call{h: h, r: r, ctx: r.Context(), start: now, dir: h.directories.of(h.Config())}
 	c.out.StartedAt = now
 	c.out.RequestID = requestID(r, h.NewID)
-	c.w = newAnswer(w, &c.out, c.elapsed)
+	c.w = newAnswer(w, &c.out, h.WriteIdle)
 	w.Header().Set(headerRequestID, c.out.RequestID)
 	return c
 }
@@ -122,7 +130,7 @@
 	switch {
 	case problem == nil:
 		c.out.Status = StatusServed
-	case c.gone():
+	case problem.Reason == admit.ReasonCancelled, c.gone() && !problem.callerFault():
 		c.out.Status = StatusCancelled
 		c.out.Reason = admit.ReasonCancelled
 	default:
--- a/internal/transport/front/models.go
+++ b/internal/transport/front/models.go
@@ -2,9 +2,9 @@
 
 import (
 	"encoding/json"
-	"maps"
 	"net/http"
 	"slices"
+	"strings"
 )
 
 // modelList is the answer to GET /v1/models.
@@ -23,13 +23,14 @@
 func (c *call) serveModels() *Problem {
 	list := modelList{Object: "list", Data: []modelItem{}}
 	cfg := c.dir.config
-	for _, name := range slices.Sorted(maps.Keys(cfg.Models)) {
+	for name := range cfg.Models {
 		list.Data = append(list.Data, modelItem{ID: name, Object: "model", OwnedBy: cfg.Models[name].Service})
 	}
-	for _, name := range slices.Sorted(maps.Keys(cfg.Adapters)) {
+	for name := range cfg.Adapters {
 		model := cfg.Adapters[name].Model
 		list.Data = append(list.Data, modelItem{ID: model + ":" + name, Object: "model", OwnedBy: cfg.Models[model].Service})
 	}
+	slices.SortFunc(list.Data, func(a, b modelItem) int { return strings.Compare(a.ID, b.ID) })
 	return c.writeJSON(http.StatusOK, list)
 }
 
--- a/internal/transport/front/problem.go
+++ b/internal/transport/front/problem.go
@@ -70,6 +70,12 @@
 	return string(p.Reason) + ": " + p.Detail
 }
 
+// callerFault tells whether the caller is to blame. The server takes such a
+// caller for one that has left.
+func (p *Problem) callerFault() bool {
+	return p.Reason == reasonBodySlow || p.Reason == reasonBodyCut || p.Reason == reasonCallerStalled
+}
+
 // refuse makes the problem of a request that reached no target.
 func refuse(status int, reason admit.Reason, detail string) *Problem {
 	return &Problem{Status: status, Reason: reason, Detail: detail, NotRun: true}
--- a/internal/transport/front/service.go
+++ b/internal/transport/front/service.go
@@ -118,7 +118,7 @@
 		return nil
 	}
 	if c.out.Class != config.ClassLookup || p.length < 0 || p.length > replayBytes {
-		p.body = c.body()
+		p.body = c.body(c.deadline)
 		return nil
 	}
 	data, problem := c.readAll(replayBytes)
