Measure what an entry spends on control and adds to a call

The bytes of the peer protocol are now counted on its connections, with all that HTTP and TLS add, and stand in the metrics.

--- a/cmd/chivecroft/harness_test.go
+++ b/cmd/chivecroft/harness_test.go
@@ -51,7 +51,7 @@
 }
 
 // start runs the program and waits for its ready line.
-func start(t *testing.T, args ...string) *process {
+func start(t testing.TB, args ...string) *process {
 	t.Helper()
 	p := &process{cmd: exec.Command(binary, args...), log: new(bytes.Buffer), ended: make(chan struct{})}
 	p.cmd.Stderr = p.log
@@ -102,7 +102,7 @@
 
 // system is a deployment of separate processes.
 type system struct {
-	t        *testing.T
+	t        testing.TB
 	platform string
 	entries  map[string]*process
 	targets  map[string]*process
@@ -112,7 +112,7 @@
 	ops      map[string]string
 }
 
-func newSystem(t *testing.T) *system {
+func newSystem(t testing.TB) *system {
 	t.Helper()
 	platform := start(t, "standin", "platform")
 	return &system{
@@ -169,7 +169,7 @@
 	s.request(http.MethodPut, s.platform+"/instances/"+id, row, nil)
 }
 
-func freeAddr(t *testing.T) string {
+func freeAddr(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -367,7 +367,7 @@
 	return n
 }
 
-func decode(t *testing.T, text string, into any) {
+func decode(t testing.TB, text string, into any) {
 	t.Helper()
 	if err := json.Unmarshal([]byte(text), into); err != nil {
 		t.Fatalf("%v in %q", err, text)
--- /dev/null
+++ b/cmd/chivecroft/overhead_test.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"chivecroft.example/chivecroft/internal/demo"
+)
+
+// BenchmarkOverhead compares calls to a plain service through one entry with
+// calls to the service itself, alternating in one run, and then counts how many
+// calls a second the entry passes on.
+func BenchmarkOverhead(b *testing.B) {
+	const rounds, callers, span = 2000, 64, 3 * time.Second
+	s := newSystem(b)
+	s.startService("bul-a-s1", "bul-a", "bulacan")
+	s.startEntry("bul-a-e1", "bul-a", "bulacan")
+	if code, out := s.command("bul-a-e1", patch, "patch"); code != 0 {
+		b.Fatalf("patch: exit %d\n%s", code, out)
+	}
+	s.settled(1, "bul-a-e1")
+	direct := s.services["bul-a-s1"].ready["url"].(string) + "/seats"
+	through := s.callers["bul-a-e1"] + "/services/ticket-desk/seats"
+	s.eventually(10*time.Second, func() string {
+		if status, text := s.request(http.MethodGet, through, "", nil); status != http.StatusOK {
+			return text
+		}
+		return ""
+	})
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callers}}
+	for b.Loop() {
+		var own, passed []time.Duration
+		for range rounds {
+			own = append(own, timed(b, client, direct))
+			passed = append(passed, timed(b, client, through))
+		}
+		b.ReportMetric(float64(median(own).Microseconds()), "direct-µs/call")
+		b.ReportMetric(float64((median(passed) - median(own)).Microseconds()), "overhead-µs/call")
+		b.ReportMetric(throughput(b, client, through, callers, span), "calls/s")
+	}
+}
+
+func timed(tb testing.TB, client *http.Client, url string) time.Duration {
+	began := time.Now()
+	if err := get(client, url); err != nil {
+		tb.Fatal(err)
+	}
+	return time.Since(began)
+}
+
+func get(client *http.Client, url string) error {
+	req, err := http.NewRequest(http.MethodGet, url, bytes.NewReader(nil))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+demo.CallerKey)
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d", resp.StatusCode)
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err
+}
+
+func median(times []time.Duration) time.Duration {
+	slices.Sort(times)
+	return times[len(times)/2]
+}
+
+func throughput(tb testing.TB, client *http.Client, url string, callers int, span time.Duration) float64 {
+	var calls atomic.Int64
+	var work sync.WaitGroup
+	until := time.Now().Add(span)
+	for range callers {
+		work.Add(1)
+		go func() {
+			defer work.Done()
+			for time.Now().Before(until) {
+				if err := get(client, url); err != nil {
+					tb.Error(err)
+					return
+				}
+				calls.Add(1)
+			}
+		}()
+	}
+	work.Wait()
+	return float64(calls.Load()) / span.Seconds()
+}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -78,12 +78,15 @@
 		return trace.Wrap(err, "listening on [%s] listen = %s", name, p.Listen)
 	}
 	listener := raw
+	if name == ListenerPeers {
+		listener = peer.CountListener(raw, e.countPeers)
+	}
 	if p.TLS() {
 		files, err := e.files(name, p)
 		if err != nil {
 			return trace.Wrap(err)
 		}
-		listener = tls.NewListener(raw, files.Server())
+		listener = tls.NewListener(listener, files.Server())
 	}
 	l := &listening{name: name, addr: raw.Addr().(*net.TCPAddr).AddrPort(), server: &http.Server{
 		Handler:           handler,
@@ -112,13 +115,18 @@
 
 func (e *Entry) newPeers() (*peer.Client, error) {
 	if !e.settings.Peers.TLS() {
-		return peer.NewClient(), nil
+		return peer.NewClient(peer.WithCounter(e.countPeers)), nil
 	}
 	files, err := e.files(ListenerPeers, e.settings.Peers)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return peer.NewClient(peer.WithTLS(files.Client())), nil
+	return peer.NewClient(peer.WithTLS(files.Client()), peer.WithCounter(e.countPeers)), nil
+}
+
+// countPeers counts the bytes of the peer protocol.
+func (e *Entry) countPeers(sent bool, n int) {
+	e.meter.ControlBytes("peer", sent, n)
 }
 
 // callersMux serves callers and the balancer's checks.
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -32,6 +32,7 @@
 type Client struct {
 	tls     *tls.Config
 	timeout time.Duration
+	count   Counter
 
 	mu    sync.Mutex
 	links map[netip.AddrPort]*link
@@ -56,9 +57,14 @@
 	return func(c *Client) { c.tls = config }
 }
 
+// WithCounter tells count of the bytes of all connections.
+func WithCounter(count Counter) Option {
+	return func(c *Client) { c.count = count }
+}
+
 // NewClient returns a client of the peer protocol.
 func NewClient(opts ...Option) *Client {
-	c := &Client{timeout: defaultTimeout, links: make(map[netip.AddrPort]*link)}
+	c := &Client{timeout: defaultTimeout, count: func(bool, int) {}, links: make(map[netip.AddrPort]*link)}
 	for _, opt := range opts {
 		opt(c)
 	}
@@ -120,6 +126,7 @@
 		scheme = "https"
 	}
 	pool := &http.Transport{
+		DialContext:         dialCounted(c.count),
 		IdleConnTimeout:     idleConnTimeout,
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		TLSClientConfig:     c.tls,
