--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -25,6 +25,7 @@
 	"chivecroft.example/chivecroft/internal/transport/kvhttp"
 	"chivecroft.example/chivecroft/internal/transport/meter"
 	"chivecroft.example/chivecroft/internal/transport/peer"
+	"chivecroft.example/chivecroft/internal/transport/probe"
 )
 
 // Entry is one running instance of the system.
@@ -38,7 +39,8 @@
 	engines  *engine.Client
 	used     *usedTargets
 	peers    *peer.Client
-	services *services
+	probes   *probe.Engines
+	services *probe.Services
 	meter    *meter.Meter
 
 	table    *route.Table
@@ -127,7 +129,8 @@
 	e.kv = kvhttp.New(e.settings.Platform.URL, kvhttp.WithTimeout(e.settings.Platform.Timeout), kvhttp.WithTimer(e.timer))
 	e.engines = engine.New(engine.WithTimer(e.timer))
 	e.used = newUsedTargets()
-	e.services = newServices()
+	e.probes = probe.NewEngines(e.engines, e.timer, nil)
+	e.services = probe.NewServices()
 	e.own = feed.New(e.self.Incarnation, e.timer)
 	e.zone = feed.NewUnion(feed.New(e.self.Incarnation, e.timer))
 	e.recorder = daily.NewRecorder(e.timer, e.settings.Entry.Location)
@@ -161,6 +164,7 @@
 	e.spawn(e.countIdle)
 	e.spawn(e.meetSeeds)
 	e.spawn(e.followTargets)
+	e.spawn(e.probes.Run)
 	e.spawn(e.becomeReady)
 	e.log.Info().Str("entry", e.self.ID).Str("zone", e.self.Zone).
 		Str("callers", e.Addr(ListenerCallers).String()).
--- a/internal/entry/observe.go
+++ b/internal/entry/observe.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"net/netip"
-
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 	"chivecroft.example/chivecroft/internal/transport/front"
 	"chivecroft.example/chivecroft/internal/transport/meter"
@@ -15,27 +13,13 @@
 		Room:     e.room,
 		Limits:   e.limits,
 		Claims:   e.claims,
-		Engine:   e.callerEngine(),
+		Engine:   e.watchedEngines(),
 		Services: e.services,
 		Timer:    e.timer,
 		Observe:  e.observe,
 	}
 }
 
-func (e *Entry) callerEngine() callerEngine {
-	return callerEngine{
-		client: e.engines,
-		used:   func(at netip.AddrPort) { e.used.use(at, e.timer.Now()) },
-		left: func(at netip.AddrPort) {
-			for _, t := range *e.view.targets.Load() {
-				if t.Addr == at {
-					e.tellLeaving(t.ID)
-				}
-			}
-		},
-	}
-}
-
 // observe counts the outcome of a request for the day page and the metrics.
 func (e *Entry) observe(o front.Outcome) {
 	call := meter.Call{Service: o.Service, Tenant: o.Tenant, Class: o.Class}
--- a/internal/shell/commands.go
+++ b/internal/shell/commands.go
@@ -11,6 +11,8 @@
 	"github.com/gravitational/trace"
 	"github.com/phuslu/log"
 
+	"chivecroft.example/chivecroft/internal/bench"
+	"chivecroft.example/chivecroft/internal/bench/local"
 	"chivecroft.example/chivecroft/internal/coordination/daily"
 	"chivecroft.example/chivecroft/internal/demo"
 	"chivecroft.example/chivecroft/internal/entry"
@@ -29,9 +31,21 @@
 	Status  StatusCmd    `cmd:"" help:"Show how an entry sees the deployment."`
 	Day     DayCmd       `cmd:"" help:"Show whether a day went well."`
 	Drain   DrainCmd     `cmd:"" help:"Drain an entry, a target or an availability zone."`
+	Bench   BenchCmd     `cmd:"" help:"Measure: load and faults, policies, slopes."`
 	Standin cmds.Standin `cmd:"" help:"Run a small stand-in of an outside system."`
 }
 
+// BenchCmd are the measurements.
+type BenchCmd struct {
+	Run bench.Cmd `cmd:"" default:"withargs" help:"Play load and faults against a deployment, its own or a running one."`
+}
+
+// BeforeApply lets the load tool start a deployment of its own.
+func (b *BenchCmd) BeforeApply() error {
+	b.Run.Deploy = local.Deploy
+	return nil
+}
+
 // EntryCmd runs an entry.
 type EntryCmd struct {
 	Config string `help:"INI file of settings." required:"" type:"path" placeholder:"FILE"`
