Send orders over fresh connections and shorten the timeout of reports

Cause: with the kept connections of one target frozen, an order was lost on one of them for the whole 5 s of its timeout and its end was unknown; reports, by which an owner learns that a load is done, waited as long.

Orders that change something now get a connection of their own; they are rare beside the requests. Reports stay on kept connections with the timeout of the small calls (2 s). TestOrderOverSilentConnection was seen failing with the fresh connections taken out (the fence ended unknown).

Weighed: asking for a sign of life on a new connection while an order is unanswered, which ends it sooner but still as unknown.

--- a/internal/transport/engine/client.go
+++ b/internal/transport/engine/client.go
@@ -33,7 +33,9 @@
 	config *tls.Config
 	dialer *gate.Dialer
 	http   *http.Client
-	timer  timer.Service
+	// fresh opens a connection for each call and keeps none.
+	fresh *http.Client
+	timer timer.Service
 
 	orderTimeout time.Duration
 	callTimeout  time.Duration
@@ -81,6 +83,9 @@
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.http = &http.Client{Transport: c.dialer.Transport(c.config), CheckRedirect: noRedirect}
+	fresh := c.dialer.Transport(c.config)
+	fresh.DisableKeepAlives = true
+	c.fresh = &http.Client{Transport: fresh, CheckRedirect: noRedirect}
 	return c
 }
 
@@ -134,7 +139,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.callTimeout)
 	defer cancel()
 	ctx, call := gate.Track(ctx, nil)
-	resp, err := c.send(ctx, at, method, path, in)
+	resp, err := c.send(ctx, c.http, at, method, path, in)
 	if err != nil {
 		sent := call.Seal()
 		c.suspect(at, err)
@@ -160,7 +165,7 @@
 	return nil
 }
 
-func (c *Client) send(ctx context.Context, at netip.AddrPort, method, path string, in any) (*http.Response, error) {
+func (c *Client) send(ctx context.Context, over *http.Client, at netip.AddrPort, method, path string, in any) (*http.Response, error) {
 	var body io.Reader
 	if in != nil {
 		data, err := json.Marshal(in)
@@ -176,7 +181,7 @@
 	if in != nil {
 		req.Header.Set("Content-Type", "application/json")
 	}
-	return c.http.Do(req)
+	return over.Do(req)
 }
 
 // refusal reads the body of an answer that is not a success. Without a whole
--- a/internal/transport/engine/client_test.go
+++ b/internal/transport/engine/client_test.go
@@ -19,6 +19,7 @@
 
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 	"chivecroft.example/chivecroft/internal/protocol/wire"
+	"chivecroft.example/chivecroft/internal/stand/target"
 	"chivecroft.example/chivecroft/internal/state/timer"
 )
 
@@ -352,3 +353,32 @@
 		t.Error("a cut load report is taken")
 	}
 }
+
+// TestOrderOverSilentConnection freezes the kept connections to an engine: an
+// order must arrive all the same, and a report costs one short timeout.
+func TestOrderOverSilentConnection(t *testing.T) {
+	s := target.New()
+	at, err := s.Start(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	c := New(WithTimeouts(2*time.Second, testTimeout))
+	defer c.Close()
+	order(t, c, at, ports.Order{Kind: ports.OrderReport})
+	if s.Freeze() == 0 {
+		t.Fatal("no connection was kept")
+	}
+	begin := time.Now()
+	var got []ports.OrderStatus
+	for _, kind := range []ports.OrderKind{ports.OrderFence, ports.OrderReport, ports.OrderReport} {
+		got = append(got, order(t, c, at, ports.Order{Kind: kind, Epoch: 2}).Status)
+	}
+	want := []ports.OrderStatus{ports.OrderTaken, ports.OrderUnknown, ports.OrderTaken}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("a fence and two reports (-want +got):\n%s", diff)
+	}
+	if took := time.Since(begin); took > time.Second {
+		t.Errorf("they took %v", took)
+	}
+}
--- a/internal/transport/engine/order.go
+++ b/internal/transport/engine/order.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"github.com/gravitational/trace"
 
@@ -34,13 +35,28 @@
 	}()
 }
 
+// route returns the client and the time that an order gets.
+//
+// A kept connection may have gone silent, and an order that is lost on it costs
+// its whole timeout and leaves its end unknown. Orders that change something
+// are rare beside the requests, so each gets a connection that was opened for
+// it. Reports are frequent and change nothing: they go over kept connections,
+// with a shorter timeout, after which the others to that engine are retired.
+func (c *Client) route(order ports.Order) (*http.Client, time.Duration) {
+	if order.Kind == ports.OrderReport {
+		return c.http, c.callTimeout
+	}
+	return c.fresh, c.orderTimeout
+}
+
 // order sends an order whose time is checked immediately before each write to
 // the socket: time spent on dialling or on a busy machine counts too.
 func (c *Client) order(to netip.AddrPort, order ports.Order) ports.OrderReply {
-	ctx, cancel := context.WithTimeout(c.ctx, c.orderTimeout)
+	over, limit := c.route(order)
+	ctx, cancel := context.WithTimeout(c.ctx, limit)
 	defer cancel()
 	ctx, call := gate.Track(ctx, func() error { return c.inTime(order) })
-	resp, err := c.send(ctx, to, http.MethodPost, wire.PathOrder, order)
+	resp, err := c.send(ctx, over, to, http.MethodPost, wire.PathOrder, order)
 	if err != nil {
 		sent := call.Seal()
 		c.suspect(to, err)
