target: look up one replica for a request instead of copying the whole state

The stand-in copied all replicas and all cached checkpoints for each request to check one replica, which grows with the size of the catalogue and counts against whatever is measured through it. engmem gains Replica for it (a small addition to the seam).

--- a/internal/stand/engmem/engine.go
+++ b/internal/stand/engmem/engine.go
@@ -88,6 +88,20 @@
 	return e.snapshot()
 }
 
+// Replica returns what the engine reports of one replica, and false if it has
+// none of that name.
+func (e *Engine) Replica(id string) (ports.ReplicaState, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := e.replicas[id]
+	if r == nil {
+		return ports.ReplicaState{}, false
+	}
+	state := r.ReplicaState
+	state.Adapters = slices.Clone(state.Adapters)
+	return state, true
+}
+
 // Record returns what happened so far.
 func (e *Engine) Record() Record {
 	e.mu.Lock()
--- a/internal/stand/target/generate.go
+++ b/internal/stand/target/generate.go
@@ -52,13 +52,11 @@
 
 // unfit says why the replica can't serve a request, empty if it can.
 func (s *Server) unfit(req wire.GenerateRequest) string {
-	for _, r := range s.engine.State().Replicas {
-		if r.Replica != req.Replica {
-			continue
-		}
-		return unfitFor(r, req)
+	r, ok := s.engine.Replica(req.Replica)
+	if !ok {
+		return wire.ReasonNoReplica
 	}
-	return wire.ReasonNoReplica
+	return unfitFor(r, req)
 }
 
 func unfitFor(r ports.ReplicaState, req wire.GenerateRequest) string {
--- a/internal/stand/target/server_test.go
+++ b/internal/stand/target/server_test.go
@@ -146,3 +146,33 @@
 		t.Errorf("executions (-want +got):\n%s", diff)
 	}
 }
+
+// BenchmarkGenerate is one warm answer of the stand-in, through the client.
+func BenchmarkGenerate(b *testing.B) {
+	s := New(WithDelays(0, 0), WithLoadTime(func(string) time.Duration { return 0 }), WithConcurrency(64))
+	addr, err := s.Start(b.Context(), loopback)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer s.Close()
+	c := engine.New()
+	defer c.Close()
+	s.Order(ports.Order{Kind: ports.OrderLoad, Replica: "r1", Model: "menu", Checkpoint: "menu-1", MemoryBytes: 1})
+	for s.Engine().State().Replicas[0].Phase != ports.PhaseReady {
+		time.Sleep(time.Millisecond)
+	}
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			stream, err := c.Generate(b.Context(), addr, ask("a"))
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			if _, err := read(b.Context(), stream); err != nil {
+				b.Error(err)
+				return
+			}
+		}
+	})
+}
