bench: report the use of accelerators, go on to the next entry as a balancer does

A call that gets no connection is "unreached", not "lost": nothing was sent, and behind a balancer it goes to another entry, as it now does here.

--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -95,6 +95,8 @@
 	RunsChecked bool `json:"runsChecked"`
 	Doubled     int  `json:"doubled"`
 	FalseNotRun int  `json:"falseNotRun"`
+	// Accelerators is how the accelerators were used; nil if it was not watched.
+	Accelerators *Accelerators `json:"accelerators,omitempty"`
 	// CPUPerRequest is the entries' processor time over the number of requests;
 	// nil if it was not measured.
 	CPUPerRequest *time.Duration `json:"cpuPerRequestNanos,omitempty"`
@@ -186,9 +188,13 @@
 	return broken
 }
 
+func percent(share float64) string {
+	return fmt.Sprintf("%.1f%%", 100*share)
+}
+
 var (
 	kindOrder    = []ShotKind{ShotCold, ShotWarm, ShotLookup, ShotRunOnce}
-	verdictOrder = []Verdict{Served, Late, Refused, Unknown, Repeated, Cut, Wrong, Lost}
+	verdictOrder = []Verdict{Served, Late, Refused, Unknown, Repeated, Cut, Wrong, Unreached, Lost}
 )
 
 // Print writes the report as one table with what stands behind it.
@@ -238,6 +244,10 @@
 	if r.RunsChecked {
 		fmt.Fprintf(w, "run-once calls that ran twice: %d; that ran against their refusals: %d\n", r.Doubled, r.FalseNotRun)
 	}
+	if a := r.Accelerators; a != nil {
+		fmt.Fprintf(w, "accelerators over %v: %s busy, %s loading, %s idle, %s free; %d loads\n", a.Over.Round(time.Second),
+			percent(a.Busy), percent(a.Loading), percent(a.Idle), percent(a.Free), a.Loads)
+	}
 	if r.CPUPerRequest != nil {
 		fmt.Fprintf(w, "processor time of the entries: %v for each request\n", r.CPUPerRequest.Round(time.Microsecond))
 	}
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -21,12 +21,18 @@
 	}
 	r := newRunner(d, shape)
 	defer r.client.CloseIdleConnections()
+	if err := r.reach(ctx); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	before, cpuErr := cpuOf(ctx, r.client, d.Metrics)
+	idle := r.watchIdle(ctx)
 	r.play(ctx, plan)
+	used := idle()
 	if ctx.Err() != nil {
 		return nil, trace.Wrap(ctx.Err(), "run cut short")
 	}
 	report := r.record.report(shape.Name)
+	report.Accelerators = used
 	if after, err := cpuOf(ctx, r.client, d.Metrics); len(d.Metrics) > 0 && err == nil && cpuErr == nil {
 		report.addCPU(after - before)
 	}
@@ -59,6 +65,18 @@
 	return r
 }
 
+// reach fails if no entry takes a connection.
+func (r *runner) reach(ctx context.Context) error {
+	var last Answer
+	for _, c := range r.callers {
+		last = c.Models(ctx)
+		if last.Verdict != Unreached {
+			return nil
+		}
+	}
+	return trace.ConnectionProblem(nil, "no entry can be reached: %s", last.Reason)
+}
+
 // play starts each call at its time, whether earlier ones have ended or not:
 // callers do not wait for each other when a system gets slow.
 func (r *runner) play(ctx context.Context, plan Plan) {
@@ -77,8 +95,20 @@
 	r.record.took = time.Since(began)
 }
 
+// shoot makes a call at the shot's entry, or as a balancer would, at the next
+// one that takes the connection.
 func (r *runner) shoot(ctx context.Context, shot Shot) Answer {
-	caller := r.callers[shot.Entry%len(r.callers)]
+	var answer Answer
+	for n := range r.callers {
+		answer = r.shootAt(ctx, shot, r.callers[(shot.Entry+n)%len(r.callers)])
+		if answer.Verdict != Unreached {
+			break
+		}
+	}
+	return answer
+}
+
+func (r *runner) shootAt(ctx context.Context, shot Shot, caller *Caller) Answer {
 	switch shot.Kind {
 	case ShotLookup:
 		return caller.Call(ctx, Call{
--- a/internal/stand/target/doc.go
+++ b/internal/stand/target/doc.go
@@ -3,5 +3,5 @@
 // that anyone can compute with Answer.
 //
 // Besides the paths of package wire it serves GET /executions, GET /record,
-// POST /leave and /faults.
+// GET /state, POST /leave and /faults.
 package target
--- a/internal/stand/target/report.go
+++ b/internal/stand/target/report.go
@@ -67,6 +67,13 @@
 	fault.WriteJSON(w, http.StatusOK, s.engine.Record())
 }
 
+// serveState shows the state as it is, past all faults and lags.
+func (s *Server) serveState(w http.ResponseWriter, _ *http.Request) {
+	state := s.engine.State()
+	s.addLoad(&state)
+	fault.WriteJSON(w, http.StatusOK, state)
+}
+
 func (s *Server) serveLeave(w http.ResponseWriter, _ *http.Request) {
 	s.Leave()
 	w.WriteHeader(http.StatusNoContent)
--- a/internal/stand/target/server.go
+++ b/internal/stand/target/server.go
@@ -244,6 +244,7 @@
 	})
 	mux.HandleFunc("GET /executions", s.serveExecutions)
 	mux.HandleFunc("GET /record", s.serveRecord)
+	mux.HandleFunc("GET /state", s.serveState)
 	mux.HandleFunc("POST /leave", s.serveLeave)
 	mux.HandleFunc("/faults", func(w http.ResponseWriter, r *http.Request) { s.panel.ServeHTTP(w, r) })
 	return mux
