--- a/internal/coordination/owner/rig_test.go
+++ b/internal/coordination/owner/rig_test.go
@@ -53,6 +53,9 @@
 	nextAsk  uint64
 	events   []string
 	sent     []sentOrder
+	onWrite  func(*entry, ports.KVRequest)
+	onOrder  func(*entry, ports.Order)
+	onNote   func(*entry, any)
 	fault    string
 	removed  int
 	items    []ports.Item
@@ -255,6 +258,9 @@
 
 func (e *entry) listen(shard int, v any) {
 	r := e.rig
+	if r.onNote != nil {
+		r.onNote(e, v)
+	}
 	switch n := v.(type) {
 	case OwnershipChanged:
 		e.owned[shard] = n.Owned
@@ -338,6 +344,9 @@
 func (e *entry) gatedKV() ports.KV {
 	inc := e.incarnation
 	return kvFunc(func(req ports.KVRequest, done func(ports.KVReply)) {
+		if e.rig.onWrite != nil && world.KindOf(req) == "write" {
+			e.rig.onWrite(e, req)
+		}
 		e.kv.Call(req, func(r ports.KVReply) { e.gate(inc, func() { done(r) }) })
 	})
 }
@@ -345,6 +354,9 @@
 func (e *entry) gatedEngine() ports.Engine {
 	inc, side := e.incarnation, e.rig.net.From(e.member.Addr)
 	return orderFunc(func(to netip.AddrPort, o ports.Order, done func(ports.OrderReply)) {
+		if e.rig.onOrder != nil {
+			e.rig.onOrder(e, o)
+		}
 		e.rig.sent = append(e.rig.sent, sentOrder{e.rig.clock.Now(), e.member.ID, to, o})
 		side.Order(to, o, func(r ports.OrderReply) { e.gate(inc, func() { done(r) }) })
 	})
--- a/internal/coordination/owner/session.go
+++ b/internal/coordination/owner/session.go
@@ -1,7 +1,6 @@
 package owner
 
 import (
-	"fmt"
 	"time"
 
 	"chivecroft.example/chivecroft/internal/coordination/place"
@@ -76,7 +75,7 @@
 			then(lease{}, false)
 			return
 		}
-		l := lease{id: r.Lease, sent: sent, key: s.leaseKey()}
+		l := lease{id: r.Lease, sent: sent, key: "lease/" + s.nextNonce()}
 		s.kv(ports.KVPut{Key: l.key, Value: []byte(s.key()), Lease: l.id}, func(r ports.KVReply) {
 			if r.Status != ports.KVOK {
 				s.abandonLease(l)
@@ -88,11 +87,6 @@
 	})
 }
 
-func (s *Shard) leaseKey() string {
-	self := s.settings.Self
-	return fmt.Sprintf("lease/%s/%d/%s", self.ID, self.Incarnation, s.nextNonce())
-}
-
 // abandonLease ends a lease that nothing hangs on; a lost call only leaves it
 // to lapse.
 func (s *Shard) abandonLease(l lease) {
