--- /dev/null
+++ b/internal/coordination/permit/ledger_test.go
@@ -0,0 +1,108 @@
+package permit
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"chivecroft.example/chivecroft/internal/state/config"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20300102")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+func TestDecode(t *testing.T) {
+	expect := func(text, want string) {
+		t.Helper()
+		l, err := Decode([]byte(text))
+		got := fmt.Sprint(err)
+		if err == nil {
+			data, _ := Encode(l)
+			got = string(data)
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", text, diff)
+		}
+	}
+	expect(`{"format":1,"nonce":"n","resources":{"m":{"max":2,"version":3,"grants":{"a/0":1}}}}`,
+		`{"format":1,"nonce":"n","resources":{"m":{"max":2,"version":3,"grants":{"a/0":1}}}}`)
+	expect(`{"format":1,`, `permit ledger is damaged: unexpected end of JSON input`)
+	expect(`{"format":2,"future":1}`, `permit ledger has format 2, this program reads 1`)
+	expect(`{}`, `permit ledger has format 0, this program reads 1`)
+	expect(`{"format":1,"nonce":"n","future":1}`, `permit ledger is damaged: json: unknown field "future"`)
+	expect(`{"format":1,"nonce":"n"} {}`, `permit ledger is damaged: invalid character '{' after top-level value`)
+	expect(`{"format":1,"nonce":"n","resources":{"m":{"max":1,"version":1,"grants":{"a/0":-1}}}}`,
+		`permit ledger is damaged: m grants -1 to a/0`)
+}
+
+func TestOlderConfigurationDoesNotMoveTheLimit(t *testing.T) {
+	l := Ledger{}.Limit("m", 1, 7).Limit("m", 5, 6)
+	if diff := cmp.Diff(Resource{Max: 1, Version: 7}, l.Resources["m"]); diff != "" {
+		t.Errorf("resource (-want +got):\n%s", diff)
+	}
+}
+
+// TestLedger grants, releases and moves the limit at random. Grants stay within
+// the limit unless it was lowered, and then every shard giving back down to its
+// share, in any order, ends exactly at the limit.
+func TestLedger(t *testing.T) {
+	shards := []string{"a/0", "a/1", "b/0"}
+	rapid.Check(t, func(t *rapid.T) {
+		l := Ledger{}.Limit("m", 3, 1)
+		version := config.Version(1)
+		bound := 3
+		t.Repeat(map[string]func(*rapid.T){
+			"grant": func(t *rapid.T) {
+				shard, wanted := rapid.SampledFrom(shards).Draw(t, "shard"), rapid.IntRange(0, 5).Draw(t, "wanted")
+				had := l.Resources["m"].Grants[shard]
+				next, got := l.Grant("m", shard, wanted)
+				if got < had || got > max(had, wanted) || next.Resources["m"].Grants[shard] != got {
+					t.Fatalf("%d wanted, %d had, %d got, ledger %+v", wanted, had, got, next)
+				}
+				l = next
+			},
+			"release": func(t *rapid.T) {
+				l = l.Release("m", rapid.SampledFrom(shards).Draw(t, "shard"), rapid.IntRange(0, 3).Draw(t, "held"))
+			},
+			"limit": func(t *rapid.T) {
+				version++
+				l = l.Limit("m", rapid.IntRange(0, 6).Draw(t, "max"), version)
+			},
+			"": func(t *rapid.T) {
+				r := l.Resources["m"]
+				bound = max(r.Max, min(bound, r.Granted()))
+				if r.Granted() > bound {
+					t.Fatalf("%d granted, bound %d", r.Granted(), bound)
+				}
+				after := l
+				for _, shard := range rapid.Permutation(shards).Draw(t, "order") {
+					after = after.Release("m", shard, after.Resources["m"].Share(shard))
+				}
+				if got, want := after.Resources["m"].Granted(), min(r.Granted(), r.Max); got != want {
+					t.Fatalf("%d granted after giving back, want %d: %+v", got, want, r)
+				}
+			},
+		})
+	})
+}
+
+func TestBucketsKeepTheirResources(t *testing.T) {
+	l, _ := Ledger{}.Limit("m", 2, 1).Limit("n", 1, 1).Grant("m", "a/0", 1)
+	before := l.Resources["n"]
+	next, _ := l.Grant("m", "b/0", 1)
+	if diff := cmp.Diff(before, next.Resources["n"]); diff != "" {
+		t.Errorf("untouched resource (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]string{"a/0"}, slices.Sorted(maps.Keys(l.Resources["m"].Grants))); diff != "" {
+		t.Errorf("the earlier ledger changed (-want +got):\n%s", diff)
+	}
+}
--- a/internal/coordination/place/plan.go
+++ b/internal/coordination/place/plan.go
@@ -74,15 +74,6 @@
 	Replicas []Replica `json:"replicas,omitempty"`
 }
 
-// Charge returns the memory charged on the target.
-func (t Target) Charge() uint64 {
-	var sum uint64
-	for _, r := range t.Replicas {
-		sum += r.Charge()
-	}
-	return sum
-}
-
 // Holder is the entry that owns a shard, with the lease that its ownership
 // hangs on; an empty Instance means that nobody does.
 type Holder struct {
@@ -106,17 +97,6 @@
 	Targets map[string]Target `json:"targets,omitempty"`
 }
 
-// Spent counts the replicas by model, each of which takes a permit.
-func (p Plan) Spent() map[string]int {
-	spent := make(map[string]int)
-	for _, t := range p.Targets {
-		for _, r := range t.Replicas {
-			spent[r.Model]++
-		}
-	}
-	return spent
-}
-
 // TargetIDs returns the targets in order.
 func (p Plan) TargetIDs() []string {
 	ids := make([]string, 0, len(p.Targets))
