Audit the ledgers after a takeover; keep a limit due until it is written

Nonces count for themselves instead of sharing the tags' counter, so that the golden file changes with the session alone.

--- a/internal/coordination/owner/journal.go
+++ b/internal/coordination/owner/journal.go
@@ -222,9 +222,9 @@
 
 // nextNonce is unique for all time: no two incarnations share an instance's name and number.
 func (s *Shard) nextNonce() string {
-	s.lastTag++
+	s.lastNonce++
 	self := s.settings.Self
-	return fmt.Sprintf("%s/%d/%d-%d", self.ID, self.Incarnation, s.settings.Shard, s.lastTag)
+	return fmt.Sprintf("%s/%d/%d-%d", self.ID, self.Incarnation, s.settings.Shard, s.lastNonce)
 }
 
 // plan is the value to be written now.
--- a/internal/coordination/owner/permits.go
+++ b/internal/coordination/owner/permits.go
@@ -198,15 +198,10 @@
 	return place.ShardOf(resource, s.settings.LedgerBuckets)
 }
 
-func bucketKey(n int) string {
-	return fmt.Sprintf("permit/%d", n)
-}
+const ledgerPrefix = "permit/"
 
-// reviewAllLimits compares every maximum with the ledger after a takeover.
-func (s *Shard) reviewAllLimits() {
-	for resource := range s.permits.held {
-		s.permits.limits[resource] = true
-	}
+func bucketKey(n int) string {
+	return fmt.Sprintf("%s%d", ledgerPrefix, n)
 }
 
 // reviewLimits marks the resources whose maximum a new configuration changes.
@@ -408,8 +403,12 @@
 
 // applyShare sets a quota where a lowered maximum takes permits back.
 func (s *Shard) applyShare(resource string, l permit.Ledger) {
-	delete(s.permits.limits, resource)
 	r := l.Resources[resource]
+	if r.Version <= s.config.Version && r.Max != s.maximum(resource) {
+		// The configuration changed while the write was under way.
+		return
+	}
+	delete(s.permits.limits, resource)
 	if r.Grants[s.name()] > s.atMost(resource) {
 		s.reconcile(resource)
 	}
--- a/internal/coordination/owner/shard.go
+++ b/internal/coordination/owner/shard.go
@@ -43,8 +43,9 @@
 	// ticked means that the slow reviews are due.
 	ticked bool
 
-	lastTag ports.Tag
-	waiting map[ports.Tag]func(ports.Event)
+	lastTag   ports.Tag
+	lastNonce uint64
+	waiting   map[ports.Tag]func(ports.Event)
 
 	config  *config.Config
 	members map[string]ports.Member
