--- a/internal/coordination/owner/rig_test.go
+++ b/internal/coordination/owner/rig_test.go
@@ -38,23 +38,28 @@
 // rig runs the shards of several entries in several zones on virtual time, and
 // knows the true state of everything.
 type rig struct {
-	size     rigSize
-	clock    *timer.Virtual
-	store    *kvmem.Store
-	net      *world.Net
-	list     *world.List
-	random   *rand.Rand
-	entries  []*entry
-	targets  []*machine
-	config   *config.Config
-	bound    map[string]int
-	starts   []time.Time
-	answers  map[uint64]ports.DemandReply
-	nextAsk  uint64
-	events   []string
-	sent     []sentOrder
-	fault    string
-	removed  int
+	size    rigSize
+	clock   *timer.Virtual
+	store   *kvmem.Store
+	net     *world.Net
+	list    *world.List
+	random  *rand.Rand
+	entries []*entry
+	targets []*machine
+	config  *config.Config
+	bound   map[string]int
+	starts  []time.Time
+	answers map[uint64]ports.DemandReply
+	nextAsk uint64
+	events  []string
+	sent    []sentOrder
+	onWrite func(*entry, ports.KVRequest)
+	onOrder func(*entry, ports.Order)
+	onNote  func(*entry, any)
+	fault   string
+	removed int
+	// deleted means that an operator deleted a shard's value.
+	deleted  bool
 	items    []ports.Item
 	dumpedAt int
 	// decoded are the values read so far, by revision.
@@ -71,13 +76,14 @@
 	order ports.Order
 }
 
-// machine is a target with the engines of all its boots.
+// machine is a target with the engine of its present boot.
 type machine struct {
-	row     ports.Instance
-	fenced  bool
-	engine  *engmem.Engine
-	past    []*engmem.Engine
-	boots   int
+	row    ports.Instance
+	fenced bool
+	engine *engmem.Engine
+	boots  int
+	// state is the engine's true state at the check under way.
+	state   ports.TargetState
 	removed bool
 	failing bool
 	slow    time.Duration
@@ -182,9 +188,6 @@
 
 // boot starts a target's engine anew, empty.
 func (r *rig) boot(m *machine) {
-	if m.engine != nil {
-		m.past = append(m.past, m.engine)
-	}
 	m.boots++
 	m.engine = engmem.NewEngine(m.row.ID, fmt.Sprintf("boot-%d", m.boots), r.size.memoryBytes, r.loader(m), engmem.WithFencing(m.fenced))
 	r.net.AddEngine(m.row.Addr, m.engine)
@@ -255,6 +258,9 @@
 
 func (e *entry) listen(shard int, v any) {
 	r := e.rig
+	if r.onNote != nil {
+		r.onNote(e, v)
+	}
 	switch n := v.(type) {
 	case OwnershipChanged:
 		e.owned[shard] = n.Owned
@@ -338,6 +344,9 @@
 func (e *entry) gatedKV() ports.KV {
 	inc := e.incarnation
 	return kvFunc(func(req ports.KVRequest, done func(ports.KVReply)) {
+		if e.rig.onWrite != nil && world.KindOf(req) == "write" {
+			e.rig.onWrite(e, req)
+		}
 		e.kv.Call(req, func(r ports.KVReply) { e.gate(inc, func() { done(r) }) })
 	})
 }
@@ -345,6 +354,9 @@
 func (e *entry) gatedEngine() ports.Engine {
 	inc, side := e.incarnation, e.rig.net.From(e.member.Addr)
 	return orderFunc(func(to netip.AddrPort, o ports.Order, done func(ports.OrderReply)) {
+		if e.rig.onOrder != nil {
+			e.rig.onOrder(e, o)
+		}
 		e.rig.sent = append(e.rig.sent, sentOrder{e.rig.clock.Now(), e.member.ID, to, o})
 		side.Order(to, o, func(r ports.OrderReply) { e.gate(inc, func() { done(r) }) })
 	})
