member: ask for old records by sending them; relay: spare the link at a restart

Two mechanisms survived being taken out (list lag, cut links). The test written for the second, one entry of 60 cut towards half of its zone, failed even with it: late beats made the entry silent beyond 20 s (TestCutLinksInALargeZone). Cause: a random choice of records leaves some record unsent for long. Now half of the slots of a question hold the records that are oldest at the asker, and the answer begins with those of them that are newer at the answerer; the size of messages does not change.

--- a/internal/coordination/member/member_test.go
+++ b/internal/coordination/member/member_test.go
@@ -157,6 +157,39 @@
 	}
 }
 
+// TestCutLinksInALargeZone cuts what one entry sends to half of its zone. Beats
+// come by way of the others, at times late, while all calls from that half fail.
+func TestCutLinksInALargeZone(t *testing.T) {
+	f := started(10, 1, 60)
+	f.Timer.Advance(20 * time.Second)
+	half := f.Entries[0]
+	for _, e := range f.Entries[1:31] {
+		f.Net.Cut(half.Self.Addr, e.Self.Addr, true)
+	}
+	f.Timer.Advance(time.Minute)
+	for range 60 {
+		f.Timer.Advance(time.Second)
+		wantPhase(t, f.Entries, half, ports.MemberAlive)
+	}
+}
+
+// TestUnlistedEntryIsNotGoneAtOnce freezes an entry that the lagging list does
+// not show yet: it is silent, and nobody may conclude that it is gone.
+func TestUnlistedEntryIsNotGoneAtOnce(t *testing.T) {
+	f := started(11, 1, 4, fleet.WithListLag(30*time.Second))
+	young := f.Entries[3]
+	young.Stop()
+	f.Relist()
+	f.Timer.Advance(time.Minute)
+	young.Start()
+	f.Relist()
+	f.Timer.Advance(3 * time.Second)
+	wantPhase(t, f.Entries, young, ports.MemberAlive)
+	young.Freeze()
+	f.Timer.Advance(24 * time.Second)
+	wantPhase(t, f.Entries, young, ports.MemberSilent)
+}
+
 // TestCutZonesFindEachOtherAgain cuts two zones for an hour, after which neither
 // remembers the other.
 func TestCutZonesFindEachOtherAgain(t *testing.T) {
--- a/internal/coordination/member/part.go
+++ b/internal/coordination/member/part.go
@@ -135,7 +135,7 @@
 	p.view.sweep(now)
 	effects := []ports.Effect{ports.ArmTimer{Tag: tickTag, After: tickPeriod}}
 	if to, ok := p.neighbour(now); ok {
-		effects = append(effects, p.send(to, p.zoneMessage()))
+		effects = append(effects, p.send(to, p.question()))
 	}
 	if to, ok := p.stranger(); ok {
 		effects = append(effects, p.send(to, p.summary()))
@@ -251,7 +251,7 @@
 	case len(e.Gossip.Members) == 0:
 		answer = p.everything()
 	case e.Gossip.From.Zone == p.self.Zone:
-		answer = p.zoneMessage()
+		answer = p.reply(e.Gossip.Members)
 	}
 	return append(effects, ports.Note{Value: GossipAnswered{ID: e.ID, Gossip: answer}})
 }
--- a/internal/coordination/relay/chase.go
+++ b/internal/coordination/relay/chase.go
@@ -105,7 +105,7 @@
 	if len(zone) > 0 {
 		return p.oneOf(zone), true
 	}
-	if !p.onDuty() && p.now.Sub(p.chase.since) < foreignWait {
+	if !p.fetchesAbroad() && p.now.Sub(p.chase.since) < foreignWait {
 		return ports.Member{}, false
 	}
 	if len(region) > 0 {
@@ -117,6 +117,14 @@
 	return ports.Member{}, false
 }
 
+// fetchesAbroad reports whether this entry need not wait before it asks another
+// zone. One that has just started and is on duty reads the KV service first, as
+// long as that answers: a whole configuration is not for the link between regions.
+func (p *Part) fetchesAbroad() bool {
+	starting := p.config.Version == 0 && p.health.downSince.IsZero()
+	return p.onDuty() && !starting
+}
+
 // oneOf returns a random member, avoiding the one that failed last.
 func (p *Part) oneOf(members []ports.Member) ports.Member {
 	m := members[p.random.IntN(len(members))]
--- a/internal/coordination/relay/relay_test.go
+++ b/internal/coordination/relay/relay_test.go
@@ -260,6 +260,23 @@
 	}
 }
 
+// TestRestartOfAZoneSparesTheLink restarts a zone whose KV service answers: the
+// configuration must not come from other zones, perhaps over the narrow link.
+func TestRestartOfAZoneSparesTheLink(t *testing.T) {
+	f := started(t, 17, 4, 12)
+	v := accepted(t, f, f.Entries[0])
+	inForce(t, f, f.Entries, v)
+	others := append(f.Zone(0), append(f.Zone(1), f.Zone(2)...)...)
+	before := sentByAll(others)
+	for _, e := range f.Zone(3) {
+		e.Start()
+	}
+	t.Logf("back after %s", inForce(t, f, f.Entries, v))
+	if n := sentByAll(others) - before; n > 0 {
+		t.Errorf("other zones sent %d bytes of configuration", n)
+	}
+}
+
 func TestHistoryAndOldVersions(t *testing.T) {
 	f := started(t, 12, 1, 3)
 	var want []string
--- a/internal/coordination/relay/scale_test.go
+++ b/internal/coordination/relay/scale_test.go
@@ -22,7 +22,7 @@
 				f.SetKV(f.Zone(0), down)
 			}
 			f.Timer.Advance(time.Minute)
-			before, bytes := f.Calls(), configBytes(f)
+			before, bytes := f.Calls(), sentByAll(f.Entries)
 			var sum, longest time.Duration
 			for i := range patches {
 				v := accepted(t, f, f.Entries[len(f.Entries)-1-i%size.perZone])
@@ -36,7 +36,7 @@
 			t.Logf("%3d entries, %d zones, zone cut from the KV service: %5t: in force after %s on average, at most %s; "+
 				"%.2f reads/s, %.2f writes/s, %.2f watches/s; %d bytes of patches an entry and patch",
 				len(f.Entries), size.zones, cut, (sum / patches).Round(time.Millisecond), longest,
-				rate("read"), rate("write"), rate("watch"), (configBytes(f)-bytes)/patches/len(f.Entries))
+				rate("read"), rate("write"), rate("watch"), (sentByAll(f.Entries)-bytes)/patches/len(f.Entries))
 			// A zone has two watchers; each asks once for a patch and once a watch.
 			if limit := float64(size.zones) * 2; rate("watch") > limit || (!cut && rate("read") > limit) {
 				t.Errorf("the KV service is asked more than twice a second for a zone")
@@ -45,9 +45,10 @@
 	}
 }
 
-func configBytes(f *fleet.Fleet) int {
+// sentByAll returns the bytes of configuration that some entries have sent.
+func sentByAll(entries []*fleet.Entry) int {
 	n := 0
-	for _, e := range f.Entries {
+	for _, e := range entries {
 		n += e.Sent.ConfigBytes
 	}
 	return n
