member: tests for the excused pause and the whole answer to starters

The pause was hidden by the gossip that waited for the frozen entry; the test now loses it, and without the mechanism the entry sees everybody silent on waking. Without the whole answer a starter in a zone of 60 knows 43 after 2 s.

--- a/internal/coordination/member/member_test.go
+++ b/internal/coordination/member/member_test.go
@@ -104,6 +104,17 @@
 	}
 }
 
+// TestStarterLearnsTheZoneAtOnce starts one entry of a large zone anew.
+func TestStarterLearnsTheZoneAtOnce(t *testing.T) {
+	f := started(12, 1, 60)
+	f.Timer.Advance(30 * time.Second)
+	f.Entries[9].Start()
+	f.Timer.Advance(2 * time.Second)
+	if n := len(seen(f.Entries[9])); n != 60 {
+		t.Errorf("after 2 s the entry knows %d of 60", n)
+	}
+}
+
 func TestLeavingSpreadsFast(t *testing.T) {
 	f := started(5, 2, 40)
 	f.Timer.Advance(20 * time.Second)
@@ -127,9 +138,12 @@
 	f := started(6, 1, 8)
 	f.Timer.Advance(20 * time.Second)
 	frozen := f.Entries[3]
+	// What others send to it meanwhile is lost, as it is when buffers are full.
+	f.Cut([]*fleet.Entry{frozen}, f.Entries, true)
 	frozen.Freeze()
 	f.Timer.Advance(5 * time.Minute)
 	wantPhase(t, f.Entries, frozen, ports.MemberSilent)
+	f.Cut([]*fleet.Entry{frozen}, f.Entries, false)
 	frozen.Thaw()
 	for range 20 {
 		for _, other := range f.Entries {
