--- a/internal/coordination/member/member_test.go
+++ b/internal/coordination/member/member_test.go
@@ -104,6 +104,17 @@
 	}
 }
 
+// TestStarterLearnsTheZoneAtOnce starts one entry of a large zone anew.
+func TestStarterLearnsTheZoneAtOnce(t *testing.T) {
+	f := started(12, 1, 60)
+	f.Timer.Advance(30 * time.Second)
+	f.Entries[9].Start()
+	f.Timer.Advance(2 * time.Second)
+	if n := len(seen(f.Entries[9])); n != 60 {
+		t.Errorf("after 2 s the entry knows %d of 60", n)
+	}
+}
+
 func TestLeavingSpreadsFast(t *testing.T) {
 	f := started(5, 2, 40)
 	f.Timer.Advance(20 * time.Second)
@@ -127,9 +138,12 @@
 	f := started(6, 1, 8)
 	f.Timer.Advance(20 * time.Second)
 	frozen := f.Entries[3]
+	// What others send to it meanwhile is lost, as it is when buffers are full.
+	f.Cut([]*fleet.Entry{frozen}, f.Entries, true)
 	frozen.Freeze()
 	f.Timer.Advance(5 * time.Minute)
 	wantPhase(t, f.Entries, frozen, ports.MemberSilent)
+	f.Cut([]*fleet.Entry{frozen}, f.Entries, false)
 	frozen.Thaw()
 	for range 20 {
 		for _, other := range f.Entries {
@@ -157,6 +171,39 @@
 	}
 }
 
+// TestCutLinksInALargeZone cuts what one entry sends to half of its zone. Beats
+// come by way of the others, at times late, while all calls from that half fail.
+func TestCutLinksInALargeZone(t *testing.T) {
+	f := started(10, 1, 60)
+	f.Timer.Advance(20 * time.Second)
+	half := f.Entries[0]
+	for _, e := range f.Entries[1:31] {
+		f.Net.Cut(half.Self.Addr, e.Self.Addr, true)
+	}
+	f.Timer.Advance(time.Minute)
+	for range 60 {
+		f.Timer.Advance(time.Second)
+		wantPhase(t, f.Entries, half, ports.MemberAlive)
+	}
+}
+
+// TestUnlistedEntryIsNotGoneAtOnce freezes an entry that the lagging list does
+// not show yet: it is silent, and nobody may conclude that it is gone.
+func TestUnlistedEntryIsNotGoneAtOnce(t *testing.T) {
+	f := started(11, 1, 4, fleet.WithListLag(30*time.Second))
+	young := f.Entries[3]
+	young.Stop()
+	f.Relist()
+	f.Timer.Advance(time.Minute)
+	young.Start()
+	f.Relist()
+	f.Timer.Advance(3 * time.Second)
+	wantPhase(t, f.Entries, young, ports.MemberAlive)
+	young.Freeze()
+	f.Timer.Advance(24 * time.Second)
+	wantPhase(t, f.Entries, young, ports.MemberSilent)
+}
+
 // TestCutZonesFindEachOtherAgain cuts two zones for an hour, after which neither
 // remembers the other.
 func TestCutZonesFindEachOtherAgain(t *testing.T) {
