--- a/internal/coordination/route/pick.go
+++ b/internal/coordination/route/pick.go
@@ -177,7 +177,7 @@
 			s.add(p.random, r, m.homes.has(q.Prefix, r.row.ID), now)
 		}
 	}
-	return s.choice(now), usable
+	return s.choice(p.random, now), usable
 }
 
 // sample keeps two random replicas of those that have room, each pair as likely
@@ -204,10 +204,15 @@
 	}
 }
 
-func (s *sample) choice(now time.Time) *replica {
+func (s *sample) choice(random *rand.Rand, now time.Time) *replica {
 	if s.seen == 0 {
 		return nil
 	}
+	if s.seen > 1 && random.IntN(2) == 0 {
+		// Equal costs go to the first, and sampling puts some replicas there
+		// more often than others.
+		s.two[0], s.two[1] = s.two[1], s.two[0]
+	}
 	best, cost := s.two[0], s.two[0].cost(now)
 	if second := s.two[1]; second != nil {
 		if c := second.cost(now); c < cost {
--- a/internal/transport/front/wire_test.go
+++ b/internal/transport/front/wire_test.go
@@ -111,7 +111,7 @@
 // TestGoroutinesReturn cancels thousands of callers at all moments.
 func TestGoroutinesReturn(t *testing.T) {
 	r, server, _ := serveRig(t)
-	r.engine.pause = time.Millisecond
+	long := strings.Replace(tenTokens, `"max_tokens":10`, `"max_tokens":1000`, 1)
 	client := server.Client()
 	before := runtime.NumGoroutine()
 	const callers, each = 50, 200
@@ -120,7 +120,7 @@
 		wg.Go(func() {
 			for j := range each {
 				ctx, cancel := context.WithTimeout(t.Context(), time.Duration((i*each+j)%12)*time.Millisecond)
-				req, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL+"/v1/chat/completions", strings.NewReader(tenTokens))
+				req, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL+"/v1/chat/completions", strings.NewReader(long))
 				if err != nil {
 					t.Error(err)
 				}
