Find the capacity of plain services, and test limits by themselves

The adaptive limit took a standing queue for the usual latency: driven with a back end of 20 places it settled at 209, and at 200 with a lower start.

Limits shared over entries are tested with the errors that they have: a tenant whose calls come to one of four entries gets a quarter, an entry that has not heard of three others grants the whole (175 of 100 a second in all).

A hedge that loses is not counted against its target any more, headers that override the method are dropped, and a service that may run without a claim is tested over a KV outage.

--- /dev/null
+++ b/internal/coordination/admit/admit_test.go
@@ -0,0 +1,161 @@
+package admit_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"chivecroft.example/chivecroft/internal/coordination/admit"
+	"chivecroft.example/chivecroft/internal/state/config"
+)
+
+var start = time.Unix(1000, 0)
+
+// TestSharedLimits plays a zone of four entries and counts what a tenant gets,
+// also while an entry has a wrong idea of how many there are.
+func TestSharedLimits(t *testing.T) {
+	tenant := config.Tenant{RequestsPerSecond: 100, Concurrency: 40}
+	table := []struct {
+		name string
+		// known is what each entry takes for the number of entries, calls how
+		// often the tenant calls each in a second, spread evenly.
+		known, calls []int
+		rate         int
+		concurrency  int
+	}{
+		{"even", []int{4, 4, 4, 4}, []int{100, 100, 100, 100}, 100, 40},
+		{"all at one entry", []int{4, 4, 4, 4}, []int{400, 0, 0, 0}, 25, 10},
+		{"one has not heard of the others", []int{1, 4, 4, 4}, []int{400, 100, 100, 100}, 175, 70},
+		{"two have died unnoticed", []int{4, 4, 0, 0}, []int{200, 200, 0, 0}, 50, 20},
+	}
+	for _, c := range table {
+		t.Run(c.name, func(t *testing.T) {
+			rate, concurrency := 0, 0
+			for i, known := range c.known {
+				if known == 0 {
+					continue
+				}
+				limits := admit.NewLimits()
+				limits.SetEntries(known)
+				rate += grants(limits, config.Tenant{RequestsPerSecond: tenant.RequestsPerSecond}, c.calls[i])
+				concurrency += held(limits, config.Tenant{Concurrency: tenant.Concurrency}, c.calls[i])
+			}
+			got := fmt.Sprint(rate, " a second, ", concurrency, " at a time")
+			want := fmt.Sprint(c.rate, " a second, ", c.concurrency, " at a time")
+			if diff := cmp.Diff(want, got); diff != "" {
+				t.Errorf("granted (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// grants counts the calls let through in the second after the burst is spent.
+func grants(l *admit.Limits, tenant config.Tenant, calls int) int {
+	granted := 0
+	for second := range 2 {
+		granted = 0
+		for i := range calls {
+			now := start.Add(time.Duration(second)*time.Second + time.Duration(i)*time.Second/time.Duration(calls))
+			if release, refused := l.Admit("vendors", tenant, now); refused == nil {
+				granted++
+				release()
+			}
+		}
+	}
+	return granted
+}
+
+// held counts the calls let through that do not end.
+func held(l *admit.Limits, tenant config.Tenant, calls int) int {
+	n := 0
+	for range calls {
+		if _, refused := l.Admit("clerks", tenant, start); refused == nil {
+			n++
+		}
+	}
+	return n
+}
+
+// TestRetryAfterIsTrue comes back when a refusal says, and is let through.
+func TestRetryAfterIsTrue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := admit.NewLimits()
+		l.SetEntries(rapid.IntRange(1, 9).Draw(t, "entries"))
+		tenant := config.Tenant{RequestsPerSecond: rapid.Float64Range(0.1, 500).Draw(t, "rate")}
+		now := start
+		for range rapid.IntRange(1, 300).Draw(t, "calls") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "gap")) * time.Millisecond)
+			_, refused := l.Admit("vendors", tenant, now)
+			if refused == nil {
+				continue
+			}
+			now = now.Add(refused.RetryAfter + time.Microsecond)
+			if _, again := l.Admit("vendors", tenant, now); again != nil {
+				t.Fatalf("refused again after %v", refused.RetryAfter)
+			}
+		}
+	})
+}
+
+// TestShedderSparesBursts refuses nothing for a burst that is worked off, and
+// deferrable work first in a standing queue.
+func TestShedderSparesBursts(t *testing.T) {
+	var s admit.Shedder
+	now := start
+	run := func(steps int, wait func(i int) time.Duration) (deferrable, urgent int) {
+		for i := range steps {
+			now = now.Add(10 * time.Millisecond)
+			s.Observe(now, wait(i))
+			if s.Sheds(now, config.ClassDeferrable, false) {
+				deferrable++
+			}
+			if s.Sheds(now, config.ClassInteractive, false) {
+				urgent++
+			}
+		}
+		return deferrable, urgent
+	}
+	burst := func(i int) time.Duration { return time.Duration(i%10) * 50 * time.Millisecond }
+	standing := func(int) time.Duration { return 250 * time.Millisecond }
+	none := func(int) time.Duration { return 0 }
+	var got []string
+	for _, phase := range []func(int) time.Duration{burst, standing, standing, none, none, none, none} {
+		deferrable, urgent := run(200, phase)
+		got = append(got, fmt.Sprintf("deferrable %t, urgent %t", deferrable > 0, urgent > 0))
+	}
+	want := []string{
+		"deferrable false, urgent false", "deferrable true, urgent true", "deferrable true, urgent true",
+		// The pressure of 2 takes 5 s to go; its second unit goes first.
+		"deferrable true, urgent true", "deferrable true, urgent true",
+		"deferrable true, urgent false", "deferrable false, urgent false",
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("phases (-want +got):\n%s", diff)
+	}
+}
+
+// TestAdaptiveFindsCapacity drives a back end of unknown capacity with more
+// calls than it can take at once.
+func TestAdaptiveFindsCapacity(t *testing.T) {
+	for _, capacity := range []int{20, 200} {
+		t.Run(fmt.Sprint(capacity), func(t *testing.T) {
+			a := admit.NewAdaptive()
+			now := start
+			const service = 50 * time.Millisecond
+			for range 200_000 {
+				flying := a.Limit()
+				// Beyond its capacity the back end takes longer in proportion.
+				latency := service * time.Duration(max(flying, capacity)) / time.Duration(capacity)
+				now = now.Add(latency / time.Duration(flying))
+				a.Observe(now, latency, false, flying)
+			}
+			t.Logf("limit %d for a capacity of %d", a.Limit(), capacity)
+			if got := a.Limit(); got < capacity/2 || got > 4*capacity {
+				t.Errorf("limit %d for a capacity of %d", got, capacity)
+			}
+		})
+	}
+}
--- a/internal/coordination/once/once_test.go
+++ b/internal/coordination/once/once_test.go
@@ -169,6 +169,27 @@
 	}
 }
 
+// TestWithoutKV lets a service run unclaimed while the KV service is down: once
+// at each entry, and once over all from when the outcome is written.
+func TestWithoutKV(t *testing.T) {
+	w := newOnceWorld(1, 2, once.Settings{})
+	w.runTime, w.exact, w.withoutKV = 50*time.Millisecond, true, true
+	kind := func(entry int, then time.Duration) once.VerdictKind {
+		a := w.ask(entry, "k", "sum", time.Second)
+		w.clock.Advance(then)
+		return a.verdict.Kind
+	}
+	w.kv.down = 1
+	got := []once.VerdictKind{kind(0, 20*time.Millisecond), kind(0, 100*time.Millisecond), kind(0, time.Second)}
+	w.kv.down = 0
+	w.clock.Advance(2 * time.Second)
+	got = append(got, kind(1, time.Second))
+	want := []once.VerdictKind{once.VerdictRunUnclaimed, once.VerdictInProgress, once.VerdictOutcome, once.VerdictOutcome}
+	if diff := cmp.Diff(want, got); diff != "" || w.back.runs["k"] != 1 {
+		t.Errorf("%d runs, verdicts (-want +got):\n%s", w.back.runs["k"], diff)
+	}
+}
+
 // TestTrim keeps an outcome for the retention and no longer than needed.
 func TestTrim(t *testing.T) {
 	w := newOnceWorld(1, 2, once.Settings{Buckets: 1, Retention: time.Minute})
--- a/internal/coordination/once/world_test.go
+++ b/internal/coordination/once/world_test.go
@@ -96,6 +96,8 @@
 	refuse float64
 	// exact makes the gaps as long as their bounds.
 	exact bool
+	// withoutKV is the services' setting.
+	withoutKV bool
 }
 
 func newOnceWorld(seed uint64, entries int, settings once.Settings) *onceWorld {
@@ -148,7 +150,7 @@
 	e := w.entries[i]
 	e.waiting[w.next] = a
 	e.loop.Post(once.ClaimAsked{ID: w.next, Claim: once.Claim{
-		Service: "tickets", Tenant: "vendors", Key: key, BodySum: sum, Within: within,
+		Service: "tickets", Tenant: "vendors", Key: key, BodySum: sum, Within: within, WithoutKV: w.withoutKV,
 	}})
 	return a
 }
@@ -162,7 +164,7 @@
 	delete(e.waiting, v.ID)
 	a.verdict = &v.Verdict
 	a.answeredAt = e.world.clock.Now()
-	if v.Verdict.Kind == once.VerdictRun {
+	if v.Verdict.Kind == once.VerdictRun || v.Verdict.Kind == once.VerdictRunUnclaimed {
 		e.send(a, v.Verdict.Ticket)
 	}
 }
--- a/internal/transport/front/generate.go
+++ b/internal/transport/front/generate.go
@@ -201,7 +201,8 @@
 	}
 	for _, other := range g.legs {
 		if other != l {
-			g.drop(other, route.Result{Failed: true})
+			// The one that was there first and is overtaken has been silent.
+			g.drop(other, route.Result{Failed: other.began.Before(l.began)})
 		}
 	}
 	g.legs = []*leg{l}
--- a/internal/transport/front/service.go
+++ b/internal/transport/front/service.go
@@ -258,7 +258,7 @@
 				first, second = second, nil
 				continue
 			}
-			p.discard(second)
+			p.discard(second, route.Result{})
 			return r
 		case r := <-second:
 			if r.err != nil {
@@ -266,7 +266,7 @@
 				second = nil
 				continue
 			}
-			p.discard(first)
+			p.discard(first, route.Result{Failed: true})
 			return r
 		case <-timer.C:
 			second = p.hedge()
@@ -288,11 +288,11 @@
 }
 
 // discard gives up a call whose answer is not needed any more.
-func (p *passage) discard(answers <-chan *reply) {
+func (p *passage) discard(answers <-chan *reply, result route.Result) {
 	if answers == nil {
 		return
 	}
-	go func() { p.giveUp(<-answers, route.Result{Failed: true}) }()
+	go func() { p.giveUp(<-answers, result) }()
 }
 
 func (p *passage) giveUp(r *reply, result route.Result) {
@@ -381,8 +381,12 @@
 	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
-// callerHeaders are between the caller and the entry.
-var callerHeaders = []string{"Authorization", headerAPIKey, headerTenant, headerDeadline, headerRequestID, "Expect"}
+// callerHeaders are between the caller and the entry. Those that override the
+// method are dropped: the call's class was decided by the method that it has.
+var callerHeaders = []string{
+	"Authorization", headerAPIKey, headerTenant, headerDeadline, headerRequestID, "Expect",
+	"X-Http-Method-Override", "X-Http-Method", "X-Method-Override",
+}
 
 func forwarded(in http.Header) http.Header {
 	out := in.Clone()
