Let an answer that has begun go on, also for a tenant with few requests

Four callers at two real engines, one of which fails. A tenth of 16 requests is one or two, so that after a kill one caller of four got a part of its answer and an error, and after frozen connections one had its answer after 5.17 s.

Going on at the offset for the first time now costs no budget: the rest of the answer is owed in any case and nothing is generated twice. A stream beside a silent one may fall back on ten hedges for each tenant, refilled one a second. Repeats of a call that failed before its first token stay within the tenth (TestRetryBudget as it was). Weighed: a higher floor for all repeats, which a back end that fails would see.

Seen failing without the free resumption.

--- a/internal/transport/front/budget.go
+++ b/internal/transport/front/budget.go
@@ -1,6 +1,8 @@
 package front
 
 import (
+	"time"
+
 	"chivecroft.example/chivecroft/internal/state/shard"
 )
 
@@ -12,36 +14,70 @@
 	budgetStart = 1
 	// budgetMost bounds what is saved up in quiet times.
 	budgetMost = 100
+	// hedgeMost and hedgeEvery bound the hedges of a tenant that has earned
+	// nothing: so few requests that a tenth of them is none may still meet a
+	// connection that went silent.
+	hedgeMost  = 10
+	hedgeEvery = time.Second
 )
 
 // budgets bounds the sends beyond the first of each tenant to a tenth of its
 // requests, so that a back end which fails sees no storm of repeats.
 type budgets struct {
-	tenants *shard.Map[string, float64]
+	tenants *shard.Map[string, budget]
+}
+
+// budget is what a tenant may spend.
+type budget struct {
+	sends    float64
+	hedges   float64
+	filledAt time.Time
 }
 
 func newBudgets() *budgets {
-	return &budgets{tenants: shard.NewMap[string, float64]()}
+	return &budgets{tenants: shard.NewMap[string, budget]()}
 }
 
 func (b *budgets) earn(tenant string) {
-	b.tenants.Update(tenant, func(have float64, present bool) (float64, bool) {
+	b.tenants.Update(tenant, func(have budget, present bool) (budget, bool) {
 		if !present {
-			have = budgetStart
+			have = budget{sends: budgetStart, hedges: hedgeMost}
 		}
-		return min(have+budgetShare, budgetMost), true
+		have.sends = min(have.sends+budgetShare, budgetMost)
+		return have, true
 	})
 }
 
 // spend takes one send out of the tenant's budget if there is one in it.
 func (b *budgets) spend(tenant string) bool {
 	spent := false
-	b.tenants.Update(tenant, func(have float64, _ bool) (float64, bool) {
-		if have < 1 {
-			return have, true
+	b.tenants.Update(tenant, func(have budget, present bool) (budget, bool) {
+		spent = have.sends >= 1
+		if spent {
+			have.sends--
+		}
+		return have, present
+	})
+	return spent
+}
+
+// spendHedge is spend for a call that goes on beside the first, and may fall
+// back on the tenant's few hedges.
+func (b *budgets) spendHedge(tenant string, now time.Time) bool {
+	if b.spend(tenant) {
+		return true
+	}
+	spent := false
+	b.tenants.Update(tenant, func(have budget, present bool) (budget, bool) {
+		if !have.filledAt.IsZero() {
+			have.hedges = min(have.hedges+float64(now.Sub(have.filledAt))/float64(hedgeEvery), hedgeMost)
+		}
+		have.filledAt = now
+		spent = have.hedges >= 1
+		if spent {
+			have.hedges--
 		}
-		spent = true
-		return have - 1, true
+		return have, present
 	})
 	return spent
 }
--- a/internal/transport/front/fake_test.go
+++ b/internal/transport/front/fake_test.go
@@ -175,6 +175,8 @@
 	sender *plainSender
 	// services replaces sender.
 	services front.Services
+	// engines replaces engine.
+	engines front.Engine
 	// idle bounds callers that stall.
 	idle    time.Duration
 	store   *kvmem.Store
@@ -222,10 +224,13 @@
 	if r.services == nil {
 		r.services = r.sender
 	}
+	if r.engines == nil {
+		r.engines = r.engine
+	}
 	r.handler = front.New(front.Deps{
 		Config: func() *config.Config { return r.config },
 		Table:  r.table, Room: r.room, Limits: r.limits, Claims: r.driver,
-		Engine: r.engine, Services: r.services, Timer: clock,
+		Engine: r.engines, Services: r.services, Timer: clock,
 		Observe: r.observe, NewID: r.newID, ReadIdle: r.idle, WriteIdle: r.idle,
 	})
 	return r
--- a/internal/transport/front/generate.go
+++ b/internal/transport/front/generate.go
@@ -52,6 +52,7 @@
 	gone     []string
 	touched  []netip.AddrPort
 	attempts int
+	resumed  bool
 	probing  chan error
 	silent   *time.Timer
 	// once forbids every send after the first that may have run.
@@ -249,13 +250,24 @@
 	if g.once && len(g.touched) > 0 {
 		return false
 	}
-	if !problem.free && !g.call.h.budgets.spend(g.call.tenant) {
+	if !problem.free && !g.resumesOnce() && !g.call.h.budgets.spend(g.call.tenant) {
 		return false
 	}
 	g.call.out.Retries++
 	return true
 }
 
+// resumesOnce tells whether the answer has come on since the last attempt and is
+// gone on with for the first time, which costs no budget: the rest of the answer
+// is owed in any case and none of it is generated twice.
+func (g *generation) resumesOnce() bool {
+	if g.resumed || g.next == 0 {
+		return false
+	}
+	g.resumed = true
+	return true
+}
+
 // suspect asks the target for a sign of life, on another connection.
 func (g *generation) suspect() {
 	if len(g.legs) != 1 || g.probing != nil {
@@ -296,7 +308,7 @@
 // connection to the same replica.
 func (g *generation) hedge() {
 	c := g.call
-	if g.once || g.attempts >= attemptsMost || !c.h.budgets.spend(c.tenant) {
+	if g.once || g.attempts >= attemptsMost || !c.h.budgets.spendHedge(c.tenant, g.now()) {
 		return
 	}
 	current := g.legs[0].choice.Replica.ID
--- a/internal/transport/front/service.go
+++ b/internal/transport/front/service.go
@@ -276,7 +276,7 @@
 
 // hedge sends a repeatable call to a second instance if the budget allows.
 func (p *passage) hedge() <-chan *reply {
-	if !p.repeatable || p.call.ctx.Err() != nil || !p.call.h.budgets.spend(p.call.tenant) {
+	if !p.repeatable || p.call.ctx.Err() != nil || !p.call.h.budgets.spendHedge(p.call.tenant, p.call.h.Timer.Now()) {
 		return nil
 	}
 	choice, status := p.call.h.Table.Pick(p.instance(p.current), p.call.h.Timer.Now())
