--- a/internal/coordination/policy/forecast.go
+++ b/internal/coordination/policy/forecast.go
@@ -91,3 +91,17 @@
 	}
 	return time.Duration(sum / total)
 }
+
+// gapsKept bounds the gaps that are kept of a model.
+const gapsKept = 32
+
+// KeepGap adds the latest gap between two requests to those that are kept.
+// Gaps within a burst are left out: a burst of many calls would otherwise push
+// out all gaps that say when the next burst may come.
+func KeepGap(gaps []time.Duration, gap time.Duration) []time.Duration {
+	if gap < shortGap {
+		return gaps
+	}
+	gaps = append(gaps, gap)
+	return gaps[max(0, len(gaps)-gapsKept):]
+}
--- a/internal/coordination/policy/order.go
+++ b/internal/coordination/policy/order.go
@@ -6,18 +6,12 @@
 	"time"
 )
 
-// urgentLoads is the slack, as a multiple of a load's own time, below which a
-// load goes first because of its deadline.
-const urgentLoads = 1
-
 // urgency ranks the groups of waiting loads.
 type urgency int
 
 const (
-	// urgent is in time only if it goes now.
-	urgent urgency = iota
-	// patient is in time even if it goes a little later.
-	patient
+	// patient comes in time for those who wait.
+	patient urgency = iota
 	// late serves no caller that waits now in time, but later ones.
 	late
 	// ahead has no caller that waits.
@@ -27,20 +21,17 @@
 type rank struct {
 	index   int
 	urgency urgency
-	slack   time.Duration
-	// gain is the number of waiting callers served by second of load.
-	gain  float64
-	since time.Time
+	waiting int
+	since   time.Time
 }
 
-// orderByUrgency puts the loads that just make their deadline first, by slack;
-// then those that can wait, most callers served by second of load first, which
-// is the order of the least total wait; then loads that come too late for all
-// who wait, and those that nobody waits for.
-func orderByUrgency(now time.Time, loads []LoadRequest) []int {
+// orderByWaiting puts the load first that most callers wait for, then the one
+// that has waited longest. Loads that come too late for all who wait go after
+// those that are in time, and those that nobody waits for go last.
+func orderByWaiting(now time.Time, loads []LoadRequest) []int {
 	ranks := make([]rank, 0, len(loads))
 	for i, l := range loads {
-		ranks = append(ranks, newRank(now, i, l))
+		ranks = append(ranks, rank{index: i, urgency: urgencyOf(now, l), waiting: l.Model.Waiting, since: l.Since})
 	}
 	slices.SortFunc(ranks, rank.compare)
 	order := make([]int, 0, len(ranks))
@@ -50,36 +41,25 @@
 	return order
 }
 
-func newRank(now time.Time, index int, l LoadRequest) rank {
-	takes := TierTime(l.Tier, l.Model.LoadTime)
-	r := rank{index: index, since: l.Since}
-	r.gain = float64(l.Model.Waiting) / max(takes.Seconds(), 0.001)
-	r.slack = l.Model.FirstDeadline.Sub(now) - takes
+func urgencyOf(now time.Time, l LoadRequest) urgency {
+	ready := now.Add(TierTime(l.Tier, l.Model.LoadTime))
 	switch {
 	case l.Model.Waiting == 0:
-		r.urgency = ahead
-	case l.Model.FirstDeadline.IsZero():
-		r.urgency = patient
-	case r.slack < 0:
-		r.urgency = late
-	case r.slack <= urgentLoads*takes:
-		r.urgency = urgent
+		return ahead
+	case !l.Model.FirstDeadline.IsZero() && l.Model.FirstDeadline.Before(ready):
+		return late
 	default:
-		r.urgency = patient
+		return patient
 	}
-	return r
 }
 
 func (a rank) compare(b rank) int {
-	if c := cmp.Compare(a.urgency, b.urgency); c != 0 {
-		return c
-	}
-	if a.urgency == urgent {
-		if c := cmp.Compare(a.slack, b.slack); c != 0 {
-			return c
-		}
-	}
-	return cmp.Or(cmp.Compare(b.gain, a.gain), a.since.Compare(b.since), cmp.Compare(a.index, b.index))
+	return cmp.Or(
+		cmp.Compare(a.urgency, b.urgency),
+		cmp.Compare(b.waiting, a.waiting),
+		a.since.Compare(b.since),
+		cmp.Compare(a.index, b.index),
+	)
 }
 
 func orderByArrival(_ time.Time, loads []LoadRequest) []int {
--- a/internal/coordination/policy/pricer.go
+++ b/internal/coordination/policy/pricer.go
@@ -93,7 +93,12 @@
 // minPreloadGaps is how many gaps have to be known before they predict.
 const minPreloadGaps = 4
 
+// preloadSaving is what loading ahead saves on average, 0 for a model that is
+// loaded, has too short a past, or was loaded ahead in vain since its last use.
 func (p pricer) preloadSaving(now time.Time, m ModelView) float64 {
+	if m.LastPreload.After(m.LastUsed) {
+		return 0
+	}
 	if m.Ready > 0 || m.Waiting > 0 || m.Max == 0 || m.LastUsed.IsZero() || len(m.Gaps) < minPreloadGaps {
 		return 0
 	}
@@ -104,9 +109,16 @@
 		return 0
 	}
 	_, saving := p.hold(m, f, reload)
+	if saving < preloadShare*p.weights.cold(reload) {
+		return 0
+	}
 	return saving
 }
 
+// preloadShare is the share of a cold start that loading ahead has to save,
+// because it also takes its turn at the weight store.
+const preloadShare = 0.5
+
 // reloadTime returns the time of the model's next load.
 func (m ModelView) reloadTime() time.Duration {
 	if m.ReloadTime > 0 {
--- a/internal/coordination/policy/set.go
+++ b/internal/coordination/policy/set.go
@@ -36,7 +36,7 @@
 		KeepAlive: Func[ModelView, time.Duration](p.keepAlive),
 		Place:     Func[PlaceInput, Placement](p.place),
 		Scale:     Func[ScaleInput, int](scale),
-		Order:     Func[[]LoadRequest, []int](orderByUrgency),
+		Order:     Func[[]LoadRequest, []int](orderByWaiting),
 		Preload:   Func[[]ModelView, []string](p.preload),
 	}, nil
 }
--- a/internal/coordination/policy/types.go
+++ b/internal/coordination/policy/types.go
@@ -30,6 +30,8 @@
 	ReloadTime time.Duration
 	// LastUsed is when a request was last seen, zero for never.
 	LastUsed time.Time
+	// LastPreload is when the model was last loaded ahead of use, zero for never.
+	LastPreload time.Time
 	// Gaps are the latest gaps between requests, oldest first.
 	Gaps []time.Duration
 	// KeepAlive is the operators' fixed limit, 0 to let the policy decide.
--- a/internal/coordination/policy/weights.go
+++ b/internal/coordination/policy/weights.go
@@ -30,7 +30,7 @@
 )
 
 var presets = map[string]Weights{
-	PresetPulilan:   {ColdStart: 1, IdleHours: 20},
+	PresetPulilan:   {ColdStart: 1, IdleHours: 65},
 	PresetLakeshore: {ColdStart: 1, IdleHours: 240},
 }
 
