--- a/internal/transport/dayui/page.go
+++ b/internal/transport/dayui/page.go
@@ -22,17 +22,18 @@
 
 // Bounds of the page, so that it prints on one sheet.
 const (
-	pageModels     = 12
-	pageHappenings = 12
+	pageModels     = 10
+	pageHappenings = 9
 	pageGaps       = 6
 	pageRefusals   = 8
-	pageServices   = 10
+	pageServices   = 7
+	pageOutcomes   = 7
 )
 
 // HTML writes the report as a page; it needs no script.
 func HTML(w io.Writer, r daily.Report) error {
 	v, err := newView(r, sheet{
-		models: pageModels, happenings: pageHappenings, gaps: pageGaps, refusals: pageRefusals, services: pageServices,
+		models: pageModels, happenings: pageHappenings, gaps: pageGaps, refusals: pageRefusals, services: pageServices, outcomes: pageOutcomes,
 	})
 	if err != nil {
 		return trace.Wrap(err, "show day %s", r.Date)
--- a/internal/transport/dayui/text.go
+++ b/internal/transport/dayui/text.go
@@ -1,6 +1,7 @@
 package dayui
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"strings"
@@ -18,12 +19,13 @@
 	textGaps       = 20
 	textRefusals   = 20
 	textServices   = 30
+	textOutcomes   = 30
 )
 
 // Text writes the report for a terminal.
 func Text(w io.Writer, r daily.Report) error {
 	v, err := newView(r, sheet{
-		models: textModels, happenings: textHappenings, gaps: textGaps, refusals: textRefusals, services: textServices,
+		models: textModels, happenings: textHappenings, gaps: textGaps, refusals: textRefusals, services: textServices, outcomes: textOutcomes,
 	})
 	if err != nil {
 		return trace.Wrap(err, "show day %s", r.Date)
@@ -85,7 +87,7 @@
 	t.line(fmt.Sprintf("  not whole: %d accounts of instances; up to about %d requests may be missing",
 		v.Completeness.Rows, v.Completeness.Uncounted))
 	for _, gap := range v.Completeness.Gaps {
-		t.line("  "+gap.Instance, gap.Reason)
+		t.line("  "+cmp.Or(gap.Instance, "all"), gap.Reason)
 	}
 	t.more(v.MoreGaps)
 }
@@ -130,6 +132,7 @@
 	for _, o := range v.RunOnce {
 		t.line("  "+o.Service, o.Outcome, o.Count)
 	}
+	t.more(v.MoreOutcomes)
 	if len(v.Services) == 0 {
 		return
 	}
--- a/internal/transport/dayui/view.go
+++ b/internal/transport/dayui/view.go
@@ -12,7 +12,7 @@
 
 // sheet bounds the lists of a view.
 type sheet struct {
-	models, happenings, gaps, refusals, services int
+	models, happenings, gaps, refusals, services, outcomes int
 }
 
 // view is a report cut to a sheet, with the number of lines left out.
@@ -25,6 +25,7 @@
 	Idlers                                              []daily.ModelReport
 	MoreIdlers                                          int
 	MoreHappenings, MoreGaps, MoreRefusals, MoreService int
+	MoreOutcomes                                        int
 }
 
 func newView(r daily.Report, s sheet) (view, error) {
@@ -39,6 +40,7 @@
 	v.MoreHappenings += r.HappeningsLeftOut
 	v.Completeness.Gaps, v.MoreGaps = cut(r.Completeness.Gaps, s.gaps)
 	v.Refusals, v.MoreRefusals = cut(r.Refusals, s.refusals)
+	v.RunOnce, v.MoreOutcomes = cut(r.RunOnce, s.outcomes)
 	v.Services, v.MoreService = cut(r.Services, s.services)
 	return v, nil
 }
--- a/internal/transport/meter/meter.go
+++ b/internal/transport/meter/meter.go
@@ -17,6 +17,7 @@
 
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 	"chivecroft.example/chivecroft/internal/state/config"
+	"chivecroft.example/chivecroft/internal/state/shard"
 )
 
 // Defaults of the bounds on label values.
@@ -64,6 +65,11 @@
 	tenants  *labels
 	models   *labels
 	reasons  *labels
+	// operations and messages are few, but come from callers of this package.
+	operations, messages *labels
+	// calls holds the attributes of the calls whose labels are their own, since
+	// to sort and hash them anew for every token costs more than to count.
+	calls *shard.Map[Call, metric.MeasurementOption]
 
 	queueWait  metric.Float64Histogram
 	coldStart  metric.Float64Histogram
@@ -90,12 +96,15 @@
 		return nil, trace.Wrap(err, "create metrics exporter of %s", instance)
 	}
 	m := &Meter{
-		provider: sdk.NewMeterProvider(sdk.WithReader(exporter), sdk.WithResource(resourceOf(instance, zone))),
-		handler:  promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
-		services: newLabels(maxServices),
-		tenants:  newLabels(s.tenants),
-		models:   newLabels(s.models),
-		reasons:  newLabels(defaultReasons),
+		provider:   sdk.NewMeterProvider(sdk.WithReader(exporter), sdk.WithResource(resourceOf(instance, zone))),
+		handler:    promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+		services:   newLabels(maxServices),
+		tenants:    newLabels(s.tenants),
+		models:     newLabels(s.models),
+		reasons:    newLabels(defaultReasons),
+		operations: newLabels(defaultReasons),
+		messages:   newLabels(defaultReasons),
+		calls:      shard.NewMap[Call, metric.MeasurementOption](),
 	}
 	if err := m.create(); err != nil {
 		return nil, trace.Wrap(err, "create metrics of %s", instance)
@@ -149,7 +158,7 @@
 // KVCall counts a call of the KV service by what it asked and how it ended.
 func (m *Meter) KVCall(operation string, status ports.KVStatus) {
 	m.kvCalls.Add(context.Background(), 1, metric.WithAttributes(
-		attribute.String("db.operation.name", m.reasons.admit(operation)),
+		attribute.String("db.operation.name", m.operations.admit(operation)),
 		attribute.String("db.response.status_code", status.String()),
 	))
 }
@@ -161,7 +170,7 @@
 		direction = "transmit"
 	}
 	m.control.Add(context.Background(), int64(n), metric.WithAttributes(
-		attribute.String("chivecroft.message", m.reasons.admit(kind)),
+		attribute.String("chivecroft.message", m.messages.admit(kind)),
 		attribute.String("network.io.direction", direction),
 	))
 }
@@ -191,10 +200,19 @@
 	return attribute.String("gen_ai.request.model", m.models.admit(name))
 }
 
+// call returns the attributes of a call.
 func (m *Meter) call(c Call) metric.MeasurementOption {
-	return metric.WithAttributes(
-		attribute.String("chivecroft.service", m.services.admit(c.Service)),
-		attribute.String("chivecroft.tenant", m.tenants.admit(c.Tenant)),
-		attribute.String("chivecroft.class", string(c.Class)),
-	)
+	if option, ok := m.calls.Get(c); ok {
+		return option
+	}
+	admitted := Call{Service: m.services.admit(c.Service), Tenant: m.tenants.admit(c.Tenant), Class: c.Class}
+	option := metric.WithAttributeSet(attribute.NewSet(
+		attribute.String("chivecroft.service", admitted.Service),
+		attribute.String("chivecroft.tenant", admitted.Tenant),
+		attribute.String("chivecroft.class", string(admitted.Class)),
+	))
+	if admitted == c {
+		m.calls.Put(c, option)
+	}
+	return option
 }
