target: answer an adapter's load when the adapter can be used; draw finer curves

Engines answer such a call when it is done; so does the stand-in now, and its answer shows the adapter.

The plot drew a distribution by its points at 50, 75, 87.5 per cent and so on with straight lines between; it now has 20 points for each halving.

--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -17,6 +17,9 @@
 	histogramLeast  = int64(time.Microsecond)
 	histogramMost   = int64(5 * time.Minute)
 	histogramDigits = 3
+	// curveTicks is how finely a distribution is drawn, in points for each halving
+	// of what is left above.
+	curveTicks = 20
 )
 
 // recorder takes the answers of concurrent calls.
@@ -133,7 +136,7 @@
 			Verdicts: maps.Clone(t.verdicts),
 			Reasons:  maps.Clone(t.reasons),
 			First:    timesOf(t.first),
-			curve:    t.first.CumulativeDistribution(),
+			curve:    t.first.CumulativeDistributionWithTicks(curveTicks),
 		}
 		for _, n := range t.verdicts {
 			k.Requests += n
--- a/internal/stand/target/order.go
+++ b/internal/stand/target/order.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"hash/fnv"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -30,17 +32,26 @@
 		fault.WriteJSON(w, http.StatusBadRequest, wire.EngineError{Reason: wire.ReasonInvalid, NotRun: true})
 		return
 	}
-	fault.WriteJSON(w, http.StatusOK, s.Order(order))
+	fault.WriteJSON(w, http.StatusOK, s.order(r.Context(), order))
 }
 
-// Order carries out one order.
+// Order carries out one order. Loads of models answer when they have begun;
+// those of adapters, which take milliseconds, when they are done, as engines do.
 func (s *Server) Order(order ports.Order) ports.OrderReply {
+	return s.order(s.ctx, order)
+}
+
+func (s *Server) order(ctx context.Context, order ports.Order) ports.OrderReply {
 	switch order.Kind {
 	case ports.OrderLoad:
 		s.noteSize(order)
 	case ports.OrderLoadAdapter:
-		order.Checkpoint = adapterMark + order.Checkpoint
+		return s.orderAdapter(ctx, order)
 	}
+	return s.carryOut(order)
+}
+
+func (s *Server) carryOut(order ports.Order) ports.OrderReply {
 	reply := s.engine.Order(order)
 	if reply.State != nil {
 		s.addLoad(reply.State)
@@ -48,6 +59,52 @@
 	return reply
 }
 
+func (s *Server) orderAdapter(ctx context.Context, order ports.Order) ports.OrderReply {
+	// The replica makes the name unique among the loads of the engine.
+	order.Checkpoint = adapterMark + order.Replica + "/" + order.Checkpoint
+	loaded := s.adapterLoad(order.Checkpoint)
+	reply := s.carryOut(order)
+	if reply.Status != ports.OrderTaken || slices.Contains(adaptersOf(reply, order.Replica), order.Adapter) {
+		return reply
+	}
+	select {
+	case <-loaded:
+		state := s.engine.State()
+		s.addLoad(&state)
+		reply.State = &state
+	case <-ctx.Done():
+	}
+	return reply
+}
+
+func adaptersOf(reply ports.OrderReply, replica string) []string {
+	for _, r := range reply.State.Replicas {
+		if r.Replica == replica {
+			return r.Adapters
+		}
+	}
+	return nil
+}
+
+// adapterLoad returns what is closed when the next load of that name is done.
+func (s *Server) adapterLoad(name string) chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.loading[name] == nil {
+		s.loading[name] = make(chan struct{})
+	}
+	return s.loading[name]
+}
+
+func (s *Server) adapterLoaded(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c := s.loading[name]; c != nil {
+		close(c)
+		delete(s.loading, name)
+	}
+}
+
 func (s *Server) noteSize(order ports.Order) {
 	if order.Concurrency <= 0 {
 		return
@@ -82,7 +139,10 @@
 // load is the engine's Loader.
 func (s *Server) load(checkpoint string, tier ports.Tier, done func(error)) {
 	if adapter, ok := strings.CutPrefix(checkpoint, adapterMark); ok {
-		s.adapters.Start(s.adapterTime(adapter), func() { done(nil) })
+		s.adapters.Start(s.adapterTime(adapter), func() {
+			done(nil)
+			s.adapterLoaded(checkpoint)
+		})
 		return
 	}
 	go func() { done(s.loadModel(checkpoint, tier)) }()
--- a/internal/stand/target/server.go
+++ b/internal/stand/target/server.go
@@ -89,6 +89,7 @@
 	mu       sync.Mutex
 	batches  map[string]*batch
 	sizes    map[string]int
+	loading  map[string]chan struct{}
 	runs     map[string]*run
 	record   Executions
 	loadSeen wire.LoadReport
@@ -115,6 +116,7 @@
 		cachedAt:     make(map[string]ports.Tier),
 		batches:      make(map[string]*batch),
 		sizes:        make(map[string]int),
+		loading:      make(map[string]chan struct{}),
 		runs:         make(map[string]*run),
 		record:       Executions{Runs: make(map[string]int), Resumes: make(map[string]int)},
 	}
--- a/internal/stand/target/work_test.go
+++ b/internal/stand/target/work_test.go
@@ -155,3 +155,27 @@
 		t.Errorf("events (-want +got):\n%s", diff)
 	}
 }
+
+// TestAdapterOrder answers once the adapter can be used, and at once again after.
+func TestAdapterOrder(t *testing.T) {
+	s, addr := start(t, WithAdapterTime(30*time.Millisecond, 0))
+	c := engine.New()
+	defer c.Close()
+	loadModel(t, s, c, addr)
+	load := ports.Order{Kind: ports.OrderLoadAdapter, Epoch: 1, Replica: "r1", Model: "menu", Adapter: "fiesta", Checkpoint: "fiesta-1", MemoryBytes: 1}
+	for range 2 {
+		reply := order(t, c, addr, load)
+		if reply.Status != ports.OrderTaken || !slices.Contains(reply.State.Replicas[0].Adapters, "fiesta") {
+			t.Fatalf("the order ended as %s with %v", reply.Status, reply.State.Replicas)
+		}
+	}
+	req := ask("a")
+	req.Adapter = "fiesta"
+	stream, err := c.Generate(t.Context(), addr, req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := read(t.Context(), stream); err != nil || got != strings.Join(Answer(req), "") {
+		t.Errorf("answer %q, %v", got, err)
+	}
+}
