Let shards take turns with the weight store's slots

Seen failing first: eight shards that want six loads each for a minute, four slots: three shards began no load at all, since a shard with work kept its slot. A shard now owes its next free slot to whoever asked while it was in use, after a turn of 2 s, and waits 3 s before it asks again.

Weighed: a queue in the ledger, which is fair but costs a write for each change of mind of each shard.

--- a/internal/coordination/owner/cases_test.go
+++ b/internal/coordination/owner/cases_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"chivecroft.example/chivecroft/internal/coordination/permit"
+	"chivecroft.example/chivecroft/internal/coordination/place"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 	"chivecroft.example/chivecroft/internal/stand/world"
 )
@@ -692,3 +694,47 @@
 		r.expectLoaded(t, map[string]int{"model-1": 1})
 	})
 }
+
+// TestStoreSlotsTakeTurns: eight shards want to load all the time and there are
+// four slots; none is left out.
+func TestStoreSlotsTakeTurns(t *testing.T) {
+	r := newRig(rigSize{
+		zones: 2, entries: 2, targets: 16, shards: 4, memoryBytes: 9 * gib,
+		models: 64, maxReplicas: 1, latency: time.Millisecond, seed: 2,
+	})
+	r.run(5 * time.Second)
+	for round := range 60 {
+		for z := range r.size.zones {
+			for n := range r.size.shards {
+				// Each shard has models of its own, six of which it wants at a time.
+				first := (z*r.size.shards + n) * 8
+				for k := range 6 {
+					model := modelName(first + (round/4+k)%8)
+					r.demand(z, n, ports.Demand{Model: model, Waiting: 1, Within: 3 * time.Second, From: "caller"})
+				}
+			}
+		}
+		r.run(time.Second)
+	}
+	r.mustHold(t)
+	loads := make(map[string]int)
+	for _, m := range r.targets {
+		for _, n := range m.engine.Record().Loads {
+			loads[permit.ShardName(m.row.Zone, place.ShardOf(m.row.ID, r.size.shards))] += n
+		}
+	}
+	for i := range r.starts {
+		if i >= defaultStoreSlots && r.starts[i].Sub(r.starts[i-defaultStoreSlots]) < time.Second {
+			t.Errorf("five loads from the weight store began within a second before %v", r.starts[i])
+		}
+	}
+	t.Logf("%d from the weight store, loads by shard: %v", len(r.starts), loads)
+	for z := range r.size.zones {
+		for n := range r.size.shards {
+			name := permit.ShardName(zoneName(z), n)
+			if loads[name] < 3 {
+				t.Errorf("%d loads in shard %s: %v", loads[name], name, loads)
+			}
+		}
+	}
+}
--- a/internal/coordination/owner/permits.go
+++ b/internal/coordination/owner/permits.go
@@ -30,8 +30,7 @@
 	buckets map[int]*bucket
 	// limits are the resources whose maximum is to be compared with the ledger.
 	limits map[string]bool
-	// slotAt are the times of the latest load starts.
-	slotAt []time.Time
+	slots  slots
 }
 
 // yield is a YieldAsked that waits for the ledger.
@@ -159,30 +158,10 @@
 	if s.maximum(resource) < wanted || s.recallOf(resource).emptyUntil.After(s.now) {
 		return
 	}
-	s.permits.wants[resource] = wanted
-}
-
-// takeSlot takes a slot of the weight store and a start from its rate, or asks
-// for more slots. Each slot held stands for one load at a time and one start a
-// second.
-func (s *Shard) takeSlot() bool {
-	held := s.permits.held[permit.Store]
-	var recent []time.Time
-	for _, at := range s.permits.slotAt {
-		if s.now.Sub(at) < time.Second {
-			recent = append(recent, at)
-		}
-	}
-	s.permits.slotAt = recent
-	if s.available(permit.Store) < 1 {
-		s.acquire(permit.Store, held+1)
-		return false
-	}
-	if len(recent) >= held {
-		return false
+	if resource == permit.Store && s.now.Before(s.permits.slots.notBefore) {
+		return
 	}
-	s.permits.slotAt = append(recent, s.now)
-	return true
+	s.permits.wants[resource] = wanted
 }
 
 func (s *Shard) recallOf(resource string) *recall {
@@ -223,6 +202,7 @@
 		return
 	}
 	s.expireYields()
+	s.giveSlot()
 	for _, resource := range slices.Sorted(maps.Keys(s.permits.quota)) {
 		s.giveBack(resource)
 	}
@@ -460,6 +440,9 @@
 		if s.permits.held[resource] < grants[resource] {
 			s.permits.held[resource] = grants[resource]
 			s.changed()
+			if resource == permit.Store {
+				s.permits.slots.since = s.now
+			}
 		}
 	}
 	for _, resource := range s.resourcesDue(n) {
--- a/internal/coordination/owner/yield.go
+++ b/internal/coordination/owner/yield.go
@@ -35,7 +35,11 @@
 	}
 	delete(s.permits.wants, resource)
 	clear(rc.asked)
-	rc.emptyUntil = s.now.Add(recallPause + s.jitter(recallPause/2))
+	pause := recallPause
+	if resource == permit.Store {
+		pause = slotRecallPause
+	}
+	rc.emptyUntil = s.now.Add(pause + s.jitter(pause/2))
 }
 
 func (s *Shard) askHolder(resource, holder string, owner ports.Member, b *bucket) {
@@ -91,6 +95,9 @@
 	}
 	if n <= 0 {
 		s.note(YieldAnswered{ID: e.ID})
+		if resource == permit.Store {
+			s.oweSlot()
+		}
 		s.reconcile(resource)
 		return
 	}
@@ -113,10 +120,7 @@
 // reserved is how many unspent permits this shard has a use for itself.
 func (s *Shard) reserved(resource string) int {
 	if resource == permit.Store {
-		if len(s.wanting()) > 0 || s.now.Sub(s.lastStart()) < time.Second {
-			return 1
-		}
-		return 0
+		return s.reservedSlots()
 	}
 	m, known := s.models[resource]
 	if !known || m.refused != "" {
@@ -125,14 +129,6 @@
 	return max(0, s.wanted(m)-s.decided(resource))
 }
 
-// lastStart is when the latest load from the weight store began.
-func (s *Shard) lastStart() time.Time {
-	if n := len(s.permits.slotAt); n > 0 {
-		return s.permits.slotAt[n-1]
-	}
-	return time.Time{}
-}
-
 func (s *Shard) expireYields() {
 	var left []yield
 	for _, y := range s.permits.yields {
