member: a pause does not prolong what was heard on waking

Cause: gossip that waited for a frozen entry was taken in before its late round, which then moved all observations forward by the pause, those too, into the future. They now move to the present at most.

--- a/internal/coordination/member/member_test.go
+++ b/internal/coordination/member/member_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"os"
 	"slices"
@@ -154,6 +155,28 @@
 	wantPhase(t, f.Entries, frozen, ports.MemberAlive)
 }
 
+// TestPauseDoesNotProlongLife wakes a part with gossip before its late round; the
+// member heard of then dies, and must not count as alive for as long again as the
+// pause was.
+func TestPauseDoesNotProlongLife(t *testing.T) {
+	const tick = 1
+	start := time.Unix(0, 0)
+	part := member.New(member.Settings{Self: ports.Member{ID: "a", Zone: "z"}}, rand.New(rand.NewPCG(1, 1)))
+	part.Step(start, member.Start{})
+	part.Step(start.Add(time.Second), ports.TimerFired{Tag: tick})
+	woken := start.Add(5 * time.Minute)
+	other := ports.Member{ID: "b", Zone: "z", Beat: 9, Phase: ports.MemberAlive, Addr: netip.MustParseAddrPort("10.0.0.2:7")}
+	part.Step(woken, member.GossipArrived{Gossip: ports.Gossip{From: other}})
+	for s := range 25 {
+		part.Step(woken.Add(time.Duration(s)*time.Second), ports.TimerFired{Tag: tick})
+	}
+	for _, m := range part.Members() {
+		if m.ID == "b" && m.Phase != ports.MemberSilent {
+			t.Errorf("the member is %s after 24 s of silence", m.Phase)
+		}
+	}
+}
+
 // TestOneWayCutsAreNoDeaths cuts single directions within a zone; as long as some
 // way round is left, everybody stays alive.
 func TestOneWayCutsAreNoDeaths(t *testing.T) {
--- a/internal/coordination/member/part.go
+++ b/internal/coordination/member/part.go
@@ -129,7 +129,7 @@
 	late := now.Sub(p.lastTick) - tickPeriod
 	p.lastTick = now
 	if late > pauseAfter {
-		p.view.excuse(late)
+		p.view.excuse(now, late)
 	}
 	p.self.Beat++
 	p.view.sweep(now)
--- a/internal/coordination/member/view.go
+++ b/internal/coordination/member/view.go
@@ -237,11 +237,15 @@
 }
 
 // excuse moves every observation forward by a time in which this entry did not
-// run and so could hear nobody.
-func (v *view) excuse(pause time.Duration) {
+// run and so could hear nobody; what it heard on waking stays as it is.
+func (v *view) excuse(now time.Time, pause time.Duration) {
 	for _, r := range v.records {
-		if r.phase != ports.MemberGone {
-			r.heard = r.heard.Add(pause)
+		if r.phase == ports.MemberGone {
+			continue
+		}
+		r.heard = r.heard.Add(pause)
+		if r.heard.After(now) {
+			r.heard = now
 		}
 	}
 }
