member: take back an instance whose clock was set back

Incarnations come from wall clocks, and wall clocks must not order anything. An instance started again an hour behind was refused for ever by its zone (TestClockSetBack failed before: silent at every entry). Weighed: raising the incarnation to above the one heard of, which would let a paused process and its replacement outbid each other. Taken: a word that a member says itself counts once its predecessor is silent, and the predecessor's last words are then refused when others pass them on.

--- a/internal/coordination/member/member_test.go
+++ b/internal/coordination/member/member_test.go
@@ -105,6 +105,24 @@
 	}
 }
 
+// TestClockSetBack starts an instance anew whose clock, and so its incarnation, is
+// behind that of the process before it.
+func TestClockSetBack(t *testing.T) {
+	f := started(13, 2, 12)
+	f.Timer.Advance(20 * time.Second)
+	e := f.Entries[4]
+	e.ClockBack = time.Hour
+	e.Start()
+	f.Timer.Advance(90 * time.Second)
+	for range 60 {
+		f.Timer.Advance(time.Second)
+		wantPhase(t, f.Zone(0), e, ports.MemberAlive)
+	}
+	e.Stop()
+	f.Timer.Advance(21 * time.Second)
+	wantPhase(t, f.Zone(0), e, ports.MemberSilent)
+}
+
 // TestStarterLearnsTheZoneAtOnce starts one entry of a large zone anew.
 func TestStarterLearnsTheZoneAtOnce(t *testing.T) {
 	f := started(12, 1, 60)
--- a/internal/coordination/member/part.go
+++ b/internal/coordination/member/part.go
@@ -105,11 +105,15 @@
 }
 
 func (p *Part) changeSelf(e SelfChanged) {
+	if e.Phase == "" {
+		e.Phase = p.self.Phase
+	}
+	if e.ConfigVersion == p.self.ConfigVersion && e.Phase == p.self.Phase && slices.Equal(e.Shards, p.self.Shards) {
+		return
+	}
 	p.self.ConfigVersion = e.ConfigVersion
 	p.self.Shards = slices.Clone(e.Shards)
-	if e.Phase != "" {
-		p.self.Phase = e.Phase
-	}
+	p.self.Phase = e.Phase
 	// A new word needs a higher beat, or those who have the old one keep it.
 	p.self.Beat++
 	p.view.changed = true
@@ -273,7 +277,7 @@
 }
 
 func (p *Part) takeIn(now time.Time, g ports.Gossip) []ports.Effect {
-	p.view.merge(now, g.From)
+	p.view.meet(now, g.From)
 	for _, m := range g.Members {
 		p.view.merge(now, m)
 	}
--- a/internal/coordination/member/view.go
+++ b/internal/coordination/member/view.go
@@ -53,6 +53,8 @@
 	// to it: the way there is cut, and a failed call says nothing about the
 	// member. Zero means that no call has failed.
 	proof uint64
+	// outlived is the last word of a later incarnation that this one followed.
+	outlived ports.Member
 	// news is how many more times the record goes out ahead of others.
 	news int
 }
@@ -93,19 +95,48 @@
 	return &view{self: self.ID, zone: self.Zone, records: make(map[string]*record)}
 }
 
+// meet takes in what a member said of itself to this entry.
+//
+// Incarnations come from wall clocks, so an instance whose clock was set back
+// starts again below its predecessor. Its own word counts once the predecessor
+// is silent. Others may go on passing on the predecessor's last words; they are
+// remembered and refused, or the two would replace each other for ever:
+//
+//	incarnation 9, beat 70   falls silent
+//	incarnation 5, beat 1    met: taken, 9/70 is outlived
+//	incarnation 9, beat 66   passed on by another: refused
+//	incarnation 9, beat 71   it was only paused: taken
+func (v *view) meet(now time.Time, m ports.Member) {
+	old := v.records[m.ID]
+	behind := old != nil && m.Incarnation < old.said.Incarnation && !answers(old.phase)
+	if behind {
+		v.drop(m.ID)
+	}
+	v.merge(now, m)
+	if r := v.records[m.ID]; behind && r != nil {
+		r.outlived = old.said
+	}
+}
+
+// refutes reports whether a word is one that the record's member has outlived.
+func (r *record) refutes(m ports.Member) bool {
+	return r.outlived.ID != "" && m.Incarnation > r.said.Incarnation && !newer(m, r.outlived)
+}
+
 // merge takes in a record that another entry passed on.
 func (v *view) merge(now time.Time, m ports.Member) {
 	if m.ID == v.self || m.ID == "" || m.Zone == "" {
 		return
 	}
 	old := v.records[m.ID]
-	if old != nil && !newer(m, old.said) {
+	if old != nil && (!newer(m, old.said) || old.refutes(m)) {
 		return
 	}
 	r := &record{said: m, heard: now, phase: m.Phase}
 	if old != nil {
 		r.news = old.news
 		r.asked = old.asked
+		r.outlived = old.outlived
 		if m.Incarnation == old.said.Incarnation {
 			r.proof = old.proof
 		}
--- a/internal/stand/fleet/entry.go
+++ b/internal/stand/fleet/entry.go
@@ -28,6 +28,8 @@
 	Notes []any
 	// Sent counts what the entry sent to others.
 	Sent Traffic
+	// ClockBack is how far the instance's wall clock is behind.
+	ClockBack time.Duration
 	// Lose, where set, loses the answers of the KV calls for which it returns
 	// true, after their effect.
 	Lose func(ports.KVRequest) bool
@@ -51,7 +53,7 @@
 // Start starts the entry as a new incarnation with empty state.
 func (e *Entry) Start() {
 	e.Stop()
-	e.Self.Incarnation = uint64(e.fleet.Timer.Now().UnixNano())
+	e.Self.Incarnation = uint64(e.fleet.Timer.Now().Add(-e.ClockBack).UnixNano())
 	e.gate = &gate{}
 	e.running = true
 	e.config = &config.Config{}
--- /dev/null
+++ b/internal/state/config/bench_test.go
@@ -0,0 +1,61 @@
+package config
+
+import (
+	"fmt"
+	"testing"
+)
+
+// BenchmarkTargetSize measures what an accepted patch costs an entry at the
+// target size: applying it, and validating it on the accepting entry alone.
+func BenchmarkTargetSize(b *testing.B) {
+	c := largeConfig(4000)
+	patches := map[string]Patch{
+		"rule":    {ID: "p", Base: c.Version, Set: Items{Rules: map[string]Rule{"model-0001-7b-instruct": {MaxReplicas: 3}}}},
+		"adapter": {ID: "p", Base: c.Version, Set: Items{Adapters: map[string]Adapter{"adapter-00001": {Model: "model-0001-7b-instruct", Checkpoint: "c", MemoryBytes: 1}}}},
+		"tenant":  {ID: "p", Base: c.Version, Set: Items{Tenants: map[string]Tenant{"tenant-00001": {Weight: 2}}}},
+	}
+	for _, name := range []string{"rule", "adapter", "tenant"} {
+		p := patches[name]
+		b.Run(fmt.Sprintf("replay %s", name), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := Replay(c, p); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+		b.Run(fmt.Sprintf("apply %s", name), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, _, err := Apply(c, p); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+	b.Run("index", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			NewIndex(c)
+		}
+	})
+	ref, chunks, err := EncodeSnapshot(c)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Run("encode snapshot", func(b *testing.B) {
+		for b.Loop() {
+			if _, _, err := EncodeSnapshot(c); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	b.Run("decode snapshot", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if _, err := DecodeSnapshot(ref, chunks); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
