Make one load of a burst, wherever its callers are

Cause, found with the load tool (12 bursts of 24 callers in 8 s, store of 4 loads a second): cold callers waited up to 11.9 s for loads of 1 s. Each entry asked the shards of its own zone first, so each zone loaded a replica of its own; and a shard added replicas the moment a first one was ready and its queue not yet worked off. 36 loads were made for 18 models and filled the weight store.

Now the zones are asked in an order that depends on the model alone, so a burst meets at one owner. A cold model gets one replica for up to four batches, and a further one only after its replicas have been overloaded for half a load's time; a model's replicas at most double at once.

Ruled out: the path of a single cold request (12 models one after another: 1.04 to 1.28 s) and the store itself (idle for seconds while models waited; slots that stayed with their holders, mended apart).

What remains is looked into: adapters on full targets are refused at their deadline (8, 13 and 3 calls).

--- a/internal/coordination/owner/model.go
+++ b/internal/coordination/owner/model.go
@@ -30,6 +30,8 @@
 	refused string
 	// since is when the demand began that no load has been decided for.
 	since time.Time
+	// pressure measures the overload of the ready replicas.
+	pressure policy.Pressure
 }
 
 type demand struct {
@@ -230,6 +232,7 @@
 			v.Queued += r.seen.Queued
 		}
 	}
+	v.PressedFor = m.pressure.Observe(s.now, v)
 	return v
 }
 
--- a/internal/coordination/policy/scale.go
+++ b/internal/coordination/policy/scale.go
@@ -11,10 +11,30 @@
 	scaleDownLoad = 0.5
 	// targetLoad is the load that added replicas bring it down to.
 	targetLoad = 0.7
+	// coldBatches is how many batches may wait for a first replica before it is
+	// not left to it alone: it works the first off while others would still load.
+	coldBatches = 4
+	// growth bounds how many times the replicas are multiplied at once.
+	growth = 2
 )
 
-// scale grows at once to what the work needs and shrinks by one replica at a
-// time. Hysteresis between the two bounds keeps a load near a bound from
+// Bounds of the time for which replicas must be overloaded before one is added.
+const (
+	patienceLeast = 500 * time.Millisecond
+	patienceMost  = 5 * time.Second
+)
+
+// patience is how long a model must be overloaded before a replica is added: a
+// further replica takes a load to come, so a queue that is gone by then was not
+// worth it, and at the weight store the load would go before the first replica
+// of a model that others wait for.
+func patience(loadTime time.Duration) time.Duration {
+	return min(max(loadTime/2, patienceLeast), patienceMost)
+}
+
+// scale gives a cold model one replica for a burst, doubles the replicas of one
+// that stays overloaded up to what the work needs, and shrinks by one replica at
+// a time. Hysteresis between the two bounds keeps a load near a bound from
 // adding and removing the same replica: with a concurrency of 10, a second
 // replica comes above 9 requests and goes below 5.
 func scale(_ time.Time, in ScaleInput) int {
@@ -26,8 +46,12 @@
 	work := float64(m.Running + m.Queued + m.Waiting)
 	want := m.Ready
 	switch {
+	case m.Ready == 0:
+		want = ceil(work / float64(coldBatches*per))
 	case work > scaleUpLoad*float64(m.Ready*per):
-		want = max(m.Ready, ceil(work/(targetLoad*float64(per))))
+		if m.PressedFor >= patience(m.LoadTime) {
+			want = max(m.Ready, min(growth*m.Ready, ceil(work/(targetLoad*float64(per)))))
+		}
 	case m.Ready > 1 && work < scaleDownLoad*float64((m.Ready-1)*per):
 		want = m.Ready - 1
 	}
--- a/internal/coordination/policy/types.go
+++ b/internal/coordination/policy/types.go
@@ -42,6 +42,9 @@
 	// when the first of them gives up.
 	Waiting       int
 	FirstDeadline time.Time
+	// PressedFor is how long the work has been more than the ready replicas
+	// batch, 0 if it is not; a Pressure measures it.
+	PressedFor time.Duration
 	// Max and Min bound the replicas.
 	Max, Min    int
 	Concurrency int
--- a/internal/entry/demand.go
+++ b/internal/entry/demand.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strings"
 
 	"github.com/gravitational/trace"
 
@@ -13,30 +12,45 @@
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 )
 
-// demand finds the shard that can load a model: first the shards of the own
-// zone, in an order that every entry of the zone agrees on, so that a burst at
-// many entries meets at one owner; then the other zones, the own region's first.
+// demand finds the shard that can load a model. The zones are asked in an order
+// that depends on the model alone, so that a burst of first requests at entries
+// of all zones meets at one owner and makes one load; a zone that does not
+// answer or has no place is passed over.
+//
+// For example the zones of menu-7b may be pam-a, bul-a, bul-b. Eight entries
+// that get its first requests at once all ask pam-a. While pam-a is cut off, the
+// entries that see it so ask bul-a, and pam-a's own ask pam-a: each side loads
+// within the permits that its shards hold.
 func (e *Entry) demand(ctx context.Context, d ports.Demand) (ports.DemandReply, error) {
 	d.From = e.self.ID
 	d.Zone = e.self.Zone
-	reply, err := e.demandHere(ctx, d)
-	if err == nil && settled(reply) {
-		return reply, nil
-	}
-	zones := e.otherZones()
-	if at := hintedZone(reply.Hint); at != "" {
-		zones = append([]string{at}, zones...)
-	}
-	for _, zone := range zones {
-		there, errThere := e.demandThere(ctx, zone, d)
-		if errThere == nil && settled(there) {
-			return there, nil
+	var best ports.DemandReply
+	var failed error
+	answered := false
+	for _, zone := range e.zoneOrder(d.Model) {
+		reply, err := e.demandIn(ctx, zone, d)
+		if err != nil {
+			failed = err
+			continue
 		}
-		if errThere == nil {
-			reply, err = better(reply, there), nil
+		if settled(reply) {
+			return reply, nil
 		}
+		answered = true
+		best = better(best, reply)
+	}
+	if !answered {
+		return best, trace.Wrap(failed)
 	}
-	return reply, err
+	return best, nil
+}
+
+// demandIn asks the shards of one zone.
+func (e *Entry) demandIn(ctx context.Context, zone string, d ports.Demand) (ports.DemandReply, error) {
+	if zone == e.self.Zone {
+		return e.demandHere(ctx, d)
+	}
+	return e.demandThere(ctx, zone, d)
 }
 
 // settled tells whether asking another shard could not do better. A shard that
@@ -148,27 +162,14 @@
 	return e.parts.owned[shard]
 }
 
-// otherZones are the other zones with a living entry, the own region's first.
-func (e *Entry) otherZones() []string {
-	var near, far []string
+// zoneOrder are the zones with a living entry in the order in which they are
+// asked for a model.
+func (e *Entry) zoneOrder(model string) []string {
+	zones := []string{e.self.Zone}
 	for _, m := range e.members() {
-		if m.Zone == e.self.Zone || m.Phase != ports.MemberAlive || slices.Contains(near, m.Zone) || slices.Contains(far, m.Zone) {
-			continue
+		if m.Phase == ports.MemberAlive && !slices.Contains(zones, m.Zone) {
+			zones = append(zones, m.Zone)
 		}
-		if m.Region == e.self.Region {
-			near = append(near, m.Zone)
-		} else {
-			far = append(far, m.Zone)
-		}
-	}
-	return append(near, far...)
-}
-
-// hintedZone is the zone of a hint that names a shard.
-func hintedZone(hint string) string {
-	zone, _, found := strings.Cut(hint, "/")
-	if !found {
-		return ""
 	}
-	return zone
+	return member.Choose(zones, "zones/"+model, len(zones))
 }
--- a/internal/vday/run.go
+++ b/internal/vday/run.go
@@ -218,6 +218,7 @@
 		return len(m.waiting) > 0 || m.preload
 	}
 	v := m.view()
+	v.PressedFor = m.pressure.Observe(d.clock.Now(), v)
 	if v.Ready == 0 || v.Running == 0 {
 		return false
 	}
--- a/internal/vday/state.go
+++ b/internal/vday/state.go
@@ -26,6 +26,7 @@
 	since    time.Time
 	preload  bool
 	refused  string
+	pressure policy.Pressure
 }
 
 // caller is a request that waits for a replica.
