--- a/internal/bench/cmd.go
+++ b/internal/bench/cmd.go
@@ -18,6 +18,7 @@
 type Cmd struct {
 	Shape     string        `help:"Deployment to imitate: ${enum}." enum:"pulilan,lakeshore" default:"pulilan"`
 	Seed      uint64        `help:"Seed of the schedule; the same seed gives the same one." default:"1"`
+	Runs      int           `help:"Number of runs, with seeds one after the other; shows the spread." default:"1"`
 	Duration  time.Duration `help:"Time over which calls are started." default:"20s"`
 	Rate      float64       `help:"Chats a second with models in steady use, and calls of the plain service." default:"20"`
 	Bursts    int           `help:"Bursts over idle models." default:"12"`
@@ -49,6 +50,7 @@
 	return `Examples:
   chivecroft bench --seed 7 --plot first.svg
   chivecroft bench --shape lakeshore --faults --json
+  chivecroft bench --runs 5 --duration 30s
   chivecroft bench --entry http://127.0.0.1:8080 --entry http://127.0.0.1:8090 --key KEY
   chivecroft bench --print-patch | chivecroft patch -`
 }
@@ -64,7 +66,7 @@
 	if !ok {
 		return trace.BadParameter("shape is %q instead of pulilan or lakeshore", c.Shape)
 	}
-	plan, err := c.plan(shape)
+	load, err := c.load()
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -72,44 +74,62 @@
 	case c.PrintPatch:
 		return trace.Wrap(c.print(shape.Patch(c.Key)))
 	case c.PrintSchedule:
-		return trace.Wrap(c.print(plan))
+		return trace.Wrap(c.print(NewPlan(shape, load, c.Seed)))
 	}
-	return c.play(ctx, shape, plan)
+	return c.playAll(ctx, shape, load)
 }
 
-func (c *Cmd) plan(shape Shape) (Plan, error) {
+func (c *Cmd) load() (Load, error) {
 	load := Load{
 		Duration: c.Duration, Rate: c.Rate, Bursts: c.Bursts, Burst: c.Burst,
 		HotModels: c.HotModels, Faults: c.Faults,
 	}
-	if err := load.Check(); err != nil {
-		return Plan{}, trace.Wrap(err)
+	if c.Runs < 1 {
+		return Load{}, trace.BadParameter("runs is %d instead of 1 or more", c.Runs)
 	}
-	return NewPlan(shape, load, c.Seed), nil
+	return load, trace.Wrap(load.Check())
 }
 
-func (c *Cmd) play(ctx context.Context, shape Shape, plan Plan) error {
-	d, err := c.deployment(ctx, shape)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	if d.Close != nil {
-		defer d.Close()
-	}
-	report, err := Run(ctx, *d, shape, plan)
-	if err != nil {
-		return trace.Wrap(err)
+// playAll plays each seed, against a deployment of its own if none is given, so
+// that no run finds what an earlier one has loaded.
+func (c *Cmd) playAll(ctx context.Context, shape Shape, load Load) error {
+	var reports []*Report
+	for n := range c.Runs {
+		seed := c.Seed + uint64(n)
+		report, err := c.play(ctx, shape, NewPlan(shape, load, seed))
+		if err != nil {
+			return trace.Wrap(err, "seed %d", seed)
+		}
+		report.Seed = seed
+		reports = append(reports, report)
+		if !c.JSON {
+			if err := report.Print(c.Out); err != nil {
+				return trace.Wrap(err)
+			}
+			fmt.Fprintln(c.Out)
+		}
 	}
-	report.Seed = c.Seed
-	if err := c.show(report); err != nil {
+	series := NewSeries(reports)
+	if err := c.show(series); err != nil {
 		return trace.Wrap(err)
 	}
-	if broken := report.Broken(); len(broken) > 0 {
+	if broken := series.Broken(); len(broken) > 0 {
 		return trace.Errorf("promises broken: %s", strings.Join(broken, "; "))
 	}
 	return nil
 }
 
+func (c *Cmd) play(ctx context.Context, shape Shape, plan Plan) (*Report, error) {
+	d, err := c.deployment(ctx, shape)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if d.Close != nil {
+		defer d.Close()
+	}
+	return Run(ctx, *d, shape, plan)
+}
+
 func (c *Cmd) deployment(ctx context.Context, shape Shape) (*Deployment, error) {
 	if len(c.Entry) > 0 {
 		return &Deployment{
@@ -123,16 +143,22 @@
 	return c.Deploy(ctx, shape, c.Key)
 }
 
-func (c *Cmd) show(report *Report) error {
+// show prints what is left to print, and draws the first run.
+func (c *Cmd) show(series Series) error {
 	if c.Plot != "" {
-		if err := report.Plot(c.Plot); err != nil {
+		if err := series.Runs[0].Plot(c.Plot); err != nil {
 			return trace.Wrap(err, "plot")
 		}
 	}
-	if c.JSON {
-		return c.print(report)
+	switch {
+	case c.JSON && c.Runs == 1:
+		return c.print(series.Runs[0])
+	case c.JSON:
+		return c.print(series)
+	case c.Runs > 1:
+		return series.Print(c.Out)
 	}
-	return report.Print(c.Out)
+	return nil
 }
 
 func (c *Cmd) print(value any) error {
