--- a/internal/coordination/owner/shard.go
+++ b/internal/coordination/owner/shard.go
@@ -64,10 +64,9 @@
 
 	targets map[string]*target
 	models  map[string]*model
-	// demanded are the models that callers wait for, and minima those that have
-	// their home here with the replicas they keep.
+	// demanded are the models that callers wait for.
 	demanded map[string]bool
-	minima   map[string]int
+	home     home
 	asks     []ask
 	permits  permits
 	table    table
@@ -89,7 +88,6 @@
 		stage:    stageWatching,
 		models:   make(map[string]*model),
 		demanded: make(map[string]bool),
-		minima:   make(map[string]int),
 	}
 	s.forget()
 	return s
@@ -234,7 +232,11 @@
 }
 
 func (s *Shard) key() string {
-	return fmt.Sprintf("zone/%s/shard/%d", s.settings.Zone, s.settings.Shard)
+	return fmt.Sprintf("%s%d", s.keyPrefix(), s.settings.Shard)
+}
+
+func (s *Shard) keyPrefix() string {
+	return fmt.Sprintf("zone/%s/shard/", s.settings.Zone)
 }
 
 // name is how the permit ledger calls the shard.
@@ -298,7 +300,7 @@
 	}
 	old := s.config
 	s.config = c
-	s.reviewMinima()
+	s.reviewHome(true)
 	if s.stage == stageOwned {
 		s.reviewLimits(old)
 	}
