--- a/internal/coordination/member/member_test.go
+++ b/internal/coordination/member/member_test.go
@@ -114,6 +114,8 @@
 	e.ClockBack = time.Hour
 	e.Start()
 	f.Timer.Advance(90 * time.Second)
+	e.Start()
+	f.Timer.Advance(10 * time.Second)
 	for range 60 {
 		f.Timer.Advance(time.Second)
 		wantPhase(t, f.Zone(0), e, ports.MemberAlive)
@@ -306,6 +308,9 @@
 			},
 			"kill":    func(t *rapid.T) { entry(t).Stop(); f.Relist() },
 			"restart": func(t *rapid.T) { entry(t).Start(); f.Relist() },
+			"clock": func(t *rapid.T) {
+				entry(t).ClockBack = time.Duration(rapid.IntRange(-1, 2).Draw(t, "hours")) * time.Hour
+			},
 			"freeze":  func(t *rapid.T) { entry(t).Freeze() },
 			"thaw":    func(t *rapid.T) { entry(t).Thaw() },
 			"cut":     func(t *rapid.T) { f.Net.Cut(entry(t).Self.Addr, entry(t).Self.Addr, true) },
--- a/internal/coordination/member/view.go
+++ b/internal/coordination/member/view.go
@@ -120,7 +120,7 @@
 
 // refutes reports whether a word is one that the record's member has outlived.
 func (r *record) refutes(m ports.Member) bool {
-	return r.outlived.ID != "" && m.Incarnation > r.said.Incarnation && !newer(m, r.outlived)
+	return r.outlived.ID != "" && m.Incarnation == r.outlived.Incarnation && !newer(m, r.outlived)
 }
 
 // merge takes in a record that another entry passed on.
