--- a/internal/coordination/member/message.go
+++ b/internal/coordination/member/message.go
@@ -63,8 +63,8 @@
 
 // classes returns the records that answer, of the own zone and of others.
 func (p *Part) classes() []class {
-	own := p.view.ids(func(r *record) bool { return r.said.Zone == p.self.Zone && answers(r.phase) })
-	remote := p.view.ids(func(r *record) bool { return r.said.Zone != p.self.Zone && answers(r.phase) })
+	own := p.view.ids(func(r *record) bool { return r.said.Zone == p.self.Zone && Answers(r.phase) })
+	remote := p.view.ids(func(r *record) bool { return r.said.Zone != p.self.Zone && Answers(r.phase) })
 	return []class{{own, beatSlots}, {remote, remoteSlots}}
 }
 
@@ -94,16 +94,16 @@
 // of the samples of others, so that two zones that are cut off from each other
 // still hear of each other through a third.
 func (p *Part) summary() ports.Gossip {
-	own := p.view.ids(func(r *record) bool { return r.said.Zone == p.self.Zone && answers(r.phase) })
+	own := p.view.ids(func(r *record) bool { return r.said.Zone == p.self.Zone && Answers(r.phase) })
 	picked := Choose(own, sampleDuty, sampleSize)
-	remote := p.view.ids(func(r *record) bool { return r.said.Zone != p.self.Zone && answers(r.phase) })
+	remote := p.view.ids(func(r *record) bool { return r.said.Zone != p.self.Zone && Answers(r.phase) })
 	return p.message(p.addRandom(picked, remote, remoteSlots))
 }
 
 // everything is the answer to a message without records, as an entry sends it
 // that has just started.
 func (p *Part) everything() ports.Gossip {
-	return p.message(p.view.ids(func(r *record) bool { return answers(r.phase) }))
+	return p.message(p.view.ids(func(r *record) bool { return Answers(r.phase) }))
 }
 
 // takeNews picks the records that changed lately, those of leaving members
--- a/internal/coordination/member/part.go
+++ b/internal/coordination/member/part.go
@@ -173,7 +173,7 @@
 			return peer{id, p.view.records[id].said.Addr}, true
 		}
 	}
-	alive := p.peers(p.view.ids(func(r *record) bool { return r.said.Zone == p.self.Zone && answers(r.phase) }))
+	alive := p.peers(p.view.ids(func(r *record) bool { return r.said.Zone == p.self.Zone && Answers(r.phase) }))
 	return p.choose(alive, p.lost(func(zone string) bool { return zone == p.self.Zone }))
 }
 
@@ -189,7 +189,7 @@
 	offset := mine * len(zones) / delegateCount
 	zone := zones[(p.round+offset)%len(zones)]
 	p.round++
-	alive := p.peers(p.view.ids(func(r *record) bool { return r.said.Zone == zone && answers(r.phase) }))
+	alive := p.peers(p.view.ids(func(r *record) bool { return r.said.Zone == zone && Answers(r.phase) }))
 	return p.choose(alive, p.lost(func(z string) bool { return z == zone }))
 }
 
@@ -205,10 +205,6 @@
 	return from[p.random.IntN(len(from))], true
 }
 
-func answers(phase ports.MemberPhase) bool {
-	return phase == ports.MemberAlive || phase == ports.MemberLeaving
-}
-
 func (p *Part) peers(ids []string) []peer {
 	peers := make([]peer, 0, len(ids))
 	for _, id := range ids {
@@ -224,7 +220,7 @@
 	for _, id := range sortedKeys(p.view.listed) {
 		row := p.view.listed[id]
 		r := p.view.records[id]
-		if inZone(row.Zone) && !row.Leaving && (r == nil || !answers(r.phase)) {
+		if inZone(row.Zone) && !row.Leaving && (r == nil || !Answers(r.phase)) {
 			peers = append(peers, peer{id, row.Addr})
 		}
 	}
--- a/internal/coordination/member/view.go
+++ b/internal/coordination/member/view.go
@@ -37,48 +37,6 @@
 // sampleDuty ranks the members of a zone for its sample.
 const sampleDuty = "sample"
 
-// record is what is known of one member.
-type record struct {
-	// said is the newest that the member said of itself.
-	said ports.Member
-	// heard is when said last became newer here.
-	heard time.Time
-	// phase is this entry's judgement.
-	phase ports.MemberPhase
-	// asked is when this entry last called the member because of its silence, and
-	// failed tells that it did not answer since heard.
-	asked  time.Time
-	failed bool
-	// proof is the beat that shows that the member outlived the first failed call
-	// to it: the way there is cut, and a failed call says nothing about the
-	// member. Zero means that no call has failed.
-	proof uint64
-	// outlived is the last word of a later incarnation that this one followed.
-	outlived ports.Member
-	// news is how many more times the record goes out ahead of others.
-	news int
-}
-
-// fail notes a failed call. Beats that were made before it may still arrive by
-// way of others, so only one that is beyond them proves anything.
-func (r *record) fail(now time.Time) {
-	const relayed = uint64(silentAfter / tickPeriod)
-	r.failed = true
-	if r.proof == 0 {
-		r.proof = r.said.Beat + uint64(now.Sub(r.heard)/tickPeriod) + relayed
-	}
-}
-
-// reach notes an answered call.
-func (r *record) reach() {
-	r.failed = false
-	r.proof = 0
-}
-
-func (r *record) cutOff() bool {
-	return r.proof > 0 && r.said.Beat > r.proof
-}
-
 // view is the set of records, without the entry itself.
 type view struct {
 	self    string
@@ -108,7 +66,7 @@
 //	incarnation 9, beat 71   it was only paused: taken
 func (v *view) meet(now time.Time, m ports.Member) {
 	old := v.records[m.ID]
-	behind := old != nil && m.Incarnation < old.said.Incarnation && !answers(old.phase)
+	behind := old != nil && m.Incarnation < old.said.Incarnation && !Answers(old.phase)
 	if behind {
 		v.drop(m.ID)
 	}
@@ -118,11 +76,6 @@
 	}
 }
 
-// refutes reports whether a word is one that the record's member has outlived.
-func (r *record) refutes(m ports.Member) bool {
-	return r.outlived.ID != "" && m.Incarnation == r.outlived.Incarnation && !newer(m, r.outlived)
-}
-
 // merge takes in a record that another entry passed on.
 func (v *view) merge(now time.Time, m ports.Member) {
 	if m.ID == v.self || m.ID == "" || m.Zone == "" {
@@ -157,20 +110,6 @@
 	}
 }
 
-// newer reports whether a is a later word of its member than b.
-func newer(a, b ports.Member) bool {
-	if a.Incarnation != b.Incarnation {
-		return a.Incarnation > b.Incarnation
-	}
-	return a.Beat > b.Beat
-}
-
-// materially reports whether two words of a member differ in more than the beat
-// and the configuration's version, which every message carries anyway.
-func materially(a, b ports.Member) bool {
-	return a.Incarnation != b.Incarnation || a.Phase != b.Phase || a.Addr != b.Addr || !slices.Equal(a.Shards, b.Shards)
-}
-
 // retireAddr concludes that who was at an address before is gone.
 func (v *view) retireAddr(now time.Time, m ports.Member) {
 	for id, r := range v.records {
@@ -195,8 +134,8 @@
 // trimSample bounds the records of another zone, keeping those that answer and
 // rank highest, so that the entries of this zone keep the same ones.
 func (v *view) trimSample(zone string) {
-	answering := v.ids(func(r *record) bool { return r.said.Zone == zone && answers(r.phase) })
-	lost := v.ids(func(r *record) bool { return r.said.Zone == zone && !answers(r.phase) })
+	answering := v.ids(func(r *record) bool { return r.said.Zone == zone && Answers(r.phase) })
+	lost := v.ids(func(r *record) bool { return r.said.Zone == zone && !Answers(r.phase) })
 	if len(answering)+len(lost) <= sampleSize {
 		return
 	}
@@ -255,7 +194,7 @@
 // those that answer and have not been asked lately; false if there is none.
 func (v *view) stalest(now time.Time) (string, bool) {
 	found := ""
-	for _, id := range v.ids(func(r *record) bool { return r.said.Zone == v.zone && answers(r.phase) }) {
+	for _, id := range v.ids(func(r *record) bool { return r.said.Zone == v.zone && Answers(r.phase) }) {
 		r := v.records[id]
 		if now.Sub(r.asked) < askAgainAfter {
 			continue
--- a/internal/coordination/relay/chase.go
+++ b/internal/coordination/relay/chase.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"chivecroft.example/chivecroft/internal/coordination/member"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 	"chivecroft.example/chivecroft/internal/state/config"
 )
@@ -37,17 +38,13 @@
 func (p *Part) highestKnown() config.Version {
 	var highest config.Version
 	for _, m := range p.members {
-		if m.ID != p.self.ID && answers(m) {
+		if m.ID != p.self.ID && member.Answers(m.Phase) {
 			highest = max(highest, m.ConfigVersion)
 		}
 	}
 	return highest
 }
 
-func answers(m ports.Member) bool {
-	return m.Phase == ports.MemberAlive || m.Phase == ports.MemberLeaving
-}
-
 // pursue fetches from another entry while any has a higher version.
 func (p *Part) pursue() {
 	if p.chase.fetching {
@@ -93,7 +90,7 @@
 	var zone, region, others []ports.Member
 	for _, m := range p.members {
 		switch {
-		case m.ID == p.self.ID || !answers(m) || m.ConfigVersion <= p.config.Version:
+		case m.ID == p.self.ID || !member.Answers(m.Phase) || m.ConfigVersion <= p.config.Version:
 		case m.Zone == p.self.Zone:
 			zone = append(zone, m)
 		case m.Region == p.self.Region:
