Make room for an adapter by unloading an idle replica

An adapter that did not fit beside its model was waited for in vain. The longest idle replica of another model on the target goes first now. Weighed and left: unloading single adapters, since a target's account does not say which of them serve requests.

--- a/internal/coordination/owner/adapter.go
+++ b/internal/coordination/owner/adapter.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"chivecroft.example/chivecroft/internal/coordination/place"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 )
 
@@ -47,7 +48,11 @@
 			a.lastUsed = s.now
 			continue
 		}
-		if t.free() < c.MemoryBytes || slices.Contains(r.seen.Adapters, d.adapter) {
+		if slices.Contains(r.seen.Adapters, d.adapter) {
+			continue
+		}
+		if t.free() < c.MemoryBytes {
+			s.makeRoom(t, r.Model, c.MemoryBytes)
 			continue
 		}
 		if r.Adapters == nil {
@@ -58,6 +63,25 @@
 	}
 }
 
+// makeRoom unloads the longest idle replica for an adapter that does not fit,
+// unless one is on its way out already. Single adapters are not unloaded: which
+// of them serve requests is not in a target's account.
+func (s *Shard) makeRoom(t *target, name string, bytes uint64) {
+	var oldest *replica
+	for _, id := range t.replicaIDs() {
+		r := t.replicas[id]
+		if r.Phase == place.PhaseUnloading {
+			return
+		}
+		if s.isEvictable(r, name) && (oldest == nil || r.lastUsed.Before(oldest.lastUsed)) {
+			oldest = r
+		}
+	}
+	if oldest != nil && t.free()+oldest.charge() >= bytes {
+		s.unload(oldest)
+	}
+}
+
 // adapterLoads counts the adapter loads in flight in the shard.
 func (s *Shard) adapterLoads() int {
 	n := 0
--- a/internal/coordination/owner/calls_test.go
+++ b/internal/coordination/owner/calls_test.go
@@ -38,6 +38,7 @@
 // TestKVCalls bounds the KV calls of an idle minute, a first cold load and a
 // repeated one, and checks that they do not grow with the targets of the shard.
 func TestKVCalls(t *testing.T) {
+	t.Parallel()
 	for _, targets := range []int{4, 16, 64} {
 		t.Run(fmt.Sprint(targets), func(t *testing.T) {
 			r := shardOf(targets)
@@ -87,6 +88,7 @@
 // TestTakeoverTime bounds the time from a kill to the first load decided by the
 // successor: the lease, gossip's suspicion and one look a second.
 func TestTakeoverTime(t *testing.T) {
+	t.Parallel()
 	for _, targets := range []int{4, 16, 64} {
 		var worst time.Duration
 		for seed := range 5 {
@@ -111,6 +113,7 @@
 // TestManyTakeoversAtOnce: an entry that owned many shards dies; its successors'
 // calls stay within the KV service's rates.
 func TestManyTakeoversAtOnce(t *testing.T) {
+	t.Parallel()
 	r := newRig(rigSize{
 		zones: 1, entries: 2, targets: 32, shards: 32, memoryBytes: 10 * gib,
 		models: 4, maxReplicas: 2, latency: time.Millisecond, seed: 9,
--- a/internal/coordination/owner/cases_test.go
+++ b/internal/coordination/owner/cases_test.go
@@ -56,6 +56,7 @@
 func healthy() world.KVFaults { return world.KVFaults{Latency: 4 * time.Millisecond} }
 
 func TestOwnerKilledAtEveryStepOfALoad(t *testing.T) {
+	t.Parallel()
 	bothRegimes(t, func(t *testing.T, _ *rig) {
 		for step := 1; step <= 40; step++ {
 			r := smallRig(uint64(step), strings.Count(t.Name(), "unfenced")*3)
@@ -77,6 +78,7 @@
 }
 
 func TestOwnerFrozenPastItsLease(t *testing.T) {
+	t.Parallel()
 	bothRegimes(t, func(t *testing.T, r *rig) {
 		old := r.ownerOf(0, 0)
 		r.demand(0, 0, ports.Demand{Model: "model-0", Waiting: 1, Within: 30 * time.Second, From: "caller"})
@@ -94,6 +96,7 @@
 }
 
 func TestEveryWriteLosesItsAnswer(t *testing.T) {
+	t.Parallel()
 	bothRegimes(t, func(t *testing.T, r *rig) {
 		r.setKV(world.KVFaults{Latency: 4 * time.Millisecond, LoseAnswers: 0.6})
 		r.waitFor("model-0", 60*time.Second)
@@ -107,6 +110,7 @@
 // TestOutage: with targets that check fencing an owner goes on loading within
 // the permits that it holds; with the others it stops when its lease may lapse.
 func TestOutage(t *testing.T) {
+	t.Parallel()
 	for _, period := range []time.Duration{30 * time.Second, 10 * time.Minute} {
 		bothRegimes(t, func(t *testing.T, r *rig) {
 			r.waitFor("model-0", 10*time.Second)
@@ -130,6 +134,7 @@
 }
 
 func TestSlowKV(t *testing.T) {
+	t.Parallel()
 	bothRegimes(t, func(t *testing.T, r *rig) {
 		r.setKV(world.KVFaults{Latency: 2 * time.Second})
 		owner := r.ownerOf(0, 0)
@@ -147,6 +152,7 @@
 // TestCutOffOwner: an owner that only the KV service and its peers have lost
 // goes on ordering; after the takeover its orders must not add to the successor's.
 func TestCutOffOwner(t *testing.T) {
+	t.Parallel()
 	bothRegimes(t, func(t *testing.T, r *rig) {
 		r.waitFor("model-0", 10*time.Second)
 		r.run(60 * time.Second)
@@ -174,6 +180,7 @@
 }
 
 func TestAnswersFromTargetsCut(t *testing.T) {
+	t.Parallel()
 	bothRegimes(t, func(t *testing.T, r *rig) {
 		owner := r.ownerOf(0, 0)
 		for _, m := range r.targets {
@@ -191,6 +198,7 @@
 // TestTwoOwners: a cut-off owner and its successor load at about the same
 // moment. The fence that the successor raised first stops the other.
 func TestTwoOwners(t *testing.T) {
+	t.Parallel()
 	bothRegimes(t, func(t *testing.T, first *rig) {
 		unfenced := 3
 		if first.targets[0].fenced {
@@ -253,6 +261,7 @@
 // an owner that was cut off and knows nothing of its successor finds it first.
 // It may not load there, since its successor has given its permits away.
 func TestRestartedTargetLosesItsFence(t *testing.T) {
+	t.Parallel()
 	r := newRig(rigSize{
 		zones: 2, entries: 2, targets: 1, shards: 1, memoryBytes: 10 * gib,
 		models: 2, maxReplicas: 1, latency: time.Millisecond, seed: 5,
@@ -285,6 +294,7 @@
 
 // TestPermitMoves: the only permit of a model goes where it is asked for.
 func TestPermitMoves(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(8) {
 		r := newRig(rigSize{
 			zones: 2, entries: 2, targets: 1, shards: 1, memoryBytes: 10 * gib,
@@ -311,6 +321,7 @@
 
 // TestLoadOrderLost: an order that never arrived does not hold its permit for good.
 func TestLoadOrderLost(t *testing.T) {
+	t.Parallel()
 	bothRegimes(t, func(t *testing.T, r *rig) {
 		r.setLimit(1)
 		owner := r.ownerOf(0, 0)
@@ -334,6 +345,7 @@
 // TestOrderHeldUpPastTheLease: a load is written while an earlier order to its
 // target hangs. By the time that it could be sent another entry owns the shard.
 func TestOrderHeldUpPastTheLease(t *testing.T) {
+	t.Parallel()
 	bothRegimes(t, func(t *testing.T, r *rig) {
 		old := r.ownerOf(0, 0)
 		r.net.Delay = func(from, to netip.AddrPort) time.Duration {
@@ -359,6 +371,7 @@
 // TestLateLoadOrderAfterUnload: the successor of an owner that died sends its
 // load again and unloads the replica, and only then the first order arrives.
 func TestLateLoadOrderAfterUnload(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		delay time.Duration
 		end   func(*entry)
@@ -389,6 +402,7 @@
 // TestLateLoadOrder: the order of an owner that died arrives long after the
 // takeover. It is charged all the time and fenced off or adopted.
 func TestLateLoadOrder(t *testing.T) {
+	t.Parallel()
 	bothRegimes(t, func(t *testing.T, r *rig) {
 		old := r.ownerOf(0, 0)
 		r.delayOrders(20 * time.Second)
@@ -407,6 +421,7 @@
 }
 
 func TestTargetLeavesMidLoad(t *testing.T) {
+	t.Parallel()
 	bothRegimes(t, func(t *testing.T, r *rig) {
 		r.demand(0, 0, ports.Demand{Model: "model-0", Waiting: 1, Within: 30 * time.Second, From: "caller"})
 		r.run(500 * time.Millisecond)
@@ -425,6 +440,7 @@
 }
 
 func TestTargetReclaimedMidLoad(t *testing.T) {
+	t.Parallel()
 	bothRegimes(t, func(t *testing.T, r *rig) {
 		r.demand(0, 0, ports.Demand{Model: "model-0", Waiting: 1, Within: 30 * time.Second, From: "caller"})
 		r.run(500 * time.Millisecond)
@@ -436,6 +452,7 @@
 }
 
 func TestTargetRestartsEmpty(t *testing.T) {
+	t.Parallel()
 	bothRegimes(t, func(t *testing.T, r *rig) {
 		r.waitFor("model-0", 10*time.Second)
 		r.run(4 * time.Second)
@@ -447,6 +464,7 @@
 }
 
 func TestLoadFailure(t *testing.T) {
+	t.Parallel()
 	bothRegimes(t, func(t *testing.T, r *rig) {
 		for _, m := range r.targets {
 			m.failing = true
@@ -474,6 +492,7 @@
 // TestEverythingRestartsAtOnce: the zone's entries come back as new incarnations
 // and take their shards without waiting for the leases of the old ones.
 func TestEverythingRestartsAtOnce(t *testing.T) {
+	t.Parallel()
 	bothRegimes(t, func(t *testing.T, r *rig) {
 		r.waitFor("model-0", 10*time.Second)
 		r.run(4 * time.Second)
@@ -493,6 +512,7 @@
 }
 
 func TestLoweredMaximum(t *testing.T) {
+	t.Parallel()
 	bothRegimes(t, func(t *testing.T, r *rig) {
 		for range 8 {
 			r.demand(0, 0, ports.Demand{Model: "model-0", Waiting: 9, Within: 5 * time.Second, From: "caller"})
@@ -513,6 +533,7 @@
 
 // TestBurst: a burst at eight entries makes one load.
 func TestBurst(t *testing.T) {
+	t.Parallel()
 	bothRegimes(t, func(t *testing.T, r *rig) {
 		for range 50 {
 			for i := range 8 {
@@ -534,6 +555,7 @@
 }
 
 func TestStopHandsOver(t *testing.T) {
+	t.Parallel()
 	bothRegimes(t, func(t *testing.T, r *rig) {
 		r.waitFor("model-0", 10*time.Second)
 		r.run(4 * time.Second)
@@ -553,6 +575,7 @@
 
 // TestUnreadableValue: a damaged or newer value is left alone.
 func TestUnreadableValue(t *testing.T) {
+	t.Parallel()
 	for name, value := range map[string]string{
 		"damaged": `{"format":1,"zone":`,
 		"newer":   `{"format":2,"zone":"zone-a","shard":0,"epoch":9}`,
@@ -578,6 +601,7 @@
 // TestPreferredOwnerWithoutKV: the entry that rendezvous hashing prefers is
 // heard of but cannot reach the KV service; the shard is not offered to it for ever.
 func TestPreferredOwnerWithoutKV(t *testing.T) {
+	t.Parallel()
 	r := smallRig(7, 0)
 	r.run(5 * time.Second)
 	r.ownerOf(0, 0).kv.SetFaults(world.KVFaults{Down: true})
@@ -594,6 +618,7 @@
 // TestUnreachableFencedTarget: a cut-off owner loads within its permits on a
 // target that its successor cannot reach; the successor must count that.
 func TestUnreachableFencedTarget(t *testing.T) {
+	t.Parallel()
 	r := smallRig(7, 0)
 	r.run(5 * time.Second)
 	r.demand(0, 0, ports.Demand{Model: "model-0", Waiting: 9, Within: 3 * time.Second, From: "caller"})
@@ -622,6 +647,7 @@
 // TestLeaseCountsFromTheSend: with calls of 8 s and then none at all, the owner
 // must not count on its lease for longer than the KV service keeps it.
 func TestLeaseCountsFromTheSend(t *testing.T) {
+	t.Parallel()
 	bothRegimes(t, func(_ *testing.T, r *rig) {
 		r.setKV(world.KVFaults{Latency: 8 * time.Second})
 		r.run(60 * time.Second)
@@ -633,6 +659,7 @@
 // TestClaimTakesEffectLate: claims whose answers are lost arrive seconds later,
 // when another entry may have claimed the shard.
 func TestClaimTakesEffectLate(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(6) {
 		r := smallRig(seed, int(seed)%4)
 		for _, e := range r.entries {
@@ -653,6 +680,7 @@
 // write of an order to a target that ignores fencing, however long the order
 // waited after the decision.
 func TestOrdersCarryTheLeaseEnd(t *testing.T) {
+	t.Parallel()
 	bothRegimes(t, func(t *testing.T, r *rig) {
 		r.waitFor("model-0", 10*time.Second)
 		r.run(30 * time.Second)
@@ -671,6 +699,7 @@
 // TestDeletedValue: after an operator deleted the value of a shard whose targets
 // are empty, the epoch begins anew below the targets' fences and is raised.
 func TestDeletedValue(t *testing.T) {
+	t.Parallel()
 	bothRegimes(t, func(t *testing.T, r *rig) {
 		for range 3 {
 			r.ownerOf(0, 0).kill()
@@ -698,6 +727,7 @@
 // TestStoreSlotsTakeTurns: eight shards want to load all the time and there are
 // four slots; none is left out.
 func TestStoreSlotsTakeTurns(t *testing.T) {
+	t.Parallel()
 	r := newRig(rigSize{
 		zones: 2, entries: 2, targets: 16, shards: 4, memoryBytes: 9 * gib,
 		models: 64, maxReplicas: 1, latency: time.Millisecond, seed: 2,
@@ -738,3 +768,32 @@
 		}
 	}
 }
+
+// TestAdapters: an adapter that callers wait for is loaded on a ready replica,
+// and an idle replica of another model makes room for it.
+func TestAdapters(t *testing.T) {
+	t.Parallel()
+	for _, unfenced := range []int{0, 1} {
+		r := newRig(rigSize{
+			zones: 1, entries: 2, targets: 1, shards: 1, unfenced: unfenced, memoryBytes: 8 * gib,
+			models: 2, maxReplicas: 1, latency: time.Millisecond, seed: 4,
+		})
+		r.run(5 * time.Second)
+		r.waitFor("model-0", 10*time.Second)
+		r.run(4 * time.Second)
+		r.waitFor("model-1", 10*time.Second)
+		r.run(5 * time.Second)
+		r.expectLoaded(t, map[string]int{"model-0": 1, "model-1": 1})
+		for range 4 {
+			r.demand(0, 0, ports.Demand{Model: "model-0", Adapter: "lora", Waiting: 1, Within: 5 * time.Second, From: "caller"})
+			r.run(time.Second)
+		}
+		r.expectLoaded(t, map[string]int{"model-0": 1, "model-1": 0})
+		for _, rep := range r.targets[0].engine.State().Replicas {
+			if diff := cmp.Diff([]string{"lora"}, rep.Adapters); diff != "" {
+				t.Errorf("adapters of %s (-want +got):\n%s\n%s", rep.Replica, diff, r.describe())
+			}
+		}
+		r.mustHold(t)
+	}
+}
--- a/internal/coordination/owner/rig_test.go
+++ b/internal/coordination/owner/rig_test.go
@@ -62,6 +62,8 @@
 	deleted  bool
 	items    []ports.Item
 	dumpedAt int
+	// yields are the peers' calls that wait for a YieldAnswered.
+	yields map[uint64]func(ports.PeerReply)
 	// decoded are the values read so far, by revision.
 	decoded map[ports.Revision]any
 	// checked counts the checks that were made.
@@ -135,6 +137,7 @@
 		list:    world.NewList(clock, size.listLag),
 		random:  rand.New(rand.NewPCG(size.seed, 1)),
 		bound:   make(map[string]int),
+		yields:  make(map[uint64]func(ports.PeerReply)),
 		decoded: make(map[ports.Revision]any),
 		answers: make(map[uint64]ports.DemandReply),
 	}
@@ -267,8 +270,8 @@
 	case DemandAnswered:
 		r.answers[n.ID] = n.Reply
 	case YieldAnswered:
-		if done := yieldWaits[n.ID]; done != nil {
-			delete(yieldWaits, n.ID)
+		if done := r.yields[n.ID]; done != nil {
+			delete(r.yields, n.ID)
 			done(ports.PeerReply{Msg: n.Reply})
 		}
 	case Stopped:
@@ -282,8 +285,6 @@
 	r.events = append(r.events, r.clock.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
 }
 
-var yieldWaits = make(map[uint64]func(ports.PeerReply))
-
 func (e *entry) handle(msg ports.PeerMessage, done func(ports.PeerReply)) {
 	e.gate(e.incarnation, func() {
 		switch m := msg.(type) {
@@ -291,7 +292,7 @@
 			for n := range e.shards {
 				if permit.ShardName(e.member.Zone, n) == m.Shard {
 					e.rig.nextAsk++
-					yieldWaits[e.rig.nextAsk] = done
+					e.rig.yields[e.rig.nextAsk] = done
 					e.loops[n].Post(YieldAsked{ID: e.rig.nextAsk, Yield: m})
 				}
 			}
--- a/internal/coordination/owner/shard_test.go
+++ b/internal/coordination/owner/shard_test.go
@@ -41,6 +41,7 @@
 }
 
 func TestColdLoad(t *testing.T) {
+	t.Parallel()
 	for _, unfenced := range []int{0, 3} {
 		r := smallRig(1, unfenced)
 		r.run(5 * time.Second)
@@ -61,6 +62,7 @@
 }
 
 func TestTakeoverAfterKill(t *testing.T) {
+	t.Parallel()
 	for _, unfenced := range []int{0, 3} {
 		r := smallRig(2, unfenced)
 		r.run(5 * time.Second)
--- a/internal/coordination/owner/state_test.go
+++ b/internal/coordination/owner/state_test.go
@@ -22,6 +22,7 @@
 // more at a time, checks the promises after every event, and in the end that
 // every model can be loaded again.
 func TestPromises(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		size := rigSize{
 			zones:       rapid.IntRange(1, 2).Draw(t, "zones"),
