--- /dev/null
+++ b/internal/coordination/owner/home.go
@@ -0,0 +1,77 @@
+package owner
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"chivecroft.example/chivecroft/internal/coordination/place"
+	"chivecroft.example/chivecroft/internal/coordination/policy"
+	"chivecroft.example/chivecroft/internal/coordination/ports"
+)
+
+// home is what this shard does for the models that have their home here: one
+// shard of one zone keeps a model's minimum and loads it ahead of use.
+type home struct {
+	// zones are those of live entries when the models were last divided.
+	zones  string
+	models []string
+	minima map[string]int
+	// preload are the models that the policy wants loaded ahead of use.
+	preload   map[string]bool
+	preloadAt time.Time
+}
+
+// preloadEvery is the period at which the policy is asked.
+const preloadEvery = 5 * time.Second
+
+// reviewHome divides the models again if the zones or the configuration changed.
+func (s *Shard) reviewHome(configChanged bool) {
+	if s.config == nil {
+		return
+	}
+	zones := s.liveZones()
+	joined := strings.Join(zones, "\x00")
+	if joined == s.home.zones && !configChanged {
+		return
+	}
+	s.home = home{zones: joined, minima: make(map[string]int), preloadAt: s.home.preloadAt}
+	for _, name := range slices.Sorted(maps.Keys(s.config.Models)) {
+		if place.ShardOf(name, s.settings.ShardCount) != s.settings.Shard || place.Rank(name, zones)[0] != s.settings.Zone {
+			continue
+		}
+		s.home.models = append(s.home.models, name)
+		if rule := s.config.Rules[name]; rule.MinReplicas > 0 {
+			s.home.minima[name] = min(rule.MinReplicas, rule.MaxReplicas)
+		}
+	}
+}
+
+func (s *Shard) liveZones() []string {
+	zones := map[string]bool{s.settings.Zone: true}
+	for _, m := range s.members {
+		if m.Phase == ports.MemberAlive {
+			zones[m.Zone] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(zones))
+}
+
+// reviewPreload asks the policy which models to load ahead of use.
+func (s *Shard) reviewPreload() {
+	if s.policies.Preload == nil || s.now.Before(s.home.preloadAt) {
+		return
+	}
+	s.home.preloadAt = s.now.Add(preloadEvery)
+	views := make([]policy.ModelView, 0, len(s.home.models))
+	for _, name := range s.home.models {
+		if m, known := s.models[name]; known {
+			views = append(views, s.view(m))
+		}
+	}
+	s.home.preload = make(map[string]bool)
+	for _, name := range s.policies.Preload.Decide(s.now, views) {
+		s.home.preload[name] = true
+	}
+}
--- a/internal/coordination/owner/model.go
+++ b/internal/coordination/owner/model.go
@@ -167,33 +167,7 @@
 // minimum is how many replicas this shard keeps loaded: the model's minimum at
 // its home shard, none elsewhere.
 func (s *Shard) minimum(name string) int {
-	return s.minima[name]
-}
-
-// reviewMinima finds the models that have their home at this shard.
-func (s *Shard) reviewMinima() {
-	s.minima = make(map[string]int)
-	if s.config == nil {
-		return
-	}
-	for name, rule := range s.config.Rules {
-		if rule.MinReplicas > 0 && s.isHome(name) {
-			s.minima[name] = min(rule.MinReplicas, rule.MaxReplicas)
-		}
-	}
-}
-
-func (s *Shard) isHome(name string) bool {
-	if place.ShardOf(name, s.settings.ShardCount) != s.settings.Shard {
-		return false
-	}
-	zones := map[string]bool{s.settings.Zone: true}
-	for _, m := range s.members {
-		if m.Phase == ports.MemberAlive {
-			zones[m.Zone] = true
-		}
-	}
-	return place.Rank(name, slices.Sorted(maps.Keys(zones)))[0] == s.settings.Zone
+	return s.home.minima[name]
 }
 
 func (s *Shard) replicasOf(name string) []*replica {
@@ -244,6 +218,7 @@
 	if s.ticked {
 		s.ticked = false
 		s.reviewTargets()
+		s.reviewPreload()
 		s.retire()
 	}
 	wanting := s.wanting()
@@ -269,9 +244,12 @@
 			delete(s.demanded, name)
 		}
 	}
-	for name := range s.minima {
+	for name := range s.home.minima {
 		names[name] = true
 	}
+	if len(names) == 0 {
+		names = s.home.preload
+	}
 	for _, t := range s.targets {
 		for _, r := range t.replicas {
 			if r.isReady() && !r.isIdle() {
@@ -295,7 +273,7 @@
 	}
 	v := s.view(m)
 	want := s.policies.Scale.Decide(s.now, policy.ScaleInput{Model: v})
-	if v.Waiting > 0 {
+	if v.Waiting > 0 || s.home.preload[m.name] {
 		want = max(want, 1)
 	}
 	return min(max(want, v.Min), v.Max)
@@ -355,6 +333,10 @@
 		s.acquire(m.name, s.permits.held[m.name]+1)
 		return
 	}
+	if len(placed.Evict) > 0 && v.Waiting+v.Running+v.Queued+v.Min == 0 {
+		// A load ahead of use takes nobody's place.
+		return
+	}
 	if len(placed.Evict) > 0 {
 		s.evict(m, t, placed.Evict)
 		return
--- /dev/null
+++ b/internal/coordination/owner/permits_test.go
@@ -0,0 +1,163 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"chivecroft.example/chivecroft/internal/coordination/permit"
+	"chivecroft.example/chivecroft/internal/coordination/place"
+	"chivecroft.example/chivecroft/internal/coordination/policy"
+	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/state/config"
+)
+
+// TestPermitMoves: the only permit of a model goes where it is asked for.
+func TestPermitMoves(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(8) {
+		r := newRig(rigSize{
+			zones: 2, entries: 2, targets: 1, shards: 1, memoryBytes: 10 * gib,
+			models: 2, maxReplicas: 1, latency: time.Millisecond, seed: seed,
+		})
+		r.run(5 * time.Second)
+		r.waitFor("model-0", 10*time.Second)
+		r.run(60 * time.Second)
+		// Writes of the holder take effect late and in any order.
+		r.ownerOf(0, 0).kv.late = 1
+		for range 30 {
+			r.demand(1, 0, ports.Demand{Model: "model-0", Waiting: 1, Within: 10 * time.Second, From: "caller"})
+			r.run(time.Second)
+		}
+		r.ownerOf(0, 0).kv.late = 0
+		for range 15 {
+			r.demand(1, 0, ports.Demand{Model: "model-0", Waiting: 1, Within: 10 * time.Second, From: "caller"})
+			r.run(time.Second)
+		}
+		r.expectLoaded(t, map[string]int{"model-0": 1})
+		r.mustHold(t)
+	}
+}
+
+func TestLoweredMaximum(t *testing.T) {
+	t.Parallel()
+	bothRegimes(t, func(t *testing.T, r *rig) {
+		for range 8 {
+			r.demand(0, 0, ports.Demand{Model: "model-0", Waiting: 9, Within: 5 * time.Second, From: "caller"})
+			r.run(time.Second)
+		}
+		r.expectLoaded(t, map[string]int{"model-0": 2})
+		r.setLimit(1)
+		r.run(5 * time.Second)
+		r.expectLoaded(t, map[string]int{"model-0": 1})
+		if diff := cmp.Diff(1, r.bound["model-0"]); diff != "" {
+			t.Errorf("permits (-want +got):\n%s", diff)
+		}
+		r.setLimit(0)
+		r.run(5 * time.Second)
+		r.expectLoaded(t, map[string]int{"model-0": 0})
+	})
+}
+
+// TestBurst: a burst at eight entries makes one load.
+func TestBurst(t *testing.T) {
+	t.Parallel()
+	bothRegimes(t, func(t *testing.T, r *rig) {
+		for range 50 {
+			for i := range 8 {
+				r.demand(0, 0, ports.Demand{Model: "model-0", Waiting: 1, Within: 30 * time.Second, From: "entry-" + string(rune('0'+i))})
+			}
+			r.run(20 * time.Millisecond)
+		}
+		r.run(5 * time.Second)
+		loads := 0
+		for _, m := range r.targets {
+			loads += m.engine.Record().Loads["model-0"]
+		}
+		// Eight callers at a concurrency of four are worth two replicas to the
+		// test's policy, which is also the maximum.
+		if diff := cmp.Diff(2, loads); diff != "" {
+			t.Errorf("loads (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// TestStoreSlotsTakeTurns: eight shards want to load all the time and there are
+// four slots; none is left out.
+func TestStoreSlotsTakeTurns(t *testing.T) {
+	t.Parallel()
+	r := newRig(rigSize{
+		zones: 2, entries: 2, targets: 16, shards: 4, memoryBytes: 9 * gib,
+		models: 64, maxReplicas: 1, latency: time.Millisecond, seed: 2,
+	})
+	r.run(5 * time.Second)
+	for round := range 60 {
+		for z := range r.size.zones {
+			for n := range r.size.shards {
+				// Each shard has models of its own, six of which it wants at a time.
+				first := (z*r.size.shards + n) * 8
+				for k := range 6 {
+					model := modelName(first + (round/4+k)%8)
+					r.demand(z, n, ports.Demand{Model: model, Waiting: 1, Within: 3 * time.Second, From: "caller"})
+				}
+			}
+		}
+		r.run(time.Second)
+	}
+	r.mustHold(t)
+	loads := make(map[string]int)
+	for _, m := range r.targets {
+		for _, n := range m.engine.Record().Loads {
+			loads[permit.ShardName(m.row.Zone, place.ShardOf(m.row.ID, r.size.shards))] += n
+		}
+	}
+	for i := range r.starts {
+		if i >= defaultStoreSlots && r.starts[i].Sub(r.starts[i-defaultStoreSlots]) < time.Second {
+			t.Errorf("five loads from the weight store began within a second before %v", r.starts[i])
+		}
+	}
+	t.Logf("%d from the weight store, loads by shard: %v", len(r.starts), loads)
+	for z := range r.size.zones {
+		for n := range r.size.shards {
+			name := permit.ShardName(zoneName(z), n)
+			if loads[name] < 3 {
+				t.Errorf("%d loads in shard %s: %v", loads[name], name, loads)
+			}
+		}
+	}
+}
+
+// TestMinimumAndPreload: a model's minimum stays loaded without demand, in one
+// zone; a model that the policy wants early is loaded where there is room.
+func TestMinimumAndPreload(t *testing.T) {
+	t.Parallel()
+	r := newRig(rigSize{
+		zones: 2, entries: 2, targets: 2, shards: 1, memoryBytes: 5 * gib,
+		models: 4, maxReplicas: 1, latency: time.Millisecond, seed: 4,
+	})
+	c := r.newConfig(2, 1)
+	c.Rules["model-1"] = config.Rule{MaxReplicas: 1, MinReplicas: 1, KeepAlive: config.Duration(5 * time.Second)}
+	r.config = c
+	for _, e := range r.entries {
+		for _, s := range e.shards {
+			s.policies.Preload = policy.Func[[]policy.ModelView, []string](func(_ time.Time, views []policy.ModelView) []string {
+				var names []string
+				for _, v := range views {
+					if v.Model == "model-2" {
+						names = append(names, v.Model)
+					}
+				}
+				return names
+			})
+		}
+		e.post(ConfigChanged{c})
+	}
+	r.run(10 * time.Second)
+	for z := range r.size.zones {
+		r.demand(z, 0, ports.Demand{Model: "model-2", Waiting: 0, Within: time.Second, From: "caller"})
+	}
+	r.run(60 * time.Second)
+	r.expectLoaded(t, map[string]int{"model-1": 1, "model-2": 1})
+	r.mustHold(t)
+}
--- a/internal/coordination/owner/retire.go
+++ b/internal/coordination/owner/retire.go
@@ -39,7 +39,7 @@
 	if waiting, _ := m.waiting(s.now); waiting > 0 {
 		return false
 	}
-	if s.decided(r.Model) <= s.minimum(r.Model) {
+	if s.decided(r.Model) <= s.minimum(r.Model) || s.home.preload[r.Model] {
 		return false
 	}
 	v := s.view(m)
--- a/internal/coordination/owner/shard.go
+++ b/internal/coordination/owner/shard.go
@@ -64,10 +64,9 @@
 
 	targets map[string]*target
 	models  map[string]*model
-	// demanded are the models that callers wait for, and minima those that have
-	// their home here with the replicas they keep.
+	// demanded are the models that callers wait for.
 	demanded map[string]bool
-	minima   map[string]int
+	home     home
 	asks     []ask
 	permits  permits
 	table    table
@@ -89,7 +88,6 @@
 		stage:    stageWatching,
 		models:   make(map[string]*model),
 		demanded: make(map[string]bool),
-		minima:   make(map[string]int),
 	}
 	s.forget()
 	return s
@@ -298,7 +296,7 @@
 	}
 	old := s.config
 	s.config = c
-	s.reviewMinima()
+	s.reviewHome(true)
 	if s.stage == stageOwned {
 		s.reviewLimits(old)
 	}
--- /dev/null
+++ b/internal/coordination/owner/targets_test.go
@@ -0,0 +1,108 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"chivecroft.example/chivecroft/internal/coordination/ports"
+)
+
+func TestTargetLeavesMidLoad(t *testing.T) {
+	t.Parallel()
+	bothRegimes(t, func(t *testing.T, r *rig) {
+		r.demand(0, 0, ports.Demand{Model: "model-0", Waiting: 1, Within: 30 * time.Second, From: "caller"})
+		r.run(500 * time.Millisecond)
+		leaving := r.holderOf("model-0")
+		leaving.engine.SetLeaving(true)
+		r.run(3 * time.Second)
+		loads := leaving.engine.Record().Loads
+		r.waitFor("model-1", 10*time.Second)
+		r.waitFor("model-2", 10*time.Second)
+		r.run(10 * time.Second)
+		if diff := cmp.Diff(loads, leaving.engine.Record().Loads); diff != "" {
+			t.Errorf("loads on the leaving target (-before +after):\n%s", diff)
+		}
+		r.expectLoaded(t, map[string]int{"model-1": 1, "model-2": 1})
+	})
+}
+
+func TestTargetReclaimedMidLoad(t *testing.T) {
+	t.Parallel()
+	bothRegimes(t, func(t *testing.T, r *rig) {
+		r.demand(0, 0, ports.Demand{Model: "model-0", Waiting: 1, Within: 30 * time.Second, From: "caller"})
+		r.run(500 * time.Millisecond)
+		r.remove(r.holderOf("model-0"))
+		r.run(90 * time.Second)
+		r.waitFor("model-0", 10*time.Second)
+		r.expectLoaded(t, map[string]int{"model-0": 1})
+	})
+}
+
+func TestTargetRestartsEmpty(t *testing.T) {
+	t.Parallel()
+	bothRegimes(t, func(t *testing.T, r *rig) {
+		r.waitFor("model-0", 10*time.Second)
+		r.run(4 * time.Second)
+		r.boot(r.holderOf("model-0"))
+		r.run(3 * time.Second)
+		r.waitFor("model-0", 10*time.Second)
+		r.expectLoaded(t, map[string]int{"model-0": 1})
+	})
+}
+
+func TestLoadFailure(t *testing.T) {
+	t.Parallel()
+	bothRegimes(t, func(t *testing.T, r *rig) {
+		for _, m := range r.targets {
+			m.failing = true
+		}
+		r.ask("model-0", 1)
+		r.run(5 * time.Second)
+		reply := r.ask("model-0", 1)
+		if reply.Status != ports.DemandRefused || reply.RetryAfter <= 0 {
+			t.Errorf("after a failed load the answer is %+v", reply)
+		}
+		loads := 0
+		for range 60 {
+			r.ask("model-0", 1)
+			r.run(time.Second)
+		}
+		for _, m := range r.targets {
+			loads += m.engine.Record().Loads["model-0"]
+		}
+		if loads < 3 || loads > 8 {
+			t.Errorf("%d loads in a minute of failures", loads)
+		}
+	})
+}
+
+// TestAdapters: an adapter that callers wait for is loaded on a ready replica,
+// and an idle replica of another model makes room for it.
+func TestAdapters(t *testing.T) {
+	t.Parallel()
+	for _, unfenced := range []int{0, 1} {
+		r := newRig(rigSize{
+			zones: 1, entries: 2, targets: 1, shards: 1, unfenced: unfenced, memoryBytes: 8 * gib,
+			models: 2, maxReplicas: 1, latency: time.Millisecond, seed: 4,
+		})
+		r.run(5 * time.Second)
+		r.waitFor("model-0", 10*time.Second)
+		r.run(4 * time.Second)
+		r.waitFor("model-1", 10*time.Second)
+		r.run(5 * time.Second)
+		r.expectLoaded(t, map[string]int{"model-0": 1, "model-1": 1})
+		for range 4 {
+			r.demand(0, 0, ports.Demand{Model: "model-0", Adapter: "lora", Waiting: 1, Within: 5 * time.Second, From: "caller"})
+			r.run(time.Second)
+		}
+		r.expectLoaded(t, map[string]int{"model-0": 1, "model-1": 0})
+		for _, rep := range r.targets[0].engine.State().Replicas {
+			if diff := cmp.Diff([]string{"lora"}, rep.Adapters); diff != "" {
+				t.Errorf("adapters of %s (-want +got):\n%s\n%s", rep.Replica, diff, r.describe())
+			}
+		}
+		r.mustHold(t)
+	}
+}
--- a/internal/coordination/owner/watch.go
+++ b/internal/coordination/owner/watch.go
@@ -34,7 +34,7 @@
 	for _, m := range members {
 		s.members[m.ID] = m
 	}
-	s.reviewMinima()
+	s.reviewHome(false)
 	s.hearSenders()
 	has := s.gossipedOwner() != ""
 	if s.watch.hadOwner && !has {
