Answer at once where no target has room

The asker tries the shards of its zone one after the other and waited a second at each that had no place. A shard whose targets have all reported says so in the same step; while a first report is still to come it waits as before.

--- a/internal/coordination/owner/demand.go
+++ b/internal/coordination/owner/demand.go
@@ -52,6 +52,10 @@
 	if !s.couldHold(m.name) {
 		return ports.DemandReply{Status: ports.DemandElsewhere, Reason: "no target of the shard is large enough for the model"}, true
 	}
+	if m.refused != "" && m.refusedAt.Equal(s.now) && !s.hasUnseen() {
+		// Another shard may have a place; the asker need not wait to try it.
+		return ports.DemandReply{Status: ports.DemandQueued, Reason: m.refused, ReadyIn: s.loadTime(m.name) + queuedEstimate}, true
+	}
 	return s.queuedOrWait(a, m.refused, s.loadTime(m.name)+queuedEstimate)
 }
 
--- a/internal/coordination/owner/model.go
+++ b/internal/coordination/owner/model.go
@@ -26,8 +26,9 @@
 	failures int
 	retryAt  time.Time
 	reason   string
-	// refused says why the placement found no target.
-	refused string
+	// refused says why the placement found no target, at refusedAt.
+	refused   string
+	refusedAt time.Time
 	// since is when the demand began that no load has been decided for.
 	since time.Time
 	// pressure measures the overload of the ready replicas.
@@ -324,7 +325,7 @@
 	}
 	placed := s.policies.Place.Decide(s.now, policy.PlaceInput{Model: v, Targets: s.targetViews(m.name)})
 	t := s.targets[placed.Target]
-	m.refused = placed.Refused
+	m.refused, m.refusedAt = placed.Refused, s.now
 	if placed.Refused != "" || t == nil {
 		delete(s.permits.wants, m.name)
 		return
--- a/internal/coordination/owner/permits_test.go
+++ b/internal/coordination/owner/permits_test.go
@@ -161,3 +161,25 @@
 	r.expectLoaded(t, map[string]int{"model-1": 1, "model-2": 1})
 	r.mustHold(t)
 }
+
+// TestNoPlaceIsAnsweredAtOnce: who asks a shard whose targets are all in use can
+// try the next one without waiting for it.
+func TestNoPlaceIsAnsweredAtOnce(t *testing.T) {
+	t.Parallel()
+	r := newRig(rigSize{
+		zones: 1, entries: 2, targets: 1, shards: 1, memoryBytes: 5 * gib,
+		models: 2, maxReplicas: 1, latency: time.Millisecond, seed: 4,
+	})
+	r.run(5 * time.Second)
+	r.waitFor("model-0", 10*time.Second)
+	r.run(5 * time.Second)
+	for _, rep := range r.targets[0].engine.State().Replicas {
+		r.targets[0].engine.Begin(rep.Replica)
+	}
+	r.run(3 * time.Second)
+	id := r.demand(0, 0, ports.Demand{Model: "model-1", Waiting: 1, Within: 5 * time.Second, From: "caller"})
+	want := ports.DemandReply{Status: ports.DemandQueued, Reason: "no target has room", ReadyIn: 5 * time.Second}
+	if diff := cmp.Diff(want, r.answers[id]); diff != "" {
+		t.Errorf("answer (-want +got):\n%s", diff)
+	}
+}
--- a/internal/coordination/owner/target.go
+++ b/internal/coordination/owner/target.go
@@ -266,6 +266,16 @@
 	return false
 }
 
+// hasUnseen tells whether a target's first account is still to be expected.
+func (s *Shard) hasUnseen() bool {
+	for _, t := range s.targets {
+		if t.listed && !t.raised && t.failures == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // hasUnresolved tells whether loads are decided whose outcome is open.
 func (s *Shard) hasUnresolved() bool {
 	for _, t := range s.targets {
