Resolve the loads of senders that nobody knows any more

Seen failing first (TestForgottenSender/unfenced): when gossip had forgotten the instance of a dead owner, its unresolved load on a target that ignores fencing stayed charged for ever, and its permit with it. A beat of another incarnation does not count as a sign of the sender's life.

--- a/internal/coordination/owner/calls_test.go
+++ b/internal/coordination/owner/calls_test.go
@@ -93,6 +93,7 @@
 		var worst time.Duration
 		for seed := range 5 {
 			r := shardOf(targets)
+			r.silentAfter = 10 * time.Second
 			r.run(time.Duration(60+seed) * time.Second)
 			old := r.ownerOf(0, 0)
 			killed := r.clock.Now()
@@ -151,3 +152,57 @@
 		})
 	}
 }
+
+// TestZoneRestartsAtOnce bounds the time until a zone whose entries all restart
+// serves again, and its KV calls meanwhile.
+func TestZoneRestartsAtOnce(t *testing.T) {
+	t.Parallel()
+	for _, entries := range []int{4, 8, 16} {
+		r := newRig(rigSize{
+			zones: 1, entries: entries, targets: 32, shards: 8, memoryBytes: 10 * gib,
+			models: 16, maxReplicas: 1, latency: time.Millisecond, seed: 3,
+		})
+		r.run(60 * time.Second)
+		for m := range r.size.models {
+			r.demand(0, m%r.size.shards, ports.Demand{Model: modelName(m), Waiting: 1, Within: 8 * time.Second, From: "caller"})
+		}
+		r.run(10 * time.Second)
+		before := len(r.starts)
+		for _, e := range r.entries {
+			e.kill()
+		}
+		for _, e := range r.entries {
+			e.start()
+		}
+		begin, peak := r.clock.Now(), 0
+		for r.ownedShards() < r.size.shards && r.clock.Now().Sub(begin) < time.Minute {
+			calls := r.measure(func() { r.run(500 * time.Millisecond) })
+			peak = max(peak, calls["read"]+calls["write"])
+		}
+		took := r.clock.Now().Sub(begin)
+		t.Logf("%d entries: all shards owned within %v, at most %d KV calls in half a second", entries, took, peak)
+		// A restarted entry revokes its own former lease; a shard whose preferred
+		// entry changed waits for the lease of the former owner.
+		if limit := defaultLeaseTTL + 5*time.Second; took > limit {
+			t.Errorf("%d entries: %v, allowed are %v", entries, took, limit)
+		}
+		if limit := entries*r.size.shards*2 + 100; peak > limit {
+			t.Errorf("%d entries: %d KV calls in half a second, allowed are %d", entries, peak, limit)
+		}
+		r.run(5 * time.Second)
+		if len(r.starts) != before {
+			t.Errorf("%d loads were repeated", len(r.starts)-before)
+		}
+		r.mustHold(t)
+	}
+}
+
+func (r *rig) ownedShards() int {
+	n := 0
+	for shard := range r.size.shards {
+		if r.ownerOf(0, shard) != nil {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/coordination/owner/observe.go
+++ b/internal/coordination/owner/observe.go
@@ -1,7 +1,6 @@
 package owner
 
 import (
-	"fmt"
 	"time"
 
 	"chivecroft.example/chivecroft/internal/coordination/place"
@@ -247,59 +246,3 @@
 	r.Phase = place.PhaseUnloading
 	r.seq = s.changed()
 }
-
-// heard is when a former owner was first heard of since the takeover.
-type heard struct {
-	beat uint64
-	at   time.Time
-}
-
-// hearSenders follows the former owners named in the plan, to learn when they
-// are certain to have found out that they were replaced.
-func (s *Shard) hearSenders() {
-	if s.stage != stageOwned {
-		return
-	}
-	for _, t := range s.targets {
-		for _, r := range t.replicas {
-			for _, sender := range r.Unresolved {
-				s.hear(sender)
-			}
-		}
-	}
-}
-
-func (s *Shard) hear(sender place.Sender) {
-	m, ok := s.members[sender.Instance]
-	if !ok || s.isSelf(sender) || m.Incarnation != sender.Incarnation {
-		return
-	}
-	if _, known := s.senders[senderKey(sender)]; !known {
-		s.senders[senderKey(sender)] = heard{beat: m.Beat, at: s.now}
-	}
-}
-
-func senderKey(sender place.Sender) string {
-	return fmt.Sprintf("%s/%d", sender.Instance, sender.Incarnation)
-}
-
-// isSenderGone tells whether a former owner's process has ended, or has been
-// running for long enough since the takeover that its own check of the lease
-// stopped every order. A silent one may be paused between check and send.
-func (s *Shard) isSenderGone(sender place.Sender) bool {
-	m, ok := s.members[sender.Instance]
-	if sender.Instance == s.settings.Self.ID {
-		return sender.Incarnation < s.settings.Self.Incarnation
-	}
-	if !ok {
-		return false
-	}
-	if m.Incarnation > sender.Incarnation || m.Phase == ports.MemberGone {
-		return true
-	}
-	h, known := s.senders[senderKey(sender)]
-	if !known || m.Phase == ports.MemberSilent {
-		return false
-	}
-	return m.Beat > h.beat+1 && s.now.Sub(h.at) >= s.settings.OrderTransit
-}
--- a/internal/coordination/owner/orders_test.go
+++ b/internal/coordination/owner/orders_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 	"chivecroft.example/chivecroft/internal/stand/world"
 )
@@ -209,3 +211,24 @@
 		}
 	})
 }
+
+// TestForgottenSender: a sender of which gossip and the instance list know
+// nothing any more does not hold its replica's charge for ever.
+func TestForgottenSender(t *testing.T) {
+	t.Parallel()
+	bothRegimes(t, func(t *testing.T, r *rig) {
+		r.forgetsDead = true
+		r.delayOrders(25 * time.Second)
+		r.demand(0, 0, ports.Demand{Model: "model-0", Waiting: 1, Within: time.Second, From: "caller"})
+		r.run(50 * time.Millisecond)
+		r.ownerOf(0, 0).kill()
+		r.net.Delay = nil
+		r.run(14 * time.Second)
+		r.setLimit(0)
+		r.run(3 * time.Minute)
+		r.expectLoaded(t, map[string]int{"model-0": 0})
+		if diff := cmp.Diff(0, r.ledger()["model-0"].Granted()); diff != "" {
+			t.Errorf("permits (-want +got):\n%s\n%s", diff, r.describe())
+		}
+	})
+}
--- a/internal/coordination/owner/rig_test.go
+++ b/internal/coordination/owner/rig_test.go
@@ -57,6 +57,10 @@
 	onNote  func(*entry, any)
 	fault   string
 	removed int
+	// silentAfter is when gossip notices that an entry is not heard of.
+	silentAfter time.Duration
+	// forgetsDead means that gossip knows nothing of entries that are down.
+	forgetsDead bool
 	// deleted means that an operator deleted a shard's value.
 	deleted  bool
 	items    []ports.Item
@@ -93,16 +97,17 @@
 func newRig(size rigSize) *rig {
 	clock := timer.NewVirtual(time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC))
 	r := &rig{
-		size:    size,
-		clock:   clock,
-		store:   kvmem.NewStore(clock),
-		net:     world.NewNet(clock, size.latency),
-		list:    world.NewList(clock, size.listLag),
-		random:  rand.New(rand.NewPCG(size.seed, 1)),
-		bound:   make(map[string]int),
-		yields:  make(map[uint64]func(ports.PeerReply)),
-		decoded: make(map[ports.Revision]any),
-		answers: make(map[uint64]ports.DemandReply),
+		size:        size,
+		clock:       clock,
+		store:       kvmem.NewStore(clock),
+		net:         world.NewNet(clock, size.latency),
+		list:        world.NewList(clock, size.listLag),
+		random:      rand.New(rand.NewPCG(size.seed, 1)),
+		bound:       make(map[string]int),
+		silentAfter: 2 * time.Second,
+		yields:      make(map[uint64]func(ports.PeerReply)),
+		decoded:     make(map[ports.Revision]any),
+		answers:     make(map[uint64]ports.DemandReply),
 	}
 	r.config = r.newConfig(1, size.maxReplicas)
 	for z := range size.zones {
@@ -200,13 +205,16 @@
 	return e
 }
 
-// gossip tells every entry of all others: a dead or frozen one is silent after
-// two seconds.
+// gossip tells every entry of all others; a dead or frozen one is silent after a
+// while.
 func (r *rig) gossip() {
 	var members []ports.Member
 	for _, e := range r.entries {
 		m := e.member
-		if (e.dead || e.frozen || e.muted) && r.clock.Now().Sub(e.silentSince) >= 2*time.Second {
+		if e.dead && r.forgetsDead {
+			continue
+		}
+		if (e.dead || e.frozen || e.muted) && r.clock.Now().Sub(e.silentSince) >= r.silentAfter {
 			m.Phase = ports.MemberSilent
 		}
 		if !e.dead && !e.frozen && !e.muted {
--- /dev/null
+++ b/internal/coordination/owner/sender.go
@@ -0,0 +1,70 @@
+package owner
+
+import (
+	"fmt"
+	"time"
+
+	"chivecroft.example/chivecroft/internal/coordination/place"
+	"chivecroft.example/chivecroft/internal/coordination/ports"
+)
+
+// heard is what gossip said of a former owner when it was first looked for in
+// this tenure: its beat, or that it is not known.
+type heard struct {
+	beat    uint64
+	at      time.Time
+	unknown bool
+}
+
+// hearSenders follows the former owners named in the plan, to learn when they
+// are certain to have found out that they were replaced.
+func (s *Shard) hearSenders() {
+	if s.stage != stageOwned {
+		return
+	}
+	for _, t := range s.targets {
+		for _, r := range t.replicas {
+			for _, sender := range r.Unresolved {
+				s.hear(sender)
+			}
+		}
+	}
+}
+
+func (s *Shard) hear(sender place.Sender) {
+	if s.isSelf(sender) {
+		return
+	}
+	key := senderKey(sender)
+	m, ok := s.members[sender.Instance]
+	before, known := s.senders[key]
+	if !known || before.unknown != !ok {
+		s.senders[key] = heard{beat: m.Beat, at: s.now, unknown: !ok}
+	}
+}
+
+func senderKey(sender place.Sender) string {
+	return fmt.Sprintf("%s/%d", sender.Instance, sender.Incarnation)
+}
+
+// isSenderGone tells whether a former owner's process has ended, or has been
+// running for long enough since the takeover that its own check of the lease
+// stopped every order. A silent one may be paused between check and send.
+func (s *Shard) isSenderGone(sender place.Sender) bool {
+	m, ok := s.members[sender.Instance]
+	if sender.Instance == s.settings.Self.ID {
+		return sender.Incarnation < s.settings.Self.Incarnation
+	}
+	h, known := s.senders[senderKey(sender)]
+	if !ok {
+		// Membership keeps whoever is on the instance list, silent or not.
+		return known && h.unknown && s.now.Sub(h.at) >= s.settings.GoneAfter
+	}
+	if m.Incarnation > sender.Incarnation || m.Phase == ports.MemberGone {
+		return true
+	}
+	if !known || h.unknown || m.Incarnation != sender.Incarnation || m.Phase == ports.MemberSilent {
+		return false
+	}
+	return m.Beat > h.beat+1 && s.now.Sub(h.at) >= s.settings.OrderTransit
+}
