Refuse a zone that is divided into another number of shards

Entries with different shard counts would hash one target into two shards, and two owners, whose epochs know nothing of each other, would order it. The value names the count; an entry takes neither a value of another count nor a new shard beside such values (one list call, before a shard's first value only).

--- a/internal/coordination/owner/journal.go
+++ b/internal/coordination/owner/journal.go
@@ -230,12 +230,13 @@
 // plan is the value to be written now.
 func (s *Shard) plan() place.Plan {
 	p := place.Plan{
-		Zone:    s.settings.Zone,
-		Shard:   s.settings.Shard,
-		Epoch:   max(s.session.epoch, s.session.wanted),
-		Owner:   s.holder(s.session.lease),
-		Permits: maps.Clone(s.permits.held),
-		Targets: make(map[string]place.Target, len(s.targets)),
+		Zone:       s.settings.Zone,
+		Shard:      s.settings.Shard,
+		ShardCount: s.settings.ShardCount,
+		Epoch:      max(s.session.epoch, s.session.wanted),
+		Owner:      s.holder(s.session.lease),
+		Permits:    maps.Clone(s.permits.held),
+		Targets:    make(map[string]place.Target, len(s.targets)),
 	}
 	if s.session.released {
 		p.Owner = place.Holder{}
--- a/internal/coordination/owner/ownership_test.go
+++ b/internal/coordination/owner/ownership_test.go
@@ -222,6 +222,7 @@
 	for name, value := range map[string]string{
 		"damaged": `{"format":1,"zone":`,
 		"newer":   `{"format":2,"zone":"zone-a","shard":0,"epoch":9}`,
+		"divided": `{"format":1,"zone":"zone-a","shard":0,"shardCount":4,"epoch":9,"nonce":"x","owner":{}}`,
 		"foreign": `{"format":1,"zone":"zone-b","shard":0,"epoch":9,"nonce":"x","owner":{}}`,
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -317,3 +318,26 @@
 		r.expectLoaded(t, map[string]int{"model-1": 1})
 	})
 }
+
+// TestOtherDivision: entries whose settings divide the zone into more shards
+// than the values show own none of them, since two owners would order one target.
+func TestOtherDivision(t *testing.T) {
+	t.Parallel()
+	size := rigSize{zones: 1, entries: 2, targets: 4, shards: 2, memoryBytes: 10 * gib, models: 1, maxReplicas: 1, seed: 3}
+	r := newRig(size)
+	r.run(5 * time.Second)
+	for _, e := range r.entries {
+		e.kill()
+	}
+	r.size.shards = 5
+	for _, e := range r.entries {
+		e.start()
+	}
+	r.run(3 * time.Minute)
+	if diff := cmp.Diff(0, r.ownedShards()); diff != "" {
+		t.Errorf("owned shards (-want +got):\n%s", diff)
+	}
+	if !strings.Contains(strings.Join(r.events, "\n"), "of a zone divided into 2 shards, the settings say 5") {
+		t.Errorf("nothing was reported:\n%s", strings.Join(r.events, "\n"))
+	}
+}
--- a/internal/coordination/owner/shard.go
+++ b/internal/coordination/owner/shard.go
@@ -232,7 +232,11 @@
 }
 
 func (s *Shard) key() string {
-	return fmt.Sprintf("zone/%s/shard/%d", s.settings.Zone, s.settings.Shard)
+	return fmt.Sprintf("%s%d", s.keyPrefix(), s.settings.Shard)
+}
+
+func (s *Shard) keyPrefix() string {
+	return fmt.Sprintf("zone/%s/shard/", s.settings.Zone)
 }
 
 // name is how the permit ledger calls the shard.
--- a/internal/coordination/owner/watch.go
+++ b/internal/coordination/owner/watch.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"chivecroft.example/chivecroft/internal/coordination/place"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 )
@@ -114,7 +116,7 @@
 	s.kv(ports.KVGet{Key: s.key()}, func(r ports.KVReply) {
 		switch r.Status {
 		case ports.KVNotFound:
-			s.take(place.Plan{Zone: s.settings.Zone, Shard: s.settings.Shard}, 0)
+			s.takeNew()
 		case ports.KVOK:
 			s.found(r)
 		default:
@@ -134,6 +136,10 @@
 		s.refuseValue(err)
 		return
 	}
+	if plan.ShardCount != s.settings.ShardCount {
+		s.refuseValue(s.otherDivision(plan))
+		return
+	}
 	if plan.Owner.Instance == "" {
 		s.take(plan, item.Revision)
 		return
@@ -141,6 +147,34 @@
 	s.checkLease(plan, item.Revision)
 }
 
+// takeNew takes a shard without a value, unless other values show that the zone
+// is divided into another number of shards: its targets then belong to those.
+func (s *Shard) takeNew() {
+	s.kv(ports.KVList{Prefix: s.keyPrefix(), Limit: 1}, func(r ports.KVReply) {
+		if r.Status != ports.KVOK {
+			s.lookAgain()
+			return
+		}
+		plan := place.Plan{Zone: s.settings.Zone, Shard: s.settings.Shard, ShardCount: s.settings.ShardCount}
+		if item, ok := r.Item(); ok {
+			other, err := place.DecodeAny(item.Value)
+			if err == nil && other.ShardCount != s.settings.ShardCount {
+				err = s.otherDivision(other)
+			}
+			if err != nil {
+				s.refuseValue(err)
+				return
+			}
+		}
+		s.take(plan, 0)
+	})
+}
+
+func (s *Shard) otherDivision(plan place.Plan) error {
+	return trace.BadParameter("plan of shard %s/%d is of a zone divided into %d shards, the settings say %d",
+		plan.Zone, plan.Shard, plan.ShardCount, s.settings.ShardCount)
+}
+
 // refuseValue leaves a value alone that this program cannot read; looks go on
 // slowly, since somebody may mend it.
 func (s *Shard) refuseValue(err error) {
--- a/internal/coordination/place/codec.go
+++ b/internal/coordination/place/codec.go
@@ -41,6 +41,18 @@
 	return p, nil
 }
 
+// DecodeAny reads the value of any shard as Decode does.
+func DecodeAny(data []byte) (Plan, error) {
+	var head struct {
+		Zone  string `json:"zone"`
+		Shard int    `json:"shard"`
+	}
+	if err := json.Unmarshal(data, &head); err != nil {
+		return Plan{}, trace.BadParameter("plan of a shard is damaged: %v", err)
+	}
+	return Decode(data, head.Zone, head.Shard)
+}
+
 func decodeStrict(data []byte, into any) error {
 	d := json.NewDecoder(bytes.NewReader(data))
 	d.DisallowUnknownFields()
--- a/internal/coordination/place/plan.go
+++ b/internal/coordination/place/plan.go
@@ -85,10 +85,12 @@
 
 // Plan is the value of a shard.
 type Plan struct {
-	Format int         `json:"format"`
-	Zone   string      `json:"zone"`
-	Shard  int         `json:"shard"`
-	Epoch  ports.Epoch `json:"epoch"`
+	Format int    `json:"format"`
+	Zone   string `json:"zone"`
+	Shard  int    `json:"shard"`
+	// ShardCount is the number of shards that the zone's targets are divided into.
+	ShardCount int         `json:"shardCount,omitempty"`
+	Epoch      ports.Epoch `json:"epoch"`
 	// Nonce names the write, so that a writer recognises its own.
 	Nonce string `json:"nonce"`
 	Owner Holder `json:"owner"`
