Count a change that waits for a write once

Seen failing first (TestUnwrittenChanges, 29 unwritten changes at KV calls of 6 s): changes that can wait became due again with every step while a write was under way, so that the status overstated them and each step looked at all targets. At most 6 now.

--- a/internal/coordination/owner/journal.go
+++ b/internal/coordination/owner/journal.go
@@ -90,6 +90,7 @@
 func (s *Shard) writePlan() {
 	j := &s.journal
 	if !j.lazyAt.IsZero() && !s.now.Before(j.lazyAt) {
+		j.lazyAt = time.Time{}
 		s.changed()
 	}
 	if j.writing || j.changed == j.written || s.now.Before(j.retryAt) {
--- a/internal/coordination/owner/ownership_test.go
+++ b/internal/coordination/owner/ownership_test.go
@@ -341,3 +341,22 @@
 		t.Errorf("nothing was reported:\n%s", strings.Join(r.events, "\n"))
 	}
 }
+
+// TestUnwrittenChanges: what waits for a slow KV service is counted once, not
+// once more with every step.
+func TestUnwrittenChanges(t *testing.T) {
+	t.Parallel()
+	bothRegimes(t, func(t *testing.T, r *rig) {
+		r.waitFor("model-0", 10*time.Second)
+		r.setKV(world.KVFaults{Latency: 6 * time.Second})
+		var most uint64
+		for range 80 {
+			r.demand(0, 0, ports.Demand{Model: "model-1", Waiting: 1, Within: 2 * time.Second, From: "caller"})
+			r.run(500 * time.Millisecond)
+			most = max(most, r.ownerOf(0, 0).shards[0].Status().Unwritten)
+		}
+		if most > 6 {
+			t.Errorf("%d changes are unwritten:\n%s", most, r.describe())
+		}
+	})
+}
