--- a/internal/coordination/owner/ownership_test.go
+++ b/internal/coordination/owner/ownership_test.go
@@ -360,3 +360,67 @@
 		}
 	})
 }
+
+// TestRebalanceMovesLittle: when an entry goes, its shards alone move, and when
+// it comes back, those alone that it is preferred for return.
+func TestRebalanceMovesLittle(t *testing.T) {
+	t.Parallel()
+	r := newRig(rigSize{
+		zones: 1, entries: 4, targets: 16, shards: 16, memoryBytes: 10 * gib,
+		models: 1, maxReplicas: 1, latency: time.Millisecond, seed: 3,
+	})
+	r.run(90 * time.Second)
+	owners := func() map[int]string {
+		found := make(map[int]string)
+		for n := range r.size.shards {
+			if e := r.ownerOf(0, n); e != nil {
+				found[n] = e.member.ID
+			}
+		}
+		return found
+	}
+	before := owners()
+	gone := r.entries[1]
+	gone.kill()
+	r.run(20 * time.Second)
+	for n, id := range owners() {
+		if before[n] != gone.member.ID && before[n] != id {
+			t.Errorf("shard %d moved from %s to %s when %s went", n, before[n], id, gone.member.ID)
+		}
+	}
+	gone.start()
+	r.run(90 * time.Second)
+	if diff := cmp.Diff(before, owners()); diff != "" {
+		t.Errorf("owners after %s came back (-before +after):\n%s", gone.member.ID, diff)
+	}
+	moves := strings.Count(strings.Join(r.events, "\n"), string(KindTakeover))
+	mine := 0
+	for _, id := range before {
+		if id == gone.member.ID {
+			mine++
+		}
+	}
+	if want := len(before) + 2*mine; moves != want {
+		t.Errorf("%d takeovers, want %d: one of each shard, two of each of %d that moved", moves, want, mine)
+	}
+	r.mustHold(t)
+}
+
+// TestFlappingKV: a KV service that goes every other two seconds costs neither
+// the ownership nor the loads.
+func TestFlappingKV(t *testing.T) {
+	t.Parallel()
+	bothRegimes(t, func(t *testing.T, r *rig) {
+		owner := r.ownerOf(0, 0)
+		for i := range 30 {
+			r.setKV(world.KVFaults{Latency: 4 * time.Millisecond, Down: i%2 == 0, LoseAnswers: 0.2})
+			model := modelName(i / 10)
+			r.demand(0, 0, ports.Demand{Model: model, Waiting: 1, Within: 10 * time.Second, From: "caller"})
+			r.run(2 * time.Second)
+		}
+		r.expectLoaded(t, map[string]int{"model-2": 1})
+		if r.ownerOf(0, 0) != owner {
+			t.Errorf("the shard changed hands:\n%s", strings.Join(r.events, "\n"))
+		}
+	})
+}
