Give the weight store's next slot to whoever has waited longest

Cause of what remained of the cold starts: a slot of the weight store moved by turns of 2 s, and a shard that had given one up, or found none, waited for 1 to 4.5 s before it asked again.

A shard that finds all slots in use now leaves a wish with one holder for up to 1.5 s, with how long its callers have waited. When the holder's slot comes free it goes to the older wait, and a model's first replica goes before further ones.

Weighed: keeping slots in the ledger and taking one for each load. That is fair only by chance, costs two more writes a load, and leaves a cut-off shard without any slot.

--- a/internal/coordination/owner/permits.go
+++ b/internal/coordination/owner/permits.go
@@ -158,9 +158,6 @@
 	if s.maximum(resource) < wanted || s.recallOf(resource).emptyUntil.After(s.now) {
 		return
 	}
-	if resource == permit.Store && s.now.Before(s.permits.slots.notBefore) {
-		return
-	}
 	s.permits.wants[resource] = wanted
 }
 
@@ -202,7 +199,7 @@
 		return
 	}
 	s.expireYields()
-	s.giveSlot()
+	s.grantWish()
 	for _, resource := range slices.Sorted(maps.Keys(s.permits.quota)) {
 		s.giveBack(resource)
 	}
@@ -440,9 +437,6 @@
 		if s.permits.held[resource] < grants[resource] {
 			s.permits.held[resource] = grants[resource]
 			s.changed()
-			if resource == permit.Store {
-				s.permits.slots.since = s.now
-			}
 		}
 	}
 	for _, resource := range s.resourcesDue(n) {
--- a/internal/coordination/owner/shard.go
+++ b/internal/coordination/owner/shard.go
@@ -140,6 +140,7 @@
 // work does whatever the state now calls for; all decisions are made here, so
 // that they depend on the state alone and not on the event that led to it.
 func (s *Shard) work() {
+	s.expireWishes()
 	switch s.stage {
 	case stageWatching:
 		s.watchOver()
--- a/internal/coordination/owner/store.go
+++ b/internal/coordination/owner/store.go
@@ -1,44 +1,46 @@
 package owner
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"chivecroft.example/chivecroft/internal/coordination/permit"
+	"chivecroft.example/chivecroft/internal/coordination/ports"
 )
 
 // slots is the shard's share of the weight store: each slot held stands for one
 // load at a time and one start a second.
 //
-// Slots are fewer than the shards that may want one, so a shard keeps a slot
-// for a turn only while others ask for it:
+// A slot is in use for the time of a load, and its holder often has the next
+// load at hand. A shard that gave a slot up only when it had no use for it would
+// keep it through a long burst, while callers of another shard who came earlier
+// wait for their first replica. So a shard that found no free slot leaves a wish
+// with one holder, and the holder, whenever a slot comes free, compares the wish
+// with its own waiting loads: the older wait goes first, and a model's first
+// replica goes before anybody's further ones.
 //
-//	another shard asks while the slot is in use       owedUntil is set
-//	the load ends, and the turn is over               the slot goes to the ledger
-//	the asker asks the ledger again, and finds it;    this shard waits, so that
-//	the asker is first
+// For example two shards hold two slots each and a third shard none. The third
+// asks both, finds the slots in use and leaves a wish that is 2 s old with one of
+// them. That holder's load ends; its own next model has waited for 0.5 s, so the
+// slot goes to the third shard.
 type slots struct {
 	// starts are the times of the load starts of the last second.
 	starts []time.Time
-	// since is when the latest slot was acquired.
+	wishes []wish
+}
+
+// wish is another shard's wish for a slot.
+type wish struct {
+	id uint64
+	// since is when the asker's callers began to wait, by this entry's clock.
 	since time.Time
-	// owedUntil is until when a freed slot goes to others.
-	owedUntil time.Time
-	// notBefore is when this shard may ask for a slot again.
-	notBefore time.Time
+	until time.Time
 }
 
-const (
-	// slotTurn is how long a shard keeps a slot that others ask for.
-	slotTurn = 2 * time.Second
-	// slotOwed is how long an unmet wish for a slot is remembered; askers ask
-	// again within it.
-	slotOwed = 8 * time.Second
-	// slotRest is the wait of a shard that gave a slot away although it had a
-	// use for it.
-	slotRest = 3 * time.Second
-	// slotRecallPause is the wait after all holders of slots said no.
-	slotRecallPause = time.Second
-)
+// wishWithin is how long a holder keeps a wish; it ends before the asker's
+// message does.
+const wishWithin = 1500 * time.Millisecond
 
 // takeSlot takes a slot and a start from its rate, or asks for more slots.
 func (s *Shard) takeSlot() bool {
@@ -62,31 +64,14 @@
 	return true
 }
 
-// owesSlot tells whether the next free slot goes to others.
-func (s *Shard) owesSlot() bool {
-	sl := &s.permits.slots
-	return s.now.Before(sl.owedUntil) && s.now.Sub(sl.since) >= slotTurn
-}
-
-// giveSlot gives a free slot to whoever asked for it while it was in use.
-func (s *Shard) giveSlot() {
-	_, freeing := s.permits.freed[permit.Store]
-	if freeing || !s.owesSlot() || s.hasJustStarted() || s.available(permit.Store) < 1 {
-		return
-	}
-	s.free(permit.Store, 1)
-	s.permits.slots.owedUntil = time.Time{}
-	s.permits.slots.notBefore = s.now.Add(slotRest + s.jitter(slotRest/2))
-}
-
 // reservedSlots is how many free slots the shard keeps when others ask: one
-// while it has a use for it and its turn lasts, and all that may stand for a
-// start within the last second.
+// while it has a use for it, and all that may stand for a start within the last
+// second.
 func (s *Shard) reservedSlots() int {
 	if s.hasJustStarted() {
 		return s.permits.held[permit.Store]
 	}
-	if len(s.wanting()) > 0 && s.now.Sub(s.permits.slots.since) < slotTurn {
+	if len(s.wanting()) > 0 {
 		return 1
 	}
 	return 0
@@ -99,7 +84,92 @@
 	return len(starts) > 0 && s.now.Sub(starts[len(starts)-1]) < time.Second
 }
 
-// oweSlot remembers that another shard wants a slot.
-func (s *Shard) oweSlot() {
-	s.permits.slots.owedUntil = s.now.Add(slotOwed)
+// wishSlot leaves a wish with one holder, and returns false if none is known.
+func (s *Shard) wishSlot(b *bucket) bool {
+	names := holders(b.ledger.Resources[permit.Store].Grants, s.name())
+	if len(names) == 0 {
+		return false
+	}
+	holder := names[s.random.IntN(len(names))]
+	owner := s.ownerNamed(holder)
+	if !owner.Addr.IsValid() {
+		return false
+	}
+	ask := ports.YieldPermit{Resource: permit.Store, Shard: holder, Wanted: 1, Patient: true}
+	if since := s.oldestWait(); !since.IsZero() {
+		ask.Waiting = s.now.Sub(since)
+	}
+	s.askHolder(owner, ask, b)
+	return true
+}
+
+// keepWish remembers a wish until a slot comes free or its time is up.
+func (s *Shard) keepWish(e YieldAsked) {
+	s.permits.slots.wishes = append(s.permits.slots.wishes, wish{
+		id:    e.ID,
+		since: s.now.Add(-e.Yield.Waiting),
+		until: s.now.Add(wishWithin),
+	})
+}
+
+// oldestWish is the wish that goes before all own loads, if there is one.
+func (s *Shard) oldestWish() (wish, bool) {
+	wishes := s.permits.slots.wishes
+	if len(wishes) == 0 {
+		return wish{}, false
+	}
+	oldest := slices.MinFunc(wishes, func(a, b wish) int {
+		return cmp.Or(a.since.Compare(b.since), cmp.Compare(a.id, b.id))
+	})
+	own := s.oldestWait()
+	return oldest, own.IsZero() || oldest.since.Before(own)
+}
+
+// owesSlot tells whether the next free slot goes to another shard.
+func (s *Shard) owesSlot() bool {
+	_, owed := s.oldestWish()
+	return owed
+}
+
+// grantWish gives a free slot to the oldest wish if no own load goes before it.
+func (s *Shard) grantWish() {
+	_, freeing := s.permits.freed[permit.Store]
+	if freeing || s.hasJustStarted() || s.available(permit.Store) < 1 {
+		return
+	}
+	granted, owed := s.oldestWish()
+	if !owed {
+		return
+	}
+	s.permits.slots.wishes = slices.DeleteFunc(s.permits.slots.wishes, func(w wish) bool { return w.id == granted.id })
+	s.free(permit.Store, 1)
+	s.permits.yields = append(s.permits.yields, yield{
+		id: granted.id, resource: permit.Store, n: 1, until: s.now.Add(yieldWithin),
+	})
+}
+
+// expireWishes answers the wishes that no slot came free for, and all if the
+// shard is not this entry's any more.
+func (s *Shard) expireWishes() {
+	var left []wish
+	for _, w := range s.permits.slots.wishes {
+		if s.now.Before(w.until) && s.stage == stageOwned {
+			left = append(left, w)
+			continue
+		}
+		s.note(YieldAnswered{ID: w.id})
+	}
+	s.permits.slots.wishes = left
+}
+
+// oldestWait is since when callers have waited for the first replica of a model,
+// zero if none do.
+func (s *Shard) oldestWait() time.Time {
+	var oldest time.Time
+	for _, m := range s.wanting() {
+		if s.decided(m.name) == 0 {
+			oldest = earlier(oldest, m.since)
+		}
+	}
+	return oldest
 }
--- a/internal/coordination/owner/yield.go
+++ b/internal/coordination/owner/yield.go
@@ -29,23 +29,22 @@
 			rc.hint = holder
 		}
 		if owner := s.ownerNamed(holder); owner.Addr.IsValid() {
-			s.askHolder(resource, holder, owner, b)
+			s.askHolder(owner, ports.YieldPermit{Resource: resource, Shard: holder, Wanted: 1}, b)
 			return
 		}
 	}
-	delete(s.permits.wants, resource)
 	clear(rc.asked)
-	pause := recallPause
-	if resource == permit.Store {
-		pause = slotRecallPause
+	if resource == permit.Store && s.wishSlot(b) {
+		return
 	}
-	rc.emptyUntil = s.now.Add(pause + s.jitter(pause/2))
+	delete(s.permits.wants, resource)
+	rc.emptyUntil = s.now.Add(recallPause + s.jitter(recallPause/2))
 }
 
-func (s *Shard) askHolder(resource, holder string, owner ports.Member, b *bucket) {
-	rc := s.recallOf(resource)
+func (s *Shard) askHolder(owner ports.Member, ask ports.YieldPermit, b *bucket) {
+	rc := s.recallOf(ask.Resource)
 	rc.busy = true
-	s.peer(owner, ports.YieldPermit{Resource: resource, Shard: holder, Wanted: 1}, func(reply ports.PeerReply) {
+	s.peer(owner, ask, func(reply ports.PeerReply) {
 		rc.busy = false
 		if yielded, ok := reply.Msg.(ports.YieldReply); ok && reply.Err == nil && yielded.Yielded > 0 {
 			// The ledger has changed; the wish stands and is tried again on it.
@@ -93,11 +92,12 @@
 	if s.stage == stageOwned && s.config != nil && !freeing {
 		n = min(e.Yield.Wanted, s.available(resource)-s.reserved(resource))
 	}
+	if n <= 0 && e.Yield.Patient && resource == permit.Store && s.stage == stageOwned {
+		s.keepWish(e)
+		return
+	}
 	if n <= 0 {
 		s.note(YieldAnswered{ID: e.ID})
-		if resource == permit.Store {
-			s.oweSlot()
-		}
 		s.reconcile(resource)
 		return
 	}
--- a/internal/coordination/ports/peer.go
+++ b/internal/coordination/ports/peer.go
@@ -162,6 +162,11 @@
 	Resource string
 	Shard    string
 	Wanted   int
+	// Waiting is how long the asker's callers have waited, by which the holder
+	// compares them with its own.
+	Waiting time.Duration
+	// Patient asks the holder to keep the wish for a while if it uses all it has.
+	Patient bool
 }
 
 // YieldReply answers YieldPermit.
--- a/internal/protocol/codec/small.go
+++ b/internal/protocol/codec/small.go
@@ -1,6 +1,8 @@
 package codec
 
 import (
+	"google.golang.org/protobuf/types/known/durationpb"
+
 	peerv1 "chivecroft.example/chivecroft/api/peer/v1"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 	"chivecroft.example/chivecroft/internal/state/config"
@@ -18,12 +20,24 @@
 
 // DecodeYieldPermit reads a YieldPermit.
 func DecodeYieldPermit(in *peerv1.YieldPermitRequest) ports.YieldPermit {
-	return ports.YieldPermit{Resource: in.GetResource(), Shard: in.GetShard(), Wanted: int(in.GetWanted())}
+	return ports.YieldPermit{
+		Resource: in.GetResource(),
+		Shard:    in.GetShard(),
+		Wanted:   int(in.GetWanted()),
+		Waiting:  in.GetWaiting().AsDuration(),
+		Patient:  in.GetPatient(),
+	}
 }
 
 // EncodeYieldPermit makes a protobuf message of a YieldPermit.
 func EncodeYieldPermit(y ports.YieldPermit) *peerv1.YieldPermitRequest {
-	return &peerv1.YieldPermitRequest{Resource: y.Resource, Shard: y.Shard, Wanted: int32(y.Wanted)}
+	return &peerv1.YieldPermitRequest{
+		Resource: y.Resource,
+		Shard:    y.Shard,
+		Wanted:   int32(y.Wanted),
+		Waiting:  durationpb.New(y.Waiting),
+		Patient:  y.Patient,
+	}
 }
 
 // DecodeTargetNews reads a TargetNews.
