--- a/internal/shell/commands.go
+++ b/internal/shell/commands.go
@@ -17,8 +17,10 @@
 	"chivecroft.example/chivecroft/internal/demo"
 	"chivecroft.example/chivecroft/internal/entry"
 	"chivecroft.example/chivecroft/internal/params"
+	"chivecroft.example/chivecroft/internal/slope"
 	"chivecroft.example/chivecroft/internal/stand/cmds"
 	"chivecroft.example/chivecroft/internal/transport/dayui"
+	"chivecroft.example/chivecroft/internal/vday"
 )
 
 // Commands are the commands of the program.
@@ -37,7 +39,9 @@
 
 // BenchCmd are the measurements.
 type BenchCmd struct {
-	Run bench.Cmd `cmd:"" default:"withargs" help:"Play load and faults against a deployment, its own or a running one."`
+	Run    bench.Cmd `cmd:"" default:"withargs" help:"Play load and faults against a deployment, its own or a running one."`
+	Policy vday.Cmd  `cmd:"" help:"Compare the policies over days of load on virtual time."`
+	Slopes slope.Cmd `cmd:"" help:"Measure how control grows and work out the target size."`
 }
 
 // BeforeApply lets the load tool start a deployment of its own.
--- a/internal/shell/run.go
+++ b/internal/shell/run.go
@@ -45,7 +45,8 @@
 		kong.Exit(func(c int) { code, exited = c, true }),
 		kong.UsageOnError(),
 		kong.Help(helpWithExamples),
-		kong.Bind(s))
+		kong.Bind(s),
+		kong.BindTo(s.Out, (*io.Writer)(nil)))
 	if err != nil {
 		fmt.Fprintf(s.Err, "chivecroft: %v\n", err)
 		return ExitUsage
