--- /dev/null
+++ b/internal/coordination/await/bench_test.go
@@ -0,0 +1,54 @@
+package await_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"chivecroft.example/chivecroft/internal/coordination/await"
+	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/coordination/route"
+	"chivecroft.example/chivecroft/internal/state/config"
+	"chivecroft.example/chivecroft/internal/state/timer"
+)
+
+// BenchmarkWake looks at a line in which many wait and nobody can be granted.
+func BenchmarkWake(b *testing.B) {
+	for _, waiting := range []int{0, 100, 3000} {
+		b.Run(fmt.Sprint("waiting=", waiting), func(b *testing.B) {
+			clock := timer.NewSystem()
+			table := route.NewTable("bul-a", "bulacan", clock, 1)
+			room := await.NewRoom(table, await.DemandFunc(func(context.Context, ports.Demand) (ports.DemandReply, error) {
+				return ports.DemandReply{Status: ports.DemandAccepted}, nil
+			}), clock)
+			table.Listen(room.Wake)
+			table.Apply("s", ports.TableDelta{Stream: 1, Seq: 1, Replicas: []ports.Replica{ready("m", 1)}})
+			ctx, cancel := context.WithCancel(context.Background())
+			var wg sync.WaitGroup
+			request := func(tenant int) await.Request {
+				return await.Request{
+					Query: route.Query{Key: "m"}, Class: config.ClassDeferrable, Tenant: fmt.Sprint("t", tenant),
+					Deadline: clock.Now().Add(time.Hour), Bytes: 1,
+				}
+			}
+			// One call holds the only place, so that nobody else gets any.
+			if _, err := room.Acquire(ctx, request(0)); err != nil {
+				b.Fatal(err)
+			}
+			for i := range waiting {
+				wg.Go(func() { _, _ = room.Acquire(ctx, request(i%8)) })
+			}
+			for n, _ := room.Waiting(); n < int64(waiting); n, _ = room.Waiting() {
+				time.Sleep(time.Millisecond)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				room.Wake("m")
+			}
+			cancel()
+			wg.Wait()
+		})
+	}
+}
--- a/internal/coordination/await/line.go
+++ b/internal/coordination/await/line.go
@@ -140,14 +140,19 @@
 	l.grantedAt = now
 }
 
-// expire refuses those whose time is up.
+// expire refuses those whose time is up. It looks through the queue only once a
+// deadline can have come, since it is called at the end of every call.
 func (l *line) expire(now time.Time, a *act) {
+	if now.Before(l.queue.first) {
+		return
+	}
 	l.refuseWhere(a, func(w *waiter) (admit.Reason, string, time.Duration, bool) {
 		if now.Before(w.due) {
 			return "", "", 0, false
 		}
 		return admit.ReasonDeadline, "the deadline passed while the request waited", l.retryAfter(now), true
 	})
+	l.queue.first, _ = l.queue.earliest()
 }
 
 // look takes what the table tells of loads. A load that has failed since
--- a/internal/coordination/await/queue.go
+++ b/internal/coordination/await/queue.go
@@ -35,6 +35,8 @@
 	virtual float64
 	count   int
 	bytes   int64
+	// first is no later than the earliest deadline of all that wait.
+	first time.Time
 }
 
 // classFlow is the waiting requests of a class.
@@ -71,6 +73,9 @@
 		class.tenants[w.req.Tenant] = tenant
 	}
 	heap.Push(&tenant.waiting, w)
+	if q.count == 0 || w.due.Before(q.first) {
+		q.first = w.due
+	}
 	class.count++
 	q.count++
 	q.bytes += w.req.Bytes
