Believe a load report only for as long as a call takes

Calls take 260 ms, so that a report is old news, and all entries went to the replica that had been least busy.

Seen failing with reports at their word: the first token for 95 in 100.

--- a/internal/coordination/route/pick.go
+++ b/internal/coordination/route/pick.go
@@ -166,14 +166,14 @@
 // best returns the replica to use in a ring, nil if none has room, and whether
 // any could have been used.
 func (p *part) best(m *model, q Query, ring int, tolerant bool, now time.Time) (*replica, bool) {
-	var s sample
+	s := sample{took: m.took}
 	usable := false
 	for _, r := range m.replicas {
 		if r.ring != ring || !r.usable(q) || (r.ejected(now) && !tolerant) {
 			continue
 		}
 		usable = true
-		if r.load(now) < r.limit() {
+		if r.load(now, m.took) < float64(r.limit()) {
 			s.add(p.random, r, m.homes.has(q.Prefix, r.row.ID), now)
 		}
 	}
@@ -183,6 +183,7 @@
 // sample keeps two random replicas of those that have room, each pair as likely
 // as any other, and the least busy one that has the prompt's prefix.
 type sample struct {
+	took     time.Duration
 	seen     int
 	two      [2]*replica
 	home     *replica
@@ -199,7 +200,7 @@
 	if !home {
 		return
 	}
-	if cost := r.cost(now); s.home == nil || cost < s.homeCost {
+	if cost := r.cost(now, s.took); s.home == nil || cost < s.homeCost {
 		s.home, s.homeCost = r, cost
 	}
 }
@@ -213,9 +214,9 @@
 		// more often than others.
 		s.two[0], s.two[1] = s.two[1], s.two[0]
 	}
-	best, cost := s.two[0], s.two[0].cost(now)
+	best, cost := s.two[0], s.two[0].cost(now, s.took)
 	if second := s.two[1]; second != nil {
-		if c := second.cost(now); c < cost {
+		if c := second.cost(now, s.took); c < cost {
 			best, cost = second, c
 		}
 	}
--- a/internal/coordination/route/replica.go
+++ b/internal/coordination/route/replica.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -22,6 +23,10 @@
 	ejectMost = 60 * time.Second
 	// reportTrust is how long a load report counts without a newer one.
 	reportTrust = 5 * time.Second
+	// meanWeight is the weight of one report in the average.
+	meanWeight = 0.2
+	// leastTook is taken for the time of a call that is shorter or not known.
+	leastTook = 100 * time.Millisecond
 	// defaultConcurrency is used for a replica whose row does not tell.
 	defaultConcurrency = 16
 )
@@ -33,8 +38,10 @@
 	ring   int
 	// flying is what this entry has in flight at it.
 	flying int
-	// others is what other entries had in flight by the latest report.
+	// others is what other entries had in flight by the latest report, mean what
+	// they have on the average.
 	others     int
+	mean       float64
 	reportedAt time.Time
 	readyAt    time.Time
 	// fresh tells that other replicas were there before this one, so that it
@@ -73,14 +80,25 @@
 // in flight from here is known better, so only the rest of it counts.
 func (r *replica) report(now time.Time, total int) {
 	r.others = max(total-r.flying, 0)
+	if r.reportedAt.IsZero() {
+		r.mean = float64(r.others)
+	}
+	r.mean += meanWeight * (float64(r.others) - r.mean)
 	r.reportedAt = now
 }
 
-func (r *replica) load(now time.Time) int {
-	if since(r.reportedAt, now) > reportTrust {
-		return r.flying
+// load estimates what the replica has now. What others had by the latest report
+// is replaced by what they have on the average in the time that a call takes:
+// after that, most of the calls reported have ended and others have come. Taking
+// a report at its word for longer sends all entries to the replica that was
+// least busy half a second ago.
+func (r *replica) load(now time.Time, took time.Duration) float64 {
+	age := since(r.reportedAt, now)
+	if age > reportTrust {
+		return float64(r.flying)
 	}
-	return r.flying + r.others
+	trust := math.Exp(-float64(age) / float64(max(took, leastTook)))
+	return float64(r.flying) + r.mean + trust*(float64(r.others)-r.mean)
 }
 
 func (r *replica) limit() int {
@@ -103,8 +121,8 @@
 }
 
 // cost is the load relative to what the replica can take now.
-func (r *replica) cost(now time.Time) float64 {
-	return float64(r.load(now)+1) / (float64(r.limit()) * r.share(now))
+func (r *replica) cost(now time.Time, took time.Duration) float64 {
+	return (r.load(now, took) + 1) / (float64(r.limit()) * r.share(now))
 }
 
 func (r *replica) usable(q Query) bool {
--- /dev/null
+++ b/internal/coordination/route/sim_test.go
@@ -0,0 +1,207 @@
+package route_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/coordination/route"
+	"chivecroft.example/chivecroft/internal/state/timer"
+)
+
+// The trial of routing: eight entries before twelve replicas of eight places, both
+// spread over two zones of a region and one beyond; reports are up to half a
+// second old.
+const (
+	simEntries  = 8
+	simReplicas = 12
+	simPlaces   = 8
+	simPrefixes = 400
+	// simCache is the number of prefixes that a replica holds.
+	simCache  = 60
+	simLag    = 500 * time.Millisecond
+	simTime   = 60 * time.Second
+	simMiss   = 200 * time.Millisecond
+	simHit    = 40 * time.Millisecond
+	simDecode = 150 * time.Millisecond
+)
+
+// simulation plays requests against replicas that serve in order of arrival.
+type simulation struct {
+	clock    *timer.Virtual
+	random   *rand.Rand
+	replicas []*simReplica
+	waits    []time.Duration
+	hits     int
+	crossed  int
+	served   int
+}
+
+// simReplica is a replica with its places, queue and cache.
+type simReplica struct {
+	free  instants
+	cache []uint64
+	// running are the ends of the work that it has.
+	running []time.Time
+}
+
+type instants []time.Time
+
+func (t instants) Len() int           { return len(t) }
+func (t instants) Less(i, j int) bool { return t[i].Before(t[j]) }
+func (t instants) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *instants) Push(x any)        { *t = append(*t, x.(time.Time)) }
+func (t *instants) Pop() any {
+	last := (*t)[len(*t)-1]
+	*t = (*t)[:len(*t)-1]
+	return last
+}
+
+// serve puts a request on a replica and returns when it ends.
+func (s *simulation) serve(n int, prefix uint64) time.Time {
+	r := s.replicas[n]
+	now := s.clock.Now()
+	start := heap.Pop(&r.free).(time.Time)
+	if start.Before(now) {
+		start = now
+	}
+	first := simMiss
+	if i := slices.Index(r.cache, prefix); i >= 0 {
+		first = simHit
+		s.hits++
+		r.cache = slices.Delete(r.cache, i, i+1)
+	} else if len(r.cache) >= simCache {
+		r.cache = r.cache[1:]
+	}
+	r.cache = append(r.cache, prefix)
+	decode := time.Duration(float64(simDecode) * (0.5 + s.random.Float64()))
+	end := start.Add(first + decode)
+	heap.Push(&r.free, end)
+	r.running = append(slices.DeleteFunc(r.running, func(t time.Time) bool { return t.Before(now) }), end)
+	s.waits = append(s.waits, start.Sub(now)+first)
+	s.served++
+	return end
+}
+
+// chooser picks a replica for a request at an entry; done gives the place back.
+type chooser func(entry int, prefix uint64) (replica int, done func(took time.Duration))
+
+// play offers a load, in shares of what the replicas do without cache hits.
+func play(load float64, seed uint64, choose func(*simulation) chooser) *simulation {
+	s := &simulation{clock: timer.NewVirtual(time.Unix(1000, 0)), random: rand.New(rand.NewPCG(seed, 2))}
+	for range simReplicas {
+		r := &simReplica{free: make(instants, simPlaces)}
+		s.replicas = append(s.replicas, r)
+	}
+	pick := choose(s)
+	zipf := rand.NewZipf(s.random, 1.1, 4, simPrefixes-1)
+	capacity := simReplicas * simPlaces / (simMiss + simDecode).Seconds()
+	end := s.clock.Now().Add(simTime)
+	for s.clock.Now().Before(end) {
+		entry, prefix := s.random.IntN(simEntries), zipf.Uint64()+1
+		n, done := pick(entry, prefix)
+		if (n%3 == 2) != (entry%3 == 2) {
+			s.crossed++
+		}
+		began := s.clock.Now()
+		finish := s.serve(n, prefix)
+		s.clock.After(finish.Sub(began), func() { done(finish.Sub(began)) })
+		s.clock.Advance(time.Duration(s.random.ExpFloat64() / (load * capacity) * float64(time.Second)))
+	}
+	slices.Sort(s.waits)
+	return s
+}
+
+func (s *simulation) String() string {
+	at := func(p float64) time.Duration { return s.waits[int(p*float64(len(s.waits)-1))].Round(time.Millisecond) }
+	return fmt.Sprintf("first token p50 %v p95 %v p99 %v, prefix hits %2.0f %%, over the link %2.0f %%",
+		at(.5), at(.95), at(.99), 100*float64(s.hits)/float64(s.served), 100*float64(s.crossed)/float64(s.served))
+}
+
+// roundRobin is the baseline: each entry takes the replicas in turn.
+func roundRobin(*simulation) chooser {
+	next := make([]int, simEntries)
+	return func(entry int, _ uint64) (int, func(time.Duration)) {
+		next[entry]++
+		return (next[entry] + 5*entry) % simReplicas, func(time.Duration) {}
+	}
+}
+
+// tables routes with a table at each entry, fed by reports that lag; useful
+// tells whether prefixes are used.
+func tables(useful bool) func(*simulation) chooser {
+	return func(s *simulation) chooser {
+		var entries []*route.Table
+		zones := [][2]string{{"bul-a", "bulacan"}, {"bul-b", "bulacan"}, {"pam-a", "pampanga"}}
+		for e := range simEntries {
+			t := route.NewTable(zones[e%3][0], zones[e%3][1], s.clock, uint64(e))
+			var rows []ports.Replica
+			for i := range simReplicas {
+				z := zones[i%3]
+				rows = append(rows, row(fmt.Sprint(i), in(z[0], z[1]), func(r *ports.Replica) { r.Concurrency = simPlaces }))
+			}
+			t.Apply("s", ports.TableDelta{Stream: 1, Seq: 1, Replicas: rows})
+			entries = append(entries, t)
+		}
+		timer.Every(s.clock, simLag, func() { s.report(entries) })
+		return func(e int, prefix uint64) (int, func(time.Duration)) {
+			q := route.Query{Key: "m"}
+			if useful {
+				q.Prefix = prefix
+			}
+			c, status := entries[e].Pick(q, s.clock.Now())
+			if status != route.Picked {
+				// Where a request would wait in a queue, the trial lets it queue
+				// at a random replica.
+				return s.random.IntN(simReplicas), func(time.Duration) {}
+			}
+			n := 0
+			if _, err := fmt.Sscan(c.Replica.ID, &n); err != nil {
+				panic(err)
+			}
+			return n, func(took time.Duration) { c.Done(s.clock.Now(), route.Result{Took: took}) }
+		}
+	}
+}
+
+// report shows every entry what the replicas have now, half a second old by the
+// time that the next report comes.
+func (s *simulation) report(entries []*route.Table) {
+	now := s.clock.Now()
+	for i, r := range s.replicas {
+		running := 0
+		for _, end := range r.running {
+			if end.After(now) {
+				running++
+			}
+		}
+		for _, t := range entries {
+			t.ApplyLoad("t-"+fmt.Sprint(i), false, 0, []route.Load{{Replica: fmt.Sprint(i), Running: running}})
+		}
+	}
+}
+
+// TestRoutingTrial prints how routing does against round robin, in one run.
+func TestRoutingTrial(t *testing.T) {
+	for _, load := range []float64{0.5, 0.9} {
+		base := play(load, 1, roundRobin)
+		blind := play(load, 1, tables(false))
+		ours := play(load, 1, tables(true))
+		t.Logf("load %2.0f %%: round robin     %s", 100*load, base)
+		t.Logf("load %2.0f %%: without prefix  %s", 100*load, blind)
+		t.Logf("load %2.0f %%: here            %s", 100*load, ours)
+		if ours.hits <= base.hits {
+			t.Errorf("no more prefix hits than round robin at load %.1f", load)
+		}
+		if ours.crossed >= base.crossed {
+			t.Errorf("no less over the link than round robin at load %.1f", load)
+		}
+		if wait := ours.waits[len(ours.waits)*95/100]; wait > 2*simMiss {
+			t.Errorf("first token after %v for 95 in 100 at load %.1f, though the replicas have room", wait, load)
+		}
+	}
+}
