Let the settings bound requests

Cause: the settings of requests (bodies, deadlines, requests in flight) were checked and then used by nobody; the front had constants of its own.

Deferrable requests that name no deadline get one of their own, 15 m by default; lookups now get the common default of 30 s where they had 10 s, since one rule is easier to know than two. Requests above the bound in flight are refused at once with notRun and Retry-After.

--- a/internal/entry/observe.go
+++ b/internal/entry/observe.go
@@ -17,6 +17,14 @@
 		Services: e.services,
 		Timer:    e.timer,
 		Observe:  e.observe,
+		Bounds: front.Bounds{
+			ChatBytes:          e.settings.Requests.ChatBytes,
+			OnceBytes:          e.settings.Requests.OnceBytes,
+			Deadline:           e.settings.Requests.Deadline,
+			DeferrableDeadline: e.settings.Requests.DeferrableDeadline,
+			MaxDeadline:        e.settings.Requests.MaxDeadline,
+			InFlight:           e.settings.Requests.InFlight,
+		},
 	}
 }
 
--- a/internal/params/fields.go
+++ b/internal/params/fields.go
@@ -149,9 +149,11 @@
 var requestFields = []field{
 	durationField("requests", "deadline", "30s", bounds[time.Duration]{100 * time.Millisecond, 24 * time.Hour},
 		func(s *Settings) *time.Duration { return &s.Requests.Deadline }),
+	durationField("requests", "deferrableDeadline", "15m", bounds[time.Duration]{100 * time.Millisecond, 24 * time.Hour},
+		func(s *Settings) *time.Duration { return &s.Requests.DeferrableDeadline }),
 	durationField("requests", "maxDeadline", "1h", bounds[time.Duration]{100 * time.Millisecond, 24 * time.Hour},
 		func(s *Settings) *time.Duration { return &s.Requests.MaxDeadline }),
-	bytesField("requests", "maxBodyBytes", "4194304", func(s *Settings) *int64 { return &s.Requests.MaxBodyBytes }),
+	bytesField("requests", "chatBytes", "4194304", func(s *Settings) *int64 { return &s.Requests.ChatBytes }),
 	bytesField("requests", "onceBytes", "1048576", func(s *Settings) *int64 { return &s.Requests.OnceBytes }),
 	bytesField("requests", "queueBytes", "67108864", func(s *Settings) *int64 { return &s.Requests.QueueBytes }),
 	intField("requests", "queueCount", "10000", bounds[int]{1, 1_000_000}, func(s *Settings) *int { return &s.Requests.QueueCount }),
--- a/internal/params/read.go
+++ b/internal/params/read.go
@@ -205,10 +205,10 @@
 func (r *reader) contradictions() {
 	s := &r.settings
 	r.listenerContradictions()
-	if s.Requests.MaxDeadline < s.Requests.Deadline {
+	if longest := max(s.Requests.Deadline, s.Requests.DeferrableDeadline); s.Requests.MaxDeadline < longest {
 		r.add(Fault{
 			Section: "requests", Key: "maxDeadline", Value: s.Requests.MaxDeadline.String(),
-			Problem: "is shorter than deadline", Accepts: "at least " + s.Requests.Deadline.String(),
+			Problem: "is shorter than deadline or deferrableDeadline", Accepts: "at least " + longest.String(),
 		})
 	}
 	if s.Platform.LeaseTTL < minLeaseTimeouts*s.Platform.Timeout {
--- a/internal/params/read_test.go
+++ b/internal/params/read_test.go
@@ -80,7 +80,7 @@
 			`e.ini: [platform] leaseTTL = "3s": leaves no time to renew after one lost answer; accepted: at least 3 times timeout, 6s`,
 		}},
 		{"deadlines cross", "[peers]", "[requests]\ndeadline = 2h\n[peers]", []string{
-			`e.ini: [requests] maxDeadline = "1h0m0s": is shorter than deadline; accepted: at least 2h0m0s`,
+			`e.ini: [requests] maxDeadline = "1h0m0s": is shorter than deadline or deferrableDeadline; accepted: at least 2h0m0s`,
 		}},
 		{"no weight", "[peers]", "[policy]\ncoldStartWeight = 0\nidleHoursWeight = 0\n[peers]", []string{
 			`e.ini: [policy] coldStartWeight = "0": both weights are 0; accepted: one of coldStartWeight and idleHoursWeight above 0`,
--- a/internal/params/settings.go
+++ b/internal/params/settings.go
@@ -82,14 +82,17 @@
 
 // Requests bounds what callers may send and how long they wait.
 type Requests struct {
-	Deadline     time.Duration
-	MaxDeadline  time.Duration
-	MaxBodyBytes int64
-	OnceBytes    int64
-	QueueCount   int
-	QueueBytes   int64
-	InFlight     int
-	OutcomeKept  time.Duration
+	// Deadline is for requests that name none of services that name none, and
+	// DeferrableDeadline the same for deferrable ones.
+	Deadline           time.Duration
+	DeferrableDeadline time.Duration
+	MaxDeadline        time.Duration
+	ChatBytes          int64
+	OnceBytes          int64
+	QueueCount         int
+	QueueBytes         int64
+	InFlight           int
+	OutcomeKept        time.Duration
 }
 
 // Log says how the daemon logs.
--- a/internal/transport/front/caller.go
+++ b/internal/transport/front/caller.go
@@ -26,9 +26,6 @@
 // anonymous is the tenant of callers while no tenant is configured.
 const anonymous = "anonymous"
 
-// The longest deadline that a caller may ask for.
-const deadlineMost = 24 * time.Hour
-
 // call is one request on its way through the entry.
 type call struct {
 	h        *Handler
@@ -139,28 +136,20 @@
 		if d := time.Duration(c.dir.config.Services[service].Deadline); d > 0 {
 			return d, nil
 		}
-		return defaultDeadline(c.out.Class), nil
+		if c.out.Class == config.ClassDeferrable {
+			return c.h.Bounds.DeferrableDeadline, nil
+		}
+		return c.h.Bounds.Deadline, nil
 	}
 	if d, err := time.ParseDuration(text); err == nil {
-		return min(d, deadlineMost), nil
+		return min(d, c.h.Bounds.MaxDeadline), nil
 	}
 	at, err := time.Parse(time.RFC3339Nano, text)
 	if err != nil {
 		return 0, refuse(http.StatusBadRequest, reasonBadDeadline,
 			headerDeadline+" is a duration such as 2s or an RFC 3339 time, not "+quote(text))
 	}
-	return min(at.Sub(c.start), deadlineMost), nil
-}
-
-func defaultDeadline(class config.Class) time.Duration {
-	switch class {
-	case config.ClassDeferrable:
-		return 15 * time.Minute
-	case config.ClassLookup:
-		return 10 * time.Second
-	case config.ClassInteractive, config.ClassRunOnce:
-	}
-	return 30 * time.Second
+	return min(at.Sub(c.start), c.h.Bounds.MaxDeadline), nil
 }
 
 func quote(s string) string {
--- a/internal/transport/front/chat.go
+++ b/internal/transport/front/chat.go
@@ -68,7 +68,7 @@
 }
 
 func (c *call) serveChat() *Problem {
-	body, problem := c.readAll(chatBytes)
+	body, problem := c.readAll(c.h.Bounds.ChatBytes)
 	if problem != nil {
 		return problem
 	}
--- a/internal/transport/front/deps.go
+++ b/internal/transport/front/deps.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -102,17 +103,42 @@
 	// WriteIdle how long it may accept nothing of its answer; 0 for the defaults.
 	ReadIdle  time.Duration
 	WriteIdle time.Duration
+	// Bounds limits requests; zero fields take the defaults.
+	Bounds Bounds
 	// NewID makes request ids; nil makes random ones.
 	NewID func() string
 }
 
+// Bounds are the limits of requests that a deployment sets.
+type Bounds struct {
+	// ChatBytes bounds the body of a chat completion.
+	ChatBytes int64
+	// OnceBytes bounds the body of a run-once call, which is held in memory to be
+	// summed before it is sent.
+	OnceBytes int64
+	// Deadline is for requests that name none of services that name none, and
+	// DeferrableDeadline the same for deferrable ones.
+	Deadline           time.Duration
+	DeferrableDeadline time.Duration
+	// MaxDeadline is the longest that a caller may ask for.
+	MaxDeadline time.Duration
+	// InFlight is the number of requests above which more are refused.
+	InFlight int
+}
+
+// withDefaults fills the fields that are not set.
+func (b Bounds) withDefaults() Bounds {
+	b.ChatBytes = cmp.Or(b.ChatBytes, defaultChatBytes)
+	b.OnceBytes = cmp.Or(b.OnceBytes, defaultOnceBytes)
+	b.Deadline = cmp.Or(b.Deadline, defaultDeadline)
+	b.DeferrableDeadline = cmp.Or(b.DeferrableDeadline, defaultDeferrableDeadline)
+	b.MaxDeadline = cmp.Or(b.MaxDeadline, defaultMaxDeadline)
+	b.InFlight = cmp.Or(b.InFlight, defaultInFlight)
+	return b
+}
+
 // Limits of requests and answers.
 const (
-	// chatBytes bounds the body of a chat completion.
-	chatBytes = 4 << 20
-	// onceBytes bounds the body of a run-once call, which is held in memory to
-	// be summed before it is sent.
-	onceBytes = 1 << 20
 	// replayBytes bounds the body of a lookup that can be sent again.
 	replayBytes = 64 << 10
 	// keyBytes bounds a request key and a request id.
@@ -123,6 +149,15 @@
 	heldRetryAfter = time.Second
 	// bodyMost bounds the time in which a body that is held has to arrive.
 	bodyMost = 30 * time.Second
+	// The defaults of Bounds.
+	defaultChatBytes          = 4 << 20
+	defaultOnceBytes          = 1 << 20
+	defaultDeadline           = 30 * time.Second
+	defaultDeferrableDeadline = 15 * time.Minute
+	defaultMaxDeadline        = 24 * time.Hour
+	defaultInFlight           = 20_000
+	// inFlightRetryAfter is the advice to those refused above it.
+	inFlightRetryAfter = time.Second
 	// The defaults of Deps.
 	defaultReadIdle  = 10 * time.Second
 	defaultWriteIdle = 20 * time.Second
--- a/internal/transport/front/fake_test.go
+++ b/internal/transport/front/fake_test.go
@@ -177,6 +177,7 @@
 	services front.Services
 	// engines replaces engine.
 	engines front.Engine
+	bounds  front.Bounds
 	// idle bounds callers that stall.
 	idle    time.Duration
 	store   *kvmem.Store
@@ -231,7 +232,7 @@
 		Config: func() *config.Config { return r.config },
 		Table:  r.table, Room: r.room, Limits: r.limits, Claims: r.driver,
 		Engine: r.engines, Services: r.services, Timer: clock,
-		Observe: r.observe, NewID: r.newID, ReadIdle: r.idle, WriteIdle: r.idle,
+		Observe: r.observe, NewID: r.newID, ReadIdle: r.idle, WriteIdle: r.idle, Bounds: r.bounds,
 	})
 	return r
 }
--- a/internal/transport/front/handler.go
+++ b/internal/transport/front/handler.go
@@ -43,6 +43,7 @@
 	if deps.WriteIdle <= 0 {
 		deps.WriteIdle = defaultWriteIdle
 	}
+	deps.Bounds = deps.Bounds.withDefaults()
 	if deps.NewID == nil {
 		deps.NewID = newID
 	}
@@ -86,6 +87,9 @@
 		c.w.Header().Set("Connection", "close")
 		return refuse(http.StatusServiceUnavailable, admit.ReasonDraining, "the entry is stopping").after(drainRetryAfter)
 	}
+	if c.h.InFlight() > c.h.Bounds.InFlight {
+		return refuse(http.StatusServiceUnavailable, admit.ReasonOverload, "the entry has too many requests in flight").after(inFlightRetryAfter)
+	}
 	if problem := c.identify(); problem != nil {
 		return problem
 	}
--- a/internal/transport/front/runonce.go
+++ b/internal/transport/front/runonce.go
@@ -34,7 +34,7 @@
 	if problem != nil {
 		return problem
 	}
-	body, problem := c.readAll(onceBytes)
+	body, problem := c.readAll(c.h.Bounds.OnceBytes)
 	if problem != nil {
 		return unchecked(problem)
 	}
