--- a/internal/vday/cmd.go
+++ b/internal/vday/cmd.go
@@ -6,22 +6,29 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"text/tabwriter"
+	"time"
+
+	"chivecroft.example/chivecroft/internal/coordination/policy"
 
 	"github.com/gravitational/trace"
 )
 
 // Cmd compares policies over days of load on virtual time.
 type Cmd struct {
-	Deployment string  `help:"Only this deployment: pulilan or lakeshore." placeholder:"NAME"`
-	Seeds      int     `help:"Number of days, each drawn from a seed of its own." default:"5"`
-	FirstSeed  uint64  `help:"Seed of the first day." default:"1"`
-	Trace      string  `help:"JSON trace of one day to use in place of drawn ones; needs --deployment." type:"path" placeholder:"FILE"`
-	HostGiB    *uint64 `help:"Checkpoints cached in each target's memory, in GiB." name:"host-gib" placeholder:"N"`
-	DiskGiB    *uint64 `help:"Checkpoints cached on each target's disk, in GiB." name:"disk-gib" placeholder:"N"`
-	StoreLoads int     `help:"Loads that the weight store allows a second and at once, 0 for the deployment's." default:"0"`
-	JSON       bool    `help:"Print JSON." name:"json"`
-	Plot       string  `help:"Also draw the figures into this SVG or PNG file." type:"path" placeholder:"FILE"`
+	Deployment string        `help:"Only this deployment: pulilan or lakeshore." placeholder:"NAME"`
+	Seeds      int           `help:"Number of days, each drawn from a seed of its own." default:"5"`
+	FirstSeed  uint64        `help:"Seed of the first day." default:"1"`
+	Trace      string        `help:"JSON trace of one day to use in place of drawn ones; needs --deployment." type:"path" placeholder:"FILE"`
+	HostGiB    *uint64       `help:"Checkpoints cached in each target's memory, in GiB." name:"host-gib" placeholder:"N"`
+	DiskGiB    *uint64       `help:"Checkpoints cached on each target's disk, in GiB." name:"disk-gib" placeholder:"N"`
+	StoreLoads int           `help:"Loads that the weight store allows a second and at once, 0 for the deployment's." default:"0"`
+	Owner      bool          `help:"Drive the shard owner itself instead of the policies alone, baseline and chosen policies only, over a part of each day; takes minutes."`
+	From       time.Duration `help:"Begin of the part of the day for --owner." default:"10h"`
+	To         time.Duration `help:"End of the part of the day for --owner." default:"12h"`
+	JSON       bool          `help:"Print JSON." name:"json"`
+	Plot       string        `help:"Also draw the figures into this SVG or PNG file." type:"path" placeholder:"FILE"`
 }
 
 // Run prints the comparison to w.
@@ -50,6 +57,9 @@
 	if c.Seeds < 1 || c.Seeds > maxSeeds {
 		return nil, trace.BadParameter("--seeds is %d, accepted is 1 to %d", c.Seeds, maxSeeds)
 	}
+	if c.Owner && (c.From < ownedReady || c.To <= c.From || c.To > dayLength) {
+		return nil, trace.BadParameter("--from is %v and --to %v, accepted is a part of the day that begins after %v", c.From, c.To, ownedReady)
+	}
 	shapes, err := c.shapes()
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -64,15 +74,31 @@
 		if err != nil {
 			return nil, trace.Wrap(err)
 		}
-		one, err := Compare(s, candidates, traces, seeds)
+		run, driven, candidates := c.runner(candidates)
+		one, err := Compare(s, run, candidates, traces, seeds)
 		if err != nil {
 			return nil, trace.Wrap(err)
 		}
+		one.Driven = driven
 		all = append(all, one)
 	}
 	return all, nil
 }
 
+// runner returns what drives the policies, what it is called, and the candidates
+// that it has time for.
+func (c *Cmd) runner(candidates []Candidate) (Runner, string, []Candidate) {
+	if !c.Owner {
+		return Run, "policies alone on virtual time", candidates
+	}
+	window := Window{From: c.From, To: c.To}
+	run := func(s Shape, t Trace, policies policy.Set, seed uint64) Result {
+		return RunOwned(s, t, policies, seed, window)
+	}
+	few := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return !c.Baseline && !c.Chosen })
+	return run, fmt.Sprintf("the shard owner itself on virtual time, %v to %v of each day", c.From, c.To), few
+}
+
 func (c *Cmd) shapes() ([]Shape, error) {
 	shapes := Shapes()
 	if c.Deployment != "" {
@@ -126,8 +152,8 @@
 // Table writes the comparisons as one table.
 func Table(w io.Writer, all []Comparison) error {
 	for _, c := range all {
-		fmt.Fprintf(w, "%s: policies alone on virtual time, %d days of %.0f requests to rarely used models\n",
-			c.Deployment, len(c.Seeds), c.Requests.Mean)
+		fmt.Fprintf(w, "%s: %s, %d days of %.0f requests to rarely used models\n",
+			c.Deployment, c.Driven, len(c.Seeds), c.Requests.Mean)
 		if err := c.table(w); err != nil {
 			return trace.Wrap(err)
 		}
--- a/internal/vday/compare.go
+++ b/internal/vday/compare.go
@@ -114,12 +114,14 @@
 
 // Comparison is all candidates of one deployment.
 type Comparison struct {
-	Deployment string   `json:"deployment"`
-	First      string   `json:"firstWeighted"`
-	Seeds      []uint64 `json:"seeds"`
-	Requests   Spread   `json:"requests"`
-	Rows       []Row    `json:"rows"`
-	Verdict    Verdict  `json:"verdict"`
+	Deployment string `json:"deployment"`
+	// Driven says what was driven.
+	Driven   string   `json:"driven"`
+	First    string   `json:"firstWeighted"`
+	Seeds    []uint64 `json:"seeds"`
+	Requests Spread   `json:"requests"`
+	Rows     []Row    `json:"rows"`
+	Verdict  Verdict  `json:"verdict"`
 }
 
 // Verdict says whether the chosen policies met the goals on average.
@@ -130,8 +132,11 @@
 	Other float64 `json:"other"`
 }
 
+// Runner drives policies over a trace.
+type Runner func(s Shape, t Trace, policies policy.Set, seed uint64) Result
+
 // Compare runs every candidate over the same days.
-func Compare(s Shape, candidates []Candidate, traces map[uint64]Trace, seeds []uint64) (Comparison, error) {
+func Compare(s Shape, run Runner, candidates []Candidate, traces map[uint64]Trace, seeds []uint64) (Comparison, error) {
 	results := make([][]Result, len(candidates))
 	var group errgroup.Group
 	group.SetLimit(runsAtOnce)
@@ -139,7 +144,7 @@
 		results[i] = make([]Result, len(seeds))
 		for j, seed := range seeds {
 			group.Go(func() error {
-				results[i][j] = Run(s, traces[seed], c.Policies, seed)
+				results[i][j] = run(s, traces[seed], c.Policies, seed)
 				return nil
 			})
 		}
--- a/internal/vday/vday_test.go
+++ b/internal/vday/vday_test.go
@@ -45,7 +45,7 @@
 			for _, seed := range seeds {
 				traces[seed] = NewTrace(s, seed)
 			}
-			got, err := Compare(s, compared, traces, seeds)
+			got, err := Compare(s, Run, compared, traces, seeds)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -89,6 +89,26 @@
 	}
 }
 
+// TestOwnerEndsEveryRequestOnce drives the shard owner itself.
+func TestOwnerEndsEveryRequestOnce(t *testing.T) {
+	s := small()
+	window := Window{From: 9 * time.Hour, To: 9*time.Hour + 20*time.Minute}
+	trace := NewTrace(s, 5)
+	want := 0
+	for _, r := range trace.Requests {
+		if r.At >= window.From && r.At < window.To {
+			want++
+		}
+	}
+	first := RunOwned(s, trace, policy.Plain(), 5, window)
+	if got := len(first.Waits) + first.Unfinished; got != want || want == 0 || first.Loads == 0 {
+		t.Errorf("%d of %d requests ended after %d loads", got, want, first.Loads)
+	}
+	if diff := cmp.Diff(first, RunOwned(s, trace, policy.Plain(), 5, window)); diff != "" {
+		t.Errorf("the same run again (-first +again):\n%s", diff)
+	}
+}
+
 func TestSameSeedGivesTheSameDay(t *testing.T) {
 	s := small()
 	first, again, other := NewTrace(s, 1), NewTrace(s, 1), NewTrace(s, 2)
