--- a/internal/slope/cmd.go
+++ b/internal/slope/cmd.go
@@ -52,6 +52,8 @@
 		{Figure{Role: "member", What: "membership sent by an entry", Unit: "B/s", Per: "zones of 8 entries", Target: targetZones, Budget: nodeBytesPerSecond}, []int{2, 5, 11}, func(n int) (float64, error) { return gossipBytes(n, 8), nil }},
 		{Figure{Role: "platform", What: "configuration, a patch every 21 s", Unit: "calls/s", Per: "zones", Target: targetZones, Budget: kvReads}, []int{2, 4, 8}, configWatch},
 		{Figure{Role: "owner", What: "a shard with nothing to decide", Unit: "calls/s", Per: "targets", Target: 48}, []int{4, 12, 24, 48}, idleCalls},
+		{Figure{Role: "owner", What: "a shard with nothing to decide, with stand-ins", Unit: "% of a core", Per: "targets", Target: 48, Budget: nodeCorePercent}, []int{4, 12, 24, 48}, ownerShare},
+		{Figure{Role: "member", What: "membership and configuration, with stand-ins", Unit: "% of a core", Per: "entries a zone, 2 zones", Target: targetZoneNodes, Budget: nodeCorePercent}, []int{8, 32, 91}, memberShare},
 		{Figure{Role: "owner", What: "a model that wakes up and falls idle", Unit: "calls", Per: "targets", Target: 48}, []int{4, 12, 24, 48}, loadCalls},
 	}
 }
--- a/internal/slope/fleets.go
+++ b/internal/slope/fleets.go
@@ -49,6 +49,13 @@
 	return n
 }
 
+// memberShare is the processor time of an entry's membership and configuration
+// parts, with its share of that of the stand-ins.
+func memberShare(perZone int) (float64, error) {
+	f := startFleet(2, perZone)
+	return share(f.Timer.Advance) / float64(len(f.Entries)), nil
+}
+
 // configWatch is the configuration's KV calls a second at 4,100 patches a day.
 func configWatch(zones int) (float64, error) {
 	const changes = 4
--- a/internal/slope/shard.go
+++ b/internal/slope/shard.go
@@ -87,6 +87,21 @@
 	return float64(r.calls()-before) / idleTime.Seconds(), nil
 }
 
+// share returns the processor time of advancing virtual time, in percent of a
+// core that does this all the time.
+func share(advance func(time.Duration)) float64 {
+	const span = time.Minute
+	begin := time.Now()
+	advance(span)
+	return 100 * time.Since(begin).Seconds() / span.Seconds()
+}
+
+// ownerShare is the processor time of an owner with nothing to decide, with
+// that of the stand-ins for targets and KV service.
+func ownerShare(targets int) (float64, error) {
+	return share(newShardRun(targets).clock.Advance), nil
+}
+
 // loadCalls is the owner's KV calls for one model that wakes up and falls idle,
 // beyond those that it makes with nothing to decide.
 func loadCalls(targets int) (float64, error) {
--- a/internal/slope/target.go
+++ b/internal/slope/target.go
@@ -17,6 +17,7 @@
 const (
 	nodeBytesPerSecond = 11_000
 	nodeMemoryBytes    = 64 << 20
+	nodeCorePercent    = 2.2
 	kvReads            = 2000
 	kvWrites           = 300
 )
