--- /dev/null
+++ b/internal/coordination/owner/load.go
@@ -0,0 +1,153 @@
+package owner
+
+import (
+	"time"
+
+	"chivecroft.example/chivecroft/internal/coordination/place"
+	"chivecroft.example/chivecroft/internal/coordination/policy"
+	"chivecroft.example/chivecroft/internal/coordination/ports"
+)
+
+// load decides one more replica of the model if a place, a permit and, for a
+// load from the weight store, a slot are there. A shard without a place takes
+// no permit, which another shard may have a use for.
+func (s *Shard) load(m *model, v policy.ModelView) {
+	if s.awaitsEviction(m.name) {
+		return
+	}
+	placed := s.policies.Place.Decide(s.now, policy.PlaceInput{Model: v, Targets: s.targetViews(m.name)})
+	t := s.targets[placed.Target]
+	m.refused, m.refusedAt = placed.Refused, s.now
+	if placed.Refused != "" || t == nil {
+		delete(s.permits.wants, m.name)
+		return
+	}
+	if s.available(m.name) < 1 {
+		s.acquire(m.name, s.permits.held[m.name]+1)
+		return
+	}
+	if len(placed.Evict) > 0 && v.Waiting+v.Running+v.Queued+v.Min == 0 {
+		// A load ahead of use takes nobody's place.
+		return
+	}
+	if len(placed.Evict) > 0 {
+		s.evict(m, t, placed.Evict)
+		return
+	}
+	if t.free() < v.MemoryBytes || !t.isUsable(s.now, usableFor) {
+		m.refused = "the chosen target has no room"
+		return
+	}
+	fromStore := s.tier(t, m.name) == ports.TierRemote
+	if fromStore && !s.takeSlot() {
+		return
+	}
+	s.decide(m, t, fromStore)
+}
+
+// usableFor is how old a target's account may be for a load to be decided on it.
+const usableFor = 10 * time.Second
+
+func (s *Shard) decide(m *model, t *target, fromStore bool) {
+	c := s.config.Models[m.name]
+	s.lastReplica++
+	r := &replica{mine: true, decidedAt: s.now, lastUsed: s.now, adapters: make(map[string]*adapter)}
+	r.Replica = place.Replica{
+		ID:          s.replicaID(),
+		Model:       m.name,
+		Revision:    c.Revision,
+		Checkpoint:  c.Checkpoint,
+		MemoryBytes: c.MemoryBytes,
+		Concurrency: c.Concurrency,
+		Phase:       place.PhaseDecided,
+		FromStore:   fromStore,
+	}
+	t.replicas[r.ID] = r
+	s.stamp(r)
+	m.since = time.Time{}
+}
+
+func (s *Shard) targetViews(name string) []policy.TargetView {
+	var views []policy.TargetView
+	for _, id := range s.targetIDs() {
+		t := s.targets[id]
+		if !t.isUsable(s.now, usableFor) || (t.ignoresFence && !s.isSafe()) {
+			continue
+		}
+		v := policy.TargetView{Target: id, FreeBytes: t.free(), TotalBytes: t.state.MemoryBytes, Tier: s.tier(t, name)}
+		for _, rid := range t.replicaIDs() {
+			r := t.replicas[rid]
+			if r.Phase != place.PhaseUnloading && !r.isReady() {
+				v.Loading++
+			}
+			if r.isReady() {
+				v.Running += r.seen.Running
+			}
+			if s.isEvictable(r, name) {
+				v.Evictable = append(v.Evictable, s.replicaView(t, r))
+			}
+		}
+		views = append(views, v)
+	}
+	return views
+}
+
+func (s *Shard) isEvictable(r *replica, name string) bool {
+	if !r.isReady() || !r.isIdle() || r.Model == name {
+		return false
+	}
+	if s.now.Sub(r.readyAt) < evictHold || s.now.Sub(r.lastUsed) < evictHold {
+		return false
+	}
+	return s.decided(r.Model) > s.minimum(r.Model)
+}
+
+func (s *Shard) replicaView(t *target, r *replica) policy.ReplicaView {
+	v := s.view(s.model(r.Model))
+	v.LastUsed = r.lastUsed
+	return policy.ReplicaView{
+		Replica:    r.ID,
+		Target:     t.id,
+		Model:      v,
+		LoadedAt:   r.readyAt,
+		ReloadTime: s.loadTime(r.Model),
+		Busy:       !r.isIdle(),
+	}
+}
+
+// evict unloads replicas to make room; the memory is used only once the target
+// confirms that they are gone.
+func (s *Shard) evict(m *model, t *target, ids []string) {
+	for _, id := range ids {
+		if r := t.replicas[id]; r != nil && s.isEvictable(r, m.name) {
+			r.evictedFor = m.name
+			s.unload(r)
+		}
+	}
+}
+
+// awaitsEviction tells whether replicas are on their way out to make room for
+// the model.
+func (s *Shard) awaitsEviction(name string) bool {
+	for _, t := range s.targets {
+		for _, r := range t.replicas {
+			if r.evictedFor == name && r.Phase == place.PhaseUnloading {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (s *Shard) loadTime(name string) time.Duration {
+	if t := s.model(name).loadTime; t > 0 {
+		return t
+	}
+	if t := time.Duration(s.config.Models[name].LoadTime); t > 0 {
+		return t
+	}
+	return defaultLoadTime
+}
+
+// defaultLoadTime is the estimate for a model that was never loaded and names none.
+const defaultLoadTime = 10 * time.Second
