Let targets with rare reports take loads

Seen failing first (TestRareReports, 7.1 s until a load): with a report period above 10 s a target's account counted as too old for a decision most of the time. It may be three periods old now, and no less than 10 s.

--- a/internal/coordination/owner/load.go
+++ b/internal/coordination/owner/load.go
@@ -34,7 +34,7 @@
 		s.evict(m, t, placed.Evict)
 		return
 	}
-	if t.free() < v.MemoryBytes || !t.isUsable(s.now, usableFor) {
+	if t.free() < v.MemoryBytes || !t.isUsable(s.now, s.usableFor()) {
 		m.refused = "the chosen target has no room"
 		return
 	}
@@ -46,7 +46,11 @@
 }
 
 // usableFor is how old a target's account may be for a load to be decided on it.
-const usableFor = 10 * time.Second
+func (s *Shard) usableFor() time.Duration {
+	return max(minUsableFor, 3*s.settings.ReportEvery)
+}
+
+const minUsableFor = 10 * time.Second
 
 func (s *Shard) decide(m *model, t *target, fromStore bool) {
 	c := s.config.Models[m.name]
@@ -71,7 +75,7 @@
 	var views []policy.TargetView
 	for _, id := range s.targetIDs() {
 		t := s.targets[id]
-		if !t.isUsable(s.now, usableFor) || (t.ignoresFence && !s.isSafe()) {
+		if !t.isUsable(s.now, s.usableFor()) || (t.ignoresFence && !s.isSafe()) {
 			continue
 		}
 		v := policy.TargetView{Target: id, FreeBytes: t.free(), TotalBytes: t.state.MemoryBytes, Tier: s.tier(t, name)}
--- a/internal/coordination/owner/targets_test.go
+++ b/internal/coordination/owner/targets_test.go
@@ -106,3 +106,20 @@
 		r.mustHold(t)
 	}
 }
+
+// TestRareReports: targets that are asked for reports rarely take loads all the same.
+func TestRareReports(t *testing.T) {
+	t.Parallel()
+	r := smallRig(7, 0)
+	for _, e := range r.entries {
+		for _, s := range e.shards {
+			s.settings.ReportEvery = 30 * time.Second
+		}
+	}
+	r.run(25 * time.Second)
+	took := r.waitFor("model-0", 20*time.Second)
+	if took > 2*time.Second {
+		t.Errorf("a load took %v:\n%s", took, r.describe())
+	}
+	r.mustHold(t)
+}
