Unload from leaving targets, so that their permits serve elsewhere

Seen failing first (TestLeavingTargetFreesItsReplicas, ready and loading, both regimes): the only permit of a model stayed spent on a leaving target until its instance was gone. Replicas on a target that says itself, by the list or by an operator that it goes are unloaded, which lets them finish their work. The word of another entry alone stops new work only, as it may be wrong.

--- a/internal/coordination/owner/retire.go
+++ b/internal/coordination/owner/retire.go
@@ -10,12 +10,15 @@
 )
 
 // retire unloads idle replicas after their keep-alive, those of models that
-// were removed, those on draining targets, and those above a lowered maximum.
+// were removed, those on targets that go, and those above a lowered maximum. An
+// unloaded replica finishes its work first; its permit is then free for a load
+// elsewhere.
 func (s *Shard) retire() {
 	for _, id := range s.targetIDs() {
 		t := s.targets[id]
 		for _, rid := range t.replicaIDs() {
-			if r := t.replicas[rid]; r.isReady() && s.isRetired(t, r) {
+			r := t.replicas[rid]
+			if t.isGoing() || (r.isReady() && s.isRetired(r)) {
 				s.unload(r)
 			}
 		}
@@ -25,10 +28,7 @@
 	}
 }
 
-func (s *Shard) isRetired(t *target, r *replica) bool {
-	if t.draining {
-		return true
-	}
+func (s *Shard) isRetired(r *replica) bool {
 	if _, known := s.config.Models[r.Model]; !known {
 		return true
 	}
--- a/internal/coordination/owner/target.go
+++ b/internal/coordination/owner/target.go
@@ -138,7 +138,13 @@
 
 // isLeaving tells whether the target gets no new work.
 func (t *target) isLeaving() bool {
-	return t.draining || t.leavingNews || t.instance.Leaving || (t.state != nil && t.state.Leaving)
+	return t.leavingNews || t.isGoing()
+}
+
+// isGoing tells whether the target itself, the platform or an operator says that
+// it goes; the word of another entry stops new work only.
+func (t *target) isGoing() bool {
+	return t.draining || t.instance.Leaving || (t.state != nil && t.state.Leaving)
 }
 
 // isUsable tells whether a load may be decided for the target.
--- a/internal/coordination/owner/targets_test.go
+++ b/internal/coordination/owner/targets_test.go
@@ -123,3 +123,33 @@
 	}
 	r.mustHold(t)
 }
+
+// TestLeavingTargetFreesItsReplicas: a model whose only permit is spent on a
+// leaving target is loaded elsewhere as soon as its work there is done.
+func TestLeavingTargetFreesItsReplicas(t *testing.T) {
+	t.Parallel()
+	for _, phase := range []string{"ready", "loading"} {
+		bothRegimes(t, func(t *testing.T, r *rig) {
+			r.setLimit(1)
+			r.waitFor("model-0", 10*time.Second)
+			if phase == "ready" {
+				r.run(5 * time.Second)
+			}
+			leaving := r.holderOf("model-0")
+			for _, rep := range leaving.engine.State().Replicas {
+				if end, ok := leaving.engine.Begin(rep.Replica); ok {
+					r.clock.After(4*time.Second, end)
+				}
+			}
+			leaving.engine.SetLeaving(true)
+			for range 10 {
+				r.demand(0, 0, ports.Demand{Model: "model-0", Waiting: 1, Within: 5 * time.Second, From: "caller"})
+				r.run(time.Second)
+			}
+			r.expectLoaded(t, map[string]int{"model-0": 1})
+			if r.holderOf("model-0") == leaving {
+				t.Errorf("%s: the model is still on the leaving target\n%s", phase, r.describe())
+			}
+		})
+	}
+}
