Answer who waits for a permit when the shard is lost; write late effects down

Seen failing first (TestYieldIsAnsweredByWhoStops, no answer in 15 s, both regimes): askers for a permit or a slot were forgotten with the tenure.

--- a/internal/coordination/owner/permits_test.go
+++ b/internal/coordination/owner/permits_test.go
@@ -10,6 +10,7 @@
 	"chivecroft.example/chivecroft/internal/coordination/place"
 	"chivecroft.example/chivecroft/internal/coordination/policy"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/stand/world"
 	"chivecroft.example/chivecroft/internal/state/config"
 )
 
@@ -183,3 +184,49 @@
 		t.Errorf("answer (-want +got):\n%s", diff)
 	}
 }
+
+// TestYieldIsAnsweredByWhoStops: an asker is not left without an answer when the
+// holder loses the shard in the middle.
+func TestYieldIsAnsweredByWhoStops(t *testing.T) {
+	t.Parallel()
+	bothRegimes(t, func(t *testing.T, r *rig) {
+		r.waitFor("model-0", 10*time.Second)
+		r.run(60 * time.Second)
+		owner := r.ownerOf(0, 0)
+		owner.kv.SetFaults(world.KVFaults{Down: true})
+		answered := 0
+		for id := range uint64(2) {
+			r.yields[1000+id] = func(ports.PeerReply) { answered++ }
+		}
+		owner.loops[0].Post(YieldAsked{ID: 1000, Yield: ports.YieldPermit{Resource: "model-0", Shard: "zone-a/0", Wanted: 1}})
+		owner.loops[0].Post(YieldAsked{ID: 1001, Yield: ports.YieldPermit{Resource: permit.Store, Shard: "zone-a/0", Wanted: 5, Patient: true}})
+		owner.post(StopAsked{})
+		r.run(15 * time.Second)
+		if diff := cmp.Diff(2, answered); diff != "" {
+			t.Errorf("answers (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// TestWritesTakeEffectLate: half of the writes lose their answer and take effect
+// up to 4 s later, or never because the value has changed meanwhile.
+func TestWritesTakeEffectLate(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(6) {
+		r := smallRig(seed, int(seed%4))
+		r.run(5 * time.Second)
+		r.ownerOf(0, 0).kv.late = 0.5
+		for i := range 12 {
+			r.demand(0, 0, ports.Demand{Model: modelName(i % 4), Waiting: 9, Within: 20 * time.Second, From: "caller"})
+			r.run(5 * time.Second)
+		}
+		for _, e := range r.entries {
+			e.kv.late = 0
+		}
+		r.waitFor("model-0", 30*time.Second)
+		if r.loaded("model-0") == 0 {
+			t.Errorf("model-0 was not loaded:\n%s", r.describe())
+		}
+		r.mustHold(t)
+	}
+}
--- a/internal/coordination/owner/shard.go
+++ b/internal/coordination/owner/shard.go
@@ -247,6 +247,7 @@
 
 // forget drops all that belongs to a tenure.
 func (s *Shard) forget() {
+	s.refuseYields()
 	s.tenure++
 	s.answered = ""
 	s.session = session{}
--- a/internal/coordination/owner/yield.go
+++ b/internal/coordination/owner/yield.go
@@ -140,3 +140,13 @@
 	}
 	s.permits.yields = left
 }
+
+// refuseYields answers whoever still waits for a permit of this shard.
+func (s *Shard) refuseYields() {
+	for _, y := range s.permits.yields {
+		s.note(YieldAnswered{ID: y.id})
+	}
+	for _, w := range s.permits.slots.wishes {
+		s.note(YieldAnswered{ID: w.id})
+	}
+}
