--- a/internal/coordination/relay/accept.go
+++ b/internal/coordination/relay/accept.go
@@ -84,7 +84,7 @@
 		return
 	}
 	if p.ids.after > p.ids.wanted(p.config.Version) {
-		p.learnIDs(p.ids.wanted(p.config.Version), func(err error) {
+		p.learnIDs(func(err error) {
 			if err != nil {
 				p.refuse(e, notAccepted(err))
 				return
@@ -103,9 +103,32 @@
 	}
 }
 
-// learnIDs reads from the log the IDs of patches that this entry did not see
-// being accepted, because it began with a snapshot.
-func (p *Part) learnIDs(after config.Version, then func(error)) {
+// learnIDs finds out the IDs of patches that this entry did not see being
+// accepted, because it began with a whole configuration: from the newest snapshot
+// as far as it knows them, and else from the log, which takes many reads.
+func (p *Part) learnIDs(then func(error)) {
+	p.readHead(func(head config.Head, _ ports.Revision, err error) {
+		if err != nil || len(head.Snapshots) == 0 {
+			p.listIDs(p.ids.wanted(p.config.Version), then)
+			return
+		}
+		p.readSnapshot(head.Latest(), func(s config.Snapshot, err error) {
+			if err != nil {
+				p.listIDs(p.ids.wanted(p.config.Version), then)
+				return
+			}
+			p.listIDs(p.ids.merge(s, p.config.Version), then)
+		})
+	})
+}
+
+// listIDs reads the IDs after a version from the log.
+func (p *Part) listIDs(after config.Version, then func(error)) {
+	if after >= p.ids.after {
+		p.ids.after = p.ids.wanted(p.config.Version)
+		then(nil)
+		return
+	}
 	req := ports.KVList{Prefix: logPrefix, After: logKey(after), Limit: pageLimit}
 	p.kv(req, func(r ports.KVReply) {
 		if !p.answered("read the log", r.Status) {
@@ -124,7 +147,7 @@
 			}
 		}
 		if r.More && last < p.ids.after {
-			p.learnIDs(last, then)
+			p.listIDs(last, then)
 			return
 		}
 		p.ids.after = p.ids.wanted(p.config.Version)
--- a/internal/coordination/relay/history.go
+++ b/internal/coordination/relay/history.go
@@ -85,12 +85,12 @@
 			p.fold(&config.Config{}, v, then)
 			return
 		}
-		p.readSnapshot(ref, func(c *config.Config, err error) {
+		p.readSnapshot(ref, func(s config.Snapshot, err error) {
 			if err != nil {
 				then(nil, err)
 				return
 			}
-			p.fold(c, v, then)
+			p.fold(s.Config, v, then)
 		})
 	})
 }
--- a/internal/coordination/relay/ids.go
+++ b/internal/coordination/relay/ids.go
@@ -1,6 +1,11 @@
 package relay
 
-import "chivecroft.example/chivecroft/internal/state/config"
+import (
+	"maps"
+	"slices"
+
+	"chivecroft.example/chivecroft/internal/state/config"
+)
 
 // retainLog is how many accepted patches the log keeps at the least, and for how
 // many their IDs are remembered.
@@ -42,8 +47,37 @@
 }
 
 func (i *ids) learn(p config.Patch, v config.Version) {
-	i.patches[p.ID] = known{version: v, content: config.FingerprintOf(p)}
-	i.names[v] = p.ID
+	i.put(config.PatchRef{ID: p.ID, Version: v, Content: config.FingerprintOf(p)})
+}
+
+func (i *ids) put(ref config.PatchRef) {
+	i.patches[ref.ID] = known{version: ref.Version, content: ref.Content}
+	i.names[ref.Version] = ref.ID
+}
+
+// refs returns everything that is remembered, in order of versions.
+func (i *ids) refs() []config.PatchRef {
+	refs := make([]config.PatchRef, 0, len(i.names))
+	for _, v := range slices.Sorted(maps.Keys(i.names)) {
+		id := i.names[v]
+		refs = append(refs, config.PatchRef{ID: id, Version: v, Content: i.patches[id].content})
+	}
+	return refs
+}
+
+// merge takes in what a snapshot remembers, and returns the version up to which
+// IDs are still to be read from the log.
+func (i *ids) merge(s config.Snapshot, current config.Version) config.Version {
+	wanted := i.wanted(current)
+	for _, ref := range s.Recent {
+		if ref.Version > wanted && ref.Version <= i.after {
+			i.put(ref)
+		}
+	}
+	if s.RecentAfter > wanted {
+		return wanted
+	}
+	return max(wanted, min(s.Config.Version, i.after))
 }
 
 // restart forgets everything: what came before a version that was taken as a
--- a/internal/coordination/relay/keep.go
+++ b/internal/coordination/relay/keep.go
@@ -59,7 +59,7 @@
 // writeSnapshot writes the chunks first and the head, which makes them count,
 // last.
 func (p *Part) writeSnapshot(head config.Head, at ports.Revision) {
-	ref, chunks, err := config.EncodeSnapshot(p.config)
+	ref, chunks, err := config.EncodeSnapshot(config.Snapshot{Config: p.config, Recent: p.ids.refs(), RecentAfter: p.ids.after})
 	if err != nil {
 		p.damaged(snapPrefix, err)
 		p.endKeeping()
--- a/internal/coordination/relay/keep_test.go
+++ b/internal/coordination/relay/keep_test.go
@@ -99,9 +99,13 @@
 	inForce(t, f, f.Entries, versions)
 	again := ruleOf(versions - 4000)
 	again.Base = versions
+	reads := f.Calls()["read"]
 	if a := f.Patch(frozen, again); a.Err != nil || a.Version != versions-3999 || !a.Repeated {
 		t.Errorf("repeated ID at an entry that has just started: %+v", a)
 	}
+	if n := f.Calls()["read"] - reads; n > 60 {
+		t.Errorf("%d reads to learn the IDs: at a latency of 2 s the patch would take %s", n, time.Duration(n)*2*time.Second)
+	}
 
 	var read config.Version
 	frozen.Read(versions-4090, func(a relay.ReadAnswered) {
--- a/internal/coordination/relay/part.go
+++ b/internal/coordination/relay/part.go
@@ -229,6 +229,18 @@
 	p.ids.restart(c.Version)
 }
 
+// restore puts the configuration of a snapshot in force, with what it remembers.
+func (p *Part) restore(s config.Snapshot) {
+	if s.Config.Version <= p.config.Version {
+		return
+	}
+	p.replace(s.Config)
+	for _, ref := range s.Recent {
+		p.ids.put(ref)
+	}
+	p.ids.after = s.RecentAfter
+}
+
 // onDuty reports whether this entry watches the KV service for its zone and
 // fetches from other zones.
 func (p *Part) onDuty() bool {
--- a/internal/coordination/relay/reading.go
+++ b/internal/coordination/relay/reading.go
@@ -99,12 +99,12 @@
 			p.damaged(logPrefix, err)
 			fail(err)
 		default:
-			p.readSnapshot(head.Latest(), func(c *config.Config, err error) {
+			p.readSnapshot(head.Latest(), func(s config.Snapshot, err error) {
 				if err != nil {
 					fail(err)
 					return
 				}
-				p.replace(c)
+				p.restore(s)
 				p.readLog()
 			})
 		}
@@ -132,21 +132,21 @@
 }
 
 // readSnapshot reads the chunks of a snapshot one after the other.
-func (p *Part) readSnapshot(ref config.SnapshotRef, then func(*config.Config, error)) {
+func (p *Part) readSnapshot(ref config.SnapshotRef, then func(config.Snapshot, error)) {
 	var chunks [][]byte
 	var next func()
 	next = func() {
 		if len(chunks) == len(ref.Sums) {
-			c, err := config.DecodeSnapshot(ref, chunks)
+			s, err := config.DecodeSnapshot(ref, chunks)
 			if err != nil {
 				p.damaged(snapPrefix+ref.Name(), err)
 			}
-			then(c, err)
+			then(s, err)
 			return
 		}
 		p.kv(ports.KVGet{Key: chunkKey(ref, len(chunks))}, func(r ports.KVReply) {
 			if !p.answered("read a snapshot", r.Status) {
-				then(nil, unavailable("read a snapshot", r.Status))
+				then(config.Snapshot{}, unavailable("read a snapshot", r.Status))
 				return
 			}
 			item, _ := r.Item()
--- a/internal/state/config/bench_test.go
+++ b/internal/state/config/bench_test.go
@@ -39,13 +39,14 @@
 			NewIndex(c)
 		}
 	})
-	ref, chunks, err := EncodeSnapshot(c)
+	snapshot := Snapshot{Config: c, Recent: recentPatches(c.Version)}
+	ref, chunks, err := EncodeSnapshot(snapshot)
 	if err != nil {
 		b.Fatal(err)
 	}
 	b.Run("encode snapshot", func(b *testing.B) {
 		for b.Loop() {
-			if _, _, err := EncodeSnapshot(c); err != nil {
+			if _, _, err := EncodeSnapshot(snapshot); err != nil {
 				b.Fatal(err)
 			}
 		}
--- a/internal/state/config/patch.go
+++ b/internal/state/config/patch.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -90,6 +91,21 @@
 // author.
 type Fingerprint [8]byte
 
+// MarshalText returns the fingerprint in hex.
+func (f Fingerprint) MarshalText() ([]byte, error) {
+	return hex.AppendEncode(nil, f[:]), nil
+}
+
+// UnmarshalText reads a fingerprint in hex.
+func (f *Fingerprint) UnmarshalText(text []byte) error {
+	decoded, err := hex.DecodeString(string(text))
+	if err != nil || len(decoded) != len(f) {
+		return trace.BadParameter("a fingerprint has %d hex digits, not %q", 2*len(f), text)
+	}
+	copy(f[:], decoded)
+	return nil
+}
+
 // FingerprintOf returns the fingerprint of a patch.
 func FingerprintOf(p Patch) Fingerprint {
 	data, err := json.Marshal(Patch{Set: p.Set, Remove: p.Remove})
--- a/internal/state/config/snapshot.go
+++ b/internal/state/config/snapshot.go
@@ -36,16 +36,34 @@
 	return fmt.Sprintf("%012d-%s", r.Version, sumOf(all)[:shortSum])
 }
 
+// PatchRef is what is remembered of an accepted patch.
+type PatchRef struct {
+	ID      string      `json:"id"`
+	Version Version     `json:"version"`
+	Content Fingerprint `json:"content"`
+}
+
+// Snapshot is a whole configuration with the patches that were accepted last.
+type Snapshot struct {
+	Config *Config
+	// Recent are all patches accepted after version RecentAfter, in order.
+	Recent      []PatchRef
+	RecentAfter Version
+}
+
 // storedSnapshot is the JSON form of a snapshot before compression.
 type storedSnapshot struct {
-	Format int     `json:"format"`
-	Config *Config `json:"config"`
+	Format      int        `json:"format"`
+	Config      *Config    `json:"config"`
+	Recent      []PatchRef `json:"recent,omitempty"`
+	RecentAfter Version    `json:"recentAfter,omitempty"`
 }
 
-// EncodeSnapshot returns the compressed form of a configuration in chunks that
-// fit into KV values.
-func EncodeSnapshot(c *Config) (SnapshotRef, [][]byte, error) {
-	plain, err := json.Marshal(storedSnapshot{Format: Format, Config: c})
+// EncodeSnapshot returns the compressed form of a snapshot in chunks that fit
+// into KV values.
+func EncodeSnapshot(s Snapshot) (SnapshotRef, [][]byte, error) {
+	c := s.Config
+	plain, err := json.Marshal(storedSnapshot{Format: Format, Config: c, Recent: s.Recent, RecentAfter: s.RecentAfter})
 	if err != nil {
 		return SnapshotRef{}, nil, trace.Wrap(err)
 	}
@@ -72,34 +90,34 @@
 
 // DecodeSnapshot reads the chunks of a snapshot; the error is a *FormatError or
 // a *DamagedError.
-func DecodeSnapshot(ref SnapshotRef, chunks [][]byte) (*Config, error) {
+func DecodeSnapshot(ref SnapshotRef, chunks [][]byte) (Snapshot, error) {
 	what := fmt.Sprintf("the snapshot of version %d", ref.Version)
-	damaged := func(reason string) error {
-		return trace.Wrap(&DamagedError{What: what, Reason: reason})
+	damaged := func(reason string) (Snapshot, error) {
+		return Snapshot{}, trace.Wrap(&DamagedError{What: what, Reason: reason})
 	}
 	if len(chunks) != len(ref.Sums) {
-		return nil, damaged(fmt.Sprintf("%d of %d chunks", len(chunks), len(ref.Sums)))
+		return damaged(fmt.Sprintf("%d of %d chunks", len(chunks), len(ref.Sums)))
 	}
 	for i, chunk := range chunks {
 		if sumOf(chunk) != ref.Sums[i] {
-			return nil, damaged(fmt.Sprintf("the sum of chunk %d does not match", i))
+			return damaged(fmt.Sprintf("the sum of chunk %d does not match", i))
 		}
 	}
 	plain, err := unpack(bytes.Join(chunks, nil))
 	if err != nil {
-		return nil, damaged(err.Error())
+		return damaged(err.Error())
 	}
 	if err := checkFormat(what, plain); err != nil {
-		return nil, err
+		return Snapshot{}, err
 	}
 	var stored storedSnapshot
 	if err := json.Unmarshal(plain, &stored); err != nil {
-		return nil, damaged(err.Error())
+		return damaged(err.Error())
 	}
 	if stored.Config == nil || stored.Config.Version != ref.Version {
-		return nil, damaged("it holds another version")
+		return damaged("it holds another version")
 	}
-	return stored.Config, nil
+	return Snapshot{Config: stored.Config, Recent: stored.Recent, RecentAfter: stored.RecentAfter}, nil
 }
 
 func unpack(packed []byte) ([]byte, error) {
--- a/internal/state/config/stored_test.go
+++ b/internal/state/config/stored_test.go
@@ -45,10 +45,22 @@
 	return c
 }
 
+// recentPatches returns as many patches as are remembered, up to a version.
+func recentPatches(newest Version) []PatchRef {
+	const remembered = 4096
+	refs := make([]PatchRef, remembered)
+	for i := range refs {
+		id := fmt.Sprintf("change-%d-of-2026-05-04", i*7919)
+		refs[i] = PatchRef{ID: id, Version: newest - remembered + Version(i) + 1, Content: FingerprintOf(Patch{Remove: Names{Rules: []string{id}}})}
+	}
+	return refs
+}
+
 func TestSnapshotOfTargetSize(t *testing.T) {
 	for _, row := range []struct{ tenants, minChunks int }{{4000, 1}, {12_000, 2}} {
 		c := largeConfig(row.tenants)
-		ref, chunks, err := EncodeSnapshot(c)
+		snapshot := Snapshot{Config: c, Recent: recentPatches(c.Version)}
+		ref, chunks, err := EncodeSnapshot(snapshot)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -59,7 +71,7 @@
 				t.Errorf("a chunk has %d bytes, a KV value holds 1 MB", len(chunk))
 			}
 		}
-		t.Logf("970 models, 5,600 adapters, %d tenants: %d bytes in %d chunks", row.tenants, total, len(chunks))
+		t.Logf("970 models, 5,600 adapters, %d tenants, 4,096 patches: %d bytes in %d chunks", row.tenants, total, len(chunks))
 		if len(chunks) < row.minChunks {
 			t.Errorf("%d chunks, so that joining chunks is not tried", len(chunks))
 		}
@@ -67,8 +79,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if !reflect.DeepEqual(c, got) {
-			t.Errorf("configuration (-want +got):\n%s", cmp.Diff(c, got))
+		if !reflect.DeepEqual(snapshot, got) {
+			t.Errorf("snapshot (-want +got):\n%s", cmp.Diff(snapshot, got))
 		}
 		chunks[len(chunks)-1] = chunks[len(chunks)-1][1:]
 		if _, err := DecodeSnapshot(ref, chunks); kindOf(err) != "damaged" {
@@ -98,7 +110,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ref, chunks, err := EncodeSnapshot(&Config{Version: 3, Rules: map[string]Rule{"m": {MaxReplicas: 1}}})
+	ref, chunks, err := EncodeSnapshot(Snapshot{Config: &Config{Version: 3, Rules: map[string]Rule{"m": {MaxReplicas: 1}}}})
 	if err != nil {
 		t.Fatal(err)
 	}
