--- a/internal/transport/front/fake_test.go
+++ b/internal/transport/front/fake_test.go
@@ -166,6 +166,7 @@
 
 // rig is an entry's request path over fakes.
 type rig struct {
+	clock  timer.System
 	t      testing.TB
 	config *config.Config
 	table  *route.Table
@@ -211,7 +212,7 @@
 
 func newRig(t testing.TB, change ...func(*rig)) *rig {
 	r := &rig{t: t, config: testConfig(), engine: &engine{}, sender: &plainSender{RoundTripper: http.DefaultTransport}}
-	clock := timer.NewSystem()
+	clock := r.clock
 	r.table = route.NewTable("bul-a", "bulacan", clock, 1)
 	r.limits = admit.NewLimits()
 	r.room = await.NewRoom(r.table, await.DemandFunc(r.askFor), clock)
@@ -228,7 +229,7 @@
 		r.engines = r.engine
 	}
 	r.handler = front.New(front.Deps{
-		Config: func() *config.Config { return r.config },
+		Config: r.configuration,
 		Table:  r.table, Room: r.room, Limits: r.limits, Claims: r.driver,
 		Engine: r.engines, Services: r.services, Timer: clock,
 		Observe: r.observe, NewID: r.newID, ReadIdle: r.idle, WriteIdle: r.idle,
@@ -236,6 +237,8 @@
 	return r
 }
 
+func (r *rig) configuration() *config.Config { return r.config }
+
 func (r *rig) observe(o front.Outcome) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/transport/front/wire_test.go
+++ b/internal/transport/front/wire_test.go
@@ -231,3 +231,39 @@
 		t.Errorf("outcomes (-want +got):\n%s", diff)
 	}
 }
+
+// TestHeldBodies lets callers owe more than the entry may hold: the one too many
+// is refused at once, and the room comes back when the others are done.
+func TestHeldBodies(t *testing.T) {
+	r := newRig(t)
+	defer r.driver.Stop()
+	const size, callers = 4 << 20, 16
+	var wg sync.WaitGroup
+	var ends []*io.PipeWriter
+	post := func(body io.Reader) *httptest.ResponseRecorder {
+		req := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", body)
+		req.ContentLength = size
+		w := httptest.NewRecorder()
+		r.handler.ServeHTTP(w, req)
+		return w
+	}
+	for range callers {
+		body, end := io.Pipe()
+		ends = append(ends, end)
+		wg.Go(func() { post(body) })
+	}
+	for r.handler.InFlight() < callers {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(50 * time.Millisecond)
+	if w := post(strings.NewReader("{")); !strings.Contains(w.Body.String(), `"reason":"overload"`) {
+		t.Errorf("with 64 MB owed: %s", w.Body)
+	}
+	for _, end := range ends {
+		_ = end.Close()
+	}
+	wg.Wait()
+	if w := post(strings.NewReader("{")); !strings.Contains(w.Body.String(), `"reason":"malformed"`) {
+		t.Errorf("with nothing owed: %s", w.Body)
+	}
+}
