--- a/internal/coordination/await/room.go
+++ b/internal/coordination/await/room.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"hash/maphash"
 	"maps"
 	"slices"
@@ -111,7 +112,7 @@
 	case a := <-w.done:
 		return a.result()
 	case <-ctx.Done():
-		return r.leave(w)
+		return r.leave(ctx, w)
 	}
 }
 
@@ -272,9 +273,10 @@
 	return true
 }
 
-// leave takes a waiter out whose caller is gone. If its answer is on the way
-// already, a place in it is given back.
-func (r *Room) leave(w *waiter) (Grant, error) {
+// leave takes a waiter out whose caller is gone or whose time is up: the end of
+// its context may be noticed before the queue's own look at deadlines. If its
+// answer is on the way already, a place in it is given back.
+func (r *Room) leave(ctx context.Context, w *waiter) (Grant, error) {
 	key := w.req.Query.Key
 	p := r.part(key)
 	p.mu.Lock()
@@ -290,6 +292,9 @@
 	} else if a := <-w.done; a.refusal == nil {
 		a.grant.Choice.Done(r.timer.Now(), route.Result{})
 	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return Grant{}, &admit.Refusal{Reason: admit.ReasonDeadline, Detail: "no replica took the request in time", RetryAfter: coldRetryAfter}
+	}
 	return Grant{}, &admit.Refusal{Reason: admit.ReasonCancelled, Detail: "the caller is gone"}
 }
 
--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -24,6 +24,7 @@
 	relay   *drive.Loop
 	writer  *drive.Loop
 	reader  *drive.Loop
+	pruner  *drive.Loop
 	shards  []*shardPart
 
 	gossip  *book[ports.Gossip]
@@ -92,6 +93,7 @@
 		Instance: e.self.ID, Incarnation: e.self.Incarnation, Zone: e.self.Zone, Location: e.settings.Entry.Location,
 	}, e.recorder, fork())
 	p.writer = loop(e.writer)
+	p.pruner = loop(daily.NewPruner(e.settings.Entry.Location, e.settings.Entry.DaysKept, fork()))
 	p.reader = loop(daily.NewReader(e.settings.Entry.Location, daily.DefaultGoals()))
 	for n := range e.settings.Control.Shards {
 		shard := owner.New(e.shardSettings(n), policies, fork())
@@ -142,13 +144,14 @@
 	p.members.Post(member.Start{})
 	p.relay.Post(relay.Start{})
 	p.writer.Post(daily.Start{})
+	p.pruner.Post(daily.Start{})
 	for _, s := range p.shards {
 		s.loop.Post(owner.Start{})
 	}
 }
 
 func (p *parts) stop() {
-	for _, l := range []*drive.Loop{p.members, p.relay, p.writer, p.reader} {
+	for _, l := range []*drive.Loop{p.members, p.relay, p.writer, p.reader, p.pruner} {
 		l.Stop()
 	}
 	for _, s := range p.shards {
--- a/internal/params/fields.go
+++ b/internal/params/fields.go
@@ -66,6 +66,7 @@
 			return err
 		},
 	},
+	intField("entry", "daysKept", "30", bounds[int]{1, 3660}, func(s *Settings) *int { return &s.Entry.DaysKept }),
 	durationField("entry", "drainTimeout", "10m", bounds[time.Duration]{time.Second, 24 * time.Hour},
 		func(s *Settings) *time.Duration { return &s.Entry.DrainTimeout }),
 }
--- a/internal/params/settings.go
+++ b/internal/params/settings.go
@@ -27,6 +27,8 @@
 	Region string
 	// Location is the deployment's time zone, in which a day begins.
 	Location *time.Location
+	// DaysKept is how many days the day page can go back.
+	DaysKept int
 	// DrainTimeout bounds a graceful shutdown.
 	DrainTimeout time.Duration
 }
--- a/internal/transport/front/caller.go
+++ b/internal/transport/front/caller.go
@@ -37,6 +37,7 @@
 	deadline time.Time
 	tenant   string
 	out      Outcome
+	arrived  bool
 	// held is what the request takes of heldBytes.
 	held int64
 	// closed tells that the answer has been ended in order, though not whole.
@@ -117,6 +118,7 @@
 func (c *call) settle(service, path string) *Problem {
 	c.out.Service = service
 	c.out.Class = c.dir.class(service, c.tenant, c.r.Method, path)
+	c.arrive()
 	within, problem := c.within(service)
 	if problem != nil {
 		return problem
@@ -128,6 +130,16 @@
 	return nil
 }
 
+// arrive tells once that the request is here. It is told before the request is
+// worked on, so that one which ends with its entry shows as lost.
+func (c *call) arrive() {
+	if c.arrived {
+		return
+	}
+	c.arrived = true
+	c.h.Arrive(c.out.Service, c.out.Class)
+}
+
 // within returns the time that the caller gives, which a header states as a
 // duration or as an RFC 3339 time.
 func (c *call) within(service string) (time.Duration, *Problem) {
