--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -194,7 +194,10 @@
 		e.ownershipChanged(n)
 	case daily.ReadDone:
 		e.parts.days.answer(n.ID, n.Report)
-	case owner.Stopped, daily.Stopped:
+	case owner.Stopped:
+		e.tellFree(n.Shard)
+		e.parts.stopped.one()
+	case daily.Stopped:
 		e.parts.stopped.one()
 	default:
 		e.happened(value)
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"chivecroft.example/chivecroft/internal/coordination/daily"
@@ -62,7 +61,6 @@
 	e.finishRequests(deadline)
 	e.parts.writer.Post(daily.StopAsked{})
 	e.finishParts()
-	e.tellFree()
 	e.setPhase(ports.MemberGone)
 	e.sleep(e.ctx, goodbye)
 }
@@ -92,18 +90,13 @@
 	}
 }
 
-// tellFree tells the zone's entries that the shards are free, so that they need
-// not wait for their next look.
-func (e *Entry) tellFree() {
-	var shards []int
-	for n := range e.parts.shards {
-		shards = append(shards, n)
-	}
-	slices.Sort(shards)
+// tellFree tells the zone's entries that a shard is free, so that they need not
+// wait for their next look.
+func (e *Entry) tellFree(shard int) {
+	free := ports.HandOver{Shards: []int{shard}, From: e.self.ID}
 	for _, m := range e.members() {
-		if m.Zone != e.self.Zone || m.ID == e.self.ID || m.Phase != ports.MemberAlive {
-			continue
+		if m.Zone == e.self.Zone && m.ID != e.self.ID && m.Phase == ports.MemberAlive {
+			e.peers.Send(m.Addr, free, func(ports.PeerReply) {})
 		}
-		e.peers.Send(m.Addr, ports.HandOver{Shards: shards, From: e.self.ID}, func(ports.PeerReply) {})
 	}
 }
