Do not write into the set of models to preload

A new configuration clears the set; with nobody waiting it was taken for the set of wanted models, to which a model with work was then added. Loads ahead of use are added last, to a copy, when nothing else is wanted.

--- a/internal/coordination/owner/model.go
+++ b/internal/coordination/owner/model.go
@@ -248,9 +248,6 @@
 	for name := range s.home.minima {
 		names[name] = true
 	}
-	if len(names) == 0 {
-		names = s.home.preload
-	}
 	for _, t := range s.targets {
 		for _, r := range t.replicas {
 			if r.isReady() && !r.isIdle() {
@@ -258,6 +255,10 @@
 			}
 		}
 	}
+	if len(names) == 0 {
+		// Loads ahead of use wait until nothing else is wanted.
+		maps.Copy(names, s.home.preload)
+	}
 	var wanting []*model
 	for _, name := range slices.Sorted(maps.Keys(names)) {
 		if m := s.model(name); s.decided(name) < s.wanted(m) && !s.now.Before(m.retryAt) {
--- a/internal/coordination/owner/permits_test.go
+++ b/internal/coordination/owner/permits_test.go
@@ -230,3 +230,20 @@
 		r.mustHold(t)
 	}
 }
+
+// TestConfigChangesWhileBusy: a new configuration while a replica works and
+// nobody waits.
+func TestConfigChangesWhileBusy(t *testing.T) {
+	t.Parallel()
+	bothRegimes(t, func(t *testing.T, r *rig) {
+		r.waitFor("model-0", 10*time.Second)
+		r.run(5 * time.Second)
+		for _, rep := range r.holderOf("model-0").engine.State().Replicas {
+			r.holderOf("model-0").engine.Begin(rep.Replica)
+		}
+		r.run(25 * time.Second)
+		r.setLimit(3)
+		r.run(10 * time.Second)
+		r.expectLoaded(t, map[string]int{"model-0": 1})
+	})
+}
