Give a reused patch id and unreadable values their own answers

Cause: an operator who reused a patch id for another patch, or whose patch met a damaged or newer value in the KV service, got the reason "invalid" as if the patch were at fault. They now get 409 idReused, 503 valueDamaged and 503 valueNewer.

--- a/internal/entry/operate.go
+++ b/internal/entry/operate.go
@@ -58,6 +58,9 @@
 	var conflict *relay.ConflictError
 	var future *relay.FutureBaseError
 	var down *relay.UnavailableError
+	var reused *relay.IDReusedError
+	var damaged *config.DamagedError
+	var format *config.FormatError
 	switch {
 	case errors.As(err, &invalid):
 		p := opapi.NewProblem("invalid", http.StatusUnprocessableEntity, "invalid", "nothing of the patch was applied")
@@ -73,6 +76,12 @@
 		return p
 	case errors.As(err, &future):
 		return opapi.NewProblem("invalid", http.StatusUnprocessableEntity, "futureBase", future.Error())
+	case errors.As(err, &reused):
+		return opapi.NewProblem("conflict", http.StatusConflict, "idReused", reused.Error())
+	case errors.As(err, &damaged):
+		return unavailable("valueDamaged", damaged.Error())
+	case errors.As(err, &format):
+		return unavailable("valueNewer", format.Error())
 	case errors.As(err, &down):
 		return unavailable(string(down.Outcome), down.Error())
 	}
