--- a/internal/params/fields.go
+++ b/internal/params/fields.go
@@ -159,7 +159,7 @@
 	bytesField("requests", "queueBytes", "67108864", func(s *Settings) *int64 { return &s.Requests.QueueBytes }),
 	intField("requests", "queueCount", "10000", bounds[int]{1, 1_000_000}, func(s *Settings) *int { return &s.Requests.QueueCount }),
 	intField("requests", "inFlight", "20000", bounds[int]{1, 1_000_000}, func(s *Settings) *int { return &s.Requests.InFlight }),
-	durationField("requests", "outcomeKept", "24h", bounds[time.Duration]{time.Minute, 7 * 24 * time.Hour},
+	durationField("requests", "outcomeKept", "10m", bounds[time.Duration]{time.Minute, 24 * time.Hour},
 		func(s *Settings) *time.Duration { return &s.Requests.OutcomeKept }),
 }
 
