Count a request as arrived when it arrives, not when it ends

An entry killed with long answers under way lost them without a trace; the bound on uncounted requests, made from the pace of earlier rows, says nothing of them.

The handler now tells of a request as soon as its service and class are known, and before its outcome at the latest, exactly once. A row closed after its date ended counts unfinished requests as under way rather than lost: without that, every request across midnight would have been called lost.

Weighed: moving the unfinished requests to the next date's row, which would count an arrival twice; left out.

--- a/internal/coordination/daily/report.go
+++ b/internal/coordination/daily/report.go
@@ -33,7 +33,8 @@
 	Served    uint64 `json:"served"`
 	Refused   uint64 `json:"refused"`
 	Abandoned uint64 `json:"abandoned"`
-	// InFlight are requests that living instances work on.
+	// InFlight are requests that living instances work on, or worked on when the
+	// date ended.
 	InFlight uint64 `json:"inFlight"`
 	// Lost are requests that ended instances had not finished by their last row.
 	Lost uint64 `json:"lost"`
--- a/internal/coordination/daily/sum.go
+++ b/internal/coordination/daily/sum.go
@@ -136,7 +136,7 @@
 		return
 	}
 	if row.Final {
-		s.report.Lost += unfinished
+		s.close(row, unfinished)
 		return
 	}
 	name := fmt.Sprintf("%s-%d", row.Instance, row.Incarnation)
@@ -153,6 +153,18 @@
 	}
 }
 
+// close judges what the last row of a date had not finished. A row that was
+// closed because its date was over says nothing of an end of its instance: the
+// requests went on into the next date and are counted there when they end. One
+// that was closed within its date is the last word of an instance that stopped.
+func (s *summer) close(row Row, unfinished uint64) {
+	if row.Written.Before(s.in.Date.End(s.in.Location)) {
+		s.report.Lost += unfinished
+		return
+	}
+	s.report.InFlight += unfinished
+}
+
 func (s *summer) clock(t time.Time) string {
 	return t.In(s.in.Location).Format(time.TimeOnly)
 }
--- a/internal/coordination/daily/sum_test.go
+++ b/internal/coordination/daily/sum_test.go
@@ -159,3 +159,29 @@
 		t.Errorf("report (-want +got):\n%s", diff)
 	}
 }
+
+// TestUnfinishedRequests tells the requests that an instance lost by stopping
+// from those that it worked on when the date ended.
+func TestUnfinishedRequests(t *testing.T) {
+	end := sumDate.End(time.UTC)
+	cases := []struct {
+		name    string
+		written time.Time
+		want    []uint64
+	}{
+		{"stopped within the date", end.Add(-time.Hour), []uint64{2, 0}},
+		{"closed after midnight", end.Add(settleTime), []uint64{0, 2}},
+	}
+	for _, c := range cases {
+		row := item(t, "e1", 5, func(r *Row) {
+			r.Written = c.written
+			r.Counts.Counters[0].Count += 2
+		})
+		r := Sum(SumInput{
+			Date: sumDate, Location: time.UTC, Now: end.Add(time.Hour), Goals: DefaultGoals(), Items: []ports.Item{row},
+		})
+		if diff := cmp.Diff(c.want, []uint64{r.Lost, r.InFlight}); diff != "" {
+			t.Errorf("%s: lost and in flight (-want +got):\n%s", c.name, diff)
+		}
+	}
+}
--- a/internal/entry/observe.go
+++ b/internal/entry/observe.go
@@ -16,6 +16,7 @@
 		Engine:   e.watchedEngines(),
 		Services: e.services,
 		Timer:    e.timer,
+		Arrive:   e.recorder.Arrived,
 		Observe:  e.observe,
 		Bounds: front.Bounds{
 			ChatBytes:          e.settings.Requests.ChatBytes,
@@ -31,7 +32,6 @@
 // observe counts the outcome of a request for the day page and the metrics.
 func (e *Entry) observe(o front.Outcome) {
 	call := meter.Call{Service: o.Service, Tenant: o.Tenant, Class: o.Class}
-	e.recorder.Arrived(o.Service, o.Class)
 	switch o.Status {
 	case front.StatusServed:
 		e.recorder.Served(o.Service, o.Class)
--- a/internal/transport/front/caller.go
+++ b/internal/transport/front/caller.go
@@ -39,6 +39,8 @@
 	out      Outcome
 	// held is what the request takes of heldBytes.
 	held int64
+	// arrived tells that Arrive has heard of the request.
+	arrived bool
 	// closed tells that the answer has been ended in order, though not whole.
 	closed bool
 }
@@ -117,6 +119,7 @@
 func (c *call) settle(service, path string) *Problem {
 	c.out.Service = service
 	c.out.Class = c.dir.class(service, c.tenant, c.r.Method, path)
+	c.arrive()
 	within, problem := c.within(service)
 	if problem != nil {
 		return problem
@@ -128,6 +131,15 @@
 	return nil
 }
 
+// arrive tells once that the request is here.
+func (c *call) arrive() {
+	if c.arrived {
+		return
+	}
+	c.arrived = true
+	c.h.Arrive(c.out.Service, c.out.Class)
+}
+
 // within returns the time that the caller gives, which a header states as a
 // duration or as an RFC 3339 time.
 func (c *call) within(service string) (time.Duration, *Problem) {
--- a/internal/transport/front/deps.go
+++ b/internal/transport/front/deps.go
@@ -97,6 +97,9 @@
 	Engine   Engine
 	Services Services
 	Timer    timer.Service
+	// Arrive hears of each request once its service and class are known, or at
+	// the latest before its outcome; nil drops it.
+	Arrive func(service string, class config.Class)
 	// Observe takes the outcome of each request; nil drops it.
 	Observe func(Outcome)
 	// ReadIdle is how long a caller may send nothing of a body that it owes, and
--- a/internal/transport/front/handler.go
+++ b/internal/transport/front/handler.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"chivecroft.example/chivecroft/internal/coordination/admit"
+	"chivecroft.example/chivecroft/internal/state/config"
 )
 
 // drainRetryAfter is the advice to callers of an entry that stops: another one
@@ -34,6 +35,9 @@
 
 // New returns a handler over its dependencies.
 func New(deps Deps) *Handler {
+	if deps.Arrive == nil {
+		deps.Arrive = func(string, config.Class) {}
+	}
 	if deps.Observe == nil {
 		deps.Observe = func(Outcome) {}
 	}
@@ -140,6 +144,7 @@
 	default:
 		c.report(problem)
 	}
+	c.arrive()
 	c.h.Observe(c.out)
 	a := c.w.(*answerWriter)
 	switch {
