Walk the whole path over TLS, and renew the files while the entries run

Two entries with TLS on all three listeners, mutual between peers: patch by the operators' command with --ca, chats at both, gossip between them. Refused: a caller and an operator who trust another authority (the command exits 3), a peer with no certificate, with a stranger's, and without TLS. Then all files are replaced under a new authority: every listener follows within 25 s (files are read every 10 s), and an instance restarted with the new files joins the one that has been running.

What a member tells of its configuration comes by gossip alone and replaces it.

--- a/cmd/chivecroft/harness_test.go
+++ b/cmd/chivecroft/harness_test.go
@@ -108,8 +108,10 @@
 	targets  map[string]*process
 	services map[string]*process
 	files    string
-	callers  map[string]string
-	ops      map[string]string
+	// ca is the file of the authorities that operators' commands trust, if any.
+	ca      string
+	callers map[string]string
+	ops     map[string]string
 }
 
 func newSystem(t testing.TB) *system {
@@ -213,6 +215,9 @@
 func (s *system) command(entry, stdin string, args ...string) (int, string) {
 	s.t.Helper()
 	args = append(args, "--entry", s.ops[entry], "--key", demo.OperatorKey)
+	if s.ca != "" {
+		args = append(args, "--ca", s.ca)
+	}
 	cmd := exec.Command(binary, args...)
 	cmd.Stdin = strings.NewReader(stdin)
 	out, err := cmd.CombinedOutput()
@@ -250,6 +255,7 @@
 		Zone   string `json:"zone"`
 		Phase  string `json:"phase"`
 		Shards []int  `json:"shards"`
+		Config uint64 `json:"configVersion"`
 	} `json:"members"`
 	Shards []struct {
 		Mode string `json:"mode"`
