--- a/internal/transport/front/caller.go
+++ b/internal/transport/front/caller.go
@@ -37,9 +37,10 @@
 	deadline time.Time
 	tenant   string
 	out      Outcome
-	arrived  bool
 	// held is what the request takes of heldBytes.
 	held int64
+	// arrived tells that Arrive has heard of the request.
+	arrived bool
 	// closed tells that the answer has been ended in order, though not whole.
 	closed bool
 }
--- a/internal/transport/front/handler.go
+++ b/internal/transport/front/handler.go
@@ -35,12 +35,12 @@
 
 // New returns a handler over its dependencies.
 func New(deps Deps) *Handler {
-	if deps.Observe == nil {
-		deps.Observe = func(Outcome) {}
-	}
 	if deps.Arrive == nil {
 		deps.Arrive = func(string, config.Class) {}
 	}
+	if deps.Observe == nil {
+		deps.Observe = func(Outcome) {}
+	}
 	if deps.ReadIdle <= 0 {
 		deps.ReadIdle = defaultReadIdle
 	}
