Fence the ledger's grants with the owner's epoch

An owner that was paused and replaced resumes, reads the ledger and finds grants that it does not hold: those of its successor. It took them for leaked by a crash and released them, so that they could be granted twice.

A grant carries the epoch of the owner that last changed it; an owner with a lower one changes none, and checks its ownership. What the successor inherited without a change of the ledger is within what the paused owner may hold by its own account, so a release by it cannot go below that.

Weighed: writing the shard's value before each release, which proves ownership at that moment only; a pause between the two writes brings the fault back.

--- a/internal/coordination/owner/audit.go
+++ b/internal/coordination/owner/audit.go
@@ -40,6 +40,7 @@
 		s.happened(KindDamaged, item.Key, "%v", err)
 		return
 	}
+	s.heedEpochs(ledger)
 	for resource, r := range ledger.Resources {
 		grant := r.Grants[s.name()]
 		if grant == 0 && s.permits.held[resource] == 0 {
--- a/internal/coordination/owner/ledger.go
+++ b/internal/coordination/owner/ledger.go
@@ -73,6 +73,18 @@
 		return
 	}
 	b.ledger, b.revision, b.readAt = ledger, item.Revision, s.now
+	s.heedEpochs(ledger)
+}
+
+// heedEpochs checks the ownership if a later owner has changed a grant of this shard.
+func (s *Shard) heedEpochs(l permit.Ledger) {
+	var latest uint64
+	for _, r := range l.Resources {
+		latest = max(latest, r.Epochs[s.name()])
+	}
+	if latest > uint64(s.session.epoch) {
+		s.superseded(ports.Epoch(latest))
+	}
 }
 
 // nextLedger is the ledger with all that is due in the bucket, and the grants
@@ -83,7 +95,7 @@
 		l = l.Limit(resource, s.maximum(resource), s.config.Version)
 		if seq, freed := s.permits.freed[resource]; freed {
 			if s.isWritten(seq) {
-				l = l.Release(resource, s.name(), s.atMost(resource))
+				l = l.Release(resource, s.name(), uint64(s.session.epoch), s.atMost(resource))
 			}
 			continue
 		}
@@ -91,7 +103,7 @@
 		if !ok {
 			continue
 		}
-		after, grant := l.Grant(resource, s.name(), wanted)
+		after, grant := l.Grant(resource, s.name(), uint64(s.session.epoch), wanted)
 		if grant > s.permits.held[resource] {
 			l = after
 			grants[resource] = grant
@@ -100,6 +112,11 @@
 	return l, grants
 }
 
+// isLeaked tells whether the ledger grants this shard more than it can hold.
+func (s *Shard) isLeaked(resource string, r permit.Resource) bool {
+	return r.Grants[s.name()] > s.atMost(resource) && !r.IsFenced(s.name(), uint64(s.session.epoch))
+}
+
 func (s *Shard) resourcesDue(n int) []string {
 	due := make(map[string]bool)
 	for resource := range s.permits.wants {
@@ -124,7 +141,7 @@
 			return true
 		}
 		seq, freed := s.permits.freed[resource]
-		if freed && s.isWritten(seq) && r.Grants[s.name()] > s.atMost(resource) {
+		if freed && s.isWritten(seq) && s.isLeaked(resource, r) {
 			return true
 		}
 	}
@@ -160,7 +177,7 @@
 		return
 	}
 	delete(s.permits.limits, resource)
-	if r.Grants[s.name()] > s.atMost(resource) {
+	if s.isLeaked(resource, r) {
 		s.reconcile(resource)
 	}
 	if r.Granted() <= r.Max {
--- a/internal/coordination/owner/permits_test.go
+++ b/internal/coordination/owner/permits_test.go
@@ -247,3 +247,21 @@
 		r.expectLoaded(t, map[string]int{"model-0": 1})
 	})
 }
+
+// TestFrozenOwnerLowersNoGrant: an owner that was replaced while it was frozen
+// finds grants in the ledger that it knows nothing of; they are its successor's.
+func TestFrozenOwnerLowersNoGrant(t *testing.T) {
+	t.Parallel()
+	bothRegimes(t, func(t *testing.T, r *rig) {
+		old := r.ownerOf(0, 0)
+		old.freeze()
+		r.run(20 * time.Second)
+		r.waitFor("model-0", 20*time.Second)
+		r.run(4 * time.Second)
+		old.kv.SetFaults(world.KVFaults{Latency: 40 * time.Millisecond})
+		old.post(YieldAsked{ID: 1000, Yield: ports.YieldPermit{Resource: "model-0", Shard: "zone-a/0", Wanted: 1}})
+		old.post(YieldAsked{ID: 1001, Yield: ports.YieldPermit{Resource: permit.Store, Shard: "zone-a/0", Wanted: 1}})
+		old.resume()
+		r.run(5 * time.Second)
+	})
+}
--- a/internal/coordination/owner/session.go
+++ b/internal/coordination/owner/session.go
@@ -167,8 +167,8 @@
 	}
 }
 
-// superseded stops all orders after a target has shown a higher fence than this
-// owner's epoch, and reads the value. With the value unchanged the fence is a
+// superseded stops all orders after a target or a ledger has shown a higher epoch
+// than this owner's, and reads the value. With the value unchanged the fence is a
 // remnant of a value that was deleted, and the epoch is raised above it.
 func (s *Shard) superseded(fence ports.Epoch) {
 	s.session.superseded = true
--- a/internal/coordination/permit/ledger.go
+++ b/internal/coordination/permit/ledger.go
@@ -26,6 +26,15 @@
 	Version config.Version `json:"version"`
 	// Grants are the permits that each shard may hold.
 	Grants map[string]int `json:"grants,omitempty"`
+	// Epochs are the fencing numbers of the owners that last changed each grant.
+	Epochs map[string]uint64 `json:"epochs,omitempty"`
+}
+
+// IsFenced tells whether a later owner of the shard has changed its grant. An
+// owner that was replaced without knowing it would take its successor's permits
+// for ones that nobody holds.
+func (r Resource) IsFenced(shard string, epoch uint64) bool {
+	return r.Epochs[shard] > epoch
 }
 
 // Granted returns the sum of all grants.
@@ -78,31 +87,40 @@
 }
 
 // Grant lets a shard hold up to wanted permits and returns how many it may:
-// never fewer than it was granted already.
-func (l Ledger) Grant(resource, shard string, wanted int) (Ledger, int) {
+// never fewer than it was granted already, none if the owner's epoch is old.
+func (l Ledger) Grant(resource, shard string, epoch uint64, wanted int) (Ledger, int) {
 	r := l.Resources[resource]
+	if r.IsFenced(shard, epoch) {
+		return l, 0
+	}
 	had := r.Grants[shard]
 	grant := max(had, min(wanted, had+r.Free()))
-	return l.set(resource, shard, grant), grant
+	return l.set(resource, shard, epoch, grant), grant
 }
 
-// Release lowers a shard's grant to what it holds.
-func (l Ledger) Release(resource, shard string, held int) Ledger {
-	if l.Resources[resource].Grants[shard] <= held {
+// Release lowers a shard's grant to what it holds, unless the owner's epoch is old.
+func (l Ledger) Release(resource, shard string, epoch uint64, held int) Ledger {
+	r := l.Resources[resource]
+	if r.Grants[shard] <= held || r.IsFenced(shard, epoch) {
 		return l
 	}
-	return l.set(resource, shard, held)
+	return l.set(resource, shard, epoch, held)
 }
 
-func (l Ledger) set(resource, shard string, grant int) Ledger {
+func (l Ledger) set(resource, shard string, epoch uint64, grant int) Ledger {
 	r := l.Resources[resource]
 	r.Grants = maps.Clone(r.Grants)
 	if r.Grants == nil {
 		r.Grants = make(map[string]int)
 	}
-	r.Grants[shard] = grant
+	r.Epochs = maps.Clone(r.Epochs)
+	if r.Epochs == nil {
+		r.Epochs = make(map[string]uint64)
+	}
+	r.Grants[shard], r.Epochs[shard] = grant, epoch
 	if grant == 0 {
 		delete(r.Grants, shard)
+		delete(r.Epochs, shard)
 	}
 	return l.with(resource, r)
 }
--- a/internal/coordination/permit/ledger_test.go
+++ b/internal/coordination/permit/ledger_test.go
@@ -64,14 +64,14 @@
 			"grant": func(t *rapid.T) {
 				shard, wanted := rapid.SampledFrom(shards).Draw(t, "shard"), rapid.IntRange(0, 5).Draw(t, "wanted")
 				had := l.Resources["m"].Grants[shard]
-				next, got := l.Grant("m", shard, wanted)
+				next, got := l.Grant("m", shard, 1, wanted)
 				if got < had || got > max(had, wanted) || next.Resources["m"].Grants[shard] != got {
 					t.Fatalf("%d wanted, %d had, %d got, ledger %+v", wanted, had, got, next)
 				}
 				l = next
 			},
 			"release": func(t *rapid.T) {
-				l = l.Release("m", rapid.SampledFrom(shards).Draw(t, "shard"), rapid.IntRange(0, 3).Draw(t, "held"))
+				l = l.Release("m", rapid.SampledFrom(shards).Draw(t, "shard"), 1, rapid.IntRange(0, 3).Draw(t, "held"))
 			},
 			"limit": func(t *rapid.T) {
 				version++
@@ -85,7 +85,7 @@
 				}
 				after := l
 				for _, shard := range rapid.Permutation(shards).Draw(t, "order") {
-					after = after.Release("m", shard, after.Resources["m"].Share(shard))
+					after = after.Release("m", shard, 1, after.Resources["m"].Share(shard))
 				}
 				if got, want := after.Resources["m"].Granted(), min(r.Granted(), r.Max); got != want {
 					t.Fatalf("%d granted after giving back, want %d: %+v", got, want, r)
@@ -96,9 +96,9 @@
 }
 
 func TestBucketsKeepTheirResources(t *testing.T) {
-	l, _ := Ledger{}.Limit("m", 2, 1).Limit("n", 1, 1).Grant("m", "a/0", 1)
+	l, _ := Ledger{}.Limit("m", 2, 1).Limit("n", 1, 1).Grant("m", "a/0", 1, 1)
 	before := l.Resources["n"]
-	next, _ := l.Grant("m", "b/0", 1)
+	next, _ := l.Grant("m", "b/0", 1, 1)
 	if diff := cmp.Diff(before, next.Resources["n"]); diff != "" {
 		t.Errorf("untouched resource (-want +got):\n%s", diff)
 	}
@@ -106,3 +106,12 @@
 		t.Errorf("the earlier ledger changed (-want +got):\n%s", diff)
 	}
 }
+
+func TestOldEpochChangesNoGrant(t *testing.T) {
+	l, _ := Ledger{}.Limit("m", 3, 1).Grant("m", "a/0", 2, 1)
+	after, got := l.Grant("m", "a/0", 1, 2)
+	after = after.Release("m", "a/0", 1, 0)
+	if diff := cmp.Diff(l, after); diff != "" || got != 0 {
+		t.Errorf("%d granted, ledger (-want +got):\n%s", got, diff)
+	}
+}
