Show operators why a call was refused

Cause: the generated encoders hand every error to the API's formatter, which made an anonymous 500 document of the methods' own problems, without the name that the generated client needs. Each refusal of every operators' command read "invalid response: name is missing from body": no reason, no list of a patch's faults, no conflict. The formatter now passes a problem on whole.

--- a/internal/coordination/daily/sum.go
+++ b/internal/coordination/daily/sum.go
@@ -50,6 +50,12 @@
 		TimeZone: in.Location.String(),
 		AsOf:     in.Now.UTC(),
 		Over:     !in.Now.Before(in.Date.End(in.Location)),
+		// A list without items is a list in JSON too, not null.
+		Services:   []ServiceCount{},
+		Refusals:   []Refusal{},
+		RunOnce:    []Outcome{},
+		Models:     []ModelReport{},
+		Happenings: []Happening{},
 	}
 	for _, row := range s.rows() {
 		s.add(row)
--- a/internal/shell/operate.go
+++ b/internal/shell/operate.go
@@ -120,11 +120,11 @@
 // ConfigCmd reads the configuration.
 type ConfigCmd struct {
 	Access
-	At      uint64 `help:"Version, 0 for the one in force." default:"0"`
-	History bool   `help:"List the patches instead."`
+	At      uint64 `help:"Version, 0 for the one in force." xor:"what"`
+	History bool   `help:"List the patches instead." xor:"what"`
 	After   uint64 `help:"With --history, begin after this version."`
 	Limit   int    `help:"With --history, most patches to list." default:"100"`
-	Diff    string `help:"Show what differs between two versions." placeholder:"OLD:NEW"`
+	Diff    string `help:"Show what differs between two versions." xor:"what" placeholder:"OLD:NEW"`
 }
 
 // Run prints a configuration, the history or a difference.
--- a/internal/state/config/diff.go
+++ b/internal/state/config/diff.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"maps"
 	"reflect"
 	"slices"
@@ -29,6 +30,18 @@
 	After  json.RawMessage `json:"after,omitempty"`
 }
 
+// String describes the change in one line.
+func (c Change) String() string {
+	switch c.Kind {
+	case ChangeAdded:
+		return fmt.Sprintf("added %s %s", c.Path, c.After)
+	case ChangeRemoved:
+		return fmt.Sprintf("removed %s %s", c.Path, c.Before)
+	default:
+		return fmt.Sprintf("changed %s %s to %s", c.Path, c.Before, c.After)
+	}
+}
+
 // Diff returns what changed from a to b, in order of paths within each kind.
 func Diff(a, b *Config) []Change {
 	var changes []Change
--- a/internal/state/config/record.go
+++ b/internal/state/config/record.go
@@ -12,12 +12,13 @@
 
 // Record is an accepted patch as the log keeps it.
 type Record struct {
-	Version Version
-	Patch   Patch
-	// Nonce tells the writer of the record from others who wrote the same patch.
-	Nonce string
+	Version Version `json:"version"`
+	Patch   Patch   `json:"patch"`
+	// Nonce tells the writer of the record from others who wrote the same patch;
+	// it means nothing to operators, to whom records are shown as JSON.
+	Nonce string `json:"-"`
 	// At is when the writer's clock said that it was accepted, for display only.
-	At time.Time
+	At time.Time `json:"at"`
 }
 
 // storedRecord is the JSON form of a Record; Sum covers the bytes of Patch.
--- a/internal/transport/opapi/server.go
+++ b/internal/transport/opapi/server.go
@@ -75,31 +75,37 @@
 	}
 }
 
-// plainProblem is the problem document of an error that the framework found.
-type plainProblem struct {
-	Type   string `json:"type"`
-	Title  string `json:"title"`
-	Status int    `json:"status"`
-	Detail string `json:"detail"`
-	Reason string `json:"reason"`
+// document is the body of a refusal, whether a method returned it or the
+// framework found the fault. The generated encoders hand every error to
+// formatError, so that nothing else decides what reaches the operator.
+type document struct {
+	Name     string   `json:"name"`
+	Type     string   `json:"type"`
+	Title    string   `json:"title"`
+	Status   int      `json:"status"`
+	Detail   string   `json:"detail"`
+	Reason   string   `json:"reason"`
+	Problems []string `json:"problems,omitempty"`
+	Current  *uint64  `json:"current,omitempty"`
+	Changes  any      `json:"changes,omitempty"`
 }
 
 // StatusCode returns the HTTP status of the answer.
-func (p plainProblem) StatusCode() int { return p.Status }
+func (d document) StatusCode() int { return d.Status }
 
-// formatError makes problem documents of the framework's own errors.
+// formatError makes the body of a refusal.
 func formatError(_ context.Context, err error) goahttp.Statuser {
+	var problem *operator.Problem
+	if errors.As(err, &problem) {
+		return document(*problem)
+	}
 	status, reason := http.StatusInternalServerError, "internal"
 	var service *goa.ServiceError
 	if errors.As(err, &service) {
 		status, reason = http.StatusBadRequest, service.Name
 		if service.Field != nil && *service.Field == "key" {
-			return asPlain(Unauthorized())
+			return document(*Unauthorized())
 		}
 	}
-	return plainProblem{Type: "about:blank", Title: http.StatusText(status), Status: status, Detail: err.Error(), Reason: reason}
-}
-
-func asPlain(p *operator.Problem) plainProblem {
-	return plainProblem{Type: p.Type, Title: p.Title, Status: p.Status, Detail: p.Detail, Reason: p.Reason}
+	return document(*NewProblem(reason, status, reason, err.Error()))
 }
