Give up a routing table's pull that stays silent after an accepted demand

A pull is held for 10 s by a peer without news, so that one over a silent connection looks like a quiet zone for 12 s. With every connection between two entries silent, the entry that owns no shard refused all of its callers (8 of 8, deadline of 10 s) for a model that was warm: the owner accepted its demand over a new connection, and had nothing new to tell. An accepted demand now gives the pull a second to answer and then begins it anew. Weighed: a shorter pull, which at 90 entries a zone costs three times the control messages; left out.

The process tests freeze the connections of the platform, a target, a service and, through a relay, of peers.

Run: go test -race ./cmd/chivecroft -run TestSilent

--- a/cmd/chivecroft/harness_test.go
+++ b/cmd/chivecroft/harness_test.go
@@ -137,8 +137,9 @@
 		"--platform", s.platform, "--service", "ticket-desk")
 }
 
-// startEntry starts an entry, at its earlier addresses if it had any.
-func (s *system) startEntry(id, zone, region string) {
+// settings writes the settings of an entry, unless there are some, and returns
+// their file.
+func (s *system) settings(id, zone, region string) string {
 	s.t.Helper()
 	path := filepath.Join(s.files, id+".ini")
 	if _, err := os.Stat(path); err != nil {
@@ -163,10 +164,24 @@
 			s.t.Fatal(err)
 		}
 	}
-	p := start(s.t, "entry", "--config", path)
+	return path
+}
+
+// startUnlisted starts an entry that the instance list does not show, at its
+// earlier addresses if it had any.
+func (s *system) startUnlisted(id, zone, region string) *process {
+	s.t.Helper()
+	p := start(s.t, "entry", "--config", s.settings(id, zone, region))
 	s.entries[id] = p
 	s.callers[id] = "http://" + p.ready["callers"].(string)
 	s.ops[id] = "http://" + p.ready["operators"].(string)
+	return p
+}
+
+// startEntry starts an entry, at its earlier addresses if it had any.
+func (s *system) startEntry(id, zone, region string) {
+	s.t.Helper()
+	p := s.startUnlisted(id, zone, region)
 	row := fmt.Sprintf(`{"id":%q,"kind":"entry","zone":%q,"region":%q,"addr":%q}`, id, zone, region, p.ready["peers"])
 	s.request(http.MethodPut, s.platform+"/instances/"+id, row, nil)
 }
--- /dev/null
+++ b/cmd/chivecroft/silence_test.go
@@ -0,0 +1,240 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"chivecroft.example/chivecroft/internal/bench"
+	"chivecroft.example/chivecroft/internal/demo"
+)
+
+// silenceBound is how soon new work has to go on after open connections went
+// silent: less than a caller of the workloads waits for an answer.
+const silenceBound = 10 * time.Second
+
+// freeze silences the connections that a stand-in has open, but for the one
+// over which it is told to.
+func (s *system) freeze(url string) {
+	s.t.Helper()
+	if status, text := s.request(http.MethodPost, url+"/faults", `{"freeze":true}`, nil); status != http.StatusOK {
+		s.t.Fatalf("freeze %s: %d %s", url, status, text)
+	}
+}
+
+// goesOn makes a round of calls, each within silenceBound, at several callers
+// at once; every one has to be served whole and right. The chats may also end in
+// what is given besides.
+func (s *system) goesOn(t *testing.T, id, phase string, besides ...bench.Verdict) {
+	t.Helper()
+	const callers = 8
+	var work sync.WaitGroup
+	for n := range callers {
+		work.Add(1)
+		go func() {
+			defer work.Done()
+			name := fmt.Sprintf("%s-%d", phase, n)
+			caller := bench.NewCaller(s.callers[id], demo.CallerKey, http.DefaultClient)
+			chat := bench.Chat{Model: "menu-7b", Content: name, Seed: 7, Tokens: 5, Deadline: silenceBound}
+			if a := caller.Chat(t.Context(), chat); a.Verdict != bench.Served && !slices.Contains(besides, a.Verdict) {
+				t.Errorf("%s: chat: %s %s after %v", name, a.Verdict, a.Reason, a.Took)
+			}
+			call := bench.Call{Service: "ticket-desk", Method: http.MethodPost, Path: "/tickets", Body: name, Key: name, Deadline: silenceBound}
+			if a := caller.Call(t.Context(), call); a.Verdict != bench.Served {
+				t.Errorf("%s: ticket: %s %s after %v", name, a.Verdict, a.Reason, a.Took)
+			}
+		}()
+	}
+	work.Wait()
+	for n := range callers {
+		name := fmt.Sprintf("%s-%d", phase, n)
+		if runs := s.executions()[name]; runs != 1 {
+			t.Errorf("%s ran %d times, want once", name, runs)
+		}
+	}
+}
+
+// TestSilentConnections freezes the connections that stand open to the
+// platform, to a target and to a service, one kind after the other.
+func TestSilentConnections(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t)
+	s.startTarget("bul-a-t1", "bul-a", "bulacan")
+	s.startService("bul-a-s1", "bul-a", "bulacan")
+	s.startEntry("bul-a-e1", "bul-a", "bulacan")
+	if code, out := s.command("bul-a-e1", patch, "patch"); code != 0 {
+		t.Fatalf("patch: exit %d\n%s", code, out)
+	}
+	s.settled(1, "bul-a-e1")
+	s.goesOn(t, "bul-a-e1", "before")
+	for _, frozen := range []struct{ name, url string }{
+		{"platform", s.platform},
+		{"target", s.targets["bul-a-t1"].ready["url"].(string)},
+		{"service", s.services["bul-a-s1"].ready["url"].(string)},
+	} {
+		s.freeze(frozen.url)
+		// A chat that was sent over a silent connection is hedged within the
+		// tenant's budget; beyond that its caller is told in time that its outcome
+		// is unknown. What comes after has to be served.
+		s.goesOn(t, "bul-a-e1", frozen.name, bench.Unknown)
+		s.goesOn(t, "bul-a-e1", "after-"+frozen.name)
+	}
+	s.checkReplicas(1)
+}
+
+// relay is a path to a peer whose open connections can be made silent for good
+// while new ones work.
+type relay struct {
+	listener net.Listener
+	to       string
+	mu       sync.Mutex
+	silent   []chan struct{}
+}
+
+func newRelay(t *testing.T, to string) *relay {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &relay{listener: l, to: to}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go r.carry(conn)
+		}
+	}()
+	return r
+}
+
+func (r *relay) carry(conn net.Conn) {
+	defer conn.Close()
+	far, err := net.Dial("tcp", r.to)
+	if err != nil {
+		return
+	}
+	defer far.Close()
+	silent := make(chan struct{})
+	r.mu.Lock()
+	r.silent = append(r.silent, silent)
+	r.mu.Unlock()
+	ended := make(chan struct{}, 2)
+	go func() { pass(far, conn, silent); ended <- struct{}{} }()
+	go func() { pass(conn, far, silent); ended <- struct{}{} }()
+	<-ended
+}
+
+// pass copies until the path is silent; from then on it swallows what it reads.
+func pass(to io.Writer, from io.Reader, silent chan struct{}) {
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		select {
+		case <-silent:
+			_, _ = io.Copy(io.Discard, from)
+			// Not even the end of a connection passes.
+			select {}
+		default:
+		}
+		if n > 0 {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// silence makes all open connections silent and returns their number.
+func (r *relay) silence() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := len(r.silent)
+	for _, s := range r.silent {
+		close(s)
+	}
+	r.silent = nil
+	return n
+}
+
+// startBehind starts an entry whose peers reach it through a relay.
+func (s *system) startBehind(t *testing.T, id, zone, region, more string) *relay {
+	t.Helper()
+	listen := freeAddr(t)
+	r := newRelay(t, listen)
+	settings := fmt.Sprintf(`
+[entry]
+id = %s
+zone = %s
+region = %s
+[callers]
+listen = %s
+[operators]
+listen = %s
+keyHashes = %s
+[peers]
+listen = %s
+advertise = %s
+%s
+[platform]
+url = %s
+listEvery = 500ms
+leaseTTL = 6s
+`, id, zone, region, freeAddr(t), freeAddr(t), demo.KeyHash(demo.OperatorKey), listen, r.listener.Addr(), more, s.platform)
+	if err := os.WriteFile(filepath.Join(s.files, id+".ini"), []byte(settings), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s.startEntry(id, zone, region)
+	row := fmt.Sprintf(`{"id":%q,"kind":"entry","zone":%q,"region":%q,"addr":%q}`, id, zone, region, r.listener.Addr())
+	s.request(http.MethodPut, s.platform+"/instances/"+id, row, nil)
+	return r
+}
+
+// TestSilentPeers makes every open connection between two entries silent. The
+// entry that owns no shard has to bring a model back from idle, which takes a
+// demand to the owner and its news back, and both have to take up a patch.
+func TestSilentPeers(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t)
+	s.startTarget("bul-a-t1", "bul-a", "bulacan")
+	s.startService("bul-a-s1", "bul-a", "bulacan")
+	relays := []*relay{s.startBehind(t, "bul-a-e1", "bul-a", "bulacan", ""), s.startBehind(t, "bul-a-e2", "bul-a", "bulacan", "")}
+	if code, out := s.command("bul-a-e1", patch, "patch"); code != 0 {
+		t.Fatalf("patch: exit %d\n%s", code, out)
+	}
+	s.settled(1, "bul-a-e1", "bul-a-e2")
+	silenced := 0
+	for _, r := range relays {
+		silenced += r.silence()
+	}
+	if silenced == 0 {
+		t.Fatal("no connection between the entries was open")
+	}
+	began := time.Now()
+	s.goesOn(t, "bul-a-e1", "cold-e1")
+	s.goesOn(t, "bul-a-e2", "cold-e2")
+	t.Logf("%d connections silent, both entries served after %v", silenced, time.Since(began))
+	for _, r := range relays {
+		r.silence()
+	}
+	next := strings.NewReplacer("test-1", "test-2", `"base": 0`, `"base": 1`, "500ms", "400ms").Replace(patch)
+	if code, out := s.command("bul-a-e2", next, "patch"); code != 0 {
+		t.Fatalf("patch: exit %d\n%s", code, out)
+	}
+	s.settled(2, "bul-a-e1", "bul-a-e2")
+	s.checkReplicas(2)
+}
--- a/internal/entry/demand.go
+++ b/internal/entry/demand.go
@@ -153,6 +153,9 @@
 	if !ok {
 		return ports.DemandReply{}, trace.BadParameter("demand for %s: %s answered with %T", d.Model, m.ID, answer)
 	}
+	if reply.Status == ports.DemandAccepted {
+		e.expectNews(m)
+	}
 	return reply, nil
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -56,6 +56,7 @@
 	view     view
 	warmup   warmup
 	told     told
+	pulls    pulls
 
 	servers  []*listening
 	stopping atomic.Bool
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -124,19 +124,27 @@
 			continue
 		}
 		if m.Zone != e.self.Zone {
-			name := zonePrefix + m.Zone
+			name := e.sourceOf(m)
 			if old, ok := chosen[name]; !ok || preferred(e.self.ID, m.ID, old.member.ID) {
 				chosen[name] = &source{member: m, summary: true}
 			}
 			continue
 		}
 		if len(m.Shards) > 0 {
-			chosen["entry/"+m.ID] = &source{member: m}
+			chosen[e.sourceOf(m)] = &source{member: m}
 		}
 	}
 	return chosen
 }
 
+// sourceOf is the name of the source that tells of a member's replicas.
+func (e *Entry) sourceOf(m ports.Member) string {
+	if m.Zone != e.self.Zone {
+		return zonePrefix + m.Zone
+	}
+	return "entry/" + m.ID
+}
+
 // preferred spreads the entries that follow another zone over its members.
 func preferred(self, a, b string) bool {
 	first := member.Choose([]string{a, b}, "follow/"+self, 1)
@@ -156,7 +164,9 @@
 func (e *Entry) follow(ctx context.Context, name string, s *source) {
 	pull := ports.PullTable{Summary: s.summary, Wait: pullWait}
 	for ctx.Err() == nil {
-		answer, err := e.peers.Ask(ctx, s.member.Addr, pull)
+		asking, end := e.pulls.begin(ctx, name)
+		answer, err := e.peers.Ask(asking, s.member.Addr, pull)
+		end()
 		delta, ok := answer.(ports.TableDelta)
 		if err != nil || !ok {
 			e.log.Debug().Err(err).Str("step", "pullTable").Str("peer", s.member.ID).Msg("pulling a routing table")
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -94,7 +95,7 @@
 	l := c.link(to)
 	reply, err := call(ctx, l.stub, msg)
 	if err != nil {
-		l.retire(err)
+		l.retire(ctx, err)
 		return nil, trace.Wrap(err, "sending %T to peer %s", msg, to)
 	}
 	return reply, nil
@@ -138,11 +139,15 @@
 	return &link{pool: pool, stub: stub}
 }
 
-// retire drops idle connections after a call that timed out: a connection that
-// something in between has forgotten stays silent for good, and the pool would
-// hand it out again.
-func (l *link) retire(err error) {
-	if connect.CodeOf(err) == connect.CodeDeadlineExceeded {
+// ErrSilent is the cause with which a caller ends a call whose connection it
+// believes to be silent.
+var ErrSilent = errors.New("the connection is silent")
+
+// retire drops idle connections after a call that timed out or was given up as
+// silent: a connection that something in between has forgotten stays silent for
+// good, and the pool would hand it out again.
+func (l *link) retire(ctx context.Context, err error) {
+	if connect.CodeOf(err) == connect.CodeDeadlineExceeded || errors.Is(context.Cause(ctx), ErrSilent) {
 		l.pool.CloseIdleConnections()
 	}
 }
