Close connections to engines that were idle for 15 s

Cause, seen as TestGoroutinesReturn failing once beside other work (24 goroutines before, 54 after 20 s): after a burst of 50 callers who left, up to 64 idle connections to a target were kept for 90 s, with two goroutines each.

Ruled out: requests that were not ended (none in flight, the count of connections explains the difference). An idle connection is also what falls silent behind a middle box, and a new one costs one round trip within the zone, so they now go after 15 s. The test and its bound stay as they were.

--- a/internal/transport/gate/dialer.go
+++ b/internal/transport/gate/dialer.go
@@ -13,7 +13,7 @@
 
 const (
 	dialTimeout     = time.Second
-	idleTimeout     = 90 * time.Second
+	idleTimeout     = 15 * time.Second
 	keepAlivePeriod = 15 * time.Second
 	idlePerHost     = 64
 	idleTotal       = 1024
