Do not count on a reopened lease after a release has begun

Its lapsed lease was reopened by a write that was under way when the release began; that write's answer marked the shard as covered again while the release took effect. No orders go out during a release, so nothing was loaded by it.

--- a/internal/coordination/owner/session.go
+++ b/internal/coordination/owner/session.go
@@ -148,7 +148,8 @@
 		seq := s.changed()
 		s.journal.whenWritten(seq, func() {
 			s.session.reopening = false
-			s.session.covered = true
+			// A release that began meanwhile has given the lease up already.
+			s.session.covered = !s.session.released
 			s.session.renewAt = l.sent.Add(s.settings.LeaseTTL / 3)
 		})
 	})
