Keep models warm for callers while a shard changes hands

A measurement, not a mend: the owner of a warm model's shard is killed and the callers of the entry that is left go on for 30 s, over the takeover. It was suspected that the shard's rows would be unknown between the old owner's silence and the new owner's first publication. The test stays, since nothing else holds this.

--- a/cmd/chivecroft/harness_test.go
+++ b/cmd/chivecroft/harness_test.go
@@ -277,6 +277,7 @@
 	} `json:"shards"`
 	Replicas []struct {
 		Model string `json:"model"`
+		Shard int    `json:"shard"`
 		Phase string `json:"phase"`
 	} `json:"replicas"`
 }
--- /dev/null
+++ b/cmd/chivecroft/takeover_test.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// firstTokenTarget is how soon 95 in 100 warm requests get their first token.
+const firstTokenTarget = 1300 * time.Millisecond
+
+// TestWarmThroughTakeover kills the owner of a warm model's shard. Until another
+// entry has taken the shard over, and while it does, the model stays warm for
+// the callers of the entry that is left.
+func TestWarmThroughTakeover(t *testing.T) {
+	s := newSystem(t)
+	s.startTarget("bul-a-t1", "bul-a", "bulacan")
+	s.startEntry("bul-a-e1", "bul-a", "bulacan")
+	s.startEntry("bul-a-e2", "bul-a", "bulacan")
+	if code, out := s.command("bul-a-e1", patch, "patch"); code != 0 {
+		t.Fatalf("patch: exit %d\n%s", code, out)
+	}
+	s.settled(1, "bul-a-e1", "bul-a-e2")
+	if text, whole, status, err := chat(s.callers["bul-a-e1"], "menu-7b", "warm up", 4); err != nil || !whole {
+		t.Fatalf("warm-up: %d, %v: %s", status, err, text)
+	}
+	owner, left := s.ownerOf("menu-7b")
+	s.entries[owner].kill()
+	var times []time.Duration
+	for until := time.Now().Add(30 * time.Second); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
+		began := time.Now()
+		question := fmt.Sprintf("question %d", len(times))
+		text, whole, status, err := chat(s.callers[left], "menu-7b", question, 4)
+		if err != nil || !whole || text != wanted("menu-7b", "", question, 4) {
+			t.Errorf("%s: %d, whole %t, %v: %s", question, status, whole, err, text)
+		}
+		times = append(times, time.Since(began))
+	}
+	slices.Sort(times)
+	p95 := times[len(times)*95/100]
+	t.Logf("%d chats, p95 %v, slowest %v", len(times), p95, times[len(times)-1])
+	if p95 > firstTokenTarget {
+		t.Errorf("95 in 100 were answered within %v, the target is %v", p95, firstTokenTarget)
+	}
+	if slowest := times[len(times)-1]; slowest > 2*firstTokenTarget {
+		t.Errorf("the slowest took %v", slowest)
+	}
+	s.checkReplicas(2)
+}
+
+// ownerOf returns the entry that owns the shard of a model's replica, and the
+// other one.
+func (s *system) ownerOf(model string) (owner, other string) {
+	s.t.Helper()
+	status := s.status("bul-a-e1")
+	shard := -1
+	for _, r := range status.Replicas {
+		if r.Model == model {
+			shard = r.Shard
+		}
+	}
+	for _, m := range status.Members {
+		if slices.Contains(m.Shards, shard) {
+			owner = m.ID
+		}
+	}
+	if owner == "" {
+		s.t.Fatalf("no entry owns shard %d of %s", shard, model)
+	}
+	if owner == "bul-a-e1" {
+		return owner, "bul-a-e2"
+	}
+	return owner, "bul-a-e1"
+}
