--- a/Makefile
+++ b/Makefile
@@ -22,12 +22,22 @@
 fmt: $(GOBIN)/golangci-lint
 	$(GOBIN)/golangci-lint fmt
 
-# Longer runs of the state machines and of the native fuzz targets.
+# Packages with state machines of rapid, which have its flags.
+RAPID := $(shell grep -ln pgregory.net/rapid -r internal --include='*_test.go' | xargs -n1 dirname | sort -u | sed 's,^,./,')
+SEED  ?= 0
+
+# Longer runs of the state machines, with a seed of their own unless SEED is
+# given, and of the native fuzz targets.
 fuzz:
-	go test -count=1 ./internal/... -rapid.checks=2000
+	go test -count=1 -timeout 60m $(RAPID) -rapid.checks=2000 -rapid.seed=$(SEED)
+	go test ./internal/state/config -run '^$$' -fuzz FuzzParsePatch -fuzztime 60s
+	go test ./internal/coordination/place -run '^$$' -fuzz Fuzz -fuzztime 60s
 
+# The load tool, the comparison of policies and the slopes of the capacity page.
 bench:
-	go run ./cmd/chivecroft bench
+	go run ./cmd/chivecroft bench run
+	go run ./cmd/chivecroft bench policy
+	go run ./cmd/chivecroft bench slopes
 
 # Tools that make the committed generated code; not needed for a build.
 tools:
