Take permits back also where versions were skipped or a grant was under way

Traced: a shard that held nothing had a grant under way at a maximum of 3 when the maximum was lowered to 1. The review of the new configuration looks at what a shard holds, which was nothing; the grant arrived after it and was compared with nothing.

A grant that arrives is now compared with the maximum in force. Found beside it: a shard that skips versions, such as from a maximum of 1 by way of 2 to 1, saw no change and reviewed nothing.

Ruled out: a review lost to a write under way, for which a guard stands already; and comparing everything that was due before the answer, tried first, which does not help since the wish is dropped when the maximum falls (reverted).

Test for the skipped versions: two permits before, one after, seen failing.

--- a/internal/coordination/owner/ledger.go
+++ b/internal/coordination/owner/ledger.go
@@ -229,6 +229,11 @@
 			s.permits.held[resource] = grants[resource]
 			s.changed()
 		}
+		if b.ledger.Resources[resource].Max != s.maximum(resource) {
+			// The maximum changed while the grant was under way, when this shard
+			// held nothing that it had to be compared with.
+			s.permits.limits[resource] = true
+		}
 	}
 	for _, resource := range s.resourcesDue(n) {
 		if seq, freed := s.permits.freed[resource]; freed && s.isWritten(seq) && b.ledger.Resources[resource].Grants[s.name()] <= s.atMost(resource) {
--- a/internal/coordination/owner/permits.go
+++ b/internal/coordination/owner/permits.go
@@ -181,9 +181,14 @@
 }
 
 // reviewLimits marks the resources whose maximum a new configuration changes.
+//
+// Where versions were skipped, all are marked: a maximum that is the same in the
+// old and the new one may have been higher in between, and others may hold
+// permits from then.
 func (s *Shard) reviewLimits(old *config.Config) {
+	skipped := old == nil || s.config.Version != old.Version+1
 	for resource := range s.permits.held {
-		if s.maximumIn(old, resource) != s.maximum(resource) {
+		if skipped || s.maximumIn(old, resource) != s.maximum(resource) {
 			s.permits.limits[resource] = true
 		}
 	}
--- a/internal/coordination/owner/permits_test.go
+++ b/internal/coordination/owner/permits_test.go
@@ -84,6 +84,39 @@
 	})
 }
 
+// TestLoweredMaximumBehindAnEntry raises a maximum and lowers it again while the
+// owner of one zone hears of neither change: it goes from a maximum of 1 to a
+// maximum of 1, and yet may have to give its permit back.
+func TestLoweredMaximumBehindAnEntry(t *testing.T) {
+	t.Parallel()
+	for deaf := range 2 {
+		r := newRig(rigSize{
+			zones: 2, entries: 1, targets: 1, shards: 1, memoryBytes: 10 * gib,
+			models: 1, maxReplicas: 1, latency: time.Millisecond, seed: 1,
+		})
+		r.run(5 * time.Second)
+		want := func(zone int) {
+			for range 8 {
+				r.demand(zone, 0, ports.Demand{Model: "model-0", Waiting: 1, Within: 5 * time.Second, From: "caller"})
+				r.run(time.Second)
+			}
+		}
+		want(deaf)
+		r.config = r.newConfig(r.config.Version+1, 2)
+		r.ownerOf(1-deaf, 0).post(ConfigChanged{r.config})
+		want(1 - deaf)
+		if diff := cmp.Diff(2, r.ledger()["model-0"].Granted()); diff != "" {
+			t.Fatalf("zone %d deaf: permits granted at a maximum of 2 (-want +got):\n%s", deaf, diff)
+		}
+		r.setLimit(1)
+		r.run(30 * time.Second)
+		if diff := cmp.Diff(1, r.ledger()["model-0"].Granted()); diff != "" {
+			t.Errorf("zone %d deaf: permits granted after the maximum was lowered (-want +got):\n%s", deaf, diff)
+		}
+		r.mustHold(t)
+	}
+}
+
 // TestStoreSlotsTakeTurns: eight shards want to load all the time and there are
 // four slots; none is left out.
 func TestStoreSlotsTakeTurns(t *testing.T) {
