Place models where their adapters have room

A model is now placed where its largest adapter has room beside it, if there is such a target without an eviction.

Weighed: charging all adapters of a model in advance, which wastes memory that most of them never use; unloading a busy replica, which cuts work.

Test: two targets, the second model used to fill the first one and lost it again to the adapter; seen failing, now both stay and the adapter loads.

--- a/internal/coordination/owner/load.go
+++ b/internal/coordination/owner/load.go
@@ -6,6 +6,7 @@
 	"chivecroft.example/chivecroft/internal/coordination/place"
 	"chivecroft.example/chivecroft/internal/coordination/policy"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/state/config"
 )
 
 // load decides one more replica of the model if a place, a permit and, for a
@@ -15,7 +16,7 @@
 	if s.awaitsEviction(m.name) {
 		return
 	}
-	placed := s.policies.Place.Decide(s.now, policy.PlaceInput{Model: v, Targets: s.targetViews(m.name)})
+	placed := s.place(v)
 	t := s.targets[placed.Target]
 	m.refused, m.refusedAt = placed.Refused, s.now
 	if placed.Refused != "" || t == nil {
@@ -45,6 +46,33 @@
 	s.decide(m, t, fromStore)
 }
 
+// place chooses a target with room for the model and for its largest adapter
+// beside it, or where there is none for the model alone.
+//
+// A target that models fill to the last byte has no room for their adapters.
+// Callers who wait for one keep its replica busy, so with two such models on a
+// target neither makes room for the other's adapter, and both groups of callers
+// wait until a further replica comes elsewhere.
+func (s *Shard) place(v policy.ModelView) policy.Placement {
+	targets := s.targetViews(v.Model)
+	roomy := v
+	roomy.MemoryBytes += s.adapterRoom[v.Model]
+	placed := s.policies.Place.Decide(s.now, policy.PlaceInput{Model: roomy, Targets: targets})
+	if placed.Refused == "" && len(placed.Evict) == 0 {
+		return placed
+	}
+	return s.policies.Place.Decide(s.now, policy.PlaceInput{Model: v, Targets: targets})
+}
+
+// adapterRooms returns the size of each model's largest adapter.
+func adapterRooms(c *config.Config) map[string]uint64 {
+	rooms := make(map[string]uint64)
+	for _, a := range c.Adapters {
+		rooms[a.Model] = max(rooms[a.Model], a.MemoryBytes)
+	}
+	return rooms
+}
+
 // usableFor is how old a target's account may be for a load to be decided on it.
 func (s *Shard) usableFor() time.Duration {
 	return max(minUsableFor, 3*s.settings.ReportEvery)
--- a/internal/coordination/owner/shard.go
+++ b/internal/coordination/owner/shard.go
@@ -47,7 +47,10 @@
 	lastNonce uint64
 	waiting   map[ports.Tag]func(ports.Event)
 
-	config  *config.Config
+	config *config.Config
+	// adapterRoom is the size of each model's largest adapter.
+	adapterRoom map[string]uint64
+
 	members map[string]ports.Member
 	listed  map[string]ports.Instance
 
@@ -302,6 +305,7 @@
 	}
 	old := s.config
 	s.config = c
+	s.adapterRoom = adapterRooms(c)
 	s.reviewHome(true)
 	if s.stage == stageOwned {
 		s.reviewLimits(old)
--- a/internal/coordination/owner/targets_test.go
+++ b/internal/coordination/owner/targets_test.go
@@ -78,6 +78,34 @@
 	})
 }
 
+// TestRoomForAdapters loads a model with an adapter where both have room, though
+// another target would be filled to the last byte.
+func TestRoomForAdapters(t *testing.T) {
+	t.Parallel()
+	r := newRig(rigSize{
+		zones: 1, entries: 2, targets: 2, shards: 1, memoryBytes: 8 * gib,
+		models: 2, maxReplicas: 1, latency: time.Millisecond, seed: 4,
+	})
+	r.run(5 * time.Second)
+	r.waitFor("model-1", 10*time.Second)
+	r.run(5 * time.Second)
+	r.waitFor("model-0", 10*time.Second)
+	r.run(5 * time.Second)
+	r.demand(0, 0, ports.Demand{Model: "model-0", Adapter: "lora", Waiting: 1, Within: 5 * time.Second, From: "caller"})
+	r.run(2 * time.Second)
+	r.expectLoaded(t, map[string]int{"model-0": 1, "model-1": 1})
+	var adapters []string
+	for _, m := range r.targets {
+		for _, rep := range m.engine.State().Replicas {
+			adapters = append(adapters, rep.Adapters...)
+		}
+	}
+	if diff := cmp.Diff([]string{"lora"}, adapters); diff != "" {
+		t.Errorf("adapters (-want +got):\n%s\n%s", diff, r.describe())
+	}
+	r.mustHold(t)
+}
+
 // TestAdapters: an adapter that callers wait for is loaded on a ready replica,
 // and an idle replica of another model makes room for it.
 func TestAdapters(t *testing.T) {
