Make one maker of certificates and one drain of stand-ins

Cause: the tests of TLS files and of TLS between processes each made authorities and certificates, and the stand-ins of engines and services each waited for their work and left the list, line for line the same. Both now stand once. The tests and their checks are the same.

--- a/cmd/chivecroft/tls_test.go
+++ b/cmd/chivecroft/tls_test.go
@@ -2,16 +2,9 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"fmt"
-	"math/big"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -23,69 +16,21 @@
 
 	"chivecroft.example/chivecroft/internal/bench"
 	"chivecroft.example/chivecroft/internal/demo"
+	"chivecroft.example/chivecroft/internal/stand/certs"
 )
 
 // renewal bounds how long a running entry may take to use renewed files: it
 // reads them every 10 s, and once more if it met them half written.
 const renewal = 25 * time.Second
 
-// signer is an authority that signs certificates for the local address.
-type signer struct {
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-}
-
-func newSigner(t *testing.T, name string) *signer {
-	t.Helper()
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name}, IsCA: true, BasicConstraintsValid: true,
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
-	}
-	s := &signer{key: newKey(t)}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &s.key.PublicKey, s.key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if s.cert, err = x509.ParseCertificate(der); err != nil {
-		t.Fatal(err)
-	}
-	return s
-}
-
-func newKey(t *testing.T) *ecdsa.PrivateKey {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return key
-}
-
-// issue writes a certificate, its key and the authority into a folder.
-func (s *signer) issue(t *testing.T, dir string) {
+// issue writes a certificate of a new authority into a folder.
+func issue(t *testing.T, authority, dir string) {
 	t.Helper()
-	key := newKey(t)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: "entry"}, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, s.cert, &key.PublicKey, s.key)
+	a, err := certs.NewAuthority(authority)
 	if err != nil {
 		t.Fatal(err)
 	}
-	keyDER, err := x509.MarshalECPrivateKey(key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	writePEM(t, filepath.Join(dir, "cert.pem"), "CERTIFICATE", der)
-	writePEM(t, filepath.Join(dir, "key.pem"), "EC PRIVATE KEY", keyDER)
-	writePEM(t, filepath.Join(dir, "ca.pem"), "CERTIFICATE", s.cert.Raw)
-}
-
-func writePEM(t *testing.T, path, kind string, der []byte) {
-	t.Helper()
-	if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
+	if err := a.Issue(dir); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -184,8 +129,8 @@
 func TestTLS(t *testing.T) {
 	t.Parallel()
 	dir, others := t.TempDir(), t.TempDir()
-	newSigner(t, "first").issue(t, dir)
-	newSigner(t, "stranger").issue(t, others)
+	issue(t, "first", dir)
+	issue(t, "stranger", others)
 	s := newSystem(t)
 	s.ca = filepath.Join(dir, "ca.pem")
 	s.startTarget("bul-a-t1", "bul-a", "bulacan")
@@ -230,7 +175,7 @@
 // and the connections between the entries, to follow.
 func (s *system) renew(t *testing.T, dir string) {
 	t.Helper()
-	newSigner(t, "second").issue(t, dir)
+	issue(t, "second", dir)
 	for _, id := range []string{"bul-a-e1", "bul-a-e2"} {
 		s.eventually(renewal, func() string {
 			if code, out := s.command(id, "", "status"); code != 0 {
--- a/internal/stand/enrol/client.go
+++ b/internal/stand/enrol/client.go
@@ -54,6 +54,25 @@
 	return c.send(ctx, http.MethodDelete, nil)
 }
 
+// Drain waits for the work under way and takes the row off the list; a nil
+// Client only waits.
+func (c *Client) Drain(ctx context.Context, active *sync.WaitGroup) error {
+	done := make(chan struct{})
+	go func() {
+		active.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		return trace.Wrap(ctx.Err(), "waiting for the work under way")
+	}
+	if c == nil {
+		return nil
+	}
+	return trace.Wrap(c.Remove(ctx))
+}
+
 // Close stops registering and leaves the list as it is.
 func (c *Client) Close() {
 	c.cancel()
--- a/internal/stand/plain/server.go
+++ b/internal/stand/plain/server.go
@@ -133,20 +133,7 @@
 // Drain leaves, waits for the work under way and takes the service off the list.
 func (s *Server) Drain(ctx context.Context) error {
 	s.Leave()
-	done := make(chan struct{})
-	go func() {
-		s.active.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
-		return trace.Wrap(ctx.Err(), "drain service %s", s.row.ID)
-	}
-	if s.enrol != nil {
-		return trace.Wrap(s.enrol.Remove(ctx))
-	}
-	return nil
+	return trace.Wrap(s.enrol.Drain(ctx, &s.active), "drain service %s", s.row.ID)
 }
 
 // URL returns where the service listens, empty before Start.
--- a/internal/stand/target/server.go
+++ b/internal/stand/target/server.go
@@ -174,20 +174,7 @@
 // Drain leaves, waits for the work under way and takes the target off the list.
 func (s *Server) Drain(ctx context.Context) error {
 	s.Leave()
-	done := make(chan struct{})
-	go func() {
-		s.active.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
-		return trace.Wrap(ctx.Err(), "drain target %s", s.row.ID)
-	}
-	if s.enrol != nil {
-		return trace.Wrap(s.enrol.Remove(ctx))
-	}
-	return nil
+	return trace.Wrap(s.enrol.Drain(ctx, &s.active), "drain target %s", s.row.ID)
 }
 
 // URL returns where the target listens, empty before Start.
--- a/internal/transport/secure/files_test.go
+++ b/internal/transport/secure/files_test.go
@@ -1,15 +1,7 @@
 package secure
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
-	"net"
 	"os"
 	"path/filepath"
 	"testing"
@@ -18,73 +10,29 @@
 	"github.com/google/go-cmp/cmp"
 
 	"chivecroft.example/chivecroft/internal/params"
+	"chivecroft.example/chivecroft/internal/stand/certs"
 	"chivecroft.example/chivecroft/internal/state/timer"
 )
 
-// authority signs certificates for the local address.
-type authority struct {
-	name string
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-}
-
-func newAuthority(t *testing.T, name string) *authority {
+func newAuthority(t *testing.T, name string) *certs.Authority {
 	t.Helper()
-	a := &authority{name: name}
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name}, IsCA: true, BasicConstraintsValid: true,
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
-	}
-	a.key = newKey(t)
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &a.key.PublicKey, a.key)
+	a, err := certs.NewAuthority(name)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if a.cert, err = x509.ParseCertificate(der); err != nil {
-		t.Fatal(err)
-	}
 	return a
 }
 
-func newKey(t *testing.T) *ecdsa.PrivateKey {
+// issue writes a certificate into a folder and returns a listener that uses it.
+func issue(t *testing.T, a *certs.Authority, dir string) params.Listener {
 	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
+	if err := a.Issue(dir); err != nil {
 		t.Fatal(err)
 	}
-	return key
-}
-
-// issue writes a certificate, its key and the authority into a folder.
-func (a *authority) issue(t *testing.T, dir string) params.Listener {
-	t.Helper()
-	key := newKey(t)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: "entry"}, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	keyDER, err := x509.MarshalECPrivateKey(key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	l := params.Listener{
-		TLSCert: filepath.Join(dir, "cert.pem"), TLSKey: filepath.Join(dir, "key.pem"), TLSCA: filepath.Join(dir, "ca.pem"),
-	}
-	write(t, l.TLSCert, "CERTIFICATE", der)
-	write(t, l.TLSKey, "EC PRIVATE KEY", keyDER)
-	write(t, l.TLSCA, "CERTIFICATE", a.cert.Raw)
-	return l
-}
-
-func write(t *testing.T, path, kind string, der []byte) {
-	t.Helper()
-	if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
-		t.Fatal(err)
+	return params.Listener{
+		TLSCert: filepath.Join(dir, certs.CertFile),
+		TLSKey:  filepath.Join(dir, certs.KeyFile),
+		TLSCA:   filepath.Join(dir, certs.CAFile),
 	}
 }
 
@@ -129,11 +77,11 @@
 	dir, others := t.TempDir(), t.TempDir()
 	first, second := newAuthority(t, "first"), newAuthority(t, "second")
 	var errs int
-	files, err := NewFiles(first.issue(t, dir), clock, func(error) { errs++ })
+	files, err := NewFiles(issue(t, first, dir), clock, func(error) { errs++ })
 	if err != nil {
 		t.Fatal(err)
 	}
-	stranger, err := NewFiles(second.issue(t, others), clock, func(error) {})
+	stranger, err := NewFiles(issue(t, second, others), clock, func(error) {})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -143,7 +91,7 @@
 		"stranger listens: " + handshake(t, stranger.Server(), files.Client()),
 		"no certificate: " + handshake(t, files.Server(), &tls.Config{InsecureSkipVerify: true}),
 	}
-	second.issue(t, dir)
+	issue(t, second, dir)
 	got = append(got, "renewed, not read: "+handshake(t, files.Server(), files.Client()))
 	clock.Advance(rereadEvery)
 	got = append(got, "renewed: "+handshake(t, files.Server(), stranger.Client()))
