Replace replicas of an old revision

Cause, found by reading: a patch that changed a model's revision or checkpoint was in force everywhere within seconds, but replicas that were loaded went on serving the old weights until they fell idle, which a busy model never does.

Replicas that differ from the configuration are now unloaded like those of a model that was removed: they finish their work first.

Test: seen failing without it (the old revision stays loaded), in both regimes. Order of a role: the engine stand-in reports what it was ordered, where it used to take the order and do nothing.

--- a/internal/coordination/owner/retire.go
+++ b/internal/coordination/owner/retire.go
@@ -10,7 +10,8 @@
 )
 
 // retire unloads idle replicas after their keep-alive, those of models that
-// were removed, those on targets that go, and those above a lowered maximum. An
+// were removed or have another revision now, those on targets that go, and those
+// above a lowered maximum. An
 // unloaded replica finishes its work first; its permit is then free for a load
 // elsewhere.
 func (s *Shard) retire() {
@@ -29,7 +30,7 @@
 }
 
 func (s *Shard) isRetired(r *replica) bool {
-	if _, known := s.config.Models[r.Model]; !known {
+	if c, known := s.config.Models[r.Model]; !known || c.Revision != r.Revision || c.Checkpoint != r.Checkpoint {
 		return true
 	}
 	if !r.isIdle() || s.now.Sub(r.lastUsed) < time.Second {
--- a/internal/coordination/owner/targets_test.go
+++ b/internal/coordination/owner/targets_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -78,6 +79,40 @@
 	})
 }
 
+// TestNewRevision changes the revision of a loaded model: the old replica goes
+// within seconds, and callers get the new one.
+func TestNewRevision(t *testing.T) {
+	t.Parallel()
+	bothRegimes(t, func(t *testing.T, r *rig) {
+		r.waitFor("model-0", 10*time.Second)
+		r.run(5 * time.Second)
+		r.config = r.newConfig(r.config.Version+1, r.size.maxReplicas)
+		m := r.config.Models["model-0"]
+		m.Revision = "r2"
+		r.config.Models["model-0"] = m
+		for _, e := range r.entries {
+			e.post(ConfigChanged{r.config})
+		}
+		for range 8 {
+			r.demand(0, 0, ports.Demand{Model: "model-0", Waiting: 1, Within: 5 * time.Second, From: "caller"})
+			r.run(time.Second)
+		}
+		var revisions []string
+		for _, m := range r.targets {
+			for _, rep := range m.engine.State().Replicas {
+				if rep.Model == "model-0" {
+					revisions = append(revisions, rep.Revision)
+				}
+			}
+		}
+		slices.Sort(revisions)
+		if diff := cmp.Diff([]string{"r2"}, slices.Compact(revisions)); diff != "" {
+			t.Errorf("revisions loaded (-want +got):\n%s%s", diff, r.describe())
+		}
+		r.mustHold(t)
+	})
+}
+
 // TestRoomForAdapters loads a model with an adapter where both have room, though
 // another target would be filled to the last byte.
 func TestRoomForAdapters(t *testing.T) {
--- a/internal/coordination/ports/engine.go
+++ b/internal/coordination/ports/engine.go
@@ -131,12 +131,14 @@
 type TargetState struct {
 	ID string `json:"id"`
 	// Boot is the engine's incarnation.
-	Boot         string          `json:"boot"`
-	ChecksFence  bool            `json:"checksFence"`
-	Fence        Epoch           `json:"fence"`
-	MemoryBytes  uint64          `json:"memoryBytes"`
-	Replicas     []ReplicaState  `json:"replicas"`
-	Cached       map[string]Tier `json:"cached,omitempty"`
-	Leaving      bool            `json:"leaving"`
-	AdapterLoads int             `json:"adapterLoads"`
+	Boot        string          `json:"boot"`
+	ChecksFence bool            `json:"checksFence"`
+	Fence       Epoch           `json:"fence"`
+	MemoryBytes uint64          `json:"memoryBytes"`
+	Replicas    []ReplicaState  `json:"replicas"`
+	Cached      map[string]Tier `json:"cached,omitempty"`
+	Leaving     bool            `json:"leaving"`
+	// Role is what the latest order of that kind made of the target.
+	Role         string `json:"role,omitempty"`
+	AdapterLoads int    `json:"adapterLoads"`
 }
--- a/internal/stand/engmem/engine.go
+++ b/internal/stand/engmem/engine.go
@@ -168,7 +168,9 @@
 		return e.loadAdapter(o)
 	case ports.OrderUnloadAdapter:
 		e.unloadAdapter(o)
-	case ports.OrderFence, ports.OrderRole, ports.OrderReport:
+	case ports.OrderRole:
+		e.state.Role = o.Role
+	case ports.OrderFence, ports.OrderReport:
 	default:
 		return ports.OrderRefused, fmt.Sprintf("unknown kind %q of order", o.Kind), nil
 	}
