Make one host of the stand-ins' server and faults

Cause: the three stand-ins each had a server, a panel of faults and the same six methods that pass calls on to them.

--- a/internal/stand/plain/server.go
+++ b/internal/stand/plain/server.go
@@ -35,15 +35,14 @@
 
 // Server is the plain service stand-in.
 type Server struct {
+	*fault.Host[Faults]
+
 	row      ports.Instance
 	platform string
 	faults   Faults
 	seed     uint64
 
-	panel   *fault.Panel[Faults]
-	server  *fault.Server
 	enrol   *enrol.Client
-	whole   http.Handler
 	leaving atomic.Bool
 	active  sync.WaitGroup
 
@@ -98,21 +97,14 @@
 	for _, opt := range opts {
 		opt(s)
 	}
-	s.whole = s.routes()
-	s.server = fault.NewServer(s.whole)
-	s.panel = fault.NewPanel(s.faults, s.seed, commonOf, func(r *http.Request) int { return s.server.Freeze(r) }, nil)
+	s.Host = fault.NewHost(s.routes(), s.faults, s.seed, commonOf, nil)
 	return s
 }
 
-// Handler returns the service as an HTTP handler.
-func (s *Server) Handler() http.Handler {
-	return s.whole
-}
-
 // Start listens on addr, whose port may be 0, registers the service in the
 // platform's list, if it knows a platform, and returns the address it got.
 func (s *Server) Start(ctx context.Context, addr netip.AddrPort) (netip.AddrPort, error) {
-	got, err := s.server.Start(ctx, addr)
+	got, err := s.Listen(ctx, addr)
 	if err != nil {
 		return got, trace.Wrap(err)
 	}
@@ -136,17 +128,12 @@
 	return trace.Wrap(s.enrol.Drain(ctx, &s.active), "drain service %s", s.row.ID)
 }
 
-// URL returns where the service listens, empty before Start.
-func (s *Server) URL() string {
-	return s.server.URL()
-}
-
 // Close stops at once, as if the process had died.
 func (s *Server) Close() {
 	if s.enrol != nil {
 		s.enrol.Close()
 	}
-	s.server.Close()
+	s.Shut()
 }
 
 // Executions returns how often the service ran each request key.
@@ -156,21 +143,6 @@
 	return Executions{Runs: maps.Clone(s.runs)}
 }
 
-// Faults returns the faults in force.
-func (s *Server) Faults() Faults {
-	return s.panel.Get()
-}
-
-// SetFaults changes the faults in force.
-func (s *Server) SetFaults(change func(*Faults)) error {
-	return s.panel.Update(change)
-}
-
-// Freeze silences the open connections and returns their number.
-func (s *Server) Freeze() int {
-	return s.server.Freeze(nil)
-}
-
 func commonOf(f *Faults) *fault.Common {
 	return &f.Common
 }
@@ -178,7 +150,7 @@
 func (s *Server) routes() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
-		s.panel.Wrap(http.HandlerFunc(s.serve), nil, serveDown).ServeHTTP(w, r)
+		s.Panel.Wrap(http.HandlerFunc(s.serve), nil, serveDown).ServeHTTP(w, r)
 	})
 	mux.HandleFunc("GET /executions", func(w http.ResponseWriter, _ *http.Request) {
 		fault.WriteJSON(w, http.StatusOK, s.Executions())
@@ -187,7 +159,7 @@
 		s.Leave()
 		w.WriteHeader(http.StatusNoContent)
 	})
-	mux.HandleFunc("/faults", func(w http.ResponseWriter, r *http.Request) { s.panel.ServeHTTP(w, r) })
+	mux.HandleFunc("/faults", func(w http.ResponseWriter, r *http.Request) { s.Panel.ServeHTTP(w, r) })
 	return mux
 }
 
--- a/internal/stand/platf/fetch.go
+++ b/internal/stand/platf/fetch.go
@@ -17,7 +17,7 @@
 		fault.WriteJSON(w, http.StatusBadRequest, fault.Problem{Detail: err.Error()})
 		return
 	}
-	if s.panel.Chance(s.panel.Get().StoreFailRate) {
+	if s.Panel.Chance(s.Panel.Get().StoreFailRate) {
 		fault.WriteJSON(w, http.StatusBadGateway, fault.Problem{Detail: "read error"})
 		return
 	}
--- a/internal/stand/platf/server.go
+++ b/internal/stand/platf/server.go
@@ -35,6 +35,8 @@
 
 // Server is the platform stand-in.
 type Server struct {
+	*fault.Host[Faults]
+
 	faults  Faults
 	seed    uint64
 	listLag time.Duration
@@ -45,10 +47,7 @@
 	rows   *instances
 	pool   *share.Pool
 	starts *rate.Limiter
-	panel  *fault.Panel[Faults]
 	counts counters
-	server *fault.Server
-	whole  http.Handler
 }
 
 // Option changes a Server under construction.
@@ -86,30 +85,18 @@
 	s.rows = newInstances(t, s.listLag)
 	s.pool = share.NewPool(t, s.width)
 	s.starts = rate.NewLimiter(rate.Limit(s.perSec), s.width)
-	s.whole = s.routes()
-	s.server = fault.NewServer(s.whole)
-	s.panel = fault.NewPanel(s.faults, s.seed, commonOf, func(r *http.Request) int { return s.server.Freeze(r) }, s.slow)
+	s.Host = fault.NewHost(s.routes(), s.faults, s.seed, commonOf, s.slow)
 	return s
 }
 
-// Handler returns the platform as an HTTP handler.
-func (s *Server) Handler() http.Handler {
-	return s.whole
-}
-
 // Start listens on addr, whose port may be 0, and returns the address it got.
 func (s *Server) Start(ctx context.Context, addr netip.AddrPort) (netip.AddrPort, error) {
-	return s.server.Start(ctx, addr)
-}
-
-// URL returns where the platform listens, empty before Start.
-func (s *Server) URL() string {
-	return s.server.URL()
+	return s.Listen(ctx, addr)
 }
 
 // Close stops at once.
 func (s *Server) Close() {
-	s.server.Close()
+	s.Shut()
 }
 
 // KV returns the key-value service's state, past all faults.
@@ -117,21 +104,6 @@
 	return s.store
 }
 
-// Faults returns the faults in force.
-func (s *Server) Faults() Faults {
-	return s.panel.Get()
-}
-
-// SetFaults changes the faults in force.
-func (s *Server) SetFaults(change func(*Faults)) error {
-	return s.panel.Update(change)
-}
-
-// Freeze silences the open connections and returns their number.
-func (s *Server) Freeze() int {
-	return s.server.Freeze(nil)
-}
-
 func commonOf(f *Faults) *fault.Common {
 	return &f.Common
 }
@@ -150,18 +122,18 @@
 
 	mux := http.NewServeMux()
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
-		s.panel.Wrap(services, s.droppable, serveDown).ServeHTTP(w, r)
+		s.Panel.Wrap(services, s.droppable, serveDown).ServeHTTP(w, r)
 	})
 	mux.HandleFunc("PUT "+wire.PathInstances+"/{id}", s.putInstance)
 	mux.HandleFunc("DELETE "+wire.PathInstances+"/{id}", s.deleteInstance)
 	mux.HandleFunc("GET /counts", s.serveCounts)
 	mux.HandleFunc("DELETE /counts", s.resetCounts)
-	mux.HandleFunc("/faults", func(w http.ResponseWriter, r *http.Request) { s.panel.ServeHTTP(w, r) })
+	mux.HandleFunc("/faults", func(w http.ResponseWriter, r *http.Request) { s.Panel.ServeHTTP(w, r) })
 	return mux
 }
 
 func (s *Server) droppable(r *http.Request) bool {
-	if !s.panel.Get().WritesOnly {
+	if !s.Panel.Get().WritesOnly {
 		return true
 	}
 	switch r.URL.Path {
--- a/internal/stand/target/generate.go
+++ b/internal/stand/target/generate.go
@@ -120,7 +120,7 @@
 
 func (s *Server) nextCut() cut {
 	var c cut
-	s.panel.Take(func(f *Faults) {
+	s.Panel.Take(func(f *Faults) {
 		switch {
 		case f.CutNext > 0:
 			f.CutNext--
--- a/internal/stand/target/order.go
+++ b/internal/stand/target/order.go
@@ -158,7 +158,7 @@
 }
 
 func (s *Server) loadModel(checkpoint string, tier ports.Tier) error {
-	if s.panel.Get().FailLoads {
+	if s.Panel.Get().FailLoads {
 		return errLoadFault
 	}
 	remote := s.loadTime(checkpoint)
--- a/internal/stand/target/report.go
+++ b/internal/stand/target/report.go
@@ -34,7 +34,7 @@
 
 // sampleLoad renews the load report, which is therefore always somewhat old.
 func (s *Server) sampleLoad() {
-	f := s.panel.Get()
+	f := s.Panel.Get()
 	if f.StaleLoad {
 		return
 	}
--- a/internal/stand/target/server.go
+++ b/internal/stand/target/server.go
@@ -54,6 +54,8 @@
 
 // Server is the model engine stand-in.
 type Server struct {
+	*fault.Host[Faults]
+
 	row          ports.Instance
 	boot         string
 	platform     string
@@ -76,10 +78,7 @@
 	engine   *engmem.Engine
 	adapters *share.Pool
 	cache    *cache
-	panel    *fault.Panel[Faults]
-	server   *fault.Server
 	enrol    *enrol.Client
-	whole    http.Handler
 	leaving  atomic.Bool
 	active   sync.WaitGroup
 	ctx      context.Context
@@ -132,23 +131,16 @@
 	s.adapters = share.NewPool(t, adapterWidth)
 	s.cache = newCache(t, s.cacheSize, s.eventLag, s.eventLoss, s.seed)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
-	s.whole = s.routes()
-	s.server = fault.NewServer(s.whole)
-	s.panel = fault.NewPanel(s.faults, s.seed, commonOf, func(r *http.Request) int { return s.server.Freeze(r) }, nil)
+	s.Host = fault.NewHost(s.routes(), s.faults, s.seed, commonOf, nil)
 	s.loadSeen = s.loadNow()
 	s.loadAt = t.Now()
 	return s
 }
 
-// Handler returns the target as an HTTP handler.
-func (s *Server) Handler() http.Handler {
-	return s.whole
-}
-
 // Start listens on addr, whose port may be 0, registers the target in the
 // platform's list, if it knows a platform, and returns the address it got.
 func (s *Server) Start(ctx context.Context, addr netip.AddrPort) (netip.AddrPort, error) {
-	got, err := s.server.Start(ctx, addr)
+	got, err := s.Listen(ctx, addr)
 	if err != nil {
 		return got, trace.Wrap(err)
 	}
@@ -177,11 +169,6 @@
 	return trace.Wrap(s.enrol.Drain(ctx, &s.active), "drain target %s", s.row.ID)
 }
 
-// URL returns where the target listens, empty before Start.
-func (s *Server) URL() string {
-	return s.server.URL()
-}
-
 // Close stops at once, as if the process had died.
 func (s *Server) Close() {
 	s.cancel()
@@ -191,7 +178,7 @@
 	if s.enrol != nil {
 		s.enrol.Close()
 	}
-	s.server.Close()
+	s.Shut()
 }
 
 // Engine returns the engine's state, past all faults.
@@ -199,21 +186,6 @@
 	return s.engine
 }
 
-// Faults returns the faults in force.
-func (s *Server) Faults() Faults {
-	return s.panel.Get()
-}
-
-// SetFaults changes the faults in force.
-func (s *Server) SetFaults(change func(*Faults)) error {
-	return s.panel.Update(change)
-}
-
-// Freeze silences the open connections and returns their number.
-func (s *Server) Freeze() int {
-	return s.server.Freeze(nil)
-}
-
 func commonOf(f *Faults) *fault.Common {
 	return &f.Common
 }
@@ -229,12 +201,12 @@
 
 	mux := http.NewServeMux()
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
-		s.panel.Wrap(services, nil, serveDown).ServeHTTP(w, r)
+		s.Panel.Wrap(services, nil, serveDown).ServeHTTP(w, r)
 	})
 	mux.HandleFunc("GET /executions", s.serveExecutions)
 	mux.HandleFunc("GET /record", s.serveRecord)
 	mux.HandleFunc("GET /state", s.serveState)
 	mux.HandleFunc("POST /leave", s.serveLeave)
-	mux.HandleFunc("/faults", func(w http.ResponseWriter, r *http.Request) { s.panel.ServeHTTP(w, r) })
+	mux.HandleFunc("/faults", func(w http.ResponseWriter, r *http.Request) { s.Panel.ServeHTTP(w, r) })
 	return mux
 }
