Tell a damaged plan or permit ledger by its checksum

Cause: plans and permit ledgers were read strictly, but a value with one digit changed is valid JSON: an epoch one lower, one permit more. Configuration values had a sum from the start, these did not.

internal/state/sums appends a CRC-32C as the last member of the object, so that the value stays JSON that a person can read. The format goes up to 2: an earlier build leaves the values alone, as it does with any newer format.

--- a/internal/coordination/owner/ownership_test.go
+++ b/internal/coordination/owner/ownership_test.go
@@ -9,6 +9,7 @@
 
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 	"chivecroft.example/chivecroft/internal/stand/world"
+	"chivecroft.example/chivecroft/internal/state/sums"
 )
 
 func TestOwnerFrozenPastItsLease(t *testing.T) {
@@ -220,10 +221,11 @@
 func TestUnreadableValue(t *testing.T) {
 	t.Parallel()
 	for name, value := range map[string]string{
-		"damaged": `{"format":1,"zone":`,
-		"newer":   `{"format":2,"zone":"zone-a","shard":0,"epoch":9}`,
-		"divided": `{"format":1,"zone":"zone-a","shard":0,"shardCount":4,"epoch":9,"nonce":"x","owner":{}}`,
-		"foreign": `{"format":1,"zone":"zone-b","shard":0,"epoch":9,"nonce":"x","owner":{}}`,
+		"damaged": `{"format":2,"zone":`,
+		"changed": strings.Replace(summed(`{"format":2,"zone":"zone-a","shard":0,"epoch":9,"nonce":"x","owner":{}}`), "9", "8", 1),
+		"newer":   summed(`{"format":3,"zone":"zone-a","shard":0,"epoch":9}`),
+		"divided": summed(`{"format":2,"zone":"zone-a","shard":0,"shardCount":4,"epoch":9,"nonce":"x","owner":{}}`),
+		"foreign": summed(`{"format":2,"zone":"zone-b","shard":0,"epoch":9,"nonce":"x","owner":{}}`),
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newRig(rigSize{zones: 1, entries: 2, targets: 3, shards: 1, memoryBytes: 10 * gib, models: 1, maxReplicas: 1, seed: 3})
@@ -242,6 +244,10 @@
 	}
 }
 
+func summed(object string) string {
+	return string(sums.Add([]byte(object)))
+}
+
 // TestPreferredOwnerWithoutKV: the entry that rendezvous hashing prefers is
 // heard of but cannot reach the KV service; the shard is not offered to it for ever.
 func TestPreferredOwnerWithoutKV(t *testing.T) {
--- a/internal/coordination/permit/ledger.go
+++ b/internal/coordination/permit/ledger.go
@@ -11,10 +11,11 @@
 	"github.com/gravitational/trace"
 
 	"chivecroft.example/chivecroft/internal/state/config"
+	"chivecroft.example/chivecroft/internal/state/sums"
 )
 
 // Format is the version of the ledger's form in the KV service.
-const Format = 1
+const Format = 2
 
 // Store is the resource of the weight store's slots.
 const Store = "store"
@@ -138,7 +139,10 @@
 func Encode(l Ledger) ([]byte, error) {
 	l.Format = Format
 	data, err := json.Marshal(l)
-	return data, trace.Wrap(err)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return sums.Add(data), nil
 }
 
 // Decode reads a KV value strictly, as a plan is read.
@@ -152,8 +156,12 @@
 	if head.Format != Format {
 		return Ledger{}, trace.BadParameter("permit ledger has format %d, this program reads %d", head.Format, Format)
 	}
+	ledger, err := sums.Strip(data)
+	if err != nil {
+		return Ledger{}, trace.BadParameter("permit ledger is damaged: %v", err)
+	}
 	var l Ledger
-	d := json.NewDecoder(bytes.NewReader(data))
+	d := json.NewDecoder(bytes.NewReader(ledger))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&l); err != nil {
 		return Ledger{}, trace.BadParameter("permit ledger is damaged: %v", err)
--- a/internal/coordination/permit/ledger_test.go
+++ b/internal/coordination/permit/ledger_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"chivecroft.example/chivecroft/internal/state/config"
+	"chivecroft.example/chivecroft/internal/state/sums"
 )
 
 func TestMain(m *testing.M) {
@@ -21,7 +22,7 @@
 }
 
 func TestDecode(t *testing.T) {
-	expect := func(text, want string) {
+	stored := func(text, want string) {
 		t.Helper()
 		l, err := Decode([]byte(text))
 		got := fmt.Sprint(err)
@@ -33,14 +34,19 @@
 			t.Errorf("%s (-want +got):\n%s", text, diff)
 		}
 	}
-	expect(`{"format":1,"nonce":"n","resources":{"m":{"max":2,"version":3,"grants":{"a/0":1}}}}`,
-		`{"format":1,"nonce":"n","resources":{"m":{"max":2,"version":3,"grants":{"a/0":1}}}}`)
-	expect(`{"format":1,`, `permit ledger is damaged: unexpected end of JSON input`)
-	expect(`{"format":2,"future":1}`, `permit ledger has format 2, this program reads 1`)
-	expect(`{}`, `permit ledger has format 0, this program reads 1`)
-	expect(`{"format":1,"nonce":"n","future":1}`, `permit ledger is damaged: json: unknown field "future"`)
-	expect(`{"format":1,"nonce":"n"} {}`, `permit ledger is damaged: invalid character '{' after top-level value`)
-	expect(`{"format":1,"nonce":"n","resources":{"m":{"max":1,"version":1,"grants":{"a/0":-1}}}}`,
+	expect := func(object, want string) {
+		t.Helper()
+		stored(string(sums.Add([]byte(object))), want)
+	}
+	full := `{"format":2,"nonce":"n","resources":{"m":{"max":2,"version":3,"grants":{"a/0":1}}}}`
+	expect(full, string(sums.Add([]byte(full))))
+	stored(full, `permit ledger is damaged: it has no sum`)
+	stored(`{"format":2,`, `permit ledger is damaged: unexpected end of JSON input`)
+	stored(`{"format":3,"future":1}`, `permit ledger has format 3, this program reads 2`)
+	stored(`{}`, `permit ledger has format 0, this program reads 2`)
+	expect(`{"format":2,"nonce":"n","future":1}`, `permit ledger is damaged: json: unknown field "future"`)
+	stored(`{"format":2,"nonce":"n"} {}`, `permit ledger is damaged: invalid character '{' after top-level value`)
+	expect(`{"format":2,"nonce":"n","resources":{"m":{"max":1,"version":1,"grants":{"a/0":-1}}}}`,
 		`permit ledger is damaged: m grants -1 to a/0`)
 }
 
@@ -115,3 +121,20 @@
 		t.Errorf("%d granted, ledger (-want +got):\n%s", got, diff)
 	}
 }
+
+// TestEveryDamagedByteIsSeen changes each byte of a stored ledger in turn: one
+// more permit would be as valid as the true number.
+func TestEveryDamagedByteIsSeen(t *testing.T) {
+	ledger, _ := Ledger{Nonce: "n"}.Limit("m", 3, 12).Grant("m", "a/0", 7, 2)
+	value, err := Encode(ledger)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range value {
+		damaged := append([]byte(nil), value...)
+		damaged[i] ^= 1
+		if _, err := Decode(damaged); err == nil {
+			t.Errorf("byte %d: %s is taken for whole", i, damaged)
+		}
+	}
+}
--- a/internal/coordination/place/codec.go
+++ b/internal/coordination/place/codec.go
@@ -7,20 +7,26 @@
 	"io"
 
 	"github.com/gravitational/trace"
+
+	"chivecroft.example/chivecroft/internal/state/sums"
 )
 
 // Format is the version of the plan's form in the KV service.
-const Format = 1
+const Format = 2
 
 // Encode writes the plan as a KV value.
 func Encode(p Plan) ([]byte, error) {
 	p.Format = Format
 	data, err := json.Marshal(p)
-	return data, trace.Wrap(err)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return sums.Add(data), nil
 }
 
 // Decode reads a KV value strictly: an unknown field or another format may mean
-// something that this program would lose by writing the value back.
+// something that this program would lose by writing the value back, and one
+// changed digit of an epoch or a permit is as valid as the true one.
 func Decode(data []byte, zone string, shard int) (Plan, error) {
 	var head struct {
 		Format int `json:"format"`
@@ -31,8 +37,12 @@
 	if head.Format != Format {
 		return Plan{}, trace.BadParameter("plan of shard %s/%d has format %d, this program reads %d", zone, shard, head.Format, Format)
 	}
+	plan, err := sums.Strip(data)
+	if err != nil {
+		return Plan{}, trace.BadParameter("plan of shard %s/%d is damaged: %v", zone, shard, err)
+	}
 	var p Plan
-	if err := decodeStrict(data, &p); err != nil {
+	if err := decodeStrict(plan, &p); err != nil {
 		return Plan{}, trace.BadParameter("plan of shard %s/%d is damaged: %v", zone, shard, err)
 	}
 	if err := p.check(zone, shard); err != nil {
