Make one package of rendezvous hashing

Cause: coordination/member and coordination/place each had an order by rendezvous hashing with the same hash and mixing, one ascending and one descending.

--- a/internal/coordination/owner/home.go
+++ b/internal/coordination/owner/home.go
@@ -9,6 +9,7 @@
 	"chivecroft.example/chivecroft/internal/coordination/place"
 	"chivecroft.example/chivecroft/internal/coordination/policy"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/state/rank"
 )
 
 // home is what this shard does for the models that have their home here: one
@@ -38,7 +39,7 @@
 	}
 	s.home = home{zones: joined, minima: make(map[string]int), preloadAt: s.home.preloadAt}
 	for _, name := range slices.Sorted(maps.Keys(s.config.Models)) {
-		if place.ShardOf(name, s.settings.ShardCount) != s.settings.Shard || place.Rank(name, zones)[0] != s.settings.Zone {
+		if place.ShardOf(name, s.settings.ShardCount) != s.settings.Shard || rank.Order(name, zones)[0] != s.settings.Zone {
 			continue
 		}
 		s.home.models = append(s.home.models, name)
--- a/internal/coordination/owner/watch.go
+++ b/internal/coordination/owner/watch.go
@@ -8,6 +8,7 @@
 
 	"chivecroft.example/chivecroft/internal/coordination/place"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/state/rank"
 )
 
 // watching is the state of an entry that does not own the shard.
@@ -73,7 +74,7 @@
 			ids = append(ids, m.ID)
 		}
 	}
-	return place.Rank(s.key(), ids)
+	return rank.Order(s.key(), ids)
 }
 
 func (s *Shard) rankWait() time.Duration {
