Know all zones before taking requests

Change: an entry is ready once it knows a member of each zone in which the instance list shows an entry that stays, or after the 3 s that it waits for routing tables as well. In a deployment that starts as a whole the last zones are not listed yet when the first entries get ready, so the demo's session, and with it the test, also waits until every entry knows all zones, which is the case that the test speaks of.

--- a/internal/demo/deploy.go
+++ b/internal/demo/deploy.go
@@ -65,11 +65,12 @@
 	Targets  []*target.Server
 	Services []*plain.Server
 	Entries  []*entry.Entry
+	zones    int
 }
 
 // Deploy starts a deployment and waits until its entries own all shards.
 func Deploy(ctx context.Context, shape Shape) (*Deployment, error) {
-	d := &Deployment{Platform: platf.New()}
+	d := &Deployment{Platform: platf.New(), zones: len(shape.Zones)}
 	if err := d.start(ctx, shape); err != nil {
 		d.Close()
 		return nil, trace.Wrap(err)
@@ -137,15 +138,17 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	if settings.Peers.Listen, err = freeAddr(ctx); err != nil {
+	peers, err := (&net.ListenConfig{}).Listen(ctx, "tcp", loopback.String())
+	if err != nil {
 		return trace.Wrap(err)
 	}
+	settings.Peers.Listen = peers.Addr().(*net.TCPAddr).AddrPort()
 	settings.Peers.Advertise = settings.Peers.Listen
 	logger := shape.Log
 	if logger == nil {
 		logger = &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}}
 	}
-	e, err := entry.New(settings, entry.WithLogger(logger))
+	e, err := entry.New(settings, entry.WithLogger(logger), entry.WithListener(entry.ListenerPeers, peers))
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -184,17 +187,6 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// freeAddr finds a port for a listener whose address must be known before it
-// listens.
-func freeAddr(ctx context.Context) (netip.AddrPort, error) {
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", loopback.String())
-	if err != nil {
-		return netip.AddrPort{}, trace.Wrap(err)
-	}
-	defer l.Close()
-	return netip.ParseAddrPort(l.Addr().String())
-}
-
 // Callers returns the callers' URL of an entry.
 func (d *Deployment) Callers(n int) string {
 	return "http://" + d.Entries[n].Addr(entry.ListenerCallers).String()
--- a/internal/demo/session.go
+++ b/internal/demo/session.go
@@ -97,8 +97,8 @@
 	return result, s.settle(ctx, result.Version)
 }
 
-// settle waits until every entry has the version and is ready, and some entry
-// owns each shard.
+// settle waits until every entry has the version, is ready and knows of the
+// others' zones, and some entry owns each shard.
 func (s *session) settle(ctx context.Context, version uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
@@ -112,7 +112,7 @@
 			if err != nil {
 				return trace.Wrap(err, "waiting for version %d", version)
 			}
-			if status.Ready && status.ConfigVersion >= version && ownedHere(status) {
+			if status.Ready && status.ConfigVersion >= version && ownedHere(status) && s.zonesKnown(status) {
 				break
 			}
 			time.Sleep(settlePoll)
@@ -121,6 +121,15 @@
 	return nil
 }
 
+// zonesKnown tells whether the entry knows a member of each zone.
+func (s *session) zonesKnown(status *operator.StatusResult) bool {
+	known := make(map[string]bool)
+	for _, m := range status.Members {
+		known[m.Zone] = true
+	}
+	return len(known) == s.deployment.zones
+}
+
 // ownedHere tells whether every shard of the entry's zone has an owner and targets.
 func ownedHere(status *operator.StatusResult) bool {
 	owned := 0
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -61,7 +62,10 @@
 	// looked at by followTables.
 	membersNews chan struct{}
 
-	servers  []*listening
+	// listeners are those that were handed over, by name.
+	listeners map[string]net.Listener
+	servers   []*listening
+
 	stopping atomic.Bool
 	ready    atomic.Bool
 	ctx      context.Context
@@ -75,6 +79,8 @@
 type view struct {
 	config  atomic.Pointer[config.Config]
 	members atomic.Pointer[[]ports.Member]
+	// entries are the listed entries of all zones.
+	entries atomic.Pointer[[]ports.Instance]
 	// targets are the listed model targets of the own zone.
 	targets atomic.Pointer[[]ports.Instance]
 }
@@ -92,6 +98,12 @@
 	return func(e *Entry) { e.timer = t }
 }
 
+// WithListener hands over a listener that is open already, such as
+// ListenerPeers, for an address that had to be known before the entry was made.
+func WithListener(name string, l net.Listener) Option {
+	return func(e *Entry) { e.listeners[name] = l }
+}
+
 // New returns an entry that does not listen yet.
 func New(settings params.Settings, opts ...Option) (*Entry, error) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -103,6 +115,7 @@
 		cancel:   cancel,
 		drained:  make(chan struct{}),
 
+		listeners:   make(map[string]net.Listener),
 		membersNews: make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -44,6 +44,7 @@
 			targets = append(targets, row)
 		}
 	}
+	e.view.entries.Store(&entries)
 	e.view.targets.Store(&targets)
 	e.told.keep(e.listedTarget)
 	e.table.ApplyInstances(rows)
--- a/internal/entry/ready.go
+++ b/internal/entry/ready.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"chivecroft.example/chivecroft/internal/coordination/ports"
 )
 
 const (
@@ -17,8 +19,9 @@
 // warmup is what a starting entry has to hear before it can serve.
 //
 // An entry that said it was ready as soon as it listened would refuse models
-// that it has not read of yet, and would demand loads of models that are warm
-// at a target it has not heard of.
+// that it has not read of yet, would demand loads of models that are warm at a
+// target it has not heard of, and would choose another zone for a cold model
+// than the entries that know all zones.
 type warmup struct {
 	mu     sync.Mutex
 	listed bool
@@ -53,9 +56,9 @@
 }
 
 // becomeReady waits until the entry has a configuration, none older than any
-// that its zone's entries tell of, and the routing tables that it follows. For
-// a table it waits no longer than sourcePatience after the configuration: an
-// entry that is cut off goes on serving what it can.
+// that its zone's entries tell of, the routing tables that it follows, and a
+// member of each zone. For the last two it waits no longer than sourcePatience
+// after the configuration: an entry that is cut off goes on serving what it can.
 func (e *Entry) becomeReady(ctx context.Context) {
 	for !e.configured() {
 		if !e.sleep(ctx, readyPoll) {
@@ -63,7 +66,7 @@
 		}
 	}
 	until := e.timer.Now().Add(sourcePatience)
-	for e.warmup.unheard(e.sources()) && e.timer.Now().Before(until) {
+	for (e.warmup.unheard(e.sources()) || e.unknownZone()) && e.timer.Now().Before(until) {
 		if !e.sleep(ctx, readyPoll) {
 			return
 		}
@@ -75,6 +78,29 @@
 	e.log.Info().Uint64("configVersion", uint64(e.config().Version)).Msg("ready")
 }
 
+// unknownZone tells whether an entry is listed in a zone of which the entry
+// knows no member yet.
+func (e *Entry) unknownZone() bool {
+	listed := e.view.entries.Load()
+	return listed == nil || len(unknownZones(*listed, e.members())) > 0
+}
+
+// unknownZones returns the zones in which an entry is listed and none is a member.
+func unknownZones(listed []ports.Instance, members []ports.Member) []string {
+	known := make(map[string]bool)
+	for _, m := range members {
+		known[m.Zone] = true
+	}
+	var unknown []string
+	for _, row := range listed {
+		if !row.Leaving && !known[row.Zone] {
+			known[row.Zone] = true
+			unknown = append(unknown, row.Zone)
+		}
+	}
+	return unknown
+}
+
 // configured tells whether a configuration is in force that is as new as the
 // zone's.
 func (e *Entry) configured() bool {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -73,7 +73,7 @@
 }
 
 func (e *Entry) serve(ctx context.Context, name string, p params.Listener, handler http.Handler) error {
-	raw, err := (&net.ListenConfig{}).Listen(ctx, "tcp", p.Listen.String())
+	raw, err := e.listener(ctx, name, p)
 	if err != nil {
 		return trace.Wrap(err, "listening on [%s] listen = %s", name, p.Listen)
 	}
@@ -106,6 +106,14 @@
 	return nil
 }
 
+// listener returns the listener that was handed over under a name, or a new one.
+func (e *Entry) listener(ctx context.Context, name string, p params.Listener) (net.Listener, error) {
+	if open, ok := e.listeners[name]; ok {
+		return open, nil
+	}
+	return (&net.ListenConfig{}).Listen(ctx, "tcp", p.Listen.String())
+}
+
 func (e *Entry) files(name string, p params.Listener) (*secure.Files, error) {
 	files, err := secure.NewFiles(p, e.timer, func(err error) {
 		e.log.Error().Err(err).Str("step", "readTLS").Str("listener", name).Msg("keeping the last good TLS files")
