Give the process tests a network that can be cut by zone

Cause: partitions between zones could be brought about on virtual time only. A relay in front of an entry could silence whoever connects, but not one zone and leave another: an entry has one address for all.

Ruled out: a source address for each zone, which no operator needs as a setting.

TestSilentPeers uses the network in place of its own relay; it silences the same connections, those opened to entries, and asks for the same.

--- a/cmd/chivecroft/harness_test.go
+++ b/cmd/chivecroft/harness_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -18,6 +19,7 @@
 	"testing"
 	"time"
 
+	"chivecroft.example/chivecroft/internal/coordination/ports"
 	"chivecroft.example/chivecroft/internal/demo"
 	"chivecroft.example/chivecroft/internal/protocol/wire"
 	"chivecroft.example/chivecroft/internal/stand/target"
@@ -134,29 +136,82 @@
 	ca      string
 	callers map[string]string
 	ops     map[string]string
+	// net carries the connections between processes, nil where they are direct.
+	net *network
+	// toPlatform is the platform's address for entries, advertised the entries'
+	// addresses for each other.
+	toPlatform string
+	advertised map[string]string
 }
 
 func newSystem(t testing.TB) *system {
 	t.Helper()
 	platform := start(t, "standin", "platform")
+	url := platform.ready["url"].(string)
 	return &system{
-		t: t, platform: platform.ready["url"].(string), files: t.TempDir(),
+		t: t, platform: url, toPlatform: url, files: t.TempDir(),
 		entries: make(map[string]*process), targets: make(map[string]*process), services: make(map[string]*process),
-		callers: make(map[string]string), ops: make(map[string]string),
+		callers: make(map[string]string), ops: make(map[string]string), advertised: make(map[string]string),
 	}
 }
 
+// newNetworked returns a system whose entries reach each other, targets and the
+// platform by way of a network. Targets reach the platform directly: what they
+// want of it is the weight store, which is not what the tests cut off.
+func newNetworked(t testing.TB) *system {
+	t.Helper()
+	s := newSystem(t)
+	s.net = newNetwork(t)
+	s.toPlatform = "http://" + s.net.relay(strings.TrimPrefix(s.platform, "http://"), platformEnd)
+	return s
+}
+
 func (s *system) startTarget(id, zone, region string, more ...string) {
 	args := append([]string{
 		"standin", "target", "--id", id, "--zone", zone, "--region", region,
 		"--platform", s.platform, "--service", "supper-assist", "--load-time", "500ms",
 	}, more...)
 	s.targets[id] = start(s.t, args...)
+	s.relist(s.targets[id], ports.Instance{ID: id, Zone: zone, Region: region})
 }
 
 func (s *system) startService(id, zone, region string) {
 	s.services[id] = start(s.t, "standin", "service", "--id", id, "--zone", zone, "--region", region,
 		"--platform", s.platform, "--service", "ticket-desk")
+	s.relist(s.services[id], ports.Instance{ID: id, Zone: zone, Region: region})
+}
+
+// relist makes the instance list show a stand-in at an address on the network,
+// once it shows the one at which the stand-in registered itself.
+func (s *system) relist(p *process, row ports.Instance) {
+	s.t.Helper()
+	if s.net == nil {
+		return
+	}
+	s.eventually(10*time.Second, func() string {
+		_, out := s.request(http.MethodGet, s.platform+"/instances", "", nil)
+		var rows []ports.Instance
+		decode(s.t, out, &rows)
+		for _, r := range rows {
+			if r.ID == row.ID {
+				row = r
+				return ""
+			}
+		}
+		return row.ID + " is not listed"
+	})
+	row.Addr = netip.MustParseAddrPort(s.net.relay(p.ready["addr"].(string), end{row.ID, row.Zone}))
+	s.list(row)
+}
+
+// list puts a row on the instance list.
+func (s *system) list(row ports.Instance) {
+	s.t.Helper()
+	data, err := json.Marshal(row)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.request(http.MethodPut, s.platform+"/instances/"+row.ID, string(data), nil)
 }
 
 // settings returns the file of an entry's settings, which it writes unless there
@@ -165,7 +220,13 @@
 	s.t.Helper()
 	path := filepath.Join(s.files, id+".ini")
 	if _, err := os.Stat(path); err != nil {
-		s.writeSettings(path, id, zone, region, "listen = "+freeAddr(s.t))
+		listen := freeAddr(s.t)
+		peers := "listen = " + listen
+		if s.net != nil {
+			s.advertised[id] = s.net.relay(listen, end{id, zone})
+			peers += "\nadvertise = " + s.advertised[id]
+		}
+		s.writeSettings(path, id, zone, region, peers)
 	}
 	return path
 }
@@ -189,7 +250,7 @@
 url = %s
 listEvery = 500ms
 leaseTTL = 6s
-`, id, zone, region, freeAddr(s.t), freeAddr(s.t), demo.KeyHash(demo.OperatorKey), peers, s.platform)
+`, id, zone, region, freeAddr(s.t), freeAddr(s.t), demo.KeyHash(demo.OperatorKey), peers, s.toPlatform)
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
@@ -201,6 +262,9 @@
 	s.t.Helper()
 	p := start(s.t, "entry", "--config", s.settings(id, zone, region))
 	s.entries[id] = p
+	if s.net != nil {
+		s.net.join(p, end{id, zone})
+	}
 	s.callers[id] = "http://" + p.ready["callers"].(string)
 	s.ops[id] = "http://" + p.ready["operators"].(string)
 	return p
@@ -210,8 +274,11 @@
 func (s *system) startEntry(id, zone, region string) {
 	s.t.Helper()
 	p := s.startUnlisted(id, zone, region)
-	row := fmt.Sprintf(`{"id":%q,"kind":"entry","zone":%q,"region":%q,"addr":%q}`, id, zone, region, p.ready["peers"])
-	s.request(http.MethodPut, s.platform+"/instances/"+id, row, nil)
+	addr := s.advertised[id]
+	if addr == "" {
+		addr = p.ready["peers"].(string)
+	}
+	s.list(ports.Instance{ID: id, Kind: ports.InstanceEntry, Zone: zone, Region: region, Addr: netip.MustParseAddrPort(addr)})
 }
 
 func freeAddr(t testing.TB) string {
--- a/cmd/chivecroft/silence_test.go
+++ b/cmd/chivecroft/silence_test.go
@@ -2,10 +2,7 @@
 
 import (
 	"fmt"
-	"io"
-	"net"
 	"net/http"
-	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -89,117 +86,22 @@
 	s.checkReplicas(1)
 }
 
-// relay is a path to a peer whose open connections can be made silent for good
-// while new ones work.
-type relay struct {
-	listener net.Listener
-	to       string
-	mu       sync.Mutex
-	silent   []chan struct{}
-}
-
-func newRelay(t *testing.T, to string) *relay {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	r := &relay{listener: l, to: to}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go r.carry(conn)
-		}
-	}()
-	return r
-}
-
-func (r *relay) carry(conn net.Conn) {
-	defer conn.Close()
-	far, err := net.Dial("tcp", r.to)
-	if err != nil {
-		return
-	}
-	defer far.Close()
-	silent := make(chan struct{})
-	r.mu.Lock()
-	r.silent = append(r.silent, silent)
-	r.mu.Unlock()
-	ended := make(chan struct{}, 2)
-	go func() { pass(far, conn, silent); ended <- struct{}{} }()
-	go func() { pass(conn, far, silent); ended <- struct{}{} }()
-	<-ended
-}
-
-// pass copies until the path is silent; from then on it swallows what it reads.
-func pass(to io.Writer, from io.Reader, silent chan struct{}) {
-	buffer := make([]byte, 32<<10)
-	for {
-		n, err := from.Read(buffer)
-		select {
-		case <-silent:
-			_, _ = io.Copy(io.Discard, from)
-			// Not even the end of a connection passes.
-			select {}
-		default:
-		}
-		if n > 0 {
-			if _, err := to.Write(buffer[:n]); err != nil {
-				return
-			}
-		}
-		if err != nil {
-			return
-		}
-	}
-}
-
-// silence makes all open connections silent and returns their number.
-func (r *relay) silence() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	n := len(r.silent)
-	for _, s := range r.silent {
-		close(s)
-	}
-	r.silent = nil
-	return n
-}
-
-// startBehind starts an entry whose peers reach it through a relay.
-func (s *system) startBehind(t *testing.T, id, zone, region, more string) *relay {
-	t.Helper()
-	listen := freeAddr(t)
-	r := newRelay(t, listen)
-	peers := fmt.Sprintf("listen = %s\nadvertise = %s\n%s", listen, r.listener.Addr(), more)
-	s.writeSettings(filepath.Join(s.files, id+".ini"), id, zone, region, peers)
-	s.startEntry(id, zone, region)
-	row := fmt.Sprintf(`{"id":%q,"kind":"entry","zone":%q,"region":%q,"addr":%q}`, id, zone, region, r.listener.Addr())
-	s.request(http.MethodPut, s.platform+"/instances/"+id, row, nil)
-	return r
-}
-
 // TestSilentPeers makes every open connection between two entries silent. The
 // entry that owns no shard has to bring a model back from idle, which takes a
 // demand to the owner and its news back, and both have to take up a patch.
 func TestSilentPeers(t *testing.T) {
 	t.Parallel()
-	s := newSystem(t)
+	s := newNetworked(t)
 	s.startTarget("bul-a-t1", "bul-a", "bulacan")
 	s.startService("bul-a-s1", "bul-a", "bulacan")
-	relays := []*relay{s.startBehind(t, "bul-a-e1", "bul-a", "bulacan", ""), s.startBehind(t, "bul-a-e2", "bul-a", "bulacan", "")}
+	s.startEntry("bul-a-e1", "bul-a", "bulacan")
+	s.startEntry("bul-a-e2", "bul-a", "bulacan")
 	if code, out := s.command("bul-a-e1", patch, "patch"); code != 0 {
 		t.Fatalf("patch: exit %d\n%s", code, out)
 	}
 	s.settled(1, "bul-a-e1", "bul-a-e2")
-	silenced := 0
-	for _, r := range relays {
-		silenced += r.silence()
-	}
+	toEntries := func(_, to end) bool { return s.entries[to.id] != nil }
+	silenced := s.net.silence(toEntries)
 	if silenced == 0 {
 		t.Fatal("no connection between the entries was open")
 	}
@@ -207,9 +109,7 @@
 	s.goesOn(t, "bul-a-e1", "cold-e1")
 	s.goesOn(t, "bul-a-e2", "cold-e2")
 	t.Logf("%d connections silent, both entries served after %v", silenced, time.Since(began))
-	for _, r := range relays {
-		r.silence()
-	}
+	s.net.silence(toEntries)
 	next := strings.NewReplacer("test-1", "test-2", `"base": 0`, `"base": 1`, "500ms", "400ms").Replace(patch)
 	if code, out := s.command("bul-a-e2", next, "patch"); code != 0 {
 		t.Fatalf("patch: exit %d\n%s", code, out)
