Ask around zones and owners that do not answer a demand

Cause, seen first with a zone cut off between separate processes: a demand asked every living entry of another zone in turn, each with 2 s, and the whole demand had 2 s. The own zone so got its turn with no time left, over and over, until membership noticed the cut after a minute. An owner in the own zone that was frozen held up the demands for other shards in the same way.

Now the other zones together get 1.2 s of a demand (an owner answers within 1 s, also while it waits for the KV service), a second entry is asked beside the first after 300 ms, and whoever did not answer is asked last until a pull or a demand is answered.

Weighed: asking the own zone beside after 300 ms. It saves the first caller another 0.9 s, but loads twice whenever the KV service is slow.

--- a/internal/entry/demand.go
+++ b/internal/entry/demand.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/gravitational/trace"
 
@@ -12,6 +13,17 @@
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 )
 
+const (
+	// demandPatience is how long a demand waits for those who do not answer. An
+	// owner answers within a second also while it waits for the KV service.
+	demandPatience = 1200 * time.Millisecond
+	// demandHedge is how long it waits for one entry of another zone before it
+	// asks a second one beside.
+	demandHedge = 300 * time.Millisecond
+	// demandAsks is how many entries of another zone are asked.
+	demandAsks = 2
+)
+
 // demand finds the shard that can load a model. The zones are asked in an order
 // that depends on the model alone, so that a burst of first requests at entries
 // of all zones meets at one owner and makes one load; a zone that does not
@@ -21,14 +33,20 @@
 // that get its first requests at once all ask pam-a. While pam-a is cut off, the
 // entries that see it so ask bul-a, and pam-a's own ask pam-a: each side loads
 // within the permits that its shards hold.
+//
+// A zone that is cut off does not say so. The other zones together get no more
+// than demandPatience, so that the own one is asked in any case, and whoever did
+// not answer is doubtful from then on and asked last.
 func (e *Entry) demand(ctx context.Context, d ports.Demand) (ports.DemandReply, error) {
 	d.From = e.self.ID
 	d.Zone = e.self.Zone
 	var best ports.DemandReply
 	var failed error
 	answered := false
+	away, cancel := context.WithTimeout(ctx, demandPatience)
+	defer cancel()
 	for _, zone := range e.zoneOrder(d.Model) {
-		reply, err := e.demandIn(ctx, zone, d)
+		reply, err := e.demandIn(ctx, away, zone, d)
 		if err != nil {
 			failed = err
 			continue
@@ -45,12 +63,12 @@
 	return best, nil
 }
 
-// demandIn asks the shards of one zone.
-func (e *Entry) demandIn(ctx context.Context, zone string, d ports.Demand) (ports.DemandReply, error) {
+// demandIn asks the shards of one zone; away is for other zones.
+func (e *Entry) demandIn(ctx, away context.Context, zone string, d ports.Demand) (ports.DemandReply, error) {
 	if zone == e.self.Zone {
 		return e.demandHere(ctx, d)
 	}
-	return e.demandThere(ctx, zone, d)
+	return e.demandThere(away, zone, d)
 }
 
 // settled tells whether asking another shard could not do better. A shard that
@@ -81,11 +99,15 @@
 	return a
 }
 
-// demandHere asks the shards of the own zone.
+// demandHere asks the shards of the own zone, those of doubtful owners last.
 func (e *Entry) demandHere(ctx context.Context, d ports.Demand) (ports.DemandReply, error) {
 	var best ports.DemandReply
 	var err error = trace.ConnectionProblem(nil, "no shard of zone %s has an owner", e.self.Zone)
-	for _, shard := range e.shardOrder(d.Model) {
+	order := last(e.shardOrder(d.Model), func(shard int) bool {
+		m, ok := e.ownerOf(shard)
+		return ok && e.doubts.has(e.sourceOf(m))
+	})
+	for _, shard := range order {
 		reply, errShard := e.demandShard(ctx, shard, d)
 		if errShard != nil {
 			continue
@@ -121,27 +143,112 @@
 			e.parts.shards[shard].loop.Post(owner.DemandAsked{ID: id, Demand: d})
 		})
 	}
+	m, ok := e.ownerOf(shard)
+	if !ok {
+		return ports.DemandReply{}, trace.ConnectionProblem(nil, "shard %d of zone %s has no owner", shard, e.self.Zone)
+	}
+	ctx, cancel := context.WithTimeout(ctx, demandPatience)
+	defer cancel()
+	began := e.timer.Now()
+	reply, err := e.askDemand(ctx, m, d)
+	e.answered(ctx, e.sourceOf(m), began, err)
+	return reply, trace.Wrap(err)
+}
+
+// ownerOf returns the living entry of the own zone, other than this one, that
+// says it owns a shard.
+func (e *Entry) ownerOf(shard int) (ports.Member, bool) {
 	for _, m := range e.members() {
 		if m.Zone == e.self.Zone && m.ID != e.self.ID && m.Phase == ports.MemberAlive && slices.Contains(m.Shards, shard) {
-			return e.askDemand(ctx, m, d)
+			return m, true
 		}
 	}
-	return ports.DemandReply{}, trace.ConnectionProblem(nil, "shard %d of zone %s has no owner", shard, e.self.Zone)
+	return ports.Member{}, false
+}
+
+// answered notes whether a source had an answer to a demand. That it had none in
+// what others had left of the time says nothing.
+func (e *Entry) answered(ctx context.Context, source string, began time.Time, err error) {
+	switch {
+	case err == nil:
+		e.doubts.clear(source)
+	case ctx.Err() == nil || e.timer.Now().Sub(began) > demandHedge:
+		e.doubts.raise(source)
+	}
 }
 
-// demandThere asks an entry of another zone, which passes it on to its owners.
+// demandThere asks entries of another zone, which pass it on to their owners: a
+// second one beside the first if that fails or takes long, since one of them may
+// have died.
 func (e *Entry) demandThere(ctx context.Context, zone string, d ports.Demand) (ports.DemandReply, error) {
-	var err error = trace.ConnectionProblem(nil, "no entry of zone %s is known", zone)
+	members := e.membersOf(zone)
+	if len(members) == 0 {
+		return ports.DemandReply{}, trace.ConnectionProblem(nil, "no entry of zone %s is known", zone)
+	}
+	began := e.timer.Now()
+	reply, err := e.askInTurn(ctx, members, d)
+	e.answered(ctx, e.sourceOf(members[0]), began, err)
+	return reply, trace.Wrap(err)
+}
+
+// membersOf are the entries of another zone that this one asks.
+func (e *Entry) membersOf(zone string) []ports.Member {
+	known := make(map[string]ports.Member)
+	var ids []string
 	for _, m := range e.members() {
-		if m.Zone != zone || m.Phase != ports.MemberAlive {
-			continue
+		if m.Zone == zone && m.Phase == ports.MemberAlive {
+			known[m.ID] = m
+			ids = append(ids, m.ID)
 		}
-		var reply ports.DemandReply
-		if reply, err = e.askDemand(ctx, m, d); err == nil {
-			return reply, nil
+	}
+	var members []ports.Member
+	for _, id := range member.Choose(ids, "ask/"+e.self.ID, demandAsks) {
+		members = append(members, known[id])
+	}
+	return members
+}
+
+// answer is what one entry said to a demand.
+type answer struct {
+	reply ports.DemandReply
+	err   error
+}
+
+// askInTurn returns the first answer of members, each of which is asked when the
+// one before has failed or kept silent for demandHedge.
+func (e *Entry) askInTurn(ctx context.Context, members []ports.Member, d ports.Demand) (ports.DemandReply, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan answer, len(members))
+	late := make(chan struct{}, 1)
+	defer e.timer.After(demandHedge, func() { late <- struct{}{} })()
+	asked := 0
+	ask := func() {
+		if asked == len(members) {
+			return
+		}
+		m := members[asked]
+		asked++
+		go func() {
+			reply, err := e.askDemand(ctx, m, d)
+			answers <- answer{reply, err}
+		}()
+	}
+	ask()
+	for failed := 0; ; {
+		select {
+		case <-late:
+			ask()
+		case a := <-answers:
+			if a.err == nil {
+				return a.reply, nil
+			}
+			if failed++; failed == len(members) {
+				return ports.DemandReply{}, a.err
+			}
+			ask()
 		}
 	}
-	return ports.DemandReply{}, err
 }
 
 func (e *Entry) askDemand(ctx context.Context, m ports.Member, d ports.Demand) (ports.DemandReply, error) {
@@ -166,7 +273,7 @@
 }
 
 // zoneOrder are the zones with a living entry in the order in which they are
-// asked for a model.
+// asked for a model, doubtful ones last.
 func (e *Entry) zoneOrder(model string) []string {
 	zones := []string{e.self.Zone}
 	for _, m := range e.members() {
@@ -174,5 +281,7 @@
 			zones = append(zones, m.Zone)
 		}
 	}
-	return member.Choose(zones, "zones/"+model, len(zones))
+	return last(member.Choose(zones, "zones/"+model, len(zones)), func(zone string) bool {
+		return e.doubts.has(zonePrefix + zone)
+	})
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -57,6 +57,7 @@
 	warmup   warmup
 	told     told
 	pulls    pulls
+	doubts   *doubts
 
 	servers  []*listening
 	stopping atomic.Bool
@@ -130,6 +131,7 @@
 	e.kv = kvhttp.New(e.settings.Platform.URL, kvhttp.WithTimeout(e.settings.Platform.Timeout), kvhttp.WithTimer(e.timer))
 	e.engines = engine.New(engine.WithTimer(e.timer))
 	e.used = newUsedTargets()
+	e.doubts = newDoubts(e.timer)
 	e.probes = probe.NewEngines(e.engines, e.timer, nil)
 	e.services = probe.NewServices()
 	e.own = feed.New(e.self.Incarnation, e.timer)
