--- a/internal/coordination/owner/settings.go
+++ b/internal/coordination/owner/settings.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"cmp"
 	"time"
 
 	"chivecroft.example/chivecroft/internal/coordination/ports"
@@ -62,27 +63,20 @@
 )
 
 func (s Settings) withDefaults() Settings {
-	orElse(&s.ShardCount, 1)
-	orElse(&s.LeaseTTL, defaultLeaseTTL)
-	orElse(&s.LeaseMargin, s.LeaseTTL/10)
-	orElse(&s.Tick, defaultTick)
-	orElse(&s.ReportEvery, defaultReportEvery)
-	orElse(&s.ReportFast, defaultReportFast)
-	orElse(&s.OrderTransit, defaultOrderTransit)
-	orElse(&s.GoneAfter, defaultGoneAfter)
-	orElse(&s.PollEvery, defaultPollEvery)
-	orElse(&s.RebalanceAfter, defaultRebalanceAfter)
-	orElse(&s.StopWithin, defaultStopWithin)
-	orElse(&s.LedgerBuckets, defaultLedgerBuckets)
-	orElse(&s.StoreSlots, defaultStoreSlots)
-	orElse(&s.AdapterLoads, max(1, defaultAdapterLoads/s.ShardCount))
-	orElse(&s.DefaultMaxReplicas, defaultMaxReplicas)
+	s.ShardCount = cmp.Or(s.ShardCount, 1)
+	s.LeaseTTL = cmp.Or(s.LeaseTTL, defaultLeaseTTL)
+	s.LeaseMargin = cmp.Or(s.LeaseMargin, s.LeaseTTL/10)
+	s.Tick = cmp.Or(s.Tick, defaultTick)
+	s.ReportEvery = cmp.Or(s.ReportEvery, defaultReportEvery)
+	s.ReportFast = cmp.Or(s.ReportFast, defaultReportFast)
+	s.OrderTransit = cmp.Or(s.OrderTransit, defaultOrderTransit)
+	s.GoneAfter = cmp.Or(s.GoneAfter, defaultGoneAfter)
+	s.PollEvery = cmp.Or(s.PollEvery, defaultPollEvery)
+	s.RebalanceAfter = cmp.Or(s.RebalanceAfter, defaultRebalanceAfter)
+	s.StopWithin = cmp.Or(s.StopWithin, defaultStopWithin)
+	s.LedgerBuckets = cmp.Or(s.LedgerBuckets, defaultLedgerBuckets)
+	s.StoreSlots = cmp.Or(s.StoreSlots, defaultStoreSlots)
+	s.AdapterLoads = cmp.Or(s.AdapterLoads, max(1, defaultAdapterLoads/s.ShardCount))
+	s.DefaultMaxReplicas = cmp.Or(s.DefaultMaxReplicas, defaultMaxReplicas)
 	return s
 }
-
-func orElse[T comparable](value *T, fallback T) {
-	var zero T
-	if *value == zero {
-		*value = fallback
-	}
-}
