Wait for an adapter that was unloaded, also on the replica that lacked it

Cause: an engine that lacks an adapter answers noAdapter, which counted like a replica that is gone: the request never went to that replica again, and the replica was marked as failed. So far adapters stayed until their replica went. When one is unloaded to make room and the request is on its way already, its replica is often the only one of the model, and the request waited for another until its deadline passed.

noAdapter now has a mark of its own: the replica is tried again if there is no other, its standing stays as it was, and the retry costs no budget, as nothing ran.

Test: TestAdapterMadeRoom, seen failing with the refusal marked as Gone as before (504 deadline); it passes with the new mark. Ruled out: taking the adapter out of the entry's own row, which could hide an adapter that has come back since.

--- a/internal/transport/front/deps.go
+++ b/internal/transport/front/deps.go
@@ -50,8 +50,11 @@
 	NotRun bool
 	// Leaving tells that the target takes no new work.
 	Leaving bool
-	// Gone tells that the replica or adapter is not on the target any more.
+	// Gone tells that the replica is not on the target any more.
 	Gone bool
+	// NoAdapter tells that the replica lacks the adapter: one that was unloaded
+	// to make room, and may come back to the same replica.
+	NoAdapter bool
 	// Overloaded tells that the target has too much to do.
 	Overloaded bool
 	// Invalid tells that the target finds fault with the request itself.
--- a/internal/transport/front/generate.go
+++ b/internal/transport/front/generate.go
@@ -217,7 +217,7 @@
 		known = &CallError{Err: err}
 	}
 	g.finish(l, route.Result{
-		Failed: !known.Invalid && !known.Leaving, Overloaded: known.Overloaded, Leaving: known.Leaving,
+		Failed: !known.Invalid && !known.Leaving && !known.NoAdapter, Overloaded: known.Overloaded, Leaving: known.Leaving,
 	})
 	if known.Leaving || known.Gone {
 		g.gone = append(g.gone, l.choice.Replica.ID)
@@ -237,7 +237,7 @@
 	if len(g.touched) == 0 {
 		problem.NotRun, problem.OutcomeUnknown = true, false
 	}
-	problem.free = known.Leaving || known.Gone
+	problem.free = known.Leaving || known.Gone || known.NoAdapter
 	return problem
 }
 
--- a/internal/transport/front/silence_test.go
+++ b/internal/transport/front/silence_test.go
@@ -86,6 +86,38 @@
 	}
 }
 
+// TestAdapterMadeRoom has the only replica lack the adapter when the request
+// arrives: it waits for the adapter and is served there, at no cost to the
+// tenant's budget or the replica's standing.
+func TestAdapterMadeRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		row := replicaRow("r1", "menu", 9001)
+		row.Adapters = []string{"river"}
+		r := newRig(t, func(r *rig) {
+			r.engine.fault = func(_ netip.AddrPort, _ wire.GenerateRequest, index int) error {
+				if len(r.engine.sends()) > 1 || index >= 0 {
+					return nil
+				}
+				without := row
+				without.Adapters = nil
+				r.rows(2, without)
+				time.AfterFunc(time.Second, func() { r.rows(3, row) })
+				return &front.CallError{NotRun: true, NoAdapter: true, Reason: wire.ReasonNoAdapter}
+			}
+		})
+		defer r.driver.Stop()
+		r.rows(1, row)
+		start := time.Now()
+		resp := r.do("POST", "/v1/chat/completions", strings.Replace(tenTokens, `"menu"`, `"river"`, 1), "X-Deadline", "10s")
+		if body := text(t, resp); resp.StatusCode != http.StatusOK {
+			t.Fatalf("status %d: %s", resp.StatusCode, body)
+		}
+		if took := time.Since(start); took > 2*time.Second || len(r.engine.sends()) != 2 {
+			t.Errorf("took %v and %d sends", took, len(r.engine.sends()))
+		}
+	})
+}
+
 // TestThinkingModel lets a healthy model think for long before its first token:
 // its stream is not given up, and at most one more is begun.
 func TestThinkingModel(t *testing.T) {
--- a/internal/transport/probe/engines.go
+++ b/internal/transport/probe/engines.go
@@ -169,8 +169,10 @@
 	switch known.Reason {
 	case wire.ReasonLeaving:
 		out.Leaving = true
-	case wire.ReasonNoReplica, wire.ReasonNoAdapter:
+	case wire.ReasonNoReplica:
 		out.Gone = true
+	case wire.ReasonNoAdapter:
+		out.NoAdapter = true
 	case wire.ReasonInvalid:
 		out.Invalid = true
 	}
