Load cold models beside the weight store or where they are cached

Cause: the zone of a cold load followed from a hash of the model alone, so a third of the models had their home across the slow link from the weight store. A load there takes an hour or so at 30 Mbit/s, holds one of the store's four slots all that time, and is paid by volume.

Weighed: tiers of all zones in every summary (bytes all the time for cold starts that are rare); the store's zones first and nothing else (checkpoints cached across the link lie idle, though they load in a twentieth of the time). Taken: the demand says from where a load may come, and the zones are asked first for a cached checkpoint, then beside the store, and at last for a load over the link that ends before the callers' deadline. The order depends on model and members alone, so a burst still meets at one owner. While the store's region is cut off, who has nothing cached in reach is refused at once with Retry-After. Homes of models (minimum replicas, loads ahead of use) stand beside the store as well.

Set by [platform] storeRegion, [link] bitsPerSecond and share; without them nothing changes. An older release passes over the new field and loads as before; a newer one takes an older one's demand for cached checkpoints alone.

Seen failing: TestReachOfLoads without the owner's check (loads by an older release's demand, and one that ends too late); TestNoHourOverTheLink without the order of zones (504 after 29.8 s, 503 with Retry-After 10 at once with it); TestBurstBesideTheStore without the setting; TestColdLoadsKeepOffTheLink shows both ways in one run. TestFaults names the new section among those accepted.

--- /dev/null
+++ b/internal/coordination/link/link_test.go
@@ -0,0 +1,208 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/state/timer"
+)
+
+var start = time.Unix(1000, 0)
+
+// rate is what one entry may send a second in the tests.
+const rate = 100_000
+
+// newLink returns a link on which the entry may send rate bytes a second.
+func newLink() (*Link, *timer.Virtual) {
+	clock := timer.NewVirtual(start)
+	return New(Settings{BitsPerSecond: 8 * sides * rate, Share: 1}, clock), clock
+}
+
+func entryAt(id, zone, region string, phase ports.MemberPhase) ports.Member {
+	return ports.Member{ID: id, Zone: zone, Region: region, Phase: phase}
+}
+
+// TestSteps writes out whom an entry asks for a model.
+func TestSteps(t *testing.T) {
+	near := func(phase ports.MemberPhase) []ports.Member {
+		return []ports.Member{
+			entryAt("a1", "bul-a", "bulacan", phase), entryAt("b1", "bul-b", "bulacan", phase),
+			entryAt("p1", "pam-a", "pampanga", ports.MemberAlive),
+		}
+	}
+	far := near(ports.MemberAlive)[2]
+	for _, c := range []struct {
+		name, store string
+		members     []ports.Member
+		want        string
+	}{
+		{"no store region", "", near(ports.MemberAlive), "[{pam-a } {bul-a } {bul-b }]"},
+		{
+			"store in bulacan", "bulacan", near(ports.MemberAlive),
+			"[{pam-a cached} {bul-a cached} {bul-b cached} {bul-a } {bul-b } {pam-a across}]",
+		},
+		{
+			"store in pampanga", "pampanga", near(ports.MemberAlive),
+			"[{pam-a cached} {bul-a cached} {bul-b cached} {pam-a } {bul-a across} {bul-b across}]",
+		},
+		{"bulacan cut off", "bulacan", near(ports.MemberSilent), "[{pam-a cached}]"},
+		{"a store region without entries", "bulacan", near(ports.MemberAlive)[2:], "[{pam-a cached} {pam-a across}]"},
+	} {
+		got := fmt.Sprint(Steps("menu-7b", far, c.members, c.store))
+		if diff := cmp.Diff(c.want, got); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", c.name, diff)
+		}
+	}
+}
+
+// TestStepsMeet: every entry asks in the same order, whichever zone it is in.
+func TestStepsMeet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var members []ports.Member
+		for i := range rapid.IntRange(1, 8).Draw(t, "entries") {
+			zone := rapid.IntRange(0, 3).Draw(t, "zone")
+			members = append(members, entryAt(fmt.Sprint("e", i), fmt.Sprint("z", zone), fmt.Sprint("r", zone/2), ports.MemberAlive))
+		}
+		store := rapid.SampledFrom([]string{"", "r0", "r1"}).Draw(t, "store")
+		model := rapid.StringMatching("[a-z]{1,4}").Draw(t, "model")
+		want := Steps(model, members[0], members, store)
+		for _, m := range members {
+			if diff := cmp.Diff(want, Steps(model, m, members, store)); diff != "" {
+				t.Fatalf("%s asks in another order (-first +%s):\n%s", m.ID, m.ID, diff)
+			}
+		}
+	})
+}
+
+func TestSharers(t *testing.T) {
+	self := entryAt("a1", "bul-a", "bulacan", ports.MemberAlive)
+	members := []ports.Member{
+		self, entryAt("a2", "bul-a", "bulacan", ports.MemberAlive), entryAt("a3", "bul-a", "bulacan", ports.MemberSilent),
+		entryAt("b1", "bul-b", "bulacan", ports.MemberAlive), entryAt("p1", "pam-a", "pampanga", ports.MemberAlive),
+	}
+	// bul-b may have as many as bul-a, of which only a sample is known here.
+	if got := Sharers(self, members); got != 4 {
+		t.Errorf("%d entries share the link, want 4", got)
+	}
+}
+
+// TestNobodyIsStarved lets one tenant send bodies without end for a minute, beside
+// control traffic and chats of others: what the link carries stays within the
+// rate, control is never held up, and a chat finds the link open within 50 ms.
+func TestNobodyIsStarved(t *testing.T) {
+	const chunk, control, chat, span = 16 << 10, 5_000, 2_000, time.Minute
+	l, clock := newLink()
+	sent := make(map[string]int)
+	var bulk func()
+	bulk = func() {
+		l.Ask(Out, Deferrable, "greedy", chunk, func() {
+			sent["greedy"] += chunk
+			clock.After(0, bulk)
+		})
+	}
+	for range 100 {
+		bulk()
+	}
+	timer.Every(clock, time.Second, func() {
+		l.Spend(Out, control)
+		sent["control"] += control
+	})
+	var worst time.Duration
+	var begin func(since time.Time)
+	begin = func(since time.Time) {
+		if !l.Open(Interactive) {
+			clock.After(time.Millisecond, func() { begin(since) })
+			return
+		}
+		l.Spend(Out, chat)
+		sent["chats"] += chat
+		worst = max(worst, clock.Now().Sub(since))
+	}
+	timer.Every(clock, 100*time.Millisecond, func() { begin(clock.Now()) })
+	clock.Advance(span)
+	t.Logf("over %v: %v bytes, a chat waited %v at most", span, sent, worst)
+	if worst > 50*time.Millisecond {
+		t.Errorf("a chat waited %v for the link", worst)
+	}
+	total := sent["greedy"] + sent["control"] + sent["chats"]
+	if most := rate * (span + depthTime).Seconds(); float64(total) > most+chunk {
+		t.Errorf("%d bytes crossed, the rate allows %.0f", total, most)
+	}
+	if float64(total) < 0.9*rate*span.Seconds() {
+		t.Errorf("%d bytes crossed, less than nine tenths of what may", total)
+	}
+}
+
+// TestTenantsTakeTurns: of two tenants with bodies under way, one of which has
+// fifty and the other one, each gets half.
+func TestTenantsTakeTurns(t *testing.T) {
+	const chunk = 4 << 10
+	l, clock := newLink()
+	sent := make(map[string]int)
+	var body func(tenant string)
+	body = func(tenant string) {
+		l.Ask(Out, Deferrable, tenant, chunk, func() {
+			sent[tenant] += chunk
+			clock.After(0, func() { body(tenant) })
+		})
+	}
+	for range 50 {
+		body("many")
+	}
+	body("one")
+	clock.Advance(20 * time.Second)
+	if sent["one"]*2 < sent["many"] {
+		t.Errorf("one body got %d bytes, fifty of another tenant %d", sent["one"], sent["many"])
+	}
+}
+
+// TestOpensAgain: whoever was turned away hears when the link is open again.
+func TestOpensAgain(t *testing.T) {
+	l, clock := newLink()
+	var opened []time.Duration
+	l.Listen(func() { opened = append(opened, clock.Now().Sub(start)) })
+	l.Spend(In, 3*rate)
+	if l.Open(Interactive) || !l.Open(Control) {
+		t.Error("an overdrawn link takes new work, or holds up control")
+	}
+	clock.Advance(time.Minute)
+	if diff := cmp.Diff([]time.Duration{2*time.Second + time.Millisecond}, opened); diff != "" {
+		t.Errorf("opened (-want +got):\n%s", diff)
+	}
+	if !l.Open(Deferrable) {
+		t.Error("closed after a minute of rest")
+	}
+}
+
+// TestLeavesTheQueue: a body whose caller is gone takes nothing.
+func TestLeavesTheQueue(t *testing.T) {
+	l, clock := newLink()
+	l.Spend(Out, 2*rate)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := l.Acquire(ctx, Out, Interactive, "t", 1000); !errors.Is(err, context.Canceled) {
+		t.Errorf("error %v", err)
+	}
+	granted := false
+	l.Ask(Out, Interactive, "t", 1000, func() { granted = true })
+	clock.Advance(1100 * time.Millisecond)
+	if !granted {
+		t.Error("the next in line was not served")
+	}
+}
+
+// TestNoLimit: without a rate nothing waits.
+func TestNoLimit(t *testing.T) {
+	l := New(Settings{Share: 0.5}, timer.NewVirtual(start))
+	l.Spend(Out, 1<<40)
+	if err := l.Acquire(context.Background(), Out, Deferrable, "t", 1<<30); err != nil || !l.Open(Deferrable) {
+		t.Errorf("an unlimited link holds back: %v", err)
+	}
+}
--- a/internal/coordination/owner/demand.go
+++ b/internal/coordination/owner/demand.go
@@ -116,7 +116,11 @@
 	if r.isReady() {
 		return 0
 	}
-	return max(s.loadTime(r.Model)-s.now.Sub(r.decidedAt), minReadyIn)
+	in := s.loadTime(r.Model)
+	if r.FromStore {
+		in = s.fetchTime(r.Model)
+	}
+	return max(in-s.now.Sub(r.decidedAt), minReadyIn)
 }
 
 // minReadyIn is the estimate for a load that has taken longer than expected.
--- a/internal/coordination/owner/entry_test.go
+++ b/internal/coordination/owner/entry_test.go
@@ -59,7 +59,10 @@
 	e.loops, e.shards, e.stopped = nil, nil, 0
 	env := ports.Env{KV: e.gatedKV(), Engine: e.gatedEngine(), Peers: e.gatedPeers(), Timer: gatedTimer{e, e.incarnation}}
 	for n := range e.rig.size.shards {
-		shard := New(Settings{Self: e.member, Zone: e.member.Zone, Region: e.member.Region, Shard: n, ShardCount: e.rig.size.shards},
+		shard := New(Settings{
+			Self: e.member, Zone: e.member.Zone, Region: e.member.Region, Shard: n, ShardCount: e.rig.size.shards,
+			StoreRegion: e.rig.size.storeRegion, LinkBytesPerSecond: e.rig.size.linkBytes,
+		},
 			testPolicies(), rand.New(rand.NewPCG(e.rig.size.seed, uint64(len(e.rig.entries)*100+n))))
 		e.shards = append(e.shards, shard)
 		e.loops = append(e.loops, drive.NewLoop(shard, env, drive.WithListener(func(v any) { e.listen(n, v) })))
--- a/internal/coordination/owner/home.go
+++ b/internal/coordination/owner/home.go
@@ -48,12 +48,25 @@
 	}
 }
 
+// liveZones are the zones with living entries, those beside the weight store
+// alone if there are any: a home elsewhere would fetch its models over the link.
 func (s *Shard) liveZones() []string {
 	zones := map[string]bool{s.settings.Zone: true}
+	near := make(map[string]bool)
+	if s.settings.Region == s.settings.StoreRegion {
+		near[s.settings.Zone] = true
+	}
 	for _, m := range s.members {
-		if m.Phase == ports.MemberAlive {
-			zones[m.Zone] = true
+		if m.Phase != ports.MemberAlive {
+			continue
 		}
+		zones[m.Zone] = true
+		if m.Region == s.settings.StoreRegion {
+			near[m.Zone] = true
+		}
+	}
+	if len(near) > 0 && s.settings.StoreRegion != "" {
+		zones = near
 	}
 	return slices.Sorted(maps.Keys(zones))
 }
--- a/internal/coordination/owner/load.go
+++ b/internal/coordination/owner/load.go
@@ -106,6 +106,9 @@
 		if !t.isUsable(s.now, s.usableFor()) || (t.ignoresFence && !s.isSafe()) {
 			continue
 		}
+		if s.tier(t, name) == ports.TierRemote && !s.mayFetch(name) {
+			continue
+		}
 		v := policy.TargetView{Target: id, FreeBytes: t.free(), TotalBytes: t.state.MemoryBytes, Tier: s.tier(t, name)}
 		for _, rid := range t.replicaIDs() {
 			r := t.replicas[rid]
--- a/internal/coordination/owner/model.go
+++ b/internal/coordination/owner/model.go
@@ -31,6 +31,8 @@
 	refusedAt time.Time
 	// since is when the demand began that no load has been decided for.
 	since time.Time
+	// acrossUntil is until when callers allow a load over the link.
+	acrossUntil time.Time
 	// pressure measures the overload of the ready replicas.
 	pressure policy.Pressure
 }
@@ -74,6 +76,7 @@
 	clear(m.demands)
 	m.refused = ""
 	m.since = time.Time{}
+	m.acrossUntil = time.Time{}
 }
 
 func (m *model) waiting(now time.Time) (int, time.Time) {
@@ -99,6 +102,13 @@
 	if s.config != nil && s.unservable(d.Model, d.Adapter) != "" {
 		return
 	}
+	if s.stage == stageOwned && s.config != nil {
+		if reply, ok := s.beyond(d); ok {
+			s.asks = s.asks[:len(s.asks)-1]
+			s.note(DemandAnswered{ID: e.ID, Reply: reply})
+			return
+		}
+	}
 	m := s.model(d.Model)
 	s.touch(m)
 	if s.stage == stageOwned && d.Waiting > 0 {
--- /dev/null
+++ b/internal/coordination/owner/reach_test.go
@@ -0,0 +1,71 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"chivecroft.example/chivecroft/internal/coordination/ports"
+)
+
+// TestReachOfLoads: what a demand may have loaded beside the weight store and
+// across the link from it. A model takes 3 s from the store and 4 s over the
+// link, and 2 s are reckoned for its turn.
+func TestReachOfLoads(t *testing.T) {
+	t.Parallel()
+	notCached := ports.DemandReply{Status: ports.DemandElsewhere, Reason: "the checkpoint is not cached here"}
+	accepted := func(in time.Duration) ports.DemandReply {
+		return ports.DemandReply{Status: ports.DemandAccepted, ReadyIn: in}
+	}
+	for _, c := range []struct {
+		name, store string
+		load        ports.LoadReach
+		within      time.Duration
+		want        ports.DemandReply
+		loaded      int
+	}{
+		{"near, cached only", "region", ports.LoadCached, 10 * time.Second, notCached, 0},
+		{"near", "region", ports.LoadAnywhere, 10 * time.Second, accepted(3 * time.Second), 1},
+		{"far, cached only", "beyond", ports.LoadCached, 10 * time.Second, notCached, 0},
+		{"far, asked by an older release", "beyond", ports.LoadAnywhere, 10 * time.Second, notCached, 0},
+		{"far, in time", "beyond", ports.LoadAcross, 10 * time.Second, accepted(4 * time.Second), 1},
+		{"far, too late", "beyond", ports.LoadAcross, 5 * time.Second, ports.DemandReply{
+			Status: ports.DemandRefused, Reason: "a load over the link between regions would take 6s", RetryAfter: linkRetryAfter,
+		}, 0},
+	} {
+		r := newRig(rigSize{
+			zones: 1, entries: 1, targets: 1, shards: 1, memoryBytes: 10 * gib, models: 2, maxReplicas: 1,
+			latency: time.Millisecond, seed: 1, storeRegion: c.store, linkBytes: gib,
+		})
+		r.run(5 * time.Second)
+		id := r.demand(0, 0, ports.Demand{Model: "model-0", Waiting: 1, Within: c.within, From: "caller", Load: c.load})
+		r.run(2 * time.Second)
+		got := r.answers[id]
+		got.ReadyIn = got.ReadyIn.Round(time.Second)
+		if diff := cmp.Diff(c.want, got); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", c.name, diff)
+		}
+		r.run(8 * time.Second)
+		r.expectLoaded(t, map[string]int{"model-0": c.loaded})
+		r.mustHold(t)
+	}
+}
+
+// TestCachedLoadsCrossNothing: a checkpoint that a far target has cached is loaded
+// there for whoever asks.
+func TestCachedLoadsCrossNothing(t *testing.T) {
+	t.Parallel()
+	r := newRig(rigSize{
+		zones: 1, entries: 1, targets: 1, shards: 1, memoryBytes: 10 * gib, models: 1, maxReplicas: 1,
+		latency: time.Millisecond, seed: 1, storeRegion: "beyond", linkBytes: gib,
+	})
+	r.run(5 * time.Second)
+	r.demand(0, 0, ports.Demand{Model: "model-0", Waiting: 1, Within: 10 * time.Second, From: "caller", Load: ports.LoadAcross})
+	r.run(60 * time.Second)
+	r.expectLoaded(t, map[string]int{"model-0": 0})
+	r.demand(0, 0, ports.Demand{Model: "model-0", Waiting: 1, Within: time.Second, From: "caller", Load: ports.LoadCached})
+	r.run(5 * time.Second)
+	r.expectLoaded(t, map[string]int{"model-0": 1})
+	r.mustHold(t)
+}
--- a/internal/coordination/owner/rig_test.go
+++ b/internal/coordination/owner/rig_test.go
@@ -32,6 +32,10 @@
 	latency     time.Duration
 	listLag     time.Duration
 	seed        uint64
+	// storeRegion is the weight store's region, linkBytes what the link carries a
+	// second; all targets stand in "region".
+	storeRegion string
+	linkBytes   float64
 }
 
 // rig runs the shards of several entries in several zones on virtual time, and
--- a/internal/coordination/owner/settings.go
+++ b/internal/coordination/owner/settings.go
@@ -39,6 +39,11 @@
 	// StoreSlots is the number of concurrent loads, and of load starts a
 	// second, that the weight store allows in all.
 	StoreSlots int
+	// StoreRegion is where the weight store stands, empty if its distance does not
+	// matter; LinkBytesPerSecond is what a load from another region may use of the
+	// link, 0 for no limit.
+	StoreRegion        string
+	LinkBytesPerSecond float64
 	// AdapterLoads bounds the adapter loads in flight in the shard.
 	AdapterLoads int
 	// DefaultMaxReplicas is the maximum of a model without a rule.
--- a/internal/coordination/ports/peer.go
+++ b/internal/coordination/ports/peer.go
@@ -84,8 +84,23 @@
 	Within time.Duration
 	From   string
 	Zone   string
+	// Load bounds the load that the demand may begin.
+	Load LoadReach
 }
 
+// LoadReach says from where a demand may have a model loaded.
+type LoadReach string
+
+// The reaches of a load.
+const (
+	// LoadAnywhere allows every load that does not cross the link between regions.
+	LoadAnywhere LoadReach = ""
+	// LoadCached allows a load where the checkpoint is cached in memory or on disk.
+	LoadCached LoadReach = "cached"
+	// LoadAcross allows a load over the link as well, if it ends in time.
+	LoadAcross LoadReach = "across"
+)
+
 // DemandStatus says what became of a demand.
 type DemandStatus string
 
--- /dev/null
+++ b/internal/demo/link_test.go
@@ -0,0 +1,116 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// linkShape is a deployment of two regions, whose store stands in the first.
+func linkShape(nearTargets int, settings string) Shape {
+	return Shape{
+		Zones: []Zone{
+			{Name: "bul-a", Region: "bulacan", Entries: 3, Targets: nearTargets, Services: 1},
+			{Name: "bul-b", Region: "bulacan", Entries: 3, Targets: nearTargets, Services: 1},
+			{Name: "pam-a", Region: "pampanga", Entries: 2, Targets: 2, Services: 1},
+		},
+		ModelService: "supper-assist", PlainService: "ticket-desk", Settings: settings,
+		MemoryBytes: 80 << 30, LoadTime: time.Second, FirstDelay: 5 * time.Millisecond, TokenDelay: time.Millisecond,
+	}
+}
+
+func deployLink(t *testing.T, shape Shape) *session {
+	t.Helper()
+	d, err := Deploy(context.Background(), shape)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	s := newSession(d)
+	if _, err := s.patch(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// TestBurstBesideTheStore sends the first requests for two models to all entries
+// at once: each model is loaded once, on a target of the store's region.
+func TestBurstBesideTheStore(t *testing.T) {
+	for _, region := range []string{"bulacan", "pampanga"} {
+		s := deployLink(t, linkShape(2, "storeRegion = "+region))
+		var burst sync.WaitGroup
+		for n := range s.deployment.Entries {
+			for _, model := range []string{"menu-7b", "banquet-70b"} {
+				burst.Add(1)
+				go func() {
+					defer burst.Done()
+					if status, _, text := ask(t, s, n, model); status != http.StatusOK {
+						t.Errorf("entry %d: status %d: %s", n, status, text)
+					}
+				}()
+			}
+		}
+		burst.Wait()
+		loads := make(map[string]int)
+		for _, target := range s.deployment.Targets {
+			for model, n := range target.Engine().Record().Loads {
+				loads[model] += n
+				if inPampanga := strings.HasPrefix(target.Engine().State().ID, "pam"); inPampanga != (region == "pampanga") {
+					t.Errorf("store in %s: %s was loaded on %s", region, model, target.Engine().State().ID)
+				}
+			}
+		}
+		if loads["menu-7b"] != 1 || loads["banquet-70b"] != 1 {
+			t.Errorf("store in %s: loads %v for one burst", region, loads)
+		}
+	}
+}
+
+// TestNoHourOverTheLink: where only targets across the link could load the model,
+// and 16 GB would cross it for more than an hour, callers hear so at once and when
+// to come back, and nothing is loaded.
+func TestNoHourOverTheLink(t *testing.T) {
+	s := deployLink(t, linkShape(0, "storeRegion = bulacan\n[link]\nbitsPerSecond = 30000000"))
+	for _, n := range []int{0, len(s.deployment.Entries) - 1} {
+		began := time.Now()
+		status, header, text := ask(t, s, n, "menu-7b")
+		var problem struct {
+			Reason, Detail string
+			NotRun         bool
+		}
+		if err := json.Unmarshal([]byte(text), &problem); err != nil {
+			t.Fatalf("entry %d: %v: %s", n, err, text)
+		}
+		if status != http.StatusServiceUnavailable || problem.Reason != "noReplica" || !problem.NotRun || header.Get("Retry-After") != "10" {
+			t.Errorf("entry %d: status %d, Retry-After %q: %s", n, status, header.Get("Retry-After"), text)
+		}
+		if took := time.Since(began); took > 5*time.Second {
+			t.Errorf("entry %d: refused after %v", n, took)
+		}
+	}
+	for _, target := range s.deployment.Targets {
+		if loads := target.Engine().Record().Loads; len(loads) > 0 {
+			t.Errorf("loads %v on %s", loads, target.Engine().State().ID)
+		}
+	}
+}
+
+func ask(t *testing.T, s *session, n int, model string) (int, http.Header, string) {
+	body := `{"model":"` + model + `","messages":[{"role":"user","content":"seats"}]}`
+	resp, err := s.do(context.Background(), n, http.MethodPost, "/v1/chat/completions", body, nil)
+	if err != nil {
+		t.Error(err)
+		return 0, nil, ""
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Error(err)
+	}
+	return resp.StatusCode, resp.Header, string(text)
+}
--- a/internal/entry/demand.go
+++ b/internal/entry/demand.go
@@ -6,6 +6,7 @@
 
 	"github.com/gravitational/trace"
 
+	"chivecroft.example/chivecroft/internal/coordination/link"
 	"chivecroft.example/chivecroft/internal/coordination/member"
 	"chivecroft.example/chivecroft/internal/coordination/owner"
 	"chivecroft.example/chivecroft/internal/coordination/permit"
@@ -13,9 +14,10 @@
 )
 
 // demand finds the shard that can load a model. The zones are asked in an order
-// that depends on the model alone, so that a burst of first requests at entries
-// of all zones meets at one owner and makes one load; a zone that does not
-// answer or has no place is passed over.
+// that depends on the model and the members alone, so that a burst of first
+// requests at entries of all zones meets at one owner and makes one load; a zone
+// that does not answer or has no place is passed over. Zones that would fetch
+// the checkpoint over the link between regions come last (link.Steps).
 //
 // For example the zones of menu-7b may be pam-a, bul-a, bul-b. Eight entries
 // that get its first requests at once all ask pam-a. While pam-a is cut off, the
@@ -27,8 +29,9 @@
 	var best ports.DemandReply
 	var failed error
 	answered := false
-	for _, zone := range e.zoneOrder(d.Model) {
-		reply, err := e.demandIn(ctx, zone, d)
+	for _, step := range link.Steps(d.Model, e.self, e.members(), e.settings.Platform.StoreRegion) {
+		d.Load = step.Load
+		reply, err := e.demandIn(ctx, step.Zone, d)
 		if err != nil {
 			failed = err
 			continue
@@ -42,7 +45,7 @@
 	if !answered {
 		return best, trace.Wrap(failed)
 	}
-	return best, nil
+	return link.OrCutOff(best, e.self, e.members(), e.settings.Platform.StoreRegion), nil
 }
 
 // demandIn asks the shards of one zone.
@@ -164,15 +167,3 @@
 	defer e.parts.mu.Unlock()
 	return e.parts.owned[shard]
 }
-
-// zoneOrder are the zones with a living entry in the order in which they are
-// asked for a model.
-func (e *Entry) zoneOrder(model string) []string {
-	zones := []string{e.self.Zone}
-	for _, m := range e.members() {
-		if m.Phase == ports.MemberAlive && !slices.Contains(zones, m.Zone) {
-			zones = append(zones, m.Zone)
-		}
-	}
-	return member.Choose(zones, "zones/"+model, len(zones))
-}
--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -9,6 +9,7 @@
 
 	"chivecroft.example/chivecroft/internal/coordination/daily"
 	"chivecroft.example/chivecroft/internal/coordination/drive"
+	"chivecroft.example/chivecroft/internal/coordination/link"
 	"chivecroft.example/chivecroft/internal/coordination/member"
 	"chivecroft.example/chivecroft/internal/coordination/once"
 	"chivecroft.example/chivecroft/internal/coordination/owner"
@@ -137,9 +138,16 @@
 		ReportEvery:  e.settings.Platform.ReportInterval,
 		StoreSlots:   e.settings.Platform.StoreSlots,
 		AdapterLoads: max(1, e.settings.Platform.AdapterLoads/e.settings.Control.Shards),
+		StoreRegion:  e.settings.Platform.StoreRegion,
+
+		LinkBytesPerSecond: e.linkSettings().BytesPerSecond(),
 	}
 }
 
+func (e *Entry) linkSettings() link.Settings {
+	return link.Settings{BitsPerSecond: e.settings.Link.BitsPerSecond, Share: e.settings.Link.Share}
+}
+
 func (p *parts) start() {
 	p.members.Post(member.Start{})
 	p.relay.Post(relay.Start{})
--- a/internal/params/fields.go
+++ b/internal/params/fields.go
@@ -49,7 +49,7 @@
 
 // fields are the keys of the file, in the order in which faults are reported.
 var fields = slices.Concat(entryFields, listenerFields("callers", callers), operatorFields,
-	listenerFields("peers", peers), seedFields, platformFields, controlFields, policyFields, requestFields, logFields)
+	listenerFields("peers", peers), seedFields, platformFields, linkFields, controlFields, policyFields, requestFields, logFields)
 
 func callers(s *Settings) *Listener   { return &s.Callers }
 func peers(s *Settings) *Listener     { return &s.Peers }
@@ -127,6 +127,26 @@
 		func(s *Settings) *time.Duration { return &s.Platform.ReportInterval }),
 	intField("platform", "storeLoads", "4", bounds[int]{1, 1000}, func(s *Settings) *int { return &s.Platform.StoreSlots }),
 	intField("platform", "adapterLoads", "30", bounds[int]{1, 10_000}, func(s *Settings) *int { return &s.Platform.AdapterLoads }),
+	optionalName("platform", "storeRegion", func(s *Settings) *string { return &s.Platform.StoreRegion }),
+}
+
+// Bounds of what a link carries.
+const (
+	minLinkBits = 100_000
+	maxLinkBits = 1_000_000_000_000
+)
+
+var linkFields = []field{
+	{
+		section: "link", key: "bitsPerSecond", accepts: fmt.Sprintf("a whole number from %d to %d", minLinkBits, maxLinkBits),
+		set: func(s *Settings, v string) (err error) {
+			if s.Link.BitsPerSecond, err = strconv.ParseInt(v, 10, 64); err != nil {
+				return err
+			}
+			return bounds[int64]{minLinkBits, maxLinkBits}.check(s.Link.BitsPerSecond)
+		},
+	},
+	floatField("link", "share", "0.5", bounds[float64]{0.01, 1}, func(s *Settings) *float64 { return &s.Link.Share }),
 }
 
 var controlFields = []field{
@@ -210,6 +230,12 @@
 	}
 }
 
+func optionalName(section, key string, of func(*Settings) *string) field {
+	f := nameField(section, key, of)
+	f.required = false
+	return f
+}
+
 func textField(section, key, accepts string, of func(*Settings) *string) field {
 	return field{section: section, key: key, accepts: accepts, set: func(s *Settings, v string) error {
 		*of(s) = v
--- a/internal/params/read_test.go
+++ b/internal/params/read_test.go
@@ -55,7 +55,7 @@
 			`e.ini: [peers] liste = "1": unknown key; accepted: listen, advertise, tlsCert, tlsKey, tlsCA, seeds`,
 		}},
 		{"unknown section", "[peers]\n", "[pears]\nlisten = 1\n[peers]\n", []string{
-			"e.ini: [pears]: unknown section; accepted: entry, callers, operators, peers, platform, control, policy, requests, log",
+			"e.ini: [pears]: unknown section; accepted: entry, callers, operators, peers, platform, link, control, policy, requests, log",
 		}},
 		{"key twice", "[peers]\n", "[peers]\nlisten = 127.0.0.1:8083\n", []string{
 			`e.ini: [peers] listen = "127.0.0.1:8083 and 127.0.0.1:8082": given twice; accepted: one value`,
@@ -70,6 +70,13 @@
 		{"out of range", "url = ", "storeLoads = 0\nurl = ", []string{
 			`e.ini: [platform] storeLoads = "0": out of range; accepted: a whole number from 1 to 1000`,
 		}},
+		{"store's region", "url = ", "storeRegion = The Store\nurl = ", []string{
+			`e.ini: [platform] storeRegion = "The Store": not a name; accepted: ` + name,
+		}},
+		{"link without a rate", "[peers]", "[link]\nbitsPerSecond = 30\nshare = 2\n[peers]", []string{
+			`e.ini: [link] bitsPerSecond = "30": out of range; accepted: a whole number from 100000 to 1000000000000`,
+			`e.ini: [link] share = "2": out of range; accepted: a number from 0.01 to 1`,
+		}},
 		{"plain key", "0000000000000000000000000000000000000000000000000000000000000000", "secret", []string{
 			`e.ini: [operators] keyHashes = "secret": "secret" is no such sum; accepted: ` + hashAccepts,
 		}},
--- a/internal/params/settings.go
+++ b/internal/params/settings.go
@@ -14,6 +14,7 @@
 	// Seeds are peers to ask for members while the instance list is not there.
 	Seeds    []netip.AddrPort
 	Platform Platform
+	Link     Link
 	Control  Control
 	Policy   Policy
 	Requests Requests
@@ -65,6 +66,17 @@
 	AdapterLoads   int
 	LeaseTTL       time.Duration
 	ReportInterval time.Duration
+	// StoreRegion is where the weight store stands, empty if it is equally far
+	// from everywhere.
+	StoreRegion string
+}
+
+// Link says what the entries may use of the link between regions.
+type Link struct {
+	// BitsPerSecond is what each direction carries, 0 for no limit.
+	BitsPerSecond int64
+	// Share is the part of it that the entries of all regions may use together.
+	Share float64
 }
 
 // Control is the size of a zone's control.
--- a/internal/protocol/codec/codec_test.go
+++ b/internal/protocol/codec/codec_test.go
@@ -100,7 +100,7 @@
 		demand := ports.Demand{
 			Model: names.Draw(t, "model"), Adapter: names.Draw(t, "adapter"), Class: config.ClassDeferrable,
 			Waiting: rapid.IntRange(0, 1000).Draw(t, "waiting"), Within: durations.Draw(t, "within"),
-			From: names.Draw(t, "from"), Zone: names.Draw(t, "zone"),
+			From: names.Draw(t, "from"), Zone: names.Draw(t, "zone"), Load: ports.LoadAcross,
 		}
 		var q peerv1.DemandRequest
 		travel(t, EncodeDemand(demand), &q)
--- a/internal/protocol/codec/table.go
+++ b/internal/protocol/codec/table.go
@@ -21,6 +21,7 @@
 		Within:  durationpb.New(d.Within),
 		From:    d.From,
 		Zone:    d.Zone,
+		Load:    string(d.Load),
 	}
 }
 
@@ -34,6 +35,7 @@
 		Within:  in.GetWithin().AsDuration(),
 		From:    in.GetFrom(),
 		Zone:    in.GetZone(),
+		Load:    ports.LoadReach(in.GetLoad()),
 	}
 }
 
--- a/internal/shell/commands.go
+++ b/internal/shell/commands.go
@@ -39,9 +39,10 @@
 
 // BenchCmd are the measurements.
 type BenchCmd struct {
-	Run    bench.Cmd `cmd:"" default:"withargs" help:"Play load and faults against a deployment, its own or a running one."`
-	Policy vday.Cmd  `cmd:"" help:"Compare the policies over days of load on virtual time."`
-	Slopes slope.Cmd `cmd:"" help:"Measure how control grows and work out the target size."`
+	Run    bench.Cmd    `cmd:"" default:"withargs" help:"Play load and faults against a deployment, its own or a running one."`
+	Policy vday.Cmd     `cmd:"" help:"Compare the policies over days of load on virtual time."`
+	Slopes slope.Cmd    `cmd:"" help:"Measure how control grows and work out the target size."`
+	Link   vday.LinkCmd `cmd:"" help:"Compare where cold models are loaded, with the link between regions known and not."`
 }
 
 // BeforeApply lets the load tool start a deployment of its own.
