Count what crosses between regions

Cause: the peer protocol's counter knew no regions, and what callers' traffic takes of the paid link was counted nowhere.

chivecroft.link.io counts bytes by region, kind (control, model, service) and direction on the connections that an entry opened, so each byte is counted at one entry. The platform's region is not known to an entry; its bytes stand there with region "platform" and kind "kv". Ruled out: counting accepted connections as well, whose remote port tells no region and whose bytes the other side has counted.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,6 +14,7 @@
 	"chivecroft.example/chivecroft/internal/coordination/await"
 	"chivecroft.example/chivecroft/internal/coordination/daily"
 	"chivecroft.example/chivecroft/internal/coordination/feed"
+	"chivecroft.example/chivecroft/internal/coordination/link"
 	"chivecroft.example/chivecroft/internal/coordination/once"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 	"chivecroft.example/chivecroft/internal/coordination/route"
@@ -46,6 +47,7 @@
 	table    *route.Table
 	room     *await.Room
 	limits   *admit.Limits
+	link     *link.Link
 	claims   *once.Driver
 	recorder *daily.Recorder
 	writer   *daily.Writer
@@ -74,6 +76,7 @@
 	members atomic.Pointer[[]ports.Member]
 	// targets are the listed model targets of the own zone.
 	targets atomic.Pointer[[]ports.Instance]
+	regions atomic.Pointer[regions]
 }
 
 // Option changes an Entry under construction.
@@ -123,15 +126,17 @@
 	if e.meter, err = meter.New(e.self.ID, e.self.Zone); err != nil {
 		return trace.Wrap(err)
 	}
+	e.link = link.New(e.linkSettings(), e.timer)
 	if e.peers, err = e.newPeers(); err != nil {
 		return trace.Wrap(err)
 	}
 	random := rand.New(rand.NewPCG(e.self.Incarnation, 1))
-	e.kv = kvhttp.New(e.settings.Platform.URL, kvhttp.WithTimeout(e.settings.Platform.Timeout), kvhttp.WithTimer(e.timer))
-	e.engines = engine.New(engine.WithTimer(e.timer))
+	e.kv = kvhttp.New(e.settings.Platform.URL, kvhttp.WithTimeout(e.settings.Platform.Timeout), kvhttp.WithTimer(e.timer),
+		kvhttp.WithWatch(e.watchPlatform))
+	e.engines = engine.New(engine.WithTimer(e.timer), engine.WithWatch(e.watchLink(kindModel)))
 	e.used = newUsedTargets()
 	e.probes = probe.NewEngines(e.engines, e.timer, nil)
-	e.services = probe.NewServices()
+	e.services = probe.NewServices(probe.WithWatch(e.watchLink(kindService)))
 	e.own = feed.New(e.self.Incarnation, e.timer)
 	e.zone = feed.NewUnion(feed.New(e.self.Incarnation, e.timer))
 	e.recorder = daily.NewRecorder(e.timer, e.settings.Entry.Location)
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -45,6 +45,7 @@
 		}
 	}
 	e.view.targets.Store(&targets)
+	e.learnRegions(rows, e.members())
 	e.told.keep(e.listedTarget)
 	e.table.ApplyInstances(rows)
 	e.warmup.sawList()
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -115,13 +115,13 @@
 
 func (e *Entry) newPeers() (*peer.Client, error) {
 	if !e.settings.Peers.TLS() {
-		return peer.NewClient(peer.WithCounter(e.countPeers)), nil
+		return peer.NewClient(peer.WithCounter(e.countPeers), peer.WithWatch(e.watchLink(kindControl))), nil
 	}
 	files, err := e.files(ListenerPeers, e.settings.Peers)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return peer.NewClient(peer.WithTLS(files.Client()), peer.WithCounter(e.countPeers)), nil
+	return peer.NewClient(peer.WithTLS(files.Client()), peer.WithCounter(e.countPeers), peer.WithWatch(e.watchLink(kindControl))), nil
 }
 
 // countPeers counts the bytes of the peer protocol.
--- a/internal/transport/engine/client.go
+++ b/internal/transport/engine/client.go
@@ -63,6 +63,11 @@
 	return func(c *Client) { c.timer = t }
 }
 
+// WithWatch has the bytes of the connections counted.
+func WithWatch(watch gate.Watch) Option {
+	return func(c *Client) { c.dialer = gate.NewDialer(gate.WithWatch(watch)) }
+}
+
 // WithOrderLimit bounds the orders in flight; more end as unsent.
 func WithOrderLimit(n int) Option {
 	return func(c *Client) { c.orders = make(chan struct{}, n) }
--- a/internal/transport/gate/dialer.go
+++ b/internal/transport/gate/dialer.go
@@ -23,17 +23,30 @@
 // Dialer opens the connections of one transport and knows which are open.
 type Dialer struct {
 	dialer net.Dialer
+	watch  Watch
 
 	mu    sync.Mutex
 	conns map[string]map[*conn]struct{}
 }
 
+// Option changes a Dialer under construction.
+type Option func(*Dialer)
+
+// WithWatch has the bytes of the connections counted.
+func WithWatch(watch Watch) Option {
+	return func(d *Dialer) { d.watch = watch }
+}
+
 // NewDialer returns a dialer without connections.
-func NewDialer() *Dialer {
-	return &Dialer{
+func NewDialer(opts ...Option) *Dialer {
+	d := &Dialer{
 		dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod},
 		conns:  make(map[string]map[*conn]struct{}),
 	}
+	for _, opt := range opts {
+		opt(d)
+	}
+	return d
 }
 
 // Transport returns an HTTP/1 transport over the dialer; config may be nil.
@@ -62,7 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: raw, forget: func(c *conn) { d.forget(address, c) }}
+	c := &conn{Conn: d.watch.Watched(raw, address), forget: func(c *conn) { d.forget(address, c) }}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.conns[address] == nil {
--- a/internal/transport/kvhttp/client.go
+++ b/internal/transport/kvhttp/client.go
@@ -78,6 +78,11 @@
 	return func(c *Client) { c.timer = t }
 }
 
+// WithWatch has the bytes of the connections counted.
+func WithWatch(watch gate.Watch) Option {
+	return func(c *Client) { c.dialer = gate.NewDialer(gate.WithWatch(watch)) }
+}
+
 // WithLimits bounds the calls and the watches in flight; more are refused as
 // unavailable.
 func WithLimits(calls, watches int) Option {
--- a/internal/transport/meter/create.go
+++ b/internal/transport/meter/create.go
@@ -21,6 +21,7 @@
 	m.refusals = c.counter("chivecroft.requests.refused", "{request}", "Refusals by reason.")
 	m.kvCalls = c.counter("chivecroft.kv.calls", "{call}", "Calls of the key-value service.")
 	m.control = c.counter("chivecroft.control.io", "By", "Control traffic between instances.")
+	m.link = c.counter("chivecroft.link.io", "By", "Traffic with another region on connections that this entry opened, and with the platform.")
 	m.loads = c.counter("chivecroft.loads", "{load}", "Ended loads of models.")
 	m.idle = c.seconds("chivecroft.accelerator.idle.time", "Time for which accelerators were held by idle replicas.")
 	return trace.NewAggregate(c.errs...)
--- a/internal/transport/meter/meter.go
+++ b/internal/transport/meter/meter.go
@@ -26,6 +26,7 @@
 	defaultModels  = 100
 	defaultReasons = 30
 	maxServices    = 50
+	maxRegions     = 20
 )
 
 // Bounds of the histograms' buckets in seconds.
@@ -67,6 +68,7 @@
 	reasons  *labels
 	// operations and messages are few, but come from callers of this package.
 	operations, messages *labels
+	regions              *labels
 	// calls holds the attributes of the calls whose labels are their own, since
 	// to sort and hash them anew for every token costs more than to count.
 	calls *shard.Map[Call, metric.MeasurementOption]
@@ -79,6 +81,7 @@
 	refusals   metric.Int64Counter
 	kvCalls    metric.Int64Counter
 	control    metric.Int64Counter
+	link       metric.Int64Counter
 	loads      metric.Int64Counter
 	idle       metric.Float64Counter
 }
@@ -104,6 +107,7 @@
 		reasons:    newLabels(defaultReasons),
 		operations: newLabels(defaultReasons),
 		messages:   newLabels(defaultReasons),
+		regions:    newLabels(maxRegions),
 		calls:      shard.NewMap[Call, metric.MeasurementOption](),
 	}
 	if err := m.create(); err != nil {
@@ -165,16 +169,29 @@
 
 // ControlBytes counts bytes of control traffic by kind of message and direction.
 func (m *Meter) ControlBytes(kind string, sent bool, n int) {
-	direction := "receive"
-	if sent {
-		direction = "transmit"
-	}
 	m.control.Add(context.Background(), int64(n), metric.WithAttributes(
 		attribute.String("chivecroft.message", m.messages.admit(kind)),
-		attribute.String("network.io.direction", direction),
+		direction(sent),
+	))
+}
+
+// LinkBytes counts bytes that went to or came from another region, by kind of
+// traffic and direction.
+func (m *Meter) LinkBytes(region, kind string, sent bool, n int) {
+	m.link.Add(context.Background(), int64(n), metric.WithAttributes(
+		attribute.String("chivecroft.region", m.regions.admit(region)),
+		attribute.String("chivecroft.kind", m.messages.admit(kind)),
+		direction(sent),
 	))
 }
 
+func direction(sent bool) attribute.KeyValue {
+	if sent {
+		return attribute.String("network.io.direction", "transmit")
+	}
+	return attribute.String("network.io.direction", "receive")
+}
+
 // Load counts an ended load of a model.
 func (m *Meter) Load(model string, tier ports.Tier, ok bool) {
 	m.loads.Add(context.Background(), 1, metric.WithAttributes(
--- a/internal/transport/meter/meter_test.go
+++ b/internal/transport/meter/meter_test.go
@@ -53,6 +53,7 @@
 	m.Refused(call, "deadline", true)
 	m.KVCall("put", ports.KVConflict)
 	m.ControlBytes("gossip", true, 120)
+	m.LinkBytes("pampanga", "service", false, 7)
 	m.Load("menu", ports.TierDisk, false)
 	m.IdleAccelerator("menu", 90*time.Second)
 	labels := `{chivecroft_class="interactive",chivecroft_service="assist",chivecroft_tenant="desk"`
@@ -65,6 +66,7 @@
 		{"requests_refused", `chivecroft_requests_refused_total{chivecroft_class="interactive",chivecroft_not_run="true",chivecroft_service="assist",chivecroft_tenant="desk",error_type="deadline"} 1`},
 		{"kv_calls", `chivecroft_kv_calls_total{db_operation_name="put",db_response_status_code="conflict"} 1`},
 		{"control_io", `chivecroft_control_io_bytes_total{chivecroft_message="gossip",network_io_direction="transmit"} 120`},
+		{"link_io", `chivecroft_link_io_bytes_total{chivecroft_kind="service",chivecroft_region="pampanga",network_io_direction="receive"} 7`},
 		{"chivecroft_loads", `chivecroft_loads_total{chivecroft_outcome="failed",chivecroft_tier="disk",gen_ai_request_model="menu"} 1`},
 		{"accelerator_idle", `chivecroft_accelerator_idle_time_seconds_total{gen_ai_request_model="menu"} 90`},
 	}
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -15,6 +15,7 @@
 	"chivecroft.example/chivecroft/api/peer/v1/peerv1connect"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 	"chivecroft.example/chivecroft/internal/protocol/codec"
+	"chivecroft.example/chivecroft/internal/transport/gate"
 )
 
 // Defaults of a Client.
@@ -34,6 +35,7 @@
 	tls     *tls.Config
 	timeout time.Duration
 	count   Counter
+	watch   gate.Watch
 
 	mu    sync.Mutex
 	links map[netip.AddrPort]*link
@@ -63,6 +65,11 @@
 	return func(c *Client) { c.count = count }
 }
 
+// WithWatch has the bytes of the connections counted by peer.
+func WithWatch(watch gate.Watch) Option {
+	return func(c *Client) { c.watch = watch }
+}
+
 // NewClient returns a client of the peer protocol.
 func NewClient(opts ...Option) *Client {
 	c := &Client{timeout: defaultTimeout, count: func(bool, int) {}, links: make(map[netip.AddrPort]*link)}
@@ -127,7 +134,7 @@
 		scheme = "https"
 	}
 	pool := &http.Transport{
-		DialContext:         dialCounted(c.count),
+		DialContext:         dialCounted(c.count, c.watch),
 		IdleConnTimeout:     idleConnTimeout,
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		TLSClientConfig:     c.tls,
--- a/internal/transport/peer/count.go
+++ b/internal/transport/peer/count.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+
+	"chivecroft.example/chivecroft/internal/transport/gate"
 )
 
 // Counter hears of bytes that went over the peer protocol's connections, with
@@ -50,13 +52,13 @@
 }
 
 // dialCounted dials connections whose bytes are counted.
-func dialCounted(count Counter) func(ctx context.Context, network, address string) (net.Conn, error) {
+func dialCounted(count Counter, watch gate.Watch) func(ctx context.Context, network, address string) (net.Conn, error) {
 	var dialer net.Dialer
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return countedConn{Conn: conn, count: count}, nil
+		return countedConn{Conn: watch.Watched(conn, address), count: count}, nil
 	}
 }
--- a/internal/transport/probe/services.go
+++ b/internal/transport/probe/services.go
@@ -34,11 +34,25 @@
 	kept   *http.Transport
 	fresh  *http.Transport
 	checks *shard.Map[string, time.Time]
+	watch  gate.Watch
+}
+
+// Option changes Services under construction.
+type Option func(*Services)
+
+// WithWatch has the bytes of the connections counted.
+func WithWatch(watch gate.Watch) Option {
+	return func(s *Services) { s.watch = watch }
 }
 
 // NewServices returns services without connections.
-func NewServices() *Services {
-	s := &Services{dialer: gate.NewDialer(), fresh: newTransport(), checks: shard.NewMap[string, time.Time]()}
+func NewServices(opts ...Option) *Services {
+	s := &Services{checks: shard.NewMap[string, time.Time]()}
+	for _, opt := range opts {
+		opt(s)
+	}
+	s.dialer = gate.NewDialer(gate.WithWatch(s.watch))
+	s.fresh = gate.NewDialer(gate.WithWatch(s.watch)).Transport(nil)
 	s.kept = s.dialer.Transport(nil)
 	s.kept.MaxIdleConnsPerHost = idlePerInstance
 	s.kept.IdleConnTimeout = idleMost
