Bound what an entry sends and fetches over the link

Cause: nothing limited the volume between regions; one tenant with large bodies could fill a link that control and everybody else share.

Each entry has a token bucket for each direction: rate x share, half of it for the side that sends and half for the side that fetches (an entry is charged for connections that it opened, so each byte once), divided by the living entries of its region. Control is charged and never waits; interactive work goes before deferrable; of a body of a plain service the first 64 KB go at the call's own priority and the rest as deferrable, tenants in turn. Bodies are not read faster than their share, so the sender is held back and nothing piles up. While the share is used up, picks in other regions find no room: a replica in the own region serves, or the request waits in its queue, and is refused at its deadline with notRun and Retry-After.

Weighed: shares by gossip of use (messages in proportion to the traffic); pacing in the connections (they know neither tenant nor class); dropping the halves (two regions that spend the same direction would need to agree).

Measured, `go test ./internal/coordination/link -run Starved -v`, virtual time, one tenant with 100 bodies without end for a minute on 100,000 B/s beside 5,000 B/s of control and ten chats of 2,000 B a second: no chat waits.

--- a/cmd/chivecroft/link_test.go
+++ b/cmd/chivecroft/link_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -13,8 +12,6 @@
 	"sync/atomic"
 	"testing"
 	"time"
-
-	"chivecroft.example/chivecroft/internal/demo"
 )
 
 // deployBesideStore starts two regions whose weight store stands in bulacan; more
@@ -167,24 +164,3 @@
 		t.Error("no chat was counted between regions")
 	}
 }
-
-// discard reads an answer to its end.
-func discard(resp *http.Response) (int64, error) {
-	defer resp.Body.Close()
-	return io.Copy(io.Discard, resp.Body)
-}
-
-// upload sends a body of n bytes to a plain service.
-func upload(ctx context.Context, url string, n int64) (int64, int, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, io.LimitReader(zeros{}, n))
-	if err != nil {
-		return 0, 0, err
-	}
-	req.Header.Set("Authorization", "Bearer "+demo.CallerKey)
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return 0, 0, err
-	}
-	echoed, err := discard(resp)
-	return echoed, resp.StatusCode, err
-}
--- a/internal/coordination/link/bucket.go
+++ b/internal/coordination/link/bucket.go
@@ -25,6 +25,11 @@
 // the others, so that theirs finds room at once.
 const deferrableFloor = 0.5
 
+// startFloor is the same for deferrable work that has yet to begin: lower, so that
+// large bodies on their way, which take all down to their floor, do not keep it
+// from beginning.
+const startFloor = 0.25
+
 // bucket is a token bucket of bytes that may fall below zero: what has crossed
 // is charged in any case, and later traffic waits for it.
 type bucket struct {
@@ -74,8 +79,21 @@
 
 // wait returns how long traffic of a priority has to wait, 0 if it may go.
 func (b *bucket) wait(now time.Time, p Priority) time.Duration {
+	return b.until(now, b.floor(p))
+}
+
+// startWait returns how long new work of a priority has to wait.
+func (b *bucket) startWait(now time.Time, p Priority) time.Duration {
+	if p == Deferrable {
+		return b.until(now, startFloor*b.depth())
+	}
+	return b.wait(now, p)
+}
+
+// until returns how long it takes to rise above a level.
+func (b *bucket) until(now time.Time, level float64) time.Duration {
 	b.refill(now)
-	missing := b.floor(p) - b.level
+	missing := level - b.level
 	if b.rate == 0 || missing < 0 {
 		return 0
 	}
--- a/internal/coordination/link/link.go
+++ b/internal/coordination/link/link.go
@@ -122,7 +122,7 @@
 
 func (l *Link) wait(p Priority) time.Duration {
 	now := l.timer.Now()
-	return max(l.ways[Out].bucket.wait(now, p), l.ways[In].bucket.wait(now, p))
+	return max(l.ways[Out].bucket.startWait(now, p), l.ways[In].bucket.startWait(now, p))
 }
 
 func (l *Link) look() {
--- a/internal/coordination/link/link_test.go
+++ b/internal/coordination/link/link_test.go
@@ -114,6 +114,12 @@
 		l.Spend(Out, control)
 		sent["control"] += control
 	})
+	began := 0
+	timer.Every(clock, time.Second, func() {
+		if l.Open(Deferrable) {
+			began++
+		}
+	})
 	var worst time.Duration
 	var begin func(since time.Time)
 	begin = func(since time.Time) {
@@ -131,6 +137,9 @@
 	if worst > 50*time.Millisecond {
 		t.Errorf("a chat waited %v for the link", worst)
 	}
+	if began < 30 {
+		t.Errorf("deferrable work of others could begin in %d of 60 seconds", began)
+	}
 	total := sent["greedy"] + sent["control"] + sent["chats"]
 	if most := rate * (span + depthTime).Seconds(); float64(total) > most+chunk {
 		t.Errorf("%d bytes crossed, the rate allows %.0f", total, most)
--- a/internal/coordination/route/pick.go
+++ b/internal/coordination/route/pick.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"chivecroft.example/chivecroft/internal/coordination/link"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 )
 
@@ -22,6 +23,9 @@
 	rings = 3
 )
 
+// RingBeyond is the ring of other regions, across the link.
+const RingBeyond = rings - 1
+
 // Query asks for a replica of a model, or an instance of a plain service.
 type Query struct {
 	// Key is a model's name or a ServiceKey.
@@ -31,6 +35,8 @@
 	Prefix uint64
 	// Exclude names replicas that were tried already.
 	Exclude []string
+	// Priority says what the request gives way to on the link between regions.
+	Priority link.Priority
 }
 
 // Status says how a Pick ended.
@@ -107,7 +113,7 @@
 	for ring := range rings {
 		best, any := p.best(m, q, ring, tolerant, now)
 		seen = seen || any
-		if best == nil {
+		if best == nil || ring == RingBeyond && !t.mayCross(q) {
 			continue
 		}
 		best.flying++
--- a/internal/coordination/route/route_test.go
+++ b/internal/coordination/route/route_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	"chivecroft.example/chivecroft/internal/coordination/link"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 	"chivecroft.example/chivecroft/internal/coordination/route"
 	"chivecroft.example/chivecroft/internal/state/timer"
@@ -404,3 +405,37 @@
 		}
 	})
 }
+
+// closable is a link that tests open and close.
+type closable map[link.Priority]bool
+
+// Open tells whether the priority is open.
+func (c closable) Open(p link.Priority) bool { return c[p] }
+
+// TestUsedUpLinkKeepsInRegion: while the link is used up, requests stay in their
+// own region or wait, and those that were turned away hear when it opens.
+func TestUsedUpLinkKeepsInRegion(t *testing.T) {
+	open := closable{link.Interactive: true}
+	clock := timer.NewVirtual(time.Unix(1000, 0))
+	var told []string
+	table := route.NewTable("bul-a", "bulacan", clock, 1, route.WithCrossing(open),
+		route.WithListener(func(key string) { told = append(told, key) }))
+	r := &rig{Table: table, clock: clock, seq: make(map[string]uint64)}
+	r.rows("zone/pam-a", row("far", in("pam-a", "pampanga")))
+	if _, got := r.pick(route.Query{Priority: link.Interactive}); got != "far" {
+		t.Errorf("interactive: %s", got)
+	}
+	if _, got := r.pick(route.Query{Priority: link.Deferrable}); got != "busy" {
+		t.Errorf("deferrable: %s", got)
+	}
+	r.rows("s", row("near", in("bul-b", "bulacan")))
+	if _, got := r.pick(route.Query{Priority: link.Deferrable}); got != "near" {
+		t.Errorf("deferrable with a replica in the region: %s", got)
+	}
+	told = nil
+	table.LinkOpened()
+	table.LinkOpened()
+	if diff := cmp.Diff([]string{"m"}, told); diff != "" {
+		t.Errorf("told (-want +got):\n%s", diff)
+	}
+}
--- a/internal/coordination/route/table.go
+++ b/internal/coordination/route/table.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"chivecroft.example/chivecroft/internal/coordination/link"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 	"chivecroft.example/chivecroft/internal/state/shard"
 	"chivecroft.example/chivecroft/internal/state/timer"
@@ -20,11 +21,16 @@
 	zone, region string
 	timer        timer.Service
 	changed      func(key string)
+	crossing     Crossing
 	parts        [partCount]part
 
 	mu      sync.Mutex
 	sources map[string]*source
 
+	// turned are the keys whose requests found the link used up.
+	turnedMu sync.Mutex
+	turned   map[string]struct{}
+
 	// models finds the key of a replica, targets the replicas of a target.
 	models  *shard.Map[string, string]
 	targets *shard.Map[string, []string]
@@ -63,6 +69,17 @@
 	return func(t *Table) { t.changed = changed }
 }
 
+// Crossing tells whether new work of a priority may cross the link between
+// regions; if it may not, LinkOpened has to be called once it may.
+type Crossing interface {
+	Open(p link.Priority) bool
+}
+
+// WithCrossing makes picks in other regions depend on the link.
+func WithCrossing(c Crossing) Option {
+	return func(t *Table) { t.crossing = c }
+}
+
 // NewTable returns an empty table for an entry in a zone of a region; random
 // choices follow from seed.
 func NewTable(zone, region string, clock timer.Service, seed uint64, opts ...Option) *Table {
@@ -70,6 +87,7 @@
 		zone: zone, region: region, timer: clock,
 		changed: func(string) {},
 		sources: make(map[string]*source),
+		turned:  make(map[string]struct{}),
 		models:  shard.NewMap[string, string](),
 		targets: shard.NewMap[string, []string](),
 		cursors: shard.NewMap[string, cursor](),
@@ -89,6 +107,27 @@
 	t.changed = changed
 }
 
+// mayCross tells whether a request may go to another region now, and remembers
+// its key if it may not.
+func (t *Table) mayCross(q Query) bool {
+	if t.crossing == nil || t.crossing.Open(q.Priority) {
+		return true
+	}
+	t.turnedMu.Lock()
+	defer t.turnedMu.Unlock()
+	t.turned[q.Key] = struct{}{}
+	return false
+}
+
+// LinkOpened announces the keys whose requests found the link used up.
+func (t *Table) LinkOpened() {
+	t.turnedMu.Lock()
+	turned := t.turned
+	t.turned = make(map[string]struct{})
+	t.turnedMu.Unlock()
+	t.announce(turned)
+}
+
 // ServiceKey is the key under which a plain service's instances are kept, which
 // no model's name can be.
 func ServiceKey(service string) string {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -143,7 +143,8 @@
 	e.view.config.Store(&config.Config{})
 	e.view.members.Store(&[]ports.Member{e.self})
 	e.view.targets.Store(&[]ports.Instance{})
-	e.table = route.NewTable(e.self.Zone, e.self.Region, e.timer, random.Uint64())
+	e.table = route.NewTable(e.self.Zone, e.self.Region, e.timer, random.Uint64(), route.WithCrossing(e.link))
+	e.link.Listen(e.table.LinkOpened)
 	e.room = await.NewRoom(e.table, await.DemandFunc(e.demand), e.timer, await.WithLimits(await.Limits{
 		Count:     int64(e.settings.Requests.QueueCount),
 		Bytes:     e.settings.Requests.QueueBytes,
--- a/internal/entry/observe.go
+++ b/internal/entry/observe.go
@@ -16,6 +16,7 @@
 		Engine:   e.watchedEngines(),
 		Services: e.services,
 		Timer:    e.timer,
+		Link:     e.link,
 		Arrive:   e.recorder.Arrived,
 		Observe:  e.observe,
 		Bounds: front.Bounds{
--- a/internal/transport/front/deps.go
+++ b/internal/transport/front/deps.go
@@ -10,6 +10,7 @@
 
 	"chivecroft.example/chivecroft/internal/coordination/admit"
 	"chivecroft.example/chivecroft/internal/coordination/await"
+	"chivecroft.example/chivecroft/internal/coordination/link"
 	"chivecroft.example/chivecroft/internal/coordination/once"
 	"chivecroft.example/chivecroft/internal/coordination/route"
 	"chivecroft.example/chivecroft/internal/protocol/wire"
@@ -97,6 +98,8 @@
 	Engine   Engine
 	Services Services
 	Timer    timer.Service
+	// Link is the entry's share of the link between regions; nil does not bound it.
+	Link *link.Link
 	// Arrive hears of each request as soon as its service and class are known, at
 	// the latest when it ends; nil drops it.
 	Arrive func(service string, class config.Class)
--- a/internal/transport/front/fake_test.go
+++ b/internal/transport/front/fake_test.go
@@ -14,6 +14,7 @@
 
 	"chivecroft.example/chivecroft/internal/coordination/admit"
 	"chivecroft.example/chivecroft/internal/coordination/await"
+	"chivecroft.example/chivecroft/internal/coordination/link"
 	"chivecroft.example/chivecroft/internal/coordination/once"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 	"chivecroft.example/chivecroft/internal/coordination/route"
@@ -179,6 +180,7 @@
 	// engines replaces engine.
 	engines front.Engine
 	bounds  front.Bounds
+	link    *link.Link
 	// idle bounds callers that stall.
 	idle    time.Duration
 	store   *kvmem.Store
@@ -233,7 +235,7 @@
 		Config: r.configuration,
 		Table:  r.table, Room: r.room, Limits: r.limits, Claims: r.driver,
 		Engine: r.engines, Services: r.services, Timer: clock,
-		Observe: r.observe, NewID: r.newID, ReadIdle: r.idle, WriteIdle: r.idle, Bounds: r.bounds,
+		Observe: r.observe, NewID: r.newID, ReadIdle: r.idle, WriteIdle: r.idle, Bounds: r.bounds, Link: r.link,
 	})
 	return r
 }
--- a/internal/transport/front/generate.go
+++ b/internal/transport/front/generate.go
@@ -94,7 +94,7 @@
 
 // query asks for a replica that was not tried, if there is one.
 func (g *generation) query(but ...string) route.Query {
-	q := route.Query{Key: g.req.Model, Adapter: g.req.Adapter, Prefix: g.prefix}
+	q := route.Query{Key: g.req.Model, Adapter: g.req.Adapter, Prefix: g.prefix, Priority: g.call.priority()}
 	q.Exclude = slices.Concat(g.gone, g.tried, but)
 	if len(g.tried)+len(but) > 0 && !g.call.h.Table.Ready(q) {
 		q.Exclude = g.gone
--- a/internal/transport/front/service.go
+++ b/internal/transport/front/service.go
@@ -14,6 +14,7 @@
 
 	"chivecroft.example/chivecroft/internal/coordination/admit"
 	"chivecroft.example/chivecroft/internal/coordination/await"
+	"chivecroft.example/chivecroft/internal/coordination/link"
 	"chivecroft.example/chivecroft/internal/coordination/route"
 	"chivecroft.example/chivecroft/internal/state/config"
 )
@@ -214,7 +215,9 @@
 
 // instance asks for an instance that was not tried, if there is one.
 func (p *passage) instance(but ...string) route.Query {
-	q := route.Query{Key: route.ServiceKey(p.service), Exclude: slices.Concat(p.tried, but)}
+	q := route.Query{
+		Key: route.ServiceKey(p.service), Exclude: slices.Concat(p.tried, but), Priority: p.call.priority(),
+	}
 	if len(q.Exclude) > 0 && !p.call.h.Table.Ready(q) {
 		q.Exclude = nil
 	}
@@ -356,6 +359,7 @@
 		out.Body = io.NopCloser(bytes.NewReader(p.replay))
 		out.ContentLength = int64(len(p.replay))
 	}
+	out.Body = c.pace(ctx, choice, link.Out, out.Body)
 	if out.Body == nil && !p.repeatable {
 		out.Body = Unrepeatable()
 	}
@@ -422,6 +426,7 @@
 // relay streams an instance's answer to the caller and gives the place back.
 func (c *call) relay(r *reply, kept keep) *Problem {
 	defer r.resp.Body.Close()
+	r.resp.Body = c.pace(c.ctx, r.choice, link.In, r.resp.Body)
 	result := route.Result{Overloaded: overloaded(r.resp), Latency: c.h.Timer.Now().Sub(r.began)}
 	result.Failed = result.Overloaded
 	c.out.FirstToken = c.elapsed()
