--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"chivecroft.example/chivecroft/internal/coordination/await"
 	"chivecroft.example/chivecroft/internal/coordination/daily"
 	"chivecroft.example/chivecroft/internal/coordination/feed"
+	"chivecroft.example/chivecroft/internal/coordination/link"
 	"chivecroft.example/chivecroft/internal/coordination/once"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 	"chivecroft.example/chivecroft/internal/coordination/route"
@@ -47,6 +48,7 @@
 	table    *route.Table
 	room     *await.Room
 	limits   *admit.Limits
+	link     *link.Link
 	claims   *once.Driver
 	recorder *daily.Recorder
 	writer   *daily.Writer
@@ -84,6 +86,7 @@
 	entries atomic.Pointer[[]ports.Instance]
 	// targets are the listed model targets of the own zone.
 	targets atomic.Pointer[[]ports.Instance]
+	regions atomic.Pointer[regions]
 }
 
 // Option changes an Entry under construction.
@@ -142,23 +145,26 @@
 	if e.meter, err = meter.New(e.self.ID, e.self.Zone); err != nil {
 		return trace.Wrap(err)
 	}
+	e.link = link.New(e.linkSettings(), e.timer)
 	if e.peers, err = e.newPeers(); err != nil {
 		return trace.Wrap(err)
 	}
 	random := rand.New(rand.NewPCG(e.self.Incarnation, 1))
-	e.kv = kvhttp.New(e.settings.Platform.URL, kvhttp.WithTimeout(e.settings.Platform.Timeout), kvhttp.WithTimer(e.timer))
-	e.engines = engine.New(engine.WithTimer(e.timer))
+	e.kv = kvhttp.New(e.settings.Platform.URL, kvhttp.WithTimeout(e.settings.Platform.Timeout), kvhttp.WithTimer(e.timer),
+		kvhttp.WithWatch(e.watchPlatform))
+	e.engines = engine.New(engine.WithTimer(e.timer), engine.WithWatch(e.watchLink(kindModel)))
 	e.used = newUsedTargets()
 	e.doubts = newDoubts(e.timer)
 	e.probes = probe.NewEngines(e.engines, e.timer, nil)
-	e.services = probe.NewServices()
+	e.services = probe.NewServices(probe.WithWatch(e.watchLink(kindService)))
 	e.own = feed.New(e.self.Incarnation, e.timer)
 	e.zone = feed.NewUnion(feed.New(e.self.Incarnation, e.timer))
 	e.recorder = daily.NewRecorder(e.timer, e.settings.Entry.Location)
 	e.view.config.Store(&config.Config{})
 	e.view.members.Store(&[]ports.Member{e.self})
 	e.view.targets.Store(&[]ports.Instance{})
-	e.table = route.NewTable(e.self.Zone, e.self.Region, e.timer, random.Uint64())
+	e.table = route.NewTable(e.self.Zone, e.self.Region, e.timer, random.Uint64(), route.WithCrossing(e.link))
+	e.link.Listen(e.table.LinkOpened)
 	e.room = await.NewRoom(e.table, await.DemandFunc(e.demand), e.timer, await.WithLimits(await.Limits{
 		Count:     int64(e.settings.Requests.QueueCount),
 		Bytes:     e.settings.Requests.QueueBytes,
