Fuzz streams, settings and stored configuration values

Three native targets beside the two there are: a stream hands out nothing but its own tokens in order whatever a target sends; settings are read or refused with faults that name the file and what is accepted; stored values are read or called damaged or of another format. `make fuzz` runs each for a minute.

--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,10 @@
 fuzz:
 	go test -count=1 -timeout 60m $(RAPID) -rapid.checks=2000 -rapid.seed=$(SEED)
 	go test ./internal/state/config -run '^$$' -fuzz FuzzParsePatch -fuzztime 60s
+	go test ./internal/state/config -run '^$$' -fuzz FuzzStored -fuzztime 60s
 	go test ./internal/coordination/place -run '^$$' -fuzz Fuzz -fuzztime 60s
+	go test ./internal/params -run '^$$' -fuzz Fuzz -fuzztime 60s
+	go test ./internal/transport/engine -run '^$$' -fuzz Fuzz -fuzztime 60s
 
 # The load tool, the comparison of policies and the slopes of the capacity page.
 bench:
--- a/internal/state/config/stored_test.go
+++ b/internal/state/config/stored_test.go
@@ -183,3 +183,29 @@
 		}
 	})
 }
+
+// FuzzStored: whatever stands in the KV service is read or refused as damaged or
+// of another format, never anything else.
+func FuzzStored(f *testing.F) {
+	record, err := EncodeRecord(Record{Version: 2, Patch: Patch{ID: "a", Base: 1}, Nonce: "n"})
+	if err != nil {
+		f.Fatal(err)
+	}
+	head, err := EncodeHead(Head{Snapshots: []SnapshotRef{{Version: 2, Sums: []string{"x"}}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(record)
+	f.Add(head)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		ref := SnapshotRef{Version: 2, Sums: []string{sumOf(data)}}
+		_, snapshot := DecodeSnapshot(ref, [][]byte{data})
+		for _, err := range []error{decodeRecordErr(2, data), decodeHeadErr(data), snapshot} {
+			var damaged *DamagedError
+			var format *FormatError
+			if err != nil && !errors.As(err, &damaged) && !errors.As(err, &format) {
+				t.Fatalf("%v is neither damage nor a format", err)
+			}
+		}
+	})
+}
