Spare connections that were just opened when an address is retired

Cause: a sign of life retires the connections to a target. One that another call had just opened, and had not taken or not written yet, was closed or refused its first write; net/http does not try again on a connection of its own, so the call failed without having been sent.

A connection younger than a second that has brought no whole answer is left alone.

--- a/internal/transport/gate/conn.go
+++ b/internal/transport/gate/conn.go
@@ -4,8 +4,13 @@
 	"errors"
 	"net"
 	"sync"
+	"time"
 )
 
+// youngTime is how long a connection that has carried no call counts as just
+// opened.
+const youngTime = time.Second
+
 var (
 	errSealed  = errors.New("the call was given up")
 	errRetired = errors.New("the connection was retired")
@@ -15,12 +20,15 @@
 type conn struct {
 	net.Conn
 	forget func(*conn)
+	opened time.Time
 
 	mu      sync.Mutex
 	holder  *Call
 	written bool
 	sealed  bool
 	retired bool
+	// used tells that a call has had its whole answer over the connection.
+	used bool
 }
 
 // Write asks the holder's guard before each write. A retired connection fails
@@ -87,13 +95,19 @@
 	defer c.mu.Unlock()
 	if c.holder == call {
 		c.holder = nil
+		c.used = true
 	}
 }
 
-// retire marks the connection and reports whether no call holds it.
+// retire marks the connection and reports whether no call holds it. One that
+// was just opened is spared: it has shown itself to work, and the call that it
+// was opened for may be about to take or write it.
 func (c *conn) retire() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.used && time.Since(c.opened) < youngTime {
+		return false
+	}
 	c.retired = true
 	return c.holder == nil
 }
--- a/internal/transport/gate/dialer.go
+++ b/internal/transport/gate/dialer.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: raw, forget: func(c *conn) { d.forget(address, c) }}
+	c := &conn{Conn: raw, opened: time.Now(), forget: func(c *conn) { d.forget(address, c) }}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.conns[address] == nil {
