Give a repeat of a run-once call the answer that was just given

Cause, at one entry: the end of a call was reported when its handler returned, after the caller had the last byte of the answer; a repeat in between found it running. At another entry: the outcome is written after the answer, and the repeat read the claim before that.

The end is now reported before the last byte goes out where the length is known (where it is not, the caller sees the end only after the handler). A repeat that finds a claim of another entry looks again for up to 1 s, as long as it would have been told to stay away. No answer waits for a write.

A call that is not repeated costs what it did.

--- a/internal/coordination/once/bucket.go
+++ b/internal/coordination/once/bucket.go
@@ -26,6 +26,11 @@
 	asked     uint64
 	due       time.Time
 	withoutKV bool
+	// runs is the verdict that the call runs at another entry, heldUntil how long
+	// the claim waits for its end, and pause the time between two looks.
+	runs      *Verdict
+	heldUntil time.Time
+	pause     time.Duration
 	// inDoubt means that a write which holds it may have taken effect.
 	inDoubt bool
 	// answered means that nobody waits for this claim any more.
@@ -62,6 +67,8 @@
 	seen     map[string]sighting
 	own      map[string]*own
 	ops      []*op
+	// held are claims whose calls run elsewhere; they are judged anew soon.
+	held []*op
 	// writing is what the write under way will have made of records, batch the
 	// ops in it.
 	writing map[string]*record
--- a/internal/coordination/once/commit.go
+++ b/internal/coordination/once/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"chivecroft.example/chivecroft/internal/coordination/ports"
@@ -345,6 +346,9 @@
 // decide answers a claim. A call that may run is only let go while enough of
 // its time is left.
 func (p *Part) decide(b *bucket, op *op, v Verdict) {
+	if p.hold(b, op, v) {
+		return
+	}
 	op.answered = true
 	if v.Kind != VerdictRun {
 		p.disown(b, op)
@@ -360,6 +364,42 @@
 	p.answer(op.asked, v)
 }
 
+// hold keeps a claim whose call runs at another entry for a moment and then has
+// it judged anew. The entry that ran the call answers before the outcome is
+// written, so that no caller waits for that write; a repeat at another entry may
+// be faster. For example the outcome of a call answered at 0 ms is in the KV
+// service at 5 ms; a repeat that reads the claim at 3 ms reads again at 23 ms.
+func (p *Part) hold(b *bucket, op *op, v Verdict) bool {
+	if v.Kind != VerdictInProgress {
+		return false
+	}
+	again := holdFirst
+	if op.runs == nil {
+		op.heldUntil = p.now.Add(holdMost)
+		if op.due.Before(op.heldUntil) {
+			op.heldUntil = op.due
+		}
+	} else {
+		again = 2 * op.pause
+	}
+	op.pause = min(again, op.heldUntil.Sub(p.now))
+	op.runs = &v
+	if op.pause <= 0 {
+		return false
+	}
+	b.held = append(b.held, op)
+	tag := p.newTag(call{kind: callHeld, bucket: b, op: op})
+	p.effects = append(p.effects, ports.ArmTimer{Tag: tag, After: op.pause})
+	return true
+}
+
+// retryHeld puts a held claim among those that wait for the bucket.
+func (p *Part) retryHeld(b *bucket, claim *op) {
+	b.held = slices.DeleteFunc(b.held, func(held *op) bool { return held == claim })
+	p.add(b, claim)
+	p.startTick()
+}
+
 func (p *Part) disown(b *bucket, op *op) {
 	if mine := b.own[op.id]; mine != nil && mine.record == op.record {
 		delete(b.own, op.id)
@@ -370,6 +410,12 @@
 // may have been written of it.
 func (p *Part) giveUp(b *bucket, op *op) {
 	op.answered = true
+	if op.runs != nil {
+		// What was seen does not change because the KV service can't be reached.
+		p.disown(b, op)
+		p.answer(op.asked, *op.runs)
+		return
+	}
 	if op.withoutKV {
 		b.own[op.id].phase = ownRunning
 		p.answer(op.asked, Verdict{
--- a/internal/coordination/once/part.go
+++ b/internal/coordination/once/part.go
@@ -55,6 +55,11 @@
 	unavailableRetry = 2 * time.Second
 	// runningRetry is the longest advice while a call runs.
 	runningRetry = time.Second
+	// holdMost is how long a repeat waits for the end of a call that runs at another
+	// entry: the call may have just been answered and its outcome be on its way. The
+	// bucket is read after holdFirst and after twice as long each further time.
+	holdMost  = time.Second
+	holdFirst = 20 * time.Millisecond
 	// opsMost bounds what waits for one bucket.
 	opsMost = 5000
 )
@@ -86,6 +91,8 @@
 type call struct {
 	kind   callKind
 	bucket *bucket
+	// op is the claim that is held.
+	op *op
 }
 
 type callKind uint8
@@ -96,6 +103,7 @@
 	callWake
 	callTick
 	callTurn
+	callHeld
 )
 
 // New returns a part without claims.
@@ -158,7 +166,7 @@
 		p.answer(e.ID, v)
 		return
 	}
-	if len(b.ops) >= opsMost {
+	if len(b.ops)+len(b.held) >= opsMost {
 		p.answer(e.ID, Verdict{Kind: VerdictFull, RetryAfter: unavailableRetry})
 		return
 	}
@@ -302,6 +310,8 @@
 		p.expire()
 	case callTurn:
 		p.turning = false
+	case callHeld:
+		p.retryHeld(c.bucket, c.op)
 	case callWrite, callRead:
 	}
 }
--- /dev/null
+++ b/internal/coordination/once/repeat_test.go
@@ -0,0 +1,71 @@
+package once_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"chivecroft.example/chivecroft/internal/coordination/once"
+)
+
+// TestRepeatAfterAnswer repeats a call at the moment of its answer, at the entry
+// that ran it and at another one, alone and among many callers of the same
+// entries: every repeat gets the answer.
+func TestRepeatAfterAnswer(t *testing.T) {
+	for _, callers := range []int{1, 50} {
+		for _, at := range []int{0, 1} {
+			t.Run(fmt.Sprintf("%d callers, repeat at e%d", callers, at), func(t *testing.T) {
+				w := newOnceWorld(1, 2, once.Settings{})
+				w.exact = true
+				w.runTime = 20 * time.Millisecond
+				var repeats []*asked
+				w.answered = func(e *entry, key string) {
+					if e == w.entries[0] {
+						repeats = append(repeats, w.ask(at, key, "sum", time.Second))
+					}
+				}
+				for i := range callers {
+					w.ask(0, fmt.Sprint("k", i), "sum", time.Second)
+				}
+				w.clock.Advance(2 * time.Second)
+				got := make(map[once.VerdictKind]int)
+				longest := time.Duration(0)
+				for _, a := range repeats {
+					got[a.verdict.Kind]++
+					longest = max(longest, a.answeredAt.Sub(a.at))
+				}
+				t.Logf("longest %v, %d reads, %d writes", longest, w.kv.calls["read"], w.kv.calls["write"])
+				if diff := cmp.Diff(map[once.VerdictKind]int{once.VerdictOutcome: callers}, got); diff != "" {
+					t.Errorf("repeats (-want +got):\n%s", diff)
+				}
+			})
+		}
+	}
+}
+
+// TestRepeatWhileRunning bounds the time in which a repeat elsewhere hears that
+// the call runs, and keeps what it has seen through an outage: also where calls
+// may run without a claim, this one does not.
+func TestRepeatWhileRunning(t *testing.T) {
+	for _, down := range []float64{0, 1} {
+		t.Run(fmt.Sprint("down ", down), func(t *testing.T) {
+			w := newOnceWorld(1, 2, once.Settings{})
+			w.exact, w.withoutKV = true, true
+			w.runTime = 5 * time.Second
+			w.ask(0, "k", "sum", 10*time.Second)
+			w.clock.Advance(100 * time.Millisecond)
+			repeat := w.ask(1, "k", "sum", 10*time.Second)
+			w.clock.Advance(10 * time.Millisecond)
+			w.kv.down = down
+			w.clock.Advance(1100 * time.Millisecond)
+			if repeat.verdict == nil || repeat.verdict.Kind != once.VerdictInProgress || repeat.verdict.RetryAfter == 0 {
+				t.Errorf("after 1.1 s a repeat has %+v", repeat.verdict)
+			}
+			if runs := w.back.runs["k"]; runs != 1 {
+				t.Errorf("ran %d times", runs)
+			}
+		})
+	}
+}
--- a/internal/coordination/once/world_test.go
+++ b/internal/coordination/once/world_test.go
@@ -96,6 +96,8 @@
 	refuse float64
 	// exact makes the gaps as long as their bounds.
 	exact bool
+	// answered hears of each answer when its caller gets it.
+	answered func(e *entry, key string)
 	// withoutKV is the services' setting.
 	withoutKV bool
 }
@@ -196,6 +198,9 @@
 			return
 		}
 		e.loop.Post(once.Finished{Finish: once.Finish{Ticket: ticket, Ending: once.EndedAnswered, Outcome: outcome}})
+		if w.answered != nil {
+			w.answered(e, a.key)
+		}
 	})
 }
 
--- a/internal/transport/front/runonce.go
+++ b/internal/transport/front/runonce.go
@@ -201,6 +201,7 @@
 	outcome once.Outcome
 	body    bytes.Buffer
 	dropped bool
+	closed  bool
 }
 
 // sent notes that from now on the call may have run.
@@ -229,16 +230,22 @@
 	t.body.Write(part)
 }
 
-// end takes the end of the body.
+// end takes the end of the body and reports the call's end. It has to come
+// before the caller can have seen the answer whole: a repeat may follow at once.
 func (t *ticket) end(whole bool) {
 	t.outcome.BodyKept = whole && !t.dropped
 	if t.outcome.BodyKept {
 		t.outcome.Body = t.body.Bytes()
 	}
+	t.close()
 }
 
-// close reports the end of the call.
+// close reports the end of the call, once.
 func (t *ticket) close() {
+	if t.closed {
+		return
+	}
+	t.closed = true
 	if t.ending == "" {
 		t.ending = once.EndedNotRun
 	}
--- a/internal/transport/front/service.go
+++ b/internal/transport/front/service.go
@@ -449,10 +449,17 @@
 	buf := buffers.Get().(*[copyBytes]byte)
 	defer buffers.Put(buf)
 	var stuck error
+	left := resp.ContentLength
 	for {
 		n, err := resp.Body.Read(buf[:])
+		left -= int64(n)
 		if kept != nil {
 			kept.add(buf[:n])
+			if n > 0 && left == 0 {
+				// With this part the caller sees the answer whole. One of unknown
+				// length is whole to it only once the handler has returned.
+				kept.end(true)
+			}
 		}
 		if n > 0 && stuck == nil {
 			stuck = c.forward(buf[:n])
