--- a/internal/transport/front/service.go
+++ b/internal/transport/front/service.go
@@ -279,13 +279,18 @@
 
 // hedge sends a repeatable call to a second instance if the budget allows.
 func (p *passage) hedge() <-chan *reply {
-	if !p.repeatable || p.call.ctx.Err() != nil || !p.call.h.budgets.spendHedge(p.call.tenant, p.call.h.Timer.Now()) {
+	if !p.repeatable || p.call.ctx.Err() != nil {
 		return nil
 	}
-	choice, status := p.call.h.Table.Pick(p.instance(p.current), p.call.h.Timer.Now())
+	now := p.call.h.Timer.Now()
+	choice, status := p.call.h.Table.Pick(p.instance(p.current), now)
 	if status != route.Picked {
 		return nil
 	}
+	if !p.call.h.budgets.spendHedge(p.call.tenant, now) {
+		choice.Done(now, route.Result{})
+		return nil
+	}
 	p.call.out.Hedges++
 	return p.send(choice, true)
 }
@@ -449,10 +454,17 @@
 	buf := buffers.Get().(*[copyBytes]byte)
 	defer buffers.Put(buf)
 	var stuck error
+	left := resp.ContentLength
 	for {
 		n, err := resp.Body.Read(buf[:])
+		left -= int64(n)
 		if kept != nil {
 			kept.add(buf[:n])
+			if n > 0 && left == 0 {
+				// With this part the caller sees the answer whole. One of unknown
+				// length is whole to it only once the handler has returned.
+				kept.end(true)
+			}
 		}
 		if n > 0 && stuck == nil {
 			stuck = c.forward(buf[:n])
