Send no requests to a zone that is cut off

Cause, seen first with two zones cut apart between separate processes: membership takes a minute to count the other zone as silent, and until then its replicas stayed in the routing table. A model that is warm there alone so kept its callers until their deadline, on the side that has the platform as well, where the zone's own targets could load it. Ejection does not help: it is ignored where it would leave a model without a replica.

If neither side gives a sign of life the zone counts as cut off: its replicas are out of use, its models cold, and demands ask it last. A pull or demand that is answered ends that; pulls that fail prolong it. Both have to be silent: a target may die alone, and entries may die and leave warm targets behind.

Ruled out: counting ejections of other zones' replicas in full. It takes three failures of 3 s each for every model.

--- a/cmd/chivecroft/harness_test.go
+++ b/cmd/chivecroft/harness_test.go
@@ -372,6 +372,7 @@
 	} `json:"shards"`
 	Replicas []struct {
 		Model string `json:"model"`
+		Zone  string `json:"zone"`
 		Shard int    `json:"shard"`
 		Phase string `json:"phase"`
 	} `json:"replicas"`
--- a/internal/coordination/route/pick.go
+++ b/internal/coordination/route/pick.go
@@ -105,7 +105,7 @@
 	tolerant := m.tolerant(now)
 	seen := false
 	for ring := range rings {
-		best, any := p.best(m, q, ring, tolerant, now)
+		best, any := t.best(p, m, q, ring, tolerant, now)
 		seen = seen || any
 		if best == nil {
 			continue
@@ -118,7 +118,7 @@
 	if seen {
 		return Choice{}, Busy
 	}
-	return Choice{}, m.unready(q)
+	return Choice{}, t.unready(m, q)
 }
 
 // Outlook tells what is known of a model without a ready replica: when the
@@ -133,7 +133,7 @@
 	}
 	for _, r := range m.replicas {
 		switch {
-		case r.leaving():
+		case r.leaving(), !t.reaches(r):
 		case r.row.Phase == ports.PhaseLoading && (!loading || r.row.ReadyIn < readyIn):
 			readyIn, loading = r.row.ReadyIn, true
 		case r.row.Phase == ports.PhaseFailed:
@@ -149,7 +149,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := p.models[q.Key]
-	return m != nil && slices.ContainsFunc(m.replicas, func(r *replica) bool { return r.usable(q) })
+	return m != nil && slices.ContainsFunc(m.replicas, func(r *replica) bool { return r.usable(q) && t.reaches(r) })
 }
 
 // Took returns the average time of a call, 0 if none is known.
@@ -165,11 +165,11 @@
 
 // best returns the replica to use in a ring, nil if none has room, and whether
 // any could have been used.
-func (p *part) best(m *model, q Query, ring int, tolerant bool, now time.Time) (*replica, bool) {
+func (t *Table) best(p *part, m *model, q Query, ring int, tolerant bool, now time.Time) (*replica, bool) {
 	s := sample{took: m.took}
 	usable := false
 	for _, r := range m.replicas {
-		if r.ring != ring || !r.usable(q) || (r.ejected(now) && !tolerant) {
+		if r.ring != ring || !r.usable(q) || !t.reaches(r) || (r.ejected(now) && !tolerant) {
 			continue
 		}
 		usable = true
@@ -243,8 +243,11 @@
 }
 
 // unready tells whether a replica that could serve q loads.
-func (m *model) unready(q Query) Status {
+func (t *Table) unready(m *model, q Query) Status {
 	for _, r := range m.replicas {
+		if !t.reaches(r) {
+			continue
+		}
 		if r.row.Phase == ports.PhaseLoading && !r.leaving() {
 			return Loading
 		}
--- a/internal/coordination/route/table.go
+++ b/internal/coordination/route/table.go
@@ -20,6 +20,7 @@
 	zone, region string
 	timer        timer.Service
 	changed      func(key string)
+	cut          func(zone string) bool
 	parts        [partCount]part
 
 	mu      sync.Mutex
@@ -69,6 +70,7 @@
 	t := &Table{
 		zone: zone, region: region, timer: clock,
 		changed: func(string) {},
+		cut:     func(string) bool { return false },
 		sources: make(map[string]*source),
 		models:  shard.NewMap[string, string](),
 		targets: shard.NewMap[string, []string](),
@@ -89,6 +91,17 @@
 	t.changed = changed
 }
 
+// Avoid takes the replicas of other zones out of use for as long as cut says
+// that their zone cannot be reached; it is called before the table is in use.
+func (t *Table) Avoid(cut func(zone string) bool) {
+	t.cut = cut
+}
+
+// reaches tells whether calls reach a replica, as far as is known.
+func (t *Table) reaches(r *replica) bool {
+	return r.ring == 0 || !t.cut(r.row.Zone)
+}
+
 // ServiceKey is the key under which a plain service's instances are kept, which
 // no model's name can be.
 func ServiceKey(service string) string {
--- a/internal/entry/demand.go
+++ b/internal/entry/demand.go
@@ -11,17 +11,18 @@
 	"chivecroft.example/chivecroft/internal/coordination/owner"
 	"chivecroft.example/chivecroft/internal/coordination/permit"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/state/timer"
 )
 
 const (
 	// demandPatience is how long a demand waits for those who do not answer. An
 	// owner answers within a second also while it waits for the KV service.
 	demandPatience = 1200 * time.Millisecond
-	// demandHedge is how long it waits for one entry of another zone before it
-	// asks a second one beside.
-	demandHedge = 300 * time.Millisecond
-	// demandAsks is how many entries of another zone are asked.
-	demandAsks = 2
+	// hedgeAfter is how long an entry of another zone may take before a second one
+	// is asked beside.
+	hedgeAfter = 300 * time.Millisecond
+	// asksMost is how many entries of another zone are asked.
+	asksMost = 2
 )
 
 // demand finds the shard that can load a model. The zones are asked in an order
@@ -172,7 +173,8 @@
 	switch {
 	case err == nil:
 		e.doubts.clear(source)
-	case ctx.Err() == nil || e.timer.Now().Sub(began) > demandHedge:
+		e.doubts.clear(cutName(source))
+	case ctx.Err() == nil || e.timer.Now().Sub(began) > hedgeAfter:
 		e.doubts.raise(source)
 	}
 }
@@ -186,7 +188,9 @@
 		return ports.DemandReply{}, trace.ConnectionProblem(nil, "no entry of zone %s is known", zone)
 	}
 	began := e.timer.Now()
-	reply, err := e.askInTurn(ctx, members, d)
+	reply, err := askInTurn(ctx, e.timer, members, func(ctx context.Context, m ports.Member) (ports.DemandReply, error) {
+		return e.askDemand(ctx, m, d)
+	})
 	e.answered(ctx, e.sourceOf(members[0]), began, err)
 	return reply, trace.Wrap(err)
 }
@@ -202,51 +206,51 @@
 		}
 	}
 	var members []ports.Member
-	for _, id := range member.Choose(ids, "ask/"+e.self.ID, demandAsks) {
+	for _, id := range member.Choose(ids, "ask/"+e.self.ID, asksMost) {
 		members = append(members, known[id])
 	}
 	return members
 }
 
-// answer is what one entry said to a demand.
-type answer struct {
-	reply ports.DemandReply
-	err   error
-}
-
 // askInTurn returns the first answer of members, each of which is asked when the
-// one before has failed or kept silent for demandHedge.
-func (e *Entry) askInTurn(ctx context.Context, members []ports.Member, d ports.Demand) (ports.DemandReply, error) {
+// one before has failed or kept silent for hedgeAfter.
+func askInTurn[T any](
+	ctx context.Context, clock timer.Service, members []ports.Member, ask func(context.Context, ports.Member) (T, error),
+) (T, error) {
+	type answer struct {
+		reply T
+		err   error
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers := make(chan answer, len(members))
 	late := make(chan struct{}, 1)
-	defer e.timer.After(demandHedge, func() { late <- struct{}{} })()
+	defer clock.After(hedgeAfter, func() { late <- struct{}{} })()
 	asked := 0
-	ask := func() {
+	next := func() {
 		if asked == len(members) {
 			return
 		}
 		m := members[asked]
 		asked++
 		go func() {
-			reply, err := e.askDemand(ctx, m, d)
+			reply, err := ask(ctx, m)
 			answers <- answer{reply, err}
 		}()
 	}
-	ask()
+	next()
 	for failed := 0; ; {
 		select {
 		case <-late:
-			ask()
+			next()
 		case a := <-answers:
-			if a.err == nil {
-				return a.reply, nil
+			if a.err != nil {
+				failed++
 			}
-			if failed++; failed == len(members) {
-				return ports.DemandReply{}, a.err
+			if a.err == nil || failed == len(members) {
+				return a.reply, a.err
 			}
-			ask()
+			next()
 		}
 	}
 }
--- a/internal/entry/doubts.go
+++ b/internal/entry/doubts.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"chivecroft.example/chivecroft/internal/state/timer"
@@ -12,12 +14,23 @@
 // timeout of a call, so a doubt lasts for as long as the silence does.
 const doubtFor = 15 * time.Second
 
+// cutPrefix begins the names under which zones are doubted that are neither asked
+// first nor sent requests.
+const cutPrefix = "cut/"
+
+// cutName is the name of that doubt for the source that tells of a zone.
+func cutName(source string) string {
+	return cutPrefix + strings.TrimPrefix(source, zonePrefix)
+}
+
 // doubts are the sources of the routing table, entries of the own zone and other
 // zones, that have lately left a demand without an answer. Membership takes 10 s
 // to 60 s to notice a silence; until then a doubtful source is asked last, so
 // that the callers of cold models do not each wait for it.
 type doubts struct {
 	timer timer.Service
+	// count is the number of doubts, read without the lock by every request.
+	count atomic.Int64
 	mu    sync.Mutex
 	until map[string]time.Time
 }
@@ -31,6 +44,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.until[source] = d.timer.Now().Add(doubtFor)
+	d.count.Store(int64(len(d.until)))
 }
 
 // renew prolongs a doubt that there is: a pull that failed is one entry's, and
@@ -46,10 +60,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.until, source)
+	d.count.Store(int64(len(d.until)))
 }
 
 // has tells whether a source is doubtful.
 func (d *doubts) has(source string) bool {
+	if d.count.Load() == 0 {
+		return false
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.timer.Now().Before(d.until[source])
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,6 +59,7 @@
 	told     told
 	pulls    pulls
 	doubts   *doubts
+	signs    signs
 
 	servers  []*listening
 	stopping atomic.Bool
@@ -75,6 +77,8 @@
 	members atomic.Pointer[[]ports.Member]
 	// targets are the listed model targets of the own zone.
 	targets atomic.Pointer[[]ports.Instance]
+	// abroad are the zones of the listed model targets of other zones.
+	abroad atomic.Pointer[map[netip.AddrPort]string]
 }
 
 // Option changes an Entry under construction.
@@ -140,6 +144,7 @@
 	e.view.config.Store(&config.Config{})
 	e.view.members.Store(&[]ports.Member{e.self})
 	e.view.targets.Store(&[]ports.Instance{})
+	e.view.abroad.Store(&map[netip.AddrPort]string{})
 	e.table = route.NewTable(e.self.Zone, e.self.Region, e.timer, random.Uint64())
 	e.room = await.NewRoom(e.table, await.DemandFunc(e.demand), e.timer, await.WithLimits(await.Limits{
 		Count:     int64(e.settings.Requests.QueueCount),
@@ -147,6 +152,7 @@
 		LineCount: e.settings.Requests.QueueCount,
 	}))
 	e.table.Listen(e.room.Wake)
+	e.table.Avoid(e.isCutOff)
 	e.limits = admit.NewLimits()
 	if e.parts, err = e.newParts(random); err != nil {
 		return trace.Wrap(err)
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"chivecroft.example/chivecroft/internal/coordination/member"
@@ -36,15 +37,19 @@
 
 func (e *Entry) listed(rows []ports.Instance) {
 	var entries, targets []ports.Instance
+	abroad := make(map[netip.AddrPort]string)
 	for _, row := range rows {
 		switch {
 		case row.Kind == ports.InstanceEntry:
 			entries = append(entries, row)
 		case row.Kind == ports.InstanceTarget && row.Zone == e.self.Zone:
 			targets = append(targets, row)
+		case row.Kind == ports.InstanceTarget:
+			abroad[row.Addr] = row.Zone
 		}
 	}
 	e.view.targets.Store(&targets)
+	e.view.abroad.Store(&abroad)
 	e.told.keep(e.listedTarget)
 	e.table.ApplyInstances(rows)
 	e.warmup.sawList()
@@ -83,6 +88,7 @@
 		if err != nil || !ok {
 			e.log.Debug().Err(err).Str("step", "pullTable").Str("peer", s.member.ID).Msg("pulling a routing table")
 			e.doubts.renew(name)
+			e.doubts.renew(cutName(name))
 			e.sleep(ctx, pullRetry)
 			continue
 		}
@@ -90,6 +96,7 @@
 			return
 		}
 		e.doubts.clear(name)
+		e.doubts.clear(cutName(name))
 		pull.Stream, pull.After = delta.Stream, delta.Seq
 		e.took(name, delta)
 	}
