--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -61,6 +62,7 @@
 	told     told
 	pulls    pulls
 	doubts   *doubts
+	signs    signs
 	// membersNews holds one signal while a change of the members has not been
 	// looked at by followTables.
 	membersNews chan struct{}
@@ -86,7 +88,10 @@
 	entries atomic.Pointer[[]ports.Instance]
 	// targets are the listed model targets of the own zone.
 	targets atomic.Pointer[[]ports.Instance]
+	// regions are those of all instances by address.
 	regions atomic.Pointer[regions]
+	// abroad are the zones of the listed model targets of other zones.
+	abroad atomic.Pointer[map[netip.AddrPort]string]
 }
 
 // Option changes an Entry under construction.
@@ -165,12 +170,14 @@
 	e.view.targets.Store(&[]ports.Instance{})
 	e.table = route.NewTable(e.self.Zone, e.self.Region, e.timer, random.Uint64(), route.WithCrossing(e.link))
 	e.link.Listen(e.table.LinkOpened)
+	e.view.abroad.Store(&map[netip.AddrPort]string{})
 	e.room = await.NewRoom(e.table, await.DemandFunc(e.demand), e.timer, await.WithLimits(await.Limits{
 		Count:     int64(e.settings.Requests.QueueCount),
 		Bytes:     e.settings.Requests.QueueBytes,
 		LineCount: e.settings.Requests.QueueCount,
 	}))
 	e.table.Listen(e.room.Wake)
+	e.table.Avoid(e.isCutOff)
 	e.limits = admit.NewLimits()
 	if e.parts, err = e.newParts(random); err != nil {
 		return trace.Wrap(err)
