--- a/internal/demo/link_test.go
+++ b/internal/demo/link_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -114,3 +115,55 @@
 	}
 	return resp.StatusCode, resp.Header, string(text)
 }
+
+// TestControlBetweenRegions prints what control takes of the link while nothing
+// is asked, by the number of entries.
+func TestControlBetweenRegions(t *testing.T) {
+	const watched, budget = 8 * time.Second, 11 << 10
+	for _, entries := range []int{1, 2, 4} {
+		shape := linkShape(1, "storeRegion = bulacan")
+		shape.Zones = []Zone{
+			{Name: "bul-a", Region: "bulacan", Entries: entries, Targets: 1},
+			{Name: "pam-a", Region: "pampanga", Entries: entries, Targets: 1},
+		}
+		s := deployLink(t, shape)
+		time.Sleep(2 * time.Second)
+		before := controlBytes(t, s.deployment)
+		time.Sleep(watched)
+		rate := (controlBytes(t, s.deployment) - before) / watched.Seconds()
+		t.Logf("%d entries in each of two regions: %.0f B/s between regions in both directions", entries, rate)
+		if rate > float64(2*entries*budget) {
+			t.Errorf("%.0f B/s of control between regions at %d entries", rate, 2*entries)
+		}
+		s.deployment.Close()
+	}
+}
+
+// controlBytes adds up the control traffic between regions that all entries counted.
+func controlBytes(t *testing.T, d *Deployment) float64 {
+	t.Helper()
+	var sum float64
+	for n := range d.Entries {
+		resp, err := http.Get(d.Operators(n) + "/metrics")
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for line := range strings.Lines(string(text)) {
+			if !strings.HasPrefix(line, `chivecroft_link_io_bytes_total{chivecroft_kind="control"`) {
+				continue
+			}
+			fields := strings.Fields(line)
+			bytes, err := strconv.ParseFloat(fields[len(fields)-1], 64)
+			if err != nil {
+				t.Fatal(err)
+			}
+			sum += bytes
+		}
+	}
+	return sum
+}
