Keep the connections of streams apart from those of other calls to engines

Cause: a stream's connection counts as lost, and its replacement as free, if it had been kept and the target took no request over it though it lives. The transport calls a connection kept whatever call it brought. A mute target still answers cancels, so the 100 cancels at the end of a wave left up to 64 kept connections, whose requests in the next wave were all replaced free of charge.

--- a/internal/transport/engine/client.go
+++ b/internal/transport/engine/client.go
@@ -33,6 +33,10 @@
 	config *tls.Config
 	dialer *gate.Dialer
 	http   *http.Client
+	// streams keeps connections of its own: one that was kept has brought a whole
+	// answer, or a sign of life, and not just the end of a call that a target
+	// answers while it takes no requests.
+	streams *http.Client
 	// fresh opens a connection for each call and keeps none.
 	fresh *http.Client
 	timer timer.Service
@@ -88,6 +92,7 @@
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.http = &http.Client{Transport: c.dialer.Transport(c.config), CheckRedirect: noRedirect}
+	c.streams = &http.Client{Transport: c.dialer.Transport(c.config), CheckRedirect: noRedirect}
 	fresh := c.dialer.Transport(c.config)
 	fresh.DisableKeepAlives = true
 	c.fresh = &http.Client{Transport: fresh, CheckRedirect: noRedirect}
@@ -98,6 +103,7 @@
 func (c *Client) Close() {
 	c.cancel()
 	c.http.CloseIdleConnections()
+	c.streams.CloseIdleConnections()
 }
 
 // Retire closes the idle connections to an engine and keeps the busy ones from
@@ -134,17 +140,21 @@
 	return report, err
 }
 
-// Alive asks for a sign of life.
+// Alive asks for a sign of life, over a connection that streams go over.
 func (c *Client) Alive(ctx context.Context, at netip.AddrPort) error {
-	return c.exchange(ctx, "probe", at, http.MethodGet, wire.PathAlive, nil, nil)
+	return c.exchangeOver(ctx, c.streams, "probe", at, http.MethodGet, wire.PathAlive, nil, nil)
 }
 
-// exchange sends in, if not nil, and reads the answer into out, if not nil.
 func (c *Client) exchange(ctx context.Context, step string, at netip.AddrPort, method, path string, in, out any) error {
+	return c.exchangeOver(ctx, c.http, step, at, method, path, in, out)
+}
+
+// exchangeOver sends in, if not nil, and reads the answer into out, if not nil.
+func (c *Client) exchangeOver(ctx context.Context, over *http.Client, step string, at netip.AddrPort, method, path string, in, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, c.callTimeout)
 	defer cancel()
 	ctx, call := gate.Track(ctx, nil)
-	resp, err := c.send(ctx, c.http, at, method, path, in)
+	resp, err := c.send(ctx, over, at, method, path, in)
 	if err != nil {
 		sent := call.Seal()
 		c.suspect(at, err)
--- a/internal/transport/engine/stream.go
+++ b/internal/transport/engine/stream.go
@@ -52,7 +52,7 @@
 func (c *Client) Generate(ctx context.Context, at netip.AddrPort, req wire.GenerateRequest) (*Stream, error) {
 	own, cancel := context.WithCancel(ctx)
 	tracked, call := gate.Track(own, nil)
-	resp, err := c.send(tracked, c.http, at, http.MethodPost, wire.PathGenerate, req)
+	resp, err := c.send(tracked, c.streams, at, http.MethodPost, wire.PathGenerate, req)
 	if err != nil {
 		notRun := !call.Seal()
 		cancel()
