--- a/internal/coordination/owner/home.go
+++ b/internal/coordination/owner/home.go
@@ -9,6 +9,7 @@
 	"chivecroft.example/chivecroft/internal/coordination/place"
 	"chivecroft.example/chivecroft/internal/coordination/policy"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/state/rank"
 )
 
 // home is what this shard does for the models that have their home here: one
@@ -38,7 +39,7 @@
 	}
 	s.home = home{zones: joined, minima: make(map[string]int), preloadAt: s.home.preloadAt}
 	for _, name := range slices.Sorted(maps.Keys(s.config.Models)) {
-		if place.ShardOf(name, s.settings.ShardCount) != s.settings.Shard || place.Rank(name, zones)[0] != s.settings.Zone {
+		if place.ShardOf(name, s.settings.ShardCount) != s.settings.Shard || rank.Order(name, zones)[0] != s.settings.Zone {
 			continue
 		}
 		s.home.models = append(s.home.models, name)
@@ -48,12 +49,25 @@
 	}
 }
 
+// liveZones are the zones with living entries, those beside the weight store
+// alone if there are any: a home elsewhere would fetch its models over the link.
 func (s *Shard) liveZones() []string {
 	zones := map[string]bool{s.settings.Zone: true}
+	near := make(map[string]bool)
+	if s.settings.Region == s.settings.StoreRegion {
+		near[s.settings.Zone] = true
+	}
 	for _, m := range s.members {
-		if m.Phase == ports.MemberAlive {
-			zones[m.Zone] = true
+		if m.Phase != ports.MemberAlive {
+			continue
 		}
+		zones[m.Zone] = true
+		if m.Region == s.settings.StoreRegion {
+			near[m.Zone] = true
+		}
+	}
+	if len(near) > 0 && s.settings.StoreRegion != "" {
+		zones = near
 	}
 	return slices.Sorted(maps.Keys(zones))
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 	"chivecroft.example/chivecroft/internal/coordination/await"
 	"chivecroft.example/chivecroft/internal/coordination/daily"
 	"chivecroft.example/chivecroft/internal/coordination/feed"
+	"chivecroft.example/chivecroft/internal/coordination/link"
 	"chivecroft.example/chivecroft/internal/coordination/once"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 	"chivecroft.example/chivecroft/internal/coordination/route"
@@ -47,6 +49,7 @@
 	table    *route.Table
 	room     *await.Room
 	limits   *admit.Limits
+	link     *link.Link
 	claims   *once.Driver
 	recorder *daily.Recorder
 	writer   *daily.Writer
@@ -60,8 +63,14 @@
 	pulls    pulls
 	doubts   *doubts
 	signs    signs
+	// membersNews holds one signal while a change of the members has not been
+	// looked at by followTables.
+	membersNews chan struct{}
+
+	// listeners are those that were handed over, by name.
+	listeners map[string]net.Listener
+	servers   []*listening
 
-	servers  []*listening
 	stopping atomic.Bool
 	ready    atomic.Bool
 	ctx      context.Context
@@ -75,10 +84,13 @@
 type view struct {
 	config  atomic.Pointer[config.Config]
 	members atomic.Pointer[[]ports.Member]
+	// entries are the listed entries of all zones.
+	entries atomic.Pointer[[]ports.Instance]
 	// targets are the listed model targets of the own zone.
 	targets atomic.Pointer[[]ports.Instance]
 	// abroad are the zones of the listed model targets of other zones.
-	abroad atomic.Pointer[map[netip.AddrPort]string]
+	abroad  atomic.Pointer[map[netip.AddrPort]string]
+	regions atomic.Pointer[regions]
 }
 
 // Option changes an Entry under construction.
@@ -94,6 +106,12 @@
 	return func(e *Entry) { e.timer = t }
 }
 
+// WithListener hands over a listener that is open already, such as
+// ListenerPeers, for an address that had to be known before the entry was made.
+func WithListener(name string, l net.Listener) Option {
+	return func(e *Entry) { e.listeners[name] = l }
+}
+
 // New returns an entry that does not listen yet.
 func New(settings params.Settings, opts ...Option) (*Entry, error) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -104,6 +122,9 @@
 		ctx:      ctx,
 		cancel:   cancel,
 		drained:  make(chan struct{}),
+
+		listeners:   make(map[string]net.Listener),
+		membersNews: make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
 		opt(e)
@@ -128,16 +149,18 @@
 	if e.meter, err = meter.New(e.self.ID, e.self.Zone); err != nil {
 		return trace.Wrap(err)
 	}
+	e.link = link.New(e.linkSettings(), e.timer)
 	if e.peers, err = e.newPeers(); err != nil {
 		return trace.Wrap(err)
 	}
 	random := rand.New(rand.NewPCG(e.self.Incarnation, 1))
-	e.kv = kvhttp.New(e.settings.Platform.URL, kvhttp.WithTimeout(e.settings.Platform.Timeout), kvhttp.WithTimer(e.timer))
-	e.engines = engine.New(engine.WithTimer(e.timer))
+	e.kv = kvhttp.New(e.settings.Platform.URL, kvhttp.WithTimeout(e.settings.Platform.Timeout), kvhttp.WithTimer(e.timer),
+		kvhttp.WithWatch(e.watchPlatform))
+	e.engines = engine.New(engine.WithTimer(e.timer), engine.WithWatch(e.watchLink(kindModel)))
 	e.used = newUsedTargets()
 	e.doubts = newDoubts(e.timer)
 	e.probes = probe.NewEngines(e.engines, e.timer, nil)
-	e.services = probe.NewServices()
+	e.services = probe.NewServices(probe.WithWatch(e.watchLink(kindService)))
 	e.own = feed.New(e.self.Incarnation, e.timer)
 	e.zone = feed.NewUnion(feed.New(e.self.Incarnation, e.timer))
 	e.recorder = daily.NewRecorder(e.timer, e.settings.Entry.Location)
@@ -145,7 +168,8 @@
 	e.view.members.Store(&[]ports.Member{e.self})
 	e.view.targets.Store(&[]ports.Instance{})
 	e.view.abroad.Store(&map[netip.AddrPort]string{})
-	e.table = route.NewTable(e.self.Zone, e.self.Region, e.timer, random.Uint64())
+	e.table = route.NewTable(e.self.Zone, e.self.Region, e.timer, random.Uint64(), route.WithCrossing(e.link))
+	e.link.Listen(e.table.LinkOpened)
 	e.room = await.NewRoom(e.table, await.DemandFunc(e.demand), e.timer, await.WithLimits(await.Limits{
 		Count:     int64(e.settings.Requests.QueueCount),
 		Bytes:     e.settings.Requests.QueueBytes,
@@ -221,12 +245,19 @@
 
 // sleep waits for d or the end of ctx, and tells whether ctx still stands.
 func (e *Entry) sleep(ctx context.Context, d time.Duration) bool {
+	return e.sleepOr(ctx, d, nil)
+}
+
+// sleepOr waits as sleep does, but no longer than until there is news.
+func (e *Entry) sleepOr(ctx context.Context, d time.Duration, news <-chan struct{}) bool {
 	passed := make(chan struct{})
 	cancel := e.timer.After(d, func() { close(passed) })
 	defer cancel()
 	select {
 	case <-passed:
 		return true
+	case <-news:
+		return true
 	case <-ctx.Done():
 		return false
 	}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -48,8 +48,10 @@
 			abroad[row.Addr] = row.Zone
 		}
 	}
+	e.view.entries.Store(&entries)
 	e.view.targets.Store(&targets)
 	e.view.abroad.Store(&abroad)
+	e.learnRegions(rows, e.members())
 	e.told.keep(e.listedTarget)
 	e.table.ApplyInstances(rows)
 	e.warmup.sawList()
@@ -103,13 +105,14 @@
 }
 
 // took applies a delta to the routing table and, for rows of the own zone, to
-// the feed that other zones follow.
+// the feed that other zones and the status follow; the feed comes first, so that
+// a replica that has served somebody is in the status.
 func (e *Entry) took(name string, delta ports.TableDelta) {
-	e.table.Apply(name, delta)
-	e.warmup.sawSource(name)
 	if isOwner(name) {
 		e.zone.Apply(name, delta)
 	}
+	e.table.Apply(name, delta)
+	e.warmup.sawSource(name)
 }
 
 // idleEvery is the period in which idle accelerator time is counted.
--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -9,6 +9,7 @@
 
 	"chivecroft.example/chivecroft/internal/coordination/daily"
 	"chivecroft.example/chivecroft/internal/coordination/drive"
+	"chivecroft.example/chivecroft/internal/coordination/link"
 	"chivecroft.example/chivecroft/internal/coordination/member"
 	"chivecroft.example/chivecroft/internal/coordination/once"
 	"chivecroft.example/chivecroft/internal/coordination/owner"
@@ -137,9 +138,16 @@
 		ReportEvery:  e.settings.Platform.ReportInterval,
 		StoreSlots:   e.settings.Platform.StoreSlots,
 		AdapterLoads: max(1, e.settings.Platform.AdapterLoads/e.settings.Control.Shards),
+		StoreRegion:  e.settings.Platform.StoreRegion,
+
+		LinkBytesPerSecond: e.linkSettings().BytesPerSecond(),
 	}
 }
 
+func (e *Entry) linkSettings() link.Settings {
+	return link.Settings{BitsPerSecond: e.settings.Link.BitsPerSecond, Share: e.settings.Link.Share}
+}
+
 func (p *parts) start() {
 	p.members.Post(member.Start{})
 	p.relay.Post(relay.Start{})
@@ -224,11 +232,17 @@
 
 func (e *Entry) membersChanged(members []ports.Member) {
 	e.view.members.Store(&members)
+	e.learnRegions(nil, members)
+	e.link.SetEntries(link.Sharers(e.self, members))
 	e.limits.SetEntries(max(1, len(member.Serving(members, e.self.Zone))))
 	e.parts.relay.Post(relay.MembersChanged{Members: members})
 	e.parts.writer.Post(daily.MembersChanged{Members: members})
 	e.parts.toShards(owner.MembersChanged{Members: members})
 	e.claims.SetMembers(members)
+	select {
+	case e.membersNews <- struct{}{}:
+	default:
+	}
 }
 
 func (e *Entry) adopted(c *config.Config) {
--- a/internal/transport/front/deps.go
+++ b/internal/transport/front/deps.go
@@ -10,6 +10,7 @@
 
 	"chivecroft.example/chivecroft/internal/coordination/admit"
 	"chivecroft.example/chivecroft/internal/coordination/await"
+	"chivecroft.example/chivecroft/internal/coordination/link"
 	"chivecroft.example/chivecroft/internal/coordination/once"
 	"chivecroft.example/chivecroft/internal/coordination/route"
 	"chivecroft.example/chivecroft/internal/protocol/wire"
@@ -50,8 +51,11 @@
 	NotRun bool
 	// Leaving tells that the target takes no new work.
 	Leaving bool
-	// Gone tells that the replica or adapter is not on the target any more.
+	// Gone tells that the replica is not on the target any more.
 	Gone bool
+	// NoAdapter tells that the replica lacks the adapter: one that was unloaded
+	// to make room, and may come back to the same replica.
+	NoAdapter bool
 	// Overloaded tells that the target has too much to do.
 	Overloaded bool
 	// Invalid tells that the target finds fault with the request itself.
@@ -97,6 +101,8 @@
 	Engine   Engine
 	Services Services
 	Timer    timer.Service
+	// Link is the entry's share of the link between regions; nil does not bound it.
+	Link *link.Link
 	// Arrive hears of each request as soon as its service and class are known, at
 	// the latest when it ends; nil drops it.
 	Arrive func(service string, class config.Class)
