Refuse at once what the link cannot take before the deadline

Cause: a request for another region waited for the entry's share of the link until its deadline, also when the share was overdrawn for longer than that. Known early, it is now told early (tooLate, notRun, Retry-After), unless a replica on this side could serve it.

A load over the link is also a happening, loadAcross, since it is paid by volume.

--- a/internal/coordination/await/line.go
+++ b/internal/coordination/await/line.go
@@ -78,6 +78,7 @@
 	Pick(q route.Query, now time.Time) (route.Choice, route.Status)
 	Outlook(key string) (readyIn time.Duration, loading bool, failed string)
 	Ready(q route.Query) bool
+	CrossWait(q route.Query) time.Duration
 	Took(key string) time.Duration
 }
 
--- a/internal/coordination/await/room.go
+++ b/internal/coordination/await/room.go
@@ -228,6 +228,12 @@
 	if r.draining.Load() {
 		return &admit.Refusal{Reason: admit.ReasonDraining, Detail: "the entry is stopping", RetryAfter: time.Second}
 	}
+	if wait := r.table.CrossWait(w.req.Query); now.Add(wait).After(w.due) {
+		return &admit.Refusal{
+			Reason: admit.ReasonTooLate, RetryAfter: wait,
+			Detail: "the share of the link between regions is used up until after the deadline",
+		}
+	}
 	wait := l.expectedWait(now, w)
 	if w.cold || !l.readyAt.IsZero() {
 		if now.Add(wait).After(w.due) {
--- a/internal/coordination/link/link.go
+++ b/internal/coordination/link/link.go
@@ -120,6 +120,14 @@
 	return false
 }
 
+// Wait returns how long new work of a priority has to wait before it may cross,
+// if nothing else crosses meanwhile.
+func (l *Link) Wait(p Priority) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.wait(p)
+}
+
 func (l *Link) wait(p Priority) time.Duration {
 	now := l.timer.Now()
 	return max(l.ways[Out].bucket.startWait(now, p), l.ways[In].bucket.startWait(now, p))
--- a/internal/coordination/owner/events.go
+++ b/internal/coordination/owner/events.go
@@ -119,6 +119,8 @@
 	KindLoadFailed EventKind = "loadFailed"
 	// KindTargetRestarted means that a target came back empty.
 	KindTargetRestarted EventKind = "targetRestarted"
+	// KindLoadAcross means that a load over the link between regions was decided.
+	KindLoadAcross EventKind = "loadAcross"
 	// KindTargetGone means that a target left the instance list for good.
 	KindTargetGone EventKind = "targetGone"
 	// KindDamaged means that a KV value cannot be read and was left alone.
--- a/internal/coordination/owner/load.go
+++ b/internal/coordination/owner/load.go
@@ -96,6 +96,9 @@
 	}
 	t.replicas[r.ID] = r
 	s.stamp(r)
+	if fromStore && s.isFar() {
+		s.happened(KindLoadAcross, m.name, "%d bytes over the link to %s", c.MemoryBytes, t.id)
+	}
 	m.since = time.Time{}
 }
 
--- a/internal/coordination/owner/reach_test.go
+++ b/internal/coordination/owner/reach_test.go
@@ -1,6 +1,8 @@
 package owner
 
 import (
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -48,6 +50,10 @@
 		}
 		r.run(8 * time.Second)
 		r.expectLoaded(t, map[string]int{"model-0": c.loaded})
+		told := slices.ContainsFunc(r.events, func(line string) bool { return strings.Contains(line, string(KindLoadAcross)) })
+		if want := c.loaded > 0 && c.store == "beyond"; told != want {
+			t.Errorf("%s: operators were told of a load over the link: %v, want %v", c.name, told, want)
+		}
 		r.mustHold(t)
 	}
 }
--- a/internal/coordination/route/pick.go
+++ b/internal/coordination/route/pick.go
@@ -158,6 +158,35 @@
 	return m != nil && slices.ContainsFunc(m.replicas, func(r *replica) bool { return r.usable(q) })
 }
 
+// CrossWait returns how long a request has to wait at least for the link between
+// regions, 0 if it may cross now or a replica on this side could serve it.
+func (t *Table) CrossWait(q Query) time.Duration {
+	if t.crossing == nil {
+		return 0
+	}
+	p := t.part(q.Key)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.models[q.Key]
+	if m == nil {
+		return 0
+	}
+	beyond := false
+	for _, r := range m.replicas {
+		if !r.usable(q) {
+			continue
+		}
+		if r.ring != RingBeyond {
+			return 0
+		}
+		beyond = true
+	}
+	if !beyond {
+		return 0
+	}
+	return t.crossing.Wait(q.Priority)
+}
+
 // Took returns the average time of a call, 0 if none is known.
 func (t *Table) Took(key string) time.Duration {
 	p := t.part(key)
--- a/internal/coordination/route/route_test.go
+++ b/internal/coordination/route/route_test.go
@@ -412,6 +412,14 @@
 // Open tells whether the priority is open.
 func (c closable) Open(p link.Priority) bool { return c[p] }
 
+// Wait tells of a minute while the priority is closed.
+func (c closable) Wait(p link.Priority) time.Duration {
+	if c[p] {
+		return 0
+	}
+	return time.Minute
+}
+
 // TestUsedUpLinkKeepsInRegion: while the link is used up, requests stay in their
 // own region or wait, and those that were turned away hear when it opens.
 func TestUsedUpLinkKeepsInRegion(t *testing.T) {
@@ -428,7 +436,14 @@
 	if _, got := r.pick(route.Query{Priority: link.Deferrable}); got != "busy" {
 		t.Errorf("deferrable: %s", got)
 	}
+	wait := func(p link.Priority) time.Duration { return r.CrossWait(route.Query{Key: "m", Priority: p}) }
+	if diff := cmp.Diff([]time.Duration{0, time.Minute}, []time.Duration{wait(link.Interactive), wait(link.Deferrable)}); diff != "" {
+		t.Errorf("waits for the link (-want +got):\n%s", diff)
+	}
 	r.rows("s", row("near", in("bul-b", "bulacan")))
+	if got := wait(link.Deferrable); got != 0 {
+		t.Errorf("wait of %v with a replica in the region", got)
+	}
 	if _, got := r.pick(route.Query{Priority: link.Deferrable}); got != "near" {
 		t.Errorf("deferrable with a replica in the region: %s", got)
 	}
--- a/internal/coordination/route/table.go
+++ b/internal/coordination/route/table.go
@@ -73,6 +73,8 @@
 // regions; if it may not, LinkOpened has to be called once it may.
 type Crossing interface {
 	Open(p link.Priority) bool
+	// Wait returns how long it takes at least until new work may cross.
+	Wait(p link.Priority) time.Duration
 }
 
 // WithCrossing makes picks in other regions depend on the link.
--- a/internal/transport/front/pace_test.go
+++ b/internal/transport/front/pace_test.go
@@ -98,9 +98,9 @@
 	}
 }
 
-// TestUsedUpLink: while the link is used up, a request for another region waits;
-// it is refused truly if that lasts until its deadline, and served once it does
-// not.
+// TestUsedUpLink: while the link is used up, a request for another region waits
+// and is served once it is open again; one whose deadline comes before that is
+// refused at once, truly, and hears when to come back.
 func TestUsedUpLink(t *testing.T) {
 	r, server := farRig(t)
 	ask := func(deadline string) (int, http.Header, string) {
@@ -117,12 +117,16 @@
 		return resp.StatusCode, resp.Header, text(t, resp)
 	}
 	r.link.Spend(link.Out, 2*linkRate)
+	began := time.Now()
 	status, header, answer := ask("300ms")
+	if took := time.Since(began); took > 150*time.Millisecond {
+		t.Errorf("refused after %v, though it was known at once", took)
+	}
 	var problem struct{ NotRun bool }
 	if err := json.Unmarshal([]byte(answer), &problem); err != nil || !problem.NotRun || header.Get("Retry-After") == "" {
 		t.Errorf("status %d, Retry-After %q, %v: %s", status, header.Get("Retry-After"), err, answer)
 	}
-	began := time.Now()
+	began = time.Now()
 	if status, _, answer := ask("10s"); status != http.StatusOK {
 		t.Errorf("status %d: %s", status, answer)
 	}
