Let a model across the link grow beside the store

Cause: a shard across the link answered "there is a replica" while that replica was overloaded and a further one could only be fetched over the link. The callers' demands ended there, and no zone beside the store heard of them. It now queues with its reason, so that the demand goes on.

Seen failing: TestPressedFarModelGrowsElsewhere without the new answer (accepted, want queued). The same test found that the permission for one load over the link stood for a second one, decided 9 s after the first (two loads, want one); it is spent now by the load that it was given for.

--- a/internal/coordination/owner/demand.go
+++ b/internal/coordination/owner/demand.go
@@ -40,6 +40,9 @@
 		return ports.DemandReply{Status: ports.DemandRefused, Reason: reason}, true
 	}
 	m := s.model(a.model)
+	if s.growsElsewhere(m) {
+		return ports.DemandReply{Status: ports.DemandQueued, Reason: m.refused, ReadyIn: s.loadTime(m.name) + queuedEstimate}, true
+	}
 	if in, ok := s.readyIn(m.name); ok {
 		return ports.DemandReply{Status: ports.DemandAccepted, ReadyIn: in}, true
 	}
--- a/internal/coordination/owner/load.go
+++ b/internal/coordination/owner/load.go
@@ -97,6 +97,8 @@
 	t.replicas[r.ID] = r
 	s.stamp(r)
 	if fromStore && s.isFar() {
+		// What callers allowed was one load, not a further replica after it.
+		m.acrossUntil = time.Time{}
 		s.happened(KindLoadAcross, m.name, "%d bytes over the link to %s", c.MemoryBytes, t.id)
 	}
 	m.since = time.Time{}
--- a/internal/coordination/owner/reach.go
+++ b/internal/coordination/owner/reach.go
@@ -45,6 +45,14 @@
 	return ports.DemandReply{}, false
 }
 
+// growsElsewhere tells whether the model should have a further replica that this
+// shard could only fetch over the link. The answer has to say so: callers who hear
+// that there is a replica ask no other zone.
+func (s *Shard) growsElsewhere(m *model) bool {
+	decided := s.decided(m.name)
+	return s.isFar() && m.refused != "" && decided > 0 && s.wanted(m) > decided
+}
+
 // fetchTime estimates a load from the weight store, over the link if need be.
 // What was measured beside the store says nothing of it.
 func (s *Shard) fetchTime(name string) time.Duration {
--- a/internal/coordination/owner/reach_test.go
+++ b/internal/coordination/owner/reach_test.go
@@ -58,6 +58,46 @@
 	}
 }
 
+// TestPressedFarModelGrowsElsewhere: a shard whose replica is overloaded, and whose
+// further ones would cross the link, sends the demand on; beside the store it loads
+// a further one itself.
+func TestPressedFarModelGrowsElsewhere(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		store  string
+		want   ports.DemandStatus
+		loaded int
+	}{{"region", ports.DemandAccepted, 2}, {"beyond", ports.DemandQueued, 1}} {
+		r := newRig(rigSize{
+			zones: 1, entries: 1, targets: 2, shards: 1, memoryBytes: 5 * gib, models: 1, maxReplicas: 2,
+			latency: time.Millisecond, seed: 1, storeRegion: c.store, linkBytes: gib,
+		})
+		ask := func(load ports.LoadReach) uint64 {
+			return r.demand(0, 0, ports.Demand{Model: "model-0", Waiting: 1, Within: 10 * time.Second, From: "caller", Load: load})
+		}
+		r.run(5 * time.Second)
+		ask(ports.LoadAcross)
+		r.run(8 * time.Second)
+		for _, m := range r.targets {
+			for _, replica := range m.engine.State().Replicas {
+				for range 20 {
+					m.engine.Begin(replica.Replica)
+				}
+			}
+		}
+		var id uint64
+		for range 15 {
+			id = ask(ports.LoadCached)
+			r.run(time.Second)
+		}
+		if got := r.answers[id]; got.Status != c.want || (got.Reason == "") != (c.want == ports.DemandAccepted) {
+			t.Errorf("store in %s: %+v, want %s", c.store, got, c.want)
+		}
+		r.expectLoaded(t, map[string]int{"model-0": c.loaded})
+		r.mustHold(t)
+	}
+}
+
 // TestCachedLoadsCrossNothing: a checkpoint that a far target has cached is loaded
 // there for whoever asks.
 func TestCachedLoadsCrossNothing(t *testing.T) {
