Unload single adapters, and load them on as many replicas as need them

Cause: adapters went only with their replica, and each was loaded on every replica of its model. Four replicas with room for eight adapters each held the same eight, and callers of all others waited until their deadline. Found on the way: the callers of an entry were kept by entry alone, so that of several adapters that an entry waits for only the last one told was known.

An adapter is now charged and resolved like a replica (senders of its load orders in the plan, fenced off or waited out, unloading confirmed before its room is used again). It goes when idle, when the configuration has it no longer or otherwise, and when a model or another adapter needs the room; the keep-alive and placement policies decide over it as a model that loads in 20 ms. Engines may report the use of each adapter; without that all count as used while their replica is. An unload waits in the engine for the requests that use the adapter. Routers stop sending when the decision is made. The limit of loads in flight counts orders under way as well. A step looks at adapters that are waited for or loaded, never at all of them.

The plan shows an adapter as an object where it showed its memory alone; both forms are read, and an earlier program leaves the new one alone as it does with any newer value.

Tests seen failing, each on a scratch change that takes the mechanism away: orders that may arrive, copies told apart: TestLateAdapterOrder (order would overcommit memory); loads under way: TestSlowAdapterLoad, TestAdapterOrderLost (adapter outside the plan); use: TestAdapterInUseStays; limit: TestAdapterLoadsInFlight (3 of 2); confirmation: TestAdapterUnloadWaits, TestLateAdapterUnload. The last needed three changes at once (charge, account, wait for what goes), each of which is enough alone.

--- a/internal/coordination/owner/faults_test.go
+++ b/internal/coordination/owner/faults_test.go
@@ -42,8 +42,8 @@
 		Within:  time.Duration(rapid.IntRange(1, 20).Draw(t, "within")) * time.Second,
 		From:    "caller",
 	}
-	if d.Model == "model-0" && rapid.Bool().Draw(t, "adapter") {
-		d.Adapter = "lora"
+	if d.Model == "model-0" {
+		d.Adapter = rapid.SampledFrom([]string{"", "lora", "lora-1", "lora-2"}).Draw(t, "adapter")
 	}
 	zone := rapid.IntRange(0, r.size.zones-1).Draw(t, "zone")
 	shard := rapid.IntRange(0, r.size.shards-1).Draw(t, "shard")
@@ -200,7 +200,11 @@
 func (r *rig) workSome(t *rapid.T) {
 	m := r.someTarget(t)
 	for _, rep := range m.engine.State().Replicas {
-		if end, ok := m.engine.Begin(rep.Replica); ok {
+		adapter := ""
+		if len(rep.Adapters) > 0 {
+			adapter = rapid.SampledFrom(rep.Adapters).Draw(t, "with")
+		}
+		if end, ok := m.engine.BeginWith(rep.Replica, adapter); ok {
 			r.clock.After(time.Duration(rapid.IntRange(1, 30).Draw(t, "s"))*time.Second, end)
 			return
 		}
--- a/internal/coordination/owner/golden_test.go
+++ b/internal/coordination/owner/golden_test.go
@@ -41,7 +41,7 @@
 		switch n := note.(type) {
 		case TableChanged:
 			for _, row := range n.Replicas {
-				s.add("%s table %s %s %s", e.member.ID, row.ID, row.Target, row.Phase)
+				s.add("%s", strings.Join(append([]string{e.member.ID, "table", row.ID, row.Target, string(row.Phase)}, row.Adapters...), " "))
 			}
 			for _, id := range n.Removed {
 				s.add("%s table %s removed", e.member.ID, id)
@@ -100,9 +100,39 @@
 	r.ownerOf(0, 0).post(StopAsked{})
 	step("a planned stop", 2*time.Second)
 	r.mustHold(t)
+	s.compare(t, "session.txt")
+}
+
+// TestGoldenAdapters plays loads of adapters, one that makes another go, and an
+// owner that dies while one loads.
+func TestGoldenAdapters(t *testing.T) {
+	r := adapterRig(1, 2)
+	s := record(r)
+	step := func(name string, d time.Duration) {
+		s.lines = append(s.lines, "-- "+name)
+		r.run(d)
+	}
+	r.askAdapter("lora")
+	step("a first adapter", time.Second)
+	r.askAdapter("lora-1")
+	step("a second one", time.Second)
+	r.askAdapter("lora-2")
+	step("a third one, for which the first goes", time.Second)
+	r.askAdapter("lora")
+	r.run(12 * time.Millisecond)
+	r.ownerOf(0, 0).kill()
+	step("the owner dies while an adapter goes", 15*time.Second)
+	r.askAdapter("lora")
+	step("its successor goes on", time.Second)
+	r.mustHold(t)
+	s.compare(t, "adapters.txt")
+}
 
+// compare checks the session against a golden file.
+func (s *script) compare(t *testing.T, name string) {
+	t.Helper()
 	got := strings.Join(s.lines, "\n") + "\n"
-	file := filepath.Join("testdata", "session.txt")
+	file := filepath.Join("testdata", name)
 	if *update {
 		if err := os.MkdirAll("testdata", 0o755); err != nil {
 			t.Fatal(err)
--- a/internal/coordination/owner/load.go
+++ b/internal/coordination/owner/load.go
@@ -13,7 +13,7 @@
 // load from the weight store, a slot are there. A shard without a place takes
 // no permit, which another shard may have a use for.
 func (s *Shard) load(m *model, v policy.ModelView) {
-	if s.awaitsEviction(m.name) {
+	if s.areThere(m.evicting) {
 		return
 	}
 	placed := s.place(v)
@@ -32,7 +32,7 @@
 		return
 	}
 	if len(placed.Evict) > 0 {
-		s.evict(m, t, placed.Evict)
+		m.evicting = s.evict(m.name, t, placed.Evict)
 		return
 	}
 	if t.free() < v.MemoryBytes || !t.isUsable(s.now, s.usableFor()) {
@@ -95,7 +95,7 @@
 		FromStore:   fromStore,
 	}
 	t.replicas[r.ID] = r
-	s.stamp(r)
+	r.seq = s.stamp(&r.Loads, &r.delivery)
 	m.since = time.Time{}
 }
 
@@ -115,10 +115,8 @@
 			if r.isReady() {
 				v.Running += r.seen.Running
 			}
-			if s.isEvictable(r, name) {
-				v.Evictable = append(v.Evictable, s.replicaView(t, r))
-			}
 		}
+		v.Evictable = s.evictables(t, name, s.config.Models[name].MemoryBytes)
 		views = append(views, v)
 	}
 	return views
@@ -147,30 +145,6 @@
 	}
 }
 
-// evict unloads replicas to make room; the memory is used only once the target
-// confirms that they are gone.
-func (s *Shard) evict(m *model, t *target, ids []string) {
-	for _, id := range ids {
-		if r := t.replicas[id]; r != nil && s.isEvictable(r, m.name) {
-			r.evictedFor = m.name
-			s.unload(r)
-		}
-	}
-}
-
-// awaitsEviction tells whether replicas are on their way out to make room for
-// the model.
-func (s *Shard) awaitsEviction(name string) bool {
-	for _, t := range s.targets {
-		for _, r := range t.replicas {
-			if r.evictedFor == name && r.Phase == place.PhaseUnloading {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 func (s *Shard) loadTime(name string) time.Duration {
 	if t := s.model(name).loadTime; t > 0 {
 		return t
--- a/internal/coordination/owner/model.go
+++ b/internal/coordination/owner/model.go
@@ -15,8 +15,10 @@
 // model is what a shard knows of one model's use.
 type model struct {
 	name string
-	// demands are the callers who wait, by the entry that told of them.
-	demands map[string]demand
+	// demands are the callers who wait, by who told of them and for what.
+	demands map[demandKey]demand
+	// evicting is what makes room for the next replica.
+	evicting evicting
 
 	lastUsed time.Time
 	gaps     []time.Duration
@@ -35,8 +37,11 @@
 	pressure policy.Pressure
 }
 
+// demandKey tells apart the callers of an entry who wait for the model alone and
+// for each of its adapters, of which the entry tells one by one.
+type demandKey struct{ from, adapter string }
+
 type demand struct {
-	adapter string
 	waiting int
 	until   time.Time
 }
@@ -63,7 +68,7 @@
 func (s *Shard) model(name string) *model {
 	m := s.models[name]
 	if m == nil {
-		m = &model{name: name, demands: make(map[string]demand)}
+		m = &model{name: name, demands: make(map[demandKey]demand)}
 		s.models[name] = m
 	}
 	return m
@@ -73,6 +78,7 @@
 func (m *model) reset() {
 	clear(m.demands)
 	m.refused = ""
+	m.evicting = evicting{}
 	m.since = time.Time{}
 }
 
@@ -102,7 +108,10 @@
 	m := s.model(d.Model)
 	s.touch(m)
 	if s.stage == stageOwned && d.Waiting > 0 {
-		m.demands[d.From] = demand{adapter: d.Adapter, waiting: d.Waiting, until: s.now.Add(d.Within)}
+		m.demands[demandKey{d.From, d.Adapter}] = demand{waiting: d.Waiting, until: s.now.Add(d.Within)}
+		if d.Adapter != "" {
+			s.awaitAdapter(d)
+		}
 		if m.since.IsZero() {
 			m.since = s.now
 		}
@@ -222,6 +231,7 @@
 		s.reviewPreload()
 		s.retire()
 	}
+	s.reviewAdapters()
 	wanting := s.wanting()
 	if len(wanting) == 0 {
 		return
@@ -316,3 +326,11 @@
 	}
 	return ports.TierRemote
 }
+
+// adapterConfig is what the configuration says of an adapter, if anything.
+func (s *Shard) adapterConfig(name string) config.Adapter {
+	if s.config == nil {
+		return config.Adapter{}
+	}
+	return s.config.Adapters[name]
+}
--- a/internal/coordination/owner/observe.go
+++ b/internal/coordination/owner/observe.go
@@ -81,7 +81,8 @@
 		s.used(r, rs)
 	}
 	r.seen = rs
-	s.settleSeen(t, r)
+	s.settleSeen(t, &r.Loads, &r.delivery)
+	s.seeAdapters(t, r)
 }
 
 // adoptReplica takes a replica into the plan that an earlier owner loaded off
@@ -119,19 +120,19 @@
 	}
 }
 
-// settleSeen strikes out senders of a replica that is there or was there. Where
+// settleSeen strikes out senders of what is there or was there. Where
 // a single order was ever prepared, what is there is that order's doing; with
 // several, one copy may still be on its way:
 //
 //	owner 1 sends a load, which is delayed, and dies
 //	owner 2 sends it again, sees the replica, and unloads it
 //	owner 1's order arrives and loads it once more
-func (s *Shard) settleSeen(t *target, r *replica) {
-	s.resolve(r, s.isFencedOff(t))
-	if r.Sends == 1 {
-		s.resolve(r, func(place.Sender) bool { return true })
+func (s *Shard) settleSeen(t *target, l *place.Loads, d *delivery) {
+	s.resolve(l, s.isFencedOff(t))
+	if l.Sends == 1 {
+		s.resolve(l, func(place.Sender) bool { return true })
 	}
-	s.settleQuiet(t, r)
+	s.settleQuiet(t, l, d)
 }
 
 func (s *Shard) isFencedOff(t *target) func(place.Sender) bool {
@@ -145,13 +146,13 @@
 func (s *Shard) missReplica(t *target, r *replica) {
 	wasSeen := r.seen != nil
 	r.seen = nil
-	s.resolve(r, s.isFencedOff(t))
+	s.resolve(&r.Loads, s.isFencedOff(t))
 	if r.Phase == place.PhaseUnloading && !r.sent {
-		s.resolve(r, s.isOwnNow)
+		s.resolve(&r.Loads, s.isOwnNow)
 	}
-	s.settleQuiet(t, r)
+	s.settleQuiet(t, &r.Loads, &r.delivery)
 	if len(r.Unresolved) > 0 {
-		s.pursue(t, r)
+		s.pursue(t, &r.Loads, &r.delivery)
 		return
 	}
 	if r.Phase == place.PhaseDecided && !r.sent && !wasSeen {
@@ -163,11 +164,11 @@
 
 // pursue raises the epoch if an own order to a target that checks fencing got
 // lost: once the fence is above it, the target's account is final.
-func (s *Shard) pursue(t *target, r *replica) {
-	if t.ignoresFence || !r.answered {
+func (s *Shard) pursue(t *target, l *place.Loads, d *delivery) {
+	if t.ignoresFence || !d.answered {
 		return
 	}
-	for _, sender := range r.Unresolved {
+	for _, sender := range l.Unresolved {
 		if s.isOwnNow(sender) && sender.Epoch >= t.state.Fence {
 			s.raiseEpoch(sender.Epoch + 1)
 		}
@@ -177,29 +178,29 @@
 // settleQuiet strikes out senders on a target that ignores fencing once they
 // can send no more and the target has answered for longer than an order may be
 // on its way.
-func (s *Shard) settleQuiet(t *target, r *replica) {
-	if !t.ignoresFence || len(r.Unresolved) == 0 {
-		r.quietSince = time.Time{}
+func (s *Shard) settleQuiet(t *target, l *place.Loads, d *delivery) {
+	if !t.ignoresFence || len(l.Unresolved) == 0 {
+		d.quietSince = time.Time{}
 		return
 	}
-	for _, sender := range r.Unresolved {
-		if !s.isQuiet(r, sender) {
-			r.quietSince = time.Time{}
+	for _, sender := range l.Unresolved {
+		if !s.isQuiet(d, sender) {
+			d.quietSince = time.Time{}
 			return
 		}
 	}
-	if r.quietSince.IsZero() || r.quietSince.Before(t.answering) {
-		r.quietSince = s.now
+	if d.quietSince.IsZero() || d.quietSince.Before(t.answering) {
+		d.quietSince = s.now
 	}
-	if s.now.Sub(r.quietSince) >= s.settings.OrderTransit {
-		s.resolve(r, func(place.Sender) bool { return true })
+	if s.now.Sub(d.quietSince) >= s.settings.OrderTransit {
+		s.resolve(l, func(place.Sender) bool { return true })
 	}
 }
 
 // isQuiet tells whether a sender can send no more.
-func (s *Shard) isQuiet(r *replica, sender place.Sender) bool {
+func (s *Shard) isQuiet(d *delivery, sender place.Sender) bool {
 	if s.isOwnNow(sender) {
-		return r.answered
+		return d.answered
 	}
 	if s.isSelf(sender) {
 		return s.now.Sub(s.session.since) >= s.settings.OrderTransit
@@ -219,7 +220,7 @@
 		return
 	}
 	r.seen = nil
-	s.settleSeen(t, r)
+	s.settleSeen(t, &r.Loads, &r.delivery)
 	s.loadFailed(t, r, rs.Reason)
 }
 
--- a/internal/coordination/owner/oracle_test.go
+++ b/internal/coordination/owner/oracle_test.go
@@ -86,21 +86,30 @@
 	}
 }
 
-// checkTargets: no order would have overcommitted memory, and what a target
-// that ignores fencing holds stands in the plan.
+// checkTargets: no order would have overcommitted memory, what is in memory
+// fits, and what a target that ignores fencing holds stands in the plan.
 func (r *rig) checkTargets(plans map[string]place.Plan) {
 	for _, m := range r.targets {
 		if n := m.engine.Record().Overcommitted; n > 0 {
 			r.failf("%d orders would have overcommitted %s", n, m.row.ID)
 		}
+		if used := m.engine.Record().UsedBytes; used > m.state.MemoryBytes {
+			r.failf("%s has %d bytes and holds %d", m.row.ID, m.state.MemoryBytes, used)
+		}
 		if m.fenced || m.removed {
 			continue
 		}
 		p := plans[permit.ShardName(m.row.Zone, place.ShardOf(m.row.ID, r.size.shards))].Targets[m.row.ID]
 		for _, rep := range m.state.Replicas {
-			planned := slices.ContainsFunc(p.Replicas, func(x place.Replica) bool { return x.ID == rep.Replica })
-			if rep.Phase != ports.PhaseFailed && (!planned || p.Boot != m.state.Boot) {
+			i := slices.IndexFunc(p.Replicas, func(x place.Replica) bool { return x.ID == rep.Replica })
+			if rep.Phase != ports.PhaseFailed && (i < 0 || p.Boot != m.state.Boot) {
 				r.failf("%s holds %s, which the plan does not show", m.row.ID, rep.Replica)
+				continue
+			}
+			for _, adapter := range rep.Adapters {
+				if _, planned := p.Replicas[i].Adapters[adapter]; !planned {
+					r.failf("%s holds adapter %s of %s, which the plan does not show", m.row.ID, adapter, rep.Replica)
+				}
 			}
 		}
 	}
--- a/internal/coordination/owner/order.go
+++ b/internal/coordination/owner/order.go
@@ -49,6 +49,9 @@
 	if t.isBusy() {
 		every = s.settings.ReportFast
 	}
+	if _, fresh := t.pendingAdapters(s.now); fresh {
+		every = adapterPoll
+	}
 	if s.now.Sub(t.lastAsk) >= every {
 		return ports.Order{Kind: ports.OrderReport}, nil, true
 	}
@@ -66,9 +69,14 @@
 		return false
 	}
 	for _, r := range t.replicas {
-		if len(r.Unresolved) > 0 && r.seen == nil && r.sent && r.answered {
+		if r.seen == nil && r.isLost(&r.Loads) {
 			return true
 		}
+		for _, a := range r.adapters {
+			if !a.seen && a.isLost(&a.Loads) {
+				return true
+			}
+		}
 	}
 	return false
 }
@@ -94,8 +102,8 @@
 }
 
 func (s *Shard) nextLoad(t *target, r *replica) (ports.Order, func(ports.OrderReply), bool) {
-	if !s.isStamped(r) {
-		s.stamp(r)
+	if !r.Names(s.sender()) {
+		r.seq = s.stamp(&r.Loads, &r.delivery)
 	}
 	if !s.mayOrder(t, r.seq) || (!s.isWritten(r.seq) && !s.mayLoadOffPlan(t, r)) {
 		return ports.Order{}, nil, false
@@ -113,29 +121,22 @@
 	return o, func(reply ports.OrderReply) { s.loadAnswered(t, r, reply) }, true
 }
 
-// isStamped tells whether the replica names this owner at this epoch as a
-// sender whose load order may arrive.
-func (s *Shard) isStamped(r *replica) bool {
-	for _, sender := range r.Unresolved {
-		if sender == s.sender() {
-			return true
-		}
-	}
-	return false
+// isLost tells whether the answer to this tenure's order was lost and the order
+// may still arrive.
+func (d *delivery) isLost(l *place.Loads) bool {
+	return d.sent && d.answered && len(l.Unresolved) > 0
 }
 
 // stamp names this owner as a sender before it sends, so that a successor knows
-// whose order may still arrive. An own stamp of an earlier epoch was not used.
-func (s *Shard) stamp(r *replica) {
-	var kept []place.Sender
-	for _, sender := range r.Unresolved {
-		if !s.isOwnNow(sender) || r.sent {
-			kept = append(kept, sender)
-		}
+// whose order may still arrive, and returns the change that has to be written
+// for that. An own stamp of an earlier epoch was not used.
+func (s *Shard) stamp(l *place.Loads, d *delivery) uint64 {
+	if !d.sent {
+		l.Resolve(s.isOwnNow)
 	}
-	r.Unresolved = append(kept, s.sender())
-	r.Sends++
-	r.seq = s.changed()
+	l.Unresolved = append(l.Unresolved, s.sender())
+	l.Sends++
+	return s.changed()
 }
 
 func (s *Shard) sender() place.Sender {
@@ -198,6 +199,9 @@
 		t.failing = false
 	}
 	s.observe(t, o, *reply.State)
+	if _, fresh := t.pendingAdapters(s.now); fresh {
+		s.after(adapterPoll, func() {})
+	}
 	if reply.State.ChecksFence && reply.State.Fence > s.session.epoch {
 		s.superseded(reply.State.Fence)
 	}
@@ -222,9 +226,9 @@
 	switch reply.Status {
 	case ports.OrderTaken:
 		r.answered = true
-		s.resolve(r, s.isOwnNow)
+		s.resolve(&r.Loads, s.isOwnNow)
 	case ports.OrderRefused:
-		s.resolve(r, s.isOwnNow)
+		s.resolve(&r.Loads, s.isOwnNow)
 		r.answered = true
 		if reply.State != nil && reply.State.Boot == t.boot {
 			s.loadFailed(t, r, reply.Reason)
@@ -246,15 +250,8 @@
 }
 
 // resolve strikes out the senders whose order cannot arrive any more.
-func (s *Shard) resolve(r *replica, which func(place.Sender) bool) {
-	var left []place.Sender
-	for _, sender := range r.Unresolved {
-		if !which(sender) {
-			left = append(left, sender)
-		}
-	}
-	if len(left) != len(r.Unresolved) {
-		r.Unresolved = left
+func (s *Shard) resolve(l *place.Loads, which func(place.Sender) bool) {
+	if l.Resolve(which) {
 		s.changedLazily()
 	}
 }
--- a/internal/coordination/owner/retire.go
+++ b/internal/coordination/owner/retire.go
@@ -22,6 +22,9 @@
 			if t.isGoing() || (r.isReady() && s.isRetired(r)) {
 				s.unload(r)
 			}
+			if r.isReady() {
+				s.retireAdapters(r)
+			}
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.permits.quota)) {
--- a/internal/coordination/owner/rig_test.go
+++ b/internal/coordination/owner/rig_test.go
@@ -31,7 +31,13 @@
 	maxReplicas int
 	latency     time.Duration
 	listLag     time.Duration
-	seed        uint64
+	// hidesUse means that engines do not tell what their adapters are used for.
+	hidesUse bool
+	// adapterTime is how long an adapter loads, 0 for as long as a cached model.
+	adapterTime time.Duration
+	// adapters are those of the first model.
+	adapters []string
+	seed     uint64
 }
 
 // rig runs the shards of several entries in several zones on virtual time, and
@@ -136,7 +142,10 @@
 		c.Rules[name] = config.Rule{MaxReplicas: maxReplicas, KeepAlive: config.Duration(20 * time.Second)}
 		r.bound[name] = max(r.bound[name], maxReplicas)
 	}
-	c.Adapters = map[string]config.Adapter{"lora": {Model: "model-0", Checkpoint: "ckpt-lora", MemoryBytes: gib}}
+	c.Adapters = make(map[string]config.Adapter)
+	for _, name := range append([]string{"lora"}, r.size.adapters...) {
+		c.Adapters[name] = config.Adapter{Model: "model-0", Checkpoint: "ckpt-" + name, MemoryBytes: gib}
+	}
 	r.bound[permit.Store] = defaultStoreSlots
 	return c
 }
@@ -160,17 +169,25 @@
 // boot starts a target's engine anew, empty.
 func (r *rig) boot(m *machine) {
 	m.boots++
-	m.engine = engmem.NewEngine(m.row.ID, fmt.Sprintf("boot-%d", m.boots), r.size.memoryBytes, r.loader(m), engmem.WithFencing(m.fenced))
+	opts := []engmem.Option{engmem.WithFencing(m.fenced)}
+	if r.size.hidesUse {
+		opts = append(opts, engmem.WithoutAdapterUse())
+	}
+	m.engine = engmem.NewEngine(m.row.ID, fmt.Sprintf("boot-%d", m.boots), r.size.memoryBytes, r.loader(m), opts...)
 	r.net.AddEngine(m.row.Addr, m.engine)
 }
 
 func (r *rig) loader(m *machine) engmem.Loader {
-	return func(_ string, tier ports.Tier, done func(error)) {
+	return func(checkpoint string, tier ports.Tier, done func(error)) {
 		if tier == ports.TierRemote {
 			r.starts = append(r.starts, r.clock.Now())
 		}
 		boots := m.boots
-		r.clock.After(engmem.LoadTime(tier, 3*time.Second)+m.slow, func() {
+		took := engmem.LoadTime(tier, 3*time.Second)
+		if strings.HasPrefix(checkpoint, "ckpt-lora") && r.size.adapterTime > 0 {
+			took = r.size.adapterTime
+		}
+		r.clock.After(took+m.slow, func() {
 			switch {
 			case m.boots != boots:
 			case m.failing:
--- a/internal/coordination/owner/sender.go
+++ b/internal/coordination/owner/sender.go
@@ -24,13 +24,20 @@
 	}
 	for _, t := range s.targets {
 		for _, r := range t.replicas {
-			for _, sender := range r.Unresolved {
-				s.hear(sender)
+			s.hearAll(r.Unresolved)
+			for _, a := range r.adapters {
+				s.hearAll(a.Unresolved)
 			}
 		}
 	}
 }
 
+func (s *Shard) hearAll(senders []place.Sender) {
+	for _, sender := range senders {
+		s.hear(sender)
+	}
+}
+
 func (s *Shard) hear(sender place.Sender) {
 	if s.isSelf(sender) {
 		return
--- a/internal/coordination/owner/shard.go
+++ b/internal/coordination/owner/shard.go
@@ -67,6 +67,7 @@
 
 	targets map[string]*target
 	models  map[string]*model
+	awaited awaited
 	// demanded are the models that callers wait for.
 	demanded map[string]bool
 	home     home
@@ -257,6 +258,7 @@
 	s.journal = journal{attempts: make(map[string]attempt)}
 	s.targets = make(map[string]*target)
 	s.ids = nil
+	s.awaited = newAwaited()
 	s.permits = newPermits()
 	s.senders = make(map[string]heard)
 	s.table = table{rows: make(map[string]ports.Replica)}
--- a/internal/coordination/owner/state_test.go
+++ b/internal/coordination/owner/state_test.go
@@ -34,6 +34,8 @@
 			maxReplicas: rapid.IntRange(1, 3).Draw(t, "max"),
 			latency:     time.Millisecond,
 			listLag:     time.Duration(rapid.SampledFrom([]int{0, 30}).Draw(t, "lag")) * time.Second,
+			adapters:    []string{"lora-1", "lora-2"},
+			hidesUse:    rapid.Bool().Draw(t, "hidesUse"),
 			seed:        rapid.Uint64().Draw(t, "seed"),
 		}
 		size.unfenced = rapid.IntRange(0, size.targets).Draw(t, "unfenced")
--- a/internal/coordination/owner/status.go
+++ b/internal/coordination/owner/status.go
@@ -38,7 +38,10 @@
 	MemoryBytes  uint64        `json:"memoryBytes"`
 	ChargedBytes uint64        `json:"chargedBytes"`
 	Replicas     int           `json:"replicas"`
-	// Unresolved counts the replicas with a load order that may still arrive.
+	// Adapters counts those charged on the replicas.
+	Adapters int `json:"adapters"`
+	// Unresolved counts the replicas with a load order that may still arrive,
+	// their own or an adapter's.
 	Unresolved int `json:"unresolved"`
 }
 
@@ -91,7 +94,8 @@
 		st.MemoryBytes = t.state.MemoryBytes
 	}
 	for _, r := range t.replicas {
-		if len(r.Unresolved) > 0 || r.Phase == place.PhaseDecided {
+		st.Adapters += len(r.adapters)
+		if r.unresolved() || r.Phase == place.PhaseDecided {
 			st.Unresolved++
 		}
 	}
--- a/internal/coordination/owner/table.go
+++ b/internal/coordination/owner/table.go
@@ -79,7 +79,7 @@
 		Leaving:     t.isLeaving(),
 	}
 	if r.seen != nil {
-		row.Adapters = r.seen.Adapters
+		row.Adapters = r.servedAdapters()
 		row.Running, row.Queued = r.seen.Running, r.seen.Queued
 	}
 	if row.Phase == ports.PhaseLoading {
--- a/internal/coordination/owner/target.go
+++ b/internal/coordination/owner/target.go
@@ -35,7 +35,10 @@
 	// fencing and every order that may still come is charged in the plan.
 	raised bool
 
-	busy     bool
+	busy bool
+	// loadsAdapter means that the order under way loads an adapter.
+	loadsAdapter bool
+
 	lastOK   time.Time
 	lastAsk  time.Time
 	nextTry  time.Time
@@ -55,27 +58,22 @@
 	seq uint64
 	// mine means that it was decided in this tenure.
 	mine bool
-	// sent and answered tell of this tenure's load order.
-	sent, answered bool
+	delivery
 	// seen is the target's latest report of the replica, nil if it showed none.
 	seen       *ports.ReplicaState
 	decidedAt  time.Time
 	readyAt    time.Time
 	lastUsed   time.Time
 	unloadSent time.Time
-	// quietSince is since when the target has shown, without a gap, that no
-	// unresolved order arrived although its sender can send no more.
-	quietSince time.Time
 	adapters   map[string]*adapter
-	// evictedFor is the model that the replica makes room for.
-	evictedFor string
 }
 
-// adapter is one adapter of a replica.
-type adapter struct {
-	seq      uint64
-	lastUsed time.Time
-	retryAt  time.Time
+// delivery is what became of this tenure's load order for a replica or an adapter.
+type delivery struct {
+	sent, answered bool
+	// quietSince is since when the target has shown, without a gap, that no
+	// unresolved order arrived although its sender can send no more.
+	quietSince time.Time
 }
 
 func newTarget(id string) *target {
@@ -86,20 +84,14 @@
 	t := newTarget(id)
 	t.boot, t.ignoresFence, t.draining = p.Boot, p.IgnoresFence, p.Draining
 	t.inherited = p.Boot
-	for _, r := range p.Replicas {
-		t.replicas[r.ID] = &replica{Replica: r.Clone(), decidedAt: s.now, lastUsed: s.now, adapters: adaptersOf(r)}
+	for _, planned := range p.Replicas {
+		r := &replica{Replica: planned.Clone(), decidedAt: s.now, lastUsed: s.now}
+		r.adapters, r.Adapters = s.adoptAdapters(r.Adapters), nil
+		t.replicas[r.ID] = r
 	}
 	s.targets[id] = t
 }
 
-func adaptersOf(r place.Replica) map[string]*adapter {
-	adapters := make(map[string]*adapter)
-	for name := range r.Adapters {
-		adapters[name] = &adapter{}
-	}
-	return adapters
-}
-
 // matchList brings the targets in line with the instance list. A target that
 // went off the list stays until it counts as gone.
 func (s *Shard) matchList() {
@@ -127,7 +119,10 @@
 func (t *target) plan() place.Target {
 	p := place.Target{Boot: t.boot, IgnoresFence: t.ignoresFence, Draining: t.draining}
 	for _, id := range t.replicaIDs() {
-		p.Replicas = append(p.Replicas, t.replicas[id].Clone())
+		r := t.replicas[id]
+		planned := r.Replica
+		planned.Adapters = r.planAdapters()
+		p.Replicas = append(p.Replicas, planned.Clone())
 	}
 	return p
 }
@@ -171,17 +166,22 @@
 }
 
 func (r *replica) charge() uint64 {
+	charge := r.MemoryBytes
+	for _, a := range r.adapters {
+		charge += a.MemoryBytes
+	}
 	if r.seen == nil {
-		return r.Charge()
+		return charge
 	}
-	return max(r.Charge(), r.seen.MemoryBytes)
+	return max(charge, r.seen.MemoryBytes)
 }
 
 func (t *target) free() uint64 {
-	if t.state == nil || t.state.MemoryBytes < t.charge() {
+	if t.state == nil || t.hasStrangeLoads() {
 		return 0
 	}
-	return t.state.MemoryBytes - t.charge()
+	charge := t.charge()
+	return t.state.MemoryBytes - min(charge, t.state.MemoryBytes)
 }
 
 // isBusy tells whether loads or unloads are under way, which calls for frequent reports.
@@ -191,7 +191,17 @@
 			// A report now would only hold up the order that waits for its write.
 			continue
 		}
-		if r.Phase != place.PhaseConfirmed || r.isLoading() {
+		if r.Phase != place.PhaseConfirmed || r.isLoading() || r.hasAdapterOrders() {
+			return true
+		}
+	}
+	return false
+}
+
+// hasAdapterOrders tells whether adapters load or unload.
+func (r *replica) hasAdapterOrders() bool {
+	for _, a := range r.adapters {
+		if a.sent && !a.seen || a.Unloading && !a.unloadSent.IsZero() {
 			return true
 		}
 	}
@@ -282,11 +292,22 @@
 	return false
 }
 
+// unresolved tells whether a load order of the replica or of an adapter may
+// still arrive.
+func (r *replica) unresolved() bool {
+	for _, a := range r.adapters {
+		if len(a.Unresolved) > 0 {
+			return true
+		}
+	}
+	return len(r.Unresolved) > 0
+}
+
 // hasUnresolved tells whether loads are decided whose outcome is open.
 func (s *Shard) hasUnresolved() bool {
 	for _, t := range s.targets {
 		for _, r := range t.replicas {
-			if r.Phase == place.PhaseDecided || len(r.Unresolved) > 0 {
+			if r.Phase == place.PhaseDecided || r.unresolved() {
 				return true
 			}
 		}
--- a/internal/coordination/place/plan.go
+++ b/internal/coordination/place/plan.go
@@ -28,6 +28,32 @@
 	Epoch       ports.Epoch `json:"epoch"`
 }
 
+// Loads tells which load orders were prepared for a replica or an adapter.
+type Loads struct {
+	// Sends counts the load orders that were ever prepared.
+	Sends int `json:"sends,omitempty"`
+	// Unresolved names the senders whose load order may still arrive.
+	Unresolved []Sender `json:"unresolved,omitempty"`
+}
+
+// Resolve strikes out senders and returns whether there were any.
+func (l *Loads) Resolve(which func(Sender) bool) bool {
+	before := len(l.Unresolved)
+	var left []Sender
+	for _, sender := range l.Unresolved {
+		if !which(sender) {
+			left = append(left, sender)
+		}
+	}
+	l.Unresolved = left
+	return len(left) != before
+}
+
+// Names tells whether a sender's load order may still arrive.
+func (l *Loads) Names(sender Sender) bool {
+	return slices.Contains(l.Unresolved, sender)
+}
+
 // Replica is a replica that was decided and is charged.
 type Replica struct {
 	ID          string `json:"id"`
@@ -39,19 +65,16 @@
 	Phase       Phase  `json:"phase"`
 	// FromStore means that the load takes a slot of the weight store.
 	FromStore bool `json:"fromStore,omitempty"`
-	// Adapters are the charged adapters with their memory.
-	Adapters map[string]uint64 `json:"adapters,omitempty"`
-	// Sends counts the load orders that were ever prepared for the replica.
-	Sends int `json:"sends,omitempty"`
-	// Unresolved names the senders whose load order may still arrive.
-	Unresolved []Sender `json:"unresolved,omitempty"`
+	// Adapters are the charged adapters.
+	Adapters map[string]Adapter `json:"adapters,omitempty"`
+	Loads
 }
 
 // Charge returns the accelerator memory that the replica is charged with.
 func (r Replica) Charge() uint64 {
 	sum := r.MemoryBytes
-	for _, bytes := range r.Adapters {
-		sum += bytes
+	for _, a := range r.Adapters {
+		sum += a.MemoryBytes
 	}
 	return sum
 }
@@ -59,6 +82,10 @@
 // Clone returns a deep copy.
 func (r Replica) Clone() Replica {
 	r.Adapters = maps.Clone(r.Adapters)
+	for name, a := range r.Adapters {
+		a.Unresolved = slices.Clone(a.Unresolved)
+		r.Adapters[name] = a
+	}
 	r.Unresolved = slices.Clone(r.Unresolved)
 	return r
 }
--- a/internal/coordination/place/plan_test.go
+++ b/internal/coordination/place/plan_test.go
@@ -21,10 +21,16 @@
 		}
 	}
 	head := `{"format":1,"zone":"zone-a","shard":2,"epoch":3,"nonce":"n","owner":{}`
-	full := head + `,"permits":{"m":1},"targets":{"t":{"boot":"b","replicas":[{"id":"r","model":"m","memoryBytes":5,"phase":"decided",` +
-		`"adapters":{"x":2},"sends":1,"unresolved":[{"instance":"e","incarnation":1,"epoch":3}]}]}}}`
+	orders := `"sends":1,"unresolved":[{"instance":"e","incarnation":1,"epoch":3}]`
+	plan := func(adapters string) string {
+		return head + `,"permits":{"m":1},"targets":{"t":{"boot":"b","replicas":[{"id":"r","model":"m","memoryBytes":5,"phase":"decided",` +
+			`"adapters":{` + adapters + `},` + orders + `}]}}}`
+	}
+	full := plan(`"x":{"checkpoint":"c","memoryBytes":2,"unloading":true,` + orders + `}`)
 	expect(full, full)
+	expect(plan(`"x":2`), plan(`"x":{"memoryBytes":2}`))
 	damaged := `plan of shard zone-a/2 is damaged: `
+	expect(plan(`"x":{"memoryBytes":2,"future":1}`), damaged+`json: unknown field "future"`)
 	expect(`{`, damaged+`unexpected end of JSON input`)
 	expect(`{"format":9}`, `plan of shard zone-a/2 has format 9, this program reads 1`)
 	expect(head+`,"future":1}`, damaged+`json: unknown field "future"`)
@@ -40,7 +46,7 @@
 }
 
 func TestCharge(t *testing.T) {
-	r := Replica{MemoryBytes: 10, Adapters: map[string]uint64{"x": 2, "y": 3}}
+	r := Replica{MemoryBytes: 10, Adapters: map[string]Adapter{"x": {MemoryBytes: 2}, "y": {MemoryBytes: 3}}}
 	if diff := cmp.Diff(uint64(15), r.Charge()); diff != "" {
 		t.Errorf("charge (-want +got):\n%s", diff)
 	}
--- a/internal/coordination/ports/engine.go
+++ b/internal/coordination/ports/engine.go
@@ -26,7 +26,8 @@
 	OrderUnload OrderKind = "unload"
 	// OrderLoadAdapter adds an adapter to a replica.
 	OrderLoadAdapter OrderKind = "loadAdapter"
-	// OrderUnloadAdapter removes an adapter from a replica.
+	// OrderUnloadAdapter removes an adapter from a replica once no request uses
+	// it; requests that come after the order are refused.
 	OrderUnloadAdapter OrderKind = "unloadAdapter"
 	// OrderFence raises the target's fence to the order's epoch.
 	OrderFence OrderKind = "fence"
@@ -106,14 +107,26 @@
 	Revision    string       `json:"revision,omitempty"`
 	Phase       ReplicaPhase `json:"phase"`
 	MemoryBytes uint64       `json:"memoryBytes"`
-	Adapters    []string     `json:"adapters,omitempty"`
-	Running     int          `json:"running"`
-	Queued      int          `json:"queued"`
+	// Adapters are those in memory, also the ones that are to go.
+	Adapters []string `json:"adapters,omitempty"`
+	// AdapterUse tells what each adapter is used for; an engine that does not
+	// know leaves it out.
+	AdapterUse map[string]AdapterUse `json:"adapterUse,omitempty"`
+	Running    int                   `json:"running"`
+	Queued     int                   `json:"queued"`
 	// Served counts the requests finished since the replica was loaded.
 	Served uint64 `json:"served"`
 	Reason string `json:"reason,omitempty"`
 }
 
+// AdapterUse is the use of one adapter of a replica.
+type AdapterUse struct {
+	// Running counts the requests that use the adapter, queued ones included.
+	Running int `json:"running"`
+	// Served counts the requests finished since the adapter was loaded.
+	Served uint64 `json:"served"`
+}
+
 // Tier is where a target has a checkpoint cached.
 type Tier string
 
--- a/internal/stand/engmem/engine.go
+++ b/internal/stand/engmem/engine.go
@@ -22,17 +22,32 @@
 	replicas map[string]*replica
 	cached   map[string]ports.Tier
 	record   Record
+	// hidesUse means that reports do not tell the use of adapters.
+	hidesUse bool
 }
 
 type replica struct {
 	ports.ReplicaState
 	checkpoint string
+	adapters   map[string]*adapter
+}
+
+// adapter is one adapter of a replica. Its memory is taken from when its load
+// begins and reported from when it has ended.
+type adapter struct {
+	memoryBytes uint64
+	loaded      bool
+	// going means that it is removed with the end of the last request that uses it.
+	going bool
+	use   ports.AdapterUse
 }
 
 // Record is what an oracle wants to know of an engine's past.
 type Record struct {
 	// Overcommitted counts the orders that would have overcommitted memory.
 	Overcommitted int
+	// UsedBytes is the memory taken now, by adapters that are loading as well.
+	UsedBytes uint64
 	// PeakBytes is the most memory that was ever taken.
 	PeakBytes uint64
 	// Loads counts the loads begun, by model.
@@ -49,6 +64,11 @@
 	return func(e *Engine) { e.state.ChecksFence = checks }
 }
 
+// WithoutAdapterUse has the engine not tell what its adapters are used for.
+func WithoutAdapterUse() Option {
+	return func(e *Engine) { e.hidesUse = true }
+}
+
 // WithCached sets the tiers at which checkpoints are cached at the start.
 func WithCached(cached map[string]ports.Tier) Option {
 	return func(e *Engine) { e.cached = maps.Clone(cached) }
@@ -97,9 +117,7 @@
 	if r == nil {
 		return ports.ReplicaState{}, false
 	}
-	state := r.ReplicaState
-	state.Adapters = slices.Clone(state.Adapters)
-	return state, true
+	return e.report(r), true
 }
 
 // Record returns what happened so far.
@@ -108,6 +126,7 @@
 	defer e.mu.Unlock()
 	r := e.record
 	r.Loads = maps.Clone(r.Loads)
+	r.UsedBytes = e.used()
 	return r
 }
 
@@ -121,27 +140,41 @@
 // Begin starts a request on a replica and returns what ends it, or false if no
 // such replica is ready.
 func (e *Engine) Begin(id string) (func(), bool) {
+	return e.BeginWith(id, "")
+}
+
+// BeginWith starts a request that uses an adapter, or none if its name is empty;
+// it returns false if the replica or the adapter takes no requests.
+func (e *Engine) BeginWith(id, name string) (func(), bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	r := e.replicas[id]
 	if r == nil || r.Phase != ports.PhaseReady {
 		return nil, false
 	}
+	var a *adapter
+	if name != "" {
+		if a = r.adapters[name]; a == nil || !a.loaded || a.going {
+			return nil, false
+		}
+		a.use.Running++
+	}
 	r.Running++
-	return sync.OnceFunc(func() { e.end(id) }), true
+	return sync.OnceFunc(func() { e.end(r, name, a) }), true
 }
 
-func (e *Engine) end(id string) {
+func (e *Engine) end(r *replica, name string, a *adapter) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	r := e.replicas[id]
-	if r == nil {
-		return
-	}
 	r.Running--
 	r.Served++
-	if r.Phase == ports.PhaseUnloading && r.Running == 0 {
-		delete(e.replicas, id)
+	if a != nil {
+		a.use.Running--
+		a.use.Served++
+		r.dropIfGone(name, a)
+	}
+	if r.Phase == ports.PhaseUnloading && r.Running == 0 && e.replicas[r.Replica] == r {
+		delete(e.replicas, r.Replica)
 	}
 }
 
@@ -185,7 +218,7 @@
 		e.record.Overcommitted++
 		return ports.OrderRefused, "not enough accelerator memory", nil
 	}
-	r := &replica{checkpoint: o.Checkpoint}
+	r := &replica{checkpoint: o.Checkpoint, adapters: make(map[string]*adapter)}
 	r.ReplicaState = ports.ReplicaState{
 		Replica: o.Replica, Model: o.Model, Revision: o.Revision,
 		Phase: ports.PhaseLoading, MemoryBytes: o.MemoryBytes,
@@ -232,29 +265,32 @@
 	if r == nil || r.Phase != ports.PhaseReady {
 		return ports.OrderRefused, "replica is not ready", nil
 	}
-	if slices.Contains(r.Adapters, o.Adapter) {
+	if a := r.adapters[o.Adapter]; a != nil {
+		a.going = false
 		return ports.OrderTaken, "", nil
 	}
 	if e.used()+o.MemoryBytes > e.state.MemoryBytes {
 		e.record.Overcommitted++
 		return ports.OrderRefused, "not enough accelerator memory", nil
 	}
+	a := &adapter{memoryBytes: o.MemoryBytes}
+	r.adapters[o.Adapter] = a
 	e.state.AdapterLoads++
+	e.record.PeakBytes = max(e.record.PeakBytes, e.used())
 	return ports.OrderTaken, "", func() {
-		e.loader(o.Checkpoint, ports.TierMemory, func(err error) { e.adapterLoaded(r, o, err) })
+		e.loader(o.Checkpoint, ports.TierMemory, func(err error) { e.adapterLoaded(r, o.Adapter, a, err) })
 	}
 }
 
-func (e *Engine) adapterLoaded(r *replica, o ports.Order, err error) {
+func (e *Engine) adapterLoaded(r *replica, name string, a *adapter, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.state.AdapterLoads--
-	if err != nil || slices.Contains(r.Adapters, o.Adapter) {
-		return
+	a.loaded = err == nil
+	if err != nil {
+		a.going = true
 	}
-	r.Adapters = append(r.Adapters, o.Adapter)
-	r.MemoryBytes += o.MemoryBytes
-	e.record.PeakBytes = max(e.record.PeakBytes, e.used())
+	r.dropIfGone(name, a)
 }
 
 func (e *Engine) unloadAdapter(o ports.Order) {
@@ -262,18 +298,48 @@
 	if r == nil {
 		return
 	}
-	i := slices.Index(r.Adapters, o.Adapter)
-	if i < 0 {
-		return
+	if a := r.adapters[o.Adapter]; a != nil {
+		a.going = true
+		if a.loaded {
+			r.dropIfGone(o.Adapter, a)
+		}
 	}
-	r.Adapters = slices.Delete(r.Adapters, i, i+1)
-	r.MemoryBytes -= min(o.MemoryBytes, r.MemoryBytes)
+}
+
+// dropIfGone removes an adapter that is to go and that no request uses.
+func (r *replica) dropIfGone(name string, a *adapter) {
+	if a.going && a.use.Running == 0 && r.adapters[name] == a {
+		delete(r.adapters, name)
+	}
+}
+
+// report is the replica's state with its adapters in order.
+func (e *Engine) report(r *replica) ports.ReplicaState {
+	state := r.ReplicaState
+	for _, name := range slices.Sorted(maps.Keys(r.adapters)) {
+		if !r.adapters[name].loaded {
+			continue
+		}
+		state.Adapters = append(state.Adapters, name)
+		state.MemoryBytes += r.adapters[name].memoryBytes
+		if e.hidesUse {
+			continue
+		}
+		if state.AdapterUse == nil {
+			state.AdapterUse = make(map[string]ports.AdapterUse)
+		}
+		state.AdapterUse[name] = r.adapters[name].use
+	}
+	return state
 }
 
 func (e *Engine) used() uint64 {
 	var sum uint64
 	for _, r := range e.replicas {
 		sum += r.MemoryBytes
+		for _, a := range r.adapters {
+			sum += a.memoryBytes
+		}
 	}
 	return sum
 }
@@ -289,9 +355,7 @@
 	state := e.state
 	state.Cached = maps.Clone(e.cached)
 	for _, id := range slices.Sorted(maps.Keys(e.replicas)) {
-		r := e.replicas[id].ReplicaState
-		r.Adapters = slices.Clone(r.Adapters)
-		state.Replicas = append(state.Replicas, r)
+		state.Replicas = append(state.Replicas, e.report(e.replicas[id]))
 	}
 	return state
 }
--- a/internal/stand/target/generate.go
+++ b/internal/stand/target/generate.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -41,9 +42,9 @@
 		refuse(w, http.StatusConflict, reason)
 		return
 	}
-	end, ok := s.engine.Begin(req.Replica)
+	end, ok := s.engine.BeginWith(req.Replica, req.Adapter)
 	if !ok {
-		refuse(w, http.StatusConflict, wire.ReasonNoReplica)
+		refuse(w, http.StatusConflict, s.unfitNow(req))
 		return
 	}
 	defer end()
@@ -59,6 +60,15 @@
 	return unfitFor(r, req)
 }
 
+// unfitNow says why a request was turned away that looked fit a moment ago.
+func (s *Server) unfitNow(req wire.GenerateRequest) string {
+	if reason := s.unfit(req); reason != "" || req.Adapter == "" {
+		return cmp.Or(reason, wire.ReasonNoReplica)
+	}
+	// The adapter is there still, on its way out.
+	return wire.ReasonNoAdapter
+}
+
 func unfitFor(r ports.ReplicaState, req wire.GenerateRequest) string {
 	if r.Model != req.Model || r.Phase != ports.PhaseReady {
 		return wire.ReasonNoReplica
