--- a/internal/protocol/codec/codec_test.go
+++ b/internal/protocol/codec/codec_test.go
@@ -60,6 +60,16 @@
 			ConfigVersion: config.Version(rapid.Uint64().Draw(t, "version")), Shards: shards.Draw(t, "shards"),
 		}
 	})
+	counts = rapid.Custom(func(t *rapid.T) ports.ToldCount {
+		count := ports.ToldCount{ID: rapid.Uint32().Draw(t, "id"), Total: rapid.Uint64().Draw(t, "total")}
+		if rapid.Bool().Draw(t, "keyed") {
+			count.Key = &ports.CountKey{
+				Date: names.Draw(t, "date"), Kind: names.Draw(t, "kind"), Service: names.Draw(t, "service"),
+				Class: config.ClassLookup, Reason: names.Draw(t, "reason"), NotRun: rapid.Bool().Draw(t, "notRun"),
+			}
+		}
+		return count
+	})
 	replicas = rapid.Custom(func(t *rapid.T) ports.Replica {
 		return ports.Replica{
 			ID: names.Draw(t, "id"), Model: names.Draw(t, "model"), Revision: names.Draw(t, "revision"), Target: names.Draw(t, "target"),
@@ -143,6 +153,18 @@
 		travel(t, EncodeHandOver(over), &h)
 		same(t, over, DecodeHandOver(&h))
 
+		tell := ports.TellCounts{
+			Origin: ports.CountOrigin{
+				Instance: names.Draw(t, "instance"), Incarnation: rapid.Uint64().Draw(t, "incarnation"),
+				Zone: names.Draw(t, "zone"), Nonce: rapid.Uint64().Draw(t, "nonce"),
+			},
+			Seq: rapid.Uint64().Draw(t, "seq"), Whole: rapid.Bool().Draw(t, "whole"), Exact: rapid.Bool().Draw(t, "exact"),
+			Counts: rapid.SliceOfN(counts, 0, 3).Draw(t, "counts"),
+		}
+		var c peerv1.TellCountsRequest
+		travel(t, EncodeTellCounts(tell), &c)
+		same(t, tell, DecodeTellCounts(&c))
+
 		fetch := ports.FetchConfig{After: config.Version(rapid.Uint64().Draw(t, "after"))}
 		var f peerv1.FetchConfigRequest
 		travel(t, EncodeFetchConfig(fetch), &f)
--- a/internal/transport/peer/tell.go
+++ b/internal/transport/peer/tell.go
@@ -34,7 +34,6 @@
 // message opens another one.
 type tellStream struct {
 	timeout time.Duration
-	pool    *http.Transport
 	cancel  context.CancelFunc
 	out     chan ports.TellCounts
 	forget  func(*tellStream)
@@ -62,12 +61,13 @@
 func (c *Client) openTell(to netip.AddrPort) *tellStream {
 	ctx, cancel := context.WithCancel(context.Background())
 	pool := c.newPool()
+	// The connection ends with the stream.
+	pool.DisableKeepAlives = true
 	pool.Protocols = new(http.Protocols)
 	pool.Protocols.SetHTTP2(c.tls != nil)
 	pool.Protocols.SetUnencryptedHTTP2(c.tls == nil)
 	s := &tellStream{
 		timeout: c.timeout,
-		pool:    pool,
 		cancel:  cancel,
 		out:     make(chan ports.TellCounts, tellQueue),
 		forget:  func(s *tellStream) { c.forgetTell(to, s) },
@@ -120,6 +120,11 @@
 // run writes messages until the stream ends.
 func (s *tellStream) run(ctx context.Context, stub peerv1connect.PeerServiceClient, to netip.AddrPort) {
 	stream := stub.TellCounts(ctx)
+	// A cancelled context alone leaves the connection waiting for more to send.
+	defer func() {
+		_ = stream.CloseRequest()
+		_ = stream.CloseResponse()
+	}()
 	go s.receive(stream, to)
 	first := true
 	for {
@@ -188,7 +193,6 @@
 	s.mu.Unlock()
 	s.forget(s)
 	s.cancel()
-	s.pool.CloseIdleConnections()
 	for _, done := range pending {
 		done(ports.PeerReply{Err: err})
 	}
