--- a/internal/coordination/daily/keep_test.go
+++ b/internal/coordination/daily/keep_test.go
@@ -246,16 +246,18 @@
 			}
 		}
 		t.Repeat(map[string]func(*rapid.T){
-			"":     func(t *rapid.T) { z.checkGrowth(t, DateOf(start, z.fleet.zone)) },
+			"":     func(t *rapid.T) { z.checkGrowth(t, DateOf(start, z.zone)) },
 			"work": func(t *rapid.T) { pick().do(rapid.IntRange(1, 20).Draw(t, "n")) },
 			"pass": func(t *rapid.T) {
 				z.clock.Advance(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
 			},
-			"moment":  func(t *rapid.T) { z.clock.Advance(time.Duration(rapid.IntRange(0, 3).Draw(t, "ms")) * time.Millisecond) },
-			"kill":    func(*rapid.T) { kill(1) },
-			"two":     func(*rapid.T) { kill(2) },
-			"join":    func(*rapid.T) { z.join(fmt.Sprintf("e%d", len(z.kins)%4)) },
-			"freeze":  func(*rapid.T) { pick().isolate(true) },
+			"moment": func(t *rapid.T) {
+				z.clock.Advance(time.Duration(rapid.IntRange(0, 3).Draw(t, "ms")) * time.Millisecond)
+			},
+			"kill":   func(*rapid.T) { kill(1) },
+			"two":    func(*rapid.T) { kill(2) },
+			"join":   func(*rapid.T) { z.join(fmt.Sprintf("e%d", len(z.kins)%4)) },
+			"freeze": func(*rapid.T) { pick().isolate(true) },
 			"cut": func(*rapid.T) {
 				if from, to := pick(), pick(); from != to {
 					z.net.Cut(from.at, to.at, true)
@@ -274,7 +276,7 @@
 		})
 		z.heal()
 		z.checkTold(t)
-		for date := DateOf(start, z.fleet.zone); !DateOf(z.clock.Now(), z.fleet.zone).before(date); date = DateOf(date.End(z.fleet.zone), z.fleet.zone) {
+		for date := DateOf(start, z.zone); !DateOf(z.clock.Now(), z.zone).before(date); date = DateOf(date.End(z.zone), z.zone) {
 			z.checkKept(t, date)
 		}
 	})
@@ -302,7 +304,7 @@
 	}
 	victim.die()
 	z.clock.Advance(10 * time.Second)
-	date := DateOf(z.clock.Now(), z.fleet.zone)
+	date := DateOf(z.clock.Now(), z.zone)
 	report := z.report(date)
 	got := fmt.Sprintf("served %d refused %d lost %d uncounted %d", report.Served, report.Refused, report.Lost, report.Completeness.Uncounted)
 	if diff := cmp.Diff("served 10 refused 5 lost 0 uncounted 0", got); diff != "" {
@@ -343,7 +345,7 @@
 	}
 	victim.die()
 	z.clock.Advance(10 * time.Second)
-	if report := z.report(DateOf(began, z.fleet.zone)); report.Served != 4 || report.Refused != 2 {
+	if report := z.report(DateOf(began, z.zone)); report.Served != 4 || report.Refused != 2 {
 		t.Errorf("served %d, refused %d, wanted 4 and 2", report.Served, report.Refused)
 	}
 }
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -144,12 +144,14 @@
 	return "http"
 }
 
+// newPool returns a connection pool with a TLS configuration of its own, into
+// which the pool writes the HTTP versions that it speaks.
 func (c *Client) newPool() *http.Transport {
 	return &http.Transport{
 		DialContext:         dialCounted(c.count),
 		IdleConnTimeout:     idleConnTimeout,
 		MaxIdleConnsPerHost: maxIdlePerHost,
-		TLSClientConfig:     c.tls,
+		TLSClientConfig:     c.tls.Clone(),
 	}
 }
 
