--- a/internal/transport/front/service.go
+++ b/internal/transport/front/service.go
@@ -467,6 +467,9 @@
 			}
 		}
 		if n > 0 && stuck == nil {
+			if left == 0 {
+				c.conclude(nil)
+			}
 			stuck = c.forward(buf[:n])
 		}
 		switch {
