Take a silent store region for cut off after 5 s, and load nothing across then

Cause, found by TestStoreRegionGone on its first run: gossip tells of a silent entry of another zone after a minute. Until then a zone beside the store that gave no answer counted like one without room, and the demand went on to a load over the link, which was made.

A demand across is now asked only if the zones beside the store have answered, and an entry whose demands there have failed for 5 s refuses what it cannot load. Weighed: a shorter bound for silent members of other zones, which other parts rest on.

TestRandomTraffic plays random traffic over the token buckets against an oracle; it was seen failing with half of the bytes charged (granted after 100,001 bytes, the rate allowed 100,000) and without the removal of those who give up.

--- a/internal/coordination/link/link_test.go
+++ b/internal/coordination/link/link_test.go
@@ -62,6 +62,25 @@
 	}
 }
 
+// TestContact: a region is lost after demands have failed for a while, and found
+// with the first answer.
+func TestContact(t *testing.T) {
+	var c Contact
+	var got []bool
+	for second, answered := range []bool{false, false, false, false, false, false, false, true, false, false} {
+		now := start.Add(time.Duration(second) * time.Second)
+		if answered {
+			c.Answered()
+		} else {
+			c.Failed(now)
+		}
+		got = append(got, c.Lost(now))
+	}
+	if diff := cmp.Diff([]bool{false, false, false, false, false, true, true, false, false, false}, got); diff != "" {
+		t.Errorf("lost (-want +got):\n%s", diff)
+	}
+}
+
 // TestStepsMeet: every entry asks in the same order, whichever zone it is in.
 func TestStepsMeet(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -215,3 +234,82 @@
 		t.Errorf("an unlimited link holds back: %v", err)
 	}
 }
+
+// TestRandomTraffic plays random traffic against an oracle: nothing is granted
+// once the rate allows no more, nobody is granted twice or after giving up, a
+// tenant's parts of one priority are granted in order, and all who wait are
+// granted in the end.
+func TestRandomTraffic(t *testing.T) {
+	type part struct {
+		tenant           string
+		priority         Priority
+		granted, givenUp bool
+		giveUp           func()
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		l, clock := newLink()
+		entries, allowed, charged, since := 1, float64(rate), 0.0, clock.Now()
+		var parts []*part
+		earn := func() {
+			allowed += clock.Now().Sub(since).Seconds() * rate / float64(entries)
+			since = clock.Now()
+		}
+		ask := func(t *rapid.T) {
+			p := &part{
+				tenant:   rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "tenant"),
+				priority: rapid.SampledFrom([]Priority{Interactive, Deferrable}).Draw(t, "priority"),
+			}
+			n := rapid.IntRange(1, 16<<10).Draw(t, "bytes")
+			parts = append(parts, p)
+			p.giveUp = l.Ask(Out, p.priority, p.tenant, n, func() {
+				earn()
+				if p.granted || p.givenUp {
+					t.Fatalf("granted twice, or after giving up")
+				}
+				for _, earlier := range parts {
+					if earlier == p {
+						break
+					}
+					if earlier.tenant == p.tenant && earlier.priority == p.priority && !earlier.granted && !earlier.givenUp {
+						t.Fatalf("%s was granted out of turn", p.tenant)
+					}
+				}
+				if charged > allowed {
+					t.Fatalf("granted after %.0f bytes, the rate allowed %.0f", charged, allowed)
+				}
+				p.granted = true
+				charged += float64(n)
+			})
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"ask": ask,
+			"control": func(t *rapid.T) {
+				n := rapid.IntRange(1, rate).Draw(t, "bytes")
+				l.Spend(Out, n)
+				charged += float64(n)
+			},
+			"giveUp": func(t *rapid.T) {
+				if len(parts) == 0 {
+					t.Skip("nobody has asked")
+				}
+				p := parts[rapid.IntRange(0, len(parts)-1).Draw(t, "part")]
+				p.givenUp = p.givenUp || !p.granted
+				p.giveUp()
+			},
+			"entries": func(t *rapid.T) {
+				earn()
+				entries = rapid.IntRange(1, 8).Draw(t, "entries")
+				l.SetEntries(entries)
+			},
+			"pass": func(t *rapid.T) {
+				clock.Advance(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond)
+			},
+		})
+		clock.Advance(time.Hour)
+		for _, p := range parts {
+			if !p.granted && !p.givenUp {
+				t.Fatalf("a part of %s waits for ever", p.tenant)
+			}
+		}
+	})
+}
--- a/internal/coordination/link/zones.go
+++ b/internal/coordination/link/zones.go
@@ -99,8 +99,8 @@
 // OrCutOff refuses at once what no shard in reach can load while the weight store
 // is cut off, in place of asking on until the callers' deadlines; best is the
 // best answer of all that were asked.
-func OrCutOff(best ports.DemandReply, self ports.Member, members []ports.Member, store string) ports.DemandReply {
-	if best.Status != ports.DemandElsewhere || !IsCut(self, members, store) {
+func OrCutOff(best ports.DemandReply, cut bool) ports.DemandReply {
+	if best.Status != ports.DemandElsewhere || !cut {
 		return best
 	}
 	return ports.DemandReply{
--- a/internal/demo/link_test.go
+++ b/internal/demo/link_test.go
@@ -101,6 +101,45 @@
 	}
 }
 
+// TestStoreRegionGone: once demands to the zones beside the weight store have failed
+// for 5 s, callers at an entry of the other region hear at once that a cold model
+// cannot come, and when to come back. Nothing is loaded over the link meanwhile.
+func TestStoreRegionGone(t *testing.T) {
+	const noticed, atOnce = 15 * time.Second, 2 * time.Second
+	shape := linkShape(1, "storeRegion = bulacan")
+	shape.Zones = []Zone{
+		{Name: "bul-a", Region: "bulacan", Entries: 1, Targets: 1},
+		{Name: "pam-a", Region: "pampanga", Entries: 2, Targets: 1},
+	}
+	s := deployLink(t, shape)
+	s.deployment.Entries[0].Close()
+	s.deployment.Targets[0].Close()
+	died := time.Now()
+	for {
+		began := time.Now()
+		status, header, text := ask(t, s, 1, "menu-7b")
+		took := time.Since(began)
+		if strings.Contains(text, "the region of the weight store is cut off") {
+			if status != http.StatusServiceUnavailable || header.Get("Retry-After") != "10" || !strings.Contains(text, `"notRun":true`) {
+				t.Errorf("status %d, Retry-After %q: %s", status, header.Get("Retry-After"), text)
+			}
+			break
+		}
+		if time.Since(died) > noticed {
+			t.Fatalf("not told of the cut after %v: %s", took, text)
+		}
+	}
+	t.Logf("told of the cut %v after it", time.Since(died).Round(time.Second))
+	began := time.Now()
+	_, _, text := ask(t, s, 1, "banquet-70b")
+	if took := time.Since(began); took > atOnce || !strings.Contains(text, "cut off") {
+		t.Errorf("told after %v: %s", took, text)
+	}
+	if loads := s.deployment.Targets[1].Engine().Record().Loads; len(loads) > 0 {
+		t.Errorf("loads %v across the cut link", loads)
+	}
+}
+
 func ask(t *testing.T, s *session, n int, model string) (int, http.Header, string) {
 	body := `{"model":"` + model + `","messages":[{"role":"user","content":"seats"}]}`
 	resp, err := s.do(context.Background(), n, http.MethodPost, "/v1/chat/completions", body, nil)
--- a/internal/entry/demand.go
+++ b/internal/entry/demand.go
@@ -29,13 +29,20 @@
 	var best ports.DemandReply
 	var failed error
 	answered := false
+	near := asked{}
 	for _, step := range link.Steps(d.Model, e.self, e.members(), e.settings.Platform.StoreRegion) {
+		if step.Load == ports.LoadAcross && near.failed {
+			// A silence is no lack of room: the link may be cut, and the load with it.
+			continue
+		}
 		d.Load = step.Load
 		reply, err := e.demandIn(ctx, step.Zone, d)
 		if err != nil {
 			failed = err
+			near.failed = near.failed || step.Load == ports.LoadAnywhere
 			continue
 		}
+		near.answered = near.answered || step.Load == ports.LoadAnywhere
 		if settled(reply) {
 			return reply, nil
 		}
@@ -45,7 +52,27 @@
 	if !answered {
 		return best, trace.Wrap(failed)
 	}
-	return link.OrCutOff(best, e.self, e.members(), e.settings.Platform.StoreRegion), nil
+	return link.OrCutOff(best, e.cutOff(near)), nil
+}
+
+// asked is what became of asking the zones beside the weight store.
+type asked struct{ answered, failed bool }
+
+// cutOff tells whether the region of the weight store is cut off, after a demand
+// that asked its zones, if there are any.
+func (e *Entry) cutOff(near asked) bool {
+	store := e.settings.Platform.StoreRegion
+	if store == "" || store == e.self.Region {
+		return false
+	}
+	now := e.timer.Now()
+	switch {
+	case near.answered:
+		e.contact.Answered()
+	case near.failed:
+		e.contact.Failed(now)
+	}
+	return e.contact.Lost(now) || link.IsCut(e.self, e.members(), store)
 }
 
 // demandIn asks the shards of one zone.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -44,10 +44,12 @@
 	services *probe.Services
 	meter    *meter.Meter
 
-	table    *route.Table
-	room     *await.Room
-	limits   *admit.Limits
-	link     *link.Link
+	table  *route.Table
+	room   *await.Room
+	limits *admit.Limits
+	link   *link.Link
+	// contact is that with the region of the weight store.
+	contact  link.Contact
 	claims   *once.Driver
 	recorder *daily.Recorder
 	writer   *daily.Writer
--- a/internal/vday/linkcmd.go
+++ b/internal/vday/linkcmd.go
@@ -42,7 +42,7 @@
 }
 
 // linkMeans adds up the rows of one way to choose a zone.
-type linkMeans struct{ p95, p99, refused, early, gigabytes float64 }
+type linkMeans struct{ p95, p99, refused, early, idle, gigabytes float64 }
 
 func (c *LinkCmd) compare(w io.Writer, s Shape) error {
 	weights, err := policy.Preset(s.Preset)
@@ -67,8 +67,8 @@
 	}
 	for i, known := range []bool{false, true} {
 		m := means[i]
-		fmt.Fprintf(w, "  mean   %-16s p95 %.2f s, p99 %.2f s, refused %.1f (%.1f early), %.2f GB over the link\n",
-			choiceName(known), m.p95, m.p99, m.refused, m.early, m.gigabytes)
+		fmt.Fprintf(w, "  mean   %-16s p95 %.2f s, p99 %.2f s, refused %.1f (%.1f early), idle %.2f h, %.2f GB over the link\n",
+			choiceName(known), m.p95, m.p99, m.refused, m.early, m.idle, m.gigabytes)
 	}
 	return nil
 }
@@ -85,12 +85,13 @@
 	m.p99 += quantile(r.Waits, .99).Seconds() / runs
 	m.refused += float64(r.Refused()) / runs
 	m.early += float64(r.ToldEarly) / runs
+	m.idle += r.IdleHours / runs
 	m.gigabytes += r.LinkBytes / 1e9 / runs
 }
 
 // String describes the run in one line.
 func (r ZonesResult) String() string {
-	return fmt.Sprintf("p50 %.2f s, p95 %.2f s, p99 %.2f s, refused %d of %d (%d early), %d loads, %d over the link, %.2f GB over it",
+	return fmt.Sprintf("p50 %.2f s, p95 %.2f s, p99 %.2f s, refused %d of %d (%d early), idle %.2f h, %d loads, %d over the link, %.2f GB over it",
 		quantile(r.Waits, .5).Seconds(), quantile(r.Waits, .95).Seconds(), quantile(r.Waits, .99).Seconds(),
-		r.Refused(), r.Requests, r.ToldEarly, r.Loads, r.FarLoads, r.LinkBytes/1e9)
+		r.Refused(), r.Requests, r.ToldEarly, r.IdleHours, r.Loads, r.FarLoads, r.LinkBytes/1e9)
 }
--- a/internal/vday/zones.go
+++ b/internal/vday/zones.go
@@ -65,7 +65,9 @@
 	yields  map[uint64]func(ports.PeerReply)
 	nextAsk uint64
 	cut     bool
-	result  ZonesResult
+	// idleBytes is accelerator memory held by idle replicas, summed over seconds.
+	idleBytes uint64
+	result    ZonesResult
 }
 
 // zoneRun is one zone: its entry, its targets and its callers.
@@ -106,6 +108,7 @@
 		clock.After(shape.CutFrom-window.From, func() { d.setCut(true) })
 		clock.After(shape.CutTo-window.From, func() { d.setCut(false) })
 	}
+	timer.Every(clock, time.Second, d.countIdle)
 	for _, r := range t.Requests {
 		if r.At >= window.From && r.At < window.To {
 			clock.After(r.At-window.From, func() { d.arrive(r) })
@@ -118,9 +121,21 @@
 		}
 	}
 	d.result.LinkBytes = d.pipe.Carried()
+	d.result.IdleHours = float64(d.idleBytes) / float64(s.AcceleratorBytes) / time.Hour.Seconds()
 	return d.result
 }
 
+// countIdle adds a second of what replicas with nothing to do hold.
+func (d *zonesDriver) countIdle() {
+	for _, z := range d.zones {
+		for id, row := range z.rows {
+			if row.Phase == ports.PhaseReady && d.running[id] == 0 {
+				d.idleBytes += d.models[row.Model].MemoryBytes
+			}
+		}
+	}
+}
+
 func (d *zonesDriver) addZone(i int, zone string, policies policy.Set) {
 	region := storeRegion
 	if i == len(d.shape.Zones)-1 {
@@ -384,12 +399,13 @@
 		store = storeRegion
 	}
 	steps := link.Steps(model, z.self, z.members(), store)
-	z.ask(model, steps, ports.DemandReply{})
+	z.ask(model, steps, ports.DemandReply{}, false)
 	d.clock.After(demandEvery, func() { z.demand(model) })
 }
 
-// ask tries the steps that are left; best is the best answer so far.
-func (z *zoneRun) ask(model string, steps []link.Step, best ports.DemandReply) {
+// ask tries the steps that are left; best is the best answer so far, and nearFailed
+// tells that a zone beside the store gave none.
+func (z *zoneRun) ask(model string, steps []link.Step, best ports.DemandReply, nearFailed bool) {
 	waiting := z.waiting[model]
 	if len(waiting) == 0 {
 		return
@@ -398,6 +414,10 @@
 		z.unsettled(model, best)
 		return
 	}
+	if steps[0].Load == ports.LoadAcross && nearFailed {
+		z.ask(model, steps[1:], best, nearFailed)
+		return
+	}
 	d := z.driver
 	demand := ports.Demand{
 		Model: model, Class: config.ClassInteractive, Waiting: len(waiting), Load: steps[0].Load,
@@ -415,7 +435,8 @@
 			if best.Status != ports.DemandQueued && reply.Status != "" {
 				best = reply
 			}
-			z.ask(model, steps[1:], best)
+			failed := nearFailed || r.Err != nil && steps[0].Load == ports.LoadAnywhere
+			z.ask(model, steps[1:], best, failed)
 		})
 	}
 }
@@ -423,7 +444,7 @@
 // unsettled refuses the callers at once if no load will come.
 func (z *zoneRun) unsettled(model string, best ports.DemandReply) {
 	if z.driver.link.Known {
-		best = link.OrCutOff(best, z.self, z.members(), storeRegion)
+		best = link.OrCutOff(best, link.IsCut(z.self, z.members(), storeRegion))
 	}
 	if best.Status != ports.DemandRefused {
 		return
