--- a/internal/shell/shell_test.go
+++ b/internal/shell/shell_test.go
@@ -138,7 +138,7 @@
 	check(t, []line{
 		{args: "check --config {good}", want: "exit 0\nout: {good}: entry bul-a-e1 of zone bul-a, all settings are accepted\n"},
 		{args: "check --config {bad}", want: `exit 1
-err: {bad}: [platform] leases = "3": unknown key; accepted: url, timeout, listEvery, leaseTTL, reportEvery, storeLoads, adapterLoads
+err: {bad}: [platform] leases = "3": unknown key; accepted: url, timeout, listEvery, leaseTTL, reportEvery, storeLoads, adapterLoads, storeRegion
 {bad}: [entry] id = "Bul_A": not a name; accepted: 1 to 63 of a-z, 0-9, '-' and '.', beginning with a letter or digit
 {bad}: [platform] url = "ftp://127.0.0.1": scheme is "ftp"; accepted: an http or https URL with an IP address, such as http://127.0.0.1:9000
 {bad}: [platform] leaseTTL = "5": time: missing unit in duration "5"; accepted: a time with its unit such as 500ms, 2s or 5m, from 1s to 5m0s
