Take the process tests' ports from below the system's own range

Cause, seen in 1 of 5 systems started at once (trial): an entry's listen address, found free a moment before, was in use when the entry started ("bind: address already in use"). The system gives such a port to any connection or listener in the meantime, and the relays of the network ask for many. Ports from 16000 to 32000 are given to nobody who does not ask for them; each is tried in turn.

--- a/cmd/chivecroft/harness_test.go
+++ b/cmd/chivecroft/harness_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -15,6 +16,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -281,24 +283,36 @@
 	s.list(ports.Instance{ID: id, Kind: ports.InstanceEntry, Zone: zone, Region: region, Addr: netip.MustParseAddrPort(addr)})
 }
 
-// givenAddrs are the addresses that freeAddr has returned.
-var givenAddrs sync.Map
+// Ports below those that the system gives to connections and to listeners that
+// ask for any: one that was free a moment ago would else be taken by one of them
+// before the process under test listens.
+const (
+	firstPort = 16000
+	lastPort  = 32000
+)
+
+// nextPort is the port that freeAddr tries next.
+var nextPort atomic.Int64
+
+func init() {
+	nextPort.Store(firstPort + rand.Int64N(lastPort-firstPort))
+}
 
 // freeAddr returns an address that nobody listens on and that it has not
-// returned before: the system may offer a port anew as soon as it is closed.
+// returned before.
 func freeAddr(t testing.TB) string {
 	t.Helper()
-	for {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range lastPort - firstPort {
+		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
-			t.Fatal(err)
+			continue
 		}
-		addr := l.Addr().String()
 		l.Close()
-		if _, given := givenAddrs.LoadOrStore(addr, true); !given {
-			return addr
-		}
+		return l.Addr().String()
 	}
+	t.Fatalf("no port from %d to %d is free", firstPort, lastPort)
+	return ""
 }
 
 // request sends one request and returns the status and the body.
