--- a/internal/entry/demand.go
+++ b/internal/entry/demand.go
@@ -175,8 +175,7 @@
 func (e *Entry) answered(ctx context.Context, source string, began time.Time, err error) {
 	switch {
 	case err == nil:
-		e.doubts.clear(source)
-		e.doubts.clear(cutName(source))
+		e.heardOf(source)
 	case ctx.Err() == nil || e.timer.Now().Sub(began) > hedgeAfter:
 		e.doubts.raise(source)
 	}
--- a/internal/entry/doubts.go
+++ b/internal/entry/doubts.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,15 +13,10 @@
 // timeout of a call, so a doubt lasts for as long as the silence does.
 const doubtFor = 15 * time.Second
 
-// cutPrefix begins the names under which zones are doubted that are neither asked
-// first nor sent requests.
+// cutPrefix begins the names under which zones are doubted so far that they are
+// sent no requests either.
 const cutPrefix = "cut/"
 
-// cutName is the name of that doubt for the source that tells of a zone.
-func cutName(source string) string {
-	return cutPrefix + strings.TrimPrefix(source, zonePrefix)
-}
-
 // doubts are the sources of the routing table, entries of the own zone and other
 // zones, that have lately left a demand without an answer. Membership takes 10 s
 // to 60 s to notice a silence; until then a doubtful source is asked last, so
@@ -55,12 +49,14 @@
 	}
 }
 
-// clear ends a doubt after a sign of the source.
-func (d *doubts) clear(source string) {
+// clear ends a doubt after a sign of the source, and tells whether there was one.
+func (d *doubts) clear(source string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	_, doubted := d.until[source]
 	delete(d.until, source)
 	d.count.Store(int64(len(d.until)))
+	return doubted
 }
 
 // has tells whether a source is doubtful.
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -89,16 +89,14 @@
 		delta, ok := answer.(ports.TableDelta)
 		if err != nil || !ok {
 			e.log.Debug().Err(err).Str("step", "pullTable").Str("peer", s.member.ID).Msg("pulling a routing table")
-			e.doubts.renew(name)
-			e.doubts.renew(cutName(name))
+			e.failedPull(name)
 			e.sleep(ctx, pullRetry)
 			continue
 		}
 		if ctx.Err() != nil {
 			return
 		}
-		e.doubts.clear(name)
-		e.doubts.clear(cutName(name))
+		e.heardOf(name)
 		pull.Stream, pull.After = delta.Stream, delta.Seq
 		e.took(name, delta)
 	}
--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -226,6 +226,11 @@
 		e.log.Error().Str("step", "note").Msgf("no use for a note of type %T", value)
 		return
 	}
+	e.tellOperators(kind, subject, detail)
+}
+
+// tellOperators puts what happened into the log and on the day page.
+func (e *Entry) tellOperators(kind, subject, detail string) {
 	e.log.Warn().Str("kind", kind).Str("subject", subject).Msg(detail)
 	e.recorder.Happened(kind, subject, detail, e.timer.Now())
 }
--- a/internal/entry/reach.go
+++ b/internal/entry/reach.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 
@@ -11,6 +12,12 @@
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 )
 
+// The kinds of events that tell of cuts.
+const (
+	kindZoneCutOff = "zoneCutOff"
+	kindZoneBack   = "zoneBack"
+)
+
 // signPatience is how long another zone's entries have for a sign of life, which
 // they give at once. It ends before the probe of a silent target does, so that
 // the request which waits for that probe already knows.
@@ -90,12 +97,28 @@
 // cutOff stops requests to a zone until there is a sign of it.
 func (e *Entry) cutOff(zone string) {
 	if !e.doubts.has(cutPrefix + zone) {
-		e.log.Warn().Str("kind", "zoneCutOff").Str("subject", zone).Msg("neither a target nor an entry answers; its models count as cold here")
+		e.tellOperators(kindZoneCutOff, zone, "neither a target nor an entry of it answers; its models count as cold here")
 	}
 	e.doubts.raise(cutPrefix + zone)
 	e.doubts.raise(zonePrefix + zone)
 }
 
+// heardOf ends the doubts of a source that has answered.
+func (e *Entry) heardOf(source string) {
+	e.doubts.clear(source)
+	if zone, abroad := strings.CutPrefix(source, zonePrefix); abroad && e.doubts.clear(cutPrefix+zone) {
+		e.tellOperators(kindZoneBack, zone, "answers again")
+	}
+}
+
+// failedPull prolongs the doubts of a source whose pull has failed.
+func (e *Entry) failedPull(source string) {
+	e.doubts.renew(source)
+	if zone, abroad := strings.CutPrefix(source, zonePrefix); abroad {
+		e.doubts.renew(cutPrefix + zone)
+	}
+}
+
 // isCutOff tells whether requests to a zone are of no use.
 func (e *Entry) isCutOff(zone string) bool {
 	return e.doubts.has(cutPrefix + zone)
