Keep an owner's rows when a witness goes

Cause, found by reading while the rows of a moving shard were looked at: an entry of the zone that is followed for as long as a shard has no owner repeats rows that the owner has told of too. If its word came later, the row counted as its own and went with it once the shard had an owner again, and the owner does not tell of a row a second time until it changes. The model was cold at that entry meanwhile.

A witness now fills gaps only. TestFill fails with Apply in place of Fill ("cold" where "a" is wanted).

Ruled out: keeping the rows of a shard that an entry gives up until the next owner has published.

--- a/internal/coordination/route/avoid_test.go
+++ b/internal/coordination/route/avoid_test.go
@@ -34,3 +34,34 @@
 		}
 	}
 }
+
+// TestFill has a source repeat the rows of an owner and go: what the owner has
+// sent stays, in whichever order the two came.
+func TestFill(t *testing.T) {
+	fill := func(r *rig) {
+		r.Fill("witness/bul-a", ports.TableDelta{Stream: 1, Seq: 1, Whole: true, Replicas: []ports.Replica{row("a")}})
+	}
+	tell := func(r *rig) { r.rows("entry/e1", row("a")) }
+	for _, c := range []struct {
+		name  string
+		steps []func(*rig)
+		want  string
+	}{
+		{"repeated after the owner", []func(*rig){tell, fill}, "a"},
+		{"repeated before the owner", []func(*rig){fill, tell}, "a"},
+		{"only repeated", []func(*rig){fill}, "cold"},
+	} {
+		r := newRig()
+		for _, step := range c.steps {
+			step(r)
+		}
+		if _, got := r.pick(route.Query{}); got != "a" {
+			t.Errorf("%s: %s", c.name, got)
+		}
+		r.Drop("witness/bul-a")
+		_, got := r.pick(route.Query{})
+		if diff := cmp.Diff(c.want, got); diff != "" {
+			t.Errorf("%s, then dropped (-want +got):\n%s", c.name, diff)
+		}
+	}
+}
--- a/internal/coordination/route/table.go
+++ b/internal/coordination/route/table.go
@@ -152,7 +152,16 @@
 // ignored.
 func (t *Table) Apply(from string, delta ports.TableDelta) {
 	s := t.source(from)
-	touched := s.apply(t, from, delta)
+	touched := s.apply(t, from, delta, t.set)
+	t.announce(touched)
+}
+
+// Fill takes a delta from a source that repeats what others have told: it adds
+// rows that no other source has sent and changes none that one has. A row that
+// it took over would go with it, though its owner still tells of the replica.
+func (t *Table) Fill(from string, delta ports.TableDelta) {
+	s := t.source(from)
+	touched := s.apply(t, from, delta, t.fill)
 	t.announce(touched)
 }
 
@@ -257,7 +266,7 @@
 }
 
 // apply changes the rows of one source and returns the keys touched.
-func (s *source) apply(t *Table, from string, delta ports.TableDelta) map[string]struct{} {
+func (s *source) apply(t *Table, from string, delta ports.TableDelta, set func(from string, row ports.Replica)) map[string]struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if delta.Stream == s.stream && delta.Seq <= s.seq && s.seq > 0 {
@@ -276,7 +285,7 @@
 	}
 	for _, row := range delta.Replicas {
 		s.rows[row.ID] = row.Model
-		t.set(from, row)
+		set(from, row)
 		touched[row.Model] = struct{}{}
 	}
 	return touched
@@ -334,6 +343,15 @@
 	r.update(from, row, distance(t.zone, t.region, row), now)
 }
 
+// fill sets a row unless another source has sent it.
+func (t *Table) fill(from string, row ports.Replica) {
+	known := false
+	t.withReplica(row.ID, func(_ *model, r *replica) { known = r.source != from })
+	if !known {
+		t.set(from, row)
+	}
+}
+
 // unset removes a row unless another source has sent it since: after a change
 // of owner, the predecessor's removal may arrive behind the successor's row.
 func (t *Table) unset(from, key, id string) bool {
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"strings"
 	"time"
 
 	"chivecroft.example/chivecroft/internal/coordination/member"
@@ -109,7 +110,11 @@
 	if isOwner(name) {
 		e.zone.Apply(name, delta)
 	}
-	e.table.Apply(name, delta)
+	if strings.HasPrefix(name, witnessPrefix) {
+		e.table.Fill(name, delta)
+	} else {
+		e.table.Apply(name, delta)
+	}
 	e.warmup.sawSource(name)
 }
 
