Take a killed owner's shards over when its lease ends

Cause, measured with separate processes: a shard of a killed owner had another one after 10.5 s to 10.8 s, as that of a frozen one, with a lease of 6 s. Membership counts nobody as silent before 10 s, and only then did candidates look at the lease. A shorter lease gained nothing.

Whoever follows an owner's rows sees its pulls fail at once when it is killed. An owner whose pulls failed twice on end, or that left a demand without an answer, is now shown to the parts as silent: they look at its lease each second, and take the shard only when the KV service says that the lease is gone, as before. A suspicion that is wrong costs reads. Membership is untouched, and so is the rule by which an owner stops. A demand prefers an owner that is not doubted, since the word of the dead one goes on beside its successor's.

--- a/internal/entry/demand.go
+++ b/internal/entry/demand.go
@@ -160,14 +160,20 @@
 }
 
 // ownerOf returns the living entry of the own zone, other than this one, that
-// says it owns a shard.
+// says it owns a shard. Of several it is one that is not doubted: the word of an
+// owner that died goes on for a while beside its successor's.
 func (e *Entry) ownerOf(shard int) (ports.Member, bool) {
+	var found ports.Member
 	for _, m := range e.members() {
-		if m.Zone == e.self.Zone && m.ID != e.self.ID && m.Phase == ports.MemberAlive && slices.Contains(m.Shards, shard) {
+		if m.Zone != e.self.Zone || m.ID == e.self.ID || m.Phase != ports.MemberAlive || !slices.Contains(m.Shards, shard) {
+			continue
+		}
+		if !e.doubts.has(e.sourceOf(m)) {
 			return m, true
 		}
+		found = m
 	}
-	return ports.Member{}, false
+	return found, found.ID != ""
 }
 
 // answered notes whether a source had an answer to a demand. That it had none in
@@ -177,7 +183,7 @@
 	case err == nil:
 		e.heardOf(source)
 	case ctx.Err() == nil || e.timer.Now().Sub(began) > hedgeAfter:
-		e.doubts.raise(source)
+		e.doubt(source)
 	}
 }
 
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -83,6 +83,7 @@
 
 func (e *Entry) follow(ctx context.Context, name string, s *source) {
 	pull := ports.PullTable{Summary: s.summary, Wait: pullWait}
+	failed := 0
 	for ctx.Err() == nil {
 		asking, end := e.pulls.begin(ctx, name)
 		answer, err := e.peers.Ask(asking, s.member.Addr, pull)
@@ -90,13 +91,18 @@
 		delta, ok := answer.(ports.TableDelta)
 		if err != nil || !ok {
 			e.log.Debug().Err(err).Str("step", "pullTable").Str("peer", s.member.ID).Msg("pulling a routing table")
-			e.failedPull(name)
+			if ctx.Err() != nil {
+				return
+			}
+			failed++
+			e.failedPull(name, failed)
 			e.sleep(ctx, pullRetry)
 			continue
 		}
 		if ctx.Err() != nil {
 			return
 		}
+		failed = 0
 		e.heardOf(name)
 		pull.Stream, pull.After = delta.Stream, delta.Seq
 		e.took(name, delta)
--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -242,7 +242,7 @@
 	e.limits.SetEntries(max(1, len(member.Serving(members, e.self.Zone))))
 	e.parts.relay.Post(relay.MembersChanged{Members: members})
 	e.parts.writer.Post(daily.MembersChanged{Members: members})
-	e.parts.toShards(owner.MembersChanged{Members: members})
+	e.parts.toShards(owner.MembersChanged{Members: e.suspecting(members)})
 	e.claims.SetMembers(members)
 	select {
 	case e.membersNews <- struct{}{}:
--- a/internal/entry/reach.go
+++ b/internal/entry/reach.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
 
+	"chivecroft.example/chivecroft/internal/coordination/owner"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 )
 
@@ -103,16 +105,57 @@
 	e.doubts.raise(zonePrefix + zone)
 }
 
+// doubt begins the doubt of a source. An owner of the own zone is suspected from
+// then on, also by the parts of its shards.
+func (e *Entry) doubt(source string) {
+	if !e.doubts.has(source) && strings.HasPrefix(source, ownerPrefix) {
+		defer e.tellSuspects()
+	}
+	e.doubts.raise(source)
+}
+
+// tellSuspects tells the shards' parts which entries of the zone are suspected.
+func (e *Entry) tellSuspects() {
+	e.parts.toShards(owner.MembersChanged{Members: e.suspecting(e.members())})
+}
+
+// suspecting returns members with the doubtful ones of the own zone as silent.
+//
+// A part then looks at the lease of a suspect's shard each second, and takes the
+// shard when the KV service says that the lease is gone. So a suspicion that is
+// wrong costs reads, and one that is right saves the rest of the time that
+// membership takes to call a member silent:
+//
+//	owner killed         at 0 s, last renewal up to a third of the lease before
+//	two pulls fail       at 0.5 s, suspected
+//	lease gone           at 4 s to 6 s, with a lease of 6 s
+//	counted as silent    at 10 s
+func (e *Entry) suspecting(members []ports.Member) []ports.Member {
+	members = slices.Clone(members)
+	for i, m := range members {
+		if m.Zone == e.self.Zone && m.Phase == ports.MemberAlive && e.doubts.has(e.sourceOf(m)) {
+			members[i].Phase = ports.MemberSilent
+		}
+	}
+	return members
+}
+
 // heardOf ends the doubts of a source that has answered.
 func (e *Entry) heardOf(source string) {
-	e.doubts.clear(source)
+	if e.doubts.clear(source) && strings.HasPrefix(source, ownerPrefix) {
+		e.tellSuspects()
+	}
 	if zone, abroad := strings.CutPrefix(source, zonePrefix); abroad && e.doubts.clear(cutPrefix+zone) {
 		e.tellOperators(kindZoneBack, zone, "answers again")
 	}
 }
 
-// failedPull prolongs the doubts of a source whose pull has failed.
-func (e *Entry) failedPull(source string) {
+// failedPull prolongs the doubts of a source whose pull has failed, and begins
+// that of an owner whose pulls have failed more than once on end.
+func (e *Entry) failedPull(source string, onEnd int) {
+	if onEnd > 1 && strings.HasPrefix(source, ownerPrefix) {
+		e.doubt(source)
+	}
 	e.doubts.renew(source)
 	if zone, abroad := strings.CutPrefix(source, zonePrefix); abroad {
 		e.doubts.renew(cutPrefix + zone)
