--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"strings"
 	"time"
 
 	"chivecroft.example/chivecroft/internal/coordination/member"
@@ -82,6 +83,7 @@
 
 func (e *Entry) follow(ctx context.Context, name string, s *source) {
 	pull := ports.PullTable{Summary: s.summary, Wait: pullWait}
+	failed := 0
 	for ctx.Err() == nil {
 		asking, end := e.pulls.begin(ctx, name)
 		answer, err := e.peers.Ask(asking, s.member.Addr, pull)
@@ -89,16 +91,19 @@
 		delta, ok := answer.(ports.TableDelta)
 		if err != nil || !ok {
 			e.log.Debug().Err(err).Str("step", "pullTable").Str("peer", s.member.ID).Msg("pulling a routing table")
-			e.doubts.renew(name)
-			e.doubts.renew(cutName(name))
+			if ctx.Err() != nil {
+				return
+			}
+			failed++
+			e.failedPull(name, failed)
 			e.sleep(ctx, pullRetry)
 			continue
 		}
 		if ctx.Err() != nil {
 			return
 		}
-		e.doubts.clear(name)
-		e.doubts.clear(cutName(name))
+		failed = 0
+		e.heardOf(name)
 		pull.Stream, pull.After = delta.Stream, delta.Seq
 		e.took(name, delta)
 	}
@@ -111,7 +116,11 @@
 	if isOwner(name) {
 		e.zone.Apply(name, delta)
 	}
-	e.table.Apply(name, delta)
+	if strings.HasPrefix(name, witnessPrefix) {
+		e.table.Fill(name, delta)
+	} else {
+		e.table.Apply(name, delta)
+	}
 	e.warmup.sawSource(name)
 }
 
--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -233,6 +233,11 @@
 		e.log.Error().Str("step", "note").Msgf("no use for a note of type %T", value)
 		return
 	}
+	e.tellOperators(kind, subject, detail)
+}
+
+// tellOperators puts what happened into the log and on the day page.
+func (e *Entry) tellOperators(kind, subject, detail string) {
 	e.log.Warn().Str("kind", kind).Str("subject", subject).Msg(detail)
 	e.recorder.Happened(kind, subject, detail, e.timer.Now())
 }
@@ -245,7 +250,7 @@
 	e.parts.relay.Post(relay.MembersChanged{Members: members})
 	e.parts.writer.Post(daily.MembersChanged{Members: members})
 	e.telling.SetMembers(members)
-	e.parts.toShards(owner.MembersChanged{Members: members})
+	e.parts.toShards(owner.MembersChanged{Members: e.suspecting(members)})
 	e.claims.SetMembers(members)
 	select {
 	case e.membersNews <- struct{}{}:
