--- a/internal/coordination/owner/demand.go
+++ b/internal/coordination/owner/demand.go
@@ -40,6 +40,9 @@
 		return ports.DemandReply{Status: ports.DemandRefused, Reason: reason}, true
 	}
 	m := s.model(a.model)
+	if s.growsElsewhere(m) {
+		return ports.DemandReply{Status: ports.DemandQueued, Reason: m.refused, ReadyIn: s.loadTime(m.name) + queuedEstimate}, true
+	}
 	if in, ok := s.readyIn(m.name); ok {
 		return ports.DemandReply{Status: ports.DemandAccepted, ReadyIn: in}, true
 	}
@@ -116,7 +119,11 @@
 	if r.isReady() {
 		return 0
 	}
-	return max(s.loadTime(r.Model)-s.now.Sub(r.decidedAt), minReadyIn)
+	in := s.loadTime(r.Model)
+	if r.FromStore {
+		in = s.fetchTime(r.Model)
+	}
+	return max(in-s.now.Sub(r.decidedAt), minReadyIn)
 }
 
 // minReadyIn is the estimate for a load that has taken longer than expected.
--- a/internal/coordination/route/pick.go
+++ b/internal/coordination/route/pick.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"chivecroft.example/chivecroft/internal/coordination/link"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 )
 
@@ -22,6 +23,9 @@
 	rings = 3
 )
 
+// RingBeyond is the ring of other regions, across the link.
+const RingBeyond = rings - 1
+
 // Query asks for a replica of a model, or an instance of a plain service.
 type Query struct {
 	// Key is a model's name or a ServiceKey.
@@ -31,6 +35,8 @@
 	Prefix uint64
 	// Exclude names replicas that were tried already.
 	Exclude []string
+	// Priority says what the request gives way to on the link between regions.
+	Priority link.Priority
 }
 
 // Status says how a Pick ended.
@@ -115,9 +121,9 @@
 	tolerant := m.tolerant(now)
 	seen := false
 	for ring := range rings {
-		best, any := p.best(m, q, ring, tolerant, now)
+		best, any := t.best(p, m, q, ring, tolerant, now)
 		seen = seen || any
-		if best == nil {
+		if best == nil || ring == RingBeyond && !t.mayCross(q) {
 			continue
 		}
 		best.flying++
@@ -128,7 +134,7 @@
 	if seen {
 		return Choice{}, Busy
 	}
-	return Choice{}, m.unready(q)
+	return Choice{}, t.unready(m, q)
 }
 
 // Outlook tells what is known of a model without a ready replica: when the
@@ -143,7 +149,7 @@
 	}
 	for _, r := range m.replicas {
 		switch {
-		case r.leaving():
+		case r.leaving(), !t.reaches(r):
 		case r.row.Phase == ports.PhaseLoading && (!loading || r.row.ReadyIn < readyIn):
 			readyIn, loading = r.row.ReadyIn, true
 		case r.row.Phase == ports.PhaseFailed:
@@ -159,7 +165,36 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := p.models[q.Key]
-	return m != nil && slices.ContainsFunc(m.replicas, func(r *replica) bool { return r.usable(q) })
+	return m != nil && slices.ContainsFunc(m.replicas, func(r *replica) bool { return r.usable(q) && t.reaches(r) })
+}
+
+// CrossWait returns how long a request has to wait at least for the link between
+// regions, 0 if it may cross now or a replica on this side could serve it.
+func (t *Table) CrossWait(q Query) time.Duration {
+	if t.crossing == nil {
+		return 0
+	}
+	p := t.part(q.Key)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.models[q.Key]
+	if m == nil {
+		return 0
+	}
+	beyond := false
+	for _, r := range m.replicas {
+		if !r.usable(q) {
+			continue
+		}
+		if r.ring != RingBeyond {
+			return 0
+		}
+		beyond = true
+	}
+	if !beyond {
+		return 0
+	}
+	return t.crossing.Wait(q.Priority)
 }
 
 // Took returns the average time of a call, 0 if none is known.
@@ -175,11 +210,11 @@
 
 // best returns the replica to use in a ring, nil if none has room, and whether
 // any could have been used.
-func (p *part) best(m *model, q Query, ring int, tolerant bool, now time.Time) (*replica, bool) {
+func (t *Table) best(p *part, m *model, q Query, ring int, tolerant bool, now time.Time) (*replica, bool) {
 	s := sample{took: m.took}
 	usable := false
 	for _, r := range m.replicas {
-		if r.ring != ring || !r.usable(q) || (r.ejected(now) && !tolerant) {
+		if r.ring != ring || !r.usable(q) || !t.reaches(r) || (r.ejected(now) && !tolerant) {
 			continue
 		}
 		usable = true
@@ -253,8 +288,11 @@
 }
 
 // unready tells whether a replica that could serve q loads.
-func (m *model) unready(q Query) Status {
+func (t *Table) unready(m *model, q Query) Status {
 	for _, r := range m.replicas {
+		if !t.reaches(r) {
+			continue
+		}
 		if r.row.Phase == ports.PhaseLoading && !r.leaving() {
 			return Loading
 		}
--- a/internal/coordination/route/route_test.go
+++ b/internal/coordination/route/route_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	"chivecroft.example/chivecroft/internal/coordination/link"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 	"chivecroft.example/chivecroft/internal/coordination/route"
 	"chivecroft.example/chivecroft/internal/state/timer"
@@ -404,3 +405,52 @@
 		}
 	})
 }
+
+// closable is a link that tests open and close.
+type closable map[link.Priority]bool
+
+// Open tells whether the priority is open.
+func (c closable) Open(p link.Priority) bool { return c[p] }
+
+// Wait tells of a minute while the priority is closed.
+func (c closable) Wait(p link.Priority) time.Duration {
+	if c[p] {
+		return 0
+	}
+	return time.Minute
+}
+
+// TestUsedUpLinkKeepsInRegion: while the link is used up, requests stay in their
+// own region or wait, and those that were turned away hear when it opens.
+func TestUsedUpLinkKeepsInRegion(t *testing.T) {
+	open := closable{link.Interactive: true}
+	clock := timer.NewVirtual(time.Unix(1000, 0))
+	var told []string
+	table := route.NewTable("bul-a", "bulacan", clock, 1, route.WithCrossing(open),
+		route.WithListener(func(key string) { told = append(told, key) }))
+	r := &rig{Table: table, clock: clock, seq: make(map[string]uint64)}
+	r.rows("zone/pam-a", row("far", in("pam-a", "pampanga")))
+	if _, got := r.pick(route.Query{Priority: link.Interactive}); got != "far" {
+		t.Errorf("interactive: %s", got)
+	}
+	if _, got := r.pick(route.Query{Priority: link.Deferrable}); got != "busy" {
+		t.Errorf("deferrable: %s", got)
+	}
+	wait := func(p link.Priority) time.Duration { return r.CrossWait(route.Query{Key: "m", Priority: p}) }
+	if diff := cmp.Diff([]time.Duration{0, time.Minute}, []time.Duration{wait(link.Interactive), wait(link.Deferrable)}); diff != "" {
+		t.Errorf("waits for the link (-want +got):\n%s", diff)
+	}
+	r.rows("s", row("near", in("bul-b", "bulacan")))
+	if got := wait(link.Deferrable); got != 0 {
+		t.Errorf("wait of %v with a replica in the region", got)
+	}
+	if _, got := r.pick(route.Query{Priority: link.Deferrable}); got != "near" {
+		t.Errorf("deferrable with a replica in the region: %s", got)
+	}
+	told = nil
+	table.LinkOpened()
+	table.LinkOpened()
+	if diff := cmp.Diff([]string{"m"}, told); diff != "" {
+		t.Errorf("told (-want +got):\n%s", diff)
+	}
+}
--- a/internal/entry/demand.go
+++ b/internal/entry/demand.go
@@ -3,32 +3,54 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/gravitational/trace"
 
+	"chivecroft.example/chivecroft/internal/coordination/link"
 	"chivecroft.example/chivecroft/internal/coordination/member"
 	"chivecroft.example/chivecroft/internal/coordination/owner"
 	"chivecroft.example/chivecroft/internal/coordination/permit"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/state/timer"
+)
+
+const (
+	// demandPatience is how long a demand waits for those who do not answer. An
+	// owner answers within a second also while it waits for the KV service.
+	demandPatience = 1200 * time.Millisecond
+	// hedgeAfter is how long an entry of another zone may take before a second one
+	// is asked beside.
+	hedgeAfter = 300 * time.Millisecond
+	// asksMost is how many entries of another zone are asked.
+	asksMost = 2
 )
 
 // demand finds the shard that can load a model. The zones are asked in an order
-// that depends on the model alone, so that a burst of first requests at entries
-// of all zones meets at one owner and makes one load; a zone that does not
-// answer or has no place is passed over.
+// that depends on the model and the members alone, so that a burst of first
+// requests at entries of all zones meets at one owner and makes one load; a zone
+// that does not answer or has no place is passed over. Zones that would fetch
+// the checkpoint over the link between regions come last (link.Steps).
 //
 // For example the zones of menu-7b may be pam-a, bul-a, bul-b. Eight entries
 // that get its first requests at once all ask pam-a. While pam-a is cut off, the
 // entries that see it so ask bul-a, and pam-a's own ask pam-a: each side loads
 // within the permits that its shards hold.
+//
+// A zone that is cut off does not say so. The other zones together get no more
+// than demandPatience, so that the own one is asked in any case, and whoever did
+// not answer is doubtful from then on and asked last.
 func (e *Entry) demand(ctx context.Context, d ports.Demand) (ports.DemandReply, error) {
 	d.From = e.self.ID
 	d.Zone = e.self.Zone
 	var best ports.DemandReply
 	var failed error
 	answered := false
-	for _, zone := range e.zoneOrder(d.Model) {
-		reply, err := e.demandIn(ctx, zone, d)
+	away, cancel := context.WithTimeout(ctx, demandPatience)
+	defer cancel()
+	for _, step := range e.zoneSteps(d.Model) {
+		d.Load = step.Load
+		reply, err := e.demandIn(ctx, away, step.Zone, d)
 		if err != nil {
 			failed = err
 			continue
@@ -42,15 +64,15 @@
 	if !answered {
 		return best, trace.Wrap(failed)
 	}
-	return best, nil
+	return link.OrCutOff(best, e.self, e.members(), e.settings.Platform.StoreRegion), nil
 }
 
-// demandIn asks the shards of one zone.
-func (e *Entry) demandIn(ctx context.Context, zone string, d ports.Demand) (ports.DemandReply, error) {
+// demandIn asks the shards of one zone; away is for other zones.
+func (e *Entry) demandIn(ctx, away context.Context, zone string, d ports.Demand) (ports.DemandReply, error) {
 	if zone == e.self.Zone {
 		return e.demandHere(ctx, d)
 	}
-	return e.demandThere(ctx, zone, d)
+	return e.demandThere(away, zone, d)
 }
 
 // settled tells whether asking another shard could not do better. A shard that
@@ -81,11 +103,15 @@
 	return a
 }
 
-// demandHere asks the shards of the own zone.
+// demandHere asks the shards of the own zone, those of doubtful owners last.
 func (e *Entry) demandHere(ctx context.Context, d ports.Demand) (ports.DemandReply, error) {
 	var best ports.DemandReply
 	var err error = trace.ConnectionProblem(nil, "no shard of zone %s has an owner", e.self.Zone)
-	for _, shard := range e.shardOrder(d.Model) {
+	order := last(e.shardOrder(d.Model), func(shard int) bool {
+		m, ok := e.ownerOf(shard)
+		return ok && e.doubts.has(e.sourceOf(m))
+	})
+	for _, shard := range order {
 		reply, errShard := e.demandShard(ctx, shard, d)
 		if errShard != nil {
 			continue
@@ -121,27 +147,115 @@
 			e.parts.shards[shard].loop.Post(owner.DemandAsked{ID: id, Demand: d})
 		})
 	}
+	m, ok := e.ownerOf(shard)
+	if !ok {
+		return ports.DemandReply{}, trace.ConnectionProblem(nil, "shard %d of zone %s has no owner", shard, e.self.Zone)
+	}
+	ctx, cancel := context.WithTimeout(ctx, demandPatience)
+	defer cancel()
+	began := e.timer.Now()
+	reply, err := e.askDemand(ctx, m, d)
+	e.answered(ctx, e.sourceOf(m), began, err)
+	return reply, trace.Wrap(err)
+}
+
+// ownerOf returns the living entry of the own zone, other than this one, that
+// says it owns a shard.
+func (e *Entry) ownerOf(shard int) (ports.Member, bool) {
 	for _, m := range e.members() {
 		if m.Zone == e.self.Zone && m.ID != e.self.ID && m.Phase == ports.MemberAlive && slices.Contains(m.Shards, shard) {
-			return e.askDemand(ctx, m, d)
+			return m, true
 		}
 	}
-	return ports.DemandReply{}, trace.ConnectionProblem(nil, "shard %d of zone %s has no owner", shard, e.self.Zone)
+	return ports.Member{}, false
 }
 
-// demandThere asks an entry of another zone, which passes it on to its owners.
+// answered notes whether a source had an answer to a demand. That it had none in
+// what others had left of the time says nothing.
+func (e *Entry) answered(ctx context.Context, source string, began time.Time, err error) {
+	switch {
+	case err == nil:
+		e.doubts.clear(source)
+		e.doubts.clear(cutName(source))
+	case ctx.Err() == nil || e.timer.Now().Sub(began) > hedgeAfter:
+		e.doubts.raise(source)
+	}
+}
+
+// demandThere asks entries of another zone, which pass it on to their owners: a
+// second one beside the first if that fails or takes long, since one of them may
+// have died.
 func (e *Entry) demandThere(ctx context.Context, zone string, d ports.Demand) (ports.DemandReply, error) {
-	var err error = trace.ConnectionProblem(nil, "no entry of zone %s is known", zone)
+	members := e.membersOf(zone)
+	if len(members) == 0 {
+		return ports.DemandReply{}, trace.ConnectionProblem(nil, "no entry of zone %s is known", zone)
+	}
+	began := e.timer.Now()
+	reply, err := askInTurn(ctx, e.timer, members, func(ctx context.Context, m ports.Member) (ports.DemandReply, error) {
+		return e.askDemand(ctx, m, d)
+	})
+	e.answered(ctx, e.sourceOf(members[0]), began, err)
+	return reply, trace.Wrap(err)
+}
+
+// membersOf are the entries of another zone that this one asks.
+func (e *Entry) membersOf(zone string) []ports.Member {
+	known := make(map[string]ports.Member)
+	var ids []string
 	for _, m := range e.members() {
-		if m.Zone != zone || m.Phase != ports.MemberAlive {
-			continue
+		if m.Zone == zone && m.Phase == ports.MemberAlive {
+			known[m.ID] = m
+			ids = append(ids, m.ID)
 		}
-		var reply ports.DemandReply
-		if reply, err = e.askDemand(ctx, m, d); err == nil {
-			return reply, nil
+	}
+	var members []ports.Member
+	for _, id := range member.Choose(ids, "ask/"+e.self.ID, asksMost) {
+		members = append(members, known[id])
+	}
+	return members
+}
+
+// askInTurn returns the first answer of members, each of which is asked when the
+// one before has failed or kept silent for hedgeAfter.
+func askInTurn[T any](
+	ctx context.Context, clock timer.Service, members []ports.Member, ask func(context.Context, ports.Member) (T, error),
+) (T, error) {
+	type answer struct {
+		reply T
+		err   error
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan answer, len(members))
+	late := make(chan struct{}, 1)
+	defer clock.After(hedgeAfter, func() { late <- struct{}{} })()
+	asked := 0
+	next := func() {
+		if asked == len(members) {
+			return
+		}
+		m := members[asked]
+		asked++
+		go func() {
+			reply, err := ask(ctx, m)
+			answers <- answer{reply, err}
+		}()
+	}
+	next()
+	for failed := 0; ; {
+		select {
+		case <-late:
+			next()
+		case a := <-answers:
+			if a.err != nil {
+				failed++
+			}
+			if a.err == nil || failed == len(members) {
+				return a.reply, a.err
+			}
+			next()
 		}
 	}
-	return ports.DemandReply{}, err
 }
 
 func (e *Entry) askDemand(ctx context.Context, m ports.Member, d ports.Demand) (ports.DemandReply, error) {
@@ -165,14 +279,9 @@
 	return e.parts.owned[shard]
 }
 
-// zoneOrder are the zones with a living entry in the order in which they are
-// asked for a model.
-func (e *Entry) zoneOrder(model string) []string {
-	zones := []string{e.self.Zone}
-	for _, m := range e.members() {
-		if m.Phase == ports.MemberAlive && !slices.Contains(zones, m.Zone) {
-			zones = append(zones, m.Zone)
-		}
-	}
-	return member.Choose(zones, "zones/"+model, len(zones))
+// zoneSteps are the zones to ask for a model and the loads that they may begin,
+// those of doubtful zones last.
+func (e *Entry) zoneSteps(model string) []link.Step {
+	steps := link.Steps(model, e.self, e.members(), e.settings.Platform.StoreRegion)
+	return last(steps, func(s link.Step) bool { return e.doubts.has(zonePrefix + s.Zone) })
 }
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"chivecroft.example/chivecroft/internal/coordination/member"
@@ -36,15 +37,21 @@
 
 func (e *Entry) listed(rows []ports.Instance) {
 	var entries, targets []ports.Instance
+	abroad := make(map[netip.AddrPort]string)
 	for _, row := range rows {
 		switch {
 		case row.Kind == ports.InstanceEntry:
 			entries = append(entries, row)
 		case row.Kind == ports.InstanceTarget && row.Zone == e.self.Zone:
 			targets = append(targets, row)
+		case row.Kind == ports.InstanceTarget:
+			abroad[row.Addr] = row.Zone
 		}
 	}
+	e.view.entries.Store(&entries)
 	e.view.targets.Store(&targets)
+	e.learnRegions(rows, e.members())
+	e.view.abroad.Store(&abroad)
 	e.told.keep(e.listedTarget)
 	e.table.ApplyInstances(rows)
 	e.warmup.sawList()
@@ -82,25 +89,30 @@
 		delta, ok := answer.(ports.TableDelta)
 		if err != nil || !ok {
 			e.log.Debug().Err(err).Str("step", "pullTable").Str("peer", s.member.ID).Msg("pulling a routing table")
+			e.doubts.renew(name)
+			e.doubts.renew(cutName(name))
 			e.sleep(ctx, pullRetry)
 			continue
 		}
 		if ctx.Err() != nil {
 			return
 		}
+		e.doubts.clear(name)
+		e.doubts.clear(cutName(name))
 		pull.Stream, pull.After = delta.Stream, delta.Seq
 		e.took(name, delta)
 	}
 }
 
 // took applies a delta to the routing table and, for rows of the own zone, to
-// the feed that other zones follow.
+// the feed that other zones and the status follow; the feed comes first, so that
+// a replica that has served somebody is in the status.
 func (e *Entry) took(name string, delta ports.TableDelta) {
-	e.table.Apply(name, delta)
-	e.warmup.sawSource(name)
 	if isOwner(name) {
 		e.zone.Apply(name, delta)
 	}
+	e.table.Apply(name, delta)
+	e.warmup.sawSource(name)
 }
 
 // idleEvery is the period in which idle accelerator time is counted.
--- a/internal/transport/front/generate.go
+++ b/internal/transport/front/generate.go
@@ -96,7 +96,7 @@
 
 // query asks for a replica that was not tried, if there is one.
 func (g *generation) query(but ...string) route.Query {
-	q := route.Query{Key: g.req.Model, Adapter: g.req.Adapter, Prefix: g.prefix}
+	q := route.Query{Key: g.req.Model, Adapter: g.req.Adapter, Prefix: g.prefix, Priority: g.call.priority()}
 	q.Exclude = slices.Concat(g.gone, g.tried, but)
 	if len(g.tried)+len(but) > 0 && !g.call.h.Table.Ready(q) {
 		q.Exclude = g.gone
@@ -220,7 +220,7 @@
 		known = &CallError{Err: err}
 	}
 	g.finish(l, route.Result{
-		Failed: !known.Invalid && !known.Leaving, Overloaded: known.Overloaded, Leaving: known.Leaving,
+		Failed: !known.Invalid && !known.Leaving && !known.NoAdapter, Overloaded: known.Overloaded, Leaving: known.Leaving,
 	})
 	if known.Leaving || known.Gone {
 		g.gone = append(g.gone, l.choice.Replica.ID)
@@ -240,7 +240,7 @@
 	if len(g.touched) == 0 {
 		problem.NotRun, problem.OutcomeUnknown = true, false
 	}
-	problem.free = known.Leaving || known.Gone
+	problem.free = known.Leaving || known.Gone || known.NoAdapter
 	return problem
 }
 
