Drop demands that arrive just behind the load they asked for

Cause: entries repeat their demands in step, each second. What was on its way when a load was done counted as callers who wait until their deadline, which is an overload for long enough to load a second replica.

For a second after a load a demand for the model itself is answered and not counted; who still waits tells again.

Not settled: whole entries on an overloaded machine (load 53 on 10 cores) loaded most models two or three times, in several zones; a demand that gets no answer in time is passed to the next zone.

--- a/internal/coordination/owner/model.go
+++ b/internal/coordination/owner/model.go
@@ -27,6 +27,8 @@
 
 	failures int
 	retryAt  time.Time
+	// loadedAt is when the latest load was done.
+	loadedAt time.Time
 	reason   string
 	// refused says why the placement found no target, at refusedAt.
 	refused   string
@@ -57,6 +59,9 @@
 }
 
 const (
+	// newsTime is how long the entries take to hear of a replica and to repeat a
+	// demand.
+	newsTime = time.Second
 	// gapsKept bounds the gaps between uses that policies see.
 	gapsKept = 16
 	// failBackoffFirst and failBackoffLimit bound the wait after failed loads.
@@ -117,7 +122,7 @@
 	}
 	m := s.model(d.Model)
 	s.touch(m)
-	if s.stage == stageOwned && d.Waiting > 0 {
+	if s.stage == stageOwned && d.Waiting > 0 && (d.Adapter != "" || !s.isNews(m)) {
 		m.demands[demandKey{d.From, d.Adapter}] = demand{waiting: d.Waiting, until: s.now.Add(d.Within)}
 		if d.Adapter != "" {
 			s.awaitAdapter(d)
@@ -129,6 +134,18 @@
 	}
 }
 
+// isNews tells whether a replica of the model has become ready so lately that a
+// demand most likely tells of callers who have a place by now. Demands of a burst
+// come in step, each second from every entry: those that were on their way when the
+// load was done would count as an overload until their callers' deadline, and make
+// another load. Who still waits tells again.
+func (s *Shard) isNews(m *model) bool {
+	if m.loadedAt.IsZero() || s.now.Sub(m.loadedAt) >= newsTime {
+		return false
+	}
+	return slices.ContainsFunc(s.replicasOf(m.name), (*replica).isReady)
+}
+
 // touch records a use of the model.
 func (s *Shard) touch(m *model) {
 	if !m.lastUsed.IsZero() && s.now.Sub(m.lastUsed) >= time.Second {
@@ -148,6 +165,7 @@
 	m := s.model(r.Model)
 	// Who waited is served now; who is still waiting tells again.
 	clear(m.demands)
+	m.loadedAt = s.now
 	m.failures = 0
 	m.retryAt = time.Time{}
 	if r.mine && r.FromStore {
