Carry requests under way at midnight over to the next date

Cause: a request that arrived before midnight and died with its entry after it was lost on neither date once the first row was closed (seen: lost 0 and 0 when killed 2 min or 1 h after midnight), and lost on the wrong date, even if it had been answered, before that (1 and 0 at 1.5 s and 30 s).

A row now counts what its date took over, from what the date before left unfinished, and a row that was written after its date's end says that its requests went on. It is written again right after midnight, before the first row of the new date; without that the tests show 1 and 1.

--- a/internal/coordination/daily/changes.go
+++ b/internal/coordination/daily/changes.go
@@ -84,6 +84,9 @@
 			return true
 		})
 	}
+	if n := r.carried(r.Today()); n > 0 {
+		all = append(all, total{dated{r.Today(), Key{Kind: KindCarried}}, n})
+	}
 	sortTotals(all)
 	return all, through
 }
--- a/internal/coordination/daily/counts.go
+++ b/internal/coordination/daily/counts.go
@@ -23,6 +23,9 @@
 	KindRefused Kind = "refused"
 	// KindAbandoned counts requests whose caller left first.
 	KindAbandoned Kind = "abandoned"
+	// KindCarried counts requests that were under way when the date began. They
+	// arrived on an earlier date, and end or are lost on this one.
+	KindCarried Kind = "carried"
 	// KindRunOnce counts outcomes of calls that run at most once.
 	KindRunOnce Kind = "runOnce"
 )
@@ -122,9 +125,10 @@
 	return n
 }
 
-// unfinished is the number of requests that arrived and have not ended.
+// unfinished is the number of requests that arrived or were carried over, and
+// have not ended.
 func (c Counts) unfinished() uint64 {
-	arrived := c.sum(KindArrived)
+	arrived := c.sum(KindCarried) + c.sum(KindArrived)
 	ended := c.sum(KindServed) + c.sum(KindRefused) + c.sum(KindAbandoned)
 	return arrived - min(arrived, ended)
 }
--- a/internal/coordination/daily/date.go
+++ b/internal/coordination/daily/date.go
@@ -46,6 +46,16 @@
 	return d.Start(time.UTC).Format(dateLayout)
 }
 
+// previous returns the date before.
+func (d Date) previous() Date {
+	return DateOf(d.Start(time.UTC).AddDate(0, 0, -1), time.UTC)
+}
+
+// next returns the date after.
+func (d Date) next() Date {
+	return DateOf(d.Start(time.UTC).AddDate(0, 0, 1), time.UTC)
+}
+
 // before orders dates.
 func (d Date) before(other Date) bool {
 	return d.Start(time.UTC).Before(other.Start(time.UTC))
--- a/internal/coordination/daily/keep_test.go
+++ b/internal/coordination/daily/keep_test.go
@@ -360,3 +360,54 @@
 	}
 	return found
 }
+
+// midnight is the end of the date on which the requests below begin.
+var midnight = time.Date(2026, 3, 28, 16, 0, 0, 0, time.UTC)
+
+// lostAcross lets a request begin a second before midnight and its entry die
+// some time after that, and returns how many requests each date shows as lost.
+func lostAcross(entries int, after time.Duration, finish bool) (before, later uint64) {
+	z := newZone(3, midnight.Add(-10*time.Second))
+	victim := z.join("e1")
+	for n := 1; n < entries; n++ {
+		z.join(fmt.Sprintf("e%d", n+1))
+	}
+	z.clock.Advance(9 * time.Second)
+	victim.recorder.Arrived("assist", "interactive")
+	victim.telling.Arrived()
+	z.clock.Advance(time.Second + after/2)
+	if finish {
+		victim.recorder.Served("assist", "interactive")
+		victim.telling.end()
+	}
+	z.clock.Advance(after - after/2)
+	victim.die()
+	z.clock.Advance(10 * time.Second)
+	first := DateOf(midnight.Add(-time.Second), z.zone)
+	return z.report(first).Lost, z.report(DateOf(midnight, z.zone)).Lost
+}
+
+// TestRequestAcrossMidnight kills an entry after midnight with a request that
+// began before: exactly one of the two dates shows it as lost.
+func TestRequestAcrossMidnight(t *testing.T) {
+	for _, after := range []time.Duration{1500 * time.Millisecond, 30 * time.Second, 2 * time.Minute, time.Hour} {
+		for _, entries := range []int{1, 3} {
+			if before, later := lostAcross(entries, after, false); before != 0 || later != 1 {
+				t.Errorf("%d entries, killed %v after midnight: lost %d and %d, wanted 0 and 1", entries, after, before, later)
+			}
+			if before, later := lostAcross(entries, after, true); before+later != 0 {
+				t.Errorf("%d entries, answered and killed %v after midnight: lost %d and %d, wanted none", entries, after, before, later)
+			}
+		}
+	}
+}
+
+// TestKillRightAfterMidnight kills an entry at each moment of the seconds around
+// midnight, when its rows change over. Its neighbour keeps the account whole.
+func TestKillRightAfterMidnight(t *testing.T) {
+	for after := -500 * time.Millisecond; after < 2500*time.Millisecond; after += 13 * time.Millisecond {
+		if before, later := lostAcross(3, after, false); before+later != 1 {
+			t.Errorf("killed %v after midnight: lost %d and %d, wanted 1 in all", after, before, later)
+		}
+	}
+}
--- a/internal/coordination/daily/keeper.go
+++ b/internal/coordination/daily/keeper.go
@@ -235,7 +235,7 @@
 		}
 		row, revision = found, item.Revision
 	}
-	if row.Final || !row.absorb(j.totals(), j.copied) {
+	if row.Final || !row.absorb(j.totals(), j.copied, len(j.dates) > 1) {
 		return k.nextDate(now)
 	}
 	value, err := encodeRow(row, maxRowBytes)
@@ -297,10 +297,11 @@
 }
 
 // absorb takes what a copy of the instance's counts has beyond the row, and
-// tells whether there was anything to change.
-func (r *Row) absorb(totals map[Key]uint64, from *kept) bool {
+// tells whether there was anything to change. The row of a date that the instance
+// outlived, as the copy has a later one, is to show that by its time.
+func (r *Row) absorb(totals map[Key]uint64, from *kept, outlived bool) bool {
 	merged, grew := mergeCounters(r.Counts.Counters, totals)
-	if !grew && (r.Kept || !from.exact) {
+	if !grew && !outlived && (r.Kept || !from.exact) {
 		return false
 	}
 	r.Counts.Counters = merged
--- a/internal/coordination/daily/recorder.go
+++ b/internal/coordination/daily/recorder.go
@@ -93,11 +93,44 @@
 
 // Snapshot returns what was counted on a date.
 func (r *Recorder) Snapshot(date Date) Counts {
-	d := r.held(date)
-	if d == nil {
-		return Counts{}
+	var c Counts
+	if d := r.held(date); d != nil {
+		c = d.snapshot()
+	}
+	if n := r.carried(date); n > 0 {
+		c.Counters = append(c.Counters, Counter{Key: Key{Kind: KindCarried}, Count: n})
+		sortCounters(c.Counters)
+	}
+	return c
+}
+
+// carried is the number of requests that were under way when a date began. It is
+// known from the counts of the date before, as long as these are held.
+func (r *Recorder) carried(date Date) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.carriedLocked(date)
+}
+
+func (r *Recorder) carriedLocked(date Date) uint64 {
+	var n uint64
+	if d := r.days[date]; d != nil {
+		n = d.carried
+	}
+	if before := r.days[date.previous()]; before != nil {
+		n += r.unfinishedLocked(before)
 	}
-	return d.snapshot()
+	return n
+}
+
+// unfinishedLocked is the number of requests of a date that have not ended.
+func (r *Recorder) unfinishedLocked(d *day) uint64 {
+	counts := Counts{Counters: []Counter{{Key: Key{Kind: KindCarried}, Count: r.carriedLocked(d.date)}}}
+	d.counters.Each(func(key Key, n uint64) bool {
+		counts.Counters = append(counts.Counters, Counter{Key: key, Count: n})
+		return true
+	})
+	return counts.unfinished()
 }
 
 // Today returns the current date.
@@ -117,13 +150,19 @@
 	return all
 }
 
-// forget drops a date if nothing changed since version.
+// forget drops a date if nothing changed since version. What is under way goes
+// over to the next date for good.
 func (r *Recorder) forget(date Date, version uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if d := r.days[date]; d != nil && d.version.Load() == version {
-		delete(r.days, date)
+	d := r.days[date]
+	if d == nil || d.version.Load() != version {
+		return
+	}
+	if n := r.unfinishedLocked(d); n > 0 {
+		r.dayLocked(date.next()).carried = n
 	}
+	delete(r.days, date)
 }
 
 func (r *Recorder) today() *day {
@@ -146,6 +185,10 @@
 func (r *Recorder) day(date Date) *day {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.dayLocked(date)
+}
+
+func (r *Recorder) dayLocked(date Date) *day {
 	d := r.days[date]
 	if d == nil {
 		d = newDay(date, r.zone, &r.changes)
@@ -159,7 +202,10 @@
 	date       Date
 	start, end time.Time
 	version    atomic.Uint64
-	changes    *changes
+	// carried is the number of requests under way when the date began, once the
+	// date before is forgotten.
+	carried uint64
+	changes *changes
 
 	keys     atomic.Int64
 	counters *shard.Map[Key, uint64]
--- a/internal/coordination/daily/sum.go
+++ b/internal/coordination/daily/sum.go
@@ -147,7 +147,7 @@
 	}
 	name := fmt.Sprintf("%s-%d", row.Instance, row.Incarnation)
 	if !s.alive(row) {
-		s.report.Lost += unfinished
+		s.close(row, unfinished)
 		if row.Kept {
 			s.gap(name, fmt.Sprintf("ended without its last row; a neighbour kept its counts up to %s", s.clock(row.Written)))
 			return
@@ -164,9 +164,10 @@
 }
 
 // close judges what the last row of a date had not finished. A row that was
-// closed because its date was over says nothing of an end of its instance: the
-// requests went on into the next date and are counted there when they end. One
-// that was closed within its date is the last word of an instance that stopped.
+// written after its date's end says nothing of an end of its instance: the
+// requests went on into the next date, whose row carries them over and counts
+// them when they end. One that was written within its date is the last word of an
+// instance that stopped or died.
 func (s *summer) close(row Row, unfinished uint64) {
 	if row.Written.Before(s.in.Date.End(s.in.Location)) {
 		s.report.Lost += unfinished
@@ -243,6 +244,8 @@
 		case KindAbandoned:
 			r.Abandoned += n
 			service.Abandoned += n
+		case KindCarried:
+			continue
 		case KindRunOnce:
 			r.RunOnce = append(r.RunOnce, Outcome{Service: key.Service, Outcome: key.Reason, Count: n})
 			continue
--- a/internal/coordination/daily/writer.go
+++ b/internal/coordination/daily/writer.go
@@ -234,6 +234,8 @@
 	switch {
 	case !row.written || row.uncertain || row.version != version:
 		return true
+	case w.crosses(now, date, row.putAt):
+		return true
 	case w.closes(now, date):
 		return !row.final
 	default:
@@ -241,6 +243,14 @@
 	}
 }
 
+// crosses tells whether the date has ended since its row was written. A row that
+// was written after its date's end says that what is unfinished went on; it is
+// written before the first one of the next date, which carries that over.
+func (w *Writer) crosses(now time.Time, date Date, putAt time.Time) bool {
+	end := date.End(w.settings.Location)
+	return putAt.Before(end) && !now.Before(end)
+}
+
 // closes tells whether a row of the date written now is its last.
 func (w *Writer) closes(now time.Time, date Date) bool {
 	return w.stopping || now.After(date.End(w.settings.Location).Add(settleTime))
