Tell the policy of loads ahead of use what the owner knows

Cause, found by looking whether the policy's inputs reach it in a running entry: an owner told neither when it had last loaded a model ahead nor from where it would load it next.

Test: a model used every 40 min and then no more, with the policies of an entry.

Both goals are met either way; the loads are what is saved.

--- a/internal/coordination/owner/home.go
+++ b/internal/coordination/owner/home.go
@@ -67,7 +67,10 @@
 	views := make([]policy.ModelView, 0, len(s.home.models))
 	for _, name := range s.home.models {
 		if m, known := s.models[name]; known {
-			views = append(views, s.view(m))
+			v := s.view(m)
+			v.LastPreload = m.lastPreload
+			v.ReloadTime = policy.TierTime(s.bestTier(name), v.LoadTime)
+			views = append(views, v)
 		}
 	}
 	s.home.preload = make(map[string]bool)
--- a/internal/coordination/owner/load.go
+++ b/internal/coordination/owner/load.go
@@ -27,7 +27,8 @@
 		s.acquire(m.name, s.permits.held[m.name]+1)
 		return
 	}
-	if len(placed.Evict) > 0 && v.Waiting+v.Running+v.Queued+v.Min == 0 {
+	ahead := v.Waiting+v.Running+v.Queued+v.Min == 0
+	if len(placed.Evict) > 0 && ahead {
 		// A load ahead of use takes nobody's place.
 		return
 	}
@@ -43,6 +44,9 @@
 	if fromStore && !s.takeSlot() {
 		return
 	}
+	if ahead {
+		m.lastPreload = s.now
+	}
 	s.decide(m, t, fromStore)
 }
 
--- a/internal/coordination/owner/model.go
+++ b/internal/coordination/owner/model.go
@@ -20,6 +20,8 @@
 
 	lastUsed time.Time
 	gaps     []time.Duration
+	// lastPreload is when the model was last loaded with nobody waiting.
+	lastPreload time.Time
 	// loadTime is the latest measured time of a load from the weight store.
 	loadTime time.Duration
 
