Take free permits ahead of use, so that an outage finds them; measure cold loads in one

Cause: cold loads during an outage of the KV service had not been measured.

While the service answers, a shard now takes one free permit of each of its home models, and one free slot, some seconds after it took the shard or a configuration; again every 10 min, and for the slot every minute. It asks nobody for theirs and gives them up like any unused permit.

Ruled out: moving slots between shards of one entry without a write, as a successor would count a permit that is spent already; sharing slots out evenly, which serves four shards in any case.

Tests: TestOutage expected that a model that was never loaded does not load during an outage, as no permit of it was held; now one is, so it expects the load with fenced targets, and TestOutageWithoutPermit takes over the old check: a permit that is spent in another zone stays there.

--- a/internal/coordination/owner/home.go
+++ b/internal/coordination/owner/home.go
@@ -21,6 +21,9 @@
 	// preload are the models that the policy wants loaded ahead of use.
 	preload   map[string]bool
 	preloadAt time.Time
+	// aheadAt is when permits are next taken ahead of use, and slotAt when a slot
+	// of the weight store is.
+	aheadAt, slotAt time.Time
 }
 
 // preloadEvery is the period at which the policy is asked.
@@ -37,6 +40,7 @@
 		return
 	}
 	s.home = home{zones: joined, minima: make(map[string]int), preloadAt: s.home.preloadAt}
+	s.planAhead()
 	for _, name := range slices.Sorted(maps.Keys(s.config.Models)) {
 		if place.ShardOf(name, s.settings.ShardCount) != s.settings.Shard || place.Rank(name, zones)[0] != s.settings.Zone {
 			continue
--- a/internal/coordination/owner/ledger.go
+++ b/internal/coordination/owner/ledger.go
@@ -60,6 +60,7 @@
 		case ports.KVNotFound:
 			b.ledger, b.revision, b.readAt = permit.Ledger{}, 0, s.now
 		default:
+			s.dropAhead(n)
 			b.retryAt = s.now.Add(ledgerRetry + s.jitter(ledgerRetry))
 		}
 	})
@@ -163,10 +164,11 @@
 			continue
 		}
 		s.applyShare(resource, b.ledger)
-		if _, wanted := s.permits.wants[resource]; wanted {
+		if _, wanted := s.permits.wants[resource]; wanted && !s.permits.ahead[resource] {
 			s.recall(resource, b)
 		}
 	}
+	s.dropAhead(n)
 }
 
 // applyShare sets a quota where a lowered maximum takes permits back.
@@ -214,6 +216,7 @@
 			// A write whose answer was lost counts as not made. What it granted
 			// stands in the ledger as this shard's, and the next write, which
 			// expects the revision that it reads, lets the shard hold it.
+			s.dropAhead(n)
 			b.readAt = time.Time{}
 			b.retryAt = s.now.Add(ledgerRetry + s.jitter(ledgerRetry))
 		}
@@ -224,6 +227,7 @@
 func (s *Shard) granted(n int, b *bucket, grants map[string]int) {
 	for _, resource := range slices.Sorted(maps.Keys(grants)) {
 		delete(s.permits.wants, resource)
+		delete(s.permits.ahead, resource)
 		delete(s.permits.recalls, resource)
 		if s.permits.held[resource] < grants[resource] {
 			s.permits.held[resource] = grants[resource]
--- a/internal/coordination/owner/model.go
+++ b/internal/coordination/owner/model.go
@@ -229,6 +229,7 @@
 		s.ticked = false
 		s.reviewTargets()
 		s.reviewPreload()
+		s.takeAhead()
 		s.retire()
 	}
 	s.reviewAdapters()
--- a/internal/coordination/owner/permits.go
+++ b/internal/coordination/owner/permits.go
@@ -23,9 +23,11 @@
 	quota map[string]int
 	// freed maps resources with a lowered holding to the change that must be
 	// written before the ledger may learn of it.
-	freed   map[string]uint64
-	yields  []yield
-	wants   map[string]int
+	freed  map[string]uint64
+	yields []yield
+	wants  map[string]int
+	// ahead are the wants that nobody waits for.
+	ahead   map[string]bool
 	recalls map[string]*recall
 	buckets map[int]*bucket
 	// limits are the resources whose maximum is to be compared with the ledger.
@@ -76,6 +78,7 @@
 		quota:     make(map[string]int),
 		freed:     make(map[string]uint64),
 		wants:     make(map[string]int),
+		ahead:     make(map[string]bool),
 		recalls:   make(map[string]*recall),
 		buckets:   make(map[int]*bucket),
 		limits:    make(map[string]bool),
@@ -159,6 +162,7 @@
 		return
 	}
 	s.permits.wants[resource] = wanted
+	delete(s.permits.ahead, resource)
 }
 
 func (s *Shard) recallOf(resource string) *recall {
--- a/internal/coordination/owner/rig_test.go
+++ b/internal/coordination/owner/rig_test.go
@@ -33,6 +33,8 @@
 	listLag     time.Duration
 	// hidesUse means that engines do not tell what their adapters are used for.
 	hidesUse bool
+	// forgets means that every load reads the weight store.
+	forgets bool
 	// adapterTime is how long an adapter loads, 0 for as long as a cached model.
 	adapterTime time.Duration
 	// adapters are those of the first model.
@@ -173,6 +175,9 @@
 	if r.size.hidesUse {
 		opts = append(opts, engmem.WithoutAdapterUse())
 	}
+	if r.size.forgets {
+		opts = append(opts, engmem.WithoutCache())
+	}
 	m.engine = engmem.NewEngine(m.row.ID, fmt.Sprintf("boot-%d", m.boots), r.size.memoryBytes, r.loader(m), opts...)
 	r.net.AddEngine(m.row.Addr, m.engine)
 }
--- a/internal/coordination/owner/watch.go
+++ b/internal/coordination/owner/watch.go
@@ -287,6 +287,7 @@
 	}
 	s.matchList()
 	s.after(s.jitter(auditSpread), s.sameTenure(func() { s.auditLedgers("") }))
+	s.planAhead()
 	s.table.whole = true
 	s.happened(KindTakeover, s.name(), "epoch %d, after %s", plan.Epoch, describe(before))
 	s.note(OwnershipChanged{Shard: s.settings.Shard, Owned: true, Epoch: plan.Epoch})
--- a/internal/stand/engmem/engine.go
+++ b/internal/stand/engmem/engine.go
@@ -24,6 +24,8 @@
 	record   Record
 	// hidesUse means that reports do not tell the use of adapters.
 	hidesUse bool
+	// forgets means that checkpoints are not cached.
+	forgets bool
 }
 
 type replica struct {
@@ -69,6 +71,11 @@
 	return func(e *Engine) { e.hidesUse = true }
 }
 
+// WithoutCache has every load of a model read the weight store.
+func WithoutCache() Option {
+	return func(e *Engine) { e.forgets = true }
+}
+
 // WithCached sets the tiers at which checkpoints are cached at the start.
 func WithCached(cached map[string]ports.Tier) Option {
 	return func(e *Engine) { e.cached = maps.Clone(cached) }
@@ -245,7 +252,9 @@
 		return
 	}
 	r.Phase = ports.PhaseReady
-	e.cached[r.checkpoint] = ports.TierMemory
+	if !e.forgets {
+		e.cached[r.checkpoint] = ports.TierMemory
+	}
 }
 
 func (e *Engine) unload(id string) {
