Tell a damaged bucket of claims by its checksum

Cause: as with plans and ledgers, a stored claim with one changed byte is valid JSON: another key, another status, another incarnation. Buckets had no format number either, so that a newer form could not be told from damage.

Changed tests: TestTrim and TestBucketsGrow counted records by "sum", which the bucket itself now has as well; they count them by "nonce". An emptied bucket is told by its form.

--- a/internal/coordination/once/once_test.go
+++ b/internal/coordination/once/once_test.go
@@ -198,7 +198,7 @@
 	w.clock.Advance(55 * time.Second)
 	w.ask(1, "new", "sum", time.Second)
 	w.clock.Advance(time.Second)
-	count := func() int { return strings.Count(string(w.store.Dump()[0].Value), `"sum":`) }
+	count := func() int { return strings.Count(string(w.store.Dump()[0].Value), `"nonce":`) }
 	got := []int{count()}
 	for _, key := range []string{"newer", "newest"} {
 		w.clock.Advance(2 * time.Minute)
--- a/internal/coordination/once/record.go
+++ b/internal/coordination/once/record.go
@@ -6,11 +6,14 @@
 	"encoding/binary"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"chivecroft.example/chivecroft/internal/state/sums"
 )
 
 // record is what the KV service holds of one request key.
@@ -57,6 +60,9 @@
 
 func (r *record) size() int { return len(r.raw) + perRecord }
 
+// emptyBytes is at least the size of a bucket without records.
+const emptyBytes = 64
+
 // idBytes is the length of a record's name before it is written in hex.
 const idBytes = 16
 
@@ -81,22 +87,23 @@
 	return binary.BigEndian.Uint32(raw)
 }
 
-// splitMark stands beside the records of a bucket that is split. It is no record,
-// so that a release which does not know it reads the bucket as damaged and refuses
-// its claims.
-const splitMark = "split"
+// format is the version of a bucket's form in the KV service.
+const format = 1
 
-// encodeBucket writes the records in order of their names, after the mark if the
+// storedBucket is the form of a bucket; its checksum is added to it. It is
+// written by encodeBucket, which has each record's encoding already.
+type storedBucket struct {
+	Format int `json:"format"`
+	// Split tells that the bucket is split, and that no claim is added to it.
+	Split  bool                       `json:"split"`
+	Claims map[string]json.RawMessage `json:"claims"`
+}
+
+// encodeBucket writes the records in order of their names, and whether their
 // bucket is split.
 func encodeBucket(records map[string]*record, split bool) []byte {
 	var b bytes.Buffer
-	b.WriteByte('{')
-	if split {
-		b.WriteString(`"` + splitMark + `":true`)
-		if len(records) > 0 {
-			b.WriteByte(',')
-		}
-	}
+	fmt.Fprintf(&b, `{"format":%d,"split":%t,"claims":{`, format, split)
 	for i, id := range slices.Sorted(maps.Keys(records)) {
 		if i > 0 {
 			b.WriteByte(',')
@@ -106,30 +113,35 @@
 		b.WriteString(`":`)
 		b.Write(records[id].raw)
 	}
-	b.WriteByte('}')
-	return b.Bytes()
+	b.WriteString(`}}`)
+	return sums.Add(b.Bytes())
 }
 
 // decodeBucket reads records, sharing those of old that did not change, and
-// whether their bucket is split.
+// whether their bucket is split. A value that is not whole is an error: one
+// changed digit may make another call's outcome of a record, or another key.
 func decodeBucket(value []byte, old map[string]*record) (map[string]*record, bool, error) {
-	var raws map[string]json.RawMessage
-	if err := json.Unmarshal(value, &raws); err != nil {
-		return nil, false, trace.Wrap(err, "decode claims")
+	var stored storedBucket
+	if err := json.Unmarshal(value, &stored); err != nil {
+		return nil, false, trace.BadParameter("claims are damaged: %v", err)
+	}
+	if stored.Format != format {
+		return nil, false, trace.BadParameter("claims have format %d, this program reads %d", stored.Format, format)
+	}
+	if _, err := sums.Strip(value); err != nil {
+		return nil, false, trace.BadParameter("claims are damaged: %v", err)
 	}
-	_, split := raws[splitMark]
-	delete(raws, splitMark)
-	records := make(map[string]*record, len(raws))
-	for id, raw := range raws {
+	records := make(map[string]*record, len(stored.Claims))
+	for id, raw := range stored.Claims {
 		if same := old[id]; same != nil && bytes.Equal(same.raw, raw) {
 			records[id] = same
 			continue
 		}
 		r := &record{raw: raw}
 		if err := json.Unmarshal(raw, r); err != nil {
-			return nil, false, trace.Wrap(err, "decode claim %s", id)
+			return nil, false, trace.BadParameter("claim %s is damaged: %v", id, err)
 		}
 		records[id] = r
 	}
-	return records, split, nil
+	return records, stored.Split, nil
 }
--- a/internal/coordination/once/split.go
+++ b/internal/coordination/once/split.go
@@ -151,7 +151,7 @@
 }
 
 func sizeOf(records map[string]*record) int {
-	size := 2
+	size := emptyBytes
 	for _, r := range records {
 		size += r.size()
 	}
--- a/internal/coordination/once/split_test.go
+++ b/internal/coordination/once/split_test.go
@@ -104,10 +104,10 @@
 		if len(item.Value) > 8000 {
 			t.Errorf("%s holds %d bytes", item.Key, len(item.Value))
 		}
-		if string(item.Value) == `{"split":true}` {
+		if strings.Contains(string(item.Value), `"split":true,"claims":{}`) {
 			emptied++
 		}
-		records += strings.Count(string(item.Value), `"sum":`)
+		records += strings.Count(string(item.Value), `"nonce":`)
 	}
 	// Two buckets that became n are n-2 splits, each of which leaves a mark.
 	if values := len(w.store.Dump()); values != 2*(emptied+1) || records != keys {
