--- a/internal/entry/demand.go
+++ b/internal/entry/demand.go
@@ -62,11 +62,11 @@
 			continue
 		}
 		near.answered = near.answered || step.Load == ports.LoadAnywhere
-		if settled(reply) {
+		if link.Settles(reply) {
 			return reply, nil
 		}
 		answered = true
-		best = better(best, reply)
+		best = link.Better(best, reply)
 	}
 	if !answered {
 		return best, trace.Wrap(failed)
@@ -102,34 +102,6 @@
 	return e.demandThere(away, zone, d)
 }
 
-// settled tells whether asking another shard could not do better. A shard that
-// queues a load and gives a reason found no place for it now.
-func settled(r ports.DemandReply) bool {
-	return r.Status == ports.DemandAccepted || r.Status == ports.DemandQueued && r.Reason == ""
-}
-
-// weight orders the answers that do not settle a demand by what they are worth
-// to the caller who waits.
-func weight(r ports.DemandReply) int {
-	switch r.Status {
-	case ports.DemandQueued:
-		return 3
-	case ports.DemandRefused:
-		return 2
-	case ports.DemandElsewhere:
-		return 1
-	}
-	return 0
-}
-
-// better returns the answer that is worth more, a if both are worth the same.
-func better(a, b ports.DemandReply) ports.DemandReply {
-	if weight(b) > weight(a) {
-		return b
-	}
-	return a
-}
-
 // demandHere asks the shards of the own zone, those of doubtful owners last.
 func (e *Entry) demandHere(ctx context.Context, d ports.Demand) (ports.DemandReply, error) {
 	var best ports.DemandReply
@@ -143,10 +115,10 @@
 		if errShard != nil {
 			continue
 		}
-		if settled(reply) {
+		if link.Settles(reply) {
 			return reply, nil
 		}
-		best = better(best, reply)
+		best = link.Better(best, reply)
 		err = nil
 	}
 	return best, err
--- a/internal/entry/receive.go
+++ b/internal/entry/receive.go
@@ -6,6 +6,7 @@
 	"github.com/gravitational/trace"
 
 	"chivecroft.example/chivecroft/internal/coordination/daily"
+	"chivecroft.example/chivecroft/internal/coordination/link"
 	"chivecroft.example/chivecroft/internal/coordination/member"
 	"chivecroft.example/chivecroft/internal/coordination/owner"
 	"chivecroft.example/chivecroft/internal/coordination/permit"
@@ -47,7 +48,7 @@
 		if err != nil {
 			return ports.DemandReply{}, trace.Wrap(err)
 		}
-		if settled(answer) {
+		if link.Settles(answer) {
 			return answer, nil
 		}
 		reply = answer
