--- a/internal/coordination/once/commit.go
+++ b/internal/coordination/once/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"chivecroft.example/chivecroft/internal/coordination/ports"
@@ -24,9 +25,9 @@
 // mayWrite fills the allowance and, if it is used up, sees to it that the turn
 // goes on when there is a write in it again.
 func (p *Part) mayWrite() bool {
-	rate := p.settings.WritesPerSecond
+	rate := p.share()
 	if !p.filledAt.IsZero() {
-		p.writes = min(p.writes+rate*p.now.Sub(p.filledAt).Seconds(), writeBurst)
+		p.writes = min(p.writes+rate*p.now.Sub(p.filledAt).Seconds(), p.burst())
 	}
 	p.filledAt = p.now
 	if p.writes >= 1 {
@@ -42,7 +43,14 @@
 
 // serve starts a bucket's next call, if it has anything to do.
 func (p *Part) serve(b *bucket) {
-	if b.busy || len(b.ops) == 0 {
+	if b.busy {
+		return
+	}
+	if b.emptying {
+		p.empty(b)
+		return
+	}
+	if b.halves[0] != nil || len(b.ops) == 0 && !b.due {
 		return
 	}
 	if p.now.Before(b.notBefore) {
@@ -74,7 +82,11 @@
 // then have to be fresh.
 func (p *Part) commit(b *bucket) {
 	merged, verdicts, changed := p.merge(b)
-	if !changed {
+	if changed && p.outgrown(b, merged) {
+		p.mark(b)
+		return
+	}
+	if !changed && !b.due {
 		if !b.fresh {
 			p.read(b)
 			return
@@ -85,7 +97,7 @@
 	p.writes--
 	b.writing = merged
 	b.batch = b.ops
-	p.kvCall(b, callWrite, ports.KVPut{Key: b.key, Value: encodeBucket(merged), Expect: b.revision})
+	p.kvCall(b, callWrite, ports.KVPut{Key: b.key, Value: encodeBucket(merged, false), Expect: b.revision})
 }
 
 func (p *Part) kvCall(b *bucket, kind callKind, req ports.KVRequest) {
@@ -215,6 +227,10 @@
 	delete(p.pending, e.Tag)
 	c.bucket.busy = false
 	p.flying--
+	if c.bucket.halves[0] != nil {
+		// It was emptied, or not; nobody reads more than the mark.
+		return
+	}
 	p.enqueue(c.bucket)
 	if c.kind == callWrite {
 		p.wrote(c.bucket, e.Reply)
@@ -249,6 +265,11 @@
 	verdicts := p.verdictsOf(b, merged, batch)
 	b.failures = 0
 	b.adopt(merged, revision, p.now)
+	if b.marking {
+		p.split(b)
+		return
+	}
+	p.found(b)
 	b.fresh = true
 	p.settle(b, batch, verdicts)
 	b.fresh = false
@@ -275,6 +296,9 @@
 		p.rejected(b)
 		return
 	}
+	if p.noticed(b) {
+		return
+	}
 	// The conflict's reply shows the bucket as it was at that moment.
 	b.fresh = true
 	b.contended = true
@@ -294,6 +318,9 @@
 			p.rejected(b)
 			return
 		}
+		if p.noticed(b) {
+			return
+		}
 		b.contended = b.revision != before
 		b.failures = 0
 		b.fresh = true
@@ -345,6 +372,9 @@
 // decide answers a claim. A call that may run is only let go while enough of
 // its time is left.
 func (p *Part) decide(b *bucket, op *op, v Verdict) {
+	if p.hold(b, op, v) {
+		return
+	}
 	op.answered = true
 	if v.Kind != VerdictRun {
 		p.disown(b, op)
@@ -360,6 +390,42 @@
 	p.answer(op.asked, v)
 }
 
+// hold keeps a claim whose call runs at another entry for a moment and then has
+// it judged anew. The entry that ran the call answers before the outcome is
+// written, so that no caller waits for that write; a repeat at another entry may
+// be faster. For example the outcome of a call answered at 0 ms is in the KV
+// service at 5 ms; a repeat that reads the claim at 3 ms reads again at 23 ms.
+func (p *Part) hold(b *bucket, op *op, v Verdict) bool {
+	if v.Kind != VerdictInProgress {
+		return false
+	}
+	again := holdFirst
+	if op.runs == nil {
+		op.heldUntil = p.now.Add(holdMost)
+		if op.due.Before(op.heldUntil) {
+			op.heldUntil = op.due
+		}
+	} else {
+		again = 2 * op.pause
+	}
+	op.pause = min(again, op.heldUntil.Sub(p.now))
+	op.runs = &v
+	if op.pause <= 0 {
+		return false
+	}
+	b.held = append(b.held, op)
+	tag := p.newTag(call{kind: callHeld, bucket: b, op: op})
+	p.effects = append(p.effects, ports.ArmTimer{Tag: tag, After: op.pause})
+	return true
+}
+
+// retryHeld puts a held claim among those that wait for the bucket.
+func (p *Part) retryHeld(b *bucket, claim *op) {
+	b.held = slices.DeleteFunc(b.held, func(held *op) bool { return held == claim })
+	p.add(b, claim)
+	p.startTick()
+}
+
 func (p *Part) disown(b *bucket, op *op) {
 	if mine := b.own[op.id]; mine != nil && mine.record == op.record {
 		delete(b.own, op.id)
@@ -370,14 +436,20 @@
 // may have been written of it.
 func (p *Part) giveUp(b *bucket, op *op) {
 	op.answered = true
-	if op.withoutKV {
+	// A call that was seen to run elsewhere is not run without a claim because the
+	// KV service can't be reached.
+	if op.withoutKV && op.runs == nil {
 		b.own[op.id].phase = ownRunning
 		p.answer(op.asked, Verdict{
 			Kind: VerdictRunUnclaimed, Ticket: Ticket{ID: op.id, Nonce: op.record.Nonce},
 		})
 		return
 	}
-	p.answer(op.asked, Verdict{Kind: VerdictUnavailable, RetryAfter: unavailableRetry})
+	v := Verdict{Kind: VerdictUnavailable, RetryAfter: unavailableRetry}
+	if op.runs != nil {
+		v = *op.runs
+	}
+	p.answer(op.asked, v)
 	if op.inDoubt || b.busy {
 		p.release(b, op.id, op.record, true)
 		return
--- a/internal/coordination/route/pick.go
+++ b/internal/coordination/route/pick.go
@@ -97,6 +97,16 @@
 	c.table.changed(c.key)
 }
 
+// Again takes one more place on the replica of a choice, even if it is full; the
+// result is a choice of its own.
+func (c Choice) Again() Choice {
+	p := c.table.part(c.key)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.state.flying++
+	return c
+}
+
 // Pick takes a place on the best replica for q: in the nearest ring that has
 // room, the better of two random ones by load, or one with the prompt's prefix
 // if it is not much busier.
@@ -158,6 +168,35 @@
 	return m != nil && slices.ContainsFunc(m.replicas, func(r *replica) bool { return r.usable(q) && t.reaches(r) })
 }
 
+// CrossWait returns how long a request has to wait at least for the link between
+// regions, 0 if it may cross now or a replica on this side could serve it.
+func (t *Table) CrossWait(q Query) time.Duration {
+	if t.crossing == nil {
+		return 0
+	}
+	p := t.part(q.Key)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.models[q.Key]
+	if m == nil {
+		return 0
+	}
+	beyond := false
+	for _, r := range m.replicas {
+		if !r.usable(q) {
+			continue
+		}
+		if r.ring != RingBeyond {
+			return 0
+		}
+		beyond = true
+	}
+	if !beyond {
+		return 0
+	}
+	return t.crossing.Wait(q.Priority)
+}
+
 // Took returns the average time of a call, 0 if none is known.
 func (t *Table) Took(key string) time.Duration {
 	p := t.part(key)
--- a/internal/coordination/route/table.go
+++ b/internal/coordination/route/table.go
@@ -21,8 +21,8 @@
 	zone, region string
 	timer        timer.Service
 	changed      func(key string)
-	cut          func(zone string) bool
 	crossing     Crossing
+	cut          func(zone string) bool
 	parts        [partCount]part
 
 	mu      sync.Mutex
@@ -74,6 +74,8 @@
 // regions; if it may not, LinkOpened has to be called once it may.
 type Crossing interface {
 	Open(p link.Priority) bool
+	// Wait returns how long it takes at least until new work may cross.
+	Wait(p link.Priority) time.Duration
 }
 
 // WithCrossing makes picks in other regions depend on the link.
@@ -109,17 +111,6 @@
 	t.changed = changed
 }
 
-// Avoid takes the replicas of other zones out of use for as long as cut says
-// that their zone cannot be reached; it is called before the table is in use.
-func (t *Table) Avoid(cut func(zone string) bool) {
-	t.cut = cut
-}
-
-// reaches tells whether calls reach a replica, as far as is known.
-func (t *Table) reaches(r *replica) bool {
-	return r.ring == 0 || !t.cut(r.row.Zone)
-}
-
 // mayCross tells whether a request may go to another region now, and remembers
 // its key if it may not.
 func (t *Table) mayCross(q Query) bool {
@@ -141,6 +132,17 @@
 	t.announce(turned)
 }
 
+// Avoid takes the replicas of other zones out of use for as long as cut says
+// that their zone cannot be reached; it is called before the table is in use.
+func (t *Table) Avoid(cut func(zone string) bool) {
+	t.cut = cut
+}
+
+// reaches tells whether calls reach a replica, as far as is known.
+func (t *Table) reaches(r *replica) bool {
+	return r.ring == 0 || !t.cut(r.row.Zone)
+}
+
 // ServiceKey is the key under which a plain service's instances are kept, which
 // no model's name can be.
 func ServiceKey(service string) string {
--- a/internal/demo/link_test.go
+++ b/internal/demo/link_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -100,6 +101,45 @@
 	}
 }
 
+// TestStoreRegionGone: once demands to the zones beside the weight store have failed
+// for 5 s, callers at an entry of the other region hear at once that a cold model
+// cannot come, and when to come back. Nothing is loaded over the link meanwhile.
+func TestStoreRegionGone(t *testing.T) {
+	const noticed, atOnce = 15 * time.Second, 2 * time.Second
+	shape := linkShape(1, "storeRegion = bulacan")
+	shape.Zones = []Zone{
+		{Name: "bul-a", Region: "bulacan", Entries: 1, Targets: 1},
+		{Name: "pam-a", Region: "pampanga", Entries: 2, Targets: 1},
+	}
+	s := deployLink(t, shape)
+	s.deployment.Entries[0].Close()
+	s.deployment.Targets[0].Close()
+	died := time.Now()
+	for {
+		began := time.Now()
+		status, header, text := ask(t, s, 1, "menu-7b")
+		took := time.Since(began)
+		if strings.Contains(text, "the region of the weight store is cut off") {
+			if status != http.StatusServiceUnavailable || header.Get("Retry-After") != "10" || !strings.Contains(text, `"notRun":true`) {
+				t.Errorf("status %d, Retry-After %q: %s", status, header.Get("Retry-After"), text)
+			}
+			break
+		}
+		if time.Since(died) > noticed {
+			t.Fatalf("not told of the cut after %v: %s", took, text)
+		}
+	}
+	t.Logf("told of the cut %v after it", time.Since(died).Round(time.Second))
+	began := time.Now()
+	_, _, text := ask(t, s, 1, "banquet-70b")
+	if took := time.Since(began); took > atOnce || !strings.Contains(text, "cut off") {
+		t.Errorf("told after %v: %s", took, text)
+	}
+	if loads := s.deployment.Targets[1].Engine().Record().Loads; len(loads) > 0 {
+		t.Errorf("loads %v across the cut link", loads)
+	}
+}
+
 func ask(t *testing.T, s *session, n int, model string) (int, http.Header, string) {
 	body := `{"model":"` + model + `","messages":[{"role":"user","content":"seats"}]}`
 	resp, err := s.do(context.Background(), n, http.MethodPost, "/v1/chat/completions", body, nil)
@@ -114,3 +154,55 @@
 	}
 	return resp.StatusCode, resp.Header, string(text)
 }
+
+// TestControlBetweenRegions prints what control takes of the link while nothing
+// is asked, by the number of entries.
+func TestControlBetweenRegions(t *testing.T) {
+	const watched, budget = 8 * time.Second, 11 << 10
+	for _, entries := range []int{1, 2, 4} {
+		shape := linkShape(1, "storeRegion = bulacan")
+		shape.Zones = []Zone{
+			{Name: "bul-a", Region: "bulacan", Entries: entries, Targets: 1},
+			{Name: "pam-a", Region: "pampanga", Entries: entries, Targets: 1},
+		}
+		s := deployLink(t, shape)
+		time.Sleep(2 * time.Second)
+		before := controlBytes(t, s.deployment)
+		time.Sleep(watched)
+		rate := (controlBytes(t, s.deployment) - before) / watched.Seconds()
+		t.Logf("%d entries in each of two regions: %.0f B/s between regions in both directions", entries, rate)
+		if rate > float64(2*entries*budget) {
+			t.Errorf("%.0f B/s of control between regions at %d entries", rate, 2*entries)
+		}
+		s.deployment.Close()
+	}
+}
+
+// controlBytes adds up the control traffic between regions that all entries counted.
+func controlBytes(t *testing.T, d *Deployment) float64 {
+	t.Helper()
+	var sum float64
+	for n := range d.Entries {
+		resp, err := http.Get(d.Operators(n) + "/metrics")
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for line := range strings.Lines(string(text)) {
+			if !strings.HasPrefix(line, `chivecroft_link_io_bytes_total{chivecroft_kind="control"`) {
+				continue
+			}
+			fields := strings.Fields(line)
+			bytes, err := strconv.ParseFloat(fields[len(fields)-1], 64)
+			if err != nil {
+				t.Fatal(err)
+			}
+			sum += bytes
+		}
+	}
+	return sum
+}
--- a/internal/entry/demand.go
+++ b/internal/entry/demand.go
@@ -48,13 +48,20 @@
 	answered := false
 	away, cancel := context.WithTimeout(ctx, demandPatience)
 	defer cancel()
+	near := asked{}
 	for _, step := range e.zoneSteps(d.Model) {
+		if step.Load == ports.LoadAcross && near.failed {
+			// A silence is no lack of room: the link may be cut, and the load with it.
+			continue
+		}
 		d.Load = step.Load
 		reply, err := e.demandIn(ctx, away, step.Zone, d)
 		if err != nil {
 			failed = err
+			near.failed = near.failed || step.Load == ports.LoadAnywhere
 			continue
 		}
+		near.answered = near.answered || step.Load == ports.LoadAnywhere
 		if settled(reply) {
 			return reply, nil
 		}
@@ -64,7 +71,27 @@
 	if !answered {
 		return best, trace.Wrap(failed)
 	}
-	return link.OrCutOff(best, e.self, e.members(), e.settings.Platform.StoreRegion), nil
+	return link.OrCutOff(best, e.storeCutOff(near)), nil
+}
+
+// asked is what became of asking the zones beside the weight store.
+type asked struct{ answered, failed bool }
+
+// storeCutOff tells whether the region of the weight store is cut off, after a demand
+// that asked its zones, if there are any.
+func (e *Entry) storeCutOff(near asked) bool {
+	store := e.settings.Platform.StoreRegion
+	if store == "" || store == e.self.Region {
+		return false
+	}
+	now := e.timer.Now()
+	switch {
+	case near.answered:
+		e.contact.Answered()
+	case near.failed:
+		e.contact.Failed(now)
+	}
+	return e.contact.Lost(now) || link.IsCut(e.self, e.members(), store)
 }
 
 // demandIn asks the shards of one zone; away is for other zones.
@@ -284,9 +311,21 @@
 	return e.parts.owned[shard]
 }
 
-// zoneSteps are the zones to ask for a model and the loads that they may begin,
-// those of doubtful zones last.
+// zoneSteps are the zones to ask for a model and the loads that they may begin.
+// Doubtful zones come last among those that may begin the same loads: a silent
+// zone beside the weight store is still asked before a load over the link, which
+// may be cut as well.
 func (e *Entry) zoneSteps(model string) []link.Step {
 	steps := link.Steps(model, e.self, e.members(), e.settings.Platform.StoreRegion)
-	return last(steps, func(s link.Step) bool { return e.doubts.has(zonePrefix + s.Zone) })
+	doubtful := func(s link.Step) bool { return e.doubts.has(zonePrefix + s.Zone) }
+	ordered := make([]link.Step, 0, len(steps))
+	for len(steps) > 0 {
+		same := 1
+		for same < len(steps) && steps[same].Load == steps[0].Load {
+			same++
+		}
+		ordered = append(ordered, last(steps[:same], doubtful)...)
+		steps = steps[same:]
+	}
+	return ordered
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -46,13 +46,16 @@
 	services *probe.Services
 	meter    *meter.Meter
 
-	table    *route.Table
-	room     *await.Room
-	limits   *admit.Limits
-	link     *link.Link
+	table  *route.Table
+	room   *await.Room
+	limits *admit.Limits
+	link   *link.Link
+	// contact is that with the region of the weight store.
+	contact  link.Contact
 	claims   *once.Driver
 	recorder *daily.Recorder
 	writer   *daily.Writer
+	telling  *daily.Telling
 	front    *front.Handler
 	parts    *parts
 	own      *feed.Feed
@@ -88,9 +91,10 @@
 	entries atomic.Pointer[[]ports.Instance]
 	// targets are the listed model targets of the own zone.
 	targets atomic.Pointer[[]ports.Instance]
-	// abroad are the zones of the listed model targets of other zones.
-	abroad  atomic.Pointer[map[netip.AddrPort]string]
+	// regions are those of all instances by address.
 	regions atomic.Pointer[regions]
+	// abroad are the zones of the listed model targets of other zones.
+	abroad atomic.Pointer[map[netip.AddrPort]string]
 }
 
 // Option changes an Entry under construction.
@@ -167,9 +171,9 @@
 	e.view.config.Store(&config.Config{})
 	e.view.members.Store(&[]ports.Member{e.self})
 	e.view.targets.Store(&[]ports.Instance{})
-	e.view.abroad.Store(&map[netip.AddrPort]string{})
 	e.table = route.NewTable(e.self.Zone, e.self.Region, e.timer, random.Uint64(), route.WithCrossing(e.link))
 	e.link.Listen(e.table.LinkOpened)
+	e.view.abroad.Store(&map[netip.AddrPort]string{})
 	e.room = await.NewRoom(e.table, await.DemandFunc(e.demand), e.timer, await.WithLimits(await.Limits{
 		Count:     int64(e.settings.Requests.QueueCount),
 		Bytes:     e.settings.Requests.QueueBytes,
@@ -192,6 +196,7 @@
 		return trace.Wrap(err, "starting entry %s", e.self.ID)
 	}
 	e.parts.start()
+	e.telling.Start()
 	e.spawn(e.followList)
 	e.spawn(e.followTables)
 	e.spawn(e.countIdle)
@@ -223,6 +228,7 @@
 		l.server.Close()
 	}
 	e.parts.stop()
+	e.telling.Stop()
 	e.work.Wait()
 	e.kv.Close()
 	e.engines.Close()
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -51,8 +51,8 @@
 	}
 	e.view.entries.Store(&entries)
 	e.view.targets.Store(&targets)
-	e.view.abroad.Store(&abroad)
 	e.learnRegions(rows, e.members())
+	e.view.abroad.Store(&abroad)
 	e.told.keep(e.listedTarget)
 	e.table.ApplyInstances(rows)
 	e.warmup.sawList()
--- a/internal/transport/front/runonce.go
+++ b/internal/transport/front/runonce.go
@@ -136,6 +136,7 @@
 		return p
 	}
 	c.w.Header().Set(headerOutcome, "true")
+	c.conclude(nil)
 	c.answerHead(o.Status, http.Header(o.Header).Clone())
 	c.w.Write(o.Body)
 	return nil
@@ -201,6 +202,7 @@
 	outcome once.Outcome
 	body    bytes.Buffer
 	dropped bool
+	closed  bool
 }
 
 // sent notes that from now on the call may have run.
@@ -229,16 +231,22 @@
 	t.body.Write(part)
 }
 
-// end takes the end of the body.
+// end takes the end of the body and reports the call's end. It has to come
+// before the caller can have seen the answer whole: a repeat may follow at once.
 func (t *ticket) end(whole bool) {
 	t.outcome.BodyKept = whole && !t.dropped
 	if t.outcome.BodyKept {
 		t.outcome.Body = t.body.Bytes()
 	}
+	t.close()
 }
 
-// close reports the end of the call.
+// close reports the end of the call, once.
 func (t *ticket) close() {
+	if t.closed {
+		return
+	}
+	t.closed = true
 	if t.ending == "" {
 		t.ending = once.EndedNotRun
 	}
