Bound the answers that are gone on with beside the retry budget

The first resumption of a stream cost no budget, on the ground that the rest of an answer is owed. Targets that cut every answer were sent 4,200 times for 2,000 requests, so the tenth did not hold.

A model may have 100 answers gone on with at once, and one more for ten whole ones; beyond that the tenant's budget pays. Weighed: the tenant's budget alone, which leaves most streams of a target that dies cut.

--- a/internal/transport/front/budget.go
+++ b/internal/transport/front/budget.go
@@ -19,12 +19,18 @@
 	// connection that went silent.
 	hedgeMost  = 10
 	hedgeEvery = time.Second
+	// resumeMost bounds the answers of a model that may be gone on with beside all
+	// budgets, as when a target with many streams dies; each whole answer adds a
+	// tenth of one.
+	resumeMost = 100
 )
 
 // budgets bounds the sends beyond the first of each tenant to a tenth of its
 // requests, so that a back end which fails sees no storm of repeats.
 type budgets struct {
 	tenants *shard.Map[string, budget]
+	// resumed is how much of resumeMost each model has used.
+	resumed *shard.Map[string, float64]
 }
 
 // budget is what a tenant may spend.
@@ -35,7 +41,7 @@
 }
 
 func newBudgets() *budgets {
-	return &budgets{tenants: shard.NewMap[string, budget]()}
+	return &budgets{tenants: shard.NewMap[string, budget](), resumed: shard.NewMap[string, float64]()}
 }
 
 func (b *budgets) earn(tenant string) {
@@ -81,3 +87,26 @@
 	})
 	return spent
 }
+
+// whole notes a whole answer of a model.
+func (b *budgets) whole(model string) {
+	b.resumed.Update(model, func(used float64, present bool) (float64, bool) {
+		used -= budgetShare
+		return used, present && used > 0
+	})
+}
+
+// spendResume takes one answer of a model that is gone on with, if there is one
+// left: targets that bring no answer to its end see a tenth extra and no more than
+// resumeMost besides.
+func (b *budgets) spendResume(model string) bool {
+	spent := false
+	b.resumed.Update(model, func(used float64, _ bool) (float64, bool) {
+		spent = used+1 <= resumeMost
+		if spent {
+			used++
+		}
+		return used, true
+	})
+	return spent
+}
--- a/internal/transport/front/generate.go
+++ b/internal/transport/front/generate.go
@@ -167,6 +167,7 @@
 	}
 	if it.chunk.Done {
 		g.reason = it.chunk.Reason
+		g.call.h.budgets.whole(g.req.Model)
 		g.finish(l, route.Result{Latency: l.latency, Took: g.now().Sub(l.began)})
 		return true, nil, true
 	}
@@ -261,14 +262,15 @@
 }
 
 // resumesOnce tells whether the answer has come on since the last attempt and is
-// gone on with for the first time, which costs no budget: the rest of the answer
-// is owed in any case and none of it is generated twice.
+// gone on with for the first time, which costs no budget of the tenant's: the rest
+// of the answer is owed in any case and none of it is generated twice. A model has
+// a bound on that, for targets that cut every answer.
 func (g *generation) resumesOnce() bool {
 	if g.resumed || g.next == 0 {
 		return false
 	}
 	g.resumed = true
-	return true
+	return g.call.h.budgets.spendResume(g.req.Model)
 }
 
 // suspect asks the target for a sign of life, on another connection.
--- a/internal/transport/front/lost_test.go
+++ b/internal/transport/front/lost_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -147,3 +148,31 @@
 		t.Errorf("%d sends for %d chats, want at most %d", got, waves*chats, most)
 	}
 }
+
+// TestResumeBudget cuts every answer after two tokens: the targets see a tenth
+// extra, and what a model may be gone on with at once.
+func TestResumeBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, func(r *rig) {
+			r.engine.fault = func(_ netip.AddrPort, req wire.GenerateRequest, index int) error {
+				if index == req.Offset+2 {
+					return errors.New("reset")
+				}
+				return nil
+			}
+		})
+		defer r.driver.Stop()
+		for i := range 8 {
+			r.rows(uint64(i+1), replicaRow(fmt.Sprintf("r%d", i), "menu", uint16(9000+i)))
+		}
+		const requests = 2000
+		for range requests {
+			r.do(http.MethodPost, "/v1/chat/completions", tenTokens)
+		}
+		sends := len(r.engine.sends())
+		t.Logf("%d sends for %d requests", sends, requests)
+		if most := requests*11/10 + 1 + 100; sends > most {
+			t.Errorf("%d sends for %d requests that were all cut, want at most %d", sends, requests, most)
+		}
+	})
+}
