--- a/internal/coordination/await/line.go
+++ b/internal/coordination/await/line.go
@@ -1,6 +1,7 @@
 package await
 
 import (
+	"cmp"
 	"time"
 
 	"chivecroft.example/chivecroft/internal/coordination/admit"
@@ -199,7 +200,7 @@
 		l.askAt = now.Add(demandRetry)
 	case reply.Status == ports.DemandRefused:
 		if !ready {
-			l.refuseAll(&a, demandReason(reply.Reason), reply.Reason, orElse(reply.RetryAfter, coldRetryAfter))
+			l.refuseAll(&a, demandReason(reply.Reason), reply.Reason, cmp.Or(max(reply.RetryAfter, 0), coldRetryAfter))
 		}
 	case reply.ReadyIn > 0 && !ready:
 		l.readyAt = now.Add(reply.ReadyIn)
@@ -266,9 +267,9 @@
 
 func (l *line) retryAfter(now time.Time) time.Duration {
 	if !l.readyAt.IsZero() {
-		return orElse(l.readyAt.Sub(now), time.Second)
+		return cmp.Or(max(l.readyAt.Sub(now), 0), time.Second)
 	}
-	return orElse(time.Duration(l.queue.count)*l.interval, time.Second)
+	return cmp.Or(time.Duration(l.queue.count)*l.interval, time.Second)
 }
 
 func demandReason(reason string) admit.Reason {
@@ -277,10 +278,3 @@
 	}
 	return admit.ReasonNoReplica
 }
-
-func orElse(d, otherwise time.Duration) time.Duration {
-	if d > 0 {
-		return d
-	}
-	return otherwise
-}
--- a/internal/coordination/await/room.go
+++ b/internal/coordination/await/room.go
@@ -1,6 +1,7 @@
 package await
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"hash/maphash"
@@ -250,7 +251,7 @@
 		l.shedder.Observe(now, wait)
 	}
 	if l.shedder.Sheds(now, w.req.Class, l.queue.count == 0) {
-		return &admit.Refusal{Reason: admit.ReasonOverload, Detail: "shed under overload", RetryAfter: orElse(wait, time.Second)}
+		return &admit.Refusal{Reason: admit.ReasonOverload, Detail: "shed under overload", RetryAfter: cmp.Or(max(wait, 0), time.Second)}
 	}
 	if now.Add(wait + wait/estimateSlack).After(w.due) {
 		return &admit.Refusal{Reason: admit.ReasonTooLate, Detail: "the queue is longer than the deadline", RetryAfter: wait}
