Hedge lookups by their service's latency

A constant second before the second send made every lookup at a slow instance slow. The delay now follows the 95th percentile of the service's times, from 20 ms to 1 s; a lookup that was hedged counts as slower, which is all that is known of it. The tenant's budget bounds the hedges as before. An instance that is overtaken within a second is no longer held to have failed: it is slow.

--- a/internal/transport/front/handler.go
+++ b/internal/transport/front/handler.go
@@ -28,6 +28,7 @@
 	Deps
 	directories directories
 	budgets     *budgets
+	delays      *delays
 	draining    atomic.Bool
 	flying      atomic.Int64
 	held        atomic.Int64
@@ -51,7 +52,7 @@
 	if deps.NewID == nil {
 		deps.NewID = newID
 	}
-	return &Handler{Deps: deps, budgets: newBudgets()}
+	return &Handler{Deps: deps, budgets: newBudgets(), delays: newDelays()}
 }
 
 // Drain refuses new requests from now on; those that are here are finished.
--- a/internal/transport/front/service.go
+++ b/internal/transport/front/service.go
@@ -21,9 +21,6 @@
 
 // Bounds of calls to plain services.
 const (
-	// silentLookup is how long a lookup may go without an answer before a
-	// second one is sent.
-	silentLookup = time.Second
 	// serviceAttempts bounds the instances tried for one call.
 	serviceAttempts = 3
 )
@@ -250,7 +247,8 @@
 // await waits for an answer. A lookup that gets none for long is sent to
 // another instance as well, and the first answer counts.
 func (p *passage) await(first <-chan *reply) *reply {
-	timer := time.NewTimer(silentLookup)
+	began := p.call.h.Timer.Now()
+	timer := time.NewTimer(p.call.h.delays.of(p.service))
 	defer timer.Stop()
 	var second <-chan *reply
 	for {
@@ -262,6 +260,7 @@
 				continue
 			}
 			p.discard(second, route.Result{})
+			p.answered(began, r)
 			return r
 		case r := <-second:
 			if r.err != nil {
@@ -269,7 +268,8 @@
 				second = nil
 				continue
 			}
-			p.discard(first, route.Result{Failed: true})
+			p.discard(first, p.overtaken(began))
+			p.answered(began, r)
 			return r
 		case <-timer.C:
 			second = p.hedge()
@@ -277,6 +277,19 @@
 	}
 }
 
+// answered notes how long a lookup took.
+func (p *passage) answered(began time.Time, r *reply) {
+	if p.repeatable && r.err == nil {
+		p.call.h.delays.observe(p.service, p.call.h.Timer.Now().Sub(began))
+	}
+}
+
+// overtaken is what a call says of its instance that another one overtook: slower
+// than usual is no failure, silent for long is.
+func (p *passage) overtaken(began time.Time) route.Result {
+	return route.Result{Failed: p.call.h.Timer.Now().Sub(began) >= hedgeLimit}
+}
+
 // hedge sends a repeatable call to a second instance if the budget allows.
 func (p *passage) hedge() <-chan *reply {
 	if !p.repeatable || p.call.ctx.Err() != nil {
