--- a/internal/coordination/daily/recorder.go
+++ b/internal/coordination/daily/recorder.go
@@ -27,6 +27,7 @@
 	clock   timer.Service
 	zone    *time.Location
 	current atomic.Pointer[day]
+	changes changes
 
 	mu   sync.Mutex
 	days map[Date]*day
@@ -92,11 +93,44 @@
 
 // Snapshot returns what was counted on a date.
 func (r *Recorder) Snapshot(date Date) Counts {
-	d := r.held(date)
-	if d == nil {
-		return Counts{}
+	var c Counts
+	if d := r.held(date); d != nil {
+		c = d.snapshot()
+	}
+	if n := r.carried(date); n > 0 {
+		c.Counters = append(c.Counters, Counter{Key: Key{Kind: KindCarried}, Count: n})
+		sortCounters(c.Counters)
+	}
+	return c
+}
+
+// carried is the number of requests that were under way when a date began. It is
+// known from the counts of the date before, as long as these are held.
+func (r *Recorder) carried(date Date) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.carriedLocked(date)
+}
+
+func (r *Recorder) carriedLocked(date Date) uint64 {
+	var n uint64
+	if d := r.days[date]; d != nil {
+		n = d.carried
+	}
+	if before := r.days[date.previous()]; before != nil {
+		n += r.unfinishedLocked(before)
 	}
-	return d.snapshot()
+	return n
+}
+
+// unfinishedLocked is the number of requests of a date that have not ended.
+func (r *Recorder) unfinishedLocked(d *day) uint64 {
+	counts := Counts{Counters: []Counter{{Key: Key{Kind: KindCarried}, Count: r.carriedLocked(d.date)}}}
+	d.counters.Each(func(key Key, n uint64) bool {
+		counts.Counters = append(counts.Counters, Counter{Key: key, Count: n})
+		return true
+	})
+	return counts.unfinished()
 }
 
 // Today returns the current date.
@@ -116,13 +150,19 @@
 	return all
 }
 
-// forget drops a date if nothing changed since version.
+// forget drops a date if nothing changed since version. What is under way goes
+// over to the next date for good.
 func (r *Recorder) forget(date Date, version uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if d := r.days[date]; d != nil && d.version.Load() == version {
-		delete(r.days, date)
+	d := r.days[date]
+	if d == nil || d.version.Load() != version {
+		return
+	}
+	if n := r.unfinishedLocked(d); n > 0 {
+		r.dayLocked(date.next()).carried = n
 	}
+	delete(r.days, date)
 }
 
 func (r *Recorder) today() *day {
@@ -145,9 +185,13 @@
 func (r *Recorder) day(date Date) *day {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.dayLocked(date)
+}
+
+func (r *Recorder) dayLocked(date Date) *day {
 	d := r.days[date]
 	if d == nil {
-		d = newDay(date.Start(r.zone), date.End(r.zone))
+		d = newDay(date, r.zone, &r.changes)
 		r.days[date] = d
 	}
 	return d
@@ -155,8 +199,13 @@
 
 // day is what is counted on one date.
 type day struct {
+	date       Date
 	start, end time.Time
 	version    atomic.Uint64
+	// carried is the number of requests under way when the date began, once the
+	// date before is forgotten.
+	carried uint64
+	changes *changes
 
 	keys     atomic.Int64
 	counters *shard.Map[Key, uint64]
@@ -170,10 +219,12 @@
 	leftOut    int
 }
 
-func newDay(start, end time.Time) *day {
+func newDay(date Date, zone *time.Location, changes *changes) *day {
 	return &day{
-		start:    start,
-		end:      end,
+		date:     date,
+		start:    date.Start(zone),
+		end:      date.End(zone),
+		changes:  changes,
 		counters: shard.NewMap[Key, uint64](),
 		waits:    hist.NewSet(hist.Coarse, maxModels, Other),
 		total:    hist.NewSet(hist.Fine, 1, Other),
@@ -194,10 +245,11 @@
 		return n + 1, true
 	})
 	if !counted {
-		rest := Key{Kind: key.Kind, Service: Other, Reason: Other, NotRun: key.NotRun}
-		d.counters.Update(rest, func(n uint64, _ bool) (uint64, bool) { return n + 1, true })
+		key = Key{Kind: key.Kind, Service: Other, Reason: Other, NotRun: key.NotRun}
+		d.counters.Update(key, func(n uint64, _ bool) (uint64, bool) { return n + 1, true })
 	}
 	d.version.Add(1)
+	d.changes.note(d.date, key)
 }
 
 func (d *day) addIdle(model string, idle time.Duration) {
--- a/internal/coordination/daily/writer.go
+++ b/internal/coordination/daily/writer.go
@@ -4,7 +4,6 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"time"
 
 	"chivecroft.example/chivecroft/internal/coordination/ports"
@@ -104,6 +103,11 @@
 	}
 }
 
+// Nonce returns what sets this writer's rows apart from those of others.
+func (w *Writer) Nonce() uint64 {
+	return w.nonce
+}
+
 // Row returns the instance's row of a date as it would be written now; it is
 // safe to call at any time.
 func (w *Writer) Row(now time.Time, date Date) Row {
@@ -230,6 +234,8 @@
 	switch {
 	case !row.written || row.uncertain || row.version != version:
 		return true
+	case w.crosses(now, date, row.putAt):
+		return true
 	case w.closes(now, date):
 		return !row.final
 	default:
@@ -237,6 +243,14 @@
 	}
 }
 
+// crosses tells whether the date has ended since its row was written. A row that
+// was written after its date's end says that what is unfinished went on; it is
+// written before the first one of the next date, which carries that over.
+func (w *Writer) crosses(now time.Time, date Date, putAt time.Time) bool {
+	end := date.End(w.settings.Location)
+	return putAt.Before(end) && !now.Before(end)
+}
+
 // closes tells whether a row of the date written now is its last.
 func (w *Writer) closes(now time.Time, date Date) bool {
 	return w.stopping || now.After(date.End(w.settings.Location).Add(settleTime))
@@ -357,7 +371,7 @@
 	}
 	row, err := decodeRow(item.Value)
 	if err != nil || row.Nonce != w.nonce {
-		stored.suffix = "." + strconv.FormatUint(w.nonce, 36)
+		stored.suffix = rowSuffix(w.nonce)
 		stored.revision = 0
 		return w.proceed(now)
 	}
--- a/internal/coordination/owner/home.go
+++ b/internal/coordination/owner/home.go
@@ -22,6 +22,9 @@
 	// preload are the models that the policy wants loaded ahead of use.
 	preload   map[string]bool
 	preloadAt time.Time
+	// aheadAt is when permits are next taken ahead of use, and slotAt when a slot
+	// of the weight store is.
+	aheadAt, slotAt time.Time
 }
 
 // preloadEvery is the period at which the policy is asked.
@@ -38,6 +41,7 @@
 		return
 	}
 	s.home = home{zones: joined, minima: make(map[string]int), preloadAt: s.home.preloadAt}
+	s.planAhead()
 	for _, name := range slices.Sorted(maps.Keys(s.config.Models)) {
 		if place.ShardOf(name, s.settings.ShardCount) != s.settings.Shard || rank.Order(name, zones)[0] != s.settings.Zone {
 			continue
@@ -81,7 +85,10 @@
 	views := make([]policy.ModelView, 0, len(s.home.models))
 	for _, name := range s.home.models {
 		if m, known := s.models[name]; known {
-			views = append(views, s.view(m))
+			v := s.view(m)
+			v.LastPreload = m.lastPreload
+			v.ReloadTime = policy.TierTime(s.bestTier(name), v.LoadTime)
+			views = append(views, v)
 		}
 	}
 	s.home.preload = make(map[string]bool)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -46,13 +46,16 @@
 	services *probe.Services
 	meter    *meter.Meter
 
-	table    *route.Table
-	room     *await.Room
-	limits   *admit.Limits
-	link     *link.Link
+	table  *route.Table
+	room   *await.Room
+	limits *admit.Limits
+	link   *link.Link
+	// contact is that with the region of the weight store.
+	contact  link.Contact
 	claims   *once.Driver
 	recorder *daily.Recorder
 	writer   *daily.Writer
+	telling  *daily.Telling
 	front    *front.Handler
 	parts    *parts
 	own      *feed.Feed
@@ -193,6 +196,7 @@
 		return trace.Wrap(err, "starting entry %s", e.self.ID)
 	}
 	e.parts.start()
+	e.telling.Start()
 	e.spawn(e.followList)
 	e.spawn(e.followTables)
 	e.spawn(e.countIdle)
@@ -224,6 +228,7 @@
 		l.server.Close()
 	}
 	e.parts.stop()
+	e.telling.Stop()
 	e.work.Wait()
 	e.kv.Close()
 	e.engines.Close()
