Wait for a fresh neighbour at once, and never for one that has failed

Cause: after a change of neighbours answers waited for nobody until the new one had answered, so that a kill in that moment lost outcomes. A neighbour that has not failed is now trusted from the start; one that has is waited for only once it has answered again.

--- a/internal/coordination/daily/keep_test.go
+++ b/internal/coordination/daily/keep_test.go
@@ -411,3 +411,28 @@
 		}
 	}
 }
+
+// TestNobodyWaitsForADeadNeighbour leaves an instance with a neighbour that never
+// answers: one answer is held up for a moment, and no other one.
+func TestNobodyWaitsForADeadNeighbour(t *testing.T) {
+	z := newZone(3, time.Date(2026, 3, 28, 2, 0, 0, 0, time.UTC))
+	one := z.join("e1")
+	z.join("e2")
+	z.clock.Advance(2 * noticed)
+	z.net.Delay = func(_, _ netip.AddrPort) time.Duration { return time.Hour }
+	if w := one.do(3); w == nil {
+		t.Error("the answer does not wait for a neighbour that has answered so far")
+	}
+	z.clock.Advance(tellWait)
+	for range 500 {
+		z.clock.Advance(10 * time.Millisecond)
+		if w := one.do(3); w != nil {
+			t.Fatal("an answer waits for a neighbour that has not answered")
+		}
+	}
+	z.net.Delay = nil
+	z.clock.Advance(2 * time.Second)
+	if w := one.do(3); w == nil {
+		t.Error("the answer does not wait for a neighbour that answers again")
+	}
+}
--- a/internal/coordination/daily/teller.go
+++ b/internal/coordination/daily/teller.go
@@ -75,9 +75,10 @@
 	recorder *Recorder
 	members  []ports.Member
 
-	// keeper is the neighbour that is told; confirmed means that it has answered.
-	keeper    ports.Member
-	confirmed bool
+	// keeper is the neighbour that is told. It is trusted to answer unless it has
+	// failed before and has not answered since.
+	keeper  ports.Member
+	trusted bool
 	// avoided are the neighbours that failed, with the time of it.
 	avoided  map[string]time.Time
 	chooseAt time.Time
@@ -218,7 +219,7 @@
 	}
 	best := member.Choose(ids, keeperDuty+t.self.ID, 1)
 	if len(best) == 0 {
-		t.keeper, t.confirmed, t.flights, t.whole = ports.Member{}, false, nil, false
+		t.keeper, t.trusted, t.flights, t.whole = ports.Member{}, false, nil, false
 		return
 	}
 	i := slices.IndexFunc(t.members, func(m ports.Member) bool { return m.ID == best[0] })
@@ -226,8 +227,8 @@
 	if m.ID == t.keeper.ID && m.Incarnation == t.keeper.Incarnation && t.avoided[m.ID].IsZero() {
 		return
 	}
+	t.keeper, t.trusted, t.flights, t.whole = m, t.avoided[m.ID].IsZero(), nil, true
 	delete(t.avoided, m.ID)
-	t.keeper, t.confirmed, t.flights, t.whole = m, false, nil, true
 }
 
 // neighbours returns the entries of the zone that have not failed lately.
@@ -301,14 +302,14 @@
 		t.whole = true
 		t.flights = nil
 	default:
-		t.confirmed = true
+		t.trusted = true
 		t.through = max(t.through, f.through)
 	}
 }
 
 // report notes what is told, if that has changed.
 func (t *Teller) report() []ports.Effect {
-	told := Told{Through: t.through, Exact: t.exact && t.confirmed}
+	told := Told{Through: t.through, Exact: t.exact && t.trusted}
 	if told == t.reported {
 		return nil
 	}
