Load no second copy of an adapter for a caller who has not heard of the first

Cause, found by reading: a demand that was under way when an adapter became ready counted as one for a further replica, though the one that has the adapter had room for the caller.

A replica with the adapter and requests below its concurrency now answers such a demand, which counts as a use of both. Test: TestAdapterIsLoadedOnce, seen failing without it (two copies).

--- a/internal/coordination/owner/adapters_test.go
+++ b/internal/coordination/owner/adapters_test.go
@@ -81,6 +81,31 @@
 	})
 }
 
+// TestAdapterIsLoadedOnce: a demand that comes when an adapter is ready already,
+// from an entry that does not know yet, brings none to the other replica.
+func TestAdapterIsLoadedOnce(t *testing.T) {
+	t.Parallel()
+	for unfenced := range 2 {
+		r := newRig(rigSize{
+			zones: 1, entries: 1, targets: 2, shards: 1, unfenced: 2 * unfenced, memoryBytes: 7 * gib,
+			models: 1, maxReplicas: 2, latency: time.Millisecond, seed: 4,
+		})
+		r.run(5 * time.Second)
+		for range 8 {
+			r.demand(0, 0, ports.Demand{Model: "model-0", Waiting: 8, Within: 5 * time.Second, From: "caller"})
+			r.run(time.Second)
+		}
+		r.expectLoaded(t, map[string]int{"model-0": 2})
+		for range 10 {
+			r.askAdapter("lora")
+			r.run(50 * time.Millisecond)
+		}
+		r.run(time.Second)
+		r.expectAdapters(t, "lora")
+		r.mustHold(t)
+	}
+}
+
 // TestModelMakesAdaptersGo: an idle adapter of a busy replica makes room for a model.
 func TestModelMakesAdaptersGo(t *testing.T) {
 	t.Parallel()
--- a/internal/coordination/owner/target.go
+++ b/internal/coordination/owner/target.go
@@ -220,6 +220,11 @@
 	return r.seen == nil || (r.seen.Running == 0 && r.seen.Queued == 0)
 }
 
+// hasSpare tells whether the replica can take a request more than it has.
+func (r *replica) hasSpare() bool {
+	return r.isReady() && r.seen.Running+r.seen.Queued < max(r.Concurrency, 1)
+}
+
 // takesSlot tells whether the replica's load occupies a slot of the weight store.
 func (r *replica) takesSlot() bool {
 	return r.FromStore && (r.seen == nil || r.seen.Phase == ports.PhaseLoading)
--- a/internal/coordination/owner/wanted.go
+++ b/internal/coordination/owner/wanted.go
@@ -130,6 +130,11 @@
 		case !a.seen && !a.Unloading:
 			// Its load is decided.
 			return
+		case !a.Unloading && at.r.hasSpare():
+			// Who asked has not seen the row yet, and is about to come.
+			a.lastUsed, at.r.lastUsed = s.now, s.now
+			s.adapterReady(w.model, w.name)
+			return
 		}
 	}
 	if len(free) == 0 || s.areThere(w.evicting) {
