Refuse claims at once while the KV service is known not to answer

Cause: each claim waited its whole patience of 3 s for a KV service that hangs, also minutes into an outage, and then heard claimsUnavailable. Seen in a zone that is cut off: each ticket held for 3 s of its 4 s deadline. A final answer is to be given at once.

Ruled out: a shorter patience, which would refuse claims for single lost answers.

Once calls have failed for a second without an answer between them, new claims are refused at once, or run without a claim where the service's settings say so; one claim each half second goes on to try the KV service, and its first answer ends it.

TestRefusedAtOnceInAnOutage, virtual time, a claim each 100 ms for 10 s: 70 of 70 callers after the first 3 s waited before; at most 15 may now.

--- a/internal/coordination/once/commit.go
+++ b/internal/coordination/once/commit.go
@@ -225,6 +225,7 @@
 		return
 	}
 	delete(p.pending, e.Tag)
+	p.silence.heard(p.now, e.Reply.Status)
 	c.bucket.busy = false
 	p.flying--
 	if c.bucket.halves[0] != nil {
@@ -435,6 +436,14 @@
 // giveUp answers a claim that can't be committed in time, and takes back what
 // may have been written of it.
 func (p *Part) giveUp(b *bucket, op *op) {
+	if runs := p.goWithout(b, op); !runs && (op.inDoubt || b.busy) {
+		p.release(b, op.id, op.record, true)
+	}
+}
+
+// goWithout answers a claim that is not committed, and tells whether its call runs
+// all the same.
+func (p *Part) goWithout(b *bucket, op *op) (runs bool) {
 	op.answered = true
 	// A call that was seen to run elsewhere is not run without a claim because the
 	// KV service can't be reached.
@@ -443,18 +452,15 @@
 		p.answer(op.asked, Verdict{
 			Kind: VerdictRunUnclaimed, Ticket: Ticket{ID: op.id, Nonce: op.record.Nonce},
 		})
-		return
+		return true
 	}
 	v := Verdict{Kind: VerdictUnavailable, RetryAfter: unavailableRetry}
 	if op.runs != nil {
 		v = *op.runs
 	}
 	p.answer(op.asked, v)
-	if op.inDoubt || b.busy {
-		p.release(b, op.id, op.record, true)
-		return
-	}
 	p.disown(b, op)
+	return false
 }
 
 // unavailable answers the claims at once when the KV service takes no call;
--- /dev/null
+++ b/internal/coordination/once/outage_test.go
@@ -0,0 +1,55 @@
+package once_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"chivecroft.example/chivecroft/internal/coordination/once"
+)
+
+// TestRefusedAtOnceInAnOutage asks for a claim each 100 ms while the KV service
+// does not answer. Once that is known all but a few callers, over whose claims the
+// service is tried, hear so at once and not when their patience ends; when it is
+// back, claims are granted again.
+func TestRefusedAtOnceInAnOutage(t *testing.T) {
+	for _, withoutKV := range []bool{false, true} {
+		w := newOnceWorld(1, 1, once.Settings{})
+		w.withoutKV = withoutKV
+		w.ask(0, "before", "sum", 4*time.Second)
+		w.clock.Advance(time.Second)
+		w.kv.hangs = true
+		var calls []*asked
+		for i := range 100 {
+			calls = append(calls, w.ask(0, fmt.Sprint("k", i), "sum", 4*time.Second))
+			w.clock.Advance(100 * time.Millisecond)
+		}
+		w.clock.Advance(4 * time.Second)
+		want := once.VerdictUnavailable
+		if withoutKV {
+			want = once.VerdictRunUnclaimed
+		}
+		late := 0
+		for i, a := range calls {
+			if diff := cmp.Diff(want, a.verdict.Kind); diff != "" {
+				t.Errorf("k%d (-want +got):\n%s", i, diff)
+			}
+			// Within 3 s of the outage's begin nobody can know of it.
+			if i >= 30 && a.answeredAt.Sub(a.at) > 0 {
+				late++
+			}
+		}
+		if most := 70/5 + 1; late > most {
+			t.Errorf("%d of 70 callers waited, want at most %d", late, most)
+		}
+		w.kv.hangs = false
+		w.clock.Advance(3 * time.Second)
+		after := w.ask(0, "after", "sum", 4*time.Second)
+		w.clock.Advance(time.Second)
+		if diff := cmp.Diff(once.VerdictRun, after.verdict.Kind); diff != "" {
+			t.Errorf("after the outage (-want +got):\n%s", diff)
+		}
+	}
+}
--- a/internal/coordination/once/part.go
+++ b/internal/coordination/once/part.go
@@ -93,6 +93,7 @@
 	pending map[ports.Tag]call
 	ticking bool
 	backlog int
+	silence silence
 }
 
 // call is what a tag was used for.
@@ -194,6 +195,10 @@
 		}),
 	}
 	b.own[id] = &own{record: op.record, phase: ownClaiming}
+	if p.silence.refuses(p.now) {
+		p.goWithout(b, op)
+		return
+	}
 	p.add(b, op)
 	p.startTick()
 }
--- a/internal/coordination/once/world_test.go
+++ b/internal/coordination/once/world_test.go
@@ -21,15 +21,22 @@
 	random *rand.Rand
 	// lose, late and down are shares of calls.
 	lose, late, down float64
-	calls            map[string]int
+	// hangs means that no call takes effect or is answered before its timeout.
+	hangs bool
+	calls map[string]int
 }
 
+// kvTimeout is how long a call that hangs waits for its answer.
+const kvTimeout = 2 * time.Second
+
 const kvLatency = 4 * time.Millisecond
 
 func (k *faultyKV) Call(req ports.KVRequest, done func(ports.KVReply)) {
 	k.calls[world.KindOf(req)]++
 	dice := k.random.Float64()
 	switch {
+	case k.hangs:
+		k.clock.After(kvTimeout, func() { done(ports.KVReply{Status: ports.KVUnknown}) })
 	case dice < k.down:
 		k.clock.After(kvLatency, func() { done(ports.KVReply{Status: ports.KVUnavailable}) })
 	case dice < k.down+k.lose:
