Load a model once in a burst over many idle models

Cause: 500 first requests for 50 idle models at eight entries loaded 23 to 28 models twice or three times. By the answers to each demand: an owner that has nothing to say yet holds its answer for 1 s, so the second entry of the zone, asked beside after 300 ms, was asked nearly always, and its own ask was cancelled by the first one's answer. Answers that took 1.0 s to 1.2 s of the 1.2 s that a demand waits also made owners and zones doubtful.

Ruled out: a further replica for overload (the second load is another shard's); demands behind a load (they are dropped); another zone (39 to 59 of 1,230 to 3,682 demands, and no second load there but one).

Change: a demand whose asker is gone is passed on to no further shard and makes nobody doubtful; an owner holds its answer for 400 ms; a second entry is asked after 600 ms.

--- a/internal/entry/demand.go
+++ b/internal/entry/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -17,11 +18,13 @@
 
 const (
 	// demandPatience is how long a demand waits for those who do not answer. An
-	// owner answers within a second also while it waits for the KV service.
+	// owner answers within 400 ms also while it waits for the KV service.
 	demandPatience = 1200 * time.Millisecond
-	// hedgeAfter is how long an entry of another zone may take before a second one
-	// is asked beside.
-	hedgeAfter = 300 * time.Millisecond
+	// demandHedge is how long an entry of another zone may take over a demand before
+	// a second one is asked beside: longer than an owner that has nothing to say yet.
+	demandHedge = 600 * time.Millisecond
+	// signHedge is the same for a sign of life, which is given at once.
+	signHedge = 300 * time.Millisecond
 	// asksMost is how many entries of another zone are asked.
 	asksMost = 2
 )
@@ -111,6 +114,11 @@
 		return ok && e.doubts.has(e.sourceOf(m))
 	})
 	for _, shard := range order {
+		if ctx.Err() != nil {
+			// Nobody waits for the answer, and a demand at one more shard could make
+			// one more load.
+			return best, trace.Wrap(ctx.Err(), "demand in zone %s", e.self.Zone)
+		}
 		reply, errShard := e.demandShard(ctx, shard, d)
 		if errShard != nil {
 			continue
@@ -176,12 +184,13 @@
 }
 
 // answered notes whether a source had an answer to a demand. That it had none in
-// what others had left of the time says nothing.
+// what others had left of the time, or before the asker went away, says nothing.
 func (e *Entry) answered(ctx context.Context, source string, began time.Time, err error) {
 	switch {
 	case err == nil:
 		e.heardOf(source)
-	case ctx.Err() == nil || e.timer.Now().Sub(began) > hedgeAfter:
+	case errors.Is(ctx.Err(), context.Canceled):
+	case ctx.Err() == nil || e.timer.Now().Sub(began) > demandHedge:
 		e.doubt(source)
 	}
 }
@@ -195,7 +204,7 @@
 		return ports.DemandReply{}, trace.ConnectionProblem(nil, "no entry of zone %s is known", zone)
 	}
 	began := e.timer.Now()
-	reply, err := askInTurn(ctx, e.timer, members, func(ctx context.Context, m ports.Member) (ports.DemandReply, error) {
+	reply, err := askInTurn(ctx, e.timer, demandHedge, members, func(ctx context.Context, m ports.Member) (ports.DemandReply, error) {
 		return e.askDemand(ctx, m, d)
 	})
 	e.answered(ctx, e.sourceOf(members[0]), began, err)
@@ -220,9 +229,10 @@
 }
 
 // askInTurn returns the first answer of members, each of which is asked when the
-// one before has failed or kept silent for hedgeAfter.
+// one before has failed or kept silent for hedge.
 func askInTurn[T any](
-	ctx context.Context, clock timer.Service, members []ports.Member, ask func(context.Context, ports.Member) (T, error),
+	ctx context.Context, clock timer.Service, hedge time.Duration, members []ports.Member,
+	ask func(context.Context, ports.Member) (T, error),
 ) (T, error) {
 	type answer struct {
 		reply T
@@ -232,7 +242,7 @@
 	defer cancel()
 	answers := make(chan answer, len(members))
 	late := make(chan struct{}, 1)
-	defer clock.After(hedgeAfter, func() { late <- struct{}{} })()
+	defer clock.After(hedge, func() { late <- struct{}{} })()
 	asked := 0
 	next := func() {
 		if asked == len(members) {
--- a/internal/entry/reach.go
+++ b/internal/entry/reach.go
@@ -90,7 +90,7 @@
 	if len(members) == 0 {
 		return trace.ConnectionProblem(nil, "no entry of zone %s is known", zone)
 	}
-	_, err := askInTurn(ctx, e.timer, members, func(ctx context.Context, m ports.Member) (any, error) {
+	_, err := askInTurn(ctx, e.timer, signHedge, members, func(ctx context.Context, m ports.Member) (any, error) {
 		return e.peers.Ask(ctx, m.Addr, ports.FetchConfig{After: e.config().Version})
 	})
 	return trace.Wrap(err, "sign of life of zone %s", zone)
