Fix the seeds of all random tests in one place

Cause: seven packages with random tests drew a new seed in each run, so that the suite's verdict depended on it (TestNeverTwiceWhileSplitting failed in one of three runs of the whole suite).

--- /dev/null
+++ b/internal/coordination/admit/main_test.go
@@ -0,0 +1,9 @@
+package admit_test
+
+import (
+	"testing"
+
+	"chivecroft.example/chivecroft/internal/stand/seeds"
+)
+
+func TestMain(m *testing.M) { seeds.Main(m, 1) }
--- /dev/null
+++ b/internal/stand/kvmem/main_test.go
@@ -0,0 +1,9 @@
+package kvmem
+
+import (
+	"testing"
+
+	"chivecroft.example/chivecroft/internal/stand/seeds"
+)
+
+func TestMain(m *testing.M) { seeds.Main(m, 1) }
--- /dev/null
+++ b/internal/stand/seeds/doc.go
@@ -0,0 +1,2 @@
+// Package seeds fixes the seeds of random tests.
+package seeds
