Leave a free permit to the other side of a cut; judge outages by more than one answer

Run from a fresh clone, the suite failed in two tests.

TestZoneCutOff, fenced: a model with a permit in the zone cut off was to be loaded in the other zone as well and was refused tooLate. Cause: a home shard takes a free permit ahead of use, five to 35 s after a configuration; where it took the second of two, both were in the zone that was then cut off. Now one is taken ahead only while nobody holds any. Ruled out: how long an owner holds its answer (refused at 1.5, 1.8 and 2.0 s with 400 ms, 700 ms and 1 s).

TestEverythingAtOnce: a ticket was refused claimsUnavailable without need. Cause: one answer that was lost, a second before, counted as an outage. Failures have to be a second apart now, with no answer between them. TestOneLostAnswerIsNoOutage passes with and without that, so the process test is what shows it.

An owner holds its answer for 1 s again, a demand waits 1.5 s for other zones and a second entry is asked after 1.2 s, since an early answer brings an early estimate.

The whole suite was not run again after this change.

--- a/internal/coordination/once/silence.go
+++ b/internal/coordination/once/silence.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	// silentAfter is how long calls must have failed without an answer between
-	// them before new claims are refused at once.
+	// silentAfter is how long calls must have failed, from the first to the last,
+	// without an answer between them before new claims are refused at once: one
+	// answer that was lost says nothing, however long ago that was.
 	silentAfter = time.Second
 	// silentFor is how long the last failure counts: one that is older says nothing
 	// of the KV service any more.
@@ -46,7 +47,7 @@
 
 // refuses tells whether a new claim is to be refused without a try.
 func (s *silence) refuses(now time.Time) bool {
-	if s.since.IsZero() || now.Sub(s.since) < silentAfter || now.Sub(s.last) > silentFor {
+	if s.since.IsZero() || s.last.Sub(s.since) < silentAfter || now.Sub(s.last) > silentFor {
 		return false
 	}
 	if !now.Before(s.probeAt) {
--- a/internal/coordination/owner/ahead.go
+++ b/internal/coordination/owner/ahead.go
@@ -59,6 +59,14 @@
 	}
 }
 
+// leavesToOthers tells whether a permit that is wanted ahead of use is left free:
+// one of the model is held already, so that one side of a cut can load it, and the
+// other side finds the free one in the ledger. Slots of the weight store are for
+// all models and taken in any case.
+func (s *Shard) leavesToOthers(resource string, l permit.Ledger) bool {
+	return s.permits.ahead[resource] && resource != permit.Store && l.Resources[resource].Granted() > 0
+}
+
 // dropAhead ends the tries for permits ahead of use in a bucket.
 func (s *Shard) dropAhead(n int) {
 	for resource := range s.permits.ahead {
--- a/internal/coordination/owner/demand.go
+++ b/internal/coordination/owner/demand.go
@@ -10,7 +10,7 @@
 
 // answerWithin bounds the wait of an ask for a decision; after that it is told
 // that the load is queued.
-const answerWithin = 400 * time.Millisecond
+const answerWithin = time.Second
 
 // queuedEstimate is added to a load's time for a load that waits for its turn.
 const queuedEstimate = 2 * time.Second
--- a/internal/coordination/owner/ledger.go
+++ b/internal/coordination/owner/ledger.go
@@ -104,6 +104,9 @@
 		if !ok {
 			continue
 		}
+		if s.leavesToOthers(resource, l) {
+			continue
+		}
 		after, grant := l.Grant(resource, s.name(), uint64(s.session.epoch), wanted)
 		if grant > s.permits.held[resource] {
 			l = after
--- a/internal/entry/demand.go
+++ b/internal/entry/demand.go
@@ -18,11 +18,11 @@
 
 const (
 	// demandPatience is how long a demand waits for those who do not answer. An
-	// owner answers within 400 ms also while it waits for the KV service.
-	demandPatience = 1200 * time.Millisecond
+	// owner answers within a second also while it waits for the KV service.
+	demandPatience = 1500 * time.Millisecond
 	// demandHedge is how long an entry of another zone may take over a demand before
 	// a second one is asked beside: longer than an owner that has nothing to say yet.
-	demandHedge = 600 * time.Millisecond
+	demandHedge = 1200 * time.Millisecond
 	// signHedge is the same for a sign of life, which is given at once.
 	signHedge = 300 * time.Millisecond
 	// asksMost is how many entries of another zone are asked.
