--- a/cmd/chivecroft/ownerless_test.go
+++ b/cmd/chivecroft/ownerless_test.go
@@ -13,14 +13,7 @@
 // and for those of an entry that starts only then.
 func TestWarmWithoutOwner(t *testing.T) {
 	t.Parallel()
-	s := newSystem(t)
-	s.startTarget("bul-a-t1", "bul-a", "bulacan")
-	s.startEntry("bul-a-e1", "bul-a", "bulacan")
-	s.startEntry("bul-a-e2", "bul-a", "bulacan")
-	if code, out := s.command("bul-a-e1", patch, "patch"); code != 0 {
-		t.Fatalf("patch: exit %d\n%s", code, out)
-	}
-	s.settled(1, "bul-a-e1", "bul-a-e2")
+	s := newPair(t)
 	for _, id := range []string{"bul-a-e1", "bul-a-e2"} {
 		if text, whole, status, err := chat(s.callers[id], "menu-7b", "warm up", 4); err != nil || !whole {
 			t.Fatalf("warm-up: %d, %v: %s", status, err, text)
--- a/cmd/chivecroft/takeover_test.go
+++ b/cmd/chivecroft/takeover_test.go
@@ -14,14 +14,7 @@
 // entry has taken the shard over, and while it does, the model stays warm for
 // the callers of the entry that is left.
 func TestWarmThroughTakeover(t *testing.T) {
-	s := newSystem(t)
-	s.startTarget("bul-a-t1", "bul-a", "bulacan")
-	s.startEntry("bul-a-e1", "bul-a", "bulacan")
-	s.startEntry("bul-a-e2", "bul-a", "bulacan")
-	if code, out := s.command("bul-a-e1", patch, "patch"); code != 0 {
-		t.Fatalf("patch: exit %d\n%s", code, out)
-	}
-	s.settled(1, "bul-a-e1", "bul-a-e2")
+	s := newPair(t)
 	if text, whole, status, err := chat(s.callers["bul-a-e1"], "menu-7b", "warm up", 4); err != nil || !whole {
 		t.Fatalf("warm-up: %d, %v: %s", status, err, text)
 	}
@@ -59,14 +52,7 @@
 // the replica by then, since it follows an owner as soon as it knows of it.
 func TestWarmRightAfterSettling(t *testing.T) {
 	t.Parallel()
-	s := newSystem(t)
-	s.startTarget("bul-a-t1", "bul-a", "bulacan", "--load-time", "1ms")
-	s.startEntry("bul-a-e1", "bul-a", "bulacan")
-	s.startEntry("bul-a-e2", "bul-a", "bulacan")
-	if code, out := s.command("bul-a-e1", patch, "patch"); code != 0 {
-		t.Fatalf("patch: exit %d\n%s", code, out)
-	}
-	s.settled(1, "bul-a-e1", "bul-a-e2")
+	s := newPair(t, "--load-time", "1ms")
 	if text, whole, status, err := chat(s.callers["bul-a-e1"], "menu-7b", "warm up", 4); err != nil || !whole {
 		t.Fatalf("warm-up: %d, %v: %s", status, err, text)
 	}
@@ -82,6 +68,21 @@
 	}
 }
 
+// newPair returns a system with two entries in one zone before one target, with
+// version 1 in force and all shards owned; more are flags of the target.
+func newPair(t *testing.T, more ...string) *system {
+	t.Helper()
+	s := newSystem(t)
+	s.startTarget("bul-a-t1", "bul-a", "bulacan", more...)
+	s.startEntry("bul-a-e1", "bul-a", "bulacan")
+	s.startEntry("bul-a-e2", "bul-a", "bulacan")
+	if code, out := s.command("bul-a-e1", patch, "patch"); code != 0 {
+		t.Fatalf("patch: exit %d\n%s", code, out)
+	}
+	s.settled(1, "bul-a-e1", "bul-a-e2")
+	return s
+}
+
 // ownerOf returns the entry that owns the shard of a model's replica, and the
 // other one.
 func (s *system) ownerOf(model string) (owner, other string) {
--- a/internal/coordination/member/message.go
+++ b/internal/coordination/member/message.go
@@ -95,7 +95,7 @@
 // still hear of each other through a third.
 func (p *Part) summary() ports.Gossip {
 	own := p.view.ids(func(r *record) bool { return r.said.Zone == p.self.Zone && Answers(r.phase) })
-	picked := Choose(own, delegateDuty, sampleSize)
+	picked := Choose(own, delegateDuty, SampleSize)
 	remote := p.view.ids(func(r *record) bool { return r.said.Zone != p.self.Zone && Answers(r.phase) })
 	return p.message(p.addRandom(picked, remote, remoteSlots))
 }
--- a/internal/coordination/member/view.go
+++ b/internal/coordination/member/view.go
@@ -31,11 +31,11 @@
 // left alone, so that one that died does not draw all rounds to itself.
 const askAgainAfter = 5 * time.Second
 
-// sampleSize is the number of members kept of each other zone that answer.
-const sampleSize = 8
+// SampleSize is the number of members kept of each other zone that answer.
+const SampleSize = 8
 
 // lostSampleSize is the number of those kept that no longer answer.
-const lostSampleSize = 4 * sampleSize
+const lostSampleSize = 4 * SampleSize
 
 // view is the set of records, without the entry itself.
 type view struct {
@@ -151,7 +151,7 @@
 		return true
 	}
 	rivals := v.ids(func(r *record) bool { return r.said.Zone == m.Zone && Answers(r.phase) })
-	return len(rivals) < sampleSize || slices.Contains(Choose(append(rivals, m.ID), delegateDuty, sampleSize), m.ID)
+	return len(rivals) < SampleSize || slices.Contains(Choose(append(rivals, m.ID), delegateDuty, SampleSize), m.ID)
 }
 
 // trimSample bounds the records of another zone.
@@ -166,7 +166,7 @@
 		return
 	}
 	answering := v.ids(func(r *record) bool { return r.said.Zone == zone && Answers(r.phase) })
-	kept := Choose(answering, delegateDuty, sampleSize)
+	kept := Choose(answering, delegateDuty, SampleSize)
 	for _, id := range answering {
 		if !slices.Contains(kept, id) {
 			v.drop(id)
--- a/internal/coordination/once/split.go
+++ b/internal/coordination/once/split.go
@@ -4,16 +4,13 @@
 	"fmt"
 	"math"
 
+	"chivecroft.example/chivecroft/internal/coordination/member"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 )
 
 // depthMost bounds how often a bucket and what came of it can be split.
 const depthMost = 16
 
-// zoneSample is how many entries of another zone are known at least if it has as
-// many.
-const zoneSample = 8
-
 // entriesAssumed is the number of entries before the first news of them.
 const entriesAssumed = 8
 
@@ -181,7 +178,7 @@
 		largest = max(largest, n)
 	}
 	for _, n := range zones {
-		if n >= zoneSample {
+		if n >= member.SampleSize {
 			n = largest
 		}
 		sum += n
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,6 +11,7 @@
 
 	"github.com/gravitational/trace"
 	"github.com/phuslu/log"
+	"golang.org/x/sync/singleflight"
 
 	"chivecroft.example/chivecroft/internal/coordination/admit"
 	"chivecroft.example/chivecroft/internal/coordination/await"
@@ -65,7 +66,8 @@
 	told     told
 	pulls    pulls
 	doubts   *doubts
-	signs    signs
+	// signs are the questions to other zones for a sign of life, one for each zone.
+	signs singleflight.Group
 	// membersNews holds one signal while a change of the members has not been
 	// looked at by followTables.
 	membersNews chan struct{}
--- a/internal/entry/reach.go
+++ b/internal/entry/reach.go
@@ -5,7 +5,6 @@
 	"net/netip"
 	"slices"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -25,41 +24,6 @@
 // the request which waits for that probe already knows.
 const signPatience = 700 * time.Millisecond
 
-// signs are the questions to other zones for a sign of life that are under way,
-// one for each zone.
-type signs struct {
-	mu      sync.Mutex
-	running map[string]*sign
-}
-
-// sign is one question; silent is set before done is closed.
-type sign struct {
-	done   chan struct{}
-	silent bool
-}
-
-// of joins the question to a zone, or begins one.
-func (s *signs) of(zone string, ask func() error) *sign {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if one := s.running[zone]; one != nil {
-		return one
-	}
-	if s.running == nil {
-		s.running = make(map[string]*sign)
-	}
-	one := &sign{done: make(chan struct{})}
-	s.running[zone] = one
-	go func() {
-		one.silent = ask() != nil
-		s.mu.Lock()
-		delete(s.running, zone)
-		s.mu.Unlock()
-		close(one.done)
-	}()
-	return one
-}
-
 // targetSilent asks the zone of a target that seems silent for a sign of life,
 // if that is another zone. The caller calls raise once it knows that the target
 // is silent: if the zone's entries are so as well, the zone counts as cut off.
@@ -73,10 +37,9 @@
 	if !abroad {
 		return func() {}
 	}
-	one := e.signs.of(zone, func() error { return e.askSign(zone) })
+	asked := e.signs.DoChan(zone, func() (any, error) { return nil, e.askSign(zone) })
 	return func() {
-		<-one.done
-		if one.silent {
+		if sign := <-asked; sign.Err != nil {
 			e.cutOff(zone)
 		}
 	}
--- a/internal/transport/gate/watch.go
+++ b/internal/transport/gate/watch.go
@@ -26,6 +26,11 @@
 	if count == nil {
 		return c
 	}
+	return Counted(c, count)
+}
+
+// Counted returns a connection that tells count of its bytes.
+func Counted(c net.Conn, count Count) net.Conn {
 	return countedConn{Conn: c, count: count}
 }
 
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -34,7 +34,7 @@
 type Client struct {
 	tls     *tls.Config
 	timeout time.Duration
-	count   Counter
+	count   gate.Count
 	watch   gate.Watch
 
 	mu    sync.Mutex
@@ -62,7 +62,7 @@
 }
 
 // WithCounter tells count of the bytes of all connections.
-func WithCounter(count Counter) Option {
+func WithCounter(count gate.Count) Option {
 	return func(c *Client) { c.count = count }
 }
 
