Serve callers on the users' platform: a thin whole path

Nothing of chivecroft ran on its users' machines. `chivecroft serve` reads the platform's boot file, follows configuration and replicas in its store, and passes requests to a replica that holds their model. No replica is ordered to load yet.

--- /dev/null
+++ b/internal/coordination/seat/board.go
@@ -0,0 +1,337 @@
+package seat
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"chivecroft.example/chivecroft/internal/state/fleet"
+	"chivecroft.example/chivecroft/internal/state/timer"
+)
+
+// What a request's way to another zone or region costs, in requests at a replica.
+const (
+	zoneCost   = 1.5
+	regionCost = 4.0
+	// failureCost weighs a replica's failure rate.
+	failureCost = 20.0
+	// defaultRetryAfter is the advice where no load is under way.
+	defaultRetryAfter = 2 * time.Second
+	// lookInterval is the longest time between two looks at those who wait.
+	lookInterval = 50 * time.Millisecond
+)
+
+// Board finds replicas; it is safe for concurrent use.
+type Board struct {
+	timer   timer.Service
+	zone    string
+	regions map[string]string
+	// demanded is called after a request has begun to wait for a model.
+	demanded func()
+
+	mu       sync.Mutex
+	replicas map[string]*replica
+	// means is the failure rate of each service.
+	means   map[string]float64
+	waiting []*waiter
+	// expected is when the holder expects a model to be ready.
+	expected map[string]Outlook
+	arrivals map[modelKey]int
+	looking  bool
+}
+
+// Outlook is what the holder says of a model that is not ready.
+type Outlook struct {
+	// Ready is when the model is expected to serve.
+	Ready time.Time
+	// Refused tells that nobody will load the model before then.
+	Refused bool
+}
+
+// modelKey names a model of a service.
+type modelKey struct{ service, model string }
+
+type waiter struct {
+	req   Request
+	reply chan answer
+}
+
+type answer struct {
+	seat *Seat
+	err  error
+}
+
+// Option changes a Board under construction.
+type Option func(*Board)
+
+// WithDemand calls f after a request has begun to wait for a model; f must not block.
+func WithDemand(f func()) Option {
+	return func(b *Board) { b.demanded = f }
+}
+
+// NewBoard returns a board without replicas for an instance of zone; regions maps
+// zones to their regions.
+func NewBoard(t timer.Service, zone string, regions map[string]string, opts ...Option) *Board {
+	b := &Board{
+		timer: t, zone: zone, regions: regions, demanded: func() {},
+		replicas: make(map[string]*replica),
+		means:    make(map[string]float64),
+		expected: make(map[string]Outlook),
+		arrivals: make(map[modelKey]int),
+	}
+	for _, opt := range opts {
+		opt(b)
+	}
+	return b
+}
+
+// Acquire returns a place for a request, waiting until there is one, the request's
+// deadline passes or ctx ends.
+func (b *Board) Acquire(ctx context.Context, q Request) (*Seat, error) {
+	b.mu.Lock()
+	now := b.timer.Now()
+	if q.Model != "" && len(q.Exclude) == 0 {
+		b.arrivals[modelKey{q.Service, q.Model}]++
+	}
+	if s := b.pick(now, &q); s != nil {
+		b.mu.Unlock()
+		return s, nil
+	}
+	if refusal := b.hopeless(now, &q); refusal != nil {
+		b.mu.Unlock()
+		return nil, refusal
+	}
+	w := &waiter{req: q, reply: make(chan answer, 1)}
+	b.waiting = append(b.waiting, w)
+	slices.SortStableFunc(b.waiting, compareWaiters)
+	b.watchLocked()
+	b.mu.Unlock()
+	b.demanded()
+	select {
+	case a := <-w.reply:
+		return a.seat, a.err
+	case <-ctx.Done():
+		return nil, b.leave(w, ctx.Err())
+	}
+}
+
+// compareWaiters puts the more urgent request first, then the older one.
+func compareWaiters(x, y *waiter) int {
+	if x.req.Priority != y.req.Priority {
+		return x.req.Priority - y.req.Priority
+	}
+	return x.req.Arrived.Compare(y.req.Arrived)
+}
+
+// leave takes a waiter out whose caller is gone; a place that it was given at the
+// same moment is given back.
+func (b *Board) leave(w *waiter, err error) error {
+	b.mu.Lock()
+	i := slices.Index(b.waiting, w)
+	if i >= 0 {
+		b.waiting = slices.Delete(b.waiting, i, i+1)
+	}
+	b.mu.Unlock()
+	if i < 0 {
+		if a := <-w.reply; a.seat != nil {
+			a.seat.Done(Outcome{})
+		}
+	}
+	return err
+}
+
+// pick takes a place at the best open replica, nil if there is none.
+func (b *Board) pick(now time.Time, q *Request) *Seat {
+	best := b.best(now, q, false)
+	if best == nil {
+		best = b.best(now, q, true)
+	}
+	if best == nil {
+		return nil
+	}
+	load := best.load(now)
+	best.flying++
+	if q.Model != "" {
+		if best.byModel == nil {
+			best.byModel = make(map[string]int)
+		}
+		best.byModel[q.Model]++
+	}
+	return &Seat{
+		Replica: best.Replica, Waited: now.Sub(q.Arrived), Load: load,
+		board: b, state: best, model: q.Model,
+	}
+}
+
+func (b *Board) best(now time.Time, q *Request, ejected bool) *replica {
+	var best *replica
+	lowest := 0.0
+	for _, r := range b.replicas {
+		if r.Service != q.Service || !r.open(now, q) || now.Before(r.ejectedUntil) != ejected {
+			continue
+		}
+		cost := b.cost(now, r)
+		if best == nil || cost < lowest || cost == lowest && r.ID < best.ID {
+			best, lowest = r, cost
+		}
+	}
+	return best
+}
+
+func (b *Board) cost(now time.Time, r *replica) float64 {
+	cost := r.load(now) + failureCost*max(r.failures-b.means[r.Service], 0)
+	switch {
+	case r.Zone == b.zone:
+	case b.regions[r.Zone] == b.regions[b.zone]:
+		cost += zoneCost
+	default:
+		cost += regionCost
+	}
+	return cost
+}
+
+// hopeless returns a refusal if waiting cannot help.
+func (b *Board) hopeless(now time.Time, q *Request) *Refusal {
+	if !now.Before(q.Deadline) {
+		return &Refusal{Reason: ReasonDeadline, RetryAfter: b.retryAfter(now, q)}
+	}
+	if q.Model == "" {
+		return nil
+	}
+	if e, ok := b.expected[q.Model]; ok && e.Refused && e.Ready.After(q.Deadline) {
+		return &Refusal{Reason: ReasonTooLate, RetryAfter: b.retryAfter(now, q)}
+	}
+	return nil
+}
+
+func (b *Board) retryAfter(now time.Time, q *Request) time.Duration {
+	if e, ok := b.expected[q.Model]; ok && q.Model != "" && e.Ready.After(now) {
+		return e.Ready.Sub(now)
+	}
+	return defaultRetryAfter
+}
+
+// release takes a place back and lets the next request have it.
+func (b *Board) release(s *Seat, out Outcome) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s.done {
+		return
+	}
+	s.done = true
+	now := b.timer.Now()
+	r := s.state
+	r.flying--
+	if s.model != "" {
+		r.byModel[s.model]--
+	}
+	if out.LoadKnown {
+		r.told(now, out.Running, out.Waiting)
+	}
+	mean := b.means[r.Service]
+	r.ended(now, out, mean)
+	b.means[r.Service] = mean + failureWeight/float64(1+b.count(r.Service))*(r.failures-mean)
+	b.serve(now)
+}
+
+func (b *Board) count(service string) int {
+	n := 0
+	for _, r := range b.replicas {
+		if r.Service == service {
+			n++
+		}
+	}
+	return n
+}
+
+// serve gives places to those who wait and refuses whom waiting cannot help.
+func (b *Board) serve(now time.Time) {
+	b.waiting = slices.DeleteFunc(b.waiting, func(w *waiter) bool {
+		if s := b.pick(now, &w.req); s != nil {
+			w.reply <- answer{seat: s}
+			return true
+		}
+		if refusal := b.hopeless(now, &w.req); refusal != nil {
+			w.reply <- answer{err: refusal}
+			return true
+		}
+		return false
+	})
+	b.watchLocked()
+}
+
+// watchLocked keeps a timer running while requests wait, for deadlines and
+// ejections that end.
+func (b *Board) watchLocked() {
+	if b.looking || len(b.waiting) == 0 {
+		return
+	}
+	b.looking = true
+	b.timer.After(lookInterval, func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.looking = false
+		b.serve(b.timer.Now())
+	})
+}
+
+// SetReplica adds a replica or takes its new description.
+func (b *Board) SetReplica(r fleet.Replica) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.timer.Now()
+	have := b.replicas[r.ID]
+	if have == nil || have.Born != r.Born || have.Addr != r.Addr {
+		b.replicas[r.ID] = &replica{Replica: r, toldAt: now}
+	} else {
+		have.Replica = r
+		have.missing = time.Time{}
+	}
+	b.serve(now)
+}
+
+// Remove takes a replica out that has vanished from the list; with doubt it is
+// used on for a short time, since it may come back.
+func (b *Board) Remove(id string, doubt bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.replicas[id]
+	if r == nil {
+		return
+	}
+	now := b.timer.Now()
+	if !doubt || r.gone(now) {
+		delete(b.replicas, id)
+		return
+	}
+	if r.missing.IsZero() {
+		r.missing = now
+		b.timer.After(doubtTime, func() { b.Remove(id, true) })
+	}
+}
+
+// IDs returns the replicas on the board.
+func (b *Board) IDs() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	ids := make([]string, 0, len(b.replicas))
+	for id := range b.replicas {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Learn takes the holder's news of replicas and its outlook on models; each
+// outlook replaces all former ones.
+func (b *Board) Learn(news []News, expected map[string]Outlook) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i := range news {
+		if r := b.replicas[news[i].ID]; r != nil && r.Born == news[i].Born {
+			r.news = &news[i]
+		}
+	}
+	b.expected = expected
+	b.serve(b.timer.Now())
+}
--- /dev/null
+++ b/internal/coordination/seat/demand.go
@@ -0,0 +1,97 @@
+package seat
+
+import (
+	"sort"
+	"time"
+)
+
+// Demand is what an instance tells the holder of one model.
+type Demand struct {
+	Service string `json:"service"`
+	Model   string `json:"model"`
+	// Waiting counts the requests without a place; Priority is that of the most
+	// urgent of them and WaitedMS the longest wait in milliseconds.
+	Waiting  int   `json:"waiting,omitempty"`
+	Priority int   `json:"priority,omitempty"`
+	WaitedMS int64 `json:"waitedMs,omitempty"`
+	// LeftMS is the time in milliseconds until the last of them is refused.
+	LeftMS int64 `json:"leftMs,omitempty"`
+	// Adapters are those that requests wait for.
+	Adapters []string `json:"adapters,omitempty"`
+	// Flying counts the requests at replicas, Arrived those that came since the
+	// last summary.
+	Flying  int `json:"flying,omitempty"`
+	Arrived int `json:"arrived,omitempty"`
+}
+
+// Demand returns the demand for each model that is used or waited for, and starts
+// the next count of arrivals.
+func (b *Board) Demand() []Demand {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.timer.Now()
+	sums := make(map[modelKey]*Demand)
+	at := func(service, model string) *Demand {
+		d := sums[modelKey{service, model}]
+		if d == nil {
+			d = &Demand{Service: service, Model: model}
+			sums[modelKey{service, model}] = d
+		}
+		return d
+	}
+	for _, r := range b.replicas {
+		for model, n := range r.byModel {
+			if n > 0 {
+				at(r.Service, model).Flying += n
+			}
+		}
+	}
+	for _, w := range b.waiting {
+		if w.req.Model != "" {
+			at(w.req.Service, w.req.Model).add(now, &w.req)
+		}
+	}
+	for key, n := range b.arrivals {
+		at(key.service, key.model).Arrived += n
+	}
+	clear(b.arrivals)
+	out := make([]Demand, 0, len(sums))
+	for _, d := range sums {
+		out = append(out, *d)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Model < out[j].Model })
+	return out
+}
+
+// Waits tells whether any request waits for a model.
+func (b *Board) Waits() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, w := range b.waiting {
+		if w.req.Model != "" {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *Demand) add(now time.Time, q *Request) {
+	if d.Waiting == 0 || q.Priority < d.Priority {
+		d.Priority = q.Priority
+	}
+	d.Waiting++
+	d.WaitedMS = max(d.WaitedMS, now.Sub(q.Arrived).Milliseconds())
+	d.LeftMS = max(d.LeftMS, q.Deadline.Sub(now).Milliseconds())
+	if q.Adapter != "" {
+		d.Adapters = appendNew(d.Adapters, q.Adapter)
+	}
+}
+
+func appendNew(list []string, s string) []string {
+	for _, have := range list {
+		if have == s {
+			return list
+		}
+	}
+	return append(list, s)
+}
--- /dev/null
+++ b/internal/coordination/seat/replica.go
@@ -0,0 +1,117 @@
+package seat
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"chivecroft.example/chivecroft/internal/state/fleet"
+)
+
+// Bounds of what is believed of a replica.
+const (
+	// loadHalfLife is the time in which a told load loses half of its weight.
+	loadHalfLife = 2 * time.Second
+	// failureWeight is the weight of one outcome in a replica's failure rate.
+	failureWeight = 0.15
+	// ejectRate is how far a replica's failure rate may lie above that of its
+	// service before it is ejected.
+	ejectRate = 0.35
+	// ejectFirst and ejectMost bound the time of an ejection, which doubles while
+	// the replica goes on failing.
+	ejectFirst = 500 * time.Millisecond
+	ejectMost  = 8 * time.Second
+	// fullTime is how long a replica that was full is passed over.
+	fullTime = 100 * time.Millisecond
+	// doubtTime is how long a replica is used on that vanished from the list while
+	// the store was in trouble: living ones come back within it.
+	doubtTime = 2 * time.Second
+)
+
+// replica is what the board knows of one replica.
+type replica struct {
+	fleet.Replica
+	// news is what the holder says of the replica's models.
+	news *News
+	// flying counts the requests of this instance there, byModel by model.
+	flying  int
+	byModel map[string]int
+	// others is the load that others cause, as of toldAt.
+	others float64
+	toldAt time.Time
+
+	failures     float64
+	ejectedUntil time.Time
+	ejection     time.Duration
+	fullUntil    time.Time
+	// missing is when the replica vanished from the list, zero while it is there.
+	missing time.Time
+}
+
+// News is what the holder of the placement knows of a replica.
+type News struct {
+	fleet.Identity
+	Sequence int64          `json:"sequence"`
+	Models   []fleet.Loaded `json:"models"`
+}
+
+// holds tells whether the replica serves a model and adapter, by the newer of the
+// list and the holder's news.
+func (r *replica) holds(model, adapter string) bool {
+	if r.news != nil && r.news.Born == r.Born && r.news.Sequence >= r.Sequence {
+		h := fleet.Holding{Models: r.news.Models}
+		return h.Has(model, adapter)
+	}
+	return r.Has(model, adapter)
+}
+
+// load estimates the requests at the replica.
+func (r *replica) load(now time.Time) float64 {
+	age := now.Sub(r.toldAt).Seconds() / loadHalfLife.Seconds()
+	return float64(r.flying) + r.others*math.Exp2(-age)
+}
+
+func (r *replica) told(now time.Time, running, waiting int) {
+	r.others = max(float64(running+waiting-r.flying), 0)
+	r.toldAt = now
+}
+
+func (r *replica) gone(now time.Time) bool {
+	return !r.missing.IsZero() && now.Sub(r.missing) >= doubtTime
+}
+
+// open tells whether a request may be sent to the replica at all.
+func (r *replica) open(now time.Time, q *Request) bool {
+	switch {
+	case r.Draining, r.gone(now), now.Before(r.fullUntil):
+		return false
+	case slices.Contains(q.Exclude, r.Identity):
+		return false
+	case q.Model != "" && !r.holds(q.Model, q.Adapter):
+		return false
+	}
+	return r.load(now) < float64(r.Slots)*q.overbook()
+}
+
+func (r *replica) failed(now time.Time) {
+	r.ejection = min(max(2*r.ejection, ejectFirst), ejectMost)
+	r.ejectedUntil = now.Add(r.ejection)
+}
+
+func (r *replica) ended(now time.Time, out Outcome, mean float64) {
+	value := 0.0
+	if out.Failed {
+		value = 1
+	}
+	r.failures += failureWeight * (value - r.failures)
+	switch {
+	case out.Unreachable:
+		r.failed(now)
+	case out.Failed && r.failures > mean+ejectRate:
+		r.failed(now)
+	case out.Full:
+		r.fullUntil = now.Add(fullTime)
+	case !out.Failed:
+		r.ejection = 0
+	}
+}
--- /dev/null
+++ b/internal/coordination/seat/request.go
@@ -0,0 +1,100 @@
+package seat
+
+import (
+	"time"
+
+	"chivecroft.example/chivecroft/internal/state/fleet"
+)
+
+// engineOverbook and plainOverbook are how full a replica may be, as shares of
+// its slots. Plain services queue a few requests, and a short queue is better
+// than a wait for news of a free slot.
+const (
+	engineOverbook = 1.0
+	plainOverbook  = 2.0
+)
+
+// Request asks for a replica.
+type Request struct {
+	ID      string
+	Service string
+	// Model is empty for plain services.
+	Model   string
+	Adapter string
+	// Priority is the rank of the request, 0 being the most urgent.
+	Priority int
+	// Arrived is when the request came, Deadline until when it may wait.
+	Arrived  time.Time
+	Deadline time.Time
+	// Target is when an answer should begin.
+	Target time.Time
+	// Exclude names the replicas that were tried.
+	Exclude []fleet.Identity
+}
+
+func (q *Request) overbook() float64 {
+	if q.Model == "" {
+		return plainOverbook
+	}
+	return engineOverbook
+}
+
+// Outcome is how a request ended at its replica.
+type Outcome struct {
+	// Failed tells that the replica gave no proper answer, Unreachable that it
+	// gave no sign of life at all.
+	Failed      bool
+	Unreachable bool
+	// Full tells that the replica turned the request away.
+	Full bool
+	// Running and Waiting are the load that the answer told, if LoadKnown.
+	LoadKnown bool
+	Running   int
+	Waiting   int
+}
+
+// Reason says why a request was refused.
+type Reason string
+
+// The reasons of a refusal.
+const (
+	ReasonDeadline  Reason = "deadline"
+	ReasonTooLate   Reason = "tooLate"
+	ReasonNoReplica Reason = "noReplica"
+	ReasonStopping  Reason = "stopping"
+)
+
+// Refusal is the error of a request that got no replica.
+type Refusal struct {
+	Reason     Reason
+	RetryAfter time.Duration
+}
+
+// Error returns the reason.
+func (r *Refusal) Error() string { return "refused: " + string(r.Reason) }
+
+// Seat is a place at a replica; Done gives it back.
+type Seat struct {
+	Replica fleet.Replica
+	// Waited is the time until the place was found.
+	Waited time.Duration
+	// Load is the estimated number of requests at the replica.
+	Load float64
+
+	board *Board
+	state *replica
+	model string
+	done  bool
+}
+
+// Done gives the place back; calls after the first do nothing.
+func (s *Seat) Done(out Outcome) {
+	s.board.release(s, out)
+}
+
+// Told notes the load that an answer tells while the request goes on.
+func (s *Seat) Told(running, waiting int) {
+	s.board.mu.Lock()
+	defer s.board.mu.Unlock()
+	s.state.told(s.board.timer.Now(), running, waiting)
+}
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,193 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/phuslu/log"
+
+	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/coordination/retry"
+	"chivecroft.example/chivecroft/internal/coordination/seat"
+	"chivecroft.example/chivecroft/internal/state/fleet"
+	"chivecroft.example/chivecroft/internal/state/timer"
+	"chivecroft.example/chivecroft/internal/transport/pass"
+	"chivecroft.example/chivecroft/platform"
+)
+
+// Bounds of the daemon.
+const (
+	// replicaPause lets changes of several replicas be read with one watch.
+	replicaPause = 150 * time.Millisecond
+	// headerBytes bounds a request's header.
+	headerBytes = 64 << 10
+	// headerTimeout bounds how long a header may take to arrive.
+	headerTimeout = 10 * time.Second
+	// callerIdle is how long a caller's connection may stay idle.
+	callerIdle = 2 * time.Minute
+)
+
+// Edge is one instance of the system.
+type Edge struct {
+	boot   *platform.Boot
+	log    *log.Logger
+	timer  timer.Service
+	store  *platform.Store
+	health *storeHealth
+	board  *seat.Board
+	budget *retry.Budget
+	pass   *pass.Server
+
+	config       atomic.Pointer[fleet.Config]
+	listed       atomic.Bool
+	stopping     atomic.Bool
+	loopCtx      context.Context //nolint:containedctx // ends the loops at Stop
+	stopLoops    context.CancelFunc
+	callers      *http.Server
+	ready        *http.Server
+	readyMessage string
+}
+
+// New returns an instance that does nothing yet.
+func New(boot *platform.Boot, l *log.Logger) *Edge {
+	e := &Edge{boot: boot, log: l, timer: timer.NewSystem(), health: &storeHealth{log: l}}
+	e.loopCtx, e.stopLoops = context.WithCancel(context.Background())
+	e.store = platform.NewStore(e.loopCtx, boot.Store)
+	e.board = seat.NewBoard(e.timer, boot.Zone, boot.Regions)
+	e.budget = retry.NewBudget(retry.Limits{
+		Ratio: boot.Bounds.RetryRatio, Extra: boot.Bounds.RetryExtra, Window: boot.Bounds.RetryWindow,
+	})
+	e.pass = pass.NewServer(platform.Codec{}, e.board, e.budget, e.timer, pass.WithLogger(l))
+	return e
+}
+
+// Start listens and begins to follow the store; it returns once both addresses
+// accept connections.
+func (e *Edge) Start(ctx context.Context) error {
+	e.callers = &http.Server{
+		Handler: e.pass, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: headerBytes,
+	}
+	e.ready = &http.Server{Handler: http.HandlerFunc(e.serveReady), ReadHeaderTimeout: headerTimeout}
+	if err := e.listen(ctx, e.callers, e.boot.Callers.String()); err != nil {
+		return err
+	}
+	if err := e.listen(ctx, e.ready, e.boot.Ready.String()); err != nil {
+		return err
+	}
+	go e.configFeed().run(e.loopCtx)
+	go e.replicaFeed().run(e.loopCtx)
+	e.log.Info().Str("instance", e.boot.Instance).Str("zone", e.boot.Zone).
+		Str("callers", e.boot.Callers.String()).Str("store", e.boot.Store.String()).Msg("started")
+	return nil
+}
+
+func (e *Edge) listen(ctx context.Context, s *http.Server, addr string) error {
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", addr)
+	if err != nil {
+		return trace.Wrap(err, "listen on %s", addr)
+	}
+	go func() {
+		if err := s.Serve(l); err != nil && err != http.ErrServerClosed {
+			e.log.Error().Err(err).Str("address", addr).Msg("serving ended")
+		}
+	}()
+	return nil
+}
+
+// serveReady tells the platform whether new callers should come here.
+func (e *Edge) serveReady(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path != platform.ReadyPath:
+		w.WriteHeader(http.StatusNotFound)
+	case e.isReady():
+		w.WriteHeader(http.StatusOK)
+	default:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (e *Edge) isReady() bool {
+	return e.config.Load() != nil && e.listed.Load() && !e.stopping.Load()
+}
+
+func (e *Edge) configFeed() *feed {
+	take := func(item ports.Item) {
+		if item.Key == platform.ConfigKey && !item.Deleted {
+			e.takeConfig(item)
+		}
+	}
+	return &feed{
+		name: "config", prefix: platform.ConfigKey, store: e.store, health: e.health, log: e.log,
+		whole: func(items []ports.Item) {
+			for _, item := range items {
+				take(item)
+			}
+		},
+		change: take,
+	}
+}
+
+// takeConfig puts a configuration in force unless a newer one is already.
+func (e *Edge) takeConfig(item ports.Item) {
+	c, err := platform.DecodeConfig(item.Value)
+	if err != nil {
+		e.log.Error().Err(err).Uint64("revision", uint64(item.Revision)).Msg("configuration rejected")
+		return
+	}
+	if have := e.config.Load(); have != nil && have.Version >= c.Version {
+		return
+	}
+	e.config.Store(c)
+	e.pass.SetConfig(c)
+	e.log.Info().Int64("version", c.Version).Uint64("revision", uint64(item.Revision)).
+		Int("routes", len(c.Routes)).Msg("configuration in force")
+}
+
+func (e *Edge) replicaFeed() *feed {
+	return &feed{
+		name: "replicas", prefix: platform.ReplicaPrefix, store: e.store, health: e.health, log: e.log,
+		pause: replicaPause, whole: e.takeReplicas, change: e.takeReplica,
+	}
+}
+
+func (e *Edge) takeReplicas(items []ports.Item) {
+	listed := make(map[string]bool, len(items))
+	for _, item := range items {
+		listed[item.Key] = true
+		e.takeReplica(item)
+	}
+	for _, id := range e.board.IDs() {
+		if !listed[platform.ReplicaPrefix+id] {
+			e.dropReplica(id)
+		}
+	}
+	e.listed.Store(true)
+}
+
+func (e *Edge) takeReplica(item ports.Item) {
+	id := item.Key[len(platform.ReplicaPrefix):]
+	if item.Deleted {
+		e.dropReplica(id)
+		return
+	}
+	r, err := platform.DecodeReplica(item.Key, item.Value)
+	if err != nil {
+		e.log.Warn().Err(err).Uint64("revision", uint64(item.Revision)).Msg("replica entry ignored")
+		e.board.Remove(id, false)
+		return
+	}
+	e.log.Debug().Str("replica", id).Bool("draining", r.Draining).Int64("sequence", r.Sequence).
+		Uint64("revision", uint64(item.Revision)).Msg("replica")
+	e.board.SetReplica(r)
+}
+
+func (e *Edge) dropReplica(id string) {
+	doubt := e.health.unsteady()
+	e.log.Info().Str("replica", id).Bool("doubt", doubt).Msg("replica vanished")
+	e.board.Remove(id, doubt)
+}
--- /dev/null
+++ b/internal/edge/feed.go
@@ -0,0 +1,167 @@
+package edge
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/platform"
+)
+
+// Bounds of following keys of the store.
+const (
+	// watchWait is the time of one watch. A watch whose connection has gone silent
+	// is found out a little later, so it bounds how old the state can be.
+	watchWait = 1500 * time.Millisecond
+	// retryFirst and retryMost bound the pause after a failed call.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = 500 * time.Millisecond
+	// troubleTime is how long after a failed call the store counts as unsteady.
+	troubleTime = 3 * time.Second
+)
+
+// feed follows all keys that begin with a prefix.
+type feed struct {
+	name   string
+	prefix string
+	store  *platform.Store
+	health *storeHealth
+	log    *log.Logger
+	// pause is the time between two watches, for changes to be read together.
+	pause time.Duration
+	// whole takes all items, change one that was written or deleted.
+	whole  func([]ports.Item)
+	change func(ports.Item)
+
+	revision ports.Revision
+	seen     map[string]ports.Revision
+}
+
+// storeHealth remembers when a call to the store last failed.
+type storeHealth struct {
+	failed atomic.Int64
+	down   atomic.Bool
+	log    *log.Logger
+}
+
+func (h *storeHealth) note(status ports.KVStatus, err error) {
+	if status != ports.KVUnavailable && status != ports.KVUnknown {
+		if h.down.CompareAndSwap(true, false) {
+			h.log.Info().Msg("store regained")
+		}
+		return
+	}
+	h.failed.Store(time.Now().UnixMilli())
+	if h.down.CompareAndSwap(false, true) {
+		h.log.Warn().Err(err).Msg("store lost")
+	}
+}
+
+// unsteady tells whether a call failed a short time ago.
+func (h *storeHealth) unsteady() bool {
+	return time.Now().UnixMilli()-h.failed.Load() < troubleTime.Milliseconds()
+}
+
+// run follows the keys until ctx ends.
+func (f *feed) run(ctx context.Context) {
+	f.seen = make(map[string]ports.Revision)
+	for ctx.Err() == nil {
+		if f.list(ctx) {
+			f.watch(ctx)
+		}
+	}
+}
+
+func (f *feed) call(req ports.KVRequest) ports.KVReply {
+	reply := f.store.Do(req)
+	f.health.note(reply.Status, reply.Err)
+	return reply
+}
+
+// list reads all items. Its pages are no snapshot, so the watch goes on from the
+// revision of the first page.
+func (f *feed) list(ctx context.Context) bool {
+	var items []ports.Item
+	var first ports.Revision
+	after := ""
+	pause := retryFirst
+	for ctx.Err() == nil {
+		reply := f.call(ports.KVList{Prefix: f.prefix, After: after})
+		if reply.Status != ports.KVOK {
+			f.log.Info().Str("feed", f.name).Str("status", reply.Status.String()).Err(reply.Err).Msg("list failed")
+			sleep(ctx, pause)
+			pause = min(2*pause, retryMost)
+			continue
+		}
+		if first == 0 {
+			first = reply.Revision
+		}
+		items = append(items, reply.Items...)
+		if !reply.More || len(reply.Items) == 0 {
+			break
+		}
+		after = reply.Items[len(reply.Items)-1].Key
+	}
+	if ctx.Err() != nil {
+		return false
+	}
+	f.revision = first
+	f.remember(items)
+	f.log.Info().Str("feed", f.name).Int("items", len(items)).Uint64("revision", uint64(first)).Msg("list read")
+	f.whole(items)
+	return true
+}
+
+func (f *feed) remember(items []ports.Item) {
+	clear(f.seen)
+	for _, item := range items {
+		f.seen[item.Key] = item.Revision
+	}
+}
+
+// watch takes changes until the history that it needs is gone.
+func (f *feed) watch(ctx context.Context) {
+	pause := retryFirst
+	for ctx.Err() == nil {
+		reply := f.call(ports.KVWatch{Prefix: f.prefix, After: f.revision, Wait: watchWait})
+		switch reply.Status {
+		case ports.KVOK:
+			pause = retryFirst
+			f.apply(reply)
+			if len(reply.Items) > 0 {
+				sleep(ctx, f.pause)
+			}
+		case ports.KVConflict:
+			f.log.Info().Str("feed", f.name).Uint64("revision", uint64(f.revision)).Msg("history lost")
+			return
+		default:
+			f.log.Info().Str("feed", f.name).Str("status", reply.Status.String()).Err(reply.Err).Msg("watch failed")
+			sleep(ctx, pause)
+			pause = min(2*pause, retryMost)
+		}
+	}
+}
+
+func (f *feed) apply(reply ports.KVReply) {
+	for _, item := range reply.Items {
+		f.revision = max(f.revision, item.Revision)
+		if item.Revision <= f.seen[item.Key] {
+			continue
+		}
+		f.seen[item.Key] = item.Revision
+		f.change(item)
+	}
+	f.revision = max(f.revision, reply.Revision)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/shell/serve.go
@@ -0,0 +1,50 @@
+package shell
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/gravitational/trace"
+	"github.com/phuslu/log"
+
+	"chivecroft.example/chivecroft/internal/edge"
+	"chivecroft.example/chivecroft/platform"
+)
+
+// logLines bounds the log lines that wait to be written; more are dropped.
+const logLines = 4096
+
+// ServeCmd runs an instance on the users' platform.
+type ServeCmd struct {
+	Boot string `help:"Boot file of the platform." env:"CHIVECROFT_BOOT" required:"" type:"path" placeholder:"FILE"`
+}
+
+// Run serves until a signal asks it to stop.
+func (c *ServeCmd) Run(s Streams) error {
+	boot, err := platform.ReadBoot(c.Boot)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	writer := &log.AsyncWriter{
+		ChannelSize: logLines, DiscardOnFull: true, Writer: &log.IOWriter{Writer: s.Out},
+	}
+	defer writer.Close()
+	l := &log.Logger{Level: log.InfoLevel, Writer: writer}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	e := edge.New(boot, l)
+	if err := e.Start(context.Background()); err != nil {
+		return trace.Wrap(err)
+	}
+	for sig := range signals {
+		if sig != syscall.SIGHUP {
+			break
+		}
+		l.Info().Msg("reload asked for")
+	}
+	e.Stop()
+	return nil
+}
--- a/internal/transport/front/service.go
+++ b/internal/transport/front/service.go
@@ -17,6 +17,7 @@
 	"chivecroft.example/chivecroft/internal/coordination/link"
 	"chivecroft.example/chivecroft/internal/coordination/route"
 	"chivecroft.example/chivecroft/internal/state/config"
+	"chivecroft.example/chivecroft/internal/transport/hops"
 )
 
 // Bounds of calls to plain services.
@@ -397,12 +398,6 @@
 
 func (unrepeatable) Close() error { return nil }
 
-// hopHeaders belong to one connection and are not passed on.
-var hopHeaders = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
-	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // callerHeaders are between the caller and the entry. Those that override the
 // method are dropped: the call's class was decided by the method that it has.
 var callerHeaders = []string{
@@ -412,7 +407,7 @@
 
 func forwarded(in http.Header) http.Header {
 	out := in.Clone()
-	dropHops(out)
+	hops.Drop(out)
 	for _, name := range callerHeaders {
 		out.Del(name)
 	}
@@ -423,17 +418,6 @@
 	return out
 }
 
-func dropHops(h http.Header) {
-	for _, line := range h["Connection"] {
-		for _, name := range strings.Split(line, ",") {
-			h.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		h.Del(name)
-	}
-}
-
 // keep takes what a run-once call's record needs of an answer.
 type keep interface {
 	begin(status int, header http.Header)
@@ -459,7 +443,7 @@
 
 func (c *call) copy(resp *http.Response, kept keep) *Problem {
 	header := resp.Header.Clone()
-	dropHops(header)
+	hops.Drop(header)
 	if kept != nil {
 		kept.begin(resp.StatusCode, header)
 	}
--- a/internal/transport/gate/dialer.go
+++ b/internal/transport/gate/dialer.go
@@ -37,6 +37,12 @@
 	return func(d *Dialer) { d.watch = watch }
 }
 
+// WithSilence closes connections whose other side acknowledges nothing for d,
+// whether bytes wait to be acknowledged or the connection is idle.
+func WithSilence(d time.Duration) Option {
+	return func(dialer *Dialer) { dialer.dialer = silenceDialer(d) }
+}
+
 // NewDialer returns a dialer without connections.
 func NewDialer(opts ...Option) *Dialer {
 	d := &Dialer{
--- /dev/null
+++ b/internal/transport/pass/note.go
@@ -0,0 +1,50 @@
+package pass
+
+import (
+	"time"
+)
+
+// Ended tells how a request ended.
+type Ended struct {
+	Route   string
+	Service string
+	Status  int
+	Reason  string
+	// Took is the time to the end, Began to the first event or the whole answer.
+	Took  time.Duration
+	Began time.Duration
+	Sends int
+}
+
+// note remembers how the request ends, for its last log line.
+func (x *exchange) note(status int, reason string) {
+	x.status = status
+	x.reason = reason
+	x.began = x.s.timer.Now().Sub(x.arrived)
+}
+
+// decided logs why a request is sent again or not.
+func (x *exchange) decided(a *sent, what string) {
+	e := x.s.log.Info().Str("request", x.call.ID).Str("decision", what).
+		Str("replica", a.seat.Replica.ID).Int("sends", x.sends).Int("ran", x.ran)
+	if a.resp != nil {
+		e = e.Int("status", a.resp.StatusCode)
+	}
+	e.Err(a.err).Msg("request")
+}
+
+// conclude logs how the request ended.
+func (x *exchange) conclude() {
+	took := x.s.timer.Now().Sub(x.arrived)
+	e := Ended{
+		Service: x.service, Status: x.status, Reason: x.reason, Took: took, Began: x.began, Sends: x.sends,
+	}
+	if x.route != nil {
+		e.Route = x.route.Name
+	}
+	x.s.ended(e)
+	x.s.log.Info().Str("request", x.call.ID).Str("route", e.Route).Int64("version", x.version).
+		Str("model", x.call.Model).Str("adapter", x.call.Adapter).Str("replica", x.replica).
+		Int("status", x.status).Str("reason", x.reason).Int("sends", x.sends).Int("ran", x.ran).
+		Dur("waited", x.waited).Dur("began", x.began).Dur("took", took).Dur("within", x.within).Msg("ended")
+}
--- /dev/null
+++ b/internal/transport/pass/stream.go
@@ -0,0 +1,152 @@
+package pass
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"chivecroft.example/chivecroft/internal/coordination/seat"
+)
+
+// eventBytes bounds one event of a stream.
+const eventBytes = 1 << 20
+
+var errCut = errors.New("the stream ended within an event")
+
+// stream relays a series of events. Only whole events are passed on, so that a
+// stream that breaks off can go on at another replica at an event's border.
+func (x *exchange) stream(a *sent) {
+	x.ran++
+	x.head(a.resp)
+	x.w.Header().Del("Content-Length")
+	x.note(http.StatusOK, "streaming")
+	x.w.WriteHeader(http.StatusOK)
+	flush(x.w)
+	x.began = x.s.timer.Now().Sub(x.arrived)
+	last := x.call.LastEvent
+	for {
+		var err error
+		last, err = x.events(a, last)
+		if err == nil {
+			x.reason = "answered"
+			x.closeStream(a, seat.Outcome{})
+			return
+		}
+		next := x.resume(a, last, err)
+		if next == nil {
+			panic(http.ErrAbortHandler)
+		}
+		a = next
+	}
+}
+
+func (x *exchange) closeStream(a *sent, out seat.Outcome) {
+	a.resp.Body.Close()
+	if !out.Failed {
+		a.call.Release()
+	}
+	a.stop()
+	a.seat.Done(out)
+}
+
+// events passes whole events on until the stream ends, and returns the id of the
+// last one.
+func (x *exchange) events(a *sent, last string) (string, error) {
+	if a.reply.LoadKnown {
+		a.seat.Told(a.reply.Running, a.reply.Waiting)
+	}
+	reader := bufio.NewReaderSize(a.resp.Body, 4<<10)
+	var event []byte
+	for {
+		line, err := reader.ReadSlice('\n')
+		event = append(event, line...)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull) && len(event) < eventBytes:
+			continue
+		case errors.Is(err, io.EOF) && len(event) == 0:
+			return last, nil
+		case errors.Is(err, io.EOF):
+			return last, errCut
+		case err != nil:
+			return last, err
+		}
+		if !bytes.HasSuffix(event, []byte("\n\n")) && !bytes.HasSuffix(event, []byte("\r\n\r\n")) {
+			continue
+		}
+		id := eventID(event)
+		if id != "" && !follows(last, id) {
+			event = event[:0]
+			continue
+		}
+		if _, err := x.w.Write(event); err != nil {
+			return last, err
+		}
+		if id != "" {
+			last = id
+		}
+		event = event[:0]
+		if reader.Buffered() == 0 {
+			flush(x.w)
+		}
+	}
+}
+
+// eventID returns the id line of an event, empty if there is none.
+func eventID(event []byte) string {
+	for _, line := range bytes.Split(event, []byte("\n")) {
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.TrimSpace(id))
+		}
+	}
+	return ""
+}
+
+// follows tells whether an event comes after the last one that was passed on.
+func follows(last, id string) bool {
+	have, err1 := strconv.ParseInt(last, 10, 64)
+	next, err2 := strconv.ParseInt(id, 10, 64)
+	return err1 != nil || err2 != nil || next > have
+}
+
+// resume sends a broken stream to another replica that goes on after the last
+// event; it returns nil if that cannot be done.
+func (x *exchange) resume(a *sent, last string, cause error) *sent {
+	a.err = cause
+	left := x.ctx.Err() != nil
+	a.call.Seal()
+	x.closeStream(a, seat.Outcome{Failed: !left})
+	x.exclude(a)
+	if left {
+		x.reason = "callerLeft"
+		if x.r.Context().Err() == nil {
+			x.reason = string(seat.ReasonDeadline)
+		}
+		return nil
+	}
+	for x.mayRepeat() {
+		x.decided(a, "resume")
+		next, err := x.next(last)
+		if err != nil {
+			break
+		}
+		if next.err == nil && !next.notRun && next.resp.StatusCode == http.StatusOK {
+			x.ran++
+			return next
+		}
+		x.ran++
+		x.drop(next, seat.Outcome{Failed: next.err != nil, Full: next.notRun})
+		x.exclude(next)
+	}
+	x.decided(a, "cut")
+	x.reason = "streamCut"
+	return nil
+}
+
+func flush(w http.ResponseWriter) {
+	if f, ok := w.(http.Flusher); ok {
+		f.Flush()
+	}
+}
