Let one leased holder order replicas to load what is waited for and ahead of use

Order counts now come from reports alone. Ruled out: stale watches (entries were current), a lost lease (held throughout).

--- a/internal/coordination/seat/board.go
+++ b/internal/coordination/seat/board.go
@@ -16,6 +16,9 @@
 	regionCost = 4.0
 	// failureCost weighs a replica's failure rate.
 	failureCost = 20.0
+	// patienceShare is the part of its time that a request waits for a model
+	// without news of it.
+	patienceShare = 0.3
 	// defaultRetryAfter is the advice where no load is under way.
 	defaultRetryAfter = 2 * time.Second
 	// lookInterval is the longest time between two looks at those who wait.
@@ -35,18 +38,12 @@
 	// means is the failure rate of each service.
 	means   map[string]float64
 	waiting []*waiter
-	// expected is when the holder expects a model to be ready.
-	expected map[string]Outlook
-	arrivals map[modelKey]int
-	looking  bool
-}
-
-// Outlook is what the holder says of a model that is not ready.
-type Outlook struct {
-	// Ready is when the model is expected to serve.
-	Ready time.Time
-	// Refused tells that nobody will load the model before then.
-	Refused bool
+	// expected is when the holder expects a model to serve.
+	expected map[string]time.Time
+	// learnedAt is when the holder's news came last.
+	learnedAt time.Time
+	arrivals  map[modelKey]int
+	looking   bool
 }
 
 // modelKey names a model of a service.
@@ -77,7 +74,7 @@
 		timer: t, zone: zone, regions: regions, demanded: func() {},
 		replicas: make(map[string]*replica),
 		means:    make(map[string]float64),
-		expected: make(map[string]Outlook),
+		expected: make(map[string]time.Time),
 		arrivals: make(map[modelKey]int),
 	}
 	for _, opt := range opts {
@@ -167,8 +164,9 @@
 func (b *Board) best(now time.Time, q *Request, ejected bool) *replica {
 	var best *replica
 	lowest := 0.0
+	fresh := now.Sub(b.learnedAt) < newsTime
 	for _, r := range b.replicas {
-		if r.Service != q.Service || !r.open(now, q) || now.Before(r.ejectedUntil) != ejected {
+		if r.Service != q.Service || !r.open(now, q, fresh) || now.Before(r.ejectedUntil) != ejected {
 			continue
 		}
 		cost := b.cost(now, r)
@@ -199,15 +197,27 @@
 	if q.Model == "" {
 		return nil
 	}
-	if e, ok := b.expected[q.Model]; ok && e.Refused && e.Ready.After(q.Deadline) {
+	if b.expected[q.Model].After(q.Deadline) {
 		return &Refusal{Reason: ReasonTooLate, RetryAfter: b.retryAfter(now, q)}
 	}
+	if now.Sub(q.Arrived) > b.patience(q) {
+		return &Refusal{Reason: ReasonNoReplica, RetryAfter: b.retryAfter(now, q)}
+	}
 	return nil
 }
 
+// patience is how long a request waits for a model of which nobody has said when
+// it will serve.
+func (b *Board) patience(q *Request) time.Duration {
+	if _, known := b.expected[q.Model]; known {
+		return q.Deadline.Sub(q.Arrived)
+	}
+	return time.Duration(patienceShare * float64(q.Deadline.Sub(q.Arrived)))
+}
+
 func (b *Board) retryAfter(now time.Time, q *Request) time.Duration {
-	if e, ok := b.expected[q.Model]; ok && q.Model != "" && e.Ready.After(now) {
-		return e.Ready.Sub(now)
+	if ready := b.expected[q.Model]; ready.After(now) {
+		return ready.Sub(now)
 	}
 	return defaultRetryAfter
 }
@@ -324,7 +334,7 @@
 
 // Learn takes the holder's news of replicas and its outlook on models; each
 // outlook replaces all former ones.
-func (b *Board) Learn(news []News, expected map[string]Outlook) {
+func (b *Board) Learn(news []News, expected map[string]time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for i := range news {
@@ -333,5 +343,6 @@
 		}
 	}
 	b.expected = expected
-	b.serve(b.timer.Now())
+	b.learnedAt = b.timer.Now()
+	b.serve(b.learnedAt)
 }
--- a/internal/coordination/seat/demand.go
+++ b/internal/coordination/seat/demand.go
@@ -22,6 +22,8 @@
 	// last summary.
 	Flying  int `json:"flying,omitempty"`
 	Arrived int `json:"arrived,omitempty"`
+	// At splits Flying by the replicas' ids.
+	At map[string]int `json:"at,omitempty"`
 }
 
 // Demand returns the demand for each model that is used or waited for, and starts
@@ -42,7 +44,7 @@
 	for _, r := range b.replicas {
 		for model, n := range r.byModel {
 			if n > 0 {
-				at(r.Service, model).Flying += n
+				at(r.Service, model).fly(r.ID, n)
 			}
 		}
 	}
@@ -75,6 +77,14 @@
 	return false
 }
 
+func (d *Demand) fly(replica string, n int) {
+	if d.At == nil {
+		d.At = make(map[string]int)
+	}
+	d.At[replica] += n
+	d.Flying += n
+}
+
 func (d *Demand) add(now time.Time, q *Request) {
 	if d.Waiting == 0 || q.Priority < d.Priority {
 		d.Priority = q.Priority
--- a/internal/coordination/seat/replica.go
+++ b/internal/coordination/seat/replica.go
@@ -23,6 +23,8 @@
 	ejectMost  = 8 * time.Second
 	// fullTime is how long a replica that was full is passed over.
 	fullTime = 100 * time.Millisecond
+	// newsTime is how long the holder's news go before the list.
+	newsTime = 3 * time.Second
 	// doubtTime is how long a replica is used on that vanished from the list while
 	// the store was in trouble: living ones come back within it.
 	doubtTime = 2 * time.Second
@@ -51,14 +53,13 @@
 // News is what the holder of the placement knows of a replica.
 type News struct {
 	fleet.Identity
-	Sequence int64          `json:"sequence"`
-	Models   []fleet.Loaded `json:"models"`
+	Models []fleet.Loaded `json:"models"`
 }
 
-// holds tells whether the replica serves a model and adapter, by the newer of the
-// list and the holder's news.
-func (r *replica) holds(model, adapter string) bool {
-	if r.news != nil && r.news.Born == r.Born && r.news.Sequence >= r.Sequence {
+// holds tells whether the replica serves a model and adapter: by the holder's news
+// while they are fresh, since they run ahead of the list.
+func (r *replica) holds(model, adapter string, fresh bool) bool {
+	if fresh && r.news != nil && r.news.Born == r.Born {
 		h := fleet.Holding{Models: r.news.Models}
 		return h.Has(model, adapter)
 	}
@@ -81,13 +82,13 @@
 }
 
 // open tells whether a request may be sent to the replica at all.
-func (r *replica) open(now time.Time, q *Request) bool {
+func (r *replica) open(now time.Time, q *Request, fresh bool) bool {
 	switch {
 	case r.Draining, r.gone(now), now.Before(r.fullUntil):
 		return false
 	case slices.Contains(q.Exclude, r.Identity):
 		return false
-	case q.Model != "" && !r.holds(q.Model, q.Adapter):
+	case q.Model != "" && !r.holds(q.Model, q.Adapter, fresh):
 		return false
 	}
 	return r.load(now) < float64(r.Slots)*q.overbook()
--- /dev/null
+++ b/internal/coordination/swap/plan.go
@@ -0,0 +1,463 @@
+package swap
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// What decides about a model's place.
+const (
+	// hotFlying is the requests in flight at one copy beyond which another is made.
+	hotFlying = 8.0
+	// keepTime is how long a model that was just loaded stays.
+	keepTime = 1500 * time.Millisecond
+	// lastCopyScore, rateScore and recentScore weigh what an eviction loses: the
+	// only loaded copy, requests a second, and recent use.
+	lastCopyScore = 1.0
+	rateScore     = 4.0
+	recentScore   = 0.5
+	recentTime    = 10 * time.Second
+	// evictionSeconds turns a score into seconds of a load's time.
+	evictionSeconds = 0.5
+	// crowdSeconds is the cost of keeping a replica busy for each model of which it
+	// has the only copy besides the loaded ones.
+	crowdSeconds = 0.1
+)
+
+// need is a model that is to be loaded.
+type need struct {
+	model    string
+	waiting  int
+	priority int
+	waited   time.Duration
+	left     time.Duration
+	reason   string
+	// ready is when the model is expected to serve, zero if that is not known.
+	ready time.Time
+}
+
+// use is what all instances together do with a model.
+type use struct {
+	need
+	flying   int
+	at       map[string]int
+	adapters []string
+}
+
+// option is a way to load a model at a replica.
+type option struct {
+	w       *worker
+	tier    Tier
+	victims []string
+	ready   time.Time
+	cost    float64
+}
+
+// Plan returns the orders and questions that are due.
+func (p *Planner) Plan(now time.Time) []Action {
+	uses := p.uses(now)
+	actions := p.questions(now)
+	actions = append(actions, p.continueJobs(now)...)
+	actions = append(actions, p.adapterOrders(now, uses)...)
+	for _, n := range p.needs(now, uses) {
+		if a, ok := p.begin(now, uses, n); ok {
+			actions = append(actions, a)
+		}
+	}
+	return actions
+}
+
+// uses adds up the demand of all instances.
+func (p *Planner) uses(now time.Time) map[string]*use {
+	uses := make(map[string]*use)
+	for from, d := range p.demands {
+		if now.Sub(d.at) > demandTime {
+			delete(p.demands, from)
+			continue
+		}
+		for _, m := range d.models {
+			u := uses[m.Model]
+			if u == nil {
+				u = &use{need: need{model: m.Model, priority: math.MaxInt}, at: make(map[string]int)}
+				uses[m.Model] = u
+			}
+			u.flying += m.Flying
+			for id, n := range m.At {
+				u.at[id] += n
+			}
+			if m.Waiting == 0 {
+				continue
+			}
+			u.waiting += m.Waiting
+			u.priority = min(u.priority, m.Priority)
+			u.waited = max(u.waited, time.Duration(m.WaitedMS)*time.Millisecond)
+			u.left = max(u.left, time.Duration(m.LeftMS)*time.Millisecond)
+			for _, a := range m.Adapters {
+				if !slices.Contains(u.adapters, a) {
+					u.adapters = append(u.adapters, a)
+				}
+			}
+		}
+	}
+	return uses
+}
+
+func (p *Planner) questions(now time.Time) []Action {
+	var out []Action
+	for _, w := range p.sorted() {
+		if w.probeAt.IsZero() || now.Before(w.probeAt) || w.probing || w.ordering {
+			continue
+		}
+		w.probeAt = time.Time{}
+		w.probing = true
+		out = append(out, Action{To: w.Replica})
+	}
+	return out
+}
+
+func (p *Planner) sorted() []*worker {
+	out := make([]*worker, 0, len(p.workers))
+	for _, w := range p.workers {
+		out = append(out, w)
+	}
+	slices.SortFunc(out, func(x, y *worker) int { return cmp.Compare(x.ID, y.ID) })
+	return out
+}
+
+// continueJobs orders what follows an unload.
+func (p *Planner) continueJobs(now time.Time) []Action {
+	var out []Action
+	for _, w := range p.sorted() {
+		if w.job == nil || w.job.loading || w.job.leaving != "" || !w.idle(now) {
+			continue
+		}
+		out = append(out, p.nextOrder(now, w, nil)...)
+	}
+	return out
+}
+
+// nextOrder unloads what is in the way of a job's model, or loads it.
+func (p *Planner) nextOrder(now time.Time, w *worker, uses map[string]*use) []Action {
+	j := w.job
+	if w.fits(p.engine, j.model) {
+		if j.tier == TierStore && !p.mayBeginStoreLoad(now) {
+			return nil
+		}
+		if j.tier == TierStore {
+			p.begun = append(p.begun, now)
+		}
+		return []Action{p.order(w, Action{Operation: Load, Model: j.model, Tier: j.tier})}
+	}
+	victims, _, ok := p.victims(now, w, j.model, uses)
+	if !ok {
+		w.job = nil
+		return nil
+	}
+	j.leaving = victims[0]
+	p.changed(w)
+	return []Action{p.order(w, Action{Operation: Unload, Model: j.leaving, Reason: "room for " + j.model})}
+}
+
+func (p *Planner) order(w *worker, a Action) Action {
+	w.ordering = true
+	a.To = w.Replica
+	a.Expected = w.orders
+	return a
+}
+
+// mayBeginStoreLoad keeps to the rate of the weight store in every window.
+func (p *Planner) mayBeginStoreLoad(now time.Time) bool {
+	p.begun = slices.DeleteFunc(p.begun, func(t time.Time) bool { return now.Sub(t) > p.window })
+	return float64(len(p.begun)+1) <= max(p.engine.LoadsPerSec*p.window.Seconds(), 1)
+}
+
+// needs returns the models to load, most urgent first.
+func (p *Planner) needs(now time.Time, uses map[string]*use) []*need {
+	var out []*need
+	for model, u := range uses {
+		if _, known := p.engine.Models[model]; !known || p.coming(model) {
+			continue
+		}
+		copies := p.copies(model)
+		switch {
+		case u.waiting > 0 && copies == 0:
+			u.reason = "waited for"
+			out = append(out, &u.need)
+		case copies > 0 && float64(u.flying+u.waiting)/float64(copies) > hotFlying && u.flying > 0:
+			u.reason = "busy"
+			out = append(out, &u.need)
+		}
+	}
+	slices.SortFunc(out, compareNeeds)
+	if n := p.ahead(now, uses); n != nil {
+		out = append(out, n)
+	}
+	return out
+}
+
+// compareNeeds puts the model for which more requests wait first, then the longer wait.
+func compareNeeds(x, y *need) int {
+	return cmp.Or(
+		cmp.Compare(y.waiting, x.waiting),
+		cmp.Compare(y.waited, x.waited),
+		cmp.Compare(x.model, y.model),
+	)
+}
+
+// ahead returns a model of which no replica has a copy, to be loaded before
+// anybody asks for it.
+func (p *Planner) ahead(now time.Time, uses map[string]*use) *need {
+	if float64(p.storeJobs()) >= p.storeLoads || !p.mayBeginStoreLoad(now) {
+		return nil
+	}
+	var models []string
+	for model := range p.engine.Models {
+		if u := uses[model]; u != nil && u.waiting > 0 {
+			continue
+		}
+		if !p.anywhere(model) {
+			models = append(models, model)
+		}
+	}
+	if len(models) == 0 {
+		return nil
+	}
+	slices.Sort(models)
+	best := models[p.random.IntN(len(models))]
+	for _, m := range models {
+		if p.engine.Models[m].Adapters > p.engine.Models[best].Adapters {
+			best = m
+		}
+	}
+	return &need{model: best, reason: "ahead of use"}
+}
+
+// anywhere tells whether any replica has a copy of a model or is getting one.
+func (p *Planner) anywhere(model string) bool {
+	for _, w := range p.workers {
+		if w.Find(model) != nil || w.tier(model) != TierStore || w.job != nil && w.job.model == model {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Planner) coming(model string) bool {
+	for _, w := range p.workers {
+		if w.job != nil && w.job.model == model {
+			return true
+		}
+	}
+	return false
+}
+
+// copies counts the replicas that serve a model.
+func (p *Planner) copies(model string) int {
+	n := 0
+	for _, w := range p.workers {
+		if !w.Draining && w.Find(model) != nil && (w.job == nil || w.job.leaving != model) {
+			n++
+		}
+	}
+	return n
+}
+
+// begin starts the job that serves a need soonest, if it can start now. A need
+// whose best replica is still busy waits for that replica.
+func (p *Planner) begin(now time.Time, uses map[string]*use, n *need) (Action, bool) {
+	best := p.best(now, uses, n)
+	if best == nil {
+		return Action{}, false
+	}
+	n.ready = best.ready
+	w := best.w
+	if !w.idle(now) || w.job != nil {
+		return Action{}, false
+	}
+	w.job = &job{model: n.model, tier: best.tier, began: now, due: best.ready}
+	orders := p.nextOrder(now, w, uses)
+	if len(orders) == 0 {
+		w.job = nil
+		return Action{}, false
+	}
+	orders[0].Reason = n.reason
+	return orders[0], true
+}
+
+func (p *Planner) best(now time.Time, uses map[string]*use, n *need) *option {
+	storeOpen := float64(p.storeJobs()) < p.storeLoads && p.mayBeginStoreLoad(now)
+	var best *option
+	for _, w := range p.sorted() {
+		if w.Draining || now.Before(w.quietUntil) || w.Find(n.model) != nil {
+			continue
+		}
+		o := p.option(now, w, n, uses)
+		if o == nil || o.tier == TierStore && !storeOpen {
+			continue
+		}
+		if best == nil || o.cost < best.cost {
+			best = o
+		}
+	}
+	return best
+}
+
+// option works out what it takes to load a model at a replica.
+func (p *Planner) option(now time.Time, w *worker, n *need, uses map[string]*use) *option {
+	free := now
+	if w.job != nil {
+		free = w.job.due
+	} else if !w.certain {
+		free = now.Add(busyAgain)
+	}
+	o := &option{w: w, tier: w.tier(n.model)}
+	score := 0.0
+	if !w.fits(p.engine, n.model) {
+		victims, sum, ok := p.victims(now, w, n.model, uses)
+		if !ok {
+			return nil
+		}
+		o.victims, score = victims, sum
+		free = free.Add(reportLag)
+	}
+	took := p.loadTime(n.model, o.tier)
+	o.ready = later(free, now).Add(took)
+	o.cost = o.ready.Sub(now).Seconds() + evictionSeconds*score
+	if o.tier == TierStore {
+		o.cost += crowdSeconds * float64(p.onlyHere(w))
+	}
+	return o
+}
+
+func later(x, y time.Time) time.Time {
+	if x.After(y) {
+		return x
+	}
+	return y
+}
+
+// onlyHere counts the models on a replica's disk that nobody serves.
+func (p *Planner) onlyHere(w *worker) int {
+	n := 0
+	for _, model := range w.OnDisk {
+		if p.copies(model) == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// victims returns the models to unload for another one, the least missed first,
+// and the sum of what their eviction loses.
+func (p *Planner) victims(
+	now time.Time, w *worker, model string, uses map[string]*use,
+) (names []string, score float64, ok bool) {
+	type candidate struct {
+		name  string
+		score float64
+	}
+	var all []candidate
+	for _, l := range w.Models {
+		if s, ok := p.evictionScore(now, w, l.Model, uses); ok {
+			all = append(all, candidate{l.Model, s})
+		}
+	}
+	slices.SortFunc(all, func(x, y candidate) int {
+		return cmp.Or(cmp.Compare(x.score, y.score), cmp.Compare(x.name, y.name))
+	})
+	room := p.engine.MemoryMB - w.used(p.engine) - p.engine.Models[model].SizeMB
+	for _, c := range all {
+		if room >= 0 {
+			break
+		}
+		l := w.Find(c.name)
+		m := p.engine.Models[c.name]
+		room += m.SizeMB + float64(len(l.Adapters))*m.AdapterMB
+		names = append(names, c.name)
+		score += c.score
+	}
+	return names, score, room >= 0 && len(names) > 0
+}
+
+// evictionScore tells what is lost with a model's copy; false forbids it.
+func (p *Planner) evictionScore(now time.Time, w *worker, model string, uses map[string]*use) (float64, bool) {
+	if now.Sub(w.loadedAt[model]) < keepTime {
+		return 0, false
+	}
+	copies := p.copies(model)
+	r := p.rate(model)
+	score := 0.0
+	if u := uses[model]; u != nil {
+		if u.waiting > 0 && copies <= 1 || u.at[w.ID] > 0 {
+			return 0, false
+		}
+		if copies > 1 && float64(u.flying)/float64(copies-1) > hotFlying {
+			return 0, false
+		}
+	}
+	if copies <= 1 {
+		score += lastCopyScore
+	}
+	score += rateScore * r.perSecond(now) / float64(max(copies, 1))
+	if age := now.Sub(r.used); age < recentTime {
+		score += recentScore * (1 - age.Seconds()/recentTime.Seconds())
+	}
+	return score, true
+}
+
+// Expected returns how long it takes until each model serves that requests wait for.
+func (p *Planner) Expected(now time.Time) map[string]time.Duration {
+	out := make(map[string]time.Duration)
+	for _, w := range p.workers {
+		if w.job == nil {
+			continue
+		}
+		left := max(w.job.due.Sub(now), 0) + reportLag
+		if have, ok := out[w.job.model]; !ok || left < have {
+			out[w.job.model] = left
+		}
+	}
+	uses := p.uses(now)
+	queue := p.storeQueue(now)
+	for _, n := range p.needs(now, uses) {
+		if n.waiting == 0 || p.copies(n.model) > 0 {
+			continue
+		}
+		if o := p.best(now, uses, n); o != nil && o.tier != TierStore {
+			out[n.model] = o.ready.Sub(now) + reportLag
+			continue
+		}
+		out[n.model] = queue.next(p.loadTime(n.model, TierStore))
+	}
+	return out
+}
+
+// storeQueue holds when the places for loads from the weight store come free.
+type storeQueue []time.Duration
+
+func (p *Planner) storeQueue(now time.Time) storeQueue {
+	var q storeQueue
+	for _, w := range p.workers {
+		if w.job != nil && w.job.tier == TierStore {
+			q = append(q, max(w.job.due.Sub(now), 0))
+		}
+	}
+	for len(q) < int(p.storeLoads) {
+		q = append(q, 0)
+	}
+	return q
+}
+
+// next takes the earliest place for a load and returns when the load ends.
+func (q storeQueue) next(took time.Duration) time.Duration {
+	first := 0
+	for i, free := range q {
+		if free < q[first] {
+			first = i
+		}
+	}
+	q[first] += took
+	return q[first] + reportLag
+}
--- /dev/null
+++ b/internal/coordination/swap/planner.go
@@ -0,0 +1,376 @@
+package swap
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"chivecroft.example/chivecroft/internal/coordination/seat"
+	"chivecroft.example/chivecroft/internal/state/fleet"
+)
+
+// Bounds of the planner's knowledge.
+const (
+	// demandTime is how long an instance's demand counts.
+	demandTime = 2 * time.Second
+	// rateTime is the time constant of the models' request rates.
+	rateTime = 6 * time.Second
+	// reportLag is how old a replica's report may be.
+	reportLag = 120 * time.Millisecond
+	// listLag is how old a replica's description in the list may be.
+	listLag = 4 * time.Second
+	// busyAgain is the time between questions to a replica that is busy for longer
+	// than expected.
+	busyAgain = 200 * time.Millisecond
+	// quietTime keeps orders from a replica that did not answer.
+	quietTime = 500 * time.Millisecond
+	// firstStoreLoads is how many loads from the weight store run side by side
+	// until their times have told how many run at full speed.
+	firstStoreLoads = 4
+)
+
+// Operation is what an order wants done.
+type Operation uint8
+
+// The operations.
+const (
+	Load Operation = iota
+	Unload
+)
+
+// String returns the operation in the words of the logs.
+func (o Operation) String() string {
+	return [...]string{"load", "unload"}[o]
+}
+
+// Action is an order or, without a model, a question for a report.
+type Action struct {
+	To        fleet.Replica
+	Operation Operation
+	Model     string
+	Adapter   string
+	// Expected is the number of orders that the replica must have accepted.
+	Expected int64
+	// Reason tells why, for the logs.
+	Reason string
+	Tier   Tier
+}
+
+// IsReport tells that the action only asks for a report.
+func (a *Action) IsReport() bool { return a.Model == "" }
+
+// Result is how an order ended.
+type Result uint8
+
+// The ends of orders.
+const (
+	// Taken means that the order is being carried out.
+	Taken Result = iota
+	// Held means that what was ordered holds already.
+	Held
+	// Refused means that the replica does not carry out the order.
+	Refused
+	// Lost means that the order may be carried out, now or later.
+	Lost
+)
+
+// Planner decides for the replicas of one service.
+type Planner struct {
+	service string
+	engine  *fleet.Engine
+	random  *rand.Rand
+	workers map[string]*worker
+	demands map[string]*demand
+	rates   map[string]*rate
+	// begun are the beginnings of loads from the weight store in the last window.
+	begun      []time.Time
+	window     time.Duration
+	storeLoads float64
+	version    uint64
+}
+
+type demand struct {
+	at     time.Time
+	models []seat.Demand
+}
+
+// rate is the decaying count of a model's requests.
+type rate struct {
+	value float64
+	at    time.Time
+	// used is when a request was last seen.
+	used time.Time
+}
+
+// NewPlanner returns a planner without replicas. Loads from the weight store are
+// bounded in each window of time.
+func NewPlanner(service string, engine *fleet.Engine, window time.Duration, random *rand.Rand) *Planner {
+	return &Planner{
+		service: service, engine: engine, random: random, window: window,
+		workers: make(map[string]*worker), demands: make(map[string]*demand), rates: make(map[string]*rate),
+		storeLoads: firstStoreLoads,
+	}
+}
+
+// SetEngine takes a new configuration of the service.
+func (p *Planner) SetEngine(e *fleet.Engine) { p.engine = e }
+
+// SetReplica takes a replica's description from the list.
+func (p *Planner) SetReplica(now time.Time, r fleet.Replica) {
+	w := p.workers[r.ID]
+	if w == nil || w.Born != r.Born {
+		w = &worker{Replica: r, loadedAt: make(map[string]time.Time)}
+		w.ask(now)
+		p.workers[r.ID] = w
+		p.changed(w)
+		return
+	}
+	known := w.Holding
+	w.Replica = r
+	w.Models = known.Models
+	if w.job != nil && w.job.loading && r.Find(w.job.model) != nil {
+		w.ask(now)
+	}
+	if w.job == nil && w.certain && now.Sub(w.changedAt) > listLag && !sameModels(known.Models, r.Models) {
+		// An order that was believed lost has been carried out.
+		w.unsure(now)
+	}
+	p.changed(w)
+}
+
+func sameModels(x, y []fleet.Loaded) bool {
+	if len(x) != len(y) {
+		return false
+	}
+	for _, l := range x {
+		if !slices.ContainsFunc(y, func(m fleet.Loaded) bool { return m.Model == l.Model }) {
+			return false
+		}
+	}
+	return true
+}
+
+// Remove takes a replica out.
+func (p *Planner) Remove(id string) {
+	delete(p.workers, id)
+}
+
+// IDs returns the replicas that are known.
+func (p *Planner) IDs() []string {
+	ids := make([]string, 0, len(p.workers))
+	for id := range p.workers {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Demand takes an instance's demand, which replaces its former one.
+func (p *Planner) Demand(now time.Time, from string, models []seat.Demand) {
+	own := models[:0:0]
+	for _, d := range models {
+		if d.Service != p.service {
+			continue
+		}
+		own = append(own, d)
+		if d.Arrived > 0 {
+			p.rate(d.Model).add(now, d.Arrived)
+		}
+		if d.Arrived+d.Flying+d.Waiting > 0 {
+			p.rate(d.Model).used = now
+		}
+	}
+	p.demands[from] = &demand{at: now, models: own}
+}
+
+// Reported takes a replica's report, or that there was none.
+func (p *Planner) Reported(now time.Time, id string, r fleet.Report, err error) {
+	w := p.workers[id]
+	if w == nil {
+		return
+	}
+	w.probing = false
+	switch {
+	case err != nil:
+		w.quietUntil = now.Add(quietTime)
+		w.unsure(w.quietUntil)
+		return
+	case r.Born != w.Born, r.ID != "" && r.ID != w.ID:
+		// Another incarnation answers; the list will tell of it.
+		w.unsure(now.Add(quietTime))
+		return
+	case r.Orders < w.orders:
+		w.ask(now.Add(busyAgain / 2))
+		return
+	case r.Busy:
+		w.orders = r.Orders
+		w.ask(now.Add(busyAgain))
+		return
+	}
+	p.settle(now, w, r)
+}
+
+// settle takes the state of a replica that carries out no order.
+func (p *Planner) settle(now time.Time, w *worker, r fleet.Report) {
+	w.Holding = r.Holding
+	w.orders = r.Orders
+	w.certain = true
+	if w.job != nil {
+		p.progress(now, w)
+	}
+	p.changed(w)
+}
+
+// progress moves a job on whose latest order has been carried out.
+func (p *Planner) progress(now time.Time, w *worker) {
+	j := w.job
+	if w.Find(j.model) != nil {
+		if j.tier == TierStore {
+			p.learnStoreTime(now, j)
+		}
+		w.loadedAt[j.model] = now
+		w.job = nil
+		return
+	}
+	if j.loading {
+		// The load has ended without the model.
+		w.job = nil
+		return
+	}
+	j.leaving = ""
+}
+
+// learnStoreTime estimates from a load's time how many loads run at full speed: n
+// loads of which k run at full speed take n/k times as long.
+func (p *Planner) learnStoreTime(now time.Time, j *job) {
+	nominal := p.engine.Models[j.model].FromStore.Seconds()
+	took := now.Sub(j.began).Seconds() - reportLag.Seconds()
+	running := float64(p.storeJobs() + 1)
+	slowdown := max(took/nominal, 1)
+	if slowdown > 1.2 {
+		p.storeLoads = max(min(p.storeLoads, running/slowdown+0.5), 1)
+	}
+}
+
+// Ordered takes the end of an order.
+func (p *Planner) Ordered(now time.Time, a Action, result Result) {
+	w := p.workers[a.To.ID]
+	if w == nil || w.Born != a.To.Born {
+		return
+	}
+	w.ordering = false
+	switch result {
+	case Taken:
+		w.orders++
+		w.changedAt = now
+		p.taken(now, w, a)
+	case Held:
+		if a.Adapter != "" && a.Operation == Unload {
+			// An adapter without requests goes at once, and the order counts.
+			w.orders++
+			w.removeAdapter(a.Model, a.Adapter)
+			break
+		}
+		w.unsure(now)
+	case Refused:
+		w.job = nil
+		w.unsure(now)
+	case Lost:
+		w.job = nil
+		w.quietUntil = now.Add(quietTime)
+		w.unsure(w.quietUntil)
+	}
+	p.changed(w)
+}
+
+func (p *Planner) taken(now time.Time, w *worker, a Action) {
+	switch {
+	case a.Adapter != "" && a.Operation == Load:
+		w.addAdapter(a.Model, a.Adapter)
+	case a.Adapter != "":
+		w.removeAdapter(a.Model, a.Adapter)
+	case a.Operation == Load:
+		w.certain = false
+		if w.job != nil {
+			w.job.loading = true
+			w.job.began = now
+			w.job.due = now.Add(p.loadTime(a.Model, w.job.tier))
+			w.ask(w.job.due)
+		}
+	default:
+		w.certain = false
+		w.ask(now.Add(reportLag))
+	}
+}
+
+// changed gives a replica's news a new version if they differ.
+func (p *Planner) changed(w *worker) {
+	n := seat.News{Identity: w.Identity, Models: w.serving()}
+	if w.version != 0 && slices.EqualFunc(n.Models, w.news.Models, sameLoaded) {
+		return
+	}
+	p.version++
+	w.version = p.version
+	w.news = n
+}
+
+func sameLoaded(x, y fleet.Loaded) bool {
+	return x.Model == y.Model && slices.Equal(x.Adapters, y.Adapters)
+}
+
+// News returns what has changed after a version, and the latest version.
+func (p *Planner) News(after uint64) ([]seat.News, uint64) {
+	var out []seat.News
+	for _, w := range p.workers {
+		if w.version > after {
+			out = append(out, w.news)
+		}
+	}
+	slices.SortFunc(out, func(x, y seat.News) int { return cmp.Compare(x.ID, y.ID) })
+	return out, p.version
+}
+
+func (p *Planner) rate(model string) *rate {
+	r := p.rates[model]
+	if r == nil {
+		r = &rate{}
+		p.rates[model] = r
+	}
+	return r
+}
+
+func (r *rate) add(now time.Time, n int) {
+	r.value = r.perSecond(now) + float64(n)/rateTime.Seconds()
+	r.at = now
+}
+
+// perSecond returns the model's requests a second.
+func (r *rate) perSecond(now time.Time) float64 {
+	age := now.Sub(r.at)
+	if age >= 4*rateTime {
+		return 0
+	}
+	return r.value * max(1-float64(age)/float64(4*rateTime), 0)
+}
+
+func (p *Planner) loadTime(model string, t Tier) time.Duration {
+	m := p.engine.Models[model]
+	switch t {
+	case TierMemory:
+		return cmp.Or(m.FromMemory, m.FromStore)
+	case TierDisk:
+		return cmp.Or(m.FromDisk, m.FromStore)
+	case TierStore:
+	}
+	return m.FromStore
+}
+
+func (p *Planner) storeJobs() int {
+	n := 0
+	for _, w := range p.workers {
+		if w.job != nil && w.job.tier == TierStore {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -10,6 +11,8 @@
 	"github.com/gravitational/trace"
 	"github.com/phuslu/log"
 
+	"chivecroft.example/chivecroft/internal/coordination/drive"
+	"chivecroft.example/chivecroft/internal/coordination/hold"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 	"chivecroft.example/chivecroft/internal/coordination/retry"
 	"chivecroft.example/chivecroft/internal/coordination/seat"
@@ -42,14 +45,21 @@
 	budget *retry.Budget
 	pass   *pass.Server
 
-	config       atomic.Pointer[fleet.Config]
-	listed       atomic.Bool
-	stopping     atomic.Bool
-	loopCtx      context.Context //nolint:containedctx // ends the loops at Stop
-	stopLoops    context.CancelFunc
-	callers      *http.Server
-	ready        *http.Server
-	readyMessage string
+	config     atomic.Pointer[fleet.Config]
+	listed     atomic.Bool
+	stopping   atomic.Bool
+	loopCtx    context.Context //nolint:containedctx // ends the loops at Stop
+	stopLoops  context.CancelFunc
+	callers    *http.Server
+	ready      *http.Server
+	peerServer *http.Server
+
+	clock  *timer.Boot
+	keeper *keeper
+	holder *drive.Loop
+	peers  *peers
+	// waiting is signalled when a request begins to wait for a model.
+	waiting chan struct{}
 }
 
 // New returns an instance that does nothing yet.
@@ -57,7 +67,16 @@
 	e := &Edge{boot: boot, log: l, timer: timer.NewSystem(), health: &storeHealth{log: l}}
 	e.loopCtx, e.stopLoops = context.WithCancel(context.Background())
 	e.store = platform.NewStore(e.loopCtx, boot.Store)
-	e.board = seat.NewBoard(e.timer, boot.Zone, boot.Regions)
+	e.waiting = make(chan struct{}, 1)
+	e.board = seat.NewBoard(e.timer, boot.Zone, boot.Regions, seat.WithDemand(e.signal))
+	e.clock = timer.NewBoot()
+	e.keeper = newKeeper(e.loopCtx, boot, e.clock, l)
+	e.peers = newPeers()
+	part := hold.NewPart(boot.Peer, boot.StoreTTLMin, boot.Bounds.OrderHandover,
+		rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	e.holder = drive.NewLoop(part, ports.Env{KV: e.store, Timer: e.clock}, drive.WithListener(func(v any) {
+		e.keeper.setStatus(v.(hold.Status))
+	}))
 	e.budget = retry.NewBudget(retry.Limits{
 		Ratio: boot.Bounds.RetryRatio, Extra: boot.Bounds.RetryExtra, Window: boot.Bounds.RetryWindow,
 	})
@@ -65,6 +84,14 @@
 	return e
 }
 
+// signal makes the next message to the holder due.
+func (e *Edge) signal() {
+	select {
+	case e.waiting <- struct{}{}:
+	default:
+	}
+}
+
 // Start listens and begins to follow the store; it returns once both addresses
 // accept connections.
 func (e *Edge) Start(ctx context.Context) error {
@@ -78,6 +105,13 @@
 	if err := e.listen(ctx, e.ready, e.boot.Ready.String()); err != nil {
 		return err
 	}
+	e.peerServer = &http.Server{Handler: http.HandlerFunc(e.servePeer), ReadHeaderTimeout: headerTimeout}
+	if err := e.listen(ctx, e.peerServer, e.boot.Peer.String()); err != nil {
+		return err
+	}
+	e.holder.Post(hold.Start{})
+	go e.talk(e.loopCtx)
+	go e.plan(e.loopCtx)
 	go e.configFeed().run(e.loopCtx)
 	go e.replicaFeed().run(e.loopCtx)
 	e.log.Info().Str("instance", e.boot.Instance).Str("zone", e.boot.Zone).
@@ -144,6 +178,7 @@
 	}
 	e.config.Store(c)
 	e.pass.SetConfig(c)
+	e.keeper.setConfig(c)
 	e.log.Info().Int64("version", c.Version).Uint64("revision", uint64(item.Revision)).
 		Int("routes", len(c.Routes)).Msg("configuration in force")
 }
@@ -179,15 +214,18 @@
 	if err != nil {
 		e.log.Warn().Err(err).Uint64("revision", uint64(item.Revision)).Msg("replica entry ignored")
 		e.board.Remove(id, false)
+		e.keeper.removeReplica(id)
 		return
 	}
-	e.log.Debug().Str("replica", id).Bool("draining", r.Draining).Int64("sequence", r.Sequence).
+	e.log.Debug().Str("replica", id).Bool("draining", r.Draining).Int("models", len(r.Models)).
 		Uint64("revision", uint64(item.Revision)).Msg("replica")
 	e.board.SetReplica(r)
+	e.keeper.setReplica(r)
 }
 
 func (e *Edge) dropReplica(id string) {
 	doubt := e.health.unsteady()
 	e.log.Info().Str("replica", id).Bool("doubt", doubt).Msg("replica vanished")
 	e.board.Remove(id, doubt)
+	e.keeper.removeReplica(id)
 }
--- /dev/null
+++ b/internal/edge/keeper.go
@@ -0,0 +1,256 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/phuslu/log"
+
+	"chivecroft.example/chivecroft/internal/coordination/hold"
+	"chivecroft.example/chivecroft/internal/coordination/seat"
+	"chivecroft.example/chivecroft/internal/coordination/swap"
+	"chivecroft.example/chivecroft/internal/state/fleet"
+	"chivecroft.example/chivecroft/internal/state/timer"
+	"chivecroft.example/chivecroft/platform"
+)
+
+// memberTime is how long an instance counts after its last message.
+const memberTime = 5 * time.Second
+
+// keeper runs the planners while this instance is the holder of the placement.
+type keeper struct {
+	ctx     context.Context //nolint:containedctx // ends the orders at Stop
+	self    string
+	engines *platform.Engines
+	clock   *timer.Boot
+	log     *log.Logger
+	window  time.Duration
+
+	mu       sync.Mutex
+	status   hold.Status
+	replicas map[string]fleet.Replica
+	config   *fleet.Config
+	planners map[string]*swap.Planner
+	members  map[string]time.Time
+}
+
+func newKeeper(ctx context.Context, boot *platform.Boot, clock *timer.Boot, l *log.Logger) *keeper {
+	return &keeper{
+		ctx: ctx, self: boot.Instance, engines: platform.NewEngines(), clock: clock, log: l,
+		window: boot.Bounds.LoadWindow, replicas: make(map[string]fleet.Replica),
+		planners: make(map[string]*swap.Planner), members: make(map[string]time.Time),
+	}
+}
+
+// setStatus takes what is known of the holder; a new holding begins without the
+// knowledge of an earlier one.
+func (k *keeper) setStatus(s hold.Status) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	was := k.status
+	k.status = s
+	if was.Mine != s.Mine || was.Holder != s.Holder || was.Token != s.Token {
+		k.log.Info().Str("holder", s.Holder.String()).Bool("mine", s.Mine).Uint64("token", s.Token).
+			Dur("ordersIn", max(s.From.Sub(k.clock.Now()), 0)).Msg("holder of the placement")
+	}
+	if was.Mine == s.Mine {
+		return
+	}
+	k.planners = make(map[string]*swap.Planner)
+	k.members = make(map[string]time.Time)
+	if s.Mine {
+		k.makePlanners()
+	}
+}
+
+func (k *keeper) current() hold.Status {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.status
+}
+
+func (k *keeper) setConfig(c *fleet.Config) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.config = c
+	if k.status.Mine {
+		k.makePlanners()
+	}
+}
+
+// makePlanners gives each service with engines a planner that knows its replicas.
+func (k *keeper) makePlanners() {
+	if k.config == nil {
+		return
+	}
+	for name, s := range k.config.Services {
+		if s.Engine == nil {
+			continue
+		}
+		if p := k.planners[name]; p != nil {
+			p.SetEngine(s.Engine)
+			continue
+		}
+		p := swap.NewPlanner(name, s.Engine, k.window, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+		k.planners[name] = p
+		for _, r := range k.replicas {
+			if r.Service == name {
+				p.SetReplica(k.clock.Now(), r)
+			}
+		}
+	}
+}
+
+func (k *keeper) setReplica(r fleet.Replica) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.replicas[r.ID] = r
+	if p := k.planners[r.Service]; p != nil {
+		p.SetReplica(k.clock.Now(), r)
+	}
+}
+
+func (k *keeper) removeReplica(id string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if p := k.planners[k.replicas[id].Service]; p != nil {
+		p.Remove(id)
+	}
+	delete(k.replicas, id)
+}
+
+// exchange takes an instance's demand and returns the news; false if this
+// instance is not the holder.
+func (k *keeper) exchange(m message) (reply, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.status.Mine {
+		return reply{}, false
+	}
+	now := k.clock.Now()
+	k.members[m.From] = now
+	out := reply{Token: k.status.Token, Members: k.countMembers(now), Versions: make(map[string]uint64)}
+	if k.status.May(now) {
+		out.Expected = make(map[string]int64)
+	}
+	for name, p := range k.planners {
+		p.Demand(now, m.From, m.Demand)
+		after := m.Versions[name]
+		if m.Token != k.status.Token {
+			after = 0
+		}
+		news, version := p.News(after)
+		out.News = append(out.News, news...)
+		out.Versions[name] = version
+		if out.Expected == nil {
+			continue
+		}
+		for model, in := range p.Expected(now) {
+			out.Expected[model] = in.Milliseconds()
+		}
+	}
+	return out, true
+}
+
+func (k *keeper) countMembers(now time.Time) int {
+	for name, at := range k.members {
+		if now.Sub(at) > memberTime {
+			delete(k.members, name)
+		}
+	}
+	return len(k.members)
+}
+
+// work carries out what the planners find due.
+func (k *keeper) work() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.clock.Now()
+	if !k.status.May(now) {
+		return
+	}
+	for _, p := range k.planners {
+		for _, a := range p.Plan(now) {
+			if a.IsReport() {
+				go k.report(p, a)
+			} else {
+				go k.order(p, a, k.status.Token)
+			}
+		}
+	}
+}
+
+func (k *keeper) report(p *swap.Planner, a swap.Action) {
+	r, err := k.engines.Report(k.ctx, a.To.Addr)
+	if err != nil {
+		k.log.Info().Str("replica", a.To.ID).Err(err).Msg("report failed")
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	p.Reported(k.clock.Now(), a.To.ID, r, err)
+}
+
+func (k *keeper) order(p *swap.Planner, a swap.Action, token uint64) {
+	began := k.clock.Now()
+	result, err := k.engines.Order(k.ctx, a.To.Addr, a.To.ID, platform.Order{
+		Operation: operation(a.Operation), Model: a.Model, Adapter: a.Adapter,
+		Expected: a.Expected, Holder: k.self, Token: token,
+	}, func() error { return k.mayOrder(token) })
+	k.log.Info().Str("replica", a.To.ID).Str("operation", a.Operation.String()).Str("model", a.Model).
+		Str("adapter", a.Adapter).Int64("expected", a.Expected).Str("tier", a.Tier.String()).
+		Str("why", a.Reason).Str("result", result.String()).Uint64("token", token).
+		Dur("took", max(k.clock.Now().Sub(began), 0)).Err(err).Msg("order")
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	p.Ordered(k.clock.Now(), a, ending(result))
+}
+
+var errNotHolder = trace.CompareFailed("this instance may not send orders any more")
+
+// mayOrder is asked immediately before an order is written.
+func (k *keeper) mayOrder(token uint64) error {
+	s := k.current()
+	if s.Token != token || !s.May(k.clock.Now()) {
+		return errNotHolder
+	}
+	return nil
+}
+
+func operation(o swap.Operation) platform.Operation {
+	if o == swap.Unload {
+		return platform.OperationUnload
+	}
+	return platform.OperationLoad
+}
+
+func ending(r platform.OrderResult) swap.Result {
+	switch r {
+	case platform.OrderTaken:
+		return swap.Taken
+	case platform.OrderHeld:
+		return swap.Held
+	case platform.OrderConflict, platform.OrderRefused, platform.OrderUnsent:
+		return swap.Refused
+	case platform.OrderUnknown:
+	}
+	return swap.Lost
+}
+
+// news is what an instance has learned from the holder.
+type news struct {
+	token    uint64
+	versions map[string]uint64
+}
+
+func (n *news) take(r reply, now time.Time, board *seat.Board) {
+	n.token = r.Token
+	n.versions = r.Versions
+	expected := make(map[string]time.Time, len(r.Expected))
+	for model, in := range r.Expected {
+		expected[model] = now.Add(time.Duration(in) * time.Millisecond)
+	}
+	board.Learn(r.News, expected)
+}
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"chivecroft.example/chivecroft/internal/coordination/hold"
 )
 
 // Steps of a planned stop, counted from its beginning.
@@ -25,6 +27,7 @@
 	e.stopping.Store(true)
 	e.pass.CloseConnections()
 	e.log.Info().Int("active", e.pass.Active()).Dur("grace", e.boot.Bounds.StopGrace).Msg("stopping")
+	e.holder.Post(hold.Release{})
 	grace := e.boot.Bounds.StopGrace
 	refusing := false
 	for {
@@ -41,13 +44,15 @@
 			e.pass.Refuse()
 		}
 	}
-	e.stopLoops()
 	cut := e.pass.Active()
 	ctx, cancel := context.WithTimeout(context.Background(), stopPoll)
 	defer cancel()
 	if err := e.callers.Shutdown(ctx); err != nil {
 		_ = e.callers.Close()
 	}
+	e.stopLoops()
+	e.holder.Stop()
 	_ = e.ready.Close()
+	_ = e.peerServer.Close()
 	e.log.Info().Int("cut", cut).Dur("took", e.timer.Now().Sub(began)).Msg("stopped")
 }
--- a/internal/state/fleet/replica.go
+++ b/internal/state/fleet/replica.go
@@ -30,9 +30,7 @@
 
 // Holding is what a replica has of models.
 type Holding struct {
-	// Sequence counts the orders that the replica has accepted.
-	Sequence int64
-	Models   []Loaded
+	Models []Loaded
 	// InMemory and OnDisk are the models with copies of the weights there.
 	InMemory []string
 	OnDisk   []string
@@ -65,6 +63,8 @@
 type Report struct {
 	Identity
 	Holding
+	// Orders counts the orders that the replica has accepted.
+	Orders int64
 	// Busy tells that an order is being carried out.
 	Busy bool
 	// Pending lists the adapters on their way, as MODEL/NAME.
--- a/internal/transport/pass/exchange.go
+++ b/internal/transport/pass/exchange.go
@@ -43,6 +43,7 @@
 	ran     int
 	tried   []fleet.Identity
 	replica string
+	sentAt  time.Time
 	waited  time.Duration
 
 	status int
@@ -105,15 +106,19 @@
 	ctx, call := gate.Track(ctx, nil)
 	a := &sent{seat: place, call: call, stop: stop}
 	x.replica = place.Replica.ID
+	x.sentAt = x.s.timer.Now()
 	resp, err := x.s.transport.RoundTrip(x.outgoing(ctx, place, lastEvent))
 	if err != nil {
 		a.notRun = !call.Seal()
 		a.err = err
-		return a
+	} else {
+		a.resp = resp
+		a.reply = x.s.codec.Incoming(resp)
+		x.judge(a)
+	}
+	if !a.notRun {
+		x.ran++
 	}
-	a.resp = resp
-	a.reply = x.s.codec.Incoming(resp)
-	x.judge(a)
 	return a
 }
 
@@ -195,7 +200,6 @@
 	case a.err != nil:
 		return x.broken(a)
 	case a.resp.StatusCode >= 500 && x.route.Kind == fleet.KindSafe && x.mayRepeat():
-		x.ran++
 		x.drop(a, seat.Outcome{})
 		x.exclude(a)
 		return false
@@ -225,7 +229,6 @@
 
 // broken handles a request that may have run and has no answer.
 func (x *exchange) broken(a *sent) bool {
-	x.ran++
 	left := x.ctx.Err() != nil
 	x.drop(a, seat.Outcome{Failed: !left})
 	x.exclude(a)
@@ -244,8 +247,15 @@
 
 // mayRepeat takes a repeat of a request that may have run from the budget.
 func (x *exchange) mayRepeat() bool {
-	return x.route.Repeatable() && x.ran < x.route.MaxAttempts && x.sends < sendsMost &&
-		x.s.budget.Spend(x.service, x.s.timer.Now())
+	now := x.s.timer.Now()
+	if !x.route.Repeatable() || x.ran >= x.route.MaxAttempts || x.sends >= sendsMost {
+		return false
+	}
+	// A repeat that has less time than the send before it would hardly end.
+	if x.route.Kind != fleet.KindStream && x.deadline.Sub(now) < now.Sub(x.sentAt) {
+		return false
+	}
+	return x.s.budget.Spend(x.service, now)
 }
 
 func (x *exchange) exclude(a *sent) {
--- a/internal/transport/pass/relay.go
+++ b/internal/transport/pass/relay.go
@@ -26,7 +26,6 @@
 	a.resp.Body.Close()
 	a.call.Release()
 	a.stop()
-	x.ran++
 	failed := a.resp.StatusCode >= 500
 	a.seat.Done(seat.Outcome{
 		Failed: failed, LoadKnown: a.reply.LoadKnown, Running: a.reply.Running, Waiting: a.reply.Waiting,
--- a/internal/transport/pass/stream.go
+++ b/internal/transport/pass/stream.go
@@ -19,7 +19,6 @@
 // stream relays a series of events. Only whole events are passed on, so that a
 // stream that breaks off can go on at another replica at an event's border.
 func (x *exchange) stream(a *sent) {
-	x.ran++
 	x.head(a.resp)
 	x.w.Header().Del("Content-Length")
 	x.note(http.StatusOK, "streaming")
@@ -133,10 +132,8 @@
 			break
 		}
 		if next.err == nil && !next.notRun && next.resp.StatusCode == http.StatusOK {
-			x.ran++
 			return next
 		}
-		x.ran++
 		x.drop(next, seat.Outcome{Failed: next.err != nil, Full: next.notRun})
 		x.exclude(next)
 	}
