Refuse in a planned stop what comes too late to be finished

Ruled out: cuts of requests that were at work in the last sixth of the grace, which are allowed. From 2.8 s on new requests are refused with a time to come back; from half of the grace on those that still wait for a replica are.

--- a/internal/coordination/seat/board.go
+++ b/internal/coordination/seat/board.go
@@ -21,6 +21,8 @@
 	patienceShare = 0.3
 	// defaultRetryAfter is the advice where no load is under way.
 	defaultRetryAfter = 2 * time.Second
+	// stopRetryAfter is the advice of an instance that stops.
+	stopRetryAfter = 100 * time.Millisecond
 	// lookInterval is the longest time between two looks at those who wait.
 	lookInterval = 50 * time.Millisecond
 )
@@ -44,6 +46,7 @@
 	learnedAt time.Time
 	arrivals  map[modelKey]int
 	looking   bool
+	closed    bool
 }
 
 // modelKey names a model of a service.
@@ -191,6 +194,9 @@
 
 // hopeless returns a refusal if waiting cannot help.
 func (b *Board) hopeless(now time.Time, q *Request) *Refusal {
+	if b.closed {
+		return &Refusal{Reason: ReasonStopping, RetryAfter: stopRetryAfter}
+	}
 	if !now.Before(q.Deadline) {
 		return &Refusal{Reason: ReasonDeadline, RetryAfter: b.retryAfter(now, q)}
 	}
@@ -271,6 +277,14 @@
 	b.watchLocked()
 }
 
+// Close refuses the requests that wait, and those that would have to.
+func (b *Board) Close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed = true
+	b.serve(b.timer.Now())
+}
+
 // watchLocked keeps a timer running while requests wait, for deadlines and
 // ejections that end.
 func (b *Board) watchLocked() {
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -9,15 +9,17 @@
 
 // Steps of a planned stop, counted from its beginning.
 const (
-	// leaveTime is when new callers no longer come: the platform has missed two
-	// answers about readiness by then.
-	leaveTime = 3200 * time.Millisecond
+	// refuseAfter is when new requests are refused: the platform has missed two
+	// answers about readiness by then, and what comes later might be cut.
+	refuseAfter = 2800 * time.Millisecond
+	// leaveAfter is the earliest end.
+	leaveAfter = 3200 * time.Millisecond
 	// cutReserve is kept of the grace for ending what is left.
 	cutReserve = 500 * time.Millisecond
-	// refuseReserve is the end of the grace in which new requests are refused,
-	// since they would probably be cut.
-	refuseReserve = 2500 * time.Millisecond
-	stopPoll      = 50 * time.Millisecond
+	// waitShare is the part of the grace after which requests that still wait for a
+	// replica are refused, so that they can be served elsewhere.
+	waitShare = 0.5
+	stopPoll  = 50 * time.Millisecond
 )
 
 // Stop says that the instance is not ready, serves on until callers have gone
@@ -29,19 +31,17 @@
 	e.log.Info().Int("active", e.pass.Active()).Dur("grace", e.boot.Bounds.StopGrace).Msg("stopping")
 	e.holder.Post(hold.Release{})
 	grace := e.boot.Bounds.StopGrace
-	refusing := false
 	for {
 		time.Sleep(stopPoll)
 		passed := e.timer.Now().Sub(began)
-		if passed >= leaveTime && e.pass.Active() == 0 {
-			break
+		if passed >= refuseAfter {
+			e.pass.Refuse()
 		}
-		if passed >= grace-cutReserve {
-			break
+		if float64(passed) >= waitShare*float64(grace) {
+			e.board.Close()
 		}
-		if passed >= grace-refuseReserve && !refusing {
-			refusing = true
-			e.pass.Refuse()
+		if passed >= leaveAfter && e.pass.Active() == 0 || passed >= grace-cutReserve {
+			break
 		}
 	}
 	cut := e.pass.Active()
