--- /dev/null
+++ b/internal/coordination/hold/hold_test.go
@@ -0,0 +1,267 @@
+package hold
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"chivecroft.example/chivecroft/internal/coordination/drive"
+	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/stand/kvmem"
+	"chivecroft.example/chivecroft/internal/stand/world"
+	"chivecroft.example/chivecroft/internal/state/timer"
+)
+
+const (
+	testTTL      = time.Second
+	testHandover = 3 * time.Second
+	tick         = 10 * time.Millisecond
+)
+
+// rig is a store with a few instances on virtual time.
+type rig struct {
+	timer  *timer.Virtual
+	store  *kvmem.Store
+	random *rand.Rand
+	nodes  []*node
+	// acted is when which instance could have sent an order last.
+	acted  time.Time
+	holder int
+	broken string
+	turns  int
+}
+
+// node is one instance, with the part of its present incarnation.
+type node struct {
+	kv     *world.KV
+	loop   *drive.Loop
+	status Status
+	frozen bool
+	held   []ports.Event
+}
+
+func newRig(n int, seed uint64) *rig {
+	r := &rig{
+		timer: timer.NewVirtual(time.Unix(1_000_000, 0)), random: rand.New(rand.NewPCG(seed, 1)), holder: -1,
+	}
+	r.store = kvmem.NewStore(r.timer)
+	for range n {
+		r.nodes = append(r.nodes, &node{kv: world.NewKV(r.store, r.timer, r.random)})
+	}
+	for i, nd := range r.nodes {
+		nd.kv.SetFaults(world.KVFaults{Latency: 8 * time.Millisecond})
+		r.start(i)
+	}
+	return r
+}
+
+func address(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7000)
+}
+
+func (r *rig) start(i int) {
+	nd := r.nodes[i]
+	part := NewPart(address(i), testTTL, testHandover, r.random)
+	nd.status = Status{}
+	nd.loop = drive.NewLoop(&freezing{part: part, node: nd}, ports.Env{KV: nd.kv, Timer: r.timer},
+		drive.WithListener(func(v any) { nd.status = v.(Status) }))
+	nd.loop.Post(Start{})
+}
+
+func (r *rig) kill(i int) {
+	r.nodes[i].loop.Stop()
+	r.nodes[i].status = Status{}
+	r.nodes[i].frozen, r.nodes[i].held = false, nil
+}
+
+// freezing keeps the events of a frozen instance until it goes on.
+type freezing struct {
+	part *Part
+	node *node
+}
+
+func (f *freezing) Step(now time.Time, ev ports.Event) []ports.Effect {
+	if f.node.frozen {
+		f.node.held = append(f.node.held, ev)
+		return nil
+	}
+	return f.part.Step(now, ev)
+}
+
+func (r *rig) thaw(i int) {
+	nd := r.nodes[i]
+	nd.frozen = false
+	r.look()
+	held := nd.held
+	nd.held = nil
+	for _, ev := range held {
+		nd.loop.Post(ev)
+	}
+}
+
+// look notes who may send an order now, and whether that comes too soon after
+// another instance.
+func (r *rig) look() {
+	now := r.timer.Now()
+	for i, nd := range r.nodes {
+		if nd.frozen || !nd.status.May(now) {
+			continue
+		}
+		if r.holder >= 0 && r.holder != i && now.Sub(r.acted) < testHandover {
+			r.broken = fmt.Sprintf("instance %d may order %v after instance %d", i, now.Sub(r.acted), r.holder)
+		}
+		if r.holder != i {
+			r.turns++
+		}
+		r.holder, r.acted = i, now
+	}
+}
+
+func (r *rig) advance(d time.Duration) {
+	for end := r.timer.Now().Add(d); r.timer.Now().Before(end); {
+		r.timer.Advance(tick)
+		r.look()
+	}
+}
+
+func TestFirstHolderOrdersAtOnce(t *testing.T) {
+	r := newRig(3, 1)
+	r.advance(200 * time.Millisecond)
+	if r.holder < 0 {
+		t.Fatal("nobody may order")
+	}
+	for i, nd := range r.nodes {
+		if nd.status.Holder != address(r.holder) {
+			t.Errorf("instance %d takes %v for the holder", i, nd.status.Holder)
+		}
+	}
+}
+
+// TestRestartedHolderGoesOnAtOnce kills the holder; its next incarnation is the
+// same holder and need not wait.
+func TestRestartedHolderGoesOnAtOnce(t *testing.T) {
+	r := newRig(3, 2)
+	r.advance(time.Second)
+	first, token := r.holder, r.nodes[r.holder].status.Token
+	r.kill(first)
+	r.advance(300 * time.Millisecond)
+	r.start(first)
+	r.advance(300 * time.Millisecond)
+	s := r.nodes[first].status
+	if !s.May(r.timer.Now()) || s.Token <= token {
+		t.Errorf("after the restart: %+v, token before %d", s, token)
+	}
+}
+
+// TestSuccessorWaits kills the holder for good.
+func TestSuccessorWaits(t *testing.T) {
+	r := newRig(3, 3)
+	r.advance(time.Second)
+	first := r.holder
+	r.kill(first)
+	r.advance(10 * time.Second)
+	if r.broken != "" || r.holder == first {
+		t.Errorf("holder %d after %d: %s", r.holder, first, r.broken)
+	}
+}
+
+// TestReleaseShortensTheWait stops the holder as planned.
+func TestReleaseShortensTheWait(t *testing.T) {
+	r := newRig(3, 4)
+	r.advance(time.Second)
+	first := r.holder
+	r.nodes[first].loop.Post(Release{})
+	r.advance(testHandover + time.Second + 500*time.Millisecond)
+	if r.broken != "" || r.holder == first {
+		t.Errorf("holder %d after %d: %s", r.holder, first, r.broken)
+	}
+}
+
+// TestKeyTakenAway deletes the holder's key while its lease goes on.
+func TestKeyTakenAway(t *testing.T) {
+	r := newRig(3, 5)
+	r.advance(time.Second)
+	r.takeKey()
+	r.advance(10 * time.Second)
+	if r.broken != "" {
+		t.Error(r.broken)
+	}
+	if diff := cmp.Diff(true, r.nodes[r.holder].status.May(r.timer.Now())); diff != "" {
+		t.Errorf("somebody holds again (-want +got):\n%s", diff)
+	}
+}
+
+func (r *rig) takeKey() {
+	r.store.Call(ports.KVGet{Key: leaseKey}, func(reply ports.KVReply) {
+		if item, ok := reply.Item(); ok {
+			r.store.Call(ports.KVDelete{Key: leaseKey, Expect: item.Revision}, func(ports.KVReply) {})
+		}
+	})
+}
+
+// TestHoldersKeepApart plays random kills, freezes, outages, lost answers and
+// stolen keys, and checks that orders of two instances are never closer than the
+// handover.
+func TestHoldersKeepApart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := newRig(3, rapid.Uint64().Draw(t, "seed"))
+		for range rapid.IntRange(5, 25).Draw(t, "steps") {
+			r.trouble(t)
+			r.advance(time.Duration(rapid.IntRange(10, 2500).Draw(t, "ms")) * time.Millisecond)
+			if r.broken != "" {
+				t.Fatal(r.broken)
+			}
+		}
+		r.calm()
+		r.advance(12 * time.Second)
+		if r.broken != "" {
+			t.Fatal(r.broken)
+		}
+		if r.holder < 0 || !r.nodes[r.holder].status.May(r.timer.Now()) {
+			t.Fatal("nobody may order after the troubles")
+		}
+	})
+}
+
+func (r *rig) trouble(t *rapid.T) {
+	i := rapid.IntRange(0, len(r.nodes)-1).Draw(t, "instance")
+	nd := r.nodes[i]
+	switch rapid.SampledFrom([]string{"kill", "freeze", "thaw", "down", "lossy", "fine", "steal", "release"}).Draw(t, "trouble") {
+	case "kill":
+		r.kill(i)
+		r.start(i)
+	case "freeze":
+		nd.frozen = true
+	case "thaw":
+		r.thaw(i)
+	case "down":
+		nd.kv.SetFaults(world.KVFaults{Latency: 8 * time.Millisecond, Down: true})
+	case "lossy":
+		nd.kv.SetFaults(world.KVFaults{Latency: 100 * time.Millisecond, LoseAnswers: 0.4})
+	case "fine":
+		nd.kv.SetFaults(world.KVFaults{Latency: 8 * time.Millisecond})
+	case "steal":
+		r.takeKey()
+	case "release":
+		if !nd.frozen {
+			nd.loop.Post(Release{})
+			r.advance(50 * time.Millisecond)
+			r.kill(i)
+			r.start(i)
+		}
+	}
+}
+
+func (r *rig) calm() {
+	for i, nd := range r.nodes {
+		nd.kv.SetFaults(world.KVFaults{Latency: 8 * time.Millisecond})
+		if nd.frozen {
+			r.thaw(i)
+		}
+	}
+}
--- a/internal/coordination/hold/part.go
+++ b/internal/coordination/hold/part.go
@@ -306,7 +306,11 @@
 
 // taken goes on if the key is this instance's for sure; otherwise a look tells.
 func (p *Part) taken(r ports.KVReply) []ports.Effect {
-	if r.Status != ports.KVOK {
+	switch r.Status {
+	case ports.KVOK:
+	case ports.KVConflict:
+		return p.look()
+	default:
 		return p.pause(phaseLook, retryPause)
 	}
 	p.revision = r.Revision
--- a/internal/coordination/seat/board.go
+++ b/internal/coordination/seat/board.go
@@ -181,7 +181,7 @@
 }
 
 func (b *Board) cost(now time.Time, r *replica) float64 {
-	cost := r.load(now) + failureCost*max(r.failures-b.means[r.Service], 0)
+	cost := r.load(now) + failureCost*max(r.failing(now)-b.means[r.Service], 0)
 	switch {
 	case r.Zone == b.zone:
 	case b.regions[r.Zone] == b.regions[b.zone]:
--- /dev/null
+++ b/internal/coordination/seat/board_test.go
@@ -0,0 +1,263 @@
+package seat
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"chivecroft.example/chivecroft/internal/state/fleet"
+	"chivecroft.example/chivecroft/internal/state/timer"
+)
+
+var regions = map[string]string{"a1": "a", "a2": "a", "b1": "b"}
+
+type rig struct {
+	*Board
+	timer   *timer.Virtual
+	demands atomic.Int64
+}
+
+func newRig() *rig {
+	r := &rig{timer: timer.NewVirtual(time.Unix(1_000_000, 0))}
+	r.Board = NewBoard(r.timer, "a1", regions, WithDemand(func() { r.demands.Add(1) }))
+	return r
+}
+
+func engine(id, zone string, models ...string) fleet.Replica {
+	r := fleet.Replica{
+		Identity: fleet.Identity{ID: id, Born: 1}, Service: "llm", Zone: zone, Slots: 4,
+		Addr: netip.MustParseAddrPort("10.0.0.1:80"),
+	}
+	for _, m := range models {
+		r.Models = append(r.Models, fleet.Loaded{Model: m})
+	}
+	return r
+}
+
+func (r *rig) request(model string) Request {
+	now := r.timer.Now()
+	return Request{Service: "llm", Model: model, Arrived: now, Deadline: now.Add(10 * time.Second)}
+}
+
+// pending is a request that may wait.
+type pending struct {
+	done chan struct{}
+	seat *Seat
+	err  error
+}
+
+func (r *rig) acquire(ctx context.Context, q Request) *pending {
+	p := &pending{done: make(chan struct{})}
+	go func() {
+		p.seat, p.err = r.Acquire(ctx, q)
+		close(p.done)
+	}()
+	return p
+}
+
+// settle waits until n requests wait on the board.
+func (r *rig) settle(t *testing.T, n int) {
+	t.Helper()
+	for range 2000 {
+		r.mu.Lock()
+		have := len(r.waiting)
+		r.mu.Unlock()
+		if have == n {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatalf("%d requests do not wait", n)
+}
+
+func (p *pending) refusal(t *testing.T) *Refusal {
+	t.Helper()
+	<-p.done
+	var refusal *Refusal
+	if !errors.As(p.err, &refusal) {
+		t.Fatalf("ended with %v, %v", p.seat, p.err)
+	}
+	return refusal
+}
+
+func TestPrefersNearAndIdle(t *testing.T) {
+	r := newRig()
+	r.SetReplica(engine("near", "a1", "m"))
+	r.SetReplica(engine("far", "b1", "m"))
+	var got []string
+	for range 5 {
+		s, err := r.Acquire(t.Context(), r.request("m"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		got = append(got, s.Replica.ID)
+	}
+	if diff := cmp.Diff([]string{"near", "near", "near", "near", "far"}, got); diff != "" {
+		t.Errorf("replicas (-want +got):\n%s", diff)
+	}
+}
+
+// TestWaitsForTheModel lets requests for a model that nobody holds wait, and
+// serves the more urgent one first.
+func TestWaitsForTheModel(t *testing.T) {
+	r := newRig()
+	one := engine("one", "a1")
+	one.Slots = 1
+	r.SetReplica(one)
+	late := r.request("m")
+	late.Priority = 2
+	second := r.acquire(t.Context(), late)
+	r.settle(t, 1)
+	first := r.acquire(t.Context(), r.request("m"))
+	r.settle(t, 2)
+	want := []Demand{{Service: "llm", Model: "m", Waiting: 2, LeftMS: 10_000, Arrived: 2}}
+	if diff := cmp.Diff(want, r.Demand()); diff != "" {
+		t.Errorf("demand (-want +got):\n%s", diff)
+	}
+	if n := r.demands.Load(); n != 2 {
+		t.Errorf("%d signals of demand", n)
+	}
+	r.Learn([]News{{Identity: one.Identity, Models: []fleet.Loaded{{Model: "m"}}}}, nil)
+	<-first.done
+	if first.seat == nil {
+		t.Fatal(first.err)
+	}
+	first.seat.Done(Outcome{})
+	<-second.done
+	if second.seat == nil {
+		t.Error(second.err)
+	}
+}
+
+// TestRefusesWhatComesTooLate refuses at once a request whose model will serve
+// after its deadline, and tells it when to come back.
+func TestRefusesWhatComesTooLate(t *testing.T) {
+	r := newRig()
+	r.SetReplica(engine("one", "a1"))
+	p := r.acquire(t.Context(), r.request("m"))
+	r.settle(t, 1)
+	r.Learn(nil, map[string]time.Time{"m": r.timer.Now().Add(12 * time.Second)})
+	want := &Refusal{Reason: ReasonTooLate, RetryAfter: 12 * time.Second}
+	if diff := cmp.Diff(want, p.refusal(t)); diff != "" {
+		t.Errorf("refusal (-want +got):\n%s", diff)
+	}
+}
+
+func TestRefusesWithoutNewsOfTheModel(t *testing.T) {
+	r := newRig()
+	p := r.acquire(t.Context(), r.request("m"))
+	r.settle(t, 1)
+	r.timer.Advance(3500 * time.Millisecond)
+	if got := p.refusal(t).Reason; got != ReasonNoReplica {
+		t.Errorf("refused for %q", got)
+	}
+}
+
+func TestDrainingReplicaGetsNothing(t *testing.T) {
+	r := newRig()
+	one := engine("one", "a1", "m")
+	r.SetReplica(one)
+	one.Draining = true
+	r.SetReplica(one)
+	r.acquire(t.Context(), r.request("m"))
+	r.settle(t, 1)
+}
+
+// TestVanishedInAnOutage keeps using a replica for a short time whose entry went
+// while the store was in trouble, and no longer.
+func TestVanishedInAnOutage(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		doubt bool
+		after time.Duration
+		want  bool
+	}{
+		{"calm store", false, 0, false},
+		{"unsteady store", true, time.Second, true},
+		{"unsteady store, too long", true, 3 * time.Second, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig()
+			r.SetReplica(engine("one", "a1", "m"))
+			r.Remove("one", c.doubt)
+			r.timer.Advance(c.after)
+			r.mu.Lock()
+			q := r.request("m")
+			got := r.pick(r.timer.Now(), &q) != nil
+			r.mu.Unlock()
+			if got != c.want {
+				t.Errorf("used: %v", got)
+			}
+		})
+	}
+}
+
+// TestReusedAddressIsAnotherReplica forgets what was known of an incarnation.
+func TestReusedAddressIsAnotherReplica(t *testing.T) {
+	r := newRig()
+	one := engine("one", "a1", "m")
+	r.SetReplica(one)
+	r.Learn([]News{{Identity: one.Identity, Models: []fleet.Loaded{{Model: "m"}}}}, nil)
+	again := engine("one", "a1")
+	again.Born = 2
+	r.SetReplica(again)
+	r.acquire(t.Context(), r.request("m"))
+	r.settle(t, 1)
+}
+
+// TestEjectsWhatFails moves requests away from a replica that fails most of them
+// although it is nearer, and back once it has recovered.
+func TestEjectsWhatFails(t *testing.T) {
+	r := newRig()
+	r.SetReplica(engine("grey", "a1", "m"))
+	r.SetReplica(engine("sound", "a2", "m"))
+	used := make(map[string]int)
+	send := func(failing bool) string {
+		s, err := r.Acquire(t.Context(), r.request("m"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Done(Outcome{Failed: failing && s.Replica.ID == "grey"})
+		r.timer.Advance(50 * time.Millisecond)
+		return s.Replica.ID
+	}
+	for range 100 {
+		used[send(true)]++
+	}
+	if used["grey"] > 20 {
+		t.Errorf("the failing replica got %d of 100 requests", used["grey"])
+	}
+	r.timer.Advance(10 * time.Second)
+	last := ""
+	for range 60 {
+		last = send(false)
+	}
+	if last != "grey" {
+		t.Errorf("a replica that has recovered gets no requests")
+	}
+}
+
+func TestCallerLeavesTheQueue(t *testing.T) {
+	r := newRig()
+	ctx, cancel := context.WithCancel(t.Context())
+	p := r.acquire(ctx, r.request("m"))
+	r.settle(t, 1)
+	cancel()
+	<-p.done
+	r.settle(t, 0)
+}
+
+func TestCloseRefusesWhoWaits(t *testing.T) {
+	r := newRig()
+	p := r.acquire(t.Context(), r.request("m"))
+	r.settle(t, 1)
+	r.Close()
+	if got := p.refusal(t).Reason; got != ReasonStopping {
+		t.Errorf("refused for %q", got)
+	}
+}
--- a/internal/coordination/seat/replica.go
+++ b/internal/coordination/seat/replica.go
@@ -14,6 +14,8 @@
 	loadHalfLife = 2 * time.Second
 	// failureWeight is the weight of one outcome in a replica's failure rate.
 	failureWeight = 0.15
+	// failureHalfLife lets a replica that gets no requests be tried again.
+	failureHalfLife = 3 * time.Second
 	// ejectRate is how far a replica's failure rate may lie above that of its
 	// service before it is ejected.
 	ejectRate = 0.35
@@ -42,7 +44,9 @@
 	others float64
 	toldAt time.Time
 
+	// failures is the rate of failures as of judgedAt.
 	failures     float64
+	judgedAt     time.Time
 	ejectedUntil time.Time
 	ejection     time.Duration
 	fullUntil    time.Time
@@ -72,6 +76,12 @@
 	return float64(r.flying) + r.others*math.Exp2(-age)
 }
 
+// failing returns the rate of failures, which fades without requests.
+func (r *replica) failing(now time.Time) float64 {
+	age := now.Sub(r.judgedAt).Seconds() / failureHalfLife.Seconds()
+	return r.failures * math.Exp2(-age)
+}
+
 func (r *replica) told(now time.Time, running, waiting int) {
 	r.others = max(float64(running+waiting-r.flying), 0)
 	r.toldAt = now
@@ -104,7 +114,9 @@
 	if out.Failed {
 		value = 1
 	}
+	r.failures = r.failing(now)
 	r.failures += failureWeight * (value - r.failures)
+	r.judgedAt = now
 	switch {
 	case out.Unreachable:
 		r.failed(now)
