Deliver each event as soon as it is whole, also when its stream breaks

TestStreamGoesOn failed first: events that were read together with part of the next one stayed in the buffer, and were lost when the stream broke off.

--- a/internal/coordination/swap/planner_test.go
+++ b/internal/coordination/swap/planner_test.go
@@ -128,6 +128,10 @@
 	if p.busy != nil || a.Expected != p.orders {
 		return Refused
 	}
+	if a.Adapter != "" && a.To.Born != p.Born {
+		// A late order found the replica started anew, without the model.
+		return Refused
+	}
 	p.orders++
 	if a.Adapter != "" {
 		r.adapter(p, a)
--- /dev/null
+++ b/internal/transport/pass/pass_test.go
@@ -0,0 +1,384 @@
+package pass_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"chivecroft.example/chivecroft/internal/coordination/retry"
+	"chivecroft.example/chivecroft/internal/coordination/seat"
+	"chivecroft.example/chivecroft/internal/state/fleet"
+	"chivecroft.example/chivecroft/internal/state/timer"
+	"chivecroft.example/chivecroft/internal/transport/pass"
+	"chivecroft.example/chivecroft/platform"
+	"chivecroft.example/chivecroft/platform/fake"
+)
+
+// rig is an instance in front of replicas.
+type rig struct {
+	t        *testing.T
+	board    *seat.Board
+	server   *pass.Server
+	front    *httptest.Server
+	replicas []*fake.Replica
+	ids      atomic.Int64
+}
+
+func newRig(t *testing.T, replicas ...*fake.Replica) *rig {
+	clock := timer.NewSystem()
+	r := &rig{t: t, replicas: replicas}
+	r.board = seat.NewBoard(clock, "a1", map[string]string{"a1": "a"})
+	budget := retry.NewBudget(retry.Limits{Ratio: 0.2, Extra: 100, Window: 10 * time.Second})
+	budget.SetInstances(1)
+	r.server = pass.NewServer(platform.Codec{}, r.board, budget, clock)
+	c := &fleet.Config{Version: 1, Services: map[string]fleet.Service{"s": {Name: "s"}}}
+	route := func(name string, kind fleet.Kind, resumable bool, attempts int) {
+		c.Routes = append(c.Routes, fleet.Route{
+			Name: name, Host: "x.example", PathPrefix: "/" + name + "/", Kind: kind, Resumable: resumable,
+			Timeout: 2 * time.Second, MaxAttempts: attempts, Backends: []fleet.Backend{{Service: "s", Weight: 1}},
+		})
+	}
+	route("unsafe", fleet.KindUnsafe, false, 1)
+	route("safe", fleet.KindSafe, false, 2)
+	route("stream", fleet.KindStream, false, 1)
+	route("resumable", fleet.KindStream, true, 2)
+	c.Index()
+	r.server.SetConfig(c)
+	for _, f := range replicas {
+		r.board.SetReplica(fleet.Replica{
+			Identity: fleet.Identity{ID: f.ID, Born: 1}, Service: "s", Addr: f.Addr(), Zone: f.Zone, Slots: f.Slots,
+		})
+	}
+	r.front = httptest.NewServer(r.server)
+	t.Cleanup(r.front.Close)
+	return r
+}
+
+// answer is what a caller sees.
+type answer struct {
+	Status int
+	Body   string
+	Signed string
+	// Cut tells that the answer ended early.
+	Cut bool
+}
+
+func (r *rig) call(path string, change ...func(*http.Request)) (answer, http.Header) {
+	r.t.Helper()
+	req, err := http.NewRequestWithContext(r.t.Context(), http.MethodPost, r.front.URL+path, strings.NewReader("body"))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	req.Host = "x.example"
+	req.Header.Set("Chivecroft-Attempt-Id", "call-"+strconv.FormatInt(r.ids.Add(1), 10))
+	for _, f := range change {
+		f(req)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{Cut: true}, nil
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	a := answer{resp.StatusCode, string(body), resp.Header.Get("Chivecroft-Response-Signature"), err != nil}
+	return a, resp.Header
+}
+
+func (r *rig) expect(path string, want answer) {
+	r.t.Helper()
+	got, _ := r.call(path)
+	if diff := cmp.Diff(want, got); diff != "" {
+		r.t.Errorf("%s (-want +got):\n%s", path, diff)
+	}
+}
+
+// runs adds up how often each request has run.
+func (r *rig) runs() map[string]int {
+	sum := make(map[string]int)
+	for _, f := range r.replicas {
+		for id, n := range f.Runs() {
+			sum[id] += n
+		}
+	}
+	return sum
+}
+
+func two(t *testing.T) (near, far *fake.Replica) {
+	return fake.NewReplica(t, "near", "a1", 0), fake.NewReplica(t, "far", "a2", 0)
+}
+
+func TestPassesUnchanged(t *testing.T) {
+	near, _ := two(t)
+	r := newRig(t, near)
+	var paths []string
+	near.Behave(func(w http.ResponseWriter, req *http.Request) {
+		paths = append(paths, req.Method+" "+req.RequestURI+" "+req.Host)
+		near.Sign(w, req)
+		w.Header().Set("X-Own", "kept")
+		w.WriteHeader(http.StatusTeapot)
+		_, _ = io.WriteString(w, "whole")
+	})
+	got, header := r.call("/unsafe/a%2Fb//c?q=%20x&&y")
+	want := answer{Status: http.StatusTeapot, Body: "whole", Signed: "sig-near"}
+	if diff := cmp.Diff(want, got); diff != "" || header.Get("X-Own") != "kept" {
+		t.Errorf("answer (-want +got):\n%s%v", diff, header)
+	}
+	if diff := cmp.Diff([]string{"POST /unsafe/a%2Fb//c?q=%20x&&y x.example"}, paths); diff != "" {
+		t.Errorf("request (-want +got):\n%s", diff)
+	}
+	_, bodies := near.Seen()
+	if diff := cmp.Diff([]string{"body"}, bodies); diff != "" {
+		t.Errorf("bodies (-want +got):\n%s", diff)
+	}
+}
+
+func TestAnswersOfItsOwn(t *testing.T) {
+	r := newRig(t)
+	r.expect("/nowhere/", answer{Status: http.StatusNotFound})
+	got, header := r.call("/unsafe/", func(req *http.Request) { req.Header.Set("Chivecroft-Deadline-Ms", "50") })
+	if got.Status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" {
+		t.Errorf("without replicas: %+v, %v", got, header)
+	}
+	bad, _ := r.call("/unsafe/", func(req *http.Request) { req.Header.Set("Chivecroft-Deadline-Ms", "soon") })
+	if bad.Status != http.StatusBadRequest {
+		t.Errorf("a bad deadline: %+v", bad)
+	}
+	r.server.SetConfig(nil)
+	got, header = r.call("/unsafe/")
+	if got.Status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" {
+		t.Errorf("without a configuration: %+v", got)
+	}
+}
+
+// TestLostAnswer breaks the connection after the request has run: only one that
+// may run again is sent to another replica, and none that may not is refused.
+func TestLostAnswer(t *testing.T) {
+	near, far := two(t)
+	r := newRig(t, near, far)
+	near.Behave(func(_ http.ResponseWriter, req *http.Request) {
+		near.Run(req)
+		panic(http.ErrAbortHandler)
+	})
+	r.expect("/unsafe/", answer{Status: http.StatusBadGateway})
+	r.expect("/safe/", answer{Status: http.StatusOK, Body: "answer of far", Signed: "sig-far"})
+	if diff := cmp.Diff(map[string]int{"call-1": 1, "call-2": 2}, r.runs()); diff != "" {
+		t.Errorf("runs (-want +got):\n%s", diff)
+	}
+}
+
+// TestTurnedAway sends a request on that its replica has not run, whatever its kind.
+func TestTurnedAway(t *testing.T) {
+	near, far := two(t)
+	r := newRig(t, near, far)
+	near.Behave(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Chivecroft-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	r.expect("/unsafe/", answer{Status: http.StatusOK, Body: "answer of far", Signed: "sig-far"})
+}
+
+// TestUnclearRefusal passes no promise on that the replica has not made.
+func TestUnclearRefusal(t *testing.T) {
+	near, _ := two(t)
+	r := newRig(t, near)
+	near.Behave(func(w http.ResponseWriter, req *http.Request) {
+		near.Run(req)
+		w.Header().Set("Chivecroft-Attempt-Id", req.Header.Get("Chivecroft-Attempt-Id"))
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	r.expect("/unsafe/", answer{Status: http.StatusBadGateway})
+}
+
+// TestForeignAnswers are never taken for the request's own.
+func TestForeignAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		behave func(w http.ResponseWriter, req *http.Request, f *fake.Replica)
+	}{
+		{"of another request", func(w http.ResponseWriter, req *http.Request, f *fake.Replica) {
+			f.Sign(w, req)
+			w.Header().Set("Chivecroft-Attempt-Id", "other")
+			_, _ = io.WriteString(w, "secret")
+		}},
+		{"unsigned", func(w http.ResponseWriter, req *http.Request, f *fake.Replica) {
+			f.Sign(w, req)
+			w.Header().Del("Chivecroft-Response-Signature")
+			_, _ = io.WriteString(w, "secret")
+		}},
+		{"encoded", func(w http.ResponseWriter, req *http.Request, f *fake.Replica) {
+			f.Sign(w, req)
+			w.Header().Set("Content-Encoding", "gzip")
+			_, _ = io.WriteString(w, "secret")
+		}},
+		{"cut short", func(w http.ResponseWriter, req *http.Request, f *fake.Replica) {
+			f.Sign(w, req)
+			w.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(w, "secret")
+			panic(http.ErrAbortHandler)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			near, far := two(t)
+			r := newRig(t, near, far)
+			near.Behave(func(w http.ResponseWriter, req *http.Request) { c.behave(w, req, near) })
+			r.expect("/unsafe/", answer{Status: http.StatusBadGateway})
+			r.expect("/safe/", answer{Status: http.StatusOK, Body: "answer of far", Signed: "sig-far"})
+		})
+	}
+}
+
+// TestSafeRetriesFailures sends an idempotent request on after a server error.
+func TestSafeRetriesFailures(t *testing.T) {
+	near, far := two(t)
+	r := newRig(t, near, far)
+	near.Behave(func(w http.ResponseWriter, req *http.Request) {
+		near.Sign(w, req)
+		w.WriteHeader(http.StatusInternalServerError)
+	})
+	r.expect("/safe/", answer{Status: http.StatusOK, Body: "answer of far", Signed: "sig-far"})
+	r.expect("/unsafe/", answer{Status: http.StatusInternalServerError, Signed: "sig-near"})
+}
+
+// stream sends events and then breaks off in the middle of one.
+func stream(f *fake.Replica, from, to int, whole bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, req *http.Request) {
+		f.Run(req)
+		f.Sign(w, req)
+		if last, err := strconv.Atoi(req.Header.Get("Last-Event-Id")); err == nil {
+			from = last + 1
+		}
+		for id := from; id <= to; id++ {
+			_, _ = io.WriteString(w, fake.Event(id))
+		}
+		if !whole {
+			_, _ = io.WriteString(w, "id: 99\ndata: half")
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func events(from, to int) string {
+	var b strings.Builder
+	for id := from; id <= to; id++ {
+		b.WriteString(fake.Event(id))
+	}
+	return b.String()
+}
+
+// TestStreamGoesOn breaks a stream within an event: a resumable one goes on at
+// another replica without a gap, any other is cut for the caller as well.
+func TestStreamGoesOn(t *testing.T) {
+	near, far := two(t)
+	r := newRig(t, near, far)
+	near.Behave(stream(near, 1, 3, false))
+	far.Behave(stream(far, 1, 6, true))
+	r.expect("/resumable/", answer{Status: http.StatusOK, Body: events(1, 6), Signed: "sig-near"})
+	got, _ := r.call("/stream/")
+	if !got.Cut || got.Body != events(1, 3) {
+		t.Errorf("a stream that can't be resumed: %+v", got)
+	}
+}
+
+// TestLongLines passes events on that are larger than a buffer.
+func TestLongLines(t *testing.T) {
+	near, _ := two(t)
+	r := newRig(t, near)
+	body := "id: 1\ndata: " + strings.Repeat("x", 20_000) + "\n\n"
+	near.Behave(func(w http.ResponseWriter, req *http.Request) {
+		near.Sign(w, req)
+		_, _ = io.WriteString(w, body)
+	})
+	r.expect("/stream/", answer{Status: http.StatusOK, Body: body, Signed: "sig-near"})
+}
+
+// TestCallerLeaves cancels the work at the replica.
+func TestCallerLeaves(t *testing.T) {
+	near, _ := two(t)
+	r := newRig(t, near)
+	began, ended := make(chan struct{}), make(chan struct{})
+	near.Behave(func(_ http.ResponseWriter, req *http.Request) {
+		close(began)
+		<-req.Context().Done()
+		close(ended)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-began
+		cancel()
+	}()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, r.front.URL+"/unsafe/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "x.example"
+	if resp, err := http.DefaultClient.Do(req); err == nil {
+		resp.Body.Close()
+		t.Error("answered")
+	} else if !errors.Is(err, context.Canceled) {
+		t.Error(err)
+	}
+	select {
+	case <-ended:
+	case <-time.After(500 * time.Millisecond):
+		t.Error("the replica still works half a second later")
+	}
+}
+
+// TestTimeout answers in time although the replica is silent; the request may
+// have run, so the status promises nothing.
+func TestTimeout(t *testing.T) {
+	near, _ := two(t)
+	r := newRig(t, near)
+	near.Behave(func(_ http.ResponseWriter, req *http.Request) {
+		near.Run(req)
+		<-req.Context().Done()
+	})
+	began := time.Now()
+	got, _ := r.call("/unsafe/", func(req *http.Request) { req.Header.Set("Chivecroft-Deadline-Ms", "300") })
+	if got.Status != http.StatusGatewayTimeout || time.Since(began) > 500*time.Millisecond {
+		t.Errorf("%+v after %v", got, time.Since(began))
+	}
+}
+
+// TestSmuggledRequest sends a request with two framings; what hides behind it
+// never reaches a replica as a request of its own.
+func TestSmuggledRequest(t *testing.T) {
+	near, _ := two(t)
+	r := newRig(t, near)
+	for _, framing := range []string{
+		"Content-Length: 4\r\nTransfer-Encoding: chunked", "Content-Length: 4\r\nContent-Length: 5",
+		"Transfer-Encoding: xchunked", "Content-Length: 4, 4",
+	} {
+		var d net.Dialer
+		conn, err := d.DialContext(t.Context(), "tcp", r.front.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(conn, "POST /unsafe/ HTTP/1.1\r\nHost: x.example\r\nChivecroft-Attempt-Id: seen\r\n%s\r\n\r\n"+
+			"0\r\n\r\nPOST /unsafe/ HTTP/1.1\r\nHost: x.example\r\nChivecroft-Attempt-Id: hidden\r\nContent-Length: 0\r\n\r\n", framing)
+		_ = conn.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+		if resp, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
+			resp.Body.Close()
+		}
+		conn.Close()
+	}
+	headers, _ := near.Seen()
+	for _, h := range headers {
+		if len(h["Content-Length"]) > 1 || h.Get("Transfer-Encoding") != "" {
+			t.Errorf("framing reached the replica: %v", h)
+		}
+	}
+}
--- a/internal/transport/pass/stream.go
+++ b/internal/transport/pass/stream.go
@@ -57,6 +57,8 @@
 	if a.reply.LoadKnown {
 		a.seat.Told(a.reply.Running, a.reply.Waiting)
 	}
+	// What was passed on reaches the caller however the stream ends.
+	defer flush(x.w)
 	reader := bufio.NewReaderSize(a.resp.Body, 4<<10)
 	var event []byte
 	for {
@@ -87,12 +89,18 @@
 			last = id
 		}
 		event = event[:0]
-		if reader.Buffered() == 0 {
+		if !holdsEvent(reader) {
 			flush(x.w)
 		}
 	}
 }
 
+// holdsEvent tells whether another event can be passed on without waiting.
+func holdsEvent(reader *bufio.Reader) bool {
+	ready, err := reader.Peek(reader.Buffered())
+	return err == nil && bytes.Contains(ready, []byte("\n\n"))
+}
+
 // eventID returns the id line of an event, empty if there is none.
 func eventID(event []byte) string {
 	for _, line := range bytes.Split(event, []byte("\n")) {
