--- a/internal/coordination/swap/adapter.go
+++ b/internal/coordination/swap/adapter.go
@@ -44,7 +44,7 @@
 // take an order.
 func (p *Planner) adapterPlace(now time.Time, u *use) *worker {
 	var best *worker
-	for _, w := range p.sorted() {
+	for _, w := range p.fleet.order {
 		if !w.idle(now) || w.Find(u.model) == nil || w.job != nil {
 			continue
 		}
@@ -60,13 +60,13 @@
 func (p *Planner) adapterOrder(w *worker, model, adapter string, uses map[string]*use) []Action {
 	fits := w.used(p.engine)+p.engine.Models[model].AdapterMB <= p.engine.MemoryMB
 	if fits && w.adapters() < p.engine.Adapters {
-		return []Action{p.order(w, Action{Operation: Load, Model: model, Adapter: adapter, Reason: "waited for"})}
+		return []Action{p.send(w, Action{Operation: Load, Model: model, Adapter: adapter, Reason: "waited for"})}
 	}
 	old, name := p.oldestAdapter(w, uses)
 	if name == "" {
 		return nil
 	}
-	return []Action{p.order(w, Action{Operation: Unload, Model: old, Adapter: name, Reason: "room for " + adapter})}
+	return []Action{p.send(w, Action{Operation: Unload, Model: old, Adapter: name, Reason: "room for " + adapter})}
 }
 
 // oldestAdapter prefers the adapters of models that nobody uses. Adapters stand in
--- a/internal/coordination/swap/plan.go
+++ b/internal/coordination/swap/plan.go
@@ -58,14 +58,17 @@
 // Plan returns the orders and questions that are due.
 func (p *Planner) Plan(now time.Time) []Action {
 	uses := p.uses(now)
+	p.index()
 	actions := p.questions(now)
-	actions = append(actions, p.continueJobs(now)...)
+	actions = append(actions, p.continueJobs(now, uses)...)
 	actions = append(actions, p.adapterOrders(now, uses)...)
 	for _, n := range p.needs(now, uses) {
 		if a, ok := p.begin(now, uses, n); ok {
 			actions = append(actions, a)
+			p.index()
 		}
 	}
+	p.expect(now, uses)
 	return actions
 }
 
@@ -106,7 +109,7 @@
 
 func (p *Planner) questions(now time.Time) []Action {
 	var out []Action
-	for _, w := range p.sorted() {
+	for _, w := range p.fleet.order {
 		if w.probeAt.IsZero() || now.Before(w.probeAt) || w.probing || w.ordering {
 			continue
 		}
@@ -117,23 +120,14 @@
 	return out
 }
 
-func (p *Planner) sorted() []*worker {
-	out := make([]*worker, 0, len(p.workers))
-	for _, w := range p.workers {
-		out = append(out, w)
-	}
-	slices.SortFunc(out, func(x, y *worker) int { return cmp.Compare(x.ID, y.ID) })
-	return out
-}
-
 // continueJobs orders what follows an unload.
-func (p *Planner) continueJobs(now time.Time) []Action {
+func (p *Planner) continueJobs(now time.Time, uses map[string]*use) []Action {
 	var out []Action
-	for _, w := range p.sorted() {
+	for _, w := range p.fleet.order {
 		if w.job == nil || w.job.loading || w.job.leaving != "" || !w.idle(now) {
 			continue
 		}
-		out = append(out, p.nextOrder(now, w, nil)...)
+		out = append(out, p.nextOrder(now, w, uses)...)
 	}
 	return out
 }
@@ -148,7 +142,7 @@
 		if j.tier == TierStore {
 			p.begun = append(p.begun, now)
 		}
-		return []Action{p.order(w, Action{Operation: Load, Model: j.model, Tier: j.tier})}
+		return []Action{p.send(w, Action{Operation: Load, Model: j.model, Tier: j.tier})}
 	}
 	victims, _, ok := p.victims(now, w, j.model, uses)
 	if !ok {
@@ -157,10 +151,10 @@
 	}
 	j.leaving = victims[0]
 	p.changed(w)
-	return []Action{p.order(w, Action{Operation: Unload, Model: j.leaving, Reason: "room for " + j.model})}
+	return []Action{p.send(w, Action{Operation: Unload, Model: j.leaving, Reason: "room for " + j.model})}
 }
 
-func (p *Planner) order(w *worker, a Action) Action {
+func (p *Planner) send(w *worker, a Action) Action {
 	w.ordering = true
 	a.To = w.Replica
 	a.Expected = w.orders
@@ -177,10 +171,10 @@
 func (p *Planner) needs(now time.Time, uses map[string]*use) []*need {
 	var out []*need
 	for model, u := range uses {
-		if _, known := p.engine.Models[model]; !known || p.coming(model) {
+		if _, known := p.engine.Models[model]; !known || p.fleet.coming[model] {
 			continue
 		}
-		copies := p.copies(model)
+		copies := p.fleet.copies[model]
 		switch {
 		case u.waiting > 0 && copies == 0:
 			u.reason = "waited for"
@@ -209,7 +203,7 @@
 // ahead returns a model of which no replica has a copy, to be loaded before
 // anybody asks for it.
 func (p *Planner) ahead(now time.Time, uses map[string]*use) *need {
-	if float64(p.storeJobs()) >= p.storeLoads || !p.mayBeginStoreLoad(now) {
+	if float64(p.fleet.storeJobs) >= p.storeLoads || !p.mayBeginStoreLoad(now) {
 		return nil
 	}
 	var models []string
@@ -217,7 +211,7 @@
 		if u := uses[model]; u != nil && u.waiting > 0 {
 			continue
 		}
-		if !p.anywhere(model) {
+		if !p.fleet.kept[model] {
 			models = append(models, model)
 		}
 	}
@@ -234,36 +228,6 @@
 	return &need{model: best, reason: "ahead of use"}
 }
 
-// anywhere tells whether any replica has a copy of a model or is getting one.
-func (p *Planner) anywhere(model string) bool {
-	for _, w := range p.workers {
-		if w.Find(model) != nil || w.tier(model) != TierStore || w.job != nil && w.job.model == model {
-			return true
-		}
-	}
-	return false
-}
-
-func (p *Planner) coming(model string) bool {
-	for _, w := range p.workers {
-		if w.job != nil && w.job.model == model {
-			return true
-		}
-	}
-	return false
-}
-
-// copies counts the replicas that serve a model.
-func (p *Planner) copies(model string) int {
-	n := 0
-	for _, w := range p.workers {
-		if !w.Draining && w.Find(model) != nil && (w.job == nil || w.job.leaving != model) {
-			n++
-		}
-	}
-	return n
-}
-
 // begin starts the job that serves a need soonest, if it can start now. A need
 // whose best replica is still busy waits for that replica.
 func (p *Planner) begin(now time.Time, uses map[string]*use, n *need) (Action, bool) {
@@ -287,9 +251,9 @@
 }
 
 func (p *Planner) best(now time.Time, uses map[string]*use, n *need) *option {
-	storeOpen := float64(p.storeJobs()) < p.storeLoads && p.mayBeginStoreLoad(now)
+	storeOpen := float64(p.fleet.storeJobs) < p.storeLoads && p.mayBeginStoreLoad(now)
 	var best *option
-	for _, w := range p.sorted() {
+	for _, w := range p.fleet.order {
 		if w.Draining || now.Before(w.quietUntil) || w.Find(n.model) != nil {
 			continue
 		}
@@ -342,7 +306,7 @@
 func (p *Planner) onlyHere(w *worker) int {
 	n := 0
 	for _, model := range w.OnDisk {
-		if p.copies(model) == 0 {
+		if p.fleet.copies[model] == 0 {
 			n++
 		}
 	}
@@ -386,7 +350,7 @@
 	if now.Sub(w.loadedAt[model]) < keepTime {
 		return 0, false
 	}
-	copies := p.copies(model)
+	copies := p.fleet.copies[model]
 	r := p.rate(model)
 	score := 0.0
 	if u := uses[model]; u != nil {
@@ -407,31 +371,42 @@
 	return score, true
 }
 
-// Expected returns how long it takes until each model serves that requests wait for.
+// Expected returns how long it takes until each model serves that requests wait
+// for, as of the latest plan.
 func (p *Planner) Expected(now time.Time) map[string]time.Duration {
-	out := make(map[string]time.Duration)
-	for _, w := range p.workers {
-		if w.job == nil {
-			continue
-		}
-		left := max(w.job.due.Sub(now), 0) + reportLag
-		if have, ok := out[w.job.model]; !ok || left < have {
-			out[w.job.model] = left
+	out := make(map[string]time.Duration, len(p.expected))
+	for model, at := range p.expected {
+		out[model] = max(at.Sub(now), 0)
+	}
+	return out
+}
+
+// expect works out when models will serve: those of jobs, and those that wait for
+// a replica or for a place among the loads from the weight store.
+func (p *Planner) expect(now time.Time, uses map[string]*use) {
+	clear(p.expected)
+	for _, w := range p.fleet.order {
+		if w.job != nil {
+			p.expectAt(w.job.model, later(w.job.due, now).Add(reportLag))
 		}
 	}
-	uses := p.uses(now)
 	queue := p.storeQueue(now)
 	for _, n := range p.needs(now, uses) {
-		if n.waiting == 0 || p.copies(n.model) > 0 {
+		if n.waiting == 0 || p.fleet.copies[n.model] > 0 {
 			continue
 		}
 		if o := p.best(now, uses, n); o != nil && o.tier != TierStore {
-			out[n.model] = o.ready.Sub(now) + reportLag
+			p.expectAt(n.model, o.ready.Add(reportLag))
 			continue
 		}
-		out[n.model] = queue.next(p.loadTime(n.model, TierStore))
+		p.expectAt(n.model, now.Add(queue.next(p.loadTime(n.model, TierStore))))
+	}
+}
+
+func (p *Planner) expectAt(model string, at time.Time) {
+	if have, ok := p.expected[model]; !ok || at.Before(have) {
+		p.expected[model] = at
 	}
-	return out
 }
 
 // storeQueue holds when the places for loads from the weight store come free.
--- a/internal/coordination/swap/planner.go
+++ b/internal/coordination/swap/planner.go
@@ -88,6 +88,9 @@
 	window     time.Duration
 	storeLoads float64
 	version    uint64
+	fleet      index
+	// expected is when models will serve, as of the latest plan.
+	expected map[string]time.Time
 }
 
 type demand struct {
@@ -109,7 +112,7 @@
 	return &Planner{
 		service: service, engine: engine, random: random, window: window,
 		workers: make(map[string]*worker), demands: make(map[string]*demand), rates: make(map[string]*rate),
-		storeLoads: firstStoreLoads,
+		storeLoads: firstStoreLoads, expected: make(map[string]time.Time),
 	}
 }
 
@@ -245,7 +248,7 @@
 func (p *Planner) learnStoreTime(now time.Time, j *job) {
 	nominal := p.engine.Models[j.model].FromStore.Seconds()
 	took := now.Sub(j.began).Seconds() - reportLag.Seconds()
-	running := float64(p.storeJobs() + 1)
+	running := float64(p.fleet.storeJobs)
 	slowdown := max(took/nominal, 1)
 	if slowdown > 1.2 {
 		p.storeLoads = max(min(p.storeLoads, running/slowdown+0.5), 1)
@@ -364,13 +367,3 @@
 	}
 	return m.FromStore
 }
-
-func (p *Planner) storeJobs() int {
-	n := 0
-	for _, w := range p.workers {
-		if w.job != nil && w.job.tier == TierStore {
-			n++
-		}
-	}
-	return n
-}
--- a/internal/coordination/swap/planner_test.go
+++ b/internal/coordination/swap/planner_test.go
@@ -267,7 +267,8 @@
 	r := newRig(testEngine(5), []string{"m0", "m1"}, []string{"m2"})
 	r.run(30 * time.Second)
 	for m := range r.engine.Models {
-		if !r.anywhere(m) {
+		r.index()
+		if !r.fleet.kept[m] {
 			t.Errorf("no copy of %s", m)
 		}
 	}
