--- a/internal/coordination/hold/part.go
+++ b/internal/coordination/hold/part.go
@@ -24,13 +24,17 @@
 	// holderWatch is the time of the holder's watch of its key, idleWatch that of
 	// the others.
 	holderWatch = 600 * time.Millisecond
-	idleWatch   = 3 * time.Second
+	idleWatch   = 20 * time.Second
 	// firstWatch is short, since orders wait for the first sight.
 	firstWatch = 30 * time.Millisecond
 	// sightTime is how long the last sight of the key counts.
 	sightTime = 1500 * time.Millisecond
 	// margin is kept before the end of a lease for an order to arrive.
 	margin = 150 * time.Millisecond
+	// steadyTime is the rest of a lease that is left while renewals succeed.
+	steadyTime = 300 * time.Millisecond
+	// startSpread keeps instances that start together from asking all at once.
+	startSpread = 80 * time.Millisecond
 	// deferFirst and deferSpread are how long an instance lets the last holder
 	// come back first.
 	deferFirst  = 500 * time.Millisecond
@@ -46,10 +50,17 @@
 	// Mine tells that this instance is the holder, and Token its fencing number.
 	Mine  bool
 	Token uint64
+	// Sure is until when the key is this instance's for sure.
+	Sure time.Time
 	// From and Until bound the time in which this instance may send orders.
 	From, Until time.Time
 }
 
+// Steady tells whether the holder has heard from the store a short time ago.
+func (s Status) Steady(now time.Time) bool {
+	return s.Mine && now.Add(steadyTime).Before(s.Sure)
+}
+
 // May tells whether an order may be sent now.
 func (s Status) May(now time.Time) bool {
 	return s.Mine && !now.Before(s.From) && now.Before(s.Until)
@@ -90,6 +101,7 @@
 	ttl      time.Duration
 	handover time.Duration
 	random   *rand.Rand
+	patience time.Duration
 
 	phase phase
 	// tag is that of the call or timer that the phase waits for.
@@ -124,16 +136,35 @@
 // Release gives the holding up, for a planned stop.
 type Release struct{}
 
+// Doubt tells that the holder does not answer; it is looked up anew.
+type Doubt struct{}
+
 // IsEvent marks an event.
 func (Start) IsEvent() {}
 
 // IsEvent marks an event.
 func (Release) IsEvent() {}
 
+// IsEvent marks an event.
+func (Doubt) IsEvent() {}
+
+// Option changes a Part under construction.
+type Option func(*Part)
+
+// WithPatience lets other instances take the key first, for instances that are
+// less able to carry the holder's work.
+func WithPatience(d time.Duration) Option {
+	return func(p *Part) { p.patience = d }
+}
+
 // NewPart returns the part of the instance whose peer port is self. Leases last
 // ttl, and handover is the least time between orders of two holders.
-func NewPart(self netip.AddrPort, ttl, handover time.Duration, random *rand.Rand) *Part {
-	return &Part{self: self, ttl: ttl, handover: handover, random: random}
+func NewPart(self netip.AddrPort, ttl, handover time.Duration, random *rand.Rand, opts ...Option) *Part {
+	p := &Part{self: self, ttl: ttl, handover: handover, random: random}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
 }
 
 // Step takes one event; each change of the Status is a Note.
@@ -149,7 +180,11 @@
 func (p *Part) step(now time.Time, ev ports.Event) []ports.Effect {
 	switch e := ev.(type) {
 	case Start:
-		return p.look()
+		return p.pause(phaseLook, p.patience+time.Duration(p.random.Int64N(int64(startSpread))))
+	case Doubt:
+		if p.phase == phaseWatch {
+			return p.look()
+		}
 	case Release:
 		return p.release()
 	case ports.TimerFired:
@@ -287,7 +322,7 @@
 		return p.grant()
 	}
 	p.deferred = true
-	return p.pause(phaseDefer, deferFirst+time.Duration(p.random.Int64N(int64(deferSpread))))
+	return p.pause(phaseDefer, deferFirst+p.patience+time.Duration(p.random.Int64N(int64(deferSpread))))
 }
 
 func (p *Part) grant() []ports.Effect {
@@ -431,14 +466,17 @@
 
 // extend moves the end of the time in which orders may be sent.
 func (p *Part) extend() {
-	if !p.recorded || p.renewed.IsZero() || p.sighted.IsZero() {
+	if p.renewed.IsZero() || p.sighted.IsZero() {
 		return
 	}
 	until := p.renewed.Add(p.ttl)
 	if seen := p.sighted.Add(sightTime); seen.Before(until) {
 		until = seen
 	}
-	p.status.Until = until.Add(-margin)
+	p.status.Sure = until.Add(-margin)
+	if p.recorded {
+		p.status.Until = p.status.Sure
+	}
 }
 
 func (p *Part) lost() []ports.Effect {
--- a/internal/coordination/seat/board.go
+++ b/internal/coordination/seat/board.go
@@ -300,19 +300,24 @@
 	})
 }
 
-// SetReplica adds a replica or takes its new description.
+// SetReplica adds a replica or takes its new description from the list.
 func (b *Board) SetReplica(r fleet.Replica) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := b.timer.Now()
+	b.set(r)
+	b.serve(b.timer.Now())
+}
+
+func (b *Board) set(r fleet.Replica) *replica {
 	have := b.replicas[r.ID]
 	if have == nil || have.Born != r.Born || have.Addr != r.Addr {
-		b.replicas[r.ID] = &replica{Replica: r, toldAt: now}
-	} else {
-		have.Replica = r
-		have.missing = time.Time{}
+		have = &replica{Replica: r, toldAt: b.timer.Now()}
+		b.replicas[r.ID] = have
+		return have
 	}
-	b.serve(now)
+	have.Replica = r
+	have.missing = time.Time{}
+	return have
 }
 
 // Remove takes a replica out that has vanished from the list; with doubt it is
@@ -352,9 +357,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for i := range news {
-		if r := b.replicas[news[i].ID]; r != nil && r.Born == news[i].Born {
-			r.news = &news[i]
+		n := &news[i]
+		if n.Gone {
+			delete(b.replicas, n.ID)
+			continue
 		}
+		b.set(n.replica()).news = n
 	}
 	b.expected = expected
 	b.learnedAt = b.timer.Now()
--- a/internal/coordination/seat/board_test.go
+++ b/internal/coordination/seat/board_test.go
@@ -122,7 +122,7 @@
 	if n := r.demands.Load(); n != 2 {
 		t.Errorf("%d signals of demand", n)
 	}
-	r.Learn([]News{{Identity: one.Identity, Models: []fleet.Loaded{{Model: "m"}}}}, nil)
+	r.Learn([]News{NewsOf(&one, []fleet.Loaded{{Model: "m"}})}, nil)
 	<-first.done
 	if first.seat == nil {
 		t.Fatal(first.err)
@@ -202,7 +202,7 @@
 	r := newRig()
 	one := engine("one", "a1", "m")
 	r.SetReplica(one)
-	r.Learn([]News{{Identity: one.Identity, Models: []fleet.Loaded{{Model: "m"}}}}, nil)
+	r.Learn([]News{NewsOf(&one, []fleet.Loaded{{Model: "m"}})}, nil)
 	again := engine("one", "a1")
 	again.Born = 2
 	r.SetReplica(again)
--- a/internal/coordination/seat/replica.go
+++ b/internal/coordination/seat/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -57,7 +58,38 @@
 // News is what the holder of the placement knows of a replica.
 type News struct {
 	fleet.Identity
-	Models []fleet.Loaded `json:"models"`
+	Service  string         `json:"service"`
+	Addr     netip.AddrPort `json:"addr"`
+	Zone     string         `json:"zone"`
+	Slots    int            `json:"slots"`
+	Draining bool           `json:"draining,omitempty"`
+	Models   []fleet.Loaded `json:"models,omitempty"`
+	// Gone tells that the replica has left the list; only its id is set then.
+	Gone bool `json:"gone,omitempty"`
+}
+
+// NewsOf returns the news of a replica that serves models.
+func NewsOf(r *fleet.Replica, models []fleet.Loaded) News {
+	return News{
+		Identity: r.Identity, Service: r.Service, Addr: r.Addr, Zone: r.Zone, Slots: r.Slots,
+		Draining: r.Draining, Models: models,
+	}
+}
+
+// Same tells whether two news say the same.
+func (n *News) Same(o *News) bool {
+	return n.Identity == o.Identity && n.Service == o.Service && n.Addr == o.Addr && n.Zone == o.Zone &&
+		n.Slots == o.Slots && n.Draining == o.Draining && n.Gone == o.Gone &&
+		slices.EqualFunc(n.Models, o.Models, func(x, y fleet.Loaded) bool {
+			return x.Model == y.Model && slices.Equal(x.Adapters, y.Adapters)
+		})
+}
+
+func (n *News) replica() fleet.Replica {
+	return fleet.Replica{
+		Identity: n.Identity, Service: n.Service, Addr: n.Addr, Zone: n.Zone, Slots: n.Slots,
+		Draining: n.Draining, Holding: fleet.Holding{Models: n.Models},
+	}
 }
 
 // holds tells whether the replica serves a model and adapter: by the holder's news
--- a/internal/coordination/swap/index.go
+++ b/internal/coordination/swap/index.go
@@ -20,7 +20,7 @@
 }
 
 func (p *Planner) index() {
-	x := index{
+	x := &index{
 		order:  make([]*worker, 0, len(p.workers)),
 		copies: make(map[string]int, len(p.engine.Models)),
 		coming: make(map[string]bool),
--- a/internal/coordination/swap/plan.go
+++ b/internal/coordination/swap/plan.go
@@ -34,8 +34,10 @@
 	waited   time.Duration
 	left     time.Duration
 	reason   string
-	// ready is when the model is expected to serve, zero if that is not known.
+	// ready is when the model is expected to serve and tier the place of its copy;
+	// ready is zero while no replica can take it.
 	ready time.Time
+	tier  Tier
 }
 
 // use is what all instances together do with a model.
@@ -48,11 +50,10 @@
 
 // option is a way to load a model at a replica.
 type option struct {
-	w       *worker
-	tier    Tier
-	victims []string
-	ready   time.Time
-	cost    float64
+	w     *worker
+	tier  Tier
+	ready time.Time
+	cost  float64
 }
 
 // Plan returns the orders and questions that are due.
@@ -62,13 +63,14 @@
 	actions := p.questions(now)
 	actions = append(actions, p.continueJobs(now, uses)...)
 	actions = append(actions, p.adapterOrders(now, uses)...)
-	for _, n := range p.needs(now, uses) {
+	needs := p.needs(now, uses)
+	for _, n := range needs {
 		if a, ok := p.begin(now, uses, n); ok {
 			actions = append(actions, a)
 			p.index()
 		}
 	}
-	p.expect(now, uses)
+	p.expect(now, needs)
 	return actions
 }
 
@@ -144,12 +146,12 @@
 		}
 		return []Action{p.send(w, Action{Operation: Load, Model: j.model, Tier: j.tier})}
 	}
-	victims, _, ok := p.victims(now, w, j.model, uses)
-	if !ok {
+	o := p.outlook(now, w, uses)
+	if _, _, ok := p.victims(o, j.model); !ok {
 		w.job = nil
 		return nil
 	}
-	j.leaving = victims[0]
+	j.leaving = o.candidates[0].model
 	p.changed(w)
 	return []Action{p.send(w, Action{Operation: Unload, Model: j.leaving, Reason: "room for " + j.model})}
 }
@@ -235,7 +237,7 @@
 	if best == nil {
 		return Action{}, false
 	}
-	n.ready = best.ready
+	n.ready, n.tier = best.ready, best.tier
 	w := best.w
 	if !w.idle(now) || w.job != nil {
 		return Action{}, false
@@ -257,42 +259,41 @@
 		if w.Draining || now.Before(w.quietUntil) || w.Find(n.model) != nil {
 			continue
 		}
-		o := p.option(now, w, n, uses)
-		if o == nil || o.tier == TierStore && !storeOpen {
+		o, ok := p.option(now, w, n, uses)
+		if !ok || o.tier == TierStore && !storeOpen {
 			continue
 		}
 		if best == nil || o.cost < best.cost {
-			best = o
+			best = &o
 		}
 	}
 	return best
 }
 
 // option works out what it takes to load a model at a replica.
-func (p *Planner) option(now time.Time, w *worker, n *need, uses map[string]*use) *option {
+func (p *Planner) option(now time.Time, w *worker, n *need, uses map[string]*use) (option, bool) {
 	free := now
 	if w.job != nil {
 		free = w.job.due
 	} else if !w.certain {
 		free = now.Add(busyAgain)
 	}
-	o := &option{w: w, tier: w.tier(n.model)}
-	score := 0.0
-	if !w.fits(p.engine, n.model) {
-		victims, sum, ok := p.victims(now, w, n.model, uses)
-		if !ok {
-			return nil
-		}
-		o.victims, score = victims, sum
+	o := option{w: w, tier: w.tier(n.model)}
+	look := p.outlook(now, w, uses)
+	going, score, ok := p.victims(look, n.model)
+	if !ok {
+		return option{}, false
+	}
+	if going > 0 {
 		free = free.Add(reportLag)
 	}
 	took := p.loadTime(n.model, o.tier)
 	o.ready = later(free, now).Add(took)
 	o.cost = o.ready.Sub(now).Seconds() + evictionSeconds*score
 	if o.tier == TierStore {
-		o.cost += crowdSeconds * float64(p.onlyHere(w))
+		o.cost += crowdSeconds * float64(look.onlyHere)
 	}
-	return o
+	return o, true
 }
 
 func later(x, y time.Time) time.Time {
@@ -302,47 +303,56 @@
 	return y
 }
 
-// onlyHere counts the models on a replica's disk that nobody serves.
-func (p *Planner) onlyHere(w *worker) int {
-	n := 0
-	for _, model := range w.OnDisk {
-		if p.fleet.copies[model] == 0 {
-			n++
-		}
-	}
-	return n
+// outlook is what an eviction at a replica would lose; it is worked out once for
+// each index, however many models look for a place.
+type outlook struct {
+	of *index
+	// candidates are the models that may go, the least missed first.
+	candidates []candidate
+	used       float64
+	// onlyHere counts the models on the replica's disk that nobody serves.
+	onlyHere int
 }
 
-// victims returns the models to unload for another one, the least missed first,
-// and the sum of what their eviction loses.
-func (p *Planner) victims(
-	now time.Time, w *worker, model string, uses map[string]*use,
-) (names []string, score float64, ok bool) {
-	type candidate struct {
-		name  string
-		score float64
-	}
-	var all []candidate
+type candidate struct {
+	model string
+	score float64
+	size  float64
+}
+
+func (p *Planner) outlook(now time.Time, w *worker, uses map[string]*use) *outlook {
+	if w.outlook.of == p.fleet {
+		return &w.outlook
+	}
+	w.outlook = outlook{of: p.fleet, used: w.used(p.engine), candidates: w.outlook.candidates[:0]}
 	for _, l := range w.Models {
-		if s, ok := p.evictionScore(now, w, l.Model, uses); ok {
-			all = append(all, candidate{l.Model, s})
+		if score, ok := p.evictionScore(now, w, l.Model, uses); ok {
+			m := p.engine.Models[l.Model]
+			size := m.SizeMB + float64(len(l.Adapters))*m.AdapterMB
+			w.outlook.candidates = append(w.outlook.candidates, candidate{l.Model, score, size})
 		}
 	}
-	slices.SortFunc(all, func(x, y candidate) int {
-		return cmp.Or(cmp.Compare(x.score, y.score), cmp.Compare(x.name, y.name))
+	slices.SortFunc(w.outlook.candidates, func(x, y candidate) int {
+		return cmp.Or(cmp.Compare(x.score, y.score), cmp.Compare(x.model, y.model))
 	})
-	room := p.engine.MemoryMB - w.used(p.engine) - p.engine.Models[model].SizeMB
-	for _, c := range all {
-		if room >= 0 {
-			break
+	for _, model := range w.OnDisk {
+		if p.fleet.copies[model] == 0 {
+			w.outlook.onlyHere++
 		}
-		l := w.Find(c.name)
-		m := p.engine.Models[c.name]
-		room += m.SizeMB + float64(len(l.Adapters))*m.AdapterMB
-		names = append(names, c.name)
-		score += c.score
 	}
-	return names, score, room >= 0 && len(names) > 0
+	return &w.outlook
+}
+
+// victims returns how many of the candidates have to go for another model, and the
+// sum of what their eviction loses; false if there is no room for it.
+func (p *Planner) victims(o *outlook, model string) (n int, score float64, ok bool) {
+	room := p.engine.MemoryMB - o.used - p.engine.Models[model].SizeMB
+	for n < len(o.candidates) && room < 0 {
+		room += o.candidates[n].size
+		score += o.candidates[n].score
+		n++
+	}
+	return n, score, room >= 0
 }
 
 // evictionScore tells what is lost with a model's copy; false forbids it.
@@ -383,7 +393,7 @@
 
 // expect works out when models will serve: those of jobs, and those that wait for
 // a replica or for a place among the loads from the weight store.
-func (p *Planner) expect(now time.Time, uses map[string]*use) {
+func (p *Planner) expect(now time.Time, needs []*need) {
 	clear(p.expected)
 	for _, w := range p.fleet.order {
 		if w.job != nil {
@@ -391,12 +401,12 @@
 		}
 	}
 	queue := p.storeQueue(now)
-	for _, n := range p.needs(now, uses) {
-		if n.waiting == 0 || p.fleet.copies[n.model] > 0 {
+	for _, n := range needs {
+		if n.waiting == 0 || p.fleet.copies[n.model] > 0 || p.fleet.coming[n.model] {
 			continue
 		}
-		if o := p.best(now, uses, n); o != nil && o.tier != TierStore {
-			p.expectAt(n.model, o.ready.Add(reportLag))
+		if !n.ready.IsZero() && n.tier != TierStore {
+			p.expectAt(n.model, n.ready.Add(reportLag))
 			continue
 		}
 		p.expectAt(n.model, now.Add(queue.next(p.loadTime(n.model, TierStore))))
--- a/internal/coordination/swap/planner.go
+++ b/internal/coordination/swap/planner.go
@@ -87,8 +87,9 @@
 	begun      []time.Time
 	window     time.Duration
 	storeLoads float64
-	version    uint64
-	fleet      index
+	// touched are the replicas whose models may have changed.
+	touched []string
+	fleet   *index
 	// expected is when models will serve, as of the latest plan.
 	expected map[string]time.Time
 }
@@ -112,7 +113,7 @@
 	return &Planner{
 		service: service, engine: engine, random: random, window: window,
 		workers: make(map[string]*worker), demands: make(map[string]*demand), rates: make(map[string]*rate),
-		storeLoads: firstStoreLoads, expected: make(map[string]time.Time),
+		storeLoads: firstStoreLoads, fleet: &index{}, expected: make(map[string]time.Time),
 	}
 }
 
@@ -159,15 +160,6 @@
 	delete(p.workers, id)
 }
 
-// IDs returns the replicas that are known.
-func (p *Planner) IDs() []string {
-	ids := make([]string, 0, len(p.workers))
-	for id := range p.workers {
-		ids = append(ids, id)
-	}
-	return ids
-}
-
 // Demand takes an instance's demand, which replaces its former one.
 func (p *Planner) Demand(now time.Time, from string, models []seat.Demand) {
 	own := models[:0:0]
@@ -306,31 +298,25 @@
 	}
 }
 
-// changed gives a replica's news a new version if they differ.
-func (p *Planner) changed(w *worker) {
-	n := seat.News{Identity: w.Identity, Models: w.serving()}
-	if w.version != 0 && slices.EqualFunc(n.Models, w.news.Models, sameLoaded) {
-		return
+// Serving returns the models of a replica that requests may be sent to.
+func (p *Planner) Serving(id string) []fleet.Loaded {
+	w := p.workers[id]
+	if w == nil {
+		return nil
 	}
-	p.version++
-	w.version = p.version
-	w.news = n
+	return w.serving()
 }
 
-func sameLoaded(x, y fleet.Loaded) bool {
-	return x.Model == y.Model && slices.Equal(x.Adapters, y.Adapters)
+// Changed returns the replicas whose serving models may have changed since the
+// last call.
+func (p *Planner) Changed() []string {
+	out := p.touched
+	p.touched = nil
+	return out
 }
 
-// News returns what has changed after a version, and the latest version.
-func (p *Planner) News(after uint64) ([]seat.News, uint64) {
-	var out []seat.News
-	for _, w := range p.workers {
-		if w.version > after {
-			out = append(out, w.news)
-		}
-	}
-	slices.SortFunc(out, func(x, y seat.News) int { return cmp.Compare(x.ID, y.ID) })
-	return out, p.version
+func (p *Planner) changed(w *worker) {
+	p.touched = append(p.touched, w.ID)
 }
 
 func (p *Planner) rate(model string) *rate {
--- a/internal/coordination/swap/worker.go
+++ b/internal/coordination/swap/worker.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"chivecroft.example/chivecroft/internal/coordination/seat"
 	"chivecroft.example/chivecroft/internal/state/fleet"
 )
 
@@ -42,9 +41,7 @@
 	// quietUntil keeps orders from a replica that did not answer.
 	quietUntil time.Time
 	loadedAt   map[string]time.Time
-	// version is that of the latest news.
-	version uint64
-	news    seat.News
+	outlook    outlook
 }
 
 // job is an exchange under way: the models that go, then the one that comes.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -26,6 +26,9 @@
 const (
 	// replicaPause lets changes of several replicas be read with one watch.
 	replicaPause = 150 * time.Millisecond
+	// weakPatience is how long a machine with hardly any processor time lets others
+	// become the holder first.
+	weakPatience = 300 * time.Millisecond
 	// headerBytes bounds a request's header.
 	headerBytes = 64 << 10
 	// headerTimeout bounds how long a header may take to arrive.
@@ -45,45 +48,75 @@
 	budget *retry.Budget
 	pass   *pass.Server
 
-	config     atomic.Pointer[fleet.Config]
-	listed     atomic.Bool
-	stopping   atomic.Bool
-	loopCtx    context.Context //nolint:containedctx // ends the loops at Stop
-	stopLoops  context.CancelFunc
-	callers    *http.Server
-	ready      *http.Server
-	peerServer *http.Server
+	config      atomic.Pointer[fleet.Config]
+	configFeed  *feed
+	replicaFeed *feed
+	// listed tells that the replicas are known.
+	listed   atomic.Bool
+	stopping atomic.Bool
 
 	clock  *timer.Boot
 	keeper *keeper
 	holder *drive.Loop
 	peers  *peers
+	// newsAt is when the holder's news came last, by clock, in nanoseconds.
+	newsAt atomic.Int64
 	// waiting is signalled when a request begins to wait for a model.
 	waiting chan struct{}
+
+	loopCtx   context.Context //nolint:containedctx // ends the loops at Stop
+	stopLoops context.CancelFunc
+	// servers are those of callers, readiness, peers and, if there is one, metrics.
+	callers, ready, peerServer, metrics *http.Server
+
+	measure *measure
+	// metricsPort is where metrics are served, 0 for nowhere.
+	metricsPort uint16
+}
+
+// Option changes an Edge under construction.
+type Option func(*Edge)
+
+// WithMetrics serves metrics at a port of the instance's address.
+func WithMetrics(port uint16) Option {
+	return func(e *Edge) { e.metricsPort = port }
 }
 
 // New returns an instance that does nothing yet.
-func New(boot *platform.Boot, l *log.Logger) *Edge {
+func New(boot *platform.Boot, l *log.Logger, opts ...Option) *Edge {
 	e := &Edge{boot: boot, log: l, timer: timer.NewSystem(), health: &storeHealth{log: l}}
 	e.loopCtx, e.stopLoops = context.WithCancel(context.Background())
-	e.store = platform.NewStore(e.loopCtx, boot.Store)
+	e.measure = &measure{log: l}
+	e.store = platform.NewStore(e.loopCtx, boot.Store, platform.WithStoreObserver(e.measure.stored))
 	e.waiting = make(chan struct{}, 1)
 	e.board = seat.NewBoard(e.timer, boot.Zone, boot.Regions, seat.WithDemand(e.signal))
 	e.clock = timer.NewBoot()
-	e.keeper = newKeeper(e.loopCtx, boot, e.clock, l)
+	e.keeper = newKeeper(e.loopCtx, boot, e.clock, l, e.measure)
 	e.peers = newPeers()
+	e.configFeed = e.newConfigFeed()
+	e.replicaFeed = e.newReplicaFeed()
 	part := hold.NewPart(boot.Peer, boot.StoreTTLMin, boot.Bounds.OrderHandover,
-		rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+		rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		hold.WithPatience(patience(boot.Cores)))
 	e.holder = drive.NewLoop(part, ports.Env{KV: e.store, Timer: e.clock}, drive.WithListener(func(v any) {
 		e.keeper.setStatus(v.(hold.Status))
 	}))
 	e.budget = retry.NewBudget(retry.Limits{
 		Ratio: boot.Bounds.RetryRatio, Extra: boot.Bounds.RetryExtra, Window: boot.Bounds.RetryWindow,
 	})
-	e.pass = pass.NewServer(platform.Codec{}, e.board, e.budget, e.timer, pass.WithLogger(l))
+	e.pass = pass.NewServer(platform.Codec{}, e.board, e.budget, e.timer, pass.WithLogger(l),
+		pass.WithObserver(e.measure.ended))
+	for _, opt := range opts {
+		opt(e)
+	}
 	return e
 }
 
+// patience lets machines with more processor time become the holder first.
+func patience(cores float64) time.Duration {
+	return time.Duration((1 - min(max(cores, 0), 1)) * float64(weakPatience))
+}
+
 // signal makes the next message to the holder due.
 func (e *Edge) signal() {
 	select {
@@ -112,8 +145,13 @@
 	e.holder.Post(hold.Start{})
 	go e.talk(e.loopCtx)
 	go e.plan(e.loopCtx)
-	go e.configFeed().run(e.loopCtx)
-	go e.replicaFeed().run(e.loopCtx)
+	go e.configFeed.run(e.loopCtx)
+	go e.replicaFeed.run(e.loopCtx)
+	metrics, err := e.measure.start(ctx, e.boot.Instance, e.boot.Zone, e.boot.Addr, e.metricsPort)
+	if err != nil {
+		return err
+	}
+	e.metrics = metrics
 	e.log.Info().Str("instance", e.boot.Instance).Str("zone", e.boot.Zone).
 		Str("callers", e.boot.Callers.String()).Str("store", e.boot.Store.String()).Msg("started")
 	return nil
@@ -149,7 +187,7 @@
 	return e.config.Load() != nil && e.listed.Load() && !e.stopping.Load()
 }
 
-func (e *Edge) configFeed() *feed {
+func (e *Edge) newConfigFeed() *feed {
 	take := func(item ports.Item) {
 		if item.Key == platform.ConfigKey && !item.Deleted {
 			e.takeConfig(item)
@@ -162,7 +200,8 @@
 				take(item)
 			}
 		},
-		change: take,
+		change:   take,
+		informed: e.informed, paused: func() {},
 	}
 }
 
@@ -178,15 +217,16 @@
 	}
 	e.config.Store(c)
 	e.pass.SetConfig(c)
-	e.keeper.setConfig(c)
+	e.keeper.setConfig(c, uint64(item.Revision))
 	e.log.Info().Int64("version", c.Version).Uint64("revision", uint64(item.Revision)).
 		Int("routes", len(c.Routes)).Msg("configuration in force")
 }
 
-func (e *Edge) replicaFeed() *feed {
+func (e *Edge) newReplicaFeed() *feed {
 	return &feed{
 		name: "replicas", prefix: platform.ReplicaPrefix, store: e.store, health: e.health, log: e.log,
 		pause: replicaPause, whole: e.takeReplicas, change: e.takeReplica,
+		informed: e.informed, paused: func() { e.keeper.setListed(false) },
 	}
 }
 
@@ -202,6 +242,7 @@
 		}
 	}
 	e.listed.Store(true)
+	e.keeper.setListed(true)
 }
 
 func (e *Edge) takeReplica(item ports.Item) {
--- a/internal/edge/feed.go
+++ b/internal/edge/feed.go
@@ -16,6 +16,10 @@
 	// watchWait is the time of one watch. A watch whose connection has gone silent
 	// is found out a little later, so it bounds how old the state can be.
 	watchWait = 1500 * time.Millisecond
+	// startPatience lets the first holder tell the others what is in the store.
+	startPatience = 450 * time.Millisecond
+	// restPoll is how often a resting feed looks whether it has to go on.
+	restPoll = 50 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a failed call.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 500 * time.Millisecond
@@ -35,6 +39,12 @@
 	// whole takes all items, change one that was written or deleted.
 	whole  func([]ports.Item)
 	change func(ports.Item)
+	// informed tells that another instance's news replace a look at the store;
+	// paused is called when the feed rests for that reason.
+	informed func() bool
+	paused   func()
+	// hinted is the newest revision that another instance has told of.
+	hinted atomic.Uint64
 
 	revision ports.Revision
 	seen     map[string]ports.Revision
@@ -65,16 +75,43 @@
 	return time.Now().UnixMilli()-h.failed.Load() < troubleTime.Milliseconds()
 }
 
-// run follows the keys until ctx ends.
+// run follows the keys until ctx ends. While another instance's news are fresh it
+// rests, and reads again only what the news say has changed.
 func (f *feed) run(ctx context.Context) {
 	f.seen = make(map[string]ports.Revision)
+	sleep(ctx, startPatience)
 	for ctx.Err() == nil {
+		if f.rests(ctx) {
+			continue
+		}
 		if f.list(ctx) {
 			f.watch(ctx)
 		}
 	}
 }
 
+// hint tells of a revision of the keys that another instance has seen.
+func (f *feed) hint(revision uint64) { f.hinted.Store(revision) }
+
+// rests waits a short time if there is nothing to read.
+func (f *feed) rests(ctx context.Context) bool {
+	if !f.informed() || f.behind() {
+		return false
+	}
+	f.paused()
+	sleep(ctx, restPoll)
+	return true
+}
+
+// behind tells whether another instance has seen a newer revision than this one.
+func (f *feed) behind() bool {
+	newest := ports.Revision(0)
+	for _, r := range f.seen {
+		newest = max(newest, r)
+	}
+	return ports.Revision(f.hinted.Load()) > newest
+}
+
 func (f *feed) call(req ports.KVRequest) ports.KVReply {
 	reply := f.store.Do(req)
 	f.health.note(reply.Status, reply.Err)
@@ -125,7 +162,7 @@
 // watch takes changes until the history that it needs is gone.
 func (f *feed) watch(ctx context.Context) {
 	pause := retryFirst
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !f.informed() {
 		reply := f.call(ports.KVWatch{Prefix: f.prefix, After: f.revision, Wait: watchWait})
 		switch reply.Status {
 		case ports.KVOK:
--- a/internal/edge/keeper.go
+++ b/internal/edge/keeper.go
@@ -20,27 +20,34 @@
 // memberTime is how long an instance counts after its last message.
 const memberTime = 5 * time.Second
 
-// keeper runs the planners while this instance is the holder of the placement.
+// keeper runs the planners while this instance is the holder of the placement, and
+// tells the other instances what it knows.
 type keeper struct {
 	ctx     context.Context //nolint:containedctx // ends the orders at Stop
 	self    string
 	engines *platform.Engines
 	clock   *timer.Boot
 	log     *log.Logger
+	measure *measure
 	window  time.Duration
 
 	mu       sync.Mutex
 	status   hold.Status
 	replicas map[string]fleet.Replica
-	config   *fleet.Config
-	planners map[string]*swap.Planner
-	members  map[string]time.Time
+	// listed tells that replicas are those of a whole list.
+	listed bool
+	config *fleet.Config
+	// configRevision is the store's revision of the configuration.
+	configRevision uint64
+	planners       map[string]*swap.Planner
+	roster         *roster
+	members        map[string]time.Time
 }
 
-func newKeeper(ctx context.Context, boot *platform.Boot, clock *timer.Boot, l *log.Logger) *keeper {
+func newKeeper(ctx context.Context, boot *platform.Boot, clock *timer.Boot, l *log.Logger, m *measure) *keeper {
 	return &keeper{
-		ctx: ctx, self: boot.Instance, engines: platform.NewEngines(), clock: clock, log: l,
-		window: boot.Bounds.LoadWindow, replicas: make(map[string]fleet.Replica),
+		ctx: ctx, self: boot.Instance, engines: platform.NewEngines(), clock: clock, log: l, measure: m,
+		window: boot.Bounds.LoadWindow, replicas: make(map[string]fleet.Replica), roster: newRoster(),
 		planners: make(map[string]*swap.Planner), members: make(map[string]time.Time),
 	}
 }
@@ -61,21 +68,31 @@
 	}
 	k.planners = make(map[string]*swap.Planner)
 	k.members = make(map[string]time.Time)
+	k.roster = newRoster()
 	if s.Mine {
-		k.makePlanners()
+		k.begin()
 	}
 }
 
+// begin fills the roster and makes the planners of a new holder.
+func (k *keeper) begin() {
+	for _, r := range k.replicas {
+		k.roster.set(seat.NewsOf(&r, r.Models))
+	}
+	k.makePlanners()
+}
+
 func (k *keeper) current() hold.Status {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.status
 }
 
-func (k *keeper) setConfig(c *fleet.Config) {
+func (k *keeper) setConfig(c *fleet.Config, revision uint64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.config = c
+	k.configRevision = revision
 	if k.status.Mine {
 		k.makePlanners()
 	}
@@ -108,9 +125,15 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.replicas[r.ID] = r
+	if !k.status.Mine {
+		return
+	}
 	if p := k.planners[r.Service]; p != nil {
 		p.SetReplica(k.clock.Now(), r)
+		k.roster.set(seat.NewsOf(&r, p.Serving(r.ID)))
+		return
 	}
+	k.roster.set(seat.NewsOf(&r, r.Models))
 }
 
 func (k *keeper) removeReplica(id string) {
@@ -120,41 +143,65 @@
 		p.Remove(id)
 	}
 	delete(k.replicas, id)
+	k.roster.remove(id)
+}
+
+// setListed tells whether the replicas are those of a whole list.
+func (k *keeper) setListed(listed bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.listed = listed
 }
 
 // exchange takes an instance's demand and returns the news; false if this
-// instance is not the holder.
+// instance is not the holder, or cannot tell whether it still is.
 func (k *keeper) exchange(m message) (reply, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.status.Mine {
+	now := k.clock.Now()
+	if !k.status.Steady(now) || !k.listed || k.config == nil {
 		return reply{}, false
 	}
-	now := k.clock.Now()
 	k.members[m.From] = now
-	out := reply{Token: k.status.Token, Members: k.countMembers(now), Versions: make(map[string]uint64)}
-	if k.status.May(now) {
-		out.Expected = make(map[string]int64)
-	}
-	for name, p := range k.planners {
+	for _, p := range k.planners {
 		p.Demand(now, m.From, m.Demand)
-		after := m.Versions[name]
-		if m.Token != k.status.Token {
-			after = 0
-		}
-		news, version := p.News(after)
-		out.News = append(out.News, news...)
-		out.Versions[name] = version
-		if out.Expected == nil {
-			continue
-		}
-		for model, in := range p.Expected(now) {
-			out.Expected[model] = in.Milliseconds()
+	}
+	k.refreshRoster()
+	after := m.Version
+	if m.Holding != k.holding() {
+		after = 0
+	}
+	out := reply{
+		Holding: k.holding(), Version: k.roster.version, Whole: after == 0, News: k.roster.after(after),
+		Members: k.countMembers(now), Config: k.configRevision, Expected: make(map[string]int64),
+	}
+	if k.status.May(now) {
+		for _, p := range k.planners {
+			for model, in := range p.Expected(now) {
+				out.Expected[model] = in.Milliseconds()
+			}
 		}
 	}
 	return out, true
 }
 
+// holding names one holding of the placement, so that versions of another are not
+// mistaken for its own.
+func (k *keeper) holding() int64 {
+	return k.status.From.UnixNano()
+}
+
+// refreshRoster takes what the planners have changed.
+func (k *keeper) refreshRoster() {
+	for _, p := range k.planners {
+		for _, id := range p.Changed() {
+			if r, ok := k.replicas[id]; ok {
+				k.roster.set(seat.NewsOf(&r, p.Serving(id)))
+			}
+		}
+	}
+}
+
 func (k *keeper) countMembers(now time.Time) int {
 	for name, at := range k.members {
 		if now.Sub(at) > memberTime {
@@ -203,6 +250,7 @@
 		Str("adapter", a.Adapter).Int64("expected", a.Expected).Str("tier", a.Tier.String()).
 		Str("why", a.Reason).Str("result", result.String()).Uint64("token", token).
 		Dur("took", max(k.clock.Now().Sub(began), 0)).Err(err).Msg("order")
+	k.measure.ordered(a, result == platform.OrderTaken)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	p.Ordered(k.clock.Now(), a, ending(result))
@@ -238,19 +286,3 @@
 	}
 	return swap.Lost
 }
-
-// news is what an instance has learned from the holder.
-type news struct {
-	token    uint64
-	versions map[string]uint64
-}
-
-func (n *news) take(r reply, now time.Time, board *seat.Board) {
-	n.token = r.Token
-	n.versions = r.Versions
-	expected := make(map[string]time.Time, len(r.Expected))
-	for model, in := range r.Expected {
-		expected[model] = now.Add(time.Duration(in) * time.Millisecond)
-	}
-	board.Learn(r.News, expected)
-}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -11,6 +11,7 @@
 
 	"github.com/gravitational/trace"
 
+	"chivecroft.example/chivecroft/internal/coordination/hold"
 	"chivecroft.example/chivecroft/internal/coordination/seat"
 	"chivecroft.example/chivecroft/internal/transport/gate"
 )
@@ -22,31 +23,39 @@
 	peerSilence     = time.Second
 	messageBytes    = 4 << 20
 	// exchangeEvery is the interval of messages; while requests wait for models it
-	// is exchangeWaiting.
-	exchangeEvery   = 400 * time.Millisecond
-	exchangeWaiting = 100 * time.Millisecond
+	// is exchangeWaiting. Both grow with the fleet by exchangePerMember, so that the
+	// holder's work does not.
+	exchangeEvery     = 350 * time.Millisecond
+	exchangeWaiting   = 100 * time.Millisecond
+	exchangePerMember = 2 * time.Millisecond
 	// exchangeLeast is the least time between two messages.
 	exchangeLeast = 30 * time.Millisecond
+	// newsTime is how long the holder's news replace a look at the store.
+	newsTime = 900 * time.Millisecond
 	// planEvery is the interval at which the holder plans.
-	planEvery = 40 * time.Millisecond
+	planEvery = 50 * time.Millisecond
 )
 
 // message is what an instance tells the holder.
 type message struct {
 	From   string        `json:"from"`
 	Demand []seat.Demand `json:"demand,omitempty"`
-	// Token and Versions tell which news the instance has.
-	Token    uint64            `json:"token,omitempty"`
-	Versions map[string]uint64 `json:"versions,omitempty"`
+	// Holding and Version tell which news the instance has.
+	Holding int64  `json:"holding,omitempty"`
+	Version uint64 `json:"version,omitempty"`
 }
 
 // reply is the holder's answer.
 type reply struct {
-	Token    uint64            `json:"token"`
-	Versions map[string]uint64 `json:"versions"`
+	Holding int64  `json:"holding"`
+	Version uint64 `json:"version"`
 	// Members is the number of instances that talk to the holder.
-	Members int         `json:"members"`
-	News    []seat.News `json:"news,omitempty"`
+	Members int `json:"members"`
+	// Config is the store's revision of the configuration.
+	Config uint64      `json:"config"`
+	News   []seat.News `json:"news,omitempty"`
+	// Whole tells that replicas without news are gone.
+	Whole bool `json:"whole,omitempty"`
 	// Expected is the time in milliseconds until a model serves.
 	Expected map[string]int64 `json:"expected,omitempty"`
 }
@@ -118,17 +127,17 @@
 
 // talk tells the holder of this instance's demand and takes the news, until ctx ends.
 func (e *Edge) talk(ctx context.Context) {
-	var known news
-	regular := exchangeEvery
+	var known reply
 	for ctx.Err() == nil {
 		if err := e.talkOnce(ctx, &known); err != nil {
 			e.log.Debug().Err(err).Msg("no news from the holder")
+			e.holder.Post(hold.Doubt{})
 		}
-		wait := regular
+		wait := exchangeEvery
 		if e.board.Waits() {
 			wait = exchangeWaiting
 		}
-		e.pauseTalk(ctx, wait)
+		e.pauseTalk(ctx, wait+time.Duration(known.Members)*exchangePerMember)
 	}
 }
 
@@ -144,34 +153,71 @@
 	}
 }
 
-func (e *Edge) talkOnce(ctx context.Context, known *news) error {
+var errNoHolder = trace.NotFound("no holder is known")
+
+func (e *Edge) talkOnce(ctx context.Context, known *reply) error {
 	status := e.keeper.current()
-	if !status.Holder.IsValid() {
-		return trace.NotFound("no holder is known")
-	}
 	m := message{
-		From: e.boot.Instance, Demand: e.board.Demand(), Token: known.token, Versions: known.versions,
+		From: e.boot.Instance, Demand: e.board.Demand(), Holding: known.Holding, Version: known.Version,
 	}
-	var r reply
-	if status.Mine {
-		own, mine := e.keeper.exchange(m)
-		if !mine {
-			return trace.CompareFailed("the holder has changed")
+	switch {
+	case status.Mine:
+		r, steady := e.keeper.exchange(m)
+		if !steady {
+			return nil
 		}
-		r = own
-		defer e.keeper.work()
-	} else {
-		answer, err := e.peers.exchange(ctx, status.Holder, m)
+		e.learn(r)
+		*known = r
+		e.keeper.work()
+	case status.Holder.IsValid():
+		r, err := e.peers.exchange(ctx, status.Holder, m)
 		if err != nil {
 			return err
 		}
-		r = answer
+		e.learn(r)
+		e.newsAt.Store(e.clock.Now().UnixNano())
+		*known = r
+	default:
+		return errNoHolder
 	}
-	known.take(r, e.timer.Now(), e.board)
-	e.budget.SetInstances(r.Members)
 	return nil
 }
 
+// learn takes the holder's news.
+func (e *Edge) learn(r reply) {
+	now := e.timer.Now()
+	expected := make(map[string]time.Time, len(r.Expected))
+	for model, in := range r.Expected {
+		expected[model] = now.Add(time.Duration(in) * time.Millisecond)
+	}
+	if r.Whole {
+		e.dropUnlisted(r.News)
+	}
+	e.board.Learn(r.News, expected)
+	e.budget.SetInstances(r.Members)
+	e.listed.Store(true)
+	e.configFeed.hint(r.Config)
+}
+
+// dropUnlisted removes the replicas that a whole list leaves out.
+func (e *Edge) dropUnlisted(listed []seat.News) {
+	there := make(map[string]bool, len(listed))
+	for i := range listed {
+		there[listed[i].ID] = true
+	}
+	for _, id := range e.board.IDs() {
+		if !there[id] {
+			e.board.Remove(id, e.health.unsteady())
+		}
+	}
+}
+
+// informed tells whether the holder's news are fresh, so that this instance need
+// not look at the store itself.
+func (e *Edge) informed() bool {
+	return !e.keeper.current().Mine && e.clock.Now().UnixNano()-e.newsAt.Load() < int64(newsTime)
+}
+
 // plan lets the holder look for work at short intervals.
 func (e *Edge) plan(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -54,5 +54,8 @@
 	e.holder.Stop()
 	_ = e.ready.Close()
 	_ = e.peerServer.Close()
+	if e.metrics != nil {
+		_ = e.metrics.Close()
+	}
 	e.log.Info().Int("cut", cut).Dur("took", e.timer.Now().Sub(began)).Msg("stopped")
 }
--- a/internal/shell/serve.go
+++ b/internal/shell/serve.go
@@ -19,6 +19,8 @@
 // ServeCmd runs an instance on the users' platform.
 type ServeCmd struct {
 	Boot string `help:"Boot file of the platform." env:"CHIVECROFT_BOOT" required:"" type:"path" placeholder:"FILE"`
+	// MetricsPort is on the address that the boot file names.
+	MetricsPort uint16 `help:"Port for metrics, 0 for none." default:"0"`
 }
 
 // Run serves until a signal asks it to stop.
@@ -35,7 +37,7 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
-	e := edge.New(boot, l)
+	e := edge.New(boot, l, edge.WithMetrics(c.MetricsPort))
 	if err := e.Start(context.Background()); err != nil {
 		return trace.Wrap(err)
 	}
--- a/internal/transport/pass/note.go
+++ b/internal/transport/pass/note.go
@@ -2,14 +2,23 @@
 
 import (
 	"time"
+
+	"chivecroft.example/chivecroft/internal/state/fleet"
 )
 
+// ReasonAnswered is the reason of a request that got a replica's whole answer.
+const ReasonAnswered = "answered"
+
 // Ended tells how a request ended.
 type Ended struct {
 	Route   string
 	Service string
+	Kind    fleet.Kind
 	Status  int
 	Reason  string
+	// NotRun tells that the request cannot have run anywhere.
+	NotRun bool
+	Waited time.Duration
 	// Took is the time to the end, Began to the first event or the whole answer.
 	Took  time.Duration
 	Began time.Duration
@@ -38,9 +47,10 @@
 	took := x.s.timer.Now().Sub(x.arrived)
 	e := Ended{
 		Service: x.service, Status: x.status, Reason: x.reason, Took: took, Began: x.began, Sends: x.sends,
+		NotRun: x.ran == 0, Waited: x.waited,
 	}
 	if x.route != nil {
-		e.Route = x.route.Name
+		e.Route, e.Kind = x.route.Name, x.route.Kind
 	}
 	x.s.ended(e)
 	x.s.log.Info().Str("request", x.call.ID).Str("route", e.Route).Int64("version", x.version).
--- a/internal/transport/pass/relay.go
+++ b/internal/transport/pass/relay.go
@@ -32,7 +32,7 @@
 	})
 	x.head(a.resp)
 	x.w.Header().Set("Content-Length", contentLength(len(body)))
-	x.note(a.resp.StatusCode, "answered")
+	x.note(a.resp.StatusCode, ReasonAnswered)
 	x.w.WriteHeader(a.resp.StatusCode)
 	_, _ = x.w.Write(body)
 	return true
--- a/internal/transport/pass/stream.go
+++ b/internal/transport/pass/stream.go
@@ -30,7 +30,7 @@
 		var err error
 		last, err = x.events(a, last)
 		if err == nil {
-			x.reason = "answered"
+			x.reason = ReasonAnswered
 			x.closeStream(a, seat.Outcome{})
 			return
 		}
