Watch the holder's key from the store's revision, not from the key's

Cause: once the store had dropped the history back to the key's last change, every watch of it was answered that history is gone: the holder gave up after 20 s without need, and the others read the key again and again.

--- a/internal/coordination/hold/hold_test.go
+++ b/internal/coordination/hold/hold_test.go
@@ -204,6 +204,66 @@
 	})
 }
 
+// forgetting answers watches that begin before its horizon as a store does that has
+// dropped its history.
+type forgetting struct {
+	ports.KV
+	horizon ports.Revision
+	watches int
+}
+
+func (f *forgetting) Call(req ports.KVRequest, done func(ports.KVReply)) {
+	if w, ok := req.(ports.KVWatch); ok {
+		f.watches++
+		if w.After < f.horizon {
+			done(ports.KVReply{Status: ports.KVConflict})
+			return
+		}
+	}
+	f.KV.Call(req, done)
+}
+
+// TestLostHistory writes other keys until the history no longer reaches back to the
+// holder's key; the holder holds on, and nobody asks again and again.
+func TestLostHistory(t *testing.T) {
+	r := newRig(2, 6)
+	var stores []*forgetting
+	for i, nd := range r.nodes {
+		nd.loop.Stop()
+		f := &forgetting{KV: nd.kv}
+		stores = append(stores, f)
+		nd.loop = drive.NewLoop(NewPart(address(i), testTTL, testHandover, r.random),
+			ports.Env{KV: f, Timer: r.timer}, drive.WithListener(func(v any) { nd.status = v.(Status) }))
+		nd.loop.Post(Start{})
+	}
+	r.advance(time.Second)
+	first, token := r.holder, r.nodes[r.holder].status.Token
+	for range 30 {
+		r.store.Call(ports.KVPut{Key: "other", Expect: r.otherRevision()}, func(reply ports.KVReply) {
+			for _, f := range stores {
+				f.horizon = reply.Revision
+			}
+		})
+		r.advance(time.Second)
+	}
+	if r.holder != first || r.nodes[first].status.Token != token {
+		t.Errorf("holder %d with token %d became %d with %d", first, token, r.holder, r.nodes[r.holder].status.Token)
+	}
+	if n := stores[1-first].watches; n > 40 {
+		t.Errorf("%d watches of the one that waits", n)
+	}
+}
+
+func (r *rig) otherRevision() ports.Revision {
+	var have ports.Revision
+	r.store.Call(ports.KVGet{Key: "other"}, func(reply ports.KVReply) {
+		if item, ok := reply.Item(); ok {
+			have = item.Revision
+		}
+	})
+	return have
+}
+
 // TestHoldersKeepApart plays random kills, freezes, outages, lost answers and
 // stolen keys, and checks that orders of two instances are never closer than the
 // handover.
--- a/internal/coordination/hold/part.go
+++ b/internal/coordination/hold/part.go
@@ -111,8 +111,10 @@
 	// deferred tells that the last holder has had its time to come back.
 	deferred bool
 
-	lease    ports.LeaseID
+	lease ports.LeaseID
+	// revision is that of the key, seen the store's at the last look at it.
 	revision ports.Revision
+	seen     ports.Revision
 	last     value
 	lastRev  ports.Revision
 	// recorded tells that the record names this instance.
@@ -266,6 +268,7 @@
 	item, ok := r.Item()
 	switch {
 	case r.Status == ports.KVOK && ok:
+		p.seen = max(r.Revision, item.Revision)
 		return p.found(item)
 	case r.Status == ports.KVNotFound:
 		p.revision = 0
@@ -287,12 +290,13 @@
 }
 
 func (p *Part) follow() []ports.Effect {
-	return p.call(phaseWatch, ports.KVWatch{Prefix: leaseKey, After: p.revision, Wait: idleWatch})
+	return p.call(phaseWatch, ports.KVWatch{Prefix: leaseKey, After: p.seen, Wait: idleWatch})
 }
 
 func (p *Part) watched(r ports.KVReply) []ports.Effect {
 	switch {
 	case r.Status == ports.KVOK && len(r.Items) == 0:
+		p.seen = max(p.seen, r.Revision)
 		return p.follow()
 	case r.Status == ports.KVOK, r.Status == ports.KVConflict:
 		return p.look()
@@ -348,7 +352,7 @@
 	default:
 		return p.pause(phaseLook, retryPause)
 	}
-	p.revision = r.Revision
+	p.revision, p.seen = r.Revision, r.Revision
 	return p.call(phaseRead, ports.KVGet{Key: recordKey})
 }
 
@@ -447,17 +451,27 @@
 		wait = firstWatch
 	}
 	return []ports.Effect{ports.KVCall{Tag: p.sight.tag, Req: ports.KVWatch{
-		Prefix: leaseKey, After: p.revision, Wait: wait,
+		Prefix: leaseKey, After: p.seen, Wait: wait,
 	}}}
 }
 
+// readOwn reads the own key where the history that a watch needs is gone.
+func (p *Part) readOwn(now time.Time) []ports.Effect {
+	p.sight = pending{tag: p.next(), sent: now}
+	return []ports.Effect{ports.KVCall{Tag: p.sight.tag, Req: ports.KVGet{Key: leaseKey}}}
+}
+
 func (p *Part) sightDone(now time.Time, r ports.KVReply) []ports.Effect {
+	item, ok := r.Item()
 	switch {
-	case r.Status == ports.KVOK && len(r.Items) == 0:
+	case r.Status == ports.KVOK && (!ok || !item.Deleted && item.Revision == p.revision):
+		p.seen = max(p.seen, r.Revision)
 		p.sighted = p.sight.sent
 		p.extend()
 		return p.watchOwn(now)
-	case r.Status == ports.KVOK, r.Status == ports.KVConflict:
+	case r.Status == ports.KVConflict:
+		return p.readOwn(now)
+	case r.Status == ports.KVOK, r.Status == ports.KVNotFound:
 		return p.lost()
 	}
 	p.sight.tag = p.next()
