Count a quiet watch of the holder's key for the time that it took

Cause: members were answered that the holder is unsure for a third of the time, as the sight of its key was dated to the beginning of a 0.6 s watch, and each of them then read the store itself. A watch that ends without changes tells of its whole wait. Looks for another holder are at least 1.5 s apart.

--- a/internal/coordination/hold/part.go
+++ b/internal/coordination/hold/part.go
@@ -130,6 +130,17 @@
 type pending struct {
 	tag  ports.Tag
 	sent time.Time
+	// wait is the time for which a watch was to wait.
+	wait time.Duration
+}
+
+// until returns up to when a call's answer tells of the store. A watch without
+// changes that took its whole time tells of that time as well.
+func (c pending) until(now time.Time) time.Time {
+	if end := c.sent.Add(c.wait); !end.After(now) {
+		return end
+	}
+	return c.sent
 }
 
 // Start begins the work of a part.
@@ -445,11 +456,11 @@
 
 // watchOwn watches the own key; no change is a sight of it.
 func (p *Part) watchOwn(now time.Time) []ports.Effect {
-	p.sight = pending{tag: p.next(), sent: now}
 	wait := holderWatch
 	if p.sighted.IsZero() {
 		wait = firstWatch
 	}
+	p.sight = pending{tag: p.next(), sent: now, wait: wait}
 	return []ports.Effect{ports.KVCall{Tag: p.sight.tag, Req: ports.KVWatch{
 		Prefix: leaseKey, After: p.seen, Wait: wait,
 	}}}
@@ -466,7 +477,7 @@
 	switch {
 	case r.Status == ports.KVOK && (!ok || !item.Deleted && item.Revision == p.revision):
 		p.seen = max(p.seen, r.Revision)
-		p.sighted = p.sight.sent
+		p.sighted = p.sight.until(now)
 		p.extend()
 		return p.watchOwn(now)
 	case r.Status == ports.KVConflict:
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -32,6 +32,8 @@
 	exchangeLeast = 30 * time.Millisecond
 	// newsTime is how long the holder's news replace a look at the store.
 	newsTime = 900 * time.Millisecond
+	// doubtEvery is the least time between two looks for another holder.
+	doubtEvery = 1500 * time.Millisecond
 	// planEvery is the interval at which the holder plans.
 	planEvery = 50 * time.Millisecond
 )
@@ -128,9 +130,12 @@
 // talk tells the holder of this instance's demand and takes the news, until ctx ends.
 func (e *Edge) talk(ctx context.Context) {
 	var known reply
+	var doubted time.Time
 	for ctx.Err() == nil {
-		if err := e.talkOnce(ctx, &known); err != nil {
-			e.log.Debug().Err(err).Msg("no news from the holder")
+		err := e.talkOnce(ctx, &known)
+		if now := e.timer.Now(); err != nil && now.Sub(doubted) > doubtEvery {
+			e.log.Info().Err(err).Msg("no news from the holder")
+			doubted = now
 			e.holder.Post(hold.Doubt{})
 		}
 		wait := exchangeEvery
