--- a/internal/coordination/hold/doc.go
+++ b/internal/coordination/hold/doc.go
@@ -1,4 +1,4 @@
-// Package hold decides which instance may order replicas.
+// Package hold decides which instance may order targets.
 //
 // The holder owns a key under a lease. Losing it is noticed late in two cases: the
 // holder is cut off from the store, or the key was taken away although the lease
--- a/internal/coordination/seat/board.go
+++ b/internal/coordination/seat/board.go
@@ -10,11 +10,11 @@
 	"chivecroft.example/chivecroft/internal/state/timer"
 )
 
-// What a request's way to another zone or region costs, in requests at a replica.
+// What a request's way to another zone or region costs, in requests at a target.
 const (
 	zoneCost   = 1.5
 	regionCost = 4.0
-	// failureCost weighs a replica's failure rate.
+	// failureCost weighs a target's failure rate.
 	failureCost = 20.0
 	// patienceShare is the part of its time that a request waits for a model
 	// without news of it.
@@ -27,7 +27,7 @@
 	lookInterval = 50 * time.Millisecond
 )
 
-// Board finds replicas; it is safe for concurrent use.
+// Board finds targets; it is safe for concurrent use.
 type Board struct {
 	timer   timer.Service
 	zone    string
@@ -35,8 +35,8 @@
 	// demanded is called after a request has begun to wait for a model.
 	demanded func()
 
-	mu       sync.Mutex
-	replicas map[string]*replica
+	mu      sync.Mutex
+	targets map[string]*target
 	// means is the failure rate of each service.
 	means   map[string]float64
 	waiting []*waiter
@@ -70,12 +70,12 @@
 	return func(b *Board) { b.demanded = f }
 }
 
-// NewBoard returns a board without replicas for an instance of zone; regions maps
+// NewBoard returns a board without targets for an instance of zone; regions maps
 // zones to their regions.
 func NewBoard(t timer.Service, zone string, regions map[string]string, opts ...Option) *Board {
 	b := &Board{
 		timer: t, zone: zone, regions: regions, demanded: func() {},
-		replicas: make(map[string]*replica),
+		targets:  make(map[string]*target),
 		means:    make(map[string]float64),
 		expected: make(map[string]time.Time),
 		arrivals: make(map[modelKey]int),
@@ -141,7 +141,7 @@
 	return err
 }
 
-// pick takes a place at the best open replica, nil if there is none.
+// pick takes a place at the best open target, nil if there is none.
 func (b *Board) pick(now time.Time, q *Request) *Seat {
 	best := b.best(now, q, false)
 	if best == nil {
@@ -159,16 +159,16 @@
 		best.byModel[q.Model]++
 	}
 	return &Seat{
-		Replica: best.Replica, Waited: now.Sub(q.Arrived), Load: load,
+		Target: best.Target, Waited: now.Sub(q.Arrived), Load: load,
 		board: b, state: best, model: q.Model,
 	}
 }
 
-func (b *Board) best(now time.Time, q *Request, ejected bool) *replica {
-	var best *replica
+func (b *Board) best(now time.Time, q *Request, ejected bool) *target {
+	var best *target
 	lowest := 0.0
 	fresh := now.Sub(b.learnedAt) < newsTime
-	for _, r := range b.replicas {
+	for _, r := range b.targets {
 		if r.Service != q.Service || !r.open(now, q, fresh) || now.Before(r.ejectedUntil) != ejected {
 			continue
 		}
@@ -180,7 +180,7 @@
 	return best
 }
 
-func (b *Board) cost(now time.Time, r *replica) float64 {
+func (b *Board) cost(now time.Time, r *target) float64 {
 	cost := r.load(now) + failureCost*max(r.failing(now)-b.means[r.Service], 0)
 	switch {
 	case r.Zone == b.zone:
@@ -207,7 +207,7 @@
 		return &Refusal{Reason: ReasonTooLate, RetryAfter: b.retryAfter(now, q)}
 	}
 	if now.Sub(q.Arrived) > b.patience(q) {
-		return &Refusal{Reason: ReasonNoReplica, RetryAfter: b.retryAfter(now, q)}
+		return &Refusal{Reason: ReasonNoTarget, RetryAfter: b.retryAfter(now, q)}
 	}
 	return nil
 }
@@ -253,7 +253,7 @@
 
 func (b *Board) count(service string) int {
 	n := 0
-	for _, r := range b.replicas {
+	for _, r := range b.targets {
 		if r.Service == service {
 			n++
 		}
@@ -300,38 +300,38 @@
 	})
 }
 
-// SetReplica adds a replica or takes its new description from the list.
-func (b *Board) SetReplica(r fleet.Replica) {
+// SetTarget adds a target or takes its new description from the list.
+func (b *Board) SetTarget(r fleet.Target) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.set(r)
 	b.serve(b.timer.Now())
 }
 
-func (b *Board) set(r fleet.Replica) *replica {
-	have := b.replicas[r.ID]
+func (b *Board) set(r fleet.Target) *target {
+	have := b.targets[r.ID]
 	if have == nil || have.Born != r.Born || have.Addr != r.Addr {
-		have = &replica{Replica: r, toldAt: b.timer.Now()}
-		b.replicas[r.ID] = have
+		have = &target{Target: r, toldAt: b.timer.Now()}
+		b.targets[r.ID] = have
 		return have
 	}
-	have.Replica = r
+	have.Target = r
 	have.missing = time.Time{}
 	return have
 }
 
-// Remove takes a replica out that has vanished from the list; with doubt it is
+// Remove takes a target out that has vanished from the list; with doubt it is
 // used on for a short time, since it may come back.
 func (b *Board) Remove(id string, doubt bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := b.replicas[id]
+	r := b.targets[id]
 	if r == nil {
 		return
 	}
 	now := b.timer.Now()
 	if !doubt || r.gone(now) {
-		delete(b.replicas, id)
+		delete(b.targets, id)
 		return
 	}
 	if r.missing.IsZero() {
@@ -340,18 +340,18 @@
 	}
 }
 
-// IDs returns the replicas on the board.
+// IDs returns the targets on the board.
 func (b *Board) IDs() []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	ids := make([]string, 0, len(b.replicas))
-	for id := range b.replicas {
+	ids := make([]string, 0, len(b.targets))
+	for id := range b.targets {
 		ids = append(ids, id)
 	}
 	return ids
 }
 
-// Learn takes the holder's news of replicas and its outlook on models; each
+// Learn takes the holder's news of targets and its outlook on models; each
 // outlook replaces all former ones.
 func (b *Board) Learn(news []News, expected map[string]time.Time) {
 	b.mu.Lock()
@@ -359,10 +359,10 @@
 	for i := range news {
 		n := &news[i]
 		if n.Gone {
-			delete(b.replicas, n.ID)
+			delete(b.targets, n.ID)
 			continue
 		}
-		b.set(n.replica()).news = n
+		b.set(n.target()).news = n
 	}
 	b.expected = expected
 	b.learnedAt = b.timer.Now()
--- a/internal/coordination/seat/board_test.go
+++ b/internal/coordination/seat/board_test.go
@@ -28,8 +28,8 @@
 	return r
 }
 
-func engine(id, zone string, models ...string) fleet.Replica {
-	r := fleet.Replica{
+func engine(id, zone string, models ...string) fleet.Target {
+	r := fleet.Target{
 		Identity: fleet.Identity{ID: id, Born: 1}, Service: "llm", Zone: zone, Slots: 4,
 		Addr: netip.MustParseAddrPort("10.0.0.1:80"),
 	}
@@ -87,18 +87,18 @@
 
 func TestPrefersNearAndIdle(t *testing.T) {
 	r := newRig()
-	r.SetReplica(engine("near", "a1", "m"))
-	r.SetReplica(engine("far", "b1", "m"))
+	r.SetTarget(engine("near", "a1", "m"))
+	r.SetTarget(engine("far", "b1", "m"))
 	var got []string
 	for range 5 {
 		s, err := r.Acquire(t.Context(), r.request("m"))
 		if err != nil {
 			t.Fatal(err)
 		}
-		got = append(got, s.Replica.ID)
+		got = append(got, s.Target.ID)
 	}
 	if diff := cmp.Diff([]string{"near", "near", "near", "near", "far"}, got); diff != "" {
-		t.Errorf("replicas (-want +got):\n%s", diff)
+		t.Errorf("targets (-want +got):\n%s", diff)
 	}
 }
 
@@ -108,7 +108,7 @@
 	r := newRig()
 	one := engine("one", "a1")
 	one.Slots = 1
-	r.SetReplica(one)
+	r.SetTarget(one)
 	late := r.request("m")
 	late.Priority = 2
 	second := r.acquire(t.Context(), late)
@@ -138,7 +138,7 @@
 // after its deadline, and tells it when to come back.
 func TestRefusesWhatComesTooLate(t *testing.T) {
 	r := newRig()
-	r.SetReplica(engine("one", "a1"))
+	r.SetTarget(engine("one", "a1"))
 	p := r.acquire(t.Context(), r.request("m"))
 	r.settle(t, 1)
 	r.Learn(nil, map[string]time.Time{"m": r.timer.Now().Add(12 * time.Second)})
@@ -153,22 +153,22 @@
 	p := r.acquire(t.Context(), r.request("m"))
 	r.settle(t, 1)
 	r.timer.Advance(3500 * time.Millisecond)
-	if got := p.refusal(t).Reason; got != ReasonNoReplica {
+	if got := p.refusal(t).Reason; got != ReasonNoTarget {
 		t.Errorf("refused for %q", got)
 	}
 }
 
-func TestDrainingReplicaGetsNothing(t *testing.T) {
+func TestDrainingTargetGetsNothing(t *testing.T) {
 	r := newRig()
 	one := engine("one", "a1", "m")
-	r.SetReplica(one)
+	r.SetTarget(one)
 	one.Draining = true
-	r.SetReplica(one)
+	r.SetTarget(one)
 	r.acquire(t.Context(), r.request("m"))
 	r.settle(t, 1)
 }
 
-// TestVanishedInAnOutage keeps using a replica for a short time whose entry went
+// TestVanishedInAnOutage keeps using a target for a short time whose entry went
 // while the store was in trouble, and no longer.
 func TestVanishedInAnOutage(t *testing.T) {
 	for _, c := range []struct {
@@ -183,7 +183,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			r := newRig()
-			r.SetReplica(engine("one", "a1", "m"))
+			r.SetTarget(engine("one", "a1", "m"))
 			r.Remove("one", c.doubt)
 			r.timer.Advance(c.after)
 			r.mu.Lock()
@@ -197,40 +197,40 @@
 	}
 }
 
-// TestReusedAddressIsAnotherReplica forgets what was known of an incarnation.
-func TestReusedAddressIsAnotherReplica(t *testing.T) {
+// TestReusedAddressIsAnotherTarget forgets what was known of an incarnation.
+func TestReusedAddressIsAnotherTarget(t *testing.T) {
 	r := newRig()
 	one := engine("one", "a1", "m")
-	r.SetReplica(one)
+	r.SetTarget(one)
 	r.Learn([]News{NewsOf(&one, []fleet.Loaded{{Model: "m"}})}, nil)
 	again := engine("one", "a1")
 	again.Born = 2
-	r.SetReplica(again)
+	r.SetTarget(again)
 	r.acquire(t.Context(), r.request("m"))
 	r.settle(t, 1)
 }
 
-// TestEjectsWhatFails moves requests away from a replica that fails most of them
+// TestEjectsWhatFails moves requests away from a target that fails most of them
 // although it is nearer, and back once it has recovered.
 func TestEjectsWhatFails(t *testing.T) {
 	r := newRig()
-	r.SetReplica(engine("grey", "a1", "m"))
-	r.SetReplica(engine("sound", "a2", "m"))
+	r.SetTarget(engine("grey", "a1", "m"))
+	r.SetTarget(engine("sound", "a2", "m"))
 	used := make(map[string]int)
 	send := func(failing bool) string {
 		s, err := r.Acquire(t.Context(), r.request("m"))
 		if err != nil {
 			t.Fatal(err)
 		}
-		s.Done(Outcome{Failed: failing && s.Replica.ID == "grey"})
+		s.Done(Outcome{Failed: failing && s.Target.ID == "grey"})
 		r.timer.Advance(50 * time.Millisecond)
-		return s.Replica.ID
+		return s.Target.ID
 	}
 	for range 100 {
 		used[send(true)]++
 	}
 	if used["grey"] > 20 {
-		t.Errorf("the failing replica got %d of 100 requests", used["grey"])
+		t.Errorf("the failing target got %d of 100 requests", used["grey"])
 	}
 	r.timer.Advance(10 * time.Second)
 	last := ""
@@ -238,7 +238,7 @@
 		last = send(false)
 	}
 	if last != "grey" {
-		t.Errorf("a replica that has recovered gets no requests")
+		t.Errorf("a target that has recovered gets no requests")
 	}
 }
 
--- a/internal/coordination/seat/demand.go
+++ b/internal/coordination/seat/demand.go
@@ -18,11 +18,11 @@
 	LeftMS int64 `json:"leftMs,omitempty"`
 	// Adapters are those that requests wait for.
 	Adapters []string `json:"adapters,omitempty"`
-	// Flying counts the requests at replicas, Arrived those that came since the
+	// Flying counts the requests at targets, Arrived those that came since the
 	// last summary.
 	Flying  int `json:"flying,omitempty"`
 	Arrived int `json:"arrived,omitempty"`
-	// At splits Flying by the replicas' ids.
+	// At splits Flying by the targets' ids.
 	At map[string]int `json:"at,omitempty"`
 }
 
@@ -41,7 +41,7 @@
 		}
 		return d
 	}
-	for _, r := range b.replicas {
+	for _, r := range b.targets {
 		for model, n := range r.byModel {
 			if n > 0 {
 				at(r.Service, model).fly(r.ID, n)
@@ -77,11 +77,11 @@
 	return false
 }
 
-func (d *Demand) fly(replica string, n int) {
+func (d *Demand) fly(target string, n int) {
 	if d.At == nil {
 		d.At = make(map[string]int)
 	}
-	d.At[replica] += n
+	d.At[target] += n
 	d.Flying += n
 }
 
--- a/internal/coordination/seat/request.go
+++ b/internal/coordination/seat/request.go
@@ -6,7 +6,7 @@
 	"chivecroft.example/chivecroft/internal/state/fleet"
 )
 
-// engineOverbook and plainOverbook are how full a replica may be, as shares of
+// engineOverbook and plainOverbook are how full a target may be, as shares of
 // its slots. Plain services queue a few requests, and a short queue is better
 // than a wait for news of a free slot.
 const (
@@ -14,7 +14,7 @@
 	plainOverbook  = 2.0
 )
 
-// Request asks for a replica.
+// Request asks for a target.
 type Request struct {
 	ID      string
 	Service string
@@ -26,9 +26,9 @@
 	// Arrived is when the request came, Deadline until when it may wait.
 	Arrived  time.Time
 	Deadline time.Time
-	// Target is when an answer should begin.
-	Target time.Time
-	// Exclude names the replicas that were tried.
+	// Goal is when an answer should begin.
+	Goal time.Time
+	// Exclude names the targets that were tried.
 	Exclude []fleet.Identity
 }
 
@@ -39,13 +39,13 @@
 	return engineOverbook
 }
 
-// Outcome is how a request ended at its replica.
+// Outcome is how a request ended at its target.
 type Outcome struct {
-	// Failed tells that the replica gave no proper answer, Unreachable that it
+	// Failed tells that the target gave no proper answer, Unreachable that it
 	// gave no sign of life at all.
 	Failed      bool
 	Unreachable bool
-	// Full tells that the replica turned the request away.
+	// Full tells that the target turned the request away.
 	Full bool
 	// Running and Waiting are the load that the answer told, if LoadKnown.
 	LoadKnown bool
@@ -58,13 +58,13 @@
 
 // The reasons of a refusal.
 const (
-	ReasonDeadline  Reason = "deadline"
-	ReasonTooLate   Reason = "tooLate"
-	ReasonNoReplica Reason = "noReplica"
-	ReasonStopping  Reason = "stopping"
+	ReasonDeadline Reason = "deadline"
+	ReasonTooLate  Reason = "tooLate"
+	ReasonNoTarget Reason = "noTarget"
+	ReasonStopping Reason = "stopping"
 )
 
-// Refusal is the error of a request that got no replica.
+// Refusal is the error of a request that got no target.
 type Refusal struct {
 	Reason     Reason
 	RetryAfter time.Duration
@@ -73,16 +73,16 @@
 // Error returns the reason.
 func (r *Refusal) Error() string { return "refused: " + string(r.Reason) }
 
-// Seat is a place at a replica; Done gives it back.
+// Seat is a place at a target; Done gives it back.
 type Seat struct {
-	Replica fleet.Replica
+	Target fleet.Target
 	// Waited is the time until the place was found.
 	Waited time.Duration
-	// Load is the estimated number of requests at the replica.
+	// Load is the estimated number of requests at the target.
 	Load float64
 
 	board *Board
-	state *replica
+	state *target
 	model string
 	done  bool
 }
--- a/internal/coordination/seat/replica.go
+++ b/internal/coordination/seat/target.go
@@ -9,34 +9,34 @@
 	"chivecroft.example/chivecroft/internal/state/fleet"
 )
 
-// Bounds of what is believed of a replica.
+// Bounds of what is believed of a target.
 const (
 	// loadHalfLife is the time in which a told load loses half of its weight.
 	loadHalfLife = 2 * time.Second
-	// failureWeight is the weight of one outcome in a replica's failure rate.
+	// failureWeight is the weight of one outcome in a target's failure rate.
 	failureWeight = 0.15
-	// failureHalfLife lets a replica that gets no requests be tried again.
+	// failureHalfLife lets a target that gets no requests be tried again.
 	failureHalfLife = 3 * time.Second
-	// ejectRate is how far a replica's failure rate may lie above that of its
+	// ejectRate is how far a target's failure rate may lie above that of its
 	// service before it is ejected.
 	ejectRate = 0.35
 	// ejectFirst and ejectMost bound the time of an ejection, which doubles while
-	// the replica goes on failing.
+	// the target goes on failing.
 	ejectFirst = 500 * time.Millisecond
 	ejectMost  = 8 * time.Second
-	// fullTime is how long a replica that was full is passed over.
+	// fullTime is how long a target that was full is passed over.
 	fullTime = 100 * time.Millisecond
 	// newsTime is how long the holder's news go before the list.
 	newsTime = 3 * time.Second
-	// doubtTime is how long a replica is used on that vanished from the list while
+	// doubtTime is how long a target is used on that vanished from the list while
 	// the store was in trouble: living ones come back within it.
 	doubtTime = 2 * time.Second
 )
 
-// replica is what the board knows of one replica.
-type replica struct {
-	fleet.Replica
-	// news is what the holder says of the replica's models.
+// target is what the board knows of one target.
+type target struct {
+	fleet.Target
+	// news is what the holder says of the target's models.
 	news *News
 	// flying counts the requests of this instance there, byModel by model.
 	flying  int
@@ -51,11 +51,11 @@
 	ejectedUntil time.Time
 	ejection     time.Duration
 	fullUntil    time.Time
-	// missing is when the replica vanished from the list, zero while it is there.
+	// missing is when the target vanished from the list, zero while it is there.
 	missing time.Time
 }
 
-// News is what the holder of the placement knows of a replica.
+// News is what the holder of the placement knows of a target.
 type News struct {
 	fleet.Identity
 	Service  string         `json:"service"`
@@ -64,12 +64,12 @@
 	Slots    int            `json:"slots"`
 	Draining bool           `json:"draining,omitempty"`
 	Models   []fleet.Loaded `json:"models,omitempty"`
-	// Gone tells that the replica has left the list; only its id is set then.
+	// Gone tells that the target has left the list; only its id is set then.
 	Gone bool `json:"gone,omitempty"`
 }
 
-// NewsOf returns the news of a replica that serves models.
-func NewsOf(r *fleet.Replica, models []fleet.Loaded) News {
+// NewsOf returns the news of a target that serves models.
+func NewsOf(r *fleet.Target, models []fleet.Loaded) News {
 	return News{
 		Identity: r.Identity, Service: r.Service, Addr: r.Addr, Zone: r.Zone, Slots: r.Slots,
 		Draining: r.Draining, Models: models,
@@ -85,16 +85,16 @@
 		})
 }
 
-func (n *News) replica() fleet.Replica {
-	return fleet.Replica{
+func (n *News) target() fleet.Target {
+	return fleet.Target{
 		Identity: n.Identity, Service: n.Service, Addr: n.Addr, Zone: n.Zone, Slots: n.Slots,
 		Draining: n.Draining, Holding: fleet.Holding{Models: n.Models},
 	}
 }
 
-// holds tells whether the replica serves a model and adapter: by the holder's news
+// holds tells whether the target serves a model and adapter: by the holder's news
 // while they are fresh, since they run ahead of the list.
-func (r *replica) holds(model, adapter string, fresh bool) bool {
+func (r *target) holds(model, adapter string, fresh bool) bool {
 	if fresh && r.news != nil && r.news.Born == r.Born {
 		h := fleet.Holding{Models: r.news.Models}
 		return h.Has(model, adapter)
@@ -102,29 +102,29 @@
 	return r.Has(model, adapter)
 }
 
-// load estimates the requests at the replica.
-func (r *replica) load(now time.Time) float64 {
+// load estimates the requests at the target.
+func (r *target) load(now time.Time) float64 {
 	age := now.Sub(r.toldAt).Seconds() / loadHalfLife.Seconds()
 	return float64(r.flying) + r.others*math.Exp2(-age)
 }
 
 // failing returns the rate of failures, which fades without requests.
-func (r *replica) failing(now time.Time) float64 {
+func (r *target) failing(now time.Time) float64 {
 	age := now.Sub(r.judgedAt).Seconds() / failureHalfLife.Seconds()
 	return r.failures * math.Exp2(-age)
 }
 
-func (r *replica) told(now time.Time, running, waiting int) {
+func (r *target) told(now time.Time, running, waiting int) {
 	r.others = max(float64(running+waiting-r.flying), 0)
 	r.toldAt = now
 }
 
-func (r *replica) gone(now time.Time) bool {
+func (r *target) gone(now time.Time) bool {
 	return !r.missing.IsZero() && now.Sub(r.missing) >= doubtTime
 }
 
-// open tells whether a request may be sent to the replica at all.
-func (r *replica) open(now time.Time, q *Request, fresh bool) bool {
+// open tells whether a request may be sent to the target at all.
+func (r *target) open(now time.Time, q *Request, fresh bool) bool {
 	switch {
 	case r.Draining, r.gone(now), now.Before(r.fullUntil):
 		return false
@@ -136,12 +136,12 @@
 	return r.load(now) < float64(r.Slots)*q.overbook()
 }
 
-func (r *replica) failed(now time.Time) {
+func (r *target) failed(now time.Time) {
 	r.ejection = min(max(2*r.ejection, ejectFirst), ejectMost)
 	r.ejectedUntil = now.Add(r.ejection)
 }
 
-func (r *replica) ended(now time.Time, out Outcome, mean float64) {
+func (r *target) ended(now time.Time, out Outcome, mean float64) {
 	value := 0.0
 	if out.Failed {
 		value = 1
--- a/internal/coordination/swap/adapter.go
+++ b/internal/coordination/swap/adapter.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// adapterOrders loads the adapters that requests wait for, at one replica of the
+// adapterOrders loads the adapters that requests wait for, at one target of the
 // model each.
 func (p *Planner) adapterOrders(now time.Time, uses map[string]*use) []Action {
 	var out []Action
@@ -40,7 +40,7 @@
 	return false
 }
 
-// adapterPlace returns the replica of a model with the fewest adapters that can
+// adapterPlace returns the target of a model with the fewest adapters that can
 // take an order.
 func (p *Planner) adapterPlace(now time.Time, u *use) *worker {
 	var best *worker
--- a/internal/coordination/swap/index.go
+++ b/internal/coordination/swap/index.go
@@ -5,12 +5,12 @@
 	"slices"
 )
 
-// index is what a plan needs of all replicas together; it is worked out once for
-// each plan, since a large fleet has many replicas and models.
+// index is what a plan needs of all targets together; it is worked out once for
+// each plan, since a large fleet has many targets and models.
 type index struct {
-	// order holds the replicas by id, so that plans repeat.
+	// order holds the targets by id, so that plans repeat.
 	order []*worker
-	// copies counts the replicas that serve a model, coming tells which models are
+	// copies counts the targets that serve a model, coming tells which models are
 	// being loaded, and kept which have a copy anywhere or are getting one.
 	copies map[string]int
 	coming map[string]bool
--- a/internal/coordination/swap/plan.go
+++ b/internal/coordination/swap/plan.go
@@ -21,7 +21,7 @@
 	recentTime    = 10 * time.Second
 	// evictionSeconds turns a score into seconds of a load's time.
 	evictionSeconds = 0.5
-	// crowdSeconds is the cost of keeping a replica busy for each model of which it
+	// crowdSeconds is the cost of keeping a target busy for each model of which it
 	// has the only copy besides the loaded ones.
 	crowdSeconds = 0.1
 )
@@ -35,7 +35,7 @@
 	left     time.Duration
 	reason   string
 	// ready is when the model is expected to serve and tier the place of its copy;
-	// ready is zero while no replica can take it.
+	// ready is zero while no target can take it.
 	ready time.Time
 	tier  Tier
 }
@@ -48,7 +48,7 @@
 	adapters []string
 }
 
-// option is a way to load a model at a replica.
+// option is a way to load a model at a target.
 type option struct {
 	w     *worker
 	tier  Tier
@@ -117,7 +117,7 @@
 		}
 		w.probeAt = time.Time{}
 		w.probing = true
-		out = append(out, Action{To: w.Replica})
+		out = append(out, Action{To: w.Target})
 	}
 	return out
 }
@@ -158,7 +158,7 @@
 
 func (p *Planner) send(w *worker, a Action) Action {
 	w.ordering = true
-	a.To = w.Replica
+	a.To = w.Target
 	a.Expected = w.orders
 	return a
 }
@@ -202,7 +202,7 @@
 	)
 }
 
-// ahead returns a model of which no replica has a copy, to be loaded before
+// ahead returns a model of which no target has a copy, to be loaded before
 // anybody asks for it.
 func (p *Planner) ahead(now time.Time, uses map[string]*use) *need {
 	if float64(p.fleet.storeJobs) >= p.storeLoads || !p.mayBeginStoreLoad(now) {
@@ -231,7 +231,7 @@
 }
 
 // begin starts the job that serves a need soonest, if it can start now. A need
-// whose best replica is still busy waits for that replica.
+// whose best target is still busy waits for that target.
 func (p *Planner) begin(now time.Time, uses map[string]*use, n *need) (Action, bool) {
 	best := p.best(now, uses, n)
 	if best == nil {
@@ -270,7 +270,7 @@
 	return best
 }
 
-// option works out what it takes to load a model at a replica.
+// option works out what it takes to load a model at a target.
 func (p *Planner) option(now time.Time, w *worker, n *need, uses map[string]*use) (option, bool) {
 	free := now
 	if w.job != nil {
@@ -303,14 +303,14 @@
 	return y
 }
 
-// outlook is what an eviction at a replica would lose; it is worked out once for
+// outlook is what an eviction at a target would lose; it is worked out once for
 // each index, however many models look for a place.
 type outlook struct {
 	of *index
 	// candidates are the models that may go, the least missed first.
 	candidates []candidate
 	used       float64
-	// onlyHere counts the models on the replica's disk that nobody serves.
+	// onlyHere counts the models on the target's disk that nobody serves.
 	onlyHere int
 }
 
@@ -392,7 +392,7 @@
 }
 
 // expect works out when models will serve: those of jobs, and those that wait for
-// a replica or for a place among the loads from the weight store.
+// a target or for a place among the loads from the weight store.
 func (p *Planner) expect(now time.Time, needs []*need) {
 	clear(p.expected)
 	for _, w := range p.fleet.order {
--- a/internal/coordination/swap/planner.go
+++ b/internal/coordination/swap/planner.go
@@ -16,14 +16,14 @@
 	demandTime = 2 * time.Second
 	// rateTime is the time constant of the models' request rates.
 	rateTime = 6 * time.Second
-	// reportLag is how old a replica's report may be.
+	// reportLag is how old a target's report may be.
 	reportLag = 120 * time.Millisecond
-	// listLag is how old a replica's description in the list may be.
+	// listLag is how old a target's description in the list may be.
 	listLag = 4 * time.Second
-	// busyAgain is the time between questions to a replica that is busy for longer
+	// busyAgain is the time between questions to a target that is busy for longer
 	// than expected.
 	busyAgain = 200 * time.Millisecond
-	// quietTime keeps orders from a replica that did not answer.
+	// quietTime keeps orders from a target that did not answer.
 	quietTime = 500 * time.Millisecond
 	// firstStoreLoads is how many loads from the weight store run side by side
 	// until their times have told how many run at full speed.
@@ -46,11 +46,11 @@
 
 // Action is an order or, without a model, a question for a report.
 type Action struct {
-	To        fleet.Replica
+	To        fleet.Target
 	Operation Operation
 	Model     string
 	Adapter   string
-	// Expected is the number of orders that the replica must have accepted.
+	// Expected is the number of orders that the target must have accepted.
 	Expected int64
 	// Reason tells why, for the logs.
 	Reason string
@@ -69,13 +69,13 @@
 	Taken Result = iota
 	// Held means that what was ordered holds already.
 	Held
-	// Refused means that the replica does not carry out the order.
+	// Refused means that the target does not carry out the order.
 	Refused
 	// Lost means that the order may be carried out, now or later.
 	Lost
 )
 
-// Planner decides for the replicas of one service.
+// Planner decides for the targets of one service.
 type Planner struct {
 	service string
 	engine  *fleet.Engine
@@ -87,7 +87,7 @@
 	begun      []time.Time
 	window     time.Duration
 	storeLoads float64
-	// touched are the replicas whose models may have changed.
+	// touched are the targets whose models may have changed.
 	touched []string
 	fleet   *index
 	// expected is when models will serve, as of the latest plan.
@@ -107,7 +107,7 @@
 	used time.Time
 }
 
-// NewPlanner returns a planner without replicas. Loads from the weight store are
+// NewPlanner returns a planner without targets. Loads from the weight store are
 // bounded in each window of time.
 func NewPlanner(service string, engine *fleet.Engine, window time.Duration, random *rand.Rand) *Planner {
 	return &Planner{
@@ -120,18 +120,18 @@
 // SetEngine takes a new configuration of the service.
 func (p *Planner) SetEngine(e *fleet.Engine) { p.engine = e }
 
-// SetReplica takes a replica's description from the list.
-func (p *Planner) SetReplica(now time.Time, r fleet.Replica) {
+// SetTarget takes a target's description from the list.
+func (p *Planner) SetTarget(now time.Time, r fleet.Target) {
 	w := p.workers[r.ID]
 	if w == nil || w.Born != r.Born {
-		w = &worker{Replica: r, loadedAt: make(map[string]time.Time)}
+		w = &worker{Target: r, loadedAt: make(map[string]time.Time)}
 		w.ask(now)
 		p.workers[r.ID] = w
 		p.changed(w)
 		return
 	}
 	known := w.Holding
-	w.Replica = r
+	w.Target = r
 	w.Models = known.Models
 	if w.job != nil && w.job.loading && r.Find(w.job.model) != nil {
 		w.ask(now)
@@ -155,7 +155,7 @@
 	return true
 }
 
-// Remove takes a replica out.
+// Remove takes a target out.
 func (p *Planner) Remove(id string) {
 	delete(p.workers, id)
 }
@@ -178,7 +178,7 @@
 	p.demands[from] = &demand{at: now, models: own}
 }
 
-// Reported takes a replica's report, or that there was none.
+// Reported takes a target's report, or that there was none.
 func (p *Planner) Reported(now time.Time, id string, r fleet.Report, err error) {
 	w := p.workers[id]
 	if w == nil {
@@ -205,7 +205,7 @@
 	p.settle(now, w, r)
 }
 
-// settle takes the state of a replica that carries out no order.
+// settle takes the state of a target that carries out no order.
 func (p *Planner) settle(now time.Time, w *worker, r fleet.Report) {
 	w.Holding = r.Holding
 	w.orders = r.Orders
@@ -298,7 +298,7 @@
 	}
 }
 
-// Serving returns the models of a replica that requests may be sent to.
+// Serving returns the models of a target that requests may be sent to.
 func (p *Planner) Serving(id string) []fleet.Loaded {
 	w := p.workers[id]
 	if w == nil {
@@ -307,7 +307,7 @@
 	return w.serving()
 }
 
-// Changed returns the replicas whose serving models may have changed since the
+// Changed returns the targets whose serving models may have changed since the
 // last call.
 func (p *Planner) Changed() []string {
 	out := p.touched
--- a/internal/coordination/swap/planner_test.go
+++ b/internal/coordination/swap/planner_test.go
@@ -21,13 +21,13 @@
 	planStep   = 50 * time.Millisecond
 )
 
-// rig plays replicas for a planner: orders are carried out as the replicas of the
+// rig plays targets for a planner: orders are carried out as the targets of the
 // platform do, late where the rig says so.
 type rig struct {
 	*Planner
-	now      time.Time
-	replicas map[string]*played
-	late     []lateOrder
+	now     time.Time
+	targets map[string]*played
+	late    []lateOrder
 	// loseNext loses the answers of that many orders, which are carried out
 	// lateAfter later.
 	loseNext  int
@@ -38,7 +38,7 @@
 }
 
 type played struct {
-	fleet.Replica
+	fleet.Target
 	orders int64
 	busy   *Action
 	done   time.Time
@@ -62,25 +62,25 @@
 	return e
 }
 
-func newRig(e *fleet.Engine, replicas ...[]string) *rig {
-	r := &rig{now: time.Unix(1_000_000, 0), replicas: make(map[string]*played)}
+func newRig(e *fleet.Engine, targets ...[]string) *rig {
+	r := &rig{now: time.Unix(1_000_000, 0), targets: make(map[string]*played)}
 	r.Planner = NewPlanner("llm", e, 5*time.Second, rand.New(rand.NewPCG(1, 1)))
-	for i, models := range replicas {
-		p := &played{Replica: fleet.Replica{
+	for i, models := range targets {
+		p := &played{Target: fleet.Target{
 			Identity: fleet.Identity{ID: fmt.Sprintf("r%d", i), Born: 1}, Service: "llm", Slots: 64,
 		}}
 		for _, m := range models {
 			p.Models = append(p.Models, fleet.Loaded{Model: m})
 			p.OnDisk = append(p.OnDisk, m)
 		}
-		r.replicas[p.ID] = p
-		r.SetReplica(r.now, p.describe())
+		r.targets[p.ID] = p
+		r.SetTarget(r.now, p.describe())
 	}
 	return r
 }
 
-func (p *played) describe() fleet.Replica {
-	out := p.Replica
+func (p *played) describe() fleet.Target {
+	out := p.Target
 	out.Models = slices.Clone(p.Models)
 	out.OnDisk = slices.Clone(p.OnDisk)
 	return out
@@ -98,7 +98,7 @@
 }
 
 func (r *rig) carryOut(a Action) {
-	p := r.replicas[a.To.ID]
+	p := r.targets[a.To.ID]
 	if a.IsReport() {
 		r.Reported(r.now, a.To.ID, fleet.Report{
 			Identity: p.Identity, Holding: p.describe().Holding, Orders: p.orders, Busy: p.busy != nil,
@@ -122,14 +122,14 @@
 	return "/" + adapter
 }
 
-// accept is what a replica does with an order.
+// accept is what a target does with an order.
 func (r *rig) accept(a Action) Result {
-	p := r.replicas[a.To.ID]
+	p := r.targets[a.To.ID]
 	if p.busy != nil || a.Expected != p.orders {
 		return Refused
 	}
 	if a.Adapter != "" && a.To.Born != p.Born {
-		// A late order found the replica started anew, without the model.
+		// A late order found the target started anew, without the model.
 		return Refused
 	}
 	p.orders++
@@ -189,7 +189,7 @@
 		r.accept(l.a)
 		return true
 	})
-	for _, p := range r.replicas {
+	for _, p := range r.targets {
 		if p.busy == nil || r.now.Before(p.done) {
 			continue
 		}
@@ -208,7 +208,7 @@
 
 func (r *rig) holders(model string) []string {
 	var out []string
-	for id, p := range r.replicas {
+	for id, p := range r.targets {
 		if p.Find(model) != nil {
 			out = append(out, id)
 		}
@@ -221,12 +221,12 @@
 	return seat.Demand{Service: "llm", Model: model, Waiting: 1, LeftMS: 20_000, Arrived: 1}
 }
 
-// TestRareModelComesFromDisk asks for a model that lies on one replica's disk: it
+// TestRareModelComesFromDisk asks for a model that lies on one target's disk: it
 // takes the place of an idle one there within the time of a load from disk.
 func TestRareModelComesFromDisk(t *testing.T) {
 	r := newRig(testEngine(6), []string{"m0", "m1", "m2"}, []string{"m3", "m4", "m5"})
-	r.replicas["r0"].Models = r.replicas["r0"].Models[:0]
-	r.replicas["r0"].Models = append(r.replicas["r0"].Models,
+	r.targets["r0"].Models = r.targets["r0"].Models[:0]
+	r.targets["r0"].Models = append(r.targets["r0"].Models,
 		fleet.Loaded{Model: "m3"}, fleet.Loaded{Model: "m4"}, fleet.Loaded{Model: "m5"})
 	r.run(fromDisk+700*time.Millisecond, wait("m1"))
 	if diff := cmp.Diff([]string{"r0"}, r.holders("m1")); diff != "" {
@@ -262,7 +262,7 @@
 	}
 }
 
-// TestLoadsAheadOfUse gets a copy of each model that no replica has.
+// TestLoadsAheadOfUse gets a copy of each model that no target has.
 func TestLoadsAheadOfUse(t *testing.T) {
 	r := newRig(testEngine(5), []string{"m0", "m1"}, []string{"m2"})
 	r.run(30 * time.Second)
@@ -277,7 +277,7 @@
 	}
 }
 
-// TestAdapterMakesRoom loads adapters one after the other at a replica with two
+// TestAdapterMakesRoom loads adapters one after the other at a target with two
 // places for them.
 func TestAdapterMakesRoom(t *testing.T) {
 	r := newRig(testEngine(1), []string{"m0"})
@@ -285,7 +285,7 @@
 		d := wait("m0")
 		d.Adapters = []string{a}
 		r.run(time.Second, d)
-		if !r.replicas["r0"].Has("m0", a) {
+		if !r.targets["r0"].Has("m0", a) {
 			t.Errorf("adapter %s is not there: %v", a, r.orders)
 		}
 	}
@@ -307,7 +307,7 @@
 }
 
 // TestOrdersKeepTheLimits plays random demand, lost and late orders, restarts and
-// replicas that come and go, and checks that no replica is ever ordered to load
+// targets that come and go, and checks that no target is ever ordered to load
 // more than it holds and that the weight store's rate is kept.
 func TestOrdersKeepTheLimits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -329,7 +329,7 @@
 }
 
 func (r *rig) trouble(t *rapid.T) {
-	p := r.replicas[fmt.Sprintf("r%d", rapid.IntRange(0, 3).Draw(t, "replica"))]
+	p := r.targets[fmt.Sprintf("r%d", rapid.IntRange(0, 3).Draw(t, "target"))]
 	switch rapid.SampledFrom([]string{"none", "lose", "restart", "leave", "list"}).Draw(t, "trouble") {
 	case "lose":
 		r.loseNext = rapid.IntRange(1, 3).Draw(t, "orders")
@@ -337,12 +337,12 @@
 	case "restart":
 		p.Born++
 		p.Models, p.orders, p.busy = nil, 0, nil
-		r.SetReplica(r.now, p.describe())
+		r.SetTarget(r.now, p.describe())
 	case "leave":
 		r.Remove(p.ID)
-		r.SetReplica(r.now, p.describe())
+		r.SetTarget(r.now, p.describe())
 	case "list":
-		r.SetReplica(r.now, p.describe())
+		r.SetTarget(r.now, p.describe())
 	}
 }
 
--- a/internal/coordination/swap/scale_test.go
+++ b/internal/coordination/swap/scale_test.go
@@ -8,16 +8,16 @@
 	"chivecroft.example/chivecroft/internal/coordination/seat"
 )
 
-// grown returns a planner of 90 replicas and 530 models with the demand of 87
+// grown returns a planner of 90 targets and 530 models with the demand of 87
 // instances, a tenth of which wait.
 func grown() *rig {
-	var replicas [][]string
+	var targets [][]string
 	for i := range 90 {
-		replicas = append(replicas, []string{
+		targets = append(targets, []string{
 			fmt.Sprintf("m%d", 3*i), fmt.Sprintf("m%d", 3*i+1), fmt.Sprintf("m%d", 3*i+2),
 		})
 	}
-	r := newRig(testEngine(530), replicas...)
+	r := newRig(testEngine(530), targets...)
 	r.run(time.Second)
 	for i := range 87 {
 		var demand []seat.Demand
--- a/internal/coordination/swap/worker.go
+++ b/internal/coordination/swap/worker.go
@@ -22,10 +22,10 @@
 	return [...]string{"memory", "disk", "store"}[t]
 }
 
-// worker is one replica as the planner sees it.
+// worker is one target as the planner sees it.
 type worker struct {
-	fleet.Replica
-	// orders counts the orders that the replica has accepted, as far as is known.
+	fleet.Target
+	// orders counts the orders that the target has accepted, as far as is known.
 	orders int64
 	// certain tells that the holding is known as of that count and that no order is
 	// being carried out.
@@ -38,7 +38,7 @@
 	// probeAt is when to ask for a report, zero for not at all.
 	probeAt time.Time
 	job     *job
-	// quietUntil keeps orders from a replica that did not answer.
+	// quietUntil keeps orders from a target that did not answer.
 	quietUntil time.Time
 	loadedAt   map[string]time.Time
 	outlook    outlook
@@ -90,7 +90,7 @@
 	return w.used(e)+e.Models[model].SizeMB <= e.MemoryMB
 }
 
-// idle tells whether the replica can take an order now.
+// idle tells whether the target can take an order now.
 func (w *worker) idle(now time.Time) bool {
 	return w.certain && !w.ordering && !w.Draining && !now.Before(w.quietUntil)
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -24,8 +24,8 @@
 
 // Bounds of the daemon.
 const (
-	// replicaPause lets changes of several replicas be read with one watch.
-	replicaPause = 150 * time.Millisecond
+	// targetPause lets changes of several targets be read with one watch.
+	targetPause = 150 * time.Millisecond
 	// weakPatience is how long a machine with hardly any processor time lets others
 	// become the holder first.
 	weakPatience = 300 * time.Millisecond
@@ -48,10 +48,10 @@
 	budget *retry.Budget
 	pass   *pass.Server
 
-	config      atomic.Pointer[fleet.Config]
-	configFeed  *feed
-	replicaFeed *feed
-	// listed tells that the replicas are known.
+	config     atomic.Pointer[fleet.Config]
+	configFeed *feed
+	targetFeed *feed
+	// listed tells that the targets are known.
 	listed   atomic.Bool
 	stopping atomic.Bool
 
@@ -94,7 +94,7 @@
 	e.keeper = newKeeper(e.loopCtx, boot, e.clock, l, e.measure)
 	e.peers = newPeers()
 	e.configFeed = e.newConfigFeed()
-	e.replicaFeed = e.newReplicaFeed()
+	e.targetFeed = e.newTargetFeed()
 	part := hold.NewPart(boot.Peer, boot.StoreTTLMin, boot.Bounds.OrderHandover,
 		rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		hold.WithPatience(patience(boot.Cores)))
@@ -146,7 +146,7 @@
 	go e.talk(e.loopCtx)
 	go e.plan(e.loopCtx)
 	go e.configFeed.run(e.loopCtx)
-	go e.replicaFeed.run(e.loopCtx)
+	go e.targetFeed.run(e.loopCtx)
 	metrics, err := e.measure.start(ctx, e.boot.Instance, e.boot.Zone, e.boot.Addr, e.metricsPort)
 	if err != nil {
 		return err
@@ -222,51 +222,51 @@
 		Int("routes", len(c.Routes)).Msg("configuration in force")
 }
 
-func (e *Edge) newReplicaFeed() *feed {
+func (e *Edge) newTargetFeed() *feed {
 	return &feed{
-		name: "replicas", prefix: platform.ReplicaPrefix, store: e.store, health: e.health, log: e.log,
-		pause: replicaPause, whole: e.takeReplicas, change: e.takeReplica,
+		name: "targets", prefix: platform.TargetPrefix, store: e.store, health: e.health, log: e.log,
+		pause: targetPause, whole: e.takeTargets, change: e.takeTarget,
 		informed: e.informed, paused: func() { e.keeper.setListed(false) },
 	}
 }
 
-func (e *Edge) takeReplicas(items []ports.Item) {
+func (e *Edge) takeTargets(items []ports.Item) {
 	listed := make(map[string]bool, len(items))
 	for _, item := range items {
 		listed[item.Key] = true
-		e.takeReplica(item)
+		e.takeTarget(item)
 	}
 	for _, id := range e.board.IDs() {
-		if !listed[platform.ReplicaPrefix+id] {
-			e.dropReplica(id)
+		if !listed[platform.TargetPrefix+id] {
+			e.dropTarget(id)
 		}
 	}
 	e.listed.Store(true)
 	e.keeper.setListed(true)
 }
 
-func (e *Edge) takeReplica(item ports.Item) {
-	id := item.Key[len(platform.ReplicaPrefix):]
+func (e *Edge) takeTarget(item ports.Item) {
+	id := item.Key[len(platform.TargetPrefix):]
 	if item.Deleted {
-		e.dropReplica(id)
+		e.dropTarget(id)
 		return
 	}
-	r, err := platform.DecodeReplica(item.Key, item.Value)
+	r, err := platform.DecodeTarget(item.Key, item.Value)
 	if err != nil {
-		e.log.Warn().Err(err).Uint64("revision", uint64(item.Revision)).Msg("replica entry ignored")
+		e.log.Warn().Err(err).Uint64("revision", uint64(item.Revision)).Msg("target entry ignored")
 		e.board.Remove(id, false)
-		e.keeper.removeReplica(id)
+		e.keeper.removeTarget(id)
 		return
 	}
-	e.log.Debug().Str("replica", id).Bool("draining", r.Draining).Int("models", len(r.Models)).
-		Uint64("revision", uint64(item.Revision)).Msg("replica")
-	e.board.SetReplica(r)
-	e.keeper.setReplica(r)
+	e.log.Debug().Str("target", id).Bool("draining", r.Draining).Int("models", len(r.Models)).
+		Uint64("revision", uint64(item.Revision)).Msg("target")
+	e.board.SetTarget(r)
+	e.keeper.setTarget(r)
 }
 
-func (e *Edge) dropReplica(id string) {
+func (e *Edge) dropTarget(id string) {
 	doubt := e.health.unsteady()
-	e.log.Info().Str("replica", id).Bool("doubt", doubt).Msg("replica vanished")
+	e.log.Info().Str("target", id).Bool("doubt", doubt).Msg("target vanished")
 	e.board.Remove(id, doubt)
-	e.keeper.removeReplica(id)
+	e.keeper.removeTarget(id)
 }
--- a/internal/edge/keeper.go
+++ b/internal/edge/keeper.go
@@ -31,10 +31,10 @@
 	measure *measure
 	window  time.Duration
 
-	mu       sync.Mutex
-	status   hold.Status
-	replicas map[string]fleet.Replica
-	// listed tells that replicas are those of a whole list.
+	mu      sync.Mutex
+	status  hold.Status
+	targets map[string]fleet.Target
+	// listed tells that targets are those of a whole list.
 	listed bool
 	config *fleet.Config
 	// configRevision is the store's revision of the configuration.
@@ -47,7 +47,7 @@
 func newKeeper(ctx context.Context, boot *platform.Boot, clock *timer.Boot, l *log.Logger, m *measure) *keeper {
 	return &keeper{
 		ctx: ctx, self: boot.Instance, engines: platform.NewEngines(), clock: clock, log: l, measure: m,
-		window: boot.Bounds.LoadWindow, replicas: make(map[string]fleet.Replica), roster: newRoster(),
+		window: boot.Bounds.LoadWindow, targets: make(map[string]fleet.Target), roster: newRoster(),
 		planners: make(map[string]*swap.Planner), members: make(map[string]time.Time),
 	}
 }
@@ -76,7 +76,7 @@
 
 // begin fills the roster and makes the planners of a new holder.
 func (k *keeper) begin() {
-	for _, r := range k.replicas {
+	for _, r := range k.targets {
 		k.roster.set(seat.NewsOf(&r, r.Models))
 	}
 	k.makePlanners()
@@ -98,7 +98,7 @@
 	}
 }
 
-// makePlanners gives each service with engines a planner that knows its replicas.
+// makePlanners gives each service with engines a planner that knows its targets.
 func (k *keeper) makePlanners() {
 	if k.config == nil {
 		return
@@ -113,40 +113,40 @@
 		}
 		p := swap.NewPlanner(name, s.Engine, k.window, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 		k.planners[name] = p
-		for _, r := range k.replicas {
+		for _, r := range k.targets {
 			if r.Service == name {
-				p.SetReplica(k.clock.Now(), r)
+				p.SetTarget(k.clock.Now(), r)
 			}
 		}
 	}
 }
 
-func (k *keeper) setReplica(r fleet.Replica) {
+func (k *keeper) setTarget(r fleet.Target) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.replicas[r.ID] = r
+	k.targets[r.ID] = r
 	if !k.status.Mine {
 		return
 	}
 	if p := k.planners[r.Service]; p != nil {
-		p.SetReplica(k.clock.Now(), r)
+		p.SetTarget(k.clock.Now(), r)
 		k.roster.set(seat.NewsOf(&r, p.Serving(r.ID)))
 		return
 	}
 	k.roster.set(seat.NewsOf(&r, r.Models))
 }
 
-func (k *keeper) removeReplica(id string) {
+func (k *keeper) removeTarget(id string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if p := k.planners[k.replicas[id].Service]; p != nil {
+	if p := k.planners[k.targets[id].Service]; p != nil {
 		p.Remove(id)
 	}
-	delete(k.replicas, id)
+	delete(k.targets, id)
 	k.roster.remove(id)
 }
 
-// setListed tells whether the replicas are those of a whole list.
+// setListed tells whether the targets are those of a whole list.
 func (k *keeper) setListed(listed bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -195,7 +195,7 @@
 func (k *keeper) refreshRoster() {
 	for _, p := range k.planners {
 		for _, id := range p.Changed() {
-			if r, ok := k.replicas[id]; ok {
+			if r, ok := k.targets[id]; ok {
 				k.roster.set(seat.NewsOf(&r, p.Serving(id)))
 			}
 		}
@@ -233,7 +233,7 @@
 func (k *keeper) report(p *swap.Planner, a swap.Action) {
 	r, err := k.engines.Report(k.ctx, a.To.Addr)
 	if err != nil {
-		k.log.Info().Str("replica", a.To.ID).Err(err).Msg("report failed")
+		k.log.Info().Str("target", a.To.ID).Err(err).Msg("report failed")
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -246,7 +246,7 @@
 		Operation: operation(a.Operation), Model: a.Model, Adapter: a.Adapter,
 		Expected: a.Expected, Holder: k.self, Token: token,
 	}, func() error { return k.mayOrder(token) })
-	k.log.Info().Str("replica", a.To.ID).Str("operation", a.Operation.String()).Str("model", a.Model).
+	k.log.Info().Str("target", a.To.ID).Str("operation", a.Operation.String()).Str("model", a.Model).
 		Str("adapter", a.Adapter).Int64("expected", a.Expected).Str("tier", a.Tier.String()).
 		Str("why", a.Reason).Str("result", result.String()).Uint64("token", token).
 		Dur("took", max(k.clock.Now().Sub(began), 0)).Err(err).Msg("order")
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -56,7 +56,7 @@
 	// Config is the store's revision of the configuration.
 	Config uint64      `json:"config"`
 	News   []seat.News `json:"news,omitempty"`
-	// Whole tells that replicas without news are gone.
+	// Whole tells that targets without news are gone.
 	Whole bool `json:"whole,omitempty"`
 	// Expected is the time in milliseconds until a model serves.
 	Expected map[string]int64 `json:"expected,omitempty"`
@@ -204,7 +204,7 @@
 	e.configFeed.hint(r.Config)
 }
 
-// dropUnlisted removes the replicas that a whole list leaves out.
+// dropUnlisted removes the targets that a whole list leaves out.
 func (e *Edge) dropUnlisted(listed []seat.News) {
 	there := make(map[string]bool, len(listed))
 	for i := range listed {
--- a/internal/edge/roster.go
+++ b/internal/edge/roster.go
@@ -4,7 +4,7 @@
 	"chivecroft.example/chivecroft/internal/coordination/seat"
 )
 
-// roster is what the holder tells the other instances of replicas: the latest news
+// roster is what the holder tells the other instances of targets: the latest news
 // of each, numbered in the order of their changes.
 type roster struct {
 	version uint64
@@ -20,7 +20,7 @@
 	return &roster{rows: make(map[string]*rosterRow)}
 }
 
-// set takes the news of a replica if they differ from the last.
+// set takes the news of a target if they differ from the last.
 func (r *roster) set(n seat.News) {
 	row := r.rows[n.ID]
 	if row != nil && row.news.Same(&n) {
@@ -30,7 +30,7 @@
 	r.rows[n.ID] = &rosterRow{version: r.version, news: n}
 }
 
-// remove notes that a replica has gone.
+// remove notes that a target has gone.
 func (r *roster) remove(id string) {
 	if row := r.rows[id]; row == nil || row.news.Gone {
 		return
@@ -40,7 +40,7 @@
 	r.set(n)
 }
 
-// after returns the news since a version; without one, those of all replicas that
+// after returns the news since a version; without one, those of all targets that
 // are there.
 func (r *roster) after(version uint64) []seat.News {
 	var out []seat.News
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -17,7 +17,7 @@
 	// cutReserve is kept of the grace for ending what is left.
 	cutReserve = 500 * time.Millisecond
 	// waitShare is the part of the grace after which requests that still wait for a
-	// replica are refused, so that they can be served elsewhere.
+	// target are refused, so that they can be served elsewhere.
 	waitShare = 0.5
 	stopPoll  = 50 * time.Millisecond
 )
--- a/internal/state/fleet/config.go
+++ b/internal/state/fleet/config.go
@@ -55,20 +55,20 @@
 	Host       string
 	PathPrefix string
 	Kind       Kind
-	// Resumable streams may be continued by another replica.
+	// Resumable streams may be continued by another target.
 	Resumable bool
 	// Engine tells that the requests name a model.
 	Engine bool
 	// Timeout is the longest time until the whole answer.
 	Timeout time.Duration
-	// Target is the latency that the operators want: to the whole answer, for
-	// streams to the first event.
-	Target time.Duration
-	// TargetGap is the longest pause between two events of a stream.
-	TargetGap time.Duration
+	// Goal is the latency that the operators want: to the whole answer, for streams
+	// to the first event.
+	Goal time.Duration
+	// GapGoal is the longest pause between two events of a stream.
+	GapGoal time.Duration
 	// Priority is the rank of the route, 0 being the most urgent.
 	Priority int
-	// MaxAttempts bounds the replicas that run one request.
+	// MaxAttempts bounds the targets that run one request.
 	MaxAttempts int
 	// Backends are the services that share the requests by weight.
 	Backends []Backend
@@ -94,7 +94,7 @@
 	Engine *Engine
 }
 
-// Engine describes the replicas of a service that hold models.
+// Engine describes the targets of a service that hold models.
 type Engine struct {
 	Slots       int
 	KVTokens    int
--- a/internal/state/fleet/replica.go
+++ b/internal/state/fleet/target.go
@@ -6,29 +6,29 @@
 	"time"
 )
 
-// Identity names one incarnation of a replica; an address alone names nothing,
+// Identity names one incarnation of a target; an address alone names nothing,
 // since addresses are used again.
 type Identity struct {
 	ID string `json:"id"`
 	// Born is the start of the incarnation in milliseconds of the Unix epoch, by
-	// the replica's clock.
+	// the target's clock.
 	Born int64 `json:"born"`
 }
 
-// Replica is one replica as it describes itself.
-type Replica struct {
+// Target is one target as it describes itself.
+type Target struct {
 	Identity
 	Service  string
 	Addr     netip.AddrPort
 	Zone     string
 	Slots    int
 	Draining bool
-	// Remaining is the time until the replica is taken away, 0 if none is said.
+	// Remaining is the time until the target is taken away, 0 if none is said.
 	Remaining time.Duration
 	Holding
 }
 
-// Holding is what a replica has of models.
+// Holding is what a target has of models.
 type Holding struct {
 	Models []Loaded
 	// InMemory and OnDisk are the models with copies of the weights there.
@@ -59,11 +59,11 @@
 	return m != nil && (adapter == "" || slices.Contains(m.Adapters, adapter))
 }
 
-// Report is a replica's answer to a question about its state.
+// Report is a target's answer to a question about its state.
 type Report struct {
 	Identity
 	Holding
-	// Orders counts the orders that the replica has accepted.
+	// Orders counts the orders that the target has accepted.
 	Orders int64
 	// Busy tells that an order is being carried out.
 	Busy bool
--- a/internal/transport/pass/codec.go
+++ b/internal/transport/pass/codec.go
@@ -11,7 +11,7 @@
 	Decode(r *http.Request) (Call, error)
 	// Outgoing returns the headers of a send, made from the caller's.
 	Outgoing(in http.Header, s Send) http.Header
-	// Incoming reads what a replica's answer says of itself.
+	// Incoming reads what a target's answer says of itself.
 	Incoming(resp *http.Response) Reply
 	// RetryAfter returns the header that tells a caller when to come back.
 	RetryAfter(d time.Duration) (name, value string)
@@ -38,9 +38,9 @@
 	Tokens int
 }
 
-// Send is what the system says of a request to a replica.
+// Send is what the system says of a request to a target.
 type Send struct {
-	Replica string
+	Target string
 	// Within is the time that is left for the answer.
 	Within   time.Duration
 	Engine   bool
@@ -50,15 +50,15 @@
 	LastEvent string
 }
 
-// Reply is what a replica's answer says of itself.
+// Reply is what a target's answer says of itself.
 type Reply struct {
 	ID     string
 	Signed bool
-	// NotRun tells that the replica did not run the request and will not.
+	// NotRun tells that the target did not run the request and will not.
 	NotRun bool
-	// Elsewhere tells that another replica stands at the address.
+	// Elsewhere tells that another target stands at the address.
 	Elsewhere bool
-	// Running and Waiting are the replica's load, if LoadKnown.
+	// Running and Waiting are the target's load, if LoadKnown.
 	LoadKnown bool
 	Running   int
 	Waiting   int
--- a/internal/transport/pass/exchange.go
+++ b/internal/transport/pass/exchange.go
@@ -18,7 +18,7 @@
 // sendsMost bounds the sends of one request, those that did not run included.
 const sendsMost = 6
 
-// fullRetryAfter is the advice after replicas were full.
+// fullRetryAfter is the advice after targets were full.
 const fullRetryAfter = 500 * time.Millisecond
 
 // exchange is one caller's request on its way.
@@ -40,18 +40,18 @@
 
 	sends int
 	// ran counts the sends after which the request may have run.
-	ran     int
-	tried   []fleet.Identity
-	replica string
-	sentAt  time.Time
-	waited  time.Duration
+	ran    int
+	tried  []fleet.Identity
+	target string
+	sentAt time.Time
+	waited time.Duration
 
 	status int
 	reason string
 	began  time.Duration
 }
 
-// sent is a replica's answer, or the failure to get one.
+// sent is a target's answer, or the failure to get one.
 type sent struct {
 	seat  *seat.Seat
 	call  *gate.Call
@@ -63,7 +63,7 @@
 	err    error
 }
 
-// run finds a replica that answers and relays the answer.
+// run finds a target that answers and relays the answer.
 func (x *exchange) run() {
 	x.s.budget.Earn(x.service, x.s.timer.Now())
 	for {
@@ -93,7 +93,7 @@
 	reserve := min(time.Duration(answerReserve*float64(x.within)), answerReserveMost)
 	q := seat.Request{
 		ID: x.call.ID, Service: x.service, Priority: x.route.Priority, Arrived: x.arrived,
-		Deadline: x.deadline.Add(-reserve), Target: x.arrived.Add(x.route.Target), Exclude: x.tried,
+		Deadline: x.deadline.Add(-reserve), Goal: x.arrived.Add(x.route.Goal), Exclude: x.tried,
 	}
 	if x.engine {
 		q.Model, q.Adapter = x.call.Model, x.call.Adapter
@@ -105,7 +105,7 @@
 	ctx, stop := context.WithCancel(x.ctx)
 	ctx, call := gate.Track(ctx, nil)
 	a := &sent{seat: place, call: call, stop: stop}
-	x.replica = place.Replica.ID
+	x.target = place.Target.ID
 	x.sentAt = x.s.timer.Now()
 	resp, err := x.s.transport.RoundTrip(x.outgoing(ctx, place, lastEvent))
 	if err != nil {
@@ -124,7 +124,7 @@
 
 var errForeign = errors.New("the answer belongs to another request")
 
-var errUnclear = errors.New("the status promises that the request has not run, but the replica does not say so")
+var errUnclear = errors.New("the status promises that the request has not run, but the target does not say so")
 
 var errUnsigned = errors.New("the answer lacks a signature or is encoded")
 
@@ -155,7 +155,7 @@
 
 func (x *exchange) outgoing(ctx context.Context, place *seat.Seat, lastEvent string) *http.Request {
 	header := x.s.codec.Outgoing(x.r.Header, Send{
-		Replica: place.Replica.ID, Within: x.deadline.Sub(x.s.timer.Now()),
+		Target: place.Target.ID, Within: x.deadline.Sub(x.s.timer.Now()),
 		Engine: x.engine, Priority: x.route.Priority, LastEvent: lastEvent,
 	})
 	hops.Drop(header)
@@ -169,7 +169,7 @@
 		Method: x.r.Method, Host: x.r.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		// Opaque keeps the path as the caller escaped it.
 		URL: &url.URL{
-			Scheme: "http", Host: place.Replica.Addr.String(), Opaque: path,
+			Scheme: "http", Host: place.Target.Addr.String(), Opaque: path,
 			RawQuery: x.r.URL.RawQuery, ForceQuery: x.r.URL.ForceQuery,
 		},
 		Header: header, ContentLength: int64(len(x.body)),
@@ -207,8 +207,8 @@
 	return x.relay(a)
 }
 
-// turnedAway handles a request that has not run at its replica. One of which
-// nothing was written never reached a replica and needs no budget.
+// turnedAway handles a request that has not run at its target. One of which
+// nothing was written never reached a target and needs no budget.
 func (x *exchange) turnedAway(a *sent) bool {
 	unreachable := a.err != nil && x.ctx.Err() == nil
 	x.drop(a, seat.Outcome{Unreachable: unreachable, Failed: unreachable, Full: a.resp != nil})
@@ -259,7 +259,7 @@
 }
 
 func (x *exchange) exclude(a *sent) {
-	x.tried = append(x.tried, a.seat.Replica.Identity)
+	x.tried = append(x.tried, a.seat.Target.Identity)
 }
 
 // drop ends a send whose answer is not used.
@@ -293,7 +293,7 @@
 	}
 }
 
-// end answers a request without a replica's answer. Only one that cannot have run
+// end answers a request without a target's answer. Only one that cannot have run
 // anywhere is refused; otherwise the status promises nothing.
 func (x *exchange) end(reason string, retryAfter time.Duration) {
 	switch {
--- a/internal/transport/pass/note.go
+++ b/internal/transport/pass/note.go
@@ -6,7 +6,7 @@
 	"chivecroft.example/chivecroft/internal/state/fleet"
 )
 
-// ReasonAnswered is the reason of a request that got a replica's whole answer.
+// ReasonAnswered is the reason of a request that got a target's whole answer.
 const ReasonAnswered = "answered"
 
 // Ended tells how a request ended.
@@ -35,7 +35,7 @@
 // decided logs why a request is sent again or not.
 func (x *exchange) decided(a *sent, what string) {
 	e := x.s.log.Info().Str("request", x.call.ID).Str("decision", what).
-		Str("replica", a.seat.Replica.ID).Int("sends", x.sends).Int("ran", x.ran)
+		Str("target", a.seat.Target.ID).Int("sends", x.sends).Int("ran", x.ran)
 	if a.resp != nil {
 		e = e.Int("status", a.resp.StatusCode)
 	}
@@ -54,7 +54,7 @@
 	}
 	x.s.ended(e)
 	x.s.log.Info().Str("request", x.call.ID).Str("route", e.Route).Int64("version", x.version).
-		Str("model", x.call.Model).Str("adapter", x.call.Adapter).Str("replica", x.replica).
+		Str("model", x.call.Model).Str("adapter", x.call.Adapter).Str("target", x.target).
 		Int("status", x.status).Str("reason", x.reason).Int("sends", x.sends).Int("ran", x.ran).
 		Dur("waited", x.waited).Dur("began", x.began).Dur("took", took).Dur("within", x.within).Msg("ended")
 }
--- a/internal/transport/pass/pass_test.go
+++ b/internal/transport/pass/pass_test.go
@@ -26,19 +26,19 @@
 	"chivecroft.example/chivecroft/platform/fake"
 )
 
-// rig is an instance in front of replicas.
+// rig is an instance in front of targets.
 type rig struct {
-	t        *testing.T
-	board    *seat.Board
-	server   *pass.Server
-	front    *httptest.Server
-	replicas []*fake.Replica
-	ids      atomic.Int64
+	t       *testing.T
+	board   *seat.Board
+	server  *pass.Server
+	front   *httptest.Server
+	targets []*fake.Target
+	ids     atomic.Int64
 }
 
-func newRig(t *testing.T, replicas ...*fake.Replica) *rig {
+func newRig(t *testing.T, targets ...*fake.Target) *rig {
 	clock := timer.NewSystem()
-	r := &rig{t: t, replicas: replicas}
+	r := &rig{t: t, targets: targets}
 	r.board = seat.NewBoard(clock, "a1", map[string]string{"a1": "a"})
 	budget := retry.NewBudget(retry.Limits{Ratio: 0.2, Extra: 100, Window: 10 * time.Second})
 	budget.SetInstances(1)
@@ -56,8 +56,8 @@
 	route("resumable", fleet.KindStream, true, 2)
 	c.Index()
 	r.server.SetConfig(c)
-	for _, f := range replicas {
-		r.board.SetReplica(fleet.Replica{
+	for _, f := range targets {
+		r.board.SetTarget(fleet.Target{
 			Identity: fleet.Identity{ID: f.ID, Born: 1}, Service: "s", Addr: f.Addr(), Zone: f.Zone, Slots: f.Slots,
 		})
 	}
@@ -107,7 +107,7 @@
 // runs adds up how often each request has run.
 func (r *rig) runs() map[string]int {
 	sum := make(map[string]int)
-	for _, f := range r.replicas {
+	for _, f := range r.targets {
 		for id, n := range f.Runs() {
 			sum[id] += n
 		}
@@ -115,8 +115,8 @@
 	return sum
 }
 
-func two(t *testing.T) (near, far *fake.Replica) {
-	return fake.NewReplica(t, "near", "a1", 0), fake.NewReplica(t, "far", "a2", 0)
+func two(t *testing.T) (near, far *fake.Target) {
+	return fake.NewTarget(t, "near", "a1", 0), fake.NewTarget(t, "far", "a2", 0)
 }
 
 func TestPassesUnchanged(t *testing.T) {
@@ -149,7 +149,7 @@
 	r.expect("/nowhere/", answer{Status: http.StatusNotFound})
 	got, header := r.call("/unsafe/", func(req *http.Request) { req.Header.Set("Chivecroft-Deadline-Ms", "50") })
 	if got.Status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" {
-		t.Errorf("without replicas: %+v, %v", got, header)
+		t.Errorf("without targets: %+v, %v", got, header)
 	}
 	bad, _ := r.call("/unsafe/", func(req *http.Request) { req.Header.Set("Chivecroft-Deadline-Ms", "soon") })
 	if bad.Status != http.StatusBadRequest {
@@ -163,7 +163,7 @@
 }
 
 // TestLostAnswer breaks the connection after the request has run: only one that
-// may run again is sent to another replica, and none that may not is refused.
+// may run again is sent to another target, and none that may not is refused.
 func TestLostAnswer(t *testing.T) {
 	near, far := two(t)
 	r := newRig(t, near, far)
@@ -178,7 +178,7 @@
 	}
 }
 
-// TestTurnedAway sends a request on that its replica has not run, whatever its kind.
+// TestTurnedAway sends a request on that its target has not run, whatever its kind.
 func TestTurnedAway(t *testing.T) {
 	near, far := two(t)
 	r := newRig(t, near, far)
@@ -189,7 +189,7 @@
 	r.expect("/unsafe/", answer{Status: http.StatusOK, Body: "answer of far", Signed: "sig-far"})
 }
 
-// TestUnclearRefusal passes no promise on that the replica has not made.
+// TestUnclearRefusal passes no promise on that the target has not made.
 func TestUnclearRefusal(t *testing.T) {
 	near, _ := two(t)
 	r := newRig(t, near)
@@ -205,24 +205,24 @@
 func TestForeignAnswers(t *testing.T) {
 	for _, c := range []struct {
 		name   string
-		behave func(w http.ResponseWriter, req *http.Request, f *fake.Replica)
+		behave func(w http.ResponseWriter, req *http.Request, f *fake.Target)
 	}{
-		{"of another request", func(w http.ResponseWriter, req *http.Request, f *fake.Replica) {
+		{"of another request", func(w http.ResponseWriter, req *http.Request, f *fake.Target) {
 			f.Sign(w, req)
 			w.Header().Set("Chivecroft-Attempt-Id", "other")
 			_, _ = io.WriteString(w, "secret")
 		}},
-		{"unsigned", func(w http.ResponseWriter, req *http.Request, f *fake.Replica) {
+		{"unsigned", func(w http.ResponseWriter, req *http.Request, f *fake.Target) {
 			f.Sign(w, req)
 			w.Header().Del("Chivecroft-Response-Signature")
 			_, _ = io.WriteString(w, "secret")
 		}},
-		{"encoded", func(w http.ResponseWriter, req *http.Request, f *fake.Replica) {
+		{"encoded", func(w http.ResponseWriter, req *http.Request, f *fake.Target) {
 			f.Sign(w, req)
 			w.Header().Set("Content-Encoding", "gzip")
 			_, _ = io.WriteString(w, "secret")
 		}},
-		{"cut short", func(w http.ResponseWriter, req *http.Request, f *fake.Replica) {
+		{"cut short", func(w http.ResponseWriter, req *http.Request, f *fake.Target) {
 			f.Sign(w, req)
 			w.Header().Set("Content-Length", "100")
 			_, _ = io.WriteString(w, "secret")
@@ -252,7 +252,7 @@
 }
 
 // stream sends events and then breaks off in the middle of one.
-func stream(f *fake.Replica, from, to int, whole bool) http.HandlerFunc {
+func stream(f *fake.Target, from, to int, whole bool) http.HandlerFunc {
 	return func(w http.ResponseWriter, req *http.Request) {
 		f.Run(req)
 		f.Sign(w, req)
@@ -279,7 +279,7 @@
 }
 
 // TestStreamGoesOn breaks a stream within an event: a resumable one goes on at
-// another replica without a gap, any other is cut for the caller as well.
+// another target without a gap, any other is cut for the caller as well.
 func TestStreamGoesOn(t *testing.T) {
 	near, far := two(t)
 	r := newRig(t, near, far)
@@ -304,7 +304,7 @@
 	r.expect("/stream/", answer{Status: http.StatusOK, Body: body, Signed: "sig-near"})
 }
 
-// TestCallerLeaves cancels the work at the replica.
+// TestCallerLeaves cancels the work at the target.
 func TestCallerLeaves(t *testing.T) {
 	near, _ := two(t)
 	r := newRig(t, near)
@@ -333,11 +333,11 @@
 	select {
 	case <-ended:
 	case <-time.After(500 * time.Millisecond):
-		t.Error("the replica still works half a second later")
+		t.Error("the target still works half a second later")
 	}
 }
 
-// TestTimeout answers in time although the replica is silent; the request may
+// TestTimeout answers in time although the target is silent; the request may
 // have run, so the status promises nothing.
 func TestTimeout(t *testing.T) {
 	near, _ := two(t)
@@ -354,7 +354,7 @@
 }
 
 // TestSmuggledRequest sends a request with two framings; what hides behind it
-// never reaches a replica as a request of its own.
+// never reaches a target as a request of its own.
 func TestSmuggledRequest(t *testing.T) {
 	near, _ := two(t)
 	r := newRig(t, near)
@@ -378,7 +378,7 @@
 	headers, _ := near.Seen()
 	for _, h := range headers {
 		if len(h["Content-Length"]) > 1 || h.Get("Transfer-Encoding") != "" {
-			t.Errorf("framing reached the replica: %v", h)
+			t.Errorf("framing reached the target: %v", h)
 		}
 	}
 }
--- a/internal/transport/pass/relay.go
+++ b/internal/transport/pass/relay.go
@@ -38,7 +38,7 @@
 	return true
 }
 
-// head copies the replica's headers to the caller.
+// head copies the target's headers to the caller.
 func (x *exchange) head(resp *http.Response) {
 	header := resp.Header
 	hops.Drop(header)
--- a/internal/transport/pass/server.go
+++ b/internal/transport/pass/server.go
@@ -28,8 +28,8 @@
 	// share of its whole time and at most answerReserveMost.
 	answerReserve     = 0.1
 	answerReserveMost = time.Second
-	// replicaSilence is how long a replica's machine may leave bytes unacknowledged.
-	replicaSilence = 2 * time.Second
+	// targetSilence is how long a target's machine may leave bytes unacknowledged.
+	targetSilence = 2 * time.Second
 	// startRetryAfter is the advice of an instance without a configuration.
 	startRetryAfter = time.Second
 	// stopRetryAfter is the advice of an instance that stops.
@@ -66,7 +66,7 @@
 	return func(s *Server) { s.ended = ended }
 }
 
-// WithTransport replaces the connections to replicas.
+// WithTransport replaces the connections to targets.
 func WithTransport(t http.RoundTripper) Option {
 	return func(s *Server) { s.transport = t }
 }
@@ -77,7 +77,7 @@
 	s := &Server{
 		codec: codec, board: board, budget: budget, timer: t,
 		log:       &log.Logger{Level: log.ErrorLevel},
-		transport: gate.NewDialer(gate.WithSilence(replicaSilence)).Transport(nil),
+		transport: gate.NewDialer(gate.WithSilence(targetSilence)).Transport(nil),
 		ended:     func(Ended) {},
 	}
 	for _, opt := range opts {
--- a/internal/transport/pass/stream.go
+++ b/internal/transport/pass/stream.go
@@ -17,7 +17,7 @@
 var errCut = errors.New("the stream ended within an event")
 
 // stream relays a series of events. Only whole events are passed on, so that a
-// stream that breaks off can go on at another replica at an event's border.
+// stream that breaks off can go on at another target at an event's border.
 func (x *exchange) stream(a *sent) {
 	x.head(a.resp)
 	x.w.Header().Del("Content-Length")
@@ -118,7 +118,7 @@
 	return err1 != nil || err2 != nil || next > have
 }
 
-// resume sends a broken stream to another replica that goes on after the last
+// resume sends a broken stream to another target that goes on after the last
 // event; it returns nil if that cannot be done.
 func (x *exchange) resume(a *sent, last string, cause error) *sent {
 	a.err = cause
