--- /dev/null
+++ b/internal/edge/edge_test.go
@@ -0,0 +1,280 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"chivecroft.example/chivecroft/platform"
+	"chivecroft.example/chivecroft/platform/fake"
+)
+
+// rig is a store, targets and instances of the system on loopback.
+type rig struct {
+	t       *testing.T
+	store   *fake.Store
+	targets map[string]*fake.Target
+	edges   []*Edge
+}
+
+func newRig(t *testing.T, instances int) *rig {
+	r := &rig{t: t, store: fake.NewStore(t), targets: make(map[string]*fake.Target)}
+	r.config(1, "/app/")
+	r.target("llm", fake.NewTarget(t, "e1", "a1", 50*time.Millisecond, "m1", "m2"))
+	r.target("llm", fake.NewTarget(t, "e2", "a1", 50*time.Millisecond, "m3", "m4"))
+	r.target("desk", fake.NewTarget(t, "d1", "a1", 0))
+	for range instances {
+		r.start()
+	}
+	return r
+}
+
+func (r *rig) target(service string, f *fake.Target) {
+	r.targets[f.ID] = f
+	r.store.Write(r.t, "servers/"+f.ID, f.Entry(service, "ready"))
+}
+
+// config writes a configuration whose plain route has that prefix.
+func (r *rig) config(version int, prefix string) {
+	models := []map[string]any{}
+	for _, m := range []string{"m1", "m2", "m3", "m4", "m5"} {
+		models = append(models, map[string]any{
+			"name": m, "weights_mb": 100, "load_s": 0.2, "disk_s": 0.1, "warm_s": 0.05,
+		})
+	}
+	r.store.Write(r.t, "op/config", map[string]any{
+		"version": version,
+		"routes": []map[string]any{
+			{"name": "chat", "host": "x.example", "path_prefix": "/chat/", "kind": "streaming", "sticky": true, "timeout_ms": 8000, "service": "llm", "max_attempts": 1},
+			{"name": "app", "host": "x.example", "path_prefix": prefix, "kind": "unsafe", "timeout_ms": 2000, "service": "desk", "max_attempts": 1},
+		},
+		"services": []map[string]any{
+			{"name": "desk"},
+			{"name": "llm", "engine": map[string]any{"slots": 8, "weights_mb": 200, "adapter_slots": 2, "loads_per_s": 4, "models": models}},
+		},
+		"limits": map[string]any{"max_body_bytes": 4096},
+	})
+}
+
+func (r *rig) start() *Edge {
+	free := func() netip.AddrPort {
+		var lc net.ListenConfig
+		l, err := lc.Listen(r.t.Context(), "tcp", "127.0.0.1:0")
+		if err != nil {
+			r.t.Fatal(err)
+		}
+		defer l.Close()
+		return netip.MustParseAddrPort(l.Addr().String())
+	}
+	boot := &platform.Boot{
+		Instance: "i" + string(rune('1'+len(r.edges))), Addr: netip.MustParseAddr("127.0.0.1"), Zone: "a1",
+		Regions: map[string]string{"a1": "a"}, Callers: free(), Ready: free(), Peer: free(),
+		Store: r.store.Addr(), StoreTTLMin: time.Second,
+		Bounds: platform.Bounds{
+			StopGrace: 8 * time.Second, OrderHandover: 3 * time.Second, RetryRatio: 0.2, RetryExtra: 50,
+			RetryWindow: 10 * time.Second, LoadWindow: 5 * time.Second,
+		},
+	}
+	e := New(boot, &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}})
+	if err := e.Start(r.t.Context()); err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() {
+		e.stopLoops()
+		e.holder.Stop()
+		for _, s := range []*http.Server{e.callers, e.ready, e.peerServer} {
+			_ = s.Close()
+		}
+	})
+	r.edges = append(r.edges, e)
+	r.eventually("ready", func() bool { return r.isReady(e) })
+	return e
+}
+
+func (r *rig) isReady(e *Edge) bool {
+	resp, err := r.get("http://" + e.boot.Ready.String() + platform.ReadyPath)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (r *rig) get(url string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(r.t.Context(), http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	return http.DefaultClient.Do(req)
+}
+
+func (r *rig) eventually(what string, holds func() bool) {
+	r.t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	r.t.Fatalf("not %s within ten seconds", what)
+}
+
+func (r *rig) call(e *Edge, path, model string) (int, string) {
+	ctx, cancel := context.WithTimeout(r.t.Context(), 10*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost,
+		"http://"+e.boot.Callers.String()+path, strings.NewReader("body"))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	req.Host = "x.example"
+	req.Header.Set("Chivecroft-Attempt-Id", "call")
+	if model != "" {
+		req.Header.Set("Chivecroft-Model", model)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(body)
+}
+
+// TestColdModelIsServed asks each of two instances for a model that no target
+// holds; one of them orders a target to make room for it and load it.
+func TestColdModelIsServed(t *testing.T) {
+	r := newRig(t, 2)
+	for _, e := range r.edges {
+		if status, body := r.call(e, "/chat/", "m5"); status != http.StatusOK {
+			t.Errorf("%s: %d %s", e.boot.Instance, status, body)
+		}
+	}
+	if status, body := r.call(r.edges[1], "/app/", ""); status != http.StatusOK || body != "answer of d1" {
+		t.Errorf("plain service: %d %s", status, body)
+	}
+}
+
+// TestMembersLeaveTheStoreAlone counts the calls of a calm second: only the holder
+// renews and watches.
+func TestMembersLeaveTheStoreAlone(t *testing.T) {
+	r := newRig(t, 4)
+	time.Sleep(time.Second)
+	before := r.store.Calls()
+	time.Sleep(2 * time.Second)
+	if n := r.store.Calls() - before; n > 30 {
+		t.Errorf("%d calls of four instances in two calm seconds", n)
+	}
+}
+
+// TestConfigurationReachesAll changes a route and calls it at every instance.
+func TestConfigurationReachesAll(t *testing.T) {
+	r := newRig(t, 3)
+	r.config(4, "/new/")
+	time.Sleep(1500 * time.Millisecond)
+	for _, e := range r.edges {
+		if status, _ := r.call(e, "/new/", ""); status != http.StatusOK {
+			t.Errorf("%s answers %d on the new route", e.boot.Instance, status)
+		}
+		if status, _ := r.call(e, "/app/", ""); status != http.StatusNotFound {
+			t.Errorf("%s answers %d on the old route", e.boot.Instance, status)
+		}
+	}
+	r.config(3, "/older/")
+	time.Sleep(time.Second)
+	if status, _ := r.call(r.edges[0], "/new/", ""); status != http.StatusOK {
+		t.Errorf("an older version took effect: %d", status)
+	}
+}
+
+// TestForeignEntries writes what is no description of a target; the others serve on.
+func TestForeignEntries(t *testing.T) {
+	r := newRig(t, 1)
+	for key, value := range map[string]string{"servers/x1": "{", "servers/x2": `{"service":7}`, "servers/x3": "\xff\x00"} {
+		r.store.Write(t, key, []byte(value))
+	}
+	time.Sleep(500 * time.Millisecond)
+	if status, _ := r.call(r.edges[0], "/app/", ""); status != http.StatusOK {
+		t.Errorf("answered %d", status)
+	}
+}
+
+// TestStoreAway serves on without the store.
+func TestStoreAway(t *testing.T) {
+	r := newRig(t, 2)
+	r.store.Refuse.Store(http.StatusServiceUnavailable)
+	time.Sleep(2 * time.Second)
+	for _, e := range r.edges {
+		if status, _ := r.call(e, "/app/", ""); status != http.StatusOK {
+			t.Errorf("%s answers %d without the store", e.boot.Instance, status)
+		}
+		if !r.isReady(e) {
+			t.Errorf("%s is not ready without the store", e.boot.Instance)
+		}
+	}
+}
+
+// TestPlannedStop stops an instance while a request is under way and new ones come:
+// the first is answered whole, the later ones are served or refused.
+func TestPlannedStop(t *testing.T) {
+	r := newRig(t, 1)
+	e := r.edges[0]
+	began := make(chan struct{})
+	d := r.targets["d1"]
+	d.Behave(func(w http.ResponseWriter, req *http.Request) {
+		d.Sign(w, req)
+		if req.Header.Get("X-Slow") != "" {
+			close(began)
+			time.Sleep(1500 * time.Millisecond)
+		}
+		_, _ = io.WriteString(w, "whole")
+	})
+	slow := make(chan error, 1)
+	go func() { slow <- r.slowCall(e) }()
+	<-began
+	stopped := make(chan struct{})
+	go func() {
+		e.Stop()
+		close(stopped)
+	}()
+	for range 30 {
+		time.Sleep(100 * time.Millisecond)
+		status, text := r.call(e, "/app/", "")
+		if status != http.StatusOK && status != http.StatusServiceUnavailable {
+			t.Errorf("while stopping: %d %s", status, text)
+		}
+	}
+	if err := <-slow; err != nil {
+		t.Errorf("the request under way: %v", err)
+	}
+	<-stopped
+}
+
+func (r *rig) slowCall(e *Edge) error {
+	req, err := http.NewRequestWithContext(r.t.Context(), http.MethodPost, "http://"+e.boot.Callers.String()+"/app/", nil)
+	if err != nil {
+		return err
+	}
+	req.Host = "x.example"
+	req.Header.Set("Chivecroft-Attempt-Id", "slow")
+	req.Header.Set("X-Slow", "1")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if body, err := io.ReadAll(resp.Body); err != nil || string(body) != "whole" {
+		return errors.Join(err, errors.New("answer "+string(body)))
+	}
+	return nil
+}
