--- a/internal/coordination/retry/budget.go
+++ b/internal/coordination/retry/budget.go
@@ -41,6 +41,13 @@
 	return &Budget{limits: limits, instances: unknownInstances, services: make(map[string]*account)}
 }
 
+// SetLimits takes new limits.
+func (b *Budget) SetLimits(limits Limits) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limits = limits
+}
+
 // SetInstances tells how many instances share the limits.
 func (b *Budget) SetInstances(n int) {
 	b.mu.Lock()
--- a/internal/coordination/swap/adapter.go
+++ b/internal/coordination/swap/adapter.go
@@ -33,7 +33,8 @@
 
 func (p *Planner) adapterAnywhere(model, adapter string) bool {
 	for _, w := range p.workers {
-		if w.Has(model, adapter) && !w.Draining && !(w.job != nil && w.job.leaving == model) {
+		leaving := w.job != nil && w.job.leaving == model
+		if w.Has(model, adapter) && !w.Draining && !leaving {
 			return true
 		}
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -69,6 +69,9 @@
 	// servers are those of callers, readiness, peers and, if there is one, metrics.
 	callers, ready, peerServer, metrics *http.Server
 
+	// bounds are those of the boot file as it was read last.
+	bounds atomic.Pointer[platform.Bounds]
+
 	measure *measure
 	// metricsPort is where metrics are served, 0 for nowhere.
 	metricsPort uint16
@@ -85,6 +88,7 @@
 // New returns an instance that does nothing yet.
 func New(boot *platform.Boot, l *log.Logger, opts ...Option) *Edge {
 	e := &Edge{boot: boot, log: l, timer: timer.NewSystem(), health: &storeHealth{log: l}}
+	e.bounds.Store(&boot.Bounds)
 	e.loopCtx, e.stopLoops = context.WithCancel(context.Background())
 	e.measure = &measure{log: l}
 	e.store = platform.NewStore(e.loopCtx, boot.Store, platform.WithStoreObserver(e.measure.stored))
@@ -95,6 +99,9 @@
 	e.peers = newPeers()
 	e.configFeed = e.newConfigFeed()
 	e.targetFeed = e.newTargetFeed()
+	if boot.Bootstrap {
+		e.configFeed.patience, e.targetFeed.patience = startPatience, startPatience
+	}
 	part := hold.NewPart(boot.Peer, boot.StoreTTLMin, boot.Bounds.OrderHandover,
 		rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		hold.WithPatience(patience(boot.Cores)))
--- a/internal/edge/feed.go
+++ b/internal/edge/feed.go
@@ -43,6 +43,8 @@
 	// paused is called when the feed rests for that reason.
 	informed func() bool
 	paused   func()
+	// patience is how long the feed waits for such news at the start.
+	patience time.Duration
 	// hinted is the newest revision that another instance has told of.
 	hinted atomic.Uint64
 
@@ -79,7 +81,7 @@
 // rests, and reads again only what the news say has changed.
 func (f *feed) run(ctx context.Context) {
 	f.seen = make(map[string]ports.Revision)
-	sleep(ctx, startPatience)
+	sleep(ctx, f.patience)
 	for ctx.Err() == nil {
 		if f.rests(ctx) {
 			continue
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"chivecroft.example/chivecroft/internal/coordination/hold"
+	"chivecroft.example/chivecroft/internal/coordination/retry"
+	"chivecroft.example/chivecroft/platform"
 )
 
 // Steps of a planned stop, counted from its beginning.
@@ -22,15 +24,26 @@
 	stopPoll  = 50 * time.Millisecond
 )
 
+// Reload takes the bounds of a boot file that was read again. Addresses stay as
+// they were at the start, since connections hang on them.
+func (e *Edge) Reload(boot *platform.Boot) {
+	before := e.bounds.Swap(&boot.Bounds)
+	b := boot.Bounds
+	e.budget.SetLimits(retry.Limits{Ratio: b.RetryRatio, Extra: b.RetryExtra, Window: b.RetryWindow})
+	e.log.Info().Bool("changed", *before != b).
+		Bool("restartNeeded", boot.Callers != e.boot.Callers || boot.Store != e.boot.Store || boot.Peer != e.boot.Peer).
+		Msg("settings read again")
+}
+
 // Stop says that the instance is not ready, serves on until callers have gone
 // elsewhere, and ends what is left shortly before the grace is over.
 func (e *Edge) Stop() {
 	began := e.timer.Now()
 	e.stopping.Store(true)
 	e.pass.CloseConnections()
-	e.log.Info().Int("active", e.pass.Active()).Dur("grace", e.boot.Bounds.StopGrace).Msg("stopping")
+	e.log.Info().Int("active", e.pass.Active()).Dur("grace", e.bounds.Load().StopGrace).Msg("stopping")
 	e.holder.Post(hold.Release{})
-	grace := e.boot.Bounds.StopGrace
+	grace := e.bounds.Load().StopGrace
 	for {
 		time.Sleep(stopPoll)
 		passed := e.timer.Now().Sub(began)
--- a/internal/shell/run.go
+++ b/internal/shell/run.go
@@ -68,15 +68,17 @@
 
 // examples stand below the help of the command of the same name.
 var examples = map[string]string{
-	"entry":  "chivecroft entry --config entry.ini",
-	"check":  "chivecroft check --config entry.ini",
-	"demo":   "chivecroft demo --once --json",
-	"patch":  "chivecroft patch --entry http://127.0.0.1:8081 --key KEY patch.json",
-	"config": "chivecroft config --at 12\n  chivecroft config --history\n  chivecroft config --diff 11:12",
-	"status": "chivecroft status --json",
-	"day":    "chivecroft day --date 2026-12-03",
-	"drain":  "chivecroft drain --target bul-a-t3\n  chivecroft drain --zone bul-a --undo",
-	"bench":  "chivecroft bench run --seed 7\n  chivecroft bench policy",
+	"entry":   "chivecroft entry --config entry.ini",
+	"serve":   "chivecroft serve --boot /etc/chivecroft/local.yaml --metrics-port 9464",
+	"explain": "chivecroft explain 9c41d07be2a35f68 front-a-1.log front-a-2.log",
+	"check":   "chivecroft check --config entry.ini",
+	"demo":    "chivecroft demo --once --json",
+	"patch":   "chivecroft patch --entry http://127.0.0.1:8081 --key KEY patch.json",
+	"config":  "chivecroft config --at 12\n  chivecroft config --history\n  chivecroft config --diff 11:12",
+	"status":  "chivecroft status --json",
+	"day":     "chivecroft day --date 2026-12-03",
+	"drain":   "chivecroft drain --target bul-a-t3\n  chivecroft drain --zone bul-a --undo",
+	"bench":   "chivecroft bench run --seed 7\n  chivecroft bench policy",
 }
 
 func helpWithExamples(options kong.HelpOptions, ctx *kong.Context) error {
--- a/internal/shell/serve.go
+++ b/internal/shell/serve.go
@@ -32,7 +32,7 @@
 	writer := &log.AsyncWriter{
 		ChannelSize: logLines, DiscardOnFull: true, Writer: &log.IOWriter{Writer: s.Out},
 	}
-	defer writer.Close()
+	defer func() { _ = writer.Close() }()
 	l := &log.Logger{Level: log.InfoLevel, Writer: writer}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
@@ -45,8 +45,18 @@
 		if sig != syscall.SIGHUP {
 			break
 		}
-		l.Info().Msg("reload asked for")
+		reload(e, c.Boot, l)
 	}
 	e.Stop()
 	return nil
 }
+
+// reload reads the boot file again; a file that can't be used changes nothing.
+func reload(e *edge.Edge, path string, l *log.Logger) {
+	boot, err := platform.ReadBoot(path)
+	if err != nil {
+		l.Error().Err(err).Str("file", path).Msg("reload refused")
+		return
+	}
+	e.Reload(boot)
+}
--- a/internal/transport/pass/exchange.go
+++ b/internal/transport/pass/exchange.go
@@ -107,7 +107,7 @@
 	a := &sent{seat: place, call: call, stop: stop}
 	x.target = place.Target.ID
 	x.sentAt = x.s.timer.Now()
-	resp, err := x.s.transport.RoundTrip(x.outgoing(ctx, place, lastEvent))
+	resp, err := x.s.transport.RoundTrip(x.outgoing(ctx, place, lastEvent)) //nolint:bodyclose // whoever relays or drops the answer closes it
 	if err != nil {
 		a.notRun = !call.Seal()
 		a.err = err
