--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -48,7 +48,9 @@
 	budget *retry.Budget
 	pass   *pass.Server
 
-	config     atomic.Pointer[fleet.Config]
+	config atomic.Pointer[fleet.Config]
+	// shared is the configuration for other instances.
+	shared     atomic.Pointer[share]
 	configFeed *feed
 	targetFeed *feed
 	// listed tells that the targets are known.
@@ -208,7 +210,7 @@
 			}
 		},
 		change:   take,
-		informed: e.informed, paused: func() {},
+		informed: e.informed, paused: func() {}, fetch: e.fetchConfig,
 	}
 }
 
@@ -223,12 +225,26 @@
 		return
 	}
 	e.config.Store(c)
+	e.share(item)
 	e.pass.SetConfig(c)
 	e.keeper.setConfig(c, uint64(item.Revision))
 	e.log.Info().Int64("version", c.Version).Uint64("revision", uint64(item.Revision)).
 		Int("routes", len(c.Routes)).Msg("configuration in force")
 }
 
+// share keeps a configuration for other instances, unless it came from one.
+func (e *Edge) share(item ports.Item) {
+	if have := e.shared.Load(); have != nil && have.revision == item.Revision {
+		return
+	}
+	s, err := newShare(item)
+	if err != nil {
+		e.log.Error().Err(err).Msg("configuration not compressed")
+		return
+	}
+	e.shared.Store(s)
+}
+
 func (e *Edge) newTargetFeed() *feed {
 	return &feed{
 		name: "targets", prefix: platform.TargetPrefix, store: e.store, health: e.health, log: e.log,
--- a/internal/edge/feed.go
+++ b/internal/edge/feed.go
@@ -43,6 +43,8 @@
 	// paused is called when the feed rests for that reason.
 	informed func() bool
 	paused   func()
+	// fetch reads the keys from another instance; nil where only the store has them.
+	fetch func(context.Context) ([]ports.Item, bool)
 	// patience is how long the feed waits for such news at the start.
 	patience time.Duration
 	// hinted is the newest revision that another instance has told of.
@@ -97,14 +99,31 @@
 
 // rests waits a short time if there is nothing to read.
 func (f *feed) rests(ctx context.Context) bool {
-	if !f.informed() || f.behind() {
+	if !f.informed() {
 		return false
 	}
+	if f.behind() {
+		return f.fetched(ctx)
+	}
 	f.paused()
 	sleep(ctx, restPoll)
 	return true
 }
 
+// fetched reads the keys from another instance and tells whether that went well.
+func (f *feed) fetched(ctx context.Context) bool {
+	if f.fetch == nil {
+		return false
+	}
+	items, ok := f.fetch(ctx)
+	if !ok {
+		return false
+	}
+	f.remember(items)
+	f.whole(items)
+	return true
+}
+
 // behind tells whether another instance has seen a newer revision than this one.
 func (f *feed) behind() bool {
 	newest := ports.Revision(0)
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -102,6 +102,10 @@
 
 // servePeer answers another instance's message.
 func (e *Edge) servePeer(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == pathConfig && r.Method == http.MethodGet {
+		e.serveConfig(w)
+		return
+	}
 	if r.URL.Path != pathExchange || r.Method != http.MethodPost {
 		w.WriteHeader(http.StatusNotFound)
 		return
