--- a/internal/coordination/seat/board.go
+++ b/internal/coordination/seat/board.go
@@ -14,6 +14,8 @@
 const (
 	zoneCost   = 1.5
 	regionCost = 4.0
+	// readingCost is what a request adds while its prompt is read.
+	readingCost = 3.0
 	// failureCost weighs a target's failure rate.
 	failureCost = 20.0
 	// patienceShare is the part of its time that a request waits for a model
@@ -152,6 +154,7 @@
 	}
 	load := best.load(now)
 	best.flying++
+	best.reading++
 	if q.Model != "" {
 		if best.byModel == nil {
 			best.byModel = make(map[string]int)
@@ -181,7 +184,7 @@
 }
 
 func (b *Board) cost(now time.Time, r *target) float64 {
-	cost := r.load(now) + failureCost*max(r.failing(now)-b.means[r.Service], 0)
+	cost := r.load(now) + readingCost*float64(r.reading) + failureCost*max(r.failing(now)-b.means[r.Service], 0)
 	switch {
 	case r.Zone == b.zone:
 	case b.regions[r.Zone] == b.regions[b.zone]:
@@ -239,6 +242,7 @@
 	now := b.timer.Now()
 	r := s.state
 	r.flying--
+	s.begin()
 	if s.model != "" {
 		r.byModel[s.model]--
 	}
--- a/internal/coordination/seat/board_test.go
+++ b/internal/coordination/seat/board_test.go
@@ -261,3 +261,26 @@
 		t.Errorf("refused for %q", got)
 	}
 }
+
+// TestPromptsInBursts sends requests one after the other to two targets, of which
+// one begins its answers at once: a prompt that is still being read counts for more
+// than a request that generates, since reading stops the tokens of all others.
+func TestPromptsInBursts(t *testing.T) {
+	r := newRig()
+	r.SetTarget(engine("a", "a1", "m"))
+	r.SetTarget(engine("b", "a1", "m"))
+	var got []string
+	for range 4 {
+		s, err := r.Acquire(t.Context(), r.request("m"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if s.Target.ID == "a" {
+			s.Began()
+		}
+		got = append(got, s.Target.ID)
+	}
+	if diff := cmp.Diff([]string{"a", "b", "a", "a"}, got); diff != "" {
+		t.Errorf("targets (-want +got):\n%s", diff)
+	}
+}
--- a/internal/coordination/seat/request.go
+++ b/internal/coordination/seat/request.go
@@ -84,6 +84,7 @@
 	board *Board
 	state *target
 	model string
+	began bool
 	done  bool
 }
 
@@ -98,3 +99,17 @@
 	defer s.board.mu.Unlock()
 	s.state.told(s.board.timer.Now(), running, waiting)
 }
+
+// Began notes that the answer has begun.
+func (s *Seat) Began() {
+	s.board.mu.Lock()
+	defer s.board.mu.Unlock()
+	s.begin()
+}
+
+func (s *Seat) begin() {
+	if !s.began {
+		s.began = true
+		s.state.reading--
+	}
+}
--- a/internal/coordination/seat/target.go
+++ b/internal/coordination/seat/target.go
@@ -41,6 +41,9 @@
 	// flying counts the requests of this instance there, byModel by model.
 	flying  int
 	byModel map[string]int
+	// reading counts those whose answer has not begun: their prompts are read
+	// between the tokens of all others.
+	reading int
 	// others is the load that others cause, as of toldAt.
 	others float64
 	toldAt time.Time
--- a/internal/transport/pass/exchange.go
+++ b/internal/transport/pass/exchange.go
@@ -49,6 +49,11 @@
 	status int
 	reason string
 	began  time.Duration
+	// eventAt is when the latest event came, pause the longest time between two.
+	eventAt time.Time
+	pause   time.Duration
+	// load is the estimated number of requests at the target when it was chosen.
+	load float64
 }
 
 // sent is a target's answer, or the failure to get one.
@@ -107,6 +112,7 @@
 	a := &sent{seat: place, call: call, stop: stop}
 	x.target = place.Target.ID
 	x.sentAt = x.s.timer.Now()
+	x.load = place.Load
 	resp, err := x.s.transport.RoundTrip(x.outgoing(ctx, place, lastEvent)) //nolint:bodyclose // whoever relays or drops the answer closes it
 	if err != nil {
 		a.notRun = !call.Seal()
--- a/internal/transport/pass/note.go
+++ b/internal/transport/pass/note.go
@@ -56,5 +56,6 @@
 	x.s.log.Info().Str("request", x.call.ID).Str("route", e.Route).Int64("version", x.version).
 		Str("model", x.call.Model).Str("adapter", x.call.Adapter).Str("target", x.target).
 		Int("status", x.status).Str("reason", x.reason).Int("sends", x.sends).Int("ran", x.ran).
-		Dur("waited", x.waited).Dur("began", x.began).Dur("took", took).Dur("within", x.within).Msg("ended")
+		Dur("waited", x.waited).Dur("began", x.began).Dur("took", took).Dur("within", x.within).
+		Dur("pause", x.pause).Float64("load", x.load).Int("prompt", x.call.PromptTokens).Msg("ended")
 }
--- a/internal/transport/pass/stream.go
+++ b/internal/transport/pass/stream.go
@@ -54,6 +54,7 @@
 // events passes whole events on until the stream ends, and returns the id of the
 // last one.
 func (x *exchange) events(a *sent, last string) (string, error) {
+	a.seat.Began()
 	if a.reply.LoadKnown {
 		a.seat.Told(a.reply.Running, a.reply.Waiting)
 	}
@@ -82,6 +83,7 @@
 			event = event[:0]
 			continue
 		}
+		x.sawEvent()
 		if _, err := x.w.Write(event); err != nil {
 			return last, err
 		}
@@ -95,6 +97,15 @@
 	}
 }
 
+// sawEvent notes the longest pause between two events.
+func (x *exchange) sawEvent() {
+	now := x.s.timer.Now()
+	if !x.eventAt.IsZero() {
+		x.pause = max(x.pause, now.Sub(x.eventAt))
+	}
+	x.eventAt = now
+}
+
 // holdsEvent tells whether another event can be passed on without waiting.
 func holdsEvent(reader *bufio.Reader) bool {
 	ready, err := reader.Peek(reader.Buffered())
