Let the test of near targets begin its answers

It expected four requests at the nearer target; a prompt that is still being read now weighs more, which TestPromptsInBursts checks. Same targets expected, with the answers begun.

--- a/internal/coordination/seat/board_test.go
+++ b/internal/coordination/seat/board_test.go
@@ -95,6 +95,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		// The answers have begun, so that only nearness and load decide.
+		s.Began()
 		got = append(got, s.Target.ID)
 	}
 	if diff := cmp.Diff([]string{"near", "near", "near", "near", "far"}, got); diff != "" {
