--- /dev/null
+++ b/internal/coordination/hold/keep.go
@@ -0,0 +1,160 @@
+package hold
+
+import (
+	"time"
+
+	"chivecroft.example/chivecroft/internal/coordination/ports"
+)
+
+type pending struct {
+	tag  ports.Tag
+	sent time.Time
+	// wait is the time for which a watch was to wait.
+	wait time.Duration
+}
+
+func (c pending) until(now time.Time) time.Time {
+	if end := c.sent.Add(c.wait); !end.After(now) {
+		return end
+	}
+	return c.sent
+}
+
+func (p *Part) begin(now time.Time) []ports.Effect {
+	p.phase = phaseHold
+	p.tag = 0
+	p.recorded = false
+	p.renewed, p.sighted = time.Time{}, time.Time{}
+	p.status = Status{Holder: p.self, Mine: true, From: now.Add(p.waitFor())}
+	p.recording = p.next()
+	effects := p.renew(now)
+	effects = append(effects, p.watchOwn(now)...)
+	return append(effects, ports.ArmTimer{Tag: p.recording, After: p.waitFor()})
+}
+
+func (p *Part) waitFor() time.Duration {
+	switch {
+	case !p.last.Holder.IsValid(), p.last.Holder == p.self:
+		return 0
+	case p.last.Released:
+		return p.handover
+	}
+	return max(sightTime, p.ttl) + p.handover
+}
+
+func (p *Part) record() []ports.Effect {
+	p.recording = p.next()
+	return []ports.Effect{ports.KVCall{Tag: p.recording, Req: ports.KVPut{
+		Key: recordKey, Value: value{Holder: p.self}.encode(), Expect: p.lastRev,
+	}}}
+}
+
+func (p *Part) recordDone(r ports.KVReply) []ports.Effect {
+	if r.Status == ports.KVUnavailable {
+		p.recording = p.next()
+		return []ports.Effect{ports.ArmTimer{Tag: p.recording, After: retryPause}}
+	}
+	if r.Status != ports.KVOK {
+		return p.lost()
+	}
+	p.recorded = true
+	p.lastRev = r.Revision
+	p.status.Token = uint64(r.Revision)
+	p.extend()
+	return nil
+}
+
+func (p *Part) renew(now time.Time) []ports.Effect {
+	if !p.renewed.IsZero() && now.Sub(p.renewed) > p.ttl {
+		return p.lost()
+	}
+	p.renewal = pending{tag: p.next(), sent: now}
+	return []ports.Effect{ports.KVCall{Tag: p.renewal.tag, Req: ports.KVRenew{Lease: p.lease}}}
+}
+
+func (p *Part) renewDone(now time.Time, r ports.KVReply) []ports.Effect {
+	switch r.Status {
+	case ports.KVOK:
+		p.renewed = p.renewal.sent
+		p.extend()
+	case ports.KVNotFound:
+		return p.lost()
+	default:
+		if p.renewed.IsZero() {
+			return p.lost()
+		}
+	}
+	p.renewal.tag = p.next()
+	return []ports.Effect{ports.ArmTimer{Tag: p.renewal.tag, After: max(renewEvery-now.Sub(p.renewal.sent), 0)}}
+}
+
+func (p *Part) watchOwn(now time.Time) []ports.Effect {
+	wait := holderWatch
+	if p.sighted.IsZero() {
+		wait = firstWatch
+	}
+	p.sight = pending{tag: p.next(), sent: now, wait: wait}
+	return []ports.Effect{ports.KVCall{Tag: p.sight.tag, Req: ports.KVWatch{
+		Prefix: leaseKey, After: p.seen, Wait: wait,
+	}}}
+}
+
+func (p *Part) readOwn(now time.Time) []ports.Effect {
+	p.sight = pending{tag: p.next(), sent: now}
+	return []ports.Effect{ports.KVCall{Tag: p.sight.tag, Req: ports.KVGet{Key: leaseKey}}}
+}
+
+func (p *Part) sightDone(now time.Time, r ports.KVReply) []ports.Effect {
+	item, ok := r.Item()
+	switch {
+	case r.Status == ports.KVOK && (!ok || !item.Deleted && item.Revision == p.revision):
+		p.seen = max(p.seen, r.Revision)
+		p.sighted = p.sight.until(now)
+		p.extend()
+		return p.watchOwn(now)
+	case r.Status == ports.KVConflict:
+		return p.readOwn(now)
+	case r.Status == ports.KVOK, r.Status == ports.KVNotFound:
+		return p.lost()
+	}
+	p.sight.tag = p.next()
+	return []ports.Effect{ports.ArmTimer{Tag: p.sight.tag, After: retryPause}}
+}
+
+func (p *Part) extend() {
+	if p.renewed.IsZero() || p.sighted.IsZero() {
+		return
+	}
+	until := p.renewed.Add(p.ttl)
+	if seen := p.sighted.Add(sightTime); seen.Before(until) {
+		until = seen
+	}
+	p.status.Sure = until.Add(-margin)
+	if p.recorded {
+		p.status.Until = p.status.Sure
+	}
+}
+
+func (p *Part) lost() []ports.Effect {
+	p.status = Status{}
+	return p.look()
+}
+
+func (p *Part) release() []ports.Effect {
+	held := p.phase == phaseHold
+	p.status = Status{}
+	if !held {
+		p.phase = phaseStopped
+		return nil
+	}
+	if !p.recorded {
+		return p.revoke()
+	}
+	return p.call(phaseRelease, ports.KVPut{
+		Key: recordKey, Value: value{Holder: p.self, Released: true}.encode(), Expect: p.lastRev,
+	})
+}
+
+func (p *Part) revoke() []ports.Effect {
+	return p.call(phaseStopped, ports.KVRevoke{Lease: p.lease})
+}
--- /dev/null
+++ b/internal/coordination/hold/take.go
@@ -0,0 +1,112 @@
+package hold
+
+import (
+	"time"
+
+	"chivecroft.example/chivecroft/internal/coordination/ports"
+)
+
+func (p *Part) look() []ports.Effect {
+	return p.call(phaseLook, ports.KVGet{Key: leaseKey})
+}
+
+func (p *Part) looked(r ports.KVReply) []ports.Effect {
+	item, ok := r.Item()
+	switch {
+	case r.Status == ports.KVOK && ok:
+		p.seen = max(r.Revision, item.Revision)
+		return p.found(item)
+	case r.Status == ports.KVNotFound:
+		p.revision = 0
+		return p.free()
+	}
+	return p.pause(phaseLook, retryPause)
+}
+
+func (p *Part) found(item ports.Item) []ports.Effect {
+	holder := decode(item.Value).Holder
+	p.revision = item.Revision
+	p.deferred = false
+	if holder == p.self {
+		return p.grant()
+	}
+	p.status = Status{Holder: holder}
+	return p.follow()
+}
+
+func (p *Part) follow() []ports.Effect {
+	return p.call(phaseWatch, ports.KVWatch{Prefix: leaseKey, After: p.seen, Wait: idleWatch})
+}
+
+func (p *Part) watched(r ports.KVReply) []ports.Effect {
+	switch {
+	case r.Status == ports.KVOK && len(r.Items) == 0:
+		p.seen = max(p.seen, r.Revision)
+		return p.follow()
+	case r.Status == ports.KVOK, r.Status == ports.KVConflict:
+		return p.look()
+	}
+	return p.pause(phaseLook, retryPause)
+}
+
+func (p *Part) free() []ports.Effect {
+	p.status = Status{}
+	if p.deferred {
+		p.deferred = false
+		return p.grant()
+	}
+	return p.call(phaseLast, ports.KVGet{Key: recordKey})
+}
+
+func (p *Part) lastRead(r ports.KVReply) []ports.Effect {
+	item, ok := r.Item()
+	switch {
+	case r.Status == ports.KVNotFound:
+		return p.grant()
+	case r.Status != ports.KVOK || !ok:
+		return p.pause(phaseLook, retryPause)
+	case decode(item.Value).Holder == p.self:
+		return p.grant()
+	}
+	p.deferred = true
+	return p.pause(phaseDefer, deferFirst+p.patience+time.Duration(p.random.Int64N(int64(deferSpread))))
+}
+
+func (p *Part) grant() []ports.Effect {
+	return p.call(phaseGrant, ports.KVGrant{TTL: p.ttl})
+}
+
+func (p *Part) granted(r ports.KVReply) []ports.Effect {
+	if r.Status != ports.KVOK {
+		return p.pause(phaseLook, retryPause)
+	}
+	p.lease = r.Lease
+	return p.call(phaseTake, ports.KVPut{
+		Key: leaseKey, Value: value{Holder: p.self}.encode(), Expect: p.revision, Lease: p.lease,
+	})
+}
+
+func (p *Part) taken(r ports.KVReply) []ports.Effect {
+	switch r.Status {
+	case ports.KVOK:
+	case ports.KVConflict:
+		return p.look()
+	default:
+		return p.pause(phaseLook, retryPause)
+	}
+	p.revision, p.seen = r.Revision, r.Revision
+	return p.call(phaseRead, ports.KVGet{Key: recordKey})
+}
+
+func (p *Part) recordRead(now time.Time, r ports.KVReply) []ports.Effect {
+	item, ok := r.Item()
+	switch {
+	case r.Status == ports.KVNotFound:
+		p.last, p.lastRev = value{}, 0
+	case r.Status == ports.KVOK && ok:
+		p.last, p.lastRev = decode(item.Value), item.Revision
+	default:
+		return p.pause(phaseLook, retryPause)
+	}
+	return p.begin(now)
+}
--- /dev/null
+++ b/internal/coordination/swap/choose.go
@@ -0,0 +1,157 @@
+package swap
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+type option struct {
+	w     *worker
+	tier  Tier
+	ready time.Time
+	cost  float64
+}
+
+func (p *Planner) begin(now time.Time, uses map[string]*use, n *need) (Action, bool) {
+	best := p.best(now, uses, n)
+	if best == nil {
+		return Action{}, false
+	}
+	n.ready, n.tier = best.ready, best.tier
+	w := best.w
+	if !w.idle(now) || w.job != nil {
+		return Action{}, false
+	}
+	w.job = &job{model: n.model, tier: best.tier, began: now, due: best.ready}
+	orders := p.nextOrder(now, w, uses)
+	if len(orders) == 0 {
+		w.job = nil
+		return Action{}, false
+	}
+	orders[0].Reason = n.reason
+	return orders[0], true
+}
+
+func (p *Planner) best(now time.Time, uses map[string]*use, n *need) *option {
+	storeOpen := float64(p.fleet.storeJobs) < p.storeLoads && p.mayBeginStoreLoad(now)
+	var best *option
+	for _, w := range p.fleet.order {
+		if w.Draining || now.Before(w.quietUntil) || w.Find(n.model) != nil {
+			continue
+		}
+		o, ok := p.option(now, w, n, uses)
+		if !ok || o.tier == TierStore && !storeOpen {
+			continue
+		}
+		if best == nil || o.cost < best.cost {
+			best = &o
+		}
+	}
+	return best
+}
+
+func (p *Planner) option(now time.Time, w *worker, n *need, uses map[string]*use) (option, bool) {
+	free := now
+	if w.job != nil {
+		free = w.job.due
+	} else if !w.certain {
+		free = now.Add(busyAgain)
+	}
+	o := option{w: w, tier: w.tier(n.model)}
+	look := p.outlook(now, w, uses)
+	going, score, ok := p.victims(look, n.model)
+	if !ok {
+		return option{}, false
+	}
+	if going > 0 {
+		free = free.Add(reportLag)
+	}
+	took := p.loadTime(n.model, o.tier)
+	o.ready = later(free, now).Add(took)
+	o.cost = o.ready.Sub(now).Seconds() + evictionSeconds*score
+	if o.tier == TierStore {
+		o.cost += crowdSeconds * float64(look.onlyHere)
+	}
+	return o, true
+}
+
+func later(x, y time.Time) time.Time {
+	if x.After(y) {
+		return x
+	}
+	return y
+}
+
+type outlook struct {
+	of *index
+	// candidates are the models that may go, the least missed first.
+	candidates []candidate
+	used       float64
+	// onlyHere counts the models on the target's disk that nobody serves.
+	onlyHere int
+}
+
+type candidate struct {
+	model string
+	score float64
+	size  float64
+}
+
+func (p *Planner) outlook(now time.Time, w *worker, uses map[string]*use) *outlook {
+	if w.outlook.of == p.fleet {
+		return &w.outlook
+	}
+	w.outlook = outlook{of: p.fleet, used: w.used(p.engine), candidates: w.outlook.candidates[:0]}
+	for _, l := range w.Models {
+		if score, ok := p.evictionScore(now, w, l.Model, uses); ok {
+			m := p.engine.Models[l.Model]
+			size := m.SizeMB + float64(len(l.Adapters))*m.AdapterMB
+			w.outlook.candidates = append(w.outlook.candidates, candidate{l.Model, score, size})
+		}
+	}
+	slices.SortFunc(w.outlook.candidates, func(x, y candidate) int {
+		return cmp.Or(cmp.Compare(x.score, y.score), cmp.Compare(x.model, y.model))
+	})
+	for _, model := range w.OnDisk {
+		if p.fleet.copies[model] == 0 {
+			w.outlook.onlyHere++
+		}
+	}
+	return &w.outlook
+}
+
+func (p *Planner) victims(o *outlook, model string) (n int, score float64, ok bool) {
+	room := p.engine.MemoryMB - o.used - p.engine.Models[model].SizeMB
+	for n < len(o.candidates) && room < 0 {
+		room += o.candidates[n].size
+		score += o.candidates[n].score
+		n++
+	}
+	return n, score, room >= 0
+}
+
+func (p *Planner) evictionScore(now time.Time, w *worker, model string, uses map[string]*use) (float64, bool) {
+	if now.Sub(w.loadedAt[model]) < keepTime {
+		return 0, false
+	}
+	copies := p.fleet.copies[model]
+	r := p.rate(model)
+	score := 0.0
+	if u := uses[model]; u != nil {
+		if u.waiting > 0 && copies <= 1 || u.at[w.ID] > 0 {
+			return 0, false
+		}
+		if copies > 1 && float64(u.flying)/float64(copies-1) > hotFlying {
+			return 0, false
+		}
+	}
+	if copies <= 1 {
+		score += lastCopyScore
+	}
+	score += rateScore * r.perSecond(now) / float64(max(copies, 1))
+	if age := now.Sub(r.used); age < recentTime {
+		score += recentScore * (1 - age.Seconds()/recentTime.Seconds())
+	}
+	return score, true
+}
--- /dev/null
+++ b/internal/coordination/swap/expect.go
@@ -0,0 +1,65 @@
+package swap
+
+import (
+	"time"
+)
+
+func (p *Planner) Expected(now time.Time) map[string]time.Duration {
+	out := make(map[string]time.Duration, len(p.expected))
+	for model, at := range p.expected {
+		out[model] = max(at.Sub(now), 0)
+	}
+	return out
+}
+
+func (p *Planner) expect(now time.Time, needs []*need) {
+	clear(p.expected)
+	for _, w := range p.fleet.order {
+		if w.job != nil {
+			p.expectAt(w.job.model, later(w.job.due, now).Add(reportLag))
+		}
+	}
+	queue := p.storeQueue(now)
+	for _, n := range needs {
+		if n.waiting == 0 || p.fleet.copies[n.model] > 0 || p.fleet.coming[n.model] {
+			continue
+		}
+		if !n.ready.IsZero() && n.tier != TierStore {
+			p.expectAt(n.model, n.ready.Add(reportLag))
+			continue
+		}
+		p.expectAt(n.model, now.Add(queue.next(p.loadTime(n.model, TierStore))))
+	}
+}
+
+func (p *Planner) expectAt(model string, at time.Time) {
+	if have, ok := p.expected[model]; !ok || at.Before(have) {
+		p.expected[model] = at
+	}
+}
+
+type storeQueue []time.Duration
+
+func (p *Planner) storeQueue(now time.Time) storeQueue {
+	var q storeQueue
+	for _, w := range p.workers {
+		if w.job != nil && w.job.tier == TierStore {
+			q = append(q, max(w.job.due.Sub(now), 0))
+		}
+	}
+	for len(q) < int(p.storeLoads) {
+		q = append(q, 0)
+	}
+	return q
+}
+
+func (q storeQueue) next(took time.Duration) time.Duration {
+	first := 0
+	for i, free := range q {
+		if free < q[first] {
+			first = i
+		}
+	}
+	q[first] += took
+	return q[first] + reportLag
+}
