--- a/internal/edge/feed.go
+++ b/internal/edge/feed.go
@@ -8,6 +8,7 @@
 	"github.com/phuslu/log"
 
 	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/state/timer"
 	"chivecroft.example/chivecroft/platform"
 )
 
@@ -134,11 +135,31 @@
 }
 
 func (f *feed) call(req ports.KVRequest) ports.KVReply {
-	reply := f.store.Do(req)
+	until, stop := f.untilInformed()
+	defer stop()
+	reply := f.store.DoUntil(until, req)
+	if until.Err() != nil && reply.Status != ports.KVOK {
+		return reply
+	}
 	f.health.note(reply.Status, reply.Err)
 	return reply
 }
 
+// untilInformed returns a context that ends once another instance's news are
+// fresh: then what is under way would only fill the link to the store.
+func (f *feed) untilInformed() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	poll := timer.Every(timer.NewSystem(), restPoll, func() {
+		if f.informed() {
+			cancel()
+		}
+	})
+	return ctx, func() {
+		poll()
+		cancel()
+	}
+}
+
 // list reads all items. Its pages are no snapshot, so the watch goes on from the
 // revision of the first page.
 func (f *feed) list(ctx context.Context) bool {
@@ -148,6 +169,9 @@
 	pause := retryFirst
 	for ctx.Err() == nil {
 		reply := f.call(ports.KVList{Prefix: f.prefix, After: after})
+		if reply.Status != ports.KVOK && f.informed() {
+			return false
+		}
 		if reply.Status != ports.KVOK {
 			f.log.Info().Str("feed", f.name).Str("status", reply.Status.String()).Err(reply.Err).Msg("list failed")
 			sleep(ctx, pause)
@@ -196,6 +220,9 @@
 			f.log.Info().Str("feed", f.name).Uint64("revision", uint64(f.revision)).Msg("history lost")
 			return
 		default:
+			if f.informed() {
+				return
+			}
 			f.log.Info().Str("feed", f.name).Str("status", reply.Status.String()).Err(reply.Err).Msg("watch failed")
 			sleep(ctx, pause)
 			pause = min(2*pause, retryMost)
