--- a/internal/coordination/hold/keep.go
+++ b/internal/coordination/hold/keep.go
@@ -6,6 +6,7 @@
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 )
 
+// pending is a call under way beside the phase's own.
 type pending struct {
 	tag  ports.Tag
 	sent time.Time
@@ -13,6 +14,8 @@
 	wait time.Duration
 }
 
+// until returns up to when a call's answer tells of the store. A watch without
+// changes that took its whole time tells of that time as well.
 func (c pending) until(now time.Time) time.Time {
 	if end := c.sent.Add(c.wait); !end.After(now) {
 		return end
@@ -20,6 +23,7 @@
 	return c.sent
 }
 
+// begin holds the key. The lease is young, but its renewals count only from now on.
 func (p *Part) begin(now time.Time) []ports.Effect {
 	p.phase = phaseHold
 	p.tag = 0
@@ -32,6 +36,7 @@
 	return append(effects, ports.ArmTimer{Tag: p.recording, After: p.waitFor()})
 }
 
+// waitFor is the time until a former holder has surely stopped, and the handover.
 func (p *Part) waitFor() time.Duration {
 	switch {
 	case !p.last.Holder.IsValid(), p.last.Holder == p.self:
@@ -42,6 +47,8 @@
 	return max(sightTime, p.ttl) + p.handover
 }
 
+// record names this instance as the one that may have sent orders last; its
+// revision is the fencing token.
 func (p *Part) record() []ports.Effect {
 	p.recording = p.next()
 	return []ports.Effect{ports.KVCall{Tag: p.recording, Req: ports.KVPut{
@@ -49,6 +56,8 @@
 	}}}
 }
 
+// recordDone ends the holding after anything but a certain success: the next
+// attempt reads the record anew.
 func (p *Part) recordDone(r ports.KVReply) []ports.Effect {
 	if r.Status == ports.KVUnavailable {
 		p.recording = p.next()
@@ -88,6 +97,7 @@
 	return []ports.Effect{ports.ArmTimer{Tag: p.renewal.tag, After: max(renewEvery-now.Sub(p.renewal.sent), 0)}}
 }
 
+// watchOwn watches the own key; no change is a sight of it.
 func (p *Part) watchOwn(now time.Time) []ports.Effect {
 	wait := holderWatch
 	if p.sighted.IsZero() {
@@ -99,6 +109,7 @@
 	}}}
 }
 
+// readOwn reads the own key where the history that a watch needs is gone.
 func (p *Part) readOwn(now time.Time) []ports.Effect {
 	p.sight = pending{tag: p.next(), sent: now}
 	return []ports.Effect{ports.KVCall{Tag: p.sight.tag, Req: ports.KVGet{Key: leaseKey}}}
@@ -121,6 +132,7 @@
 	return []ports.Effect{ports.ArmTimer{Tag: p.sight.tag, After: retryPause}}
 }
 
+// extend moves the end of the time in which orders may be sent.
 func (p *Part) extend() {
 	if p.renewed.IsZero() || p.sighted.IsZero() {
 		return
@@ -140,6 +152,8 @@
 	return p.look()
 }
 
+// release writes that no order follows, so that a successor need not wait for the
+// lease, and then ends the lease.
 func (p *Part) release() []ports.Effect {
 	held := p.phase == phaseHold
 	p.status = Status{}
--- a/internal/coordination/hold/part.go
+++ b/internal/coordination/hold/part.go
@@ -126,9 +126,6 @@
 	recording        ports.Tag
 }
 
-// pending is a call under way beside the phase's own.
-// until returns up to when a call's answer tells of the store. A watch without
-// changes that took its whole time tells of that time as well.
 // Start begins the work of a part.
 type Start struct{}
 
@@ -256,22 +253,6 @@
 	return []ports.Effect{ports.ArmTimer{Tag: p.tag, After: d}}
 }
 
-// look reads who holds.
-// found follows another holder, or takes over from an earlier incarnation.
-// free begins to take the key, unless another instance held it last and may be
-// about to come back.
-// taken goes on if the key is this instance's for sure; otherwise a look tells.
-// begin holds the key. The lease is young, but its renewals count only from now on.
-// waitFor is the time until a former holder has surely stopped, and the handover.
-// record names this instance as the one that may have sent orders last; its
-// revision is the fencing token.
-// recordDone ends the holding after anything but a certain success: the next
-// attempt reads the record anew.
-// watchOwn watches the own key; no change is a sight of it.
-// readOwn reads the own key where the history that a watch needs is gone.
-// extend moves the end of the time in which orders may be sent.
-// release writes that no order follows, so that a successor need not wait for the
-// lease, and then ends the lease.
 func (v value) encode() []byte {
 	data, err := json.Marshal(v)
 	if err != nil {
--- a/internal/coordination/hold/take.go
+++ b/internal/coordination/hold/take.go
@@ -6,6 +6,7 @@
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 )
 
+// look reads who holds.
 func (p *Part) look() []ports.Effect {
 	return p.call(phaseLook, ports.KVGet{Key: leaseKey})
 }
@@ -23,6 +24,7 @@
 	return p.pause(phaseLook, retryPause)
 }
 
+// found follows another holder, or takes over from an earlier incarnation.
 func (p *Part) found(item ports.Item) []ports.Effect {
 	holder := decode(item.Value).Holder
 	p.revision = item.Revision
@@ -49,6 +51,8 @@
 	return p.pause(phaseLook, retryPause)
 }
 
+// free begins to take the key, unless another instance held it last and may be
+// about to come back.
 func (p *Part) free() []ports.Effect {
 	p.status = Status{}
 	if p.deferred {
@@ -86,6 +90,7 @@
 	})
 }
 
+// taken goes on if the key is this instance's for sure; otherwise a look tells.
 func (p *Part) taken(r ports.KVReply) []ports.Effect {
 	switch r.Status {
 	case ports.KVOK:
--- a/internal/coordination/swap/choose.go
+++ b/internal/coordination/swap/choose.go
@@ -6,6 +6,7 @@
 	"time"
 )
 
+// option is a way to load a model at a target.
 type option struct {
 	w     *worker
 	tier  Tier
@@ -13,6 +14,8 @@
 	cost  float64
 }
 
+// begin starts the job that serves a need soonest, if it can start now. A need
+// whose best target is still busy waits for that target.
 func (p *Planner) begin(now time.Time, uses map[string]*use, n *need) (Action, bool) {
 	best := p.best(now, uses, n)
 	if best == nil {
@@ -51,6 +54,7 @@
 	return best
 }
 
+// option works out what it takes to load a model at a target.
 func (p *Planner) option(now time.Time, w *worker, n *need, uses map[string]*use) (option, bool) {
 	free := now
 	if w.job != nil {
@@ -83,6 +87,8 @@
 	return y
 }
 
+// outlook is what an eviction at a target would lose; it is worked out once for
+// each index, however many models look for a place.
 type outlook struct {
 	of *index
 	// candidates are the models that may go, the least missed first.
@@ -121,6 +127,8 @@
 	return &w.outlook
 }
 
+// victims returns how many of the candidates have to go for another model, and the
+// sum of what their eviction loses; false if there is no room for it.
 func (p *Planner) victims(o *outlook, model string) (n int, score float64, ok bool) {
 	room := p.engine.MemoryMB - o.used - p.engine.Models[model].SizeMB
 	for n < len(o.candidates) && room < 0 {
@@ -131,6 +139,7 @@
 	return n, score, room >= 0
 }
 
+// evictionScore tells what is lost with a model's copy; false forbids it.
 func (p *Planner) evictionScore(now time.Time, w *worker, model string, uses map[string]*use) (float64, bool) {
 	if now.Sub(w.loadedAt[model]) < keepTime {
 		return 0, false
--- a/internal/coordination/swap/expect.go
+++ b/internal/coordination/swap/expect.go
@@ -4,6 +4,8 @@
 	"time"
 )
 
+// Expected returns how long it takes until each model serves that requests wait
+// for, as of the latest plan.
 func (p *Planner) Expected(now time.Time) map[string]time.Duration {
 	out := make(map[string]time.Duration, len(p.expected))
 	for model, at := range p.expected {
@@ -12,6 +14,8 @@
 	return out
 }
 
+// expect works out when models will serve: those of jobs, and those that wait for
+// a target or for a place among the loads from the weight store.
 func (p *Planner) expect(now time.Time, needs []*need) {
 	clear(p.expected)
 	for _, w := range p.fleet.order {
@@ -38,6 +42,7 @@
 	}
 }
 
+// storeQueue holds when the places for loads from the weight store come free.
 type storeQueue []time.Duration
 
 func (p *Planner) storeQueue(now time.Time) storeQueue {
@@ -53,6 +58,7 @@
 	return q
 }
 
+// next takes the earliest place for a load and returns when the load ends.
 func (q storeQueue) next(took time.Duration) time.Duration {
 	first := 0
 	for i, free := range q {
--- a/internal/coordination/swap/plan.go
+++ b/internal/coordination/swap/plan.go
@@ -48,7 +48,6 @@
 	adapters []string
 }
 
-// option is a way to load a model at a target.
 // Plan returns the orders and questions that are due.
 func (p *Planner) Plan(now time.Time) []Action {
 	uses := p.uses(now)
@@ -222,18 +221,3 @@
 	}
 	return &need{model: best, reason: "ahead of use"}
 }
-
-// begin starts the job that serves a need soonest, if it can start now. A need
-// whose best target is still busy waits for that target.
-// option works out what it takes to load a model at a target.
-// outlook is what an eviction at a target would lose; it is worked out once for
-// each index, however many models look for a place.
-// victims returns how many of the candidates have to go for another model, and the
-// sum of what their eviction loses; false if there is no room for it.
-// evictionScore tells what is lost with a model's copy; false forbids it.
-// Expected returns how long it takes until each model serves that requests wait
-// for, as of the latest plan.
-// expect works out when models will serve: those of jobs, and those that wait for
-// a target or for a place among the loads from the weight store.
-// storeQueue holds when the places for loads from the weight store come free.
-// next takes the earliest place for a load and returns when the load ends.
