Forget targets that a new list leaves out; keep those that vanish with the store

What a whole list leaves out is now forgotten before any news are given. TestNewHolderForgetsWhatHasGone. Beside it: entries that lapse while the store is in trouble were told as gone at once, although the board of the instance itself keeps them for 2 s (TestVanishedWithTheStore).

--- a/internal/coordination/seat/board.go
+++ b/internal/coordination/seat/board.go
@@ -340,7 +340,7 @@
 	}
 	if r.missing.IsZero() {
 		r.missing = now
-		b.timer.After(doubtTime, func() { b.Remove(id, true) })
+		b.timer.After(DoubtTime, func() { b.Remove(id, true) })
 	}
 }
 
--- a/internal/coordination/seat/target.go
+++ b/internal/coordination/seat/target.go
@@ -28,11 +28,12 @@
 	fullTime = 100 * time.Millisecond
 	// newsTime is how long the holder's news go before the list.
 	newsTime = 3 * time.Second
-	// doubtTime is how long a target is used on that vanished from the list while
-	// the store was in trouble: living ones come back within it.
-	doubtTime = 2 * time.Second
 )
 
+// DoubtTime is how long a target is used on that vanished from the list while the
+// store was in trouble: living ones come back within it.
+const DoubtTime = 2 * time.Second
+
 // target is what the board knows of one target.
 type target struct {
 	fleet.Target
@@ -123,7 +124,7 @@
 }
 
 func (r *target) gone(now time.Time) bool {
-	return !r.missing.IsZero() && now.Sub(r.missing) >= doubtTime
+	return !r.missing.IsZero() && now.Sub(r.missing) >= DoubtTime
 }
 
 // open tells whether a request may be sent to the target at all.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -256,20 +257,25 @@
 func (e *Edge) takeTargets(items []ports.Item) {
 	listed := make(map[string]bool, len(items))
 	for _, item := range items {
-		listed[item.Key] = true
+		listed[targetID(item)] = true
 		e.takeTarget(item)
 	}
 	for _, id := range e.board.IDs() {
-		if !listed[platform.TargetPrefix+id] {
+		if !listed[id] {
 			e.dropTarget(id)
 		}
 	}
+	e.keeper.retain(listed, e.health.unsteady())
 	e.listed.Store(true)
 	e.keeper.setListed(true)
 }
 
+func targetID(item ports.Item) string {
+	return strings.TrimPrefix(item.Key, platform.TargetPrefix)
+}
+
 func (e *Edge) takeTarget(item ports.Item) {
-	id := item.Key[len(platform.TargetPrefix):]
+	id := targetID(item)
 	if item.Deleted {
 		e.dropTarget(id)
 		return
@@ -291,5 +297,5 @@
 	doubt := e.health.unsteady()
 	e.log.Info().Str("target", id).Bool("doubt", doubt).Msg("target vanished")
 	e.board.Remove(id, doubt)
-	e.keeper.removeTarget(id)
+	e.keeper.leave(id, doubt)
 }
--- a/internal/edge/keeper.go
+++ b/internal/edge/keeper.go
@@ -34,6 +34,8 @@
 	mu      sync.Mutex
 	status  hold.Status
 	targets map[string]fleet.Target
+	// absent are the targets that have vanished and may come back.
+	absent map[string]bool
 	// listed tells that targets are those of a whole list.
 	listed bool
 	config *fleet.Config
@@ -47,7 +49,7 @@
 func newKeeper(ctx context.Context, boot *platform.Boot, clock *timer.Boot, l *log.Logger, m *measure) *keeper {
 	return &keeper{
 		ctx: ctx, self: boot.Instance, engines: platform.NewEngines(), clock: clock, log: l, measure: m,
-		window: boot.Bounds.LoadWindow, targets: make(map[string]fleet.Target), roster: newRoster(),
+		window: boot.Bounds.LoadWindow, targets: make(map[string]fleet.Target), absent: make(map[string]bool), roster: newRoster(),
 		planners: make(map[string]*swap.Planner), members: make(map[string]time.Time),
 	}
 }
@@ -125,6 +127,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.targets[r.ID] = r
+	delete(k.absent, r.ID)
 	if !k.status.Mine {
 		return
 	}
@@ -146,6 +149,52 @@
 	k.roster.remove(id)
 }
 
+// leave takes a target out that has vanished from the list; with doubt only once it
+// has not come back in time.
+func (k *keeper) leave(id string, doubt bool) {
+	if !doubt {
+		k.removeTarget(id)
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.absent[id] {
+		return
+	}
+	k.absent[id] = true
+	k.clock.After(seat.DoubtTime, func() { k.removeAbsent(id) })
+}
+
+func (k *keeper) removeAbsent(id string) {
+	k.mu.Lock()
+	gone := k.absent[id]
+	delete(k.absent, id)
+	k.mu.Unlock()
+	if gone {
+		k.removeTarget(id)
+	}
+}
+
+// retain takes the targets out that a whole list leaves out. This instance may have
+// read its own list long ago, when it was last the holder or without news.
+func (k *keeper) retain(listed map[string]bool, doubt bool) {
+	for _, id := range k.unlisted(listed) {
+		k.leave(id, doubt)
+	}
+}
+
+func (k *keeper) unlisted(listed map[string]bool) []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var out []string
+	for id := range k.targets {
+		if !listed[id] {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // setListed tells whether the targets are those of a whole list.
 func (k *keeper) setListed(listed bool) {
 	k.mu.Lock()
