Say ready only once requests are served

The configuration counted for readiness before it was in force for requests, with its compression in between. The test now reports a request that never reaches its target in place of waiting for it.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -225,10 +225,11 @@
 	if have := e.config.Load(); have != nil && have.Version >= c.Version {
 		return
 	}
-	e.config.Store(c)
-	e.share(item)
 	e.pass.SetConfig(c)
 	e.keeper.setConfig(c, uint64(item.Revision))
+	// Only now may the instance say that it is ready.
+	e.config.Store(c)
+	e.share(item)
 	e.log.Info().Int64("version", c.Version).Uint64("revision", uint64(item.Revision)).
 		Int("routes", len(c.Routes)).Msg("configuration in force")
 }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -241,7 +242,11 @@
 	})
 	slow := make(chan error, 1)
 	go func() { slow <- r.slowCall(e) }()
-	<-began
+	select {
+	case <-began:
+	case err := <-slow:
+		t.Fatalf("the request ended before it reached its target: %v", err)
+	}
 	stopped := make(chan struct{})
 	go func() {
 		e.Stop()
@@ -274,7 +279,7 @@
 	}
 	defer resp.Body.Close()
 	if body, err := io.ReadAll(resp.Body); err != nil || string(body) != "whole" {
-		return errors.Join(err, errors.New("answer "+string(body)))
+		return errors.Join(err, fmt.Errorf("status %d, answer %q", resp.StatusCode, body))
 	}
 	return nil
 }
