--- a/internal/coordination/seat/board_test.go
+++ b/internal/coordination/seat/board_test.go
@@ -117,7 +117,7 @@
 	r.settle(t, 1)
 	first := r.acquire(t.Context(), r.request("m"))
 	r.settle(t, 2)
-	want := []Demand{{Service: "llm", Model: "m", Waiting: 2, LeftMS: 10_000, Arrived: 2}}
+	want := []Demand{{Service: "llm", Model: "m", Waiting: 2, Arrived: 2}}
 	if diff := cmp.Diff(want, r.Demand()); diff != "" {
 		t.Errorf("demand (-want +got):\n%s", diff)
 	}
--- a/internal/coordination/seat/demand.go
+++ b/internal/coordination/seat/demand.go
@@ -9,13 +9,10 @@
 type Demand struct {
 	Service string `json:"service"`
 	Model   string `json:"model"`
-	// Waiting counts the requests without a place; Priority is that of the most
-	// urgent of them and WaitedMS the longest wait in milliseconds.
+	// Waiting counts the requests without a place, WaitedMS is the longest wait of
+	// them in milliseconds.
 	Waiting  int   `json:"waiting,omitempty"`
-	Priority int   `json:"priority,omitempty"`
 	WaitedMS int64 `json:"waitedMs,omitempty"`
-	// LeftMS is the time in milliseconds until the last of them is refused.
-	LeftMS int64 `json:"leftMs,omitempty"`
 	// Adapters are those that requests wait for.
 	Adapters []string `json:"adapters,omitempty"`
 	// Flying counts the requests at targets, Arrived those that came since the
@@ -86,12 +83,8 @@
 }
 
 func (d *Demand) add(now time.Time, q *Request) {
-	if d.Waiting == 0 || q.Priority < d.Priority {
-		d.Priority = q.Priority
-	}
 	d.Waiting++
 	d.WaitedMS = max(d.WaitedMS, now.Sub(q.Arrived).Milliseconds())
-	d.LeftMS = max(d.LeftMS, q.Deadline.Sub(now).Milliseconds())
 	if q.Adapter != "" {
 		d.Adapters = appendNew(d.Adapters, q.Adapter)
 	}
--- a/internal/coordination/swap/choose.go
+++ b/internal/coordination/swap/choose.go
@@ -26,13 +26,12 @@
 	if !w.idle(now) || w.job != nil {
 		return Action{}, false
 	}
-	w.job = &job{model: n.model, tier: best.tier, began: now, due: best.ready}
+	w.job = &job{model: n.model, tier: best.tier, reason: n.reason, began: now, due: best.ready}
 	orders := p.nextOrder(now, w, uses)
 	if len(orders) == 0 {
 		w.job = nil
 		return Action{}, false
 	}
-	orders[0].Reason = n.reason
 	return orders[0], true
 }
 
--- a/internal/coordination/swap/plan.go
+++ b/internal/coordination/swap/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 )
@@ -28,12 +27,10 @@
 
 // need is a model that is to be loaded.
 type need struct {
-	model    string
-	waiting  int
-	priority int
-	waited   time.Duration
-	left     time.Duration
-	reason   string
+	model   string
+	waiting int
+	waited  time.Duration
+	reason  string
 	// ready is when the model is expected to serve and tier the place of its copy;
 	// ready is zero while no target can take it.
 	ready time.Time
@@ -77,7 +74,7 @@
 		for _, m := range d.models {
 			u := uses[m.Model]
 			if u == nil {
-				u = &use{need: need{model: m.Model, priority: math.MaxInt}, at: make(map[string]int)}
+				u = &use{need: need{model: m.Model}, at: make(map[string]int)}
 				uses[m.Model] = u
 			}
 			u.flying += m.Flying
@@ -88,9 +85,7 @@
 				continue
 			}
 			u.waiting += m.Waiting
-			u.priority = min(u.priority, m.Priority)
 			u.waited = max(u.waited, time.Duration(m.WaitedMS)*time.Millisecond)
-			u.left = max(u.left, time.Duration(m.LeftMS)*time.Millisecond)
 			for _, a := range m.Adapters {
 				if !slices.Contains(u.adapters, a) {
 					u.adapters = append(u.adapters, a)
@@ -136,7 +131,7 @@
 		if j.tier == TierStore {
 			p.begun = append(p.begun, now)
 		}
-		return []Action{p.send(w, Action{Operation: Load, Model: j.model, Tier: j.tier})}
+		return []Action{p.send(w, Action{Operation: Load, Model: j.model, Tier: j.tier, Reason: j.reason})}
 	}
 	o := p.outlook(now, w, uses)
 	if _, _, ok := p.victims(o, j.model); !ok {
--- a/internal/coordination/swap/planner_test.go
+++ b/internal/coordination/swap/planner_test.go
@@ -218,7 +218,7 @@
 }
 
 func wait(model string) seat.Demand {
-	return seat.Demand{Service: "llm", Model: model, Waiting: 1, LeftMS: 20_000, Arrived: 1}
+	return seat.Demand{Service: "llm", Model: model, Waiting: 1, Arrived: 1}
 }
 
 // TestRareModelComesFromDisk asks for a model that lies on one target's disk: it
--- a/internal/coordination/swap/worker.go
+++ b/internal/coordination/swap/worker.go
@@ -48,6 +48,8 @@
 type job struct {
 	model string
 	tier  Tier
+	// reason tells why the model is loaded.
+	reason string
 	// leaving is the model being unloaded, empty while none is.
 	leaving string
 	// loading tells that the load was accepted.
