Read on at the store what the holder's news tell of and it cannot hand on

Found in reading: a read of the store was given up as soon as the holder's news were fresh, also where they told of a configuration that this instance lacked and the holder did not hand on; over a slow store it would never have ended. TestBehindWithoutTheHoldersHelp failed first.

--- a/internal/edge/feed.go
+++ b/internal/edge/feed.go
@@ -50,6 +50,8 @@
 	patience time.Duration
 	// hinted is the newest revision that another instance has told of.
 	hinted atomic.Uint64
+	// newest is the newest revision of the keys that this instance has.
+	newest atomic.Uint64
 
 	revision ports.Revision
 	seen     map[string]ports.Revision
@@ -127,11 +129,7 @@
 
 // behind tells whether another instance has seen a newer revision than this one.
 func (f *feed) behind() bool {
-	newest := ports.Revision(0)
-	for _, r := range f.seen {
-		newest = max(newest, r)
-	}
-	return ports.Revision(f.hinted.Load()) > newest
+	return f.hinted.Load() > f.newest.Load()
 }
 
 func (f *feed) call(req ports.KVRequest) ports.KVReply {
@@ -145,12 +143,13 @@
 	return reply
 }
 
-// untilInformed returns a context that ends once another instance's news are
-// fresh: then what is under way would only fill the link to the store.
+// untilInformed returns a context that ends once another instance's news are fresh
+// and tell nothing that this instance lacks: then what is under way would only fill
+// the link to the store.
 func (f *feed) untilInformed() (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(context.Background())
 	poll := timer.Every(timer.NewSystem(), restPoll, func() {
-		if f.informed() {
+		if f.informed() && !f.behind() {
 			cancel()
 		}
 	})
@@ -200,7 +199,15 @@
 func (f *feed) remember(items []ports.Item) {
 	clear(f.seen)
 	for _, item := range items {
-		f.seen[item.Key] = item.Revision
+		f.note(item)
+	}
+}
+
+// note remembers an item's revision.
+func (f *feed) note(item ports.Item) {
+	f.seen[item.Key] = item.Revision
+	if r := uint64(item.Revision); r > f.newest.Load() {
+		f.newest.Store(r)
 	}
 }
 
@@ -236,7 +243,7 @@
 		if item.Revision <= f.seen[item.Key] {
 			continue
 		}
-		f.seen[item.Key] = item.Revision
+		f.note(item)
 		f.change(item)
 	}
 	f.revision = max(f.revision, reply.Revision)
--- /dev/null
+++ b/internal/edge/feed_test.go
@@ -0,0 +1,44 @@
+package edge
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/platform"
+	"chivecroft.example/chivecroft/platform/fake"
+)
+
+// TestBehindWithoutTheHoldersHelp reads the store although the holder's news are
+// fresh: they tell of a newer revision, and the holder cannot hand it on.
+func TestBehindWithoutTheHoldersHelp(t *testing.T) {
+	f := fake.NewStore(t)
+	f.Write(t, "op/config", map[string]any{"version": 3})
+	f.Slow.Store(int64(4 * restPoll))
+	l := &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+	got := make(chan ports.Item, 1)
+	fd := &feed{
+		name: "config", prefix: "op/config", store: platform.NewStore(t.Context(), f.Addr()),
+		health: &storeHealth{log: l}, log: l,
+		whole:    func(items []ports.Item) { got <- items[0] },
+		change:   func(ports.Item) {},
+		informed: func() bool { return true }, paused: func() {},
+		fetch: func(context.Context) ([]ports.Item, bool) { return nil, false },
+	}
+	fd.hint(1)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go fd.run(ctx)
+	select {
+	case item := <-got:
+		if item.Revision != 1 {
+			t.Errorf("read revision %d", item.Revision)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the newer revision is never read")
+	}
+}
