Serve addresses, cut queries and count budgets with one piece of code each

Found in reading the change: serving an address stood twice (callers and metrics), retry limits were made from a boot file's bounds twice, a loop did what strings.Cut does, and a wrapper what strconv.Itoa does. The parts of each request's prompt were parsed for nobody, as were the request's id and latency goal on their way to the board.

--- a/internal/coordination/seat/request.go
+++ b/internal/coordination/seat/request.go
@@ -16,7 +16,6 @@
 
 // Request asks for a target.
 type Request struct {
-	ID      string
 	Service string
 	// Model is empty for plain services.
 	Model   string
@@ -26,8 +25,6 @@
 	// Arrived is when the request came, Deadline until when it may wait.
 	Arrived  time.Time
 	Deadline time.Time
-	// Goal is when an answer should begin.
-	Goal time.Time
 	// Exclude names the targets that were tried.
 	Exclude []fleet.Identity
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -111,9 +111,7 @@
 	e.holder = drive.NewLoop(part, ports.Env{KV: e.store, Timer: e.clock}, drive.WithListener(func(v any) {
 		e.keeper.setStatus(v.(hold.Status))
 	}))
-	e.budget = retry.NewBudget(retry.Limits{
-		Ratio: boot.Bounds.RetryRatio, Extra: boot.Bounds.RetryExtra, Window: boot.Bounds.RetryWindow,
-	})
+	e.budget = retry.NewBudget(retryLimits(boot.Bounds))
 	e.pass = pass.NewServer(platform.Codec{}, e.board, e.budget, e.timer, pass.WithLogger(l),
 		pass.WithObserver(e.measure.ended))
 	for _, opt := range opts {
@@ -127,6 +125,10 @@
 	return time.Duration((1 - min(max(cores, 0), 1)) * float64(weakPatience))
 }
 
+func retryLimits(b platform.Bounds) retry.Limits {
+	return retry.Limits{Ratio: b.RetryRatio, Extra: b.RetryExtra, Window: b.RetryWindow}
+}
+
 // signal makes the next message to the holder due.
 func (e *Edge) signal() {
 	select {
@@ -142,14 +144,14 @@
 		Handler: e.pass, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: headerBytes,
 	}
 	e.ready = &http.Server{Handler: http.HandlerFunc(e.serveReady), ReadHeaderTimeout: headerTimeout}
-	if err := e.listen(ctx, e.callers, e.boot.Callers.String()); err != nil {
+	if err := listen(ctx, e.callers, e.boot.Callers.String(), e.log); err != nil {
 		return err
 	}
-	if err := e.listen(ctx, e.ready, e.boot.Ready.String()); err != nil {
+	if err := listen(ctx, e.ready, e.boot.Ready.String(), e.log); err != nil {
 		return err
 	}
 	e.peerServer = &http.Server{Handler: http.HandlerFunc(e.servePeer), ReadHeaderTimeout: headerTimeout}
-	if err := e.listen(ctx, e.peerServer, e.boot.Peer.String()); err != nil {
+	if err := listen(ctx, e.peerServer, e.boot.Peer.String(), e.log); err != nil {
 		return err
 	}
 	e.holder.Post(hold.Start{})
@@ -167,7 +169,8 @@
 	return nil
 }
 
-func (e *Edge) listen(ctx context.Context, s *http.Server, addr string) error {
+// listen serves s at addr until it is closed.
+func listen(ctx context.Context, s *http.Server, addr string, lg *log.Logger) error {
 	var lc net.ListenConfig
 	l, err := lc.Listen(ctx, "tcp", addr)
 	if err != nil {
@@ -175,7 +178,7 @@
 	}
 	go func() {
 		if err := s.Serve(l); err != nil && err != http.ErrServerClosed {
-			e.log.Error().Err(err).Str("address", addr).Msg("serving ended")
+			lg.Error().Err(err).Str("address", addr).Msg("serving ended")
 		}
 	}()
 	return nil
--- a/internal/edge/measure.go
+++ b/internal/edge/measure.go
@@ -44,17 +44,7 @@
 	mux.Handle(MetricsPath, mt.Handler())
 	s := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	at := net.JoinHostPort(addr.String(), strconv.Itoa(int(port)))
-	var lc net.ListenConfig
-	l, err := lc.Listen(ctx, "tcp", at)
-	if err != nil {
-		return nil, trace.Wrap(err, "listen for metrics on %s", at)
-	}
-	go func() {
-		if err := s.Serve(l); err != nil && err != http.ErrServerClosed {
-			m.log.Error().Err(err).Str("address", at).Msg("serving metrics ended")
-		}
-	}()
-	return s, nil
+	return s, listen(ctx, s, at, m.log)
 }
 
 // ended counts the end of a request.
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"chivecroft.example/chivecroft/internal/coordination/hold"
-	"chivecroft.example/chivecroft/internal/coordination/retry"
 	"chivecroft.example/chivecroft/platform"
 )
 
@@ -28,9 +27,8 @@
 // they were at the start, since connections hang on them.
 func (e *Edge) Reload(boot *platform.Boot) {
 	before := e.bounds.Swap(&boot.Bounds)
-	b := boot.Bounds
-	e.budget.SetLimits(retry.Limits{Ratio: b.RetryRatio, Extra: b.RetryExtra, Window: b.RetryWindow})
-	e.log.Info().Bool("changed", *before != b).
+	e.budget.SetLimits(retryLimits(boot.Bounds))
+	e.log.Info().Bool("changed", *before != boot.Bounds).
 		Bool("restartNeeded", boot.Callers != e.boot.Callers || boot.Store != e.boot.Store || boot.Peer != e.boot.Peer).
 		Msg("settings read again")
 }
--- a/internal/transport/pass/codec.go
+++ b/internal/transport/pass/codec.go
@@ -28,14 +28,6 @@
 	Model        string
 	Adapter      string
 	PromptTokens int
-	OutputTokens int
-	Prompt       []PromptPart
-}
-
-// PromptPart is a part of a prompt that requests may share.
-type PromptPart struct {
-	ID     string
-	Tokens int
 }
 
 // Send is what the system says of a request to a target.
--- a/internal/transport/pass/exchange.go
+++ b/internal/transport/pass/exchange.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strings"
 	"time"
 
 	"chivecroft.example/chivecroft/internal/coordination/seat"
@@ -97,8 +98,8 @@
 func (x *exchange) request() seat.Request {
 	reserve := min(time.Duration(answerReserve*float64(x.within)), answerReserveMost)
 	q := seat.Request{
-		ID: x.call.ID, Service: x.service, Priority: x.route.Priority, Arrived: x.arrived,
-		Deadline: x.deadline.Add(-reserve), Goal: x.arrived.Add(x.route.Goal), Exclude: x.tried,
+		Service: x.service, Priority: x.route.Priority, Arrived: x.arrived,
+		Deadline: x.deadline.Add(-reserve), Exclude: x.tried,
 	}
 	if x.engine {
 		q.Model, q.Adapter = x.call.Model, x.call.Adapter
@@ -170,7 +171,7 @@
 		// An empty value keeps the client from adding its own.
 		header.Set("User-Agent", "")
 	}
-	path, _, _ := cutQuery(x.r.RequestURI)
+	path, _, _ := strings.Cut(x.r.RequestURI, "?")
 	req := &http.Request{
 		Method: x.r.Method, Host: x.r.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		// Opaque keeps the path as the caller escaped it.
@@ -188,15 +189,6 @@
 	return req.WithContext(ctx)
 }
 
-func cutQuery(uri string) (path, query string, found bool) {
-	for i := range len(uri) {
-		if uri[i] == '?' {
-			return uri[:i], uri[i+1:], true
-		}
-	}
-	return uri, "", false
-}
-
 // settle relays an answer or decides whether the request is sent again; it
 // returns true once the caller has its answer.
 func (x *exchange) settle(a *sent) bool {
--- a/internal/transport/pass/relay.go
+++ b/internal/transport/pass/relay.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 
 	"chivecroft.example/chivecroft/internal/coordination/seat"
 	"chivecroft.example/chivecroft/internal/state/fleet"
@@ -31,7 +32,7 @@
 		Failed: failed, LoadKnown: a.reply.LoadKnown, Running: a.reply.Running, Waiting: a.reply.Waiting,
 	})
 	x.head(a.resp)
-	x.w.Header().Set("Content-Length", contentLength(len(body)))
+	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.note(a.resp.StatusCode, ReasonAnswered)
 	x.w.WriteHeader(a.resp.StatusCode)
 	_, _ = x.w.Write(body)
--- a/internal/transport/pass/server.go
+++ b/internal/transport/pass/server.go
@@ -5,7 +5,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -194,5 +193,3 @@
 	x.w.Header().Set(name, value)
 	x.answer(status, reason)
 }
-
-func contentLength(n int) string { return strconv.Itoa(n) }
