Keep a compressed copy of the configuration for instances that start

The holder keeps a compressed copy in the store, replaced by compare-and-swap; an instance that starts reads it and asks the store, without its value, whether the configuration has changed since. A copy that is older, damaged or claims a later revision than its own gives way to the configuration itself. The tests' rig takes ports that no connection is given: one run failed on an address in use.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -159,6 +159,7 @@
 	go e.plan(e.loopCtx)
 	go e.configFeed.run(e.loopCtx)
 	go e.targetFeed.run(e.loopCtx)
+	go e.keepCopy(e.loopCtx)
 	metrics, err := e.measure.start(ctx, e.boot.Instance, e.boot.Zone, e.boot.Addr, e.metricsPort)
 	if err != nil {
 		return err
@@ -215,7 +216,7 @@
 		},
 		change:   take,
 		informed: e.informed, paused: func() {}, fetch: e.fetchConfig,
-		needsList: func() bool { return false },
+		needsList: func() bool { return false }, shortcut: e.readCopy,
 	}
 }
 
@@ -235,7 +236,7 @@
 	e.config.Store(c)
 	e.share(item)
 	e.log.Info().Int64("version", c.Version).Uint64("revision", uint64(item.Revision)).
-		Int("routes", len(c.Routes)).Msg("configuration in force")
+		Int("routes", len(c.Routes)).Int("bytes", len(item.Value)).Msg("configuration in force")
 }
 
 // share keeps a configuration for other instances, unless it came from one.
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -65,19 +66,24 @@
 	})
 }
 
-func (r *rig) start() *Edge {
-	free := func() netip.AddrPort {
+// free returns an address that nobody listens on, with a port that the system gives
+// to no connection: else one might take it before the instance listens.
+func (r *rig) free() netip.AddrPort {
+	const first, count = 20000, 10000
+	for {
+		addr := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(first+rand.IntN(count)))
 		var lc net.ListenConfig
-		l, err := lc.Listen(r.t.Context(), "tcp", "127.0.0.1:0")
-		if err != nil {
-			r.t.Fatal(err)
+		if l, err := lc.Listen(r.t.Context(), "tcp", addr.String()); err == nil {
+			_ = l.Close()
+			return addr
 		}
-		defer l.Close()
-		return netip.MustParseAddrPort(l.Addr().String())
 	}
+}
+
+func (r *rig) start() *Edge {
 	boot := &platform.Boot{
 		Instance: "i" + string(rune('1'+len(r.edges))), Addr: netip.MustParseAddr("127.0.0.1"), Zone: "a1",
-		Regions: map[string]string{"a1": "a"}, Callers: free(), Ready: free(), Peer: free(),
+		Regions: map[string]string{"a1": "a"}, Callers: r.free(), Ready: r.free(), Peer: r.free(),
 		Store: r.store.Addr(), StoreTTLMin: time.Second,
 		Bounds: platform.Bounds{
 			StopGrace: 8 * time.Second, OrderHandover: 3 * time.Second, RetryRatio: 0.2, RetryExtra: 50,
@@ -88,13 +94,7 @@
 	if err := e.Start(r.t.Context()); err != nil {
 		r.t.Fatal(err)
 	}
-	r.t.Cleanup(func() {
-		e.stopLoops()
-		e.holder.Stop()
-		for _, s := range []*http.Server{e.callers, e.ready, e.peerServer} {
-			_ = s.Close()
-		}
-	})
+	r.t.Cleanup(e.kill)
 	r.edges = append(r.edges, e)
 	r.eventually("ready", func() bool { return r.isReady(e) })
 	return e
--- a/internal/edge/feed.go
+++ b/internal/edge/feed.go
@@ -46,6 +46,9 @@
 	paused   func()
 	// fetch reads the keys from another instance; nil where only the store has them.
 	fetch func(context.Context) ([]ports.Item, bool)
+	// shortcut reads the keys from the store with less than a list takes; nil where
+	// there is no such way.
+	shortcut func() ([]ports.Item, ports.Revision, bool)
 	// patience is how long the feed waits for such news at the start.
 	patience time.Duration
 	// hinted is the newest revision that another instance has told of.
@@ -99,7 +102,7 @@
 		if f.rests(ctx) {
 			continue
 		}
-		if f.resumes() || f.list(ctx) {
+		if f.resumes() || f.shortened() || f.list(ctx) {
 			f.watch(ctx)
 		}
 	}
@@ -125,6 +128,28 @@
 	return true
 }
 
+// shortened reads the keys by the shortcut and tells whether that went well.
+func (f *feed) shortened() bool {
+	if f.shortcut == nil {
+		return false
+	}
+	items, through, ok := f.shortcut()
+	if !ok {
+		return false
+	}
+	f.begin(items, through)
+	return true
+}
+
+// begin takes all items as of a revision of the store.
+func (f *feed) begin(items []ports.Item, through ports.Revision) {
+	f.revision = through
+	f.remember(items)
+	f.whole(items)
+	f.listed.Store(true)
+	f.through.Store(uint64(through))
+}
+
 // incomplete tells that a list is needed and has not been read.
 func (f *feed) incomplete() bool {
 	return f.needsList() && !f.listed.Load()
@@ -225,12 +250,8 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	f.revision = first
-	f.remember(items)
 	f.log.Info().Str("feed", f.name).Int("items", len(items)).Uint64("revision", uint64(first)).Msg("list read")
-	f.whole(items)
-	f.listed.Store(true)
-	f.through.Store(uint64(first))
+	f.begin(items, first)
 	return true
 }
 
