--- /dev/null
+++ b/cmd/chivecroft/soak_plan_test.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// disturbance is a kind of fault or planned work that a soak brings about.
+type disturbance string
+
+// The disturbances. Those of an instance name one by a number, those of a target too.
+const (
+	killsInstance   disturbance = "kill instance"
+	killsAll        disturbance = "kill all instances"
+	freezesInstance disturbance = "freeze instance"
+	stopsInstance   disturbance = "stop instance"
+	reloadsInstance disturbance = "reload settings"
+	// The link of one instance to the store: bytes held back, lost, cut, slow, or held
+	// back one way.
+	holdsStoreLink   disturbance = "hold link to store"
+	losesStoreLink   disturbance = "lose bytes on link to store"
+	cutsStoreLink    disturbance = "cut link to store"
+	slowsStoreLink   disturbance = "slow link to store"
+	deafensStoreLink disturbance = "hold answers of store"
+	// The store as a whole.
+	refusesStore disturbance = "store refuses"
+	slowsStore   disturbance = "store slow"
+	losesAnswers disturbance = "store loses answers"
+	forgetsStore disturbance = "store forgets history"
+	// The link of one instance to one target, and silence on all open connections.
+	holdsTargetLink disturbance = "hold link to target"
+	cutsTargetLink  disturbance = "cut link to target"
+	silences        disturbance = "silence open connections"
+	// Targets.
+	killsTarget    disturbance = "kill target"
+	drainsTarget   disturbance = "drain target"
+	losesTarget    disturbance = "target loses answers"
+	failsTarget    disturbance = "target fails"
+	breaksTarget   disturbance = "target breaks streams"
+	garblesTarget  disturbance = "target adds bytes"
+	fillsTarget    disturbance = "target turns away"
+	delaysOrders   disturbance = "target takes orders late"
+	changesConfig  disturbance = "change configuration"
+	leavesCallers  disturbance = "callers leave early"
+	burstsOfCalls  disturbance = "burst of calls"
+	burstsOfModels disturbance = "burst over rare models"
+)
+
+var disturbances = []disturbance{
+	killsInstance, killsInstance, killsAll, freezesInstance, freezesInstance, stopsInstance, stopsInstance,
+	reloadsInstance, holdsStoreLink, losesStoreLink, cutsStoreLink, slowsStoreLink, deafensStoreLink,
+	refusesStore, slowsStore, losesAnswers, forgetsStore, holdsTargetLink, cutsTargetLink, silences,
+	killsTarget, killsTarget, drainsTarget, drainsTarget, losesTarget, failsTarget, breaksTarget,
+	garblesTarget, fillsTarget, delaysOrders, changesConfig, changesConfig, changesConfig, leavesCallers,
+	burstsOfCalls, burstsOfModels,
+}
+
+// event is one disturbance of a plan.
+type event struct {
+	kind disturbance
+	at   time.Duration
+	// last is how long it lasts, where it does.
+	last time.Duration
+	// which chooses the instance or target, other the second end of a link.
+	which, other int
+	// share is the part of requests that it meets, where not all.
+	share float64
+}
+
+// String returns the event as a line of the plan.
+func (e event) String() string {
+	return fmt.Sprintf("%6.2f s to %6.2f s  %s (%d, %d; %.2f)", e.at.Seconds(), (e.at + e.last).Seconds(), e.kind, e.which, e.other, e.share)
+}
+
+// drawPlan draws the disturbances of a seed that begin within a time: some alone, some
+// in series of up to three, so that they overlap.
+func drawPlan(random *rand.Rand, within time.Duration) []event {
+	var plan []event
+	for n := 6 + random.IntN(6); n > 0; n-- {
+		e := event{
+			kind: disturbances[random.IntN(len(disturbances))],
+			at:   time.Duration(random.Int64N(int64(within))),
+			last: 200*time.Millisecond + time.Duration(random.ExpFloat64()*float64(1500*time.Millisecond)),
+		}
+		for series := 1 + random.IntN(3); series > 0; series-- {
+			e.which, e.other = random.IntN(64), random.IntN(64)
+			e.share = 0.1 + 0.6*random.Float64()
+			e.last = min(e.last, 6*time.Second)
+			plan = append(plan, e)
+			e.at += time.Duration(random.Int64N(int64(2 * time.Second)))
+		}
+	}
+	slices.SortStableFunc(plan, func(x, y event) int { return int(x.at - y.at) })
+	return plan
+}
