--- a/internal/coordination/seat/board.go
+++ b/internal/coordination/seat/board.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"chivecroft.example/chivecroft/internal/state/fleet"
+	"chivecroft.example/chivecroft/internal/state/rank"
 	"chivecroft.example/chivecroft/internal/state/timer"
 )
 
@@ -31,7 +32,9 @@
 
 // Board finds targets; it is safe for concurrent use.
 type Board struct {
-	timer   timer.Service
+	timer timer.Service
+	// name is the instance's; it decides between targets that look alike.
+	name    string
 	zone    string
 	regions map[string]string
 	// demanded is called after a request has begun to wait for a model.
@@ -72,6 +75,12 @@
 	return func(b *Board) { b.demanded = f }
 }
 
+// WithName tells the instance's name. Instances of different names prefer different
+// ones of targets that look alike, so that they do not all choose the same.
+func WithName(name string) Option {
+	return func(b *Board) { b.name = name }
+}
+
 // NewBoard returns a board without targets for an instance of zone; regions maps
 // zones to their regions.
 func NewBoard(t timer.Service, zone string, regions map[string]string, opts ...Option) *Board {
@@ -176,7 +185,7 @@
 			continue
 		}
 		cost := b.cost(now, r)
-		if best == nil || cost < lowest || cost == lowest && r.ID < best.ID {
+		if best == nil || cost < lowest || cost == lowest && r.rank < best.rank {
 			best, lowest = r, cost
 		}
 	}
@@ -315,7 +324,7 @@
 func (b *Board) set(r fleet.Target) *target {
 	have := b.targets[r.ID]
 	if have == nil || have.Born != r.Born || have.Addr != r.Addr {
-		have = &target{Target: r, toldAt: b.timer.Now()}
+		have = &target{Target: r, toldAt: b.timer.Now(), rank: rank.Hash(b.name + "\x00" + r.ID)}
 		b.targets[r.ID] = have
 		return have
 	}
--- a/internal/coordination/seat/board_test.go
+++ b/internal/coordination/seat/board_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/netip"
 	"sync/atomic"
 	"testing"
@@ -286,3 +287,28 @@
 		t.Errorf("targets (-want +got):\n%s", diff)
 	}
 }
+
+// TestManyInstancesSpread lets many instances, each of which knows nothing of the
+// others' requests, send one request each for a model with some copies: no copy gets
+// more than twice its share.
+func TestManyInstancesSpread(t *testing.T) {
+	const instances, copies = 60, 6
+	got := make(map[string]int)
+	for i := range instances {
+		b := NewBoard(timer.NewVirtual(time.Unix(1_000_000, 0)), "a1", regions, WithName(fmt.Sprintf("front-a1-%d", i)))
+		for c := range copies {
+			b.SetTarget(engine(fmt.Sprintf("e%d", c), "a1", "m"))
+		}
+		now := b.timer.Now()
+		s, err := b.Acquire(t.Context(), Request{Service: "llm", Model: "m", Arrived: now, Deadline: now.Add(time.Second)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		got[s.Target.ID]++
+	}
+	for id, n := range got {
+		if n > 2*instances/copies {
+			t.Errorf("%s got %d of %d requests: %v", id, n, instances, got)
+		}
+	}
+}
--- a/internal/coordination/seat/target.go
+++ b/internal/coordination/seat/target.go
@@ -37,6 +37,8 @@
 // target is what the board knows of one target.
 type target struct {
 	fleet.Target
+	// rank orders targets that look alike; each instance has an order of its own.
+	rank uint64
 	// news is what the holder says of the target's models.
 	news *News
 	// flying counts the requests of this instance there, byModel by model.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -96,7 +96,7 @@
 	e.measure = &measure{log: l}
 	e.store = platform.NewStore(e.loopCtx, boot.Store, platform.WithStoreObserver(e.measure.stored))
 	e.waiting = make(chan struct{}, 1)
-	e.board = seat.NewBoard(e.timer, boot.Zone, boot.Regions, seat.WithDemand(e.signal))
+	e.board = seat.NewBoard(e.timer, boot.Zone, boot.Regions, seat.WithName(boot.Instance), seat.WithDemand(e.signal))
 	e.clock = timer.NewBoot()
 	e.keeper = newKeeper(e.loopCtx, boot, e.clock, l, e.measure)
 	e.peers = newPeers()
