Ask a store that is down less often

The pause after failed calls of an instance that is not the holder doubles up to 1.6 s and is spread; one instance that gets through is enough for the rest.

--- a/internal/coordination/hold/hold_test.go
+++ b/internal/coordination/hold/hold_test.go
@@ -325,3 +325,46 @@
 		}
 	}
 }
+
+// countingKV counts the calls that reach a store.
+type countingKV struct {
+	ports.KV
+	calls *int
+}
+
+// Call counts and passes the call on.
+func (c countingKV) Call(req ports.KVRequest, done func(ports.KVReply)) {
+	*c.calls++
+	c.KV.Call(req, done)
+}
+
+// TestManyAskInAnOutage lets many instances look for the holder while the store answers
+// nobody: each asks less than once a second, and one of them holds soon after.
+func TestManyAskInAnOutage(t *testing.T) {
+	const instances, outage = 40, 20 * time.Second
+	r := newRig(0, 7)
+	calls := 0
+	for i := range instances {
+		nd := &node{kv: world.NewKV(r.store, r.timer, r.random)}
+		nd.kv.SetFaults(world.KVFaults{Down: true})
+		r.nodes = append(r.nodes, nd)
+		part := NewPart(address(i), testTTL, testHandover, r.random)
+		nd.loop = drive.NewLoop(part, ports.Env{KV: countingKV{nd.kv, &calls}, Timer: r.timer},
+			drive.WithListener(func(v any) { nd.status = v.(Status) }))
+		nd.loop.Post(Start{})
+	}
+	r.timer.Advance(outage)
+	if most := instances * int(outage/time.Second); calls > most {
+		t.Errorf("%d calls of %d instances in %v, at most %d expected", calls, instances, outage, most)
+	}
+	for _, nd := range r.nodes {
+		nd.kv.SetFaults(world.KVFaults{})
+	}
+	r.timer.Advance(time.Second)
+	for _, nd := range r.nodes {
+		if nd.status.Mine {
+			return
+		}
+	}
+	t.Error("nobody holds a second after the outage")
+}
--- a/internal/coordination/hold/part.go
+++ b/internal/coordination/hold/part.go
@@ -39,8 +39,10 @@
 	// come back first.
 	deferFirst  = 500 * time.Millisecond
 	deferSpread = 400 * time.Millisecond
-	// retryPause is the time after a failed call.
+	// retryPause is the time after a failed call; for instances that are not the
+	// holder it doubles up to retryMost, since all of them ask.
 	retryPause = 200 * time.Millisecond
+	retryMost  = 1600 * time.Millisecond
 )
 
 // Status is what an instance knows of the holder.
@@ -108,6 +110,8 @@
 	tag    ports.Tag
 	issued ports.Tag
 	status Status
+	// retry is the latest pause after a failed call, 0 after a successful one.
+	retry time.Duration
 	// deferred tells that the last holder has had its time to come back.
 	deferred bool
 
@@ -253,6 +257,13 @@
 	return []ports.Effect{ports.ArmTimer{Tag: p.tag, After: d}}
 }
 
+// again looks anew after a pause, which grows while calls fail.
+func (p *Part) again() []ports.Effect {
+	p.retry = min(max(2*p.retry, retryPause), retryMost)
+	spread := time.Duration(p.random.Int64N(int64(p.retry)))
+	return p.pause(phaseLook, p.retry/2+spread)
+}
+
 func (v value) encode() []byte {
 	data, err := json.Marshal(v)
 	if err != nil {
--- a/internal/coordination/hold/take.go
+++ b/internal/coordination/hold/take.go
@@ -13,6 +13,9 @@
 
 func (p *Part) looked(r ports.KVReply) []ports.Effect {
 	item, ok := r.Item()
+	if r.Status == ports.KVOK || r.Status == ports.KVNotFound {
+		p.retry = 0
+	}
 	switch {
 	case r.Status == ports.KVOK && ok:
 		p.seen = max(r.Revision, item.Revision)
@@ -21,7 +24,7 @@
 		p.revision = 0
 		return p.free()
 	}
-	return p.pause(phaseLook, retryPause)
+	return p.again()
 }
 
 // found follows another holder, or takes over from an earlier incarnation.
@@ -48,7 +51,7 @@
 	case r.Status == ports.KVOK, r.Status == ports.KVConflict:
 		return p.look()
 	}
-	return p.pause(phaseLook, retryPause)
+	return p.again()
 }
 
 // free begins to take the key, unless another instance held it last and may be
@@ -68,7 +71,7 @@
 	case r.Status == ports.KVNotFound:
 		return p.grant()
 	case r.Status != ports.KVOK || !ok:
-		return p.pause(phaseLook, retryPause)
+		return p.again()
 	case decode(item.Value).Holder == p.self:
 		return p.grant()
 	}
@@ -82,7 +85,7 @@
 
 func (p *Part) granted(r ports.KVReply) []ports.Effect {
 	if r.Status != ports.KVOK {
-		return p.pause(phaseLook, retryPause)
+		return p.again()
 	}
 	p.lease = r.Lease
 	return p.call(phaseTake, ports.KVPut{
@@ -97,7 +100,7 @@
 	case ports.KVConflict:
 		return p.look()
 	default:
-		return p.pause(phaseLook, retryPause)
+		return p.again()
 	}
 	p.revision, p.seen = r.Revision, r.Revision
 	return p.call(phaseRead, ports.KVGet{Key: recordKey})
@@ -111,7 +114,7 @@
 	case r.Status == ports.KVOK && ok:
 		p.last, p.lastRev = decode(item.Value), item.Revision
 	default:
-		return p.pause(phaseLook, retryPause)
+		return p.again()
 	}
 	return p.begin(now)
 }
--- a/internal/edge/feed.go
+++ b/internal/edge/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -21,9 +22,10 @@
 	startPatience = 450 * time.Millisecond
 	// restPoll is how often a resting feed looks whether it has to go on.
 	restPoll = 50 * time.Millisecond
-	// retryFirst and retryMost bound the pause after a failed call.
+	// retryFirst and retryMost bound the pause after a failed call. All instances ask
+	// while the store is down, and it is no help to ask more often.
 	retryFirst = 100 * time.Millisecond
-	retryMost  = 500 * time.Millisecond
+	retryMost  = 1500 * time.Millisecond
 	// troubleTime is how long after a failed call the store counts as unsteady.
 	troubleTime = 3 * time.Second
 )
@@ -234,8 +236,7 @@
 		}
 		if reply.Status != ports.KVOK {
 			f.log.Info().Str("feed", f.name).Str("status", reply.Status.String()).Err(reply.Err).Msg("list failed")
-			sleep(ctx, pause)
-			pause = min(2*pause, retryMost)
+			pause = backOff(ctx, pause)
 			continue
 		}
 		if first == 0 {
@@ -291,12 +292,17 @@
 				return
 			}
 			f.log.Info().Str("feed", f.name).Str("status", reply.Status.String()).Err(reply.Err).Msg("watch failed")
-			sleep(ctx, pause)
-			pause = min(2*pause, retryMost)
+			pause = backOff(ctx, pause)
 		}
 	}
 }
 
+// backOff waits for about a pause and returns the next, longer one.
+func backOff(ctx context.Context, pause time.Duration) time.Duration {
+	sleep(ctx, pause/2+rand.N(pause))
+	return min(2*pause, retryMost)
+}
+
 func (f *feed) apply(reply ports.KVReply) {
 	for _, item := range reply.Items {
 		f.revision = max(f.revision, item.Revision)
