Order a load before its unload is reported, and ask for reports when they can tell

The load is now tried 50 ms after the unload was accepted, and up to twice more; a target that still unloads refuses it. Reports are asked for when they can tell of the end, then each 60 ms; an instance whose requests wait asks the holder for news when their model should serve. TestExchangeTakesLittleMoreThanTheLoad failed first (2.3 s for a load of 1.6 s).

--- a/internal/coordination/seat/demand.go
+++ b/internal/coordination/seat/demand.go
@@ -62,6 +62,22 @@
 	return out
 }
 
+// Due returns the time until the first model that requests wait for is expected to
+// serve, 0 if nothing is known of any.
+func (b *Board) Due() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.timer.Now()
+	var due time.Duration
+	for _, w := range b.waiting {
+		in := b.expected[w.req.Model].Sub(now)
+		if w.req.Model != "" && in > 0 && (due == 0 || in < due) {
+			due = in
+		}
+	}
+	return due
+}
+
 // Waits tells whether any request waits for a model.
 func (b *Board) Waits() bool {
 	b.mu.Lock()
--- a/internal/coordination/swap/expect.go
+++ b/internal/coordination/swap/expect.go
@@ -4,6 +4,9 @@
 	"time"
 )
 
+// servesLag is the time between the end of a load and the knowledge of it.
+const servesLag = reportLag + 40*time.Millisecond
+
 // Expected returns how long it takes until each model serves that requests wait
 // for, as of the latest plan.
 func (p *Planner) Expected(now time.Time) map[string]time.Duration {
@@ -20,7 +23,7 @@
 	clear(p.expected)
 	for _, w := range p.fleet.order {
 		if w.job != nil {
-			p.expectAt(w.job.model, later(w.job.due, now).Add(reportLag))
+			p.expectAt(w.job.model, later(w.job.due, now).Add(servesLag))
 		}
 	}
 	queue := p.storeQueue(now)
@@ -29,7 +32,7 @@
 			continue
 		}
 		if !n.ready.IsZero() && n.tier != TierStore {
-			p.expectAt(n.model, n.ready.Add(reportLag))
+			p.expectAt(n.model, n.ready.Add(servesLag))
 			continue
 		}
 		p.expectAt(n.model, now.Add(queue.next(p.loadTime(n.model, TierStore))))
@@ -67,5 +70,5 @@
 		}
 	}
 	q[first] += took
-	return q[first] + reportLag
+	return q[first] + servesLag
 }
--- a/internal/coordination/swap/plan.go
+++ b/internal/coordination/swap/plan.go
@@ -125,12 +125,9 @@
 func (p *Planner) nextOrder(now time.Time, w *worker, uses map[string]*use) []Action {
 	j := w.job
 	if w.fits(p.engine, j.model) {
-		if j.tier == TierStore && !p.mayBeginStoreLoad(now) {
+		if !p.admitStoreLoad(now, j) {
 			return nil
 		}
-		if j.tier == TierStore {
-			p.begun = append(p.begun, now)
-		}
 		return []Action{p.send(w, Action{Operation: Load, Model: j.model, Tier: j.tier, Reason: j.reason})}
 	}
 	o := p.outlook(now, w, uses)
@@ -150,6 +147,18 @@
 	return a
 }
 
+// admitStoreLoad counts a job's load if it is from the weight store; false forbids it.
+func (p *Planner) admitStoreLoad(now time.Time, j *job) bool {
+	if j.tier != TierStore {
+		return true
+	}
+	if !p.mayBeginStoreLoad(now) {
+		return false
+	}
+	p.begun = append(p.begun, now)
+	return true
+}
+
 // mayBeginStoreLoad keeps to the rate of the weight store in every window.
 func (p *Planner) mayBeginStoreLoad(now time.Time) bool {
 	p.begun = slices.DeleteFunc(p.begun, func(t time.Time) bool { return now.Sub(t) > p.window })
--- a/internal/coordination/swap/planner.go
+++ b/internal/coordination/swap/planner.go
@@ -18,6 +18,8 @@
 	rateTime = 6 * time.Second
 	// reportLag is how old a target's report may be.
 	reportLag = 120 * time.Millisecond
+	// unloadLag is when after an unload a report is asked for.
+	unloadLag = earlyAfter + earlyMost*earlyAgain
 	// listLag is how old a target's description in the list may be.
 	listLag = 4 * time.Second
 	// busyAgain is the time between questions to a target that is busy for longer
@@ -199,7 +201,7 @@
 		return
 	case r.Busy:
 		w.orders = r.Orders
-		w.ask(now.Add(busyAgain))
+		w.ask(w.askAgain(now))
 		return
 	}
 	p.settle(now, w, r)
@@ -268,8 +270,7 @@
 		}
 		w.unsure(now)
 	case Refused:
-		w.job = nil
-		w.unsure(now)
+		p.refused(now, w, &a)
 	case Lost:
 		w.job = nil
 		w.quietUntil = now.Add(quietTime)
@@ -278,6 +279,14 @@
 	p.changed(w)
 }
 
+func (p *Planner) refused(now time.Time, w *worker, a *Action) {
+	if w.isEarly(a) {
+		return
+	}
+	w.job = nil
+	w.unsure(now)
+}
+
 func (p *Planner) taken(now time.Time, w *worker, a Action) {
 	switch {
 	case a.Adapter != "" && a.Operation == Load:
@@ -287,14 +296,18 @@
 	case a.Operation == Load:
 		w.certain = false
 		if w.job != nil {
+			w.leave()
 			w.job.loading = true
 			w.job.began = now
 			w.job.due = now.Add(p.loadTime(a.Model, w.job.tier))
-			w.ask(w.job.due)
+			w.probeAt = w.job.due.Add(reportLag)
 		}
 	default:
 		w.certain = false
-		w.ask(now.Add(reportLag))
+		if w.job != nil {
+			w.job.unloadedAt = now
+		}
+		w.ask(now.Add(unloadLag))
 	}
 }
 
--- a/internal/coordination/swap/planner_test.go
+++ b/internal/coordination/swap/planner_test.go
@@ -35,6 +35,12 @@
 	faults    []string
 	begun     []time.Time
 	orders    []string
+	// unloading is the time of an unload.
+	unloading time.Duration
+	// reports counts the questions for a report, heldCounts tells that an order that
+	// held already counts as accepted.
+	reports    int
+	heldCounts bool
 }
 
 type played struct {
@@ -42,6 +48,26 @@
 	orders int64
 	busy   *Action
 	done   time.Time
+	// past are the reports of the last steps; targets answer with an old one.
+	past []pastReport
+}
+
+type pastReport struct {
+	at     time.Time
+	report fleet.Report
+}
+
+// reportAge is how old a target's report is.
+const reportAge = 100 * time.Millisecond
+
+// note remembers what the target would report now.
+func (p *played) note(now time.Time) {
+	p.past = append(p.past, pastReport{now, fleet.Report{
+		Identity: p.Identity, Holding: p.describe().Holding, Orders: p.orders, Busy: p.busy != nil,
+	}})
+	if len(p.past) > int(reportAge/planStep)+1 {
+		p.past = p.past[1:]
+	}
 }
 
 type lateOrder struct {
@@ -90,6 +116,10 @@
 func (r *rig) run(d time.Duration, demand ...seat.Demand) {
 	for end := r.now.Add(d); r.now.Before(end); r.now = r.now.Add(planStep) {
 		r.finish()
+		for id, p := range r.targets {
+			p.note(r.now)
+			r.follow(id)
+		}
 		r.Demand(r.now, "entry", demand)
 		for _, a := range r.Plan(r.now) {
 			r.carryOut(a)
@@ -97,12 +127,18 @@
 	}
 }
 
+func (r *rig) follow(id string) {
+	if a, ok := r.Follow(r.now, id); ok {
+		r.carryOut(a)
+	}
+}
+
 func (r *rig) carryOut(a Action) {
 	p := r.targets[a.To.ID]
 	if a.IsReport() {
-		r.Reported(r.now, a.To.ID, fleet.Report{
-			Identity: p.Identity, Holding: p.describe().Holding, Orders: p.orders, Busy: p.busy != nil,
-		}, nil)
+		r.reports++
+		r.Reported(r.now, a.To.ID, p.past[0].report, nil)
+		r.follow(a.To.ID)
 		return
 	}
 	r.orders = append(r.orders, fmt.Sprintf("%s %s at %s", a.Operation, a.Model+suffix(a.Adapter), a.To.ID))
@@ -113,6 +149,7 @@
 		return
 	}
 	r.Ordered(r.now, a, r.accept(a))
+	r.follow(a.To.ID)
 }
 
 func suffix(adapter string) string {
@@ -132,16 +169,23 @@
 		// A late order found the target started anew, without the model.
 		return Refused
 	}
+	if a.Operation == Load && a.Adapter == "" && p.Find(a.Model) != nil {
+		if r.heldCounts {
+			p.orders++
+		}
+		return Held
+	}
 	p.orders++
 	if a.Adapter != "" {
 		r.adapter(p, a)
 		return Taken
 	}
 	p.busy = &a
-	p.done = r.now.Add(planStep)
+	p.done = r.now.Add(r.unloading)
 	if a.Operation == Load {
 		p.done = r.now.Add(r.loads(p, a))
 	}
+	r.end(p)
 	return Taken
 }
 
@@ -190,19 +234,24 @@
 		return true
 	})
 	for _, p := range r.targets {
-		if p.busy == nil || r.now.Before(p.done) {
-			continue
-		}
-		a := p.busy
-		p.busy = nil
-		if a.Operation == Unload {
-			p.Models = slices.DeleteFunc(slices.Clone(p.Models), func(l fleet.Loaded) bool { return l.Model == a.Model })
-			continue
-		}
-		p.Models = append(slices.Clone(p.Models), fleet.Loaded{Model: a.Model})
-		if !slices.Contains(p.OnDisk, a.Model) {
-			p.OnDisk = append(p.OnDisk, a.Model)
-		}
+		r.end(p)
+	}
+}
+
+// end ends what a target carries out, if it is due.
+func (r *rig) end(p *played) {
+	if p.busy == nil || r.now.Before(p.done) {
+		return
+	}
+	a := p.busy
+	p.busy = nil
+	if a.Operation == Unload {
+		p.Models = slices.DeleteFunc(slices.Clone(p.Models), func(l fleet.Loaded) bool { return l.Model == a.Model })
+		return
+	}
+	p.Models = append(slices.Clone(p.Models), fleet.Loaded{Model: a.Model})
+	if !slices.Contains(p.OnDisk, a.Model) {
+		p.OnDisk = append(p.OnDisk, a.Model)
 	}
 }
 
@@ -234,6 +283,29 @@
 	}
 }
 
+// TestExchangeTakesLittleMoreThanTheLoad exchanges a model while reports lag: the new
+// one serves as soon as it is loaded, and few reports are asked for.
+func TestExchangeTakesLittleMoreThanTheLoad(t *testing.T) {
+	r := newRig(testEngine(4), []string{"m0", "m1", "m2"})
+	r.targets["r0"].OnDisk = []string{"m0", "m1", "m2", "m3"}
+	r.run(5 * time.Second)
+	began, asked := r.now, r.reports
+	for !slices.ContainsFunc(r.Serving("r0"), func(l fleet.Loaded) bool { return l.Model == "m3" }) {
+		r.run(planStep, wait("m3"))
+		if r.now.Sub(began) > 10*time.Second {
+			t.Fatalf("not served: %v", r.orders)
+		}
+	}
+	// A step each for the unload, the load and the report that tells of its end.
+	if took := r.now.Sub(began); took > fromDisk+reportLag+3*planStep {
+		t.Errorf("took %v: %v", took, r.orders)
+	}
+	r.run(time.Second)
+	if n := r.reports - asked; n > 3 {
+		t.Errorf("%d reports were asked for", n)
+	}
+}
+
 // TestBusyModelIsNotEvicted protects a model with requests in flight.
 func TestBusyModelIsNotEvicted(t *testing.T) {
 	r := newRig(testEngine(4), []string{"m0", "m1", "m2"})
@@ -312,6 +384,8 @@
 func TestOrdersKeepTheLimits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		r := newRig(testEngine(14), []string{"m0", "m1", "m2"}, []string{"m0", "m3", "m4"}, []string{"m5"}, nil)
+		r.heldCounts = rapid.Bool().Draw(t, "heldCounts")
+		r.unloading = time.Duration(rapid.IntRange(0, 500).Draw(t, "unloading")) * time.Millisecond
 		for range rapid.IntRange(5, 30).Draw(t, "steps") {
 			r.trouble(t)
 			var demand []seat.Demand
@@ -336,7 +410,8 @@
 		r.lateAfter = time.Duration(rapid.IntRange(100, 12_000).Draw(t, "late")) * time.Millisecond
 	case "restart":
 		p.Born++
-		p.Models, p.orders, p.busy = nil, 0, nil
+		p.Models, p.orders, p.busy, p.past = nil, 0, nil, nil
+		p.note(r.now)
 		r.SetTarget(r.now, p.describe())
 	case "leave":
 		r.Remove(p.ID)
--- a/internal/coordination/swap/worker.go
+++ b/internal/coordination/swap/worker.go
@@ -54,7 +54,11 @@
 	leaving string
 	// loading tells that the load was accepted.
 	loading bool
-	began   time.Time
+	// unloadedAt is when the unload was accepted, early how often the load was tried
+	// before the unload was reported.
+	unloadedAt time.Time
+	early      int
+	began      time.Time
 	// due is when the model is expected to serve.
 	due time.Time
 }
@@ -116,6 +120,14 @@
 	}
 }
 
+// askAgain is when to ask a busy target again: often once its load should be over.
+func (w *worker) askAgain(now time.Time) time.Time {
+	if w.job == nil || !w.job.loading || w.job.tier == TierStore {
+		return now.Add(busyAgain)
+	}
+	return later(now.Add(loadedAgain), w.job.due.Add(reportLag))
+}
+
 // unsure makes the planner ask before it orders again.
 func (w *worker) unsure(at time.Time) {
 	w.certain = false
--- a/internal/edge/keeper.go
+++ b/internal/edge/keeper.go
@@ -287,6 +287,36 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	p.Reported(k.clock.Now(), a.To.ID, r, err)
+	k.follow(p, a.To.ID)
+}
+
+// follow goes on with a target's job, at once or when its load should be over.
+func (k *keeper) follow(p *swap.Planner, id string) {
+	now := k.clock.Now()
+	if !k.status.May(now) || !k.plans(p) {
+		return
+	}
+	if a, ok := p.Follow(now, id); ok {
+		go k.order(p, a, k.status.Token)
+		return
+	}
+	if at, ok := p.FollowAt(id); ok && now.Before(at) {
+		k.clock.After(at.Sub(now), func() {
+			k.mu.Lock()
+			defer k.mu.Unlock()
+			k.follow(p, id)
+		})
+	}
+}
+
+// plans tells whether a planner is of the present holding.
+func (k *keeper) plans(p *swap.Planner) bool {
+	for _, have := range k.planners {
+		if have == p {
+			return true
+		}
+	}
+	return false
 }
 
 func (k *keeper) order(p *swap.Planner, a swap.Action, token uint64) {
@@ -303,6 +333,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	p.Ordered(k.clock.Now(), a, ending(result))
+	k.follow(p, a.To.ID)
 }
 
 var errNotHolder = trace.CompareFailed("this instance may not send orders any more")
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -145,12 +145,21 @@
 			doubted = now
 			e.holder.Post(hold.Doubt{})
 		}
-		wait := exchangeEvery
-		if e.board.Waits() {
-			wait = exchangeWaiting
-		}
-		e.pauseTalk(ctx, wait+time.Duration(known.Members)*exchangePerMember)
+		e.pauseTalk(ctx, e.talkPause(known.Members))
+	}
+}
+
+// talkPause is the time until the next message: when a model that requests wait for
+// should serve, if that is sooner than the interval.
+func (e *Edge) talkPause(members int) time.Duration {
+	spread := time.Duration(members) * exchangePerMember
+	if !e.board.Waits() {
+		return exchangeEvery + spread
+	}
+	if due := e.board.Due(); due > 0 {
+		return min(due, exchangeWaiting+spread)
 	}
+	return exchangeWaiting + spread
 }
 
 // pauseTalk waits until the next message is due or a request begins to wait.
