--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUF_VERSION      := v1.75.0
 GOBIN            := $(shell go env GOPATH)/bin
 
-.PHONY: test lint fmt fuzz bench gen tools build
+.PHONY: test lint fmt fuzz soak bench gen tools build
 
 # All tests, with the race detector.
 test:
@@ -36,6 +36,16 @@
 	go test ./internal/params -run '^$$' -fuzz Fuzz -fuzztime 60s
 	go test ./internal/transport/engine -run '^$$' -fuzz Fuzz -fuzztime 60s
 
+# The soak: seeded disturbances against real processes. SEEDS seeds from FIRST on, SIDE
+# of them side by side; LOGS names a folder that keeps the instances' logs.
+SEEDS ?= 50
+FIRST ?= 1
+SIDE  ?= 3
+LOGS  ?=
+soak:
+	go test ./cmd/chivecroft -count=1 -timeout 120m -run TestSoak -v -args \
+		-soak.seeds $(SEEDS) -soak.first $(FIRST) -soak.side $(SIDE) -soak.logs "$(LOGS)"
+
 # The load tool, the comparison of policies and the slopes of the capacity page.
 bench:
 	go run ./cmd/chivecroft bench run
--- a/cmd/chivecroft/soak_callers_test.go
+++ b/cmd/chivecroft/soak_callers_test.go
@@ -53,7 +53,7 @@
 
 func plainBody(id string) string { return "answer to " + id }
 
-func eventCount(id string) int { return 3 + int(hashOf(id)%20) }
+func eventCount(id string) int { return 3 + int(hashOf(id)%30) }
 
 func eventOf(id string, i, count int) string {
 	return fmt.Sprintf("id: %d\ndata: %s %d/%d\n\n", i, id, i, count)
--- a/cmd/chivecroft/soak_disturb_test.go
+++ b/cmd/chivecroft/soak_disturb_test.go
@@ -17,9 +17,15 @@
 	allTargets   = "targets"
 )
 
+// eventMS is the time between two events of a stream, in milliseconds.
+const eventMS = 60
+
 // disturb begins a disturbance and ends it after its time.
 func (w *soakWorld) disturb(e event) {
 	in := w.instances[e.which%len(w.instances)]
+	if holder := w.lastHolder(); holder != nil && e.holder {
+		in = holder
+	}
 	g := w.targets[e.which%len(w.targets)]
 	switch e.kind {
 	case killsInstance:
@@ -62,6 +68,24 @@
 	}
 }
 
+// lastHolder returns the instance that ordered last, nil if none did.
+func (w *soakWorld) lastHolder() *soakInstance {
+	var last fake.Order
+	for _, g := range w.targets {
+		for _, o := range g.current().Orders() {
+			if o.At.After(last.At) {
+				last = o
+			}
+		}
+	}
+	for _, in := range w.instances {
+		if in.id == last.Holder {
+			return in
+		}
+	}
+	return nil
+}
+
 // aside carries a disturbance out beside the others, noting whom it meets.
 func (w *soakWorld) aside(e event, whom string, f func()) {
 	w.disturbed.Add(1)
@@ -126,7 +150,7 @@
 func (w *soakWorld) reload(in *soakInstance) {
 	in.turn.Lock()
 	defer in.turn.Unlock()
-	in.boot.Bounds.RetryExtra = 10
+	in.boot.Bounds.RetryExtra = 6
 	if err := os.WriteFile(in.file, []byte(in.boot.YAML()), 0o600); err != nil {
 		w.t.Error(err)
 	}
@@ -300,7 +324,7 @@
 			return
 		}
 		_ = http.NewResponseController(rw).Flush()
-		if !work(req, 30) {
+		if !work(req, eventMS) {
 			return
 		}
 	}
--- a/cmd/chivecroft/soak_judge_test.go
+++ b/cmd/chivecroft/soak_judge_test.go
@@ -19,7 +19,8 @@
 	lateAnswer = 500 * time.Millisecond
 	// servedShare is the part of requests that has to be served after recovery.
 	servedShare = 0.9
-	// refusalSlack is when a request that crosses a planned close may fail.
+	// crossingTime is how long after its beginning a request that crosses a planned
+	// close may fail.
 	crossingTime = 200 * time.Millisecond
 )
 
@@ -127,7 +128,7 @@
 			}
 		}
 	}
-	if 4*worked > left && worked > 3 {
+	if worked > left/20+1 {
 		r.failed("%d of %d runs went on after their callers had left", worked, left)
 	}
 }
--- a/cmd/chivecroft/soak_plan_test.go
+++ b/cmd/chivecroft/soak_plan_test.go
@@ -57,35 +57,49 @@
 	burstsOfCalls, burstsOfModels,
 }
 
+// plannedWork are the disturbances of seeds in which nothing fails.
+var plannedWork = []disturbance{
+	stopsInstance, stopsInstance, reloadsInstance, drainsTarget, changesConfig, changesConfig, leavesCallers, burstsOfCalls,
+}
+
 // event is one disturbance of a plan.
 type event struct {
 	kind disturbance
 	at   time.Duration
 	// last is how long it lasts, where it does.
 	last time.Duration
-	// which chooses the instance or target, other the second end of a link.
+	// which chooses the instance or target, other the second end of a link; holder
+	// chooses the instance that ordered last instead.
 	which, other int
+	holder       bool
 	// share is the part of requests that it meets, where not all.
 	share float64
 }
 
 // String returns the event as a line of the plan.
 func (e event) String() string {
-	return fmt.Sprintf("%6.2f s to %6.2f s  %s (%d, %d; %.2f)", e.at.Seconds(), (e.at + e.last).Seconds(), e.kind, e.which, e.other, e.share)
+	return fmt.Sprintf("%6.2f s to %6.2f s  %s (%d, %d, %t; %.2f)",
+		e.at.Seconds(), (e.at + e.last).Seconds(), e.kind, e.which, e.other, e.holder, e.share)
 }
 
 // drawPlan draws the disturbances of a seed that begin within a time: some alone, some
-// in series of up to three, so that they overlap.
+// in series of up to three, so that they overlap. In a quarter of the seeds there is
+// planned work alone, since most promises about it hold only there.
 func drawPlan(random *rand.Rand, within time.Duration) []event {
 	var plan []event
+	kinds := disturbances
+	if random.IntN(4) == 0 {
+		kinds = plannedWork
+	}
 	for n := 6 + random.IntN(6); n > 0; n-- {
 		e := event{
-			kind: disturbances[random.IntN(len(disturbances))],
+			kind: kinds[random.IntN(len(kinds))],
 			at:   time.Duration(random.Int64N(int64(within))),
 			last: 200*time.Millisecond + time.Duration(random.ExpFloat64()*float64(1500*time.Millisecond)),
 		}
 		for series := 1 + random.IntN(3); series > 0; series-- {
 			e.which, e.other = random.IntN(64), random.IntN(64)
+			e.holder = random.IntN(5) < 2
 			e.share = 0.1 + 0.6*random.Float64()
 			e.last = min(e.last, 6*time.Second)
 			plan = append(plan, e)
--- a/cmd/chivecroft/soak_world_test.go
+++ b/cmd/chivecroft/soak_world_test.go
@@ -33,7 +33,7 @@
 
 var soakBounds = fake.Bounds{
 	Grace: 8 * time.Second, Drain: 2500 * time.Millisecond, ConfigApply: 2500 * time.Millisecond,
-	Handover: 3 * time.Second, RetryRatio: 0.2, RetryExtra: 20, RetryWindow: 10 * time.Second,
+	Handover: 3 * time.Second, RetryRatio: 0.05, RetryExtra: 8, RetryWindow: 10 * time.Second,
 }
 
 var soakZones = map[string]string{"za": "r1", "zb": "r1", "zc": "r2"}
@@ -197,6 +197,8 @@
 	}
 	cmd := exec.Command(binary, "serve", "--boot", in.file)
 	cmd.Stdout, cmd.Stderr = out, out
+	// A soak that is ended from outside leaves no instances behind.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		w.t.Error(err)
 		return
