--- a/internal/coordination/owner/wanted.go
+++ b/internal/coordination/owner/wanted.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"chivecroft.example/chivecroft/internal/state/timer"
+
 	"chivecroft.example/chivecroft/internal/coordination/place"
 	"chivecroft.example/chivecroft/internal/coordination/policy"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
@@ -44,14 +46,7 @@
 		s.awaited.queue = append(s.awaited.queue, w)
 	}
 	w.waiting = d.Waiting
-	w.until = later(w.until, s.now.Add(d.Within))
-}
-
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
+	w.until = timer.Later(w.until, s.now.Add(d.Within))
 }
 
 // adapterReady ends the wait for an adapter; who is left waiting tells again.
--- a/internal/coordination/swap/choose.go
+++ b/internal/coordination/swap/choose.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"chivecroft.example/chivecroft/internal/state/timer"
 )
 
 // option is a way to load a model at a target.
@@ -71,7 +73,7 @@
 		free = free.Add(reportLag)
 	}
 	took := p.loadTime(n.model, o.tier)
-	o.ready = later(free, now).Add(took)
+	o.ready = timer.Later(free, now).Add(took)
 	o.cost = o.ready.Sub(now).Seconds() + evictionSeconds*score
 	if o.tier == TierStore {
 		o.cost += crowdSeconds * float64(look.onlyHere)
@@ -79,13 +81,6 @@
 	return o, true
 }
 
-func later(x, y time.Time) time.Time {
-	if x.After(y) {
-		return x
-	}
-	return y
-}
-
 // outlook is what an eviction at a target would lose; it is worked out once for
 // each index, however many models look for a place.
 type outlook struct {
--- a/internal/coordination/swap/expect.go
+++ b/internal/coordination/swap/expect.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"chivecroft.example/chivecroft/internal/state/timer"
 )
 
 // servesLag is the time between the end of a load and the knowledge of it.
@@ -23,7 +25,7 @@
 	clear(p.expected)
 	for _, w := range p.fleet.order {
 		if w.job != nil {
-			p.expectAt(w.job.model, later(w.job.due, now).Add(servesLag))
+			p.expectAt(w.job.model, timer.Later(w.job.due, now).Add(servesLag))
 		}
 	}
 	queue := p.storeQueue(now)
--- a/internal/coordination/swap/worker.go
+++ b/internal/coordination/swap/worker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"chivecroft.example/chivecroft/internal/state/fleet"
+	"chivecroft.example/chivecroft/internal/state/timer"
 )
 
 // Tier is the place of the nearest copy of a model's weights.
@@ -125,7 +126,7 @@
 	if w.job == nil || !w.job.loading || w.job.tier == TierStore {
 		return now.Add(busyAgain)
 	}
-	return later(now.Add(loadedAgain), w.job.due.Add(reportLag))
+	return timer.Later(now.Add(loadedAgain), w.job.due.Add(reportLag))
 }
 
 // unsure makes the planner ask before it orders again.
--- a/internal/state/timer/timer.go
+++ b/internal/state/timer/timer.go
@@ -84,3 +84,11 @@
 		r.cancel()
 	}
 }
+
+// Later returns the later one of two times.
+func Later(x, y time.Time) time.Time {
+	if x.After(y) {
+		return x
+	}
+	return y
+}
