--- a/internal/coordination/swap/follow.go
+++ b/internal/coordination/swap/follow.go
@@ -20,7 +20,7 @@
 )
 
 // Follow returns the load that a target's job needs next, if that is known without a
-// new plan.
+// new plan: once its unload was reported, and at times that FollowAt tells before.
 func (p *Planner) Follow(now time.Time, id string) (Action, bool) {
 	w := p.workers[id]
 	if w == nil || w.job == nil || w.job.loading || w.ordering || w.Draining || now.Before(w.quietUntil) {
@@ -70,8 +70,8 @@
 	return w.used(e)-freed+e.Models[model].SizeMB <= e.MemoryMB
 }
 
-// leave takes the model out that a job has unloaded.
-func (w *worker) leave() {
+// removeLeaving takes the model out that a job has unloaded.
+func (w *worker) removeLeaving() {
 	gone := w.job.leaving
 	w.job.leaving = ""
 	w.Models = slices.DeleteFunc(slices.Clone(w.Models), func(l fleet.Loaded) bool { return l.Model == gone })
--- a/internal/coordination/swap/planner.go
+++ b/internal/coordination/swap/planner.go
@@ -14,8 +14,6 @@
 const (
 	// demandTime is how long an instance's demand counts.
 	demandTime = 2 * time.Second
-	// rateTime is the time constant of the models' request rates.
-	rateTime = 6 * time.Second
 	// reportLag is how old a target's report may be.
 	reportLag = 120 * time.Millisecond
 	// unloadLag is when after an unload a report is asked for.
@@ -32,51 +30,6 @@
 	firstStoreLoads = 4
 )
 
-// Operation is what an order wants done.
-type Operation uint8
-
-// The operations.
-const (
-	Load Operation = iota
-	Unload
-)
-
-// String returns the operation in the words of the logs.
-func (o Operation) String() string {
-	return [...]string{"load", "unload"}[o]
-}
-
-// Action is an order or, without a model, a question for a report.
-type Action struct {
-	To        fleet.Target
-	Operation Operation
-	Model     string
-	Adapter   string
-	// Expected is the number of orders that the target must have accepted.
-	Expected int64
-	// Reason tells why, for the logs.
-	Reason string
-	Tier   Tier
-}
-
-// IsReport tells that the action only asks for a report.
-func (a *Action) IsReport() bool { return a.Model == "" }
-
-// Result is how an order ended.
-type Result uint8
-
-// The ends of orders.
-const (
-	// Taken means that the order is being carried out.
-	Taken Result = iota
-	// Held means that what was ordered holds already.
-	Held
-	// Refused means that the target does not carry out the order.
-	Refused
-	// Lost means that the order may be carried out, now or later.
-	Lost
-)
-
 // Planner decides for the targets of one service.
 type Planner struct {
 	service string
@@ -101,14 +54,6 @@
 	models []seat.Demand
 }
 
-// rate is the decaying count of a model's requests.
-type rate struct {
-	value float64
-	at    time.Time
-	// used is when a request was last seen.
-	used time.Time
-}
-
 // NewPlanner returns a planner without targets. Loads from the weight store are
 // bounded in each window of time.
 func NewPlanner(service string, engine *fleet.Engine, window time.Duration, random *rand.Rand) *Planner {
@@ -249,68 +194,6 @@
 	}
 }
 
-// Ordered takes the end of an order.
-func (p *Planner) Ordered(now time.Time, a Action, result Result) {
-	w := p.workers[a.To.ID]
-	if w == nil || w.Born != a.To.Born {
-		return
-	}
-	w.ordering = false
-	switch result {
-	case Taken:
-		w.orders++
-		w.changedAt = now
-		p.taken(now, w, a)
-	case Held:
-		if a.Adapter != "" && a.Operation == Unload {
-			// An adapter without requests goes at once, and the order counts.
-			w.orders++
-			w.removeAdapter(a.Model, a.Adapter)
-			break
-		}
-		w.unsure(now)
-	case Refused:
-		p.refused(now, w, &a)
-	case Lost:
-		w.job = nil
-		w.quietUntil = now.Add(quietTime)
-		w.unsure(w.quietUntil)
-	}
-	p.changed(w)
-}
-
-func (p *Planner) refused(now time.Time, w *worker, a *Action) {
-	if w.isEarly(a) {
-		return
-	}
-	w.job = nil
-	w.unsure(now)
-}
-
-func (p *Planner) taken(now time.Time, w *worker, a Action) {
-	switch {
-	case a.Adapter != "" && a.Operation == Load:
-		w.addAdapter(a.Model, a.Adapter)
-	case a.Adapter != "":
-		w.removeAdapter(a.Model, a.Adapter)
-	case a.Operation == Load:
-		w.certain = false
-		if w.job != nil {
-			w.leave()
-			w.job.loading = true
-			w.job.began = now
-			w.job.due = now.Add(p.loadTime(a.Model, w.job.tier))
-			w.probeAt = w.job.due.Add(reportLag)
-		}
-	default:
-		w.certain = false
-		if w.job != nil {
-			w.job.unloadedAt = now
-		}
-		w.ask(now.Add(unloadLag))
-	}
-}
-
 // Serving returns the models of a target that requests may be sent to.
 func (p *Planner) Serving(id string) []fleet.Loaded {
 	w := p.workers[id]
@@ -332,29 +215,6 @@
 	p.touched = append(p.touched, w.ID)
 }
 
-func (p *Planner) rate(model string) *rate {
-	r := p.rates[model]
-	if r == nil {
-		r = &rate{}
-		p.rates[model] = r
-	}
-	return r
-}
-
-func (r *rate) add(now time.Time, n int) {
-	r.value = r.perSecond(now) + float64(n)/rateTime.Seconds()
-	r.at = now
-}
-
-// perSecond returns the model's requests a second.
-func (r *rate) perSecond(now time.Time) float64 {
-	age := now.Sub(r.at)
-	if age >= 4*rateTime {
-		return 0
-	}
-	return r.value * max(1-float64(age)/float64(4*rateTime), 0)
-}
-
 func (p *Planner) loadTime(model string, t Tier) time.Duration {
 	m := p.engine.Models[model]
 	switch t {
