Count a successor's wait from when the holder's key was found to be gone

The former holder cannot order after its last sight of the key and 1.5 s, so the wait may begin when the key was found to be gone. Another instance may have held and ordered in between; it writes the record first, so a record of a later revision than the store's at that look makes the wait count anew.

--- a/internal/coordination/hold/hold_test.go
+++ b/internal/coordination/hold/hold_test.go
@@ -368,3 +368,29 @@
 	}
 	t.Error("nobody holds a second after the outage")
 }
+
+// TestSuccessorCountsFromTheLoss kills the holder: its successor may order as soon as
+// the lease has ended and the wait has passed since then, however long it took to get
+// the key.
+func TestSuccessorCountsFromTheLoss(t *testing.T) {
+	r := newRig(3, 3)
+	r.advance(time.Second)
+	first := r.holder
+	r.kill(first)
+	killed := r.timer.Now()
+	mayOrder := func() bool {
+		for _, nd := range r.nodes {
+			if nd.status.May(r.timer.Now()) {
+				return true
+			}
+		}
+		return false
+	}
+	for !mayOrder() {
+		r.advance(tick)
+	}
+	const calls = 200 * time.Millisecond
+	if took, most := r.timer.Now().Sub(killed), testTTL+sightTime+testHandover+calls; took > most {
+		t.Errorf("orders are possible %v after the kill, at most %v expected", took, most)
+	}
+}
--- a/internal/coordination/hold/keep.go
+++ b/internal/coordination/hold/keep.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/state/timer"
 )
 
 // pending is a call under way beside the phase's own.
@@ -29,11 +30,22 @@
 	p.tag = 0
 	p.recorded = false
 	p.renewed, p.sighted = time.Time{}, time.Time{}
-	p.status = Status{Holder: p.self, Mine: true, From: now.Add(p.waitFor())}
+	from := timer.Later(now, p.waitsSince(now).Add(p.waitFor()))
+	p.vanishedAt = time.Time{}
+	p.status = Status{Holder: p.self, Mine: true, From: from}
 	p.recording = p.next()
 	effects := p.renew(now)
 	effects = append(effects, p.watchOwn(now)...)
-	return append(effects, ports.ArmTimer{Tag: p.recording, After: p.waitFor()})
+	return append(effects, ports.ArmTimer{Tag: p.recording, After: from.Sub(now)})
+}
+
+// waitsSince is from when the wait for a former holder counts: from when its key was
+// found to be gone, if the record shows that nobody has held and ordered since.
+func (p *Part) waitsSince(now time.Time) time.Time {
+	if p.vanishedAt.IsZero() || p.lastRev > p.vanishedRev {
+		return now
+	}
+	return p.vanishedAt
 }
 
 // waitFor is the time until a former holder has surely stopped, and the handover.
--- a/internal/coordination/hold/part.go
+++ b/internal/coordination/hold/part.go
@@ -112,6 +112,10 @@
 	status Status
 	// retry is the latest pause after a failed call, 0 after a successful one.
 	retry time.Duration
+	// vanishedAt is when the key was first found to be gone, vanishedRev the store's
+	// revision then; zero while it is there.
+	vanishedAt  time.Time
+	vanishedRev ports.Revision
 	// deferred tells that the last holder has had its time to come back.
 	deferred bool
 
@@ -222,7 +226,7 @@
 	}
 	switch p.phase {
 	case phaseLook:
-		return p.looked(r)
+		return p.looked(now, r)
 	case phaseWatch:
 		return p.watched(r)
 	case phaseLast:
--- a/internal/coordination/hold/take.go
+++ b/internal/coordination/hold/take.go
@@ -11,7 +11,7 @@
 	return p.call(phaseLook, ports.KVGet{Key: leaseKey})
 }
 
-func (p *Part) looked(r ports.KVReply) []ports.Effect {
+func (p *Part) looked(now time.Time, r ports.KVReply) []ports.Effect {
 	item, ok := r.Item()
 	if r.Status == ports.KVOK || r.Status == ports.KVNotFound {
 		p.retry = 0
@@ -22,6 +22,9 @@
 		return p.found(item)
 	case r.Status == ports.KVNotFound:
 		p.revision = 0
+		if p.vanishedAt.IsZero() {
+			p.vanishedAt, p.vanishedRev = now, r.Revision
+		}
 		return p.free()
 	}
 	return p.again()
@@ -32,6 +35,7 @@
 	holder := decode(item.Value).Holder
 	p.revision = item.Revision
 	p.deferred = false
+	p.vanishedAt = time.Time{}
 	if holder == p.self {
 		return p.grant()
 	}
