Keep a leaving target leaving when an older description is read after the news

A target stays leaving for its incarnation, and changes up to the revision that news cover are passed over. TestLeavingStaysLeaving and TestOldChangesAfterNews.

--- a/internal/coordination/seat/board.go
+++ b/internal/coordination/seat/board.go
@@ -328,6 +328,9 @@
 		b.targets[r.ID] = have
 		return have
 	}
+	// A target that leaves does not come back as the same incarnation; what says
+	// otherwise is old.
+	r.Draining = r.Draining || have.Draining
 	have.Target = r
 	have.missing = time.Time{}
 	return have
--- a/internal/coordination/seat/board_test.go
+++ b/internal/coordination/seat/board_test.go
@@ -312,3 +312,21 @@
 		}
 	}
 }
+
+// TestLeavingStaysLeaving reads an old description of a target after it is known to
+// leave: it gets no request.
+func TestLeavingStaysLeaving(t *testing.T) {
+	r := newRig()
+	old := engine("one", "a1", "m")
+	r.SetTarget(old)
+	leaving := old
+	leaving.Draining = true
+	r.Learn([]News{NewsOf(&leaving, leaving.Models)}, nil)
+	r.SetTarget(old)
+	p := r.acquire(t.Context(), r.request("m"))
+	r.settle(t, 1)
+	r.Close()
+	if refusal := p.refusal(t); refusal.Reason != ReasonStopping {
+		t.Errorf("refused as %s", refusal.Reason)
+	}
+}
--- a/internal/edge/feed.go
+++ b/internal/edge/feed.go
@@ -61,6 +61,9 @@
 	// changes of the keys, through the one up to which this instance has read them.
 	told    atomic.Uint64
 	through atomic.Uint64
+	// covered is the newest revision up to which news have told of all changes; an
+	// older one that is read late would undo them.
+	covered atomic.Uint64
 	// needsList tells that changes alone do not suffice; listed tells that they
 	// follow a list that this instance has read.
 	needsList func() bool
@@ -306,7 +309,7 @@
 func (f *feed) apply(reply ports.KVReply) {
 	for _, item := range reply.Items {
 		f.revision = max(f.revision, item.Revision)
-		if item.Revision <= f.seen[item.Key] {
+		if item.Revision <= f.seen[item.Key] || uint64(item.Revision) <= f.covered.Load() {
 			continue
 		}
 		f.note(item)
--- a/internal/edge/feed_test.go
+++ b/internal/edge/feed_test.go
@@ -43,3 +43,14 @@
 		t.Error("the newer revision is never read")
 	}
 }
+
+// TestOldChangesAfterNews reads changes late that the holder's news cover already.
+func TestOldChangesAfterNews(t *testing.T) {
+	var got []ports.Revision
+	fd := &feed{seen: make(map[string]ports.Revision), change: func(item ports.Item) { got = append(got, item.Revision) }}
+	fd.covered.Store(7)
+	fd.apply(ports.KVReply{Items: []ports.Item{{Key: "a", Revision: 6}, {Key: "b", Revision: 8}}, Revision: 8})
+	if len(got) != 1 || got[0] != 8 {
+		t.Errorf("took changes %v", got)
+	}
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -228,6 +228,7 @@
 	e.listed.Store(true)
 	e.configFeed.hint(r.Config, r.ConfigThrough)
 	e.targetFeed.hint(0, r.NewsThrough)
+	e.targetFeed.covered.Store(r.NewsThrough)
 }
 
 // dropUnlisted removes the targets that a whole list leaves out.
