Work out the size of a loaded model in one place

The sum of weights and adapters stood in used, in the outlook on evictions and in fitsWithout. No behaviour changes; the tests of swap pass.

--- a/internal/coordination/swap/choose.go
+++ b/internal/coordination/swap/choose.go
@@ -103,11 +103,10 @@
 		return &w.outlook
 	}
 	w.outlook = outlook{of: p.fleet, used: w.used(p.engine), candidates: w.outlook.candidates[:0]}
-	for _, l := range w.Models {
+	for i := range w.Models {
+		l := &w.Models[i]
 		if score, ok := p.evictionScore(now, w, l.Model, uses); ok {
-			m := p.engine.Models[l.Model]
-			size := m.SizeMB + float64(len(l.Adapters))*m.AdapterMB
-			w.outlook.candidates = append(w.outlook.candidates, candidate{l.Model, score, size})
+			w.outlook.candidates = append(w.outlook.candidates, candidate{l.Model, score, sizeOf(p.engine, l)})
 		}
 	}
 	slices.SortFunc(w.outlook.candidates, func(x, y candidate) int {
--- a/internal/coordination/swap/follow.go
+++ b/internal/coordination/swap/follow.go
@@ -66,8 +66,7 @@
 	if l == nil {
 		return w.fits(e, model)
 	}
-	freed := e.Models[leaving].SizeMB + float64(len(l.Adapters))*e.Models[leaving].AdapterMB
-	return w.used(e)-freed+e.Models[model].SizeMB <= e.MemoryMB
+	return w.used(e)-sizeOf(e, l)+e.Models[model].SizeMB <= e.MemoryMB
 }
 
 // removeLeaving takes the model out that a job has unloaded.
--- a/internal/coordination/swap/worker.go
+++ b/internal/coordination/swap/worker.go
@@ -77,13 +77,18 @@
 // used returns the memory taken by models and adapters.
 func (w *worker) used(e *fleet.Engine) float64 {
 	sum := 0.0
-	for _, l := range w.Models {
-		m := e.Models[l.Model]
-		sum += m.SizeMB + float64(len(l.Adapters))*m.AdapterMB
+	for i := range w.Models {
+		sum += sizeOf(e, &w.Models[i])
 	}
 	return sum
 }
 
+// sizeOf returns the memory taken by a loaded model and its adapters.
+func sizeOf(e *fleet.Engine, l *fleet.Loaded) float64 {
+	m := e.Models[l.Model]
+	return m.SizeMB + float64(len(l.Adapters))*m.AdapterMB
+}
+
 func (w *worker) adapters() int {
 	n := 0
 	for _, l := range w.Models {
