Ask the board for the targets that a list leaves out; unpack a copy in one step

Both callers of Board.IDs looped over it for the same question, which keeper.unlisted answers for its own targets; a copy's damage was logged at two places. No behaviour changes; the tests of seat and edge pass.

--- a/internal/coordination/seat/board.go
+++ b/internal/coordination/seat/board.go
@@ -356,15 +356,17 @@
 	}
 }
 
-// IDs returns the targets on the board.
-func (b *Board) IDs() []string {
+// Unlisted returns the targets on the board that a whole list leaves out.
+func (b *Board) Unlisted(listed map[string]bool) []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	ids := make([]string, 0, len(b.targets))
+	var out []string
 	for id := range b.targets {
-		ids = append(ids, id)
+		if !listed[id] {
+			out = append(out, id)
+		}
 	}
-	return ids
+	return out
 }
 
 // Learn takes the holder's news of targets and its outlook on models; each
--- a/internal/edge/copy.go
+++ b/internal/edge/copy.go
@@ -97,17 +97,22 @@
 	if r.Status != ports.KVOK || !ok {
 		return nil, 0, false
 	}
-	s, err := decodeShare(copied)
+	s, item, err := unpackCopy(copied)
 	if err != nil {
 		e.log.Warn().Err(err).Msg("copy of the configuration is damaged")
 		return nil, 0, false
 	}
-	item, err := s.item()
+	return e.checkCopy(s, item)
+}
+
+// unpackCopy returns a copy and the configuration in it.
+func unpackCopy(copied ports.Item) (*share, ports.Item, error) {
+	s, err := decodeShare(copied)
 	if err != nil {
-		e.log.Warn().Err(err).Msg("copy of the configuration is damaged")
-		return nil, 0, false
+		return nil, ports.Item{}, err
 	}
-	return e.checkCopy(s, item)
+	item, err := s.item()
+	return s, item, err
 }
 
 // checkCopy asks whether the configuration is still that of the copy.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -268,10 +268,8 @@
 		listed[targetID(item)] = true
 		e.takeTarget(item)
 	}
-	for _, id := range e.board.IDs() {
-		if !listed[id] {
-			e.dropTarget(id)
-		}
+	for _, id := range e.board.Unlisted(listed) {
+		e.dropTarget(id)
 	}
 	e.keeper.retain(listed, e.health.unsteady())
 	e.listed.Store(true)
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -237,10 +237,8 @@
 	for i := range listed {
 		there[listed[i].ID] = true
 	}
-	for _, id := range e.board.IDs() {
-		if !there[id] {
-			e.board.Remove(id, e.health.unsteady())
-		}
+	for _, id := range e.board.Unlisted(there) {
+		e.board.Remove(id, e.health.unsteady())
 	}
 }
 
