Tests: one search for free ports, one quiet logger, one hash

The rigs of edge and of the soak looked for ports by twin loops, and the soak hashed ids beside rank.Hash. Assertions are as they were; a stream of the soak has another length for the same id.

--- a/cmd/chivecroft/soak_callers_test.go
+++ b/cmd/chivecroft/soak_callers_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"fmt"
-	"hash/fnv"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -14,6 +13,7 @@
 	"strings"
 	"time"
 
+	"chivecroft.example/chivecroft/internal/state/rank"
 	"chivecroft.example/chivecroft/platform/fake"
 )
 
@@ -45,15 +45,9 @@
 	{"settle", 10 * time.Second, 0.15, true, true},
 }
 
-func hashOf(id string) uint32 {
-	h := fnv.New32a()
-	_, _ = io.WriteString(h, id)
-	return h.Sum32()
-}
-
 func plainBody(id string) string { return "answer to " + id }
 
-func eventCount(id string) int { return 3 + int(hashOf(id)%30) }
+func eventCount(id string) int { return 3 + int(rank.Hash(id)%30) }
 
 func eventOf(id string, i, count int) string {
 	return fmt.Sprintf("id: %d\ndata: %s %d/%d\n\n", i, id, i, count)
--- a/cmd/chivecroft/soak_disturb_test.go
+++ b/cmd/chivecroft/soak_disturb_test.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"chivecroft.example/chivecroft/internal/state/rank"
 	"chivecroft.example/chivecroft/platform/fake"
 )
 
@@ -287,7 +288,7 @@
 		g.stream(rw, req, f, mode, after)
 		return
 	}
-	if !work(req, 5+int(hashOf(id)%25)) {
+	if !work(req, 5+int(rank.Hash(id)%25)) {
 		return
 	}
 	if mode == losesTarget || mode == breaksTarget {
--- a/cmd/chivecroft/soak_world_test.go
+++ b/cmd/chivecroft/soak_world_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -146,7 +145,7 @@
 }
 
 func (w *soakWorld) newInstance(i int, zone string) *soakInstance {
-	port := freePorts(w.t, 3)
+	port := fake.FreePorts(w.t, 3)
 	in := &soakInstance{id: fmt.Sprintf("i%d", i), zone: zone}
 	in.boot = fake.Boot{
 		Instance: in.id, Zone: zone, Zones: soakZones, Callers: port, Ready: port + 1, Peer: port + 2,
@@ -159,28 +158,6 @@
 	return in
 }
 
-// freePorts returns the first of some ports that nobody listens on, and that the
-// system gives to no connection.
-func freePorts(t *testing.T, count uint16) uint16 {
-	for range 1000 {
-		first := uint16(20000 + rand.IntN(10000/int(count))*int(count))
-		free := true
-		for p := first; p < first+count; p++ {
-			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
-			if err != nil {
-				free = false
-				break
-			}
-			defer l.Close()
-		}
-		if free {
-			return first
-		}
-	}
-	t.Fatal("no free ports")
-	return 0
-}
-
 // start runs a process of the instance; its log goes to a file of its own.
 func (w *soakWorld) start(in *soakInstance) {
 	in.mu.Lock()
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -5,8 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -19,6 +17,11 @@
 	"chivecroft.example/chivecroft/platform/fake"
 )
 
+// quiet returns a logger that writes nowhere.
+func quiet() *log.Logger {
+	return &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+}
+
 // rig is a store, targets and instances of the system on loopback.
 type rig struct {
 	t       *testing.T
@@ -66,31 +69,21 @@
 	})
 }
 
-// free returns an address that nobody listens on, with a port that the system gives
-// to no connection: else one might take it before the instance listens.
-func (r *rig) free() netip.AddrPort {
-	const first, count = 20000, 10000
-	for {
-		addr := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(first+rand.IntN(count)))
-		var lc net.ListenConfig
-		if l, err := lc.Listen(r.t.Context(), "tcp", addr.String()); err == nil {
-			_ = l.Close()
-			return addr
-		}
-	}
-}
-
 func (r *rig) start() *Edge {
+	loopback := netip.MustParseAddr("127.0.0.1")
+	port := fake.FreePorts(r.t, 3)
 	boot := &platform.Boot{
-		Instance: "i" + string(rune('1'+len(r.edges))), Addr: netip.MustParseAddr("127.0.0.1"), Zone: "a1",
-		Regions: map[string]string{"a1": "a"}, Callers: r.free(), Ready: r.free(), Peer: r.free(),
-		Store: r.store.Addr(), StoreTTLMin: time.Second,
+		Instance: "i" + string(rune('1'+len(r.edges))), Addr: loopback, Zone: "a1",
+		Regions: map[string]string{"a1": "a"}, Store: r.store.Addr(),
+		Callers: netip.AddrPortFrom(loopback, port), Ready: netip.AddrPortFrom(loopback, port+1),
+		Peer:        netip.AddrPortFrom(loopback, port+2),
+		StoreTTLMin: time.Second,
 		Bounds: platform.Bounds{
 			StopGrace: 8 * time.Second, OrderHandover: 3 * time.Second, RetryRatio: 0.2, RetryExtra: 50,
 			RetryWindow: 10 * time.Second, LoadWindow: 5 * time.Second,
 		},
 	}
-	e := New(boot, &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}})
+	e := New(boot, quiet())
 	if err := e.Start(r.t.Context()); err != nil {
 		r.t.Fatal(err)
 	}
--- a/internal/edge/feed_test.go
+++ b/internal/edge/feed_test.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"io"
 	"testing"
 	"time"
 
-	"github.com/phuslu/log"
-
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 	"chivecroft.example/chivecroft/platform"
 	"chivecroft.example/chivecroft/platform/fake"
@@ -19,7 +16,7 @@
 	f := fake.NewStore(t)
 	f.Write(t, "op/config", map[string]any{"version": 3})
 	f.Slow.Store(int64(4 * restPoll))
-	l := &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+	l := quiet()
 	got := make(chan ports.Item, 1)
 	fd := &feed{
 		name: "config", prefix: "op/config", store: platform.NewStore(t.Context(), f.Addr()),
--- a/internal/edge/keeper_test.go
+++ b/internal/edge/keeper_test.go
@@ -1,12 +1,10 @@
 package edge
 
 import (
-	"io"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
-	"github.com/phuslu/log"
 
 	"chivecroft.example/chivecroft/internal/coordination/hold"
 	"chivecroft.example/chivecroft/internal/coordination/seat"
@@ -16,7 +14,7 @@
 )
 
 func newTestKeeper(t *testing.T) *keeper {
-	l := &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+	l := quiet()
 	k := newKeeper(t.Context(), &platform.Boot{Instance: "i1"}, timer.NewBoot(), l, &measure{log: l})
 	k.setConfig(&fleet.Config{Version: 1}, 1)
 	return k
