Log, metric and fields for the rate limits that targets name

The three hypotheses of the incident could not be told apart from logs: nothing named a limit. Now a line 'target limit' tells when an instance has heard of one and from where, 'ended' has the limit that was known when the request was sent and for how long, and chivecroft_target_limits counts those in force. So 'never heard' is an instance without the line, 'heard late' a late one, 'shared out wrongly' arrivals whose 'ended' lines name the limit.

No choice of a target changes: the limit is recorded and nothing else.

--- a/internal/coordination/picker/picker.go
+++ b/internal/coordination/picker/picker.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"chivecroft.example/chivecroft/internal/coordination/quota"
 	"chivecroft.example/chivecroft/internal/state/fleet"
 	"chivecroft.example/chivecroft/internal/state/rank"
 	"chivecroft.example/chivecroft/internal/state/recent"
@@ -52,6 +53,8 @@
 	// leaving holds the incarnations that are known to be draining, including those that
 	// are no longer in the platform's list.
 	leaving *recent.Set[fleet.Identity]
+	// share holds the rate limits that targets have named.
+	share *quota.Share
 	// failureRates holds the average failure rate of each service.
 	failureRates map[string]float64
 	queue        []*queuedRequest
@@ -92,6 +95,11 @@
 	return func(p *Picker) { p.name = name }
 }
 
+// WithLimitObserver calls f after each change of a target's rate limit; f must not block.
+func WithLimitObserver(f func(quota.Change)) Option {
+	return func(p *Picker) { p.share = quota.NewShare(quota.WithObserver(f)) }
+}
+
 // New returns a Picker without targets for an instance in zone; regions maps zones to
 // their regions.
 func New(t timer.Service, zone string, regions map[string]string, opts ...Option) *Picker {
@@ -99,6 +107,7 @@
 		timer: t, zone: zone, regions: regions, onDemand: func() {},
 		targets:      make(map[string]*target),
 		leaving:      NewLeavingSet(),
+		share:        quota.NewShare(),
 		failureRates: make(map[string]float64),
 		expected:     make(map[string]time.Time),
 		arrivals:     make(map[modelKey]int),
@@ -184,10 +193,12 @@
 		}
 		best.inFlightByModel[q.Model]++
 	}
-	return &Reservation{
+	s := &Reservation{
 		Target: best.Target, Waited: now.Sub(q.Arrived), Load: load,
 		picker: p, state: best, model: q.Model,
 	}
+	s.Limit, s.LimitAge, _ = p.share.Limit(best.Identity, now)
+	return s
 }
 
 // bestTarget returns the target of the lowest cost among those that are ejected or among
--- a/internal/coordination/picker/request.go
+++ b/internal/coordination/picker/request.go
@@ -86,6 +86,10 @@
 	Waited time.Duration
 	// Load is the estimated number of requests at the target before this one.
 	Load float64
+	// Limit is the rate limit of the target in requests a second, 0 if none is known, and
+	// LimitAge the time since this instance has heard of it.
+	Limit    float64
+	LimitAge time.Duration
 
 	picker        *Picker
 	state         *target
--- a/internal/coordination/picker/signal.go
+++ b/internal/coordination/picker/signal.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"chivecroft.example/chivecroft/internal/coordination/quota"
 	"chivecroft.example/chivecroft/internal/state/fleet"
 	"chivecroft.example/chivecroft/internal/state/recent"
 	"chivecroft.example/chivecroft/internal/state/timer"
@@ -27,6 +28,9 @@
 	// Backoff is how long this instance should send the target no requests, 0
 	// if the response does not say.
 	Backoff time.Duration
+	// Limit is what the response says about the target's rate limit; nil if the response
+	// is not the target's own.
+	Limit *quota.Notice
 }
 
 // ApplySignal applies a target's signal from now on. It reports whether the signal is
@@ -48,6 +52,9 @@
 		isNew = isNew || !now.Before(r.backoffUntil)
 		r.backoffUntil = timer.Later(r.backoffUntil, now.Add(min(w.Backoff, maxBackoff)))
 	}
+	if w.Limit != nil {
+		p.share.Hear(r.Identity, *w.Limit, now)
+	}
 	return isNew
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -19,6 +19,7 @@
 	"chivecroft.example/chivecroft/internal/coordination/elect"
 	"chivecroft.example/chivecroft/internal/coordination/picker"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/coordination/quota"
 	"chivecroft.example/chivecroft/internal/coordination/retry"
 	"chivecroft.example/chivecroft/internal/state/fleet"
 	"chivecroft.example/chivecroft/internal/state/timer"
@@ -111,7 +112,8 @@
 	e.metrics = &instanceMetrics{log: l}
 	e.store = platform.NewStore(e.loopCtx, boot.Store, platform.WithStoreObserver(e.metrics.storeCallEnded))
 	e.demandSignal = make(chan struct{}, 1)
-	e.picker = picker.New(e.timer, boot.Zone, boot.Regions, picker.WithName(boot.Instance), picker.WithDemand(e.signalDemand))
+	e.picker = picker.New(e.timer, boot.Zone, boot.Regions, picker.WithName(boot.Instance), picker.WithDemand(e.signalDemand),
+		picker.WithLimitObserver(e.onLimitChange))
 	e.clock = timer.NewBoot()
 	e.coordinator = newCoordinator(e.loopCtx, boot, e.clock, l, e.metrics)
 	e.peerClient = newPeerClient()
@@ -145,6 +147,17 @@
 	}
 }
 
+// onLimitChange logs and counts a change of a target's rate limit.
+func (e *Edge) onLimitChange(c quota.Change) {
+	e.metrics.limitsChanged(c.InForce)
+	if c.Unreadable != "" {
+		e.log.Warn().Str("target", c.Target.ID).Str("limit", c.Unreadable).Msg("unreadable limit ignored")
+		return
+	}
+	e.log.Info().Str("target", c.Target.ID).Float64("limit", c.PerSecond).Str("source", string(c.Source)).
+		Int("inForce", c.InForce).Msg("target limit")
+}
+
 // electionDelay returns the delay before an instance tries to become the holder. Machines
 // with more processor time get a shorter delay.
 func electionDelay(cores float64) time.Duration {
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -93,6 +93,13 @@
 	return "lease"
 }
 
+// limitsChanged records the number of rate limits in force.
+func (m *instanceMetrics) limitsChanged(n int) {
+	if mt := m.meter.Load(); mt != nil {
+		mt.Limits(n)
+	}
+}
+
 // orderEnded counts a finished order to load a model.
 func (m *instanceMetrics) orderEnded(a sched.Action, taken bool) {
 	if mt := m.meter.Load(); mt != nil && a.Operation == sched.Load && a.Adapter == "" {
--- a/internal/transport/meter/create.go
+++ b/internal/transport/meter/create.go
@@ -24,6 +24,7 @@
 	m.link = c.counter("chivecroft.link.io", "By", "Traffic with another region on connections that this entry opened, and with the platform.")
 	m.loads = c.counter("chivecroft.loads", "{load}", "Ended loads of models.")
 	m.idle = c.seconds("chivecroft.accelerator.idle.time", "Time for which accelerators were held by idle replicas.")
+	m.limits = c.gauge("chivecroft.target.limits", "{target}", "Targets with a rate limit in force.")
 	return trace.NewAggregate(c.errs...)
 }
 
@@ -46,6 +47,12 @@
 	return n
 }
 
+func (c *creator) gauge(name, unit, description string) metric.Int64Gauge {
+	n, err := c.meter.Int64Gauge(name, metric.WithUnit(unit), metric.WithDescription(description))
+	c.errs = append(c.errs, err)
+	return n
+}
+
 func (c *creator) seconds(name, description string) metric.Float64Counter {
 	n, err := c.meter.Float64Counter(name, metric.WithUnit("s"), metric.WithDescription(description))
 	c.errs = append(c.errs, err)
--- a/internal/transport/meter/meter.go
+++ b/internal/transport/meter/meter.go
@@ -84,6 +84,7 @@
 	link       metric.Int64Counter
 	loads      metric.Int64Counter
 	idle       metric.Float64Counter
+	limits     metric.Int64Gauge
 }
 
 // New returns a meter that marks its series with the instance and zone.
@@ -206,6 +207,11 @@
 	m.idle.Add(context.Background(), d.Seconds(), metric.WithAttributes(m.model(model)))
 }
 
+// Limits records for how many targets a rate limit is in force.
+func (m *Meter) Limits(n int) {
+	m.limits.Record(context.Background(), int64(n))
+}
+
 func outcome(ok bool) string {
 	if ok {
 		return "loaded"
--- a/internal/transport/proxy/codec.go
+++ b/internal/transport/proxy/codec.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"chivecroft.example/chivecroft/internal/coordination/picker"
+	"chivecroft.example/chivecroft/internal/coordination/quota"
 )
 
 // Codec translates the headers of requests and responses.
@@ -57,6 +58,8 @@
 	// Rest is how long the target wants no requests from this instance, 0 if it does not
 	// say.
 	Rest time.Duration
+	// Limit is the rate limit that the target names for all instances together.
+	Limit quota.Notice
 	// Running and Waiting are the target's reported load; valid if LoadKnown.
 	LoadKnown bool
 	Running   int
--- a/internal/transport/proxy/exchange.go
+++ b/internal/transport/proxy/exchange.go
@@ -56,6 +56,10 @@
 	maxEventGap time.Duration
 	// load is the estimated number of requests at the target when it was chosen.
 	load float64
+	// limit is the target's rate limit that was known when the request was sent, in
+	// requests a second, and limitAge how long it had been known.
+	limit    float64
+	limitAge time.Duration
 }
 
 // attempt is one send to a target with its response or error.
@@ -117,6 +121,7 @@
 	x.target = reservation.Target.ID
 	x.sentAt = x.s.timer.Now()
 	x.load = reservation.Load
+	x.limit, x.limitAge = reservation.Limit, reservation.LimitAge
 	resp, err := x.s.transport.RoundTrip(x.newRequest(ctx, reservation, lastEvent)) //nolint:bodyclose // closed when the response is relayed or abandoned
 	if err != nil {
 		a.notRun = !call.Seal()
@@ -139,7 +144,11 @@
 	if a.reply.Elsewhere {
 		return
 	}
-	if a.reservation.ApplySignal(picker.Signal{Leaving: a.reply.Leaving, Backoff: a.reply.Rest}) {
+	signal := picker.Signal{Leaving: a.reply.Leaving, Backoff: a.reply.Rest}
+	if !errors.Is(a.err, errForeignResponse) {
+		signal.Limit = &a.reply.Limit
+	}
+	if a.reservation.ApplySignal(signal) {
 		x.s.log.Info().Str("request", x.call.ID).Str("target", a.reservation.Target.ID).
 			Bool("leaving", a.reply.Leaving).Dur("rest", a.reply.Rest).Msg("target notice")
 	}
--- a/internal/transport/proxy/outcome.go
+++ b/internal/transport/proxy/outcome.go
@@ -63,5 +63,5 @@
 		Int("status", x.status).Str("reason", x.reason).Int("sends", x.sends).Int("ran", x.possibleRuns).
 		Dur("waited", x.queueTime).Dur("began", x.timeToFirst).Dur("took", took).Dur("within", x.timeout).
 		Dur("goal", e.Goal).Dur("gapGoal", e.GapGoal).
-		Dur("pause", x.maxEventGap).Float64("load", x.load).Int("prompt", x.call.PromptTokens).Msg("ended")
+		Dur("pause", x.maxEventGap).Float64("load", x.load).Float64("limit", x.limit).Dur("limitAge", x.limitAge).Int("prompt", x.call.PromptTokens).Msg("ended")
 }
