A target's rate limit holds for all instances together

The class of the fault: a limit that is meant for the whole fleet and that each instance keeps, or would keep, by itself. A fixed part for each instance is no cure: at a limit of 0.5 and 300 instances it is one request in ten minutes, and one token saved up at each is 300 requests at once.

Now requests are permitted one by one (internal/coordination/quota). An instance that hears of a limit sends nothing more there without a permit and tells the lease holder, whose updates reach all. Requests that wait stand in one line at the holder, which issues permits in the order of asking at 0.9 of the limit. Permits last 0.5 s. Without a holder an instance draws permits at random from a fifth of the limit; parts of different seconds do not add up. A lower limit counts at once; a higher one, and its end, only from a request that was sent a second after the lower one was heard, and only the holder decides that, so that answers under way cannot lift it.

--- a/internal/coordination/picker/picker.go
+++ b/internal/coordination/picker/picker.go
@@ -138,6 +138,7 @@
 	w := &queuedRequest{req: q, result: make(chan acquireResult, 1)}
 	p.queue = append(p.queue, w)
 	slices.SortStableFunc(p.queue, compareQueued)
+	p.refuseLimited(now)
 	p.scheduleCheckLocked()
 	p.mu.Unlock()
 	p.onDemand()
@@ -185,6 +186,11 @@
 		return nil
 	}
 	load := best.load(now)
+	limit := p.limitOf(best.Identity, now)
+	p.share.Take(best.Identity)
+	if limit.PerSecond == 0 {
+		limit = p.passOver(now, q)
+	}
 	best.inFlight++
 	best.prefilling++
 	if q.Model != "" {
@@ -193,12 +199,10 @@
 		}
 		best.inFlightByModel[q.Model]++
 	}
-	s := &Reservation{
-		Target: best.Target, Waited: now.Sub(q.Arrived), Load: load,
+	return &Reservation{
+		Target: best.Target, Waited: now.Sub(q.Arrived), Load: load, Limit: limit,
 		picker: p, state: best, model: q.Model,
 	}
-	s.Limit, s.LimitAge, _ = p.share.Limit(best.Identity, now)
-	return s
 }
 
 // bestTarget returns the target of the lowest cost among those that are ejected or among
@@ -211,6 +215,9 @@
 		if r.Service != q.Service || !r.canAccept(now, q, fresh) || now.Before(r.ejectedUntil) != ejected {
 			continue
 		}
+		if p.share.Blocks(r.Identity, now) {
+			continue
+		}
 		cost := p.cost(now, r)
 		if best == nil || cost < lowest || cost == lowest && r.rank < best.rank {
 			best, lowest = r, cost
@@ -255,7 +262,7 @@
 	if p.expected[q.Model].After(q.Deadline) {
 		return &Refusal{Reason: ReasonTooLate, RetryAfter: p.retryAfter(now, q)}
 	}
-	if now.Sub(q.Arrived) > p.maxQueueTime(q) {
+	if now.Sub(q.Arrived) > p.maxQueueTime(q) && !p.waitsForPermit(now, q) {
 		return &Refusal{Reason: ReasonNoTarget, RetryAfter: p.retryAfter(now, q)}
 	}
 	return nil
@@ -325,6 +332,7 @@
 		}
 		return false
 	})
+	p.refuseLimited(now)
 	p.scheduleCheckLocked()
 }
 
@@ -430,6 +438,7 @@
 			continue
 		}
 		p.setTargetLocked(n.target()).update = n
+		p.share.Adopt(n.Identity, n.Limit, p.timer.Now())
 	}
 	p.expected = expected
 	p.updatedAt = p.timer.Now()
--- a/internal/coordination/picker/request.go
+++ b/internal/coordination/picker/request.go
@@ -67,6 +67,9 @@
 	ReasonStopping Reason = "stopping"
 	// ReasonBackoff means that all targets have asked for a backoff.
 	ReasonBackoff Reason = "resting"
+	// ReasonLimit means that the rate limits of all targets leave no room for the request
+	// before its deadline.
+	ReasonLimit Reason = "limited"
 )
 
 // Refusal is the error for a request that got no target.
@@ -74,6 +77,8 @@
 	Reason Reason
 	// RetryAfter is how long the caller should wait before it tries again.
 	RetryAfter time.Duration
+	// Limit is the rate limit that was the reason, if one was.
+	Limit Limit
 }
 
 // Error implements error.
@@ -86,10 +91,8 @@
 	Waited time.Duration
 	// Load is the estimated number of requests at the target before this one.
 	Load float64
-	// Limit is the rate limit of the target in requests a second, 0 if none is known, and
-	// LimitAge the time since this instance has heard of it.
-	Limit    float64
-	LimitAge time.Duration
+	// Limit is the rate limit of the target, or of one that was passed over because of it.
+	Limit Limit
 
 	picker        *Picker
 	state         *target
--- a/internal/coordination/picker/signal.go
+++ b/internal/coordination/picker/signal.go
@@ -31,6 +31,9 @@
 	// Limit is what the response says about the target's rate limit; nil if the response
 	// is not the target's own.
 	Limit *quota.Notice
+	// Ran reports whether the target has run the request, SentAt is when it was sent.
+	Ran    bool
+	SentAt time.Time
 }
 
 // ApplySignal applies a target's signal from now on. It reports whether the signal is
@@ -53,7 +56,7 @@
 		r.backoffUntil = timer.Later(r.backoffUntil, now.Add(min(w.Backoff, maxBackoff)))
 	}
 	if w.Limit != nil {
-		p.share.Hear(r.Identity, *w.Limit, now)
+		p.share.Hear(r.Identity, *w.Limit, w.SentAt, w.Ran, now)
 	}
 	return isNew
 }
@@ -72,11 +75,18 @@
 	return out
 }
 
+// isLoadedBefore reports whether the model of a request is expected to be loaded on
+// another target before the request's deadline.
+func (p *Picker) isLoadedBefore(now time.Time, q *Request) bool {
+	readyAt := p.expected[q.Model]
+	return q.Model != "" && readyAt.After(now) && readyAt.Before(q.Deadline)
+}
+
 // allBackingOff reports whether all targets of a request have asked for a backoff, and
 // when the first backoff ends. It returns false if the request's model is expected to be
 // loaded on another target before the request's deadline, since queueing helps then.
 func (p *Picker) allBackingOff(now time.Time, q *Request) (time.Time, bool) {
-	if readyAt := p.expected[q.Model]; q.Model != "" && readyAt.After(now) && readyAt.Before(q.Deadline) {
+	if p.isLoadedBefore(now, q) {
 		return time.Time{}, false
 	}
 	fresh := p.hasFreshUpdates(now)
--- a/internal/coordination/picker/target.go
+++ b/internal/coordination/picker/target.go
@@ -77,6 +77,8 @@
 	Slots    int            `json:"slots"`
 	Draining bool           `json:"draining,omitempty"`
 	Models   []fleet.Loaded `json:"models,omitempty"`
+	// Limit is the rate limit that the target has named, in requests a second; 0 for none.
+	Limit float64 `json:"limit,omitempty"`
 	// Gone means that the target has left the platform's list; only its id is set then.
 	Gone bool `json:"gone,omitempty"`
 }
@@ -92,7 +94,7 @@
 // Equal reports whether two updates are equal.
 func (n *Update) Equal(o *Update) bool {
 	return n.Identity == o.Identity && n.Service == o.Service && n.Addr == o.Addr && n.Zone == o.Zone &&
-		n.Slots == o.Slots && n.Draining == o.Draining && n.Gone == o.Gone &&
+		n.Slots == o.Slots && n.Limit == o.Limit && n.Draining == o.Draining && n.Gone == o.Gone &&
 		slices.EqualFunc(n.Models, o.Models, func(x, y fleet.Loaded) bool {
 			return x.Model == y.Model && slices.Equal(x.Adapters, y.Adapters)
 		})
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -12,6 +12,7 @@
 
 	"chivecroft.example/chivecroft/internal/coordination/elect"
 	"chivecroft.example/chivecroft/internal/coordination/picker"
+	"chivecroft.example/chivecroft/internal/coordination/quota"
 	"chivecroft.example/chivecroft/internal/coordination/sched"
 	"chivecroft.example/chivecroft/internal/state/fleet"
 	"chivecroft.example/chivecroft/internal/state/recent"
@@ -51,15 +52,17 @@
 	configRevision uint64
 	planners       map[string]*sched.Planner
 	updates        *updateLog
-	members        map[string]member
-	readers        readerSelection
+	// permits issues the permits for targets that have named rate limits.
+	permits *quota.Ledger
+	members map[string]member
+	readers readerSelection
 }
 
 func newCoordinator(ctx context.Context, boot *platform.Boot, clock *timer.Boot, l *log.Logger, m *instanceMetrics) *coordinator {
 	return &coordinator{
 		ctx: ctx, self: boot.Instance, engines: platform.NewEngines(), clock: clock, log: l, metrics: m,
 		loadWindow: boot.Bounds.LoadWindow, targets: make(map[string]fleet.Target), absent: make(map[string]bool),
-		leaving: picker.NewLeavingSet(), updates: newUpdateLog(),
+		leaving: picker.NewLeavingSet(), updates: newUpdateLog(), permits: quota.NewLedger(),
 		planners: make(map[string]*sched.Planner), members: make(map[string]member),
 	}
 }
@@ -82,6 +85,7 @@
 	k.members = make(map[string]member)
 	k.readers = readerSelection{}
 	k.updates = newUpdateLog()
+	k.permits = quota.NewLedger()
 	if s.IsHolder {
 		k.startTerm()
 	}
@@ -90,11 +94,23 @@
 // startTerm fills the update log and creates the planners of a new holder.
 func (k *coordinator) startTerm() {
 	for _, r := range k.targets {
-		k.updates.set(picker.NewUpdate(&r, r.Models))
+		k.publish(&r)
 	}
 	k.makePlanners()
 }
 
+// publish has the other instances told of a target: where it is, what it serves as far as
+// the planner knows, and its rate limit.
+func (k *coordinator) publish(r *fleet.Target) {
+	models := r.Models
+	if p := k.planners[r.Service]; p != nil {
+		models = p.Serving(r.ID)
+	}
+	u := picker.NewUpdate(r, models)
+	u.Limit = k.permits.Limit(r.Identity)
+	k.updates.set(u)
+}
+
 func (k *coordinator) holderStatus() elect.Status {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -150,10 +166,8 @@
 	}
 	if p := k.planners[r.Service]; p != nil {
 		p.SetTarget(k.clock.Now(), r)
-		k.updates.set(picker.NewUpdate(&r, p.Serving(r.ID)))
-		return
 	}
-	k.updates.set(picker.NewUpdate(&r, r.Models))
+	k.publish(&r)
 }
 
 // markLeaving records that a target has announced that it is leaving, which is known
@@ -254,6 +268,7 @@
 	for _, p := range k.planners {
 		p.SetDemand(now, m.From, m.Demand)
 	}
+	k.setLimits(now, m.Limits)
 	k.refreshUpdates()
 	after := m.Version
 	if m.Term != k.term() {
@@ -263,6 +278,7 @@
 		Term: k.term(), Version: k.updates.version, Full: after == 0, Updates: k.updates.after(after),
 		Members: k.pruneMembers(now), Readers: readers, ConfigRevision: k.configRevision, ReadyInMS: make(map[string]int64),
 	}
+	out.Grants = k.permits.Ask(now, m.From, m.Wants)
 	if k.status.CanOrder(now) {
 		for _, p := range k.planners {
 			for model, in := range p.Expected(now) {
@@ -273,6 +289,18 @@
 	return out, true
 }
 
+// setLimits records the rate limits that an instance has heard of and has the other
+// instances told of what has changed.
+func (k *coordinator) setLimits(now time.Time, reports []quota.Report) {
+	k.permits.Retain(func(id fleet.Identity) bool { return k.targets[id.ID].Identity == id }, now)
+	for _, id := range k.permits.Report(now, reports) {
+		k.log.Info().Str("target", id.ID).Float64("limit", k.permits.Limit(id)).Msg("limit of all instances")
+		if r, ok := k.targets[id.ID]; ok && r.Identity == id {
+			k.publish(&r)
+		}
+	}
+}
+
 // recordMember records that an instance is alive. It returns the readers of the
 // instance's zone, or nil if the instance knows them already.
 func (k *coordinator) recordMember(m exchangeRequest, now time.Time) []netip.AddrPort {
@@ -302,7 +330,7 @@
 	for _, p := range k.planners {
 		for _, id := range p.TakeChanged() {
 			if r, ok := k.targets[id]; ok {
-				k.updates.set(picker.NewUpdate(&r, p.Serving(id)))
+				k.publish(&r)
 			}
 		}
 	}
--- a/internal/edge/limit_test.go
+++ b/internal/edge/limit_test.go
@@ -73,23 +73,50 @@
 }
 
 // checkLimit checks the arrivals at a target that has named a limit: not more than the
-// rule allows in any window, and not much less than the limit.
-func checkLimit(t *testing.T, target *fake.Target, perSecond float64, from, to time.Time) {
+// rule allows in any window, and in all at least leastUse of the limit.
+func checkLimit(t *testing.T, target *fake.Target, perSecond float64, from, to time.Time, leastUse float64) {
 	t.Helper()
 	arrivals := target.ArrivalsAfter(from)
 	most, at := fake.MostArrivals(arrivals)
 	if allowed := fake.AllowedArrivals(perSecond); most > allowed {
 		t.Errorf("%s got %d requests in the %v from %v on, allowed %d", target.ID, most, fake.LimitWindow, at.Sub(from), allowed)
 	}
-	if least := limitUse * perSecond * to.Sub(from).Seconds(); float64(len(arrivals)) < least {
+	if least := leastUse * perSecond * to.Sub(from).Seconds(); float64(len(arrivals)) < least {
 		t.Errorf("%s got %d requests in %v, of at least %.0f that it takes", target.ID, len(arrivals), to.Sub(from), least)
 	}
 }
 
+// checkRefusals checks that requests that could not be served were refused at once, with
+// the time after which to come back, and that none was held until its route's timeout.
+func checkRefusals(t *testing.T, all []pressed, from time.Time, least int) {
+	t.Helper()
+	refused, slow := 0, 0
+	for _, p := range all {
+		if p.status != http.StatusServiceUnavailable || p.began.Before(from) {
+			continue
+		}
+		refused++
+		if p.took > time.Second {
+			slow++
+		}
+		if after, err := strconv.ParseFloat(p.retryAfter, 64); err != nil || after <= 0 {
+			t.Errorf("refused with Retry-After %q", p.retryAfter)
+		}
+	}
+	if refused < least || slow > refused/20 {
+		t.Errorf("%d of %d refusals took over a second; wanted at least %d refusals", slow, refused, least)
+	}
+}
+
 // TestFleetKeepsTheLimitOfATarget guards against a target getting more than the requests
 // a second that it has named for all instances together.
 func TestFleetKeepsTheLimitOfATarget(t *testing.T) {
-	for _, perSecond := range []float64{1.5, 50} {
+	for _, c := range []struct {
+		perSecond float64
+		// leastRefused is 0 where all callers can wait for their turn.
+		leastRefused int
+	}{{1.5, 20}, {50, 0}} {
+		perSecond := c.perSecond
 		t.Run(strconv.FormatFloat(perSecond, 'f', -1, 64), func(t *testing.T) {
 			t.Parallel()
 			r := newRig(t, 8)
@@ -100,8 +127,71 @@
 			from := time.Now().Add(limitContact)
 			time.Sleep(limitContact + 2*fake.LimitWindow)
 			to := time.Now()
-			stop()
-			checkLimit(t, only, perSecond, from, to)
+			checkRefusals(t, stop(), from, c.leastRefused)
+			checkLimit(t, only, perSecond, from, to, limitUse)
 		})
 	}
 }
+
+// TestLimitWhileTheHolderIsLost guards against a target getting more than its limit when
+// the lease holder, which issues the permits, is killed just after the limit was named,
+// and when an instance starts that has never heard of it.
+func TestLimitWhileTheHolderIsLost(t *testing.T) {
+	t.Parallel()
+	const perSecond = 3
+	r := newRig(t, 6)
+	r.eventually("a holder is elected", func() bool { return r.holder(nil) != nil })
+	only, lost := r.targets["e1"], r.holder(nil)
+	stop := r.press("/chat/", "m1", 2)
+	time.Sleep(time.Second)
+	only.NameLimit(perSecond)
+	from := time.Now().Add(limitContact)
+	time.Sleep(200 * time.Millisecond)
+	lost.kill()
+	r.eventually("a new holder is elected", func() bool { return r.holder(lost) != nil })
+	r.start()
+	stopAll := r.press("/chat/", "m1", 2)
+	time.Sleep(2 * fake.LimitWindow)
+	stop()
+	stopAll()
+	checkLimit(t, only, perSecond, from, time.Now(), 0)
+}
+
+// TestOthersServeWhatALimitLeaves has one of two targets of a service name a limit far
+// below the demand. The other must serve the rest, and no request may be refused.
+func TestOthersServeWhatALimitLeaves(t *testing.T) {
+	t.Parallel()
+	const perSecond = 1.5
+	r := newRig(t, 4)
+	r.target("desk", fake.NewTarget(t, "d2", "a1", 0))
+	limited := r.targets["d1"]
+	time.Sleep(2 * exchangeInterval)
+	limited.NameLimit(perSecond)
+	from := time.Now().Add(limitContact)
+	stop := r.press("/app/", "", 3)
+	time.Sleep(limitContact + 2*fake.LimitWindow)
+	for _, p := range stop() {
+		if p.status != http.StatusOK && p.status != 0 {
+			t.Errorf("a request was answered %d, %v after the limit was named", p.status, p.began.Sub(from)+limitContact)
+		}
+	}
+	checkLimit(t, limited, perSecond, from, time.Now(), 0)
+}
+
+// TestLimitEnds checks that a limit is not kept for longer than the target names it.
+func TestLimitEnds(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 3)
+	only := r.targets["e1"]
+	only.NameLimit(1.5)
+	stop := r.press("/chat/", "m1", 3)
+	time.Sleep(limitContact)
+	only.NameLimitText("")
+	time.Sleep(limitContact)
+	from := time.Now()
+	time.Sleep(time.Second)
+	stop()
+	if n := len(only.ArrivalsAfter(from)); n < 20 {
+		t.Errorf("%d requests in a second, %v after a limit of 1.5 has ended", n, limitContact)
+	}
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -13,6 +13,7 @@
 
 	"chivecroft.example/chivecroft/internal/coordination/elect"
 	"chivecroft.example/chivecroft/internal/coordination/picker"
+	"chivecroft.example/chivecroft/internal/coordination/quota"
 	"chivecroft.example/chivecroft/internal/state/fleet"
 	"chivecroft.example/chivecroft/internal/transport/gate"
 )
@@ -54,6 +55,10 @@
 	Demand []picker.Demand `json:"demand,omitempty"`
 	// Leaving lists targets that have announced that they are leaving.
 	Leaving []fleet.Identity `json:"leaving,omitempty"`
+	// Limits reports rate limits of targets that the holder has not heard of, and Wants
+	// asks for permits to send requests to targets with a limit.
+	Limits []quota.Report `json:"limits,omitempty"`
+	Wants  []quota.Want   `json:"wants,omitempty"`
 	// Term and Version identify the updates that the instance has.
 	Term    int64  `json:"holding,omitempty"`
 	Version uint64 `json:"version,omitempty"`
@@ -83,6 +88,8 @@
 	RemovalDelayMS int64 `json:"doubtMs,omitempty"`
 	// ReadyInMS is the expected time until each model can serve, in milliseconds.
 	ReadyInMS map[string]int64 `json:"expected,omitempty"`
+	// Grants answers the wants of the request.
+	Grants []quota.Grant `json:"grants,omitempty"`
 }
 
 // peerClient sends messages to other instances.
@@ -198,6 +205,9 @@
 // requests wait for is expected to be ready.
 func (e *Edge) exchangeDelay(members int) time.Duration {
 	spread := time.Duration(members) * exchangeIntervalPerMember
+	if due, waiting := e.picker.TimeToNextPermit(); waiting {
+		return min(due, urgentExchangeInterval+spread)
+	}
 	if !e.picker.HasQueued() {
 		return exchangeInterval + spread
 	}
@@ -217,10 +227,12 @@
 
 func (e *Edge) exchangeOnce(ctx context.Context, last *exchangeReply) error {
 	status := e.coordinator.holderStatus()
+	sentAt := e.timer.Now()
 	m := exchangeRequest{
 		From: e.boot.Instance, Demand: e.picker.Demand(), Leaving: e.picker.AnnouncedLeaving(),
 		Term: last.Term, Version: last.Version,
 	}
+	m.Limits, m.Wants = e.picker.LimitDemand()
 	if last.Full {
 		// The holder's last reply was full, so it may not know this instance.
 		m.Zone, m.Peer, m.Cores = e.boot.Zone, e.boot.Peer, e.boot.Cores
@@ -231,6 +243,7 @@
 		if !steady {
 			return nil
 		}
+		e.applyPermits(m, r, sentAt)
 		e.applyUpdates(r)
 		*last = r
 		e.coordinator.sendDueOrders()
@@ -239,6 +252,7 @@
 		if err != nil {
 			return err
 		}
+		e.applyPermits(m, r, sentAt)
 		e.applyUpdates(r)
 		e.updatedAt.Store(e.clock.Now().UnixNano())
 		*last = r
@@ -258,7 +272,14 @@
 	return r, ok
 }
 
-// applyUpdates applies the holder's reply.
+// applyPermits applies what the holder's reply to m, sent at sentAt, says of rate limits.
+func (e *Edge) applyPermits(m exchangeRequest, r exchangeReply, sentAt time.Time) {
+	e.picker.ApplyPermits(quota.Reply{
+		Term: r.Term, Members: r.Members, SentAt: sentAt, Reports: m.Limits, Grants: r.Grants,
+	})
+}
+
+// applyUpdates applies the updates in the holder's reply.
 func (e *Edge) applyUpdates(r exchangeReply) {
 	now := e.timer.Now()
 	expected := make(map[string]time.Time, len(r.ReadyInMS))
--- a/internal/transport/proxy/exchange.go
+++ b/internal/transport/proxy/exchange.go
@@ -56,10 +56,8 @@
 	maxEventGap time.Duration
 	// load is the estimated number of requests at the target when it was chosen.
 	load float64
-	// limit is the target's rate limit that was known when the request was sent, in
-	// requests a second, and limitAge how long it had been known.
-	limit    float64
-	limitAge time.Duration
+	// limit is the rate limit that decided where the request went or that it was refused.
+	limit picker.Limit
 }
 
 // attempt is one send to a target with its response or error.
@@ -121,7 +119,7 @@
 	x.target = reservation.Target.ID
 	x.sentAt = x.s.timer.Now()
 	x.load = reservation.Load
-	x.limit, x.limitAge = reservation.Limit, reservation.LimitAge
+	x.limit = reservation.Limit
 	resp, err := x.s.transport.RoundTrip(x.newRequest(ctx, reservation, lastEvent)) //nolint:bodyclose // closed when the response is relayed or abandoned
 	if err != nil {
 		a.notRun = !call.Seal()
@@ -146,7 +144,7 @@
 	}
 	signal := picker.Signal{Leaving: a.reply.Leaving, Backoff: a.reply.Rest}
 	if !errors.Is(a.err, errForeignResponse) {
-		signal.Limit = &a.reply.Limit
+		signal.Limit, signal.Ran, signal.SentAt = &a.reply.Limit, a.reply.Signed, x.sentAt
 	}
 	if a.reservation.ApplySignal(signal) {
 		x.s.log.Info().Str("request", x.call.ID).Str("target", a.reservation.Target.ID).
@@ -347,6 +345,7 @@
 		x.setOutcome(0, "callerLeft")
 		panic(http.ErrAbortHandler)
 	case errors.As(err, &refusal):
+		x.limit = refusal.Limit
 		x.endUnanswered(string(refusal.Reason), refusal.RetryAfter)
 	default:
 		x.endUnanswered(string(picker.ReasonDeadline), fullRetryAfter)
--- a/internal/transport/proxy/outcome.go
+++ b/internal/transport/proxy/outcome.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/phuslu/log"
+
 	"chivecroft.example/chivecroft/internal/state/fleet"
 )
 
@@ -58,10 +60,21 @@
 		e.Goal, e.GapGoal = x.route.Goal, x.route.GapGoal
 	}
 	x.s.onEnded(e)
-	x.s.log.Info().Str("request", x.call.ID).Str("route", e.Route).Int64("version", x.version).
+	line := x.s.log.Info().Str("request", x.call.ID).Str("route", e.Route).Int64("version", x.version).
 		Str("model", x.call.Model).Str("adapter", x.call.Adapter).Str("target", x.target).
 		Int("status", x.status).Str("reason", x.reason).Int("sends", x.sends).Int("ran", x.possibleRuns).
 		Dur("waited", x.queueTime).Dur("began", x.timeToFirst).Dur("took", took).Dur("within", x.timeout).
 		Dur("goal", e.Goal).Dur("gapGoal", e.GapGoal).
-		Dur("pause", x.maxEventGap).Float64("load", x.load).Float64("limit", x.limit).Dur("limitAge", x.limitAge).Int("prompt", x.call.PromptTokens).Msg("ended")
+		Dur("pause", x.maxEventGap).Float64("load", x.load).Int("prompt", x.call.PromptTokens)
+	x.logLimit(line).Msg("ended")
+}
+
+// logLimit adds the rate limit that mattered for a request to its last log line: the
+// limit of all instances, how long it has been known, and what this instance had of it.
+func (x *exchange) logLimit(line *log.Entry) *log.Entry {
+	if x.limit.PerSecond == 0 {
+		return line
+	}
+	return line.Str("limitedTarget", x.limit.Target).Float64("limit", x.limit.PerSecond).Dur("limitAge", x.limit.Age).
+		Int("permits", x.limit.Permits).Dur("permitWait", x.limit.Wait)
 }
