A model whose copies all have rate limits gets another copy

Callers of a model whose only target had named a limit were refused for as long as it did, though other targets had room: the demand that the lease holder plans by counts requests in flight and queued ones, and refused requests are neither.

Instances now tell the holder how many requests limits refuse or hold up for over a second, with their adapters, and the planner loads a copy at a target without a limit. Cold models go to targets without a limit as well, if there are any. A permit that is not used is lost to all, so a target for which this instance has one is preferred by half a request in flight.

--- a/internal/coordination/picker/demand.go
+++ b/internal/coordination/picker/demand.go
@@ -15,6 +15,11 @@
 	LongestWaitMS int64 `json:"waitedMs,omitempty"`
 	// Adapters lists the adapters that queued requests need.
 	Adapters []string `json:"adapters,omitempty"`
+	// Limited is the number of requests that were refused since the previous call of
+	// Picker.Demand, or are queued for long, because all targets that serve the model have
+	// rate limits. LimitedAdapters lists the adapters that they need.
+	Limited         int      `json:"limited,omitempty"`
+	LimitedAdapters []string `json:"limitedAdapters,omitempty"`
 	// InFlight is the number of requests in flight, Arrived the number of requests that
 	// arrived since the previous call of Picker.Demand.
 	InFlight int `json:"flying,omitempty"`
@@ -54,6 +59,7 @@
 		demandOf(key.service, key.model).Arrived += n
 	}
 	clear(p.arrivals)
+	p.addLimited(now, demandOf)
 	out := make([]Demand, 0, len(sums))
 	for _, d := range sums {
 		out = append(out, *d)
@@ -108,6 +114,14 @@
 	}
 }
 
+// addLimited adds a request that limits refuse or hold up.
+func (d *Demand) addLimited(q *Request) {
+	d.Limited++
+	if q.Adapter != "" {
+		d.LimitedAdapters = appendUnique(d.LimitedAdapters, q.Adapter)
+	}
+}
+
 func appendUnique(list []string, s string) []string {
 	for _, item := range list {
 		if item == s {
--- a/internal/coordination/picker/limit.go
+++ b/internal/coordination/picker/limit.go
@@ -9,6 +9,14 @@
 	"chivecroft.example/chivecroft/internal/state/timer"
 )
 
+const (
+	// longPermitWait is the wait for a permit from which on another copy of the model
+	// would be better for the request.
+	longPermitWait = time.Second
+	// maxLimited limits the refused requests that are kept for the next demand.
+	maxLimited = 256
+)
+
 // Limit is the rate limit of a target as this instance knew it when it decided about a
 // request, for logs. It is zero if there was none.
 type Limit struct {
@@ -95,6 +103,9 @@
 			return false
 		}
 		if refusal := p.refuseAt(now, &w.req, at); refusal != nil {
+			if w.req.Model != "" && len(p.limited) < maxLimited {
+				p.limited = append(p.limited, w.req)
+			}
 			w.result <- acquireResult{err: refusal}
 			return true
 		}
@@ -122,6 +133,29 @@
 	return &Refusal{Reason: ReasonLimit, RetryAfter: retryAfter, Limit: limit}
 }
 
+// addLimited adds to the demand the requests that limits refuse or hold up for long.
+func (p *Picker) addLimited(now time.Time, demandOf func(service, model string) *Demand) {
+	for i := range p.limited {
+		q := &p.limited[i]
+		demandOf(q.Service, q.Model).addLimited(q)
+	}
+	p.limited = nil
+	if !p.share.InForce() {
+		return
+	}
+	ahead := make(map[fleet.Identity]int)
+	for _, w := range p.queue {
+		at, ok := p.placeOf(now, &w.req, ahead)
+		if !ok {
+			continue
+		}
+		ahead[at.target]++
+		if w.req.Model != "" && at.isOnly && at.isKnown && at.wait > longPermitWait {
+			demandOf(w.req.Service, w.req.Model).addLimited(&w.req)
+		}
+	}
+}
+
 // waitsForPermit reports whether a request waits for nothing but a permit, which
 // refuseLimited judges.
 func (p *Picker) waitsForPermit(now time.Time, q *Request) bool {
--- a/internal/coordination/picker/limit_test.go
+++ b/internal/coordination/picker/limit_test.go
@@ -152,3 +152,28 @@
 		t.Errorf("got %+v, %v; want the far target", s, err)
 	}
 }
+
+// TestDemandTellsOfLimitedRequests checks that requests which a limit refuses or holds up
+// for long count in the demand, so that the model gets another copy.
+func TestDemandTellsOfLimitedRequests(t *testing.T) {
+	r, near := limited(t)
+	r.reply(near, 0)
+	refused, soon, held := r.request("m"), r.request("m"), r.request("m")
+	refused.Deadline = r.timer.Now().Add(time.Millisecond)
+	if got := r.acquire(t.Context(), refused).refusal(t); got.Reason != ReasonLimit {
+		t.Fatalf("refused as %s", got.Reason)
+	}
+	r.acquire(t.Context(), soon)
+	r.waitForQueue(t, 1)
+	r.acquire(t.Context(), held)
+	r.waitForQueue(t, 2)
+	var got []int
+	for range 2 {
+		for _, d := range r.Demand() {
+			got = append(got, d.Limited)
+		}
+	}
+	if diff := cmp.Diff([]int{2, 1}, got); diff != "" {
+		t.Errorf("limited requests in two demands (-want +got):\n%s", diff)
+	}
+}
--- a/internal/coordination/picker/picker.go
+++ b/internal/coordination/picker/picker.go
@@ -25,6 +25,9 @@
 	// failureCost is the cost, in requests in flight, of a failure rate that is 1 above
 	// the average of the service.
 	failureCost = 20.0
+	// permitBonus is what the cost of a target with a rate limit is less for, in requests
+	// in flight: a permit that is not used soon is lost to all instances.
+	permitBonus = 0.5
 	// maxQueueTimeShare is the share of the time until its deadline that a request is
 	// queued for a model of which the lease holder has given no expected load time.
 	maxQueueTimeShare = 0.3
@@ -61,8 +64,11 @@
 	// expected is when the lease holder expects each model to be loaded.
 	expected map[string]time.Time
 	// updatedAt is the time of the lease holder's latest update.
-	updatedAt      time.Time
-	arrivals       map[modelKey]int
+	updatedAt time.Time
+	arrivals  map[modelKey]int
+	// limited holds the requests for models that were refused because of rate limits since
+	// the last call of Demand, at most maxLimited.
+	limited        []Request
 	checkScheduled bool
 	closed         bool
 }
@@ -235,6 +241,9 @@
 // cost rates a target for one more request, in requests in flight.
 func (p *Picker) cost(now time.Time, r *target) float64 {
 	cost := r.load(now) + prefillCost*float64(r.prefilling) + failureCost*max(r.currentFailureRate(now)-p.failureRates[r.Service], 0)
+	if p.share.IsLimited(r.Identity) {
+		cost -= permitBonus
+	}
 	switch {
 	case r.Zone == p.zone:
 	case p.regions[r.Zone] == p.regions[p.zone]:
--- a/internal/coordination/quota/share.go
+++ b/internal/coordination/quota/share.go
@@ -194,6 +194,9 @@
 	s.onChange(Change{Target: target, Source: SourceResponse, Unreadable: text, InForce: len(s.limits)})
 }
 
+// IsLimited reports whether a target has a limit.
+func (s *Share) IsLimited(target fleet.Identity) bool { return s.limits[target] != nil }
+
 // InForce reports whether any target has a limit.
 func (s *Share) InForce() bool { return len(s.limits) > 0 }
 
--- a/internal/coordination/sched/adapter.go
+++ b/internal/coordination/sched/adapter.go
@@ -11,13 +11,21 @@
 	var out []Action
 	for _, u := range sortedUses(uses) {
 		for _, adapter := range u.adapters {
-			if p.isAdapterServed(u.model, adapter) {
+			if p.isAdapterServed(u.model, adapter, true) {
 				continue
 			}
 			if w := p.targetForAdapter(now, u); w != nil {
 				out = append(out, p.loadAdapter(w, u.model, adapter, uses)...)
 			}
 		}
+		for _, adapter := range u.limitedAdapters {
+			if p.isAdapterServed(u.model, adapter, false) {
+				continue
+			}
+			if w := p.targetForAdapter(now, u); w != nil && !w.isLimited {
+				out = append(out, p.loadAdapter(w, u.model, adapter, uses)...)
+			}
+		}
 	}
 	return out
 }
@@ -33,9 +41,12 @@
 }
 
 // isAdapterServed reports whether a target that is not draining serves the adapter, and
-// is not unloading its model.
-func (p *Planner) isAdapterServed(model, adapter string) bool {
+// is not unloading its model. Targets with rate limits count if countLimited is set.
+func (p *Planner) isAdapterServed(model, adapter string, countLimited bool) bool {
 	for _, w := range p.workers {
+		if w.isLimited && !countLimited {
+			continue
+		}
 		unloading := w.job != nil && w.job.unloading == model
 		if w.Has(model, adapter) && !w.Draining && !unloading {
 			return true
@@ -45,14 +56,15 @@
 }
 
 // targetForAdapter returns the target with the fewest adapters among those that serve the
-// model and can take an order, or nil.
+// model and can take an order, or nil. It prefers targets without rate limits.
 func (p *Planner) targetForAdapter(now time.Time, u *usage) *targetState {
 	var best *targetState
 	for _, w := range p.index.sorted {
 		if !w.canTakeOrder(now) || w.Find(u.model) == nil || w.job != nil {
 			continue
 		}
-		if best == nil || w.adapterCount() < best.adapterCount() {
+		if best == nil || best.isLimited && !w.isLimited ||
+			best.isLimited == w.isLimited && w.adapterCount() < best.adapterCount() {
 			best = w
 		}
 	}
--- a/internal/coordination/sched/choose.go
+++ b/internal/coordination/sched/choose.go
@@ -38,12 +38,23 @@
 	return orders[0], true
 }
 
-// bestOption returns the load option of the lowest cost, or nil.
+// bestOption returns the load option of the lowest cost, or nil. Targets with rate limits
+// are considered only if there is no other, and not at all for a copy that is to take what
+// limits leave.
 func (p *Planner) bestOption(now time.Time, uses map[string]*usage, n *loadRequest) *loadOption {
+	best := p.bestOptionAmong(now, uses, n, false)
+	if best == nil && n.reason != reasonLimited {
+		best = p.bestOptionAmong(now, uses, n, true)
+	}
+	return best
+}
+
+// bestOptionAmong considers the targets with a rate limit, or those without.
+func (p *Planner) bestOptionAmong(now time.Time, uses map[string]*usage, n *loadRequest, isLimited bool) *loadOption {
 	canLoadFromStore := float64(p.index.storeJobs) < p.maxStoreLoads && p.canStartStoreLoad(now)
 	var best *loadOption
 	for _, w := range p.index.sorted {
-		if w.Draining || now.Before(w.backoffUntil) || w.Find(n.model) != nil {
+		if w.isLimited != isLimited || w.Draining || now.Before(w.backoffUntil) || w.Find(n.model) != nil {
 			continue
 		}
 		o, ok := p.evaluate(now, w, n, uses)
--- a/internal/coordination/sched/index.go
+++ b/internal/coordination/sched/index.go
@@ -14,9 +14,11 @@
 	// copies counts the targets that serve a model. loading holds the models that are
 	// being loaded, hasCopy those that are loaded, in host memory or on disk at any
 	// target, or are being loaded.
-	copies  map[string]int
-	loading map[string]bool
-	hasCopy map[string]bool
+	copies map[string]int
+	// unlimited counts those of them that have no rate limit.
+	unlimited map[string]int
+	loading   map[string]bool
+	hasCopy   map[string]bool
 	// storeJobs counts the jobs that load from the weight store.
 	storeJobs int
 }
@@ -24,10 +26,11 @@
 // buildIndex computes the index anew.
 func (p *Planner) buildIndex() {
 	x := &index{
-		sorted:  make([]*targetState, 0, len(p.workers)),
-		copies:  make(map[string]int, len(p.engine.Models)),
-		loading: make(map[string]bool),
-		hasCopy: make(map[string]bool, len(p.engine.Models)),
+		sorted:    make([]*targetState, 0, len(p.workers)),
+		copies:    make(map[string]int, len(p.engine.Models)),
+		unlimited: make(map[string]int),
+		loading:   make(map[string]bool),
+		hasCopy:   make(map[string]bool, len(p.engine.Models)),
 	}
 	for _, w := range p.workers {
 		x.sorted = append(x.sorted, w)
@@ -42,6 +45,9 @@
 		x.hasCopy[l.Model] = true
 		if !w.Draining && (w.job == nil || w.job.unloading != l.Model) {
 			x.copies[l.Model]++
+			if !w.isLimited {
+				x.unlimited[l.Model]++
+			}
 		}
 	}
 	for _, m := range w.InMemory {
--- a/internal/coordination/sched/plan.go
+++ b/internal/coordination/sched/plan.go
@@ -28,6 +28,9 @@
 	unservedOnDiskSeconds = 0.1
 )
 
+// reasonLimited is the reason of a load because all copies are at targets with limits.
+const reasonLimited = "limited"
+
 // loadRequest is a model that the planner wants to load.
 type loadRequest struct {
 	model       string
@@ -46,6 +49,10 @@
 	inFlight   int
 	inFlightAt map[string]int
 	adapters   []string
+	// limited counts the requests that the rate limits of all targets with the model
+	// refuse or hold up, limitedAdapters are the adapters that they need.
+	limited         int
+	limitedAdapters []string
 }
 
 // Plan returns the orders and report requests that are due.
@@ -84,21 +91,29 @@
 			for id, n := range m.InFlightByTarget {
 				u.inFlightAt[id] += n
 			}
+			u.limited += m.Limited
+			u.limitedAdapters = appendMissing(u.limitedAdapters, m.LimitedAdapters)
 			if m.Queued == 0 {
 				continue
 			}
 			u.waiting += m.Queued
 			u.longestWait = max(u.longestWait, time.Duration(m.LongestWaitMS)*time.Millisecond)
-			for _, a := range m.Adapters {
-				if !slices.Contains(u.adapters, a) {
-					u.adapters = append(u.adapters, a)
-				}
-			}
+			u.adapters = appendMissing(u.adapters, m.Adapters)
 		}
 	}
 	return uses
 }
 
+// appendMissing appends the items that a list does not contain.
+func appendMissing(list, items []string) []string {
+	for _, item := range items {
+		if !slices.Contains(list, item) {
+			list = append(list, item)
+		}
+	}
+	return list
+}
+
 func (p *Planner) reportRequests(now time.Time) []Action {
 	var out []Action
 	// reportRequests returns the report requests that are due.
@@ -188,6 +203,9 @@
 		case copies > 0 && float64(u.inFlight+u.waiting)/float64(copies) > maxInFlightPerCopy && u.inFlight > 0:
 			u.reason = "busy"
 			out = append(out, &u.loadRequest)
+		case copies > 0 && u.limited > 0 && p.index.unlimited[model] == 0:
+			u.reason = reasonLimited
+			out = append(out, &u.loadRequest)
 		}
 	}
 	slices.SortFunc(out, compareLoadRequests)
--- a/internal/coordination/sched/planner.go
+++ b/internal/coordination/sched/planner.go
@@ -109,6 +109,13 @@
 	return true
 }
 
+// SetLimited sets whether a target has named a rate limit.
+func (p *Planner) SetLimited(id string, isLimited bool) {
+	if w := p.workers[id]; w != nil {
+		w.isLimited = isLimited
+	}
+}
+
 // Remove removes a target.
 func (p *Planner) Remove(id string) {
 	delete(p.workers, id)
--- a/internal/coordination/sched/planner_test.go
+++ b/internal/coordination/sched/planner_test.go
@@ -338,6 +338,44 @@
 	}
 }
 
+// TestLimitedModelIsCopied checks that a model whose only copy is at a target with a rate
+// limit gets one copy more where there is none, with the adapters that requests need, as
+// long as requests are refused for the limit.
+func TestLimitedModelIsCopied(t *testing.T) {
+	r := newFixture(testEngine(3), []string{"m0"}, []string{"m1"}, []string{"m2"})
+	r.targets["r0"].Models[0].Adapters = []string{"a1"}
+	r.targets["r2"].OnDisk = []string{"m0", "m2"}
+	r.run(time.Second)
+	r.SetLimited("r0", true)
+	r.SetLimited("r1", true)
+	r.run(4*time.Second, picker.Demand{Service: "llm", Model: "m0", Limited: 3, LimitedAdapters: []string{"a1"}})
+	if diff := cmp.Diff([]string{"r0", "r2"}, r.targetsWith("m0")); diff != "" {
+		t.Errorf("targets with the model (-want +got):\n%s\norders: %v", diff, r.orders)
+	}
+	copied := r.targets["r2"].Find("m0")
+	if copied == nil || !slices.Equal(copied.Adapters, []string{"a1"}) {
+		t.Errorf("the copy is %+v, wanted adapter a1; orders: %v", copied, r.orders)
+	}
+}
+
+// TestColdModelsAvoidLimitedTargets checks that a model is loaded at a target with a rate
+// limit only if there is no other.
+func TestColdModelsAvoidLimitedTargets(t *testing.T) {
+	r := newFixture(testEngine(4), []string{"m0"}, []string{"m1"})
+	r.targets["r0"].OnDisk = []string{"m0", "m2", "m3"}
+	r.run(time.Second)
+	r.SetLimited("r0", true)
+	r.run(8*time.Second, queuedDemand("m2"))
+	r.SetLimited("r1", true)
+	r.run(8*time.Second, queuedDemand("m3"))
+	if diff := cmp.Diff([]string{"r1"}, r.targetsWith("m2")); diff != "" {
+		t.Errorf("targets with m2 while one has no limit (-want +got):\n%s\norders: %v", diff, r.orders)
+	}
+	if len(r.targetsWith("m3")) == 0 {
+		t.Errorf("m3 is not loaded though it fits; orders: %v", r.orders)
+	}
+}
+
 // TestPreloadsModelsWithoutCopy checks that models without any copy are loaded before
 // requests ask for them.
 func TestPreloadsModelsWithoutCopy(t *testing.T) {
--- a/internal/coordination/sched/target.go
+++ b/internal/coordination/sched/target.go
@@ -33,6 +33,8 @@
 	isCertain bool
 	// lastOrderAt is when the target last accepted an order.
 	lastOrderAt time.Time
+	// isLimited means that the target has named a rate limit.
+	isLimited bool
 	// orderInFlight means that an order has been sent and not yet answered;
 	// reportInFlight means the same for a report request.
 	orderInFlight  bool
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -102,12 +102,13 @@
 // publish has the other instances told of a target: where it is, what it serves as far as
 // the planner knows, and its rate limit.
 func (k *coordinator) publish(r *fleet.Target) {
-	models := r.Models
+	models, limit := r.Models, k.permits.Limit(r.Identity)
 	if p := k.planners[r.Service]; p != nil {
+		p.SetLimited(r.ID, limit > 0)
 		models = p.Serving(r.ID)
 	}
 	u := picker.NewUpdate(r, models)
-	u.Limit = k.permits.Limit(r.Identity)
+	u.Limit = limit
 	k.updates.set(u)
 }
 
