--- a/cmd/chivecroft/soak_disturb_test.go
+++ b/cmd/chivecroft/soak_disturb_test.go
@@ -60,6 +60,8 @@
 			time.Sleep(e.last)
 			end()
 		})
+	case namesLimit:
+		w.aside(e, "", func() { w.limit(g, e) })
 	case delaysOrders:
 		w.aside(e, "", func() { w.delayOrders(g, e.last) })
 	case changesConfig:
@@ -69,6 +71,15 @@
 	}
 }
 
+// limit has a target name a rate limit for a time.
+func (w *soakWorld) limit(g *soakTarget, e event) {
+	f := g.current()
+	defer w.record.limited(f.ID, e.perSecond)()
+	f.NameLimit(e.perSecond)
+	time.Sleep(e.last)
+	f.NameLimitText("")
+}
+
 // lastHolder returns the instance that ordered last, nil if none did.
 func (w *soakWorld) lastHolder() *soakInstance {
 	var last fake.Order
--- a/cmd/chivecroft/soak_judge_test.go
+++ b/cmd/chivecroft/soak_judge_test.go
@@ -19,6 +19,9 @@
 	lateAnswer = 500 * time.Millisecond
 	// servedShare is the part of requests that has to be served after recovery.
 	servedShare = 0.9
+	// toldAfter is how long after an instance's first request to a target with a rate
+	// limit its requests count: the answer to the first has told it half a second before.
+	toldAfter = 800 * time.Millisecond
 	// crossingTime is how long after its beginning a request that crosses a planned
 	// close may fail.
 	crossingTime = 200 * time.Millisecond
@@ -39,6 +42,7 @@
 	r.judgeDrains()
 	r.judgeConfig()
 	r.judgeRepeats()
+	r.judgeLimits()
 	r.judgeRecovery(w.calmFrom)
 	for _, g := range w.targets {
 		r.judgeOrders(append(slices.Clone(g.past), g.fake))
@@ -203,6 +207,33 @@
 	}
 }
 
+// judgeLimits checks that targets which name a rate limit get no more than it allows from
+// instances that they have told.
+func (r *soakRecord) judgeLimits() {
+	for _, l := range r.limits {
+		first := make(map[string]time.Time)
+		var counted []time.Time
+		for _, a := range r.arrivals {
+			if a.target != l.whom || a.at.Before(l.from) || a.at.After(l.to) {
+				continue
+			}
+			instance := r.at[a.id]
+			if first[instance].IsZero() {
+				first[instance] = a.at
+			}
+			isTold := a.at.Sub(first[instance]) > toldAfter && !r.stopped(instance, l.from, a.at) &&
+				r.untroubled(l.from, a.at, instance, allInstances, allTargets)
+			if isTold && a.at.Sub(l.from) > contactTime {
+				counted = append(counted, a.at)
+			}
+		}
+		if n, at := fake.MostArrivals(counted); n > fake.AllowedArrivals(l.perSecond) {
+			r.failed("%s names a limit of %.2f a second and got %d requests in the %v from %v after that on, allowed %d",
+				l.whom, l.perSecond, n, fake.LimitWindow, at.Sub(l.from), fake.AllowedArrivals(l.perSecond))
+		}
+	}
+}
+
 // judgeRecovery checks that requests are served once all is well for long enough.
 func (r *soakRecord) judgeRecovery(calmFrom time.Time) {
 	asked, served := 0, 0
--- a/cmd/chivecroft/soak_record_test.go
+++ b/cmd/chivecroft/soak_record_test.go
@@ -57,6 +57,12 @@
 	from, to   time.Time
 }
 
+// soakLimit is a rate limit that a target names for a time.
+type soakLimit struct {
+	soakSpan
+	perSecond float64
+}
+
 // soakRecord is what callers, targets and the store have seen.
 type soakRecord struct {
 	mu       sync.Mutex
@@ -67,6 +73,7 @@
 	at       map[string]string
 	spans    []*soakSpan
 	stops    []*soakSpan
+	limits   []*soakLimit
 	drained  map[string]time.Time
 	version  int
 	acked    time.Time
@@ -158,6 +165,19 @@
 // stopping notes the beginning of a planned stop.
 func (r *soakRecord) stopping(instance string) func() { return r.span(&r.stops, instance, "stop") }
 
+// limited notes that a target names a rate limit and returns what notes its end.
+func (r *soakRecord) limited(target string, perSecond float64) func() {
+	l := &soakLimit{soakSpan{whom: target, from: time.Now()}, perSecond}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.limits = append(r.limits, l)
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		l.to = time.Now()
+	}
+}
+
 // calm tells whether nothing has disturbed an instance or the store from contactTime
 // before a span to its end.
 func (r *soakRecord) calm(instance string, from, to time.Time) bool {
--- a/internal/coordination/quota/share.go
+++ b/internal/coordination/quota/share.go
@@ -22,8 +22,9 @@
 	// aloneShare is the part of a limit that instances without a holder use. Others may
 	// still get permits from a holder that these cannot reach.
 	aloneShare = 0.2
-	// aloneSlot is the interval at which they draw.
-	aloneSlot = time.Second
+	// aloneSlot is the interval at which they draw. It is about as long as a response takes,
+	// so that few requests go to a target that has meanwhile named a lower limit.
+	aloneSlot = 200 * time.Millisecond
 	// assumedMembers is the number of instances until a holder has told it.
 	assumedMembers = 100
 	// maxSpare limits the spare permits that are asked for at a time.
