--- a/internal/coordination/admit/limits.go
+++ b/internal/coordination/admit/limits.go
@@ -22,11 +22,12 @@
 //
 // A tenant's limit applies to a zone. Each entry grants limit/n of it, where n is the number
 // of entries that the membership gossip shows alive, so that no call is made per request.
-// This is inexact in three cases. A tenant whose calls all arrive at one of n entries gets
+// This is inexact in four cases. A tenant whose calls all arrive at one of n entries gets
 // only limit/n. After n entries have become m, the zone grants m/n of the limit until the
 // entries have noticed: less if entries died, more if entries were added. A concurrency limit
 // below n is rounded up to one call per entry, so that such a tenant may have n calls in
-// flight.
+// flight. A rate below n is one request of burst per entry, so that after a quiet time such a
+// tenant may make n calls at once.
 type TenantLimits struct {
 	entries atomic.Int64
 	tenants *shard.Map[string, *usage]
--- a/internal/coordination/quota/share.go
+++ b/internal/coordination/quota/share.go
@@ -252,16 +252,11 @@
 		return
 	}
 	l.slotEnd = now.Add(aloneSlot)
-	n := int(math.Floor(s.alonePart(l)*aloneSlot.Seconds() + s.random()))
+	part := aloneShare * l.perSecond * aloneSlot.Seconds() / float64(s.members)
+	n := int(math.Floor(part + s.random()))
 	l.permits = slices.Repeat([]time.Time{l.slotEnd}, n)
 }
 
-// alonePart returns the part of a limit that this instance uses without a holder, in
-// requests a second.
-func (s *Share) alonePart(l *limit) float64 {
-	return aloneShare * l.perSecond / float64(s.members)
-}
-
 // Wait returns the expected time until a permit for a request behind ahead others of this
 // instance, and false if the holder has not told it.
 func (s *Share) Wait(target fleet.Identity, ahead int, now time.Time) (time.Duration, bool) {
@@ -269,23 +264,13 @@
 	switch {
 	case l == nil:
 		return 0, true
-	case s.isAlone(l, now):
-		return seconds(float64(ahead+1) / s.alonePart(l)), true
 	case l.waitsAt.IsZero() || now.Sub(l.waitsAt) > waitTTL:
 		return 0, false
 	}
-	wait := l.line + seconds(float64(ahead-len(l.waits))/(issueShare*l.perSecond))
+	behind := float64(ahead-len(l.waits)) / (issueShare * l.perSecond)
+	wait := l.line + time.Duration(behind*float64(time.Second))
 	if ahead < len(l.waits) {
 		wait = l.waits[ahead]
 	}
 	return max(wait-now.Sub(l.waitsAt), 0), true
 }
-
-// seconds converts a number of seconds; what is too large for a duration becomes the
-// largest one.
-func seconds(n float64) time.Duration {
-	if n >= math.MaxInt64/float64(time.Second) {
-		return math.MaxInt64
-	}
-	return time.Duration(n * float64(time.Second))
-}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -147,9 +147,13 @@
 	}
 }
 
-// onLimitChange logs and counts a change of a target's rate limit.
+// onLimitChange logs and counts a change of a target's rate limit. The holder hears at
+// once of one that a response has brought.
 func (e *Edge) onLimitChange(c quota.Change) {
 	e.metrics.limitsChanged(c.InForce)
+	if c.Source == quota.SourceResponse {
+		e.signalDemand()
+	}
 	if c.Unreadable != "" {
 		e.log.Warn().Str("target", c.Target.ID).Str("limit", c.Unreadable).Msg("unreadable limit ignored")
 		return
