A lost load cannot overfill the target's next incarnation

What it could do: a target that is ordered to load more than fits crashes, with all requests on it.

Incarnation 2 of the same id counted anew, had accepted three orders for three models when the late order came, and carried it out. The check of the count protects an order only from a changed state within one incarnation.

It sends a target of another incarnation no order whose acceptance brings it to the count that the lost load names, if that load would not fit then. A successor of the lease holder does not know of its predecessor's lost loads; that stays open.

--- a/internal/coordination/sched/adapter.go
+++ b/internal/coordination/sched/adapter.go
@@ -15,7 +15,7 @@
 				continue
 			}
 			if w := p.targetForAdapter(now, u); w != nil {
-				out = append(out, p.loadAdapter(w, u.model, adapter, uses)...)
+				out = append(out, p.loadAdapter(now, w, u.model, adapter, uses)...)
 			}
 		}
 		for _, adapter := range u.limitedAdapters {
@@ -23,7 +23,7 @@
 				continue
 			}
 			if w := p.targetForAdapter(now, u); w != nil && !w.isLimited {
-				out = append(out, p.loadAdapter(w, u.model, adapter, uses)...)
+				out = append(out, p.loadAdapter(now, w, u.model, adapter, uses)...)
 			}
 		}
 	}
@@ -73,7 +73,10 @@
 
 // loadAdapter loads an adapter. If there is no capacity for it, it first unloads the
 // adapter that oldestAdapter returns.
-func (p *Planner) loadAdapter(w *targetState, model, adapter string, uses map[string]*usage) []Action {
+func (p *Planner) loadAdapter(now time.Time, w *targetState, model, adapter string, uses map[string]*usage) []Action {
+	if !p.isSafeWithLost(now, w, p.engine.Models[model].AdapterMB) {
+		return nil
+	}
 	fits := w.usedMB(p.engine)+p.engine.Models[model].AdapterMB <= p.engine.MemoryMB
 	if fits && w.adapterCount() < p.engine.Adapters {
 		return []Action{p.newOrder(w, Action{Operation: Load, Model: model, Adapter: adapter, Reason: "waited for"})}
--- a/internal/coordination/sched/nextload.go
+++ b/internal/coordination/sched/nextload.go
@@ -32,6 +32,9 @@
 		return Action{}, false
 	}
 	j := w.job
+	if !p.isSafeWithLost(now, w, p.engine.Models[j.model].SizeMB-w.sizeOf(p.engine, j.unloading)) {
+		return Action{}, false
+	}
 	switch {
 	case j.unloading == "" && w.isCertain && w.fits(p.engine, j.model):
 	case j.unloading != "" && j.earlyLoads < maxEarlyLoads && !now.Before(j.nextEarlyLoad()) && w.fitsWithout(p.engine, j.model, j.unloading):
--- a/internal/coordination/sched/order.go
+++ b/internal/coordination/sched/order.go
@@ -55,6 +55,9 @@
 
 // OrderDone applies the result of an order.
 func (p *Planner) OrderDone(now time.Time, a Action, result Result) {
+	if result == Lost {
+		p.noteLost(now, a)
+	}
 	w := p.workers[a.To.ID]
 	if w == nil || w.Born != a.To.Born {
 		return
--- a/internal/coordination/sched/plan.go
+++ b/internal/coordination/sched/plan.go
@@ -145,7 +145,7 @@
 func (p *Planner) nextOrder(now time.Time, w *targetState, uses map[string]*usage) []Action {
 	j := w.job
 	if w.fits(p.engine, j.model) {
-		if !p.admitStoreLoad(now, j) {
+		if !p.isSafeWithLost(now, w, p.engine.Models[j.model].SizeMB) || !p.admitStoreLoad(now, j) {
 			return nil
 		}
 		return []Action{p.newOrder(w, Action{Operation: Load, Model: j.model, Tier: j.tier, Reason: j.reason})}
@@ -155,7 +155,11 @@
 		w.job = nil
 		return nil
 	}
-	j.unloading = o.candidates[0].model
+	victim := o.candidates[0].model
+	if !p.isSafeWithLost(now, w, -w.sizeOf(p.engine, victim)) {
+		return nil
+	}
+	j.unloading = victim
 	p.markChanged(w)
 	return []Action{p.newOrder(w, Action{Operation: Unload, Model: j.unloading, Reason: "room for " + j.model})}
 }
--- a/internal/coordination/sched/planner.go
+++ b/internal/coordination/sched/planner.go
@@ -39,6 +39,8 @@
 	workers map[string]*targetState
 	demands map[string]*demand
 	rates   map[string]*rate
+	// lost holds the loads whose replies were lost, by target id.
+	lost map[string][]lostLoad
 	// storeLoadStarts are the start times of loads from the weight store in the last
 	// window.
 	storeLoadStarts []time.Time
@@ -65,7 +67,7 @@
 func NewPlanner(service string, engine *fleet.Engine, window time.Duration, random *rand.Rand) *Planner {
 	return &Planner{
 		service: service, engine: engine, random: random, window: window,
-		workers: make(map[string]*targetState), demands: make(map[string]*demand), rates: make(map[string]*rate),
+		workers: make(map[string]*targetState), demands: make(map[string]*demand), rates: make(map[string]*rate), lost: make(map[string][]lostLoad),
 		maxStoreLoads: initialStoreLoads, index: &index{}, expected: make(map[string]time.Time),
 	}
 }
--- a/internal/coordination/sched/planner_test.go
+++ b/internal/coordination/sched/planner_test.go
@@ -471,10 +471,7 @@
 		r.loseNext = rapid.IntRange(1, 3).Draw(t, "orders")
 		r.lateAfter = time.Duration(rapid.IntRange(100, 12_000).Draw(t, "late")) * time.Millisecond
 	case "restart":
-		p.Born++
-		p.Models, p.orders, p.busy, p.reports = nil, 0, nil, nil
-		p.recordReport(r.now)
-		r.SetTarget(r.now, p.describe())
+		r.restart(p)
 	case "leave":
 		r.Remove(p.ID)
 		r.SetTarget(r.now, p.describe())
@@ -483,6 +480,43 @@
 	}
 }
 
+// restart ends a target's incarnation; the next one has the same id and holds nothing.
+func (r *fixture) restart(p *fakeTarget) {
+	p.Born++
+	p.Models, p.orders, p.busy, p.reports = nil, 0, nil, nil
+	p.recordReport(r.now)
+	r.SetTarget(r.now, p.describe())
+}
+
+// TestLateLoadAtTheNextIncarnation guards against a load whose reply was lost being
+// carried out by the target's next incarnation, when that has accepted as many orders and
+// has no memory left.
+func TestLateLoadAtTheNextIncarnation(t *testing.T) {
+	r := newFixture(testEngine(4), nil)
+	p := r.targets["r0"]
+	p.OnDisk = []string{"m0", "m1", "m2", "m3"}
+	r.SetTarget(r.now, p.describe())
+	for _, m := range []string{"m0", "m1"} {
+		r.run(3*time.Second, queuedDemand(m))
+	}
+	adapter := queuedDemand("m0")
+	adapter.Adapters = []string{"a1"}
+	r.run(time.Second, adapter)
+	r.loseNext, r.lateAfter = 1, 12*time.Second
+	r.run(planStep, queuedDemand("m3"))
+	r.restart(p)
+	for _, m := range []string{"m0", "m1", "m2"} {
+		r.run(3*time.Second, queuedDemand(m))
+	}
+	r.run(lostLoadTTL, queuedDemand("m2"))
+	if len(r.violations) > 0 {
+		t.Error(r.violations)
+	}
+	if got := r.targetsWith("m2"); len(got) == 0 {
+		t.Errorf("m2 was never loaded; orders: %v", r.orders)
+	}
+}
+
 func (r *fixture) checkLimits(t *rapid.T) {
 	if len(r.violations) > 0 {
 		t.Fatal(r.violations)
