Log lines are written in the background without a data race

The writer now copies each line into a buffer of its own and hands that over; lines that find 4,096 others waiting are dropped as before. TestLinesAreWhole checks that no line is lost or mixed.

--- a/internal/shell/logs.go
+++ b/internal/shell/logs.go
@@ -1,6 +1,8 @@
 package shell
 
 import (
+	"bytes"
+	"errors"
 	"io"
 	"sync"
 
@@ -10,18 +12,41 @@
 // logLines bounds the log lines that wait to be written; more are dropped.
 const logLines = 4096
 
+// errLogFull is returned for a line that is dropped because too many wait.
+var errLogFull = errors.New("too many log lines wait to be written")
+
 // logWriter writes log lines in the background. What comes after its end is dropped:
 // parts of an instance that stops may still have something to say.
+//
+// log.AsyncWriter does the same, but reads a line's length after it has handed the line
+// over, when its buffer may already be in use for another one.
 type logWriter struct {
 	mu     sync.RWMutex
 	closed bool
-	async  *log.AsyncWriter
+	lines  chan *bytes.Buffer
+	// spare holds the buffers of lines that have been written.
+	spare sync.Pool
+	// done receives the error of the last write at the end.
+	done chan error
 }
 
 func newLogWriter(out io.Writer) *logWriter {
-	return &logWriter{async: &log.AsyncWriter{
-		ChannelSize: logLines, DiscardOnFull: true, Writer: &log.IOWriter{Writer: out},
-	}}
+	w := &logWriter{
+		lines: make(chan *bytes.Buffer, logLines), done: make(chan error, 1),
+		spare: sync.Pool{New: func() any { return new(bytes.Buffer) }},
+	}
+	go w.writeLines(out)
+	return w
+}
+
+// writeLines writes the lines until the writer is closed.
+func (w *logWriter) writeLines(out io.Writer) {
+	var err error
+	for line := range w.lines {
+		_, err = out.Write(line.Bytes())
+		w.spare.Put(line)
+	}
+	w.done <- err
 }
 
 // WriteEntry takes one line.
@@ -31,7 +56,19 @@
 	if w.closed {
 		return 0, nil
 	}
-	return w.async.WriteEntry(e)
+	line := w.spare.Get().(*bytes.Buffer)
+	line.Reset()
+	n, err := log.IOWriter{Writer: line}.WriteEntry(e)
+	if err != nil {
+		return n, err
+	}
+	select {
+	case w.lines <- line:
+		return n, nil
+	default:
+		w.spare.Put(line)
+		return 0, errLogFull
+	}
 }
 
 // Close writes the lines that wait.
@@ -42,5 +79,6 @@
 		return nil
 	}
 	w.closed = true
-	return w.async.Close()
+	close(w.lines)
+	return <-w.done
 }
--- a/internal/shell/logs_test.go
+++ b/internal/shell/logs_test.go
@@ -1,7 +1,10 @@
 package shell
 
 import (
+	"bytes"
+	"encoding/json"
 	"io"
+	"strings"
 	"sync"
 	"testing"
 
@@ -29,3 +32,38 @@
 		t.Error(err)
 	}
 }
+
+// TestLinesAreWhole logs from several goroutines: each line that is written must be whole
+// and its own, and none may be missing while there is room.
+func TestLinesAreWhole(t *testing.T) {
+	var out bytes.Buffer
+	w := newLogWriter(&out)
+	l := &log.Logger{Level: log.InfoLevel, Writer: w}
+	const writers, lines = 4, 500
+	var group sync.WaitGroup
+	for i := range writers {
+		group.Go(func() {
+			for n := range lines {
+				l.Info().Int("line", i*lines+n).Msg(strings.Repeat("x", n))
+			}
+		})
+	}
+	group.Wait()
+	if err := w.Close(); err != nil {
+		t.Error(err)
+	}
+	seen := make(map[int]bool)
+	for text := range strings.Lines(out.String()) {
+		var got struct {
+			Line    int    `json:"line"`
+			Message string `json:"message"`
+		}
+		if err := json.Unmarshal([]byte(text), &got); err != nil || len(got.Message) != got.Line%lines {
+			t.Fatalf("line %q: %v", text, err)
+		}
+		seen[got.Line] = true
+	}
+	if len(seen) != writers*lines {
+		t.Errorf("%d different lines of %d", len(seen), writers*lines)
+	}
+}
