Requests refused for a rate limit send no message to the lease holder

Each queued request has the next message to the holder sent at once, 30 ms after the last at the earliest. A request that a limit refuses is in the queue for an instant only, but counted as well, so callers that press on a limited target would have had each instance ask the holder up to 33 times a second, 10,000 messages at 300 instances, for nothing. Found by reading; the check in TestRefusedAtOnceBehindALongLine fails without the change.

--- a/internal/coordination/picker/limit_test.go
+++ b/internal/coordination/picker/limit_test.go
@@ -88,6 +88,9 @@
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("refusal (-want +got):\n%s", diff)
 	}
+	if n := r.demands.Load(); n != 0 {
+		t.Errorf("%d messages to the holder for a request that was refused", n)
+	}
 	q.Deadline = r.timer.Now().Add(1100 * time.Millisecond)
 	patient := r.acquire(t.Context(), q)
 	r.waitForQueue(t, 1)
--- a/internal/coordination/picker/picker.go
+++ b/internal/coordination/picker/picker.go
@@ -145,9 +145,12 @@
 	p.queue = append(p.queue, w)
 	slices.SortStableFunc(p.queue, compareQueued)
 	p.refuseLimited(now)
+	isQueued := slices.Contains(p.queue, w)
 	p.scheduleCheckLocked()
 	p.mu.Unlock()
-	p.onDemand()
+	if isQueued {
+		p.onDemand()
+	}
 	select {
 	case a := <-w.result:
 		return a.reservation, a.err
