internal/coordination/picker: one loop over the places in line

Refusals, demand and wants each walked the queue in the same way. Unreadable limits of targets that are gone are now forgotten also while no limit is in force. No change of behaviour otherwise.

--- a/internal/coordination/picker/limit.go
+++ b/internal/coordination/picker/limit.go
@@ -90,9 +90,10 @@
 	return best, found
 }
 
-// refuseLimited refuses the queued requests that limits leave no room for before their
-// deadline.
-func (p *Picker) refuseLimited(now time.Time) {
+// visitPlaces calls visit for each queued request that waits for a permit, the most urgent
+// first, and removes those from the queue for which it returns false. The others are ahead
+// of those that follow.
+func (p *Picker) visitPlaces(now time.Time, visit func(*queuedRequest, place) bool) {
 	if !p.share.InForce() {
 		return
 	}
@@ -102,11 +103,7 @@
 		if !ok {
 			return false
 		}
-		if refusal := p.refuseAt(now, &w.req, at); refusal != nil {
-			if w.req.Model != "" && len(p.limited) < maxLimited {
-				p.limited = append(p.limited, w.req)
-			}
-			w.result <- acquireResult{err: refusal}
+		if !visit(w, at) {
 			return true
 		}
 		ahead[at.target]++
@@ -114,6 +111,22 @@
 	})
 }
 
+// refuseLimited refuses the queued requests that limits leave no room for before their
+// deadline.
+func (p *Picker) refuseLimited(now time.Time) {
+	p.visitPlaces(now, func(w *queuedRequest, at place) bool {
+		refusal := p.refuseAt(now, &w.req, at)
+		if refusal == nil {
+			return true
+		}
+		if w.req.Model != "" && len(p.limited) < maxLimited {
+			p.limited = append(p.limited, w.req)
+		}
+		w.result <- acquireResult{err: refusal}
+		return false
+	})
+}
+
 // refuseAt returns a Refusal if a request cannot wait for its place, otherwise nil.
 func (p *Picker) refuseAt(now time.Time, q *Request, at place) *Refusal {
 	if !at.isOnly || p.isLoadedBefore(now, q) {
@@ -140,20 +153,12 @@
 		demandOf(q.Service, q.Model).addLimited(q)
 	}
 	p.limited = nil
-	if !p.share.InForce() {
-		return
-	}
-	ahead := make(map[fleet.Identity]int)
-	for _, w := range p.queue {
-		at, ok := p.placeOf(now, &w.req, ahead)
-		if !ok {
-			continue
-		}
-		ahead[at.target]++
+	p.visitPlaces(now, func(w *queuedRequest, at place) bool {
 		if w.req.Model != "" && at.isOnly && at.isKnown && at.wait > longPermitWait {
 			demandOf(w.req.Service, w.req.Model).addLimited(&w.req)
 		}
-	}
+		return true
+	})
 }
 
 // waitsForPermit reports whether a request waits for nothing but a permit, which
@@ -171,23 +176,17 @@
 func (p *Picker) LimitDemand() ([]quota.Report, []quota.Want) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := p.timer.Now()
+	p.share.Retain(p.isListed, now)
 	if !p.share.InForce() {
 		return nil, nil
 	}
-	now := p.timer.Now()
-	p.share.Retain(p.isListed, now)
-	ahead := make(map[fleet.Identity]int)
 	queued := make(map[fleet.Identity]quota.Queued)
-	for _, w := range p.queue {
-		at, ok := p.placeOf(now, &w.req, ahead)
-		if !ok {
-			continue
-		}
-		ahead[at.target]++
-		queued[at.target] = quota.Queued{
-			Count: ahead[at.target], Deadline: timer.Later(queued[at.target].Deadline, w.req.Deadline),
-		}
-	}
+	p.visitPlaces(now, func(w *queuedRequest, at place) bool {
+		have := queued[at.target]
+		queued[at.target] = quota.Queued{Count: have.Count + 1, Deadline: timer.Later(have.Deadline, w.req.Deadline)}
+		return true
+	})
 	return p.share.Reports(now), p.share.Wants(queued, now)
 }
 
--- a/internal/coordination/sched/planner.go
+++ b/internal/coordination/sched/planner.go
@@ -67,7 +67,8 @@
 func NewPlanner(service string, engine *fleet.Engine, window time.Duration, random *rand.Rand) *Planner {
 	return &Planner{
 		service: service, engine: engine, random: random, window: window,
-		workers: make(map[string]*targetState), demands: make(map[string]*demand), rates: make(map[string]*rate), lost: make(map[string][]lostLoad),
+		workers: make(map[string]*targetState), demands: make(map[string]*demand), rates: make(map[string]*rate),
+		lost:          make(map[string][]lostLoad),
 		maxStoreLoads: initialStoreLoads, index: &index{}, expected: make(map[string]time.Time),
 	}
 }
