--- a/internal/entry/demand.go
+++ b/internal/entry/demand.go
@@ -159,7 +159,7 @@
 // demandShard asks one shard's owner, which may be this entry.
 func (e *Entry) demandShard(ctx context.Context, shard int, d ports.Demand) (ports.DemandReply, error) {
 	if e.owns(shard) {
-		return e.parts.demands.ask(ctx, func(id uint64) {
+		return e.parts.demands.call(ctx, func(id uint64) {
 			e.parts.shards[shard].loop.Post(owner.DemandAsked{ID: id, Demand: d})
 		})
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -63,9 +63,10 @@
 	zone     *feed.ZoneFeed
 	view     view
 	warmup   warmup
-	told     told
-	pulls    pulls
-	doubts   *doubts
+	// announced holds the targets whose leaving this entry has announced to its zone.
+	announced seenNames
+	pulls     pulls
+	doubts    *doubts
 	// signs are the questions to other zones for a sign of life, one for each zone.
 	signs singleflight.Group
 	// membersNews holds one signal while a change of the members has not been
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -53,7 +53,7 @@
 	e.view.targets.Store(&targets)
 	e.learnRegions(rows, e.members())
 	e.view.abroad.Store(&abroad)
-	e.told.keep(e.listedTarget)
+	e.announced.retain(e.listedTarget)
 	e.table.ApplyInstances(rows)
 	e.warmup.sawList()
 	e.parts.members.Post(member.ListChanged{Instances: entries})
--- a/internal/entry/operate.go
+++ b/internal/entry/operate.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return nil, patchProblem(err)
 	}
-	answer, err := o.parts.patches.ask(ctx, func(id uint64) {
+	answer, err := o.parts.patches.call(ctx, func(id uint64) {
 		o.parts.cfglog.Post(cfglog.PatchRequested{ID: id, Patch: patch})
 	})
 	if err != nil {
@@ -94,7 +94,7 @@
 
 // Config reads the configuration at a version.
 func (o operations) Config(ctx context.Context, p *operator.ConfigPayload) (any, error) {
-	answer, err := o.parts.reads.ask(ctx, func(id uint64) {
+	answer, err := o.parts.reads.call(ctx, func(id uint64) {
 		o.parts.cfglog.Post(cfglog.ReadRequested{ID: id, Version: config.Version(p.Version)})
 	})
 	if err == nil {
@@ -108,7 +108,7 @@
 
 // History lists the patches after a version.
 func (o operations) History(ctx context.Context, p *operator.HistoryPayload) (any, error) {
-	answer, err := o.parts.history.ask(ctx, func(id uint64) {
+	answer, err := o.parts.history.call(ctx, func(id uint64) {
 		o.parts.cfglog.Post(cfglog.HistoryRequested{ID: id, After: config.Version(p.After), Limit: p.Limit})
 	})
 	if err == nil {
--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -29,15 +29,15 @@
 	keeper  *drive.Loop
 	shards  []*shardPart
 
-	gossip  *book[ports.Gossip]
-	patches *book[cfglog.PatchAnswered]
-	fetches *book[ports.ConfigDelta]
-	reads   *book[cfglog.ReadAnswered]
-	history *book[cfglog.HistoryAnswered]
-	demands *book[ports.DemandReply]
-	yields  *book[ports.YieldReply]
-	days    *book[daily.Report]
-	tells   *book[daily.TellAnswered]
+	gossip  *pendingCalls[ports.Gossip]
+	patches *pendingCalls[cfglog.PatchAnswered]
+	fetches *pendingCalls[ports.ConfigDelta]
+	reads   *pendingCalls[cfglog.ReadAnswered]
+	history *pendingCalls[cfglog.HistoryAnswered]
+	demands *pendingCalls[ports.DemandReply]
+	yields  *pendingCalls[ports.YieldReply]
+	days    *pendingCalls[daily.Report]
+	tells   *pendingCalls[daily.TellAnswered]
 
 	stopped *stopCount
 
@@ -74,15 +74,15 @@
 		return nil, trace.Wrap(err)
 	}
 	p := &parts{
-		gossip:  newBook[ports.Gossip](),
-		patches: newBook[cfglog.PatchAnswered](),
-		fetches: newBook[ports.ConfigDelta](),
-		reads:   newBook[cfglog.ReadAnswered](),
-		history: newBook[cfglog.HistoryAnswered](),
-		demands: newBook[ports.DemandReply](),
-		yields:  newBook[ports.YieldReply](),
-		days:    newBook[daily.Report](),
-		tells:   newBook[daily.TellAnswered](),
+		gossip:  newPendingCalls[ports.Gossip](),
+		patches: newPendingCalls[cfglog.PatchAnswered](),
+		fetches: newPendingCalls[ports.ConfigDelta](),
+		reads:   newPendingCalls[cfglog.ReadAnswered](),
+		history: newPendingCalls[cfglog.HistoryAnswered](),
+		demands: newPendingCalls[ports.DemandReply](),
+		yields:  newPendingCalls[ports.YieldReply](),
+		days:    newPendingCalls[daily.Report](),
+		tells:   newPendingCalls[daily.TellAnswered](),
 		owned:   make(map[int]bool),
 		phase:   ports.MemberAlive,
 	}
@@ -179,36 +179,36 @@
 	}
 }
 
-// noted hands on what a part noted. It runs on the loop's goroutine and only
-// posts, stores and logs.
+// noted passes what a part has reported on to the others. It runs on the goroutine of the
+// part's loop and therefore does not block.
 func (e *Entry) noted(value any) {
 	switch n := value.(type) {
 	case member.GossipAnswered:
-		e.parts.gossip.answer(n.ID, n.Gossip)
+		e.parts.gossip.resolve(n.ID, n.Gossip)
 	case member.ViewChanged:
 		e.membersChanged(n.Members)
 	case cfglog.ConfigChanged:
 		e.configChanged(n.Config)
 	case cfglog.PatchAnswered:
-		e.parts.patches.answer(n.ID, n)
+		e.parts.patches.resolve(n.ID, n)
 	case cfglog.FetchAnswered:
-		e.parts.fetches.answer(n.ID, n.Delta)
+		e.parts.fetches.resolve(n.ID, n.Delta)
 	case cfglog.ReadAnswered:
-		e.parts.reads.answer(n.ID, n)
+		e.parts.reads.resolve(n.ID, n)
 	case cfglog.HistoryAnswered:
-		e.parts.history.answer(n.ID, n)
+		e.parts.history.resolve(n.ID, n)
 	case owner.DemandAnswered:
-		e.parts.demands.answer(n.ID, n.Reply)
+		e.parts.demands.resolve(n.ID, n.Reply)
 	case owner.YieldAnswered:
-		e.parts.yields.answer(n.ID, n.Reply)
+		e.parts.yields.resolve(n.ID, n.Reply)
 	case owner.TableChanged:
 		e.tableChanged(n)
 	case owner.OwnershipChanged:
 		e.ownershipChanged(n)
 	case daily.ReadDone:
-		e.parts.days.answer(n.ID, n.Report)
+		e.parts.days.resolve(n.ID, n.Report)
 	case daily.TellAnswered:
-		e.parts.tells.answer(n.ID, n)
+		e.parts.tells.resolve(n.ID, n)
 	case owner.Stopped:
 		e.tellFree(n.Shard)
 		e.parts.stopped.one()
--- a/internal/entry/receive.go
+++ b/internal/entry/receive.go
@@ -19,14 +19,14 @@
 
 // Gossip hands what another entry knows to the membership part.
 func (r receiver) Gossip(ctx context.Context, g ports.Gossip) (ports.Gossip, error) {
-	return r.parts.gossip.ask(ctx, func(id uint64) {
+	return r.parts.gossip.call(ctx, func(id uint64) {
 		r.parts.members.Post(member.GossipReceived{ID: id, Gossip: g})
 	})
 }
 
 // FetchConfig returns patches that this entry knows.
 func (r receiver) FetchConfig(ctx context.Context, f ports.FetchConfig) (ports.ConfigDelta, error) {
-	return r.parts.fetches.ask(ctx, func(id uint64) {
+	return r.parts.fetches.call(ctx, func(id uint64) {
 		r.parts.cfglog.Post(cfglog.FetchRequested{ID: id, Fetch: f})
 	})
 }
@@ -68,7 +68,7 @@
 func (r receiver) YieldPermit(ctx context.Context, y ports.YieldPermit) (ports.YieldReply, error) {
 	for n, s := range r.parts.shards {
 		if permit.ShardName(r.self.Zone, n) == y.Shard {
-			return r.parts.yields.ask(ctx, func(id uint64) {
+			return r.parts.yields.call(ctx, func(id uint64) {
 				s.loop.Post(owner.YieldAsked{ID: id, Yield: y})
 			})
 		}
@@ -126,7 +126,7 @@
 
 // TellCounts keeps what another entry has counted.
 func (r receiver) TellCounts(ctx context.Context, t ports.TellCounts) (ports.TellReply, error) {
-	answer, err := r.parts.tells.ask(ctx, func(id uint64) {
+	answer, err := r.parts.tells.call(ctx, func(id uint64) {
 		r.parts.keeper.Post(daily.TellArrived{ID: id, Tell: t})
 	})
 	if err != nil {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -215,7 +215,7 @@
 // day adds up the rows of a date.
 func (e *Entry) day(ctx context.Context, date daily.Date) (daily.Report, error) {
 	row := e.writer.Row(e.timer.Now(), date)
-	return e.parts.days.ask(ctx, func(id uint64) {
+	return e.parts.days.call(ctx, func(id uint64) {
 		e.parts.reader.Post(daily.ReadAsked{ID: id, Date: date, Members: e.members(), Local: &row})
 	})
 }
--- a/internal/entry/targets.go
+++ b/internal/entry/targets.go
@@ -90,10 +90,10 @@
 	e.table.ApplyEvents(eventsOf(name, events))
 }
 
-// tellLeaving tells the zone's entries that a target leaves, which they would
-// else learn from the lagging list.
+// tellLeaving announces to the zone's entries once that a target is leaving, which they
+// would otherwise learn later from the list.
 func (e *Entry) tellLeaving(name string) {
-	if !e.told.first(name) {
+	if !e.announced.add(name) {
 		return
 	}
 	e.takeNews(ports.TargetNews{Target: name, Leaving: true})
