The soak's targets name the lowest of overlapping limits

The logs show that all instances heard of 1.23 within 0.3 s and that the holder ended the limit six seconds later, after a response that named none: the end of an earlier, overlapping limit of the same stand-in had it name none, while the judge took the second one to be in force. The stand-in now names the lowest of its limits until the last has ended. Bound and check stay as they were.

--- a/cmd/chivecroft/soak_disturb_test.go
+++ b/cmd/chivecroft/soak_disturb_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 	"syscall"
 	"time"
 
@@ -71,13 +72,30 @@
 	}
 }
 
-// limit has a target name a rate limit for a time.
+// limit has a target name a rate limit for a time. Of several at once it names the lowest.
 func (w *soakWorld) limit(g *soakTarget, e event) {
 	f := g.current()
-	defer w.record.limited(f.ID, e.perSecond)()
-	f.NameLimit(e.perSecond)
+	ended := w.record.limited(f.ID, e.perSecond)
+	g.setLimits(f, func(limits []float64) []float64 { return append(limits, e.perSecond) })
 	time.Sleep(e.last)
-	f.NameLimitText("")
+	ended()
+	g.setLimits(f, func(limits []float64) []float64 {
+		i := slices.Index(limits, e.perSecond)
+		return slices.Delete(limits, i, i+1)
+	})
+}
+
+// setLimits changes the rate limits of a target that are in force and has it name the
+// lowest, or none.
+func (g *soakTarget) setLimits(f *fake.Target, change func([]float64) []float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limits[f] = change(g.limits[f])
+	if len(g.limits[f]) == 0 {
+		f.NameLimitText("")
+		return
+	}
+	f.NameLimit(slices.Min(g.limits[f]))
 }
 
 // lastHolder returns the instance that ordered last, nil if none did.
--- a/cmd/chivecroft/soak_world_test.go
+++ b/cmd/chivecroft/soak_world_test.go
@@ -96,7 +96,7 @@
 	w.configure()
 	zones := []string{"za", "zb", "zc"}
 	for i := range soakEngines + soakDesks {
-		g := &soakTarget{w: w, slot: i, zone: zones[i%len(zones)], service: "chat"}
+		g := &soakTarget{w: w, slot: i, zone: zones[i%len(zones)], service: "chat", limits: make(map[*fake.Target][]float64)}
 		if i >= soakEngines {
 			g.service = "desk"
 		}
@@ -276,6 +276,8 @@
 	fake  *fake.Target
 	past  []*fake.Target
 	modes []*targetMode
+	// limits holds the rate limits in force of each target that has run here.
+	limits map[*fake.Target][]float64
 }
 
 // targetMode is a misbehaviour that meets a share of requests.
