An entry without a configuration can take over a shard with a load under way

Operators saw 'connection refused': an entry that had been killed and started again while a model loaded crashed as soon as it had its shard back, with a nil pointer in owner.Shard.loadTime. The table row of a replica that loads tells how long that will take, by the configuration, and an entry that starts can have the plan before it has read one.

The time now counts as unknown until there is a configuration, as for a model that has none. So does the time of a load over the link. TestTakeoverWithoutConfiguration plays the case on virtual time; it panicked before.

--- a/internal/coordination/owner/calls_test.go
+++ b/internal/coordination/owner/calls_test.go
@@ -112,6 +112,30 @@
 	}
 }
 
+// TestTakeoverWithoutConfiguration guards against an entry crashing when it takes over a
+// shard with a load under way before it has a configuration.
+func TestTakeoverWithoutConfiguration(t *testing.T) {
+	t.Parallel()
+	r := newOneShardCluster(4)
+	r.run(time.Minute)
+	r.demand(0, 0, ports.Demand{Model: modelName(1), Waiting: 1, Within: 20 * time.Second, From: "caller"})
+	r.run(300 * time.Millisecond)
+	r.withholdsConfig = true
+	for _, e := range r.entries {
+		e.kill()
+		e.start()
+	}
+	r.run(20 * time.Second)
+	if r.ownerOf(0, 0) == nil {
+		t.Fatal("nobody owns the shard")
+	}
+	for _, e := range r.entries {
+		e.post(ConfigChanged{r.config})
+	}
+	r.run(20 * time.Second)
+	r.checkInvariants(t)
+}
+
 // TestManyTakeoversAtOnce: an entry that owned many shards is killed. The KV calls of its
 // successors stay within the rates of the KV service.
 func TestManyTakeoversAtOnce(t *testing.T) {
--- a/internal/coordination/owner/cluster_test.go
+++ b/internal/coordination/owner/cluster_test.go
@@ -71,6 +71,8 @@
 	removedTargets  int
 	// silentAfter is when gossip marks an entry as silent.
 	silentAfter time.Duration
+	// withholdsConfig means that entries that start have no configuration yet.
+	withholdsConfig bool
 	// forgetsDead means that gossip does not list entries that are down.
 	forgetsDead bool
 	// valueDeleted means that an operator has deleted a shard's value.
--- a/internal/coordination/owner/entry_test.go
+++ b/internal/coordination/owner/entry_test.go
@@ -69,7 +69,9 @@
 	}
 	e.cluster.net.AddPeer(e.member.Addr, e.handle)
 	for _, loop := range e.loops {
-		loop.Post(ConfigChanged{e.cluster.config})
+		if !e.cluster.withholdsConfig {
+			loop.Post(ConfigChanged{e.cluster.config})
+		}
 		loop.Post(Start{})
 	}
 }
--- a/internal/coordination/owner/load.go
+++ b/internal/coordination/owner/load.go
@@ -161,12 +161,21 @@
 	if t := s.model(name).loadTime; t > 0 {
 		return t
 	}
-	if t := time.Duration(s.config.Models[name].LoadTime); t > 0 {
+	if t := time.Duration(s.modelConfig(name).LoadTime); t > 0 {
 		return t
 	}
 	return defaultLoadTime
 }
 
+// modelConfig returns the configuration of a model, which is empty while the shard has
+// none: it may take over a plan with loads before its entry has read one.
+func (s *Shard) modelConfig(name string) config.Model {
+	if s.config == nil {
+		return config.Model{}
+	}
+	return s.config.Models[name]
+}
+
 // defaultLoadTime is the estimate for a model that was never loaded and has no configured
 // load time.
 const defaultLoadTime = 10 * time.Second
--- a/internal/coordination/owner/region.go
+++ b/internal/coordination/owner/region.go
@@ -63,6 +63,6 @@
 	if !s.isStoreRemote() || s.settings.LinkBytesPerSecond == 0 {
 		return in
 	}
-	crossing := float64(s.config.Models[name].MemoryBytes) / s.settings.LinkBytesPerSecond
+	crossing := float64(s.modelConfig(name).MemoryBytes) / s.settings.LinkBytesPerSecond
 	return max(in, time.Duration(crossing*float64(time.Second)))
 }
