Teams, bounds and limits of the configuration and the boot file are decoded

Cause: tenants, public routes, revoke_ms, quota bounds, memory_mb, max_fds and the fourth figure of the load header were read by nobody, so that no part could act on them. Change: fleet.Team with digests of its keys, fleet.Route.Public, platform.Boot and Bounds with the new values, proxy.Call.MaxTokens, proxy.Reply.Pace. A configuration with a key in two teams, an invalid quota or an unknown unit is rejected.

--- a/internal/coordination/picker/picker.go
+++ b/internal/coordination/picker/picker.go
@@ -13,33 +13,6 @@
 	"chivecroft.example/chivecroft/internal/state/timer"
 )
 
-const (
-	// zoneCost is the cost of a target in another zone of the same region, in requests in
-	// flight.
-	zoneCost = 1.5
-	// regionCost is the cost of a target in another region, in requests in flight.
-	regionCost = 4.0
-	// prefillCost is the extra cost of a request whose response has not begun, in
-	// requests in flight: its prompt is probably still being processed.
-	prefillCost = 3.0
-	// failureCost is the cost, in requests in flight, of a failure rate that is 1 above
-	// the average of the service.
-	failureCost = 20.0
-	// permitBonus is what the cost of a target with a rate limit is less for, in requests
-	// in flight: a permit that is not used soon is lost to all instances.
-	permitBonus = 0.5
-	// maxQueueTimeShare is the share of the time until its deadline that a request is
-	// queued for a model of which the lease holder has given no expected load time.
-	maxQueueTimeShare = 0.3
-	// defaultRetryAfter is returned with a refusal if no load of the model is under way.
-	defaultRetryAfter = 2 * time.Second
-	// stoppingRetryAfter is returned with a refusal by an instance that is stopping.
-	stoppingRetryAfter = 100 * time.Millisecond
-	// queueCheckInterval is the interval at which the queue is checked for expired
-	// deadlines, backoffs and ejections.
-	queueCheckInterval = 50 * time.Millisecond
-)
-
 // Picker assigns requests to targets and queues those that no target can take. It is safe
 // for concurrent use.
 type Picker struct {
@@ -76,16 +49,6 @@
 // modelKey identifies a model of a service.
 type modelKey struct{ service, model string }
 
-type queuedRequest struct {
-	req    Request
-	result chan acquireResult
-}
-
-type acquireResult struct {
-	reservation *Reservation
-	err         error
-}
-
 // Option configures a Picker.
 type Option func(*Picker)
 
@@ -159,143 +122,6 @@
 	}
 }
 
-// compareQueued orders requests by priority, then by arrival.
-func compareQueued(x, y *queuedRequest) int {
-	if x.req.Priority != y.req.Priority {
-		return x.req.Priority - y.req.Priority
-	}
-	return x.req.Arrived.Compare(y.req.Arrived)
-}
-
-// dequeue removes a request whose caller is gone. A reservation that was made for it at
-// the same moment is released.
-func (p *Picker) dequeue(w *queuedRequest, err error) error {
-	p.mu.Lock()
-	i := slices.Index(p.queue, w)
-	if i >= 0 {
-		p.queue = slices.Delete(p.queue, i, i+1)
-	}
-	p.mu.Unlock()
-	if i < 0 {
-		if a := <-w.result; a.reservation != nil {
-			a.reservation.Release(Outcome{})
-		}
-	}
-	return err
-}
-
-// tryAcquire reserves capacity at the best target that can accept the request, or returns
-// nil. Ejected targets are used only if there is no other.
-func (p *Picker) tryAcquire(now time.Time, q *Request) *Reservation {
-	best := p.bestTarget(now, q, false)
-	if best == nil {
-		best = p.bestTarget(now, q, true)
-	}
-	if best == nil {
-		return nil
-	}
-	load := best.load(now)
-	limit := p.limitOf(best.Identity, now)
-	p.share.Take(best.Identity)
-	if limit.PerSecond == 0 {
-		limit = p.passOver(now, q)
-	}
-	best.inFlight++
-	best.prefilling++
-	if q.Model != "" {
-		if best.inFlightByModel == nil {
-			best.inFlightByModel = make(map[string]int)
-		}
-		best.inFlightByModel[q.Model]++
-	}
-	return &Reservation{
-		Target: best.Target, Waited: now.Sub(q.Arrived), Load: load, Limit: limit,
-		picker: p, state: best, model: q.Model,
-	}
-}
-
-// bestTarget returns the target of the lowest cost among those that are ejected or among
-// those that are not, or nil.
-func (p *Picker) bestTarget(now time.Time, q *Request, ejected bool) *target {
-	var best *target
-	lowest := 0.0
-	fresh := p.hasFreshUpdates(now)
-	for _, r := range p.targets {
-		if r.Service != q.Service || !r.canAccept(now, q, fresh) || now.Before(r.ejectedUntil) != ejected {
-			continue
-		}
-		if p.share.Blocks(r.Identity, now) {
-			continue
-		}
-		cost := p.cost(now, r)
-		if best == nil || cost < lowest || cost == lowest && r.rank < best.rank {
-			best, lowest = r, cost
-		}
-	}
-	return best
-}
-
-// hasFreshUpdates reports whether the lease holder's updates are recent enough to take
-// precedence over the platform's list.
-func (p *Picker) hasFreshUpdates(now time.Time) bool {
-	return now.Sub(p.updatedAt) < updateTTL
-}
-
-// cost rates a target for one more request, in requests in flight.
-func (p *Picker) cost(now time.Time, r *target) float64 {
-	cost := r.load(now) + prefillCost*float64(r.prefilling) + failureCost*max(r.currentFailureRate(now)-p.failureRates[r.Service], 0)
-	if p.share.IsLimited(r.Identity) {
-		cost -= permitBonus
-	}
-	switch {
-	case r.Zone == p.zone:
-	case p.regions[r.Zone] == p.regions[p.zone]:
-		cost += zoneCost
-	default:
-		cost += regionCost
-	}
-	return cost
-}
-
-// refuse returns a Refusal if queueing the request cannot help, otherwise nil.
-func (p *Picker) refuse(now time.Time, q *Request) *Refusal {
-	if p.closed {
-		return &Refusal{Reason: ReasonStopping, RetryAfter: stoppingRetryAfter}
-	}
-	if !now.Before(q.Deadline) {
-		return &Refusal{Reason: ReasonDeadline, RetryAfter: p.retryAfter(now, q)}
-	}
-	if until, ok := p.allBackingOff(now, q); ok {
-		return &Refusal{Reason: ReasonBackoff, RetryAfter: until.Sub(now)}
-	}
-	if q.Model == "" {
-		return nil
-	}
-	if p.expected[q.Model].After(q.Deadline) {
-		return &Refusal{Reason: ReasonTooLate, RetryAfter: p.retryAfter(now, q)}
-	}
-	if now.Sub(q.Arrived) > p.maxQueueTime(q) && !p.waitsForPermit(now, q) {
-		return &Refusal{Reason: ReasonNoTarget, RetryAfter: p.retryAfter(now, q)}
-	}
-	return nil
-}
-
-// maxQueueTime limits how long a request is queued. Without an expected load time for its
-// model it is queued only for a share of the time until its deadline.
-func (p *Picker) maxQueueTime(q *Request) time.Duration {
-	if _, known := p.expected[q.Model]; known {
-		return q.Deadline.Sub(q.Arrived)
-	}
-	return time.Duration(maxQueueTimeShare * float64(q.Deadline.Sub(q.Arrived)))
-}
-
-func (p *Picker) retryAfter(now time.Time, q *Request) time.Duration {
-	if ready := p.expected[q.Model]; ready.After(now) {
-		return ready.Sub(now)
-	}
-	return defaultRetryAfter
-}
-
 // release ends a reservation, records the outcome and processes the queue.
 func (p *Picker) release(s *Reservation, out Outcome) {
 	p.mu.Lock()
@@ -337,24 +163,6 @@
 	return n
 }
 
-// processQueue assigns queued requests to targets and refuses those for which further
-// waiting cannot help.
-func (p *Picker) processQueue(now time.Time) {
-	p.queue = slices.DeleteFunc(p.queue, func(w *queuedRequest) bool {
-		if s := p.tryAcquire(now, &w.req); s != nil {
-			w.result <- acquireResult{reservation: s}
-			return true
-		}
-		if refusal := p.refuse(now, &w.req); refusal != nil {
-			w.result <- acquireResult{err: refusal}
-			return true
-		}
-		return false
-	})
-	p.refuseLimited(now)
-	p.scheduleCheckLocked()
-}
-
 // Close refuses all queued requests, and later ones that would have to be queued.
 func (p *Picker) Close() {
 	p.mu.Lock()
@@ -363,34 +171,6 @@
 	p.processQueue(p.timer.Now())
 }
 
-// RefuseBlocked refuses the queued requests for which isBlocked returns true.
-func (p *Picker) RefuseBlocked(isBlocked func(*Request) bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.queue = slices.DeleteFunc(p.queue, func(w *queuedRequest) bool {
-		if !isBlocked(&w.req) {
-			return false
-		}
-		w.result <- acquireResult{err: &Refusal{Reason: ReasonBlocked}}
-		return true
-	})
-}
-
-// scheduleCheckLocked arms a timer while requests are queued, since deadlines, backoffs
-// and ejections end without any other event.
-func (p *Picker) scheduleCheckLocked() {
-	if p.checkScheduled || len(p.queue) == 0 {
-		return
-	}
-	p.checkScheduled = true
-	p.timer.After(queueCheckInterval, func() {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.checkScheduled = false
-		p.processQueue(p.timer.Now())
-	})
-}
-
 // SetTarget adds a target or updates its description from the platform's list.
 func (p *Picker) SetTarget(r fleet.Target) {
 	p.mu.Lock()
--- a/internal/state/fleet/config.go
+++ b/internal/state/fleet/config.go
@@ -39,7 +39,11 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Teams are empty if requests need no key.
+	Teams []Team
 
+	// byKey holds the team of each key.
+	byKey map[KeyDigest]*Team
 	// byHost holds the routes of each host, those with the longest path prefix first.
 	byHost map[string][]*Route
 }
@@ -73,6 +77,8 @@
 	GapGoal time.Duration
 	// Priority is the priority of the route's requests; 0 is the most urgent.
 	Priority int
+	// Public reports whether requests need no key although there are teams.
+	Public bool
 	// MaxAttempts is the maximum number of times that one request may be run.
 	MaxAttempts int
 	// Backends are the services among which the requests are split by weight. There is
@@ -138,8 +144,9 @@
 	FromMemory time.Duration
 }
 
-// Index builds the index of routes that Match uses.
-func (c *Config) Index() {
+// Index builds the indexes that Match and TeamOf use. It returns an error if a team is
+// invalid.
+func (c *Config) Index() error {
 	c.byHost = make(map[string][]*Route)
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -150,6 +157,7 @@
 			return len(routes[i].PathPrefix) > len(routes[j].PathPrefix)
 		})
 	}
+	return c.indexTeams()
 }
 
 // Match returns the route of the host with the longest matching path prefix, or nil if
--- a/internal/transport/proxy/codec.go
+++ b/internal/transport/proxy/codec.go
@@ -32,6 +32,9 @@
 	Model        string
 	Adapter      string
 	PromptTokens int
+	// MaxTokens is the maximum number of tokens of the response, 0 if the request does not
+	// name it.
+	MaxTokens int
 	// Parts are the IDs of the parts of the prompt that other requests may share: all but
 	// the last, each once.
 	Parts []crash.Part
@@ -68,6 +71,9 @@
 	LoadKnown bool
 	Running   int
 	Waiting   int
+	// Pace is how long work takes at the target now, as a multiple of the usual time; 0 if
+	// the response does not say.
+	Pace float64
 }
 
 // outcome adds the load reported in the response to the outcome of its request.
--- a/internal/transport/proxy/proxy_test.go
+++ b/internal/transport/proxy/proxy_test.go
@@ -59,7 +59,9 @@
 	route("safe", fleet.KindSafe, false, 2)
 	route("stream", fleet.KindStream, false, 1)
 	route("resumable", fleet.KindStream, true, 2)
-	c.Index()
+	if err := c.Index(); err != nil {
+		t.Fatal(err)
+	}
 	r.server.SetConfig(c)
 	for _, f := range targets {
 		r.picker.SetTarget(fleet.Target{
