API keys name teams and are accepted only with a recent proof of the configuration

A request on a route that is not public needs the key of a team if the configuration has teams. Its team goes to the target in Chivecroft-Tenant, its priority replaces that of the route, and the key itself goes nowhere.

With bounded revocation, an instance accepts keys only while it knows that its configuration was the newest at most revoke_ms less a margin ago. The proof comes from calls to the store on op/config, and from replies of the holder and of readers, which state the age of theirs. It is checked when a request arrives, before each send and before the first byte is written, since a connection may take seconds to be opened.

Headers that a Connection header names are now dropped before those of this system are set: a caller could have had Chivecroft-Tenant or Chivecroft-Expect-Instance dropped.

--- a/internal/coordination/picker/request.go
+++ b/internal/coordination/picker/request.go
@@ -21,6 +21,8 @@
 	// Model is empty for plain services.
 	Model   string
 	Adapter string
+	// Team is the name of the caller's team, empty if it has none.
+	Team string
 	// Parts are the parts of the prompt that may be blocked.
 	Parts []crash.Part
 	// Priority is the rank of the request; 0 is the most urgent.
--- /dev/null
+++ b/internal/coordination/proof/tracker.go
@@ -0,0 +1,143 @@
+package proof
+
+import (
+	"sync"
+	"time"
+)
+
+// Margin is the part of the bound on revocation that is not used. It covers clocks that
+// run at different speeds, ages that are rounded, and the time from the last check of a
+// request to its arrival at the target.
+const Margin = 500 * time.Millisecond
+
+// Proof states that the store had acknowledged no configuration after Revision before a
+// moment that was Age ago.
+type Proof struct {
+	Revision uint64
+	Age      time.Duration
+}
+
+// moment is a proof as an instance keeps it.
+type moment struct {
+	revision uint64
+	at       time.Time
+}
+
+// Tracker keeps the proof of the active configuration of one instance. It is safe for
+// concurrent use.
+type Tracker struct {
+	mu sync.Mutex
+	// active is the revision of the active configuration, covered that of the newest one
+	// that was seen, given that all configurations in between were rejected.
+	active, covered uint64
+	// newest is the newest revision that is known to exist.
+	newest uint64
+	// provenAt is the moment before which the store had acknowledged no configuration
+	// after covered, zero if there is no proof.
+	provenAt time.Time
+	// pending is a proof for a configuration that is not active yet.
+	pending moment
+}
+
+// NewTracker returns a Tracker without a configuration.
+func NewTracker() *Tracker { return &Tracker{} }
+
+// RecordOwn records that a call to the store, sent after askedAt, has returned and showed
+// that no configuration is newer than revision. It is ignored if a newer one is known to
+// exist all the same.
+func (t *Tracker) RecordOwn(askedAt time.Time, revision uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if revision >= t.newest {
+		t.record(moment{revision, askedAt})
+	}
+}
+
+// RecordReply records the proof that another instance has stated in its reply to a
+// question sent after askedAt.
+func (t *Tracker) RecordReply(askedAt time.Time, p Proof) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.record(moment{p.Revision, askedAt.Add(-max(p.Age, 0))})
+}
+
+func (t *Tracker) record(m moment) {
+	t.newest = max(t.newest, m.revision)
+	switch {
+	case m.revision == 0 || m.revision < t.active:
+	case m.revision <= t.covered:
+		t.provenAt = later(t.provenAt, m.at)
+	case m.revision > t.pending.revision:
+		t.pending = m
+	case m.revision == t.pending.revision:
+		t.pending.at = later(t.pending.at, m.at)
+	}
+}
+
+// Activate records that the configuration of a revision is active. It must not be called
+// before requests are checked against that configuration. The proof of an older one
+// remains, since all that was acknowledged before its moment is older than revision too.
+func (t *Tracker) Activate(revision uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if revision < t.covered {
+		t.provenAt = time.Time{}
+	}
+	t.active = revision
+	t.cover(revision)
+}
+
+// Skip records that the configuration of a revision was rejected, so that the active one
+// stays in force. previous is the revision before it if that is known, else 0: a
+// configuration that was not seen may be in force elsewhere.
+func (t *Tracker) Skip(previous, revision uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.newest = max(t.newest, revision)
+	if t.active > 0 && previous == t.covered && revision > t.covered {
+		t.cover(revision)
+	}
+}
+
+func (t *Tracker) cover(revision uint64) {
+	t.covered = revision
+	t.newest = max(t.newest, revision)
+	if t.pending.revision == revision {
+		t.provenAt = later(t.provenAt, t.pending.at)
+	}
+	if t.pending.revision <= revision {
+		t.pending = moment{}
+	}
+}
+
+// HasGap reports whether a configuration is known to exist that is newer than those that
+// were seen in order.
+func (t *Tracker) HasGap() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.newest > t.covered
+}
+
+// Proof returns the proof of the active configuration, false if there is none.
+func (t *Tracker) Proof(now time.Time) (Proof, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.active == 0 || t.provenAt.IsZero() {
+		return Proof{}, false
+	}
+	return Proof{Revision: t.active, Age: max(now.Sub(t.provenAt), 0)}, true
+}
+
+// Accepts reports whether keys of the active configuration may be accepted, given that a
+// key must not be accepted later than bound after its removal.
+func (t *Tracker) Accepts(now time.Time, bound time.Duration) bool {
+	p, ok := t.Proof(now)
+	return ok && p.Age < bound-Margin
+}
+
+func later(x, y time.Time) time.Time {
+	if x.After(y) {
+		return x
+	}
+	return y
+}
--- a/internal/edge/copy.go
+++ b/internal/edge/copy.go
@@ -130,13 +130,16 @@
 // verifyCopy checks in the store that the copy is of the current configuration, and
 // returns the current one if the copy is outdated.
 func (e *Edge) verifyCopy(s *configSnapshot, item ports.Item) ([]ports.Item, ports.Revision, bool) {
+	askedAt := e.clock.Now()
 	r := e.store.Check(platform.ConfigKey, s.revision)
 	switch {
 	case r.Status == ports.KVOK && r.Revision >= s.revision:
+		e.noteConfigRead(askedAt, s.revision)
 		e.snapshot.Store(s)
 		e.log.Info().Uint64("revision", uint64(s.revision)).Msg("configuration read from its copy")
 		return []ports.Item{item}, r.Revision, true
 	case r.Status == ports.KVConflict && len(r.Items) == 1 && r.Items[0].Revision > s.revision:
+		e.noteConfigRead(askedAt, r.Items[0].Revision)
 		e.log.Info().Uint64("revision", uint64(r.Items[0].Revision)).Uint64("copy", uint64(s.revision)).
 			Msg("copy of the configuration is outdated")
 		return r.Items, r.Items[0].Revision, true
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -20,6 +20,7 @@
 	"chivecroft.example/chivecroft/internal/coordination/elect"
 	"chivecroft.example/chivecroft/internal/coordination/picker"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/coordination/proof"
 	"chivecroft.example/chivecroft/internal/coordination/quota"
 	"chivecroft.example/chivecroft/internal/coordination/retry"
 	"chivecroft.example/chivecroft/internal/state/fleet"
@@ -84,6 +85,10 @@
 	// have ended at which requests broke off.
 	crashes *crash.Monitor
 	ends    *endChecker
+	// proofs keeps until when the active configuration was the newest, wasProven whether
+	// keys were accepted at the last check.
+	proofs    *proof.Tracker
+	wasProven atomic.Bool
 
 	loopCtx   context.Context //nolint:containedctx // ends the loops at Stop
 	stopLoops context.CancelFunc
@@ -121,7 +126,9 @@
 		picker.WithLimitObserver(e.onLimitChange))
 	e.clock = timer.NewBoot()
 	e.coordinator = newCoordinator(e.loopCtx, boot, e.clock, l, e.metrics)
+	e.proofs = proof.NewTracker()
 	e.peerClient = newPeerClient()
+	e.peerClient.now, e.peerClient.onProof = e.clock.Now, e.acceptProofHeader
 	e.configFollower = e.newConfigFollower()
 	e.targetFollower = e.newTargetFollower()
 	if boot.Bootstrap {
@@ -137,7 +144,8 @@
 	e.crashes = crash.NewMonitor(e.timer, crash.WithUrgency(e.signalDemand), crash.WithObserver(e.onBlockChange))
 	e.ends = newEndChecker(e.picker.IsLeaving, e.onTargetEnd)
 	e.proxy = proxy.NewServer(platform.Codec{}, e.picker, e.budget, e.timer, proxy.WithLogger(l),
-		proxy.WithObserver(e.metrics.requestEnded), proxy.WithCrashes(e.crashes, e.ends.hasEnded))
+		proxy.WithObserver(e.metrics.requestEnded), proxy.WithCrashes(e.crashes, e.ends.hasEnded),
+		proxy.WithKeyProof(e.keysProven))
 	for _, opt := range opts {
 		opt(e)
 	}
@@ -227,6 +235,7 @@
 	go e.configFollower.run(e.loopCtx)
 	go e.targetFollower.run(e.loopCtx)
 	go e.copyLoop(e.loopCtx)
+	go e.proofLoop(e.loopCtx)
 	metrics, err := e.metrics.start(ctx, e.boot.Instance, e.boot.Zone, e.boot.Addr, e.metricsPort,
 		map[string]http.HandlerFunc{BlocksPath: e.serveBlocks, LiftPath: e.serveLift})
 	if err != nil {
@@ -271,20 +280,24 @@
 }
 
 func (e *Edge) newConfigFollower() *follower {
-	apply := func(item ports.Item) {
-		if item.Key == platform.ConfigKey && !item.Deleted {
-			e.applyConfig(item)
+	apply := func(previous ports.Revision, item ports.Item) {
+		switch {
+		case item.Key != platform.ConfigKey:
+		case item.Deleted:
+			e.skipConfig(previous, item)
+		default:
+			e.applyConfig(previous, item)
 		}
 	}
 	return &follower{
 		name: "config", prefix: platform.ConfigKey, store: e.store, health: e.health, log: e.log,
 		applyList: func(items []ports.Item) {
 			for _, item := range items {
-				apply(item)
+				apply(0, item)
 			}
 			e.coordinator.setConfigRead()
 		},
-		applyChange:     apply,
+		applyChange: apply, watchTime: e.configWatchTimeout, onRead: e.noteConfigRead,
 		hasFreshUpdates: e.hasFreshUpdates, onIdle: func() {}, fetchFromHolder: e.fetchConfigFromHolder,
 		canAskReaders: e.canAskReaders, fetchItems: e.fetchConfigFromReaders, isHolder: e.isHolder,
 		clock: e.clock, updateAge: e.updateAge,
@@ -296,14 +309,17 @@
 // others.
 func (e *Edge) isHolder() bool { return e.coordinator.holderStatus().IsHolder }
 
-// applyConfig makes a configuration active unless the active one is as new.
-func (e *Edge) applyConfig(item ports.Item) {
+// applyConfig makes a configuration active unless the active one is as new. previous is
+// the revision that was read before it, 0 if others may be in between.
+func (e *Edge) applyConfig(previous ports.Revision, item ports.Item) {
 	c, err := platform.DecodeConfig(item.Value)
 	if err != nil {
 		e.log.Error().Err(err).Uint64("revision", uint64(item.Revision)).Msg("configuration rejected")
+		e.skipConfig(previous, item)
 		return
 	}
-	if have := e.config.Load(); have != nil && have.Version >= c.Version {
+	if have := e.config.Load(); have != nil && have.Version >= c.Version && !e.isRewritten(item) {
+		e.skipConfig(previous, item)
 		return
 	}
 	e.proxy.SetConfig(c)
@@ -311,6 +327,7 @@
 	// The instance may report that it is ready only from here on.
 	e.config.Store(c)
 	e.updateSnapshot(item)
+	e.proofs.Activate(uint64(item.Revision))
 	e.log.Info().Int64("version", c.Version).Uint64("revision", uint64(item.Revision)).
 		Int("routes", len(c.Routes)).Int("bytes", len(item.Value)).Msg("configuration active")
 }
@@ -327,7 +344,8 @@
 func (e *Edge) newTargetFollower() *follower {
 	return &follower{
 		name: "targets", prefix: platform.TargetPrefix, store: e.store, health: e.health, log: e.log,
-		batchDelay: targetBatchDelay, applyList: e.applyTargetList, applyChange: e.applyTarget,
+		batchDelay: targetBatchDelay, applyList: e.applyTargetList,
+		applyChange:   func(_ ports.Revision, item ports.Item) { e.applyTarget(item) },
 		canAskReaders: e.canAskReaders, isHolder: e.isHolder, fetchChanges: e.fetchChanges, changelog: deltas.New(maxKeptChanges),
 		clock: e.clock, updateAge: e.updateAge, updateWait: startTimeout,
 		hasFreshUpdates: e.hasFreshUpdates, onIdle: func() { e.coordinator.setHasFullList(false) },
--- a/internal/edge/follower.go
+++ b/internal/edge/follower.go
@@ -50,9 +50,16 @@
 	// batchDelay is the delay between two watches, so that changes are read together.
 	batchDelay time.Duration
 	// applyList applies a full list of items, applyChange an item that was written or
-	// deleted.
+	// deleted after a previous revision of the same key, 0 for none.
 	applyList   func([]ports.Item)
-	applyChange func(ports.Item)
+	applyChange func(previous ports.Revision, item ports.Item)
+	// onRead is called after a call to the store, sent after askedAt, has returned and its
+	// reply has been applied, with the newest revision of the configuration; nil if this
+	// follows other keys. watchTime returns the time of a watch; nil for watchTimeout.
+	onRead    func(askedAt time.Time, newest ports.Revision)
+	watchTime func() time.Duration
+	// askedAt is when the latest call to the store was made.
+	askedAt time.Time
 	// hasFreshUpdates reports whether the holder's updates are fresh, so that the store
 	// need not be read. onIdle is called when the follower idles for that reason.
 	hasFreshUpdates func() bool
@@ -247,6 +254,7 @@
 func (f *follower) callStore(req ports.KVRequest, isNeedless func() bool) ports.KVReply {
 	until, stop := contextUntil(isNeedless)
 	defer stop()
+	f.askedAt = f.clock.Now()
 	reply := f.store.DoUntil(until, req)
 	if until.Err() != nil && reply.Status != ports.KVOK {
 		return reply
@@ -283,6 +291,7 @@
 func (f *follower) readList(ctx context.Context) bool {
 	var items []ports.Item
 	var first ports.Revision
+	var askedAt time.Time
 	after := ""
 	delay := minRetryDelay
 	for ctx.Err() == nil {
@@ -296,7 +305,7 @@
 			continue
 		}
 		if first == 0 {
-			first = reply.Revision
+			first, askedAt = reply.Revision, f.askedAt
 		}
 		items = append(items, reply.Items...)
 		if !reply.More || len(reply.Items) == 0 {
@@ -309,6 +318,9 @@
 	}
 	f.log.Info().Str("feed", f.name).Int("items", len(items)).Uint64("revision", uint64(first)).Msg("list read")
 	f.reset(items, first)
+	if f.onRead != nil {
+		f.onRead(askedAt, newestRevision(items))
+	}
 	return true
 }
 
@@ -337,6 +349,9 @@
 		case ports.KVOK:
 			delay = minRetryDelay
 			f.apply(reply)
+			if f.onRead != nil {
+				f.onRead(f.askedAt, f.itemRevisions[platform.ConfigKey])
+			}
 			if len(reply.Items) > 0 {
 				sleep(ctx, f.batchDelay)
 			}
@@ -365,8 +380,9 @@
 		if item.Revision <= f.itemRevisions[item.Key] || uint64(item.Revision) <= f.coveredRevision.Load() {
 			continue
 		}
+		previous := f.itemRevisions[item.Key]
 		f.noteRevision(item)
-		f.applyChange(item)
+		f.applyChange(previous, item)
 	}
 	f.revision = max(f.revision, reply.Revision)
 	f.readThrough.Store(uint64(f.revision))
--- a/internal/edge/follower_test.go
+++ b/internal/edge/follower_test.go
@@ -23,7 +23,7 @@
 		name: "config", prefix: "op/config", store: platform.NewStore(t.Context(), f.Addr()),
 		health: newStoreHealth(timer.NewSystem(), l), log: l,
 		applyList:       func(items []ports.Item) { got <- items[0] },
-		applyChange:     func(ports.Item) {},
+		applyChange:     func(ports.Revision, ports.Item) {},
 		hasFreshUpdates: func() bool { return true }, onIdle: func() {},
 		fetchFromHolder: func(context.Context) ([]ports.Item, bool) { return nil, false },
 		needsList:       func() bool { return false }, canAskReaders: func() bool { return false },
@@ -48,7 +48,7 @@
 // have already covered. It must not overwrite them.
 func TestFollowerSkipsChangesCoveredByUpdates(t *testing.T) {
 	var got []ports.Revision
-	fd := &follower{itemRevisions: make(map[string]ports.Revision), applyChange: func(item ports.Item) { got = append(got, item.Revision) }}
+	fd := &follower{itemRevisions: make(map[string]ports.Revision), applyChange: func(_ ports.Revision, item ports.Item) { got = append(got, item.Revision) }}
 	fd.coveredRevision.Store(7)
 	fd.apply(ports.KVReply{Items: []ports.Item{{Key: "a", Revision: 6}, {Key: "b", Revision: 8}}, Revision: 8})
 	if len(got) != 1 || got[0] != 8 {
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/phuslu/log"
@@ -118,6 +119,13 @@
 	}
 }
 
+// proofAged records the age of the proof that the active configuration is the newest.
+func (m *instanceMetrics) proofAged(age time.Duration) {
+	if mt := m.meter.Load(); mt != nil {
+		mt.ProofAge(age)
+	}
+}
+
 // orderEnded counts a finished order to load a model.
 func (m *instanceMetrics) orderEnded(a sched.Action, taken bool) {
 	if mt := m.meter.Load(); mt != nil && a.Operation == sched.Load && a.Adapter == "" {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -95,13 +95,24 @@
 	Grants []quota.Grant `json:"grants,omitempty"`
 	// Crashes answers the report of the request.
 	Crashes crash.Reply `json:"crashes,omitzero"`
+	// Proof is the proof that the configuration of the replying instance is the newest.
+	Proof *proofNote `json:"proof,omitempty"`
 }
 
 // peerClient sends messages to other instances.
-type peerClient struct{ http http.Client }
+type peerClient struct {
+	http http.Client
+	// onProof is called with the headers of each reply to /config and with the time on now
+	// before the request.
+	now     func() time.Time
+	onProof func(askedAt time.Time, h http.Header)
+}
 
 func newPeerClient() *peerClient {
-	return &peerClient{http: http.Client{Transport: gate.NewDialer(gate.WithSilence(peerSilenceTimeout)).Transport(nil)}}
+	return &peerClient{
+		http: http.Client{Transport: gate.NewDialer(gate.WithSilence(peerSilenceTimeout)).Transport(nil)},
+		now:  time.Now, onProof: func(time.Time, http.Header) {},
+	}
 }
 
 func (p *peerClient) exchange(ctx context.Context, to netip.AddrPort, m exchangeRequest) (exchangeReply, error) {
@@ -235,7 +246,7 @@
 
 func (e *Edge) exchangeOnce(ctx context.Context, last *exchangeReply) error {
 	status := e.coordinator.holderStatus()
-	sentAt := e.timer.Now()
+	sentAt, askedAt := e.timer.Now(), e.clock.Now()
 	m := exchangeRequest{
 		From: e.boot.Instance, Demand: e.picker.Demand(), Leaving: e.picker.AnnouncedLeaving(),
 		Term: last.Term, Version: last.Version,
@@ -265,6 +276,7 @@
 		if err != nil {
 			return err
 		}
+		e.acceptProof(askedAt, r.Proof)
 		e.applyPermits(m, r, sentAt)
 		e.applyUpdates(r)
 		e.crashes.Apply(r.Term, &crashes, &r.Crashes)
@@ -279,10 +291,11 @@
 // handleExchange responds to an instance's message as the holder. The read revisions are
 // loaded first, so that the updates contain everything up to them.
 func (e *Edge) handleExchange(m exchangeRequest) (exchangeReply, bool) {
-	config, targets := e.configFollower.readThrough.Load(), e.targetFollower.readThrough.Load()
+	config, targets := e.configThrough(), e.targetFollower.readThrough.Load()
 	r, ok := e.coordinator.handleExchange(m)
 	r.ConfigThrough, r.TargetsThrough = config, targets
 	r.RemovalDelayMS = e.health.removalDelay().Milliseconds()
+	r.Proof = e.proofNote()
 	return r, ok
 }
 
--- a/internal/edge/snapshot.go
+++ b/internal/edge/snapshot.go
@@ -92,6 +92,7 @@
 // with 204 if the instance has the newest one, and with 503 if it cannot tell.
 func (e *Edge) serveConfig(w http.ResponseWriter, r *http.Request) {
 	after, _ := strconv.ParseUint(r.URL.Query().Get(queryAfter), 10, 64)
+	e.setProofHeader(w.Header())
 	s := e.snapshot.Load()
 	switch {
 	case s != nil && uint64(s.revision) > after:
@@ -164,10 +165,12 @@
 	if err != nil {
 		return nil, err
 	}
+	askedAt := p.now()
 	a, err := p.do(req, maxConfigBytes)
 	if err != nil {
 		return nil, trace.Wrap(err, "configuration from %s", from)
 	}
+	p.onProof(askedAt, a.header)
 	switch a.status {
 	case http.StatusNoContent:
 		return nil, errNoNewer
--- a/internal/edge/source.go
+++ b/internal/edge/source.go
@@ -164,6 +164,9 @@
 	if f.isProbing {
 		return probeWatchTimeout
 	}
+	if f.watchTime != nil {
+		return f.watchTime()
+	}
 	return watchTimeout
 }
 
--- a/internal/state/fleet/team.go
+++ b/internal/state/fleet/team.go
@@ -64,14 +64,26 @@
 // HasTeams reports whether requests need a key.
 func (c *Config) HasTeams() bool { return len(c.Teams) > 0 }
 
+// ParseKey returns the digest of an API key, false if it is none that a team may have.
+func ParseKey(key string) (KeyDigest, bool) {
+	if key == "" || len(key) > maxKeyBytes {
+		return KeyDigest{}, false
+	}
+	return DigestKey(key), true
+}
+
 // TeamOf returns the team of an API key, nil if no team has it.
 func (c *Config) TeamOf(key string) *Team {
-	if key == "" || len(key) > maxKeyBytes {
+	digest, ok := ParseKey(key)
+	if !ok {
 		return nil
 	}
-	return c.byKey[DigestKey(key)]
+	return c.TeamOfDigest(digest)
 }
 
+// TeamOfDigest returns the team that has the API key with a digest, nil if none has it.
+func (c *Config) TeamOfDigest(digest KeyDigest) *Team { return c.byKey[digest] }
+
 // indexTeams builds the index of keys. Its error names the team and the field of the first
 // invalid value, but no key.
 func (c *Config) indexTeams() error {
--- a/internal/transport/meter/create.go
+++ b/internal/transport/meter/create.go
@@ -27,6 +27,7 @@
 	m.targetEnds = c.counter("chivecroft.target.ends", "{target}", "Targets that ended unplanned with requests in flight.")
 	m.blocks = c.gauge("chivecroft.prompt.blocks", "{block}", "Blocks of prompt parts that crash targets.")
 	m.limits = c.gauge("chivecroft.target.limits", "{target}", "Targets with a rate limit in force.")
+	m.proofAge = c.secondsGauge("chivecroft.config.proof.age", "Time since the active configuration was known to be the newest.")
 	return trace.NewAggregate(c.errs...)
 }
 
@@ -61,6 +62,12 @@
 	return n
 }
 
+func (c *creator) secondsGauge(name, description string) metric.Float64Gauge {
+	n, err := c.meter.Float64Gauge(name, metric.WithUnit("s"), metric.WithDescription(description))
+	c.errs = append(c.errs, err)
+	return n
+}
+
 func resourceOf(instance, zone string) *resource.Resource {
 	return resource.NewSchemaless(
 		attribute.String("service.name", "chivecroft"),
--- a/internal/transport/meter/meter.go
+++ b/internal/transport/meter/meter.go
@@ -87,6 +87,7 @@
 	limits     metric.Int64Gauge
 	targetEnds metric.Int64Counter
 	blocks     metric.Int64Gauge
+	proofAge   metric.Float64Gauge
 }
 
 // New returns a meter that marks its series with the instance and zone.
@@ -224,6 +225,11 @@
 	m.blocks.Record(context.Background(), int64(n))
 }
 
+// ProofAge records how long ago the active configuration was known to be the newest.
+func (m *Meter) ProofAge(age time.Duration) {
+	m.proofAge.Record(context.Background(), age.Seconds())
+}
+
 func outcome(ok bool) string {
 	if ok {
 		return "loaded"
--- a/internal/transport/meter/meter_test.go
+++ b/internal/transport/meter/meter_test.go
@@ -59,6 +59,7 @@
 	m.Limits(2)
 	m.TargetEnd("assist")
 	m.Blocks(1)
+	m.ProofAge(1500 * time.Millisecond)
 	labels := `{chivecroft_class="interactive",chivecroft_service="assist",chivecroft_tenant="desk"`
 	cases := []struct{ part, want string }{
 		{"queue_wait_duration_seconds_sum", `chivecroft_queue_wait_duration_seconds_sum` + labels + `} 0.03`},
@@ -74,6 +75,7 @@
 		{"accelerator_idle", `chivecroft_accelerator_idle_time_seconds_total{gen_ai_request_model="menu"} 90`},
 		{"target_limits", `chivecroft_target_limits 2`},
 		{"prompt_blocks", `chivecroft_prompt_blocks 1`},
+		{"config_proof_age", `chivecroft_config_proof_age_seconds 1.5`},
 		{"target_ends", `chivecroft_target_ends_total{chivecroft_service="assist"} 1`},
 	}
 	for _, c := range cases {
--- a/internal/transport/proxy/codec.go
+++ b/internal/transport/proxy/codec.go
@@ -13,6 +13,10 @@
 type Codec interface {
 	// Decode reads a caller's request headers.
 	Decode(r *http.Request) (Call, error)
+	// Key returns the API key in a caller's request headers, empty if there is none.
+	Key(in http.Header) string
+	// Challenge returns the header of a response to a caller without a valid key.
+	Challenge() (name, value string)
 	// Outgoing returns the headers of a request to a target, made from the caller's.
 	Outgoing(in http.Header, s Send) http.Header
 	// Incoming reads the headers of a target's response.
@@ -50,6 +54,10 @@
 	// LastEvent is the ID of the event after which a stream is to continue, empty for the
 	// beginning.
 	LastEvent string
+	// HasTeams reports whether credentials are for this system alone, so that no target
+	// gets them. Team is the caller's team then, empty if it has none.
+	HasTeams bool
+	Team     string
 }
 
 // Reply holds what the headers of a target's response say.
--- a/internal/transport/proxy/exchange.go
+++ b/internal/transport/proxy/exchange.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"chivecroft.example/chivecroft/internal/coordination/crash"
@@ -32,7 +33,8 @@
 	arrived time.Time
 	version int64
 
-	route    *fleet.Route
+	route *fleet.Route
+	credentials
 	service  string
 	engine   bool
 	call     Call
@@ -79,6 +81,8 @@
 	// parts. blocked is set when the request is stopped.
 	flight  *crash.Flight
 	blocked blockFlag
+	// keyLost is set when the send is stopped because its key may no longer be used.
+	keyLost atomic.Bool
 	// targetEnded reports that the target has ended before the answer was complete.
 	targetEnded bool
 }
@@ -104,6 +108,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := x.authenticate(); err != nil {
+		reservation.Release(picker.Outcome{})
+		return nil, err
+	}
 	if err := x.admit(reservation); err != nil {
 		return nil, err
 	}
@@ -115,7 +123,7 @@
 func (x *exchange) pickerRequest() picker.Request {
 	reserve := min(time.Duration(responseReserveShare*float64(x.timeout)), maxResponseReserve)
 	q := picker.Request{
-		Service: x.service, Priority: x.route.Priority, Arrived: x.arrived,
+		Service: x.service, Team: x.teamName(), Priority: x.priority(), Arrived: x.arrived,
 		Deadline: x.deadline.Add(-reserve), Exclude: x.tried,
 	}
 	if x.engine {
@@ -127,10 +135,11 @@
 
 func (x *exchange) send(reservation *picker.Reservation, lastEvent string) *attempt {
 	ctx, cancel := context.WithCancel(x.ctx)
-	ctx, call := gate.Track(ctx, nil)
+	a := &attempt{reservation: reservation, cancel: cancel}
+	ctx, call := gate.Track(ctx, x.guardKey(a))
+	a.call = call
 	ctx, head := watchHead(ctx, x.s.timer, cancel)
 	defer head.close()
-	a := &attempt{reservation: reservation, call: call, cancel: cancel}
 	x.startFlight(a)
 	x.target = reservation.Target.ID
 	x.sentAt = x.s.timer.Now()
@@ -202,11 +211,13 @@
 }
 
 func (x *exchange) newRequest(ctx context.Context, reservation *picker.Reservation, lastEvent string) *http.Request {
+	// A Connection header of the caller must not drop headers that are set here.
+	hops.Drop(x.r.Header)
 	header := x.s.codec.Outgoing(x.r.Header, Send{
 		Target: reservation.Target.ID, Within: x.deadline.Sub(x.s.timer.Now()),
-		Engine: x.engine, Priority: x.route.Priority, LastEvent: lastEvent,
+		Engine: x.engine, Priority: x.priority(), LastEvent: lastEvent,
+		HasTeams: x.hasTeams, Team: x.teamName(),
 	})
-	hops.Drop(header)
 	header.Del("Expect")
 	if _, ok := header["User-Agent"]; !ok {
 		// An empty value keeps the client from adding its own.
@@ -241,6 +252,8 @@
 // once the caller has a response.
 func (x *exchange) handle(a *attempt) bool {
 	switch {
+	case a.notRun && a.keyLost.Load():
+		return x.handleKeyLost(a)
 	case a.notRun:
 		return x.handleRejected(a)
 	case a.err != nil:
@@ -359,6 +372,8 @@
 		x.endUnanswered(string(refusal.Reason), refusal.RetryAfter)
 	case errors.Is(err, errBlocked):
 		x.endUnanswered(reasonBlocked, x.untilTrial())
+	case errors.Is(err, errStaleKeys), errors.Is(err, errUnknownKey):
+		x.endUnauthenticated(err)
 	case errors.Is(err, errSuspect):
 		x.endUnanswered(reasonSuspect, suspectRetryAfter)
 	default:
--- a/internal/transport/proxy/outcome.go
+++ b/internal/transport/proxy/outcome.go
@@ -63,7 +63,7 @@
 		e.Goal, e.GapGoal = x.route.Goal, x.route.GapGoal
 	}
 	x.s.onEnded(e)
-	line := x.s.log.Info().Str("request", x.call.ID).Str("route", e.Route).Int64("version", x.version).
+	line := x.s.log.Info().Str("request", x.call.ID).Str("route", e.Route).Int64("version", x.version).Str("team", x.teamName()).
 		Str("model", x.call.Model).Str("adapter", x.call.Adapter).Str("target", x.target).
 		Int("status", x.status).Str("reason", x.reason).Int("sends", x.sends).Int("ran", x.possibleRuns).
 		Dur("waited", x.queueTime).Dur("began", x.timeToFirst).Dur("took", took).Dur("within", x.timeout).
--- a/internal/transport/proxy/server.go
+++ b/internal/transport/proxy/server.go
@@ -50,6 +50,8 @@
 	// which a request broke off has ended.
 	crashes  *crash.Monitor
 	hasEnded func(context.Context, fleet.Target) bool
+	// keysProven reports whether API keys of the configuration may be accepted.
+	keysProven func() bool
 
 	config atomic.Pointer[fleet.Config]
 	// closing makes responses close their connections. refusing refuses new requests.
@@ -78,6 +80,12 @@
 	return func(s *Server) { s.crashes, s.hasEnded = m, hasEnded }
 }
 
+// WithKeyProof sets what reports whether the API keys of the configuration that was last
+// set may be accepted. It is called before each check of a key.
+func WithKeyProof(proven func() bool) Option {
+	return func(s *Server) { s.keysProven = proven }
+}
+
 // WithTransport replaces the HTTP transport to targets.
 func WithTransport(t http.RoundTripper) Option {
 	return func(s *Server) { s.transport = t }
@@ -93,6 +101,8 @@
 		onEnded:   func(Ended) {},
 		crashes:   crash.NewMonitor(t),
 		hasEnded:  func(context.Context, fleet.Target) bool { return false },
+
+		keysProven: func() bool { return true },
 	}
 	for _, opt := range opts {
 		opt(s)
@@ -147,6 +157,10 @@
 	}
 	call, err := s.codec.Decode(x.r)
 	x.call = call
+	if keyErr := x.authenticate(); keyErr != nil {
+		x.endUnauthenticated(keyErr)
+		return false
+	}
 	if err != nil {
 		x.respond(http.StatusBadRequest, "malformed")
 		return false
--- a/internal/transport/proxy/stream.go
+++ b/internal/transport/proxy/stream.go
@@ -140,7 +140,8 @@
 			return next
 		}
 		next.flight.End()
-		x.abandon(next, picker.Outcome{Failed: next.err != nil, Rejected: next.notRun})
+		keyLost := next.keyLost.Load()
+		x.abandon(next, picker.Outcome{Failed: next.err != nil && !keyLost, Rejected: next.notRun && !keyLost})
 		x.exclude(next)
 	}
 	x.logDecision(a, "cut")
