--- /dev/null
+++ b/internal/transport/proxy/keys_test.go
@@ -0,0 +1,317 @@
+package proxy_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"chivecroft.example/chivecroft/internal/coordination/retry"
+	"chivecroft.example/chivecroft/internal/state/fleet"
+	"chivecroft.example/chivecroft/internal/state/timer"
+	"chivecroft.example/chivecroft/internal/transport/proxy"
+	"chivecroft.example/chivecroft/platform"
+	"chivecroft.example/chivecroft/platform/fake"
+)
+
+// keyRig is a rig whose configuration has teams and whose proof the test decides on.
+type keyRig struct {
+	*rig
+	unproven atomic.Bool
+}
+
+// newKeyRig returns a keyRig whose team red has the key k1 and green the key k2; the route
+// of safe requests is public.
+func newKeyRig(t *testing.T, targets ...*fake.Target) *keyRig {
+	k := &keyRig{}
+	k.rig = newRig(t, targets...)
+	budget := retry.NewBudget(retry.Limits{RetriesPerRequest: 0.2, RetriesPerWindow: 100, Window: 10 * time.Second})
+	budget.SetInstances(1)
+	k.server = proxy.NewServer(platform.Codec{}, k.picker, budget, timer.NewSystem(),
+		proxy.WithKeyProof(func() bool { return !k.unproven.Load() }))
+	k.front.Config.Handler = k.server
+	k.setTeams(fleet.Team{Name: "red", Keys: []fleet.KeyDigest{fleet.DigestKey("k1")}, Priority: 3, HasPriority: true},
+		fleet.Team{Name: "green", Keys: []fleet.KeyDigest{fleet.DigestKey("k2"), fleet.DigestKey(strings.Repeat("k", 1<<10))}})
+	return k
+}
+
+// setTeams makes a configuration with other teams active.
+func (k *keyRig) setTeams(teams ...fleet.Team) {
+	k.t.Helper()
+	c := &fleet.Config{Version: k.config.Version + 1, Services: k.config.Services, Teams: teams}
+	c.Routes = append(c.Routes, k.config.Routes...)
+	c.Routes[1].Public = true
+	if err := c.Index(); err != nil {
+		k.t.Fatal(err)
+	}
+	k.config = c
+	k.server.SetConfig(c)
+}
+
+func withAuthorization(values ...string) func(*http.Request) {
+	return func(req *http.Request) { req.Header["Authorization"] = values }
+}
+
+// outcome is what a caller and the target see of a request.
+type outcome struct {
+	Status    int
+	Challenge string
+	Retry     string
+	// Team and Key are the headers that the target got.
+	Team, Key []string
+}
+
+func (k *keyRig) outcome(target *fake.Target, path string, change ...func(*http.Request)) outcome {
+	before, _ := target.Seen()
+	got, header := k.call(path, change...)
+	out := outcome{Status: got.Status, Challenge: header.Get("WWW-Authenticate"), Retry: header.Get("Retry-After")}
+	if seen, _ := target.Seen(); len(seen) > len(before) {
+		last := seen[len(seen)-1]
+		out.Team, out.Key = last["Chivecroft-Tenant"], last["Authorization"]
+	}
+	return out
+}
+
+var refused = outcome{Status: http.StatusUnauthorized, Challenge: "Bearer"}
+
+func servedFor(team ...string) outcome { return outcome{Status: http.StatusOK, Team: team} }
+
+// TestCredentials sends all kinds of credentials. A wrong reading lets a stranger in or a
+// team's caller out, or makes a target work for the wrong team.
+func TestCredentials(t *testing.T) {
+	near, _ := newTwoTargets(t)
+	k := newKeyRig(t, near)
+	for _, c := range []struct {
+		name   string
+		values []string
+		want   outcome
+	}{
+		{"known", []string{"Bearer k1"}, servedFor("red")},
+		{"another team's", []string{"Bearer k2"}, servedFor("green")},
+		{"scheme in another case", []string{"bEARER k1"}, servedFor("red")},
+		{"spaces around the key", []string{"Bearer   k1  "}, servedFor("red")},
+		{"as long as a key may be", []string{"Bearer " + strings.Repeat("k", 1<<10)}, servedFor("green")},
+		{"too long", []string{"Bearer " + strings.Repeat("k", 1<<10+1)}, refused},
+		{"unknown", []string{"Bearer k3"}, refused},
+		{"key in another case", []string{"Bearer K1"}, refused},
+		{"none", nil, refused},
+		{"empty", []string{""}, refused},
+		{"without a key", []string{"Bearer "}, refused},
+		{"without a scheme", []string{"k1"}, refused},
+		{"of another scheme", []string{"Basic k1"}, refused},
+		{"scheme and key in one", []string{"Bearerk1"}, refused},
+		{"two keys", []string{"Bearer k1 k2"}, refused},
+		{"keys in a list", []string{"Bearer k1, Bearer k1"}, refused},
+		{"twice", []string{"Bearer k1", "Bearer k1"}, refused},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			forged := func(req *http.Request) { req.Header["Chivecroft-Tenant"] = []string{"blue", "green"} }
+			if diff := cmp.Diff(c.want, k.outcome(near, "/unsafe/", withAuthorization(c.values...), forged)); diff != "" {
+				t.Errorf("outcome (-want +got):\n%s", diff)
+			}
+			public := servedFor(c.want.Team...)
+			if diff := cmp.Diff(public, k.outcome(near, "/safe/", withAuthorization(c.values...), forged)); diff != "" {
+				t.Errorf("on a public route (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestCallerCannotDropTeam names the team's header as one of the connection alone, which
+// would have it dropped on the way to the target.
+func TestCallerCannotDropTeam(t *testing.T) {
+	near, _ := newTwoTargets(t)
+	k := newKeyRig(t, near)
+	got := k.outcome(near, "/unsafe/", withAuthorization("Bearer k1"), func(req *http.Request) {
+		req.Header.Set("Connection", "Chivecroft-Tenant, Chivecroft-Expect-Instance")
+	})
+	if diff := cmp.Diff(servedFor("red"), got); diff != "" {
+		t.Errorf("outcome (-want +got):\n%s", diff)
+	}
+}
+
+// TestWithoutTeamsHeadersPass checks that a configuration without teams changes nothing.
+func TestWithoutTeamsHeadersPass(t *testing.T) {
+	near, _ := newTwoTargets(t)
+	k := newKeyRig(t, near)
+	k.setTeams()
+	k.unproven.Store(true)
+	got := k.outcome(near, "/unsafe/", withAuthorization("Basic own"), func(req *http.Request) {
+		req.Header.Set("Chivecroft-Tenant", "own")
+	})
+	want := outcome{Status: http.StatusOK, Team: []string{"own"}, Key: []string{"Basic own"}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("outcome (-want +got):\n%s", diff)
+	}
+}
+
+// TestWithoutProof has an instance that cannot know whether a key is still valid, or
+// whether an unknown one is new: it must refuse both, and serve public routes to nobody's
+// account.
+func TestWithoutProof(t *testing.T) {
+	near, _ := newTwoTargets(t)
+	k := newKeyRig(t, near)
+	k.unproven.Store(true)
+	stale := outcome{Status: http.StatusServiceUnavailable, Retry: "1.00"}
+	for path, want := range map[string]outcome{"/unsafe/": stale, "/safe/": servedFor()} {
+		for _, key := range []string{"Bearer k1", "Bearer k3", ""} {
+			if diff := cmp.Diff(want, k.outcome(near, path, withAuthorization(key))); diff != "" {
+				t.Errorf("%s with %q (-want +got):\n%s", path, key, diff)
+			}
+		}
+	}
+}
+
+// TestKeyLostInQueue revokes a key, moves it to another team or lets the proof expire while
+// its request waits for a target. The request must not run.
+func TestKeyLostInQueue(t *testing.T) {
+	red := fleet.Team{Name: "red", Keys: []fleet.KeyDigest{fleet.DigestKey("k1")}}
+	for name, c := range map[string]struct {
+		change func(*keyRig)
+		want   int
+	}{
+		"removed": {func(k *keyRig) { k.setTeams(fleet.Team{Name: "red"}) }, http.StatusUnauthorized},
+		"moved": {func(k *keyRig) {
+			k.setTeams(fleet.Team{Name: "blue", Keys: red.Keys})
+		}, http.StatusServiceUnavailable},
+		"unproven": {func(k *keyRig) { k.unproven.Store(true) }, http.StatusServiceUnavailable},
+		"kept":     {func(k *keyRig) { k.setTeams(red) }, http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			near, _ := newTwoTargets(t)
+			k := newKeyRig(t)
+			k.targets = append(k.targets, near)
+			done := make(chan outcome, 1)
+			go func() { done <- k.outcome(near, "/unsafe/", withAuthorization("Bearer k1")) }()
+			time.Sleep(200 * time.Millisecond)
+			c.change(k)
+			k.picker.SetTarget(fleet.Target{
+				Identity: fleet.Identity{ID: near.ID, Born: 1}, Service: "s", Addr: near.Addr(), Zone: near.Zone, Slots: near.Slots,
+			})
+			if got := <-done; got.Status != c.want {
+				t.Errorf("%+v, want status %d", got, c.want)
+			}
+			if runs := len(k.runs()); (runs > 0) != (c.want == http.StatusOK) {
+				t.Errorf("%d requests have run", runs)
+			}
+		})
+	}
+}
+
+// TestKeyLostBetweenSends revokes a key after a first run was lost. The repeat must not be
+// sent, and the caller must not hear that the request has not run.
+func TestKeyLostBetweenSends(t *testing.T) {
+	for name, c := range map[string]struct {
+		path, body string
+		want       answer
+	}{
+		"repeat": {"/safe/", "", answer{Status: http.StatusBadGateway}},
+		"resumed stream": {
+			"/resumable/", fake.Event(1),
+			answer{Status: http.StatusOK, Body: fake.Event(1), Signed: "sig-near", Cut: true},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			near, far := newTwoTargets(t)
+			k := newKeyRig(t, near, far)
+			for i := range k.config.Routes {
+				k.config.Routes[i].Public = false
+			}
+			near.Behave(func(w http.ResponseWriter, req *http.Request) {
+				near.Run(req)
+				if c.body != "" {
+					near.Sign(w, req)
+					_, _ = io.WriteString(w, c.body)
+					_ = http.NewResponseController(w).Flush()
+					time.Sleep(50 * time.Millisecond)
+				}
+				k.unproven.Store(true)
+				panic(http.ErrAbortHandler)
+			})
+			got, _ := k.call(c.path, withAuthorization("Bearer k1"))
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("answer (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(map[string]int{"call-1": 1}, k.runs()); diff != "" {
+				t.Errorf("runs (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestKeyLostWhileConnecting lets the proof expire after the last check of the exchange,
+// when a connection is being opened. Nothing may be written, and the target is not at fault.
+func TestKeyLostWhileConnecting(t *testing.T) {
+	near, _ := newTwoTargets(t)
+	k := newKeyRig(t, near)
+	var checks atomic.Int64
+	budget := retry.NewBudget(retry.Limits{RetriesPerRequest: 0.2, RetriesPerWindow: 100, Window: 10 * time.Second})
+	server := proxy.NewServer(platform.Codec{}, k.picker, budget, timer.NewSystem(),
+		proxy.WithKeyProof(func() bool { return checks.Add(1) <= 2 }))
+	server.SetConfig(k.config)
+	k.front.Config.Handler = server
+	got := k.outcome(near, "/unsafe/", withAuthorization("Bearer k1"))
+	if got.Status != http.StatusServiceUnavailable || len(k.runs()) > 0 {
+		t.Errorf("%+v, runs %v", got, k.runs())
+	}
+	checks.Store(-10)
+	if got := k.outcome(near, "/unsafe/", withAuthorization("Bearer k1")); got.Status != http.StatusOK {
+		t.Errorf("afterwards: %+v", got)
+	}
+}
+
+// TestTeamPriority checks that a team's priority replaces the route's on the way to an
+// engine.
+func TestTeamPriority(t *testing.T) {
+	engine := fake.NewTarget(t, "e1", "a1", 0, "m1")
+	k := newKeyRig(t)
+	k.config.Services["s"] = fleet.Service{Name: "s", Engine: &fleet.Engine{Slots: 8}}
+	k.picker.SetTarget(fleet.Target{
+		Identity: fleet.Identity{ID: "e1", Born: 1}, Service: "s", Addr: engine.Addr(), Zone: "a1", Slots: 8,
+		Holding: fleet.Holding{Models: []fleet.Loaded{{Model: "m1"}}},
+	})
+	var got []string
+	for _, key := range []string{"k1", "k2"} {
+		k.call("/stream/", withAuthorization("Bearer "+key), func(req *http.Request) { req.Header.Set("Chivecroft-Model", "m1") })
+	}
+	seen, _ := engine.Seen()
+	for _, h := range seen {
+		got = append(got, h.Get("Chivecroft-Request-Priority"))
+	}
+	if diff := cmp.Diff([]string{"3", "0"}, got); diff != "" {
+		t.Errorf("priorities (-want +got):\n%s", diff)
+	}
+}
+
+// BenchmarkKeyLookup reads the key of a request and finds its team among 100,000 keys; the
+// limit is 2 µs, and what is allocated must not grow with the number of keys.
+func BenchmarkKeyLookup(b *testing.B) {
+	for _, keys := range []int{100, 100_000} {
+		b.Run(fmt.Sprint(keys), func(b *testing.B) {
+			c := &fleet.Config{Teams: make([]fleet.Team, 100)}
+			for i := range keys {
+				team := &c.Teams[i%100]
+				team.Name = fmt.Sprint(i % 100)
+				team.Keys = append(team.Keys, fleet.DigestKey(fmt.Sprintf("sk-%058d", i)))
+			}
+			if err := c.Index(); err != nil {
+				b.Fatal(err)
+			}
+			headers := make([]http.Header, 1024)
+			for i := range headers {
+				headers[i] = http.Header{"Authorization": {fmt.Sprintf("Bearer sk-%058d", i*97%keys)}}
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				if digest, _ := fleet.ParseKey(platform.Codec{}.Key(headers[i%1024])); c.TeamOfDigest(digest) == nil {
+					b.Fatal("the team is not found")
+				}
+			}
+		})
+	}
+}
