--- /dev/null
+++ b/internal/coordination/proof/tracker_test.go
@@ -0,0 +1,304 @@
+package proof_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"chivecroft.example/chivecroft/internal/coordination/proof"
+)
+
+const bound = 5 * time.Second
+
+// written is a configuration in the model's store.
+type written struct {
+	revision uint64
+	invalid  bool
+	at       time.Time
+}
+
+// node is an instance of the model: what its follower and its tracker know.
+type node struct {
+	tracker *proof.Tracker
+	// active is the revision in force, seen the newest one that was read, and through the
+	// store revision up to which all were read, 0 if unknown.
+	active, seen, through uint64
+}
+
+// question is a call of a node to the store or to another node. Its reply may come at any
+// later time, or never.
+type question struct {
+	from    *node
+	askedAt time.Time
+	// after is the revision that a watch continues from.
+	after    uint64
+	isWatch  bool
+	to       *node
+	answered bool
+
+	// The reply of the store.
+	revision uint64
+	events   []written
+	// The reply of another node.
+	note            proof.Proof
+	hasNote         bool
+	active, through uint64
+}
+
+// model is a store and several instances that ask it and each other.
+type model struct {
+	now   time.Time
+	store []written
+	nodes []*node
+	open  []*question
+}
+
+func newModel() *model {
+	m := &model{now: time.Unix(1_000_000, 0), store: []written{{revision: 1, at: time.Unix(999_000, 0)}}}
+	for range 4 {
+		m.nodes = append(m.nodes, &node{tracker: proof.NewTracker()})
+	}
+	return m
+}
+
+func (m *model) last() uint64 { return m.store[len(m.store)-1].revision }
+
+// after returns the configurations after a revision.
+func (m *model) after(revision uint64) []written {
+	var out []written
+	for _, w := range m.store {
+		if w.revision > revision {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// apply handles a configuration as package edge does.
+func (n *node) apply(previous uint64, w written) {
+	if w.revision <= n.seen && previous > 0 {
+		return
+	}
+	n.seen = max(n.seen, w.revision)
+	if w.invalid || w.revision <= n.active {
+		n.tracker.Skip(previous, w.revision)
+		return
+	}
+	n.active = w.revision
+	n.tracker.Activate(w.revision)
+}
+
+// answer computes a reply as of now.
+func (m *model) answer(q *question) {
+	q.answered = true
+	switch {
+	case q.to != nil:
+		if q.to.through > 0 && !q.to.tracker.HasGap() {
+			q.through = q.to.through
+		}
+		q.active = q.to.active
+		q.note, q.hasNote = q.to.tracker.Proof(m.now)
+	case q.isWatch:
+		q.events, q.revision = m.after(q.after), m.last()
+	default:
+		q.events, q.revision = m.store[len(m.store)-1:], m.last()
+	}
+}
+
+// deliver applies a reply. A node does one thing at a time, so a reply to an outdated watch
+// does not come any more.
+func (m *model) deliver(q *question) {
+	n := q.from
+	switch {
+	case q.to != nil:
+		m.deliverNote(q)
+	case q.isWatch && q.after != n.through:
+	default:
+		for _, w := range q.events {
+			previous := uint64(0)
+			if q.isWatch {
+				previous = n.seen
+			}
+			n.apply(previous, w)
+		}
+		n.through = max(q.revision, n.through)
+		n.tracker.RecordOwn(q.askedAt, n.seen)
+	}
+}
+
+// deliverNote applies the reply of another node, with its configuration if that is newer.
+func (m *model) deliverNote(q *question) {
+	n := q.from
+	if q.hasNote {
+		n.tracker.RecordReply(q.askedAt, q.note)
+	}
+	switch {
+	case q.active > n.seen:
+		n.apply(0, written{revision: q.active})
+		n.through = q.active
+	case q.through > 0:
+		n.through = q.through
+	}
+}
+
+// check fails if a node accepts keys although a newer configuration is older than the
+// bound.
+func (m *model) check(t *rapid.T) {
+	limit := bound - proof.Margin
+	for i, n := range m.nodes {
+		if !n.tracker.Accepts(m.now, bound) {
+			continue
+		}
+		for _, w := range m.store {
+			if age := m.now.Sub(w.at); !w.invalid && w.revision > n.active && age > limit {
+				t.Fatalf("instance %d accepts keys of revision %d, %v after revision %d", i, n.active, age, w.revision)
+			}
+		}
+	}
+}
+
+// TestNoKeyOutlivesItsBound plays a store, a holder, readers and instances that ask each
+// other, with replies that are late or lost and freezes of any length, which are times in
+// which an instance does nothing. No instance may accept keys of a configuration longer
+// than the bound after a newer one.
+func TestNoKeyOutlivesItsBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel()
+		draw := func(label string) *node { return rapid.SampledFrom(m.nodes).Draw(t, label) }
+		t.Repeat(map[string]func(*rapid.T){
+			"": m.check,
+			"write": func(t *rapid.T) {
+				next := m.last() + uint64(rapid.IntRange(1, 3).Draw(t, "step"))
+				m.store = append(m.store, written{next, rapid.Bool().Draw(t, "invalid"), m.now})
+			},
+			"wait": func(t *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"list": func(*rapid.T) {
+				m.open = append(m.open, &question{from: draw("from"), askedAt: m.now})
+			},
+			"watch": func(t *rapid.T) {
+				n := draw("from")
+				if n.through == 0 {
+					t.Skip("nothing to continue from")
+				}
+				m.open = append(m.open, &question{from: n, askedAt: m.now, isWatch: true, after: n.through})
+			},
+			"ask": func(t *rapid.T) {
+				from, to := draw("from"), draw("to")
+				if from == to {
+					t.Skip("no question to itself")
+				}
+				m.open = append(m.open, &question{from: from, askedAt: m.now, to: to})
+			},
+			"answer": func(t *rapid.T) {
+				if q := m.draw(t); !q.answered {
+					m.answer(q)
+				}
+			},
+			"deliver": func(t *rapid.T) {
+				if q := m.draw(t); q.answered {
+					m.deliver(q)
+				}
+			},
+			"restart": func(*rapid.T) {
+				n := draw("instance")
+				*n = node{tracker: proof.NewTracker()}
+				m.open = nil
+			},
+		})
+	})
+}
+
+func (m *model) draw(t *rapid.T) *question {
+	if len(m.open) == 0 {
+		t.Skip("no question is open")
+	}
+	return rapid.SampledFrom(m.open).Draw(t, "question")
+}
+
+// TestProofCounts checks that a proof counts from the moment before its question, with the
+// age that another instance gave, and only for the configuration that it is of.
+func TestProofCounts(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	age := func(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
+	for _, c := range []struct {
+		name string
+		do   func(*proof.Tracker)
+		// want is the age at 1000 ms, below 0 for no proof.
+		want time.Duration
+	}{
+		{"nothing known", func(*proof.Tracker) {}, -1},
+		{"active without a proof", func(k *proof.Tracker) { k.Activate(7) }, -1},
+		{"own", func(k *proof.Tracker) { k.Activate(7); k.RecordOwn(at(400), 7) }, age(600)},
+		{"own before it is active", func(k *proof.Tracker) { k.RecordOwn(at(400), 7); k.Activate(7) }, age(600)},
+		{"another's", func(k *proof.Tracker) {
+			k.Activate(7)
+			k.RecordReply(at(900), proof.Proof{Revision: 7, Age: age(300)})
+		}, age(400)},
+		{"an older one later", func(k *proof.Tracker) {
+			k.Activate(7)
+			k.RecordOwn(at(800), 7)
+			k.RecordReply(at(900), proof.Proof{Revision: 7, Age: age(300)})
+		}, age(200)},
+		{"of an older configuration", func(k *proof.Tracker) {
+			k.Activate(7)
+			k.RecordReply(at(900), proof.Proof{Revision: 6})
+		}, -1},
+		{"of a newer configuration", func(k *proof.Tracker) {
+			k.Activate(7)
+			k.RecordReply(at(900), proof.Proof{Revision: 8})
+		}, -1},
+		{"kept when a newer one is active", func(k *proof.Tracker) {
+			k.Activate(7)
+			k.RecordOwn(at(400), 7)
+			k.Activate(8)
+		}, age(600)},
+		{"past a rejected one", func(k *proof.Tracker) {
+			k.Activate(7)
+			k.Skip(7, 9)
+			k.RecordOwn(at(400), 9)
+		}, age(600)},
+		{"past a rejected one and an unseen one", func(k *proof.Tracker) {
+			k.Activate(7)
+			k.Skip(8, 9)
+			k.RecordOwn(at(400), 9)
+		}, -1},
+		{"own, although a newer one is known", func(k *proof.Tracker) {
+			k.Activate(7)
+			k.RecordReply(at(300), proof.Proof{Revision: 8})
+			k.RecordOwn(at(400), 7)
+		}, -1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			k := proof.NewTracker()
+			c.do(k)
+			got := time.Duration(-1)
+			if p, ok := k.Proof(at(1000)); ok {
+				got = p.Age
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("age (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestMargin checks that keys are no longer accepted a margin before the bound.
+func TestMargin(t *testing.T) {
+	k := proof.NewTracker()
+	start := time.Unix(1_000_000, 0)
+	k.Activate(1)
+	k.RecordOwn(start, 1)
+	for _, c := range []struct {
+		after time.Duration
+		want  bool
+	}{{0, true}, {bound - proof.Margin - 1, true}, {bound - proof.Margin, false}, {time.Hour, false}} {
+		if got := k.Accepts(start.Add(c.after), bound); got != c.want {
+			t.Errorf("after %v: %t", c.after, got)
+		}
+	}
+}
