--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -89,6 +89,8 @@
 	// keys were accepted at the last check.
 	proofs    *proof.Tracker
 	wasProven atomic.Bool
+	// activeItem is used by the follower of the configuration alone.
+	activeItem activeItem
 
 	loopCtx   context.Context //nolint:containedctx // ends the loops at Stop
 	stopLoops context.CancelFunc
@@ -318,7 +320,7 @@
 		e.skipConfig(previous, item)
 		return
 	}
-	if have := e.config.Load(); have != nil && have.Version >= c.Version && !e.isRewritten(item) {
+	if have := e.config.Load(); have != nil && have.Version >= c.Version && !e.activeItem.isRewrittenAs(item) {
 		e.skipConfig(previous, item)
 		return
 	}
@@ -327,6 +329,7 @@
 	// The instance may report that it is ready only from here on.
 	e.config.Store(c)
 	e.updateSnapshot(item)
+	e.activeItem = newActiveItem(item)
 	e.proofs.Activate(uint64(item.Revision))
 	e.log.Info().Int64("version", c.Version).Uint64("revision", uint64(item.Revision)).
 		Int("routes", len(c.Routes)).Int("bytes", len(item.Value)).Msg("configuration active")
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -35,10 +35,16 @@
 	edges   []*Edge
 	// cut makes an instance's calls to the store fail.
 	cut map[string]*atomic.Bool
+	// apart makes an instance's calls to other instances fail.
+	apart map[string]*atomic.Bool
+	// teams are those of configurations written from now on, and revocation the bound of
+	// instances started from now on.
+	teams      []fake.Team
+	revocation time.Duration
 }
 
 func newRig(t *testing.T, instances int) *rig {
-	r := &rig{t: t, store: fake.NewStore(t), targets: make(map[string]*fake.Target), cut: make(map[string]*atomic.Bool)}
+	r := &rig{t: t, store: fake.NewStore(t), targets: make(map[string]*fake.Target), cut: make(map[string]*atomic.Bool), apart: make(map[string]*atomic.Bool)}
 	r.config(1, "/app/")
 	r.target("llm", fake.NewTarget(t, "e1", "a1", 50*time.Millisecond, "m1", "m2"))
 	r.target("llm", fake.NewTarget(t, "e2", "a1", 50*time.Millisecond, "m3", "m4"))
@@ -68,7 +74,9 @@
 			{"name": "chat", "host": "x.example", "path_prefix": "/chat/", "kind": "streaming", "sticky": true, "timeout_ms": 8000, "service": "llm", "max_attempts": 1},
 			{"name": "draft", "host": "x.example", "path_prefix": "/draft/", "kind": "streaming", "resumable": true, "sticky": true, "timeout_ms": 4000, "service": "llm", "max_attempts": 2},
 			{"name": "app", "host": "x.example", "path_prefix": prefix, "kind": "unsafe", "timeout_ms": 2000, "service": "desk", "max_attempts": 1},
+			{"name": "open", "host": "x.example", "path_prefix": "/open/", "kind": "unsafe", "timeout_ms": 2000, "service": "desk", "max_attempts": 1, "public": true},
 		},
+		"tenants": r.teams,
 		"services": []map[string]any{
 			{"name": "desk"},
 			{"name": "llm", "engine": map[string]any{"slots": 8, "weights_mb": 200, "adapter_slots": 2, "loads_per_s": 4, "models": models}},
@@ -89,10 +97,12 @@
 		StoreTTLMin: time.Second,
 		Bounds: platform.Bounds{
 			StopGrace: 8 * time.Second, OrderHandover: 3 * time.Second, RetryRatio: 0.2, RetryExtra: 50,
-			RetryWindow: 10 * time.Second, LoadWindow: 5 * time.Second,
+			RetryWindow: 10 * time.Second, LoadWindow: 5 * time.Second, Revocation: r.revocation,
 		},
 	}
 	e := New(boot, discardLogger())
+	r.apart[name] = new(atomic.Bool)
+	e.peerClient.http.Transport = cuttable{e.peerClient.http.Transport, r.apart[name]}
 	if err := e.Start(r.t.Context()); err != nil {
 		r.t.Fatal(err)
 	}
@@ -151,6 +161,11 @@
 }
 
 func (r *rig) call(e *Edge, path, model string) (int, string) {
+	return r.callWithKey(e, path, model, "")
+}
+
+// callWithKey calls with an API key, unless that is empty.
+func (r *rig) callWithKey(e *Edge, path, model, key string) (int, string) {
 	ctx, cancel := context.WithTimeout(r.t.Context(), 10*time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost,
@@ -163,6 +178,9 @@
 	if model != "" {
 		req.Header.Set("Chivecroft-Model", model)
 	}
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, err.Error()
--- a/internal/edge/proof.go
+++ b/internal/edge/proof.go
@@ -1,8 +1,8 @@
 package edge
 
 import (
-	"bytes"
 	"context"
+	"crypto/sha256"
 	"net/http"
 	"strconv"
 	"strings"
@@ -19,6 +19,8 @@
 	strictWatchTimeout = 750 * time.Millisecond
 	// proofCheckInterval is the interval at which the age of the proof is recorded.
 	proofCheckInterval = 250 * time.Millisecond
+	// maxProofAge is the age above which a proof is of no use to anybody.
+	maxProofAge = time.Hour
 	// headerProof holds the proof of an instance in a reply to /config: its revision and
 	// its age in milliseconds, separated by a space.
 	headerProof = "X-Proof"
@@ -42,7 +44,7 @@
 
 // acceptProof records the proof in a reply to a question sent after askedAt.
 func (e *Edge) acceptProof(askedAt time.Time, n *proofNote) {
-	if n == nil || n.AgeMS < 0 {
+	if n == nil || n.AgeMS < 0 || n.AgeMS > maxProofAge.Milliseconds() {
 		return
 	}
 	e.proofs.RecordReply(askedAt, proof.Proof{Revision: n.Revision, Age: time.Duration(n.AgeMS) * time.Millisecond})
@@ -92,19 +94,19 @@
 	e.proofs.Skip(uint64(previous), uint64(item.Revision))
 }
 
-// isRewritten reports whether an item has the value of the active configuration, written
-// once more.
-func (e *Edge) isRewritten(item ports.Item) bool {
-	s := e.snapshot.Load()
-	if s == nil || s.revision >= item.Revision {
-		return false
-	}
-	active, err := s.item()
-	if err != nil {
-		e.log.Error().Err(err).Msg("cannot read the active configuration")
-		return false
-	}
-	return bytes.Equal(active.Value, item.Value)
+// activeItem identifies the value of the active configuration in the store.
+type activeItem struct {
+	revision ports.Revision
+	digest   [sha256.Size]byte
+}
+
+func newActiveItem(item ports.Item) activeItem {
+	return activeItem{revision: item.Revision, digest: sha256.Sum256(item.Value)}
+}
+
+// isRewrittenAs reports whether an item holds the same value, written once more.
+func (a *activeItem) isRewrittenAs(item ports.Item) bool {
+	return item.Revision > a.revision && sha256.Sum256(item.Value) == a.digest
 }
 
 // isRevocationBounded reports whether a key must be accepted nowhere some time after its
