Proxy: the end check covers streams of leaving targets

Cause: endChecker answered "not ended" for every target known to be leaving, an exemption that is meant for accusing prompt parts. checkStreamEnd relied on the same answer, so a stream without a length of a leaving target looked complete when the target ended in the middle.

Change: the check finds out both whether a target has ended and whether it did so unplanned. hasEnded decides on bodies that end with their connection, hasCrashed on accusations.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -137,7 +137,8 @@
 	e.crashes = crash.NewMonitor(e.timer, crash.WithUrgency(e.signalDemand), crash.WithObserver(e.onBlockChange))
 	e.ends = newEndChecker(e.picker.IsLeaving, e.onTargetEnd)
 	e.proxy = proxy.NewServer(platform.Codec{}, e.picker, e.budget, e.timer, proxy.WithLogger(l),
-		proxy.WithObserver(e.metrics.requestEnded), proxy.WithCrashes(e.crashes, e.ends.hasEnded))
+		proxy.WithObserver(e.metrics.requestEnded), proxy.WithCrashes(e.crashes, e.ends.hasCrashed),
+		proxy.WithEndCheck(e.ends.hasEnded))
 	for _, opt := range opts {
 		opt(e)
 	}
--- a/internal/edge/ends.go
+++ b/internal/edge/ends.go
@@ -29,47 +29,68 @@
 	// onEnd is called once for each target that has ended unplanned.
 	onEnd func(fleet.Target)
 
-	mu    sync.Mutex
-	ended *recent.Set[fleet.Identity]
+	mu sync.Mutex
+	// gone holds the targets that have ended, unplanned those of them that were not about
+	// to end as planned.
+	gone, unplanned *recent.Set[fleet.Identity]
 	// running holds the checks under way.
 	running map[fleet.Identity]*endCheck
 }
 
+// endCheck is one check of a target. Its result is valid once done is closed.
 type endCheck struct {
-	done  chan struct{}
-	ended bool
+	done   chan struct{}
+	result endResult
+}
+
+// endResult tells whether a target has ended, and whether it did so unplanned.
+type endResult struct {
+	isGone, isUnplanned bool
 }
 
 func newEndChecker(isLeaving func(fleet.Identity) bool, onEnd func(fleet.Target)) *endChecker {
 	return &endChecker{
 		engines: platform.NewEngines(), isLeaving: isLeaving, onEnd: onEnd,
-		ended: recent.NewSet[fleet.Identity](maxKnownEnds), running: make(map[fleet.Identity]*endCheck),
+		gone: recent.NewSet[fleet.Identity](maxKnownEnds), unplanned: recent.NewSet[fleet.Identity](maxKnownEnds),
+		running: make(map[fleet.Identity]*endCheck),
 	}
 }
 
-// hasEnded reports whether a target has ended unplanned. All requests that break off at a
-// target at the same time share one check.
+// hasCrashed reports whether a target has ended unplanned, so that a request may be to
+// blame.
+func (c *endChecker) hasCrashed(ctx context.Context, target fleet.Target) bool {
+	return c.check(ctx, target).isUnplanned
+}
+
+// hasEnded reports whether a target has ended, planned or not, so that what it was sending
+// may have broken off.
 func (c *endChecker) hasEnded(ctx context.Context, target fleet.Target) bool {
+	return c.check(ctx, target).isGone
+}
+
+// check returns what is known of a target after endCheckTimeout at the latest. All requests
+// that break off at a target at the same time share one check.
+func (c *endChecker) check(ctx context.Context, target fleet.Target) endResult {
 	check, known := c.start(target)
-	if known {
-		return true
+	if known.isGone {
+		return known
 	}
 	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
 	defer cancel()
 	select {
 	case <-check.done:
-		return check.ended
+		return check.result
 	case <-ctx.Done():
-		return false
+		return endResult{}
 	}
 }
 
-// start returns the check of a target, or true if it is known to have ended.
-func (c *endChecker) start(target fleet.Target) (*endCheck, bool) {
+// start returns the check of a target, or the result if it is known to have ended.
+func (c *endChecker) start(target fleet.Target) (*endCheck, endResult) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ended.Has(target.Identity) {
-		return nil, true
+	if c.gone.Has(target.Identity) {
+		return nil, endResult{isGone: true, isUnplanned: c.unplanned.Has(target.Identity)}
 	}
 	check := c.running[target.Identity]
 	if check == nil {
@@ -77,21 +98,26 @@
 		c.running[target.Identity] = check
 		go c.run(check, target)
 	}
-	return check, false
+	return check, endResult{}
 }
 
 func (c *endChecker) run(check *endCheck, target fleet.Target) {
-	ended := !c.isLeaving(target.Identity) && c.isGone(target)
+	wasLeaving := c.isLeaving(target.Identity)
+	isGone := c.isGone(target)
+	result := endResult{isGone: isGone, isUnplanned: isGone && !wasLeaving}
 	c.mu.Lock()
 	delete(c.running, target.Identity)
-	if ended {
-		c.ended.Add(target.Identity)
+	if result.isGone {
+		c.gone.Add(target.Identity)
+	}
+	if result.isUnplanned {
+		c.unplanned.Add(target.Identity)
 	}
 	c.mu.Unlock()
-	if ended {
+	if result.isUnplanned {
 		c.onEnd(target)
 	}
-	check.ended = ended
+	check.result = result
 	close(check.done)
 }
 
--- a/internal/transport/proxy/crash.go
+++ b/internal/transport/proxy/crash.go
@@ -93,7 +93,7 @@
 	})
 }
 
-// checkTarget finds out whether the target of a request that broke off has ended, and
+// checkTarget finds out whether the target of a request that broke off has crashed, and
 // whether the request itself may be to blame. Then it must not be sent again.
 func (x *exchange) checkTarget(a *attempt) {
 	defer a.flight.End()
@@ -104,7 +104,7 @@
 	if a.flight.IsProved() || x.ctx.Err() != nil || !isBroken(a.err) {
 		return
 	}
-	a.targetEnded = x.s.hasEnded(x.ctx, a.reservation.Target)
+	a.targetEnded = x.s.hasCrashed(x.ctx, a.reservation.Target)
 	if a.targetEnded {
 		x.mustNotSend = !a.flight.Broke()
 	}
--- a/internal/transport/proxy/server.go
+++ b/internal/transport/proxy/server.go
@@ -46,10 +46,10 @@
 	log       *log.Logger
 	transport http.RoundTripper
 	onEnded   func(Ended)
-	// crashes knows which requests crash targets. hasEnded reports whether a target at
-	// which a request broke off has ended.
-	crashes  *crash.Monitor
-	hasEnded func(context.Context, fleet.Target) bool
+	// crashes knows which requests crash targets. hasCrashed reports whether a target at
+	// which a request broke off has ended unplanned, hasEnded whether it has ended at all.
+	crashes              *crash.Monitor
+	hasCrashed, hasEnded func(context.Context, fleet.Target) bool
 
 	config atomic.Pointer[fleet.Config]
 	// closing makes responses close their connections. refusing refuses new requests.
@@ -72,10 +72,16 @@
 }
 
 // WithCrashes sets what knows which requests crash targets, and what finds out whether a
-// target at which a request broke off has ended. The latter waits for no longer than a
-// request may be held up.
-func WithCrashes(m *crash.Monitor, hasEnded func(context.Context, fleet.Target) bool) Option {
-	return func(s *Server) { s.crashes, s.hasEnded = m, hasEnded }
+// target at which a request broke off has ended unplanned. The latter waits for no longer
+// than a request may be held up.
+func WithCrashes(m *crash.Monitor, hasCrashed func(context.Context, fleet.Target) bool) Option {
+	return func(s *Server) { s.crashes, s.hasCrashed = m, hasCrashed }
+}
+
+// WithEndCheck sets what finds out whether a target has ended, planned or not. It waits for
+// no longer than a request may be held up.
+func WithEndCheck(hasEnded func(context.Context, fleet.Target) bool) Option {
+	return func(s *Server) { s.hasEnded = hasEnded }
 }
 
 // WithTransport replaces the HTTP transport to targets.
@@ -88,11 +94,12 @@
 func NewServer(codec Codec, p *picker.Picker, budget *retry.Budget, t timer.Service, opts ...Option) *Server {
 	s := &Server{
 		codec: codec, picker: p, budget: budget, timer: t,
-		log:       &log.Logger{Level: log.ErrorLevel},
-		transport: gate.NewDialer(gate.WithSilence(targetSilenceTimeout)).Transport(nil),
-		onEnded:   func(Ended) {},
-		crashes:   crash.NewMonitor(t),
-		hasEnded:  func(context.Context, fleet.Target) bool { return false },
+		log:        &log.Logger{Level: log.ErrorLevel},
+		transport:  gate.NewDialer(gate.WithSilence(targetSilenceTimeout)).Transport(nil),
+		onEnded:    func(Ended) {},
+		crashes:    crash.NewMonitor(t),
+		hasCrashed: func(context.Context, fleet.Target) bool { return false },
+		hasEnded:   func(context.Context, fleet.Target) bool { return false },
 	}
 	for _, opt := range opts {
 		opt(s)
