End check: a connection that breaks is not an answer

Cause: only a refused connection counted as the end of a target. The kernel still accepts the check's connection while it closes those of a process that is killed, and resets it then, so that the target was taken for alive. A request could also join a check that had been answered before the target ended.

A request that joined a check which found the target alive waits for the next one, within the same timeout as before.

--- a/internal/edge/ends.go
+++ b/internal/edge/ends.go
@@ -16,6 +16,8 @@
 	// endCheckTimeout limits how long a request that broke off waits until it is known
 	// whether its target has ended.
 	endCheckTimeout = 250 * time.Millisecond
+	// endCheckInterval is the time between two questions of a check.
+	endCheckInterval = 10 * time.Millisecond
 	// maxKnownEnds limits the ended targets that are remembered.
 	maxKnownEnds = 1024
 )
@@ -68,37 +70,45 @@
 	return c.check(ctx, target).isGone
 }
 
-// check returns what is known of a target after endCheckTimeout at the latest. All requests
-// that break off at a target at the same time share one check.
+// check returns what is known of a target after endCheckTimeout at the latest. Requests
+// that break off at a target at the same time share checks. The answer of a check that
+// was under way before may be older than the end of the target, so that after one that
+// found it alive the next one counts.
 func (c *endChecker) check(ctx context.Context, target fleet.Target) endResult {
-	check, known := c.start(target)
-	if known.isGone {
-		return known
-	}
 	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
 	defer cancel()
-	select {
-	case <-check.done:
-		return check.result
-	case <-ctx.Done():
-		return endResult{}
+	for isSecond := false; ; isSecond = true {
+		check, isNew, known := c.start(target)
+		if known.isGone {
+			return known
+		}
+		select {
+		case <-check.done:
+		case <-ctx.Done():
+			return endResult{}
+		}
+		if isNew || isSecond || check.result.isGone {
+			return check.result
+		}
 	}
 }
 
-// start returns the check of a target, or the result if it is known to have ended.
-func (c *endChecker) start(target fleet.Target) (*endCheck, endResult) {
+// start returns the check of a target and whether it has just begun, or the result if the
+// target is known to have ended.
+func (c *endChecker) start(target fleet.Target) (check *endCheck, isNew bool, known endResult) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.gone.Has(target.Identity) {
-		return nil, endResult{isGone: true, isUnplanned: c.unplanned.Has(target.Identity)}
+		return nil, false, endResult{isGone: true, isUnplanned: c.unplanned.Has(target.Identity)}
 	}
-	check := c.running[target.Identity]
-	if check == nil {
-		check = &endCheck{done: make(chan struct{})}
-		c.running[target.Identity] = check
-		go c.run(check, target)
+	check = c.running[target.Identity]
+	if check != nil {
+		return check, false, endResult{}
 	}
-	return check, endResult{}
+	check = &endCheck{done: make(chan struct{})}
+	c.running[target.Identity] = check
+	go c.run(check, target)
+	return check, true, endResult{}
 }
 
 func (c *endChecker) run(check *endCheck, target fleet.Target) {
@@ -123,12 +133,27 @@
 
 // isGone reports whether nothing listens at a target's address any more, or another
 // incarnation does. A target that does not respond may only be cut off.
+//
+// The kernel closes the connections of a process that is killed one after the other, and
+// still accepts new ones until it closes the listener. So a connection that breaks before
+// its answer tells nothing yet, and the target is asked again.
 func (c *endChecker) isGone(target fleet.Target) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
 	defer cancel()
-	report, err := c.engines.Report(ctx, target.Addr)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+	for {
+		report, err := c.engines.Report(ctx, target.Addr)
+		switch {
+		case err == nil:
+			return report.Born != 0 && report.Born != target.Born
+		case errors.Is(err, syscall.ECONNREFUSED):
+			return true
+		case errors.Is(err, platform.ErrNoReport):
+			return false
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(endCheckInterval):
+		}
 	}
-	return report.Born != 0 && report.Born != target.Born
 }
--- a/internal/edge/ends_test.go
+++ b/internal/edge/ends_test.go
@@ -1,10 +1,14 @@
 package edge
 
 import (
+	"context"
 	"io"
+	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"testing"
+	"time"
 
 	"chivecroft.example/chivecroft/internal/state/fleet"
 	"chivecroft.example/chivecroft/platform/fake"
@@ -86,3 +90,93 @@
 		}
 	}
 }
+
+// listener accepts connections on a loopback address and calls serve for each.
+func listener(t *testing.T, serve func(net.Listener, net.Conn)) netip.AddrPort {
+	var lc net.ListenConfig
+	l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			serve(l, conn)
+		}
+	}()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// reset closes a connection with a reset.
+func reset(conn net.Conn) {
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	_ = conn.Close()
+}
+
+// TestCheckOfATargetBeingKilled guards against taking a target for alive whose process is
+// being killed: the kernel still accepts connections and then breaks them. A target that
+// breaks all connections but listens has not ended, and is not asked for longer than a
+// request may be held up.
+func TestCheckOfATargetBeingKilled(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		serve func(net.Listener, net.Conn)
+		want  bool
+	}{
+		{"reset, then refused", func(l net.Listener, conn net.Conn) {
+			reset(conn)
+			_ = l.Close()
+		}, true},
+		{"closed, then refused", func(l net.Listener, conn net.Conn) {
+			_ = conn.Close()
+			_ = l.Close()
+		}, true},
+		{"always reset", func(_ net.Listener, conn net.Conn) { reset(conn) }, false},
+		{"silent", func(net.Listener, net.Conn) {}, false},
+		{"without reports", func(_ net.Listener, conn net.Conn) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			target := fleet.Target{Identity: fleet.Identity{ID: "e1", Born: 1}, Addr: listener(t, c.serve)}
+			ends := newEndChecker(func(fleet.Identity) bool { return false }, func(fleet.Target) {})
+			start := time.Now()
+			if got := ends.hasEnded(t.Context(), target); got != c.want {
+				t.Errorf("ended %t, want %t", got, c.want)
+			}
+			if took := time.Since(start); took > 2*endCheckTimeout {
+				t.Errorf("held for %v", took)
+			}
+		})
+	}
+}
+
+// TestLaterEndIsNotMissed guards against a check that was answered before the target ended
+// and that decides on a request that broke off after it.
+func TestLaterEndIsNotMissed(t *testing.T) {
+	asked, answer := make(chan struct{}), make(chan struct{})
+	addr := listener(t, func(l net.Listener, conn net.Conn) {
+		close(asked)
+		<-answer
+		_ = l.Close()
+		_, _ = io.WriteString(conn, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+	})
+	target := fleet.Target{Identity: fleet.Identity{ID: "e1", Born: 1}, Addr: addr}
+	ends := newEndChecker(func(fleet.Identity) bool { return false }, func(fleet.Target) {})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go ends.hasEnded(ctx, target)
+	<-asked
+	later := make(chan bool, 1)
+	go func() { later <- ends.hasEnded(t.Context(), target) }()
+	time.Sleep(20 * time.Millisecond)
+	close(answer)
+	if !<-later {
+		t.Error("a target that has ended is taken for alive")
+	}
+}
