Proxy: the end of a plain answer without a length is checked

Cause: relay and relayLarge took the end of the connection for the end of the body, and relay added a length of its own. The kernel closes the connections of a killed process without a reset, so half an answer looked complete.

Change: a body that marks no end of its own is relayed as complete only if the target has not ended. Else the request fails like one whose connection broke: a safe one is sent again, an unsafe one gets 502, and a large answer whose head has been relayed is cut. A large answer that broke off no longer proves the parts of its prompt.

Result: TestEndOfAnUnframedAnswer fails before ("broken" got 200 in place of 502) and passes now; the package passes with -race.

--- a/internal/transport/proxy/broken_test.go
+++ b/internal/transport/proxy/broken_test.go
@@ -149,3 +149,41 @@
 		}
 	}
 }
+
+// TestEndOfAnUnframedAnswer guards against half an answer without a length that looks
+// complete since its target has ended. A request that may run twice is sent again unless
+// the head of the answer has been relayed.
+func TestEndOfAnUnframedAnswer(t *testing.T) {
+	small, large := strings.Repeat("x", 400), strings.Repeat("x", 200_000)
+	for _, c := range []struct {
+		name, path, body string
+		hasEnded         bool
+		want             answer
+	}{
+		{"whole", "/unsafe/", small, false, answer{Status: http.StatusOK, Body: small, Signed: "sig-near"}},
+		{"whole and large", "/unsafe/", large, false, answer{Status: http.StatusOK, Body: large, Signed: "sig-near"}},
+		{"broken", "/unsafe/", small, true, answer{Status: http.StatusBadGateway}},
+		{"broken, empty", "/unsafe/", "", true, answer{Status: http.StatusBadGateway}},
+		{"broken, may run twice", "/safe/", small, true, answer{Status: http.StatusOK, Body: "answer of far", Signed: "sig-far"}},
+		{"broken and large", "/unsafe/", large, true, answer{Status: http.StatusOK, Body: large, Signed: "sig-near", Cut: true}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			near, far := newTwoTargets(t)
+			r := newRig(t, near, far)
+			r.nearEnded.Store(c.hasEnded)
+			near.Behave(func(w http.ResponseWriter, req *http.Request) {
+				near.Sign(w, req)
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer conn.Close()
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+				_ = w.Header().Write(conn)
+				_, _ = io.WriteString(conn, "\r\n"+c.body)
+			})
+			r.expect(c.path, c.want)
+		})
+	}
+}
--- a/internal/transport/proxy/events.go
+++ b/internal/transport/proxy/events.go
@@ -37,7 +37,7 @@
 	errEventTooLong   = errors.New("event of the stream exceeds the size limit")
 	errNotEvent       = errors.New("stream contains the head of another response")
 	errNoEvents       = errors.New("stream ended with its connection before its first event")
-	errTargetEnded    = errors.New("stream ended with its connection, and its target has ended")
+	errTargetEnded    = errors.New("body ended with its connection, and its target has ended")
 	errStalled        = errors.New("stream stalled: it sends bytes but no events")
 )
 
--- a/internal/transport/proxy/proxy_test.go
+++ b/internal/transport/proxy/proxy_test.go
@@ -35,6 +35,8 @@
 	front   *httptest.Server
 	targets []*fake.Target
 	ids     atomic.Int64
+	// nearEnded is the result of the check whether the target "near" has ended.
+	nearEnded atomic.Bool
 }
 
 // routeTimeout is the timeout of all routes.
@@ -46,7 +48,8 @@
 	r.picker = picker.New(clock, "a1", map[string]string{"a1": "a"})
 	budget := retry.NewBudget(retry.Limits{RetriesPerRequest: 0.2, RetriesPerWindow: 100, Window: 10 * time.Second})
 	budget.SetInstances(1)
-	r.server = proxy.NewServer(platform.Codec{}, r.picker, budget, clock)
+	r.server = proxy.NewServer(platform.Codec{}, r.picker, budget, clock,
+		proxy.WithEndCheck(func(_ context.Context, target fleet.Target) bool { return target.ID == "near" && r.nearEnded.Load() }))
 	c := &fleet.Config{Version: 1, Services: map[string]fleet.Service{"s": {Name: "s"}}}
 	r.config = c
 	route := func(name string, kind fleet.Kind, resumable bool, attempts int) {
--- a/internal/transport/proxy/relay.go
+++ b/internal/transport/proxy/relay.go
@@ -38,6 +38,10 @@
 		x.relayLarge(a, body)
 		return true
 	}
+	if err := x.checkBodyEnd(a); err != nil {
+		a.err = err
+		return x.handleFailed(a)
+	}
 	a.flight.Complete()
 	a.finish(true, a.reply.outcome(picker.Outcome{Failed: a.resp.StatusCode >= 500}))
 	x.copyHeaders(a.resp)
@@ -48,6 +52,24 @@
 	return true
 }
 
+// checkBodyEnd returns an error if a body that was read to its end may have broken off. One
+// that ends with its connection looks the same if its target has ended in the middle.
+func (x *exchange) checkBodyEnd(a *attempt) error {
+	if x.isFramed(a.resp) {
+		return nil
+	}
+	if x.s.hasEnded(x.ctx, a.reservation.Target) {
+		return errTargetEnded
+	}
+	// The check may not have come to an end.
+	return x.ctx.Err()
+}
+
+// isFramed reports whether a response marks the end of its body itself.
+func (x *exchange) isFramed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || x.r.Method == http.MethodHead
+}
+
 // relayLarge relays a response as it comes, after the prefix that was read. If it breaks
 // off, the caller's response is cut as well, since its head has been sent.
 func (x *exchange) relayLarge(a *attempt, prefix []byte) {
@@ -58,7 +80,12 @@
 	x.setOutcome(a.resp.StatusCode, ReasonAnswered)
 	x.w.WriteHeader(a.resp.StatusCode)
 	err := x.copyRest(a, prefix)
-	a.flight.Complete()
+	if err == nil {
+		err = x.checkBodyEnd(a)
+	}
+	if err == nil {
+		a.flight.Complete()
+	}
 	expired := x.ctx.Err() != nil
 	failed := !expired && (err != nil || a.resp.StatusCode >= 500)
 	a.finish(err == nil, a.reply.outcome(picker.Outcome{Failed: failed}))
@@ -66,6 +93,7 @@
 		return
 	}
 	a.err = err
+	x.checkTarget(a)
 	x.reason = "answerCut"
 	x.logDecision(a, "cut")
 	x.abortStream()
--- a/internal/transport/proxy/stream.go
+++ b/internal/transport/proxy/stream.go
@@ -84,18 +84,12 @@
 }
 
 // checkStreamEnd returns an error if a stream that has ended between two events may have
-// broken off. A body that ends with its connection looks the same if its target has ended.
+// broken off.
 func (x *exchange) checkStreamEnd(a *attempt, relayed bool) error {
-	isFramed := a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0
-	switch {
-	case isFramed:
-		return nil
-	case !relayed:
+	if !relayed && !x.isFramed(a.resp) {
 		return errNoEvents
-	case x.s.hasEnded(x.ctx, a.reservation.Target):
-		return errTargetEnded
 	}
-	return nil
+	return x.checkBodyEnd(a)
 }
 
 // recordEventGap records the longest time between two events.
