Election: a raised lease_ms takes effect at a reload

Cause: Bounds.OrderHandover was handed to elect.NewPart once at the start. After a reload with a higher lease_ms the next holder still waited for the former value, so that two holders ordered within lease_ms.

Change: the event elect.SetHandover changes the handover of a running Part. A wait for a former holder that has begun becomes longer, and the record is written at its new end; a term in which orders may have been sent goes on.

--- a/internal/coordination/elect/elect_test.go
+++ b/internal/coordination/elect/elect_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -32,6 +33,8 @@
 	// lastOrderAt is when the instance holder could last have sent an order.
 	lastOrderAt time.Time
 	holder      int
+	// handover is the minimum time between the orders of two instances.
+	handover time.Duration
 	// violation describes two instances that could send orders too close together.
 	violation string
 	terms     int
@@ -48,7 +51,7 @@
 
 func newFixture(n int, seed uint64) *fixture {
 	r := &fixture{
-		timer: timer.NewVirtual(time.Unix(1_000_000, 0)), random: rand.New(rand.NewPCG(seed, 1)), holder: -1,
+		timer: timer.NewVirtual(time.Unix(1_000_000, 0)), random: rand.New(rand.NewPCG(seed, 1)), holder: -1, handover: testHandover,
 	}
 	r.store = kvmem.NewStore(r.timer)
 	for range n {
@@ -67,7 +70,7 @@
 
 func (r *fixture) start(i int) {
 	nd := r.nodes[i]
-	part := NewPart(address(i), testTTL, testHandover, r.random)
+	part := NewPart(address(i), testTTL, r.handover, r.random)
 	nd.status = Status{}
 	nd.loop = drive.NewLoop(&freezablePart{part: part, node: nd}, ports.Env{KV: nd.kv, Timer: r.timer},
 		drive.WithListener(func(v any) { nd.status = v.(Status) }))
@@ -113,7 +116,7 @@
 		if nd.frozen || !nd.status.CanOrder(now) {
 			continue
 		}
-		if r.holder >= 0 && r.holder != i && now.Sub(r.lastOrderAt) < testHandover {
+		if r.holder >= 0 && r.holder != i && now.Sub(r.lastOrderAt) < r.handover {
 			r.violation = fmt.Sprintf("instance %d may send orders %v after instance %d", i, now.Sub(r.lastOrderAt), r.holder)
 		}
 		if r.holder != i {
@@ -185,6 +188,49 @@
 	}
 }
 
+// setHandover changes the handover of all instances.
+func (r *fixture) setHandover(d time.Duration) {
+	r.handover = d
+	for _, nd := range r.nodes {
+		nd.loop.Post(SetHandover{Handover: d})
+	}
+}
+
+// TestRaisedHandover raises the handover before a holder stops or while the next one
+// waits. It guards against a successor that waits only for the handover known at its start.
+func TestRaisedHandover(t *testing.T) {
+	const raised = 2 * testHandover
+	for _, c := range []struct {
+		name string
+		// after is how long after the end of the former holder the handover is raised.
+		after time.Duration
+		end   func(*fixture, int)
+	}{
+		{"before a release", 0, func(r *fixture, i int) { r.nodes[i].loop.Post(Release{}) }},
+		{"before a kill", 0, func(r *fixture, i int) { r.kill(i) }},
+		{"after a release", 2 * time.Second, func(r *fixture, i int) { r.nodes[i].loop.Post(Release{}) }},
+		{"after a kill", 4 * time.Second, func(r *fixture, i int) { r.kill(i) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newFixture(3, 10)
+			r.advance(time.Second)
+			first := r.holder
+			if c.after == 0 {
+				r.setHandover(raised)
+			}
+			c.end(r, first)
+			if c.after > 0 {
+				r.advance(c.after)
+				r.setHandover(raised)
+			}
+			r.advance(raised + testTTL + keyCheckTTL + time.Second)
+			if r.violation != "" || r.holder == first {
+				t.Errorf("holder %d, former holder %d: %s", r.holder, first, r.violation)
+			}
+		})
+	}
+}
+
 // TestKeyTakenAway deletes the holder's key while its lease is still renewed.
 func TestKeyTakenAway(t *testing.T) {
 	r := newFixture(3, 5)
@@ -294,7 +340,7 @@
 func (r *fixture) injectFault(t *rapid.T) {
 	i := rapid.IntRange(0, len(r.nodes)-1).Draw(t, "instance")
 	nd := r.nodes[i]
-	switch rapid.SampledFrom([]string{"kill", "freeze", "thaw", "down", "lossy", "fine", "steal", "release", "rest", "wake", "follow"}).Draw(t, "trouble") {
+	switch rapid.SampledFrom([]string{"kill", "freeze", "thaw", "down", "lossy", "fine", "steal", "release", "rest", "wake", "follow", "raise"}).Draw(t, "trouble") {
 	case "kill":
 		r.kill(i)
 		r.start(i)
@@ -317,6 +363,11 @@
 	case "follow":
 		// What another instance says about the holder may be wrong or out of date.
 		nd.loop.Post(SetHolder{Holder: address(rapid.IntRange(0, len(r.nodes)-1).Draw(t, "told"))})
+	case "raise":
+		// A frozen instance would not know of the new bound.
+		if !slices.ContainsFunc(r.nodes, func(nd *node) bool { return nd.frozen }) {
+			r.setHandover(r.handover + 500*time.Millisecond)
+		}
 	case "release":
 		if !nd.frozen {
 			nd.loop.Post(Release{})
--- a/internal/coordination/elect/part.go
+++ b/internal/coordination/elect/part.go
@@ -148,6 +148,9 @@
 	recordRevision ports.Revision
 	// isRecorded means that the record names this instance.
 	isRecorded bool
+	// handoverFrom is the time from which the wait for a former holder counts in the
+	// current term.
+	handoverFrom time.Time
 
 	// renewedAt and checkedAt are the times from which the last successful renewal and
 	// check of the key count.
@@ -174,6 +177,13 @@
 // SetHolder names the holder to a passive instance.
 type SetHolder struct{ Holder netip.AddrPort }
 
+// SetHandover changes the minimum time between the orders of two holders. It also counts
+// in a wait for a former holder that has begun, which it can only make longer.
+type SetHandover struct{ Handover time.Duration }
+
+// IsEvent implements ports.Event.
+func (SetHandover) IsEvent() {}
+
 // IsEvent implements ports.Event.
 func (Deactivate) IsEvent() {}
 
@@ -243,6 +253,8 @@
 		}
 	case Release:
 		return p.release()
+	case SetHandover:
+		return p.setHandover(now, e.Handover)
 	case ports.TimerFired:
 		return p.timerFired(now, e.Tag)
 	case ports.KVDone:
--- a/internal/coordination/elect/term.go
+++ b/internal/coordination/elect/term.go
@@ -32,7 +32,8 @@
 	p.tag = 0
 	p.isRecorded = false
 	p.renewedAt, p.checkedAt = time.Time{}, time.Time{}
-	from := timer.Later(now, p.handoverStart(now).Add(p.handoverWait()))
+	p.handoverFrom = p.handoverStart(now)
+	from := timer.Later(now, p.handoverFrom.Add(p.handoverWait()))
 	p.missingSince = time.Time{}
 	p.status = Status{Holder: p.self, IsHolder: true, OrderFrom: from}
 	p.recordTag = p.nextTag()
@@ -41,6 +42,25 @@
 	return append(effects, ports.ArmTimer{Tag: p.recordTag, After: from.Sub(now)})
 }
 
+// setHandover changes the handover. A term in which orders may already have been sent goes
+// on. In one that still waits for a former holder, the wait is extended, and the record is
+// written at its end.
+func (p *Part) setHandover(now time.Time, handover time.Duration) []ports.Effect {
+	p.handover = handover
+	isWaiting := p.phase == phaseHold && (!p.isRecorded || now.Before(p.status.OrderFrom))
+	from := p.handoverFrom.Add(p.handoverWait())
+	if !isWaiting || !from.After(now) || !from.After(p.status.OrderFrom) {
+		return nil
+	}
+	isTimerPending := now.Before(p.status.OrderFrom) && !p.isRecorded
+	p.status.OrderFrom = from
+	if !isTimerPending {
+		return nil
+	}
+	p.recordTag = p.nextTag()
+	return []ports.Effect{ports.ArmTimer{Tag: p.recordTag, After: from.Sub(now)}}
+}
+
 // handoverStart returns the time from which the wait for a former holder counts. It is
 // the time when the key was found missing, if the record shows that no other instance has
 // become the holder and sent orders since then.
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"chivecroft.example/chivecroft/internal/coordination/elect"
 	"chivecroft.example/chivecroft/platform"
 	"chivecroft.example/chivecroft/platform/fake"
 )
@@ -159,3 +160,25 @@
 		t.Errorf("configuration of revision %d active, want %d", late.configFollower.localRevision.Load(), item.Revision)
 	}
 }
+
+// TestRaisedHandoverAtReload raises the time between the orders of two holders at a reload
+// and has the holder release its key. It guards against a next holder that orders earlier.
+func TestRaisedHandoverAtReload(t *testing.T) {
+	const raised = 20 * time.Second
+	r := newRig(t, 2)
+	for _, e := range r.edges {
+		boot := *e.boot
+		boot.Bounds.OrderHandover = raised
+		e.Reload(&boot)
+	}
+	first, next := r.edges[0], r.edges[1]
+	if next.isHolder() {
+		first, next = next, first
+	}
+	released := next.clock.Now()
+	first.election.Post(elect.Release{})
+	r.eventually("the other instance is the holder", next.isHolder)
+	if wait := next.coordinator.holderStatus().OrderFrom.Sub(released); wait < raised {
+		t.Errorf("the next holder orders %v after the release, want at least %v", wait, raised)
+	}
+}
