Proxy: the path of a request line stays as the caller wrote it

Cause: the path went into url.URL.Opaque, and net/url writes the scheme before an Opaque that begins with two slashes: "GET //look/2f" was sent as "GET http://look/2f". Absolute-form targets were passed on in that form.

Change: path.go builds the URL of a request to a target. A path that begins with two slashes goes into RawPath; in the few cases in which net/http would escape such a path (characters that no valid path has) the request is refused with 400. An absolute-form target is sent in origin form, and one without a path has the path "/".

Result: TestPathsPassUnchanged fails before in 19 of 36 cases and passes now.

--- a/internal/transport/proxy/exchange.go
+++ b/internal/transport/proxy/exchange.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"net/url"
-	"strings"
 	"time"
 
 	"chivecroft.example/chivecroft/internal/coordination/crash"
@@ -32,10 +31,12 @@
 	arrived time.Time
 	version int64
 
-	route    *fleet.Route
-	service  string
-	engine   bool
-	call     Call
+	route   *fleet.Route
+	service string
+	engine  bool
+	call    Call
+	// url has the path and query of the request and no host.
+	url      url.URL
 	body     []byte
 	timeout  time.Duration
 	deadline time.Time
@@ -212,15 +213,11 @@
 		// An empty value keeps the client from adding its own.
 		header.Set("User-Agent", "")
 	}
-	path, _, _ := strings.Cut(x.r.RequestURI, "?")
+	to := x.url
+	to.Host = reservation.Target.Addr.String()
 	req := &http.Request{
 		Method: x.r.Method, Host: x.r.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		// Opaque keeps the path as the caller escaped it.
-		URL: &url.URL{
-			Scheme: "http", Host: reservation.Target.Addr.String(), Opaque: path,
-			RawQuery: x.r.URL.RawQuery, ForceQuery: x.r.URL.ForceQuery,
-		},
-		Header: header, ContentLength: int64(len(x.body)),
+		URL: &to, Header: header, ContentLength: int64(len(x.body)),
 	}
 	if len(x.body) > 0 {
 		req.Body = x.newBody()
--- a/internal/transport/proxy/server.go
+++ b/internal/transport/proxy/server.go
@@ -147,13 +147,16 @@
 		return false
 	}
 	x.version = cfg.Version
-	x.route = cfg.Match(x.r.Host, x.r.URL.Path)
+	x.route = cfg.Match(x.r.Host, routePath(x.r))
 	if x.route == nil {
 		x.respond(http.StatusNotFound, "noRoute")
 		return false
 	}
 	call, err := s.codec.Decode(x.r)
 	x.call = call
+	if err == nil {
+		x.url, err = targetURL(x.r)
+	}
 	if err != nil {
 		x.respond(http.StatusBadRequest, "malformed")
 		return false
