Proxy: hop-by-hop headers are dropped before the system's are set

Cause: hops.Drop ran after Codec.Outgoing, so that a caller's Connection header could name and remove Chivecroft-Expect-Instance and Chivecroft-Deadline-Ms. A target that has taken over an address would run a request that is meant for another one.

Change: the caller's hop-by-hop headers are dropped from a copy before Outgoing.

Result: TestConnectionHeaderNamesOwnHeaders fails before ("the headers of the system are missing") and passes now.

--- a/internal/transport/proxy/exchange.go
+++ b/internal/transport/proxy/exchange.go
@@ -203,11 +203,14 @@
 }
 
 func (x *exchange) newRequest(ctx context.Context, reservation *picker.Reservation, lastEvent string) *http.Request {
-	header := x.s.codec.Outgoing(x.r.Header, Send{
+	// A caller's Connection header may name any header, so that it must have no effect on
+	// those that are set here.
+	in := x.r.Header.Clone()
+	hops.Drop(in)
+	header := x.s.codec.Outgoing(in, Send{
 		Target: reservation.Target.ID, Within: x.deadline.Sub(x.s.timer.Now()),
 		Engine: x.engine, Priority: x.route.Priority, LastEvent: lastEvent,
 	})
-	hops.Drop(header)
 	header.Del("Expect")
 	if _, ok := header["User-Agent"]; !ok {
 		// An empty value keeps the client from adding its own.
--- a/internal/transport/proxy/proxy_test.go
+++ b/internal/transport/proxy/proxy_test.go
@@ -161,6 +161,30 @@
 	}
 }
 
+// TestConnectionHeaderNamesOwnHeaders guards against a caller's Connection header that
+// removes the headers which this system sets: without them a target would run a request
+// that is meant for another one.
+func TestConnectionHeaderNamesOwnHeaders(t *testing.T) {
+	near, _ := newTwoTargets(t)
+	r := newRig(t, near)
+	got, _ := r.call("/unsafe/", func(req *http.Request) {
+		req.Header.Set("Connection", "keep-alive, Chivecroft-Expect-Instance, Chivecroft-Deadline-Ms, X-Hop")
+		req.Header.Set("X-Hop", "dropped")
+		req.Header.Set("X-Own", "kept")
+	})
+	headers, _ := near.Seen()
+	if got.Status != http.StatusOK || len(headers) != 1 {
+		t.Fatalf("%+v, %d requests", got, len(headers))
+	}
+	h := headers[0]
+	if h.Get("Chivecroft-Expect-Instance") != "near" || h.Get("Chivecroft-Deadline-Ms") == "" {
+		t.Errorf("the headers of the system are missing: %v", h)
+	}
+	if h.Get("X-Hop") != "" || h.Get("Connection") != "" || h.Get("X-Own") != "kept" {
+		t.Errorf("the headers of the caller: %v", h)
+	}
+}
+
 func TestLocalErrorResponses(t *testing.T) {
 	r := newRig(t)
 	r.expect("/nowhere/", answer{Status: http.StatusNotFound})
