Stop and a new term read the boot file once more

Cause: Stop used the grace period that was read last, at the start or at a SIGHUP. The file may change without a signal, and with a shorter grace_s the process was killed with requests that waited.

Change: WithBootFile names the file to an instance. Stop reads it when it begins, and so does an instance that becomes the holder, for lease_ms. A file that cannot be read changes nothing. Stop refuses new requests before it closes the listener also if the grace period ends before refuseAfter.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -92,8 +93,13 @@
 	// metricsServer, which may be nil, operators.
 	readyServer, peerServer, metricsServer *http.Server
 
-	// bounds are those of the most recently read boot file.
-	bounds atomic.Pointer[platform.Bounds]
+	// bounds are those of the most recently read boot file, bootFile is its path, empty if
+	// it is not read again.
+	bounds   atomic.Pointer[platform.Bounds]
+	bootFile string
+	// reloading is held while the boot file is read and applied, so that the latest
+	// contents are applied last.
+	reloading sync.Mutex
 
 	metrics *instanceMetrics
 	// metricsPort is the port on which metrics are served, 0 for none.
@@ -108,6 +114,12 @@
 	return func(e *Edge) { e.metricsPort = port }
 }
 
+// WithBootFile has the instance read the boot file again when bounds matter that may have
+// changed without a signal: at the beginning of a stop and of a term as the holder.
+func WithBootFile(path string) Option {
+	return func(e *Edge) { e.bootFile = path }
+}
+
 // New returns an instance that is not started.
 func New(boot *platform.Boot, l *log.Logger, opts ...Option) *Edge {
 	e := &Edge{boot: boot, log: l, timer: timer.NewSystem()}
@@ -150,6 +162,10 @@
 func (e *Edge) onHolderStatus(s elect.Status) {
 	was := e.coordinator.holderStatus()
 	e.coordinator.setStatus(s)
+	if s.IsHolder && !was.IsHolder {
+		// The listener must not wait for a file.
+		go e.ReloadFile()
+	}
 	if s.Holder.IsValid() && s.Holder != was.Holder {
 		e.signalDemand()
 	}
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -77,7 +77,7 @@
 	})
 }
 
-func (r *rig) start() *Edge {
+func (r *rig) start(opts ...Option) *Edge {
 	loopback := netip.MustParseAddr("127.0.0.1")
 	port := fake.FreePorts(r.t, 3)
 	name := "i" + string(rune('1'+len(r.edges)))
@@ -92,7 +92,7 @@
 			RetryWindow: 10 * time.Second, LoadWindow: 5 * time.Second,
 		},
 	}
-	e := New(boot, discardLogger())
+	e := New(boot, discardLogger(), opts...)
 	if err := e.Start(r.t.Context()); err != nil {
 		r.t.Fatal(err)
 	}
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -26,6 +26,22 @@
 	closeTimeout = 400 * time.Millisecond
 )
 
+// ReloadFile reads the boot file again and applies its bounds. A file that cannot be read
+// or is invalid changes nothing.
+func (e *Edge) ReloadFile() {
+	if e.bootFile == "" {
+		return
+	}
+	e.reloading.Lock()
+	defer e.reloading.Unlock()
+	boot, err := platform.ReadBoot(e.bootFile)
+	if err != nil {
+		e.log.Error().Err(err).Str("file", e.bootFile).Msg("reload refused")
+		return
+	}
+	e.Reload(boot)
+}
+
 // Reload applies the bounds of a boot file that was read again. Addresses stay as they
 // were at the start, since connections depend on them.
 func (e *Edge) Reload(boot *platform.Boot) {
@@ -42,6 +58,7 @@
 func (e *Edge) Stop() {
 	start := e.timer.Now()
 	e.stopping.Store(true)
+	e.ReloadFile()
 	e.proxy.CloseConnections()
 	e.log.Info().Int("active", e.proxy.Active()).Dur("grace", e.bounds.Load().StopGrace).Msg("stopping")
 	e.election.Post(elect.Release{})
@@ -59,6 +76,8 @@
 			break
 		}
 	}
+	// A short grace period ends before refuseAfter.
+	e.proxy.Refuse()
 	cut := e.proxy.Active()
 	e.callers.stop(closeTimeout)
 	e.stopLoops()
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -6,12 +6,16 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"chivecroft.example/chivecroft/internal/coordination/elect"
 	"chivecroft.example/chivecroft/platform"
 	"chivecroft.example/chivecroft/platform/fake"
@@ -182,3 +186,41 @@
 		t.Errorf("the next holder orders %v after the release, want at least %v", wait, raised)
 	}
 }
+
+// TestStopReadsTheBootFile changes the boot file without a signal. It guards against a stop
+// that takes the grace period of the start and is killed with requests in progress, and
+// against bounds that are lost with a file that cannot be read.
+func TestStopReadsTheBootFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "boot.yaml")
+	r := newRig(t, 0)
+	e := r.start(WithBootFile(path))
+	write := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	before := *e.bounds.Load()
+	write("node: [")
+	e.ReloadFile()
+	if diff := cmp.Diff(before, *e.bounds.Load()); diff != "" {
+		t.Errorf("bounds after an invalid file (-want +got):\n%s", diff)
+	}
+	const grace = 4 * time.Second
+	write(fake.Boot{
+		Instance: e.boot.Instance, Zone: e.boot.Zone, Zones: e.boot.Regions, Store: e.boot.Store,
+		Callers: e.boot.Callers.Port(), Ready: e.boot.Ready.Port(), Peer: e.boot.Peer.Port(),
+		Bounds: fake.Bounds{Grace: grace, Handover: time.Second, RetryWindow: time.Second},
+	}.YAML())
+	busy := make(chan struct{})
+	r.targets["e1"].Behave(func(_ http.ResponseWriter, req *http.Request) {
+		close(busy)
+		<-req.Context().Done()
+	})
+	go func() { _, _ = r.call(e, "/chat/", "m1") }()
+	<-busy
+	began := time.Now()
+	e.Stop()
+	if took := time.Since(began); took > grace {
+		t.Errorf("the stop took %v of a grace period of %v", took, grace)
+	}
+}
--- a/internal/shell/serve.go
+++ b/internal/shell/serve.go
@@ -35,7 +35,7 @@
 	defer func() { _ = writer.Close() }()
 	l := &log.Logger{Level: log.InfoLevel, Writer: writer}
 	l.Info().Str("boot", c.Boot).Msg("starting")
-	e := edge.New(boot, l, edge.WithMetrics(c.MetricsPort))
+	e := edge.New(boot, l, edge.WithMetrics(c.MetricsPort), edge.WithBootFile(c.Boot))
 	if err := e.Start(context.Background()); err != nil {
 		return trace.Wrap(err)
 	}
@@ -43,18 +43,8 @@
 		if sig != syscall.SIGHUP {
 			break
 		}
-		reload(e, c.Boot, l)
+		e.ReloadFile()
 	}
 	e.Stop()
 	return nil
 }
-
-// reload reads the boot file again; a file that can't be used changes nothing.
-func reload(e *edge.Edge, path string, l *log.Logger) {
-	boot, err := platform.ReadBoot(path)
-	if err != nil {
-		l.Error().Err(err).Str("file", path).Msg("reload refused")
-		return
-	}
-	e.Reload(boot)
-}
