Crash monitor: targets are counted without its lock

Cause: Monitor.JudgeAlone held its lock and called the picker (CountTargets), and Picker.RefuseBlocked holds the picker's lock and calls the monitor (Blocking). If an operator lifted a block while the holder was silent, both could wait for each other for good.

Change: JudgeAlone counts the targets of the accused services before it takes its lock to judge.

--- a/internal/coordination/crash/block_test.go
+++ b/internal/coordination/crash/block_test.go
@@ -1,11 +1,15 @@
 package crash
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"chivecroft.example/chivecroft/internal/state/fleet"
+	"chivecroft.example/chivecroft/internal/state/timer"
 )
 
 // blockedWorld returns a fleet that has blocked the deadly part.
@@ -165,3 +169,41 @@
 		t.Errorf("%.3f of sound requests began at the first attempt, %.3f before", share, before)
 	}
 }
+
+// TestAloneCallsOutUnlocked has an instance judge alone while the counter of targets waits
+// for a call of the Monitor, as the choice of targets does that refuses queued requests. It
+// guards against a Monitor that holds its lock meanwhile, which would block both for good.
+func TestAloneCallsOutUnlocked(t *testing.T) {
+	clock := timer.NewVirtual(time.Unix(1000, 0))
+	m := NewMonitor(clock)
+	target := fleet.Identity{ID: "t0", Born: 1}
+	for range aloneProofs {
+		m.Start(Request{Service: service, Model: "m0", Parts: []Part{"route"}}, target, nil).Complete()
+	}
+	bad := Request{Service: service, Model: "m0", Parts: []Part{"route", deadly}}
+	for i := range 2 * aloneChain {
+		f := m.Start(bad, fleet.Identity{ID: fmt.Sprint("t", i), Born: 1}, func(Block) {})
+		clock.Advance(time.Second)
+		f.Broke()
+		f.End()
+		clock.Advance(time.Second)
+	}
+	counted := 0
+	judged := make(chan struct{})
+	go func() {
+		defer close(judged)
+		m.JudgeAlone(func(string) int {
+			counted++
+			m.Blocking(&bad)
+			return minTargets
+		})
+	}()
+	select {
+	case <-judged:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the instance still judges after five seconds")
+	}
+	if counted == 0 || m.Blocking(&bad) == nil {
+		t.Errorf("targets were counted %d times, blocked by %v", counted, m.Blocking(&bad))
+	}
+}
--- a/internal/coordination/crash/exchange.go
+++ b/internal/coordination/crash/exchange.go
@@ -207,19 +207,46 @@
 // JudgeAlone blocks parts by what this instance has seen itself, while it hears from no
 // holder. Such blocks hold here alone and until a holder replies, who knows more. Parts
 // that targets have survived are left out, since this instance sees few of their proofs.
-// targets is as for Detector.Judge.
+// targets is as for Detector.Judge. It may call the Monitor, and may wait for others that do.
 func (m *Monitor) JudgeAlone(targets func(service string) int) {
-	m.mu.Lock()
-	now := m.timer.Now()
-	if now.Sub(m.heardAt) < loneTime || len(m.accused) == 0 || m.proved < aloneProofs {
-		m.mu.Unlock()
+	counts := make(map[string]int)
+	for _, service := range m.servicesToJudge() {
+		counts[service] = targets(service)
+	}
+	if len(counts) == 0 {
 		return
 	}
+	m.mu.Lock()
+	changes := m.judgeAlone(m.timer.Now(), counts)
+	m.mu.Unlock()
+	m.notify(changes)
+}
+
+// servicesToJudge returns the services whose ends of targets this instance judges alone,
+// none while it hears from a holder or knows too little.
+func (m *Monitor) servicesToJudge() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.timer.Now().Sub(m.heardAt) < loneTime || m.proved < aloneProofs {
+		return nil
+	}
+	var out []string
+	for _, a := range m.accused {
+		if !slices.Contains(out, a.Service) {
+			out = append(out, a.Service)
+		}
+	}
+	return out
+}
+
+// judgeAlone blocks parts of the requests to the services whose numbers of targets are
+// given.
+func (m *Monitor) judgeAlone(now time.Time, targets map[string]int) []Change {
 	d := NewDetector()
 	d.chain = aloneChain
 	report := Report{Blocks: append(m.blocks.wire(now), m.alone.wire(now)...)}
 	for _, a := range m.accused {
-		if m.isUnfamiliar(&a.Request) && now.Sub(a.at) >= aloneAnswerTime {
+		if _, counted := targets[a.Service]; counted && m.isUnfamiliar(&a.Request) && now.Sub(a.at) >= aloneAnswerTime {
 			report.add(a, now)
 		}
 	}
@@ -230,12 +257,11 @@
 		}
 	}
 	var changes []Change
-	for _, b := range d.Judge(now, 0, targets) {
+	for _, b := range d.Judge(now, 0, func(service string) int { return targets[service] }) {
 		m.alone.put(&b)
 		changes = append(changes, Change{Block: b, Active: m.active()})
 	}
-	m.mu.Unlock()
-	m.notify(changes)
+	return changes
 }
 
 // isUnfamiliar reports whether this instance has seen no target survive some part of a
