Planner: adapters on their way count

Cause: pending of a target's report was decoded and not used. A report as of a moment at which an adapter is on its way made the planner forget that adapter, and order one too many.

Change: the adapters that a report lists as pending count as held for the adapter slots, memory and the choice of what to load, and the report is requested again. Those of a model that the report does not list count towards the slots.

Result: TestPendingAdaptersCount fails before in 3 of 4 cases ("load m0/a3" with both slots in use) and passes now; the package passes with -race.

--- a/internal/coordination/sched/planner.go
+++ b/internal/coordination/sched/planner.go
@@ -172,6 +172,11 @@
 // applyReport applies the report of a target that is carrying out no order.
 func (p *Planner) applyReport(now time.Time, w *targetState, r fleet.Report) {
 	w.Holding = r.Holding
+	w.addPending(r.Pending)
+	if len(r.Pending) > 0 {
+		// A load of an adapter that is under way may still fail.
+		w.requestReport(now.Add(busyPollInterval))
+	}
 	w.acceptedOrders = r.Orders
 	w.isCertain = true
 	if w.job != nil {
--- a/internal/coordination/sched/planner_test.go
+++ b/internal/coordination/sched/planner_test.go
@@ -408,6 +408,44 @@
 	}
 }
 
+// TestPendingAdaptersCount reports a target with adapters on their way. It guards against
+// orders for one adapter too many, and for one that is being loaded already.
+func TestPendingAdaptersCount(t *testing.T) {
+	loaded := func(adapters ...string) []fleet.Loaded { return []fleet.Loaded{{Model: "m0", Adapters: adapters}} }
+	for _, c := range []struct {
+		name    string
+		models  []fleet.Loaded
+		pending []string
+		want    []string
+	}{
+		{"none", loaded("a1"), nil, []string{"load m0/a3"}},
+		{"all slots in use", loaded("a1"), []string{"m0/a2"}, []string{"unload m0/a1"}},
+		{"of a model that is not listed", loaded("a1"), []string{"m1/a2"}, []string{"unload m0/a1"}},
+		{"the one that is wanted", loaded(), []string{"m0/a3"}, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newFixture(testEngine(2), []string{"m0"})
+			target := r.targets["r0"]
+			r.Plan(r.now)
+			r.ReportDone(r.now, "r0", fleet.Report{
+				Identity: target.Identity, Holding: fleet.Holding{Models: c.models}, Pending: c.pending,
+			}, nil)
+			d := queuedDemand("m0")
+			d.Adapters = []string{"a3"}
+			r.SetDemand(r.now, "entry", []picker.Demand{d})
+			var orders []string
+			for _, a := range r.Plan(r.now) {
+				if a.Adapter != "" {
+					orders = append(orders, fmt.Sprintf("%s %s", a.Operation, a.Model+suffix(a.Adapter)))
+				}
+			}
+			if diff := cmp.Diff(c.want, orders); diff != "" {
+				t.Errorf("orders (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestExpectedTellsTheQueue checks that the expected time grows along the queue for a
 // single slot for loads from the weight store.
 func TestExpectedTellsTheQueue(t *testing.T) {
--- a/internal/coordination/sched/target.go
+++ b/internal/coordination/sched/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"chivecroft.example/chivecroft/internal/state/fleet"
@@ -42,6 +43,9 @@
 	// reportAt is when to request a report next, zero if none is due.
 	reportAt time.Time
 	job      *job
+	// strayAdapters is the number of adapters on their way to models that the latest report
+	// did not list. They count towards the adapter slots.
+	strayAdapters int
 	// backoffUntil is the time until which the target gets no orders because it did not
 	// reply.
 	backoffUntil    time.Time
@@ -95,7 +99,7 @@
 }
 
 func (w *targetState) adapterCount() int {
-	n := 0
+	n := w.strayAdapters
 	for _, l := range w.Models {
 		n += len(l.Adapters)
 	}
@@ -153,6 +157,20 @@
 	}
 }
 
+// addPending adds the adapters that a report lists as on their way, as MODEL/NAME. They
+// take up a slot and memory already, and are not to be loaded once more.
+func (w *targetState) addPending(pending []string) {
+	w.strayAdapters = 0
+	for _, p := range pending {
+		model, adapter, _ := strings.Cut(p, "/")
+		if w.Find(model) == nil {
+			w.strayAdapters++
+			continue
+		}
+		w.addAdapter(model, adapter)
+	}
+}
+
 func (w *targetState) addAdapter(model, adapter string) {
 	if l := w.Find(model); l != nil && !slices.Contains(l.Adapters, adapter) {
 		l.Adapters = append(slices.Clone(l.Adapters), adapter)
