Crash detector: a part that was never survived is blocked in its widest scope

Change: the widest scope is blocked that is proven itself, explains the same ends and that no target has ever survived.

--- a/internal/coordination/crash/judge.go
+++ b/internal/coordination/crash/judge.go
@@ -60,6 +60,9 @@
 		if c.chain < d.chain || !c.isProven(now, answerTime, targets(c.Service)) {
 			continue
 		}
+		if w := d.widest(c, listed, now, answerTime, targets(c.Service)); w != nil {
+			c = *w
+		}
 		members := d.members(c)
 		key := newBlockKey(c.Service, c.Scope, members)
 		if d.isBlocked(key) || !d.isTellingMore(c) ||
@@ -76,6 +79,27 @@
 	return nil
 }
 
+// widest returns the candidate of the widest scope that is proven too, that no target has
+// ever survived and that explains all ends that c explains; nil if there is none. The
+// narrower scope has fewer requests in flight at each end, which says nothing about the
+// models in which the part has not been survived.
+func (d *Detector) widest(c candidate, listed []candidate, now time.Time, answerTime time.Duration, targets int) *candidate {
+	var best *candidate
+	for i := range listed {
+		w := &listed[i]
+		if w.Service != c.Service || w.Part != c.Part || len(w.Scope) >= len(c.Scope) || w.isFamiliar() {
+			continue
+		}
+		if w.chain < d.chain || !w.isProven(now, answerTime, targets) || !d.includesEnds(w.suspect, c.suspect) {
+			continue
+		}
+		if best == nil || len(w.Scope) < len(best.Scope) {
+			best = w
+		}
+	}
+	return best
+}
+
 // isProven reports whether there is enough evidence to block a candidate, and instances
 // have had the time to disprove it.
 func (c *candidate) isProven(now time.Time, answerTime time.Duration, targets int) bool {
