--- a/internal/transport/proxy/exchange.go
+++ b/internal/transport/proxy/exchange.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"net/url"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -35,9 +34,11 @@
 
 	route *fleet.Route
 	credentials
-	service  string
-	engine   bool
-	call     Call
+	service string
+	engine  bool
+	call    Call
+	// url has the path and query of the request and no host.
+	url      url.URL
 	body     []byte
 	timeout  time.Duration
 	deadline time.Time
@@ -211,9 +212,11 @@
 }
 
 func (x *exchange) newRequest(ctx context.Context, reservation *picker.Reservation, lastEvent string) *http.Request {
-	// A Connection header of the caller must not drop headers that are set here.
-	hops.Drop(x.r.Header)
-	header := x.s.codec.Outgoing(x.r.Header, Send{
+	// A caller's Connection header may name any header, so that it must have no effect on
+	// those that are set here.
+	in := x.r.Header.Clone()
+	hops.Drop(in)
+	header := x.s.codec.Outgoing(in, Send{
 		Target: reservation.Target.ID, Within: x.deadline.Sub(x.s.timer.Now()),
 		Engine: x.engine, Priority: x.priority(), LastEvent: lastEvent,
 		HasTeams: x.hasTeams, Team: x.teamName(),
@@ -223,15 +226,11 @@
 		// An empty value keeps the client from adding its own.
 		header.Set("User-Agent", "")
 	}
-	path, _, _ := strings.Cut(x.r.RequestURI, "?")
+	to := x.url
+	to.Host = reservation.Target.Addr.String()
 	req := &http.Request{
 		Method: x.r.Method, Host: x.r.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		// Opaque keeps the path as the caller escaped it.
-		URL: &url.URL{
-			Scheme: "http", Host: reservation.Target.Addr.String(), Opaque: path,
-			RawQuery: x.r.URL.RawQuery, ForceQuery: x.r.URL.ForceQuery,
-		},
-		Header: header, ContentLength: int64(len(x.body)),
+		URL: &to, Header: header, ContentLength: int64(len(x.body)),
 	}
 	if len(x.body) > 0 {
 		req.Body = x.newBody()
--- a/internal/transport/proxy/server.go
+++ b/internal/transport/proxy/server.go
@@ -46,10 +46,10 @@
 	log       *log.Logger
 	transport http.RoundTripper
 	onEnded   func(Ended)
-	// crashes knows which requests crash targets. hasEnded reports whether a target at
-	// which a request broke off has ended.
-	crashes  *crash.Monitor
-	hasEnded func(context.Context, fleet.Target) bool
+	// crashes knows which requests crash targets. hasCrashed reports whether a target at
+	// which a request broke off has ended unplanned, hasEnded whether it has ended at all.
+	crashes              *crash.Monitor
+	hasCrashed, hasEnded func(context.Context, fleet.Target) bool
 	// keysProven reports whether API keys of the configuration may be accepted.
 	keysProven func() bool
 
@@ -74,10 +74,16 @@
 }
 
 // WithCrashes sets what knows which requests crash targets, and what finds out whether a
-// target at which a request broke off has ended. The latter waits for no longer than a
-// request may be held up.
-func WithCrashes(m *crash.Monitor, hasEnded func(context.Context, fleet.Target) bool) Option {
-	return func(s *Server) { s.crashes, s.hasEnded = m, hasEnded }
+// target at which a request broke off has ended unplanned. The latter waits for no longer
+// than a request may be held up.
+func WithCrashes(m *crash.Monitor, hasCrashed func(context.Context, fleet.Target) bool) Option {
+	return func(s *Server) { s.crashes, s.hasCrashed = m, hasCrashed }
+}
+
+// WithEndCheck sets what finds out whether a target has ended, planned or not. It waits for
+// no longer than a request may be held up.
+func WithEndCheck(hasEnded func(context.Context, fleet.Target) bool) Option {
+	return func(s *Server) { s.hasEnded = hasEnded }
 }
 
 // WithKeyProof sets what reports whether the API keys of the configuration that was last
@@ -96,12 +102,12 @@
 func NewServer(codec Codec, p *picker.Picker, budget *retry.Budget, t timer.Service, opts ...Option) *Server {
 	s := &Server{
 		codec: codec, picker: p, budget: budget, timer: t,
-		log:       &log.Logger{Level: log.ErrorLevel},
-		transport: gate.NewDialer(gate.WithSilence(targetSilenceTimeout)).Transport(nil),
-		onEnded:   func(Ended) {},
-		crashes:   crash.NewMonitor(t),
-		hasEnded:  func(context.Context, fleet.Target) bool { return false },
-
+		log:        &log.Logger{Level: log.ErrorLevel},
+		transport:  gate.NewDialer(gate.WithSilence(targetSilenceTimeout)).Transport(nil),
+		onEnded:    func(Ended) {},
+		crashes:    crash.NewMonitor(t),
+		hasCrashed: func(context.Context, fleet.Target) bool { return false },
+		hasEnded:   func(context.Context, fleet.Target) bool { return false },
 		keysProven: func() bool { return true },
 	}
 	for _, opt := range opts {
@@ -150,7 +156,7 @@
 		return false
 	}
 	x.version = cfg.Version
-	x.route = cfg.Match(x.r.Host, x.r.URL.Path)
+	x.route = cfg.Match(x.r.Host, routePath(x.r))
 	if x.route == nil {
 		x.respond(http.StatusNotFound, "noRoute")
 		return false
@@ -161,6 +167,9 @@
 		x.endUnauthenticated(keyErr)
 		return false
 	}
+	if err == nil {
+		x.url, err = targetURL(x.r)
+	}
 	if err != nil {
 		x.respond(http.StatusBadRequest, "malformed")
 		return false
