Team quotas: package usage, permits between instances and on the request path

Quotas of teams were decoded but not enforced. Package usage has the holder's Ledger (a token bucket with reservations) and an instance's Share; package edge exchanges their messages, and package proxy asks for a permit before a request is sent. TestAccountIsBalanced fails here: permits are prefetched for a while after the last request.

--- /dev/null
+++ b/internal/coordination/usage/fleet_test.go
@@ -0,0 +1,395 @@
+package usage
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	step         = 5 * time.Millisecond
+	replyTimeout = 250 * time.Millisecond
+	retryDelay   = 50 * time.Millisecond
+	patience     = 600 * time.Millisecond
+)
+
+var (
+	start  = time.Unix(1000, 0)
+	bounds = Bounds{Window: 8 * time.Second, Excess: 0.1, Slack: 11_000}
+)
+
+// world is a fleet of Shares with one Ledger on virtual time. It stands for what package
+// edge and the network do.
+type world struct {
+	random  *rand.Rand
+	now     time.Time
+	ledger  *Ledger
+	term    int64
+	holder  bool
+	teams   []*testTeam
+	members []*testMember
+	events  map[int64][]func()
+	// loss is the probability that a message is lost or late, and waste the part of the
+	// requests that find no target.
+	loss, waste float64
+}
+
+type testTeam struct {
+	Limit
+	// load is the demand as a multiple of the rate, spread over some instances.
+	load     float64
+	at       []int
+	smallest float64
+	owed     float64
+	// arrivals are the amounts that reached targets, unused those returned by requests.
+	arrivals []arrival
+	offered  float64
+	unused   float64
+}
+
+type arrival struct {
+	at     time.Time
+	amount float64
+}
+
+type testMember struct {
+	share       *Share
+	cut         bool
+	frozenUntil time.Time
+	retryAt     time.Time
+}
+
+func newWorld(seed uint64, instances int, teams ...*testTeam) *world {
+	w := &world{
+		random: rand.New(rand.NewPCG(seed, 1)), now: start, teams: teams, holder: true, term: 1,
+		events: make(map[int64][]func()),
+	}
+	for i := range instances {
+		w.members = append(w.members, &testMember{})
+		w.restart(i)
+	}
+	w.newTerm()
+	return w
+}
+
+func (w *world) limits() []Limit {
+	var out []Limit
+	for _, t := range w.teams {
+		out = append(out, t.Limit)
+	}
+	return out
+}
+
+func (w *world) newTerm() {
+	w.term++
+	w.holder = true
+	w.ledger = NewLedger(w.term, w.now)
+	w.ledger.SetTeams(w.now, bounds, w.limits())
+}
+
+func (w *world) restart(i int) {
+	s := NewShare(fmt.Sprintf("i%d", i), w.random.Float64)
+	s.SetTeams(bounds, w.limits())
+	*w.members[i] = testMember{share: s}
+}
+
+func (w *world) at(d time.Duration, do func()) {
+	k := int64(w.now.Add(d+step-1).Sub(start) / step)
+	k = max(k, int64(w.now.Sub(start)/step)+1)
+	w.events[k] = append(w.events[k], do)
+}
+
+func (w *world) within(d time.Duration) time.Duration {
+	return time.Duration(w.random.Int64N(int64(d)))
+}
+
+func (w *world) run(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(step) {
+		k := int64(w.now.Sub(start) / step)
+		for _, do := range w.events[k] {
+			do()
+		}
+		delete(w.events, k)
+		for _, t := range w.teams {
+			w.demand(t)
+		}
+		for _, m := range w.members {
+			w.exchange(m)
+		}
+	}
+}
+
+// demand has a team's callers send what is due.
+func (w *world) demand(t *testTeam) {
+	for t.owed += t.load * t.Rate * step.Seconds(); t.owed > 0; {
+		amount := t.smallest + w.random.Float64()*min(10*t.smallest, 15_000-t.smallest)
+		t.owed -= amount
+		t.offered += amount
+		m := w.members[t.at[w.random.IntN(len(t.at))]]
+		if w.now.Before(m.frozenUntil) {
+			continue
+		}
+		d := Demand{Team: t.Team, Amount: amount, Priority: w.random.IntN(3), Until: w.now.Add(patience)}
+		share := m.share
+		if out, pending := share.Request(w.now, d, func(o Outcome) { w.use(m, share, t, o) }); pending == nil {
+			w.use(m, share, t, out)
+		}
+	}
+}
+
+// use sends a request with a permit, after a wait for a target.
+func (w *world) use(m *testMember, share *Share, t *testTeam, o Outcome) {
+	if o.Status != Granted {
+		return
+	}
+	if w.random.Float64() < w.waste {
+		t.unused += o.Permit.Amount
+		share.Return(o.Permit)
+		return
+	}
+	w.at(max(o.Permit.Start.Sub(w.now), 0)+w.within(30*time.Millisecond), func() {
+		switch {
+		case m.share != share:
+		case w.now.Before(m.frozenUntil):
+			w.at(m.frozenUntil.Sub(w.now), func() { w.send(share, t, o.Permit) })
+		default:
+			w.send(share, t, o.Permit)
+		}
+	})
+}
+
+func (w *world) send(share *Share, t *testTeam, p Permit) {
+	if !w.now.Before(p.Until) {
+		t.unused += p.Amount
+		share.Return(p)
+		return
+	}
+	w.at(time.Millisecond+w.within(30*time.Millisecond), func() {
+		t.arrivals = append(t.arrivals, arrival{w.now, p.Amount})
+	})
+}
+
+// exchange sends the message of an instance that is due.
+func (w *world) exchange(m *testMember) {
+	if w.now.Before(m.frozenUntil) {
+		return
+	}
+	m.share.Expire(w.now)
+	heartbeat, isUsed := m.share.NextHeartbeat(w.now)
+	if w.now.Before(m.retryAt) || !m.share.IsMessageDue() && (!isUsed || heartbeat > 0) {
+		return
+	}
+	share := m.share
+	sent := share.Message(w.now)
+	ledger, delay := w.ledger, w.delay()
+	w.at(delay, func() {
+		if m.cut || !w.holder || ledger != w.ledger {
+			return
+		}
+		r := ledger.Answer(w.now, len(w.members), sent.Message)
+		w.at(w.delay(), func() {
+			if m.share == share && !m.cut && w.now.Sub(sent.at) < replyTimeout {
+				w.thaw(m, func() { share.Apply(w.now, sent, r) })
+			}
+		})
+	})
+	w.at(replyTimeout, func() {
+		if m.share == share && !sent.isDone {
+			m.retryAt = w.now.Add(retryDelay)
+			w.thaw(m, func() { share.Fail(w.now, sent, !w.holder && !m.cut) })
+		}
+	})
+}
+
+// thaw calls do when an instance is not frozen.
+func (w *world) thaw(m *testMember, do func()) {
+	if wait := m.frozenUntil.Sub(w.now); wait > 0 {
+		w.at(wait, do)
+		return
+	}
+	do()
+}
+
+// delay is the time of one way over the network.
+func (w *world) delay() time.Duration {
+	if w.random.Float64() < w.loss {
+		return w.within(2 * time.Second)
+	}
+	return time.Millisecond + w.within(20*time.Millisecond)
+}
+
+// changeHolder replaces the holder after a gap without one.
+func (w *world) changeHolder(gap time.Duration) {
+	w.holder = false
+	w.at(max(gap, holderGap), w.newTerm)
+}
+
+// check looks for windows over the bound.
+func (w *world) check(t rapid.TB) {
+	t.Helper()
+	for _, team := range w.teams {
+		sum, most, first := 0.0, 0.0, 0
+		for _, a := range team.arrivals {
+			for sum += a.amount; a.at.Sub(team.arrivals[first].at) > bounds.Window; first++ {
+				sum -= team.arrivals[first].amount
+			}
+			most = max(most, sum)
+		}
+		if allowed := bounds.MaxUse(team.Limit); most > allowed {
+			t.Errorf("%s (%+v): %.0f in a window, allowed %.0f", team.Team, team.Limit, most, allowed)
+		}
+	}
+}
+
+// used returns the part of the quota that arrived since a time.
+func (w *world) used(t *testTeam, from time.Time) float64 {
+	sum := 0.0
+	for _, a := range t.arrivals {
+		if !a.at.Before(from) {
+			sum += a.amount
+		}
+	}
+	return sum / (t.Rate * w.now.Sub(from).Seconds())
+}
+
+func drawTeam(t *rapid.T, i, instances int) *testTeam {
+	rate := rapid.Float64Range(2700, 230_000).Draw(t, "rate")
+	out := &testTeam{
+		Limit:    Limit{Team: fmt.Sprintf("t%d", i), Rate: rate, Burst: rate * rapid.Float64Range(0.2, 2).Draw(t, "burst")},
+		load:     rapid.SampledFrom([]float64{0.55, 1.3, 3, 7}).Draw(t, "load"),
+		smallest: rapid.SampledFrom([]float64{200, 500, 4000}).Draw(t, "smallest"),
+	}
+	callers := rapid.IntRange(1, instances).Draw(t, "callers")
+	for range callers {
+		out.at = append(out.at, rapid.IntRange(0, instances-1).Draw(t, "at"))
+	}
+	return out
+}
+
+// TestNeverOverTheBound runs random fleets through kills, freezes, cuts, lost and late
+// messages, changes of the holder, times without one and changes of the load. A fault in
+// the calendar, the permits' times or the mode without a holder puts a window over the bound.
+func TestNeverOverTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		instances := rapid.SampledFrom([]int{6, 84, 300}).Draw(t, "instances")
+		var teams []*testTeam
+		for i := range rapid.IntRange(1, 3).Draw(t, "teams") {
+			teams = append(teams, drawTeam(t, i, instances))
+		}
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), instances, teams...)
+		w.loss = rapid.SampledFrom([]float64{0, 0.01, 0.1}).Draw(t, "loss")
+		w.waste = rapid.SampledFrom([]float64{0, 0.05, 0.5}).Draw(t, "waste")
+		w.run(2 * time.Second)
+		for range rapid.IntRange(1, 5).Draw(t, "faults") {
+			w.fault(t)
+			w.run(time.Duration(rapid.IntRange(100, 6000).Draw(t, "ms")) * time.Millisecond)
+		}
+		w.check(t)
+	})
+}
+
+func (w *world) fault(t *rapid.T) {
+	i := rapid.IntRange(0, len(w.members)-1).Draw(t, "instance")
+	m := w.members[i]
+	switch rapid.SampledFrom([]string{"kill", "freeze", "cut", "holder", "outage", "load"}).Draw(t, "fault") {
+	case "kill":
+		w.restart(i)
+	case "freeze":
+		m.frozenUntil = w.now.Add(w.within(5 * time.Second))
+	case "cut":
+		m.cut = true
+		w.at(w.within(9*time.Second), func() { m.cut = false })
+	case "holder":
+		w.changeHolder(w.within(3 * time.Second))
+	case "outage":
+		w.changeHolder(10 * time.Second)
+	case "load":
+		team := w.teams[rapid.IntRange(0, len(w.teams)-1).Draw(t, "team")]
+		before := team.load
+		team.load *= 7
+		w.at(3*time.Second, func() { team.load = before })
+	}
+}
+
+// TestUseOfTheQuota has demand above the quota, evenly and at 3 of 84 instances: in steady
+// state 0.9 of the quota must be used, and 0.8 while instances are replaced.
+func TestUseOfTheQuota(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		rate      float64
+		instances int
+		callers   []int
+		replace   time.Duration
+		least     float64
+	}{
+		{"small team everywhere", 2700, 84, nil, 0, 0.9},
+		{"large team everywhere", 230_000, 300, nil, 0, 0.9},
+		{"large team at three", 230_000, 84, []int{1, 2, 3}, 0, 0.9},
+		{"small team at three", 2700, 6, []int{1, 2, 3}, 0, 0.9},
+		{"instances come and go", 60_000, 84, nil, 250 * time.Millisecond, 0.8},
+		{"few instances come and go", 230_000, 6, nil, 2 * time.Second, 0.8},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			team := &testTeam{Limit: Limit{Team: "t", Rate: c.rate, Burst: c.rate}, load: 1.3, smallest: 500, at: c.callers}
+			for i := 0; c.callers == nil && i < c.instances; i++ {
+				team.at = append(team.at, i)
+			}
+			w := newWorld(7, c.instances, team)
+			w.run(5 * time.Second)
+			from := w.now
+			for end := w.now.Add(30 * time.Second); w.now.Before(end); {
+				if c.replace == 0 {
+					w.run(30 * time.Second)
+					break
+				}
+				w.run(c.replace)
+				w.restart(w.random.IntN(c.instances))
+			}
+			w.check(t)
+			if got := w.used(team, from); got < c.least {
+				t.Errorf("%.3f of the quota used, wanted %.2f", got, c.least)
+			}
+		})
+	}
+}
+
+// TestDemandWithinTheQuotaIsServed has the usual load of a team, of which hardly anything
+// may be refused.
+func TestDemandWithinTheQuotaIsServed(t *testing.T) {
+	team := &testTeam{Limit: Limit{Team: "t", Rate: 60_000, Burst: 60_000}, load: 0.55, smallest: 500, at: []int{0, 1, 2}}
+	w := newWorld(3, 84, team)
+	w.run(5 * time.Second)
+	offered, from := team.offered, w.now
+	w.run(20 * time.Second)
+	if got := w.used(team, from) * team.Rate * 20 / (team.offered - offered); got < 0.99 {
+		t.Errorf("%.3f of the demand was served", got)
+	}
+}
+
+// TestAccountIsBalanced runs a fleet without faults until all is quiet: what was granted
+// must have arrived or been returned, so that no tokens are lost or made.
+func TestAccountIsBalanced(t *testing.T) {
+	team := &testTeam{Limit: Limit{Team: "t", Rate: 60_000, Burst: 60_000}, load: 1.2, smallest: 500, at: []int{0, 1, 2, 3}}
+	w := newWorld(5, 6, team)
+	w.waste = 0.2
+	w.run(20 * time.Second)
+	team.load = 0
+	w.run(3 * time.Second)
+	arrived, totals := 0.0, w.ledger.Totals("t")
+	for _, a := range team.arrivals {
+		arrived += a.amount
+	}
+	if diff := totals.Granted - totals.Returned - arrived; max(diff, -diff) > 0.01*arrived {
+		t.Errorf("granted %.0f, returned %.0f, arrived %.0f", totals.Granted, totals.Returned, arrived)
+	}
+	if level := w.ledger.Levels(w.now)["t"]; level < team.Burst {
+		t.Errorf("the bucket has %.0f of %.0f tokens", level, team.Burst)
+	}
+	if !slices.IsSortedFunc(team.arrivals, func(a, b arrival) int { return a.at.Compare(b.at) }) {
+		t.Error("arrivals are not in order")
+	}
+}
--- /dev/null
+++ b/internal/coordination/usage/message.go
@@ -0,0 +1,55 @@
+package usage
+
+// Ask asks for a permit.
+type Ask struct {
+	Team string `json:"team"`
+	// Amount is 0 if only the instance's share is asked for.
+	Amount float64 `json:"amount"`
+	// Priority is 0 for the most urgent requests.
+	Priority int `json:"priority,omitempty"`
+	// MaxDelayMS is the longest delay until the permit starts, in milliseconds.
+	MaxDelayMS int64 `json:"maxDelayMs,omitempty"`
+	// IsPrefetch means that no request needs the permit yet.
+	IsPrefetch bool `json:"prefetch,omitempty"`
+}
+
+// Answer answers an Ask.
+type Answer struct {
+	// Granted is the amount of the permit, 0 for a refusal, and Slot its place in the
+	// calendar.
+	Granted float64 `json:"granted,omitempty"`
+	Slot    int64   `json:"slot,omitempty"`
+	// DelayMS is the time until the permit starts or, after a refusal, until the bucket
+	// could serve the request, in milliseconds.
+	DelayMS int64 `json:"delayMs,omitempty"`
+}
+
+// Returned is an amount that was granted and not used.
+type Returned struct {
+	Team   string  `json:"team"`
+	Amount float64 `json:"amount"`
+	Slot   int64   `json:"slot"`
+}
+
+// Message is what an instance sends to the holder.
+type Message struct {
+	From string `json:"from"`
+	Asks []Ask  `json:"asks,omitempty"`
+	// Returns are of the term Term.
+	Term    int64      `json:"term,omitempty"`
+	Returns []Returned `json:"returns,omitempty"`
+	// IsIdle means that the instance no longer uses its shares and asks nothing for a while.
+	IsIdle bool `json:"idle,omitempty"`
+}
+
+// Reply is the holder's reply to a Message, with one answer for each of its asks.
+type Reply struct {
+	Term int64 `json:"term"`
+	// Members is the number of instances.
+	Members int      `json:"members"`
+	Answers []Answer `json:"answers,omitempty"`
+	// Shares is the instance's part of the recent grants of each team in the message.
+	Shares map[string]float64 `json:"shares,omitempty"`
+	// Filled lists the teams whose bucket has enough for prefetching.
+	Filled []string `json:"filled,omitempty"`
+}
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -55,6 +55,8 @@
 	updates        *updateLog
 	// permits issues the permits for targets that have named rate limits.
 	permits *quota.Ledger
+	// teamQuotas issues the permits of teams.
+	teamQuotas *teamQuotas
 	// crashes finds the parts of prompts that crash targets.
 	crashes *crash.Detector
 	members map[string]member
@@ -66,7 +68,7 @@
 		ctx: ctx, self: boot.Instance, engines: platform.NewEngines(), clock: clock, log: l, metrics: m,
 		loadWindow: boot.Bounds.LoadWindow, targets: make(map[string]fleet.Target), absent: make(map[string]bool),
 		leaving: picker.NewLeavingSet(), updates: newUpdateLog(), permits: quota.NewLedger(), crashes: crash.NewDetector(),
-		planners: make(map[string]*sched.Planner), members: make(map[string]member),
+		planners: make(map[string]*sched.Planner), members: make(map[string]member), teamQuotas: newTeamQuotas(),
 	}
 }
 
@@ -90,6 +92,7 @@
 	k.updates = newUpdateLog()
 	k.permits = quota.NewLedger()
 	k.crashes = crash.NewDetector()
+	k.teamQuotas.startTerm(k.term(), k.clock.Now())
 	if s.IsHolder {
 		k.startTerm()
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -85,6 +85,9 @@
 	crashes *crash.Monitor
 	ends    *endChecker
 
+	// permits obtains the permits of teams with quotas.
+	permits *permitClient
+
 	loopCtx   context.Context //nolint:containedctx // ends the loops at Stop
 	stopLoops context.CancelFunc
 	callers   *callerServer
@@ -136,7 +139,8 @@
 	e.budget = retry.NewBudget(retryLimits(boot.Bounds))
 	e.crashes = crash.NewMonitor(e.timer, crash.WithUrgency(e.signalDemand), crash.WithObserver(e.onBlockChange))
 	e.ends = newEndChecker(e.picker.IsLeaving, e.onTargetEnd)
-	e.proxy = proxy.NewServer(platform.Codec{}, e.picker, e.budget, e.timer, proxy.WithLogger(l),
+	e.permits = newPermitClient(e)
+	e.proxy = proxy.NewServer(platform.Codec{}, e.picker, e.budget, e.timer, proxy.WithLogger(l), proxy.WithPermits(e.permits),
 		proxy.WithObserver(e.metrics.requestEnded), proxy.WithCrashes(e.crashes, e.ends.hasEnded))
 	for _, opt := range opts {
 		opt(e)
@@ -227,6 +231,7 @@
 	go e.configFollower.run(e.loopCtx)
 	go e.targetFollower.run(e.loopCtx)
 	go e.copyLoop(e.loopCtx)
+	go e.permits.run(e.loopCtx)
 	metrics, err := e.metrics.start(ctx, e.boot.Instance, e.boot.Zone, e.boot.Addr, e.metricsPort,
 		map[string]http.HandlerFunc{BlocksPath: e.serveBlocks, LiftPath: e.serveLift})
 	if err != nil {
@@ -308,6 +313,7 @@
 	}
 	e.proxy.SetConfig(c)
 	e.coordinator.setConfig(c, uint64(item.Revision))
+	e.setQuotas(c)
 	// The instance may report that it is ready only from here on.
 	e.config.Store(c)
 	e.updateSnapshot(item)
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -104,6 +104,22 @@
 	}
 }
 
+// quotaUsed adds an amount of a team's quota by what became of it.
+func (m *instanceMetrics) quotaUsed(team, outcome string, amount float64) {
+	if mt := m.meter.Load(); mt != nil {
+		mt.Quota(team, outcome, amount)
+	}
+}
+
+// quotaLevels records the levels of the teams' buckets at the holder.
+func (m *instanceMetrics) quotaLevels(levels map[string]float64) {
+	if mt := m.meter.Load(); mt != nil {
+		for team, level := range levels {
+			mt.QuotaLevel(team, level)
+		}
+	}
+}
+
 // targetEnded counts a target that has ended unplanned.
 func (m *instanceMetrics) targetEnded(service string) {
 	if mt := m.meter.Load(); mt != nil {
--- /dev/null
+++ b/internal/edge/permits.go
@@ -0,0 +1,338 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"chivecroft.example/chivecroft/internal/coordination/usage"
+	"chivecroft.example/chivecroft/internal/state/fleet"
+	"chivecroft.example/chivecroft/platform"
+)
+
+const (
+	pathPermits = "/permits"
+	// permitTimeout is well below the time that a request waits for a permit, so that its
+	// ask can be repeated.
+	permitTimeout = 250 * time.Millisecond
+	// permitBatchTime is the minimum time between two messages.
+	permitBatchTime = 5 * time.Millisecond
+	// permitRetryDelay is the delay after a message without a reply.
+	permitRetryDelay = 50 * time.Millisecond
+	// permitIdleWait is how long the loop sleeps while no quotas are used.
+	permitIdleWait = time.Second
+	// maxPermitMessages limits the messages in flight.
+	maxPermitMessages = 32
+)
+
+// teamQuotas is the holder's Ledger for the present term.
+type teamQuotas struct {
+	mu     sync.Mutex
+	ledger *usage.Ledger
+	bounds usage.Bounds
+	limits []usage.Limit
+}
+
+func newTeamQuotas() *teamQuotas { return &teamQuotas{ledger: usage.NewLedger(0, time.Time{})} }
+
+// startTerm replaces the Ledger by an empty one.
+func (q *teamQuotas) startTerm(term int64, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.ledger = usage.NewLedger(term, now)
+	q.ledger.SetTeams(now, q.bounds, q.limits)
+}
+
+func (q *teamQuotas) setTeams(now time.Time, b usage.Bounds, limits []usage.Limit) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.bounds, q.limits = b, limits
+	q.ledger.SetTeams(now, b, limits)
+}
+
+func (q *teamQuotas) levels(now time.Time) map[string]float64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.ledger.Levels(now)
+}
+
+// answerPermits answers an instance's message. It returns false if this instance is not the
+// holder, is not sure that it still is, or has no configuration.
+func (k *coordinator) answerPermits(m usage.Message) (usage.Reply, bool) {
+	k.mu.Lock()
+	isSteady := k.status.IsSteady(k.clock.Now()) && k.config != nil
+	members := len(k.members)
+	k.mu.Unlock()
+	if !isSteady {
+		return usage.Reply{}, false
+	}
+	q := k.teamQuotas
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.ledger.Answer(k.clock.Now(), members, m), true
+}
+
+// permitRefusal is the body of the response of an instance that is not the holder, with the
+// holder that it knows.
+type permitRefusal struct {
+	Holder netip.AddrPort `json:"holder,omitzero"`
+}
+
+// servePermits answers the message of another instance.
+func (e *Edge) servePermits(w http.ResponseWriter, r *http.Request) {
+	var m usage.Message
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxMessageBytes)).Decode(&m); err != nil || m.From == "" {
+		e.log.Warn().Err(err).Str("peer", r.RemoteAddr).Msg("invalid permit message rejected")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	out, ok := e.coordinator.answerPermits(m)
+	if ok {
+		e.writeJSON(w, out)
+		return
+	}
+	refusal := permitRefusal{}
+	if s := e.coordinator.holderStatus(); !s.IsHolder {
+		refusal.Holder = s.Holder
+	}
+	data, err := json.Marshal(refusal)
+	if err != nil {
+		e.log.Error().Err(err).Msg("cannot encode the refusal")
+	}
+	w.WriteHeader(http.StatusConflict)
+	_, _ = w.Write(data)
+}
+
+// setQuotas applies the quotas of a configuration, which may be nil.
+func (e *Edge) setQuotas(c *fleet.Config) {
+	if c == nil {
+		return
+	}
+	var limits []usage.Limit
+	for i := range c.Teams {
+		if t := &c.Teams[i]; t.HasQuota() {
+			limits = append(limits, usage.Limit{Team: t.Name, Rate: t.Rate, Burst: t.Burst})
+		}
+	}
+	b := quotaBounds(e.bounds.Load())
+	e.coordinator.teamQuotas.setTeams(e.clock.Now(), b, limits)
+	e.permits.setTeams(b, limits)
+}
+
+func quotaBounds(b *platform.Bounds) usage.Bounds {
+	return usage.Bounds{Window: b.QuotaWindow, Excess: b.QuotaExcess, Slack: b.QuotaSlack}
+}
+
+// permitClient obtains the permits of this instance's requests.
+type permitClient struct {
+	e *Edge
+	// wake receives a value when a message is due.
+	wake chan struct{}
+
+	mu       sync.Mutex
+	share    *usage.Share
+	inFlight int
+	// retryAt is when the next message may be sent after one without a reply.
+	retryAt time.Time
+	isAlone bool
+}
+
+func newPermitClient(e *Edge) *permitClient {
+	return &permitClient{e: e, wake: make(chan struct{}, 1), share: usage.NewShare(e.boot.Instance, nil)}
+}
+
+func (c *permitClient) setTeams(b usage.Bounds, limits []usage.Limit) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.share.SetTeams(b, limits)
+}
+
+// Acquire waits for a permit whose start has come, at most for patience.
+func (c *permitClient) Acquire(ctx context.Context, d usage.Demand, patience time.Duration) (usage.Outcome, error) {
+	out, err := c.request(ctx, d, patience)
+	if err != nil {
+		return out, err
+	}
+	if out.Status != usage.Granted {
+		c.e.metrics.quotaUsed(d.Team, out.Status.String(), d.Amount)
+		return out, nil
+	}
+	if wait := out.Permit.Start.Sub(c.e.clock.Now()); wait > 0 {
+		sleep(ctx, wait)
+	}
+	if err := ctx.Err(); err != nil {
+		c.Return(out.Permit)
+		return out, err
+	}
+	c.e.metrics.quotaUsed(d.Team, out.Status.String(), d.Amount)
+	return out, nil
+}
+
+func (c *permitClient) request(ctx context.Context, d usage.Demand, patience time.Duration) (usage.Outcome, error) {
+	decided := make(chan usage.Outcome, 1)
+	c.mu.Lock()
+	now := c.e.clock.Now()
+	d.Until = now.Add(patience)
+	out, pending := c.share.Request(now, d, func(o usage.Outcome) { decided <- o })
+	isDue := c.share.IsMessageDue()
+	c.mu.Unlock()
+	if isDue {
+		c.signal()
+	}
+	if pending == nil {
+		return out, nil
+	}
+	select {
+	case out = <-decided:
+		return out, nil
+	case <-ctx.Done():
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.share.Cancel(pending)
+	select {
+	case out = <-decided:
+		c.share.Return(out.Permit)
+	default:
+	}
+	return out, ctx.Err()
+}
+
+// IsValid reports whether a permit has not expired.
+func (c *permitClient) IsValid(p usage.Permit) bool { return c.e.clock.Now().Before(p.Until) }
+
+// Return takes back a permit whose request has not run and will not.
+func (c *permitClient) Return(p usage.Permit) {
+	if p.Amount <= 0 {
+		return
+	}
+	c.e.metrics.quotaUsed(p.Team, "returned", p.Amount)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.share.Return(p)
+}
+
+func (c *permitClient) signal() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run sends the messages until ctx ends.
+func (c *permitClient) run(ctx context.Context) {
+	var levelsAt time.Time
+	for ctx.Err() == nil {
+		sent, wait := c.next()
+		if sent != nil {
+			go c.exchange(ctx, sent)
+			sleep(ctx, permitBatchTime)
+			continue
+		}
+		if now := c.e.clock.Now(); c.e.isHolder() && now.Sub(levelsAt) > permitIdleWait {
+			c.e.metrics.quotaLevels(c.e.coordinator.teamQuotas.levels(now))
+			levelsAt = now
+		}
+		waitFor(ctx, c.wake, wait)
+	}
+}
+
+// next returns the message that is due or, if none is, the time until one may be.
+func (c *permitClient) next() (*usage.Sent, time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.e.clock.Now()
+	c.share.Expire(now)
+	if wait := c.retryAt.Sub(now); wait > 0 {
+		return nil, wait
+	}
+	if c.inFlight >= maxPermitMessages {
+		return nil, permitBatchTime
+	}
+	heartbeat, isUsed := c.share.NextHeartbeat(now)
+	if !c.share.IsMessageDue() && (!isUsed || heartbeat > 0) {
+		if !isUsed {
+			heartbeat = permitIdleWait
+		}
+		return nil, heartbeat
+	}
+	c.inFlight++
+	return c.share.Message(now), 0
+}
+
+// exchange sends a message and applies its reply.
+func (c *permitClient) exchange(ctx context.Context, sent *usage.Sent) {
+	r, isGone, err := c.ask(ctx, sent.Message)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inFlight--
+	now := c.e.clock.Now()
+	if err == nil {
+		c.share.Apply(now, sent, r)
+	} else {
+		c.retryAt = now.Add(permitRetryDelay)
+		c.share.Fail(now, sent, isGone)
+	}
+	if alone := c.share.IsAlone(now); alone != c.isAlone {
+		c.isAlone = alone
+		c.e.log.Warn().Bool("alone", alone).Bool("holderGone", isGone).Err(err).Msg("permits without a holder")
+	}
+}
+
+var errNoPermits = trace.CompareFailed("the instance asked for permits is not a steady holder")
+
+// ask sends a message to the holder. If that fails, isGone reports whether no holder is
+// known.
+func (c *permitClient) ask(ctx context.Context, m usage.Message) (r usage.Reply, isGone bool, err error) {
+	status := c.e.coordinator.holderStatus()
+	switch {
+	case status.IsHolder:
+		r, ok := c.e.coordinator.answerPermits(m)
+		if !ok {
+			return r, true, errNoPermits
+		}
+		return r, false, nil
+	case !status.Holder.IsValid():
+		return r, true, errNoHolder
+	}
+	return c.e.peerClient.permits(ctx, status.Holder, m)
+}
+
+// permits sends a message to another instance.
+func (p *peerClient) permits(ctx context.Context, to netip.AddrPort, m usage.Message) (r usage.Reply, isGone bool, err error) {
+	data, err := json.Marshal(m)
+	if err != nil {
+		return r, false, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.String()+pathPermits, bytes.NewReader(data))
+	if err != nil {
+		return r, false, err
+	}
+	a, err := p.do(req, maxMessageBytes)
+	if err != nil {
+		return r, false, trace.Wrap(err, "permits from %s", to)
+	}
+	if a.status == http.StatusConflict {
+		var refusal permitRefusal
+		if err := json.Unmarshal(a.body, &refusal); err != nil {
+			return r, false, trace.BadParameter("refusal of permits from %s: %v", to, err)
+		}
+		return r, !refusal.Holder.IsValid(), errNoPermits
+	}
+	if a.status != http.StatusOK {
+		return r, false, trace.CompareFailed("permits from %s: HTTP status %d", to, a.status)
+	}
+	if err := json.Unmarshal(a.body, &r); err != nil {
+		return r, false, trace.BadParameter("permits from %s: %v", to, err)
+	}
+	return r, false, nil
+}
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -31,6 +31,7 @@
 func (e *Edge) Reload(boot *platform.Boot) {
 	before := e.bounds.Swap(&boot.Bounds)
 	e.budget.SetLimits(retryLimits(boot.Bounds))
+	e.setQuotas(e.config.Load())
 	e.log.Info().Bool("changed", *before != boot.Bounds).
 		Bool("restartNeeded", boot.Callers != e.boot.Callers || boot.Store != e.boot.Store || boot.Peer != e.boot.Peer).
 		Msg("settings reloaded")
--- a/internal/transport/meter/create.go
+++ b/internal/transport/meter/create.go
@@ -27,6 +27,8 @@
 	m.targetEnds = c.counter("chivecroft.target.ends", "{target}", "Targets that ended unplanned with requests in flight.")
 	m.blocks = c.gauge("chivecroft.prompt.blocks", "{block}", "Blocks of prompt parts that crash targets.")
 	m.limits = c.gauge("chivecroft.target.limits", "{target}", "Targets with a rate limit in force.")
+	m.quota = c.amount("chivecroft.quota.amount", "Amounts of teams' quotas by what became of them.")
+	m.quotaLevel = c.level("chivecroft.quota.level", "Level of each team's bucket at the lease holder.")
 	return trace.NewAggregate(c.errs...)
 }
 
@@ -55,6 +57,18 @@
 	return n
 }
 
+func (c *creator) amount(name, description string) metric.Float64Counter {
+	n, err := c.meter.Float64Counter(name, metric.WithUnit("{unit}"), metric.WithDescription(description))
+	c.errs = append(c.errs, err)
+	return n
+}
+
+func (c *creator) level(name, description string) metric.Float64Gauge {
+	n, err := c.meter.Float64Gauge(name, metric.WithUnit("{unit}"), metric.WithDescription(description))
+	c.errs = append(c.errs, err)
+	return n
+}
+
 func (c *creator) seconds(name, description string) metric.Float64Counter {
 	n, err := c.meter.Float64Counter(name, metric.WithUnit("s"), metric.WithDescription(description))
 	c.errs = append(c.errs, err)
--- a/internal/transport/meter/meter.go
+++ b/internal/transport/meter/meter.go
@@ -87,6 +87,8 @@
 	limits     metric.Int64Gauge
 	targetEnds metric.Int64Counter
 	blocks     metric.Int64Gauge
+	quota      metric.Float64Counter
+	quotaLevel metric.Float64Gauge
 }
 
 // New returns a meter that marks its series with the instance and zone.
@@ -224,6 +226,21 @@
 	m.blocks.Record(context.Background(), int64(n))
 }
 
+// Quota adds an amount of a team's quota by what became of it.
+func (m *Meter) Quota(team, outcome string, amount float64) {
+	m.quota.Add(context.Background(), amount, metric.WithAttributes(m.team(team), attribute.String("chivecroft.outcome", outcome)))
+}
+
+// QuotaLevel records the level of a team's bucket at the lease holder, below 0 while
+// permits are reserved.
+func (m *Meter) QuotaLevel(team string, level float64) {
+	m.quotaLevel.Record(context.Background(), level, metric.WithAttributes(m.team(team)))
+}
+
+func (m *Meter) team(name string) attribute.KeyValue {
+	return attribute.String("chivecroft.team", m.tenants.admit(name))
+}
+
 func outcome(ok bool) string {
 	if ok {
 		return "loaded"
--- a/internal/transport/proxy/exchange.go
+++ b/internal/transport/proxy/exchange.go
@@ -63,6 +63,9 @@
 	mustNotSend bool
 	// limit is the rate limit that decided where the request went or that it was refused.
 	limit picker.Limit
+	// team is the caller's team, nil if none, and quota what the request has of its quota.
+	team  *fleet.Team
+	quota quotaUse
 }
 
 // attempt is one send to a target with its response or error.
@@ -100,6 +103,9 @@
 
 // sendNext waits for a reservation and sends the request to its target.
 func (x *exchange) sendNext(lastEvent string) (*attempt, error) {
+	if err := x.acquirePermit(); err != nil {
+		return nil, err
+	}
 	reservation, err := x.s.picker.Acquire(x.ctx, x.pickerRequest())
 	if err != nil {
 		return nil, err
@@ -107,6 +113,9 @@
 	if err := x.admit(reservation); err != nil {
 		return nil, err
 	}
+	if err := x.renewPermit(reservation); err != nil {
+		return nil, err
+	}
 	x.queueTime += reservation.Waited
 	x.sends++
 	return x.send(reservation, lastEvent), nil
@@ -149,6 +158,7 @@
 	if !a.notRun {
 		x.possibleRuns++
 	}
+	x.quota.isSent = x.quota.isSent || a.resp != nil || !a.notRun
 	return a
 }
 
@@ -347,6 +357,7 @@
 // fail ends a request that got no reservation, or whose deadline is over.
 func (x *exchange) fail(err error) {
 	var refusal *picker.Refusal
+	var denial *quotaError
 	switch {
 	case x.r.Context().Err() != nil:
 		x.setOutcome(0, "callerLeft")
@@ -357,6 +368,8 @@
 			return
 		}
 		x.endUnanswered(string(refusal.Reason), refusal.RetryAfter)
+	case errors.As(err, &denial):
+		x.refuseQuota(denial)
 	case errors.Is(err, errBlocked):
 		x.endUnanswered(reasonBlocked, x.untilTrial())
 	case errors.Is(err, errSuspect):
--- a/internal/transport/proxy/outcome.go
+++ b/internal/transport/proxy/outcome.go
@@ -69,7 +69,7 @@
 		Dur("waited", x.queueTime).Dur("began", x.timeToFirst).Dur("took", took).Dur("within", x.timeout).
 		Dur("goal", e.Goal).Dur("gapGoal", e.GapGoal).
 		Dur("pause", x.maxEventGap).Float64("load", x.load).Int("prompt", x.call.PromptTokens)
-	x.logBlock(x.logLimit(line)).Msg("ended")
+	x.logQuota(x.logBlock(x.logLimit(line))).Msg("ended")
 }
 
 // maxLoggedParts limits the parts of a prompt in a log line.
--- a/internal/transport/proxy/server.go
+++ b/internal/transport/proxy/server.go
@@ -50,6 +50,8 @@
 	// which a request broke off has ended.
 	crashes  *crash.Monitor
 	hasEnded func(context.Context, fleet.Target) bool
+	// permits issues the permits of teams with quotas, nil for none.
+	permits Permits
 
 	config atomic.Pointer[fleet.Config]
 	// closing makes responses close their connections. refusing refuses new requests.
@@ -121,6 +123,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	defer x.logEnd()
+	defer x.returnPermit()
 	if !x.prepare() {
 		return
 	}
@@ -145,6 +148,7 @@
 		x.respond(http.StatusNotFound, "noRoute")
 		return false
 	}
+	x.team = teamOf(cfg, x.r)
 	call, err := s.codec.Decode(x.r)
 	x.call = call
 	if err != nil {
