--- a/internal/coordination/usage/ledger.go
+++ b/internal/coordination/usage/ledger.go
@@ -228,7 +228,6 @@
 	}
 	a.calendar.advance(l.slot(now))
 	if !a.calendar.giveBack(r.Slot, r.Amount) {
-		println("lost", int(r.Amount), r.Slot-a.calendar.now, r.Slot-a.calendar.first, int(*a.calendar.at(r.Slot)))
 		return
 	}
 	a.use(from).add(now, -min(r.Amount, a.use(from).value(now)))
