--- a/internal/coordination/usage/bounds.go
+++ b/internal/coordination/usage/bounds.go
@@ -11,9 +11,6 @@
 	// transitTime is how much longer the requests at the beginning of a window may be on
 	// their way to targets than those at its end.
 	transitTime = 100 * time.Millisecond
-	// largestRequest is the amount of the largest plausible request. A bucket is that large
-	// if the bounds allow it, since a smaller one would never serve such a request.
-	largestRequest = 15_000
 	// aloneDeviations is the number of standard deviations between the expected use without
 	// a holder and the bound. With few large requests the tails are long.
 	aloneDeviations = 5
@@ -27,11 +24,12 @@
 	Slack  float64
 }
 
-// Limit is the quota of a team, in units per second and units. Its capacity is the largest
-// amount of one request.
+// Limit is the quota of a team, in units per second and units. Largest is the amount of the
+// largest plausible request: the bucket is at least that large if the bounds allow it,
+// since a smaller one would never serve such a request.
 type Limit struct {
-	Team        string
-	Rate, Burst float64
+	Team                 string
+	Rate, Burst, Largest float64
 }
 
 // MaxUse returns the largest amount that a window may have.
@@ -48,11 +46,11 @@
 // holds the refill of its span and a full bucket.
 func (b Bounds) bucket(l Limit) (rate, capacity float64) {
 	if b.Window <= 0 {
-		return l.Rate, max(l.Burst, largestRequest)
+		return l.Rate, max(l.Burst, l.Largest)
 	}
 	allowed, span := b.MaxUse(l), b.span()
 	rate = max(min(l.Rate, (allowed-l.Burst)/span), 0)
-	return rate, min(max(l.Burst, largestRequest), max(allowed-rate*span, 0))
+	return rate, min(max(l.Burst, l.Largest), max(allowed-rate*span, 0))
 }
 
 // alonePart returns the part of the rate that instances without a holder admit of requests
--- a/internal/coordination/usage/share.go
+++ b/internal/coordination/usage/share.go
@@ -295,7 +295,7 @@
 func (s *Share) prefetchAmount(t *teamShare, now time.Time) float64 {
 	since := demandMemory.Seconds()
 	requests := t.requests.value(now) / since
-	if !t.isFilled || requests*permitLifetime.Seconds() < 1 {
+	if !t.isFilled || requests*permitLifetime.Seconds() < 1 || now.Sub(t.usedAt) > permitLifetime {
 		return 0
 	}
 	// The sum of amounts is at least one average request.
--- /dev/null
+++ b/internal/coordination/usage/usage_test.go
@@ -0,0 +1,125 @@
+package usage
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func newFullLedger(limits ...Limit) *Ledger {
+	l := NewLedger(1, start)
+	l.SetTeams(start, bounds, limits)
+	return l
+}
+
+// TestCapacityFollowsTheBounds checks that a small burst is raised to a large request where
+// the bounds have room for it, and never beyond them.
+func TestCapacityFollowsTheBounds(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		bounds         Bounds
+		limit          Limit
+		rate, capacity float64
+	}{
+		{"small team", bounds, Limit{Rate: 2700, Burst: 2700, Largest: 15_000}, 2700, 13_646},
+		{"tiny burst", bounds, Limit{Rate: 2700, Burst: 10, Largest: 15_000}, 2700, 10_687},
+		{"large team", bounds, Limit{Rate: 230_000, Burst: 230_000, Largest: 15_000}, 230_000, 230_000},
+		{"requests", bounds, Limit{Rate: 5, Burst: 5, Largest: 1}, 5, 5},
+		{"no room at all", Bounds{Window: 8 * time.Second}, Limit{Rate: 892, Burst: 100, Largest: 15_000}, 800, 100},
+		{"not judged", Bounds{}, Limit{Rate: 5, Burst: 5, Largest: 15_000}, 5, 15_000},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			rate, capacity := c.bounds.bucket(c.limit)
+			if diff := cmp.Diff([]int{int(c.rate), int(c.capacity)}, []int{int(rate + 0.5), int(capacity + 0.5)}); diff != "" {
+				t.Errorf("rate and capacity (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestUrgentRequestsFindRoom fills the line with requests of low priority: an urgent request
+// must still get a permit, one of low priority is told when to come back, and that is true.
+func TestUrgentRequestsFindRoom(t *testing.T) {
+	l := newFullLedger(Limit{Team: "t", Rate: 1000, Burst: 1000})
+	now := start.Add(10 * time.Second)
+	ask := func(priority int) Answer {
+		m := Message{From: "i", Asks: []Ask{{Team: "t", Amount: 100, Priority: priority, MaxDelayMS: 1000}}}
+		return l.Answer(now, 1, m).Answers[0]
+	}
+	low := ask(2)
+	for low.Granted > 0 {
+		low = ask(2)
+	}
+	if a := ask(0); a.Granted != 100 || a.DelayMS == 0 {
+		t.Errorf("an urgent request got %+v", a)
+	}
+	now = now.Add(time.Duration(low.DelayMS+100) * time.Millisecond)
+	if a := ask(2); a.Granted != 100 {
+		t.Errorf("after the time of the refusal %+v: %+v", low, a)
+	}
+}
+
+// TestQuotaIsChanged lowers and raises a quota: neither may make tokens, or leave more than
+// the new capacity.
+func TestQuotaIsChanged(t *testing.T) {
+	l := newFullLedger(Limit{Team: "t", Rate: 1000, Burst: 1000, Largest: 1})
+	now := start.Add(10 * time.Second)
+	got := []float64{l.Levels(now)["t"]}
+	for _, rate := range []float64{100, 5000} {
+		l.SetTeams(now, bounds, []Limit{{Team: "t", Rate: rate, Burst: rate, Largest: 1}})
+		got = append(got, l.Levels(now)["t"])
+	}
+	if diff := cmp.Diff([]float64{1000, 100, 100}, got); diff != "" {
+		t.Errorf("levels (-want +got):\n%s", diff)
+	}
+}
+
+// TestAloneOnAverage has 300 instances without a holder share a quota of less than one
+// request a second each: together they must admit what they may, neither nothing nor all.
+func TestAloneOnAverage(t *testing.T) {
+	team := &testTeam{Limit: Limit{Team: "t", Rate: 230_000, Burst: 230_000, Largest: 15_000}, load: 2, smallest: 4000}
+	for i := range 300 {
+		team.at = append(team.at, i)
+	}
+	w := newWorld(4, 300, team)
+	w.holder = false
+	w.run(4 * time.Second)
+	from := w.now
+	w.run(10 * time.Second)
+	if got := w.used(team, from); got < 0.5 || got > 0.7 {
+		t.Errorf("%.2f of the rate used without a holder, wanted about %v", got, alonePart)
+	}
+}
+
+// BenchmarkAsk measures an ask at the ledger among many teams under full load.
+func BenchmarkAsk(b *testing.B) {
+	var limits []Limit
+	for i := range 100 {
+		limits = append(limits, Limit{Team: string(rune('A' + i)), Rate: 230_000, Burst: 230_000, Largest: 15_000})
+	}
+	l, now := newFullLedger(limits...), start.Add(5*time.Second)
+	m := Message{From: "i", Asks: make([]Ask, 1)}
+	b.ReportAllocs()
+	for i := range b.N {
+		now = now.Add(20 * time.Microsecond)
+		m.Asks[0] = Ask{Team: limits[i%len(limits)].Team, Amount: 500 + 14_000*rand.Float64(), MaxDelayMS: 500}
+		l.Answer(now, 300, m)
+	}
+}
+
+// BenchmarkPrefetched measures the fast path of a request: a permit that is there.
+func BenchmarkPrefetched(b *testing.B) {
+	s := NewShare("i", nil)
+	s.SetTeams(bounds, []Limit{{Team: "t", Rate: 230_000, Burst: 230_000, Largest: 15_000}})
+	now := start
+	s.teams["t"].pool = []Permit{{Team: "t", Amount: 1e18, Start: now, Until: now.Add(time.Hour)}}
+	b.ReportAllocs()
+	for range b.N {
+		now = now.Add(time.Microsecond)
+		if _, pending := s.Request(now, Demand{Team: "t", Amount: 1000}, nil); pending != nil {
+			b.Fatal("no permit")
+		}
+	}
+}
--- a/internal/edge/permits.go
+++ b/internal/edge/permits.go
@@ -28,6 +28,8 @@
 	permitRetryDelay = 50 * time.Millisecond
 	// permitIdleWait is how long the loop sleeps while no quotas are used.
 	permitIdleWait = time.Second
+	// largestTokens is the number of tokens of the largest plausible request.
+	largestTokens = 15_000
 	// maxPermitMessages limits the messages in flight.
 	maxPermitMessages = 32
 )
@@ -118,7 +120,11 @@
 	var limits []usage.Limit
 	for i := range c.Teams {
 		if t := &c.Teams[i]; t.HasQuota() {
-			limits = append(limits, usage.Limit{Team: t.Name, Rate: t.Rate, Burst: t.Burst})
+			l := usage.Limit{Team: t.Name, Rate: t.Rate, Burst: t.Burst, Largest: 1}
+			if t.Unit == fleet.UnitTokens {
+				l.Largest = largestTokens
+			}
+			limits = append(limits, l)
 		}
 	}
 	b := quotaBounds(e.bounds.Load())
