Team quotas: shares are averages of ten seconds

Without a holder 0.31 of the rate was used instead of about 0.6: instances saved up too little between requests, and their parts scattered.

--- a/internal/coordination/usage/alone.go
+++ b/internal/coordination/usage/alone.go
@@ -12,18 +12,21 @@
 	maxCutOff = 10 * time.Second
 	// alonePart is the part of a rate that all instances together admit without a holder.
 	alonePart = 0.6
-	// aloneTime is how much of its part an instance can save up.
-	aloneTime = 500 * time.Millisecond
+	// aloneTime is how much of its part an instance can save up. All may do so, and then get
+	// requests at the same time.
+	aloneTime = 4 * time.Second
 	// aloneRetryAfter limits the Retry-After of a refusal without a holder, which may be
 	// back by then.
 	aloneRetryAfter = 5 * time.Second
-	// assumedMembers is the number of instances until a holder has told it.
-	assumedMembers = 100
+	// assumedMembers is the number of instances until a holder has told it, that of a large
+	// fleet, since a smaller one would exceed the quotas there.
+	assumedMembers = 300
 )
 
 // aloneBucket is an instance's part of a quota without a holder.
 type aloneBucket struct {
-	// level is the time's worth of the instance's part.
+	// level is what has been saved up at a time, as the time that it takes at the instance's
+	// part of the rate.
 	level time.Duration
 	at    time.Time
 }
@@ -49,10 +52,10 @@
 	}
 	b := &t.alone
 	if b.at.IsZero() {
-		b.at = now
+		b.at = s.failedAt.Add(aloneAfter)
 	}
 	needed := time.Duration(d.Amount / rate * float64(time.Second))
-	saved := min(b.level+now.Sub(b.at), max(aloneTime, min(needed, maxCutOff)))
+	saved := min(b.level+now.Sub(b.at), aloneTime)
 	b.at = now
 	if saved < needed && s.random()*float64(needed) >= float64(saved) {
 		b.level = 0
--- a/internal/coordination/usage/bounds.go
+++ b/internal/coordination/usage/bounds.go
@@ -63,5 +63,5 @@
 	// expected + aloneDeviations × √(expected × amount) = MaxUse, solved for √expected.
 	half := aloneDeviations * math.Sqrt(amount) / 2
 	root := math.Sqrt(half*half+b.MaxUse(l)) - half
-	return min(alonePart, root*root/(l.Rate*b.Window.Seconds()))
+	return min(alonePart, root*root/(l.Rate*(b.Window+aloneTime).Seconds()))
 }
--- a/internal/coordination/usage/ledger.go
+++ b/internal/coordination/usage/ledger.go
@@ -15,7 +15,7 @@
 	// prefetchFill is the part of a bucket below which nothing is prefetched.
 	prefetchFill = 0.5
 	// useMemory is the time constant of the average of an instance's grants.
-	useMemory = 5 * time.Second
+	useMemory = 10 * time.Second
 	// silentAfter is how long an instance may be silent until it counts as cut off; its
 	// messages are heartbeatInterval apart. cutOffFor is how long an instance may be without
 	// a holder while that may still issue permits, plus messages under way.
