--- /dev/null
+++ b/internal/edge/permits_test.go
@@ -0,0 +1,160 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"chivecroft.example/chivecroft/platform/fake"
+)
+
+// setTeams writes a configuration with a plain route and teams.
+func (r *rig) setTeams(version int, teams ...map[string]any) {
+	r.store.Write(r.t, "op/config", map[string]any{
+		"version": version, "tenants": teams,
+		"routes": []map[string]any{
+			{"name": "app", "host": "x.example", "path_prefix": "/app/", "kind": "unsafe", "timeout_ms": 2000, "service": "desk", "max_attempts": 1},
+		},
+		"services": []map[string]any{{"name": "desk"}},
+	})
+	r.eventually("the configuration is in force", func() bool {
+		for _, e := range r.edges {
+			if c := e.config.Load(); c == nil || c.Version != int64(version) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (r *rig) callWithKey(e *Edge, key, usage string) (status int, retryAfter string) {
+	ctx, cancel := context.WithTimeout(r.t.Context(), 5*time.Second)
+	defer cancel()
+	c := fake.Call{ID: "call-" + strconv.FormatInt(time.Now().UnixNano(), 36), Host: "x.example", Path: "/app/", Body: "body"}
+	req, err := c.Request(ctx, e.boot.Callers)
+	if err != nil {
+		r.t.Error(err)
+		return 0, ""
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("Chivecroft-Token-Usage", usage)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	resp.Body.Close()
+	return resp.StatusCode, resp.Header.Get("Retry-After")
+}
+
+// pressTeam has callers of a team ask at the instances for a time, and returns the numbers
+// of requests by status.
+func (r *rig) pressTeam(edges []*Edge, callers int, d time.Duration) map[int]int {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	out := make(map[int]int)
+	end := time.Now().Add(d)
+	for _, e := range edges {
+		for range callers {
+			wg.Go(func() {
+				for time.Now().Before(end) {
+					status, retryAfter := r.callWithKey(e, "k", "600,400")
+					mu.Lock()
+					out[status]++
+					if status == http.StatusTooManyRequests && retryAfter == "" {
+						r.t.Error("a refusal over the quota has no Retry-After")
+					}
+					mu.Unlock()
+					sleep(r.t.Context(), 20*time.Millisecond)
+				}
+			})
+		}
+	}
+	wg.Wait()
+	return out
+}
+
+func quotaTeam(rate float64) map[string]any {
+	return map[string]any{
+		"name": "t", "api_keys": []string{"k"}, "priority": 1, "unit": "tokens", "plain_tokens": 200, "rate_per_s": rate, "burst": rate,
+	}
+}
+
+func newQuotaRig(t *testing.T, rate float64) *rig {
+	r := newRig(t, 3)
+	r.setTeams(2, quotaTeam(rate))
+	for _, e := range r.edges {
+		boot := *e.boot
+		boot.Bounds.QuotaWindow, boot.Bounds.QuotaExcess, boot.Bounds.QuotaSlack = 2*time.Second, 0.1, 11_000
+		e.Reload(&boot)
+	}
+	return r
+}
+
+// TestTeamQuotaAcrossInstances has demand above a quota at all instances and at one that is
+// not the holder: the quota must be used and not exceeded, and others be told when to retry.
+func TestTeamQuotaAcrossInstances(t *testing.T) {
+	const perSecond = 40
+	r := newQuotaRig(t, perSecond*1000)
+	other := r.edges[0]
+	if other.isHolder() {
+		other = r.edges[1]
+	}
+	for _, edges := range [][]*Edge{r.edges, {other}} {
+		r.pressTeam(edges, 36/len(edges), 2*time.Second)
+		from := time.Now()
+		got := r.pressTeam(edges, 36/len(edges), 3*time.Second)
+		arrived := len(r.targets["d1"].ArrivalsAfter(from))
+		if arrived < 0.8*3*perSecond || arrived > 1.1*4*perSecond+11 {
+			t.Errorf("%d requests reached the target in 3 s at %d a second (%v)", arrived, perSecond, got)
+		}
+		if got[http.StatusTooManyRequests] == 0 || got[http.StatusOK] != arrived {
+			t.Errorf("statuses %v, %d arrived", got, arrived)
+		}
+	}
+	if status, retryAfter := r.callWithKey(other, "k", "90000,1"); status != http.StatusTooManyRequests || retryAfter != "" {
+		t.Errorf("a request above the burst: status %d, Retry-After %q", status, retryAfter)
+	}
+}
+
+// TestTeamQuotaWithoutAHolder takes the store away, so that no instance stays the holder:
+// each must go on with a part of the quota, and with all of it once there is a holder.
+func TestTeamQuotaWithoutAHolder(t *testing.T) {
+	const perSecond = 60
+	r := newQuotaRig(t, perSecond*1000)
+	r.pressTeam(r.edges, 5, 2*time.Second)
+	r.store.Refuse.Store(http.StatusServiceUnavailable)
+	r.pressTeam(r.edges, 5, 4*time.Second)
+	from := time.Now()
+	got := r.pressTeam(r.edges, 5, 4*time.Second)
+	arrived := len(r.targets["d1"].ArrivalsAfter(from))
+	if arrived < 0.3*4*perSecond || arrived > 0.9*4*perSecond {
+		t.Errorf("%d requests reached the target in 4 s without a holder, quota %d a second (%v)", arrived, perSecond, got)
+	}
+	r.store.Refuse.Store(0)
+	r.eventually("a holder issues permits again", func() bool {
+		from := time.Now()
+		r.pressTeam(r.edges, 5, time.Second)
+		return len(r.targets["d1"].ArrivalsAfter(from)) > 0.8*perSecond
+	})
+}
+
+// TestOnlyASteadyHolderIssuesPermits asks an instance that is not the holder.
+func TestOnlyASteadyHolderIssuesPermits(t *testing.T) {
+	r := newRig(t, 2)
+	for _, e := range r.edges {
+		want := http.StatusConflict
+		if e.isHolder() {
+			want = http.StatusOK
+		}
+		rec := httptest.NewRecorder()
+		e.servePeer(rec, httptest.NewRequestWithContext(t.Context(), http.MethodPost, pathPermits, strings.NewReader(`{"from":"x"}`)))
+		if rec.Code != want {
+			t.Errorf("%s, holder %v: status %d, wanted %d", e.boot.Instance, e.isHolder(), rec.Code, want)
+		}
+	}
+}
