Team quotas: a holder that returns awaits its own reservations

Another instance waits for longer than HolderGap before it takes the place of the last holder, but the last holder itself may return at once. Requests that count nothing need no permit. The retry budget of TestRepeatNeedsNoPermit knows of its instance.

--- a/internal/coordination/usage/alone.go
+++ b/internal/coordination/usage/alone.go
@@ -63,5 +63,6 @@
 		return out
 	}
 	b.level = max(saved-needed, 0)
-	return Outcome{Permit: Permit{Team: d.Team, Amount: d.Amount, Start: now, Until: now.Add(permitLifetime), term: -1}, Share: share, IsAlone: true}
+	p := Permit{Team: d.Team, Amount: d.Amount, Start: now, Until: now.Add(permitLifetime), term: noTerm}
+	return Outcome{Permit: p, Share: share, IsAlone: true}
 }
--- a/internal/coordination/usage/fleet_test.go
+++ b/internal/coordination/usage/fleet_test.go
@@ -231,7 +231,7 @@
 // changeHolder replaces the holder after a gap without one.
 func (w *world) changeHolder(gap time.Duration) {
 	w.holder = false
-	w.at(max(gap, holderGap), w.newTerm)
+	w.at(max(gap, HolderGap), w.newTerm)
 }
 
 // check looks for windows over the bound.
--- a/internal/coordination/usage/ledger.go
+++ b/internal/coordination/usage/ledger.go
@@ -9,9 +9,9 @@
 const (
 	// maxDelay is the longest time that a permit may start ahead.
 	maxDelay = time.Second
-	// holderGap is how long before a successor's term the last holder has stopped issuing
+	// HolderGap is how long before a successor's term the last holder has stopped issuing
 	// permits at the latest.
-	holderGap = 400 * time.Millisecond
+	HolderGap = 400 * time.Millisecond
 	// prefetchFill is the part of a bucket below which nothing is prefetched.
 	prefetchFill = 0.5
 	// useMemory is the time constant of the average of an instance's grants.
@@ -82,10 +82,11 @@
 	return a.sum * math.Exp(-now.Sub(a.at).Seconds()/useMemory.Seconds())
 }
 
-// NewLedger returns a Ledger without teams for a term that starts now.
-func NewLedger(term int64, now time.Time) *Ledger {
+// NewLedger returns a Ledger without teams for a term that starts at a time, at least
+// HolderGap after the last permit of an earlier term.
+func NewLedger(term int64, start time.Time) *Ledger {
 	return &Ledger{
-		term: term, start: now, accounts: make(map[string]*account),
+		term: term, start: start, accounts: make(map[string]*account),
 		heardAt: make(map[string]time.Time), members: 1, totals: make(map[string]Totals),
 	}
 }
@@ -119,7 +120,7 @@
 // opening returns the first slot of a term. The reservations of the last holder may go on
 // for maxDelay; what the bounds leave of them need not be awaited.
 func (l *Ledger) opening(limit Limit, rate, capacity float64) int64 {
-	wait := (maxDelay - holderGap).Seconds()
+	wait := (maxDelay - HolderGap).Seconds()
 	if l.bounds.Window > 0 && rate > 0 {
 		wait -= (l.bounds.MaxUse(limit) - capacity - rate*l.bounds.span()) / rate
 	}
--- a/internal/coordination/usage/share.go
+++ b/internal/coordination/usage/share.go
@@ -147,8 +147,8 @@
 func (s *Share) Request(now time.Time, d Demand, done func(Outcome)) (Outcome, *Pending) {
 	t := s.teams[d.Team]
 	switch {
-	case t == nil:
-		return Outcome{Permit: Permit{Team: d.Team, Start: now, Until: now.Add(time.Hour), term: -1}}, nil
+	case t == nil || d.Amount <= 0:
+		return unlimited(now, d.Team), nil
 	case d.Amount > t.capacity:
 		return Outcome{Status: OverBurst, Share: s.shareOf(t)}, nil
 	}
@@ -166,6 +166,15 @@
 	return Outcome{}, q
 }
 
+// unlimited returns the outcome of a request that needs no permit, which lasts for longer
+// than any request.
+func unlimited(now time.Time, team string) Outcome {
+	return Outcome{Permit: Permit{Team: team, Start: now, Until: now.Add(24 * time.Hour), term: noTerm}}
+}
+
+// noTerm is the term of permits that no holder issued, so that they are not returned to one.
+const noTerm = -1
+
 // Cancel ends a request that no longer needs a permit. One that it still gets is returned.
 func (s *Share) Cancel(q *Pending) { q.isDone = true }
 
@@ -427,7 +436,7 @@
 		switch {
 		case q.isDone:
 		case t == nil:
-			s.finish(q, Outcome{Permit: Permit{Team: q.Team, Start: now, Until: now.Add(time.Hour), term: -1}})
+			s.finish(q, unlimited(now, q.Team))
 		case alone:
 			s.finish(q, s.decideAlone(now, t, q.Demand))
 		case !now.Before(q.Until):
--- a/internal/edge/permits.go
+++ b/internal/edge/permits.go
@@ -14,6 +14,7 @@
 
 	"chivecroft.example/chivecroft/internal/coordination/usage"
 	"chivecroft.example/chivecroft/internal/state/fleet"
+	"chivecroft.example/chivecroft/internal/state/timer"
 	"chivecroft.example/chivecroft/platform"
 )
 
@@ -40,15 +41,18 @@
 	ledger *usage.Ledger
 	bounds usage.Bounds
 	limits []usage.Limit
+	// answeredAt is when this instance last issued permits.
+	answeredAt time.Time
 }
 
 func newTeamQuotas() *teamQuotas { return &teamQuotas{ledger: usage.NewLedger(0, time.Time{})} }
 
-// startTerm replaces the Ledger by an empty one.
+// startTerm replaces the Ledger by an empty one. Another instance waits for longer than
+// HolderGap before it takes the place of the last holder, but not the last holder itself.
 func (q *teamQuotas) startTerm(term int64, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.ledger = usage.NewLedger(term, now)
+	q.ledger = usage.NewLedger(term, timer.Later(now, q.answeredAt.Add(usage.HolderGap)))
 	q.ledger.SetTeams(now, q.bounds, q.limits)
 }
 
@@ -78,7 +82,8 @@
 	q := k.teamQuotas
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.ledger.Answer(k.clock.Now(), members, m), true
+	q.answeredAt = k.clock.Now()
+	return q.ledger.Answer(q.answeredAt, members, m), true
 }
 
 // permitRefusal is the body of the response of an instance that is not the holder, with the
--- a/internal/transport/proxy/permit_test.go
+++ b/internal/transport/proxy/permit_test.go
@@ -54,6 +54,7 @@
 // withPermits gives the rig a team with a quota.
 func (r *rig) withPermits(p *fakePermits) {
 	budget := retry.NewBudget(retry.Limits{RetriesPerRequest: 0.2, RetriesPerWindow: 100, Window: 10 * time.Second})
+	budget.SetInstances(1)
 	r.config.Teams = []fleet.Team{{Name: "t", Keys: []fleet.KeyDigest{fleet.DigestKey("k")}, Unit: fleet.UnitTokens, Rate: 1000, Burst: 1000, PlainTokens: 200}}
 	if err := r.config.Index(); err != nil {
 		r.t.Fatal(err)
