--- a/internal/coordination/usage/alone.go
+++ b/internal/coordination/usage/alone.go
@@ -48,6 +48,7 @@
 	rate := s.bounds.alonePart(t.limit, d.Amount) * t.limit.Rate * share
 	out := Outcome{Status: OverQuota, Share: share, IsAlone: true, RetryAfter: aloneRetryAfter}
 	if rate <= 0 || !s.isGone && now.Sub(s.failedAt) > maxCutOff {
+		out.Status = NoHolder
 		return out
 	}
 	b := &t.alone
--- a/internal/coordination/usage/ledger.go
+++ b/internal/coordination/usage/ledger.go
@@ -17,9 +17,9 @@
 	// useMemory is the time constant of the average of an instance's grants.
 	useMemory = 10 * time.Second
 	// silentAfter is how long an instance may be silent until it counts as cut off; its
-	// messages are heartbeatInterval apart. cutOffFor is how long an instance may be without
+	// messages are heartbeatInterval apart, and one of them may be lost. cutOffFor is how long an instance may be without
 	// a holder while that may still issue permits, plus messages under way.
-	silentAfter = time.Second
+	silentAfter = 1200 * time.Millisecond
 	cutOffFor   = maxCutOff + time.Second
 	// evenPart is the part of each share that does not depend on recent grants, so that an
 	// instance with new demand has something.
@@ -169,6 +169,8 @@
 	if total := a.total.value(now); total > 0 {
 		u.told = (1-evenPart)*min(u.value(now)/total, 1) + evenPart*even
 	}
+	// Four digits suffice and keep the reply short.
+	u.told = math.Round(u.told*1e4) / 1e4
 	out.Shares[team] = u.told
 	if a.isFilled(0) {
 		out.Filled = append(out.Filled, team)
--- a/internal/coordination/usage/share.go
+++ b/internal/coordination/usage/share.go
@@ -9,7 +9,7 @@
 const (
 	// heartbeatInterval is the longest time between messages of an instance that uses
 	// quotas, idleAfter how long after its last request it sends them.
-	heartbeatInterval = 400 * time.Millisecond
+	heartbeatInterval = 700 * time.Millisecond
 	idleAfter         = 10 * time.Second
 	// prefetchTime is how much of a team's recent demand is prefetched.
 	prefetchTime = 300 * time.Millisecond
