--- a/internal/coordination/usage/ledger.go
+++ b/internal/coordination/usage/ledger.go
@@ -43,6 +43,8 @@
 	// heardAt is when each instance last sent a message.
 	heardAt map[string]time.Time
 	sweptAt time.Time
+	// silent are the instances that may be cut off.
+	silent  []string
 	members int
 	totals  map[string]Totals
 }
@@ -191,11 +193,12 @@
 	a.calendar.advance(present)
 	slot := a.calendar.find(ask.Amount)
 	delay := time.Duration(min(slot-present, int64(time.Hour/slotTime))) * slotTime
-	if delay > a.patience(ask) || ask.IsPrefetch && !a.isFilled(ask.Amount) {
+	patience := a.patience(ask)
+	if delay > patience || ask.IsPrefetch && !a.isFilled(ask.Amount) {
 		if !ask.IsPrefetch {
 			l.count(ask.Team, Totals{Refused: ask.Amount})
 		}
-		return Answer{DelayMS: delay.Milliseconds()}
+		return Answer{DelayMS: delay.Milliseconds(), AgainMS: (delay - patience).Milliseconds()}
 	}
 	a.calendar.grant(slot, ask.Amount)
 	a.use(from).add(now, ask.Amount)
@@ -256,6 +259,9 @@
 	return out
 }
 
+// Silent returns the instances for which a part of the quotas is kept back.
+func (l *Ledger) Silent() []string { return l.silent }
+
 // forget removes an instance that uses no quotas any more.
 func (l *Ledger) forget(name string) {
 	delete(l.heardAt, name)
@@ -270,20 +276,19 @@
 	if now.Sub(l.sweptAt) < sweepInterval {
 		return
 	}
-	l.sweptAt = now
-	var silent []string
+	l.sweptAt, l.silent = now, nil
 	for name, at := range l.heardAt {
 		switch quiet := now.Sub(at); {
 		case quiet > cutOffFor:
 			l.forget(name)
 		case quiet > silentAfter:
-			silent = append(silent, name)
+			l.silent = append(l.silent, name)
 		}
 	}
-	slices.Sort(silent)
+	slices.Sort(l.silent)
 	for _, a := range l.accounts {
 		cutOff := 0.0
-		for _, name := range silent {
+		for _, name := range l.silent {
 			// An instance that uses a quota asks for its share with each heartbeat.
 			if u := a.uses[name]; u != nil && l.heardAt[name].Sub(u.toldAt) < silentAfter {
 				cutOff += alonePart * u.told
--- a/internal/coordination/usage/message.go
+++ b/internal/coordination/usage/message.go
@@ -22,6 +22,9 @@
 	// DelayMS is the time until the permit starts or, after a refusal, until the bucket
 	// could serve the request, in milliseconds.
 	DelayMS int64 `json:"delayMs,omitempty"`
+	// AgainMS is how long, after a refusal, the same ask would be refused again, in
+	// milliseconds.
+	AgainMS int64 `json:"againMs,omitempty"`
 }
 
 // Returned is an amount that was granted and not used.
--- a/internal/coordination/usage/share.go
+++ b/internal/coordination/usage/share.go
@@ -18,6 +18,9 @@
 	// returnBefore is how long before their expiry prefetched permits are returned, so that
 	// the holder can still issue them to others.
 	returnBefore = 200 * time.Millisecond
+	// maxRefusalTime limits how long an instance refuses by itself what the holder has
+	// refused, since returned permits may make room earlier.
+	maxRefusalTime = 100 * time.Millisecond
 	// maxReturns limits the returns of one message.
 	maxReturns = 256
 )
@@ -113,9 +116,22 @@
 	usedAt, askedAt time.Time
 	pool            []Permit
 	isPrefetching   bool
+	refused         refusal
 	alone           aloneBucket
 }
 
+// refusal is the last refusal of the holder. Until a time, it would refuse any request that
+// is as large and no more urgent; the bucket could serve it at readyAt.
+type refusal struct {
+	amount         float64
+	priority       int
+	until, readyAt time.Time
+}
+
+func (r *refusal) covers(now time.Time, d Demand) bool {
+	return now.Before(r.until) && d.Amount >= r.amount && d.Priority >= r.priority
+}
+
 // NewShare returns the Share of an instance. random returns numbers in [0, 1) and may be
 // nil.
 func NewShare(name string, random func() float64) *Share {
@@ -161,6 +177,9 @@
 	if s.IsAlone(now) {
 		return s.decideAlone(now, t, d), nil
 	}
+	if t.refused.covers(now, d) {
+		return Outcome{Status: OverQuota, RetryAfter: t.refused.readyAt.Sub(now), Share: s.shareOf(t)}, nil
+	}
 	q := &Pending{Demand: d, done: done}
 	s.queue = append(s.queue, q)
 	return Outcome{}, q
@@ -390,6 +409,9 @@
 			return
 		}
 		out = Outcome{Permit: p}
+	} else if t := s.teams[q.Team]; t != nil {
+		again := min(time.Duration(a.AgainMS)*time.Millisecond, maxRefusalTime)
+		t.refused = refusal{q.Amount, q.Priority, now.Add(again), now.Add(out.RetryAfter)}
 	}
 	s.finish(q, out)
 }
--- a/internal/edge/permits.go
+++ b/internal/edge/permits.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +32,8 @@
 	permitIdleWait = time.Second
 	// largestTokens is the number of tokens of the largest plausible request.
 	largestTokens = 15_000
+	// maxLoggedSilent limits the instances in a log line.
+	maxLoggedSilent = 8
 	// maxPermitMessages limits the messages in flight.
 	maxPermitMessages = 32
 )
@@ -83,7 +86,13 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.answeredAt = k.clock.Now()
-	return q.ledger.Answer(q.answeredAt, members, m), true
+	before := q.ledger.Silent()
+	out := q.ledger.Answer(q.answeredAt, members, m)
+	if silent := q.ledger.Silent(); !slices.Equal(before, silent) {
+		k.log.Info().Int("instances", len(silent)).Strs("names", silent[:min(len(silent), maxLoggedSilent)]).
+			Msg("quotas kept back for silent instances")
+	}
+	return out, true
 }
 
 // permitRefusal is the body of the response of an instance that is not the holder, with the
--- a/internal/transport/meter/meter_test.go
+++ b/internal/transport/meter/meter_test.go
@@ -57,6 +57,8 @@
 	m.Load("menu", ports.TierDisk, false)
 	m.IdleAccelerator("menu", 90*time.Second)
 	m.Limits(2)
+	m.Quota("desk", "granted", 400)
+	m.QuotaLevel("desk", -20)
 	m.TargetEnd("assist")
 	m.Blocks(1)
 	labels := `{chivecroft_class="interactive",chivecroft_service="assist",chivecroft_tenant="desk"`
@@ -65,6 +67,8 @@
 		{"cold_start_duration_seconds_sum", `chivecroft_cold_start_duration_seconds_sum` + labels + `,gen_ai_request_model="menu"} 3`},
 		{"time_to_first_token_seconds_count", `gen_ai_server_time_to_first_token_seconds_count` + labels + `} 1`},
 		{`time_per_output_token_seconds_bucket` + labels + `,le="0.02"`, `gen_ai_server_time_per_output_token_seconds_bucket` + labels + `,le="0.02"} 1`},
+		{"quota_amount", `chivecroft_quota_amount_total{chivecroft_outcome="granted",chivecroft_team="desk"} 400`},
+		{"quota_level", `chivecroft_quota_level{chivecroft_team="desk"} -20`},
 		{"requests_served", `chivecroft_requests_served_total` + labels + `} 1`},
 		{"requests_refused", `chivecroft_requests_refused_total{chivecroft_class="interactive",chivecroft_not_run="true",chivecroft_service="assist",chivecroft_tenant="desk",error_type="deadline"} 1`},
 		{"kv_calls", `chivecroft_kv_calls_total{db_operation_name="put",db_response_status_code="conflict"} 1`},
--- a/internal/transport/proxy/permit.go
+++ b/internal/transport/proxy/permit.go
@@ -21,6 +21,8 @@
 	// maxPermitWait limits how long a request waits for a permit. A longer line would make
 	// all answers of the team late and admit no more requests.
 	maxPermitWait = time.Second
+	// retryAfterResolution is the resolution of Retry-After.
+	retryAfterResolution = 10 * time.Millisecond
 	// permitGoalShare is the part of a route's goal that may be spent on the wait.
 	permitGoalShare = 0.5
 )
@@ -133,13 +135,12 @@
 	case e.outcome.Status == usage.OverBurst:
 		x.refuse(http.StatusTooManyRequests, e.outcome.Status.String(), 0)
 	default:
-		x.refuse(http.StatusTooManyRequests, e.outcome.Status.String(), max(e.outcome.RetryAfter, minQuotaRetryAfter))
+		// Rounded up, so that a caller does not come too early.
+		retryAfter := e.outcome.RetryAfter.Truncate(retryAfterResolution) + retryAfterResolution
+		x.refuse(http.StatusTooManyRequests, e.outcome.Status.String(), retryAfter)
 	}
 }
 
-// minQuotaRetryAfter is the resolution of Retry-After.
-const minQuotaRetryAfter = 10 * time.Millisecond
-
 // logQuota adds the use of the team's quota to the request's last log line.
 func (x *exchange) logQuota(line *log.Entry) *log.Entry {
 	if x.quota.amount == 0 {
--- a/internal/transport/proxy/permit_test.go
+++ b/internal/transport/proxy/permit_test.go
@@ -94,7 +94,7 @@
 	}{
 		{name: "answered", tokens: "300,100", status: 200, asked: []float64{400}, runs: 1},
 		{name: "plain", status: 200, asked: []float64{200}, runs: 1},
-		{name: "over the quota", outcome: over, status: 429, retryAfter: "1.25", asked: []float64{200}},
+		{name: "over the quota", outcome: over, status: 429, retryAfter: "1.26", asked: []float64{200}},
 		{name: "over the burst", outcome: usage.Outcome{Status: usage.OverBurst}, status: 429, asked: []float64{200}},
 		{name: "no holder", outcome: usage.Outcome{Status: usage.NoHolder}, status: 503, retryAfter: "1.00", asked: []float64{200}},
 		{name: "not run", behave: refuse, status: 503, retryAfter: "0.50", asked: []float64{200}, returned: 1},
