--- a/internal/edge/permits.go
+++ b/internal/edge/permits.go
@@ -196,11 +196,14 @@
 }
 
 func (c *permitClient) request(ctx context.Context, d usage.Demand, patience time.Duration) (usage.Outcome, error) {
-	decided := make(chan usage.Outcome, 1)
+	var decided chan usage.Outcome
 	c.mu.Lock()
 	now := c.e.clock.Now()
 	d.Until = now.Add(patience)
 	out, pending := c.share.Request(now, d, func(o usage.Outcome) { decided <- o })
+	if pending != nil {
+		decided = make(chan usage.Outcome, 1)
+	}
 	isDue := c.share.IsMessageDue()
 	c.mu.Unlock()
 	if isDue {
