--- a/internal/transport/meter/create.go
+++ b/internal/transport/meter/create.go
@@ -28,6 +28,8 @@
 	m.blocks = c.gauge("chivecroft.prompt.blocks", "{block}", "Blocks of prompt parts that crash targets.")
 	m.limits = c.gauge("chivecroft.target.limits", "{target}", "Targets with a rate limit in force.")
 	m.proofAge = c.secondsGauge("chivecroft.config.proof.age", "Time since the active configuration was known to be the newest.")
+	m.quota = c.amount("chivecroft.quota.amount", "Amounts of teams' quotas by what became of them.")
+	m.quotaLevel = c.level("chivecroft.quota.level", "Level of each team's bucket at the lease holder.")
 	return trace.NewAggregate(c.errs...)
 }
 
@@ -56,6 +58,18 @@
 	return n
 }
 
+func (c *creator) amount(name, description string) metric.Float64Counter {
+	n, err := c.meter.Float64Counter(name, metric.WithUnit("{unit}"), metric.WithDescription(description))
+	c.errs = append(c.errs, err)
+	return n
+}
+
+func (c *creator) level(name, description string) metric.Float64Gauge {
+	n, err := c.meter.Float64Gauge(name, metric.WithUnit("{unit}"), metric.WithDescription(description))
+	c.errs = append(c.errs, err)
+	return n
+}
+
 func (c *creator) seconds(name, description string) metric.Float64Counter {
 	n, err := c.meter.Float64Counter(name, metric.WithUnit("s"), metric.WithDescription(description))
 	c.errs = append(c.errs, err)
--- a/internal/transport/proxy/exchange.go
+++ b/internal/transport/proxy/exchange.go
@@ -66,6 +66,8 @@
 	mustNotSend bool
 	// limit is the rate limit that decided where the request went or that it was refused.
 	limit picker.Limit
+	// quota is what the request has of its team's quota.
+	quota quotaUse
 }
 
 // attempt is one send to a target with its response or error.
@@ -105,6 +107,9 @@
 
 // sendNext waits for a reservation and sends the request to its target.
 func (x *exchange) sendNext(lastEvent string) (*attempt, error) {
+	if err := x.acquirePermit(); err != nil {
+		return nil, err
+	}
 	reservation, err := x.s.picker.Acquire(x.ctx, x.pickerRequest())
 	if err != nil {
 		return nil, err
@@ -116,6 +121,9 @@
 	if err := x.admit(reservation); err != nil {
 		return nil, err
 	}
+	if err := x.renewPermit(reservation); err != nil {
+		return nil, err
+	}
 	x.queueTime += reservation.Waited
 	x.sends++
 	return x.send(reservation, lastEvent), nil
@@ -159,6 +167,7 @@
 	if !a.notRun {
 		x.possibleRuns++
 	}
+	x.quota.isSent = x.quota.isSent || a.resp != nil || !a.notRun
 	return a
 }
 
@@ -359,6 +368,7 @@
 // fail ends a request that got no reservation, or whose deadline is over.
 func (x *exchange) fail(err error) {
 	var refusal *picker.Refusal
+	var denial *quotaError
 	switch {
 	case x.r.Context().Err() != nil:
 		x.setOutcome(0, "callerLeft")
@@ -369,6 +379,8 @@
 			return
 		}
 		x.endUnanswered(string(refusal.Reason), refusal.RetryAfter)
+	case errors.As(err, &denial):
+		x.refuseQuota(denial)
 	case errors.Is(err, errBlocked):
 		x.endUnanswered(reasonBlocked, x.untilTrial())
 	case errors.Is(err, errStaleKeys), errors.Is(err, errUnknownKey):
--- a/internal/transport/proxy/server.go
+++ b/internal/transport/proxy/server.go
@@ -52,6 +52,8 @@
 	hasCrashed, hasEnded func(context.Context, fleet.Target) bool
 	// keysProven reports whether API keys of the configuration may be accepted.
 	keysProven func() bool
+	// permits issues the permits of teams with quotas, nil for none.
+	permits Permits
 
 	config atomic.Pointer[fleet.Config]
 	// closing makes responses close their connections. refusing refuses new requests.
@@ -137,6 +139,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	defer x.logEnd()
+	defer x.returnPermit()
 	if !x.prepare() {
 		return
 	}
