--- a/internal/transport/proxy/keys.go
+++ b/internal/transport/proxy/keys.go
@@ -13,10 +13,10 @@
 // Reasons of requests that are refused for their API key, and when a caller may come back
 // if the key may be valid.
 const (
+	reasonNoKey          = "noKey"
 	reasonUnknownKey     = "unknownKey"
 	reasonStaleKeys      = "staleKeys"
 	staleKeysRetryAfter  = time.Second
-	unknownKeyRetryAfter = 0
 )
 
 var (
@@ -163,11 +163,15 @@
 		x.endUnanswered(reasonStaleKeys, staleKeysRetryAfter)
 		return
 	}
+	reason := reasonUnknownKey
+	if !x.hasKey {
+		reason = reasonNoKey
+	}
 	if x.possibleRuns > 0 {
-		x.endUnanswered(reasonUnknownKey, unknownKeyRetryAfter)
+		x.endUnanswered(reason, 0)
 		return
 	}
 	name, value := x.s.codec.Challenge()
 	x.w.Header().Set(name, value)
-	x.respond(http.StatusUnauthorized, reasonUnknownKey)
+	x.respond(http.StatusUnauthorized, reason)
 }
--- a/internal/transport/proxy/server.go
+++ b/internal/transport/proxy/server.go
@@ -157,6 +157,7 @@
 	}
 	call, err := s.codec.Decode(x.r)
 	x.call = call
+	x.service = x.route.Pick(rand.Float64())
 	if keyErr := x.authenticate(); keyErr != nil {
 		x.endUnauthenticated(keyErr)
 		return false
@@ -165,7 +166,6 @@
 		x.respond(http.StatusBadRequest, "malformed")
 		return false
 	}
-	x.service = x.route.Pick(rand.Float64())
 	x.engine = cfg.Services[x.service].Engine != nil && call.Model != ""
 	x.setDeadline()
 	if s.refusing.Load() {
