--- a/internal/transport/proxy/keys.go
+++ b/internal/transport/proxy/keys.go
@@ -13,10 +13,10 @@
 // Reasons of requests that are refused for their API key, and when a caller may come back
 // if the key may be valid.
 const (
-	reasonNoKey          = "noKey"
-	reasonUnknownKey     = "unknownKey"
-	reasonStaleKeys      = "staleKeys"
-	staleKeysRetryAfter  = time.Second
+	reasonNoKey         = "noKey"
+	reasonUnknownKey    = "unknownKey"
+	reasonStaleKeys     = "staleKeys"
+	staleKeysRetryAfter = time.Second
 )
 
 var (
