--- a/internal/transport/proxy/keys_test.go
+++ b/internal/transport/proxy/keys_test.go
@@ -1,15 +1,18 @@
 package proxy_test
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/phuslu/log"
 
 	"chivecroft.example/chivecroft/internal/coordination/retry"
 	"chivecroft.example/chivecroft/internal/state/fleet"
@@ -265,6 +268,29 @@
 	}
 }
 
+// TestLogNamesTeamNotKey checks that the log names the team of a request and holds no key,
+// whether it is known, unknown or malformed.
+func TestLogNamesTeamNotKey(t *testing.T) {
+	near, _ := newTwoTargets(t)
+	k := newKeyRig(t, near)
+	k.setTeams(fleet.Team{Name: "red", Keys: []fleet.KeyDigest{fleet.DigestKey("sk-known")}})
+	var out bytes.Buffer
+	logger := &log.Logger{Level: log.TraceLevel, Writer: &log.IOWriter{Writer: &out}}
+	budget := retry.NewBudget(retry.Limits{RetriesPerRequest: 0.2, RetriesPerWindow: 100, Window: 10 * time.Second})
+	server := proxy.NewServer(platform.Codec{}, k.picker, budget, timer.NewSystem(), proxy.WithLogger(logger))
+	server.SetConfig(k.config)
+	for _, value := range []string{"Bearer sk-known", "Bearer sk-unknown", "sk-malformed"} {
+		req := httptest.NewRequest(http.MethodPost, "http://x.example/unsafe/", strings.NewReader("body"))
+		req.Header.Set("Authorization", value)
+		req.Header.Set("Chivecroft-Attempt-Id", "call")
+		server.ServeHTTP(httptest.NewRecorder(), req)
+	}
+	text := out.String()
+	if strings.Contains(text, "sk-") || strings.Count(text, `"team":"red"`) != 1 {
+		t.Errorf("log:\n%s", text)
+	}
+}
+
 // TestTeamPriority checks that a team's priority replaces the route's on the way to an
 // engine.
 func TestTeamPriority(t *testing.T) {
