--- a/internal/transport/proxy/keys.go
+++ b/internal/transport/proxy/keys.go
@@ -61,11 +61,14 @@
 // request arrives and before each send, and returns errUnknownKey or errStaleKeys if the
 // request must not be sent.
 func (x *exchange) authenticate() error {
-	// The proof is checked before the configuration is read: keys of a configuration that
-	// has become active in between are only newer.
-	proven := x.s.keysProven()
-	cfg := x.s.config.Load()
-	if cfg == nil || !cfg.HasTeams() {
+	cfg, proven := x.s.config.Load(), false
+	if hasTeams(cfg) {
+		// The configuration is read after the proof is checked: if another one has become
+		// active in between, it is newer.
+		proven = x.s.keysProven()
+		cfg = x.s.config.Load()
+	}
+	if !hasTeams(cfg) {
 		// Requests need no key, also those that came with one.
 		x.team, x.checked = nil, true
 		return nil
@@ -97,6 +100,8 @@
 	return nil
 }
 
+func hasTeams(c *fleet.Config) bool { return c != nil && c.HasTeams() }
+
 func nameOf(t *fleet.Team) string {
 	if t == nil {
 		return ""
