Crash detector: a part that the next end blocks is tested by one instance at a time

When the targets came back, each instance let one request with the part through, since MustWait lets requests go one by one for each instance only, and went on until it heard of the block.

Change: the holder lists the suspects that one more end blocks and that no target has survived (Reply.Guarded). An instance that knows no proof of such a part refuses a request with it and asks the holder (Report.Tests), which permits one request for all instances at a time (Reply.Tests, testTime). Without a holder for loneTime no permission is needed.

--- a/internal/coordination/crash/block_test.go
+++ b/internal/coordination/crash/block_test.go
@@ -207,3 +207,43 @@
 		t.Errorf("targets were counted %d times, blocked by %v", counted, m.Blocking(&bad))
 	}
 }
+
+// TestGuardedSuspectsAreTestedOneByOne guards against instances that each end one more target
+// with a part that the next end blocks, and against requests that wait for good when there
+// is no holder.
+func TestGuardedSuspectsAreTestedOneByOne(t *testing.T) {
+	clock := timer.NewVirtual(time.Unix(1000, 0))
+	s := Subject{Service: service, Part: deadly}
+	d := NewDetector()
+	d.suspects, d.guarded = []Subject{s}, []Subject{s}
+	bad := Request{Service: service, Model: "m0", Parts: []Part{deadly}}
+	a, b := NewMonitor(clock), NewMonitor(clock)
+	exchange := func(m *Monitor) {
+		report := m.Report()
+		reply := d.Reply(clock.Now(), &report, true)
+		m.Apply(1, &report, &reply)
+	}
+	check := func(step string, m *Monitor, want bool) {
+		t.Helper()
+		if got := m.MustWait(&bad); got != want {
+			t.Errorf("%s: must wait %t, want %t", step, got, want)
+		}
+	}
+	exchange(a)
+	exchange(b)
+	check("first instance, before it asks", a, true)
+	check("second instance, before it asks", b, true)
+	exchange(a)
+	exchange(b)
+	check("first instance, permitted", a, false)
+	check("second instance, not permitted", b, true)
+	a.Start(bad, fleet.Identity{ID: "t0", Born: 1}, func(Block) {}).End()
+	check("first instance, after its request", a, true)
+	clock.Advance(testTime)
+	exchange(b)
+	check("second instance, permitted", b, false)
+	clock.Advance(testTime)
+	check("second instance, permitted long ago", b, true)
+	clock.Advance(loneTime)
+	check("second instance, without a holder", b, false)
+}
--- a/internal/coordination/crash/detector.go
+++ b/internal/coordination/crash/detector.go
@@ -51,6 +51,9 @@
 	suspectChain = 2
 	// trialTime is how long a permitted trial may take before another one is permitted.
 	trialTime = 30 * time.Second
+	// testTime is how long a permitted request with a suspect may take to show whether its
+	// target survives, before another one is permitted.
+	testTime = time.Second
 	// settleTime is the time from an end until all instances have reported what they had in
 	// flight there.
 	settleTime = 120 * time.Millisecond
@@ -67,10 +70,14 @@
 	blocks   blockSet
 	// suspects are those of which instances are asked for proofs.
 	suspects []Subject
+	// guarded are those of them that one more end blocks.
+	guarded []Subject
 	// version grows with each change of the blocks.
 	version uint64
 	// tried is when a trial of a block was last permitted.
 	tried map[BlockKey]time.Time
+	// tested is when a request with a suspect was last permitted.
+	tested map[Subject]time.Time
 
 	// chain is the number of ends that lead to a block at the least.
 	chain int
@@ -109,7 +116,7 @@
 func NewDetector() *Detector {
 	return &Detector{
 		ends: make(map[string][]*end), subjects: make(map[Subject]*suspect), blocks: newBlockSet(),
-		tried: make(map[BlockKey]time.Time), chain: blockChain,
+		tried: make(map[BlockKey]time.Time), tested: make(map[Subject]time.Time), chain: blockChain,
 	}
 }
 
@@ -217,6 +224,7 @@
 // prove voids what a subject was accused of before a time. It lifts a block of this part
 // alone, and takes the part out of a block of several: the others are to blame.
 func (d *Detector) prove(s Subject, at, now time.Time) {
+	delete(d.tested, s)
 	if have := d.subjects[s]; have != nil && at.After(have.provedAt) {
 		have.provedAt = at
 		have.unlink(func(e *end) bool { return !e.at.After(at) })
@@ -287,13 +295,18 @@
 			delete(d.subjects, s)
 		}
 	}
+	for s, at := range d.tested {
+		if now.Sub(at) >= testTime {
+			delete(d.tested, s)
+		}
+	}
 	d.blocks.prune(now)
 }
 
 // Reply answers an instance's report. isSameTerm reports whether the instance's version
 // is of this Detector.
 func (d *Detector) Reply(now time.Time, r *Report, isSameTerm bool) Reply {
-	out := Reply{Version: d.version, Suspects: d.suspects}
+	out := Reply{Version: d.version, Suspects: d.suspects, Guarded: d.guarded}
 	if !isSameTerm || r.Version != d.version {
 		out.Blocks = d.blocks.wire(now)
 	}
@@ -302,9 +315,27 @@
 			out.Trials = append(out.Trials, key)
 		}
 	}
+	for _, s := range r.Tests {
+		if d.permitTest(s, now) {
+			out.Tests = append(out.Tests, s)
+		}
+	}
 	return out
 }
 
+// permitTest reports whether an instance may send a request with a suspect. All instances
+// together send one at a time, since any of them may end a target.
+func (d *Detector) permitTest(s Subject, now time.Time) bool {
+	if !slices.Contains(d.guarded, s) {
+		return true
+	}
+	if now.Sub(d.tested[s]) < testTime {
+		return false
+	}
+	d.tested[s] = now
+	return true
+}
+
 // permitTrial reports whether an instance may let one request through.
 func (d *Detector) permitTrial(key BlockKey, now time.Time) bool {
 	b := d.blocks.blocks[key]
--- a/internal/coordination/crash/exchange.go
+++ b/internal/coordination/crash/exchange.go
@@ -37,6 +37,9 @@
 	for key := range m.wanted {
 		out.Wanted = append(out.Wanted, key)
 	}
+	for s := range m.awaiting {
+		out.Tests = append(out.Tests, s)
+	}
 	return out
 }
 
@@ -112,6 +115,13 @@
 	for _, key := range sent.Wanted {
 		delete(m.wanted, key)
 	}
+	m.guarded = r.Guarded
+	for _, s := range r.Tests {
+		m.permitted[s] = now
+	}
+	for _, s := range sent.Tests {
+		delete(m.awaiting, s)
+	}
 	urgent := m.setSuspects(r.Suspects, now)
 	changes := append(m.endAlone(now), m.applyBlocks(r, term, now)...)
 	m.version = r.Version
--- a/internal/coordination/crash/judge.go
+++ b/internal/coordination/crash/judge.go
@@ -144,8 +144,11 @@
 	for _, c := range all[len(listed):] {
 		c.publishedAt = time.Time{}
 	}
-	d.suspects = nil
+	d.suspects, d.guarded = nil, nil
 	for _, c := range listed {
+		if c.chain >= d.chain && c.Scope == "" && !c.isFamiliar() && c.bits+leastBits >= threshold(targets(c.Service)) {
+			d.guarded = append(d.guarded, c.Subject)
+		}
 		if c.publishedAt.IsZero() {
 			c.publishedAt = now
 		}
--- a/internal/coordination/crash/message.go
+++ b/internal/coordination/crash/message.go
@@ -42,6 +42,9 @@
 	Blocks []Block `json:"blocks,omitempty"`
 	// Wanted lists the blocks that may be tried and for which a request has come.
 	Wanted []BlockKey `json:"wanted,omitempty"`
+	// Tests lists the suspects of which no target has survived a request of this instance,
+	// and for which a request has come.
+	Tests []Subject `json:"tests,omitempty"`
 
 	// accused are the requests in Accusations, for the instance that has made the report.
 	accused []*accusedRequest
@@ -49,7 +52,7 @@
 
 // IsEmpty reports whether there is nothing to tell.
 func (r *Report) IsEmpty() bool {
-	return r.Version == 0 && len(r.Accusations)+len(r.Proofs)+len(r.Blocks)+len(r.Wanted) == 0
+	return r.Version == 0 && len(r.Accusations)+len(r.Proofs)+len(r.Blocks)+len(r.Wanted)+len(r.Tests) == 0
 }
 
 // Reply is the holder's answer to a Report.
@@ -59,8 +62,13 @@
 	Blocks []Block `json:"blocks,omitempty"`
 	// Suspects are the accused of which instances are to report proofs.
 	Suspects []Subject `json:"suspects,omitempty"`
+	// Guarded lists the suspects that one more end of a target blocks: requests with them need
+	// a permission.
+	Guarded []Subject `json:"guarded,omitempty"`
 	// Trials lists the blocks that the instance may let one request through for.
 	Trials []BlockKey `json:"trials,omitempty"`
+	// Tests lists the suspects that the instance may send one request with.
+	Tests []Subject `json:"tests,omitempty"`
 }
 
 // Block says that requests are not sent, or that an operator or a trial has lifted that.
--- a/internal/coordination/crash/monitor.go
+++ b/internal/coordination/crash/monitor.go
@@ -66,6 +66,11 @@
 	// tried.
 	wanted map[BlockKey]struct{}
 	trials map[BlockKey]struct{}
+	// awaiting holds the suspects that the holder has to permit a request with, permitted
+	// when it did.
+	guarded   []Subject
+	awaiting  map[Subject]struct{}
+	permitted map[Subject]time.Time
 }
 
 // mark is an accusation of a subject.
@@ -102,7 +107,8 @@
 		timer: t, onChange: func(Change) {}, onUnreported: func() {},
 		flights: make(map[*Flight]struct{}), proofs: newProofs(), marks: make(map[Subject]mark),
 		blocks: newBlockSet(), alone: newBlockSet(), revised: make(map[BlockKey]int64), reported: make(map[Subject]time.Time),
-		wanted: make(map[BlockKey]struct{}), trials: make(map[BlockKey]struct{}), heardAt: t.Now(),
+		wanted: make(map[BlockKey]struct{}), trials: make(map[BlockKey]struct{}),
+		awaiting: make(map[Subject]struct{}), permitted: make(map[Subject]time.Time), heardAt: t.Now(),
 	}
 	for _, opt := range opts {
 		opt(m)
@@ -140,23 +146,54 @@
 	return m.alone.find(r)
 }
 
-// MustWait reports whether a request has to wait since one with the same part is in flight
-// here, and targets have ended under that part while none has ever survived it here. Such
-// requests go one by one, so that they do not end target after target before the holder
-// has heard of the first.
+// MustWait reports whether a request has to wait since targets have ended under one of its
+// parts while none has ever survived it here. Such requests go one by one, so that they do
+// not end target after target before the holder has heard of the first: those of this
+// instance one after the other, and those with a part that the holder suspects only when it
+// permits one.
 func (m *Monitor) MustWait(r *Request) bool {
 	if len(r.Parts) == 0 {
 		return false
 	}
 	m.mu.Lock()
-	defer m.mu.Unlock()
+	mustWait, isNew := m.mustWait(r, m.timer.Now())
+	m.mu.Unlock()
+	if isNew {
+		m.onUnreported()
+	}
+	return mustWait
+}
+
+// mustWait also reports whether the holder has to be asked for a permission.
+func (m *Monitor) mustWait(r *Request, now time.Time) (mustWait, isNew bool) {
 	if len(m.marks) == 0 && len(m.suspects) == 0 {
-		return false
+		return false, false
 	}
-	return slices.ContainsFunc(r.Parts, func(p Part) bool {
+	for _, p := range r.Parts {
 		s := Subject{Service: r.Service, Part: p}
-		return m.proofs.at(s).IsZero() && m.isDoubtful(s, fleet.Identity{}) && m.isInFlight(r.Service, p)
-	})
+		if !m.proofs.at(s).IsZero() || !m.isDoubtful(s, fleet.Identity{}) {
+			continue
+		}
+		if m.isInFlight(r.Service, p) {
+			return true, false
+		}
+		if m.needsPermission(s, now) {
+			_, asked := m.awaiting[s]
+			m.awaiting[s] = struct{}{}
+			return true, !asked
+		}
+	}
+	return false, false
+}
+
+// needsPermission reports whether the holder suspects a part and has not permitted a
+// request with it lately. While there is no holder, none is needed.
+func (m *Monitor) needsPermission(s Subject, now time.Time) bool {
+	if !slices.Contains(m.guarded, s) || now.Sub(m.heardAt) >= loneTime {
+		return false
+	}
+	at, permitted := m.permitted[s]
+	return !permitted || now.Sub(at) >= testTime
 }
 
 // isInFlight reports whether a request with a part is in flight whose target has not
@@ -212,6 +249,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	f.isTrial = m.find(&r) != nil
+	for _, p := range r.Parts {
+		delete(m.permitted, Subject{Service: r.Service, Part: p})
+	}
 	m.flights[f] = struct{}{}
 	return f
 }
