Election: an instance that stops keeps the holder that it knows

Cause: Release cleared the status of an instance that is not the holder, so that it sent the holder nothing more for the whole of its stop: no demand, and no accusations of prompt parts.

Change: its status keeps the holder, and it makes no calls of the store as before.

Result: TestStoppingInstanceKnowsTheHolder fails before (status without a holder) and passes now.

--- a/internal/coordination/elect/elect_test.go
+++ b/internal/coordination/elect/elect_test.go
@@ -188,6 +188,19 @@
 	}
 }
 
+// TestStoppingInstanceKnowsTheHolder stops an instance that is not the holder. It guards
+// against one that no longer reports to the holder while it stops.
+func TestStoppingInstanceKnowsTheHolder(t *testing.T) {
+	r := newFixture(2, 4)
+	r.advance(time.Second)
+	other := 1 - r.holder
+	r.nodes[other].loop.Post(Release{})
+	r.advance(time.Second)
+	if got := r.nodes[other].status; got != (Status{Holder: address(r.holder)}) {
+		t.Errorf("status %+v, want the holder %v only", got, address(r.holder))
+	}
+}
+
 // setHandover changes the handover of all instances.
 func (r *fixture) setHandover(d time.Duration) {
 	r.handover = d
--- a/internal/coordination/elect/term.go
+++ b/internal/coordination/elect/term.go
@@ -193,14 +193,15 @@
 }
 
 // release writes to the record that no more orders follow, so that the next holder need
-// not wait for the end of the lease, and then revokes the lease.
+// not wait for the end of the lease, and then revokes the lease. Another instance makes no
+// more calls, and keeps the holder that it knows to exchange messages with it until it ends.
 func (p *Part) release() []ports.Effect {
-	isHolder := p.phase == phaseHold
-	p.status = Status{}
-	if !isHolder {
+	if p.phase != phaseHold {
+		p.status = Status{Holder: p.status.Holder}
 		p.phase = phaseStopped
 		return nil
 	}
+	p.status = Status{}
 	if !p.isRecorded {
 		return p.revokeLease()
 	}
