Accusations of prompt parts outlive planned stops

What an instance has accused was lost when it stopped, so that rolling stops lost the evidence bit by bit. A new holder heard of the rest with the second message only, up to 350 ms and 2 ms for each instance later.

Change: at the end of a stop an instance leaves its accusations with another one (POST /crashes on the peer port): the holder, else a member of its own term, else a reader. They carry the holder's term that knows them, so that one holder counts them once, and are kept for evidenceTTL (5 min) like the keeper's own. The first reply of a new holder makes the next message due at once.

Result: TestStopHandsOverAccusations (a holder, and another instance), TestEvidenceOutlivesStops and TestNewHolderHearsAtOnce; the first fails without the call in Stop ("keeps 0 accused requests").

--- a/internal/coordination/crash/block_test.go
+++ b/internal/coordination/crash/block_test.go
@@ -247,3 +247,68 @@
 	clock.Advance(loneTime)
 	check("second instance, without a holder", b, false)
 }
+
+// TestEvidenceOutlivesStops stops the instances that have accused a part in turn, each time
+// with a change of the holder. It guards against a part that the last holder knows too
+// little of to block it, and against accusations that one holder counts twice.
+func TestEvidenceOutlivesStops(t *testing.T) {
+	clock := timer.NewVirtual(time.Unix(1000, 0))
+	bad := Request{Service: service, Model: "m0", Parts: []Part{deadly}}
+	var members []*Monitor
+	for i := range blockChain {
+		m := NewMonitor(clock)
+		members = append(members, m)
+		f := m.Start(bad, fleet.Identity{ID: fmt.Sprint("t", i), Born: 1}, func(Block) {})
+		clock.Advance(time.Second)
+		f.Broke()
+		f.End()
+		clock.Advance(time.Second)
+	}
+	var last *Detector
+	for term := int64(1); len(members) > 0; term++ {
+		last = NewDetector()
+		for range 3 {
+			for _, m := range members {
+				report := m.Report()
+				last.Report(clock.Now(), &report)
+				reply := last.Reply(clock.Now(), &report, true)
+				m.Apply(term, &report, &reply)
+			}
+		}
+		if len(members) > 1 {
+			members[1].Keep(members[0].HandOver())
+		}
+		members = members[1:]
+	}
+	for s, have := range last.subjects {
+		if len(have.links) != blockChain {
+			t.Errorf("%v is accused of %d ends, want %d", s, len(have.links), blockChain)
+		}
+		for e, l := range have.links {
+			if l.requests != 1 {
+				t.Errorf("%v: %d requests at the end of %s, want 1", s, l.requests, e.target.ID)
+			}
+		}
+	}
+	if len(last.subjects) == 0 {
+		t.Error("nothing is accused")
+	}
+}
+
+// TestNewHolderHearsAtOnce guards against accusations that a new holder hears of only with
+// the next regular message.
+func TestNewHolderHearsAtOnce(t *testing.T) {
+	clock := timer.NewVirtual(time.Unix(1000, 0))
+	urgent := 0
+	m := NewMonitor(clock, WithUrgency(func() { urgent++ }))
+	m.Start(Request{Service: service, Model: "m0", Parts: []Part{deadly}}, fleet.Identity{ID: "t0", Born: 1}, func(Block) {}).Broke()
+	// The first holder hears of it with the report, the second one only after its reply.
+	for i, want := range []int{0, 1} {
+		report := m.Report()
+		urgent = 0
+		m.Apply(int64(i)+1, &report, &Reply{})
+		if urgent != want {
+			t.Errorf("holder %d: %d urgent messages, want %d", i+1, urgent, want)
+		}
+	}
+}
--- a/internal/coordination/crash/doc.go
+++ b/internal/coordination/crash/doc.go
@@ -13,6 +13,7 @@
 //	Detector.Judge    the holder blocks what must have crashed the targets
 //	Monitor.Apply     all instances hear of it with the holder's next replies
 //	Monitor.Blocking  requests with a blocked part are refused at once
+//	Monitor.HandOver  an instance that stops leaves its accusations to another one
 //
 // Targets end for other reasons too, and what was in flight there is then accused without
 // guilt. Three things tell the difference. An answer that has begun on a part proves it:
--- a/internal/coordination/crash/exchange.go
+++ b/internal/coordination/crash/exchange.go
@@ -1,6 +1,7 @@
 package crash
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -95,9 +96,12 @@
 func (m *Monitor) Apply(term int64, sent *Report, r *Reply) {
 	m.mu.Lock()
 	now := m.timer.Now()
+	urgent := false
 	if m.term != term {
 		m.term = term
 		clear(m.reported)
+		// A new holder begins without evidence.
+		urgent = len(m.accused) > len(sent.accused)
 	}
 	m.heardAt = now
 	for _, a := range sent.accused {
@@ -122,7 +126,7 @@
 	for _, s := range sent.Tests {
 		delete(m.awaiting, s)
 	}
-	urgent := m.setSuspects(r.Suspects, now)
+	urgent = m.setSuspects(r.Suspects, now) || urgent
 	changes := append(m.endAlone(now), m.applyBlocks(r, term, now)...)
 	m.version = r.Version
 	m.mu.Unlock()
@@ -132,6 +136,64 @@
 	}
 }
 
+// HandOver returns the accusations that still count, for another instance to keep. Those
+// that the present holder knows are included: the next one begins without evidence.
+func (m *Monitor) HandOver() []Kept {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.timer.Now()
+	m.prune(now)
+	reports := make(map[int64]*Report)
+	for _, a := range m.accused {
+		if reports[a.term] == nil {
+			reports[a.term] = &Report{}
+		}
+		reports[a.term].add(a, now)
+	}
+	var out []Kept
+	for _, term := range slices.Sorted(maps.Keys(reports)) {
+		out = append(out, Kept{Term: term, Accusations: reports[term].Accusations})
+	}
+	return out
+}
+
+// Keep takes the accusations of an instance that ends. They are reported like those of this
+// instance, except to a holder that knows them.
+func (m *Monitor) Keep(kept []Kept) {
+	m.mu.Lock()
+	now := m.timer.Now()
+	urgent := false
+	for _, k := range kept {
+		for i := range k.Accusations {
+			m.keep(now, k.Term, &k.Accusations[i])
+		}
+		urgent = urgent || k.Term != m.term
+	}
+	m.mu.Unlock()
+	if urgent {
+		m.onUnreported()
+	}
+}
+
+func (m *Monitor) keep(now time.Time, term int64, c *Accusation) {
+	for _, q := range c.Requests {
+		m.addAccused(&accusedRequest{
+			Request: Request{Service: c.Service, Model: q.Model, Adapter: q.Adapter, Parts: q.Parts},
+			target:  c.Target, term: term,
+			sent: now.Add(-time.Duration(q.SentAgeMS) * time.Millisecond),
+			at:   now.Add(-time.Duration(q.EndAgeMS) * time.Millisecond),
+		})
+	}
+}
+
+// addAccused keeps an accused request. The oldest one yields if there are too many.
+func (m *Monitor) addAccused(a *accusedRequest) {
+	if len(m.accused) >= maxAccused {
+		m.accused = slices.Delete(m.accused, 0, 1)
+	}
+	m.accused = append(m.accused, a)
+}
+
 // acknowledge records that the holder of a term knows a block as it is.
 func (m *Monitor) acknowledge(b Block, term int64) {
 	if have := m.blocks.blocks[b.BlockKey]; have != nil && have.Revision == b.Revision && have.Lifted == b.Lifted {
--- a/internal/coordination/crash/message.go
+++ b/internal/coordination/crash/message.go
@@ -50,6 +50,14 @@
 	accused []*accusedRequest
 }
 
+// Kept holds accusations that another instance is to keep, since the one that has made
+// them ends.
+type Kept struct {
+	// Term is the holder's term that knows of them, 0 if none does.
+	Term        int64        `json:"term,omitempty"`
+	Accusations []Accusation `json:"accusations"`
+}
+
 // IsEmpty reports whether there is nothing to tell.
 func (r *Report) IsEmpty() bool {
 	return r.Version == 0 && len(r.Accusations)+len(r.Proofs)+len(r.Blocks)+len(r.Wanted)+len(r.Tests) == 0
--- a/internal/coordination/crash/monitor.go
+++ b/internal/coordination/crash/monitor.go
@@ -343,10 +343,7 @@
 	parts := sample(f.request.Parts)
 	r := f.request
 	r.Parts = parts
-	if len(m.accused) >= maxAccused {
-		m.accused = slices.Delete(m.accused, 0, 1)
-	}
-	m.accused = append(m.accused, &accusedRequest{Request: r, target: f.target, sent: f.sent, at: now})
+	m.addAccused(&accusedRequest{Request: r, target: f.target, sent: f.sent, at: now})
 	if len(m.marks) >= maxMarks {
 		clear(m.marks)
 	}
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -59,6 +59,9 @@
 	crashes *crash.Detector
 	members map[string]member
 	readers readerSelection
+	// formerMembers are the peer addresses of the other instances at the end of this
+	// instance's latest term.
+	formerMembers []netip.AddrPort
 }
 
 func newCoordinator(ctx context.Context, boot *platform.Boot, clock *timer.Boot, l *log.Logger, m *instanceMetrics) *coordinator {
@@ -84,6 +87,9 @@
 	if was.IsHolder == s.IsHolder {
 		return
 	}
+	if was.IsHolder {
+		k.formerMembers = k.memberPeers()
+	}
 	k.planners = make(map[string]*sched.Planner)
 	k.members = make(map[string]member)
 	k.readers = readerSelection{}
@@ -116,6 +122,31 @@
 	k.updates.set(u)
 }
 
+// memberPeers returns the peer addresses of the other instances that exchange messages with
+// the holder, the one heard from last first.
+func (k *coordinator) memberPeers() []netip.AddrPort {
+	var others []member
+	for name, m := range k.members {
+		if name != k.self && m.peer.IsValid() {
+			others = append(others, m)
+		}
+	}
+	slices.SortFunc(others, func(x, y member) int { return y.seenAt.Compare(x.seenAt) })
+	out := make([]netip.AddrPort, len(others))
+	for i, m := range others {
+		out[i] = m.peer
+	}
+	return out
+}
+
+// lastMembers returns the peer addresses of the other instances as this instance knew them
+// at the end of its latest term, if it has been the holder.
+func (k *coordinator) lastMembers() []netip.AddrPort {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.formerMembers
+}
+
 func (k *coordinator) holderStatus() elect.Status {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -159,6 +159,10 @@
 		e.serveChanges(w, r)
 		return
 	}
+	if r.URL.Path == pathCrashes && r.Method == http.MethodPost {
+		e.serveCrashes(w, r)
+		return
+	}
 	if r.URL.Path != pathExchange || r.Method != http.MethodPost {
 		w.WriteHeader(http.StatusNotFound)
 		return
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"time"
 
 	"chivecroft.example/chivecroft/internal/coordination/elect"
@@ -79,7 +80,15 @@
 	// A short grace period ends before refuseAfter.
 	e.proxy.Refuse()
 	cut := e.proxy.Active()
+	handedOver := make(chan struct{})
+	go func() {
+		defer close(handedOver)
+		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+		defer cancel()
+		e.handOverCrashes(ctx)
+	}()
 	e.callers.stop(closeTimeout)
+	<-handedOver
 	e.stopLoops()
 	e.election.Stop()
 	_ = e.readyServer.Close()
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -16,7 +16,9 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"chivecroft.example/chivecroft/internal/coordination/crash"
 	"chivecroft.example/chivecroft/internal/coordination/elect"
+	"chivecroft.example/chivecroft/internal/state/fleet"
 	"chivecroft.example/chivecroft/platform"
 	"chivecroft.example/chivecroft/platform/fake"
 )
@@ -224,3 +226,39 @@
 		t.Errorf("the stop took %v of a grace period of %v", took, grace)
 	}
 }
+
+// TestStopHandsOverAccusations guards against evidence about parts of prompts that is lost
+// with the instance that has it, as in planned stops of all instances in turn.
+func TestStopHandsOverAccusations(t *testing.T) {
+	for _, isHolder := range []bool{false, true} {
+		t.Run(fmt.Sprintf("holder %t", isHolder), func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, 2)
+			first, other := r.edges[0], r.edges[1]
+			r.eventually("the holder knows both", func() bool {
+				e := r.holder(nil)
+				if e == nil {
+					return false
+				}
+				e.coordinator.mu.Lock()
+				defer e.coordinator.mu.Unlock()
+				return len(e.coordinator.memberPeers()) == 1
+			})
+			if first.isHolder() != isHolder {
+				first, other = other, first
+			}
+			first.crashes.Start(crash.Request{Service: "llm", Model: "m1", Parts: []crash.Part{"p"}},
+				fleet.Identity{ID: "e1", Born: 1}, func(crash.Block) {}).Broke()
+			first.Stop()
+			parts := 0
+			for _, k := range other.crashes.HandOver() {
+				for _, a := range k.Accusations {
+					parts += len(a.Requests)
+				}
+			}
+			if parts != 1 {
+				t.Errorf("the other instance keeps %d accused requests, want 1", parts)
+			}
+		})
+	}
+}
