A term keeps its name if its first order is put off

Cause: the holder's term was named by the time from which it may order, which a raised lease_ms now changes within a term. Instances would take the rest for another term: they would be sent all updates again, and report once more what the holder's Detector knows.

Change: the coordinator keeps the name of the term from its beginning.

Result: TestTermOutlastsAPutOffOrder fails before and passes now.

--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -59,6 +59,9 @@
 	crashes *crash.Detector
 	members map[string]member
 	readers readerSelection
+	// termID identifies the term. It is the time at which orders were to begin, which may
+	// be put off later.
+	termID int64
 	// formerMembers are the peer addresses of the other instances at the end of this
 	// instance's latest term.
 	formerMembers []netip.AddrPort
@@ -97,6 +100,7 @@
 	k.permits = quota.NewLedger()
 	k.crashes = crash.NewDetector()
 	if s.IsHolder {
+		k.termID = s.OrderFrom.UnixNano()
 		k.startTerm()
 	}
 }
@@ -358,9 +362,7 @@
 
 // term identifies this term of the holder, so that update versions of another term are
 // not taken for its own.
-func (k *coordinator) term() int64 {
-	return k.status.OrderFrom.UnixNano()
-}
+func (k *coordinator) term() int64 { return k.termID }
 
 // refreshUpdates adds the targets that the planners have changed to the update log.
 func (k *coordinator) refreshUpdates() {
--- a/internal/edge/coordinator_test.go
+++ b/internal/edge/coordinator_test.go
@@ -125,3 +125,18 @@
 		t.Errorf("draining (-want +got):\n%s", diff)
 	}
 }
+
+// TestTermOutlastsAPutOffOrder puts off the first order of a term, as a raised handover does.
+// It guards against instances that take the rest of the term for another one, and report
+// once more what the holder knows.
+func TestTermOutlastsAPutOffOrder(t *testing.T) {
+	k := newTestCoordinator(t)
+	k.setHolder(true)
+	term := k.term()
+	s := k.holderStatus()
+	s.OrderFrom = s.OrderFrom.Add(time.Second)
+	k.setStatus(s)
+	if diff := cmp.Diff(term, k.term()); diff != "" {
+		t.Errorf("term after the change (-want +got):\n%s", diff)
+	}
+}
