--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -61,6 +61,12 @@
 	crashes *crash.Detector
 	members map[string]member
 	readers readerSelection
+	// termID identifies the term. It is the time at which orders were to begin, which may
+	// be put off later.
+	termID int64
+	// formerMembers are the peer addresses of the other instances at the end of this
+	// instance's latest term.
+	formerMembers []netip.AddrPort
 }
 
 func newCoordinator(ctx context.Context, boot *platform.Boot, clock *timer.Boot, l *log.Logger, m *instanceMetrics) *coordinator {
@@ -86,6 +92,9 @@
 	if was.IsHolder == s.IsHolder {
 		return
 	}
+	if was.IsHolder {
+		k.formerMembers = k.memberPeers()
+	}
 	k.planners = make(map[string]*sched.Planner)
 	k.members = make(map[string]member)
 	k.readers = readerSelection{}
@@ -94,6 +103,7 @@
 	k.crashes = crash.NewDetector()
 	k.teamQuotas.startTerm(k.term(), k.clock.Now())
 	if s.IsHolder {
+		k.termID = s.OrderFrom.UnixNano()
 		k.startTerm()
 	}
 }
@@ -119,6 +129,31 @@
 	k.updates.set(u)
 }
 
+// memberPeers returns the peer addresses of the other instances that exchange messages with
+// the holder, the one heard from last first.
+func (k *coordinator) memberPeers() []netip.AddrPort {
+	var others []member
+	for name, m := range k.members {
+		if name != k.self && m.peer.IsValid() {
+			others = append(others, m)
+		}
+	}
+	slices.SortFunc(others, func(x, y member) int { return y.seenAt.Compare(x.seenAt) })
+	out := make([]netip.AddrPort, len(others))
+	for i, m := range others {
+		out[i] = m.peer
+	}
+	return out
+}
+
+// lastMembers returns the peer addresses of the other instances as this instance knew them
+// at the end of its latest term, if it has been the holder.
+func (k *coordinator) lastMembers() []netip.AddrPort {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.formerMembers
+}
+
 func (k *coordinator) holderStatus() elect.Status {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -330,9 +365,7 @@
 
 // term identifies this term of the holder, so that update versions of another term are
 // not taken for its own.
-func (k *coordinator) term() int64 {
-	return k.status.OrderFrom.UnixNano()
-}
+func (k *coordinator) term() int64 { return k.termID }
 
 // refreshUpdates adds the targets that the planners have changed to the update log.
 func (k *coordinator) refreshUpdates() {
