--- /dev/null
+++ b/internal/coordination/load/load_test.go
@@ -0,0 +1,197 @@
+package load
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// TestIndexIsStable guards against counts that are taken for those of another target: an
+// index must stay with its target, and must not be assigned again soon after a release.
+func TestIndexIsStable(t *testing.T) {
+	x := NewIndex()
+	first, second := x.Assign("a"), x.Assign("b")
+	if first != 1 || second != 2 || x.Assign("a") != first {
+		t.Fatalf("indexes %d, %d, again %d", first, second, x.Assign("a"))
+	}
+	x.Release("a")
+	for i := range reuseDelay {
+		id := fmt.Sprint(i)
+		if got := x.Assign(id); got == first {
+			t.Fatalf("index assigned again after %d releases", i)
+		}
+		x.Release(id)
+	}
+	if got := x.Assign("c"); got != first {
+		t.Errorf("index %d, want the released %d", got, first)
+	}
+}
+
+// TestCountsRoundTrip guards against an encoding that loses or moves counts.
+func TestCountsRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		want := rapid.MapOf(rapid.IntRange(1, 4000), rapid.IntRange(1, 300)).Draw(t, "counts")
+		dense := make([]int, 4001)
+		for i, n := range want {
+			dense[i] = n
+		}
+		got := make(map[int]int)
+		for i, n := range newCounts(dense).all() {
+			got[i] = n
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Fatalf("counts (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// FuzzCounts guards against a crash of the holder by an invalid report.
+func FuzzCounts(f *testing.F) {
+	f.Add([]byte{1, 2, 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		for i, n := range Counts(data).all() {
+			if i < 0 || i > maxIndex || n < 0 || n > maxCount {
+				t.Fatalf("index %d, count %d", i, n)
+			}
+		}
+	})
+}
+
+// instance is a View with its requests in flight.
+type instance struct {
+	*View
+	name     string
+	inFlight []int
+}
+
+func newInstance(name string, inFlight ...int) *instance {
+	v := NewView(start)
+	v.SetTerm(7)
+	return &instance{View: v, name: name, inFlight: append([]int{0}, inFlight...)}
+}
+
+func (i *instance) report(s *Sums, now time.Time) {
+	r := i.Report(now, i.inFlight)
+	s.Record(now, i.name, &r)
+}
+
+// TestOthersExcludeOwn guards against requests that count twice, in the snapshot and in
+// the instance's own count.
+func TestOthersExcludeOwn(t *testing.T) {
+	s := NewSums(7)
+	x, y := newInstance("x", 3, 0, 1), newInstance("y", 2, 300)
+	x.report(s, start)
+	y.report(s, start)
+	now := start.Add(settleTime)
+	x.inFlight = []int{0, 5, 0, 0}
+	x.report(s, now)
+	snap := s.Snapshot(now, "x")
+	if diff := cmp.Diff([]byte{7, 255}, snap.Counts); diff != "" {
+		t.Errorf("sums (-want +got):\n%s", diff)
+	}
+	x.report(s, now.Add(time.Millisecond)) // not in the snapshot
+	others, ok := x.Apply(snap, now)
+	if diff := cmp.Diff([]int{0, 2, 255}, others); diff != "" || !ok {
+		t.Errorf("others, %v (-want +got):\n%s", ok, diff)
+	}
+	if age, ok := x.Age(now); !ok || age != settleTime/2 {
+		t.Errorf("age %s, %v; want the mean of the reports' ages", age, ok)
+	}
+}
+
+// TestExpiredReports guards against requests of instances that no longer exist.
+func TestExpiredReports(t *testing.T) {
+	s := NewSums(7)
+	newInstance("gone", 9).report(s, start)
+	now := start.Add(MaxAge + time.Millisecond)
+	newInstance("here", 1).report(s, now)
+	if diff := cmp.Diff([]byte{1}, s.Snapshot(now, "here").Counts); diff != "" {
+		t.Errorf("sums (-want +got):\n%s", diff)
+	}
+}
+
+// TestUnusableReportsAndSnapshots guards against counts that belong to other targets or
+// to an unknown time.
+func TestUnusableReportsAndSnapshots(t *testing.T) {
+	s := NewSums(8)
+	x := newInstance("x", 4)
+	x.report(s, start)
+	if snap := s.Snapshot(start, "x"); snap != nil {
+		t.Errorf("snapshot %+v before the other instances have reported", snap)
+	}
+	now := start.Add(settleTime)
+	if snap := s.Snapshot(now, "x"); snap != nil {
+		t.Errorf("snapshot %+v with counts of another term", snap)
+	}
+	x.SetTerm(8)
+	x.report(s, now)
+	snap := s.Snapshot(now, "x")
+	if _, ok := x.Apply(snap, now); !ok {
+		t.Fatal("snapshot not applied")
+	}
+	if _, ok := x.Apply(snap, now.Add(-time.Second)); ok {
+		t.Error("an older snapshot was applied")
+	}
+	unknown := *snap
+	unknown.Seq = 3
+	if _, ok := x.Apply(&unknown, now.Add(time.Second)); ok {
+		t.Error("a snapshot with an unknown report was applied")
+	}
+	if _, ok := x.Age(now.Add(MaxAge + 1)); ok {
+		t.Error("the snapshot is used although it is too old")
+	}
+}
+
+// TestRates guards against arrival rates that lag behind a burst or outlast it.
+func TestRates(t *testing.T) {
+	s := NewSums(7)
+	m := Model{Service: "llm", Model: "m"}
+	x := newInstance("x", 1)
+	now := start
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		s.AddArrivals(now, m, 4)
+		x.report(s, now)
+	}
+	if got := s.Snapshot(now, "x").Rates["llm"]["m"]; math.Abs(got-40) > 4 {
+		t.Errorf("rate %.1f, want about 40", got)
+	}
+	now = now.Add(6 * rateHalfLife)
+	x.report(s, now)
+	if got := s.Snapshot(now, "x").Rates["llm"]["m"]; got > 2 {
+		t.Errorf("rate %.1f after the end", got)
+	}
+}
+
+// TestChooseLevels guards against herds: the probabilities must be what is lacking to the
+// common level that n requests bring.
+func TestChooseLevels(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		options := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Option {
+			return Option{
+				Start: rapid.Float64Range(0, 60).Draw(t, "start"), Step: rapid.Float64Range(0.1, 10).Draw(t, "step"),
+			}
+		}), 1, 20).Draw(t, "options")
+		n := rapid.Float64Range(0.5, 200).Draw(t, "n")
+		level := Level(options, n)
+		total := 0.0
+		for i := range options {
+			total += options[i].room(level)
+		}
+		if math.Abs(total-n) > 1e-6*(n+1) {
+			t.Fatalf("level %g has room for %g requests, want %g", level, total, n)
+		}
+		point := rapid.Float64Range(0, 0.999999).Draw(t, "point")
+		i, share := Choose(options, n, point)
+		want := options[i].room(level) / total
+		if math.Abs(share-want) > 1e-6 || share <= 0 {
+			t.Fatalf("option %d with probability %g, want %g", i, share, want)
+		}
+	})
+}
--- /dev/null
+++ b/internal/coordination/load/report.go
@@ -0,0 +1,71 @@
+package load
+
+import (
+	"encoding/binary"
+	"iter"
+)
+
+// Report is what one instance tells the lease holder about its load.
+type Report struct {
+	// Term is the holder's term that the indexes belong to.
+	Term int64 `json:"term"`
+	// Seq increases with each report of an instance, also across restarts.
+	Seq uint64 `json:"seq"`
+	// Counts holds the requests in flight by target index.
+	Counts Counts `json:"at,omitempty"`
+	// Arrived is the number of requests that arrived since the previous report, by plain
+	// service. Those for models are in the instance's demand.
+	Arrived map[string]int `json:"arrived,omitempty"`
+	// Use is what teams have used since the previous report, by team name, in the unit of
+	// the team.
+	Use map[string]float64 `json:"use,omitempty"`
+	// Due asks for a snapshot with the reply.
+	Due bool `json:"due,omitempty"`
+}
+
+// Counts holds numbers by index in the order of the indexes, as unsigned varints: the
+// difference to the previous index, then the number.
+type Counts []byte
+
+// newCounts encodes the numbers above 0 of dense, whose position is the index.
+func newCounts(dense []int) Counts {
+	var out Counts
+	last := 0
+	for i, n := range dense {
+		if n <= 0 {
+			continue
+		}
+		out = binary.AppendUvarint(out, uint64(i-last))
+		out = binary.AppendUvarint(out, uint64(n))
+		last = i
+	}
+	return out
+}
+
+// Limits of what is accepted from another instance.
+const (
+	maxIndex = 1 << 16
+	maxCount = 1 << 20
+)
+
+// all yields each index with its number. It ends at the first invalid entry.
+func (c Counts) all() iter.Seq2[int, int] {
+	return func(yield func(int, int) bool) {
+		index := uint64(0)
+		for rest := []byte(c); len(rest) > 0; {
+			step, n1 := binary.Uvarint(rest)
+			if n1 <= 0 {
+				return
+			}
+			count, n2 := binary.Uvarint(rest[n1:])
+			if n2 <= 0 || step > maxIndex || count > maxCount {
+				return
+			}
+			rest = rest[n1+n2:]
+			index += step
+			if index > maxIndex || !yield(int(index), int(count)) {
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/load/sums.go
@@ -0,0 +1,214 @@
+package load
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// MaxAge is the age up to which a report is part of the sums and a snapshot is used.
+	MaxAge = 2 * time.Second
+	// settleTime is the time from the first report of a term to the first snapshot. Sums
+	// of the reports of only some instances would make busy targets look empty.
+	settleTime = 1500 * time.Millisecond
+	// refreshInterval is the interval at which expired reports are removed and the rates
+	// are sorted.
+	refreshInterval = 100 * time.Millisecond
+	// maxRates is the maximum number of rates of one kind in a snapshot. Those left out
+	// are the lowest.
+	maxRates = 128
+	// minRate is the lowest arrival rate in a snapshot, in requests per second. Fewer
+	// requests hardly change the load of a target within the age of a snapshot.
+	minRate = 0.5
+	// minUse is the lowest use of a team in a snapshot, in its unit per second.
+	minUse = 0.1
+)
+
+// Snapshot is the load that all instances together cause, as of a time.
+type Snapshot struct {
+	// Seq is the last report of the receiving instance that the sums contain, 0 if none.
+	Seq uint64 `json:"seq,omitempty"`
+	// AgeMS is the mean age of the reports in the sums, in milliseconds.
+	AgeMS int64 `json:"ageMs,omitempty"`
+	// Counts holds the requests in flight of all instances. The byte at i is that of the
+	// target with index i+1; 255 stands for 255 or more.
+	Counts []byte `json:"counts,omitempty"`
+	// Rates holds the requests that arrive per second at all instances, by service and
+	// model; the model of a plain service is empty.
+	Rates map[string]map[string]float64 `json:"rates,omitempty"`
+	// Use is the use of teams over all instances, by team name, in their unit per second.
+	Use map[string]float64 `json:"use,omitempty"`
+}
+
+// Model identifies a model of a service. Model is empty for a plain service.
+type Model struct{ Service, Model string }
+
+// Sums adds up the reports of all instances at the lease holder. It is not safe for
+// concurrent use.
+type Sums struct {
+	term      int64
+	startedAt time.Time
+	counts    []int
+	instances map[string]*contribution
+	// ages is the sum of the times from startedAt to the instances' reports.
+	ages     time.Duration
+	arrivals map[Model]*rate
+	use      map[string]*rate
+
+	refreshedAt time.Time
+	// rates and teams are the parts of a snapshot as of refreshedAt. They are shared by
+	// snapshots and never changed.
+	rates map[string]map[string]float64
+	teams map[string]float64
+}
+
+// contribution is the last report of one instance.
+type contribution struct {
+	seq    uint64
+	at     time.Time
+	counts Counts
+}
+
+// NewSums returns Sums without reports for a term of the lease holder.
+func NewSums(term int64) *Sums {
+	return &Sums{
+		term: term, instances: make(map[string]*contribution),
+		arrivals: make(map[Model]*rate), use: make(map[string]*rate),
+	}
+}
+
+// Term returns the term whose indexes the sums use.
+func (s *Sums) Term() int64 { return s.term }
+
+// Record replaces the previous report of an instance. Counts with the indexes of another
+// term and reports that were overtaken are not used.
+func (s *Sums) Record(now time.Time, from string, r *Report) {
+	if s.startedAt.IsZero() {
+		s.startedAt = now
+	}
+	for service, n := range r.Arrived {
+		s.AddArrivals(now, Model{Service: service}, n)
+	}
+	for team, n := range r.Use {
+		addTo(s.use, team, now, n)
+	}
+	have := s.instances[from]
+	if r.Term != s.term || have != nil && r.Seq <= have.seq {
+		return
+	}
+	s.remove(from)
+	s.instances[from] = &contribution{seq: r.Seq, at: now, counts: r.Counts}
+	s.ages += now.Sub(s.startedAt)
+	for i, n := range r.Counts.all() {
+		if i >= len(s.counts) {
+			s.counts = append(s.counts, make([]int, i+1-len(s.counts))...)
+		}
+		s.counts[i] += n
+	}
+}
+
+func (s *Sums) remove(from string) {
+	c := s.instances[from]
+	if c == nil {
+		return
+	}
+	for i, n := range c.counts.all() {
+		s.counts[i] -= n
+	}
+	s.ages -= c.at.Sub(s.startedAt)
+	delete(s.instances, from)
+}
+
+// AddArrivals counts requests that arrived at an instance.
+func (s *Sums) AddArrivals(now time.Time, m Model, n int) {
+	addTo(s.arrivals, m, now, float64(n))
+}
+
+func addTo[K comparable](rates map[K]*rate, key K, now time.Time, n float64) {
+	if !(n > 0) || math.IsInf(n, 0) {
+		return
+	}
+	r := rates[key]
+	if r == nil {
+		r = &rate{at: now}
+		rates[key] = r
+	}
+	r.add(now, n)
+}
+
+// Snapshot returns the sums for an instance, or nil while too few reports have come.
+func (s *Sums) Snapshot(now time.Time, to string) *Snapshot {
+	if s.startedAt.IsZero() || now.Sub(s.startedAt) < settleTime {
+		return nil
+	}
+	if now.Sub(s.refreshedAt) >= refreshInterval {
+		s.refresh(now)
+	}
+	if len(s.instances) == 0 {
+		return nil
+	}
+	age := now.Sub(s.startedAt) - s.ages/time.Duration(len(s.instances))
+	out := &Snapshot{AgeMS: age.Milliseconds(), Counts: s.encode(), Rates: s.rates, Use: s.teams}
+	if c := s.instances[to]; c != nil {
+		out.Seq = c.seq
+	}
+	return out
+}
+
+// encode returns one byte for each target up to the last that has requests.
+func (s *Sums) encode() []byte {
+	last := len(s.counts) - 1
+	for last > 0 && s.counts[last] == 0 {
+		last--
+	}
+	out := make([]byte, max(last, 0))
+	for i := range out {
+		out[i] = byte(min(s.counts[i+1], math.MaxUint8))
+	}
+	return out
+}
+
+// refresh removes expired reports and renews the rates.
+func (s *Sums) refresh(now time.Time) {
+	s.refreshedAt = now
+	for from, c := range s.instances {
+		if now.Sub(c.at) > MaxAge {
+			s.remove(from)
+		}
+	}
+	s.rates = make(map[string]map[string]float64)
+	for m, value := range highest(s.arrivals, now, minRate) {
+		if s.rates[m.Service] == nil {
+			s.rates[m.Service] = make(map[string]float64)
+		}
+		s.rates[m.Service][m.Model] = value
+	}
+	s.teams = highest(s.use, now, minUse)
+}
+
+// highest returns the highest rates, rounded to tenths, and forgets those that are nearly
+// over.
+func highest[K comparable](rates map[K]*rate, now time.Time, least float64) map[K]float64 {
+	const forgetShare = 0.01
+	out := make(map[K]float64)
+	for key, r := range rates {
+		value := r.perSecond(now)
+		switch {
+		case value < forgetShare*least:
+			delete(rates, key)
+		case value >= least:
+			out[key] = math.Round(10*value) / 10
+		}
+	}
+	if len(out) <= maxRates {
+		return out
+	}
+	keys := slices.SortedFunc(maps.Keys(out), func(x, y K) int { return cmp.Compare(out[y], out[x]) })
+	for _, key := range keys[maxRates:] {
+		delete(out, key)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/coordination/load/view.go
@@ -0,0 +1,113 @@
+package load
+
+import (
+	"time"
+)
+
+const (
+	// keptReports is the number of an instance's own reports that are kept. A snapshot
+	// that contains none of them is not used.
+	keptReports = 16
+	// minSnapshotInterval is the minimum interval at which an instance asks for snapshots.
+	minSnapshotInterval = 250 * time.Millisecond
+	// snapshotBytesPerSecond limits the share of an instance's link that snapshots use.
+	snapshotBytesPerSecond = 9000
+)
+
+// View is what one instance knows of the load of all. It is not safe for concurrent use.
+type View struct {
+	term int64
+	seq  uint64
+	// sent holds the last reports; the one with number n is at n modulo keptReports.
+	sent [keptReports]sentReport
+	// at is the time as of which the current snapshot holds, by this instance's clock.
+	at      time.Time
+	dueAt   time.Time
+	rates   map[string]map[string]float64
+	use     map[string]float64
+	isValid bool
+}
+
+type sentReport struct {
+	term   int64
+	seq    uint64
+	counts Counts
+}
+
+// NewView returns a View without a snapshot. The reports are numbered from now on, so that
+// those of an instance that restarts follow its earlier ones.
+func NewView(now time.Time) *View {
+	return &View{seq: uint64(max(now.UnixNano(), 0))}
+}
+
+// Report returns the next report. inFlight holds this instance's requests in flight, at
+// the position of the targets' indexes.
+func (v *View) Report(now time.Time, inFlight []int) Report {
+	v.seq++
+	r := Report{Term: v.term, Seq: v.seq, Counts: newCounts(inFlight), Due: !now.Before(v.dueAt)}
+	v.sent[v.seq%keptReports] = sentReport{term: v.term, seq: v.seq, counts: r.Counts}
+	return r
+}
+
+// SetTerm sets the term of the holder whose indexes are in use.
+func (v *View) SetTerm(term int64) { v.term = term }
+
+// Apply applies a snapshot that answers a report sent at sentAt. It returns the requests
+// in flight of the other instances at the position of the targets' indexes, and false if
+// the snapshot cannot be used.
+func (v *View) Apply(s *Snapshot, sentAt time.Time) ([]int, bool) {
+	at := sentAt.Add(-time.Duration(max(s.AgeMS, 0)) * time.Millisecond)
+	if v.isValid && at.Before(v.at) {
+		return nil, false
+	}
+	own, ok := v.ownCounts(s.Seq)
+	if !ok {
+		return nil, false
+	}
+	others := make([]int, len(s.Counts)+1)
+	for i, n := range s.Counts {
+		others[i+1] = int(n)
+	}
+	for i, n := range own.all() {
+		if i < len(others) {
+			others[i] = max(others[i]-n, 0)
+		}
+	}
+	v.at, v.isValid, v.rates, v.use = at, true, s.Rates, s.Use
+	v.dueAt = sentAt.Add(snapshotInterval(s))
+	return others, true
+}
+
+// ownCounts returns the part of the sums that this instance has reported itself.
+func (v *View) ownCounts(seq uint64) (Counts, bool) {
+	if seq == 0 {
+		return nil, true
+	}
+	r := &v.sent[seq%keptReports]
+	return r.counts, r.seq == seq && r.term == v.term
+}
+
+// snapshotInterval returns the time until the next snapshot, which depends on the size.
+func snapshotInterval(s *Snapshot) time.Duration {
+	const (
+		base64Growth = 4.0 / 3
+		bytesPerRate = 24
+	)
+	size := base64Growth*float64(len(s.Counts)) + bytesPerRate*float64(len(s.Use))
+	for _, models := range s.Rates {
+		size += bytesPerRate * float64(len(models))
+	}
+	return max(minSnapshotInterval, time.Duration(size/snapshotBytesPerSecond*float64(time.Second)))
+}
+
+// Age returns the age of the snapshot, and false if there is none that is recent enough.
+func (v *View) Age(now time.Time) (time.Duration, bool) {
+	age := now.Sub(v.at)
+	return age, v.isValid && age <= MaxAge
+}
+
+// Rate returns the requests for a model that arrive per second at all instances.
+func (v *View) Rate(m Model) float64 { return v.rates[m.Service][m.Model] }
+
+// Use returns the use of a team over all instances, in its unit per second.
+func (v *View) Use(team string) float64 { return v.use[team] }
--- a/internal/coordination/picker/choose.go
+++ b/internal/coordination/picker/choose.go
@@ -24,14 +24,10 @@
 // tryAcquire reserves capacity at the best target that can accept the request, or returns
 // nil. Ejected targets are used only if there is no other.
 func (p *Picker) tryAcquire(now time.Time, q *Request) *Reservation {
-	best := p.bestTarget(now, q, false)
-	if best == nil {
-		best = p.bestTarget(now, q, true)
-	}
+	best, load := p.choose(now, q)
 	if best == nil {
 		return nil
 	}
-	load := best.load(now)
 	limit := p.limitOf(best.Identity, now)
 	p.share.Take(best.Identity)
 	if limit.PerSecond == 0 {
@@ -39,6 +35,7 @@
 	}
 	best.inFlight++
 	best.prefilling++
+	p.sent[modelKey{q.Service, q.Model}]++
 	if q.Model != "" {
 		if best.inFlightByModel == nil {
 			best.inFlightByModel = make(map[string]int)
@@ -51,14 +48,38 @@
 	}
 }
 
+// choose returns the target for a request and the estimated number of requests there, or
+// nil. Without a load snapshot it relies on what this instance has observed itself.
+func (p *Picker) choose(now time.Time, q *Request) (*target, float64) {
+	if p.usesSnapshot(now) {
+		best := p.chooseShared(now, q, false)
+		if best == nil {
+			best = p.chooseShared(now, q, true)
+		}
+		if best == nil {
+			return nil, 0
+		}
+		return best, best.expected
+	}
+	best := p.bestTarget(now, q, false)
+	if best == nil {
+		best = p.bestTarget(now, q, true)
+	}
+	if best == nil {
+		return nil, 0
+	}
+	return best, best.load(now)
+}
+
 // bestTarget returns the target of the lowest cost among those that are ejected or among
 // those that are not, or nil.
 func (p *Picker) bestTarget(now time.Time, q *Request, ejected bool) *target {
 	var best *target
 	lowest := 0.0
 	fresh := p.hasFreshUpdates(now)
-	for _, r := range p.targets {
-		if r.Service != q.Service || !r.canAccept(now, q, fresh) || now.Before(r.ejectedUntil) != ejected {
+	for _, r := range p.copiesFor(q, fresh) {
+		if !r.isAvailable(now, q) || r.load(now) >= float64(r.Slots)*q.overcommit() ||
+			now.Before(r.ejectedUntil) != ejected {
 			continue
 		}
 		if p.share.Blocks(r.Identity, now) {
@@ -84,12 +105,16 @@
 	if p.share.IsLimited(r.Identity) {
 		cost -= permitBonus
 	}
+	return cost + r.distance
+}
+
+// distanceTo returns the cost of the distance to a zone, in requests in flight.
+func (p *Picker) distanceTo(zone string) float64 {
 	switch {
-	case r.Zone == p.zone:
-	case p.regions[r.Zone] == p.regions[p.zone]:
-		cost += zoneCost
-	default:
-		cost += regionCost
+	case zone == p.zone:
+		return 0
+	case p.regions[zone] == p.regions[p.zone]:
+		return zoneCost
 	}
-	return cost
+	return regionCost
 }
--- a/internal/coordination/picker/picker.go
+++ b/internal/coordination/picker/picker.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
+	"chivecroft.example/chivecroft/internal/coordination/load"
 	"chivecroft.example/chivecroft/internal/coordination/quota"
 	"chivecroft.example/chivecroft/internal/state/fleet"
 	"chivecroft.example/chivecroft/internal/state/rank"
@@ -39,6 +41,24 @@
 	// updatedAt is the time of the lease holder's latest update.
 	updatedAt time.Time
 	arrivals  map[modelKey]int
+	// copies holds lists of targets by what they serve.
+	copies map[copiesKey][]*target
+
+	// view is what the lease holder's load snapshots say. isShared reports whether they
+	// are recent enough, which is valid if isLoadKnown; onLoadChange is told of changes.
+	view         *load.View
+	isShared     bool
+	isLoadKnown  bool
+	onLoadChange func(LoadChange)
+	random       *rand.Rand
+	// plainArrivals counts the requests to plain services since the last load report, sent
+	// the requests by model that were sent to targets since the last snapshot.
+	plainArrivals map[string]int
+	sent          map[modelKey]int
+	// candidates and options are kept from one choice to the next to save allocations.
+	candidates []*target
+	options    []load.Option
+
 	// limited holds the requests for models that were refused because of rate limits since
 	// the last call of Demand, at most maxLimited.
 	limited        []Request
@@ -80,6 +100,10 @@
 		failureRates: make(map[string]float64),
 		expected:     make(map[string]time.Time),
 		arrivals:     make(map[modelKey]int),
+
+		copies: make(map[copiesKey][]*target), view: load.NewView(t.Now()), onLoadChange: func(LoadChange) {},
+		random:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		plainArrivals: make(map[string]int), sent: make(map[modelKey]int),
 	}
 	for _, opt := range opts {
 		opt(p)
@@ -93,8 +117,8 @@
 func (p *Picker) Acquire(ctx context.Context, q Request) (*Reservation, error) {
 	p.mu.Lock()
 	now := p.timer.Now()
-	if q.Model != "" && len(q.Exclude) == 0 {
-		p.arrivals[modelKey{q.Service, q.Model}]++
+	if len(q.Exclude) == 0 {
+		p.countArrival(&q)
 	}
 	if s := p.tryAcquire(now, &q); s != nil {
 		p.mu.Unlock()
@@ -122,6 +146,14 @@
 	}
 }
 
+func (p *Picker) countArrival(q *Request) {
+	if q.Model == "" {
+		p.plainArrivals[q.Service]++
+		return
+	}
+	p.arrivals[modelKey{q.Service, q.Model}]++
+}
+
 // release ends a reservation, records the outcome and processes the queue.
 func (p *Picker) release(s *Reservation, out Outcome) {
 	p.mu.Lock()
@@ -138,7 +170,12 @@
 		r.inFlightByModel[s.model]--
 	}
 	if out.LoadKnown {
-		r.setReportedLoad(now, out.Running, out.Waiting)
+		own := r.inFlight
+		if !out.Rejected {
+			// The response was sent while the target still counted the request.
+			own++
+		}
+		r.setReportedLoad(now, out.Running, out.Waiting, own)
 	}
 	mean := p.failureRates[r.Service]
 	r.recordOutcome(now, out, mean)
@@ -186,13 +223,22 @@
 	if r.Draining {
 		p.leaving.Add(r.Identity)
 	}
+	p.dropCopies()
 	known := p.targets[r.ID]
 	if known == nil || known.Born != r.Born || known.Addr != r.Addr {
-		known = &target{Target: r, otherLoadAt: p.timer.Now(), rank: rank.Hash(p.name + "\x00" + r.ID)}
+		index := 0
+		if known != nil {
+			index = known.index
+		}
+		known = &target{
+			Target: r, otherLoadAt: p.timer.Now(), rank: rank.Hash(p.name + "\x00" + r.ID),
+			index: index, distance: p.distanceTo(r.Zone),
+		}
 		p.targets[r.ID] = known
 		return known
 	}
 	known.Target = r
+	known.distance = p.distanceTo(r.Zone)
 	known.expiresAt = time.Time{}
 	return known
 }
@@ -208,6 +254,7 @@
 	}
 	if removalDelay <= 0 {
 		delete(p.targets, id)
+		p.dropCopies()
 		return
 	}
 	if r.expiresAt.IsZero() {
@@ -222,6 +269,7 @@
 	defer p.mu.Unlock()
 	if r := p.targets[id]; r != nil && r.isExpired(p.timer.Now()) {
 		delete(p.targets, id)
+		p.dropCopies()
 	}
 }
 
@@ -247,9 +295,11 @@
 		n := &updates[i]
 		if n.Gone {
 			delete(p.targets, n.ID)
+			p.dropCopies()
 			continue
 		}
-		p.setTargetLocked(n.target()).update = n
+		r := p.setTargetLocked(n.target())
+		r.update, r.index = n, n.Index
 		p.share.Adopt(n.Identity, n.Limit, p.timer.Now())
 	}
 	p.expected = expected
--- a/internal/coordination/picker/request.go
+++ b/internal/coordination/picker/request.go
@@ -117,7 +117,7 @@
 func (s *Reservation) SetReportedLoad(running, waiting int) {
 	s.picker.mu.Lock()
 	defer s.picker.mu.Unlock()
-	s.state.setReportedLoad(s.picker.timer.Now(), running, waiting)
+	s.state.setReportedLoad(s.picker.timer.Now(), running, waiting, s.state.inFlight)
 }
 
 // ResponseBegan records that the response has begun.
--- /dev/null
+++ b/internal/coordination/picker/shared.go
@@ -0,0 +1,174 @@
+package picker
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"chivecroft.example/chivecroft/internal/coordination/load"
+)
+
+// LoadChange reports that the picker has begun or ceased to use the load of all instances.
+type LoadChange struct {
+	// Shared reports whether a load snapshot is in use.
+	Shared bool
+	// Age is the age of the latest snapshot, negative if there has been none.
+	Age time.Duration
+}
+
+// WithLoadObserver calls f when the load snapshots begin or cease to be recent enough; f
+// must not block.
+func WithLoadObserver(f func(LoadChange)) Option {
+	return func(p *Picker) { p.onLoadChange = f }
+}
+
+// WithRandom sets the source of random numbers.
+func WithRandom(r *rand.Rand) Option {
+	return func(p *Picker) { p.random = r }
+}
+
+// LoadReport returns what to tell the lease holder about this instance's load, and resets
+// the count of arrivals.
+func (p *Picker) LoadReport() load.Report {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.timer.Now()
+	p.usesSnapshot(now)
+	var inFlight []int
+	for _, r := range p.targets {
+		if r.index == 0 || r.inFlight == 0 {
+			continue
+		}
+		if r.index >= len(inFlight) {
+			inFlight = append(inFlight, make([]int, r.index+1-len(inFlight))...)
+		}
+		inFlight[r.index] = r.inFlight
+	}
+	out := p.view.Report(now, inFlight)
+	out.Arrived = p.plainArrivals
+	p.plainArrivals = make(map[string]int)
+	return out
+}
+
+// ApplyLoad applies a load snapshot of the lease holder, which may be nil, after the
+// updates of the same reply. It answers a report that was sent at sentAt.
+func (p *Picker) ApplyLoad(term int64, s *load.Snapshot, sentAt time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.view.SetTerm(term)
+	if s == nil {
+		return
+	}
+	others, ok := p.view.Apply(s, sentAt)
+	if !ok {
+		return
+	}
+	now := p.timer.Now()
+	age, _ := p.view.Age(now)
+	at := now.Add(-age)
+	for _, r := range p.targets {
+		if r.others.at.After(at) {
+			continue
+		}
+		r.others = otherLoad{at: at}
+		if r.index < len(others) {
+			r.others.count = float64(others[r.index])
+		}
+	}
+	clear(p.sent)
+	p.usesSnapshot(now)
+	p.processQueue(now)
+}
+
+// otherLoad is the number of other instances' requests at a target as of a time.
+type otherLoad struct {
+	count float64
+	at    time.Time
+}
+
+// usesSnapshot reports whether there is a load snapshot that is recent enough, and tells
+// the observer when that changes.
+func (p *Picker) usesSnapshot(now time.Time) bool {
+	age, ok := p.view.Age(now)
+	if ok == p.isShared && p.isLoadKnown {
+		return ok
+	}
+	wasKnown := p.isLoadKnown
+	p.isShared, p.isLoadKnown = ok, true
+	if !ok && !wasKnown {
+		age = -1
+	}
+	p.onLoadChange(LoadChange{Shared: ok, Age: age})
+	return ok
+}
+
+// chooseShared returns the target for a request on the basis of the load snapshot, among
+// those that are ejected or among those that are not, or nil.
+func (p *Picker) chooseShared(now time.Time, q *Request, ejected bool) *target {
+	list, options := p.candidates[:0], p.options[:0]
+	fresh, limited := p.hasFreshUpdates(now), p.share.InForce()
+	mean := p.failureRates[q.Service]
+	others := 0.0
+	for _, r := range p.copiesFor(q, fresh) {
+		if !r.isAvailable(now, q) || now.Before(r.ejectedUntil) != ejected ||
+			r.sharedLoad() >= float64(r.Slots)*q.overcommit() || limited && p.share.Blocks(r.Identity, now) {
+			continue
+		}
+		list = append(list, r)
+		options = append(options, p.option(now, q, r, mean, limited))
+		others += r.others.count
+	}
+	p.candidates, p.options = list, options
+	if len(list) == 0 {
+		return nil
+	}
+	sent := p.sentByOthers(now, q)
+	kept := keptShare(sent, others)
+	for i, r := range list {
+		options[i].Start -= (1 - kept) * options[i].Step * r.others.count
+	}
+	i, share := load.Choose(options, 1+sent, p.random.Float64())
+	best := list[i]
+	best.expected = float64(best.inFlight) + kept*best.others.count + share*(1-kept)*others
+	return best
+}
+
+// keptShare estimates the share of the requests in a snapshot that have not ended since,
+// if as many end as are sent.
+func keptShare(sent, inFlight float64) float64 {
+	if sent == 0 {
+		return 1
+	}
+	return math.Exp(-sent / max(inFlight, 1))
+}
+
+// option returns the expected time of a request at a target for the choice, in the time
+// that one request usually takes there alone.
+func (p *Picker) option(now time.Time, q *Request, r *target, mean float64, limited bool) load.Option {
+	unit := 1.0
+	if q.Model == "" {
+		unit = 1 / float64(max(r.Slots, 1))
+	}
+	extra := r.distance + prefillCost*float64(r.prefilling)
+	if r.failureRate > 0 {
+		extra += failureCost * max(r.currentFailureRate(now)-mean, 0)
+	}
+	if limited && p.share.IsLimited(r.Identity) {
+		extra -= permitBonus
+	}
+	step := unit
+	return load.Option{Start: step*(r.sharedLoad()+1) + unit*extra, Step: step}
+}
+
+// sharedLoad returns the number of requests at the target as of the snapshot, corrected
+// by this instance's own requests since then.
+func (r *target) sharedLoad() float64 { return r.others.count + float64(r.inFlight) }
+
+// sentByOthers estimates how many requests for the same model the other instances have
+// sent since the snapshot.
+func (p *Picker) sentByOthers(now time.Time, q *Request) float64 {
+	key := modelKey{q.Service, q.Model}
+	age, _ := p.view.Age(now)
+	all := p.view.Rate(load.Model{Service: q.Service, Model: q.Model}) * age.Seconds()
+	return max(all-float64(p.sent[key]), 0)
+}
--- /dev/null
+++ b/internal/coordination/picker/shared_test.go
@@ -0,0 +1,102 @@
+package picker
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"chivecroft.example/chivecroft/internal/coordination/load"
+)
+
+// chooseLeast chooses the target that has the least load according to the snapshot.
+func chooseLeast(p *Picker, q Request) *Reservation {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.countArrival(&q)
+	var best *target
+	for _, r := range p.copiesFor(&q, true) {
+		if best == nil || r.sharedLoad() < best.sharedLoad() {
+			best = r
+		}
+	}
+	best.inFlight++
+	best.prefilling++
+	best.inFlightByModel = map[string]int{q.Model: best.inFlight}
+	return &Reservation{Target: best.Target, picker: p, state: best, model: q.Model}
+}
+
+// TestNoHerd lets 300 instances send at an even rate with snapshots of up to 0.8 s. It
+// guards against all of them choosing the target that looked empty.
+func TestNoHerd(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		mean      time.Duration
+		perSecond float64
+		// most bounds the busiest target's requests over the mean, overLeast the same over
+		// that of choosing the least loaded, and overAlone over that without snapshots.
+		most, overLeast, overAlone float64
+	}{
+		{"short requests", time.Second, 400, 1.5, 0.4, 1.05},
+		{"long requests", 5 * time.Second, 80, 1.4, 0.65, 0.95},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			measure := func(change func(*world)) float64 {
+				w := newWorld(t, 300, 20, c.mean)
+				w.interval = 780 * time.Millisecond
+				change(w)
+				w.run(4*c.mean, c.perSecond, everywhere)
+				return w.meanBusiest(8*time.Second, c.perSecond)
+			}
+			shared := measure(func(*world) {})
+			least := measure(func(w *world) { w.choose = chooseLeast })
+			alone := measure(func(w *world) { w.isConnected = false })
+			t.Logf("busiest over mean: %.2f, least loaded %.2f, without snapshots %.2f", shared, least, alone)
+			if shared > c.most || shared > c.overLeast*least || shared > c.overAlone*alone {
+				t.Errorf("busiest over mean %.2f, least loaded %.2f, without snapshots %.2f", shared, least, alone)
+			}
+		})
+	}
+}
+
+// TestSnapshotLost cuts all instances off from the holder and connects them again. It
+// guards against choices by a snapshot that is too old, and against a change of mode that
+// is not observed.
+func TestSnapshotLost(t *testing.T) {
+	w := newWorld(t, 6, 4, time.Second)
+	var got []LoadChange
+	w.pickers[0].onLoadChange = func(c LoadChange) { got = append(got, c) }
+	w.run(4*time.Second, 40, everywhere)
+	w.isConnected = false
+	w.run(4*time.Second, 40, everywhere)
+	w.isConnected = true
+	w.run(2*time.Second, 40, everywhere)
+	var shared []bool
+	for _, c := range got {
+		shared = append(shared, c.Shared)
+		if c.Shared && c.Age > time.Second || !c.Shared && c.Age >= 0 && c.Age < load.MaxAge {
+			t.Errorf("change %+v", c)
+		}
+	}
+	if diff := cmp.Diff([]bool{false, true, false, true}, shared); diff != "" {
+		t.Errorf("modes (-want +got):\n%s", diff)
+	}
+	if w.refused > 0 {
+		t.Errorf("%d requests found no target", w.refused)
+	}
+}
+
+// TestAloneAsBefore guards against a change of the choice without a snapshot: the target of
+// the lowest cost by this instance's own observations is chosen, and pace has no effect.
+func TestAloneAsBefore(t *testing.T) {
+	w := newWorld(t, 1, 3, time.Second)
+	w.isConnected = false
+	p := w.pickers[0]
+	for i := range 9 {
+		s := p.acquireNow(Request{Service: "llm", Model: "m", Deadline: w.timer.Now().Add(time.Second)})
+		s.ResponseBegan()
+		if want := float64(i / 3); s.Load != want {
+			t.Errorf("request %d goes to a target with %g requests, want %g", i, s.Load, want)
+		}
+	}
+}
--- a/internal/coordination/picker/target.go
+++ b/internal/coordination/picker/target.go
@@ -39,6 +39,10 @@
 	rank uint64
 	// update is the lease holder's latest update of the target, nil if there is none.
 	update *Update
+	// index is the number that the lease holder has given the target, 0 for none.
+	index int
+	// distance is the cost of the distance to the target's zone, in requests in flight.
+	distance float64
 	// inFlight counts this instance's requests in flight at the target; inFlightByModel
 	// splits them by model.
 	inFlight        int
@@ -49,6 +53,11 @@
 	// otherLoad is the load caused by other instances as of otherLoadAt.
 	otherLoad   float64
 	otherLoadAt time.Time
+	// others is the same according to the load snapshot, or to a later response.
+	others otherLoad
+	// expected is the number of requests at the target when it was last chosen on the
+	// basis of a load snapshot.
+	expected float64
 
 	// failureRate is a moving average, between 0 and 1, as of failureRateAt.
 	failureRate   float64
@@ -79,6 +88,8 @@
 	Models   []fleet.Loaded `json:"models,omitempty"`
 	// Limit is the rate limit that the target has named, in requests a second; 0 for none.
 	Limit float64 `json:"limit,omitempty"`
+	// Index is the target's number in load reports and snapshots of the holder's term.
+	Index int `json:"index,omitempty"`
 	// Gone means that the target has left the platform's list; only its id is set then.
 	Gone bool `json:"gone,omitempty"`
 }
@@ -94,7 +105,7 @@
 // Equal reports whether two updates are equal.
 func (n *Update) Equal(o *Update) bool {
 	return n.Identity == o.Identity && n.Service == o.Service && n.Addr == o.Addr && n.Zone == o.Zone &&
-		n.Slots == o.Slots && n.Limit == o.Limit && n.Draining == o.Draining && n.Gone == o.Gone &&
+		n.Index == o.Index && n.Slots == o.Slots && n.Limit == o.Limit && n.Draining == o.Draining && n.Gone == o.Gone &&
 		slices.EqualFunc(n.Models, o.Models, func(x, y fleet.Loaded) bool {
 			return x.Model == y.Model && slices.Equal(x.Adapters, y.Adapters)
 		})
@@ -130,10 +141,11 @@
 }
 
 // setReportedLoad derives the load of other instances from a load that the target has
-// reported.
-func (r *target) setReportedLoad(now time.Time, running, waiting int) {
+// reported while own requests of this instance were there.
+func (r *target) setReportedLoad(now time.Time, running, waiting, own int) {
 	r.otherLoad = max(float64(running+waiting-r.inFlight), 0)
 	r.otherLoadAt = now
+	r.others = otherLoad{count: max(float64(running+waiting-own), 0), at: now}
 }
 
 // isExpired reports whether the removal delay of a target that is no longer listed is
@@ -144,12 +156,22 @@
 
 // canAccept reports whether the target has capacity for a request and is in no backoff.
 func (r *target) canAccept(now time.Time, q *Request, fresh bool) bool {
-	if now.Before(r.fullUntil) || now.Before(r.backoffUntil) || !r.isCandidate(now, q, fresh) {
+	if !r.isAvailable(now, q) || q.Model != "" && !r.servesModel(q.Model, q.Adapter, fresh) {
 		return false
 	}
 	return r.load(now) < float64(r.Slots)*q.overcommit()
 }
 
+// isAvailable reports whether a target that serves the request's model takes requests,
+// regardless of its load.
+func (r *target) isAvailable(now time.Time, q *Request) bool {
+	switch {
+	case r.Draining, r.isExpired(now), now.Before(r.fullUntil), now.Before(r.backoffUntil):
+		return false
+	}
+	return len(q.Exclude) == 0 || !slices.Contains(q.Exclude, r.Identity)
+}
+
 // isCandidate reports whether the target could serve the request, regardless of its load.
 func (r *target) isCandidate(now time.Time, q *Request, fresh bool) bool {
 	switch {
--- /dev/null
+++ b/internal/coordination/picker/world_test.go
@@ -0,0 +1,165 @@
+package picker
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"chivecroft.example/chivecroft/internal/coordination/load"
+	"chivecroft.example/chivecroft/internal/state/fleet"
+	"chivecroft.example/chivecroft/internal/state/timer"
+)
+
+// worldTerm is the term of the lease holder in a world.
+const worldTerm = 1
+
+// world is a fleet of instances with one lease holder and a service on virtual time.
+type world struct {
+	t       *testing.T
+	timer   *timer.Virtual
+	random  *rand.Rand
+	service string
+	model   string
+	// interval is the time between two messages of an instance to the holder, which
+	// answers after delay. A false isConnected loses them.
+	interval    time.Duration
+	delay       time.Duration
+	isConnected bool
+	// mean is the mean duration of a request.
+	mean      time.Duration
+	sums      *load.Sums
+	pickers   []*Picker
+	targets   []*worldTarget
+	byID      map[string]*worldTarget
+	refused   int
+	choose    func(*Picker, Request) *Reservation
+	onStarted func(*worldTarget, *Reservation)
+}
+
+// worldTarget is a target in a world.
+type worldTarget struct {
+	fleet.Target
+	running, served int
+	// slowness multiplies the duration of requests.
+	slowness float64
+	// pace is what the target says of it in its responses, 0 for nothing.
+	pace func() float64
+}
+
+func newWorld(t *testing.T, instances, targets int, mean time.Duration) *world {
+	t.Helper()
+	w := &world{
+		t: t, timer: timer.NewVirtual(time.Unix(1_000_000, 0)), random: rand.New(rand.NewPCG(1, 2)),
+		service: "llm", model: "m", interval: 700 * time.Millisecond, delay: 20 * time.Millisecond, mean: mean,
+		isConnected: true, sums: load.NewSums(worldTerm), byID: make(map[string]*worldTarget),
+		onStarted: func(*worldTarget, *Reservation) {},
+	}
+	w.choose = func(p *Picker, q Request) *Reservation { return p.acquireNow(q) }
+	var updates []Update
+	for i := range targets {
+		r := &worldTarget{Target: engineTarget(fmt.Sprintf("e%d", i), "a1", "m"), slowness: 1, pace: func() float64 { return 0 }}
+		r.Slots = 48
+		w.targets = append(w.targets, r)
+		w.byID[r.ID] = r
+		u := NewUpdate(&r.Target, r.Models)
+		u.Index = i + 1
+		updates = append(updates, u)
+	}
+	for i := range instances {
+		p := New(w.timer, "a1", regions, WithName(fmt.Sprint(i)), WithRandom(rand.New(rand.NewPCG(uint64(i), 3))))
+		p.ApplyUpdates(updates, nil)
+		p.ApplyLoad(worldTerm, nil, w.timer.Now())
+		w.pickers = append(w.pickers, p)
+		w.timer.After(time.Duration(w.random.Int64N(int64(w.interval))), func() { w.exchange(p) })
+	}
+	return w
+}
+
+// acquireNow is Acquire without queueing.
+func (p *Picker) acquireNow(q Request) *Reservation {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.countArrival(&q)
+	return p.tryAcquire(p.timer.Now(), &q)
+}
+
+// exchange sends a picker's report to the holder, whose reply comes after delay.
+func (w *world) exchange(p *Picker) {
+	w.timer.After(w.interval, func() { w.exchange(p) })
+	sentAt := w.timer.Now()
+	r, demand := p.LoadReport(), p.Demand()
+	p.ApplyUpdates(nil, nil)
+	if !w.isConnected {
+		return
+	}
+	for _, d := range demand {
+		w.sums.AddArrivals(sentAt, load.Model{Service: d.Service, Model: d.Model}, d.Arrived)
+	}
+	w.sums.Record(sentAt, p.name, &r)
+	s := w.sums.Snapshot(sentAt, p.name)
+	w.timer.After(w.delay, func() { p.ApplyLoad(worldTerm, s, sentAt) })
+}
+
+// run sends perSecond requests a second on average, each at a random instance of those
+// that busy returns true for, for d.
+func (w *world) run(d time.Duration, perSecond float64, busy func(i int) bool) {
+	end := w.timer.Now().Add(d)
+	for {
+		next := time.Duration(w.random.ExpFloat64() / perSecond * float64(time.Second))
+		if !w.timer.Now().Add(next).Before(end) {
+			w.timer.Advance(end.Sub(w.timer.Now()))
+			return
+		}
+		w.timer.Advance(next)
+		i := w.random.IntN(len(w.pickers))
+		for !busy(i) {
+			i = w.random.IntN(len(w.pickers))
+		}
+		w.send(w.pickers[i])
+	}
+}
+
+func everywhere(int) bool { return true }
+
+// send sends one request.
+func (w *world) send(p *Picker) {
+	now := w.timer.Now()
+	s := w.choose(p, Request{Service: w.service, Model: w.model, Arrived: now, Deadline: now.Add(10 * time.Second)})
+	if s == nil {
+		w.refused++
+		return
+	}
+	r := w.byID[s.Target.ID]
+	r.running++
+	r.served++
+	w.onStarted(r, s)
+	s.ResponseBegan()
+	took := time.Duration(w.random.ExpFloat64() * r.slowness * float64(w.mean))
+	w.timer.After(took, func() {
+		r.running--
+		s.Release(Outcome{})
+	})
+}
+
+// busiest returns the busiest target's requests over the mean.
+func (w *world) busiest() float64 {
+	most, sum := 0, 0
+	for _, r := range w.targets {
+		most = max(most, r.running)
+		sum += r.running
+	}
+	return float64(most) * float64(len(w.targets)) / float64(max(sum, 1))
+}
+
+// meanBusiest runs the world and returns the mean of busiest over the time.
+func (w *world) meanBusiest(d time.Duration, perSecond float64) float64 {
+	const step = 100 * time.Millisecond
+	sum, n := 0.0, 0
+	for range int(d / step) {
+		w.run(step, perSecond, everywhere)
+		sum += w.busiest()
+		n++
+	}
+	return sum / float64(n)
+}
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -12,6 +12,7 @@
 
 	"chivecroft.example/chivecroft/internal/coordination/crash"
 	"chivecroft.example/chivecroft/internal/coordination/elect"
+	"chivecroft.example/chivecroft/internal/coordination/load"
 	"chivecroft.example/chivecroft/internal/coordination/picker"
 	"chivecroft.example/chivecroft/internal/coordination/quota"
 	"chivecroft.example/chivecroft/internal/coordination/sched"
@@ -57,6 +58,8 @@
 	permits *quota.Ledger
 	// crashes finds the parts of prompts that crash targets.
 	crashes *crash.Detector
+	// load sums the load that the instances report; nil before the first report.
+	load    *load.Sums
 	members map[string]member
 	readers readerSelection
 }
@@ -90,6 +93,7 @@
 	k.updates = newUpdateLog()
 	k.permits = quota.NewLedger()
 	k.crashes = crash.NewDetector()
+	k.load = nil
 	if s.IsHolder {
 		k.startTerm()
 	}
@@ -283,6 +287,7 @@
 		Term: k.term(), Version: k.updates.version, Full: after == 0, Updates: k.updates.after(after),
 		Members: k.pruneMembers(now), Readers: readers, ConfigRevision: k.configRevision, ReadyInMS: make(map[string]int64),
 	}
+	out.Load = k.exchangeLoad(now, &m)
 	out.Grants = k.permits.Ask(now, m.From, m.Wants)
 	out.Crashes = k.judgeCrashes(now, m, out.Members)
 	if k.status.CanOrder(now) {
--- /dev/null
+++ b/internal/edge/load_test.go
@@ -0,0 +1,117 @@
+package edge
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"chivecroft.example/chivecroft/internal/coordination/load"
+	"chivecroft.example/chivecroft/internal/coordination/picker"
+	"chivecroft.example/chivecroft/internal/state/fleet"
+	"chivecroft.example/chivecroft/internal/state/timer"
+)
+
+// TestLoadOfOthers exchanges messages of two instances with a holder. It guards against a
+// load that is counted for another target or twice, also for plain services.
+func TestLoadOfOthers(t *testing.T) {
+	k := newTestCoordinator(t)
+	k.setHasFullList(true)
+	k.setHolder(true)
+	for _, id := range []string{"one", "two"} {
+		k.setTarget(fleet.Target{Identity: fleet.Identity{ID: id, Born: 1}, Service: "desk", Zone: "a1", Slots: 8})
+	}
+	clock := timer.NewVirtual(time.Unix(1_000_000, 0))
+	busy, idle := picker.New(clock, "a1", nil), picker.New(clock, "a1", nil)
+	exchange := func(p *picker.Picker, from string) {
+		t.Helper()
+		r := p.LoadReport()
+		data, err := json.Marshal(exchangeRequest{From: from, Load: &r})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var m exchangeRequest
+		if err := json.Unmarshal(data, &m); err != nil {
+			t.Fatal(err)
+		}
+		reply, ok := k.handleExchange(m)
+		if !ok {
+			t.Fatal("no reply of the holder")
+		}
+		p.ApplyUpdates(reply.Updates, nil)
+		if reply.Load == nil {
+			// The holder waits for more reports before it sends a snapshot.
+			reply.Load = k.load.Snapshot(k.clock.Now().Add(1500*time.Millisecond), from)
+		}
+		p.ApplyLoad(reply.Term, reply.Load, clock.Now())
+	}
+	exchange(busy, "i2")
+	exchange(idle, "i3")
+	choose := func(p *picker.Picker, exclude string) *picker.Reservation {
+		t.Helper()
+		s, err := p.Acquire(t.Context(), picker.Request{
+			Service: "desk", Arrived: clock.Now(), Deadline: clock.Now().Add(time.Second),
+			Exclude: []fleet.Identity{{ID: exclude, Born: 1}},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s
+	}
+	for range 6 {
+		choose(busy, "two")
+	}
+	clock.Advance(time.Second)
+	exchange(busy, "i2")
+	exchange(idle, "i3")
+	var got []float64
+	for _, p := range []*picker.Picker{busy, idle} {
+		for _, other := range []string{"two", "one"} {
+			s := choose(p, other)
+			got = append(got, s.Load)
+			s.Release(picker.Outcome{})
+		}
+	}
+	// At "one" and "two": the busy instance's own requests, and what the idle one hears.
+	if diff := cmp.Diff([]float64{6, 0, 6, 0}, got); diff != "" {
+		t.Errorf("loads (-want +got):\n%s", diff)
+	}
+}
+
+// TestIndexesOfTargets guards against two targets with the same number, and against one
+// whose number changes within a term.
+func TestIndexesOfTargets(t *testing.T) {
+	u := newUpdateLog()
+	set := func(id string, slots int) {
+		u.set(picker.Update{Identity: fleet.Identity{ID: id}, Slots: slots})
+	}
+	set("a", 1)
+	set("b", 1)
+	set("a", 2)
+	u.remove("b")
+	set("c", 1)
+	got := make(map[string]int)
+	for _, n := range u.after(0) {
+		got[n.ID] = n.Index
+	}
+	if diff := cmp.Diff(map[string]int{"a": 1, "c": 3}, got); diff != "" {
+		t.Errorf("indexes (-want +got):\n%s", diff)
+	}
+}
+
+// TestNoSnapshotUnasked guards against snapshots that instances get more often than their
+// links allow.
+func TestNoSnapshotUnasked(t *testing.T) {
+	k := newTestCoordinator(t)
+	now := k.clock.Now()
+	for _, at := range []time.Duration{0, 2 * time.Second} {
+		for _, due := range []bool{false, true} {
+			r := load.Report{Term: k.term(), Due: due}
+			s := k.exchangeLoad(now.Add(at), &exchangeRequest{From: "i2", Load: &r})
+			if want := due && at > 0; (s != nil) != want {
+				t.Errorf("after %s, due %v: snapshot %+v", at, due, s)
+			}
+		}
+	}
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -13,6 +13,7 @@
 
 	"chivecroft.example/chivecroft/internal/coordination/crash"
 	"chivecroft.example/chivecroft/internal/coordination/elect"
+	"chivecroft.example/chivecroft/internal/coordination/load"
 	"chivecroft.example/chivecroft/internal/coordination/picker"
 	"chivecroft.example/chivecroft/internal/coordination/quota"
 	"chivecroft.example/chivecroft/internal/state/fleet"
@@ -62,6 +63,8 @@
 	Wants  []quota.Want   `json:"wants,omitempty"`
 	// Crashes reports targets that crashed under requests, and what survived.
 	Crashes *crash.Report `json:"crashes,omitempty"`
+	// Load reports the requests in flight by target, and plain services' arrivals.
+	Load *load.Report `json:"load,omitempty"`
 	// Term and Version identify the updates that the instance has.
 	Term    int64  `json:"holding,omitempty"`
 	Version uint64 `json:"version,omitempty"`
@@ -91,6 +94,8 @@
 	RemovalDelayMS int64 `json:"doubtMs,omitempty"`
 	// ReadyInMS is the expected time until each model can serve, in milliseconds.
 	ReadyInMS map[string]int64 `json:"expected,omitempty"`
+	// Load is the load of all instances; nil if the request does not ask for it.
+	Load *load.Snapshot `json:"load,omitempty"`
 	// Grants answers the wants of the request.
 	Grants []quota.Grant `json:"grants,omitempty"`
 	// Crashes answers the report of the request.
@@ -238,7 +243,7 @@
 	sentAt := e.timer.Now()
 	m := exchangeRequest{
 		From: e.boot.Instance, Demand: e.picker.Demand(), Leaving: e.picker.AnnouncedLeaving(),
-		Term: last.Term, Version: last.Version,
+		Term: last.Term, Version: last.Version, Load: e.loadReport(),
 	}
 	m.Limits, m.Wants = e.picker.LimitDemand()
 	crashes := e.crashes.Report()
@@ -257,6 +262,7 @@
 		}
 		e.applyPermits(m, r, sentAt)
 		e.applyUpdates(r)
+		e.picker.ApplyLoad(r.Term, r.Load, sentAt)
 		e.crashes.Apply(r.Term, &crashes, &r.Crashes)
 		*last = r
 		e.coordinator.sendDueOrders()
@@ -267,6 +273,7 @@
 		}
 		e.applyPermits(m, r, sentAt)
 		e.applyUpdates(r)
+		e.picker.ApplyLoad(r.Term, r.Load, sentAt)
 		e.crashes.Apply(r.Term, &crashes, &r.Crashes)
 		e.updatedAt.Store(e.clock.Now().UnixNano())
 		*last = r
--- a/internal/edge/updatelog.go
+++ b/internal/edge/updatelog.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"chivecroft.example/chivecroft/internal/coordination/load"
 	"chivecroft.example/chivecroft/internal/coordination/picker"
 )
 
@@ -9,6 +10,8 @@
 type updateLog struct {
 	version uint64
 	entries map[string]*updateEntry
+	// index numbers the targets for load reports and snapshots.
+	index *load.Index
 }
 
 type updateEntry struct {
@@ -17,11 +20,14 @@
 }
 
 func newUpdateLog() *updateLog {
-	return &updateLog{entries: make(map[string]*updateEntry)}
+	return &updateLog{entries: make(map[string]*updateEntry), index: load.NewIndex()}
 }
 
 // set adds an update of a target unless it equals the last.
 func (r *updateLog) set(n picker.Update) {
+	if !n.Gone {
+		n.Index = r.index.Assign(n.ID)
+	}
 	entry := r.entries[n.ID]
 	if entry != nil && entry.update.Equal(&n) {
 		return
@@ -35,6 +41,7 @@
 	if entry := r.entries[id]; entry == nil || entry.update.Gone {
 		return
 	}
+	r.index.Release(id)
 	n := picker.Update{Gone: true}
 	n.ID = id
 	r.set(n)
