--- a/internal/coordination/load/choose.go
+++ b/internal/coordination/load/choose.go
@@ -5,13 +5,16 @@
 type Option struct {
 	// Start is the level of the target's next request.
 	Start float64
-	// Step is by how much one request raises the level; it is above 0.
-	Step float64
+	// Width is the number of requests that raise the level by 1; it is above 0.
+	Width float64
 }
 
 // room returns how many requests raise the target to a level.
 func (o *Option) room(level float64) float64 {
-	return max((level-o.Start)/o.Step, 0)
+	if o.Start >= level {
+		return 0
+	}
+	return (level - o.Start) * o.Width
 }
 
 // Level returns the common level to which n requests raise the lowest of the options.
@@ -38,9 +41,8 @@
 		if isBounded && o.Start >= below {
 			continue
 		}
-		perLevel := 1 / o.Step
-		sum += o.Start * perLevel
-		capacity += perLevel
+		sum += o.Start * o.Width
+		capacity += o.Width
 	}
 	if capacity == 0 {
 		return below
@@ -53,11 +55,8 @@
 // proportional to what it lacks to the common level; point is uniform in [0, 1). The
 // second result is the probability of the option.
 func Choose(options []Option, n, point float64) (int, float64) {
-	level := Level(options, n)
-	total := 0.0
-	for i := range options {
-		total += options[i].room(level)
-	}
+	// The room of all options at the common level is n.
+	level, total := Level(options, n), n
 	left := point * total
 	chosen, room := 0, 0.0
 	for i := range options {
@@ -71,8 +70,5 @@
 		}
 		left -= r
 	}
-	if total == 0 {
-		return chosen, 1
-	}
 	return chosen, room / total
 }
--- a/internal/coordination/load/load_test.go
+++ b/internal/coordination/load/load_test.go
@@ -175,7 +175,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		options := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Option {
 			return Option{
-				Start: rapid.Float64Range(0, 60).Draw(t, "start"), Step: rapid.Float64Range(0.1, 10).Draw(t, "step"),
+				Start: rapid.Float64Range(0, 60).Draw(t, "start"), Width: rapid.Float64Range(0.1, 10).Draw(t, "width"),
 			}
 		}), 1, 20).Draw(t, "options")
 		n := rapid.Float64Range(0.5, 200).Draw(t, "n")
--- a/internal/coordination/picker/shared.go
+++ b/internal/coordination/picker/shared.go
@@ -129,7 +129,7 @@
 	sent := p.sentByOthers(now, q)
 	kept := keptShare(sent, others)
 	for i := range options {
-		options[i].Start -= (1 - kept) * options[i].Step * copies[list[i]].others.count
+		options[i].Start -= (1 - kept) * copies[list[i]].others.count / options[i].Width
 	}
 	i, share := load.Choose(options, 1+sent, p.random.Float64())
 	best := copies[list[i]]
@@ -161,7 +161,7 @@
 		extra -= permitBonus
 	}
 	step := unit * r.slowness
-	return load.Option{Start: step*(r.sharedLoad()+1) + unit*extra, Step: step}
+	return load.Option{Start: step*(r.sharedLoad()+1) + unit*extra, Width: 1 / step}
 }
 
 // sharedLoad returns the number of requests at the target as of the snapshot, corrected
