Requests at a target that has just started or recovered are limited over the fleet

Cause: a target that had just started looked empty to all instances at once and was overloaded. Change: the holder limits the requests in flight at a new incarnation and at a target that rejects everything. Instances report outcomes at these targets only, and send each request there with a probability that fills the room below the limit.

--- a/internal/coordination/load/choose.go
+++ b/internal/coordination/load/choose.go
@@ -1,8 +1,8 @@
 package load
 
-// Option is a target among which requests are spread. Its level is the expected time of a
+// Place is a target among which requests are spread. Its level is the expected time of a
 // request there, or any other measure of cost that grows with each request.
-type Option struct {
+type Place struct {
 	// Start is the level of the target's next request.
 	Start float64
 	// Width is the number of requests that raise the level by 1; it is above 0.
@@ -10,21 +10,21 @@
 }
 
 // room returns how many requests raise the target to a level.
-func (o *Option) room(level float64) float64 {
+func (o *Place) room(level float64) float64 {
 	if o.Start >= level {
 		return 0
 	}
 	return (level - o.Start) * o.Width
 }
 
-// Level returns the common level to which n requests raise the lowest of the options.
-// There must be at least one option, and n must be above 0.
-func Level(options []Option, n float64) float64 {
-	// The level of all options is lowered by leaving out those that are above it, until
+// Level returns the common level to which n requests raise the lowest of the places.
+// There must be at least one place, and n must be above 0.
+func Level(places []Place, n float64) float64 {
+	// The level of all places is lowered by leaving out those that are above it, until
 	// none is. Few rounds are needed, and no order.
-	level := meanLevel(options, n, 0, false)
+	level := meanLevel(places, n, 0, false)
 	for {
-		next := meanLevel(options, n, level, true)
+		next := meanLevel(places, n, level, true)
 		if next >= level {
 			return level
 		}
@@ -32,12 +32,12 @@
 	}
 }
 
-// meanLevel returns the level to which n requests raise the options that start below a
-// bound, or all options, as if requests could also be removed from them.
-func meanLevel(options []Option, n, below float64, isBounded bool) float64 {
+// meanLevel returns the level to which n requests raise the places that start below a
+// bound, or all places, as if requests could also be removed from them.
+func meanLevel(places []Place, n, below float64, isBounded bool) float64 {
 	sum, capacity := n, 0.0
-	for i := range options {
-		o := &options[i]
+	for i := range places {
+		o := &places[i]
 		if isBounded && o.Start >= below {
 			continue
 		}
@@ -50,17 +50,17 @@
 	return sum / capacity
 }
 
-// Choose returns the position of the option that a request goes to if all instances
-// together send n requests, this one included. The probability of an option is
+// Choose returns the position of the place that a request goes to if all instances
+// together send n requests, this one included. The probability of an place is
 // proportional to what it lacks to the common level; point is uniform in [0, 1). The
-// second result is the probability of the option.
-func Choose(options []Option, n, point float64) (int, float64) {
-	// The room of all options at the common level is n.
-	level, total := Level(options, n), n
+// second result is the probability of the place.
+func Choose(places []Place, n, point float64) (int, float64) {
+	// The room of all places at the common level is n.
+	level, total := Level(places, n), n
 	left := point * total
 	chosen, room := 0, 0.0
-	for i := range options {
-		r := options[i].room(level)
+	for i := range places {
+		r := places[i].room(level)
 		if r == 0 {
 			continue
 		}
--- a/internal/coordination/load/load_test.go
+++ b/internal/coordination/load/load_test.go
@@ -16,19 +16,19 @@
 // index must stay with its target, and must not be assigned again soon after a release.
 func TestIndexIsStable(t *testing.T) {
 	x := NewIndex()
-	first, second := x.Assign("a"), x.Assign("b")
-	if first != 1 || second != 2 || x.Assign("a") != first {
-		t.Fatalf("indexes %d, %d, again %d", first, second, x.Assign("a"))
+	first, second := x.Assign("a", 8), x.Assign("b", 8)
+	if first != 1 || second != 2 || x.Assign("a", 8) != first {
+		t.Fatalf("indexes %d, %d, again %d", first, second, x.Assign("a", 8))
 	}
 	x.Release("a")
 	for i := range reuseDelay {
 		id := fmt.Sprint(i)
-		if got := x.Assign(id); got == first {
+		if got := x.Assign(id, 8); got == first {
 			t.Fatalf("index assigned again after %d releases", i)
 		}
 		x.Release(id)
 	}
-	if got := x.Assign("c"); got != first {
+	if got := x.Assign("c", 8); got != first {
 		t.Errorf("index %d, want the released %d", got, first)
 	}
 }
@@ -84,7 +84,7 @@
 // TestOthersExcludeOwn guards against requests that count twice, in the snapshot and in
 // the instance's own count.
 func TestOthersExcludeOwn(t *testing.T) {
-	s := NewSums(7)
+	s := NewSums(7, NewIndex())
 	x, y := newInstance("x", 3, 0, 1), newInstance("y", 2, 300)
 	x.report(s, start)
 	y.report(s, start)
@@ -107,7 +107,7 @@
 
 // TestExpiredReports guards against requests of instances that no longer exist.
 func TestExpiredReports(t *testing.T) {
-	s := NewSums(7)
+	s := NewSums(7, NewIndex())
 	newInstance("gone", 9).report(s, start)
 	now := start.Add(MaxAge + time.Millisecond)
 	newInstance("here", 1).report(s, now)
@@ -119,7 +119,7 @@
 // TestUnusableReportsAndSnapshots guards against counts that belong to other targets or
 // to an unknown time.
 func TestUnusableReportsAndSnapshots(t *testing.T) {
-	s := NewSums(8)
+	s := NewSums(8, NewIndex())
 	x := newInstance("x", 4)
 	x.report(s, start)
 	if snap := s.Snapshot(start, "x"); snap != nil {
@@ -150,7 +150,7 @@
 
 // TestRates guards against arrival rates that lag behind a burst or outlast it.
 func TestRates(t *testing.T) {
-	s := NewSums(7)
+	s := NewSums(7, NewIndex())
 	m := Model{Service: "llm", Model: "m"}
 	x := newInstance("x", 1)
 	now := start
@@ -173,8 +173,8 @@
 // common level that n requests bring.
 func TestChooseLevels(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		options := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Option {
-			return Option{
+		options := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Place {
+			return Place{
 				Start: rapid.Float64Range(0, 60).Draw(t, "start"), Width: rapid.Float64Range(0.1, 10).Draw(t, "width"),
 			}
 		}), 1, 20).Draw(t, "options")
@@ -226,7 +226,7 @@
 
 // TestPacesOfAll guards against a pace that only the instance knows that has observed it.
 func TestPacesOfAll(t *testing.T) {
-	s := NewSums(7)
+	s := NewSums(7, NewIndex())
 	x, y := newInstance("x"), newInstance("y")
 	now := start
 	for range 20 {
--- a/internal/coordination/load/report.go
+++ b/internal/coordination/load/report.go
@@ -17,6 +17,11 @@
 	// percent by target index: those that targets report and those from response times.
 	Told  Counts `json:"told,omitempty"`
 	Timed Counts `json:"timed,omitempty"`
+	// InTime, Late and Rejected hold the outcomes since the previous report, by target
+	// index, at targets that have a limit or have lately rejected requests.
+	InTime   Counts `json:"inTime,omitempty"`
+	Late     Counts `json:"late,omitempty"`
+	Rejected Counts `json:"rejected,omitempty"`
 	// Arrived is the number of requests that arrived since the previous report, by plain
 	// service. Those for models are in the instance's demand.
 	Arrived map[string]int `json:"arrived,omitempty"`
@@ -31,6 +36,26 @@
 type Own struct {
 	InFlight    []int
 	told, timed []int
+
+	inTime, late, rejected []int
+}
+
+// AddOutcomes adds the outcomes at a target.
+func (o *Own) AddOutcomes(index int, n Outcomes) {
+	setAt(&o.inTime, index, n.InTime)
+	setAt(&o.late, index, n.Late)
+	setAt(&o.rejected, index, n.Rejected)
+}
+
+// setAt sets a value above 0 at a position, for which the list grows.
+func setAt(list *[]int, index, n int) {
+	if n <= 0 {
+		return
+	}
+	if index >= len(*list) {
+		*list = append(*list, make([]int, index+1-len(*list))...)
+	}
+	(*list)[index] = n
 }
 
 // AddPace adds the paces that were observed at a target.
@@ -39,13 +64,7 @@
 	if from == Timed {
 		list = &o.timed
 	}
-	if f.n == 0 {
-		return
-	}
-	if index >= len(*list) {
-		*list = append(*list, make([]int, index+1-len(*list))...)
-	}
-	(*list)[index] = f.Percent()
+	setAt(list, index, f.Percent())
 }
 
 // Counts holds numbers by index in the order of the indexes, as unsigned varints: the
--- a/internal/coordination/load/sums.go
+++ b/internal/coordination/load/sums.go
@@ -42,6 +42,9 @@
 	// Paces holds the paces of the targets whose pace differs from the usual one, in
 	// percent by index.
 	Paces Counts `json:"paces,omitempty"`
+	// Limits holds the limits of all instances' requests in flight at targets that have
+	// just started or recovered, by index.
+	Limits Counts `json:"limits,omitempty"`
 	// Rates holds the requests that arrive per second at all instances, by service and
 	// model; the model of a plain service is empty.
 	Rates map[string]map[string]float64 `json:"rates,omitempty"`
@@ -56,6 +59,9 @@
 // concurrent use.
 type Sums struct {
 	term      int64
+	index     *Index
+	ramps     *Ramps
+	onRamp    func(RampChange)
 	startedAt time.Time
 	counts    []int
 	instances map[string]*contribution
@@ -70,6 +76,7 @@
 	// snapshots and never changed.
 	rates      map[string]map[string]float64
 	paceCounts Counts
+	limits     Counts
 	teams      map[string]float64
 }
 
@@ -80,17 +87,38 @@
 	counts Counts
 }
 
-// NewSums returns Sums without reports for a term of the lease holder.
-func NewSums(term int64) *Sums {
-	return &Sums{
-		term: term, instances: make(map[string]*contribution),
+// NewSums returns Sums without reports for a term of the lease holder, whose targets
+// have the numbers of index.
+func NewSums(term int64, index *Index, opts ...Option) *Sums {
+	s := &Sums{
+		term: term, index: index, onRamp: func(RampChange) {}, instances: make(map[string]*contribution),
 		paces: make(map[int]*Pace), arrivals: make(map[Model]*rate), use: make(map[string]*rate),
 	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	s.ramps = NewRamps(func(c RampChange) {
+		c.Target = index.ID(c.index)
+		s.onRamp(c)
+	})
+	return s
+}
+
+// Option configures Sums.
+type Option func(*Sums)
+
+// WithRampObserver calls f after each change of the limit of a target that has just
+// started or recovered; f must not block.
+func WithRampObserver(f func(RampChange)) Option {
+	return func(s *Sums) { s.onRamp = f }
 }
 
 // Term returns the term whose indexes the sums use.
 func (s *Sums) Term() int64 { return s.term }
 
+// Ramps returns the limits of targets that have just started or recovered.
+func (s *Sums) Ramps() *Ramps { return s.ramps }
+
 // Record replaces the previous report of an instance. Counts with the indexes of another
 // term and reports that were overtaken are not used.
 func (s *Sums) Record(now time.Time, from string, r *Report) {
@@ -118,6 +146,34 @@
 		}
 		s.counts[i] += n
 	}
+	s.recordOutcomes(now, r)
+}
+
+func (s *Sums) recordOutcomes(now time.Time, r *Report) {
+	outcomes := make(map[int]Outcomes)
+	for i, n := range r.InTime.all() {
+		outcomes[i] = Outcomes{InTime: n}
+	}
+	for i, n := range r.Late.all() {
+		o := outcomes[i]
+		o.Late = n
+		outcomes[i] = o
+	}
+	for i, n := range r.Rejected.all() {
+		o := outcomes[i]
+		o.Rejected = n
+		outcomes[i] = o
+	}
+	for i, o := range outcomes {
+		s.ramps.Record(now, i, s.index.Slots(i), s.inFlight(i), o)
+	}
+}
+
+func (s *Sums) inFlight(index int) int {
+	if index >= len(s.counts) {
+		return 0
+	}
+	return s.counts[index]
 }
 
 func (s *Sums) observePaces(now time.Time, percents Counts, from Source) {
@@ -170,7 +226,7 @@
 		return nil
 	}
 	age := now.Sub(s.startedAt) - s.ages/time.Duration(len(s.instances))
-	out := &Snapshot{AgeMS: age.Milliseconds(), Counts: s.encode(), Paces: s.paceCounts, Rates: s.rates, Use: s.teams}
+	out := &Snapshot{AgeMS: age.Milliseconds(), Counts: s.encode(), Paces: s.paceCounts, Limits: s.limits, Rates: s.rates, Use: s.teams}
 	if c := s.instances[to]; c != nil {
 		out.Seq = c.seq
 	}
@@ -193,6 +249,8 @@
 // refresh removes expired reports and renews the rates.
 func (s *Sums) refresh(now time.Time) {
 	s.refreshedAt = now
+	s.ramps.Step(now, s.inFlight)
+	s.limits = s.ramps.limits()
 	for from, c := range s.instances {
 		if now.Sub(c.at) > MaxAge {
 			s.remove(from)
--- a/internal/coordination/load/view.go
+++ b/internal/coordination/load/view.go
@@ -26,6 +26,7 @@
 	rates   map[string]map[string]float64
 	use     map[string]float64
 	paces   map[int]float64
+	limits  map[int]int
 	isValid bool
 }
 
@@ -38,7 +39,7 @@
 // NewView returns a View without a snapshot. The reports are numbered from now on, so that
 // those of an instance that restarts follow its earlier ones.
 func NewView(now time.Time) *View {
-	return &View{seq: uint64(max(now.UnixNano(), 0)), paces: make(map[int]float64)}
+	return &View{seq: uint64(max(now.UnixNano(), 0)), paces: make(map[int]float64), limits: make(map[int]int)}
 }
 
 // Report returns the next report.
@@ -47,6 +48,7 @@
 	r := Report{
 		Term: v.term, Seq: v.seq, Counts: newCounts(own.InFlight), Due: !now.Before(v.dueAt),
 		Told: newCounts(own.told), Timed: newCounts(own.timed),
+		InTime: newCounts(own.inTime), Late: newCounts(own.late), Rejected: newCounts(own.rejected),
 	}
 	v.sent[v.seq%keptReports] = sentReport{term: v.term, seq: v.seq, counts: r.Counts}
 	return r
@@ -81,6 +83,10 @@
 	for i, percent := range s.Paces.all() {
 		v.paces[i] = float64(percent) / 100
 	}
+	clear(v.limits)
+	for i, limit := range s.Limits.all() {
+		v.limits[i] = limit
+	}
 	v.dueAt = sentAt.Add(snapshotInterval(s))
 	return others, true
 }
@@ -124,5 +130,19 @@
 	return 1
 }
 
+// Limit returns the limit of all instances' requests in flight at the target with an
+// index, 0 for none.
+func (v *View) Limit(index int) int { return v.limits[index] }
+
+// ServiceRate returns the requests for all models of a service that arrive per second at
+// all instances.
+func (v *View) ServiceRate(service string) float64 {
+	sum := 0.0
+	for _, n := range v.rates[service] {
+		sum += n
+	}
+	return sum
+}
+
 // Use returns the use of a team over all instances, in its unit per second.
 func (v *View) Use(team string) float64 { return v.use[team] }
--- a/internal/coordination/picker/choose.go
+++ b/internal/coordination/picker/choose.go
@@ -44,7 +44,7 @@
 	}
 	return &Reservation{
 		Target: best.Target, Waited: now.Sub(q.Arrived), Load: load, Limit: limit,
-		picker: p, state: best, model: q.Model, reservedAt: now,
+		picker: p, state: best, model: q.Model, reservedAt: now, goal: q.Goal,
 	}
 }
 
--- a/internal/coordination/picker/pace.go
+++ b/internal/coordination/picker/pace.go
@@ -55,13 +55,13 @@
 	s.picker.setReportedPace(s.picker.timer.Now(), s.state, figure)
 }
 
-// recordResponseTime derives the target's pace from the time to a response, if no target
-// of the service reports one. Time that the request probably waited at the target for
+// recordResponseTime adds a time to a response to the usual one, and derives the target's
+// pace from it if no target of the service reports one. Time that the request probably waited at the target for
 // others does not count.
 func (p *Picker) recordResponseTime(now time.Time, s *Reservation) {
 	r := s.state
 	took := now.Sub(s.reservedAt).Seconds()
-	if told, ok := p.paceToldAt[r.Service]; took <= 0 || ok && now.Sub(told) < paceToldTTL {
+	if took <= 0 {
 		return
 	}
 	took /= max(1, (s.Load+1)/float64(max(r.Slots, 1)))
@@ -72,5 +72,8 @@
 		p.usualTimes[key] = usual
 	}
 	usual.add(took)
+	if told, ok := p.paceToldAt[r.Service]; ok && now.Sub(told) < paceToldTTL {
+		return
+	}
 	p.observePace(now, r, took/usual.seconds, load.Timed)
 }
--- a/internal/coordination/picker/picker.go
+++ b/internal/coordination/picker/picker.go
@@ -54,14 +54,18 @@
 	// plainArrivals counts the requests to plain services since the last load report, sent
 	// the requests by model that were sent to targets since the last snapshot.
 	plainArrivals map[string]int
-	sent          map[modelKey]int
+	// arrivedHere counts the requests by service since the last snapshot, which came at
+	// snapshotAt.
+	arrivedHere map[string]int
+	snapshotAt  time.Time
+	sent        map[modelKey]int
 	// paceToldAt is when a response of a service has last reported a pace, usualTimes the
 	// usual time to a response.
 	paceToldAt map[string]time.Time
 	usualTimes map[modelKey]*usualTime
 	// candidates holds positions in a list of copies. It and options are kept from one choice to the next to save allocations.
 	candidates []int
-	options    []load.Option
+	options    []load.Place
 
 	// limited holds the requests for models that were refused because of rate limits since
 	// the last call of Demand, at most maxLimited.
@@ -109,6 +113,7 @@
 		random:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		plainArrivals: make(map[string]int), sent: make(map[modelKey]int),
 		paceToldAt: make(map[string]time.Time), usualTimes: make(map[modelKey]*usualTime),
+		arrivedHere: make(map[string]int),
 	}
 	for _, opt := range opts {
 		opt(p)
@@ -152,6 +157,7 @@
 }
 
 func (p *Picker) countArrival(q *Request) {
+	p.arrivedHere[q.Service]++
 	if q.Model == "" {
 		p.plainArrivals[q.Service]++
 		return
@@ -171,7 +177,11 @@
 	r := s.state
 	r.inFlight--
 	if !s.responseBegan && out.Answered {
-		p.recordResponseTime(now, s)
+		p.recordAnswer(now, s)
+	}
+	if out.Rejected || out.Unreachable {
+		r.outcomes.Rejected++
+		r.rejectedAt = now
 	}
 	p.setReportedPace(now, r, out.Pace)
 	s.markResponseBegan()
@@ -235,7 +245,11 @@
 		}
 		known = &target{
 			Target: r, otherLoadAt: p.timer.Now(), rank: rank.Hash(p.name + "\x00" + r.ID),
-			slowness: 1, index: index, distance: p.distanceTo(r.Zone),
+			slowness: 1, phase: p.random.Float64(), index: index, distance: p.distanceTo(r.Zone),
+		}
+		if p.usesSnapshot(p.timer.Now()) {
+			// The next snapshot says how many requests it may have.
+			known.limit = 1
 		}
 		p.targets[r.ID] = known
 		return known
--- /dev/null
+++ b/internal/coordination/picker/ramp.go
@@ -0,0 +1,71 @@
+package picker
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// allowanceShare is the share of the room below a target's limit that instances use up
+	// with one snapshot. What they have sent since their last reports is not in it.
+	allowanceShare = 0.5
+	// usualFactor is the multiple of the usual time to a response from which on one is
+	// late if the request has no goal.
+	usualFactor = 4
+)
+
+// setChances sets the probability with which a request may go to each target that has a
+// limit until the next snapshot, so that all instances together use the room below the
+// limit although the part of each is less than one request.
+func (p *Picker) setChances(now time.Time) {
+	elapsed := now.Sub(p.snapshotAt).Seconds()
+	queued := p.countQueued()
+	for _, r := range p.targets {
+		if r.limit == 0 {
+			continue
+		}
+		room := max(float64(r.limit)-r.sharedLoad(), 0)
+		here := float64(p.arrivedHere[r.Service])
+		// Queued requests draw again, at the other instances probably as many as here.
+		all := p.view.ServiceRate(r.Service) * elapsed * (1 + float64(queued[r.Service])/max(here, 1))
+		r.chance = allowanceShare * room / max(all, here, 1)
+	}
+	clear(p.arrivedHere)
+	p.snapshotAt = now
+}
+
+// countQueued returns the queued requests by service.
+func (p *Picker) countQueued() map[string]int {
+	out := make(map[string]int)
+	for _, w := range p.queue {
+		out[w.req.Service]++
+	}
+	return out
+}
+
+// drawLuck draws the luck of a request unless it has been drawn since the last snapshot.
+func (p *Picker) drawLuck(q *Request) {
+	if q.luckOf.IsZero() || q.luckOf != p.snapshotAt {
+		q.luck, q.luckOf = p.random.Float64(), p.snapshotAt
+	}
+}
+
+// isAllowed reports whether a request may go to a target that has a limit.
+func (r *target) isAllowed(q *Request) bool {
+	return r.sharedLoad() < float64(r.limit) && math.Mod(q.luck+r.phase, 1) < r.chance
+}
+
+// recordAnswer records that a response has begun, or has come as a whole.
+func (p *Picker) recordAnswer(now time.Time, s *Reservation) {
+	took := now.Sub(s.reservedAt)
+	isLate := s.goal > 0 && took > s.goal
+	if usual := p.usualTimes[modelKey{s.state.Service, s.model}]; s.goal == 0 && usual != nil {
+		isLate = took.Seconds() > usualFactor*usual.seconds
+	}
+	if isLate {
+		s.state.outcomes.Late++
+	} else {
+		s.state.outcomes.InTime++
+	}
+	p.recordResponseTime(now, s)
+}
--- /dev/null
+++ b/internal/coordination/picker/ramp_test.go
@@ -0,0 +1,106 @@
+package picker
+
+import (
+	"testing"
+	"time"
+)
+
+// startWorld is a world of 84 instances with 6 busy targets, of which the first is about to
+// start.
+func startWorld(t *testing.T, hasLimits bool) (*world, *worldTarget) {
+	w := newWorld(t, 84, 6, 2*time.Second)
+	w.interval, w.hasLimits = 400*time.Millisecond, hasLimits
+	w.run(6*time.Second, startRate, everywhere)
+	return w, w.targets[0]
+}
+
+// startRate is the number of requests per second in a startWorld, which takes 28 of the 48
+// slots of each target.
+const startRate = 84.0
+
+// badRequests returns the requests at a target that were late or rejected.
+func badRequests(r *worldTarget) int { return r.late + r.rejected }
+
+// TestColdStart has a target start that takes 4 requests at first and 6 more with each
+// second. It guards against a target that all instances fill at once after its start, and
+// against one that stays idle.
+func TestColdStart(t *testing.T) {
+	measure := func(hasLimits bool) (bad, running int) {
+		w, r := startWorld(t, hasLimits)
+		startedAt := w.timer.Now()
+		r.capacity = func() int { return 4 + int(6*w.timer.Now().Sub(startedAt).Seconds()) }
+		w.restart(r)
+		w.run(8*time.Second, startRate, everywhere)
+		return badRequests(r), r.running
+	}
+	bad, running := measure(true)
+	before, _ := measure(false)
+	t.Logf("late requests %d, without limits %d; %d running after 8 s", bad, before, running)
+	if bad > 8 || bad > before/2 || running < 16 {
+		t.Errorf("late requests %d, without limits %d; %d running after 8 s", bad, before, running)
+	}
+}
+
+// TestRecoveryAtHalfSpeed has a target reject everything for 3 s and then work at half its
+// speed. It guards against a recovering target that is flooded, or given up.
+func TestRecoveryAtHalfSpeed(t *testing.T) {
+	w, r := startWorld(t, true)
+	capacity := 0
+	r.rejects, r.capacity = true, func() int { return capacity }
+	w.run(3*time.Second, startRate, everywhere)
+	capacity, r.slowness, r.pace = 24, 2, func() float64 { return 2 }
+	rejected, served := r.rejected, r.served
+	w.run(10*time.Second, startRate, everywhere)
+	t.Logf("%d rejected, then %d of %d", rejected, r.rejected-rejected, r.served-served)
+	if r.rejected-rejected > 3 || r.running < 8 {
+		t.Errorf("%d requests rejected after the recovery, %d running", r.rejected-rejected, r.running)
+	}
+}
+
+// TestRejectsAll has a target reject everything for 10 s. It guards against a target that
+// looks empty to all instances and is sent every other request.
+func TestRejectsAll(t *testing.T) {
+	measure := func(hasLimits bool) int {
+		w, r := startWorld(t, hasLimits)
+		r.rejects, r.capacity = true, func() int { return 0 }
+		w.run(10*time.Second, startRate, everywhere)
+		return r.rejected
+	}
+	rejected, before := measure(true), measure(false)
+	t.Logf("%d requests rejected, without limits %d, of %d", rejected, before, int(10*startRate))
+	if rejected > 60 || rejected > before/2 {
+		t.Errorf("%d requests rejected, without limits %d", rejected, before)
+	}
+}
+
+// TestFlapping has a target restart every 1.5 s, each time with room for 4 requests. It
+// guards against a limit that outlasts an incarnation, or is lost with it.
+func TestFlapping(t *testing.T) {
+	measure := func(hasLimits bool) (bad, served int) {
+		w, r := startWorld(t, hasLimits)
+		r.rejects, r.capacity = true, func() int { return 4 }
+		before := r.served
+		for range 6 {
+			w.restart(r)
+			w.run(1500*time.Millisecond, startRate, everywhere)
+		}
+		return badRequests(r), r.served - before
+	}
+	bad, served := measure(true)
+	before, _ := measure(false)
+	t.Logf("%d of %d rejected, without limits %d", bad, served, before)
+	if bad > before/2 || served-bad < 12 {
+		t.Errorf("%d of %d requests rejected, without limits %d", bad, served, before)
+	}
+}
+
+// TestLimitEnds guards against a limit that stays although the target answers in time.
+func TestLimitEnds(t *testing.T) {
+	w, r := startWorld(t, true)
+	r.capacity = func() int { return r.Slots }
+	w.restart(r)
+	w.run(10*time.Second, startRate, everywhere)
+	if n := w.pickers[0].targets[r.ID].limit; n != 0 || r.running < 18 || badRequests(r) > 0 {
+		t.Errorf("limit %d, %d running, %d bad after 10 s", n, r.running, badRequests(r))
+	}
+}
--- a/internal/coordination/picker/request.go
+++ b/internal/coordination/picker/request.go
@@ -23,11 +23,17 @@
 	Adapter string
 	// Parts are the parts of the prompt that may be blocked.
 	Parts []crash.Part
+	// Goal is the time within which the response should begin, 0 if there is none.
+	Goal time.Duration
 	// Priority is the rank of the request; 0 is the most urgent.
 	Priority int
 	// Arrived is when the request arrived; it may be queued until Deadline.
 	Arrived  time.Time
 	Deadline time.Time
+	// luck decides at random whether the request may go to targets that have a limit. It is
+	// drawn once for each load snapshot, that of luckOf.
+	luck   float64
+	luckOf time.Time
 	// Exclude lists the targets that have already been tried.
 	Exclude []fleet.Identity
 }
@@ -108,6 +114,7 @@
 	state         *target
 	model         string
 	reservedAt    time.Time
+	goal          time.Duration
 	responseBegan bool
 	released      bool
 }
@@ -131,7 +138,7 @@
 	s.picker.mu.Lock()
 	defer s.picker.mu.Unlock()
 	if !s.responseBegan {
-		s.picker.recordResponseTime(s.picker.timer.Now(), s)
+		s.picker.recordAnswer(s.picker.timer.Now(), s)
 	}
 	s.markResponseBegan()
 }
--- a/internal/coordination/picker/shared.go
+++ b/internal/coordination/picker/shared.go
@@ -46,6 +46,10 @@
 		own.InFlight[r.index] = r.inFlight
 		own.AddPace(r.index, r.figures, r.paceSource)
 		r.figures = load.Figures{}
+		if r.limit > 0 || now.Sub(r.rejectedAt) < load.MaxAge {
+			own.AddOutcomes(r.index, r.outcomes)
+		}
+		r.outcomes = load.Outcomes{}
 	}
 	out := p.view.Report(now, &own)
 	out.Arrived = p.plainArrivals
@@ -72,6 +76,7 @@
 	for _, r := range p.targets {
 		r.pace.Set(at, p.view.Pace(r.index))
 		r.slowness = r.pace.Current(now)
+		r.limit = p.view.Limit(r.index)
 		if r.others.at.After(at) {
 			continue
 		}
@@ -80,6 +85,7 @@
 			r.others.count = float64(others[r.index])
 		}
 	}
+	p.setChances(now)
 	clear(p.sent)
 	p.usesSnapshot(now)
 	p.processQueue(now)
@@ -111,10 +117,11 @@
 // those that are ejected or among those that are not, or nil.
 func (p *Picker) chooseShared(now time.Time, q *Request, ejected bool) *target {
 	copies, list, options := p.copiesFor(q, p.hasFreshUpdates(now)), p.candidates[:0], p.options[:0]
+	p.drawLuck(q)
 	limited, mean, most := p.share.InForce(), p.failureRates[q.Service], q.overcommit()
 	others := 0.0
 	for i, r := range copies {
-		if !r.isAvailable(now, q) || r.isEjected(now) != ejected ||
+		if !r.isAvailable(now, q) || r.limit > 0 && !r.isAllowed(q) || r.isEjected(now) != ejected ||
 			r.sharedLoad() >= float64(r.Slots)*most || limited && p.share.Blocks(r.Identity, now) {
 			continue
 		}
@@ -148,7 +155,7 @@
 
 // option returns the expected time of a request at a target for the choice, in the time
 // that one request usually takes there alone.
-func (p *Picker) option(now time.Time, q *Request, r *target, mean float64, limited bool) load.Option {
+func (p *Picker) option(now time.Time, q *Request, r *target, mean float64, limited bool) load.Place {
 	unit := 1.0
 	if q.Model == "" {
 		unit = 1 / float64(max(r.Slots, 1))
@@ -161,7 +168,7 @@
 		extra -= permitBonus
 	}
 	step := unit * r.slowness
-	return load.Option{Start: step*(r.sharedLoad()+1) + unit*extra, Width: 1 / step}
+	return load.Place{Start: step*(r.sharedLoad()+1) + unit*extra, Width: 1 / step}
 }
 
 // sharedLoad returns the number of requests at the target as of the snapshot, corrected
--- a/internal/coordination/picker/world_test.go
+++ b/internal/coordination/picker/world_test.go
@@ -11,6 +11,9 @@
 	"chivecroft.example/chivecroft/internal/state/timer"
 )
 
+// worldGoal is the time within which responses should begin.
+const worldGoal = 500 * time.Millisecond
+
 // worldTerm is the term of the lease holder in a world.
 const worldTerm = 1
 
@@ -26,21 +29,27 @@
 	interval    time.Duration
 	delay       time.Duration
 	isConnected bool
+	// hasLimits reports whether the holder limits targets that have just started.
+	hasLimits bool
 	// mean is the mean duration of a request.
-	mean      time.Duration
-	sums      *load.Sums
-	pickers   []*Picker
-	targets   []*worldTarget
-	byID      map[string]*worldTarget
-	refused   int
-	choose    func(*Picker, Request) *Reservation
-	onStarted func(*worldTarget, *Reservation)
+	mean    time.Duration
+	sums    *load.Sums
+	index   *load.Index
+	pickers []*Picker
+	targets []*worldTarget
+	byID    map[string]*worldTarget
+	refused int
+	choose  func(*Picker, Request) *Reservation
 }
 
 // worldTarget is a target in a world.
 type worldTarget struct {
 	fleet.Target
-	running, served int
+	running, served, late, rejected int
+	// capacity is the number of requests beyond which new ones are answered late, or
+	// rejected if rejects is set; nil for no such number.
+	capacity func() int
+	rejects  bool
 	// slowness multiplies the duration of requests.
 	slowness float64
 	// pace is what the target says of it in its responses, 0 for nothing.
@@ -52,9 +61,10 @@
 	w := &world{
 		t: t, timer: timer.NewVirtual(time.Unix(1_000_000, 0)), random: rand.New(rand.NewPCG(1, 2)),
 		service: "llm", model: "m", interval: 700 * time.Millisecond, delay: 20 * time.Millisecond, mean: mean,
-		isConnected: true, sums: load.NewSums(worldTerm), byID: make(map[string]*worldTarget),
-		onStarted: func(*worldTarget, *Reservation) {},
+		isConnected: true, byID: make(map[string]*worldTarget),
+		hasLimits: true, index: load.NewIndex(),
 	}
+	w.sums = load.NewSums(worldTerm, w.index)
 	w.choose = func(p *Picker, q Request) *Reservation { return p.acquireNow(q) }
 	var updates []Update
 	for i := range targets {
@@ -63,7 +73,7 @@
 		w.targets = append(w.targets, r)
 		w.byID[r.ID] = r
 		u := NewUpdate(&r.Target, r.Models)
-		u.Index = i + 1
+		u.Index = w.index.Assign(r.ID, r.Slots)
 		updates = append(updates, u)
 	}
 	for i := range instances {
@@ -76,6 +86,18 @@
 	return w
 }
 
+// restart replaces a target by its next incarnation.
+func (w *world) restart(r *worldTarget) {
+	r.Born++
+	r.running = 0
+	u := NewUpdate(&r.Target, r.Models)
+	u.Index = w.index.Assign(r.ID, r.Slots)
+	for _, p := range w.pickers {
+		p.ApplyUpdates([]Update{u}, nil)
+	}
+	w.sums.Ramps().Start(w.timer.Now(), u.Index, r.Slots)
+}
+
 // acquireNow is Acquire without queueing.
 func (p *Picker) acquireNow(q Request) *Reservation {
 	p.mu.Lock()
@@ -98,6 +120,9 @@
 	}
 	w.sums.Record(sentAt, p.name, &r)
 	s := w.sums.Snapshot(sentAt, p.name)
+	if s != nil && !w.hasLimits {
+		s.Limits = nil
+	}
 	w.timer.After(w.delay, func() { p.ApplyLoad(worldTerm, s, sentAt) })
 }
 
@@ -125,25 +150,42 @@
 // send sends one request.
 func (w *world) send(p *Picker) {
 	now := w.timer.Now()
-	s := w.choose(p, Request{Service: w.service, Model: w.model, Arrived: now, Deadline: now.Add(10 * time.Second)})
+	s := w.choose(p, Request{Service: w.service, Model: w.model, Arrived: now, Deadline: now.Add(10 * time.Second), Goal: worldGoal})
 	if s == nil {
 		w.refused++
 		return
 	}
 	r := w.byID[s.Target.ID]
-	r.running++
 	r.served++
-	w.onStarted(r, s)
+	isOver := r.capacity != nil && r.running >= r.capacity()
+	if isOver && r.rejects {
+		r.rejected++
+		w.timer.After(time.Millisecond, func() { s.Release(Outcome{Rejected: true}) })
+		return
+	}
+	r.running++
 	took := time.Duration(w.random.ExpFloat64() * r.slowness * float64(w.mean))
+	first := took / 10
+	if r.capacity != nil {
+		first = min(first, worldGoal/2)
+	}
+	if isOver {
+		r.late++
+		first = 2 * worldGoal
+		took += first
+	}
+	born := r.Born
 	answered := func() {
-		r.running--
+		if r.Born == born {
+			r.running--
+		}
 		s.Release(Outcome{Answered: true, Pace: r.pace()})
 	}
 	if w.model == "" {
 		w.timer.After(took, answered)
 		return
 	}
-	w.timer.After(took/10, func() {
+	w.timer.After(first, func() {
 		s.ResponseBegan()
 		s.SetReportedPace(r.pace())
 	})
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -168,6 +168,7 @@
 
 func (k *coordinator) setTargetLocked(r fleet.Target) {
 	r.Draining = r.Draining || k.leaving.Has(r.Identity)
+	was, isKnown := k.targets[r.ID]
 	k.targets[r.ID] = r
 	delete(k.absent, r.ID)
 	if !k.status.IsHolder {
@@ -177,6 +178,9 @@
 		p.SetTarget(k.clock.Now(), r)
 	}
 	k.publish(&r)
+	if !isKnown || was.Identity != r.Identity {
+		k.startRamp(&r)
+	}
 }
 
 // markLeaving records that a target has announced that it is leaving, which is known
@@ -197,7 +201,7 @@
 		p.Remove(id)
 	}
 	delete(k.targets, id)
-	k.updates.remove(id)
+	k.sums().Ramps().Stop(k.updates.remove(id))
 }
 
 // removeAfter removes a target that is missing from the list, unless it reappears within
--- a/internal/edge/load.go
+++ b/internal/edge/load.go
@@ -5,26 +5,48 @@
 
 	"chivecroft.example/chivecroft/internal/coordination/load"
 	"chivecroft.example/chivecroft/internal/coordination/picker"
+	"chivecroft.example/chivecroft/internal/state/fleet"
 )
 
 // exchangeLoad records an instance's load as the holder. It returns the load of all
 // instances if the instance has asked for it.
 func (k *coordinator) exchangeLoad(now time.Time, m *exchangeRequest) *load.Snapshot {
-	if k.load == nil || k.load.Term() != k.term() {
-		k.load = load.NewSums(k.term())
-	}
+	sums := k.sums()
 	for i := range m.Demand {
 		d := &m.Demand[i]
-		k.load.AddArrivals(now, load.Model{Service: d.Service, Model: d.Model}, d.Arrived)
+		sums.AddArrivals(now, load.Model{Service: d.Service, Model: d.Model}, d.Arrived)
 	}
 	if m.Load == nil {
 		return nil
 	}
-	k.load.Record(now, m.From, m.Load)
+	sums.Record(now, m.From, m.Load)
 	if !m.Load.Due {
 		return nil
 	}
-	return k.load.Snapshot(now, m.From)
+	return sums.Snapshot(now, m.From)
+}
+
+// sums returns the sums of this term.
+func (k *coordinator) sums() *load.Sums {
+	if k.load == nil || k.load.Term() != k.term() {
+		k.load = load.NewSums(k.term(), k.updates.index, load.WithRampObserver(k.onRampChange))
+	}
+	return k.load
+}
+
+// startRamp limits the requests at a target that has started while the fleet is running.
+// Those of the first list of a term may have been running for long.
+func (k *coordinator) startRamp(r *fleet.Target) {
+	if !k.hasFullList || r.Draining {
+		return
+	}
+	k.sums().Ramps().Start(k.clock.Now(), k.updates.index.Assign(r.ID, r.Slots), r.Slots)
+}
+
+// onRampChange logs a change of the limit of a target that has started or recovered.
+func (k *coordinator) onRampChange(c load.RampChange) {
+	k.log.Info().Str("target", c.Target).Int("limit", c.Limit).Int("slots", c.Slots).Int("inTime", c.Outcomes.InTime).
+		Int("late", c.Outcomes.Late).Int("rejected", c.Outcomes.Rejected).Msg("limit of a starting target")
 }
 
 // loadReport returns what the holder is told of this instance's load.
--- a/internal/edge/load_test.go
+++ b/internal/edge/load_test.go
@@ -115,3 +115,44 @@
 		}
 	}
 }
+
+// TestRampOfNewTargets guards against a target that is flooded after its start, and against
+// a new holder that limits all targets because it sees them for the first time.
+func TestRampOfNewTargets(t *testing.T) {
+	k := newTestCoordinator(t)
+	k.setHolder(true)
+	set := func(id string, born int64) {
+		k.setTarget(fleet.Target{Identity: fleet.Identity{ID: id, Born: born}, Service: "desk", Slots: 64})
+	}
+	limits := func() map[int]int {
+		now := k.clock.Now()
+		r := load.Report{Term: k.term(), Seq: uint64(now.UnixNano())}
+		k.sums().Record(now, "i2", &r)
+		v := load.NewView(now)
+		if _, ok := v.Apply(k.sums().Snapshot(now.Add(2*time.Second), "i3"), now); !ok {
+			t.Fatal("no snapshot")
+		}
+		out := make(map[int]int)
+		for i := range 4 {
+			if limit := v.Limit(i); limit > 0 {
+				out[i] = limit
+			}
+		}
+		return out
+	}
+	set("one", 1)
+	k.setHasFullList(true)
+	set("one", 1)
+	if got := limits(); len(got) > 0 {
+		t.Errorf("limits %v after the first list", got)
+	}
+	set("two", 1)
+	set("one", 2)
+	if diff := cmp.Diff(map[int]int{1: 4, 2: 4}, limits()); diff != "" {
+		t.Errorf("limits of a new target and a new incarnation (-want +got):\n%s", diff)
+	}
+	k.removeTarget("two")
+	if diff := cmp.Diff(map[int]int{1: 4}, limits()); diff != "" {
+		t.Errorf("limits after a removal (-want +got):\n%s", diff)
+	}
+}
--- a/internal/edge/updatelog.go
+++ b/internal/edge/updatelog.go
@@ -26,7 +26,7 @@
 // set adds an update of a target unless it equals the last.
 func (r *updateLog) set(n picker.Update) {
 	if !n.Gone {
-		n.Index = r.index.Assign(n.ID)
+		n.Index = r.index.Assign(n.ID, n.Slots)
 	}
 	entry := r.entries[n.ID]
 	if entry != nil && entry.update.Equal(&n) {
@@ -36,15 +36,16 @@
 	r.entries[n.ID] = &updateEntry{version: r.version, update: n}
 }
 
-// remove adds an update that a target is gone.
-func (r *updateLog) remove(id string) {
+// remove adds an update that a target is gone. It returns the target's former number for
+// load reports, 0 if it had none.
+func (r *updateLog) remove(id string) int {
 	if entry := r.entries[id]; entry == nil || entry.update.Gone {
-		return
+		return 0
 	}
-	r.index.Release(id)
 	n := picker.Update{Gone: true}
 	n.ID = id
 	r.set(n)
+	return r.index.Release(id)
 }
 
 // after returns the updates after a version. For version 0 it returns those of all
--- a/internal/transport/proxy/exchange.go
+++ b/internal/transport/proxy/exchange.go
@@ -115,7 +115,7 @@
 func (x *exchange) pickerRequest() picker.Request {
 	reserve := min(time.Duration(responseReserveShare*float64(x.timeout)), maxResponseReserve)
 	q := picker.Request{
-		Service: x.service, Priority: x.route.Priority, Arrived: x.arrived,
+		Service: x.service, Priority: x.route.Priority, Goal: x.route.Goal, Arrived: x.arrived,
 		Deadline: x.deadline.Add(-reserve), Exclude: x.tried,
 	}
 	if x.engine {
