--- a/internal/coordination/load/sums.go
+++ b/internal/coordination/load/sums.go
@@ -76,7 +76,6 @@
 	// snapshots and never changed.
 	rates      map[string]map[string]float64
 	paceCounts Counts
-	limits     Counts
 	teams      map[string]float64
 }
 
@@ -226,7 +225,7 @@
 		return nil
 	}
 	age := now.Sub(s.startedAt) - s.ages/time.Duration(len(s.instances))
-	out := &Snapshot{AgeMS: age.Milliseconds(), Counts: s.encode(), Paces: s.paceCounts, Limits: s.limits, Rates: s.rates, Use: s.teams}
+	out := &Snapshot{AgeMS: age.Milliseconds(), Counts: s.encode(), Paces: s.paceCounts, Limits: s.ramps.limits(), Rates: s.rates, Use: s.teams}
 	if c := s.instances[to]; c != nil {
 		out.Seq = c.seq
 	}
@@ -250,7 +249,6 @@
 func (s *Sums) refresh(now time.Time) {
 	s.refreshedAt = now
 	s.ramps.Step(now, s.inFlight)
-	s.limits = s.ramps.limits()
 	for from, c := range s.instances {
 		if now.Sub(c.at) > MaxAge {
 			s.remove(from)
--- a/internal/edge/load_test.go
+++ b/internal/edge/load_test.go
@@ -17,11 +17,12 @@
 // load that is counted for another target or twice, also for plain services.
 func TestLoadOfOthers(t *testing.T) {
 	k := newTestCoordinator(t)
-	k.setHasFullList(true)
 	k.setHolder(true)
 	for _, id := range []string{"one", "two"} {
 		k.setTarget(fleet.Target{Identity: fleet.Identity{ID: id, Born: 1}, Service: "desk", Zone: "a1", Slots: 8})
 	}
+	// The targets are those of the holder's first list, so they have no limit.
+	k.setHasFullList(true)
 	clock := timer.NewVirtual(time.Unix(1_000_000, 0))
 	busy, idle := picker.New(clock, "a1", nil), picker.New(clock, "a1", nil)
 	exchange := func(p *picker.Picker, from string) {
