--- a/internal/shell/account.go
+++ b/internal/shell/account.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/gravitational/trace"
 )
@@ -17,6 +18,7 @@
 type AccountCmd struct {
 	Files []string `arg:"" optional:"" help:"Logs of the instances; standard input if there are none." type:"existingfile"`
 	By    string   `help:"What to group requests by." enum:"none,route,model,target" default:"none"`
+	Load  bool     `help:"Compare the believed with the true load at the chosen targets instead. Needs the logs of all instances."`
 	JSON  bool     `help:"Print JSON."`
 }
 
@@ -41,19 +43,24 @@
 
 // endedLine is the last line of a request; times are in milliseconds.
 type endedLine struct {
-	Message string  `json:"message"`
-	Request string  `json:"request"`
-	Route   string  `json:"route"`
-	Model   string  `json:"model"`
-	Target  string  `json:"target"`
-	Status  int     `json:"status"`
-	Reason  string  `json:"reason"`
-	Ran     int     `json:"ran"`
-	Waited  float64 `json:"waited"`
-	Began   float64 `json:"began"`
-	Goal    float64 `json:"goal"`
-	GapGoal float64 `json:"gapGoal"`
-	Pause   float64 `json:"pause"`
+	// Time is the time of the line, which ends the request.
+	Time    time.Time `json:"time"`
+	Message string    `json:"message"`
+	Request string    `json:"request"`
+	Route   string    `json:"route"`
+	Model   string    `json:"model"`
+	Target  string    `json:"target"`
+	Status  int       `json:"status"`
+	Reason  string    `json:"reason"`
+	Ran     int       `json:"ran"`
+	Waited  float64   `json:"waited"`
+	Began   float64   `json:"began"`
+	Goal    float64   `json:"goal"`
+	GapGoal float64   `json:"gapGoal"`
+	Pause   float64   `json:"pause"`
+	Took    float64   `json:"took"`
+	Sends   int       `json:"sends"`
+	Load    float64   `json:"load"`
 }
 
 // end tells how the request ended, and why.
@@ -134,7 +141,7 @@
 // Run reads the logs and prints the account. Requests that no route was found for are not
 // in it, nor are those that an instance had no time to log the end of.
 func (c *AccountCmd) Run(s Streams) error {
-	a := newAccount()
+	a, loads := newAccount(), newLoadAccount()
 	broken := 0
 	bad, err := readLogs(c.Files, s.In, func(_, text string) {
 		if !strings.Contains(text, `"ended"`) {
@@ -150,6 +157,7 @@
 		}
 		end, cause := l.end()
 		a.add(l.group(c.By), end, cause)
+		loads.add(&l)
 	})
 	if err != nil {
 		return err
@@ -159,6 +167,10 @@
 	if len(rows) == 0 {
 		return trace.NotFound("the logs tell of the end of no request")
 	}
+	if c.Load {
+		r := newLoadReport(loads.compare())
+		return r.print(s.Out, c.JSON)
+	}
 	if c.JSON {
 		return trace.Wrap(json.NewEncoder(s.Out).Encode(rows))
 	}
