--- a/internal/coordination/picker/picker.go
+++ b/internal/coordination/picker/picker.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
+	"chivecroft.example/chivecroft/internal/coordination/load"
 	"chivecroft.example/chivecroft/internal/coordination/quota"
 	"chivecroft.example/chivecroft/internal/state/fleet"
 	"chivecroft.example/chivecroft/internal/state/rank"
@@ -39,6 +41,32 @@
 	// updatedAt is the time of the lease holder's latest update.
 	updatedAt time.Time
 	arrivals  map[modelKey]int
+	// copies holds lists of targets by what they serve.
+	copies map[copiesKey][]*target
+
+	// view is what the lease holder's load snapshots say. isShared reports whether they
+	// are recent enough, which is valid if isLoadKnown; onLoadChange is told of changes.
+	view         *load.View
+	isShared     bool
+	isLoadKnown  bool
+	onLoadChange func(LoadChange)
+	random       *rand.Rand
+	// plainArrivals counts the requests to plain services since the last load report, sent
+	// the requests by model that were sent to targets since the last snapshot.
+	plainArrivals map[string]int
+	// arrivedHere counts the requests by service since the last snapshot, which came at
+	// snapshotAt.
+	arrivedHere map[string]int
+	snapshotAt  time.Time
+	sent        map[modelKey]int
+	// paceToldAt is when a response of a service has last reported a pace, usualTimes the
+	// usual time to a response.
+	paceToldAt map[string]time.Time
+	usualTimes map[modelKey]*usualTime
+	// candidates holds positions in a list of copies. It and options are kept from one choice to the next to save allocations.
+	candidates []int
+	options    []load.Place
+
 	// limited holds the requests for models that were refused because of rate limits since
 	// the last call of Demand, at most maxLimited.
 	limited        []Request
@@ -80,6 +108,12 @@
 		failureRates: make(map[string]float64),
 		expected:     make(map[string]time.Time),
 		arrivals:     make(map[modelKey]int),
+
+		copies: make(map[copiesKey][]*target), view: load.NewView(t.Now()), onLoadChange: func(LoadChange) {},
+		random:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		plainArrivals: make(map[string]int), sent: make(map[modelKey]int),
+		paceToldAt: make(map[string]time.Time), usualTimes: make(map[modelKey]*usualTime),
+		arrivedHere: make(map[string]int),
 	}
 	for _, opt := range opts {
 		opt(p)
@@ -93,8 +127,8 @@
 func (p *Picker) Acquire(ctx context.Context, q Request) (*Reservation, error) {
 	p.mu.Lock()
 	now := p.timer.Now()
-	if q.Model != "" && len(q.Exclude) == 0 {
-		p.arrivals[modelKey{q.Service, q.Model}]++
+	if len(q.Exclude) == 0 {
+		p.countArrival(&q)
 	}
 	if s := p.tryAcquire(now, &q); s != nil {
 		p.mu.Unlock()
@@ -122,6 +156,15 @@
 	}
 }
 
+func (p *Picker) countArrival(q *Request) {
+	p.arrivedHere[q.Service]++
+	if q.Model == "" {
+		p.plainArrivals[q.Service]++
+		return
+	}
+	p.arrivals[modelKey{q.Service, q.Model}]++
+}
+
 // release ends a reservation, records the outcome and processes the queue.
 func (p *Picker) release(s *Reservation, out Outcome) {
 	p.mu.Lock()
@@ -133,12 +176,25 @@
 	now := p.timer.Now()
 	r := s.state
 	r.inFlight--
+	if !s.responseBegan && out.Answered {
+		p.recordAnswer(now, s)
+	}
+	if out.Rejected || out.Unreachable {
+		r.outcomes.Rejected++
+		r.rejectedAt = now
+	}
+	p.setReportedPace(now, r, out.Pace)
 	s.markResponseBegan()
 	if s.model != "" {
 		r.inFlightByModel[s.model]--
 	}
 	if out.LoadKnown {
-		r.setReportedLoad(now, out.Running, out.Waiting)
+		own := r.inFlight
+		if !out.Rejected {
+			// The response was sent while the target still counted the request.
+			own++
+		}
+		r.setReportedLoad(now, out.Running, out.Waiting, own)
 	}
 	mean := p.failureRates[r.Service]
 	r.recordOutcome(now, out, mean)
@@ -154,13 +210,7 @@
 }
 
 func (p *Picker) countTargets(service string) int {
-	n := 0
-	for _, r := range p.targets {
-		if r.Service == service {
-			n++
-		}
-	}
-	return n
+	return len(p.copiesFor(&Request{Service: service}, false))
 }
 
 // Close refuses all queued requests, and later ones that would have to be queued.
@@ -186,13 +236,26 @@
 	if r.Draining {
 		p.leaving.Add(r.Identity)
 	}
+	p.dropCopies()
 	known := p.targets[r.ID]
 	if known == nil || known.Born != r.Born || known.Addr != r.Addr {
-		known = &target{Target: r, otherLoadAt: p.timer.Now(), rank: rank.Hash(p.name + "\x00" + r.ID)}
+		index := 0
+		if known != nil {
+			index = known.index
+		}
+		known = &target{
+			Target: r, otherLoadAt: p.timer.Now(), rank: rank.Hash(p.name + "\x00" + r.ID),
+			slowness: 1, phase: p.random.Float64(), index: index, distance: p.distanceTo(r.Zone),
+		}
+		if p.usesSnapshot(p.timer.Now()) {
+			// The next snapshot says how many requests it may have.
+			known.limit = 1
+		}
 		p.targets[r.ID] = known
 		return known
 	}
 	known.Target = r
+	known.distance = p.distanceTo(r.Zone)
 	known.expiresAt = time.Time{}
 	return known
 }
@@ -208,10 +271,12 @@
 	}
 	if removalDelay <= 0 {
 		delete(p.targets, id)
+		p.dropCopies()
 		return
 	}
 	if r.expiresAt.IsZero() {
 		r.expiresAt = p.timer.Now().Add(removalDelay)
+		r.mayPause = true
 		p.timer.After(removalDelay, func() { p.removeExpired(id) })
 	}
 }
@@ -222,6 +287,7 @@
 	defer p.mu.Unlock()
 	if r := p.targets[id]; r != nil && r.isExpired(p.timer.Now()) {
 		delete(p.targets, id)
+		p.dropCopies()
 	}
 }
 
@@ -247,9 +313,11 @@
 		n := &updates[i]
 		if n.Gone {
 			delete(p.targets, n.ID)
+			p.dropCopies()
 			continue
 		}
-		p.setTargetLocked(n.target()).update = n
+		r := p.setTargetLocked(n.target())
+		r.update, r.index = n, n.Index
 		p.share.Adopt(n.Identity, n.Limit, p.timer.Now())
 	}
 	p.expected = expected
--- a/internal/coordination/picker/request.go
+++ b/internal/coordination/picker/request.go
@@ -25,11 +25,17 @@
 	Team string
 	// Parts are the parts of the prompt that may be blocked.
 	Parts []crash.Part
+	// Goal is the time within which the response should begin, 0 if there is none.
+	Goal time.Duration
 	// Priority is the rank of the request; 0 is the most urgent.
 	Priority int
 	// Arrived is when the request arrived; it may be queued until Deadline.
 	Arrived  time.Time
 	Deadline time.Time
+	// luck decides at random whether the request may go to targets that have a limit. It is
+	// drawn once for each load snapshot, that of luckOf.
+	luck   float64
+	luckOf time.Time
 	// Exclude lists the targets that have already been tried.
 	Exclude []fleet.Identity
 }
@@ -47,6 +53,8 @@
 	// respond at all.
 	Failed      bool
 	Unreachable bool
+	// Answered means that the target gave a valid response, which was received whole.
+	Answered bool
 	// Rejected means that the target rejected the request without running it.
 	Rejected bool
 	// Running and Waiting are the load reported in the response; they are valid if
@@ -54,6 +62,9 @@
 	LoadKnown bool
 	Running   int
 	Waiting   int
+	// Pace is how long work takes at the target, as a multiple of the usual time; 0 if the
+	// response does not say.
+	Pace float64
 }
 
 // Reason is the reason for which a request was refused.
@@ -104,6 +115,8 @@
 	picker        *Picker
 	state         *target
 	model         string
+	reservedAt    time.Time
+	goal          time.Duration
 	responseBegan bool
 	released      bool
 }
@@ -119,13 +132,16 @@
 func (s *Reservation) SetReportedLoad(running, waiting int) {
 	s.picker.mu.Lock()
 	defer s.picker.mu.Unlock()
-	s.state.setReportedLoad(s.picker.timer.Now(), running, waiting)
+	s.state.setReportedLoad(s.picker.timer.Now(), running, waiting, s.state.inFlight)
 }
 
 // ResponseBegan records that the response has begun.
 func (s *Reservation) ResponseBegan() {
 	s.picker.mu.Lock()
 	defer s.picker.mu.Unlock()
+	if !s.responseBegan {
+		s.picker.recordAnswer(s.picker.timer.Now(), s)
+	}
 	s.markResponseBegan()
 }
 
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -12,6 +12,7 @@
 
 	"chivecroft.example/chivecroft/internal/coordination/crash"
 	"chivecroft.example/chivecroft/internal/coordination/elect"
+	"chivecroft.example/chivecroft/internal/coordination/load"
 	"chivecroft.example/chivecroft/internal/coordination/picker"
 	"chivecroft.example/chivecroft/internal/coordination/quota"
 	"chivecroft.example/chivecroft/internal/coordination/sched"
@@ -59,6 +60,8 @@
 	teamQuotas *teamQuotas
 	// crashes finds the parts of prompts that crash targets.
 	crashes *crash.Detector
+	// load sums the load that the instances report; nil before the first report.
+	load    *load.Sums
 	members map[string]member
 	readers readerSelection
 	// termID identifies the term. It is the time at which orders were to begin, which may
@@ -102,6 +105,7 @@
 	k.permits = quota.NewLedger()
 	k.crashes = crash.NewDetector()
 	k.teamQuotas.startTerm(k.term(), k.clock.Now())
+	k.load = nil
 	if s.IsHolder {
 		k.termID = s.OrderFrom.UnixNano()
 		k.startTerm()
@@ -202,6 +206,7 @@
 
 func (k *coordinator) setTargetLocked(r fleet.Target) {
 	r.Draining = r.Draining || k.leaving.Has(r.Identity)
+	was, isKnown := k.targets[r.ID]
 	k.targets[r.ID] = r
 	delete(k.absent, r.ID)
 	if !k.status.IsHolder {
@@ -211,6 +216,9 @@
 		p.SetTarget(k.clock.Now(), r)
 	}
 	k.publish(&r)
+	if !isKnown || was.Identity != r.Identity {
+		k.startRamp(&r)
+	}
 }
 
 // markLeaving records that a target has announced that it is leaving, which is known
@@ -231,7 +239,7 @@
 		p.Remove(id)
 	}
 	delete(k.targets, id)
-	k.updates.remove(id)
+	k.sums().Ramps().Stop(k.updates.remove(id))
 }
 
 // removeAfter removes a target that is missing from the list, unless it reappears within
@@ -321,6 +329,7 @@
 		Term: k.term(), Version: k.updates.version, Full: after == 0, Updates: k.updates.after(after),
 		Members: k.pruneMembers(now), Readers: readers, ConfigRevision: k.configRevision, ReadyInMS: make(map[string]int64),
 	}
+	out.Load = k.exchangeLoad(now, &m)
 	out.Grants = k.permits.Ask(now, m.From, m.Wants)
 	out.Crashes = k.judgeCrashes(now, m, out.Members)
 	if k.status.CanOrder(now) {
