--- a/internal/coordination/load/sums.go
+++ b/internal/coordination/load/sums.go
@@ -118,6 +118,9 @@
 // Ramps returns the limits of targets that have just started or recovered.
 func (s *Sums) Ramps() *Ramps { return s.ramps }
 
+// Instances returns the number of instances whose reports are in the sums.
+func (s *Sums) Instances() int { return len(s.instances) }
+
 // Record replaces the previous report of an instance. Counts with the indexes of another
 // term and reports that were overtaken are not used.
 func (s *Sums) Record(now time.Time, from string, r *Report) {
--- a/internal/coordination/picker/picker.go
+++ b/internal/coordination/picker/picker.go
@@ -247,7 +247,7 @@
 			Target: r, otherLoadAt: p.timer.Now(), rank: rank.Hash(p.name + "\x00" + r.ID),
 			slowness: 1, phase: p.random.Float64(), index: index, distance: p.distanceTo(r.Zone),
 		}
-		if p.usesSnapshot(p.timer.Now()) {
+		if _, ok := p.view.Age(p.timer.Now()); ok {
 			// The next snapshot says how many requests it may have.
 			known.limit = 1
 		}
--- a/internal/edge/load.go
+++ b/internal/edge/load.go
@@ -8,6 +8,10 @@
 	"chivecroft.example/chivecroft/internal/state/fleet"
 )
 
+// minReported is the share of the instances that must have reported their load lately for
+// a snapshot. Sums of fewer would make busy targets look empty.
+const minReported = 0.5
+
 // exchangeLoad records an instance's load as the holder. It returns the load of all
 // instances if the instance has asked for it.
 func (k *coordinator) exchangeLoad(now time.Time, m *exchangeRequest) *load.Snapshot {
@@ -20,7 +24,7 @@
 		return nil
 	}
 	sums.Record(now, m.From, m.Load)
-	if !m.Load.Due {
+	if !m.Load.Due || float64(sums.Instances()) < minReported*float64(len(k.members)) {
 		return nil
 	}
 	return sums.Snapshot(now, m.From)
--- a/internal/edge/load_test.go
+++ b/internal/edge/load_test.go
@@ -157,3 +157,23 @@
 		t.Errorf("limits after a removal (-want +got):\n%s", diff)
 	}
 }
+
+// TestNoSnapshotOfFew guards against sums that lack most instances: targets that are busy
+// with their requests would look empty.
+func TestNoSnapshotOfFew(t *testing.T) {
+	k := newTestCoordinator(t)
+	now := k.clock.Now()
+	ask := func(at time.Duration) *load.Snapshot {
+		r := load.Report{Term: k.term(), Seq: uint64(at), Due: true}
+		return k.exchangeLoad(now.Add(at), &exchangeRequest{From: "i2", Load: &r})
+	}
+	ask(time.Millisecond)
+	k.members = map[string]member{"i2": {}, "i3": {}, "i4": {}}
+	if s := ask(2 * time.Second); s != nil {
+		t.Errorf("snapshot %+v of one of three instances", s)
+	}
+	delete(k.members, "i4")
+	if s := ask(2*time.Second + 1); s == nil {
+		t.Error("no snapshot of one of two instances")
+	}
+}
