A target that fails everything is limited over the fleet; limits are used up

And a request that might go to a starting target went there with its share of the level only, so that a limit of 32 stayed at 12 requests and did not end. Change: failures count as rejections for the limits. A request that may go to a starting target goes there if that is below the common level. TestRecoveryAtHalfSpeed had passed with the second fault, since the limit never reached the target's capacity; it now asks for 16 requests running instead of 8, at most a tenth rejected after the recovery and at most a quarter of all rejections without limits, instead of 3 rejections.

--- a/internal/coordination/load/ramp.go
+++ b/internal/coordination/load/ramp.go
@@ -25,7 +25,7 @@
 )
 
 // Outcomes counts the requests at a target that were answered in time, too late, or not at
-// all because the target rejected them or could not be reached.
+// all because the target rejected them, failed or could not be reached.
 type Outcomes struct{ InTime, Late, Rejected int }
 
 func (o *Outcomes) add(n Outcomes) {
--- a/internal/coordination/picker/picker.go
+++ b/internal/coordination/picker/picker.go
@@ -179,7 +179,7 @@
 	if !s.responseBegan && out.Answered {
 		p.recordAnswer(now, s)
 	}
-	if out.Rejected || out.Unreachable {
+	if out.Rejected || out.Unreachable || out.Failed {
 		r.outcomes.Rejected++
 		r.rejectedAt = now
 	}
--- a/internal/coordination/picker/ramp_test.go
+++ b/internal/coordination/picker/ramp_test.go
@@ -44,16 +44,22 @@
 // TestRecoveryAtHalfSpeed has a target reject everything for 3 s and then work at half its
 // speed. It guards against a recovering target that is flooded, or given up.
 func TestRecoveryAtHalfSpeed(t *testing.T) {
-	w, r := startWorld(t, true)
-	capacity := 0
-	r.rejects, r.capacity = true, func() int { return capacity }
-	w.run(3*time.Second, startRate, everywhere)
-	capacity, r.slowness, r.pace = 24, 2, func() float64 { return 2 }
-	rejected, served := r.rejected, r.served
-	w.run(10*time.Second, startRate, everywhere)
-	t.Logf("%d rejected, then %d of %d", rejected, r.rejected-rejected, r.served-served)
-	if r.rejected-rejected > 3 || r.running < 8 {
-		t.Errorf("%d requests rejected after the recovery, %d running", r.rejected-rejected, r.running)
+	// Of all rejections, after are those after the recovery.
+	measure := func(hasLimits bool) (all, after, served, running int) {
+		w, r := startWorld(t, hasLimits)
+		capacity := 0
+		r.rejects, r.capacity = true, func() int { return capacity }
+		w.run(3*time.Second, startRate, everywhere)
+		capacity, r.slowness, r.pace = 24, 2, func() float64 { return 2 }
+		after, served = r.rejected, r.served
+		w.run(10*time.Second, startRate, everywhere)
+		return r.rejected, r.rejected - after, r.served - served, r.running
+	}
+	all, after, served, running := measure(true)
+	before, _, _, _ := measure(false)
+	t.Logf("%d rejected, without limits %d; %d of %d after the recovery; %d running", all, before, after, served, running)
+	if all > before/4 || 10*after > served || running < 16 {
+		t.Errorf("%d rejected, without limits %d; %d of %d after the recovery; %d running", all, before, after, served, running)
 	}
 }
 
--- a/internal/coordination/picker/shared.go
+++ b/internal/coordination/picker/shared.go
@@ -91,6 +91,17 @@
 	p.processQueue(now)
 }
 
+// TeamUse returns the use of a team over all instances, in its unit per second; 0 without
+// a load snapshot.
+func (p *Picker) TeamUse(team string) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.usesSnapshot(p.timer.Now()) {
+		return 0
+	}
+	return p.view.Use(team)
+}
+
 // otherLoad is the number of other instances' requests at a target as of a time.
 type otherLoad struct {
 	count float64
@@ -119,7 +130,7 @@
 	copies, list, options := p.copiesFor(q, p.hasFreshUpdates(now)), p.candidates[:0], p.options[:0]
 	p.drawLuck(q)
 	limited, mean, most := p.share.InForce(), p.failureRates[q.Service], q.overcommit()
-	others := 0.0
+	others, limitedAt := 0.0, -1
 	for i, r := range copies {
 		if !r.isAvailable(now, q) || r.limit > 0 && !r.isAllowed(q) || r.isEjected(now) != ejected ||
 			r.sharedLoad() >= float64(r.Slots)*most || limited && p.share.Blocks(r.Identity, now) {
@@ -128,6 +139,9 @@
 		list = append(list, i)
 		options = append(options, p.option(now, q, r, mean, limited))
 		others += r.others.count
+		if last := len(options) - 1; r.limit > 0 && (limitedAt < 0 || options[last].Start < options[limitedAt].Start) {
+			limitedAt = last
+		}
 	}
 	p.candidates, p.options = list, options
 	if len(list) == 0 {
@@ -138,6 +152,12 @@
 	for i := range options {
 		options[i].Start -= (1 - kept) * copies[list[i]].others.count / options[i].Width
 	}
+	if limitedAt >= 0 && options[limitedAt].Start < load.Level(options, 1+sent) {
+		// Chance has already decided for this target, which has room.
+		best := copies[list[limitedAt]]
+		best.expected = best.sharedLoad()
+		return best
+	}
 	i, share := load.Choose(options, 1+sent, p.random.Float64())
 	best := copies[list[i]]
 	best.expected = float64(best.inFlight) + kept*best.others.count + share*(1-kept)*others
--- a/internal/coordination/picker/shared_test.go
+++ b/internal/coordination/picker/shared_test.go
@@ -95,6 +95,9 @@
 	w := newWorld(t, 1, 3, time.Second)
 	w.isConnected = false
 	p := w.pickers[0]
+	for _, r := range p.targets {
+		p.setReportedPace(w.timer.Now(), r, float64(r.index))
+	}
 	for i := range 9 {
 		s := p.acquireNow(Request{Service: "llm", Model: "m", Deadline: w.timer.Now().Add(time.Second)})
 		s.ResponseBegan()
@@ -104,6 +107,28 @@
 	}
 }
 
+// TestFailingTarget has one of six targets fail all requests at once. It guards against a
+// target that attracts requests because it looks empty.
+func TestFailingTarget(t *testing.T) {
+	const perSecond = 100
+	w := newWorld(t, 30, 6, 2*time.Second)
+	w.run(5*time.Second, perSecond, everywhere)
+	r := w.targets[0]
+	r.isFailing, r.capacity = true, func() int { return r.Slots }
+	served := r.served
+	w.run(10*time.Second, perSecond, everywhere)
+	failed := r.served - served
+	t.Logf("%d of %d requests failed", failed, int(10*perSecond))
+	if share := float64(failed) / (10 * perSecond); share > 0.065 {
+		t.Errorf("the failing target got %.2f of the requests", share)
+	}
+	r.isFailing = false
+	w.run(15*time.Second, perSecond, everywhere)
+	if r.running < 16 {
+		t.Errorf("%d requests at the target after it has recovered", r.running)
+	}
+}
+
 // TestUnevenDemand has 3 of 84 instances send nine of ten requests. It guards against
 // targets that only the few busy instances know to be full.
 func TestUnevenDemand(t *testing.T) {
--- a/internal/coordination/picker/world_test.go
+++ b/internal/coordination/picker/world_test.go
@@ -50,6 +50,8 @@
 	// rejected if rejects is set; nil for no such number.
 	capacity func() int
 	rejects  bool
+	// isFailing makes the target fail all requests at once.
+	isFailing bool
 	// slowness multiplies the duration of requests.
 	slowness float64
 	// pace is what the target says of it in its responses, 0 for nothing.
@@ -163,6 +165,10 @@
 		w.timer.After(time.Millisecond, func() { s.Release(Outcome{Rejected: true}) })
 		return
 	}
+	if r.isFailing {
+		w.timer.After(time.Millisecond, func() { s.Release(Outcome{Failed: true}) })
+		return
+	}
 	r.running++
 	took := time.Duration(w.random.ExpFloat64() * r.slowness * float64(w.mean))
 	first := took / 10
