--- a/internal/coordination/picker/shared.go
+++ b/internal/coordination/picker/shared.go
@@ -124,44 +124,62 @@
 	return ok
 }
 
+// candidateSet holds the targets that can take a request.
+type candidateSet struct {
+	// copies are all targets that serve the request. The Picker's candidates are positions
+	// in it, its options the places of these.
+	copies []*target
+	// others is the number of the other instances' requests at the candidates.
+	others float64
+	// limitedAt is the position of the best candidate that has a limit, -1 if there is none.
+	limitedAt int
+}
+
 // chooseShared returns the target for a request on the basis of the load snapshot, among
 // those that are ejected or among those that are not, or nil.
 func (p *Picker) chooseShared(now time.Time, q *Request, ejected bool) *target {
-	copies, list, options := p.copiesFor(q, p.hasFreshUpdates(now)), p.candidates[:0], p.options[:0]
-	p.drawLuck(q)
+	c := p.collect(now, q, ejected)
+	if len(p.options) == 0 {
+		return nil
+	}
+	sent := p.sentByOthers(now, q)
+	kept := keptShare(sent, c.others)
+	for i := range p.options {
+		p.options[i].Start -= (1 - kept) * c.copies[p.candidates[i]].others.count / p.options[i].Width
+	}
+	if c.limitedAt >= 0 && p.options[c.limitedAt].Start < load.Level(p.options, 1+sent) {
+		// Chance has already decided for this target, which has room.
+		best := c.copies[p.candidates[c.limitedAt]]
+		best.expected = best.sharedLoad()
+		return best
+	}
+	i, share := load.Choose(p.options, 1+sent, p.random.Float64())
+	best := c.copies[p.candidates[i]]
+	best.expected = float64(best.inFlight) + kept*best.others.count + share*(1-kept)*c.others
+	return best
+}
+
+// collect sets the candidates and their places for a choice.
+func (p *Picker) collect(now time.Time, q *Request, ejected bool) candidateSet {
+	c := candidateSet{copies: p.copiesFor(q, p.hasFreshUpdates(now)), limitedAt: -1}
+	list, options := p.candidates[:0], p.options[:0]
 	limited, mean, most := p.share.InForce(), p.failureRates[q.Service], q.overcommit()
-	others, limitedAt := 0.0, -1
-	for i, r := range copies {
+	p.drawLuck(q)
+	for i, r := range c.copies {
 		if !r.isAvailable(now, q) || r.limit > 0 && !r.isAllowed(q) || r.isEjected(now) != ejected ||
 			r.sharedLoad() >= float64(r.Slots)*most || limited && p.share.Blocks(r.Identity, now) {
 			continue
 		}
 		list = append(list, i)
 		options = append(options, p.option(now, q, r, mean, limited))
-		others += r.others.count
-		if last := len(options) - 1; r.limit > 0 && (limitedAt < 0 || options[last].Start < options[limitedAt].Start) {
-			limitedAt = last
+		c.others += r.others.count
+		last := len(options) - 1
+		if r.limit > 0 && (c.limitedAt < 0 || options[last].Start < options[c.limitedAt].Start) {
+			c.limitedAt = last
 		}
 	}
 	p.candidates, p.options = list, options
-	if len(list) == 0 {
-		return nil
-	}
-	sent := p.sentByOthers(now, q)
-	kept := keptShare(sent, others)
-	for i := range options {
-		options[i].Start -= (1 - kept) * copies[list[i]].others.count / options[i].Width
-	}
-	if limitedAt >= 0 && options[limitedAt].Start < load.Level(options, 1+sent) {
-		// Chance has already decided for this target, which has room.
-		best := copies[list[limitedAt]]
-		best.expected = best.sharedLoad()
-		return best
-	}
-	i, share := load.Choose(options, 1+sent, p.random.Float64())
-	best := copies[list[i]]
-	best.expected = float64(best.inFlight) + kept*best.others.count + share*(1-kept)*others
-	return best
+	return c
 }
 
 // keptShare estimates the share of the requests in a snapshot that have not ended since,
--- a/internal/edge/load.go
+++ b/internal/edge/load.go
@@ -59,7 +59,7 @@
 	return &r
 }
 
-// onLoadChange logs and counts that load snapshots begin or cease to be recent enough.
+// onLoadChange logs that load snapshots begin or cease to be recent enough.
 func (e *Edge) onLoadChange(c picker.LoadChange) {
 	line := e.log.Info().Bool("shared", c.Shared)
 	if c.Age >= 0 {
