--- a/internal/coordination/picker/shared.go
+++ b/internal/coordination/picker/shared.go
@@ -145,7 +145,7 @@
 	sent := p.sentByOthers(now, q)
 	kept := keptShare(sent, c.others)
 	for i := range p.options {
-		p.options[i].Start -= (1 - kept) * c.copies[p.candidates[i]].others.count / p.options[i].Width
+		p.options[i].Start -= (1 - kept) * p.fading[i]
 	}
 	if c.limitedAt >= 0 && p.options[c.limitedAt].Start < load.Level(p.options, 1+sent) {
 		// Chance has already decided for this target, which has room.
@@ -162,7 +162,7 @@
 // collect sets the candidates and their places for a choice.
 func (p *Picker) collect(now time.Time, q *Request, ejected bool) candidateSet {
 	c := candidateSet{copies: p.copiesFor(q, p.hasFreshUpdates(now)), limitedAt: -1}
-	list, options := p.candidates[:0], p.options[:0]
+	list, options, fading := p.candidates[:0], p.options[:0], p.fading[:0]
 	limited, mean, most := p.share.InForce(), p.failureRates[q.Service], q.overcommit()
 	p.drawLuck(q)
 	for i, r := range c.copies {
@@ -171,14 +171,16 @@
 			continue
 		}
 		list = append(list, i)
-		options = append(options, p.option(now, q, r, mean, limited))
+		option, step := p.option(now, q, r, mean, limited)
+		options = append(options, option)
+		fading = append(fading, step*r.others.count)
 		c.others += r.others.count
 		last := len(options) - 1
 		if r.limit > 0 && (c.limitedAt < 0 || options[last].Start < options[c.limitedAt].Start) {
 			c.limitedAt = last
 		}
 	}
-	p.candidates, p.options = list, options
+	p.candidates, p.options, p.fading = list, options, fading
 	return c
 }
 
@@ -192,8 +194,9 @@
 }
 
 // option returns the expected time of a request at a target for the choice, in the time
-// that one request usually takes there alone.
-func (p *Picker) option(now time.Time, q *Request, r *target, mean float64, limited bool) load.Place {
+// that one request usually takes there alone. The second result is by how much one request
+// raises it.
+func (p *Picker) option(now time.Time, q *Request, r *target, mean float64, limited bool) (load.Place, float64) {
 	unit := 1.0
 	if q.Model == "" {
 		unit = 1 / float64(max(r.Slots, 1))
@@ -206,7 +209,7 @@
 		extra -= permitBonus
 	}
 	step := unit * r.slowness
-	return load.Place{Start: step*(r.sharedLoad()+1) + unit*extra, Width: 1 / step}
+	return load.Place{Start: step*(r.sharedLoad()+1) + unit*extra, Width: 1 / step}, step
 }
 
 // sharedLoad returns the number of requests at the target as of the snapshot, corrected
