--- a/internal/coordination/load/ramp.go
+++ b/internal/coordination/load/ramp.go
@@ -8,9 +8,10 @@
 	// rampPeriod is the time between two changes of a limit. It exceeds the age of most
 	// snapshots, so that the outcomes are those of the limit in force.
 	rampPeriod = 600 * time.Millisecond
-	// minStartLimit is the least number of requests in flight that a target may have at
-	// its start. startShare is the same as a share of its slots.
-	minStartLimit = 2
+	// MinStartLimit is the least number of requests in flight that a target may have at
+	// its start. Limits below it are for targets that reject or fail requests. startShare
+	// is the same as a share of its slots.
+	MinStartLimit = 2
 	startShare    = 1.0 / 16
 	// maxBadShare is the share of late and rejected requests in a period from which on the
 	// limit is halved.
@@ -79,7 +80,7 @@
 
 // Start sets the first limit of a target that has started.
 func (r *Ramps) Start(now time.Time, index, slots int) {
-	r.start(now, index, slots, max(minStartLimit, int(startShare*float64(slots))), Outcomes{})
+	r.start(now, index, slots, max(MinStartLimit, int(startShare*float64(slots))), Outcomes{})
 }
 
 func (r *Ramps) start(now time.Time, index, slots, limit int, o Outcomes) {
--- a/internal/coordination/picker/ramp.go
+++ b/internal/coordination/picker/ramp.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"chivecroft.example/chivecroft/internal/coordination/load"
 )
 
 const (
@@ -19,7 +21,7 @@
 // limit although the part of each is less than one request.
 func (p *Picker) setChances(now time.Time) {
 	elapsed := now.Sub(p.snapshotAt).Seconds()
-	queued := p.countQueued()
+	queued, inFlight := p.countQueued(), p.countInFlight()
 	for _, r := range p.targets {
 		if r.limit == 0 {
 			continue
@@ -28,12 +30,27 @@
 		here := float64(p.arrivedHere[r.Service])
 		// Queued requests draw again, at the other instances probably as many as here.
 		all := p.view.ServiceRate(r.Service) * elapsed * (1 + float64(queued[r.Service])/max(here, 1))
-		r.chance = allowanceShare * room / max(all, here, 1)
+		all = max(all, here, 1)
+		if r.limit >= load.MinStartLimit {
+			// Requests that end before the next snapshot make room for others: as a share
+			// of all requests, no fewer may go there than have room at once.
+			all = min(all, max(inFlight[r.Service], 1))
+		}
+		r.chance = allowanceShare * room / all
 	}
 	clear(p.arrivedHere)
 	p.snapshotAt = now
 }
 
+// countInFlight returns the requests of all instances by service.
+func (p *Picker) countInFlight() map[string]float64 {
+	out := make(map[string]float64)
+	for _, r := range p.targets {
+		out[r.Service] += r.sharedLoad()
+	}
+	return out
+}
+
 // countQueued returns the queued requests by service.
 func (p *Picker) countQueued() map[string]int {
 	out := make(map[string]int)
--- a/internal/coordination/picker/ramp_test.go
+++ b/internal/coordination/picker/ramp_test.go
@@ -110,3 +110,20 @@
 		t.Errorf("limit %d, %d running, %d bad after 10 s", n, r.running, badRequests(r))
 	}
 }
+
+// TestShortRequestsAtStart has the only target of a plain service restart. It guards
+// against a limit that lets only as many requests through in a snapshot period as may be
+// there at once.
+func TestShortRequestsAtStart(t *testing.T) {
+	const perSecond = 80
+	w := newWorld(t, 4, 1, 5*time.Millisecond)
+	w.model, w.interval = "", 350*time.Millisecond
+	w.run(4*time.Second, perSecond, everywhere)
+	w.restart(w.targets[0])
+	w.run(time.Second, perSecond, everywhere)
+	refused := w.refused
+	w.run(2*time.Second, perSecond, everywhere)
+	if refused = w.refused - refused; refused > 2*perSecond/10 {
+		t.Errorf("%d of %d requests found no target", refused, 2*perSecond)
+	}
+}
