--- a/internal/coordination/picker/picker.go
+++ b/internal/coordination/picker/picker.go
@@ -63,9 +63,13 @@
 	// usual time to a response.
 	paceToldAt map[string]time.Time
 	usualTimes map[modelKey]*usualTime
-	// candidates holds positions in a list of copies. It and options are kept from one choice to the next to save allocations.
+	// candidates holds positions in a list of copies. It, options and fading are kept from
+	// one choice to the next to save allocations.
 	candidates []int
 	options    []load.Place
+	// fading is the part of each option's start that the requests of others make up, some
+	// of which have ended since the snapshot.
+	fading []float64
 
 	// limited holds the requests for models that were refused because of rate limits since
 	// the last call of Demand, at most maxLimited.
@@ -179,7 +183,7 @@
 	if !s.responseBegan && out.Answered {
 		p.recordAnswer(now, s)
 	}
-	if out.Rejected || out.Unreachable {
+	if out.Rejected || out.Unreachable || out.Failed {
 		r.outcomes.Rejected++
 		r.rejectedAt = now
 	}
@@ -247,7 +251,7 @@
 			Target: r, otherLoadAt: p.timer.Now(), rank: rank.Hash(p.name + "\x00" + r.ID),
 			slowness: 1, phase: p.random.Float64(), index: index, distance: p.distanceTo(r.Zone),
 		}
-		if p.usesSnapshot(p.timer.Now()) {
+		if _, ok := p.view.Age(p.timer.Now()); ok {
 			// The next snapshot says how many requests it may have.
 			known.limit = 1
 		}
--- a/internal/coordination/picker/shared.go
+++ b/internal/coordination/picker/shared.go
@@ -91,6 +91,17 @@
 	p.processQueue(now)
 }
 
+// TeamUse returns the use of a team over all instances, in its unit per second; 0 without
+// a load snapshot.
+func (p *Picker) TeamUse(team string) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.usesSnapshot(p.timer.Now()) {
+		return 0
+	}
+	return p.view.Use(team)
+}
+
 // otherLoad is the number of other instances' requests at a target as of a time.
 type otherLoad struct {
 	count float64
@@ -113,35 +124,64 @@
 	return ok
 }
 
+// candidateSet holds the targets that can take a request.
+type candidateSet struct {
+	// copies are all targets that serve the request. The Picker's candidates are positions
+	// in it, its options the places of these.
+	copies []*target
+	// others is the number of the other instances' requests at the candidates.
+	others float64
+	// limitedAt is the position of the best candidate that has a limit, -1 if there is none.
+	limitedAt int
+}
+
 // chooseShared returns the target for a request on the basis of the load snapshot, among
 // those that are ejected or among those that are not, or nil.
 func (p *Picker) chooseShared(now time.Time, q *Request, ejected bool) *target {
-	copies, list, options := p.copiesFor(q, p.hasFreshUpdates(now)), p.candidates[:0], p.options[:0]
-	p.drawLuck(q)
+	c := p.collect(now, q, ejected)
+	if len(p.options) == 0 {
+		return nil
+	}
+	sent := p.sentByOthers(now, q)
+	kept := keptShare(sent, c.others)
+	for i := range p.options {
+		p.options[i].Start -= (1 - kept) * p.fading[i]
+	}
+	if c.limitedAt >= 0 && p.options[c.limitedAt].Start < load.Level(p.options, 1+sent) {
+		// Chance has already decided for this target, which has room.
+		best := c.copies[p.candidates[c.limitedAt]]
+		best.expected = best.sharedLoad()
+		return best
+	}
+	i, share := load.Choose(p.options, 1+sent, p.random.Float64())
+	best := c.copies[p.candidates[i]]
+	best.expected = float64(best.inFlight) + kept*best.others.count + share*(1-kept)*c.others
+	return best
+}
+
+// collect sets the candidates and their places for a choice.
+func (p *Picker) collect(now time.Time, q *Request, ejected bool) candidateSet {
+	c := candidateSet{copies: p.copiesFor(q, p.hasFreshUpdates(now)), limitedAt: -1}
+	list, options, fading := p.candidates[:0], p.options[:0], p.fading[:0]
 	limited, mean, most := p.share.InForce(), p.failureRates[q.Service], q.overcommit()
-	others := 0.0
-	for i, r := range copies {
+	p.drawLuck(q)
+	for i, r := range c.copies {
 		if !r.isAvailable(now, q) || r.limit > 0 && !r.isAllowed(q) || r.isEjected(now) != ejected ||
 			r.sharedLoad() >= float64(r.Slots)*most || limited && p.share.Blocks(r.Identity, now) {
 			continue
 		}
 		list = append(list, i)
-		options = append(options, p.option(now, q, r, mean, limited))
-		others += r.others.count
-	}
-	p.candidates, p.options = list, options
-	if len(list) == 0 {
-		return nil
-	}
-	sent := p.sentByOthers(now, q)
-	kept := keptShare(sent, others)
-	for i := range options {
-		options[i].Start -= (1 - kept) * copies[list[i]].others.count / options[i].Width
+		option, step := p.option(now, q, r, mean, limited)
+		options = append(options, option)
+		fading = append(fading, step*r.others.count)
+		c.others += r.others.count
+		last := len(options) - 1
+		if r.limit > 0 && (c.limitedAt < 0 || options[last].Start < options[c.limitedAt].Start) {
+			c.limitedAt = last
+		}
 	}
-	i, share := load.Choose(options, 1+sent, p.random.Float64())
-	best := copies[list[i]]
-	best.expected = float64(best.inFlight) + kept*best.others.count + share*(1-kept)*others
-	return best
+	p.candidates, p.options, p.fading = list, options, fading
+	return c
 }
 
 // keptShare estimates the share of the requests in a snapshot that have not ended since,
@@ -154,8 +194,9 @@
 }
 
 // option returns the expected time of a request at a target for the choice, in the time
-// that one request usually takes there alone.
-func (p *Picker) option(now time.Time, q *Request, r *target, mean float64, limited bool) load.Place {
+// that one request usually takes there alone. The second result is by how much one request
+// raises it.
+func (p *Picker) option(now time.Time, q *Request, r *target, mean float64, limited bool) (load.Place, float64) {
 	unit := 1.0
 	if q.Model == "" {
 		unit = 1 / float64(max(r.Slots, 1))
@@ -168,7 +209,7 @@
 		extra -= permitBonus
 	}
 	step := unit * r.slowness
-	return load.Place{Start: step*(r.sharedLoad()+1) + unit*extra, Width: 1 / step}
+	return load.Place{Start: step*(r.sharedLoad()+1) + unit*extra, Width: 1 / step}, step
 }
 
 // sharedLoad returns the number of requests at the target as of the snapshot, corrected
