Bodies and answers are reserved in the account as they arrive

Cause: every body was read whole into memory before its request was queued and kept until its end, answers were buffered without regard to others, and a caller that did not read held its answer until the deadline. Change: bodies are read in pieces, each reserved before it is read. The body is released when the request cannot be sent again. Answers and event buffers are charged. The kernel's receive buffers of connections to targets are limited.

--- a/internal/coordination/budget/account.go
+++ b/internal/coordination/budget/account.go
@@ -219,6 +219,19 @@
 	return most, false
 }
 
+// Progress records that bytes of an arrival came for which some are reserved already.
+func (h *Holding) Progress() {
+	a := h.account
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if h.isListed {
+		h.grownAt = a.now()
+	}
+}
+
 // Complete records that all has arrived. It returns false if the holding has been revoked
 // before.
 func (h *Holding) Complete() bool {
--- a/internal/transport/gate/dialer.go
+++ b/internal/transport/gate/dialer.go
@@ -24,6 +24,8 @@
 type Dialer struct {
 	dialer net.Dialer
 	watch  Watch
+	// receiveBytes limits the kernel's receive buffer of a connection, 0 for its default.
+	receiveBytes int
 
 	mu    sync.Mutex
 	conns map[string]map[*conn]struct{}
@@ -43,6 +45,11 @@
 	return func(dialer *Dialer) { dialer.dialer = silenceDialer(d) }
 }
 
+// WithReceiveBuffer limits what the kernel holds of a response that is not read.
+func WithReceiveBuffer(bytes int) Option {
+	return func(d *Dialer) { d.receiveBytes = bytes }
+}
+
 // NewDialer returns a dialer without connections.
 func NewDialer(opts ...Option) *Dialer {
 	d := &Dialer{
@@ -81,6 +88,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if tcp, ok := raw.(*net.TCPConn); ok && d.receiveBytes > 0 {
+		_ = tcp.SetReadBuffer(d.receiveBytes)
+	}
 	c := &conn{
 		Conn: d.watch.Watched(raw, address), opened: time.Now(),
 		onClose: func(c *conn) { d.remove(address, c) },
--- a/internal/transport/proxy/events.go
+++ b/internal/transport/proxy/events.go
@@ -16,6 +16,8 @@
 	maxEventBytes = 256 << 10
 	// initialBufferBytes is the size of a reader's buffer until an event needs more.
 	initialBufferBytes = 4 << 10
+	// keptBufferBytes is the size above which an empty buffer is released.
+	keptBufferBytes = 16 << 10
 	// The stall timeout, which limits how long a stream may send bytes without an event,
 	// is the larger of stallGoalFactor times the route's goal for the first event and
 	// stallGapFactor times its goal between events. Both are multiples because callers
@@ -61,6 +63,9 @@
 	body         io.Reader
 	timer        timer.Service
 	stallTimeout time.Duration
+	// reserve and release account for the buffer beyond its initial size.
+	reserve func(n int64) bool
+	release func(n int64)
 
 	// buf holds what was read. The next event begins at start, and its end is not before
 	// scanned.
@@ -73,7 +78,10 @@
 }
 
 func newEventReader(body io.Reader, t timer.Service, timeout time.Duration) *eventReader {
-	return &eventReader{body: body, timer: t, stallTimeout: timeout, buf: make([]byte, 0, initialBufferBytes)}
+	return &eventReader{
+		body: body, timer: t, stallTimeout: timeout, buf: make([]byte, 0, initialBufferBytes),
+		reserve: func(int64) bool { return true }, release: func(int64) {},
+	}
 }
 
 // next returns the next complete event, which is valid until the following call. It
@@ -144,20 +152,30 @@
 	return err
 }
 
-// ensureSpace moves the rest to the front of the buffer, and enlarges a full buffer.
+// ensureSpace moves the rest to the front of the buffer, enlarges a full buffer and
+// releases a large one that is empty.
 func (r *eventReader) ensureSpace() error {
 	kept := copy(r.buf, r.buf[r.start:])
 	r.buf = r.buf[:kept]
 	r.scanned -= r.start
 	r.start = 0
+	if kept == 0 && cap(r.buf) > keptBufferBytes {
+		r.release(int64(cap(r.buf) - initialBufferBytes))
+		r.buf = make([]byte, 0, initialBufferBytes)
+	}
 	if kept < cap(r.buf) {
 		return nil
 	}
 	if kept >= maxEventBytes {
 		return errEventTooLong
 	}
-	larger := make([]byte, kept, min(2*cap(r.buf), maxEventBytes))
+	size := min(2*cap(r.buf), maxEventBytes)
+	if !r.reserve(int64(size)) {
+		return errNoMemory
+	}
+	larger := make([]byte, kept, size)
 	copy(larger, r.buf)
+	r.release(int64(cap(r.buf)))
 	r.buf = larger
 	return nil
 }
--- a/internal/transport/proxy/exchange.go
+++ b/internal/transport/proxy/exchange.go
@@ -1,15 +1,16 @@
 package proxy
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
 	"net/url"
 	"strings"
+	"sync/atomic"
 	"time"
 
+	"chivecroft.example/chivecroft/internal/coordination/budget"
 	"chivecroft.example/chivecroft/internal/coordination/crash"
 	"chivecroft.example/chivecroft/internal/coordination/picker"
 	"chivecroft.example/chivecroft/internal/state/fleet"
@@ -25,21 +26,30 @@
 
 // exchange is the handling of one caller's request.
 type exchange struct {
-	s       *Server
-	w       http.ResponseWriter
-	r       *http.Request
-	ctx     context.Context //nolint:containedctx // the context of the request
-	arrived time.Time
-	version int64
+	s   *Server
+	w   http.ResponseWriter
+	r   *http.Request
+	ctx context.Context //nolint:containedctx // the context of the request
+	// conn sets deadlines of the caller's connection, writeUntil is the one for writes.
+	conn       *http.ResponseController
+	writeUntil time.Time
+	arrived    time.Time
+	version    int64
 
 	route    *fleet.Route
 	service  string
 	engine   bool
 	call     Call
-	body     []byte
 	timeout  time.Duration
 	deadline time.Time
 
+	body       payload
+	bodyMemory budget.Holding
+	// bodyRead reports whether the whole body has been read. revoked is set when its bytes
+	// are needed elsewhere, stalled if it had stopped to arrive.
+	bodyRead         bool
+	revoked, stalled atomic.Bool
+
 	sends int
 	// possibleRuns counts the sends after which the request may have run.
 	possibleRuns int
@@ -220,23 +230,19 @@
 			Scheme: "http", Host: reservation.Target.Addr.String(), Opaque: path,
 			RawQuery: x.r.URL.RawQuery, ForceQuery: x.r.URL.ForceQuery,
 		},
-		Header: header, ContentLength: int64(len(x.body)),
+		Header: header, ContentLength: x.body.size,
 	}
-	if len(x.body) > 0 {
-		req.Body = x.newBody()
+	if x.body.size > 0 {
+		req.Body = x.body.reader()
 		// The transport asks for the body again if a kept connection fails before
 		// anything was written. Otherwise it reports the failure.
-		req.GetBody = func() (io.ReadCloser, error) { return x.newBody(), nil }
+		req.GetBody = func() (io.ReadCloser, error) { return x.body.reader(), nil }
 	} else if x.r.Method != http.MethodGet {
 		req.Body = http.NoBody
 	}
 	return req.WithContext(ctx)
 }
 
-func (x *exchange) newBody() io.ReadCloser {
-	return io.NopCloser(bytes.NewReader(x.body))
-}
-
 // handle relays a response or decides whether the request is sent again. It returns true
 // once the caller has a response.
 func (x *exchange) handle(a *attempt) bool {
@@ -349,7 +355,7 @@
 	var refusal *picker.Refusal
 	switch {
 	case x.r.Context().Err() != nil:
-		x.setOutcome(0, "callerLeft")
+		x.setOutcome(0, reasonCallerLeft)
 		panic(http.ErrAbortHandler)
 	case errors.As(err, &refusal):
 		x.limit = refusal.Limit
--- a/internal/transport/proxy/relay.go
+++ b/internal/transport/proxy/relay.go
@@ -2,10 +2,10 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 
+	"chivecroft.example/chivecroft/internal/coordination/budget"
 	"chivecroft.example/chivecroft/internal/coordination/picker"
 	"chivecroft.example/chivecroft/internal/state/fleet"
 	"chivecroft.example/chivecroft/internal/transport/hops"
@@ -25,69 +25,72 @@
 
 // relay relays a response. It returns false if the request is to be sent again.
 func (x *exchange) relay(a *attempt) bool {
+	if !x.mayRepeat() {
+		x.dropBody()
+	}
 	if x.route.Kind == fleet.KindStream && a.resp.StatusCode == http.StatusOK {
 		x.relayStream(a)
 		return true
 	}
-	body, err := io.ReadAll(io.LimitReader(a.resp.Body, maxBufferedBytes))
+	var memory budget.Holding
+	x.s.account.Open(&memory, budget.Answers, nil)
+	defer memory.Close()
+	body, whole, err := x.readAnswer(a.resp, &memory)
 	if err != nil {
 		a.err = err
 		return x.handleFailed(a)
 	}
-	if len(body) == maxBufferedBytes {
-		x.relayLarge(a, body)
+	if !whole {
+		x.relayLarge(a, body, &memory)
 		return true
 	}
+	x.dropBody()
 	a.flight.Complete()
 	a.finish(true, a.reply.outcome(picker.Outcome{Failed: a.resp.StatusCode >= 500}))
 	x.copyHeaders(a.resp)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.setOutcome(a.resp.StatusCode, ReasonAnswered)
+	x.extendWrite()
 	x.w.WriteHeader(a.resp.StatusCode)
-	_, _ = x.w.Write(body)
+	if e := asCallerError(x.write(body)); e != nil {
+		x.reason = e.reason()
+	}
 	return true
 }
 
 // relayLarge relays a response as it comes, after the prefix that was read. If it breaks
 // off, the caller's response is cut as well, since its head has been sent.
-func (x *exchange) relayLarge(a *attempt, prefix []byte) {
+func (x *exchange) relayLarge(a *attempt, prefix []byte, memory *budget.Holding) {
+	x.dropBody()
 	x.copyHeaders(a.resp)
 	if a.resp.ContentLength >= 0 {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(a.resp.ContentLength, 10))
 	}
 	x.setOutcome(a.resp.StatusCode, ReasonAnswered)
+	x.extendWrite()
 	x.w.WriteHeader(a.resp.StatusCode)
-	err := x.copyRest(a, prefix)
+	err := x.write(prefix)
+	memory.Release(memory.Bytes())
+	if err == nil {
+		err = x.copyAnswer(a.resp, memory)
+	}
 	a.flight.Complete()
-	expired := x.ctx.Err() != nil
-	failed := !expired && (err != nil || a.resp.StatusCode >= 500)
+	caller := asCallerError(err)
+	blamed := caller == nil && x.ctx.Err() == nil
+	failed := blamed && (err != nil || a.resp.StatusCode >= 500)
 	a.finish(err == nil, a.reply.outcome(picker.Outcome{Failed: failed}))
 	if err == nil {
 		return
 	}
 	a.err = err
 	x.reason = "answerCut"
+	if caller != nil {
+		x.reason = caller.reason()
+	}
 	x.logDecision(a, "cut")
 	x.abortStream()
 }
 
-func (x *exchange) copyRest(a *attempt, prefix []byte) error {
-	if _, err := x.w.Write(prefix); err != nil {
-		return err
-	}
-	rest := io.Reader(a.resp.Body)
-	if a.resp.ContentLength < 0 {
-		rest = io.LimitReader(rest, maxUnsizedBytes)
-	}
-	// The copy has its own buffer, since the caller's connection would allocate a larger
-	// one.
-	n, err := io.CopyBuffer(struct{ io.Writer }{x.w}, rest, make([]byte, copyBufferBytes))
-	if err == nil && a.resp.ContentLength < 0 && n == maxUnsizedBytes {
-		return errEndless
-	}
-	return err
-}
-
 // copyHeaders copies the target's response headers to the caller's response.
 func (x *exchange) copyHeaders(resp *http.Response) {
 	header := resp.Header
--- a/internal/transport/proxy/server.go
+++ b/internal/transport/proxy/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -10,6 +9,7 @@
 
 	"github.com/phuslu/log"
 
+	"chivecroft.example/chivecroft/internal/coordination/budget"
 	"chivecroft.example/chivecroft/internal/coordination/crash"
 	"chivecroft.example/chivecroft/internal/coordination/picker"
 	"chivecroft.example/chivecroft/internal/coordination/retry"
@@ -31,6 +31,9 @@
 	maxResponseReserve = time.Second
 	// targetSilenceTimeout is how long a target's machine may leave bytes unacknowledged.
 	targetSilenceTimeout = 2 * time.Second
+	// targetBufferBytes limits what the kernel holds of a target's response that is not
+	// read because its caller reads slowly. Linux doubles it for its own overhead.
+	targetBufferBytes = 128 << 10
 	// noConfigRetryAfter is the Retry-After of an instance without a configuration.
 	noConfigRetryAfter = time.Second
 	// stopRetryAfter is the Retry-After of an instance that is stopping.
@@ -42,6 +45,7 @@
 	codec     Codec
 	picker    *picker.Picker
 	budget    *retry.Budget
+	account   *budget.Account
 	timer     timer.Service
 	log       *log.Logger
 	transport http.RoundTripper
@@ -78,6 +82,12 @@
 	return func(s *Server) { s.crashes, s.hasEnded = m, hasEnded }
 }
 
+// WithAccount sets the account of the bytes that requests and answers hold. By default they
+// are not limited.
+func WithAccount(a *budget.Account) Option {
+	return func(s *Server) { s.account = a }
+}
+
 // WithTransport replaces the HTTP transport to targets.
 func WithTransport(t http.RoundTripper) Option {
 	return func(s *Server) { s.transport = t }
@@ -85,11 +95,12 @@
 
 // NewServer returns a server without a configuration. It refuses all requests until
 // SetConfig is called.
-func NewServer(codec Codec, p *picker.Picker, budget *retry.Budget, t timer.Service, opts ...Option) *Server {
+func NewServer(codec Codec, p *picker.Picker, retries *retry.Budget, t timer.Service, opts ...Option) *Server {
 	s := &Server{
-		codec: codec, picker: p, budget: budget, timer: t,
+		codec: codec, picker: p, budget: retries, timer: t,
+		account:   budget.NewAccount(0, time.Now),
 		log:       &log.Logger{Level: log.ErrorLevel},
-		transport: gate.NewDialer(gate.WithSilence(targetSilenceTimeout)).Transport(nil),
+		transport: gate.NewDialer(gate.WithSilence(targetSilenceTimeout), gate.WithReceiveBuffer(targetBufferBytes)).Transport(nil),
 		onEnded:   func(Ended) {},
 		crashes:   crash.NewMonitor(t),
 		hasEnded:  func(context.Context, fleet.Target) bool { return false },
@@ -116,7 +127,9 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.active.Add(1)
 	defer s.active.Add(-1)
-	x := &exchange{s: s, w: w, r: r, arrived: s.timer.Now()}
+	x := &exchange{s: s, w: w, r: r, conn: http.NewResponseController(w), arrived: s.timer.Now()}
+	defer x.dropBody()
+	x.extendWrite()
 	if s.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -173,31 +186,13 @@
 	x.deadline = x.arrived.Add(timeout)
 }
 
-func (x *exchange) readBody(limit int64) bool {
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if x.r.ContentLength > limit {
-		x.respond(http.StatusRequestEntityTooLarge, "tooLarge")
-		return false
-	}
-	body, err := io.ReadAll(io.LimitReader(x.r.Body, limit+1))
-	switch {
-	case err != nil:
-		// A request that was cut off cannot be responded to.
-		x.setOutcome(0, "bodyCut")
-		panic(http.ErrAbortHandler)
-	case int64(len(body)) > limit:
-		x.respond(http.StatusRequestEntityTooLarge, "tooLarge")
-		return false
-	}
-	x.body = body
-	return true
-}
-
 // respond ends the request with an empty response of this server.
 func (x *exchange) respond(status int, reason string) {
 	x.setOutcome(status, reason)
+	if x.r.ContentLength != 0 && !x.bodyRead {
+		_ = x.conn.SetReadDeadline(time.Now().Add(discardTimeout))
+	}
+	x.extendWrite()
 	x.w.Header().Set("Content-Length", "0")
 	x.w.WriteHeader(status)
 }
--- a/internal/transport/proxy/stream.go
+++ b/internal/transport/proxy/stream.go
@@ -3,11 +3,11 @@
 import (
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
 
+	"chivecroft.example/chivecroft/internal/coordination/budget"
 	"chivecroft.example/chivecroft/internal/coordination/picker"
 )
 
@@ -17,19 +17,27 @@
 	x.copyHeaders(a.resp)
 	x.w.Header().Del("Content-Length")
 	x.setOutcome(http.StatusOK, "streaming")
+	x.extendWrite()
 	x.w.WriteHeader(http.StatusOK)
-	flush(x.w)
+	_ = x.flush()
 	x.timeToFirst = x.s.timer.Now().Sub(x.arrived)
 	last := x.call.LastEvent
+	var memory budget.Holding
+	x.s.account.Open(&memory, budget.Streams, nil)
+	defer memory.Close()
 	for {
 		var err error
-		last, err = x.relayEvents(a, last)
+		last, err = x.relayEvents(a, last, &memory)
 		if err == nil {
 			x.reason = ReasonAnswered
 			a.flight.Complete()
 			a.finish(true, picker.Outcome{})
 			return
 		}
+		if reason := localFailure(err); reason != "" {
+			x.endLocally(a, err, reason)
+			return
+		}
 		next := x.resume(a, last, err)
 		if next == nil {
 			x.abortStream()
@@ -39,17 +47,46 @@
 	}
 }
 
+// localFailure returns the reason of a stream that ends for no fault of its target: the
+// caller does not read it, or there is no memory for its next event.
+func localFailure(err error) string {
+	if e := asCallerError(err); e != nil {
+		return e.reason()
+	}
+	if errors.Is(err, errNoMemory) {
+		return reasonMemory
+	}
+	return ""
+}
+
+// endLocally cuts a stream. Nothing is held against its target, whose request is cancelled.
+func (x *exchange) endLocally(a *attempt, err error, reason string) {
+	a.err = err
+	a.call.Seal()
+	a.flight.End()
+	a.finish(false, picker.Outcome{})
+	x.reason = reason
+	x.logDecision(a, "cut")
+	x.abortStream()
+}
+
 // relayEvents relays complete events until the stream ends, and returns the ID of the
-// last one.
-func (x *exchange) relayEvents(a *attempt, last string) (string, error) {
+// last one. The buffer is charged to memory.
+func (x *exchange) relayEvents(a *attempt, last string, memory *budget.Holding) (string, error) {
 	a.reservation.ResponseBegan()
 	if a.reply.LoadKnown {
 		a.reservation.SetReportedLoad(a.reply.Running, a.reply.Waiting)
 	}
 	// What was relayed must reach the caller however the stream ends.
-	defer flush(x.w)
+	defer func() { _ = x.flush() }()
 	relayed := false
+	if !x.awaitMemory(memory, initialBufferBytes) {
+		return last, errNoMemory
+	}
+	defer func() { memory.Release(memory.Bytes()) }()
 	reader := newEventReader(a.resp.Body, x.s.timer, stallTimeout(x.route))
+	reader.reserve = func(n int64) bool { return x.awaitMemory(memory, n) }
+	reader.release = memory.Release
 	for {
 		event, err := reader.next()
 		if errors.Is(err, io.EOF) {
@@ -70,15 +107,18 @@
 			reader.markProgress()
 			a.flight.Progress()
 		}
-		if _, err := x.w.Write(event); err != nil {
+		if err := x.write(event); err != nil {
 			return last, err
 		}
 		relayed = true
 		if id != "" {
 			last = id
 		}
-		if !reader.hasNext() {
-			flush(x.w)
+		if reader.hasNext() {
+			continue
+		}
+		if err := x.flush(); err != nil {
+			return last, err
 		}
 	}
 }
@@ -124,7 +164,7 @@
 	x.exclude(a)
 	x.checkTarget(a)
 	if expired {
-		x.reason = "callerLeft"
+		x.reason = reasonCallerLeft
 		if x.r.Context().Err() == nil {
 			x.reason = string(picker.ReasonDeadline)
 		}
@@ -176,14 +216,8 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.(interface{ SetLinger(sec int) error }); ok {
 		_ = tcp.SetLinger(0)
 	}
 	_ = conn.Close()
 }
-
-func flush(w http.ResponseWriter) {
-	if f, ok := w.(http.Flusher); ok {
-		f.Flush()
-	}
-}
