Heads and connections of callers are bounded before net/http sees them

Cause: a head of legal size with very short lines costs many times its bytes as objects, nothing bounded connections or the memory of the process, and limits of the configuration on heads and idle connections were ignored. Change: package accept checks heads below net/http, charges them, and answers 431, 408 or 503 itself; it limits connections by max_fds and memory_mb, and applies changed limits to open connections. Package edge derives the budget, the runtime's soft limit and the connections from the boot file, gives the servers for control limits on heads, bodies and times, and reports bytes by use, connections by state and refusals.

--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/phuslu/log"
+
+	"chivecroft.example/chivecroft/internal/transport/accept"
 )
 
 // closePollInterval is the interval at which a stopping server checks whether its
@@ -18,7 +20,7 @@
 // requests on connections that were accepted just before it stopped listening.
 type callerServer struct {
 	http     http.Server
-	listener net.Listener
+	listener *accept.Listener
 
 	mu sync.Mutex
 	// busy holds the connections that have a request, or are new and may be about to have
@@ -26,23 +28,25 @@
 	busy map[net.Conn]struct{}
 }
 
-func newCallerServer(handler http.Handler) *callerServer {
-	s := &callerServer{busy: make(map[net.Conn]struct{})}
+// newCallerServer returns a server on the connections of the listener, which limits heads
+// and their time; the library's own limits are above those.
+func newCallerServer(handler http.Handler, l *accept.Listener) *callerServer {
+	s := &callerServer{listener: l, busy: make(map[net.Conn]struct{})}
 	s.http = http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: s.trackState,
+		Handler: l.Handler(handler), MaxHeaderBytes: 2 * accept.MaxHeaderBytes,
+		ConnState: s.trackState, ConnContext: l.Context,
 	}
 	return s
 }
 
 // start listens at addr. Serving ends when the server is closed.
 func (s *callerServer) start(ctx context.Context, addr string, l *log.Logger) error {
-	listener, err := listen(ctx, &s.http, addr, l)
-	s.listener = listener
+	_, err := listenThrough(ctx, &s.http, addr, l, func(inner net.Listener) net.Listener { return s.listener.Wrap(inner) })
 	return err
 }
 
 func (s *callerServer) trackState(c net.Conn, state http.ConnState) {
+	s.listener.OnState(c, state)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -14,6 +14,7 @@
 	"github.com/gravitational/trace"
 	"github.com/phuslu/log"
 
+	"chivecroft.example/chivecroft/internal/coordination/budget"
 	"chivecroft.example/chivecroft/internal/coordination/crash"
 	"chivecroft.example/chivecroft/internal/coordination/deltas"
 	"chivecroft.example/chivecroft/internal/coordination/drive"
@@ -24,6 +25,7 @@
 	"chivecroft.example/chivecroft/internal/coordination/retry"
 	"chivecroft.example/chivecroft/internal/state/fleet"
 	"chivecroft.example/chivecroft/internal/state/timer"
+	"chivecroft.example/chivecroft/internal/transport/accept"
 	"chivecroft.example/chivecroft/internal/transport/proxy"
 	"chivecroft.example/chivecroft/platform"
 )
@@ -36,12 +38,9 @@
 	// maxElectionDelay is how long a machine with hardly any processor time waits before
 	// it tries to become the holder.
 	maxElectionDelay = 300 * time.Millisecond
-	// maxHeaderBytes limits the size of a request's header.
-	maxHeaderBytes = 64 << 10
-	// headerTimeout limits how long a request header may take to arrive.
+	// headerTimeout limits how long a request header may take to arrive on the ports that
+	// are not for callers.
 	headerTimeout = 10 * time.Second
-	// callerIdleTimeout is how long a caller's connection may stay idle.
-	callerIdleTimeout = 2 * time.Minute
 )
 
 // Edge is one instance of the system.
@@ -88,6 +87,11 @@
 	loopCtx   context.Context //nolint:containedctx // ends the loops at Stop
 	stopLoops context.CancelFunc
 	callers   *callerServer
+	// account is the account of the bytes that callers and targets make this process hold,
+	// listener accepts callers' connections, refusals counts those that were refused.
+	account  *budget.Account
+	listener *accept.Listener
+	refusals *refusalLog
 	// readyServer serves the platform's readiness checks, peerServer other instances, and
 	// metricsServer, which may be nil, operators.
 	readyServer, peerServer, metricsServer *http.Server
@@ -136,8 +140,11 @@
 	e.budget = retry.NewBudget(retryLimits(boot.Bounds))
 	e.crashes = crash.NewMonitor(e.timer, crash.WithUrgency(e.signalDemand), crash.WithObserver(e.onBlockChange))
 	e.ends = newEndChecker(e.picker.IsLeaving, e.onTargetEnd)
+	e.account = budget.NewAccount(memoryBudget(boot.MemoryBytes), time.Now)
+	e.refusals = newRefusalLog(l)
+	e.listener = accept.NewListener(e.account, accept.WithMaxConns(maxCallerConns(boot)), accept.WithObserver(e.refusals.add))
 	e.proxy = proxy.NewServer(platform.Codec{}, e.picker, e.budget, e.timer, proxy.WithLogger(l),
-		proxy.WithObserver(e.metrics.requestEnded), proxy.WithCrashes(e.crashes, e.ends.hasEnded))
+		proxy.WithAccount(e.account), proxy.WithObserver(e.metrics.requestEnded), proxy.WithCrashes(e.crashes, e.ends.hasEnded))
 	for _, opt := range opts {
 		opt(e)
 	}
@@ -209,15 +216,17 @@
 // Start opens the listeners and begins to follow the store. It returns once callers, the
 // platform and other instances can connect.
 func (e *Edge) Start(ctx context.Context) error {
-	e.callers = newCallerServer(e.proxy)
-	e.readyServer = &http.Server{Handler: http.HandlerFunc(e.serveReady), ReadHeaderTimeout: headerTimeout}
+	e.callers = newCallerServer(e.proxy, e.listener)
+	limitRuntime(e.boot.MemoryBytes)
+	go e.memoryLoop(e.loopCtx)
+	e.readyServer = newControlServer(http.HandlerFunc(e.serveReady), maxReadyBodyBytes)
 	if err := e.callers.start(ctx, e.boot.Callers.String(), e.log); err != nil {
 		return err
 	}
 	if _, err := listen(ctx, e.readyServer, e.boot.Ready.String(), e.log); err != nil {
 		return err
 	}
-	e.peerServer = &http.Server{Handler: http.HandlerFunc(e.servePeer), ReadHeaderTimeout: headerTimeout}
+	e.peerServer = newControlServer(http.HandlerFunc(e.servePeer), maxMessageBytes)
 	if _, err := listen(ctx, e.peerServer, e.boot.Peer.String(), e.log); err != nil {
 		return err
 	}
@@ -240,11 +249,17 @@
 
 // listen serves s at addr until the server or the listener is closed.
 func listen(ctx context.Context, s *http.Server, addr string, lg *log.Logger) (net.Listener, error) {
+	return listenThrough(ctx, s, addr, lg, func(l net.Listener) net.Listener { return l })
+}
+
+// listenThrough does the same on the connections of a listener that wraps the one of addr.
+func listenThrough(ctx context.Context, s *http.Server, addr string, lg *log.Logger, wrap func(net.Listener) net.Listener) (net.Listener, error) {
 	var lc net.ListenConfig
 	l, err := lc.Listen(ctx, "tcp", addr)
 	if err != nil {
 		return nil, trace.Wrap(err, "listen on %s", addr)
 	}
+	l = wrap(l)
 	go func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			lg.Error().Err(err).Str("address", addr).Msg("server stopped unexpectedly")
@@ -307,6 +322,9 @@
 		return
 	}
 	e.proxy.SetConfig(c)
+	e.listener.SetLimits(accept.Limits{
+		HeaderBytes: c.Limits.HeaderBytes, HeaderTimeout: c.Limits.HeaderTimeout, IdleTimeout: c.Limits.IdleTimeout,
+	})
 	e.coordinator.setConfig(c, uint64(item.Revision))
 	// The instance may report that it is ready only from here on.
 	e.config.Store(c)
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -50,7 +50,7 @@
 	for path, handler := range more {
 		mux.Handle(path, handler)
 	}
-	s := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	s := newControlServer(mux, maxMetricsBodyBytes)
 	at := net.JoinHostPort(addr.String(), strconv.Itoa(int(port)))
 	_, err = listen(ctx, s, at, m.log)
 	return s, err
@@ -118,6 +118,24 @@
 	}
 }
 
+// memoryUsed records the bytes held by use, the connections by state and the refusals by
+// reason since the last call.
+func (m *instanceMetrics) memoryUsed(bytes map[string]int64, conns map[string]int, refused map[string]int64) {
+	mt := m.meter.Load()
+	if mt == nil {
+		return
+	}
+	for use, n := range bytes {
+		mt.HeldBytes(use, n)
+	}
+	for state, n := range conns {
+		mt.Connections(state, n)
+	}
+	for reason, n := range refused {
+		mt.RefusedConnections(reason, n)
+	}
+}
+
 // orderEnded counts a finished order to load a model.
 func (m *instanceMetrics) orderEnded(a sched.Action, taken bool) {
 	if mt := m.meter.Load(); mt != nil && a.Operation == sched.Load && a.Adapter == "" {
--- /dev/null
+++ b/internal/transport/accept/listener.go
@@ -0,0 +1,248 @@
+package accept
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"chivecroft.example/chivecroft/internal/coordination/budget"
+)
+
+// Defaults of the limits, for a configuration that sets none.
+const (
+	defaultHeaderBytes   = 64 << 10
+	defaultHeaderTimeout = 10 * time.Second
+	defaultIdleTimeout   = 2 * time.Minute
+	// MaxHeaderBytes is the largest limit on the size of a head.
+	MaxHeaderBytes = 1 << 20
+)
+
+const (
+	// socketBytes limits what the kernel holds of a connection in each direction, which
+	// counts toward the memory of the machine. Linux doubles it for its own overhead.
+	socketBytes = 64 << 10
+	// reusableShare is the part of the idle timeout for which callers rely on a connection.
+	reusableShare = 0.8
+	// connRetryAfter is the Retry-After of a connection that is refused.
+	connRetryAfter = time.Second
+)
+
+// Limits are the limits on a connection. Zero values stand for the defaults.
+type Limits struct {
+	// HeaderBytes limits the size of a head.
+	HeaderBytes int
+	// HeaderTimeout limits the time from the first byte of a head to its last.
+	HeaderTimeout time.Duration
+	// IdleTimeout limits the time between a response and the next request.
+	IdleTimeout time.Duration
+}
+
+func (l Limits) withDefaults() Limits {
+	if l.HeaderBytes <= 0 {
+		l.HeaderBytes = defaultHeaderBytes
+	}
+	l.HeaderBytes = min(l.HeaderBytes, MaxHeaderBytes)
+	if l.HeaderTimeout <= 0 {
+		l.HeaderTimeout = defaultHeaderTimeout
+	}
+	if l.IdleTimeout <= 0 {
+		l.IdleTimeout = defaultIdleTimeout
+	}
+	return l
+}
+
+// Reason is why a connection or a head was refused.
+type Reason string
+
+// The reasons.
+const (
+	ReasonConnections Reason = "connections"
+	ReasonEvicted     Reason = "evicted"
+	ReasonSize        Reason = "headSize"
+	ReasonLines       Reason = "headLines"
+	ReasonEmptyLines  Reason = "emptyLines"
+	ReasonTimeout     Reason = "headTimeout"
+	ReasonMemory      Reason = "headMemory"
+)
+
+// Listener accepts the connections of callers.
+type Listener struct {
+	net.Listener
+	account  *budget.Account
+	maxConns int
+	observe  func(Reason)
+	limits   atomic.Pointer[Limits]
+
+	mu    sync.Mutex
+	conns map[*Conn]struct{}
+}
+
+// Option changes a Listener under construction.
+type Option func(*Listener)
+
+// WithMaxConns limits the connections that are open at a time, 0 for no limit.
+func WithMaxConns(n int) Option {
+	return func(l *Listener) { l.maxConns = n }
+}
+
+// WithObserver calls observe for each refusal. It must not block.
+func WithObserver(observe func(Reason)) Option {
+	return func(l *Listener) { l.observe = observe }
+}
+
+// NewListener returns a listener without connections. Its inner listener is set by Wrap.
+func NewListener(account *budget.Account, opts ...Option) *Listener {
+	l := &Listener{account: account, observe: func(Reason) {}, conns: make(map[*Conn]struct{})}
+	for _, opt := range opts {
+		opt(l)
+	}
+	l.limits.Store(new(Limits{}.withDefaults()))
+	return l
+}
+
+// Wrap sets the listener that the connections come from, and returns l.
+func (l *Listener) Wrap(inner net.Listener) *Listener {
+	l.Listener = inner
+	return l
+}
+
+// SetLimits sets the limits of all connections, including those that are open.
+func (l *Listener) SetLimits(limits Limits) {
+	limits = limits.withDefaults()
+	l.limits.Store(&limits)
+	for _, c := range l.open() {
+		c.rearm()
+	}
+}
+
+func (l *Listener) open() []*Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]*Conn, 0, len(l.conns))
+	for c := range l.conns {
+		out = append(out, c)
+	}
+	return out
+}
+
+// Accept returns the next connection. When there are as many as allowed, one without a
+// request is closed, and if there is none, the new one is refused.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if tcp, ok := raw.(*net.TCPConn); ok {
+			_ = tcp.SetReadBuffer(socketBytes)
+			_ = tcp.SetWriteBuffer(socketBytes)
+		}
+		if c := l.admit(raw); c != nil {
+			return c, nil
+		}
+		l.observe(ReasonConnections)
+		_ = raw.SetWriteDeadline(time.Now().Add(connRetryAfter))
+		_, _ = raw.Write(refusal(http.StatusServiceUnavailable, connRetryAfter))
+		_ = raw.Close()
+	}
+}
+
+// admit returns the connection for raw, nil if there are too many.
+func (l *Listener) admit(raw net.Conn) *Conn {
+	if l.maxConns > 0 && l.count() >= l.maxConns && !l.evict() {
+		return nil
+	}
+	c := newConn(l, raw)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns[c] = struct{}{}
+	return c
+}
+
+func (l *Listener) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
+// evict closes a connection that has no request: one with an incomplete head before one
+// that has sent nothing, before one that callers no longer rely on, the oldest first.
+func (l *Listener) evict() bool {
+	var victim *Conn
+	var rank int
+	var since time.Time
+	for _, c := range l.open() {
+		r, at := c.evictionRank()
+		if r == 0 || victim != nil && (r < rank || r == rank && !at.Before(since)) {
+			continue
+		}
+		victim, rank, since = c, r, at
+	}
+	if victim == nil || !victim.evict() {
+		return false
+	}
+	l.observe(ReasonEvicted)
+	return true
+}
+
+func (l *Listener) remove(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+}
+
+// Counts returns the number of connections by state: new, head, busy, idle.
+func (l *Listener) Counts() map[string]int {
+	out := map[string]int{"new": 0, "head": 0, "busy": 0, "idle": 0}
+	for _, c := range l.open() {
+		if name := c.stateName(); name != "" {
+			out[name]++
+		}
+	}
+	return out
+}
+
+type connKey struct{}
+
+// Context adds a connection to the context of its requests.
+func (l *Listener) Context(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// Handler returns a handler that tells the connection when the handling of a request
+// begins.
+func (l *Listener) Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, ok := r.Context().Value(connKey{}).(*Conn)
+		if !ok || c.begin(r) {
+			next.ServeHTTP(w, r)
+			return
+		}
+		l.observe(ReasonMemory)
+		w.Header().Set("Connection", "close")
+		w.Header().Set("Retry-After", retryAfterText(connRetryAfter))
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+}
+
+// OnState is to be called by the ConnState hook of the server.
+func (l *Listener) OnState(conn net.Conn, state http.ConnState) {
+	if c, ok := conn.(*Conn); ok && state == http.StateIdle {
+		c.idle()
+	}
+}
+
+// refusal returns a response that ends a connection.
+func refusal(status int, retryAfter time.Duration) []byte {
+	text := "HTTP/1.1 " + strconv.Itoa(status) + " " + http.StatusText(status) + "\r\nConnection: close\r\nContent-Length: 0\r\n"
+	if retryAfter > 0 {
+		text += "Retry-After: " + retryAfterText(retryAfter) + "\r\n"
+	}
+	return []byte(text + "\r\n")
+}
+
+func retryAfterText(d time.Duration) string { return strconv.Itoa(int(d.Seconds())) }
--- a/internal/transport/meter/create.go
+++ b/internal/transport/meter/create.go
@@ -27,6 +27,9 @@
 	m.targetEnds = c.counter("chivecroft.target.ends", "{target}", "Targets that ended unplanned with requests in flight.")
 	m.blocks = c.gauge("chivecroft.prompt.blocks", "{block}", "Blocks of prompt parts that crash targets.")
 	m.limits = c.gauge("chivecroft.target.limits", "{target}", "Targets with a rate limit in force.")
+	m.heldBytes = c.gauge("chivecroft.memory.held", "By", "Bytes held for callers by use.")
+	m.connections = c.gauge("chivecroft.caller.connections", "{connection}", "Connections of callers by state.")
+	m.refusedConnections = c.counter("chivecroft.caller.connections.refused", "{connection}", "Connections and heads of requests that were refused, by reason.")
 	return trace.NewAggregate(c.errs...)
 }
 
--- a/internal/transport/meter/meter.go
+++ b/internal/transport/meter/meter.go
@@ -87,6 +87,10 @@
 	limits     metric.Int64Gauge
 	targetEnds metric.Int64Counter
 	blocks     metric.Int64Gauge
+
+	heldBytes          metric.Int64Gauge
+	connections        metric.Int64Gauge
+	refusedConnections metric.Int64Counter
 }
 
 // New returns a meter that marks its series with the instance and zone.
@@ -251,3 +255,18 @@
 	}
 	return option
 }
+
+// HeldBytes records the bytes that are held for callers for one use.
+func (m *Meter) HeldBytes(use string, n int64) {
+	m.heldBytes.Record(context.Background(), n, metric.WithAttributes(attribute.String("use", use)))
+}
+
+// Connections records the number of callers' connections in one state.
+func (m *Meter) Connections(state string, n int) {
+	m.connections.Record(context.Background(), int64(n), metric.WithAttributes(attribute.String("state", state)))
+}
+
+// RefusedConnections counts connections and heads of requests that were refused.
+func (m *Meter) RefusedConnections(reason string, n int64) {
+	m.refusedConnections.Add(context.Background(), n, metric.WithAttributes(attribute.String("error.type", reason)))
+}
