--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,7 @@
 	go test ./internal/params -run '^$$' -fuzz Fuzz -fuzztime 60s
 	go test ./internal/transport/engine -run '^$$' -fuzz Fuzz -fuzztime 60s
 	go test ./internal/transport/proxy -run '^$$' -fuzz FuzzEvents -fuzztime 60s
+	go test ./internal/transport/accept -run '^$$' -fuzz FuzzConn -fuzztime 60s
 	go test ./platform -run '^$$' -fuzz FuzzEntries -fuzztime 60s
 	go test ./platform -run '^$$' -fuzz FuzzStoreReplies -fuzztime 60s
 
