--- a/internal/transport/proxy/body.go
+++ b/internal/transport/proxy/body.go
@@ -22,9 +22,11 @@
 	memoryWaitInterval = 5 * time.Millisecond
 	// memoryRetryAfter is the Retry-After of a request for which there are no bytes.
 	memoryRetryAfter = time.Second
-	// discardTimeout limits the time in which the rest of a body is read that is not
-	// needed, so that the caller can read the response and reuse the connection.
-	discardTimeout = 300 * time.Millisecond
+	// discardTimeout and maxDiscardBytes limit what is read of a body that is not needed.
+	// A caller that sends its whole body before it reads would else get a reset connection
+	// instead of the response that tells it that the request has not run.
+	discardTimeout  = 2 * time.Second
+	maxDiscardBytes = 16 << 20
 )
 
 // Reasons of requests that were refused because of their bytes.
@@ -187,6 +189,19 @@
 	x.bodyMemory.Close()
 }
 
+// discardRest reads the rest of the body of a request that has its response.
+func (x *exchange) discardRest() {
+	if x.r.ContentLength == 0 || x.bodyRead || x.r.Header.Get("Expect") != "" {
+		return
+	}
+	_ = x.flush()
+	_ = x.conn.SetReadDeadline(time.Now().Add(discardTimeout))
+	if n, err := io.CopyN(io.Discard, x.r.Body, maxDiscardBytes); err == nil && n == maxDiscardBytes {
+		// The library would go on to read.
+		_ = x.conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
 // mayRepeat reports whether a request with a response from a target may be sent again.
 func (x *exchange) mayRepeat() bool {
 	return !x.mustNotSend && x.route.Repeatable() && x.possibleRuns < x.route.MaxAttempts
--- a/internal/transport/proxy/server.go
+++ b/internal/transport/proxy/server.go
@@ -189,12 +189,10 @@
 // respond ends the request with an empty response of this server.
 func (x *exchange) respond(status int, reason string) {
 	x.setOutcome(status, reason)
-	if x.r.ContentLength != 0 && !x.bodyRead {
-		_ = x.conn.SetReadDeadline(time.Now().Add(discardTimeout))
-	}
 	x.extendWrite()
 	x.w.Header().Set("Content-Length", "0")
 	x.w.WriteHeader(status)
+	x.discardRest()
 }
 
 // refuse ends a request that has not run and never will. A retryAfter of 0 tells the
