A body that hardly arrives does not hold its connection against others

Cause: small bodies that stop one byte short held all connections until the deadlines of their requests, and ordinary callers were answered 503. Change: when connections are short, a body that has stopped for 500 ms or has taken 4 s is revoked, and its caller answered 408 or 503.

--- a/cmd/chivecroft/memory_crowd_test.go
+++ b/cmd/chivecroft/memory_crowd_test.go
@@ -18,6 +18,8 @@
 	emptyCallers = 100
 	bodyCallers  = 60
 	slowCallers  = 200
+	// shortCallers is more than the process has descriptors for.
+	shortCallers = 800
 	// answerBytes is the size of a target's large answer, eventBytes that of one event.
 	answerBytes = 8 << 20
 	eventBytes  = 200 << 10
@@ -27,8 +29,13 @@
 // crowd opens connections side by side and has each played by one caller until crowdTime
 // is over.
 func (s *crowdSystem) crowd(callers int, caller func(n int, c net.Conn)) func() {
+	return s.crowdFor(crowdTime, callers, caller)
+}
+
+// crowdFor does the same for another time.
+func (s *crowdSystem) crowdFor(d time.Duration, callers int, caller func(n int, c net.Conn)) func() {
 	return func() {
-		end := time.Now().Add(crowdTime)
+		end := time.Now().Add(d)
 		var all sync.WaitGroup
 		for n := range callers {
 			all.Go(func() {
@@ -157,6 +164,27 @@
 	}))
 }
 
+// TestShortBodies guards against small bodies that stop just short of their end on so many
+// connections that an ordinary caller finds none while they stay open.
+func TestShortBodies(t *testing.T) {
+	s := startCrowdSystem(t)
+	// The crowd outlasts the ordinary request, with all its repeats.
+	crowd := s.crowdFor(3*crowdTime, shortCallers, func(n int, c net.Conn) {
+		_, _ = io.WriteString(c, head(n, "/plain/x")+"Content-Length: 100\r\n\r\n"+strings.Repeat("b", 99))
+		awaitEnd(c)
+	})
+	ended := make(chan struct{})
+	s.play(func() {
+		go func() {
+			crowd()
+			close(ended)
+		}()
+		time.Sleep(crowdTime / 4)
+	})
+	_ = s.cmd.Process.Kill()
+	<-ended
+}
+
 // TestChunkedBodies guards against large bodies in chunks, with extensions of chunks and
 // with trailers without end.
 func TestChunkedBodies(t *testing.T) {
--- a/internal/coordination/budget/account.go
+++ b/internal/coordination/budget/account.go
@@ -38,6 +38,9 @@
 	arrivalShare = 0.85
 	// stallTime is the time without a byte after which an arrival has stopped.
 	stallTime = 500 * time.Millisecond
+	// slowTime is the time after which an arrival that goes on may be revoked for its
+	// connection. A body of 4 MB takes 3.4 s on a link of 10 Mbit/s.
+	slowTime = 4 * time.Second
 )
 
 // Decision is the answer to a reservation.
@@ -90,8 +93,8 @@
 	use     Use
 	revoke  func(stalled bool)
 	bytes   int64
-	// grownAt is when bytes last came; it is not set before the first.
-	grownAt time.Time
+	// grownAt is when bytes last came, startedAt when the first did.
+	grownAt, startedAt time.Time
 	// isListed reports whether the holding is in the list of arrivals.
 	isListed   bool
 	isRevoked  bool
@@ -132,7 +135,7 @@
 		return nil, false, Refused
 	}
 	if h.isListed {
-		h.grownAt = a.now()
+		h.grow(a.now())
 	}
 	if a.fits(h, n) {
 		a.add(h, n)
@@ -145,12 +148,60 @@
 	if v == nil || v == h {
 		return nil, false, Refused
 	}
-	a.unlist(v)
-	v.isRevoked = true
-	a.revoked += v.bytes
+	a.revokeHolding(v)
 	return v.revoke, stalled, Wait
 }
 
+// grow records that bytes of an arrival came.
+func (h *Holding) grow(now time.Time) {
+	h.grownAt = now
+	if h.startedAt.IsZero() {
+		h.startedAt = now
+	}
+}
+
+// RevokeBody revokes a body whose connection is needed: the first that has stopped, else
+// the oldest that takes long. It returns false if there is none.
+func (a *Account) RevokeBody() bool {
+	revoke, stalled := a.takeBody()
+	if revoke == nil {
+		return false
+	}
+	revoke(stalled)
+	return true
+}
+
+func (a *Account) takeBody() (revoke func(bool), stalled bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.now()
+	var slow *Holding
+	for h := a.arriving.next; h != &a.arriving; h = h.next {
+		if h.use != Bodies || h.startedAt.IsZero() {
+			continue
+		}
+		if now.Sub(h.grownAt) >= stallTime {
+			a.revokeHolding(h)
+			return h.revoke, true
+		}
+		if slow == nil && now.Sub(h.startedAt) >= slowTime {
+			slow = h
+		}
+	}
+	if slow == nil {
+		return nil, false
+	}
+	a.revokeHolding(slow)
+	return slow.revoke, false
+}
+
+// revokeHolding marks a holding as revoked. Its bytes count until it is closed.
+func (a *Account) revokeHolding(h *Holding) {
+	a.unlist(h)
+	h.isRevoked = true
+	a.revoked += h.bytes
+}
+
 // fits reports whether n more bytes are available to the holding.
 func (a *Account) fits(h *Holding, n int64) bool {
 	if a.limit <= 0 {
@@ -228,7 +279,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if h.isListed {
-		h.grownAt = a.now()
+		h.grow(a.now())
 	}
 }
 
--- a/internal/coordination/budget/account_test.go
+++ b/internal/coordination/budget/account_test.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -57,7 +58,8 @@
 					pick(t).Close()
 				}
 			},
-			"wait": func(t *rapid.T) { c.at = c.at.Add(stallTime / 2) },
+			"revoke": func(*rapid.T) { a.RevokeBody() },
+			"wait":   func(t *rapid.T) { c.at = c.at.Add(stallTime / 2) },
 			"": func(t *rapid.T) {
 				if a.total > testBudget || a.total < 0 || a.large > share(testBudget, largeShare) {
 					t.Fatalf("%d bytes held, %d of them by large arrivals", a.total, a.large)
@@ -115,6 +117,32 @@
 	expect("an answer before arrivals", answer.Reserve(testBudget/3), Wait, "small stalled")
 }
 
+// TestRevokeBody guards against connections that are held by bodies that hardly arrive, and
+// against a body that is revoked while it arrives as fast as others.
+func TestRevokeBody(t *testing.T) {
+	c := &clock{at: time.Unix(0, 0)}
+	a := NewAccount(0, c.now)
+	var revoked []string
+	holdings := make(map[string]*Holding)
+	for _, name := range []string{"whole", "slow", "stopped", "new"} {
+		h := new(Holding)
+		a.Open(h, Bodies, func(bool) { revoked = append(revoked, name) })
+		holdings[name] = h
+	}
+	for _, name := range []string{"whole", "slow", "stopped"} {
+		holdings[name].Reserve(1000)
+	}
+	holdings["whole"].Complete()
+	for range int(slowTime / stallTime) {
+		c.at = c.at.Add(stallTime)
+		holdings["slow"].Progress()
+	}
+	got := []bool{a.RevokeBody(), a.RevokeBody(), a.RevokeBody()}
+	if want := []bool{true, true, false}; !slices.Equal(got, want) || !slices.Equal(revoked, []string{"stopped", "slow"}) {
+		t.Errorf("revoked %v in %v", revoked, got)
+	}
+}
+
 // TestAccountTogether guards against races between owners and those that revoke.
 func TestAccountTogether(t *testing.T) {
 	a := NewAccount(testBudget, time.Now)
--- a/internal/transport/accept/listener.go
+++ b/internal/transport/accept/listener.go
@@ -27,6 +27,9 @@
 	socketBytes = 64 << 10
 	// reusableShare is the part of the idle timeout for which callers rely on a connection.
 	reusableShare = 0.8
+	// extraShare is how many connections more may be open, as a part of the limit, while
+	// those whose bodies were revoked are about to close.
+	extraShare = 0.125
 	// connRetryAfter is the Retry-After of a connection that is refused.
 	connRetryAfter = time.Second
 )
@@ -130,7 +133,8 @@
 }
 
 // Accept returns the next connection. When there are as many as allowed, one without a
-// request is closed, and if there is none, the new one is refused.
+// request is closed, or else one whose body hardly arrives. If there is none, the new one is
+// refused.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		raw, err := l.Listener.Accept()
@@ -153,7 +157,7 @@
 
 // admit returns the connection for raw, nil if there are too many.
 func (l *Listener) admit(raw net.Conn) *Conn {
-	if l.maxConns > 0 && l.count() >= l.maxConns && !l.evict() {
+	if !l.makeRoom() {
 		return nil
 	}
 	c := newConn(l, raw)
@@ -163,6 +167,19 @@
 	return c
 }
 
+// makeRoom returns false if no more connection may be opened.
+func (l *Listener) makeRoom() bool {
+	n := l.count()
+	if l.maxConns <= 0 || n < l.maxConns || l.evict() {
+		return true
+	}
+	if float64(n) >= (1+extraShare)*float64(l.maxConns) || !l.account.RevokeBody() {
+		return false
+	}
+	l.observe(ReasonEvicted)
+	return true
+}
+
 func (l *Listener) count() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/transport/proxy/body.go
+++ b/internal/transport/proxy/body.go
@@ -123,6 +123,9 @@
 	x.dropBody()
 	switch {
 	case x.revoked.Load() && x.stalled.Load():
+		// Nothing more comes that would be worth reading.
+		x.w.Header().Set("Connection", "close")
+		x.bodyRead = true
 		x.respond(http.StatusRequestTimeout, reasonBodyStalled)
 	case x.revoked.Load(), errors.Is(err, errNoMemory):
 		x.refuse(http.StatusServiceUnavailable, reasonMemory, memoryRetryAfter)
