Idle connections to targets are limited by max_fds

Cause: up to 1,024 idle connections to targets were kept whatever the limit on descriptors, so that connections of callers and to targets could add up to more.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -144,7 +144,7 @@
 	e.refusals = newRefusalLog(l)
 	e.listener = accept.NewListener(e.account, accept.WithMaxConns(maxCallerConns(boot)), accept.WithObserver(e.refusals.add))
 	e.proxy = proxy.NewServer(platform.Codec{}, e.picker, e.budget, e.timer, proxy.WithLogger(l),
-		proxy.WithAccount(e.account), proxy.WithObserver(e.metrics.requestEnded), proxy.WithCrashes(e.crashes, e.ends.hasEnded))
+		proxy.WithAccount(e.account), proxy.WithIdleConnections(maxIdleTargetConns(boot)), proxy.WithObserver(e.metrics.requestEnded), proxy.WithCrashes(e.crashes, e.ends.hasEnded))
 	for _, opt := range opts {
 		opt(e)
 	}
--- a/internal/edge/memory.go
+++ b/internal/edge/memory.go
@@ -71,7 +71,7 @@
 func maxCallerConns(boot *platform.Boot) int {
 	limit := 0
 	if boot.MaxDescriptors > 0 {
-		usable := float64(boot.MaxDescriptors - reservedDescriptors)
+		usable := usableDescriptors(boot)
 		control := max(controlShare*usable, minControlConn)
 		limit = max(int((usable-control-idleShare*usable)/2), minCallerConns)
 	}
@@ -84,6 +84,18 @@
 	return limit
 }
 
+// maxIdleTargetConns returns the limit on idle connections to targets, 0 for the default.
+func maxIdleTargetConns(boot *platform.Boot) int {
+	if boot.MaxDescriptors <= 0 {
+		return 0
+	}
+	return max(int(idleShare*usableDescriptors(boot)), minCallerConns)
+}
+
+func usableDescriptors(boot *platform.Boot) float64 {
+	return max(float64(boot.MaxDescriptors-reservedDescriptors), 0)
+}
+
 // newControlServer returns a server for others than callers with limits on heads, bodies
 // and their times.
 func newControlServer(handler http.Handler, maxBodyBytes int64) *http.Server {
--- a/internal/transport/proxy/server.go
+++ b/internal/transport/proxy/server.go
@@ -93,6 +93,15 @@
 	return func(s *Server) { s.transport = t }
 }
 
+// WithIdleConnections limits the idle connections to all targets together, 0 for the default.
+func WithIdleConnections(n int) Option {
+	return func(s *Server) {
+		if t, ok := s.transport.(*http.Transport); ok && n > 0 {
+			t.MaxIdleConns = n
+		}
+	}
+}
+
 // NewServer returns a server without a configuration. It refuses all requests until
 // SetConfig is called.
 func NewServer(codec Codec, p *picker.Picker, retries *retry.Budget, t timer.Service, opts ...Option) *Server {
