--- a/internal/transport/meter/create.go
+++ b/internal/transport/meter/create.go
@@ -30,6 +30,9 @@
 	m.proofAge = c.secondsGauge("chivecroft.config.proof.age", "Time since the active configuration was known to be the newest.")
 	m.quota = c.amount("chivecroft.quota.amount", "Amounts of teams' quotas by what became of them.")
 	m.quotaLevel = c.level("chivecroft.quota.level", "Level of each team's bucket at the lease holder.")
+	m.heldBytes = c.gauge("chivecroft.memory.held", "By", "Bytes held for callers by use.")
+	m.connections = c.gauge("chivecroft.caller.connections", "{connection}", "Connections of callers by state.")
+	m.refusedConnections = c.counter("chivecroft.caller.connections.refused", "{connection}", "Connections and heads of requests that were refused, by reason.")
 	return trace.NewAggregate(c.errs...)
 }
 
