Planner: copies follow the load of targets, adapters follow the copies

Cause: another copy was loaded only for more than 8 requests in flight a copy, one at a time for a model, whatever else ran at its target; two busy models met on one target while others idled, and requests for adapters went on to the one crowded target that had them. A new holder did not count loads from the weight store that its predecessor had ordered. Change: copies.go: the copies wanted follow from a model's requests in flight, several are loaded at once, crowded targets get relief, new copies go where the load is lower; a model that others serve too may be evicted with few requests in flight. Adapters of a crowded target are loaded at the least busy copy. Targets that stay busy with a former holder's order count as loads from the store. Requests that wait are still served first.

--- a/internal/coordination/sched/adapter.go
+++ b/internal/coordination/sched/adapter.go
@@ -6,10 +6,11 @@
 )
 
 // adapterOrders loads each adapter that requests are queued for at one target that serves
-// its model.
+// its model, and those of busy targets at less busy ones.
 func (p *Planner) adapterOrders(now time.Time, uses map[string]*usage) []Action {
 	var out []Action
 	for _, u := range sortedUses(uses) {
+		out = append(out, p.adapterCopies(now, u)...)
 		for _, adapter := range u.adapters {
 			if p.isAdapterServed(u.model, adapter, true) {
 				continue
@@ -30,6 +31,51 @@
 	return out
 }
 
+// adapterCopies loads an adapter of a crowded target at the least busy target that serves its
+// model, since requests for it could go nowhere else. It evicts no adapter.
+func (p *Planner) adapterCopies(now time.Time, u *usage) []Action {
+	if p.index.copies[u.model] < 2 {
+		return nil
+	}
+	to := p.leastBusyCopy(now, u.model)
+	if to == nil || !p.hasRoomForAdapter(to, u.model) || !p.isSafeWithLost(now, to, p.engine.Models[u.model].AdapterMB) {
+		return nil
+	}
+	for _, from := range p.index.sorted {
+		l := from.Find(u.model)
+		if l == nil || from == to || float64(p.loads[from.ID]) < p.crowded() || p.loads[to.ID] > p.loads[from.ID]/2 {
+			continue
+		}
+		for _, adapter := range l.Adapters {
+			if !to.Has(u.model, adapter) {
+				return []Action{p.newOrder(to, Action{Operation: Load, Model: u.model, Adapter: adapter, Reason: reasonBusy})}
+			}
+		}
+	}
+	return nil
+}
+
+// leastBusyCopy returns the target with the fewest requests in flight among those that
+// serve a model and can take an order, or nil.
+func (p *Planner) leastBusyCopy(now time.Time, model string) *targetState {
+	var best *targetState
+	for _, w := range p.index.sorted {
+		if w.Find(model) == nil || w.job != nil || w.isLimited || !w.canTakeOrder(now) {
+			continue
+		}
+		if best == nil || p.loads[w.ID] < p.loads[best.ID] {
+			best = w
+		}
+	}
+	return best
+}
+
+// hasRoomForAdapter reports whether another adapter of a model fits into a target's memory
+// and adapter slots.
+func (p *Planner) hasRoomForAdapter(w *targetState, model string) bool {
+	return w.usedMB(p.engine)+p.engine.Models[model].AdapterMB <= p.engine.MemoryMB && w.adapterCount() < p.engine.Adapters
+}
+
 // sortedUses returns the uses in the order of compareLoadRequests.
 func sortedUses(uses map[string]*usage) []*usage {
 	out := make([]*usage, 0, len(uses))
@@ -77,8 +123,7 @@
 	if !p.isSafeWithLost(now, w, p.engine.Models[model].AdapterMB) {
 		return nil
 	}
-	fits := w.usedMB(p.engine)+p.engine.Models[model].AdapterMB <= p.engine.MemoryMB
-	if fits && w.adapterCount() < p.engine.Adapters {
+	if p.hasRoomForAdapter(w, model) {
 		return []Action{p.newOrder(w, Action{Operation: Load, Model: model, Adapter: adapter, Reason: "waited for"})}
 	}
 	oldModel, oldAdapter := p.oldestAdapter(w, uses)
--- a/internal/coordination/sched/choose.go
+++ b/internal/coordination/sched/choose.go
@@ -54,7 +54,10 @@
 	canLoadFromStore := float64(p.index.storeJobs) < p.maxStoreLoads && p.canStartStoreLoad(now)
 	var best *loadOption
 	for _, w := range p.index.sorted {
-		if w.isLimited != isLimited || w.Draining || now.Before(w.backoffUntil) || w.Find(n.model) != nil {
+		if w.isLimited != isLimited || w.Draining || now.Before(w.backoffUntil) || w.hasOrLoads(n.model) {
+			continue
+		}
+		if n.reason == reasonBusy && !p.relieves(w, uses[n.model]) {
 			continue
 		}
 		o, ok := p.evaluate(now, w, n, uses)
@@ -72,9 +75,12 @@
 // returns false if the model cannot be loaded there.
 func (p *Planner) evaluate(now time.Time, w *targetState, n *loadRequest, uses map[string]*usage) (loadOption, bool) {
 	freeAt := now
-	if w.job != nil {
+	switch {
+	case w.job != nil:
 		freeAt = w.job.expectedAt
-	} else if !w.isCertain {
+	case w.isForeignLoad:
+		freeAt = timer.Later(w.busySince.Add(foreignLoadTime), now.Add(busyPollInterval))
+	case !w.isCertain:
 		freeAt = now.Add(busyPollInterval)
 	}
 	o := loadOption{w: w, tier: w.tier(n.model)}
@@ -88,7 +94,7 @@
 	}
 	loadTime := p.loadTime(n.model, o.tier)
 	o.ready = timer.Later(freeAt, now).Add(loadTime)
-	o.cost = o.ready.Sub(now).Seconds() + evictionSeconds*score
+	o.cost = o.ready.Sub(now).Seconds() + evictionSeconds*score + loadSeconds*float64(p.loads[w.ID])
 	if o.tier == TierStore {
 		o.cost += unservedOnDiskSeconds * float64(evictable.unservedOnDisk)
 	}
@@ -158,9 +164,14 @@
 	r := p.rate(model)
 	score := 0.0
 	if u := uses[model]; u != nil {
-		if u.waiting > 0 && copies <= 1 || u.inFlightAt[w.ID] > 0 {
+		if u.waiting > 0 && copies <= 1 {
+			return 0, false
+		}
+		drain, ok := drainCost(u.inFlightAt[w.ID], copies)
+		if !ok {
 			return 0, false
 		}
+		score += drain
 		if copies > 1 && float64(u.inFlight)/float64(copies-1) > maxInFlightPerCopy {
 			return 0, false
 		}
--- a/internal/coordination/sched/expect.go
+++ b/internal/coordination/sched/expect.go
@@ -30,7 +30,7 @@
 	}
 	queue := p.storeQueue(now)
 	for _, n := range requests {
-		if n.waiting == 0 || p.index.copies[n.model] > 0 || p.index.loading[n.model] {
+		if n.waiting == 0 || p.index.copies[n.model] > 0 || p.index.loading[n.model] > 0 {
 			continue
 		}
 		if !n.ready.IsZero() && n.tier != TierStore {
--- a/internal/coordination/sched/index.go
+++ b/internal/coordination/sched/index.go
@@ -11,15 +11,16 @@
 type index struct {
 	// sorted holds the targets by id, so that plans are deterministic.
 	sorted []*targetState
-	// copies counts the targets that serve a model. loading holds the models that are
-	// being loaded, hasCopy those that are loaded, in host memory or on disk at any
-	// target, or are being loaded.
+	// copies counts the targets that serve a model, loading those that load it. hasCopy
+	// holds the models that are loaded, in host memory or on disk at any target, or are
+	// being loaded.
 	copies map[string]int
 	// unlimited counts those of them that have no rate limit.
 	unlimited map[string]int
-	loading   map[string]bool
+	loading   map[string]int
 	hasCopy   map[string]bool
-	// storeJobs counts the jobs that load from the weight store.
+	// storeJobs counts the jobs that load from the weight store, and the loads from there
+	// that a former holder has ordered.
 	storeJobs int
 }
 
@@ -29,7 +30,7 @@
 		sorted:    make([]*targetState, 0, len(p.workers)),
 		copies:    make(map[string]int, len(p.engine.Models)),
 		unlimited: make(map[string]int),
-		loading:   make(map[string]bool),
+		loading:   make(map[string]int),
 		hasCopy:   make(map[string]bool, len(p.engine.Models)),
 	}
 	for _, w := range p.workers {
@@ -56,11 +57,14 @@
 	for _, m := range w.OnDisk {
 		x.hasCopy[m] = true
 	}
+	if w.isForeignLoad {
+		x.storeJobs++
+	}
 	if w.job == nil {
 		return
 	}
 	x.hasCopy[w.job.model] = true
-	x.loading[w.job.model] = true
+	x.loading[w.job.model]++
 	if w.job.tier == TierStore {
 		x.storeJobs++
 	}
--- a/internal/coordination/sched/plan.go
+++ b/internal/coordination/sched/plan.go
@@ -28,15 +28,22 @@
 	unservedOnDiskSeconds = 0.1
 )
 
-// reasonLimited is the reason of a load because all copies are at targets with limits.
-const reasonLimited = "limited"
+// The reasons of loads that choose.go treats differently.
+const (
+	// reasonBusy means that the copies of the model have too many requests in flight.
+	reasonBusy = "busy"
+	// reasonLimited means that all copies are at targets with limits.
+	reasonLimited = "limited"
+)
 
 // loadRequest is a model that the planner wants to load.
 type loadRequest struct {
 	model       string
 	waiting     int
 	longestWait time.Duration
-	reason      string
+	// excess is the number of requests in flight beyond what the copies are meant to have.
+	excess int
+	reason string
 	// ready is when the model is expected to be loaded, from the tier in tier. ready is
 	// zero while no target can load the model.
 	ready time.Time
@@ -58,6 +65,7 @@
 // Plan returns the orders and report requests that are due.
 func (p *Planner) Plan(now time.Time) []Action {
 	uses := p.uses(now)
+	p.loads = targetLoads(uses)
 	p.buildIndex()
 	actions := p.reportRequests(now)
 	actions = append(actions, p.continueJobs(now, uses)...)
@@ -196,18 +204,20 @@
 func (p *Planner) loadRequests(now time.Time, uses map[string]*usage) []*loadRequest {
 	var out []*loadRequest
 	for model, u := range uses {
-		if _, known := p.engine.Models[model]; !known || p.index.loading[model] {
+		if _, known := p.engine.Models[model]; !known {
 			continue
 		}
-		copies := p.index.copies[model]
+		copies, loading := p.index.copies[model], p.index.loading[model]
+		missing := p.missingCopies(u)
 		switch {
-		case u.waiting > 0 && copies == 0:
+		case u.waiting > 0 && copies == 0 && loading == 0:
 			u.reason = "waited for"
 			out = append(out, &u.loadRequest)
-		case copies > 0 && float64(u.inFlight+u.waiting)/float64(copies) > maxInFlightPerCopy && u.inFlight > 0:
-			u.reason = "busy"
-			out = append(out, &u.loadRequest)
-		case copies > 0 && u.limited > 0 && p.index.unlimited[model] == 0:
+		case missing > 0:
+			u.reason = reasonBusy
+			u.excess = max(u.inFlight-int(copyLoad)*(copies+loading), 0)
+			out = append(out, slices.Repeat([]*loadRequest{&u.loadRequest}, missing)...)
+		case copies > 0 && loading == 0 && u.limited > 0 && p.index.unlimited[model] == 0:
 			u.reason = reasonLimited
 			out = append(out, &u.loadRequest)
 		}
@@ -220,11 +230,13 @@
 }
 
 // compareLoadRequests orders by the number of queued requests, then by the longest wait,
-// both descending, then by model name.
+// both descending, then by the requests in flight beyond what the copies are meant to have,
+// then by model name.
 func compareLoadRequests(x, y *loadRequest) int {
 	return cmp.Or(
 		cmp.Compare(y.waiting, x.waiting),
 		cmp.Compare(y.longestWait, x.longestWait),
+		cmp.Compare(y.excess, x.excess),
 		cmp.Compare(x.model, y.model),
 	)
 }
--- a/internal/coordination/sched/planner.go
+++ b/internal/coordination/sched/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -28,6 +29,14 @@
 	// initialStoreLoads is the number of parallel loads from the weight store until their
 	// durations have shown how many run at full speed.
 	initialStoreLoads = 4
+	// minForeignLoad is how long an order of a former holder is carried out before it
+	// counts as a load from the weight store. Loads from disk take less.
+	minForeignLoad = 2500 * time.Millisecond
+	// foreignLoadTime is the assumed duration of such a load.
+	foreignLoadTime = 12 * time.Second
+	// unslowedFactor is the multiple of its nominal duration up to which a load from the
+	// weight store was not slowed down by others.
+	unslowedFactor = 1.2
 )
 
 // Planner schedules the loads of one service's targets. It is not safe for concurrent
@@ -52,6 +61,8 @@
 	// changedTargets are the targets whose loaded models may have changed.
 	changedTargets []string
 	index          *index
+	// loads holds the requests in flight at each target as of the latest plan.
+	loads map[string]int
 	// expected is when models are expected to be loaded, as of the latest plan.
 	expected map[string]time.Time
 }
@@ -163,6 +174,9 @@
 		return
 	case r.Busy:
 		w.acceptedOrders = r.Orders
+		if w.job == nil {
+			w.noteForeignOrder(now)
+		}
 		w.requestReport(w.nextReportTime(now))
 		return
 	}
@@ -179,6 +193,7 @@
 	}
 	w.acceptedOrders = r.Orders
 	w.isCertain = true
+	w.clearForeignOrder()
 	if w.job != nil {
 		p.advanceJob(now, w)
 	}
@@ -208,12 +223,12 @@
 // store run at full speed: n parallel loads of which k can run at full speed take n/k
 // times as long.
 func (p *Planner) adjustStoreLoads(now time.Time, j *job) {
-	nominal := p.engine.Models[j.model].FromStore.Seconds()
-	took := now.Sub(j.startedAt).Seconds() - maxReportAge.Seconds()
+	nominal := p.engine.Models[j.model].FromStore
+	took := now.Sub(j.startedAt) - maxReportAge
+	slowdown := took.Seconds() / nominal.Seconds()
 	running := float64(p.index.storeJobs)
-	slowdown := max(took/nominal, 1)
-	if slowdown > 1.2 {
-		p.maxStoreLoads = max(min(p.maxStoreLoads, running/slowdown+0.5), 1)
+	if slowdown > unslowedFactor {
+		p.maxStoreLoads = max(min(p.maxStoreLoads, math.Round(running/slowdown)), 1)
 	}
 }
 
--- a/internal/coordination/sched/target.go
+++ b/internal/coordination/sched/target.go
@@ -40,6 +40,11 @@
 	// reportInFlight means the same for a report request.
 	orderInFlight  bool
 	reportInFlight bool
+	// busySince is when the target was first reported to carry out an order that this
+	// planner has not given, zero if it carries out none. isForeignLoad means that it has
+	// done so for too long for anything but a load from the weight store.
+	busySince     time.Time
+	isForeignLoad bool
 	// reportAt is when to request a report next, zero if none is due.
 	reportAt time.Time
 	job      *job
@@ -53,6 +58,19 @@
 	evictionOptions evictionOptions
 }
 
+// noteForeignOrder records that the target carries out an order of a former holder.
+func (w *targetState) noteForeignOrder(now time.Time) {
+	if w.busySince.IsZero() {
+		w.busySince = now
+	}
+	w.isForeignLoad = now.Sub(w.busySince) > minForeignLoad
+}
+
+// clearForeignOrder records that the target carries out no such order.
+func (w *targetState) clearForeignOrder() {
+	w.busySince, w.isForeignLoad = time.Time{}, false
+}
+
 // job replaces models at a target: it unloads models until the new one fits, then loads
 // that one.
 type job struct {
@@ -73,6 +91,11 @@
 	expectedAt time.Time
 }
 
+// hasOrLoads reports whether a model is loaded or being loaded at the target.
+func (w *targetState) hasOrLoads(model string) bool {
+	return w.Find(model) != nil || w.job != nil && w.job.model == model
+}
+
 func (w *targetState) tier(model string) Tier {
 	switch {
 	case slices.Contains(w.InMemory, model):
