Starting targets: limits give way where there is no other target

Change: the limit is halved from half of the answers on, doubled up to a quarter, and ends after 8 s; a request that no other target can serve goes beyond it.

--- a/internal/coordination/load/ramp.go
+++ b/internal/coordination/load/ramp.go
@@ -14,8 +14,12 @@
 	MinStartLimit = 2
 	startShare    = 1.0 / 16
 	// maxBadShare is the share of late and rejected requests in a period from which on the
-	// limit is halved.
-	maxBadShare = 0.1
+	// limit is halved, maxGoodShare that up to which it is doubled. Some answers are late at
+	// any target of a busy service.
+	maxBadShare  = 0.5
+	maxGoodShare = 0.25
+	// maxRamp is how long a target has a limit at most.
+	maxRamp = 8 * time.Second
 	// troubleWindow is the period in which a target that rejects everything is detected,
 	// minTrouble the number of rejections that this takes.
 	troubleWindow = time.Second
@@ -64,6 +68,7 @@
 
 type ramp struct {
 	slots, limit int
+	startedAt    time.Time
 	steppedAt    time.Time
 	outcomes     Outcomes
 }
@@ -89,7 +94,7 @@
 		delete(r.ramps, index)
 		return
 	}
-	r.ramps[index] = &ramp{slots: slots, limit: limit, steppedAt: now}
+	r.ramps[index] = &ramp{slots: slots, limit: limit, startedAt: now, steppedAt: now}
 	r.onChange(RampChange{index: index, Limit: limit, Slots: slots, Outcomes: o})
 }
 
@@ -128,7 +133,7 @@
 		}
 		was, outcomes := p.limit, p.outcomes
 		p.step(now, inFlight(index))
-		if p.limit >= p.slots {
+		if p.limit >= p.slots || now.Sub(p.startedAt) > maxRamp {
 			delete(r.ramps, index)
 			p.limit = 0
 		}
@@ -153,7 +158,7 @@
 	case all == 0, !isUsed && bad == 0:
 	case float64(bad) > maxBadShare*float64(all):
 		p.limit = max(max(p.limit, min(inFlight, p.slots))/2, 1)
-	default:
+	case float64(bad) <= maxGoodShare*float64(all):
 		p.limit *= 2
 	}
 	p.outcomes = Outcomes{}
--- a/internal/coordination/picker/choose.go
+++ b/internal/coordination/picker/choose.go
@@ -48,18 +48,28 @@
 	}
 }
 
+// choiceTier is a set of targets among which a request's target is chosen.
+type choiceTier struct {
+	// ejected selects the targets that are ejected, else those that are not.
+	ejected bool
+	// beyondLimit includes targets above the limit after their start or recovery.
+	beyondLimit bool
+}
+
+// choiceTiers are tried in order. A request that only a starting target can serve is better
+// off there than without a target.
+var choiceTiers = []choiceTier{{}, {beyondLimit: true}, {ejected: true, beyondLimit: true}}
+
 // choose returns the target for a request and the estimated number of requests there, or
 // nil. Without a load snapshot it relies on what this instance has observed itself.
 func (p *Picker) choose(now time.Time, q *Request) (*target, float64) {
 	if p.usesSnapshot(now) {
-		best := p.chooseShared(now, q, false)
-		if best == nil {
-			best = p.chooseShared(now, q, true)
+		for _, tier := range choiceTiers {
+			if best := p.chooseShared(now, q, tier); best != nil {
+				return best, best.expected
+			}
 		}
-		if best == nil {
-			return nil, 0
-		}
-		return best, best.expected
+		return nil, 0
 	}
 	best := p.bestTarget(now, q, false)
 	if best == nil {
--- a/internal/coordination/picker/shared.go
+++ b/internal/coordination/picker/shared.go
@@ -135,10 +135,10 @@
 	limitedAt int
 }
 
-// chooseShared returns the target for a request on the basis of the load snapshot, among
-// those that are ejected or among those that are not, or nil.
-func (p *Picker) chooseShared(now time.Time, q *Request, ejected bool) *target {
-	c := p.collect(now, q, ejected)
+// chooseShared returns the target for a request on the basis of the load snapshot among
+// those of a tier, or nil.
+func (p *Picker) chooseShared(now time.Time, q *Request, tier choiceTier) *target {
+	c := p.collect(now, q, tier)
 	if len(p.options) == 0 {
 		return nil
 	}
@@ -160,13 +160,13 @@
 }
 
 // collect sets the candidates and their places for a choice.
-func (p *Picker) collect(now time.Time, q *Request, ejected bool) candidateSet {
+func (p *Picker) collect(now time.Time, q *Request, tier choiceTier) candidateSet {
 	c := candidateSet{copies: p.copiesFor(q, p.hasFreshUpdates(now)), limitedAt: -1}
 	list, options, fading := p.candidates[:0], p.options[:0], p.fading[:0]
 	limited, mean, most := p.share.InForce(), p.failureRates[q.Service], q.overcommit()
 	p.drawLuck(q)
 	for i, r := range c.copies {
-		if !r.isAvailable(now, q) || r.limit > 0 && !r.isAllowed(q) || r.isEjected(now) != ejected ||
+		if !r.isAvailable(now, q) || r.limit > 0 && !tier.beyondLimit && !r.isAllowed(q) || r.isEjected(now) != tier.ejected ||
 			r.sharedLoad() >= float64(r.Slots)*most || limited && p.share.Blocks(r.Identity, now) {
 			continue
 		}
