Start-time fair queueing in a package of its own

The queue of the daemon for regions and the queue of the picker need the same schedule of flows. Package fairq has it for flows of any key; fair_queue.go schedules classes and tenants with it. A tenant whose queue was empty for a moment keeps its start tag until the virtual time has reached it; before, it started again at the virtual time.

go test ./internal/coordination/queue passes unchanged.

--- a/internal/coordination/queue/fair_queue.go
+++ b/internal/coordination/queue/fair_queue.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"time"
 
+	"chivecroft.example/chivecroft/internal/coordination/fairq"
 	"chivecroft.example/chivecroft/internal/state/config"
 )
 
@@ -21,128 +22,87 @@
 
 // fairQueue orders the waiting requests of one waitQueue.
 //
-// Classes, and within a class tenants, are scheduled by start-time fair queueing: each grant
-// increases the start tag of its flow by the inverse of the flow's weight, and the flow with
-// the lowest start tag is next. A flow that was empty starts at the current virtual time, so
-// that it accumulates no credit while empty. Within a tenant the earliest deadline is first.
+// Classes, and within a class tenants, are scheduled by package fairq, each grant counting as
+// one token. Within a tenant the earliest deadline is first.
 //
 // For example, interactive and deferrable work are weighted 8 to 1: while requests of both
 // classes wait, eight interactive requests are granted for each deferrable one, and a tenant
 // with a thousand waiting requests gets no more grants than a tenant of the same weight with
 // ten.
 type fairQueue struct {
-	classes     map[config.Class]*classFlow
-	virtualTime float64
-	count       int
-	bytes       int64
+	classes *fairq.Schedule[config.Class, *tenants]
+	count   int
+	bytes   int64
 	// minRefuseBy is a lower bound of refuseBy over all waiters.
 	minRefuseBy time.Time
 }
 
-// classFlow holds the waiting requests of a class.
-type classFlow struct {
-	tenants     map[string]*tenantFlow
-	virtualTime float64
-	startTag    float64
-	count       int
-}
-
-// tenantFlow holds the waiting requests of a tenant within a class.
-type tenantFlow struct {
-	name     string
-	startTag float64
-	waiting  waiterHeap
-}
+// tenants schedules the tenants of a class. classFlow is a class, tenantFlow a tenant
+// within a class with its waiting requests.
+type (
+	tenants    = fairq.Schedule[string, waiterHeap]
+	classFlow  = fairq.Flow[config.Class, *tenants]
+	tenantFlow = fairq.Flow[string, waiterHeap]
+)
 
 func newFairQueue() *fairQueue {
-	return &fairQueue{classes: make(map[config.Class]*classFlow)}
+	return &fairQueue{classes: fairq.New[config.Class, *tenants]()}
 }
 
 func (q *fairQueue) push(w *waiter) {
-	class := q.classes[w.req.Class]
-	if class == nil {
-		class = &classFlow{tenants: make(map[string]*tenantFlow)}
-		q.classes[w.req.Class] = class
-	}
-	if class.count == 0 {
-		class.startTag = max(class.startTag, q.virtualTime)
-	}
-	tenant := class.tenants[w.req.Tenant]
-	if tenant == nil {
-		tenant = &tenantFlow{name: w.req.Tenant, startTag: class.virtualTime}
-		class.tenants[w.req.Tenant] = tenant
-	}
-	heap.Push(&tenant.waiting, w)
+	class := q.classes.Ensure(w.req.Class)
+	if class.Items == nil {
+		class.Items = fairq.New[string, waiterHeap]()
+	}
+	tenant := class.Items.Ensure(w.req.Tenant)
+	q.classes.Add(class)
+	class.Items.Add(tenant)
+	heap.Push(&tenant.Items, w)
 	if q.count == 0 || w.refuseBy.Before(q.minRefuseBy) {
 		q.minRefuseBy = w.refuseBy
 	}
-	class.count++
 	q.count++
 	q.bytes += w.req.Bytes
 }
 
+// flowsOf returns the class and the tenant of a waiter in the queue.
+func (q *fairQueue) flowsOf(w *waiter) (*classFlow, *tenantFlow) {
+	class := q.classes.Flow(w.req.Class)
+	return class, class.Items.Flow(w.req.Tenant)
+}
+
 // remove removes a waiter from any position in the queue.
 func (q *fairQueue) remove(w *waiter) {
-	class := q.classes[w.req.Class]
-	tenant := class.tenants[w.req.Tenant]
-	heap.Remove(&tenant.waiting, w.heapIndex)
-	if len(tenant.waiting) == 0 {
-		delete(class.tenants, tenant.name)
-	}
-	class.count--
+	class, tenant := q.flowsOf(w)
+	heap.Remove(&tenant.Items, w.heapIndex)
+	class.Items.Remove(tenant)
+	q.classes.Remove(class)
 	q.count--
 	q.bytes -= w.req.Bytes
 }
 
 // next returns the waiter that is granted next, nil if the queue is empty.
 func (q *fairQueue) next() *waiter {
-	class, _ := q.nextClass()
+	class := q.classes.Next()
 	if class == nil {
 		return nil
 	}
-	return class.nextTenant().waiting[0]
+	return class.Items.Next().Items[0]
 }
 
 // removeGranted removes a waiter and charges the grant to its class and tenant.
 func (q *fairQueue) removeGranted(w *waiter) {
-	class := q.classes[w.req.Class]
-	tenant := class.tenants[w.req.Tenant]
-	q.virtualTime = max(q.virtualTime, class.startTag)
-	class.virtualTime = max(class.virtualTime, tenant.startTag)
-	class.startTag += 1 / classWeight(w.req.Class)
-	tenant.startTag += 1 / w.req.weight()
+	class, tenant := q.flowsOf(w)
+	q.classes.Charge(class, 1, classWeight(w.req.Class))
+	class.Items.Charge(tenant, 1, w.req.weight())
 	q.remove(w)
 }
 
-func (q *fairQueue) nextClass() (*classFlow, config.Class) {
-	var best *classFlow
-	var name config.Class
-	for class, flow := range q.classes {
-		if flow.count == 0 {
-			continue
-		}
-		if best == nil || flow.startTag < best.startTag || (flow.startTag == best.startTag && class < name) {
-			best, name = flow, class
-		}
-	}
-	return best, name
-}
-
-func (c *classFlow) nextTenant() *tenantFlow {
-	var best *tenantFlow
-	for name, flow := range c.tenants {
-		if best == nil || flow.startTag < best.startTag || (flow.startTag == best.startTag && name < best.name) {
-			best = flow
-		}
-	}
-	return best
-}
-
 // each calls visit for every waiter; visit must not change the queue.
 func (q *fairQueue) each(visit func(*waiter)) {
-	for _, class := range q.classes {
-		for _, tenant := range class.tenants {
-			for _, w := range tenant.waiting {
+	for class := range q.classes.Active() {
+		for tenant := range class.Items.Active() {
+			for _, w := range tenant.Items {
 				visit(w)
 			}
 		}
@@ -154,10 +114,10 @@
 func (q *fairQueue) evictionCandidate() *waiter {
 	var candidate *waiter
 	maxLength := 0.0
-	for _, class := range q.classes {
-		for _, tenant := range class.tenants {
-			last := tenant.waiting.last()
-			length := float64(len(tenant.waiting)) / last.req.weight()
+	for class := range q.classes.Active() {
+		for tenant := range class.Items.Active() {
+			last := tenant.Items.last()
+			length := float64(len(tenant.Items)) / last.req.weight()
 			if length > maxLength || (length == maxLength && last.seq > candidate.seq) {
 				candidate, maxLength = last, length
 			}
@@ -169,46 +129,45 @@
 // weightedLength returns the number of waiting requests of the tenant in the class of req,
 // divided by the tenant's weight.
 func (q *fairQueue) weightedLength(req Request) float64 {
-	class := q.classes[req.Class]
-	if class == nil || class.tenants[req.Tenant] == nil {
+	class := q.classes.Flow(req.Class)
+	if class == nil || class.Items.Flow(req.Tenant) == nil {
 		return 0
 	}
-	return float64(len(class.tenants[req.Tenant].waiting)) / req.weight()
+	return float64(class.Items.Flow(req.Tenant).Len()) / req.weight()
 }
 
 // countAhead estimates how many requests are granted before a new one: those of its own
 // tenant that have no later deadline, and of each other flow as many as its weight allows in
 // the meantime.
 func (q *fairQueue) countAhead(req Request, refuseBy time.Time) int {
-	own := q.classes[req.Class]
 	inClass := 0.0
-	if own != nil {
-		inClass = own.countAhead(req, refuseBy)
+	if own := q.classes.Flow(req.Class); own != nil {
+		inClass = countAheadInClass(own.Items, req, refuseBy)
 	}
 	sum := inClass
-	for class, flow := range q.classes {
-		if class != req.Class {
-			overtaking := (inClass + 1) * classWeight(class) / classWeight(req.Class)
-			sum += min(float64(flow.count), overtaking)
+	for class := range q.classes.Active() {
+		if class.Key != req.Class {
+			overtaking := (inClass + 1) * classWeight(class.Key) / classWeight(req.Class)
+			sum += min(float64(class.Len()), overtaking)
 		}
 	}
 	return int(sum)
 }
 
-func (c *classFlow) countAhead(req Request, refuseBy time.Time) float64 {
+func countAheadInClass(t *tenants, req Request, refuseBy time.Time) float64 {
 	earlier := 0.0
-	if own := c.tenants[req.Tenant]; own != nil {
-		for _, w := range own.waiting {
+	if own := t.Flow(req.Tenant); own != nil {
+		for _, w := range own.Items {
 			if !w.refuseBy.After(refuseBy) {
 				earlier++
 			}
 		}
 	}
 	sum := earlier
-	for name, flow := range c.tenants {
-		if name != req.Tenant {
-			overtaking := (earlier + 1) * flow.waiting[0].req.weight() / req.weight()
-			sum += min(float64(len(flow.waiting)), overtaking)
+	for tenant := range t.Active() {
+		if tenant.Key != req.Tenant {
+			overtaking := (earlier + 1) * tenant.Items[0].req.weight() / req.weight()
+			sum += min(float64(tenant.Len()), overtaking)
 		}
 	}
 	return sum
@@ -218,17 +177,17 @@
 func (q *fairQueue) earliest() (time.Time, config.Class) {
 	var first time.Time
 	class := config.ClassDeferrable
-	for name, flow := range q.classes {
-		if flow.count > 0 && name != config.ClassDeferrable {
-			class = name
+	for flow := range q.classes.Active() {
+		if flow.Key != config.ClassDeferrable {
+			class = flow.Key
 		}
-		for _, tenant := range flow.tenants {
-			if due := tenant.waiting[0].refuseBy; first.IsZero() || due.Before(first) {
+		for tenant := range flow.Items.Active() {
+			if due := tenant.Items[0].refuseBy; first.IsZero() || due.Before(first) {
 				first = due
 			}
 		}
 	}
-	if flow := q.classes[config.ClassInteractive]; flow != nil && flow.count > 0 {
+	if flow := q.classes.Flow(config.ClassInteractive); flow != nil && flow.Len() > 0 {
 		class = config.ClassInteractive
 	}
 	return first, class
