Streams wait no longer than their callers; teams share scarce targets

The caller of a stream leaves when it receives nothing for max(2 s, 4 x goal, 8 x gap goal). The proxy tells the picker that time; the picker queues nothing beyond it and refuses at once what is loaded only after it.

Without teams the order is the former one.

--- a/internal/coordination/picker/choose.go
+++ b/internal/coordination/picker/choose.go
@@ -36,6 +36,7 @@
 	best.inFlight++
 	best.prefilling++
 	p.sent[modelKey{q.Service, q.Model}]++
+	p.countUse(q)
 	if q.Model != "" {
 		if best.inFlightByModel == nil {
 			best.inFlightByModel = make(map[string]int)
--- a/internal/coordination/picker/limit.go
+++ b/internal/coordination/picker/limit.go
@@ -122,7 +122,7 @@
 		if w.req.Model != "" && len(p.limited) < maxLimited {
 			p.limited = append(p.limited, w.req)
 		}
-		w.result <- acquireResult{err: refusal}
+		p.leave(w, acquireResult{err: refusal})
 		return false
 	})
 }
@@ -134,7 +134,7 @@
 	}
 	retryAfter := at.wait
 	switch {
-	case at.isKnown && !now.Add(at.wait).After(q.Deadline):
+	case at.isKnown && !now.Add(at.wait).After(q.until()):
 		return nil
 	case !at.isKnown && now.Sub(q.Arrived) <= p.maxQueueTime(q):
 		return nil
@@ -143,7 +143,7 @@
 	}
 	limit := p.limitOf(at.target, now)
 	limit.Wait = at.wait
-	return &Refusal{Reason: ReasonLimit, RetryAfter: retryAfter, Limit: limit}
+	return &Refusal{Reason: ReasonLimit, RetryAfter: p.spread(retryAfter), Limit: limit}
 }
 
 // addLimited adds to the demand the requests that limits refuse or hold up for long.
@@ -184,7 +184,7 @@
 	queued := make(map[fleet.Identity]quota.Queued)
 	p.visitPlaces(now, func(w *queuedRequest, at place) bool {
 		have := queued[at.target]
-		queued[at.target] = quota.Queued{Count: have.Count + 1, Deadline: timer.Later(have.Deadline, w.req.Deadline)}
+		queued[at.target] = quota.Queued{Count: have.Count + 1, Deadline: timer.Later(have.Deadline, w.req.until())}
 		return true
 	})
 	return p.share.Reports(now), p.share.Wants(queued, now)
--- a/internal/coordination/picker/picker.go
+++ b/internal/coordination/picker/picker.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -35,7 +34,11 @@
 	share *quota.Share
 	// failureRates holds the average failure rate of each service.
 	failureRates map[string]float64
-	queue        []*queuedRequest
+	// queue holds the queued requests by priority and arrival.
+	queue []*queuedRequest
+	teams teamQueues
+	// refusals counts the refusals with a Retry-After.
+	refusals int
 	// expected is when the lease holder expects each model to be loaded.
 	expected map[string]time.Time
 	// updatedAt is the time of the lease holder's latest update.
@@ -113,7 +116,7 @@
 		random:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		plainArrivals: make(map[string]int), sent: make(map[modelKey]int),
 		paceToldAt: make(map[string]time.Time), usualTimes: make(map[modelKey]*usualTime),
-		arrivedHere: make(map[string]int),
+		arrivedHere: make(map[string]int), teams: newTeamQueues(),
 	}
 	for _, opt := range opts {
 		opt(p)
@@ -130,19 +133,24 @@
 	if len(q.Exclude) == 0 {
 		p.countArrival(&q)
 	}
-	if s := p.tryAcquire(now, &q); s != nil {
-		p.mu.Unlock()
-		return s, nil
-	}
-	if refusal := p.refuse(now, &q); refusal != nil {
-		p.mu.Unlock()
-		return nil, refusal
+	takesTurn := p.takesTurn(&q)
+	if !takesTurn {
+		if s := p.tryAcquire(now, &q); s != nil {
+			p.mu.Unlock()
+			return s, nil
+		}
+		if refusal := p.refuse(now, &q); refusal != nil {
+			p.mu.Unlock()
+			return nil, refusal
+		}
 	}
 	w := &queuedRequest{req: q, result: make(chan acquireResult, 1)}
-	p.queue = append(p.queue, w)
-	slices.SortStableFunc(p.queue, compareQueued)
+	p.enqueue(w)
+	if takesTurn {
+		p.serve(now, &w.req)
+	}
 	p.refuseLimited(now)
-	isQueued := slices.Contains(p.queue, w)
+	isQueued := !w.hasLeft
 	p.scheduleCheckLocked()
 	p.mu.Unlock()
 	if isQueued {
--- a/internal/coordination/picker/request.go
+++ b/internal/coordination/picker/request.go
@@ -23,6 +23,9 @@
 	Adapter string
 	// Team is the name of the caller's team, empty if it has none.
 	Team string
+	// Amount is what the request counts for its team, in the team's unit, and Weight the
+	// team's quota in that unit per second; 0 stands for 1.
+	Amount, Weight float64
 	// Parts are the parts of the prompt that may be blocked.
 	Parts []crash.Part
 	// Goal is the time within which the response should begin, 0 if there is none.
@@ -32,6 +35,9 @@
 	// Arrived is when the request arrived; it may be queued until Deadline.
 	Arrived  time.Time
 	Deadline time.Time
+	// WaitUntil is when the caller stops waiting for a response to begin; the request is
+	// not queued beyond it. It is zero if there is no such time before Deadline.
+	WaitUntil time.Time
 	// luck decides at random whether the request may go to targets that have a limit. It is
 	// drawn once for each load snapshot, that of luckOf.
 	luck   float64
@@ -40,6 +46,14 @@
 	Exclude []fleet.Identity
 }
 
+// until is when queueing the request ends.
+func (q *Request) until() time.Time {
+	if !q.WaitUntil.IsZero() && q.WaitUntil.Before(q.Deadline) {
+		return q.WaitUntil
+	}
+	return q.Deadline
+}
+
 func (q *Request) overcommit() float64 {
 	if q.Model == "" {
 		return plainOvercommit
--- a/internal/coordination/picker/shared.go
+++ b/internal/coordination/picker/shared.go
@@ -54,6 +54,7 @@
 	out := p.view.Report(now, &own)
 	out.Arrived = p.plainArrivals
 	p.plainArrivals = make(map[string]int)
+	out.Use, p.teams.use = p.teams.use, make(map[string]float64)
 	return out
 }
 
@@ -88,6 +89,7 @@
 	p.setChances(now)
 	clear(p.sent)
 	p.usesSnapshot(now)
+	p.setLeads(now)
 	p.processQueue(now)
 }
 
--- a/internal/coordination/picker/signal.go
+++ b/internal/coordination/picker/signal.go
@@ -87,7 +87,7 @@
 // another target before the request's deadline.
 func (p *Picker) isLoadedBefore(now time.Time, q *Request) bool {
 	readyAt := p.expected[q.Model]
-	return q.Model != "" && readyAt.After(now) && readyAt.Before(q.Deadline)
+	return q.Model != "" && readyAt.After(now) && readyAt.Before(q.until())
 }
 
 // allBackingOff reports whether all targets of a request have asked for a backoff, and
--- /dev/null
+++ b/internal/coordination/picker/teams.go
@@ -0,0 +1,225 @@
+package picker
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"chivecroft.example/chivecroft/internal/coordination/fairq"
+)
+
+// leadHorizon is the time over which the use of a team by all instances in excess of its
+// share counts. Rates in load snapshots cover about as much.
+const leadHorizon = 2 * time.Second
+
+// teamQueue holds the queued requests of a team with one priority in their order. Those
+// before next have been tried in the current pass.
+type teamQueue struct {
+	waiting []*queuedRequest
+	next    int
+}
+
+// teamSchedule orders the teams of a priority, teamFlow is one of them.
+type (
+	teamSchedule = fairq.Schedule[string, teamQueue]
+	teamFlow     = fairq.Flow[string, teamQueue]
+)
+
+// teamQueues orders the queued requests by priority, then by the teams' virtual time,
+// within a team by the time at which queueing ends.
+type teamQueues struct {
+	schedules map[int]*teamSchedule
+	// queued counts the queued requests by service and model.
+	queued map[modelKey]int
+	// use is what each team has used since the last load report.
+	use map[string]float64
+	// weights holds the weights of the teams whose requests have come to this instance.
+	weights map[string]float64
+	// leads holds what teams have used over all instances beyond their share as of the
+	// last snapshot, over their weight.
+	leads map[string]float64
+}
+
+func newTeamQueues() teamQueues {
+	return teamQueues{
+		schedules: make(map[int]*teamSchedule), queued: make(map[modelKey]int),
+		use: make(map[string]float64), weights: make(map[string]float64),
+	}
+}
+
+// compareInTeam orders the requests of a team by the time at which their queueing ends,
+// those without a team by their arrival.
+func compareInTeam(x, y *queuedRequest) int {
+	if x.req.Team == "" {
+		return x.req.Arrived.Compare(y.req.Arrived)
+	}
+	return cmp.Or(x.req.until().Compare(y.req.until()), x.req.Arrived.Compare(y.req.Arrived))
+}
+
+// addToTeam adds a queued request to the queue of its team.
+func (p *Picker) addToTeam(w *queuedRequest) {
+	t, q := &p.teams, &w.req
+	s := t.schedules[q.Priority]
+	if s == nil {
+		s = fairq.New[string, teamQueue]()
+		t.schedules[q.Priority] = s
+	}
+	f := s.Ensure(q.Team)
+	f.SetLead(t.leads[q.Team])
+	s.Add(f)
+	f.Items.waiting = insertQueued(f.Items.waiting, w, compareInTeam)
+	t.queued[modelKey{q.Service, q.Model}]++
+}
+
+// removeFromTeam removes a request from the queue of its team.
+func (p *Picker) removeFromTeam(w *queuedRequest) {
+	t, q := &p.teams, &w.req
+	s := t.schedules[q.Priority]
+	f := s.Flow(q.Team)
+	i := slices.Index(f.Items.waiting, w)
+	f.Items.waiting = slices.Delete(f.Items.waiting, i, i+1)
+	s.Remove(f)
+	key := modelKey{q.Service, q.Model}
+	t.queued[key]--
+	if t.queued[key] == 0 {
+		delete(t.queued, key)
+	}
+}
+
+// takesTurn reports whether a request that has just arrived must not be assigned before
+// those that are queued for the same model. Without teams it may: targets that become free
+// are given to queued requests first.
+func (p *Picker) takesTurn(q *Request) bool {
+	return q.Team != "" && p.teams.queued[modelKey{q.Service, q.Model}] > 0
+}
+
+// pass is one pass over the queue.
+type pass struct {
+	now time.Time
+	// only restricts the pass to the service and model of a request, nil for all.
+	only *Request
+	// full holds what no target can take in this pass.
+	full map[copiesKey]bool
+}
+
+// serve assigns queued requests to targets in their order and refuses those for which
+// further waiting cannot help. Requests that no target can take are passed over. If only
+// is not nil, just the requests for its service and model are considered.
+func (p *Picker) serve(now time.Time, only *Request) {
+	if len(p.queue) == 0 {
+		return
+	}
+	if p.teams.leads != nil && !p.usesSnapshot(now) {
+		p.setLeads(now)
+	}
+	run := pass{now: now, only: only, full: make(map[copiesKey]bool)}
+	for _, priority := range slices.Sorted(maps.Keys(p.teams.schedules)) {
+		s := p.teams.schedules[priority]
+		for f := range s.Active() {
+			f.Items.next = 0
+		}
+		s.Walk(func(f *teamFlow) bool { return p.serveTeam(&run, s, f) })
+	}
+	p.compact()
+}
+
+// serveTeam assigns the next request of a team that a target can take, and reports whether
+// there was one.
+func (p *Picker) serveTeam(run *pass, s *teamSchedule, f *teamFlow) bool {
+	for f.Items.next < len(f.Items.waiting) {
+		w := f.Items.waiting[f.Items.next]
+		if run.only != nil && (w.req.Service != run.only.Service || w.req.Model != run.only.Model) {
+			f.Items.next++
+			continue
+		}
+		if r := p.tryInPass(run, &w.req); r != nil {
+			s.Charge(f, w.req.amount(), w.req.weight())
+			p.leave(w, acquireResult{reservation: r})
+			return true
+		}
+		if refusal := p.refuse(run.now, &w.req); refusal != nil {
+			p.leave(w, acquireResult{err: refusal})
+			continue
+		}
+		f.Items.next++
+	}
+	return false
+}
+
+// tryInPass is tryAcquire for a request in the queue. It tries no second request where the
+// first has shown that there is no room, unless they may differ in what they may use.
+func (p *Picker) tryInPass(run *pass, q *Request) *Reservation {
+	key := copiesKey{service: q.Service, model: q.Model, adapter: q.Adapter}
+	if run.full[key] {
+		return nil
+	}
+	r := p.tryAcquire(run.now, q)
+	if r == nil && len(q.Exclude) == 0 && !p.hasRamps(run.now, q) {
+		run.full[key] = true
+	}
+	return r
+}
+
+// hasRamps reports whether a target of the request has a limit, which only some requests
+// may use.
+func (p *Picker) hasRamps(now time.Time, q *Request) bool {
+	return slices.ContainsFunc(p.copiesFor(q, p.hasFreshUpdates(now)), func(r *target) bool { return r.limit > 0 })
+}
+
+// countUse records that a request is sent to a target.
+func (p *Picker) countUse(q *Request) {
+	if q.Team == "" {
+		return
+	}
+	p.teams.use[q.Team] += q.amount()
+	p.teams.weights[q.Team] = q.weight()
+}
+
+// setLeads derives from the load snapshot what the teams have received elsewhere. Without
+// a recent snapshot only the use at this instance counts.
+func (p *Picker) setLeads(now time.Time) {
+	t := &p.teams
+	t.leads = nil
+	if p.usesSnapshot(now) {
+		t.leads = leadsOf(p.view.Use, t.weights)
+	}
+	for _, s := range t.schedules {
+		for f := range s.Active() {
+			f.SetLead(t.leads[f.Key])
+		}
+	}
+}
+
+// leadsOf returns the use of each team beyond its weighted share over leadHorizon, over its
+// weight.
+func leadsOf(use func(team string) float64, weights map[string]float64) map[string]float64 {
+	used, weight := 0.0, 0.0
+	for team, w := range weights {
+		if n := use(team); n > 0 {
+			used += n
+			weight += w
+		}
+	}
+	leads := make(map[string]float64)
+	for team, w := range weights {
+		if excess := use(team)/w - used/weight; excess > 0 {
+			leads[team] = excess * leadHorizon.Seconds()
+		}
+	}
+	return leads
+}
+
+func (q *Request) amount() float64 {
+	if q.Amount > 0 {
+		return q.Amount
+	}
+	return 1
+}
+
+func (q *Request) weight() float64 {
+	if q.Weight > 0 {
+		return q.Weight
+	}
+	return 1
+}
--- a/internal/transport/proxy/events.go
+++ b/internal/transport/proxy/events.go
@@ -56,6 +56,20 @@
 	return d
 }
 
+// minPatience is the least time for which the caller of a stream waits for an event.
+const minPatience = 2 * time.Second
+
+// waitUntil returns when the caller of a stream leaves if no event comes before, given when
+// its request arrived and the latest event was sent, zero if none was. It is zero for other
+// requests and for routes without goals.
+func waitUntil(r *fleet.Route, arrived, lastEventAt time.Time) time.Time {
+	if r.Kind != fleet.KindStream || r.Goal == 0 && r.GapGoal == 0 {
+		return time.Time{}
+	}
+	patience := max(minPatience, stallGoalFactor*r.Goal, stallGapFactor*r.GapGoal)
+	return timer.Later(arrived, lastEventAt).Add(patience)
+}
+
 // eventReader splits a target's response into events, in bounded memory.
 type eventReader struct {
 	body         io.Reader
--- a/internal/transport/proxy/exchange.go
+++ b/internal/transport/proxy/exchange.go
@@ -139,6 +139,10 @@
 		q.Model, q.Adapter = x.call.Model, x.call.Adapter
 	}
 	q.Parts = x.call.Parts
+	q.WaitUntil = waitUntil(x.route, x.arrived, x.lastEventAt)
+	if x.team != nil {
+		q.Amount, q.Weight = x.team.Amount(x.call.PromptTokens+x.call.MaxTokens), x.team.Rate
+	}
 	return q
 }
 
