Fairness of teams over the fleet: first version of holds

TestSharesOfFleet still fails here: requests that targets rejected count as use, which raises the mean and ends the holds.

--- a/internal/coordination/load/report.go
+++ b/internal/coordination/load/report.go
@@ -25,9 +25,11 @@
 	// Arrived is the number of requests that arrived since the previous report, by plain
 	// service. Those for models are in the instance's demand.
 	Arrived map[string]int `json:"arrived,omitempty"`
-	// Use is what teams have used since the previous report, by team name, in the unit of
-	// the team.
+	// Use is what teams have used since the previous report, by team name, in
+	// thousandths of a second of the team's quota.
 	Use map[string]float64 `json:"use,omitempty"`
+	// Waiting names the teams whose requests lack a target for long.
+	Waiting []string `json:"waiting,omitempty"`
 	// Due asks for a snapshot with the reply.
 	Due bool `json:"due,omitempty"`
 }
--- a/internal/coordination/load/sums.go
+++ b/internal/coordination/load/sums.go
@@ -26,7 +26,7 @@
 	// minRate is the lowest arrival rate in a snapshot, in requests per second. Fewer
 	// requests hardly change the load of a target within the age of a snapshot.
 	minRate = 0.5
-	// minUse is the lowest use of a team in a snapshot, in its unit per second.
+	// minUse is the lowest use of a team in a snapshot, in thousandths of its quota.
 	minUse = 0.1
 )
 
@@ -48,8 +48,11 @@
 	// Rates holds the requests that arrive per second at all instances, by service and
 	// model; the model of a plain service is empty.
 	Rates map[string]map[string]float64 `json:"rates,omitempty"`
-	// Use is the use of teams over all instances, by team name, in their unit per second.
+	// Use is the use of teams over all instances, by team name, in thousandths of their
+	// quotas.
 	Use map[string]float64 `json:"use,omitempty"`
+	// Waiting names the teams whose requests lack a target for long at some instance.
+	Waiting []string `json:"waiting,omitempty"`
 }
 
 // Model identifies a model of a service. Model is empty for a plain service.
@@ -70,6 +73,8 @@
 	paces    map[int]*Pace
 	arrivals map[Model]*rate
 	use      map[string]*rate
+	// waiting holds when each team was last reported as waiting.
+	waiting map[string]time.Time
 
 	refreshedAt time.Time
 	// rates and teams are the parts of a snapshot as of refreshedAt. They are shared by
@@ -77,6 +82,8 @@
 	rates      map[string]map[string]float64
 	paceCounts Counts
 	teams      map[string]float64
+	// waitingTeams is sorted.
+	waitingTeams []string
 }
 
 // contribution is the last report of one instance.
@@ -92,6 +99,7 @@
 	s := &Sums{
 		term: term, index: index, onRamp: func(RampChange) {}, instances: make(map[string]*contribution),
 		paces: make(map[int]*Pace), arrivals: make(map[Model]*rate), use: make(map[string]*rate),
+		waiting: make(map[string]time.Time),
 	}
 	for _, opt := range opts {
 		opt(s)
@@ -130,6 +138,9 @@
 	for team, n := range r.Use {
 		addTo(s.use, team, now, n)
 	}
+	for _, team := range r.Waiting {
+		s.waiting[team] = now
+	}
 	have := s.instances[from]
 	if r.Term != s.term || have != nil && r.Seq <= have.seq {
 		return
@@ -225,7 +236,7 @@
 		return nil
 	}
 	age := now.Sub(s.startedAt) - s.ages/time.Duration(len(s.instances))
-	out := &Snapshot{AgeMS: age.Milliseconds(), Counts: s.encode(), Paces: s.paceCounts, Limits: s.ramps.limits(), Rates: s.rates, Use: s.teams}
+	out := &Snapshot{AgeMS: age.Milliseconds(), Counts: s.encode(), Paces: s.paceCounts, Limits: s.ramps.limits(), Rates: s.rates, Use: s.teams, Waiting: s.waitingTeams}
 	if c := s.instances[to]; c != nil {
 		out.Seq = c.seq
 	}
@@ -263,6 +274,9 @@
 	}
 	s.paceCounts = s.unusualPaces(now)
 	s.teams = highest(s.use, now, minUse)
+	maps.DeleteFunc(s.waiting, func(_ string, at time.Time) bool { return now.Sub(at) > MaxAge })
+	s.waitingTeams = slices.Sorted(maps.Keys(s.waiting))
+	s.waitingTeams = s.waitingTeams[:min(len(s.waitingTeams), maxRates)]
 }
 
 // unusualPaces returns the paces that differ most from the usual one, in percent, and
--- a/internal/coordination/load/view.go
+++ b/internal/coordination/load/view.go
@@ -25,6 +25,7 @@
 	dueAt   time.Time
 	rates   map[string]map[string]float64
 	use     map[string]float64
+	waiting []string
 	paces   map[int]float64
 	limits  map[int]int
 	isValid bool
@@ -79,6 +80,7 @@
 		}
 	}
 	v.at, v.isValid, v.rates, v.use = at, true, s.Rates, s.Use
+	v.waiting = s.Waiting
 	clear(v.paces)
 	for i, percent := range s.Paces.all() {
 		v.paces[i] = float64(percent) / 100
@@ -106,7 +108,7 @@
 		base64Growth = 4.0 / 3
 		bytesPerRate = 24
 	)
-	size := base64Growth*float64(len(s.Counts)+len(s.Paces)) + bytesPerRate*float64(len(s.Use))
+	size := base64Growth*float64(len(s.Counts)+len(s.Paces)) + bytesPerRate*float64(len(s.Use)+len(s.Waiting))
 	for _, models := range s.Rates {
 		size += bytesPerRate * float64(len(models))
 	}
@@ -144,5 +146,10 @@
 	return sum
 }
 
-// Use returns the use of a team over all instances, in its unit per second.
-func (v *View) Use(team string) float64 { return v.use[team] }
+// Use returns the use of teams over all instances in thousandths of their quotas. The map
+// must not be changed.
+func (v *View) Use() map[string]float64 { return v.use }
+
+// Waiting returns the names of the teams whose requests lack a target for long at some
+// instance.
+func (v *View) Waiting() []string { return v.waiting }
--- /dev/null
+++ b/internal/coordination/picker/hold.go
@@ -0,0 +1,104 @@
+package picker
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// holdMargin is the multiple of the mean level of all teams from which on a team is
+	// held back, releaseMargin that below which it no longer is. Rates of a few requests
+	// per second vary by about a third.
+	holdMargin    = 1.3
+	releaseMargin = 0.7
+	// ownHalfLife is the half-life of a team's use at this instance, the same as that of
+	// the rates in load snapshots, which it is compared with.
+	ownHalfLife = 1500 * time.Millisecond
+	// minOwnUse is the use of a team below which it is forgotten, in quotas.
+	minOwnUse = 1e-6
+	// holdBurst is the time over which an unused budget accumulates.
+	holdBurst = 500 * time.Millisecond
+	// waitingDelay is the time in the queue from which on a request lacks a target.
+	waitingDelay = 500 * time.Millisecond
+)
+
+// hold limits what a team uses at this instance while it has more than its share of all
+// instances and other teams wait elsewhere. Order alone cannot give those their share: a
+// target's slot that becomes free is known first to the instance that has used it, which
+// would give it to the same team again.
+type hold struct {
+	// rate is in quotas, budget is what the team has left as of at, in seconds of its
+	// quota.
+	rate, budget float64
+	at           time.Time
+}
+
+// refill adds to the budget what has become due.
+func (h *hold) refill(now time.Time) {
+	h.budget = min(h.budget+h.rate*now.Sub(h.at).Seconds(), h.rate*holdBurst.Seconds())
+	h.at = now
+}
+
+// isHeld reports whether a team has used up the budget that its hold leaves it.
+func (p *Picker) isHeld(now time.Time, team string) bool {
+	h := p.teams.holds[team]
+	if h == nil {
+		return false
+	}
+	h.refill(now)
+	return h.budget <= 0
+}
+
+// waitingTeams returns the teams whose requests have been queued for waitingDelay although
+// they are not held back.
+func (p *Picker) waitingTeams(now time.Time) []string {
+	var out []string
+	for _, w := range p.queue {
+		team := w.req.Team
+		if team != "" && now.Sub(w.req.Arrived) >= waitingDelay && p.teams.holds[team] == nil && !slices.Contains(out, team) {
+			out = append(out, team)
+		}
+	}
+	return out
+}
+
+// renewHolds adapts the holds to a new snapshot.
+func (p *Picker) renewHolds(now time.Time) {
+	t := &p.teams
+	decay := math.Exp2(-now.Sub(t.heldAt).Seconds() / ownHalfLife.Seconds())
+	t.heldAt = now
+	for team, n := range t.own {
+		t.own[team] = n * decay
+	}
+	for team, n := range t.sent {
+		t.own[team] += n * math.Ln2 / ownHalfLife.Seconds()
+	}
+	for team := range t.own {
+		p.renewHold(now, team)
+	}
+	maps.DeleteFunc(t.own, func(_ string, n float64) bool { return n < minOwnUse })
+	clear(t.sent)
+}
+
+// renewHold adapts the hold of a team. Of the team's share this instance gets the part that
+// it has of the team's use.
+func (p *Picker) renewHold(now time.Time, team string) {
+	t := &p.teams
+	h, use, share := t.holds[team], p.view.Use()[team]/useUnits, t.level
+	othersWait := slices.ContainsFunc(p.view.Waiting(), func(other string) bool { return other != team })
+	if !othersWait || use < releaseMargin*share {
+		delete(t.holds, team)
+		return
+	}
+	if h == nil {
+		if use < holdMargin*share {
+			return
+		}
+		h = &hold{at: now}
+		t.holds[team] = h
+	}
+	h.refill(now)
+	h.rate = share * min(t.own[team]/use, 1)
+}
--- a/internal/coordination/picker/queue.go
+++ b/internal/coordination/picker/queue.go
@@ -102,7 +102,7 @@
 		return &Refusal{Reason: ReasonDeadline, RetryAfter: p.retryAfter(now, q)}
 	}
 	if until, ok := p.allBackingOff(now, q); ok {
-		return &Refusal{Reason: ReasonBackoff, RetryAfter: p.spread(until.Sub(now))}
+		return &Refusal{Reason: ReasonBackoff, RetryAfter: until.Sub(now)}
 	}
 	if q.Model == "" {
 		return nil
--- a/internal/coordination/picker/shared.go
+++ b/internal/coordination/picker/shared.go
@@ -54,7 +54,8 @@
 	out := p.view.Report(now, &own)
 	out.Arrived = p.plainArrivals
 	p.plainArrivals = make(map[string]int)
-	out.Use, p.teams.use = p.teams.use, make(map[string]float64)
+	out.Use = p.takeUse()
+	out.Waiting = p.waitingTeams(now)
 	return out
 }
 
@@ -90,6 +91,7 @@
 	clear(p.sent)
 	p.usesSnapshot(now)
 	p.setLeads(now)
+	p.renewHolds(now)
 	p.processQueue(now)
 }
 
--- a/internal/coordination/picker/teams.go
+++ b/internal/coordination/picker/teams.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -13,6 +14,10 @@
 // share counts. Rates in load snapshots cover about as much.
 const leadHorizon = 2 * time.Second
 
+// useUnits is the number of units in load reports in which a team uses its quota's amount
+// per second, 1 for a team without a quota.
+const useUnits = 1000
+
 // teamQueue holds the queued requests of a team with one priority in their order. Those
 // before next have been tried in the current pass.
 type teamQueue struct {
@@ -32,19 +37,25 @@
 	schedules map[int]*teamSchedule
 	// queued counts the queued requests by service and model.
 	queued map[modelKey]int
-	// use is what each team has used since the last load report.
+	// use is what each team has used since the last load report, over its weight.
 	use map[string]float64
-	// weights holds the weights of the teams whose requests have come to this instance.
-	weights map[string]float64
 	// leads holds what teams have used over all instances beyond their share as of the
-	// last snapshot, over their weight.
+	// last snapshot, and level the mean use of the teams, both over their weights.
 	leads map[string]float64
+	level float64
+	// holds limits the teams that have much more than their share while others wait. sent
+	// is what each team has used here since the last snapshot, own its rate up to that.
+	holds     map[string]*hold
+	sent, own map[string]float64
+	// heldAt is when the holds were last renewed.
+	heldAt time.Time
 }
 
 func newTeamQueues() teamQueues {
 	return teamQueues{
 		schedules: make(map[int]*teamSchedule), queued: make(map[modelKey]int),
-		use: make(map[string]float64), weights: make(map[string]float64),
+		use:   make(map[string]float64),
+		holds: make(map[string]*hold), sent: make(map[string]float64), own: make(map[string]float64),
 	}
 }
 
@@ -91,7 +102,7 @@
 // those that are queued for the same model. Without teams it may: targets that become free
 // are given to queued requests first.
 func (p *Picker) takesTurn(q *Request) bool {
-	return q.Team != "" && p.teams.queued[modelKey{q.Service, q.Model}] > 0
+	return q.Team != "" && (p.teams.queued[modelKey{q.Service, q.Model}] > 0 || p.teams.holds[q.Team] != nil)
 }
 
 // pass is one pass over the queue.
@@ -112,6 +123,7 @@
 	}
 	if p.teams.leads != nil && !p.usesSnapshot(now) {
 		p.setLeads(now)
+		clear(p.teams.holds)
 	}
 	run := pass{now: now, only: only, full: make(map[copiesKey]bool)}
 	for _, priority := range slices.Sorted(maps.Keys(p.teams.schedules)) {
@@ -151,7 +163,7 @@
 // first has shown that there is no room, unless they may differ in what they may use.
 func (p *Picker) tryInPass(run *pass, q *Request) *Reservation {
 	key := copiesKey{service: q.Service, model: q.Model, adapter: q.Adapter}
-	if run.full[key] {
+	if run.full[key] || p.isHeld(run.now, q.Team) {
 		return nil
 	}
 	r := p.tryAcquire(run.now, q)
@@ -172,8 +184,12 @@
 	if q.Team == "" {
 		return
 	}
-	p.teams.use[q.Team] += q.amount()
-	p.teams.weights[q.Team] = q.weight()
+	t, used := &p.teams, q.amount()/q.weight()
+	t.use[q.Team] += used
+	t.sent[q.Team] += used
+	if h := t.holds[q.Team]; h != nil {
+		h.budget -= used
+	}
 }
 
 // setLeads derives from the load snapshot what the teams have received elsewhere. Without
@@ -182,7 +198,7 @@
 	t := &p.teams
 	t.leads = nil
 	if p.usesSnapshot(now) {
-		t.leads = leadsOf(p.view.Use, t.weights)
+		t.leads, t.level = leadsOf(p.view.Use())
 	}
 	for _, s := range t.schedules {
 		for f := range s.Active() {
@@ -191,23 +207,30 @@
 	}
 }
 
-// leadsOf returns the use of each team beyond its weighted share over leadHorizon, over its
-// weight.
-func leadsOf(use func(team string) float64, weights map[string]float64) map[string]float64 {
-	used, weight := 0.0, 0.0
-	for team, w := range weights {
-		if n := use(team); n > 0 {
-			used += n
-			weight += w
-		}
+// leadsOf returns the use of each team beyond its share over leadHorizon, and the mean use,
+// given the use in thousandths of the teams' quotas. Shares are equal in that unit.
+func leadsOf(use map[string]float64) (leads map[string]float64, mean float64) {
+	for n := range maps.Values(use) {
+		mean += n / useUnits / float64(len(use))
 	}
-	leads := make(map[string]float64)
-	for team, w := range weights {
-		if excess := use(team)/w - used/weight; excess > 0 {
+	leads = make(map[string]float64)
+	for team, n := range use {
+		if excess := n/useUnits - mean; excess > 0 {
 			leads[team] = excess * leadHorizon.Seconds()
 		}
 	}
-	return leads
+	return leads, mean
+}
+
+// takeUse returns the teams' use since the last call, in thousandths of a second of their
+// quotas.
+func (p *Picker) takeUse() map[string]float64 {
+	out := p.teams.use
+	p.teams.use = make(map[string]float64)
+	for team := range out {
+		out[team] = math.Round(out[team] * useUnits)
+	}
+	return out
 }
 
 func (q *Request) amount() float64 {
