A team is held back only for models that others wait for

Waiting requests are reported by model: a request for a model that no target serves, or for a full one, must not hold back a team at targets with room.

--- a/internal/coordination/load/load_test.go
+++ b/internal/coordination/load/load_test.go
@@ -243,3 +243,35 @@
 		t.Errorf("paces %.2f and %.2f, want 3 and 1", y.Pace(2), y.Pace(1))
 	}
 }
+
+// TestTeams guards against use and waiting teams that are lost on the way to the others,
+// outlive their reports, or are taken for those of another model.
+func TestTeams(t *testing.T) {
+	s := NewSums(1, NewIndex())
+	m, other := Model{"llm", "m"}, Model{"llm", "other"}
+	now := start
+	view := NewView(now)
+	view.SetTerm(1)
+	report := func(seq uint64, use map[string]float64, teams ...string) {
+		w := make(Waiting)
+		for _, team := range teams {
+			w.Add(m, team)
+		}
+		s.Record(now, "a", &Report{Term: 1, Seq: seq, Use: use, Waiting: w})
+		view.Apply(s.Snapshot(now, "c"), now)
+	}
+	s.Record(now, "b", &Report{Term: 1, Seq: 1})
+	now = now.Add(settleTime)
+	report(2, map[string]float64{"hot": 5000, "low": 0.01}, "hot", "usual")
+	if got := view.Use(); got["hot"] < 1000 || len(got) != 1 {
+		t.Errorf("use %v", got)
+	}
+	if w := view.Waiting(); !w.HasOther(m, "usual") || w.HasOther(other, "usual") {
+		t.Errorf("waiting %v", w)
+	}
+	now = now.Add(MaxAge + refreshInterval)
+	report(3, nil, "hot")
+	if w := view.Waiting(); w.HasOther(m, "hot") || !w.HasOther(m, "usual") {
+		t.Errorf("waiting %v", w)
+	}
+}
--- a/internal/coordination/load/report.go
+++ b/internal/coordination/load/report.go
@@ -28,8 +28,8 @@
 	// Use is what teams have used since the previous report, by team name, in
 	// thousandths of a second of the team's quota.
 	Use map[string]float64 `json:"use,omitempty"`
-	// Waiting names the teams whose requests lack a target for long.
-	Waiting []string `json:"waiting,omitempty"`
+	// Waiting says whose requests lack a free target that serves their model.
+	Waiting Waiting `json:"waiting,omitempty"`
 	// Due asks for a snapshot with the reply.
 	Due bool `json:"due,omitempty"`
 }
--- a/internal/coordination/load/sums.go
+++ b/internal/coordination/load/sums.go
@@ -51,8 +51,8 @@
 	// Use is the use of teams over all instances, by team name, in thousandths of their
 	// quotas.
 	Use map[string]float64 `json:"use,omitempty"`
-	// Waiting names the teams whose requests lack a target for long at some instance.
-	Waiting []string `json:"waiting,omitempty"`
+	// Waiting says whose requests lack a free target at some instance.
+	Waiting Waiting `json:"waiting,omitempty"`
 }
 
 // Model identifies a model of a service. Model is empty for a plain service.
@@ -73,8 +73,7 @@
 	paces    map[int]*Pace
 	arrivals map[Model]*rate
 	use      map[string]*rate
-	// waiting holds when each team was last reported as waiting.
-	waiting map[string]time.Time
+	waiting  waitingTeams
 
 	refreshedAt time.Time
 	// rates and teams are the parts of a snapshot as of refreshedAt. They are shared by
@@ -82,8 +81,7 @@
 	rates      map[string]map[string]float64
 	paceCounts Counts
 	teams      map[string]float64
-	// waitingTeams is sorted.
-	waitingTeams []string
+	waitingNow Waiting
 }
 
 // contribution is the last report of one instance.
@@ -99,7 +97,7 @@
 	s := &Sums{
 		term: term, index: index, onRamp: func(RampChange) {}, instances: make(map[string]*contribution),
 		paces: make(map[int]*Pace), arrivals: make(map[Model]*rate), use: make(map[string]*rate),
-		waiting: make(map[string]time.Time),
+		waiting: make(waitingTeams),
 	}
 	for _, opt := range opts {
 		opt(s)
@@ -138,9 +136,7 @@
 	for team, n := range r.Use {
 		addTo(s.use, team, now, n)
 	}
-	for _, team := range r.Waiting {
-		s.waiting[team] = now
-	}
+	s.waiting.record(now, r.Waiting)
 	have := s.instances[from]
 	if r.Term != s.term || have != nil && r.Seq <= have.seq {
 		return
@@ -236,7 +232,7 @@
 		return nil
 	}
 	age := now.Sub(s.startedAt) - s.ages/time.Duration(len(s.instances))
-	out := &Snapshot{AgeMS: age.Milliseconds(), Counts: s.encode(), Paces: s.paceCounts, Limits: s.ramps.limits(), Rates: s.rates, Use: s.teams, Waiting: s.waitingTeams}
+	out := &Snapshot{AgeMS: age.Milliseconds(), Counts: s.encode(), Paces: s.paceCounts, Limits: s.ramps.limits(), Rates: s.rates, Use: s.teams, Waiting: s.waitingNow}
 	if c := s.instances[to]; c != nil {
 		out.Seq = c.seq
 	}
@@ -274,9 +270,7 @@
 	}
 	s.paceCounts = s.unusualPaces(now)
 	s.teams = highest(s.use, now, minUse)
-	maps.DeleteFunc(s.waiting, func(_ string, at time.Time) bool { return now.Sub(at) > MaxAge })
-	s.waitingTeams = slices.Sorted(maps.Keys(s.waiting))
-	s.waitingTeams = s.waitingTeams[:min(len(s.waitingTeams), maxRates)]
+	s.waitingNow = s.waiting.current(now)
 }
 
 // unusualPaces returns the paces that differ most from the usual one, in percent, and
--- a/internal/coordination/load/view.go
+++ b/internal/coordination/load/view.go
@@ -25,7 +25,7 @@
 	dueAt   time.Time
 	rates   map[string]map[string]float64
 	use     map[string]float64
-	waiting []string
+	waiting Waiting
 	paces   map[int]float64
 	limits  map[int]int
 	isValid bool
@@ -108,7 +108,7 @@
 		base64Growth = 4.0 / 3
 		bytesPerRate = 24
 	)
-	size := base64Growth*float64(len(s.Counts)+len(s.Paces)) + bytesPerRate*float64(len(s.Use)+len(s.Waiting))
+	size := base64Growth*float64(len(s.Counts)+len(s.Paces)) + bytesPerRate*float64(len(s.Use)+s.Waiting.count())
 	for _, models := range s.Rates {
 		size += bytesPerRate * float64(len(models))
 	}
@@ -150,6 +150,6 @@
 // must not be changed.
 func (v *View) Use() map[string]float64 { return v.use }
 
-// Waiting returns the names of the teams whose requests lack a target for long at some
-// instance.
-func (v *View) Waiting() []string { return v.waiting }
+// Waiting returns whose requests lack a free target at some instance. It must not be
+// changed.
+func (v *View) Waiting() Waiting { return v.waiting }
--- a/internal/coordination/picker/choose.go
+++ b/internal/coordination/picker/choose.go
@@ -36,7 +36,7 @@
 	best.inFlight++
 	best.prefilling++
 	p.sent[modelKey{q.Service, q.Model}]++
-	p.countUse(q.Team, q.amount()/q.weight())
+	p.countUse(q.Team, q.Service, q.Model, q.amount()/q.weight())
 	if q.Model != "" {
 		if best.inFlightByModel == nil {
 			best.inFlightByModel = make(map[string]int)
--- a/internal/coordination/picker/hold.go
+++ b/internal/coordination/picker/hold.go
@@ -3,8 +3,9 @@
 import (
 	"maps"
 	"math"
-	"slices"
 	"time"
+
+	"chivecroft.example/chivecroft/internal/coordination/load"
 )
 
 const (
@@ -41,9 +42,19 @@
 	h.at = now
 }
 
-// isHeld reports whether a team has used up the budget that its hold leaves it.
-func (p *Picker) isHeld(now time.Time, team string) bool {
+// holdOf returns the hold that a request of a team for a model is subject to, nil for none.
+// Where no other team waits for the model, the team may use all of it.
+func (p *Picker) holdOf(team, service, model string) *hold {
 	h := p.teams.holds[team]
+	if h == nil || !p.view.Waiting().HasOther(load.Model{Service: service, Model: model}, team) {
+		return nil
+	}
+	return h
+}
+
+// isHeld reports whether a request's team has used up the budget that its hold leaves it.
+func (p *Picker) isHeld(now time.Time, q *Request) bool {
+	h := p.holdOf(q.Team, q.Service, q.Model)
 	if h == nil {
 		return false
 	}
@@ -52,14 +63,16 @@
 }
 
 // waitingTeams returns the teams whose requests have been queued for waitingDelay although
-// they are not held back.
-func (p *Picker) waitingTeams(now time.Time) []string {
-	var out []string
+// they are not held back and targets serve their model.
+func (p *Picker) waitingTeams(now time.Time) load.Waiting {
+	out := make(load.Waiting)
 	for _, w := range p.queue {
-		team := w.req.Team
-		if team != "" && now.Sub(w.req.Arrived) >= waitingDelay && p.teams.holds[team] == nil && !slices.Contains(out, team) {
-			out = append(out, team)
+		q := &w.req
+		if q.Team == "" || now.Sub(q.Arrived) < waitingDelay || p.teams.holds[q.Team] != nil ||
+			len(p.copiesFor(q, p.hasFreshUpdates(now))) == 0 {
+			continue
 		}
+		out.Add(load.Model{Service: q.Service, Model: q.Model}, q.Team)
 	}
 	return out
 }
@@ -87,8 +100,7 @@
 func (p *Picker) renewHold(now time.Time, team string) {
 	t := &p.teams
 	h, use, share := t.holds[team], p.view.Use()[team]/useUnits, t.level
-	othersWait := slices.ContainsFunc(p.view.Waiting(), func(other string) bool { return other != team })
-	if !othersWait || use < releaseMargin*share {
+	if !p.view.Waiting().HasOtherAnywhere(team) || use < releaseMargin*share {
 		delete(t.holds, team)
 		return
 	}
--- a/internal/coordination/picker/picker.go
+++ b/internal/coordination/picker/picker.go
@@ -190,7 +190,7 @@
 	if out.Rejected || out.Unreachable {
 		r.outcomes.Rejected++
 		r.rejectedAt = now
-		p.countUse(s.team, -s.used)
+		p.countUse(s.team, r.Service, s.model, -s.used)
 	}
 	p.setReportedPace(now, r, out.Pace)
 	s.markResponseBegan()
--- a/internal/coordination/picker/teams.go
+++ b/internal/coordination/picker/teams.go
@@ -167,7 +167,7 @@
 // first has shown that there is no room, unless they may differ in what they may use.
 func (p *Picker) tryInPass(run *pass, q *Request) *Reservation {
 	key := copiesKey{service: q.Service, model: q.Model, adapter: q.Adapter}
-	if key == run.lastFull || p.isHeld(run.now, q.Team) {
+	if key == run.lastFull || p.isHeld(run.now, q) {
 		return nil
 	}
 	if run.full[key] {
@@ -198,14 +198,14 @@
 
 // countUse records that a request of a team is sent to a target, or with a negative number
 // that the target has not run it. used is its amount over its weight.
-func (p *Picker) countUse(team string, used float64) {
+func (p *Picker) countUse(team, service, model string, used float64) {
 	if team == "" {
 		return
 	}
 	t := &p.teams
 	t.use[team] += used
 	t.sent[team] += used
-	if h := t.holds[team]; h != nil {
+	if h := p.holdOf(team, service, model); h != nil {
 		h.budget -= used
 	}
 }
--- a/internal/coordination/picker/teams_test.go
+++ b/internal/coordination/picker/teams_test.go
@@ -236,6 +236,9 @@
 	w.runFor(10 * time.Second)
 	w.reset()
 	w.runFor(30 * time.Second)
+	if w.pickers[5].teams.holds["hot"] != nil || w.pickers[0].teams.holds["hot"] == nil {
+		t.Error("the hot team is not held back where it comes, or is elsewhere")
+	}
 	least, hot := w.least(w.total(), 2000), w.got["hot"]*16/w.total()
 	t.Logf("least usual team %.2f of its fair share, hot team %.2f; %.0f tokens", least, hot, w.total())
 	if least < 0.7 || hot > 1.5 {
