--- a/internal/coordination/load/waiting.go
+++ b/internal/coordination/load/waiting.go
@@ -60,10 +60,10 @@
 		for model, team := range models {
 			m := Model{service, model}
 			have := t[m]
-			switch {
-			case team == severalTeams:
+			switch team {
+			case severalTeams:
 				have.at, have.otherAt = now, now
-			case team == have.team:
+			case have.team:
 				have.at = now
 			default:
 				have = waiters{team: team, at: now, otherAt: have.at}
--- a/internal/coordination/picker/hold.go
+++ b/internal/coordination/picker/hold.go
@@ -36,6 +36,43 @@
 	at           time.Time
 }
 
+// HoldChange reports that this instance has begun or ceased to hold back a team.
+type HoldChange struct {
+	Team string
+	// Held reports whether the team is held back from now on.
+	Held bool
+	// Use is the team's use at all instances and Mean the mean of all teams, in quotas. Age
+	// is the age of the snapshot that says so.
+	Use, Mean float64
+	Age       time.Duration
+}
+
+// WithHoldObserver calls f when a team begins or ceases to be held back; f must not block.
+func WithHoldObserver(f func(HoldChange)) Option {
+	return func(p *Picker) { p.teams.onHold = f }
+}
+
+// endHolds ends all holds, for want of a recent snapshot.
+func (p *Picker) endHolds(now time.Time) {
+	for team := range p.teams.holds {
+		p.setHold(now, team, nil)
+	}
+}
+
+// setHold sets or, with nil, ends the hold of a team.
+func (p *Picker) setHold(now time.Time, team string, h *hold) {
+	t := &p.teams
+	if h == nil && t.holds[team] == nil {
+		return
+	}
+	t.holds[team] = h
+	if h == nil {
+		delete(t.holds, team)
+	}
+	age, _ := p.view.Age(now)
+	t.onHold(HoldChange{Team: team, Held: h != nil, Use: p.view.Use()[team] / useUnits, Mean: t.level, Age: age})
+}
+
 // refill adds to the budget what has become due.
 func (h *hold) refill(now time.Time) {
 	h.budget = min(h.budget+h.rate*now.Sub(h.at).Seconds(), h.rate*holdBurst.Seconds())
@@ -101,7 +138,7 @@
 	t := &p.teams
 	h, use, share := t.holds[team], p.view.Use()[team]/useUnits, t.level
 	if !p.view.Waiting().HasOtherAnywhere(team) || use < releaseMargin*share {
-		delete(t.holds, team)
+		p.setHold(now, team, nil)
 		return
 	}
 	if h == nil {
@@ -109,7 +146,7 @@
 			return
 		}
 		h = &hold{at: now}
-		t.holds[team] = h
+		p.setHold(now, team, h)
 	}
 	h.refill(now)
 	h.rate = share * min(t.own[team]/use, 1)
--- a/internal/coordination/picker/teams.go
+++ b/internal/coordination/picker/teams.go
@@ -50,6 +50,7 @@
 	// is what each team has used here since the last snapshot, own its rate up to that.
 	holds     map[string]*hold
 	sent, own map[string]float64
+	onHold    func(HoldChange)
 	// heldAt is when the holds were last renewed.
 	heldAt time.Time
 }
@@ -58,7 +59,7 @@
 	return teamQueues{
 		schedules: make(map[int]*teamSchedule), queued: make(map[modelKey]int),
 		use:   make(map[string]float64),
-		holds: make(map[string]*hold), sent: make(map[string]float64), own: make(map[string]float64),
+		holds: make(map[string]*hold), onHold: func(HoldChange) {}, sent: make(map[string]float64), own: make(map[string]float64),
 	}
 }
 
@@ -127,7 +128,7 @@
 	}
 	if p.teams.leads != nil && !p.usesSnapshot(now) {
 		p.setLeads(now)
-		clear(p.teams.holds)
+		p.endHolds(now)
 	}
 	run := pass{now: now, only: only, full: make(map[copiesKey]bool)}
 	for _, priority := range slices.Sorted(maps.Keys(p.teams.schedules)) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -140,6 +140,7 @@
 	e.store = platform.NewStore(e.loopCtx, boot.Store, platform.WithStoreObserver(e.metrics.storeCallEnded))
 	e.demandSignal = make(chan struct{}, 1)
 	e.picker = picker.New(e.timer, boot.Zone, boot.Regions, picker.WithName(boot.Instance), picker.WithDemand(e.signalDemand),
+		picker.WithHoldObserver(e.onHoldChange),
 		picker.WithLimitObserver(e.onLimitChange), picker.WithLoadObserver(e.onLoadChange))
 	e.clock = timer.NewBoot()
 	e.coordinator = newCoordinator(e.loopCtx, boot, e.clock, l, e.metrics)
--- a/internal/edge/load.go
+++ b/internal/edge/load.go
@@ -55,6 +55,12 @@
 	return &r
 }
 
+// onHoldChange logs that a team begins or ceases to be held back.
+func (e *Edge) onHoldChange(c picker.HoldChange) {
+	e.log.Info().Str("team", c.Team).Bool("held", c.Held).Float64("use", c.Use).Float64("meanUse", c.Mean).
+		Dur("age", c.Age).Msg("team beyond its share")
+}
+
 // onLoadChange logs and counts that load snapshots begin or cease to be recent enough.
 func (e *Edge) onLoadChange(c picker.LoadChange) {
 	line := e.log.Info().Bool("shared", c.Shared)
