--- a/internal/coordination/picker/shared.go
+++ b/internal/coordination/picker/shared.go
@@ -54,6 +54,8 @@
 	out := p.view.Report(now, &own)
 	out.Arrived = p.plainArrivals
 	p.plainArrivals = make(map[string]int)
+	out.Use = p.takeUse()
+	out.Waiting = p.waitingTeams(now)
 	return out
 }
 
@@ -88,20 +90,11 @@
 	p.setChances(now)
 	clear(p.sent)
 	p.usesSnapshot(now)
+	p.setLeads(now)
+	p.renewHolds(now)
 	p.processQueue(now)
 }
 
-// TeamUse returns the use of a team over all instances, in its unit per second; 0 without
-// a load snapshot.
-func (p *Picker) TeamUse(team string) float64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.usesSnapshot(p.timer.Now()) {
-		return 0
-	}
-	return p.view.Use(team)
-}
-
 // otherLoad is the number of other instances' requests at a target as of a time.
 type otherLoad struct {
 	count float64
