Instances of a large zone exchange messages with relays

Every instance sent its demand to the holder every 350 ms + 2 ms for each instance, so from 275 instances on no update was fresh (900 ms). In zones of more than four instances the two readers now sum the demand of the others, report it in one message and answer from their copy of the updates, with its age. Intervals and the age up to which updates are fresh are derived from each other in package relay.

--- a/internal/edge/blocks.go
+++ b/internal/edge/blocks.go
@@ -20,12 +20,12 @@
 	Lifted int `json:"lifted"`
 }
 
-func (e *Edge) serveBlocks(w http.ResponseWriter, _ *http.Request) {
+func (e *Edge) serveBlocks(w http.ResponseWriter, r *http.Request) {
 	blocks := e.crashes.Blocks()
 	if blocks == nil {
 		blocks = []crash.Block{}
 	}
-	e.writeJSON(w, blocks)
+	e.writeJSON(w, r, blocks)
 }
 
 // serveLift lifts the blocks of a part. Any instance can be asked; it tells the others.
@@ -41,5 +41,5 @@
 		http.Error(w, "no block in force names this part", http.StatusNotFound)
 		return
 	}
-	e.writeJSON(w, Lifted{n})
+	e.writeJSON(w, r, Lifted{n})
 }
--- a/internal/edge/changes.go
+++ b/internal/edge/changes.go
@@ -91,7 +91,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	e.writeJSON(w, out)
+	e.writeJSON(w, r, out)
 }
 
 // changesAfter returns the changes after a revision. It returns false if this instance
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -14,6 +14,7 @@
 	"chivecroft.example/chivecroft/internal/coordination/elect"
 	"chivecroft.example/chivecroft/internal/coordination/picker"
 	"chivecroft.example/chivecroft/internal/coordination/quota"
+	"chivecroft.example/chivecroft/internal/coordination/relay"
 	"chivecroft.example/chivecroft/internal/coordination/sched"
 	"chivecroft.example/chivecroft/internal/state/fleet"
 	"chivecroft.example/chivecroft/internal/state/recent"
@@ -58,6 +59,8 @@
 	// crashes finds the parts of prompts that crash targets.
 	crashes *crash.Detector
 	members map[string]member
+	// tree knows the instances whose messages go to relays.
+	tree    *relay.Tree
 	readers readerSelection
 }
 
@@ -66,7 +69,7 @@
 		ctx: ctx, self: boot.Instance, engines: platform.NewEngines(), clock: clock, log: l, metrics: m,
 		loadWindow: boot.Bounds.LoadWindow, targets: make(map[string]fleet.Target), absent: make(map[string]bool),
 		leaving: picker.NewLeavingSet(), updates: newUpdateLog(), permits: quota.NewLedger(), crashes: crash.NewDetector(),
-		planners: make(map[string]*sched.Planner), members: make(map[string]member),
+		planners: make(map[string]*sched.Planner), members: make(map[string]member), tree: relay.NewTree(),
 	}
 }
 
@@ -86,6 +89,7 @@
 	}
 	k.planners = make(map[string]*sched.Planner)
 	k.members = make(map[string]member)
+	k.tree = relay.NewTree()
 	k.readers = readerSelection{}
 	k.updates = newUpdateLog()
 	k.permits = quota.NewLedger()
@@ -266,25 +270,23 @@
 	if !k.status.IsSteady(now) || !k.hasFullList || k.config == nil && !k.configRead {
 		return exchangeReply{}, false
 	}
-	readers := k.recordMember(m, now)
+	readers, known := k.recordSender(m, now)
 	for _, id := range m.Leaving {
 		k.markLeaving(id)
 	}
-	for _, p := range k.planners {
-		p.SetDemand(now, m.From, m.Demand)
-	}
 	k.setLimits(now, m.Limits)
 	k.refreshUpdates()
 	after := m.Version
 	if m.Term != k.term() {
 		after = 0
 	}
+	members, senders := k.pruneMembers(now)
 	out := exchangeReply{
 		Term: k.term(), Version: k.updates.version, Full: after == 0, Updates: k.updates.after(after),
-		Members: k.pruneMembers(now), Readers: readers, ConfigRevision: k.configRevision, ReadyInMS: make(map[string]int64),
+		Members: members, Senders: senders, ChildrenKnown: known, Readers: readers, ConfigRevision: k.configRevision, ReadyInMS: make(map[string]int64),
 	}
 	out.Grants = k.permits.Ask(now, m.From, m.Wants)
-	out.Crashes = k.judgeCrashes(now, m, out.Members)
+	out.Crashes = k.judgeCrashes(now, m, senders)
 	if k.status.CanOrder(now) {
 		for _, p := range k.planners {
 			for model, in := range p.Expected(now) {
@@ -307,15 +309,31 @@
 	}
 }
 
+// recordSender records an instance's message: that it and its children are alive, and
+// their demand. It returns the readers of the instance's zone, or nil if the instance
+// knows them already, and the hash of the children that are known.
+func (k *coordinator) recordSender(m exchangeRequest, now time.Time) (readers []netip.AddrPort, children uint64) {
+	if m.IsAside {
+		return nil, 0
+	}
+	readers = k.recordMember(m, now)
+	alive, children := k.tree.Put(m.From, m.Children)
+	for _, c := range alive {
+		k.recordChild(c, now)
+	}
+	k.recordDemand(m, now)
+	return readers, children
+}
+
 // recordMember records that an instance is alive. It returns the readers of the
 // instance's zone, or nil if the instance knows them already.
 func (k *coordinator) recordMember(m exchangeRequest, now time.Time) []netip.AddrPort {
 	have := k.members[m.From]
-	have.seenAt = now
+	have.seenAt, have.sentAt = now, now
 	if m.Peer.IsValid() {
 		have.zone, have.peer, have.cores = m.Zone, m.Peer, m.Cores
 	}
-	readers := k.readers.forZone(have.zone, now, k.members)
+	readers := k.readers.forZone(have.zone, now, k.members, k.self)
 	known := slices.Equal(readers, have.knownReaders)
 	have.knownReaders = readers
 	k.members[m.From] = have
@@ -325,6 +343,36 @@
 	return readers
 }
 
+// recordChild records that a child of a relay is alive. Its demand is part of the relay's
+// from now on.
+func (k *coordinator) recordChild(c relay.Child, now time.Time) {
+	have := k.members[c.Name]
+	have.seenAt = now
+	if c.Peer.IsValid() {
+		have.zone, have.peer, have.cores = c.Zone, c.Peer, c.Cores
+	}
+	if !have.sentAt.IsZero() {
+		have.sentAt = time.Time{}
+		for _, p := range k.planners {
+			p.SetDemand(now, c.Name, nil)
+		}
+	}
+	k.members[c.Name] = have
+}
+
+// recordDemand records an instance's demand, unless a later message of it has come.
+func (k *coordinator) recordDemand(m exchangeRequest, now time.Time) {
+	have := k.members[m.From]
+	demand, isLatest := have.counter.CountInto(m.Seq, m.Demand, m.Resent)
+	if !isLatest {
+		return
+	}
+	k.members[m.From] = have
+	for _, p := range k.planners {
+		p.SetDemand(now, m.From, demand)
+	}
+}
+
 // term identifies this term of the holder, so that update versions of another term are
 // not taken for its own.
 func (k *coordinator) term() int64 {
@@ -342,11 +390,18 @@
 	}
 }
 
-func (k *coordinator) pruneMembers(now time.Time) int {
+// pruneMembers forgets the instances that are gone. It returns the number of instances,
+// and of those that send messages to the holder.
+func (k *coordinator) pruneMembers(now time.Time) (members, senders int) {
 	for name, m := range k.members {
 		if now.Sub(m.seenAt) > memberTimeout {
 			delete(k.members, name)
+			k.tree.Remove(name)
+			continue
+		}
+		if now.Sub(m.sentAt) <= memberTimeout {
+			senders++
 		}
 	}
-	return len(k.members)
+	return len(k.members), senders
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -21,6 +21,7 @@
 	"chivecroft.example/chivecroft/internal/coordination/picker"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 	"chivecroft.example/chivecroft/internal/coordination/quota"
+	"chivecroft.example/chivecroft/internal/coordination/relay"
 	"chivecroft.example/chivecroft/internal/coordination/retry"
 	"chivecroft.example/chivecroft/internal/state/fleet"
 	"chivecroft.example/chivecroft/internal/state/timer"
@@ -71,8 +72,13 @@
 	coordinator *coordinator
 	election    *drive.Loop
 	peerClient  *peerClient
-	// updatedAt is when the holder's last update came, in nanoseconds of clock.
+	// updatedAt is when the holder sent its last update or later, in nanoseconds of clock.
 	updatedAt atomic.Int64
+	// sender is what the exchange loop sends and where; held is what the replies have
+	// said, and children what this instance knows of others as a relay.
+	sender   *sender
+	held     *heldUpdates
+	children *relay.Table
 	// readerRepliedAt is when a reader last replied to a request for changes, in
 	// nanoseconds of clock.
 	readerRepliedAt atomic.Int64
@@ -122,6 +128,7 @@
 	e.clock = timer.NewBoot()
 	e.coordinator = newCoordinator(e.loopCtx, boot, e.clock, l, e.metrics)
 	e.peerClient = newPeerClient()
+	e.sender, e.held, e.children = newSender(), newHeldUpdates(), relay.NewTable()
 	e.configFollower = e.newConfigFollower()
 	e.targetFollower = e.newTargetFollower()
 	if boot.Bootstrap {
@@ -137,7 +144,8 @@
 	e.crashes = crash.NewMonitor(e.timer, crash.WithUrgency(e.signalDemand), crash.WithObserver(e.onBlockChange))
 	e.ends = newEndChecker(e.picker.IsLeaving, e.onTargetEnd)
 	e.proxy = proxy.NewServer(platform.Codec{}, e.picker, e.budget, e.timer, proxy.WithLogger(l),
-		proxy.WithObserver(e.metrics.requestEnded), proxy.WithCrashes(e.crashes, e.ends.hasEnded))
+		proxy.WithObserver(e.metrics.requestEnded), proxy.WithCrashes(e.crashes, e.ends.hasEnded),
+		proxy.WithBehind(e.configFollower.isBehind))
 	for _, opt := range opts {
 		opt(e)
 	}
@@ -285,7 +293,7 @@
 			e.coordinator.setConfigRead()
 		},
 		applyChange:     apply,
-		hasFreshUpdates: e.hasFreshUpdates, onIdle: func() {}, fetchFromHolder: e.fetchConfigFromHolder,
+		hasFreshUpdates: e.hasFreshUpdates, onIdle: func() {}, fetchFromHolder: e.fetchNewestConfig,
 		canAskReaders: e.canAskReaders, fetchItems: e.fetchConfigFromReaders, isHolder: e.isHolder,
 		clock: e.clock, updateAge: e.updateAge,
 		needsList: func() bool { return false }, readCopy: e.readCopy,
--- /dev/null
+++ b/internal/edge/encoding.go
@@ -0,0 +1,70 @@
+package edge
+
+import (
+	"bytes"
+	"compress/gzip"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+)
+
+const (
+	encodingGzip = "gzip"
+	// minCompressedBytes is the size from which on messages are compressed. Smaller ones
+	// fit into one packet.
+	minCompressedBytes = 1200
+)
+
+// compressors holds compressors of the fastest level: each has tables of 1.2 MB.
+var compressors = sync.Pool{New: func() any {
+	// The level is valid, so there is no error.
+	w, _ := gzip.NewWriterLevel(io.Discard, gzip.BestSpeed)
+	return w
+}}
+
+// compress returns the compressed data.
+func compress(data []byte) []byte {
+	var b bytes.Buffer
+	w := compressors.Get().(*gzip.Writer)
+	defer compressors.Put(w)
+	w.Reset(&b)
+	// Writes to a Buffer do not fail.
+	_, _ = w.Write(data)
+	_ = w.Close()
+	return b.Bytes()
+}
+
+// setBody sets the body of a message, compressed if it is large.
+func setBody(req *http.Request, data []byte) {
+	if len(data) >= minCompressedBytes {
+		data = compress(data)
+		req.Header.Set("Content-Encoding", encodingGzip)
+	}
+	req.Body = io.NopCloser(bytes.NewReader(data))
+	req.ContentLength = int64(len(data))
+}
+
+// writeBody writes the body of a response to r, compressed if it is large and the other
+// instance accepts that.
+func writeBody(w http.ResponseWriter, r *http.Request, data []byte) {
+	if len(data) >= minCompressedBytes && strings.Contains(r.Header.Get("Accept-Encoding"), encodingGzip) {
+		data = compress(data)
+		w.Header().Set("Content-Encoding", encodingGzip)
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	_, _ = w.Write(data)
+}
+
+// readBody reads a body of at most limit bytes, uncompressed, and cuts a longer one there.
+func readBody(h http.Header, body io.Reader, limit int64) ([]byte, error) {
+	if h.Get("Content-Encoding") != encodingGzip {
+		return io.ReadAll(io.LimitReader(body, limit))
+	}
+	z, err := gzip.NewReader(body)
+	if err != nil {
+		return nil, err
+	}
+	return io.ReadAll(io.LimitReader(z, limit))
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -1,10 +1,8 @@
 package edge
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/netip"
 	"time"
@@ -15,6 +13,7 @@
 	"chivecroft.example/chivecroft/internal/coordination/elect"
 	"chivecroft.example/chivecroft/internal/coordination/picker"
 	"chivecroft.example/chivecroft/internal/coordination/quota"
+	"chivecroft.example/chivecroft/internal/coordination/relay"
 	"chivecroft.example/chivecroft/internal/state/fleet"
 	"chivecroft.example/chivecroft/internal/transport/gate"
 )
@@ -25,19 +24,15 @@
 	exchangeTimeout    = 700 * time.Millisecond
 	peerSilenceTimeout = time.Second
 	maxMessageBytes    = 4 << 20
-	// exchangeInterval is the interval of messages to the holder while no request waits
-	// for a model.
-	exchangeInterval = 350 * time.Millisecond
+	// exchangeInterval is the interval of messages while no request waits for a model.
+	exchangeInterval = relay.Interval
 	// urgentExchangeInterval is the interval while requests wait for models.
-	urgentExchangeInterval = 100 * time.Millisecond
-	// exchangeIntervalPerMember is added to both intervals for each instance, so that the
-	// holder's work does not grow with the fleet.
-	exchangeIntervalPerMember = 2 * time.Millisecond
+	urgentExchangeInterval = relay.UrgentInterval
 	// minExchangeInterval is the minimum time between two messages.
 	minExchangeInterval = 30 * time.Millisecond
 	// maxUpdateAge is how long after the holder's last update an instance need not read
 	// the store itself.
-	maxUpdateAge = 900 * time.Millisecond
+	maxUpdateAge = relay.MaxAge
 	// holderCheckInterval is the minimum time between two checks for another holder.
 	holderCheckInterval = 1500 * time.Millisecond
 	// planInterval is the interval at which the holder runs the planners.
@@ -65,14 +60,33 @@
 	// Term and Version identify the updates that the instance has.
 	Term    int64  `json:"holding,omitempty"`
 	Version uint64 `json:"version,omitempty"`
+	// Seq numbers the messages of an instance, and Resent repeats the arrivals of earlier
+	// ones that had no reply, so that each is counted once.
+	Seq    uint64        `json:"seq,omitempty"`
+	Resent []relay.Batch `json:"resent,omitempty"`
+	// Children names the instances whose demand a relay reports.
+	Children *relay.Children `json:"children,omitempty"`
+	// IsAside means that the instance reports its demand to a relay, and only limits,
+	// permits and crashes to the holder.
+	IsAside bool `json:"aside,omitempty"`
+	// Blocks is the version of the blocked parts that the instance has; for relays, which
+	// get no crash reports.
+	Blocks uint64 `json:"blocks,omitempty"`
 }
 
 // exchangeReply is the holder's response to an exchangeRequest.
 type exchangeReply struct {
 	Term    int64  `json:"holding"`
 	Version uint64 `json:"version"`
-	// Members is the number of instances that exchange messages with the holder.
+	// Members is the number of instances, Senders the number of those that send their
+	// messages to the holder.
 	Members int `json:"members"`
+	Senders int `json:"senders,omitempty"`
+	// AgeMS is the age of what the reply says, in milliseconds: 0 from the holder, the
+	// time since the holder's reply from a relay.
+	AgeMS int64 `json:"ageMs,omitempty"`
+	// ChildrenKnown is the hash of the relay's children that the holder knows.
+	ChildrenKnown uint64 `json:"childrenKnown,omitempty"`
 	// Readers lists the readers of the requesting instance's zone, which read the store
 	// for the others while there is no holder. It is empty if they have not changed since
 	// the last reply.
@@ -101,25 +115,29 @@
 type peerClient struct{ http http.Client }
 
 func newPeerClient() *peerClient {
-	return &peerClient{http: http.Client{Transport: gate.NewDialer(gate.WithSilence(peerSilenceTimeout)).Transport(nil)}}
+	transport := gate.NewDialer(gate.WithSilence(peerSilenceTimeout)).Transport(nil)
+	transport.ResponseHeaderTimeout = readerTimeout
+	return &peerClient{http: http.Client{Transport: transport}}
 }
 
-func (p *peerClient) exchange(ctx context.Context, to netip.AddrPort, m exchangeRequest) (exchangeReply, error) {
+// exchange sends a message to the holder or, with pathRelay, to a relay.
+func (p *peerClient) exchange(ctx context.Context, to netip.AddrPort, path string, m exchangeRequest) (exchangeReply, error) {
 	data, err := json.Marshal(m)
 	if err != nil {
 		return exchangeReply{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost,
-		"http://"+to.String()+pathExchange, bytes.NewReader(data))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.String()+path, nil)
 	if err != nil {
 		return exchangeReply{}, err
 	}
+	setBody(req, data)
 	a, err := p.do(req, maxMessageBytes)
 	if err != nil {
 		return exchangeReply{}, trace.Wrap(err, "exchange with %s", to)
 	}
+	if a.status == http.StatusConflict {
+		return exchangeReply{}, trace.Wrap(errNotFresh, "exchange with %s", to)
+	}
 	if a.status != http.StatusOK {
 		return exchangeReply{}, trace.CompareFailed("exchange with %s: HTTP status %d", to, a.status)
 	}
@@ -140,12 +158,13 @@
 
 // do sends a request and reads at most limit bytes of the response body.
 func (p *peerClient) do(req *http.Request, limit int64) (peerResponse, error) {
+	req.Header.Set("Accept-Encoding", encodingGzip)
 	resp, err := p.http.Do(req)
 	if err != nil {
 		return peerResponse{}, err
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit))
+	body, err := readBody(resp.Header, resp.Body, limit)
 	return peerResponse{status: resp.StatusCode, header: resp.Header, body: body}, err
 }
 
@@ -159,26 +178,46 @@
 		e.serveChanges(w, r)
 		return
 	}
-	if r.URL.Path != pathExchange || r.Method != http.MethodPost {
+	handle := e.handleExchange
+	if r.URL.Path == pathRelay {
+		handle = e.relayExchange
+	}
+	if r.URL.Path != pathExchange && r.URL.Path != pathRelay || r.Method != http.MethodPost {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	var m exchangeRequest
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxMessageBytes)).Decode(&m); err != nil || m.From == "" {
+	m, err := decodeExchange(r)
+	if err != nil {
 		e.log.Warn().Err(err).Str("peer", r.RemoteAddr).Msg("invalid message rejected")
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	out, ok := e.handleExchange(m)
+	out, ok := handle(m)
 	if !ok {
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
-	e.writeJSON(w, out)
+	e.writeJSON(w, r, out)
 }
 
-// writeJSON sends a value to another instance.
-func (e *Edge) writeJSON(w http.ResponseWriter, v any) {
+// decodeExchange reads the message of another instance.
+func decodeExchange(r *http.Request) (exchangeRequest, error) {
+	body, err := readBody(r.Header, r.Body, maxMessageBytes)
+	if err != nil {
+		return exchangeRequest{}, err
+	}
+	var m exchangeRequest
+	if err := json.Unmarshal(body, &m); err != nil {
+		return exchangeRequest{}, err
+	}
+	if m.From == "" {
+		return exchangeRequest{}, trace.BadParameter("the message names no sender")
+	}
+	return m, nil
+}
+
+// writeJSON sends a value to another instance in response to r.
+func (e *Edge) writeJSON(w http.ResponseWriter, r *http.Request, v any) {
 	data, err := json.Marshal(v)
 	if err != nil {
 		e.log.Error().Err(err).Msg("cannot encode the reply")
@@ -186,16 +225,15 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(data)
+	writeBody(w, r, data)
 }
 
-// exchangeLoop sends this instance's demand to the holder and applies the updates in the
-// reply, until ctx ends.
+// exchangeLoop sends this instance's demand to a relay or the holder and applies the
+// updates in the reply, until ctx ends.
 func (e *Edge) exchangeLoop(ctx context.Context) {
-	var last exchangeReply
 	var checkedAt time.Time
 	for ctx.Err() == nil {
-		err := e.exchangeOnce(ctx, &last)
+		err := e.exchangeOnce(ctx)
 		if now := e.timer.Now(); err != nil && now.Sub(checkedAt) > holderCheckInterval {
 			e.log.Info().Err(err).Msg("no update from the holder")
 			checkedAt = now
@@ -205,24 +243,24 @@
 			e.crashes.JudgeAlone(e.picker.CountTargets)
 		}
 		e.updateHolderWatch()
-		e.awaitNextExchange(ctx, e.exchangeDelay(last.Members))
+		e.awaitNextExchange(ctx, e.exchangeDelay())
 	}
 }
 
 // exchangeDelay is the time until the next message. It ends early when a model that
 // requests wait for is expected to be ready.
-func (e *Edge) exchangeDelay(members int) time.Duration {
-	spread := time.Duration(members) * exchangeIntervalPerMember
+func (e *Edge) exchangeDelay() time.Duration {
+	interval, urgent := e.exchangeIntervals()
 	if due, waiting := e.picker.TimeToNextPermit(); waiting {
-		return min(due, urgentExchangeInterval+spread)
-	}
-	if !e.picker.HasQueued() {
-		return exchangeInterval + spread
+		return min(due, urgent)
 	}
 	if due := e.picker.TimeToNextLoad(); due > 0 {
-		return min(due, urgentExchangeInterval+spread)
+		return min(due, urgent)
+	}
+	if e.picker.HasQueued() || e.children.HasQueued(e.clock.Now()) {
+		return urgent
 	}
-	return urgentExchangeInterval + spread
+	return interval
 }
 
 // awaitNextExchange waits until the next message is due or a request begins to wait.
@@ -233,47 +271,28 @@
 
 var errNoHolder = trace.NotFound("no holder is known")
 
-func (e *Edge) exchangeOnce(ctx context.Context, last *exchangeReply) error {
+// exchangeOnce sends one message: to a relay if this instance has one that replies, else
+// to the holder. What only the holder may decide goes to the holder in any case.
+func (e *Edge) exchangeOnce(ctx context.Context) error {
 	status := e.coordinator.holderStatus()
-	sentAt := e.timer.Now()
-	m := exchangeRequest{
-		From: e.boot.Instance, Demand: e.picker.Demand(), Leaving: e.picker.AnnouncedLeaving(),
-		Term: last.Term, Version: last.Version,
+	out := e.newMessage()
+	if status.IsHolder {
+		e.exchangeWithSelf(out)
+		return nil
 	}
-	m.Limits, m.Wants = e.picker.LimitDemand()
-	crashes := e.crashes.Report()
-	if !crashes.IsEmpty() {
-		m.Crashes = &crashes
-	}
-	if last.Full {
-		// The holder's last reply was full, so it may not know this instance.
-		m.Zone, m.Peer, m.Cores = e.boot.Zone, e.boot.Peer, e.boot.Cores
-	}
-	switch {
-	case status.IsHolder:
-		r, steady := e.handleExchange(m)
-		if !steady {
-			return nil
+	var err error
+	if relays := e.readersToAsk(); len(relays) > 0 {
+		if out.needsHolder() && status.Holder.IsValid() {
+			err = e.exchangeAside(ctx, status.Holder, out)
 		}
-		e.applyPermits(m, r, sentAt)
-		e.applyUpdates(r)
-		e.crashes.Apply(r.Term, &crashes, &r.Crashes)
-		*last = r
-		e.coordinator.sendDueOrders()
-	case status.Holder.IsValid():
-		r, err := e.peerClient.exchange(ctx, status.Holder, m)
-		if err != nil {
+		if e.exchangeWithRelays(ctx, relays, out) {
 			return err
 		}
-		e.applyPermits(m, r, sentAt)
-		e.applyUpdates(r)
-		e.crashes.Apply(r.Term, &crashes, &r.Crashes)
-		e.updatedAt.Store(e.clock.Now().UnixNano())
-		*last = r
-	default:
+	}
+	if !status.Holder.IsValid() {
 		return errNoHolder
 	}
-	return nil
+	return e.exchangeWithHolder(ctx, status.Holder, out)
 }
 
 // handleExchange responds to an instance's message as the holder. The read revisions are
@@ -293,9 +312,9 @@
 	})
 }
 
-// applyUpdates applies the updates in the holder's reply.
+// applyUpdates applies the updates in a reply of the holder or a relay.
 func (e *Edge) applyUpdates(r exchangeReply) {
-	now := e.timer.Now()
+	now := e.timer.Now().Add(-time.Duration(r.AgeMS) * time.Millisecond)
 	expected := make(map[string]time.Time, len(r.ReadyInMS))
 	for model, in := range r.ReadyInMS {
 		expected[model] = now.Add(time.Duration(in) * time.Millisecond)
--- a/internal/edge/readers.go
+++ b/internal/edge/readers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/coordination/relay"
 	"chivecroft.example/chivecroft/internal/state/rank"
 )
 
@@ -54,6 +55,10 @@
 	zone   string
 	peer   netip.AddrPort
 	cores  float64
+	// sentAt is when it last sent its demand itself, zero if a relay has reported it since.
+	sentAt time.Time
+	// counter counts the arrivals that it reports.
+	counter relay.Counter
 	// knownReaders are the readers of its zone that were last sent to it.
 	knownReaders []netip.AddrPort
 }
@@ -65,17 +70,18 @@
 }
 
 // forZone returns the readers of a zone. They are selected again at intervals.
-func (l *readerSelection) forZone(zone string, now time.Time, members map[string]member) []netip.AddrPort {
+func (l *readerSelection) forZone(zone string, now time.Time, members map[string]member, holder string) []netip.AddrPort {
 	if l.byZone == nil || now.Sub(l.selectedAt) > readerSelectInterval {
 		l.selectedAt = now
-		l.byZone = selectReaders(members)
+		l.byZone = selectReaders(members, holder)
 	}
 	return l.byZone[zone]
 }
 
 // selectReaders selects the instances with the most processor time of each zone, or all
 // of a small zone. A hash breaks ties, so that the same instances are selected each time.
-func selectReaders(members map[string]member) map[string][]netip.AddrPort {
+// The holder itself is left out: its zone would lose two tasks at once with it.
+func selectReaders(members map[string]member, holder string) map[string][]netip.AddrPort {
 	names := make(map[string][]string)
 	for name, m := range members {
 		if m.peer.IsValid() {
@@ -91,6 +97,7 @@
 			)
 		})
 		if len(list) > smallZoneSize {
+			list = slices.DeleteFunc(list, func(name string) bool { return name == holder })
 			list = list[:readersPerZone]
 		}
 		for _, name := range list {
--- /dev/null
+++ b/internal/edge/relay.go
@@ -0,0 +1,369 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"chivecroft.example/chivecroft/internal/coordination/crash"
+	"chivecroft.example/chivecroft/internal/coordination/quota"
+	"chivecroft.example/chivecroft/internal/coordination/relay"
+)
+
+const (
+	pathRelay = "/relay"
+	// relayTimeout limits a message to a relay. Another one or the holder must reply
+	// before the updates are too old.
+	relayTimeout = 2 * relay.MaxMessageDelay
+	// holderName stands for the holder, whoever that is, as the receiver of arrivals.
+	holderName = "holder"
+)
+
+// errNotFresh is returned if the other instance is not the holder, or is a relay whose
+// updates are not fresh.
+var errNotFresh = errors.New("the instance has no fresh updates")
+
+// sender is the state of the exchange loop.
+type sender struct {
+	route  *relay.Route
+	outbox *relay.Outbox
+	// introducedTo is the instance that knows this one's zone, address and cores.
+	introducedTo netip.AddrPort
+	// usesRelay reports whether the last message went to a relay.
+	usesRelay bool
+}
+
+func newSender() *sender {
+	return &sender{route: relay.NewRoute(), outbox: relay.NewOutbox(time.Now())}
+}
+
+// message is what one round of the exchange loop has to say.
+type message struct {
+	exchangeRequest
+	crashes crash.Report
+	// blocks is the version of the blocked parts that this instance has.
+	blocks uint64
+	wants  []quota.Want
+	limits []quota.Report
+}
+
+// newMessage collects what this instance and its children have to say.
+func (e *Edge) newMessage() *message {
+	now := e.clock.Now()
+	at := e.held.position()
+	out := &message{crashes: e.crashes.Report()}
+	out.blocks = out.crashes.Version
+	out.From, out.Term, out.Version = e.boot.Instance, at.Term, at.Version
+	out.Demand = e.children.Take(now, e.picker.Demand())
+	out.Leaving = e.picker.AnnouncedLeaving()
+	for _, id := range e.children.Leaving(now) {
+		if !slices.Contains(out.Leaving, id) {
+			out.Leaving = append(out.Leaving, id)
+		}
+	}
+	out.limits, out.wants = e.picker.LimitDemand()
+	return out
+}
+
+// needsHolder reports whether the message has something for the holder alone.
+func (m *message) needsHolder() bool {
+	c := &m.crashes
+	return len(m.limits)+len(m.wants)+len(c.Accusations)+len(c.Proofs)+len(c.Blocks)+len(c.Wanted) > 0
+}
+
+// withDirect returns a request with what is for the holder alone.
+func (m *message) withDirect(r exchangeRequest) exchangeRequest {
+	r.Limits, r.Wants = m.limits, m.wants
+	if !m.crashes.IsEmpty() {
+		r.Crashes = &m.crashes
+	}
+	return r
+}
+
+// address completes a request for a receiver: its number, the arrivals that the receiver
+// has not replied to, and who this instance is if the receiver may not know.
+func (e *Edge) address(m *message, name string, to netip.AddrPort) exchangeRequest {
+	r := m.exchangeRequest
+	r.Demand, r.Seq, r.Resent = e.sender.outbox.Pack(e.clock.Now(), name, m.Demand)
+	m.Demand = relay.WithoutArrivals(m.Demand)
+	if e.sender.introducedTo != to || e.held.wasFull() {
+		r.Zone, r.Peer, r.Cores = e.boot.Zone, e.boot.Peer, e.boot.Cores
+	}
+	return r
+}
+
+// settle records the end of an exchange.
+func (e *Edge) settle(r exchangeRequest, name string, to netip.AddrPort, err error) {
+	switch {
+	case err == nil:
+		e.sender.outbox.Ack(name, r.Seq)
+		e.sender.introducedTo = to
+	case isUnheard(err):
+		e.sender.outbox.Release(name, r.Seq)
+	}
+}
+
+// isUnheard reports whether the receiver of a message has certainly not taken it.
+func isUnheard(err error) bool {
+	var op *net.OpError
+	return errors.Is(err, errNotFresh) || errors.As(err, &op) && op.Op == "dial"
+}
+
+// exchangeWithSelf applies this instance's message as the holder.
+func (e *Edge) exchangeWithSelf(m *message) {
+	sentAt, asOf := e.timer.Now(), e.clock.Now()
+	r := m.withDirect(e.address(m, holderName, e.boot.Peer))
+	reply, steady := e.handleExchange(r)
+	if !steady {
+		return
+	}
+	e.settle(r, holderName, e.boot.Peer, nil)
+	e.applyReply(reply, asOf)
+	e.applyDirect(m, r, reply, sentAt)
+	e.coordinator.sendDueOrders()
+}
+
+// exchangeWithHolder sends the whole message to the holder.
+func (e *Edge) exchangeWithHolder(ctx context.Context, holder netip.AddrPort, m *message) error {
+	e.sender.usesRelay = false
+	r := m.withDirect(e.address(m, holderName, holder))
+	r.Children = relay.NameChildren(e.children.Live(e.clock.Now()), e.held.childrenKnown())
+	reply, err := e.sendToHolder(ctx, holder, m, r)
+	e.settle(r, holderName, holder, err)
+	if err != nil {
+		return err
+	}
+	e.held.setChildrenKnown(reply.ChildrenKnown)
+	return nil
+}
+
+// exchangeAside sends the holder only what it alone may decide.
+func (e *Edge) exchangeAside(ctx context.Context, holder netip.AddrPort, m *message) error {
+	r := m.withDirect(exchangeRequest{From: m.From, Term: m.Term, Version: m.Version, IsAside: true})
+	if _, err := e.sendToHolder(ctx, holder, m, r); err != nil {
+		return err
+	}
+	at := e.held.position()
+	m.Term, m.Version = at.Term, at.Version
+	m.limits, m.wants, m.crashes = nil, nil, crash.Report{}
+	return nil
+}
+
+// sendToHolder sends a request and applies the reply.
+func (e *Edge) sendToHolder(ctx context.Context, holder netip.AddrPort, m *message, r exchangeRequest) (exchangeReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	sentAt, asOf := e.timer.Now(), e.clock.Now()
+	reply, err := e.peerClient.exchange(ctx, holder, pathExchange, r)
+	if err != nil {
+		return exchangeReply{}, err
+	}
+	e.applyReply(reply, asOf)
+	e.applyDirect(m, r, reply, sentAt)
+	e.noteUpdatedAt(asOf)
+	return reply, nil
+}
+
+// applyDirect applies what the holder has replied to this instance alone.
+func (e *Edge) applyDirect(m *message, r exchangeRequest, reply exchangeReply, sentAt time.Time) {
+	e.applyPermits(r, reply, sentAt)
+	e.crashes.Apply(reply.Term, &m.crashes, &reply.Crashes)
+}
+
+// exchangeWithRelays sends the message to the first relay that replies. It returns false
+// if none does.
+func (e *Edge) exchangeWithRelays(ctx context.Context, relays []netip.AddrPort, m *message) bool {
+	for {
+		to, ok := e.sender.route.Next(e.clock.Now(), relays)
+		if !ok {
+			return false
+		}
+		age, err := e.exchangeWithRelay(ctx, to, m)
+		if err == nil {
+			e.sender.usesRelay = true
+			e.sender.route.NoteAge(e.clock.Now(), to, age, relays)
+			return true
+		}
+		failure := relay.Silent
+		if errors.Is(err, errNotFresh) {
+			failure = relay.Behind
+		}
+		e.sender.route.Fail(e.clock.Now(), to, failure)
+		e.log.Info().Err(err).Str("relay", to.String()).Dur("updateAge", e.updateAge()).Msg("relay failed")
+	}
+}
+
+// exchangeWithRelay sends the message to a relay and applies the reply. The updates are as
+// old as the relay says, counted from the sending of the message.
+func (e *Edge) exchangeWithRelay(ctx context.Context, to netip.AddrPort, m *message) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	r := e.address(m, to.String(), to)
+	r.Blocks = m.blocks
+	sentAt, asOf := e.timer.Now(), e.clock.Now()
+	reply, err := e.peerClient.exchange(ctx, to, pathRelay, r)
+	e.settle(r, to.String(), to, err)
+	if err != nil {
+		return 0, err
+	}
+	age := time.Duration(reply.AgeMS) * time.Millisecond
+	if !e.applyReply(reply, asOf.Add(-age)) {
+		return age, nil
+	}
+	e.applyPermits(exchangeRequest{}, reply, sentAt.Add(-age))
+	e.crashes.Apply(reply.Term, &crash.Report{}, &reply.Crashes)
+	e.noteUpdatedAt(asOf.Add(-age))
+	return age, nil
+}
+
+// applyReply applies the updates of a reply that says what the holder knew at asOf or
+// later. It returns false, and applies nothing, if this instance knows more already.
+func (e *Edge) applyReply(r exchangeReply, asOf time.Time) bool {
+	merged, ok := e.held.adopt(r, asOf)
+	if ok {
+		e.applyUpdates(merged)
+	}
+	return ok
+}
+
+// noteUpdatedAt records that the holder has sent updates at a time or later.
+func (e *Edge) noteUpdatedAt(at time.Time) {
+	e.updatedAt.Store(max(e.updatedAt.Load(), at.UnixNano()))
+}
+
+// exchangeIntervals returns the interval of messages and that while requests wait. Only
+// those of messages to the holder grow with the number of their senders.
+func (e *Edge) exchangeIntervals() (idle, urgent time.Duration) {
+	idle, urgent = relay.Interval, relay.UrgentInterval
+	if e.children.HasChildren(e.clock.Now()) {
+		idle = relay.ReportInterval
+	}
+	if e.sender.usesRelay {
+		return idle, urgent
+	}
+	spread := relay.Spread(e.held.senders())
+	return idle + spread, urgent + spread
+}
+
+// relayExchange replies to an instance of the zone as its relay, from the updates that
+// this instance has itself. It returns false if these are not fresh, or if this instance
+// is no relay.
+func (e *Edge) relayExchange(m exchangeRequest) (exchangeReply, bool) {
+	if e.isHolder() {
+		return e.handleExchange(m)
+	}
+	if !e.hasFreshUpdates() || e.stopping.Load() || len(e.readersToAsk()) > 0 {
+		return exchangeReply{}, false
+	}
+	isUrgent := e.children.Put(e.clock.Now(), relay.Message{
+		Child: relay.Child{Name: m.From, Zone: m.Zone, Peer: m.Peer, Cores: m.Cores},
+		Seq:   m.Seq, Demand: m.Demand, Resent: m.Resent, Leaving: m.Leaving,
+	})
+	if isUrgent {
+		e.signalDemand()
+	}
+	out := e.held.reply(e.clock.Now(), relay.Position{Term: m.Term, Version: m.Version})
+	if list := e.readers.Load(); list != nil {
+		out.Readers = *list
+	}
+	if out.Crashes.Version != m.Blocks || out.Term != m.Term {
+		out.Crashes.Blocks = e.crashes.Blocks()
+	}
+	return out, true
+}
+
+// heldUpdates is what an instance knows from the holder's updates, in the form that it
+// passes on as a relay. It is safe for concurrent use.
+type heldUpdates struct {
+	mu   sync.Mutex
+	copy *relay.Copy
+	// last is the last reply without its updates, asOf when the holder knew it or earlier.
+	last  exchangeReply
+	asOf  time.Time
+	known uint64
+}
+
+func newHeldUpdates() *heldUpdates { return &heldUpdates{copy: relay.NewCopy()} }
+
+// position returns the state that the updates have reached.
+func (h *heldUpdates) position() relay.Position {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.copy.Position()
+}
+
+// wasFull reports whether the last reply was full, so that its sender may not know this
+// instance.
+func (h *heldUpdates) wasFull() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.last.Full
+}
+
+// senders returns the number of instances that send messages to the holder.
+func (h *heldUpdates) senders() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.last.Senders
+}
+
+// childrenKnown returns the hash of this instance's children that the holder knows.
+func (h *heldUpdates) childrenKnown() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.known
+}
+
+func (h *heldUpdates) setChildrenKnown(hash uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.known = hash
+}
+
+// adopt records a reply that says what the holder knew at asOf or later, and returns it
+// with the newest revisions of its term. It returns false if it is older than what is
+// known. Terms cannot be ordered by their numbers, but a holder's replies end before the
+// next one's begin.
+func (h *heldUpdates) adopt(r exchangeReply, asOf time.Time) (exchangeReply, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	at := relay.Position{Term: r.Term, Version: r.Version}
+	isSameTerm := r.Term == h.last.Term
+	if !asOf.After(h.asOf) && !(isSameTerm && h.isAhead(&r)) || !h.copy.Adopt(at, r.Full, r.Updates) {
+		return r, false
+	}
+	if !isSameTerm || asOf.After(h.asOf) {
+		h.asOf = asOf
+	}
+	if isSameTerm {
+		r.ConfigRevision = max(r.ConfigRevision, h.last.ConfigRevision)
+		r.ConfigThrough = max(r.ConfigThrough, h.last.ConfigThrough)
+		r.TargetsThrough = max(r.TargetsThrough, h.last.TargetsThrough)
+	}
+	h.last = r
+	h.last.Updates, h.last.Grants, h.last.Readers = nil, nil, nil
+	h.last.Crashes = crash.Reply{Version: r.Crashes.Version, Suspects: r.Crashes.Suspects}
+	return r, true
+}
+
+// isAhead reports whether a reply of the same term says what is not known.
+func (h *heldUpdates) isAhead(r *exchangeReply) bool {
+	return r.Version > h.last.Version || r.ConfigRevision > h.last.ConfigRevision ||
+		r.ConfigThrough > h.last.ConfigThrough || r.TargetsThrough > h.last.TargetsThrough
+}
+
+// reply returns a relay's reply to an instance whose updates have reached a position.
+func (h *heldUpdates) reply(now time.Time, have relay.Position) exchangeReply {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := h.last
+	out.Updates, out.Full = h.copy.After(have)
+	out.ChildrenKnown, out.Senders = 0, 0
+	// The age is rounded up, so that nothing seems newer than it is.
+	out.AgeMS = now.Sub(h.asOf).Milliseconds() + 1
+	return out
+}
--- a/internal/edge/snapshot.go
+++ b/internal/edge/snapshot.go
@@ -118,6 +118,36 @@
 	_, _ = w.Write(compressed)
 }
 
+// relayConfigTimeout is how long an instance waits for a relay of its zone to get the
+// configuration that updates name, before it asks the holder.
+const relayConfigTimeout = time.Second
+
+// fetchNewestConfig requests the configuration that the updates name from a relay of the
+// zone, which has it from the holder, and from the holder itself if no relay has it in
+// time. All instances of a large fleet at once would saturate the holder's link.
+func (e *Edge) fetchNewestConfig(ctx context.Context) ([]ports.Item, bool) {
+	until := e.timer.Now().Add(relayConfigTimeout)
+	for relays := e.readersToAsk(); len(relays) > 0 && ctx.Err() == nil && e.timer.Now().Before(until); {
+		for _, from := range relays {
+			if item, ok := e.fetchConfigFromRelay(ctx, from); ok {
+				return []ports.Item{item}, true
+			}
+		}
+		sleep(ctx, idlePollInterval)
+	}
+	return e.fetchConfigFromHolder(ctx)
+}
+
+func (e *Edge) fetchConfigFromRelay(ctx context.Context, from netip.AddrPort) (ports.Item, bool) {
+	ctx, cancel := context.WithTimeout(ctx, configTimeout)
+	defer cancel()
+	s, err := e.peerClient.config(ctx, from, e.configFollower.localRevision.Load())
+	if err != nil {
+		return ports.Item{}, false
+	}
+	return e.acceptSnapshot(s)
+}
+
 // fetchConfigFromHolder requests the configuration from the holder. It gives up when the
 // holder's updates are no longer fresh, since waiting for a silent holder would keep the
 // instance from asking elsewhere.
--- a/internal/transport/proxy/server.go
+++ b/internal/transport/proxy/server.go
@@ -33,6 +33,8 @@
 	targetSilenceTimeout = 2 * time.Second
 	// noConfigRetryAfter is the Retry-After of an instance without a configuration.
 	noConfigRetryAfter = time.Second
+	// behindRetryAfter is the Retry-After of an instance without the newest configuration.
+	behindRetryAfter = time.Second
 	// stopRetryAfter is the Retry-After of an instance that is stopping.
 	stopRetryAfter = 100 * time.Millisecond
 )
@@ -52,6 +54,8 @@
 	hasEnded func(context.Context, fleet.Target) bool
 
 	config atomic.Pointer[fleet.Config]
+	// isBehind reports whether there is a newer configuration.
+	isBehind func() bool
 	// closing makes responses close their connections. refusing refuses new requests.
 	closing  atomic.Bool
 	refusing atomic.Bool
@@ -78,6 +82,13 @@
 	return func(s *Server) { s.crashes, s.hasEnded = m, hasEnded }
 }
 
+// WithBehind sets what reports whether there is a newer configuration than the last one
+// of SetConfig. A request without a route is then refused for the time being, since the
+// newer one may have a route for it.
+func WithBehind(isBehind func() bool) Option {
+	return func(s *Server) { s.isBehind = isBehind }
+}
+
 // WithTransport replaces the HTTP transport to targets.
 func WithTransport(t http.RoundTripper) Option {
 	return func(s *Server) { s.transport = t }
@@ -91,6 +102,7 @@
 		log:       &log.Logger{Level: log.ErrorLevel},
 		transport: gate.NewDialer(gate.WithSilence(targetSilenceTimeout)).Transport(nil),
 		onEnded:   func(Ended) {},
+		isBehind:  func() bool { return false },
 		crashes:   crash.NewMonitor(t),
 		hasEnded:  func(context.Context, fleet.Target) bool { return false },
 	}
@@ -141,6 +153,10 @@
 	}
 	x.version = cfg.Version
 	x.route = cfg.Match(x.r.Host, x.r.URL.Path)
+	if x.route == nil && s.isBehind() {
+		x.refuse(http.StatusServiceUnavailable, "configBehind", behindRetryAfter)
+		return false
+	}
 	if x.route == nil {
 		x.respond(http.StatusNotFound, "noRoute")
 		return false
