Permits of a reply are applied before its updates

The limits in the updates of a new term are those that the new holder knows, so an instance must first know that its own have to be reported again. Seen in TestLimitWhileTheHolderIsLost: 27 requests, allowed 23.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -122,8 +122,7 @@
 		return
 	}
 	e.settle(r, holderName, e.boot.Peer, nil)
-	e.applyReply(reply, asOf)
-	e.applyDirect(m, r, reply, sentAt)
+	e.applyDirect(m, r, reply, sentAt, asOf)
 	e.coordinator.sendDueOrders()
 }
 
@@ -162,15 +161,18 @@
 	if err != nil {
 		return exchangeReply{}, err
 	}
-	e.applyReply(reply, asOf)
-	e.applyDirect(m, r, reply, sentAt)
+	e.applyDirect(m, r, reply, sentAt, asOf)
 	e.noteUpdatedAt(asOf)
 	return reply, nil
 }
 
-// applyDirect applies what the holder has replied to this instance alone.
-func (e *Edge) applyDirect(m *message, r exchangeRequest, reply exchangeReply, sentAt time.Time) {
+// applyDirect applies the holder's reply. The permits come first: what they say of the
+// holder's term decides what the limits in the updates mean.
+func (e *Edge) applyDirect(m *message, r exchangeRequest, reply exchangeReply, sentAt, asOf time.Time) {
 	e.applyPermits(r, reply, sentAt)
+	if merged, ok := e.held.adopt(reply, asOf); ok {
+		e.applyUpdates(merged)
+	}
 	e.crashes.Apply(reply.Term, &m.crashes, &reply.Crashes)
 }
 
@@ -211,25 +213,18 @@
 		return 0, err
 	}
 	age := time.Duration(reply.AgeMS) * time.Millisecond
-	if !e.applyReply(reply, asOf.Add(-age)) {
+	merged, ok := e.held.adopt(reply, asOf.Add(-age))
+	if !ok {
+		// This instance knows more already.
 		return age, nil
 	}
 	e.applyPermits(exchangeRequest{}, reply, sentAt.Add(-age))
+	e.applyUpdates(merged)
 	e.crashes.Apply(reply.Term, &crash.Report{}, &reply.Crashes)
 	e.noteUpdatedAt(asOf.Add(-age))
 	return age, nil
 }
 
-// applyReply applies the updates of a reply that says what the holder knew at asOf or
-// later. It returns false, and applies nothing, if this instance knows more already.
-func (e *Edge) applyReply(r exchangeReply, asOf time.Time) bool {
-	merged, ok := e.held.adopt(r, asOf)
-	if ok {
-		e.applyUpdates(merged)
-	}
-	return ok
-}
-
 // noteUpdatedAt records that the holder has sent updates at a time or later.
 func (e *Edge) noteUpdatedAt(at time.Time) {
 	e.updatedAt.Store(max(e.updatedAt.Load(), at.UnixNano()))
