--- a/internal/coordination/relay/copy.go
+++ b/internal/coordination/relay/copy.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"time"
+
 	"chivecroft.example/chivecroft/internal/coordination/picker"
 )
 
@@ -11,13 +13,25 @@
 	Version uint64
 }
 
+// State is a position and the store revisions that belong to it.
+type State struct {
+	Position
+	// Config is the revision of the configuration.
+	Config uint64
+	// ConfigThrough and TargetsThrough are the revisions up to which the holder has read
+	// configurations and targets.
+	ConfigThrough, TargetsThrough uint64
+}
+
 // Copy is an instance's copy of the holder's updates. It is not safe for concurrent use.
 //
 // An entry's version is that of the message which brought it, at least the holder's own
 // number. So an instance of a version gets all updates that it lacks, and perhaps some
 // that it has, which are of its own version or later.
 type Copy struct {
-	at Position
+	state State
+	// asOf is when the holder sent the state or earlier.
+	asOf time.Time
 	// base is the version of the full list with which the copy began. What was removed
 	// before is not known.
 	base    uint64
@@ -32,31 +46,54 @@
 // NewCopy returns an empty Copy.
 func NewCopy() *Copy { return &Copy{entries: make(map[string]copyEntry)} }
 
-// Position returns the state that the copy has reached.
-func (c *Copy) Position() Position { return c.at }
+// State returns the state that the copy has reached.
+func (c *Copy) State() State { return c.state }
 
-// Adopt records the updates of a message that lead to a position. isFull means that
-// targets without an update are gone. It returns false, and changes nothing, if the
-// updates don't follow on what the copy has.
-func (c *Copy) Adopt(at Position, isFull bool, updates []picker.Update) bool {
+// Age returns the time since the holder sent the state, or more.
+func (c *Copy) Age(now time.Time) time.Duration { return now.Sub(c.asOf) }
+
+// Adopt records a message whose sender, the holder, was in a state at asOf or later.
+// isFull means that targets without an update are gone. It returns false, and changes
+// nothing, if the copy has more already. Terms cannot be ordered by their numbers, but the
+// messages of a holder end well before those of the next one begin.
+func (c *Copy) Adopt(s State, asOf time.Time, isFull bool, updates []picker.Update) bool {
+	isSameTerm := s.Term == c.state.Term
 	switch {
-	case isFull && (at.Term != c.at.Term || at.Version >= c.at.Version):
-		c.entries = make(map[string]copyEntry, len(updates))
-		c.base = at.Version
-	case isFull, at.Term != c.at.Term, at.Version < c.at.Version:
+	case !asOf.After(c.asOf) && !(isSameTerm && c.isBehind(s)):
+		return false
+	case isSameTerm && s.Version < c.state.Version, !isSameTerm && !isFull:
 		return false
 	}
-	c.at = at
+	if isFull {
+		c.entries = make(map[string]copyEntry, len(updates))
+		c.base = s.Version
+	}
 	for i := range updates {
-		c.entries[updates[i].ID] = copyEntry{at.Version, updates[i]}
+		c.entries[updates[i].ID] = copyEntry{s.Version, updates[i]}
+	}
+	if isSameTerm {
+		// Messages of the same time may name older revisions with a newer version.
+		s.Config = max(s.Config, c.state.Config)
+		s.ConfigThrough = max(s.ConfigThrough, c.state.ConfigThrough)
+		s.TargetsThrough = max(s.TargetsThrough, c.state.TargetsThrough)
 	}
+	if !isSameTerm || asOf.After(c.asOf) {
+		c.asOf = asOf
+	}
+	c.state = s
 	return true
 }
 
+// isBehind reports whether a state of the same term has something that the copy lacks.
+func (c *Copy) isBehind(s State) bool {
+	return s.Version > c.state.Version || s.Config > c.state.Config ||
+		s.ConfigThrough > c.state.ConfigThrough || s.TargetsThrough > c.state.TargetsThrough
+}
+
 // After returns the updates that an instance at a position lacks. isFull means that these
 // are all targets.
 func (c *Copy) After(at Position) (updates []picker.Update, isFull bool) {
-	isFull = at.Term != c.at.Term || at.Version < c.base || at.Version == 0
+	isFull = at.Term != c.state.Term || at.Version < c.base || at.Version == 0
 	for _, entry := range c.entries {
 		if isFull && !entry.update.Gone || !isFull && entry.version > at.Version {
 			updates = append(updates, entry.update)
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -276,9 +276,9 @@
 type heldUpdates struct {
 	mu   sync.Mutex
 	copy *relay.Copy
-	// last is the last reply without its updates, asOf when the holder knew it or earlier.
-	last  exchangeReply
-	asOf  time.Time
+	// last is the last reply without its updates.
+	last exchangeReply
+	// known is the hash of this instance's children that the holder knows.
 	known uint64
 }
 
@@ -288,7 +288,7 @@
 func (h *heldUpdates) position() relay.Position {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.copy.Position()
+	return h.copy.State().Position
 }
 
 // wasFull reports whether the last reply was full, so that its sender may not know this
@@ -306,7 +306,6 @@
 	return h.last.Senders
 }
 
-// childrenKnown returns the hash of this instance's children that the holder knows.
 func (h *heldUpdates) childrenKnown() uint64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -320,37 +319,25 @@
 }
 
 // adopt records a reply that says what the holder knew at asOf or later, and returns it
-// with the newest revisions of its term. It returns false if it is older than what is
-// known. Terms cannot be ordered by their numbers, but a holder's replies end before the
-// next one's begin.
+// with the newest revisions of its term. It returns false if more is known already.
 func (h *heldUpdates) adopt(r exchangeReply, asOf time.Time) (exchangeReply, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	at := relay.Position{Term: r.Term, Version: r.Version}
-	isSameTerm := r.Term == h.last.Term
-	if !asOf.After(h.asOf) && !(isSameTerm && h.isAhead(&r)) || !h.copy.Adopt(at, r.Full, r.Updates) {
-		return r, false
-	}
-	if !isSameTerm || asOf.After(h.asOf) {
-		h.asOf = asOf
+	state := relay.State{
+		Position: relay.Position{Term: r.Term, Version: r.Version},
+		Config:   r.ConfigRevision, ConfigThrough: r.ConfigThrough, TargetsThrough: r.TargetsThrough,
 	}
-	if isSameTerm {
-		r.ConfigRevision = max(r.ConfigRevision, h.last.ConfigRevision)
-		r.ConfigThrough = max(r.ConfigThrough, h.last.ConfigThrough)
-		r.TargetsThrough = max(r.TargetsThrough, h.last.TargetsThrough)
+	if !h.copy.Adopt(state, asOf, r.Full, r.Updates) {
+		return r, false
 	}
+	state = h.copy.State()
+	r.ConfigRevision, r.ConfigThrough, r.TargetsThrough = state.Config, state.ConfigThrough, state.TargetsThrough
 	h.last = r
 	h.last.Updates, h.last.Grants, h.last.Readers = nil, nil, nil
 	h.last.Crashes = crash.Reply{Version: r.Crashes.Version, Suspects: r.Crashes.Suspects}
 	return r, true
 }
 
-// isAhead reports whether a reply of the same term says what is not known.
-func (h *heldUpdates) isAhead(r *exchangeReply) bool {
-	return r.Version > h.last.Version || r.ConfigRevision > h.last.ConfigRevision ||
-		r.ConfigThrough > h.last.ConfigThrough || r.TargetsThrough > h.last.TargetsThrough
-}
-
 // reply returns a relay's reply to an instance whose updates have reached a position.
 func (h *heldUpdates) reply(now time.Time, have relay.Position) exchangeReply {
 	h.mu.Lock()
@@ -359,6 +346,6 @@
 	out.Updates, out.Full = h.copy.After(have)
 	out.ChildrenKnown, out.Senders = 0, 0
 	// The age is rounded up, so that nothing seems newer than it is.
-	out.AgeMS = now.Sub(h.asOf).Milliseconds() + 1
+	out.AgeMS = h.copy.Age(now).Milliseconds() + 1
 	return out
 }
