--- a/internal/coordination/relay/world_test.go
+++ b/internal/coordination/relay/world_test.go
@@ -143,10 +143,14 @@
 	return d
 }
 
-func (n *node) apply(s State, asOf time.Time, isFull bool, updates []picker.Update) {
+func (w *world) apply(n *node, s State, asOf time.Time, isFull bool, updates []picker.Update) {
+	was := n.copy.State()
 	if !n.copy.Adopt(s, asOf, isFull, updates) {
 		return
 	}
+	if s.Term < was.Term || s.Term == was.Term && s.Version < was.Version {
+		w.t.Fatalf("%s goes back from %+v to %+v", n.name, was, s)
+	}
 	if isFull {
 		clear(n.known)
 	}
@@ -186,7 +190,7 @@
 		}
 	}, func() {
 		updates, isFull := w.after(at)
-		n.apply(w.state(), asOf, isFull, updates)
+		w.apply(n, w.state(), asOf, isFull, updates)
 	})
 }
 
@@ -196,7 +200,7 @@
 		r.table.Put(w.now, Message{Child: Child{Name: n.name}, Seq: seq, Demand: d, Resent: resent})
 	}, func() {
 		updates, isFull := r.copy.After(at)
-		n.apply(r.copy.State(), w.now.Add(-r.copy.Age(w.now)), isFull, updates)
+		w.apply(n, r.copy.State(), w.now.Add(-r.copy.Age(w.now)), isFull, updates)
 	})
 }
 
--- /dev/null
+++ b/internal/edge/relay_test.go
@@ -0,0 +1,145 @@
+package edge
+
+import (
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"chivecroft.example/chivecroft/internal/coordination/picker"
+	"chivecroft.example/chivecroft/internal/coordination/relay"
+	"chivecroft.example/chivecroft/internal/state/fleet"
+	"chivecroft.example/chivecroft/platform"
+)
+
+// counts returns the number of instances that the holder knows, and of those that send
+// messages to it.
+func (k *coordinator) counts() [2]int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	members, senders := k.pruneMembers(k.clock.Now())
+	return [2]int{members, senders}
+}
+
+// TestOnlyRelaysSendToTheHolder guards against messages to the holder that grow with the
+// zone, and against instances that the holder takes for lost since relays report them. A
+// new target and a new configuration must reach all instances through the relays.
+func TestOnlyRelaysSendToTheHolder(t *testing.T) {
+	f := newFleetWithReaders(t, 7)
+	f.eventually("only the holder and two relays send to the holder", func() bool {
+		return f.holder.coordinator.counts() == [2]int{7, 3}
+	})
+	f.replaceDeskTarget(time.Second)
+	f.config(9, "/ninth/")
+	f.eventually("all have the configuration", func() bool {
+		for _, e := range f.edges {
+			if status, _ := f.call(e, "/ninth/", ""); status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+	if got := f.holder.coordinator.counts(); got != [2]int{7, 3} {
+		t.Errorf("%d instances, %d of them send to the holder", got[0], got[1])
+	}
+}
+
+// TestColdModelBehindARelay asks children of relays for a model that no target has loaded:
+// their demand must reach the planner.
+func TestColdModelBehindARelay(t *testing.T) {
+	f := newFleetWithReaders(t, 7)
+	for _, e := range f.others {
+		if status, body := f.call(e, "/chat/", "m5"); status != http.StatusOK {
+			t.Errorf("%s: %d %s", e.boot.Instance, status, body)
+		}
+	}
+}
+
+// TestRelayKilled kills one relay: its children must use the other one.
+func TestRelayKilled(t *testing.T) {
+	f := newFleetWithReaders(t, 7)
+	f.readers[0].kill()
+	f.replaceDeskTarget(exchangeInterval + relayTimeout + time.Second)
+	f.eventually("all instances have fresh updates through a relay", func() bool {
+		for _, e := range f.others {
+			if !e.hasFreshUpdates() {
+				return false
+			}
+		}
+		return f.holder.coordinator.counts()[1] <= 3
+	})
+}
+
+// TestRelayFreezes blocks one relay, which takes messages and does not reply.
+func TestRelayFreezes(t *testing.T) {
+	f := newFleetWithReaders(t, 7)
+	frozen := f.readers[0]
+	// Every request that needs the holder's status blocks on this mutex.
+	frozen.coordinator.mu.Lock()
+	defer frozen.coordinator.mu.Unlock()
+	f.replaceDeskTarget(exchangeInterval + 2*relayTimeout + time.Second)
+}
+
+// TestBothRelaysLost kills both relays: the holder must tell the others.
+func TestBothRelaysLost(t *testing.T) {
+	f := newFleetWithReaders(t, 7)
+	for _, e := range f.readers {
+		e.kill()
+	}
+	f.replaceDeskTarget(exchangeInterval + 2*relayTimeout + time.Second)
+}
+
+// TestRelayWithoutFreshUpdates asks an instance whose updates have ended: what it has must
+// not be taken for fresh. With fresh updates it must say how old they are.
+func TestRelayWithoutFreshUpdates(t *testing.T) {
+	e := New(&platform.Boot{Instance: "i1", Zone: "a1"}, discardLogger())
+	defer e.stopLoops()
+	asOf := e.clock.Now().Add(-maxUpdateAge)
+	one := picker.Update{Identity: fleet.Identity{ID: "one", Born: 1}, Service: "desk"}
+	e.held.adopt(exchangeReply{Term: 1, Version: 4, Full: true, Updates: []picker.Update{one}, ConfigThrough: 7}, asOf)
+	e.noteUpdatedAt(asOf)
+	if r, ok := e.relayExchange(exchangeRequest{From: "i2"}); ok {
+		t.Errorf("replied with %+v", r)
+	}
+	asOf = e.clock.Now().Add(-100 * time.Millisecond)
+	e.held.adopt(exchangeReply{Term: 1, Version: 5, ConfigThrough: 8}, asOf)
+	e.noteUpdatedAt(asOf)
+	r, ok := e.relayExchange(exchangeRequest{From: "i2", Term: 1, Version: 3})
+	if !ok || !r.Full || len(r.Updates) != 1 || r.Version != 5 || r.ConfigThrough != 8 || r.AgeMS < 100 {
+		t.Errorf("replied with %+v, %t", r, ok)
+	}
+	r, ok = e.relayExchange(exchangeRequest{From: "i2", Term: 1, Version: 4})
+	if !ok || r.Full || len(r.Updates) != 0 {
+		t.Errorf("replied to an instance that lacks nothing with %+v, %t", r, ok)
+	}
+}
+
+// TestChildrenAreMembers guards against counting a child's demand twice when it changes
+// from the holder to a relay, and against losing it as a member while the relay names its
+// children by a hash.
+func TestChildrenAreMembers(t *testing.T) {
+	k := newTestCoordinator(t)
+	k.setHasFullList(true)
+	k.setHolder(true)
+	peer := netip.MustParseAddrPort("10.0.0.1:1")
+	live := []relay.Child{{Name: "i3", Zone: "a", Peer: peer, Cores: 0.5}}
+	k.handleExchange(exchangeRequest{From: "i3", Seq: 1})
+	var got [][2]int
+	var known uint64
+	for range 2 {
+		r, _ := k.handleExchange(exchangeRequest{From: "i2", Children: relay.NameChildren(live, known)})
+		known = r.ChildrenKnown
+		got = append(got, [2]int{r.Members, r.Senders})
+	}
+	k.handleExchange(exchangeRequest{From: "i4", IsAside: true})
+	r, _ := k.handleExchange(exchangeRequest{From: "i2"})
+	got = append(got, [2]int{r.Members, r.Senders})
+	if diff := cmp.Diff([][2]int{{2, 1}, {2, 1}, {2, 1}}, got); diff != "" {
+		t.Errorf("members and senders (-want +got):\n%s", diff)
+	}
+	if k.members["i3"].peer != peer || relay.NameChildren(live, known).List != nil {
+		t.Errorf("member %+v, known %d", k.members["i3"], known)
+	}
+}
