--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -362,6 +362,9 @@
 
 // recordDemand records an instance's demand, unless a later message of it has come.
 func (k *coordinator) recordDemand(m exchangeRequest, now time.Time) {
+	if m.IsWithoutDemand {
+		return
+	}
 	have := k.members[m.From]
 	demand, isLatest := have.counter.CountInto(m.Seq, m.Demand, m.Resent)
 	if !isLatest {
--- a/internal/edge/encoding.go
+++ b/internal/edge/encoding.go
@@ -68,3 +68,8 @@
 	}
 	return io.ReadAll(io.LimitReader(z, limit))
 }
+
+// uncompress returns the data that compress has compressed.
+func uncompress(data []byte) ([]byte, error) {
+	return readBody(http.Header{"Content-Encoding": {encodingGzip}}, bytes.NewReader(data), maxConfigBytes)
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -48,7 +49,8 @@
 	Zone   string          `json:"zone,omitempty"`
 	Peer   netip.AddrPort  `json:"peer,omitzero"`
 	Cores  float64         `json:"cores,omitempty"`
-	Demand []picker.Demand `json:"demand,omitempty"`
+	// Demand is sent in binary form.
+	Demand []picker.Demand `json:"-"`
 	// Leaving lists targets that have announced that they are leaving.
 	Leaving []fleet.Identity `json:"leaving,omitempty"`
 	// Limits reports rate limits of targets that the holder has not heard of, and Wants
@@ -64,6 +66,8 @@
 	// ones that had no reply, so that each is counted once.
 	Seq    uint64        `json:"seq,omitempty"`
 	Resent []relay.Batch `json:"resent,omitempty"`
+	// IsWithoutDemand means that the demand of the instance's last message still counts.
+	IsWithoutDemand bool `json:"withoutDemand,omitempty"`
 	// Children names the instances whose demand a relay reports.
 	Children *relay.Children `json:"children,omitempty"`
 	// IsAside means that the instance reports its demand to a relay, and only limits,
@@ -122,7 +126,7 @@
 
 // exchange sends a message to the holder or, with pathRelay, to a relay.
 func (p *peerClient) exchange(ctx context.Context, to netip.AddrPort, path string, m exchangeRequest) (exchangeReply, error) {
-	data, err := json.Marshal(m)
+	data, err := encodeExchange(m)
 	if err != nil {
 		return exchangeReply{}, err
 	}
@@ -186,7 +190,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	m, err := decodeExchange(r)
+	m, err := readExchange(r)
 	if err != nil {
 		e.log.Warn().Err(err).Str("peer", r.RemoteAddr).Msg("invalid message rejected")
 		w.WriteHeader(http.StatusBadRequest)
@@ -200,20 +204,38 @@
 	e.writeJSON(w, r, out)
 }
 
-// decodeExchange reads the message of another instance.
-func decodeExchange(r *http.Request) (exchangeRequest, error) {
-	body, err := readBody(r.Header, r.Body, maxMessageBytes)
+// encodeExchange encodes a message: JSON in one line, then the demand in binary form.
+func encodeExchange(m exchangeRequest) ([]byte, error) {
+	demand := m.Demand
+	m.Demand = nil
+	line, err := json.Marshal(m)
 	if err != nil {
-		return exchangeRequest{}, err
+		return nil, err
 	}
+	return relay.AppendDemand(append(line, '\n'), demand), nil
+}
+
+func decodeExchange(data []byte) (exchangeRequest, error) {
+	line, binary, _ := bytes.Cut(data, []byte("\n"))
 	var m exchangeRequest
-	if err := json.Unmarshal(body, &m); err != nil {
+	if err := json.Unmarshal(line, &m); err != nil {
 		return exchangeRequest{}, err
 	}
 	if m.From == "" {
 		return exchangeRequest{}, trace.BadParameter("the message names no sender")
 	}
-	return m, nil
+	demand, err := relay.DecodeDemand(binary)
+	m.Demand = demand
+	return m, err
+}
+
+// readExchange reads the message of another instance.
+func readExchange(r *http.Request) (exchangeRequest, error) {
+	body, err := readBody(r.Header, r.Body, maxMessageBytes)
+	if err != nil {
+		return exchangeRequest{}, err
+	}
+	return decodeExchange(body)
 }
 
 // writeJSON sends a value to another instance in response to r.
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -35,6 +35,8 @@
 	introducedTo netip.AddrPort
 	// usesRelay reports whether the last message went to a relay.
 	usesRelay bool
+	// demandAt is when demand was last collected.
+	demandAt time.Time
 }
 
 func newSender() *sender {
@@ -58,7 +60,12 @@
 	out := &message{crashes: e.crashes.Report()}
 	out.blocks = out.crashes.Version
 	out.From, out.Term, out.Version = e.boot.Instance, at.Term, at.Version
-	out.Demand = e.children.Take(now, e.picker.Demand())
+	if e.isDemandDue(now) {
+		out.Demand = e.children.Take(now, e.picker.Demand())
+		e.sender.demandAt = now
+	} else {
+		out.IsWithoutDemand = true
+	}
 	out.Leaving = e.picker.AnnouncedLeaving()
 	for _, id := range e.children.Leaving(now) {
 		if !slices.Contains(out.Leaving, id) {
@@ -69,6 +76,13 @@
 	return out
 }
 
+// isDemandDue reports whether the next message contains demand. A relay asks for updates
+// more often than its report, which is large, needs to be sent.
+func (e *Edge) isDemandDue(now time.Time) bool {
+	return !e.children.HasChildren(now) || e.picker.HasQueued() || e.children.HasQueued(now) ||
+		now.Sub(e.sender.demandAt) >= relay.Interval-relay.ReportInterval/2
+}
+
 // needsHolder reports whether the message has something for the holder alone.
 func (m *message) needsHolder() bool {
 	c := &m.crashes
@@ -88,8 +102,10 @@
 // has not replied to, and who this instance is if the receiver may not know.
 func (e *Edge) address(m *message, name string, to netip.AddrPort) exchangeRequest {
 	r := m.exchangeRequest
-	r.Demand, r.Seq, r.Resent = e.sender.outbox.Pack(e.clock.Now(), name, m.Demand)
-	m.Demand = relay.WithoutArrivals(m.Demand)
+	if !m.IsWithoutDemand {
+		r.Demand, r.Seq, r.Resent = e.sender.outbox.Pack(e.clock.Now(), name, m.Demand)
+		m.Demand = relay.WithoutArrivals(m.Demand)
+	}
 	if e.sender.introducedTo != to || e.held.wasFull() {
 		r.Zone, r.Peer, r.Cores = e.boot.Zone, e.boot.Peer, e.boot.Cores
 	}
@@ -254,7 +270,7 @@
 	if !e.hasFreshUpdates() || e.stopping.Load() || len(e.readersToAsk()) > 0 {
 		return exchangeReply{}, false
 	}
-	isUrgent := e.children.Put(e.clock.Now(), relay.Message{
+	isUrgent := !m.IsWithoutDemand && e.children.Put(e.clock.Now(), relay.Message{
 		Child: relay.Child{Name: m.From, Zone: m.Zone, Peer: m.Peer, Cores: m.Cores},
 		Seq:   m.Seq, Demand: m.Demand, Resent: m.Resent, Leaving: m.Leaving,
 	})
--- a/internal/transport/proxy/proxy_test.go
+++ b/internal/transport/proxy/proxy_test.go
@@ -35,6 +35,8 @@
 	front   *httptest.Server
 	targets []*fake.Target
 	ids     atomic.Int64
+	// behind says that there is a newer configuration than the proxy's.
+	behind atomic.Bool
 }
 
 // routeTimeout is the timeout of all routes.
@@ -46,7 +48,7 @@
 	r.picker = picker.New(clock, "a1", map[string]string{"a1": "a"})
 	budget := retry.NewBudget(retry.Limits{RetriesPerRequest: 0.2, RetriesPerWindow: 100, Window: 10 * time.Second})
 	budget.SetInstances(1)
-	r.server = proxy.NewServer(platform.Codec{}, r.picker, budget, clock)
+	r.server = proxy.NewServer(platform.Codec{}, r.picker, budget, clock, proxy.WithBehind(r.behind.Load))
 	c := &fleet.Config{Version: 1, Services: map[string]fleet.Service{"s": {Name: "s"}}}
 	r.config = c
 	route := func(name string, kind fleet.Kind, resumable bool, attempts int) {
@@ -402,3 +404,19 @@
 		}
 	}
 }
+
+// TestUnknownRouteWhileBehind guards against a final answer, which callers do not repeat,
+// for a route that exists in a newer configuration. Known routes are served meanwhile.
+func TestUnknownRouteWhileBehind(t *testing.T) {
+	r := newRig(t, fake.NewTarget(t, "a", "a1", 0))
+	r.behind.Store(true)
+	got, header := r.call("/nowhere/")
+	if got.Status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" {
+		t.Errorf("answer %+v, header %v", got, header)
+	}
+	if got, _ := r.call("/safe/"); got.Status != http.StatusOK {
+		t.Errorf("known route: answer %+v", got)
+	}
+	r.behind.Store(false)
+	r.expect("/nowhere/", answer{Status: http.StatusNotFound})
+}
