Full lists of 200 targets and more come from relays

A full list of 4,000 targets is 380 KB compressed, which the holder sent to each instance that started and to all after a change of the holder.

--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -285,6 +285,10 @@
 		Term: k.term(), Version: k.updates.version, Full: after == 0, Updates: k.updates.after(after),
 		Members: members, Senders: senders, ChildrenKnown: known, Readers: readers, ConfigRevision: k.configRevision, ReadyInMS: make(map[string]int64),
 	}
+	if k.shouldRedirect(&m, out.Full) {
+		out.IsRedirect, out.Updates = true, nil
+		out.Readers = k.readers.byZone[k.members[m.From].zone]
+	}
 	out.Grants = k.permits.Ask(now, m.From, m.Wants)
 	out.Crashes = k.judgeCrashes(now, m, senders)
 	if k.status.CanOrder(now) {
@@ -309,6 +313,22 @@
 	}
 }
 
+// minRedirectTargets is the number of targets from which on instances get the full list
+// from relays. With 4,000 targets it is 380 KB, for each instance that starts and, after a
+// change of the holder, for all.
+const minRedirectTargets = 200
+
+// shouldRedirect reports whether an instance that lacks the full list is to ask the relays
+// of its zone for it.
+func (k *coordinator) shouldRedirect(m *exchangeRequest, isFull bool) bool {
+	if !isFull || m.IsAside || m.NeedsFull || m.From == k.self || len(k.targets) < minRedirectTargets {
+		return false
+	}
+	have := k.members[m.From]
+	relays := k.readers.byZone[have.zone]
+	return len(relays) > 0 && have.peer.IsValid() && !slices.Contains(relays, have.peer)
+}
+
 // recordSender records an instance's message: that it and its children are alive, and
 // their demand. It returns the readers of the instance's zone, or nil if the instance
 // knows them already, and the hash of the children that are known.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -73,6 +73,9 @@
 	// IsAside means that the instance reports its demand to a relay, and only limits,
 	// permits and crashes to the holder.
 	IsAside bool `json:"aside,omitempty"`
+	// NeedsFull means that the instance's relays have not replied since the holder has told
+	// it to ask them for the full list.
+	NeedsFull bool `json:"needsFull,omitempty"`
 	// Blocks is the version of the blocked parts that the instance has; for relays, which
 	// get no crash reports.
 	Blocks uint64 `json:"blocks,omitempty"`
@@ -107,6 +110,9 @@
 	// store.
 	Full           bool  `json:"whole,omitempty"`
 	RemovalDelayMS int64 `json:"doubtMs,omitempty"`
+	// IsRedirect means that the updates are left out, since the instance is to ask a relay
+	// for the full list.
+	IsRedirect bool `json:"redirect,omitempty"`
 	// ReadyInMS is the expected time until each model can serve, in milliseconds.
 	ReadyInMS map[string]int64 `json:"expected,omitempty"`
 	// Grants answers the wants of the request.
@@ -314,6 +320,7 @@
 	if !status.Holder.IsValid() {
 		return errNoHolder
 	}
+	out.NeedsFull = e.sender.needsFull(e.clock.Now())
 	return e.exchangeWithHolder(ctx, status.Holder, out)
 }
 
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -35,6 +35,9 @@
 	introducedTo netip.AddrPort
 	// usesRelay reports whether the last message went to a relay.
 	usesRelay bool
+	// redirectedAt is when the holder has first told this instance to ask its relays for the
+	// full list, zero if it has it.
+	redirectedAt time.Time
 	// demandAt is when demand was last collected.
 	demandAt time.Time
 }
@@ -43,6 +46,25 @@
 	return &sender{route: relay.NewRoute(), outbox: relay.NewOutbox(time.Now())}
 }
 
+// redirectTimeout is how long an instance that the holder has told to ask its relays for
+// the full list tries to. They get it from the holder at the same time.
+const redirectTimeout = 500 * time.Millisecond
+
+// needsFull reports whether the holder is to send the full list itself.
+func (s *sender) needsFull(now time.Time) bool {
+	return !s.redirectedAt.IsZero() && now.Sub(s.redirectedAt) > redirectTimeout
+}
+
+// noteReply records whether a reply of the holder was a redirect.
+func (s *sender) noteReply(now time.Time, r *exchangeReply) {
+	switch {
+	case !r.IsRedirect:
+		s.redirectedAt = time.Time{}
+	case s.redirectedAt.IsZero():
+		s.redirectedAt = now
+	}
+}
+
 // message is what one round of the exchange loop has to say.
 type message struct {
 	exchangeRequest
@@ -153,6 +175,11 @@
 		return err
 	}
 	e.held.setChildrenKnown(reply.ChildrenKnown)
+	if reply.IsRedirect && e.sender.redirectedAt.IsZero() {
+		e.sender.route = relay.NewRoute()
+		e.signalDemand()
+	}
+	e.sender.noteReply(e.clock.Now(), &reply)
 	return nil
 }
 
@@ -178,7 +205,9 @@
 		return exchangeReply{}, err
 	}
 	e.applyDirect(m, r, reply, sentAt, asOf)
-	e.noteUpdatedAt(asOf)
+	if !reply.IsRedirect {
+		e.noteUpdatedAt(asOf)
+	}
 	return reply, nil
 }
 
@@ -186,7 +215,9 @@
 // holder's term decides what the limits in the updates mean.
 func (e *Edge) applyDirect(m *message, r exchangeRequest, reply exchangeReply, sentAt, asOf time.Time) {
 	e.applyPermits(r, reply, sentAt)
-	if merged, ok := e.held.adopt(reply, asOf); ok {
+	if reply.IsRedirect {
+		e.readers.Store(&reply.Readers)
+	} else if merged, ok := e.held.adopt(reply, asOf); ok {
 		e.applyUpdates(merged)
 	}
 	e.crashes.Apply(reply.Term, &m.crashes, &reply.Crashes)
@@ -202,7 +233,7 @@
 		}
 		age, err := e.exchangeWithRelay(ctx, to, m)
 		if err == nil {
-			e.sender.usesRelay = true
+			e.sender.usesRelay, e.sender.redirectedAt = true, time.Time{}
 			e.sender.route.NoteAge(e.clock.Now(), to, age, relays)
 			return true
 		}
--- a/internal/edge/relay_test.go
+++ b/internal/edge/relay_test.go
@@ -143,3 +143,59 @@
 		t.Errorf("member %+v, known %d", k.members["i3"], known)
 	}
 }
+
+// TestFullListComesFromRelays guards against a holder that sends the list of thousands of
+// targets to every instance of a large zone, and against an instance that never gets it.
+func TestFullListComesFromRelays(t *testing.T) {
+	k := newTestCoordinator(t)
+	for i := range minRedirectTargets {
+		k.setTarget(fleet.Target{Identity: fleet.Identity{ID: targetName(i), Born: 1}, Service: "desk"})
+	}
+	k.setHasFullList(true)
+	k.setHolder(true)
+	send := func(i int, needsFull bool) exchangeReply {
+		peer := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1)
+		r, _ := k.handleExchange(exchangeRequest{From: targetName(i), Zone: "a", Peer: peer, Cores: 1 / float64(i), NeedsFull: needsFull})
+		return r
+	}
+	for i := range 6 {
+		send(i+1, false)
+	}
+	k.readers.byZone = nil
+	var got []int
+	for _, r := range []exchangeReply{send(1, false), send(3, false), send(3, true)} {
+		got = append(got, len(r.Updates), len(r.Readers))
+	}
+	if diff := cmp.Diff([]int{minRedirectTargets, 2, 0, 2, minRedirectTargets, 0}, got); diff != "" {
+		t.Errorf("updates and readers of a relay, of another instance, and of one without relays (-want +got):\n%s", diff)
+	}
+}
+
+// TestManyTargets starts instances of a large zone with so many targets that the holder
+// redirects them.
+func TestManyTargets(t *testing.T) {
+	f := newFleetWithReaders(t, 7)
+	for i := range minRedirectTargets {
+		f.store.Write(t, "servers/"+targetName(i), f.targets["d1"].Entry("idle", "draining"))
+	}
+	f.eventually("the holder knows all targets", func() bool {
+		f.holder.coordinator.mu.Lock()
+		defer f.holder.coordinator.mu.Unlock()
+		return len(f.holder.coordinator.targets) >= minRedirectTargets
+	})
+	e := f.start()
+	f.eventually("the new instance has fresh updates", e.hasFreshUpdates)
+	if status, body := f.call(e, "/app/", ""); status != http.StatusOK {
+		t.Errorf("%d %s", status, body)
+	}
+	f.holder.kill()
+	f.replaceDeskTarget(maxUpdateAge + 600*time.Millisecond)
+	f.eventually("all instances have fresh updates", func() bool {
+		for _, e := range f.edges {
+			if e != f.holder && !e.isHolder() && !e.hasFreshUpdates() {
+				return false
+			}
+		}
+		return true
+	})
+}
