--- a/internal/coordination/relay/copy.go
+++ b/internal/coordination/relay/copy.go
@@ -58,8 +58,9 @@
 // messages of a holder end well before those of the next one begin.
 func (c *Copy) Adopt(s State, asOf time.Time, isFull bool, updates []picker.Update) bool {
 	isSameTerm := s.Term == c.state.Term
+	isNews := asOf.After(c.asOf) || isSameTerm && c.isBehind(s)
 	switch {
-	case !asOf.After(c.asOf) && !(isSameTerm && c.isBehind(s)):
+	case !isNews:
 		return false
 	case isSameTerm && s.Version < c.state.Version, !isSameTerm && !isFull:
 		return false
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -21,8 +21,11 @@
 
 // Limits of messages between instances.
 const (
-	pathExchange       = "/exchange"
+	pathExchange = "/exchange"
+	// exchangeTimeout limits the time until a reply of the holder begins, fullListTimeout
+	// that until its end: a list of 4,000 targets takes 0.3 s at 10 Mbit/s.
 	exchangeTimeout    = 700 * time.Millisecond
+	fullListTimeout    = 2 * time.Second
 	peerSilenceTimeout = time.Second
 	maxMessageBytes    = 4 << 20
 	// exchangeInterval is the interval of messages while no request waits for a model.
@@ -46,9 +49,9 @@
 	From string `json:"from"`
 	// Zone, Peer and Cores give a holder that does not know the instance its availability
 	// zone, its peer address and its processor time.
-	Zone   string          `json:"zone,omitempty"`
-	Peer   netip.AddrPort  `json:"peer,omitzero"`
-	Cores  float64         `json:"cores,omitempty"`
+	Zone  string         `json:"zone,omitempty"`
+	Peer  netip.AddrPort `json:"peer,omitzero"`
+	Cores float64        `json:"cores,omitempty"`
 	// Demand is sent in binary form.
 	Demand []picker.Demand `json:"-"`
 	// Leaving lists targets that have announced that they are leaving.
@@ -125,23 +128,26 @@
 type peerClient struct{ http http.Client }
 
 func newPeerClient() *peerClient {
-	transport := gate.NewDialer(gate.WithSilence(peerSilenceTimeout)).Transport(nil)
-	transport.ResponseHeaderTimeout = readerTimeout
-	return &peerClient{http: http.Client{Transport: transport}}
+	return &peerClient{http: http.Client{Transport: gate.NewDialer(gate.WithSilence(peerSilenceTimeout)).Transport(nil)}}
 }
 
-// exchange sends a message to the holder or, with pathRelay, to a relay.
-func (p *peerClient) exchange(ctx context.Context, to netip.AddrPort, path string, m exchangeRequest) (exchangeReply, error) {
+// exchange sends a message to the holder or, with pathRelay, to a relay. The reply must
+// begin within the timeout.
+func (p *peerClient) exchange(ctx context.Context, to netip.AddrPort, path string, m exchangeRequest, timeout time.Duration) (exchangeReply, error) {
 	data, err := encodeExchange(m)
 	if err != nil {
 		return exchangeReply{}, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, fullListTimeout)
+	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.String()+path, nil)
 	if err != nil {
 		return exchangeReply{}, err
 	}
 	setBody(req, data)
-	a, err := p.do(req, maxMessageBytes)
+	late := time.AfterFunc(timeout, cancel)
+	defer late.Stop()
+	a, err := p.do(req, maxMessageBytes, func() { late.Stop() })
 	if err != nil {
 		return exchangeReply{}, trace.Wrap(err, "exchange with %s", to)
 	}
@@ -166,14 +172,18 @@
 	body   []byte
 }
 
-// do sends a request and reads at most limit bytes of the response body.
-func (p *peerClient) do(req *http.Request, limit int64) (peerResponse, error) {
+// do sends a request and reads at most limit bytes of the response body. It calls the
+// functions began once the response has begun.
+func (p *peerClient) do(req *http.Request, limit int64, began ...func()) (peerResponse, error) {
 	req.Header.Set("Accept-Encoding", encodingGzip)
 	resp, err := p.http.Do(req)
 	if err != nil {
 		return peerResponse{}, err
 	}
 	defer resp.Body.Close()
+	for _, f := range began {
+		f()
+	}
 	body, err := readBody(resp.Header, resp.Body, limit)
 	return peerResponse{status: resp.StatusCode, header: resp.Header, body: body}, err
 }
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -16,8 +16,8 @@
 
 const (
 	pathRelay = "/relay"
-	// relayTimeout limits a message to a relay. Another one or the holder must reply
-	// before the updates are too old.
+	// relayTimeout limits the time until a relay's reply begins. Another one or the holder
+	// must reply before the updates are too old.
 	relayTimeout = 2 * relay.MaxMessageDelay
 	// holderName stands for the holder, whoever that is, as the receiver of arrivals.
 	holderName = "holder"
@@ -197,10 +197,8 @@
 
 // sendToHolder sends a request and applies the reply.
 func (e *Edge) sendToHolder(ctx context.Context, holder netip.AddrPort, m *message, r exchangeRequest) (exchangeReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	defer cancel()
 	sentAt, asOf := e.timer.Now(), e.clock.Now()
-	reply, err := e.peerClient.exchange(ctx, holder, pathExchange, r)
+	reply, err := e.peerClient.exchange(ctx, holder, pathExchange, r, exchangeTimeout)
 	if err != nil {
 		return exchangeReply{}, err
 	}
@@ -249,12 +247,10 @@
 // exchangeWithRelay sends the message to a relay and applies the reply. The updates are as
 // old as the relay says, counted from the sending of the message.
 func (e *Edge) exchangeWithRelay(ctx context.Context, to netip.AddrPort, m *message) (time.Duration, error) {
-	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
-	defer cancel()
 	r := e.address(m, to.String(), to)
 	r.Blocks = m.blocks
 	sentAt, asOf := e.timer.Now(), e.clock.Now()
-	reply, err := e.peerClient.exchange(ctx, to, pathRelay, r)
+	reply, err := e.peerClient.exchange(ctx, to, pathRelay, r, relayTimeout)
 	e.settle(r, to.String(), to, err)
 	if err != nil {
 		return 0, err
--- a/internal/edge/size_test.go
+++ b/internal/edge/size_test.go
@@ -39,7 +39,7 @@
 	for range largeInFlight {
 		d := of()
 		d.InFlight++
-		d.InFlightByTarget[targetName(int(rankOf(d.Model)+r.IntN(6))%largeTargets)]++
+		d.InFlightByTarget[targetName((rankOf(d.Model)+r.IntN(6))%largeTargets)]++
 	}
 	var out []picker.Demand
 	for _, d := range sums {
@@ -97,9 +97,11 @@
 		{"demand of an instance", encodeRequest(exchangeRequest{From: "i", Demand: largeDemand(r)}), decodeRequest},
 		{"report of a relay", encodeRequest(exchangeRequest{From: "i", Demand: largeReport(r)}), decodeRequest},
 		{"no demand", encodeRequest(exchangeRequest{From: "front-bul-a-1", Term: 1766000000000000000, Version: 12345, IsWithoutDemand: true}), decodeRequest},
-		{"no updates", encodeReply(exchangeReply{Term: 1766000000000000000, Version: 12345, Members: 1000, AgeMS: 120,
-			Readers: []netip.AddrPort{netip.MustParseAddrPort("10.3.1.38:9464"), netip.MustParseAddrPort("10.3.1.39:9464")},
-			ConfigRevision: 1234567, ConfigThrough: 1234599, TargetsThrough: 1234599}), decodeReply},
+		{"no updates", encodeReply(exchangeReply{
+			Term: 1766000000000000000, Version: 12345, Members: 1000, AgeMS: 120,
+			Readers:        []netip.AddrPort{netip.MustParseAddrPort("10.3.1.38:9464"), netip.MustParseAddrPort("10.3.1.39:9464")},
+			ConfigRevision: 1234567, ConfigThrough: 1234599, TargetsThrough: 1234599,
+		}), decodeReply},
 		{"20 updates", encodeReply(exchangeReply{Updates: largeUpdates(r, 20), ReadyInMS: expected}), decodeReply},
 		{"all updates", encodeReply(exchangeReply{Updates: largeUpdates(r, largeTargets)}), decodeReply},
 	} {
--- a/internal/edge/snapshot.go
+++ b/internal/edge/snapshot.go
@@ -141,7 +141,9 @@
 func (e *Edge) fetchConfigFromRelay(ctx context.Context, from netip.AddrPort) (ports.Item, bool) {
 	ctx, cancel := context.WithTimeout(ctx, configTimeout)
 	defer cancel()
-	s, err := e.peerClient.config(ctx, from, e.configFollower.localRevision.Load())
+	late := time.AfterFunc(readerTimeout, cancel)
+	defer late.Stop()
+	s, err := e.peerClient.config(ctx, from, e.configFollower.localRevision.Load(), func() { late.Stop() })
 	if err != nil {
 		return ports.Item{}, false
 	}
@@ -187,14 +189,15 @@
 	errStoreDown = errors.New("the instance cannot reach the store")
 )
 
-// config requests a configuration newer than a revision from another instance.
-func (p *peerClient) config(ctx context.Context, from netip.AddrPort, after uint64) (*configSnapshot, error) {
+// config requests a configuration newer than a revision from another instance. It calls
+// the functions began once the response has begun.
+func (p *peerClient) config(ctx context.Context, from netip.AddrPort, after uint64, began ...func()) (*configSnapshot, error) {
 	url := "http://" + from.String() + pathConfig + "?" + queryAfter + "=" + strconv.FormatUint(after, 10)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
 	}
-	a, err := p.do(req, maxConfigBytes)
+	a, err := p.do(req, maxConfigBytes, began...)
 	if err != nil {
 		return nil, trace.Wrap(err, "configuration from %s", from)
 	}
