--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -95,6 +95,8 @@
 	// AgeMS is the age of what the reply says, in milliseconds: 0 from the holder, the
 	// time since the holder's reply from a relay.
 	AgeMS int64 `json:"ageMs,omitempty"`
+	// Holder is the peer address of the holder, in a relay's reply.
+	Holder netip.AddrPort `json:"holder,omitzero"`
 	// ChildrenKnown is the hash of the relay's children that the holder knows.
 	ChildrenKnown uint64 `json:"childrenKnown,omitempty"`
 	// Readers lists the readers of the requesting instance's zone, which read the store
--- a/internal/edge/readers.go
+++ b/internal/edge/readers.go
@@ -166,7 +166,7 @@
 func (e *Edge) fetchConfigFrom(ctx context.Context, from netip.AddrPort) ([]ports.Item, error) {
 	ctx, cancel := context.WithTimeout(ctx, readerTimeout)
 	defer cancel()
-	s, err := e.peerClient.config(ctx, from, e.configFollower.localRevision.Load())
+	s, err := e.peerClient.config(ctx, from, e.configFollower.localRevision.Load(), 0)
 	if errors.Is(err, errNoNewer) {
 		return nil, nil
 	}
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"chivecroft.example/chivecroft/internal/coordination/crash"
+	"chivecroft.example/chivecroft/internal/coordination/elect"
 	"chivecroft.example/chivecroft/internal/coordination/quota"
 	"chivecroft.example/chivecroft/internal/coordination/relay"
 )
@@ -261,6 +262,10 @@
 		// This instance knows more already.
 		return age, nil
 	}
+	if reply.Holder.IsValid() {
+		// What is for the holder alone goes there.
+		e.election.Post(elect.SetHolder{Holder: reply.Holder})
+	}
 	e.applyPermits(exchangeRequest{}, reply, sentAt.Add(-age))
 	e.applyUpdates(merged)
 	e.crashes.Apply(reply.Term, &crash.Report{}, &reply.Crashes)
@@ -305,6 +310,7 @@
 		e.signalDemand()
 	}
 	out := e.held.reply(e.clock.Now(), relay.Position{Term: m.Term, Version: m.Version})
+	out.Holder = e.coordinator.holderStatus().Holder
 	if list := e.readers.Load(); list != nil {
 		out.Readers = *list
 	}
--- a/internal/edge/relay_test.go
+++ b/internal/edge/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"chivecroft.example/chivecroft/internal/coordination/picker"
+	"chivecroft.example/chivecroft/internal/coordination/ports"
 	"chivecroft.example/chivecroft/internal/coordination/relay"
 	"chivecroft.example/chivecroft/internal/state/fleet"
 	"chivecroft.example/chivecroft/platform"
@@ -72,6 +74,26 @@
 	})
 }
 
+// TestChildrenLearnOfAHandover has the holder stop as planned. Updates may stay fresh all
+// the time, so that children ask no reader for the new holder. They need its address for
+// permits and crashes.
+func TestChildrenLearnOfAHandover(t *testing.T) {
+	f := newFleetWithReaders(t, 7)
+	f.holder.Stop()
+	f.eventually("all instances know the new holder", func() bool {
+		next := f.rig.holder(f.holder)
+		if next == nil {
+			return false
+		}
+		for _, e := range f.others {
+			if e.coordinator.holderStatus().Holder != next.boot.Peer && e != next {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // TestRelayFreezes blocks one relay, which takes messages and does not reply.
 func TestRelayFreezes(t *testing.T) {
 	f := newFleetWithReaders(t, 7)
@@ -199,3 +221,27 @@
 		return true
 	})
 }
+
+// TestConfigComesFromARelay has a relay that is still fetching the configuration which
+// updates name. Its child must wait for it and not ask the holder, which is unknown here.
+func TestConfigComesFromARelay(t *testing.T) {
+	newEdge := func(name string, peer netip.AddrPort) *Edge {
+		e := New(&platform.Boot{Instance: name, Zone: "a1", Peer: peer}, discardLogger())
+		t.Cleanup(e.stopLoops)
+		e.configFollower.noteUpdate(9, 0)
+		return e
+	}
+	r := newEdge("i1", netip.MustParseAddrPort("127.0.0.1:1"))
+	server := httptest.NewServer(http.HandlerFunc(r.servePeer))
+	t.Cleanup(server.Close)
+	child := newEdge("i2", netip.MustParseAddrPort("127.0.0.1:2"))
+	child.readers.Store(&[]netip.AddrPort{netip.MustParseAddrPort(server.Listener.Addr().String())})
+	time.AfterFunc(100*time.Millisecond, func() {
+		r.snapshot.Store(newConfigSnapshot(ports.Item{Key: platform.ConfigKey, Revision: 9, Value: []byte("{}")}))
+		r.configFollower.localRevision.Store(9)
+	})
+	items, ok := child.fetchNewestConfig(t.Context())
+	if !ok || len(items) != 1 || items[0].Revision != 9 {
+		t.Errorf("fetched %+v, %t", items, ok)
+	}
+}
--- a/internal/edge/snapshot.go
+++ b/internal/edge/snapshot.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"strconv"
 	"sync"
 	"time"
@@ -92,6 +93,8 @@
 // with 204 if the instance has the newest one, and with 503 if it cannot tell.
 func (e *Edge) serveConfig(w http.ResponseWriter, r *http.Request) {
 	after, _ := strconv.ParseUint(r.URL.Query().Get(queryAfter), 10, 64)
+	waitMS, _ := strconv.ParseInt(r.URL.Query().Get(queryWait), 10, 64)
+	e.awaitConfig(r.Context(), min(time.Duration(waitMS)*time.Millisecond, maxConfigWait))
 	s := e.snapshot.Load()
 	switch {
 	case s != nil && uint64(s.revision) > after:
@@ -106,6 +109,14 @@
 	}
 }
 
+// awaitConfig waits while this instance fetches a newer configuration itself.
+func (e *Edge) awaitConfig(ctx context.Context, wait time.Duration) {
+	until := e.timer.Now().Add(wait)
+	for ctx.Err() == nil && e.configFollower.isBehind() && e.timer.Now().Before(until) {
+		sleep(ctx, configPollInterval)
+	}
+}
+
 func (e *Edge) writeSnapshot(w http.ResponseWriter, s *configSnapshot) {
 	compressed, err := s.compress()
 	if err != nil {
@@ -118,9 +129,15 @@
 	_, _ = w.Write(compressed)
 }
 
-// relayConfigTimeout is how long an instance waits for a relay of its zone to get the
-// configuration that updates name, before it asks the holder.
-const relayConfigTimeout = time.Second
+// Limits of getting the configuration that updates name from the relays of the zone.
+const (
+	// relayConfigTimeout is how long an instance asks them before it asks the holder.
+	relayConfigTimeout = time.Second
+	// maxConfigWait is how long a relay delays its reply while it fetches the
+	// configuration itself, well below readerTimeout.
+	maxConfigWait      = 300 * time.Millisecond
+	configPollInterval = 10 * time.Millisecond
+)
 
 // fetchNewestConfig requests the configuration that the updates name from a relay of the
 // zone, which has it from the holder, and from the holder itself if no relay has it in
@@ -143,7 +160,7 @@
 	defer cancel()
 	late := time.AfterFunc(readerTimeout, cancel)
 	defer late.Stop()
-	s, err := e.peerClient.config(ctx, from, e.configFollower.localRevision.Load(), func() { late.Stop() })
+	s, err := e.peerClient.config(ctx, from, e.configFollower.localRevision.Load(), maxConfigWait, func() { late.Stop() })
 	if err != nil {
 		return ports.Item{}, false
 	}
@@ -159,7 +176,7 @@
 	updatesEnded, stop := contextUntil(func() bool { return !e.hasFreshUpdates() })
 	defer stop()
 	defer context.AfterFunc(updatesEnded, cancel)()
-	s, err := e.peerClient.config(ctx, e.coordinator.holderStatus().Holder, 0)
+	s, err := e.peerClient.config(ctx, e.coordinator.holderStatus().Holder, 0, 0)
 	if err != nil {
 		e.log.Info().Err(err).Msg("cannot fetch the configuration from the holder")
 		return nil, false
@@ -189,11 +206,15 @@
 	errStoreDown = errors.New("the instance cannot reach the store")
 )
 
-// config requests a configuration newer than a revision from another instance. It calls
-// the functions began once the response has begun.
-func (p *peerClient) config(ctx context.Context, from netip.AddrPort, after uint64, began ...func()) (*configSnapshot, error) {
-	url := "http://" + from.String() + pathConfig + "?" + queryAfter + "=" + strconv.FormatUint(after, 10)
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+// config requests a configuration newer than a revision from another instance, which may
+// wait for one for the given time. It calls the functions began once the response has
+// begun.
+func (p *peerClient) config(ctx context.Context, from netip.AddrPort, after uint64, wait time.Duration, began ...func()) (*configSnapshot, error) {
+	query := url.Values{queryAfter: {strconv.FormatUint(after, 10)}}
+	if wait > 0 {
+		query.Set(queryWait, strconv.FormatInt(wait.Milliseconds(), 10))
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from.String()+pathConfig+"?"+query.Encode(), nil)
 	if err != nil {
 		return nil, err
 	}
