--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -352,6 +352,7 @@
 	have.seenAt, have.sentAt = now, now
 	if m.Peer.IsValid() {
 		have.zone, have.peer, have.cores = m.Zone, m.Peer, m.Cores
+		have.knownReaders = nil
 	}
 	readers := k.readers.forZone(have.zone, now, k.members, k.self)
 	known := slices.Equal(readers, have.knownReaders)
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -137,11 +137,15 @@
 
 // settle records the end of an exchange.
 func (e *Edge) settle(r exchangeRequest, name string, to netip.AddrPort, err error) {
-	switch {
-	case err == nil:
+	if err == nil {
 		e.sender.outbox.Ack(name, r.Seq)
 		e.sender.introducedTo = to
-	case isUnheard(err):
+		return
+	}
+	// The next message introduces this instance again, so that it is told again what the
+	// lost reply may have said of readers.
+	e.sender.introducedTo = netip.AddrPort{}
+	if isUnheard(err) {
 		e.sender.outbox.Release(name, r.Seq)
 	}
 }
