--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -12,6 +12,7 @@
 
 	"chivecroft.example/chivecroft/internal/coordination/crash"
 	"chivecroft.example/chivecroft/internal/coordination/elect"
+	"chivecroft.example/chivecroft/internal/coordination/load"
 	"chivecroft.example/chivecroft/internal/coordination/picker"
 	"chivecroft.example/chivecroft/internal/coordination/quota"
 	"chivecroft.example/chivecroft/internal/coordination/relay"
@@ -56,12 +57,22 @@
 	updates        *updateLog
 	// permits issues the permits for targets that have named rate limits.
 	permits *quota.Ledger
+	// teamQuotas issues the permits of teams.
+	teamQuotas *teamQuotas
 	// crashes finds the parts of prompts that crash targets.
 	crashes *crash.Detector
+	// load sums the load that the instances report; nil before the first report.
+	load    *load.Sums
 	members map[string]member
 	// tree knows the instances whose messages go to relays.
 	tree    *relay.Tree
 	readers readerSelection
+	// termID identifies the term. It is the time at which orders were to begin, which may
+	// be put off later.
+	termID int64
+	// formerMembers are the peer addresses of the other instances at the end of this
+	// instance's latest term.
+	formerMembers []netip.AddrPort
 }
 
 func newCoordinator(ctx context.Context, boot *platform.Boot, clock *timer.Boot, l *log.Logger, m *instanceMetrics) *coordinator {
@@ -70,6 +81,7 @@
 		loadWindow: boot.Bounds.LoadWindow, targets: make(map[string]fleet.Target), absent: make(map[string]bool),
 		leaving: picker.NewLeavingSet(), updates: newUpdateLog(), permits: quota.NewLedger(), crashes: crash.NewDetector(),
 		planners: make(map[string]*sched.Planner), members: make(map[string]member), tree: relay.NewTree(),
+		teamQuotas: newTeamQuotas(),
 	}
 }
 
@@ -87,6 +99,9 @@
 	if was.IsHolder == s.IsHolder {
 		return
 	}
+	if was.IsHolder {
+		k.formerMembers = k.memberPeers()
+	}
 	k.planners = make(map[string]*sched.Planner)
 	k.members = make(map[string]member)
 	k.tree = relay.NewTree()
@@ -94,7 +109,10 @@
 	k.updates = newUpdateLog()
 	k.permits = quota.NewLedger()
 	k.crashes = crash.NewDetector()
+	k.teamQuotas.startTerm(k.term(), k.clock.Now())
+	k.load = nil
 	if s.IsHolder {
+		k.termID = s.OrderFrom.UnixNano()
 		k.startTerm()
 	}
 }
@@ -120,6 +138,31 @@
 	k.updates.set(u)
 }
 
+// memberPeers returns the peer addresses of the other instances that exchange messages with
+// the holder, the one heard from last first.
+func (k *coordinator) memberPeers() []netip.AddrPort {
+	var others []member
+	for name, m := range k.members {
+		if name != k.self && m.peer.IsValid() {
+			others = append(others, m)
+		}
+	}
+	slices.SortFunc(others, func(x, y member) int { return y.seenAt.Compare(x.seenAt) })
+	out := make([]netip.AddrPort, len(others))
+	for i, m := range others {
+		out[i] = m.peer
+	}
+	return out
+}
+
+// lastMembers returns the peer addresses of the other instances as this instance knew them
+// at the end of its latest term, if it has been the holder.
+func (k *coordinator) lastMembers() []netip.AddrPort {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.formerMembers
+}
+
 func (k *coordinator) holderStatus() elect.Status {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -168,6 +211,7 @@
 
 func (k *coordinator) setTargetLocked(r fleet.Target) {
 	r.Draining = r.Draining || k.leaving.Has(r.Identity)
+	was, isKnown := k.targets[r.ID]
 	k.targets[r.ID] = r
 	delete(k.absent, r.ID)
 	if !k.status.IsHolder {
@@ -177,6 +221,9 @@
 		p.SetTarget(k.clock.Now(), r)
 	}
 	k.publish(&r)
+	if !isKnown || was.Identity != r.Identity {
+		k.startRamp(&r)
+	}
 }
 
 // markLeaving records that a target has announced that it is leaving, which is known
@@ -197,7 +244,7 @@
 		p.Remove(id)
 	}
 	delete(k.targets, id)
-	k.updates.remove(id)
+	k.sums().Ramps().Stop(k.updates.remove(id))
 }
 
 // removeAfter removes a target that is missing from the list, unless it reappears within
@@ -289,6 +336,7 @@
 		out.IsRedirect, out.Updates = true, nil
 		out.Readers = k.readers.byZone[k.members[m.From].zone]
 	}
+	out.Load = k.exchangeLoad(now, &m)
 	out.Grants = k.permits.Ask(now, m.From, m.Wants)
 	out.Crashes = k.judgeCrashes(now, m, senders)
 	if k.status.CanOrder(now) {
@@ -392,6 +440,7 @@
 		return
 	}
 	k.members[m.From] = have
+	k.addArrivals(now, demand)
 	for _, p := range k.planners {
 		p.SetDemand(now, m.From, demand)
 	}
@@ -399,9 +448,7 @@
 
 // term identifies this term of the holder, so that update versions of another term are
 // not taken for its own.
-func (k *coordinator) term() int64 {
-	return k.status.OrderFrom.UnixNano()
-}
+func (k *coordinator) term() int64 { return k.termID }
 
 // refreshUpdates adds the targets that the planners have changed to the update log.
 func (k *coordinator) refreshUpdates() {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -8,23 +8,27 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/phuslu/log"
 
+	"chivecroft.example/chivecroft/internal/coordination/budget"
 	"chivecroft.example/chivecroft/internal/coordination/crash"
 	"chivecroft.example/chivecroft/internal/coordination/deltas"
 	"chivecroft.example/chivecroft/internal/coordination/drive"
 	"chivecroft.example/chivecroft/internal/coordination/elect"
 	"chivecroft.example/chivecroft/internal/coordination/picker"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/coordination/proof"
 	"chivecroft.example/chivecroft/internal/coordination/quota"
 	"chivecroft.example/chivecroft/internal/coordination/relay"
 	"chivecroft.example/chivecroft/internal/coordination/retry"
 	"chivecroft.example/chivecroft/internal/state/fleet"
 	"chivecroft.example/chivecroft/internal/state/timer"
+	"chivecroft.example/chivecroft/internal/transport/accept"
 	"chivecroft.example/chivecroft/internal/transport/proxy"
 	"chivecroft.example/chivecroft/platform"
 )
@@ -37,12 +41,9 @@
 	// maxElectionDelay is how long a machine with hardly any processor time waits before
 	// it tries to become the holder.
 	maxElectionDelay = 300 * time.Millisecond
-	// maxHeaderBytes limits the size of a request's header.
-	maxHeaderBytes = 64 << 10
-	// headerTimeout limits how long a request header may take to arrive.
+	// headerTimeout limits how long a request header may take to arrive on the ports that
+	// are not for callers.
 	headerTimeout = 10 * time.Second
-	// callerIdleTimeout is how long a caller's connection may stay idle.
-	callerIdleTimeout = 2 * time.Minute
 )
 
 // Edge is one instance of the system.
@@ -90,16 +91,35 @@
 	// have ended at which requests broke off.
 	crashes *crash.Monitor
 	ends    *endChecker
+	// proofs keeps until when the active configuration was the newest, wasProven whether
+	// keys were accepted at the last check.
+	proofs    *proof.Tracker
+	wasProven atomic.Bool
+	// activeItem is used by the follower of the configuration alone.
+	activeItem activeItem
+
+	// permits obtains the permits of teams with quotas.
+	permits *permitClient
 
 	loopCtx   context.Context //nolint:containedctx // ends the loops at Stop
 	stopLoops context.CancelFunc
 	callers   *callerServer
+	// account is the account of the bytes that callers and targets make this process hold,
+	// listener accepts callers' connections, refusals counts those that were refused.
+	account  *budget.Account
+	listener *accept.Listener
+	refusals *refusalLog
 	// readyServer serves the platform's readiness checks, peerServer other instances, and
 	// metricsServer, which may be nil, operators.
 	readyServer, peerServer, metricsServer *http.Server
 
-	// bounds are those of the most recently read boot file.
-	bounds atomic.Pointer[platform.Bounds]
+	// bounds are those of the most recently read boot file, bootFile is its path, empty if
+	// it is not read again.
+	bounds   atomic.Pointer[platform.Bounds]
+	bootFile string
+	// reloading is held while the boot file is read and applied, so that the latest
+	// contents are applied last.
+	reloading sync.Mutex
 
 	metrics *instanceMetrics
 	// metricsPort is the port on which metrics are served, 0 for none.
@@ -114,6 +134,12 @@
 	return func(e *Edge) { e.metricsPort = port }
 }
 
+// WithBootFile has the instance read the boot file again when bounds matter that may have
+// changed without a signal: at the beginning of a stop and of a term as the holder.
+func WithBootFile(path string) Option {
+	return func(e *Edge) { e.bootFile = path }
+}
+
 // New returns an instance that is not started.
 func New(boot *platform.Boot, l *log.Logger, opts ...Option) *Edge {
 	e := &Edge{boot: boot, log: l, timer: timer.NewSystem()}
@@ -124,10 +150,12 @@
 	e.store = platform.NewStore(e.loopCtx, boot.Store, platform.WithStoreObserver(e.metrics.storeCallEnded))
 	e.demandSignal = make(chan struct{}, 1)
 	e.picker = picker.New(e.timer, boot.Zone, boot.Regions, picker.WithName(boot.Instance), picker.WithDemand(e.signalDemand),
-		picker.WithLimitObserver(e.onLimitChange))
+		picker.WithLimitObserver(e.onLimitChange), picker.WithLoadObserver(e.onLoadChange))
 	e.clock = timer.NewBoot()
 	e.coordinator = newCoordinator(e.loopCtx, boot, e.clock, l, e.metrics)
+	e.proofs = proof.NewTracker()
 	e.peerClient = newPeerClient()
+	e.peerClient.now, e.peerClient.onProof = e.clock.Now, e.acceptProofHeader
 	e.sender, e.held, e.children = newSender(), newHeldUpdates(), relay.NewTable()
 	e.configFollower = e.newConfigFollower()
 	e.targetFollower = e.newTargetFollower()
@@ -143,8 +171,14 @@
 	e.budget = retry.NewBudget(retryLimits(boot.Bounds))
 	e.crashes = crash.NewMonitor(e.timer, crash.WithUrgency(e.signalDemand), crash.WithObserver(e.onBlockChange))
 	e.ends = newEndChecker(e.picker.IsLeaving, e.onTargetEnd)
+	e.permits = newPermitClient(e)
+	e.account = budget.NewAccount(memoryBudget(boot.MemoryBytes), time.Now)
+	e.refusals = newRefusalLog(l)
+	e.listener = accept.NewListener(e.account, accept.WithMaxConns(maxCallerConns(boot)), accept.WithObserver(e.refusals.add))
 	e.proxy = proxy.NewServer(platform.Codec{}, e.picker, e.budget, e.timer, proxy.WithLogger(l),
-		proxy.WithObserver(e.metrics.requestEnded), proxy.WithCrashes(e.crashes, e.ends.hasEnded),
+		proxy.WithAccount(e.account), proxy.WithIdleConnections(maxIdleTargetConns(boot)),
+		proxy.WithObserver(e.metrics.requestEnded), proxy.WithCrashes(e.crashes, e.ends.hasCrashed),
+		proxy.WithEndCheck(e.ends.hasEnded), proxy.WithKeyProof(e.keysProven), proxy.WithPermits(e.permits),
 		proxy.WithBehind(e.configFollower.isBehind))
 	for _, opt := range opts {
 		opt(e)
@@ -157,6 +191,10 @@
 func (e *Edge) onHolderStatus(s elect.Status) {
 	was := e.coordinator.holderStatus()
 	e.coordinator.setStatus(s)
+	if s.IsHolder && !was.IsHolder {
+		// The listener must not wait for a file.
+		go e.ReloadFile()
+	}
 	if s.Holder.IsValid() && s.Holder != was.Holder {
 		e.signalDemand()
 	}
@@ -217,15 +255,17 @@
 // Start opens the listeners and begins to follow the store. It returns once callers, the
 // platform and other instances can connect.
 func (e *Edge) Start(ctx context.Context) error {
-	e.callers = newCallerServer(e.proxy)
-	e.readyServer = &http.Server{Handler: http.HandlerFunc(e.serveReady), ReadHeaderTimeout: headerTimeout}
+	e.callers = newCallerServer(e.proxy, e.listener)
+	limitRuntime(e.boot.MemoryBytes)
+	go e.memoryLoop(e.loopCtx)
+	e.readyServer = newControlServer(http.HandlerFunc(e.serveReady), maxReadyBodyBytes)
 	if err := e.callers.start(ctx, e.boot.Callers.String(), e.log); err != nil {
 		return err
 	}
 	if _, err := listen(ctx, e.readyServer, e.boot.Ready.String(), e.log); err != nil {
 		return err
 	}
-	e.peerServer = &http.Server{Handler: http.HandlerFunc(e.servePeer), ReadHeaderTimeout: headerTimeout}
+	e.peerServer = newControlServer(http.HandlerFunc(e.servePeer), maxMessageBytes)
 	if _, err := listen(ctx, e.peerServer, e.boot.Peer.String(), e.log); err != nil {
 		return err
 	}
@@ -235,6 +275,8 @@
 	go e.configFollower.run(e.loopCtx)
 	go e.targetFollower.run(e.loopCtx)
 	go e.copyLoop(e.loopCtx)
+	go e.proofLoop(e.loopCtx)
+	go e.permits.run(e.loopCtx)
 	metrics, err := e.metrics.start(ctx, e.boot.Instance, e.boot.Zone, e.boot.Addr, e.metricsPort,
 		map[string]http.HandlerFunc{BlocksPath: e.serveBlocks, LiftPath: e.serveLift})
 	if err != nil {
@@ -248,11 +290,17 @@
 
 // listen serves s at addr until the server or the listener is closed.
 func listen(ctx context.Context, s *http.Server, addr string, lg *log.Logger) (net.Listener, error) {
+	return listenThrough(ctx, s, addr, lg, func(l net.Listener) net.Listener { return l })
+}
+
+// listenThrough does the same on the connections of a listener that wraps the one of addr.
+func listenThrough(ctx context.Context, s *http.Server, addr string, lg *log.Logger, wrap func(net.Listener) net.Listener) (net.Listener, error) {
 	var lc net.ListenConfig
 	l, err := lc.Listen(ctx, "tcp", addr)
 	if err != nil {
 		return nil, trace.Wrap(err, "listen on %s", addr)
 	}
+	l = wrap(l)
 	go func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			lg.Error().Err(err).Str("address", addr).Msg("server stopped unexpectedly")
@@ -279,20 +327,24 @@
 }
 
 func (e *Edge) newConfigFollower() *follower {
-	apply := func(item ports.Item) {
-		if item.Key == platform.ConfigKey && !item.Deleted {
-			e.applyConfig(item)
+	apply := func(previous ports.Revision, item ports.Item) {
+		switch {
+		case item.Key != platform.ConfigKey:
+		case item.Deleted:
+			e.skipConfig(previous, item)
+		default:
+			e.applyConfig(previous, item)
 		}
 	}
 	return &follower{
 		name: "config", prefix: platform.ConfigKey, store: e.store, health: e.health, log: e.log,
 		applyList: func(items []ports.Item) {
 			for _, item := range items {
-				apply(item)
+				apply(0, item)
 			}
 			e.coordinator.setConfigRead()
 		},
-		applyChange:     apply,
+		applyChange: apply, watchTime: e.configWatchTimeout, onRead: e.noteConfigRead,
 		hasFreshUpdates: e.hasFreshUpdates, onIdle: func() {}, fetchFromHolder: e.fetchNewestConfig,
 		canAskReaders: e.canAskReaders, fetchItems: e.fetchConfigFromReaders, isHolder: e.isHolder,
 		clock: e.clock, updateAge: e.updateAge,
@@ -304,21 +356,30 @@
 // others.
 func (e *Edge) isHolder() bool { return e.coordinator.holderStatus().IsHolder }
 
-// applyConfig makes a configuration active unless the active one is as new.
-func (e *Edge) applyConfig(item ports.Item) {
+// applyConfig makes a configuration active unless the active one is as new. previous is
+// the revision that was read before it, 0 if others may be in between.
+func (e *Edge) applyConfig(previous ports.Revision, item ports.Item) {
 	c, err := platform.DecodeConfig(item.Value)
 	if err != nil {
 		e.log.Error().Err(err).Uint64("revision", uint64(item.Revision)).Msg("configuration rejected")
+		e.skipConfig(previous, item)
 		return
 	}
-	if have := e.config.Load(); have != nil && have.Version >= c.Version {
+	if have := e.config.Load(); have != nil && have.Version >= c.Version && !e.activeItem.isRewrittenAs(item) {
+		e.skipConfig(previous, item)
 		return
 	}
 	e.proxy.SetConfig(c)
+	e.listener.SetLimits(accept.Limits{
+		HeaderBytes: c.Limits.HeaderBytes, HeaderTimeout: c.Limits.HeaderTimeout, IdleTimeout: c.Limits.IdleTimeout,
+	})
 	e.coordinator.setConfig(c, uint64(item.Revision))
+	e.setQuotas(c)
 	// The instance may report that it is ready only from here on.
 	e.config.Store(c)
 	e.updateSnapshot(item)
+	e.activeItem = newActiveItem(item)
+	e.proofs.Activate(uint64(item.Revision))
 	e.log.Info().Int64("version", c.Version).Uint64("revision", uint64(item.Revision)).
 		Int("routes", len(c.Routes)).Int("bytes", len(item.Value)).Msg("configuration active")
 }
@@ -335,7 +396,8 @@
 func (e *Edge) newTargetFollower() *follower {
 	return &follower{
 		name: "targets", prefix: platform.TargetPrefix, store: e.store, health: e.health, log: e.log,
-		batchDelay: targetBatchDelay, applyList: e.applyTargetList, applyChange: e.applyTarget,
+		batchDelay: targetBatchDelay, applyList: e.applyTargetList,
+		applyChange:   func(_ ports.Revision, item ports.Item) { e.applyTarget(item) },
 		canAskReaders: e.canAskReaders, isHolder: e.isHolder, fetchChanges: e.fetchChanges, changelog: deltas.New(maxKeptChanges),
 		clock: e.clock, updateAge: e.updateAge, updateWait: startTimeout,
 		hasFreshUpdates: e.hasFreshUpdates, onIdle: func() { e.coordinator.setHasFullList(false) },
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/phuslu/log"
@@ -50,7 +51,7 @@
 	for path, handler := range more {
 		mux.Handle(path, handler)
 	}
-	s := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	s := newControlServer(mux, maxMetricsBodyBytes)
 	at := net.JoinHostPort(addr.String(), strconv.Itoa(int(port)))
 	_, err = listen(ctx, s, at, m.log)
 	return s, err
@@ -104,6 +105,22 @@
 	}
 }
 
+// quotaUsed adds an amount of a team's quota by what became of it.
+func (m *instanceMetrics) quotaUsed(team, outcome string, amount float64) {
+	if mt := m.meter.Load(); mt != nil {
+		mt.Quota(team, outcome, amount)
+	}
+}
+
+// quotaLevels records the levels of the teams' buckets at the holder.
+func (m *instanceMetrics) quotaLevels(levels map[string]float64) {
+	if mt := m.meter.Load(); mt != nil {
+		for team, level := range levels {
+			mt.QuotaLevel(team, level)
+		}
+	}
+}
+
 // targetEnded counts a target that has ended unplanned.
 func (m *instanceMetrics) targetEnded(service string) {
 	if mt := m.meter.Load(); mt != nil {
@@ -118,6 +135,31 @@
 	}
 }
 
+// proofAged records the age of the proof that the active configuration is the newest.
+func (m *instanceMetrics) proofAged(age time.Duration) {
+	if mt := m.meter.Load(); mt != nil {
+		mt.ProofAge(age)
+	}
+}
+
+// memoryUsed records the bytes held by use, the connections by state and the refusals by
+// reason since the last call.
+func (m *instanceMetrics) memoryUsed(bytes map[string]int64, conns map[string]int, refused map[string]int64) {
+	mt := m.meter.Load()
+	if mt == nil {
+		return
+	}
+	for use, n := range bytes {
+		mt.HeldBytes(use, n)
+	}
+	for state, n := range conns {
+		mt.Connections(state, n)
+	}
+	for reason, n := range refused {
+		mt.RefusedConnections(reason, n)
+	}
+}
+
 // orderEnded counts a finished order to load a model.
 func (m *instanceMetrics) orderEnded(a sched.Action, taken bool) {
 	if mt := m.meter.Load(); mt != nil && a.Operation == sched.Load && a.Adapter == "" {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -12,6 +12,7 @@
 
 	"chivecroft.example/chivecroft/internal/coordination/crash"
 	"chivecroft.example/chivecroft/internal/coordination/elect"
+	"chivecroft.example/chivecroft/internal/coordination/load"
 	"chivecroft.example/chivecroft/internal/coordination/picker"
 	"chivecroft.example/chivecroft/internal/coordination/quota"
 	"chivecroft.example/chivecroft/internal/coordination/relay"
@@ -62,6 +63,8 @@
 	Wants  []quota.Want   `json:"wants,omitempty"`
 	// Crashes reports targets that crashed under requests, and what survived.
 	Crashes *crash.Report `json:"crashes,omitempty"`
+	// Load reports the requests in flight by target, and plain services' arrivals.
+	Load *load.Report `json:"load,omitempty"`
 	// Term and Version identify the updates that the instance has.
 	Term    int64  `json:"holding,omitempty"`
 	Version uint64 `json:"version,omitempty"`
@@ -120,17 +123,30 @@
 	IsRedirect bool `json:"redirect,omitempty"`
 	// ReadyInMS is the expected time until each model can serve, in milliseconds.
 	ReadyInMS map[string]int64 `json:"expected,omitempty"`
+	// Load is the load of all instances; nil if the request does not ask for it.
+	Load *load.Snapshot `json:"load,omitempty"`
 	// Grants answers the wants of the request.
 	Grants []quota.Grant `json:"grants,omitempty"`
 	// Crashes answers the report of the request.
 	Crashes crash.Reply `json:"crashes,omitzero"`
+	// Proof is the proof that the configuration of the replying instance is the newest.
+	Proof *proofNote `json:"proof,omitempty"`
 }
 
 // peerClient sends messages to other instances.
-type peerClient struct{ http http.Client }
+type peerClient struct {
+	http http.Client
+	// onProof is called with the headers of each reply to /config and with the time on now
+	// before the request.
+	now     func() time.Time
+	onProof func(askedAt time.Time, h http.Header)
+}
 
 func newPeerClient() *peerClient {
-	return &peerClient{http: http.Client{Transport: gate.NewDialer(gate.WithSilence(peerSilenceTimeout)).Transport(nil)}}
+	return &peerClient{
+		http: http.Client{Transport: gate.NewDialer(gate.WithSilence(peerSilenceTimeout)).Transport(nil)},
+		now:  time.Now, onProof: func(time.Time, http.Header) {},
+	}
 }
 
 // exchange sends a message to the holder or, with pathRelay, to a relay. The reply must
@@ -200,6 +216,14 @@
 		e.serveChanges(w, r)
 		return
 	}
+	if r.URL.Path == pathPermits && r.Method == http.MethodPost {
+		e.servePermits(w, r)
+		return
+	}
+	if r.URL.Path == pathCrashes && r.Method == http.MethodPost {
+		e.serveCrashes(w, r)
+		return
+	}
 	handle := e.handleExchange
 	if r.URL.Path == pathRelay {
 		handle = e.relayExchange
@@ -339,10 +363,11 @@
 // handleExchange responds to an instance's message as the holder. The read revisions are
 // loaded first, so that the updates contain everything up to them.
 func (e *Edge) handleExchange(m exchangeRequest) (exchangeReply, bool) {
-	config, targets := e.configFollower.readThrough.Load(), e.targetFollower.readThrough.Load()
+	config, targets := e.configThrough(), e.targetFollower.readThrough.Load()
 	r, ok := e.coordinator.handleExchange(m)
 	r.ConfigThrough, r.TargetsThrough = config, targets
 	r.RemovalDelayMS = e.health.removalDelay().Milliseconds()
+	r.Proof = e.proofNote()
 	return r, ok
 }
 
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -160,6 +160,7 @@
 func (e *Edge) exchangeWithSelf(m *message) {
 	sentAt, asOf := e.timer.Now(), e.clock.Now()
 	r := m.withDirect(e.address(m, holderName, e.boot.Peer))
+	r.Load = e.loadReport()
 	reply, steady := e.handleExchange(r)
 	if !steady {
 		return
@@ -173,6 +174,7 @@
 func (e *Edge) exchangeWithHolder(ctx context.Context, holder netip.AddrPort, m *message) error {
 	e.sender.usesRelay = false
 	r := m.withDirect(e.address(m, holderName, holder))
+	r.Load = e.loadReport()
 	r.Children = relay.NameChildren(e.children.Live(e.clock.Now()), e.held.childrenKnown())
 	reply, err := e.sendToHolder(ctx, holder, m, r)
 	e.settle(r, holderName, holder, err)
@@ -207,6 +209,7 @@
 	if err != nil {
 		return exchangeReply{}, err
 	}
+	e.acceptProof(asOf, reply.Proof)
 	e.applyDirect(m, r, reply, sentAt, asOf)
 	if !reply.IsRedirect {
 		e.noteUpdatedAt(asOf)
@@ -222,6 +225,7 @@
 		e.readers.Store(&reply.Readers)
 	} else if merged, ok := e.held.adopt(reply, asOf); ok {
 		e.applyUpdates(merged)
+		e.picker.ApplyLoad(reply.Term, reply.Load, sentAt)
 	}
 	e.crashes.Apply(reply.Term, &m.crashes, &reply.Crashes)
 }
@@ -260,6 +264,7 @@
 	if err != nil {
 		return 0, err
 	}
+	e.acceptProof(asOf, reply.Proof)
 	age := time.Duration(reply.AgeMS) * time.Millisecond
 	merged, ok := e.held.adopt(reply, asOf.Add(-age))
 	if !ok {
@@ -313,7 +318,11 @@
 	if isUrgent {
 		e.signalDemand()
 	}
+	// Loaded first, so that the updates contain everything up to it.
+	through := e.configThrough()
 	out := e.held.reply(e.clock.Now(), relay.Position{Term: m.Term, Version: m.Version})
+	out.ConfigThrough = min(out.ConfigThrough, through)
+	out.Proof = e.proofNote()
 	out.Holder = e.coordinator.holderStatus().Holder
 	if list := e.readers.Load(); list != nil {
 		out.Readers = *list
@@ -387,6 +396,7 @@
 	r.ConfigRevision, r.ConfigThrough, r.TargetsThrough = state.Config, state.ConfigThrough, state.TargetsThrough
 	h.last = r
 	h.last.Updates, h.last.Grants, h.last.Readers = nil, nil, nil
+	h.last.Load, h.last.Proof = nil, nil
 	h.last.Crashes = crash.Reply{Version: r.Crashes.Version, Suspects: r.Crashes.Suspects}
 	return r, true
 }
--- a/internal/edge/snapshot.go
+++ b/internal/edge/snapshot.go
@@ -95,6 +95,7 @@
 	after, _ := strconv.ParseUint(r.URL.Query().Get(queryAfter), 10, 64)
 	waitMS, _ := strconv.ParseInt(r.URL.Query().Get(queryWait), 10, 64)
 	e.awaitConfig(r.Context(), min(time.Duration(waitMS)*time.Millisecond, maxConfigWait))
+	e.setProofHeader(w.Header())
 	s := e.snapshot.Load()
 	switch {
 	case s != nil && uint64(s.revision) > after:
@@ -218,10 +219,12 @@
 	if err != nil {
 		return nil, err
 	}
+	askedAt := p.now()
 	a, err := p.do(req, maxConfigBytes, began...)
 	if err != nil {
 		return nil, trace.Wrap(err, "configuration from %s", from)
 	}
+	p.onProof(askedAt, a.header)
 	switch a.status {
 	case http.StatusNoContent:
 		return nil, errNoNewer
--- a/internal/transport/meter/create.go
+++ b/internal/transport/meter/create.go
@@ -27,6 +27,12 @@
 	m.targetEnds = c.counter("chivecroft.target.ends", "{target}", "Targets that ended unplanned with requests in flight.")
 	m.blocks = c.gauge("chivecroft.prompt.blocks", "{block}", "Blocks of prompt parts that crash targets.")
 	m.limits = c.gauge("chivecroft.target.limits", "{target}", "Targets with a rate limit in force.")
+	m.proofAge = c.secondsGauge("chivecroft.config.proof.age", "Time since the active configuration was known to be the newest.")
+	m.quota = c.amount("chivecroft.quota.amount", "Amounts of teams' quotas by what became of them.")
+	m.quotaLevel = c.level("chivecroft.quota.level", "Level of each team's bucket at the lease holder.")
+	m.heldBytes = c.gauge("chivecroft.memory.held", "By", "Bytes held for callers by use.")
+	m.connections = c.gauge("chivecroft.caller.connections", "{connection}", "Connections of callers by state.")
+	m.refusedConnections = c.counter("chivecroft.caller.connections.refused", "{connection}", "Connections and heads of requests that were refused, by reason.")
 	return trace.NewAggregate(c.errs...)
 }
 
@@ -55,12 +61,30 @@
 	return n
 }
 
+func (c *creator) amount(name, description string) metric.Float64Counter {
+	n, err := c.meter.Float64Counter(name, metric.WithUnit("{unit}"), metric.WithDescription(description))
+	c.errs = append(c.errs, err)
+	return n
+}
+
+func (c *creator) level(name, description string) metric.Float64Gauge {
+	n, err := c.meter.Float64Gauge(name, metric.WithUnit("{unit}"), metric.WithDescription(description))
+	c.errs = append(c.errs, err)
+	return n
+}
+
 func (c *creator) seconds(name, description string) metric.Float64Counter {
 	n, err := c.meter.Float64Counter(name, metric.WithUnit("s"), metric.WithDescription(description))
 	c.errs = append(c.errs, err)
 	return n
 }
 
+func (c *creator) secondsGauge(name, description string) metric.Float64Gauge {
+	n, err := c.meter.Float64Gauge(name, metric.WithUnit("s"), metric.WithDescription(description))
+	c.errs = append(c.errs, err)
+	return n
+}
+
 func resourceOf(instance, zone string) *resource.Resource {
 	return resource.NewSchemaless(
 		attribute.String("service.name", "chivecroft"),
--- a/internal/transport/meter/meter.go
+++ b/internal/transport/meter/meter.go
@@ -87,6 +87,13 @@
 	limits     metric.Int64Gauge
 	targetEnds metric.Int64Counter
 	blocks     metric.Int64Gauge
+	proofAge   metric.Float64Gauge
+	quota      metric.Float64Counter
+	quotaLevel metric.Float64Gauge
+
+	heldBytes          metric.Int64Gauge
+	connections        metric.Int64Gauge
+	refusedConnections metric.Int64Counter
 }
 
 // New returns a meter that marks its series with the instance and zone.
@@ -224,6 +231,26 @@
 	m.blocks.Record(context.Background(), int64(n))
 }
 
+// ProofAge records how long ago the active configuration was known to be the newest.
+func (m *Meter) ProofAge(age time.Duration) {
+	m.proofAge.Record(context.Background(), age.Seconds())
+}
+
+// Quota adds an amount of a team's quota by what became of it.
+func (m *Meter) Quota(team, outcome string, amount float64) {
+	m.quota.Add(context.Background(), amount, metric.WithAttributes(m.team(team), attribute.String("chivecroft.outcome", outcome)))
+}
+
+// QuotaLevel records the level of a team's bucket at the lease holder, below 0 while
+// permits are reserved.
+func (m *Meter) QuotaLevel(team string, level float64) {
+	m.quotaLevel.Record(context.Background(), level, metric.WithAttributes(m.team(team)))
+}
+
+func (m *Meter) team(name string) attribute.KeyValue {
+	return attribute.String("chivecroft.team", m.tenants.admit(name))
+}
+
 func outcome(ok bool) string {
 	if ok {
 		return "loaded"
@@ -251,3 +278,18 @@
 	}
 	return option
 }
+
+// HeldBytes records the bytes that are held for callers for one use.
+func (m *Meter) HeldBytes(use string, n int64) {
+	m.heldBytes.Record(context.Background(), n, metric.WithAttributes(attribute.String("use", use)))
+}
+
+// Connections records the number of callers' connections in one state.
+func (m *Meter) Connections(state string, n int) {
+	m.connections.Record(context.Background(), int64(n), metric.WithAttributes(attribute.String("state", state)))
+}
+
+// RefusedConnections counts connections and heads of requests that were refused.
+func (m *Meter) RefusedConnections(reason string, n int64) {
+	m.refusedConnections.Add(context.Background(), n, metric.WithAttributes(attribute.String("error.type", reason)))
+}
--- a/internal/transport/proxy/exchange.go
+++ b/internal/transport/proxy/exchange.go
@@ -1,15 +1,15 @@
 package proxy
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
 	"net/url"
-	"strings"
+	"sync/atomic"
 	"time"
 
+	"chivecroft.example/chivecroft/internal/coordination/budget"
 	"chivecroft.example/chivecroft/internal/coordination/crash"
 	"chivecroft.example/chivecroft/internal/coordination/picker"
 	"chivecroft.example/chivecroft/internal/state/fleet"
@@ -25,21 +25,33 @@
 
 // exchange is the handling of one caller's request.
 type exchange struct {
-	s       *Server
-	w       http.ResponseWriter
-	r       *http.Request
-	ctx     context.Context //nolint:containedctx // the context of the request
-	arrived time.Time
-	version int64
+	s   *Server
+	w   http.ResponseWriter
+	r   *http.Request
+	ctx context.Context //nolint:containedctx // the context of the request
+	// conn sets deadlines of the caller's connection, writeUntil is the one for writes.
+	conn       *http.ResponseController
+	writeUntil time.Time
+	arrived    time.Time
+	version    int64
 
-	route    *fleet.Route
-	service  string
-	engine   bool
-	call     Call
-	body     []byte
+	route *fleet.Route
+	credentials
+	service string
+	engine  bool
+	call    Call
+	// url has the path and query of the request and no host.
+	url      url.URL
 	timeout  time.Duration
 	deadline time.Time
 
+	body       payload
+	bodyMemory budget.Holding
+	// bodyRead reports whether the whole body has been read. revoked is set when its bytes
+	// are needed elsewhere, stalled if it had stopped to arrive.
+	bodyRead         bool
+	revoked, stalled atomic.Bool
+
 	sends int
 	// possibleRuns counts the sends after which the request may have run.
 	possibleRuns int
@@ -63,6 +75,8 @@
 	mustNotSend bool
 	// limit is the rate limit that decided where the request went or that it was refused.
 	limit picker.Limit
+	// quota is what the request has of its team's quota.
+	quota quotaUse
 }
 
 // attempt is one send to a target with its response or error.
@@ -79,6 +93,8 @@
 	// parts. blocked is set when the request is stopped.
 	flight  *crash.Flight
 	blocked blockFlag
+	// keyLost is set when the send is stopped because its key may no longer be used.
+	keyLost atomic.Bool
 	// targetEnded reports that the target has ended before the answer was complete.
 	targetEnded bool
 }
@@ -100,13 +116,23 @@
 
 // sendNext waits for a reservation and sends the request to its target.
 func (x *exchange) sendNext(lastEvent string) (*attempt, error) {
+	if err := x.acquirePermit(); err != nil {
+		return nil, err
+	}
 	reservation, err := x.s.picker.Acquire(x.ctx, x.pickerRequest())
 	if err != nil {
 		return nil, err
 	}
+	if err := x.authenticate(); err != nil {
+		reservation.Release(picker.Outcome{})
+		return nil, err
+	}
 	if err := x.admit(reservation); err != nil {
 		return nil, err
 	}
+	if err := x.renewPermit(reservation); err != nil {
+		return nil, err
+	}
 	x.queueTime += reservation.Waited
 	x.sends++
 	return x.send(reservation, lastEvent), nil
@@ -115,7 +141,7 @@
 func (x *exchange) pickerRequest() picker.Request {
 	reserve := min(time.Duration(responseReserveShare*float64(x.timeout)), maxResponseReserve)
 	q := picker.Request{
-		Service: x.service, Priority: x.route.Priority, Arrived: x.arrived,
+		Service: x.service, Team: x.teamName(), Priority: x.priority(), Goal: x.route.Goal, Arrived: x.arrived,
 		Deadline: x.deadline.Add(-reserve), Exclude: x.tried,
 	}
 	if x.engine {
@@ -127,10 +153,11 @@
 
 func (x *exchange) send(reservation *picker.Reservation, lastEvent string) *attempt {
 	ctx, cancel := context.WithCancel(x.ctx)
-	ctx, call := gate.Track(ctx, nil)
+	a := &attempt{reservation: reservation, cancel: cancel}
+	ctx, call := gate.Track(ctx, x.guardKey(a))
+	a.call = call
 	ctx, head := watchHead(ctx, x.s.timer, cancel)
 	defer head.close()
-	a := &attempt{reservation: reservation, call: call, cancel: cancel}
 	x.startFlight(a)
 	x.target = reservation.Target.ID
 	x.sentAt = x.s.timer.Now()
@@ -149,6 +176,7 @@
 	if !a.notRun {
 		x.possibleRuns++
 	}
+	x.quota.isSent = x.quota.isSent || a.resp != nil || !a.notRun
 	return a
 }
 
@@ -202,45 +230,43 @@
 }
 
 func (x *exchange) newRequest(ctx context.Context, reservation *picker.Reservation, lastEvent string) *http.Request {
-	header := x.s.codec.Outgoing(x.r.Header, Send{
+	// A caller's Connection header may name any header, so that it must have no effect on
+	// those that are set here.
+	in := x.r.Header.Clone()
+	hops.Drop(in)
+	header := x.s.codec.Outgoing(in, Send{
 		Target: reservation.Target.ID, Within: x.deadline.Sub(x.s.timer.Now()),
-		Engine: x.engine, Priority: x.route.Priority, LastEvent: lastEvent,
+		Engine: x.engine, Priority: x.priority(), LastEvent: lastEvent,
+		HasTeams: x.hasTeams, Team: x.teamName(),
 	})
-	hops.Drop(header)
 	header.Del("Expect")
 	if _, ok := header["User-Agent"]; !ok {
 		// An empty value keeps the client from adding its own.
 		header.Set("User-Agent", "")
 	}
-	path, _, _ := strings.Cut(x.r.RequestURI, "?")
+	to := x.url
+	to.Host = reservation.Target.Addr.String()
 	req := &http.Request{
 		Method: x.r.Method, Host: x.r.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		// Opaque keeps the path as the caller escaped it.
-		URL: &url.URL{
-			Scheme: "http", Host: reservation.Target.Addr.String(), Opaque: path,
-			RawQuery: x.r.URL.RawQuery, ForceQuery: x.r.URL.ForceQuery,
-		},
-		Header: header, ContentLength: int64(len(x.body)),
+		URL: &to, Header: header, ContentLength: x.body.size,
 	}
-	if len(x.body) > 0 {
-		req.Body = x.newBody()
+	if x.body.size > 0 {
+		req.Body = x.body.reader()
 		// The transport asks for the body again if a kept connection fails before
 		// anything was written. Otherwise it reports the failure.
-		req.GetBody = func() (io.ReadCloser, error) { return x.newBody(), nil }
+		req.GetBody = func() (io.ReadCloser, error) { return x.body.reader(), nil }
 	} else if x.r.Method != http.MethodGet {
 		req.Body = http.NoBody
 	}
 	return req.WithContext(ctx)
 }
 
-func (x *exchange) newBody() io.ReadCloser {
-	return io.NopCloser(bytes.NewReader(x.body))
-}
-
 // handle relays a response or decides whether the request is sent again. It returns true
 // once the caller has a response.
 func (x *exchange) handle(a *attempt) bool {
 	switch {
+	case a.notRun && a.keyLost.Load():
+		return x.handleKeyLost(a)
 	case a.notRun:
 		return x.handleRejected(a)
 	case a.err != nil:
@@ -347,9 +373,10 @@
 // fail ends a request that got no reservation, or whose deadline is over.
 func (x *exchange) fail(err error) {
 	var refusal *picker.Refusal
+	var denial *quotaError
 	switch {
 	case x.r.Context().Err() != nil:
-		x.setOutcome(0, "callerLeft")
+		x.setOutcome(0, reasonCallerLeft)
 		panic(http.ErrAbortHandler)
 	case errors.As(err, &refusal):
 		x.limit = refusal.Limit
@@ -357,8 +384,12 @@
 			return
 		}
 		x.endUnanswered(string(refusal.Reason), refusal.RetryAfter)
+	case errors.As(err, &denial):
+		x.refuseQuota(denial)
 	case errors.Is(err, errBlocked):
 		x.endUnanswered(reasonBlocked, x.untilTrial())
+	case errors.Is(err, errStaleKeys), errors.Is(err, errUnknownKey):
+		x.endUnauthenticated(err)
 	case errors.Is(err, errSuspect):
 		x.endUnanswered(reasonSuspect, suspectRetryAfter)
 	default:
--- a/internal/transport/proxy/proxy_test.go
+++ b/internal/transport/proxy/proxy_test.go
@@ -37,6 +37,8 @@
 	ids     atomic.Int64
 	// behind says that there is a newer configuration than the proxy's.
 	behind atomic.Bool
+	// nearEnded is the result of the check whether the target "near" has ended.
+	nearEnded atomic.Bool
 }
 
 // routeTimeout is the timeout of all routes.
@@ -48,7 +50,8 @@
 	r.picker = picker.New(clock, "a1", map[string]string{"a1": "a"})
 	budget := retry.NewBudget(retry.Limits{RetriesPerRequest: 0.2, RetriesPerWindow: 100, Window: 10 * time.Second})
 	budget.SetInstances(1)
-	r.server = proxy.NewServer(platform.Codec{}, r.picker, budget, clock, proxy.WithBehind(r.behind.Load))
+	r.server = proxy.NewServer(platform.Codec{}, r.picker, budget, clock, proxy.WithBehind(r.behind.Load),
+		proxy.WithEndCheck(func(_ context.Context, target fleet.Target) bool { return target.ID == "near" && r.nearEnded.Load() }))
 	c := &fleet.Config{Version: 1, Services: map[string]fleet.Service{"s": {Name: "s"}}}
 	r.config = c
 	route := func(name string, kind fleet.Kind, resumable bool, attempts int) {
@@ -160,6 +163,30 @@
 	}
 }
 
+// TestConnectionHeaderNamesOwnHeaders guards against a caller's Connection header that
+// removes the headers which this system sets: without them a target would run a request
+// that is meant for another one.
+func TestConnectionHeaderNamesOwnHeaders(t *testing.T) {
+	near, _ := newTwoTargets(t)
+	r := newRig(t, near)
+	got, _ := r.call("/unsafe/", func(req *http.Request) {
+		req.Header.Set("Connection", "keep-alive, Chivecroft-Expect-Instance, Chivecroft-Deadline-Ms, X-Hop")
+		req.Header.Set("X-Hop", "dropped")
+		req.Header.Set("X-Own", "kept")
+	})
+	headers, _ := near.Seen()
+	if got.Status != http.StatusOK || len(headers) != 1 {
+		t.Fatalf("%+v, %d requests", got, len(headers))
+	}
+	h := headers[0]
+	if h.Get("Chivecroft-Expect-Instance") != "near" || h.Get("Chivecroft-Deadline-Ms") == "" {
+		t.Errorf("the headers of the system are missing: %v", h)
+	}
+	if h.Get("X-Hop") != "" || h.Get("Connection") != "" || h.Get("X-Own") != "kept" {
+		t.Errorf("the headers of the caller: %v", h)
+	}
+}
+
 func TestLocalErrorResponses(t *testing.T) {
 	r := newRig(t)
 	r.expect("/nowhere/", answer{Status: http.StatusNotFound})
--- a/internal/transport/proxy/server.go
+++ b/internal/transport/proxy/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -10,6 +9,7 @@
 
 	"github.com/phuslu/log"
 
+	"chivecroft.example/chivecroft/internal/coordination/budget"
 	"chivecroft.example/chivecroft/internal/coordination/crash"
 	"chivecroft.example/chivecroft/internal/coordination/picker"
 	"chivecroft.example/chivecroft/internal/coordination/retry"
@@ -31,6 +31,9 @@
 	maxResponseReserve = time.Second
 	// targetSilenceTimeout is how long a target's machine may leave bytes unacknowledged.
 	targetSilenceTimeout = 2 * time.Second
+	// targetBufferBytes limits what the kernel holds of a target's response that is not
+	// read because its caller reads slowly. Linux doubles it for its own overhead.
+	targetBufferBytes = 128 << 10
 	// noConfigRetryAfter is the Retry-After of an instance without a configuration.
 	noConfigRetryAfter = time.Second
 	// behindRetryAfter is the Retry-After of an instance without the newest configuration.
@@ -44,14 +47,19 @@
 	codec     Codec
 	picker    *picker.Picker
 	budget    *retry.Budget
+	account   *budget.Account
 	timer     timer.Service
 	log       *log.Logger
 	transport http.RoundTripper
 	onEnded   func(Ended)
-	// crashes knows which requests crash targets. hasEnded reports whether a target at
-	// which a request broke off has ended.
-	crashes  *crash.Monitor
-	hasEnded func(context.Context, fleet.Target) bool
+	// crashes knows which requests crash targets. hasCrashed reports whether a target at
+	// which a request broke off has ended unplanned, hasEnded whether it has ended at all.
+	crashes              *crash.Monitor
+	hasCrashed, hasEnded func(context.Context, fleet.Target) bool
+	// keysProven reports whether API keys of the configuration may be accepted.
+	keysProven func() bool
+	// permits issues the permits of teams with quotas, nil for none.
+	permits Permits
 
 	config atomic.Pointer[fleet.Config]
 	// isBehind reports whether there is a newer configuration.
@@ -76,10 +84,28 @@
 }
 
 // WithCrashes sets what knows which requests crash targets, and what finds out whether a
-// target at which a request broke off has ended. The latter waits for no longer than a
-// request may be held up.
-func WithCrashes(m *crash.Monitor, hasEnded func(context.Context, fleet.Target) bool) Option {
-	return func(s *Server) { s.crashes, s.hasEnded = m, hasEnded }
+// target at which a request broke off has ended unplanned. The latter waits for no longer
+// than a request may be held up.
+func WithCrashes(m *crash.Monitor, hasCrashed func(context.Context, fleet.Target) bool) Option {
+	return func(s *Server) { s.crashes, s.hasCrashed = m, hasCrashed }
+}
+
+// WithEndCheck sets what finds out whether a target has ended, planned or not. It waits for
+// no longer than a request may be held up.
+func WithEndCheck(hasEnded func(context.Context, fleet.Target) bool) Option {
+	return func(s *Server) { s.hasEnded = hasEnded }
+}
+
+// WithKeyProof sets what reports whether the API keys of the configuration that was last
+// set may be accepted. It is called before each check of a key.
+func WithKeyProof(proven func() bool) Option {
+	return func(s *Server) { s.keysProven = proven }
+}
+
+// WithAccount sets the account of the bytes that requests and answers hold. By default they
+// are not limited.
+func WithAccount(a *budget.Account) Option {
+	return func(s *Server) { s.account = a }
 }
 
 // WithBehind sets what reports whether there is a newer configuration than the last one
@@ -94,17 +120,29 @@
 	return func(s *Server) { s.transport = t }
 }
 
+// WithIdleConnections limits the idle connections to all targets together, 0 for the default.
+func WithIdleConnections(n int) Option {
+	return func(s *Server) {
+		if t, ok := s.transport.(*http.Transport); ok && n > 0 {
+			t.MaxIdleConns = n
+		}
+	}
+}
+
 // NewServer returns a server without a configuration. It refuses all requests until
 // SetConfig is called.
-func NewServer(codec Codec, p *picker.Picker, budget *retry.Budget, t timer.Service, opts ...Option) *Server {
+func NewServer(codec Codec, p *picker.Picker, retries *retry.Budget, t timer.Service, opts ...Option) *Server {
 	s := &Server{
-		codec: codec, picker: p, budget: budget, timer: t,
-		log:       &log.Logger{Level: log.ErrorLevel},
-		transport: gate.NewDialer(gate.WithSilence(targetSilenceTimeout)).Transport(nil),
-		onEnded:   func(Ended) {},
-		isBehind:  func() bool { return false },
-		crashes:   crash.NewMonitor(t),
-		hasEnded:  func(context.Context, fleet.Target) bool { return false },
+		codec: codec, picker: p, budget: retries, timer: t,
+		account:    budget.NewAccount(0, time.Now),
+		log:        &log.Logger{Level: log.ErrorLevel},
+		transport:  gate.NewDialer(gate.WithSilence(targetSilenceTimeout), gate.WithReceiveBuffer(targetBufferBytes)).Transport(nil),
+		onEnded:    func(Ended) {},
+		isBehind:   func() bool { return false },
+		crashes:    crash.NewMonitor(t),
+		hasCrashed: func(context.Context, fleet.Target) bool { return false },
+		hasEnded:   func(context.Context, fleet.Target) bool { return false },
+		keysProven: func() bool { return true },
 	}
 	for _, opt := range opts {
 		opt(s)
@@ -128,11 +166,14 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.active.Add(1)
 	defer s.active.Add(-1)
-	x := &exchange{s: s, w: w, r: r, arrived: s.timer.Now()}
+	x := &exchange{s: s, w: w, r: r, conn: http.NewResponseController(w), arrived: s.timer.Now()}
+	defer x.dropBody()
+	x.extendWrite()
 	if s.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	defer x.logEnd()
+	defer x.returnPermit()
 	if !x.prepare() {
 		return
 	}
@@ -152,7 +193,7 @@
 		return false
 	}
 	x.version = cfg.Version
-	x.route = cfg.Match(x.r.Host, x.r.URL.Path)
+	x.route = cfg.Match(x.r.Host, routePath(x.r))
 	if x.route == nil && s.isBehind() {
 		x.refuse(http.StatusServiceUnavailable, "configBehind", behindRetryAfter)
 		return false
@@ -163,11 +204,18 @@
 	}
 	call, err := s.codec.Decode(x.r)
 	x.call = call
+	x.service = x.route.Pick(rand.Float64())
+	if keyErr := x.authenticate(); keyErr != nil {
+		x.endUnauthenticated(keyErr)
+		return false
+	}
+	if err == nil {
+		x.url, err = targetURL(x.r)
+	}
 	if err != nil {
 		x.respond(http.StatusBadRequest, "malformed")
 		return false
 	}
-	x.service = x.route.Pick(rand.Float64())
 	x.engine = cfg.Services[x.service].Engine != nil && call.Model != ""
 	x.setDeadline()
 	if s.refusing.Load() {
@@ -189,33 +237,13 @@
 	x.deadline = x.arrived.Add(timeout)
 }
 
-func (x *exchange) readBody(limit int64) bool {
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if x.r.ContentLength > limit {
-		x.respond(http.StatusRequestEntityTooLarge, "tooLarge")
-		return false
-	}
-	body, err := io.ReadAll(io.LimitReader(x.r.Body, limit+1))
-	switch {
-	case err != nil:
-		// A request that was cut off cannot be responded to.
-		x.setOutcome(0, "bodyCut")
-		panic(http.ErrAbortHandler)
-	case int64(len(body)) > limit:
-		x.respond(http.StatusRequestEntityTooLarge, "tooLarge")
-		return false
-	}
-	x.body = body
-	return true
-}
-
 // respond ends the request with an empty response of this server.
 func (x *exchange) respond(status int, reason string) {
 	x.setOutcome(status, reason)
+	x.extendWrite()
 	x.w.Header().Set("Content-Length", "0")
 	x.w.WriteHeader(status)
+	x.discardRest()
 }
 
 // refuse ends a request that has not run and never will. A retryAfter of 0 tells the
