An unknown API key is refused for the time being while a newer configuration is known

A 401 is final for callers, but the newer configuration may have the key. The request is answered 503 staleKeys without having run, as unknown routes are answered 503 configBehind.

--- a/internal/transport/proxy/keys.go
+++ b/internal/transport/proxy/keys.go
@@ -91,6 +91,9 @@
 	switch {
 	case !proven:
 		return errStaleKeys
+	case team == nil && x.s.isBehind():
+		// The newer configuration may have the key.
+		return errStaleKeys
 	case team == nil:
 		return errUnknownKey
 	case isOther:
--- a/internal/transport/proxy/keys_test.go
+++ b/internal/transport/proxy/keys_test.go
@@ -36,7 +36,7 @@
 	budget := retry.NewBudget(retry.Limits{RetriesPerRequest: 0.2, RetriesPerWindow: 100, Window: 10 * time.Second})
 	budget.SetInstances(1)
 	k.server = proxy.NewServer(platform.Codec{}, k.picker, budget, timer.NewSystem(),
-		proxy.WithKeyProof(func() bool { return !k.unproven.Load() }))
+		proxy.WithKeyProof(func() bool { return !k.unproven.Load() }), proxy.WithBehind(k.behind.Load))
 	k.front.Config.Handler = k.server
 	k.setTeams(fleet.Team{Name: "red", Keys: []fleet.KeyDigest{fleet.DigestKey("k1")}, Priority: 3, HasPriority: true},
 		fleet.Team{Name: "green", Keys: []fleet.KeyDigest{fleet.DigestKey("k2"), fleet.DigestKey(strings.Repeat("k", 1<<10))}})
@@ -170,6 +170,24 @@
 	}
 }
 
+// TestUnknownKeyWhileBehind guards against a final answer for a key that a newer
+// configuration has. Known keys are accepted meanwhile.
+func TestUnknownKeyWhileBehind(t *testing.T) {
+	near, _ := newTwoTargets(t)
+	k := newKeyRig(t, near)
+	k.behind.Store(true)
+	var got []int
+	for _, key := range []string{"Bearer k3", "Bearer k1"} {
+		got = append(got, k.outcome(near, "/unsafe/", withAuthorization(key)).Status)
+	}
+	k.behind.Store(false)
+	got = append(got, k.outcome(near, "/unsafe/", withAuthorization("Bearer k3")).Status)
+	want := []int{http.StatusServiceUnavailable, http.StatusOK, http.StatusUnauthorized}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("status (-want +got):\n%s", diff)
+	}
+}
+
 // TestKeyLostInQueue revokes a key, moves it to another team or lets the proof expire while
 // its request waits for a target. The request must not run.
 func TestKeyLostInQueue(t *testing.T) {
--- a/internal/transport/proxy/server.go
+++ b/internal/transport/proxy/server.go
@@ -109,8 +109,8 @@
 }
 
 // WithBehind sets what reports whether there is a newer configuration than the last one
-// of SetConfig. A request without a route is then refused for the time being, since the
-// newer one may have a route for it.
+// of SetConfig. A request without a route or with an unknown API key is then refused for
+// the time being, since the newer one may have them.
 func WithBehind(isBehind func() bool) Option {
 	return func(s *Server) { s.isBehind = isBehind }
 }
