Only zones of more than 24 instances have relays

In smaller zones the holder's messages cost less than the delay of the detour. The holder says with each reply whether a zone has relays; for the first 3 s of a term it keeps to what the instances were told before, since it does not know all of them yet. Tests of relays with 7 instances lower the size. While a holder may lack a configuration (revision 0), copies of its updates no longer keep the earlier revision, and a relay that may lack one itself passes on 0.

--- a/internal/coordination/relay/copy.go
+++ b/internal/coordination/relay/copy.go
@@ -19,7 +19,7 @@
 	// Config is the revision of the configuration.
 	Config uint64
 	// ConfigThrough and TargetsThrough are the revisions up to which the holder has read
-	// configurations and targets.
+	// configurations and targets. ConfigThrough is 0 if it may lack a configuration.
 	ConfigThrough, TargetsThrough uint64
 }
 
@@ -75,7 +75,9 @@
 	if isSameTerm {
 		// Messages of the same time may name older revisions with a newer version.
 		s.Config = max(s.Config, c.state.Config)
-		s.ConfigThrough = max(s.ConfigThrough, c.state.ConfigThrough)
+		if s.ConfigThrough > 0 {
+			s.ConfigThrough = max(s.ConfigThrough, c.state.ConfigThrough)
+		}
 		s.TargetsThrough = max(s.TargetsThrough, c.state.TargetsThrough)
 	}
 	if !isSameTerm || asOf.After(c.asOf) {
--- a/internal/edge/changes_test.go
+++ b/internal/edge/changes_test.go
@@ -18,8 +18,8 @@
 	readers, others []*Edge
 }
 
-func newFleetWithReaders(t *testing.T, instances int) *fleetWithReaders {
-	r := newRig(t, instances)
+func newFleetWithReaders(t *testing.T, instances int, opts ...func(*rig)) *fleetWithReaders {
+	r := newRig(t, instances, opts...)
 	r.eventually("all instances know their readers", r.allKnowReaders)
 	time.Sleep(2 * time.Second)
 	f := &fleetWithReaders{rig: r, holder: r.holder(nil)}
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -67,6 +67,8 @@
 	// tree knows the instances whose messages go to relays.
 	tree    *relay.Tree
 	readers readerSelection
+	// relayZoneSize is the number of instances up to which a zone has no relays.
+	relayZoneSize int
 	// termID identifies the term. It is the time at which orders were to begin, which may
 	// be put off later.
 	termID int64
@@ -81,7 +83,7 @@
 		loadWindow: boot.Bounds.LoadWindow, targets: make(map[string]fleet.Target), absent: make(map[string]bool),
 		leaving: picker.NewLeavingSet(), updates: newUpdateLog(), permits: quota.NewLedger(), crashes: crash.NewDetector(),
 		planners: make(map[string]*sched.Planner), members: make(map[string]member), tree: relay.NewTree(),
-		teamQuotas: newTeamQuotas(),
+		teamQuotas: newTeamQuotas(), relayZoneSize: relayZoneSize,
 	}
 }
 
@@ -332,7 +334,8 @@
 		Term: k.term(), Version: k.updates.version, Full: after == 0, Updates: k.updates.after(after),
 		Members: members, Senders: senders, ChildrenKnown: known, Readers: readers, ConfigRevision: k.configRevision, ReadyInMS: make(map[string]int64),
 	}
-	if k.shouldRedirect(&m, out.Full) {
+	out.HasRelays = k.hasRelays(&m, now)
+	if out.HasRelays && k.shouldRedirect(&m, out.Full) {
 		out.IsRedirect, out.Updates = true, nil
 		out.Readers = k.readers.byZone[k.members[m.From].zone]
 	}
@@ -366,6 +369,12 @@
 // change of the holder, for all.
 const minRedirectTargets = 200
 
+// hasRelays reports whether the readers of an instance's zone are relays for the others.
+func (k *coordinator) hasRelays(m *exchangeRequest, now time.Time) bool {
+	return k.readers.sizes[k.members[m.From].zone] > k.relayZoneSize ||
+		m.HadRelays && now.Sub(k.readers.firstAt) < zoneSettleTime
+}
+
 // shouldRedirect reports whether an instance that lacks the full list is to ask the relays
 // of its zone for it.
 func (k *coordinator) shouldRedirect(m *exchangeRequest, isFull bool) bool {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -62,7 +62,9 @@
 	snapshot atomic.Pointer[configSnapshot]
 	// readers holds the peer addresses of the readers of this instance's zone, as the
 	// holder last sent them.
-	readers        atomic.Pointer[[]netip.AddrPort]
+	readers atomic.Pointer[[]netip.AddrPort]
+	// hasRelays reports whether the readers are relays, as the holder last said.
+	hasRelays      atomic.Bool
 	configFollower *follower
 	targetFollower *follower
 	// targetsKnown reports whether a list of targets or an update has been received.
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -41,10 +41,16 @@
 	// instances started from now on.
 	teams      []fake.Team
 	revocation time.Duration
+	// relayZoneSize replaces the size of zones without relays, if it is not 0, for
+	// instances started from now on.
+	relayZoneSize int
 }
 
-func newRig(t *testing.T, instances int) *rig {
+func newRig(t *testing.T, instances int, opts ...func(*rig)) *rig {
 	r := &rig{t: t, store: fake.NewStore(t), targets: make(map[string]*fake.Target), cut: make(map[string]*atomic.Bool), apart: make(map[string]*atomic.Bool)}
+	for _, opt := range opts {
+		opt(r)
+	}
 	r.config(1, "/app/")
 	r.target("llm", fake.NewTarget(t, "e1", "a1", 50*time.Millisecond, "m1", "m2"))
 	r.target("llm", fake.NewTarget(t, "e2", "a1", 50*time.Millisecond, "m3", "m4"))
@@ -103,6 +109,9 @@
 	e := New(boot, discardLogger(), opts...)
 	r.apart[name] = new(atomic.Bool)
 	e.peerClient.http.Transport = cuttable{e.peerClient.http.Transport, r.apart[name]}
+	if r.relayZoneSize > 0 {
+		e.coordinator.relayZoneSize = r.relayZoneSize
+	}
 	if err := e.Start(r.t.Context()); err != nil {
 		r.t.Fatal(err)
 	}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -79,6 +79,8 @@
 	// IsAside means that the instance reports its demand to a relay, and only limits,
 	// permits and crashes to the holder.
 	IsAside bool `json:"aside,omitempty"`
+	// HadRelays is what the last reply said of the relays of the instance's zone.
+	HadRelays bool `json:"hadRelays,omitempty"`
 	// NeedsFull means that the instance's relays have not replied since the holder has told
 	// it to ask them for the full list.
 	NeedsFull bool `json:"needsFull,omitempty"`
@@ -106,6 +108,8 @@
 	// for the others while there is no holder. It is empty if they have not changed since
 	// the last reply.
 	Readers []netip.AddrPort `json:"readers,omitempty"`
+	// HasRelays means that the instances of the zone send their messages to its readers.
+	HasRelays bool `json:"hasRelays,omitempty"`
 	// ConfigRevision is the store revision of the configuration. ConfigThrough and
 	// TargetsThrough are the store revisions up to which the holder has read
 	// configurations and targets.
@@ -345,7 +349,7 @@
 		return nil
 	}
 	var err error
-	if relays := e.readersToAsk(); len(relays) > 0 {
+	if relays := e.relaysToAsk(); len(relays) > 0 {
 		if out.needsHolder() && status.Holder.IsValid() {
 			err = e.exchangeAside(ctx, status.Holder, out)
 		}
@@ -393,6 +397,7 @@
 	if len(r.Readers) > 0 {
 		e.readers.Store(&r.Readers)
 	}
+	e.hasRelays.Store(r.HasRelays)
 	e.targetsKnown.Store(true)
 	e.configFollower.noteUpdate(r.ConfigRevision, r.ConfigThrough)
 	e.targetFollower.noteUpdate(0, r.TargetsThrough)
--- a/internal/edge/readers.go
+++ b/internal/edge/readers.go
@@ -66,30 +66,39 @@
 // readerSelection is the holder's selection of readers for each zone.
 type readerSelection struct {
 	selectedAt time.Time
-	byZone     map[string][]netip.AddrPort
+	// firstAt is when readers were first selected in this term.
+	firstAt time.Time
+	byZone  map[string][]netip.AddrPort
+	// sizes holds the number of instances of each zone.
+	sizes map[string]int
 }
 
 // forZone returns the readers of a zone. They are selected again at intervals.
 func (l *readerSelection) forZone(zone string, now time.Time, members map[string]member, holder string) []netip.AddrPort {
 	if l.byZone == nil || now.Sub(l.selectedAt) > readerSelectInterval {
 		l.selectedAt = now
-		l.byZone = selectReaders(members, holder)
+		if l.firstAt.IsZero() {
+			l.firstAt = now
+		}
+		l.byZone, l.sizes = selectReaders(members, holder)
 	}
 	return l.byZone[zone]
 }
 
 // selectReaders selects the instances with the most processor time of each zone, or all
 // of a small zone. A hash breaks ties, so that the same instances are selected each time.
-// The holder itself is left out: its zone would lose two tasks at once with it.
-func selectReaders(members map[string]member, holder string) map[string][]netip.AddrPort {
+// The holder itself is left out: its zone would lose two tasks at once with it. The second
+// result is the number of instances of each zone.
+func selectReaders(members map[string]member, holder string) (map[string][]netip.AddrPort, map[string]int) {
 	names := make(map[string][]string)
 	for name, m := range members {
 		if m.peer.IsValid() {
 			names[m.zone] = append(names[m.zone], name)
 		}
 	}
-	out := make(map[string][]netip.AddrPort, len(names))
+	out, sizes := make(map[string][]netip.AddrPort, len(names)), make(map[string]int, len(names))
 	for zone, list := range names {
+		sizes[zone] = len(list)
 		slices.SortFunc(list, func(x, y string) int {
 			return cmp.Or(
 				cmp.Compare(members[y].cores, members[x].cores),
@@ -104,7 +113,7 @@
 			out[zone] = append(out[zone], members[name].peer)
 		}
 	}
-	return out
+	return out, sizes
 }
 
 // canAskReaders reports whether there are readers that this instance may ask. A reader
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -20,6 +20,14 @@
 	// relayTimeout limits the time until a relay's reply begins. Another one or the holder
 	// must reply before the updates are too old.
 	relayTimeout = 2 * relay.MaxMessageDelay
+	// relayZoneSize is the number of instances up to which the instances of a zone send
+	// their messages to the holder. In such a zone these cost less than the delay of the
+	// detour over a relay.
+	relayZoneSize = 24
+	// zoneSettleTime is the time from the first message of a term until the holder knows
+	// the sizes of the zones. Until then instances keep to what the former holder has said:
+	// all of a large fleet at once would each get the full list from the new one.
+	zoneSettleTime = 3 * time.Second
 	// holderName stands for the holder, whoever that is, as the receiver of arrivals.
 	holderName = "holder"
 )
@@ -83,6 +91,7 @@
 	out := &message{crashes: e.crashes.Report()}
 	out.blocks = out.crashes.Version
 	out.From, out.Term, out.Version = e.boot.Instance, at.Term, at.Version
+	out.HadRelays = e.hasRelays.Load()
 	if e.isDemandDue(now) {
 		out.Demand = e.children.Take(now, e.picker.Demand())
 		e.sender.demandAt = now
@@ -150,6 +159,15 @@
 	}
 }
 
+// relaysToAsk returns the relays to which this instance may send its messages, in its
+// order. There are none in small zones.
+func (e *Edge) relaysToAsk() []netip.AddrPort {
+	if !e.hasRelays.Load() {
+		return nil
+	}
+	return e.readersToAsk()
+}
+
 // isUnheard reports whether the receiver of a message has certainly not taken it.
 func isUnheard(err error) bool {
 	var op *net.OpError
@@ -192,7 +210,7 @@
 
 // exchangeAside sends the holder only what it alone may decide.
 func (e *Edge) exchangeAside(ctx context.Context, holder netip.AddrPort, m *message) error {
-	r := m.withDirect(exchangeRequest{From: m.From, Term: m.Term, Version: m.Version, IsAside: true})
+	r := m.withDirect(exchangeRequest{From: m.From, Term: m.Term, Version: m.Version, HadRelays: m.HadRelays, IsAside: true})
 	if _, err := e.sendToHolder(ctx, holder, m, r); err != nil {
 		return err
 	}
@@ -223,6 +241,7 @@
 	e.applyPermits(r, reply, sentAt)
 	if reply.IsRedirect {
 		e.readers.Store(&reply.Readers)
+		e.hasRelays.Store(reply.HasRelays)
 	} else if merged, ok := e.held.adopt(reply, asOf); ok {
 		e.applyUpdates(merged)
 		e.picker.ApplyLoad(reply.Term, reply.Load, sentAt)
@@ -318,10 +337,11 @@
 	if isUrgent {
 		e.signalDemand()
 	}
-	// Loaded first, so that the updates contain everything up to it.
-	through := e.configThrough()
 	out := e.held.reply(e.clock.Now(), relay.Position{Term: m.Term, Version: m.Version})
-	out.ConfigThrough = min(out.ConfigThrough, through)
+	if e.proofs.HasGap() {
+		// This instance may lack a configuration. Its children would not look for it either.
+		out.ConfigThrough = 0
+	}
 	out.Proof = e.proofNote()
 	out.Holder = e.coordinator.holderStatus().Holder
 	if list := e.readers.Load(); list != nil {
--- a/internal/edge/relay_test.go
+++ b/internal/edge/relay_test.go
@@ -25,11 +25,16 @@
 	return [2]int{members, senders}
 }
 
+// newFleetWithRelays returns a fleet whose zone is large enough for relays.
+func newFleetWithRelays(t *testing.T, instances int) *fleetWithReaders {
+	return newFleetWithReaders(t, instances, func(r *rig) { r.relayZoneSize = smallZoneSize })
+}
+
 // TestOnlyRelaysSendToTheHolder guards against messages to the holder that grow with the
 // zone, and against instances that the holder takes for lost since relays report them. A
 // new target and a new configuration must reach all instances through the relays.
 func TestOnlyRelaysSendToTheHolder(t *testing.T) {
-	f := newFleetWithReaders(t, 7)
+	f := newFleetWithRelays(t, 7)
 	f.eventually("only the holder and two relays send to the holder", func() bool {
 		return f.holder.coordinator.counts() == [2]int{7, 3}
 	})
@@ -48,10 +53,37 @@
 	}
 }
 
+// TestNoRelaysInSmallZones guards against the delay of the detour over relays where the
+// holder can reply to all, and against full lists for a whole fleet from a new holder that
+// knows only a few of its instances.
+func TestNoRelaysInSmallZones(t *testing.T) {
+	k := newTestCoordinator(t)
+	k.setHasFullList(true)
+	k.setHolder(true)
+	send := func(i int, hadRelays bool) bool {
+		peer := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1)
+		r, _ := k.handleExchange(exchangeRequest{From: targetName(i), Zone: "a", Peer: peer, HadRelays: hadRelays})
+		return r.HasRelays
+	}
+	got := []bool{send(1, false), send(1, true)}
+	for i := range relayZoneSize {
+		send(i+1, false)
+	}
+	k.readers.byZone, k.readers.firstAt = nil, k.clock.Now().Add(-zoneSettleTime)
+	got = append(got, send(1, true))
+	send(relayZoneSize+1, false)
+	k.readers.byZone = nil
+	got = append(got, send(1, false))
+	if diff := cmp.Diff([]bool{false, true, false, true}, got); diff != "" {
+		t.Errorf("relays at first, for an instance that had some, with %d and %d instances (-want +got):\n%s",
+			relayZoneSize, relayZoneSize+1, diff)
+	}
+}
+
 // TestColdModelBehindARelay asks children of relays for a model that no target has loaded:
 // their demand must reach the planner.
 func TestColdModelBehindARelay(t *testing.T) {
-	f := newFleetWithReaders(t, 7)
+	f := newFleetWithRelays(t, 7)
 	for _, e := range f.others {
 		if status, body := f.call(e, "/chat/", "m5"); status != http.StatusOK {
 			t.Errorf("%s: %d %s", e.boot.Instance, status, body)
@@ -61,7 +93,7 @@
 
 // TestRelayKilled kills one relay: its children must use the other one.
 func TestRelayKilled(t *testing.T) {
-	f := newFleetWithReaders(t, 7)
+	f := newFleetWithRelays(t, 7)
 	f.readers[0].kill()
 	f.replaceDeskTarget(exchangeInterval + relayTimeout + time.Second)
 	f.eventually("all instances have fresh updates through a relay", func() bool {
@@ -78,7 +110,7 @@
 // the time, so that children ask no reader for the new holder. They need its address for
 // permits and crashes.
 func TestChildrenLearnOfAHandover(t *testing.T) {
-	f := newFleetWithReaders(t, 7)
+	f := newFleetWithRelays(t, 7)
 	f.holder.Stop()
 	f.eventually("all instances know the new holder", func() bool {
 		next := f.rig.holder(f.holder)
@@ -96,7 +128,7 @@
 
 // TestRelayFreezes blocks one relay, which takes messages and does not reply.
 func TestRelayFreezes(t *testing.T) {
-	f := newFleetWithReaders(t, 7)
+	f := newFleetWithRelays(t, 7)
 	frozen := f.readers[0]
 	// Every request that needs the holder's status blocks on this mutex.
 	frozen.coordinator.mu.Lock()
@@ -106,7 +138,7 @@
 
 // TestBothRelaysLost kills both relays: the holder must tell the others.
 func TestBothRelaysLost(t *testing.T) {
-	f := newFleetWithReaders(t, 7)
+	f := newFleetWithRelays(t, 7)
 	for _, e := range f.readers {
 		e.kill()
 	}
@@ -170,6 +202,7 @@
 // targets to every instance of a large zone, and against an instance that never gets it.
 func TestFullListComesFromRelays(t *testing.T) {
 	k := newTestCoordinator(t)
+	k.relayZoneSize = smallZoneSize
 	for i := range minRedirectTargets {
 		k.setTarget(fleet.Target{Identity: fleet.Identity{ID: targetName(i), Born: 1}, Service: "desk"})
 	}
@@ -196,7 +229,7 @@
 // TestManyTargets starts instances of a large zone with so many targets that the holder
 // redirects them.
 func TestManyTargets(t *testing.T) {
-	f := newFleetWithReaders(t, 7)
+	f := newFleetWithRelays(t, 7)
 	for i := range minRedirectTargets {
 		f.store.Write(t, "servers/"+targetName(i), f.targets["d1"].Entry("idle", "draining"))
 	}
@@ -235,6 +268,7 @@
 	server := httptest.NewServer(http.HandlerFunc(r.servePeer))
 	t.Cleanup(server.Close)
 	child := newEdge("i2", netip.MustParseAddrPort("127.0.0.1:2"))
+	child.hasRelays.Store(true)
 	child.readers.Store(&[]netip.AddrPort{netip.MustParseAddrPort(server.Listener.Addr().String())})
 	time.AfterFunc(100*time.Millisecond, func() {
 		r.snapshot.Store(newConfigSnapshot(ports.Item{Key: platform.ConfigKey, Revision: 9, Value: []byte("{}")}))
--- a/internal/edge/snapshot.go
+++ b/internal/edge/snapshot.go
@@ -145,7 +145,7 @@
 // time. All instances of a large fleet at once would saturate the holder's link.
 func (e *Edge) fetchNewestConfig(ctx context.Context) ([]ports.Item, bool) {
 	until := e.timer.Now().Add(relayConfigTimeout)
-	for relays := e.readersToAsk(); len(relays) > 0 && ctx.Err() == nil && e.timer.Now().Before(until); {
+	for relays := e.relaysToAsk(); len(relays) > 0 && ctx.Err() == nil && e.timer.Now().Before(until); {
 		for _, from := range relays {
 			if item, ok := e.fetchConfigFromRelay(ctx, from); ok {
 				return []ports.Item{item}, true
