--- a/internal/coordination/load/doc.go
+++ b/internal/coordination/load/doc.go
@@ -2,13 +2,17 @@
 //
 // Each instance reports its requests in flight by target to the lease holder. The holder
 // sums them and returns the sums with their age, so that every instance knows the load
-// that all instances together cause:
+// that all instances together cause. Relays stand between them in large zones:
 //
 //	Index.Assign    the holder numbers the targets; the numbers go out with its updates
 //	View.Report     an instance reports its requests in flight, by number
 //	Sums.Record     the holder adds the report to the sums
 //	Sums.Snapshot   the holder returns the sums, with their age and the arrival rates
 //	View.Apply      the instance subtracts what it has reported itself
+//	Collector.Put   a relay records the report of a child, in its place
+//	Collector.Sum   the relay reports the sum of its children and itself
+//	Collector.Snapshot
+//	                the relay answers a child, with the child's report that was in its own
 //	Choose          the instance spreads a request over the targets
 //
 // A snapshot is always a little old, and a target that has few requests in it looks empty
--- a/internal/coordination/load/report.go
+++ b/internal/coordination/load/report.go
@@ -3,9 +3,11 @@
 import (
 	"encoding/binary"
 	"iter"
+	"time"
 )
 
-// Report is what one instance tells the lease holder about its load.
+// Report is what one instance tells the lease holder about its load, or a relay about that
+// of its children and itself.
 type Report struct {
 	// Term is the holder's term that the indexes belong to.
 	Term int64 `json:"term"`
@@ -30,6 +32,24 @@
 	Use map[string]float64 `json:"use,omitempty"`
 	// Due asks for a snapshot with the reply.
 	Due bool `json:"due,omitempty"`
+	// Instances is the number of instances that the report of a relay is the sum of, 0 for
+	// one. AgeMS is the mean age of what they have reported, in milliseconds.
+	Instances int   `json:"instances,omitempty"`
+	AgeMS     int64 `json:"ageMs,omitempty"`
+}
+
+// WithoutIncrements returns the report without what is counted since the previous one. The
+// rest replaces the previous report and may be sent more than once.
+func (r *Report) WithoutIncrements() Report {
+	return Report{Term: r.Term, Seq: r.Seq, Counts: r.Counts, Due: r.Due, Instances: r.Instances, AgeMS: r.AgeMS}
+}
+
+// instances returns the number of instances that the report is of.
+func (r *Report) instances() int { return min(max(r.Instances, 1), maxInstances) }
+
+// age returns the mean age of what the report says.
+func (r *Report) age() time.Duration {
+	return time.Duration(min(max(r.AgeMS, 0), MaxAge.Milliseconds())) * time.Millisecond
 }
 
 // Own is the load of one instance, by target index.
@@ -90,6 +110,8 @@
 const (
 	maxIndex = 1 << 16
 	maxCount = 1 << 20
+	// maxInstances limits the instances of one report.
+	maxInstances = 1 << 12
 )
 
 // all yields each index with its number. It ends at the first invalid entry.
--- a/internal/coordination/load/sums.go
+++ b/internal/coordination/load/sums.go
@@ -65,7 +65,9 @@
 	startedAt time.Time
 	counts    []int
 	instances map[string]*contribution
-	// ages is the sum of the times from startedAt to the instances' reports.
+	// reported is the number of instances whose reports are in the sums, ages the sum of
+	// the times from startedAt to these.
+	reported int
 	ages     time.Duration
 	paces    map[int]*Pace
 	arrivals map[Model]*rate
@@ -79,11 +81,13 @@
 	teams      map[string]float64
 }
 
-// contribution is the last report of one instance.
+// contribution is the last report of one instance, or of a relay with its children.
 type contribution struct {
-	seq    uint64
-	at     time.Time
-	counts Counts
+	seq uint64
+	// at is the mean time of what was reported.
+	at        time.Time
+	instances int
+	counts    Counts
 }
 
 // NewSums returns Sums without reports for a term of the lease holder, whose targets
@@ -119,7 +123,7 @@
 func (s *Sums) Ramps() *Ramps { return s.ramps }
 
 // Instances returns the number of instances whose reports are in the sums.
-func (s *Sums) Instances() int { return len(s.instances) }
+func (s *Sums) Instances() int { return s.reported }
 
 // Record replaces the previous report of an instance. Counts with the indexes of another
 // term and reports that were overtaken are not used.
@@ -140,8 +144,10 @@
 	s.observePaces(now, r.Told, Told)
 	s.observePaces(now, r.Timed, Timed)
 	s.remove(from)
-	s.instances[from] = &contribution{seq: r.Seq, at: now, counts: r.Counts}
-	s.ages += now.Sub(s.startedAt)
+	c := &contribution{seq: r.Seq, at: now.Add(-r.age()), instances: r.instances(), counts: r.Counts}
+	s.instances[from] = c
+	s.reported += c.instances
+	s.ages += time.Duration(c.instances) * c.at.Sub(s.startedAt)
 	for i, n := range r.Counts.all() {
 		if i >= len(s.counts) {
 			s.counts = append(s.counts, make([]int, i+1-len(s.counts))...)
@@ -187,6 +193,9 @@
 	}
 }
 
+// Forget removes the report of an instance that a relay reports from now on.
+func (s *Sums) Forget(from string) { s.remove(from) }
+
 func (s *Sums) remove(from string) {
 	c := s.instances[from]
 	if c == nil {
@@ -195,7 +204,8 @@
 	for i, n := range c.counts.all() {
 		s.counts[i] -= n
 	}
-	s.ages -= c.at.Sub(s.startedAt)
+	s.reported -= c.instances
+	s.ages -= time.Duration(c.instances) * c.at.Sub(s.startedAt)
 	delete(s.instances, from)
 }
 
@@ -227,7 +237,7 @@
 	if len(s.instances) == 0 {
 		return nil
 	}
-	age := now.Sub(s.startedAt) - s.ages/time.Duration(len(s.instances))
+	age := now.Sub(s.startedAt) - s.ages/time.Duration(s.reported)
 	out := &Snapshot{AgeMS: age.Milliseconds(), Counts: s.encode(), Paces: s.paceCounts, Limits: s.ramps.limits(), Rates: s.rates, Use: s.teams}
 	if c := s.instances[to]; c != nil {
 		out.Seq = c.seq
--- a/internal/coordination/load/view.go
+++ b/internal/coordination/load/view.go
@@ -6,8 +6,9 @@
 
 const (
 	// keptReports is the number of an instance's own reports that are kept. A snapshot
-	// that contains none of them is not used.
-	keptReports = 16
+	// that contains none of them is not used. Over a relay it contains one that is up to
+	// 0.9 s old, and while requests wait there are more than ten a second.
+	keptReports = 32
 	// minSnapshotInterval is the minimum interval at which an instance asks for snapshots.
 	minSnapshotInterval = 250 * time.Millisecond
 	// snapshotBytesPerSecond limits the share of an instance's link that snapshots use.
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -431,6 +431,7 @@
 	}
 	if !have.sentAt.IsZero() {
 		have.sentAt = time.Time{}
+		k.sums().Forget(c.Name)
 		for _, p := range k.planners {
 			p.SetDemand(now, c.Name, nil)
 		}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -20,6 +20,7 @@
 	"chivecroft.example/chivecroft/internal/coordination/deltas"
 	"chivecroft.example/chivecroft/internal/coordination/drive"
 	"chivecroft.example/chivecroft/internal/coordination/elect"
+	"chivecroft.example/chivecroft/internal/coordination/load"
 	"chivecroft.example/chivecroft/internal/coordination/picker"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 	"chivecroft.example/chivecroft/internal/coordination/proof"
@@ -82,6 +83,8 @@
 	sender   *sender
 	held     *heldUpdates
 	children *relay.Table
+	// collector sums the load reports of this instance and its children.
+	collector *load.Collector
 	// readerRepliedAt is when a reader last replied to a request for changes, in
 	// nanoseconds of clock.
 	readerRepliedAt atomic.Int64
@@ -159,6 +162,7 @@
 	e.peerClient = newPeerClient()
 	e.peerClient.now, e.peerClient.onProof = e.clock.Now, e.acceptProofHeader
 	e.sender, e.held, e.children = newSender(), newHeldUpdates(), relay.NewTable()
+	e.collector = load.NewCollector()
 	e.configFollower = e.newConfigFollower()
 	e.targetFollower = e.newTargetFollower()
 	if boot.Bootstrap {
--- a/internal/edge/load.go
+++ b/internal/edge/load.go
@@ -58,12 +58,37 @@
 		Int("late", c.Outcomes.Late).Int("rejected", c.Outcomes.Rejected).Msg("limit of a starting target")
 }
 
-// loadReport returns what the holder is told of this instance's load.
+// loadReport returns what the holder is told of the load of this instance and its
+// children.
 func (e *Edge) loadReport() *load.Report {
-	r := e.picker.LoadReport()
+	r := e.collector.Sum(e.clock.Now(), e.picker.LoadReport())
 	return &r
 }
 
+// applyLoad applies the load snapshot of a reply to a message that was sent at sentAt, at
+// asOf by the boot clock, and keeps it for this instance's children.
+func (e *Edge) applyLoad(r *exchangeReply, sentAt, asOf time.Time) {
+	if r.Term != e.held.position().Term {
+		return
+	}
+	e.picker.ApplyLoad(r.Term, r.Load, sentAt)
+	e.collector.SetSnapshot(r.Term, r.Load, asOf)
+}
+
+// relayLoad records a child's load report as its relay. It returns a snapshot if the child
+// has asked for one and this instance has one of the term for it.
+func (e *Edge) relayLoad(m *exchangeRequest, term int64) *load.Snapshot {
+	if m.Load == nil {
+		return nil
+	}
+	now := e.clock.Now()
+	e.collector.Put(now, m.From, m.Load)
+	if !m.Load.Due {
+		return nil
+	}
+	return e.collector.Snapshot(now, m.From, term)
+}
+
 // onLoadChange logs that load snapshots begin or cease to be recent enough.
 func (e *Edge) onLoadChange(c picker.LoadChange) {
 	line := e.log.Info().Bool("shared", c.Shared)
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -11,6 +11,7 @@
 
 	"chivecroft.example/chivecroft/internal/coordination/crash"
 	"chivecroft.example/chivecroft/internal/coordination/elect"
+	"chivecroft.example/chivecroft/internal/coordination/load"
 	"chivecroft.example/chivecroft/internal/coordination/quota"
 	"chivecroft.example/chivecroft/internal/coordination/relay"
 )
@@ -82,6 +83,8 @@
 	blocks uint64
 	wants  []quota.Want
 	limits []quota.Report
+	// load is the load report, nil in a message without demand.
+	load *load.Report
 }
 
 // newMessage collects what this instance and its children have to say.
@@ -94,6 +97,7 @@
 	out.HadRelays = e.hasRelays.Load()
 	if e.isDemandDue(now) {
 		out.Demand = e.children.Take(now, e.picker.Demand())
+		out.load = e.loadReport()
 		e.sender.demandAt = now
 	} else {
 		out.IsWithoutDemand = true
@@ -134,6 +138,7 @@
 // has not replied to, and who this instance is if the receiver may not know.
 func (e *Edge) address(m *message, name string, to netip.AddrPort) exchangeRequest {
 	r := m.exchangeRequest
+	r.Load = m.load
 	if !m.IsWithoutDemand {
 		r.Demand, r.Seq, r.Resent = e.sender.outbox.Pack(e.clock.Now(), name, m.Demand)
 		m.Demand = relay.WithoutArrivals(m.Demand)
@@ -144,8 +149,8 @@
 	return r
 }
 
-// settle records the end of an exchange.
-func (e *Edge) settle(r exchangeRequest, name string, to netip.AddrPort, err error) {
+// settle records the end of an exchange with a part of the message.
+func (e *Edge) settle(m *message, r exchangeRequest, name string, to netip.AddrPort, err error) {
 	if err == nil {
 		e.sender.outbox.Ack(name, r.Seq)
 		e.sender.introducedTo = to
@@ -156,6 +161,10 @@
 	e.sender.introducedTo = netip.AddrPort{}
 	if isUnheard(err) {
 		e.sender.outbox.Release(name, r.Seq)
+	} else if m.load != nil {
+		// The receiver may have counted it.
+		rest := m.load.WithoutIncrements()
+		m.load = &rest
 	}
 }
 
@@ -178,12 +187,11 @@
 func (e *Edge) exchangeWithSelf(m *message) {
 	sentAt, asOf := e.timer.Now(), e.clock.Now()
 	r := m.withDirect(e.address(m, holderName, e.boot.Peer))
-	r.Load = e.loadReport()
 	reply, steady := e.handleExchange(r)
 	if !steady {
 		return
 	}
-	e.settle(r, holderName, e.boot.Peer, nil)
+	e.settle(m, r, holderName, e.boot.Peer, nil)
 	e.applyDirect(m, r, reply, sentAt, asOf)
 	e.coordinator.sendDueOrders()
 }
@@ -192,10 +200,9 @@
 func (e *Edge) exchangeWithHolder(ctx context.Context, holder netip.AddrPort, m *message) error {
 	e.sender.usesRelay = false
 	r := m.withDirect(e.address(m, holderName, holder))
-	r.Load = e.loadReport()
 	r.Children = relay.NameChildren(e.children.Live(e.clock.Now()), e.held.childrenKnown())
 	reply, err := e.sendToHolder(ctx, holder, m, r)
-	e.settle(r, holderName, holder, err)
+	e.settle(m, r, holderName, holder, err)
 	if err != nil {
 		return err
 	}
@@ -244,8 +251,8 @@
 		e.hasRelays.Store(reply.HasRelays)
 	} else if merged, ok := e.held.adopt(reply, asOf); ok {
 		e.applyUpdates(merged)
-		e.picker.ApplyLoad(reply.Term, reply.Load, sentAt)
 	}
+	e.applyLoad(&reply, sentAt, asOf)
 	e.crashes.Apply(reply.Term, &m.crashes, &reply.Crashes)
 }
 
@@ -279,7 +286,7 @@
 	r.Blocks = m.blocks
 	sentAt, asOf := e.timer.Now(), e.clock.Now()
 	reply, err := e.peerClient.exchange(ctx, to, pathRelay, r, relayTimeout)
-	e.settle(r, to.String(), to, err)
+	e.settle(m, r, to.String(), to, err)
 	if err != nil {
 		return 0, err
 	}
@@ -287,7 +294,9 @@
 	age := time.Duration(reply.AgeMS) * time.Millisecond
 	merged, ok := e.held.adopt(reply, asOf.Add(-age))
 	if !ok {
-		// This instance knows more already.
+		// This instance knows more already, but the holder's replies to messages aside do not
+		// contain the load.
+		e.applyLoad(&reply, sentAt, asOf)
 		return age, nil
 	}
 	if reply.Holder.IsValid() {
@@ -296,6 +305,7 @@
 	}
 	e.applyPermits(exchangeRequest{}, reply, sentAt.Add(-age))
 	e.applyUpdates(merged)
+	e.applyLoad(&reply, sentAt, asOf)
 	e.crashes.Apply(reply.Term, &crash.Report{}, &reply.Crashes)
 	e.noteUpdatedAt(asOf.Add(-age))
 	return age, nil
@@ -343,6 +353,7 @@
 		out.ConfigThrough = 0
 	}
 	out.Proof = e.proofNote()
+	out.Load = e.relayLoad(&m, out.Term)
 	out.Holder = e.coordinator.holderStatus().Holder
 	if list := e.readers.Load(); list != nil {
 		out.Readers = *list
--- a/internal/edge/relay_test.go
+++ b/internal/edge/relay_test.go
@@ -91,6 +91,31 @@
 	}
 }
 
+// TestLoadOfOthersBehindRelays guards against children of relays that do not know the load of
+// the others, or count their own requests among these.
+func TestLoadOfOthersBehindRelays(t *testing.T) {
+	f := newFleetWithRelays(t, 7)
+	acquire := func(e *Edge) *picker.Reservation {
+		t.Helper()
+		now := e.timer.Now()
+		s, err := e.picker.Acquire(t.Context(), picker.Request{Service: "desk", Arrived: now, Deadline: now.Add(time.Second)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s
+	}
+	for range 3 {
+		defer acquire(f.others[0]).Release(picker.Outcome{})
+	}
+	for _, e := range f.edges {
+		f.eventually(e.boot.Instance+" knows the three requests", func() bool {
+			s := acquire(e)
+			defer s.Release(picker.Outcome{})
+			return s.Load == 3
+		})
+	}
+}
+
 // TestRelayKilled kills one relay: its children must use the other one.
 func TestRelayKilled(t *testing.T) {
 	f := newFleetWithRelays(t, 7)
