--- a/internal/coordination/load/waiting.go
+++ b/internal/coordination/load/waiting.go
@@ -20,6 +20,15 @@
 	w[m.Service][m.Model] = team
 }
 
+// merge adds the teams of another instance.
+func (w Waiting) merge(other Waiting) {
+	for service, models := range other {
+		for model, team := range models {
+			w.Add(Model{Service: service, Model: model}, team)
+		}
+	}
+}
+
 // HasOther reports whether a team other than the given one lacks a target for a model.
 func (w Waiting) HasOther(m Model, team string) bool {
 	have, ok := w[m.Service][m.Model]
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -15,6 +15,7 @@
 	"chivecroft.example/chivecroft/internal/coordination/load"
 	"chivecroft.example/chivecroft/internal/coordination/picker"
 	"chivecroft.example/chivecroft/internal/coordination/quota"
+	"chivecroft.example/chivecroft/internal/coordination/relay"
 	"chivecroft.example/chivecroft/internal/coordination/sched"
 	"chivecroft.example/chivecroft/internal/state/fleet"
 	"chivecroft.example/chivecroft/internal/state/recent"
@@ -63,7 +64,11 @@
 	// load sums the load that the instances report; nil before the first report.
 	load    *load.Sums
 	members map[string]member
+	// tree knows the instances whose messages go to relays.
+	tree    *relay.Tree
 	readers readerSelection
+	// relayZoneSize is the number of instances up to which a zone has no relays.
+	relayZoneSize int
 	// termID identifies the term. It is the time at which orders were to begin, which may
 	// be put off later.
 	termID int64
@@ -77,7 +82,8 @@
 		ctx: ctx, self: boot.Instance, engines: platform.NewEngines(), clock: clock, log: l, metrics: m,
 		loadWindow: boot.Bounds.LoadWindow, targets: make(map[string]fleet.Target), absent: make(map[string]bool),
 		leaving: picker.NewLeavingSet(), updates: newUpdateLog(), permits: quota.NewLedger(), crashes: crash.NewDetector(),
-		planners: make(map[string]*sched.Planner), members: make(map[string]member), teamQuotas: newTeamQuotas(),
+		planners: make(map[string]*sched.Planner), members: make(map[string]member), tree: relay.NewTree(),
+		teamQuotas: newTeamQuotas(), relayZoneSize: relayZoneSize,
 	}
 }
 
@@ -100,6 +106,7 @@
 	}
 	k.planners = make(map[string]*sched.Planner)
 	k.members = make(map[string]member)
+	k.tree = relay.NewTree()
 	k.readers = readerSelection{}
 	k.updates = newUpdateLog()
 	k.permits = quota.NewLedger()
@@ -312,26 +319,29 @@
 	if !k.status.IsSteady(now) || !k.hasFullList || k.config == nil && !k.configRead {
 		return exchangeReply{}, false
 	}
-	readers := k.recordMember(m, now)
+	readers, known := k.recordSender(m, now)
 	for _, id := range m.Leaving {
 		k.markLeaving(id)
 	}
-	for _, p := range k.planners {
-		p.SetDemand(now, m.From, m.Demand)
-	}
 	k.setLimits(now, m.Limits)
 	k.refreshUpdates()
 	after := m.Version
 	if m.Term != k.term() {
 		after = 0
 	}
+	members, senders := k.pruneMembers(now)
 	out := exchangeReply{
 		Term: k.term(), Version: k.updates.version, Full: after == 0, Updates: k.updates.after(after),
-		Members: k.pruneMembers(now), Readers: readers, ConfigRevision: k.configRevision, ReadyInMS: make(map[string]int64),
+		Members: members, Senders: senders, ChildrenKnown: known, Readers: readers, ConfigRevision: k.configRevision, ReadyInMS: make(map[string]int64),
+	}
+	out.HasRelays = k.hasRelays(&m, now)
+	if out.HasRelays && k.shouldRedirect(&m, out.Full) {
+		out.IsRedirect, out.Updates = true, nil
+		out.Readers = k.readers.byZone[k.members[m.From].zone]
 	}
 	out.Load = k.exchangeLoad(now, &m)
 	out.Grants = k.permits.Ask(now, m.From, m.Wants)
-	out.Crashes = k.judgeCrashes(now, m, out.Members)
+	out.Crashes = k.judgeCrashes(now, m, senders)
 	if k.status.CanOrder(now) {
 		for _, p := range k.planners {
 			for model, in := range p.Expected(now) {
@@ -354,15 +364,54 @@
 	}
 }
 
+// minRedirectTargets is the number of targets from which on instances get the full list
+// from relays. With 4,000 targets it is 380 KB, for each instance that starts and, after a
+// change of the holder, for all.
+const minRedirectTargets = 200
+
+// hasRelays reports whether the readers of an instance's zone are relays for the others.
+func (k *coordinator) hasRelays(m *exchangeRequest, now time.Time) bool {
+	return k.readers.sizes[k.members[m.From].zone] > k.relayZoneSize ||
+		m.HadRelays && now.Sub(k.readers.firstAt) < zoneSettleTime
+}
+
+// shouldRedirect reports whether an instance that lacks the full list is to ask the relays
+// of its zone for it.
+func (k *coordinator) shouldRedirect(m *exchangeRequest, isFull bool) bool {
+	if !isFull || m.IsAside || m.NeedsFull || m.From == k.self || len(k.targets) < minRedirectTargets {
+		return false
+	}
+	have := k.members[m.From]
+	relays := k.readers.byZone[have.zone]
+	return len(relays) > 0 && have.peer.IsValid() && !slices.Contains(relays, have.peer)
+}
+
+// recordSender records an instance's message: that it and its children are alive, and
+// their demand. It returns the readers of the instance's zone, or nil if the instance
+// knows them already, and the hash of the children that are known.
+func (k *coordinator) recordSender(m exchangeRequest, now time.Time) (readers []netip.AddrPort, children uint64) {
+	if m.IsAside {
+		return nil, 0
+	}
+	readers = k.recordMember(m, now)
+	alive, children := k.tree.Put(m.From, m.Children)
+	for _, c := range alive {
+		k.recordChild(c, now)
+	}
+	k.recordDemand(m, now)
+	return readers, children
+}
+
 // recordMember records that an instance is alive. It returns the readers of the
 // instance's zone, or nil if the instance knows them already.
 func (k *coordinator) recordMember(m exchangeRequest, now time.Time) []netip.AddrPort {
 	have := k.members[m.From]
-	have.seenAt = now
+	have.seenAt, have.sentAt = now, now
 	if m.Peer.IsValid() {
 		have.zone, have.peer, have.cores = m.Zone, m.Peer, m.Cores
+		have.knownReaders = nil
 	}
-	readers := k.readers.forZone(have.zone, now, k.members)
+	readers := k.readers.forZone(have.zone, now, k.members, k.self)
 	known := slices.Equal(readers, have.knownReaders)
 	have.knownReaders = readers
 	k.members[m.From] = have
@@ -372,6 +421,41 @@
 	return readers
 }
 
+// recordChild records that a child of a relay is alive. Its demand is part of the relay's
+// from now on.
+func (k *coordinator) recordChild(c relay.Child, now time.Time) {
+	have := k.members[c.Name]
+	have.seenAt = now
+	if c.Peer.IsValid() {
+		have.zone, have.peer, have.cores = c.Zone, c.Peer, c.Cores
+	}
+	if !have.sentAt.IsZero() {
+		have.sentAt = time.Time{}
+		k.sums().Forget(c.Name)
+		for _, p := range k.planners {
+			p.SetDemand(now, c.Name, nil)
+		}
+	}
+	k.members[c.Name] = have
+}
+
+// recordDemand records an instance's demand, unless a later message of it has come.
+func (k *coordinator) recordDemand(m exchangeRequest, now time.Time) {
+	if m.IsWithoutDemand {
+		return
+	}
+	have := k.members[m.From]
+	demand, isLatest := have.counter.CountInto(m.Seq, m.Demand, m.Resent)
+	if !isLatest {
+		return
+	}
+	k.members[m.From] = have
+	k.addArrivals(now, demand)
+	for _, p := range k.planners {
+		p.SetDemand(now, m.From, demand)
+	}
+}
+
 // term identifies this term of the holder, so that update versions of another term are
 // not taken for its own.
 func (k *coordinator) term() int64 { return k.termID }
@@ -387,11 +471,18 @@
 	}
 }
 
-func (k *coordinator) pruneMembers(now time.Time) int {
+// pruneMembers forgets the instances that are gone. It returns the number of instances,
+// and of those that send messages to the holder.
+func (k *coordinator) pruneMembers(now time.Time) (members, senders int) {
 	for name, m := range k.members {
 		if now.Sub(m.seenAt) > memberTimeout {
 			delete(k.members, name)
+			k.tree.Remove(name)
+			continue
+		}
+		if now.Sub(m.sentAt) <= memberTimeout {
+			senders++
 		}
 	}
-	return len(k.members)
+	return len(k.members), senders
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -20,10 +20,12 @@
 	"chivecroft.example/chivecroft/internal/coordination/deltas"
 	"chivecroft.example/chivecroft/internal/coordination/drive"
 	"chivecroft.example/chivecroft/internal/coordination/elect"
+	"chivecroft.example/chivecroft/internal/coordination/load"
 	"chivecroft.example/chivecroft/internal/coordination/picker"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 	"chivecroft.example/chivecroft/internal/coordination/proof"
 	"chivecroft.example/chivecroft/internal/coordination/quota"
+	"chivecroft.example/chivecroft/internal/coordination/relay"
 	"chivecroft.example/chivecroft/internal/coordination/retry"
 	"chivecroft.example/chivecroft/internal/state/fleet"
 	"chivecroft.example/chivecroft/internal/state/timer"
@@ -61,7 +63,9 @@
 	snapshot atomic.Pointer[configSnapshot]
 	// readers holds the peer addresses of the readers of this instance's zone, as the
 	// holder last sent them.
-	readers        atomic.Pointer[[]netip.AddrPort]
+	readers atomic.Pointer[[]netip.AddrPort]
+	// hasRelays reports whether the readers are relays, as the holder last said.
+	hasRelays      atomic.Bool
 	configFollower *follower
 	targetFollower *follower
 	// targetsKnown reports whether a list of targets or an update has been received.
@@ -72,8 +76,15 @@
 	coordinator *coordinator
 	election    *drive.Loop
 	peerClient  *peerClient
-	// updatedAt is when the holder's last update came, in nanoseconds of clock.
+	// updatedAt is when the holder sent its last update or later, in nanoseconds of clock.
 	updatedAt atomic.Int64
+	// sender is what the exchange loop sends and where; held is what the replies have
+	// said, and children what this instance knows of others as a relay.
+	sender   *sender
+	held     *heldUpdates
+	children *relay.Table
+	// collector sums the load reports of this instance and its children.
+	collector *load.Collector
 	// readerRepliedAt is when a reader last replied to a request for changes, in
 	// nanoseconds of clock.
 	readerRepliedAt atomic.Int64
@@ -151,6 +162,8 @@
 	e.proofs = proof.NewTracker()
 	e.peerClient = newPeerClient()
 	e.peerClient.now, e.peerClient.onProof = e.clock.Now, e.acceptProofHeader
+	e.sender, e.held, e.children = newSender(), newHeldUpdates(), relay.NewTable()
+	e.collector = load.NewCollector()
 	e.configFollower = e.newConfigFollower()
 	e.targetFollower = e.newTargetFollower()
 	if boot.Bootstrap {
@@ -172,7 +185,8 @@
 	e.proxy = proxy.NewServer(platform.Codec{}, e.picker, e.budget, e.timer, proxy.WithLogger(l),
 		proxy.WithAccount(e.account), proxy.WithIdleConnections(maxIdleTargetConns(boot)),
 		proxy.WithObserver(e.metrics.requestEnded), proxy.WithCrashes(e.crashes, e.ends.hasCrashed),
-		proxy.WithEndCheck(e.ends.hasEnded), proxy.WithKeyProof(e.keysProven), proxy.WithPermits(e.permits))
+		proxy.WithEndCheck(e.ends.hasEnded), proxy.WithKeyProof(e.keysProven), proxy.WithPermits(e.permits),
+		proxy.WithBehind(e.configFollower.isBehind))
 	for _, opt := range opts {
 		opt(e)
 	}
@@ -338,7 +352,7 @@
 			e.coordinator.setConfigRead()
 		},
 		applyChange: apply, watchTime: e.configWatchTimeout, onRead: e.noteConfigRead,
-		hasFreshUpdates: e.hasFreshUpdates, onIdle: func() {}, fetchFromHolder: e.fetchConfigFromHolder,
+		hasFreshUpdates: e.hasFreshUpdates, onIdle: func() {}, fetchFromHolder: e.fetchNewestConfig,
 		canAskReaders: e.canAskReaders, fetchItems: e.fetchConfigFromReaders, isHolder: e.isHolder,
 		clock: e.clock, updateAge: e.updateAge,
 		needsList: func() bool { return false }, readCopy: e.readCopy,
--- a/internal/edge/load.go
+++ b/internal/edge/load.go
@@ -15,14 +15,10 @@
 // exchangeLoad records an instance's load as the holder. It returns the load of all
 // instances if the instance has asked for it.
 func (k *coordinator) exchangeLoad(now time.Time, m *exchangeRequest) *load.Snapshot {
-	sums := k.sums()
-	for i := range m.Demand {
-		d := &m.Demand[i]
-		sums.AddArrivals(now, load.Model{Service: d.Service, Model: d.Model}, d.Arrived)
-	}
 	if m.Load == nil {
 		return nil
 	}
+	sums := k.sums()
 	sums.Record(now, m.From, m.Load)
 	if !m.Load.Due || float64(sums.Instances()) < minReported*float64(len(k.members)) {
 		return nil
@@ -30,6 +26,15 @@
 	return sums.Snapshot(now, m.From)
 }
 
+// addArrivals counts the arrivals in demand, which have not been counted before.
+func (k *coordinator) addArrivals(now time.Time, demand []picker.Demand) {
+	sums := k.sums()
+	for i := range demand {
+		d := &demand[i]
+		sums.AddArrivals(now, load.Model{Service: d.Service, Model: d.Model}, d.Arrived)
+	}
+}
+
 // sums returns the sums of this term.
 func (k *coordinator) sums() *load.Sums {
 	if k.load == nil || k.load.Term() != k.term() {
@@ -53,9 +58,10 @@
 		Int("late", c.Outcomes.Late).Int("rejected", c.Outcomes.Rejected).Msg("limit of a starting target")
 }
 
-// loadReport returns what the holder is told of this instance's load.
+// loadReport returns what the holder is told of the load of this instance and its
+// children.
 func (e *Edge) loadReport() *load.Report {
-	r := e.picker.LoadReport()
+	r := e.collector.Sum(e.clock.Now(), e.picker.LoadReport())
 	return &r
 }
 
@@ -65,6 +71,30 @@
 		Dur("age", c.Age).Msg("team beyond its share")
 }
 
+// applyLoad applies the load snapshot of a reply to a message that was sent at sentAt, at
+// asOf by the boot clock, and keeps it for this instance's children.
+func (e *Edge) applyLoad(r *exchangeReply, sentAt, asOf time.Time) {
+	if r.Term != e.held.position().Term {
+		return
+	}
+	e.picker.ApplyLoad(r.Term, r.Load, sentAt)
+	e.collector.SetSnapshot(r.Term, r.Load, asOf)
+}
+
+// relayLoad records a child's load report as its relay. It returns a snapshot if the child
+// has asked for one and this instance has one of the term for it.
+func (e *Edge) relayLoad(m *exchangeRequest, term int64) *load.Snapshot {
+	if m.Load == nil {
+		return nil
+	}
+	now := e.clock.Now()
+	e.collector.Put(now, m.From, m.Load)
+	if !m.Load.Due {
+		return nil
+	}
+	return e.collector.Snapshot(now, m.From, term)
+}
+
 // onLoadChange logs that load snapshots begin or cease to be recent enough.
 func (e *Edge) onLoadChange(c picker.LoadChange) {
 	line := e.log.Info().Bool("shared", c.Shared)
--- a/internal/edge/permits.go
+++ b/internal/edge/permits.go
@@ -111,7 +111,7 @@
 	}
 	out, ok := e.coordinator.answerPermits(m)
 	if ok {
-		e.writeJSON(w, out)
+		e.writeJSON(w, r, out)
 		return
 	}
 	refusal := permitRefusal{}
--- a/internal/transport/proxy/proxy_test.go
+++ b/internal/transport/proxy/proxy_test.go
@@ -35,6 +35,8 @@
 	front   *httptest.Server
 	targets []*fake.Target
 	ids     atomic.Int64
+	// behind says that there is a newer configuration than the proxy's.
+	behind atomic.Bool
 	// nearEnded is the result of the check whether the target "near" has ended.
 	nearEnded atomic.Bool
 }
@@ -48,7 +50,7 @@
 	r.picker = picker.New(clock, "a1", map[string]string{"a1": "a"})
 	budget := retry.NewBudget(retry.Limits{RetriesPerRequest: 0.2, RetriesPerWindow: 100, Window: 10 * time.Second})
 	budget.SetInstances(1)
-	r.server = proxy.NewServer(platform.Codec{}, r.picker, budget, clock,
+	r.server = proxy.NewServer(platform.Codec{}, r.picker, budget, clock, proxy.WithBehind(r.behind.Load),
 		proxy.WithEndCheck(func(_ context.Context, target fleet.Target) bool { return target.ID == "near" && r.nearEnded.Load() }))
 	c := &fleet.Config{Version: 1, Services: map[string]fleet.Service{"s": {Name: "s"}}}
 	r.config = c
@@ -429,3 +431,19 @@
 		}
 	}
 }
+
+// TestUnknownRouteWhileBehind guards against a final answer, which callers do not repeat,
+// for a route that exists in a newer configuration. Known routes are served meanwhile.
+func TestUnknownRouteWhileBehind(t *testing.T) {
+	r := newRig(t, fake.NewTarget(t, "a", "a1", 0))
+	r.behind.Store(true)
+	got, header := r.call("/nowhere/")
+	if got.Status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" {
+		t.Errorf("answer %+v, header %v", got, header)
+	}
+	if got, _ := r.call("/safe/"); got.Status != http.StatusOK {
+		t.Errorf("known route: answer %+v", got)
+	}
+	r.behind.Store(false)
+	r.expect("/nowhere/", answer{Status: http.StatusNotFound})
+}
--- a/internal/transport/proxy/server.go
+++ b/internal/transport/proxy/server.go
@@ -36,6 +36,8 @@
 	targetBufferBytes = 128 << 10
 	// noConfigRetryAfter is the Retry-After of an instance without a configuration.
 	noConfigRetryAfter = time.Second
+	// behindRetryAfter is the Retry-After of an instance without the newest configuration.
+	behindRetryAfter = time.Second
 	// stopRetryAfter is the Retry-After of an instance that is stopping.
 	stopRetryAfter = 100 * time.Millisecond
 )
@@ -60,6 +62,8 @@
 	permits Permits
 
 	config atomic.Pointer[fleet.Config]
+	// isBehind reports whether there is a newer configuration.
+	isBehind func() bool
 	// closing makes responses close their connections. refusing refuses new requests.
 	closing  atomic.Bool
 	refusing atomic.Bool
@@ -104,6 +108,13 @@
 	return func(s *Server) { s.account = a }
 }
 
+// WithBehind sets what reports whether there is a newer configuration than the last one
+// of SetConfig. A request without a route or with an unknown API key is then refused for
+// the time being, since the newer one may have them.
+func WithBehind(isBehind func() bool) Option {
+	return func(s *Server) { s.isBehind = isBehind }
+}
+
 // WithTransport replaces the HTTP transport to targets.
 func WithTransport(t http.RoundTripper) Option {
 	return func(s *Server) { s.transport = t }
@@ -127,6 +138,7 @@
 		log:        &log.Logger{Level: log.ErrorLevel},
 		transport:  gate.NewDialer(gate.WithSilence(targetSilenceTimeout), gate.WithReceiveBuffer(targetBufferBytes)).Transport(nil),
 		onEnded:    func(Ended) {},
+		isBehind:   func() bool { return false },
 		crashes:    crash.NewMonitor(t),
 		hasCrashed: func(context.Context, fleet.Target) bool { return false },
 		hasEnded:   func(context.Context, fleet.Target) bool { return false },
@@ -182,6 +194,10 @@
 	}
 	x.version = cfg.Version
 	x.route = cfg.Match(x.r.Host, routePath(x.r))
+	if x.route == nil && s.isBehind() {
+		x.refuse(http.StatusServiceUnavailable, "configBehind", behindRetryAfter)
+		return false
+	}
 	if x.route == nil {
 		x.respond(http.StatusNotFound, "noRoute")
 		return false
