Command where: where a request would go now and why

An operator could see only afterwards, from logs, why a request went to a target or was refused. chivecroft where asks an instance beside its metrics, at /where.

Picker.Explain runs the functions of the choice itself. Why a target is passed over is an obstacle, no longer a boolean; the weighing of candidates and the plan of a request are split off as functions that both use. Nothing is reserved, counted or drawn from the choice's random source.

--- a/internal/coordination/load/choose.go
+++ b/internal/coordination/load/choose.go
@@ -72,3 +72,13 @@
 	}
 	return chosen, room / total
 }
+
+// Probabilities returns the probability with which Choose takes each of the places.
+func Probabilities(places []Place, n float64) []float64 {
+	level := Level(places, n)
+	out := make([]float64, len(places))
+	for i := range places {
+		out[i] = places[i].room(level) / n
+	}
+	return out
+}
--- a/internal/coordination/picker/choose.go
+++ b/internal/coordination/picker/choose.go
@@ -88,11 +88,7 @@
 	lowest := 0.0
 	fresh := p.hasFreshUpdates(now)
 	for _, r := range p.copiesFor(q, fresh) {
-		if !r.isAvailable(now, q) || r.load(now) >= float64(r.Slots)*q.overcommit() ||
-			r.isEjected(now) != ejected {
-			continue
-		}
-		if p.share.Blocks(r.Identity, now) {
+		if p.obstacleAlone(now, q, r, ejected) != noObstacle {
 			continue
 		}
 		cost := p.cost(now, r)
--- a/internal/coordination/picker/shared.go
+++ b/internal/coordination/picker/shared.go
@@ -133,32 +133,49 @@
 	others float64
 	// limitedAt is the position of the best candidate that has a limit, -1 if there is none.
 	limitedAt int
+	// sent is the estimated number of requests that other instances have sent since the
+	// snapshot, kept the share of those in the snapshot that have not ended since.
+	sent, kept float64
 }
 
 // chooseShared returns the target for a request on the basis of the load snapshot among
 // those of a tier, or nil.
 func (p *Picker) chooseShared(now time.Time, q *Request, tier choiceTier) *target {
-	c := p.collect(now, q, tier)
+	c := p.weigh(now, q, tier)
 	if len(p.options) == 0 {
 		return nil
 	}
-	sent := p.sentByOthers(now, q)
-	kept := keptShare(sent, c.others)
-	for i := range p.options {
-		p.options[i].Start -= (1 - kept) * p.fading[i]
-	}
-	if c.limitedAt >= 0 && p.options[c.limitedAt].Start < load.Level(p.options, 1+sent) {
+	if p.prefersLimited(&c) {
 		// Chance has already decided for this target, which has room.
 		best := c.copies[p.candidates[c.limitedAt]]
 		best.expected = best.sharedLoad()
 		return best
 	}
-	i, share := load.Choose(p.options, 1+sent, p.random.Float64())
+	i, share := load.Choose(p.options, 1+c.sent, p.random.Float64())
 	best := c.copies[p.candidates[i]]
-	best.expected = float64(best.inFlight) + kept*best.others.count + share*(1-kept)*c.others
+	best.expected = float64(best.inFlight) + c.kept*best.others.count + share*(1-c.kept)*c.others
 	return best
 }
 
+// weigh sets the candidates, and their places as they probably are by now.
+func (p *Picker) weigh(now time.Time, q *Request, tier choiceTier) candidateSet {
+	c := p.collect(now, q, tier)
+	if len(p.options) == 0 {
+		return c
+	}
+	c.sent = p.sentByOthers(now, q)
+	c.kept = keptShare(c.sent, c.others)
+	for i := range p.options {
+		p.options[i].Start -= (1 - c.kept) * p.fading[i]
+	}
+	return c
+}
+
+// prefersLimited reports whether the best candidate that has a limit is chosen.
+func (p *Picker) prefersLimited(c *candidateSet) bool {
+	return c.limitedAt >= 0 && p.options[c.limitedAt].Start < load.Level(p.options, 1+c.sent)
+}
+
 // collect sets the candidates and their places for a choice.
 func (p *Picker) collect(now time.Time, q *Request, tier choiceTier) candidateSet {
 	c := candidateSet{copies: p.copiesFor(q, p.hasFreshUpdates(now)), limitedAt: -1}
@@ -166,8 +183,7 @@
 	limited, mean, most := p.share.InForce(), p.failureRates[q.Service], q.overcommit()
 	p.drawLuck(q)
 	for i, r := range c.copies {
-		if !r.isAvailable(now, q) || r.limit > 0 && !tier.beyondLimit && !r.isAllowed(q) || r.isEjected(now) != tier.ejected ||
-			r.sharedLoad() >= float64(r.Slots)*most || limited && p.share.Blocks(r.Identity, now) {
+		if p.obstacleShared(now, q, r, tier, most, limited) != noObstacle {
 			continue
 		}
 		list = append(list, i)
--- a/internal/coordination/picker/target.go
+++ b/internal/coordination/picker/target.go
@@ -185,19 +185,37 @@
 // isAvailable reports whether a target that serves the request's model takes requests,
 // regardless of its load.
 func (r *target) isAvailable(now time.Time, q *Request) bool {
-	if r.Draining || r.mayPause && r.isPaused(now) {
-		return false
+	return r.unavailable(now, q) == noObstacle
+}
+
+// unavailable returns why a target takes no requests regardless of its load.
+func (r *target) unavailable(now time.Time, q *Request) obstacle {
+	if r.Draining {
+		return obstacleDraining
 	}
-	return len(q.Exclude) == 0 || !slices.Contains(q.Exclude, r.Identity)
+	if r.mayPause {
+		if o := r.paused(now); o != noObstacle {
+			return o
+		}
+	}
+	if len(q.Exclude) > 0 && slices.Contains(q.Exclude, r.Identity) {
+		return obstacleTried
+	}
+	return noObstacle
 }
 
-// isPaused reports whether the target takes no requests at present.
-func (r *target) isPaused(now time.Time) bool {
-	if r.isExpired(now) || now.Before(r.fullUntil) || now.Before(r.backoffUntil) {
-		return true
+// paused returns why the target takes no requests at present.
+func (r *target) paused(now time.Time) obstacle {
+	switch {
+	case r.isExpired(now):
+		return obstacleGone
+	case now.Before(r.fullUntil):
+		return obstacleRejected
+	case now.Before(r.backoffUntil):
+		return obstacleBackoff
 	}
 	r.mayPause = !r.expiresAt.IsZero() || now.Before(r.ejectedUntil)
-	return false
+	return noObstacle
 }
 
 // isEjected reports whether an ejection is in force.
--- a/internal/coordination/usage/share.go
+++ b/internal/coordination/usage/share.go
@@ -165,7 +165,7 @@
 	switch {
 	case t == nil || d.Amount <= 0:
 		return unlimited(now, d.Team), nil
-	case d.Amount > t.capacity:
+	case !t.fits(d.Amount):
 		return Outcome{Status: OverBurst, Share: s.shareOf(t)}, nil
 	}
 	s.usedAt, t.usedAt = now, now
@@ -185,6 +185,14 @@
 	return Outcome{}, q
 }
 
+// Fits reports whether a team's bucket can ever hold an amount.
+func (s *Share) Fits(team string, amount float64) bool {
+	t := s.teams[team]
+	return t == nil || t.fits(amount)
+}
+
+func (t *teamShare) fits(amount float64) bool { return amount <= t.capacity }
+
 // unlimited returns the outcome of a request that needs no permit, which lasts for longer
 // than any request.
 func unlimited(now time.Time, team string) Outcome {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -270,7 +270,7 @@
 	go e.proofLoop(e.loopCtx)
 	go e.permits.run(e.loopCtx)
 	metrics, err := e.metrics.start(ctx, e.boot.Instance, e.boot.Zone, e.boot.Addr, e.metricsPort,
-		map[string]http.HandlerFunc{BlocksPath: e.serveBlocks, LiftPath: e.serveLift})
+		map[string]http.HandlerFunc{BlocksPath: e.serveBlocks, LiftPath: e.serveLift, WherePath: e.serveWhere})
 	if err != nil {
 		return err
 	}
--- a/internal/edge/permits.go
+++ b/internal/edge/permits.go
@@ -242,6 +242,13 @@
 	c.share.Return(p)
 }
 
+// fits reports whether a team's bucket can ever hold an amount.
+func (c *permitClient) fits(team string, amount float64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.share.Fits(team, amount)
+}
+
 func (c *permitClient) signal() {
 	select {
 	case c.wake <- struct{}{}:
--- a/internal/shell/blocks.go
+++ b/internal/shell/blocks.go
@@ -57,21 +57,26 @@
 }
 
 func (c *BlocksCmd) call(ctx context.Context, method, path string) ([]byte, error) {
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.At+path, nil)
+	return callInstance(ctx, c.At, method, path)
+}
+
+// callInstance calls an instance at the address at which it serves its metrics.
+func callInstance(ctx context.Context, at, method, path string) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+at+path, nil)
 	if err != nil {
-		return nil, trace.BadParameter("%s: %v", c.At, err)
+		return nil, trace.BadParameter("%s: %v", at, err)
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return nil, trace.Wrap(err, "ask %s", c.At)
+		return nil, trace.Wrap(err, "ask %s", at)
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return nil, trace.Wrap(err, "ask %s", c.At)
+		return nil, trace.Wrap(err, "ask %s", at)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return nil, trace.BadParameter("%s: HTTP status %d: %s", c.At, resp.StatusCode, data)
+		return nil, trace.BadParameter("%s: HTTP status %d: %s", at, resp.StatusCode, data)
 	}
 	return data, nil
 }
--- a/internal/shell/commands.go
+++ b/internal/shell/commands.go
@@ -31,6 +31,7 @@
 	Explain ExplainCmd   `cmd:"" help:"Print what logs say of one request."`
 	Account AccountCmd   `cmd:"" help:"Add up how the requests ended that logs tell of."`
 	Blocks  BlocksCmd    `cmd:"" help:"Show or lift the blocks of prompt parts that crash targets."`
+	Where   WhereCmd     `cmd:"" help:"Show where a request would go now and why, without sending it."`
 	Check   CheckCmd     `cmd:"" help:"Check a file of settings."`
 	Patch   PatchCmd     `cmd:"" help:"Apply a patch to the configuration."`
 	Config  ConfigCmd    `cmd:"" help:"Read the configuration, its history or a difference."`
--- a/internal/transport/proxy/exchange.go
+++ b/internal/transport/proxy/exchange.go
@@ -139,10 +139,9 @@
 }
 
 func (x *exchange) pickerRequest() picker.Request {
-	reserve := min(time.Duration(responseReserveShare*float64(x.timeout)), maxResponseReserve)
 	q := picker.Request{
 		Service: x.service, Team: x.teamName(), Priority: x.priority(), Goal: x.route.Goal, Arrived: x.arrived,
-		Deadline: x.deadline.Add(-reserve), Exclude: x.tried,
+		Deadline: queueDeadline(x.deadline, x.timeout), Exclude: x.tried,
 	}
 	if x.engine {
 		q.Model, q.Adapter = x.call.Model, x.call.Adapter
--- a/internal/transport/proxy/keys.go
+++ b/internal/transport/proxy/keys.go
@@ -51,10 +51,7 @@
 
 // priority returns the priority of the caller's team, else that of the route.
 func (x *exchange) priority() int {
-	if x.team != nil && x.team.HasPriority {
-		return x.team.Priority
-	}
-	return x.route.Priority
+	return priorityOf(x.team, x.route)
 }
 
 // authenticate names the caller's team by the active configuration. It is called when the
--- a/internal/transport/proxy/server.go
+++ b/internal/transport/proxy/server.go
@@ -200,7 +200,7 @@
 		x.respond(http.StatusBadRequest, "malformed")
 		return false
 	}
-	x.engine = cfg.Services[x.service].Engine != nil && call.Model != ""
+	x.engine = namesModel(cfg, x.service, call.Model)
 	x.setDeadline()
 	if s.refusing.Load() {
 		x.refuse(http.StatusServiceUnavailable, string(picker.ReasonStopping), stopRetryAfter)
@@ -210,15 +210,8 @@
 }
 
 func (x *exchange) setDeadline() {
-	timeout := defaultTimeout
-	if x.call.Within > 0 {
-		timeout = x.call.Within
-	}
-	if x.route.Timeout > 0 {
-		timeout = min(timeout, x.route.Timeout)
-	}
-	x.timeout = timeout
-	x.deadline = x.arrived.Add(timeout)
+	x.timeout = timeoutOf(x.route, x.call.Within)
+	x.deadline = x.arrived.Add(x.timeout)
 }
 
 // respond ends the request with an empty response of this server.
