where: no cost for the choice, names of model and adapter, docs

One function for all obstacles made each choice slower. Targets without any hindrance now take a short check first.

--- a/internal/coordination/picker/explain.go
+++ b/internal/coordination/picker/explain.go
@@ -50,13 +50,18 @@
 	PerSecond float64 `json:"perSecond,omitempty"`
 	Permits   int     `json:"permits,omitempty"`
 	// Cost is in requests in flight, or with a load snapshot in the time of a request
-	// there alone; it is valid if Probability is above 0 or PassedOver is "cost".
+	// there alone; it is valid if HasCost.
 	Cost        float64 `json:"cost"`
 	Probability float64 `json:"probability"`
 	// PassedOver is why the request does not go there, empty if it may.
 	PassedOver string `json:"passedOver,omitempty"`
 }
 
+// HasCost reports whether the target was compared with others by its cost.
+func (c *Candidate) HasCost() bool {
+	return c.PassedOver == "" || c.PassedOver == obstacleCost.String()
+}
+
 // RefusalNotice is the refusal of a request that no target can take now.
 type RefusalNotice struct {
 	Reason       Reason `json:"reason"`
@@ -160,11 +165,10 @@
 		}
 		break
 	}
-	limited := p.share.InForce()
 	for _, r := range copies {
 		v := out[r]
 		v.probability += weight * chances[r]
-		o := p.obstacleShared(now, q, r, used, q.overcommit(), limited)
+		o := p.obstacleShared(now, q, r, used)
 		if o == noObstacle {
 			v.cost, o = costs[r], obstacleCost
 		}
--- a/internal/coordination/picker/obstacle.go
+++ b/internal/coordination/picker/obstacle.go
@@ -29,10 +29,14 @@
 	}[o]
 }
 
-// obstacleShared returns why a target that serves the request is no candidate of a tier by
-// the load snapshot. most is the load limit in multiples of the slots, limited whether any
-// rate limit is in force.
-func (p *Picker) obstacleShared(now time.Time, q *Request, r *target, tier choiceTier, most float64, limited bool) obstacle {
+// isUnhindered is a quick check for most targets: if it returns true, there is no hindrance.
+func (r *target) isUnhindered(q *Request, tier choiceTier) bool {
+	return !r.Draining && !r.mayPause && r.limit == 0 && len(q.Exclude) == 0 && !tier.ejected
+}
+
+// hindrance returns why a target that serves the request is no candidate of a tier, apart
+// from its load and rate limit.
+func (r *target) hindrance(now time.Time, q *Request, tier choiceTier) obstacle {
 	if o := r.unavailable(now, q); o != noObstacle {
 		return o
 	}
@@ -41,9 +45,23 @@
 		return obstacleStartLimit
 	case r.isEjected(now) != tier.ejected:
 		return ejectionObstacle(tier.ejected)
-	case r.sharedLoad() >= float64(r.Slots)*most:
+	}
+	return noObstacle
+}
+
+// isFull reports whether the target's load by the snapshot is at most times its slots.
+func (r *target) isFull(most float64) bool { return r.sharedLoad() >= float64(r.Slots)*most }
+
+// obstacleShared returns why a target that serves the request is no candidate of a tier by
+// the load snapshot.
+func (p *Picker) obstacleShared(now time.Time, q *Request, r *target, tier choiceTier) obstacle {
+	if o := r.hindrance(now, q, tier); o != noObstacle {
+		return o
+	}
+	switch {
+	case r.isFull(q.overcommit()):
 		return obstacleFull
-	case limited && p.share.Blocks(r.Identity, now):
+	case p.share.Blocks(r.Identity, now):
 		return obstacleRateLimit
 	}
 	return noObstacle
--- a/internal/coordination/picker/shared.go
+++ b/internal/coordination/picker/shared.go
@@ -183,7 +183,8 @@
 	limited, mean, most := p.share.InForce(), p.failureRates[q.Service], q.overcommit()
 	p.drawLuck(q)
 	for i, r := range c.copies {
-		if p.obstacleShared(now, q, r, tier, most, limited) != noObstacle {
+		if !r.isUnhindered(q, tier) && r.hindrance(now, q, tier) != noObstacle || r.isFull(most) ||
+			limited && p.share.Blocks(r.Identity, now) {
 			continue
 		}
 		list = append(list, i)
--- a/internal/edge/where.go
+++ b/internal/edge/where.go
@@ -56,9 +56,10 @@
 	Service string `json:"service"`
 	// Share is the probability of the service among those of the route.
 	Share float64 `json:"share"`
-	// HasModel reports whether the service has engines and the request names a model.
-	HasModel bool               `json:"hasModel"`
-	Choice   picker.Explanation `json:"choice"`
+	// Model and Adapter are empty if the service has no engines or the request names none.
+	Model   string             `json:"model,omitempty"`
+	Adapter string             `json:"adapter,omitempty"`
+	Choice  picker.Explanation `json:"choice"`
 }
 
 // Values returns the query in the form in which it is sent.
@@ -131,7 +132,8 @@
 	for _, b := range route.Backends {
 		request := proxy.PlanRequest(e.timer.Now(), cfg, route, b.Service, team, call)
 		out.Services = append(out.Services, WhereService{
-			Service: b.Service, Share: b.Weight / sum, HasModel: request.Model != "", Choice: e.picker.Explain(request),
+			Service: b.Service, Share: b.Weight / sum, Model: request.Model, Adapter: request.Adapter,
+			Choice: e.picker.Explain(request),
 		})
 	}
 	return out, nil
--- a/internal/shell/where.go
+++ b/internal/shell/where.go
@@ -75,8 +75,11 @@
 
 func printChoice(w io.Writer, v *edge.WhereService) {
 	c := &v.Choice
-	if v.HasModel {
-		fmt.Fprintf(w, "model loaded at %d targets, with the adapter at %d", c.ModelAt, c.AdapterAt)
+	if v.Model != "" {
+		fmt.Fprintf(w, "model %s: targets that serve it %d", v.Model, c.ModelAt)
+		if v.Adapter != "" {
+			fmt.Fprintf(w, ", with adapter %s %d", v.Adapter, c.AdapterAt)
+		}
 		if c.IsLoadExpected {
 			fmt.Fprintf(w, ", load expected in %v", milliseconds(c.LoadInMS))
 		}
@@ -91,8 +94,12 @@
 	fmt.Fprintln(t, "TARGET\tZONE\tLOAD\tSLOTS\tPACE\tFAILURES\tCOST\tCHANCE\tNOTES")
 	for i := range c.Candidates {
 		r := &c.Candidates[i]
-		fmt.Fprintf(t, "%s\t%s\t%.1f\t%d\t%.2f\t%.0f%%\t%.2f\t%.0f%%\t%s\n", r.Target, r.Zone, r.Load, r.Slots, r.Pace,
-			100*r.FailureRate, r.Cost, 100*r.Probability, notes(r))
+		cost := "-"
+		if r.HasCost() {
+			cost = fmt.Sprintf("%.2f", r.Cost)
+		}
+		fmt.Fprintf(t, "%s\t%s\t%.1f\t%d\t%.2f\t%.0f%%\t%s\t%.0f%%\t%s\n", r.Target, r.Zone, r.Load, r.Slots, r.Pace,
+			100*r.FailureRate, cost, 100*r.Probability, notes(r))
 	}
 	_ = t.Flush()
 	switch {
