Follower: a starting instance tries the copy of the configuration again

Cause: the store refused the first call for the copy, and the follower then only repeated the full list of 345 KB; 84 of them at once choked the links to the store until their calls timed out. Change: after a failed list the copy (27 KB) is tried again first.

--- a/internal/edge/follower.go
+++ b/internal/edge/follower.go
@@ -114,6 +114,8 @@
 	// isProbing shortens the next watch: it is not known whether the store responds, and
 	// other instances may be waiting to learn that.
 	isProbing bool
+	// listDelay is the delay after the latest failed list, 0 if it did not fail.
+	listDelay time.Duration
 	// refusedSince is since when readers have refused requests because they still get
 	// updates from the holder.
 	refusedSince  time.Time
@@ -293,7 +295,6 @@
 	var first ports.Revision
 	var askedAt time.Time
 	after := ""
-	delay := minRetryDelay
 	for ctx.Err() == nil {
 		reply := f.callStore(ports.KVList{Prefix: f.prefix, After: after}, f.isReadNeedless)
 		if reply.Status != ports.KVOK && f.hasFreshUpdates() {
@@ -301,9 +302,15 @@
 		}
 		if reply.Status != ports.KVOK {
 			f.log.Info().Str("feed", f.name).Str("status", reply.Status.String()).Err(reply.Err).Msg("list failed")
-			delay = backOff(ctx, delay)
+			f.listDelay = backOff(ctx, max(f.listDelay, minRetryDelay))
+			if f.readCopy != nil {
+				// Many instances that start together and list the keys in full when the store
+				// is back choke their links. The copy is tried again first.
+				return false
+			}
 			continue
 		}
+		f.listDelay = 0
 		if first == 0 {
 			first, askedAt = reply.Revision, f.askedAt
 		}
--- a/internal/edge/follower_test.go
+++ b/internal/edge/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"time"
 
@@ -44,6 +45,46 @@
 	}
 }
 
+// TestFollowerTriesTheCopyAgain guards against all instances of a fleet that start while the
+// store is down listing the whole configuration when it is back: each then reads the copy.
+func TestFollowerTriesTheCopyAgain(t *testing.T) {
+	store := fake.NewStore(t)
+	store.Write(t, "op/config", map[string]any{"version": 3})
+	store.Refuse.Store(http.StatusServiceUnavailable)
+	l := discardLogger()
+	got := make(chan ports.Revision, 1)
+	copies := 0
+	fd := &follower{
+		name: "config", prefix: "op/config", store: platform.NewStore(t.Context(), store.Addr()),
+		health: newStoreHealth(timer.NewSystem(), l), log: l,
+		applyList:       func(items []ports.Item) { got <- items[0].Revision },
+		applyChange:     func(ports.Revision, ports.Item) {},
+		hasFreshUpdates: func() bool { return false }, onIdle: func() {},
+		readCopy: func() ([]ports.Item, ports.Revision, bool) {
+			copies++
+			if copies < 3 {
+				return nil, 0, false
+			}
+			store.Refuse.Store(0)
+			return []ports.Item{{Key: "op/config", Revision: 42}}, 42, true
+		},
+		needsList: func() bool { return false }, canAskReaders: func() bool { return false },
+		isHolder: func() bool { return false },
+		clock:    timer.NewBoot(), updateAge: func() time.Duration { return time.Hour },
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go fd.run(ctx)
+	select {
+	case revision := <-got:
+		if revision != 42 {
+			t.Errorf("the list of revision %d was read", revision)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("nothing was read")
+	}
+}
+
 // TestFollowerSkipsChangesCoveredByUpdates reads a change late that the holder's updates
 // have already covered. It must not overwrite them.
 func TestFollowerSkipsChangesCoveredByUpdates(t *testing.T) {
