Unknown routes without a proof of the configuration are refused with 503

Cause: an instance that had not known its configuration to be the newest for revoke_ms refused keys as stale but answered 404 for routes that a newer version may have. Change: 503 configBehind with Retry-After, as for an instance that knows that it is behind. Result: TestUnknownRouteWithoutProof failed before.

--- a/internal/edge/where.go
+++ b/internal/edge/where.go
@@ -102,7 +102,7 @@
 	case err != nil:
 		http.Error(w, trace.UserMessage(err), http.StatusServiceUnavailable)
 	default:
-		e.writeJSON(w, out)
+		e.writeJSON(w, r, out)
 	}
 }
 
--- a/internal/transport/proxy/keys_test.go
+++ b/internal/transport/proxy/keys_test.go
@@ -359,3 +359,18 @@
 		})
 	}
 }
+
+// TestUnknownRouteWithoutProof guards against a 404 for a route that a newer configuration
+// has, at an instance that has heard of none for long.
+func TestUnknownRouteWithoutProof(t *testing.T) {
+	near, _ := newTwoTargets(t)
+	k := newKeyRig(t, near)
+	k.unproven.Store(true)
+	stale, _ := k.call("/nowhere/")
+	k.unproven.Store(false)
+	proven, _ := k.call("/nowhere/")
+	want := []int{http.StatusServiceUnavailable, http.StatusNotFound}
+	if diff := cmp.Diff(want, []int{stale.Status, proven.Status}); diff != "" {
+		t.Errorf("status without and with a proof (-want +got):\n%s", diff)
+	}
+}
--- a/internal/transport/proxy/server.go
+++ b/internal/transport/proxy/server.go
@@ -183,6 +183,13 @@
 	x.run()
 }
 
+// mayLackRoutes reports whether a newer configuration may have routes that this one lacks:
+// one is known to exist, or this one was not known to be the newest for so long that not
+// even its keys are accepted.
+func (s *Server) mayLackRoutes(cfg *fleet.Config) bool {
+	return s.isBehind() || cfg.HasTeams() && !s.keysProven()
+}
+
 // prepare reads the request and finds its route. If there is nothing to send, it responds
 // and returns false.
 func (x *exchange) prepare() bool {
@@ -194,7 +201,7 @@
 	}
 	x.version = cfg.Version
 	x.route = cfg.Match(x.r.Host, routePath(x.r))
-	if x.route == nil && s.isBehind() {
+	if x.route == nil && s.mayLackRoutes(cfg) {
 		x.refuse(http.StatusServiceUnavailable, "configBehind", behindRetryAfter)
 		return false
 	}
