--- a/internal/coordination/picker/explain.go
+++ b/internal/coordination/picker/explain.go
@@ -74,6 +74,8 @@
 func (p *Picker) Explain(q Request) Explanation {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	// The next refusal is to get the Retry-After that is told here.
+	defer func(n int) { p.refusals = n }(p.refusals)
 	now := p.timer.Now()
 	fresh := p.hasFreshUpdates(now)
 	out := Explanation{
