--- a/internal/coordination/proof/tracker.go
+++ b/internal/coordination/proof/tracker.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"chivecroft.example/chivecroft/internal/state/timer"
 )
 
 // Margin is the part of the bound on revocation that is not used. It covers clocks that
@@ -66,11 +68,11 @@
 	switch {
 	case m.revision == 0 || m.revision < t.active:
 	case m.revision <= t.covered:
-		t.provenAt = later(t.provenAt, m.at)
+		t.provenAt = timer.Later(t.provenAt, m.at)
 	case m.revision > t.pending.revision:
 		t.pending = m
 	case m.revision == t.pending.revision:
-		t.pending.at = later(t.pending.at, m.at)
+		t.pending.at = timer.Later(t.pending.at, m.at)
 	}
 }
 
@@ -103,7 +105,7 @@
 	t.covered = revision
 	t.newest = max(t.newest, revision)
 	if t.pending.revision == revision {
-		t.provenAt = later(t.provenAt, t.pending.at)
+		t.provenAt = timer.Later(t.provenAt, t.pending.at)
 	}
 	if t.pending.revision <= revision {
 		t.pending = moment{}
@@ -134,10 +136,3 @@
 	p, ok := t.Proof(now)
 	return ok && p.Age < bound-Margin
 }
-
-func later(x, y time.Time) time.Time {
-	if x.After(y) {
-		return x
-	}
-	return y
-}
--- a/internal/coordination/sched/choose.go
+++ b/internal/coordination/sched/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -52,12 +53,16 @@
 // bestOptionAmong considers the targets with a rate limit, or those without.
 func (p *Planner) bestOptionAmong(now time.Time, uses map[string]*usage, n *loadRequest, isLimited bool) *loadOption {
 	canLoadFromStore := float64(p.index.storeJobs) < p.maxStoreLoads && p.canStartStoreLoad(now)
+	maxLoad := math.Inf(1)
+	if n.reason == reasonBusy {
+		maxLoad = p.maxReliefLoad(uses[n.model])
+	}
 	var best *loadOption
 	for _, w := range p.index.sorted {
 		if w.isLimited != isLimited || w.Draining || now.Before(w.backoffUntil) || w.hasOrLoads(n.model) {
 			continue
 		}
-		if n.reason == reasonBusy && !p.relieves(w, uses[n.model]) {
+		if float64(p.loads[w.ID]) >= maxLoad {
 			continue
 		}
 		o, ok := p.evaluate(now, w, n, uses)
--- a/internal/coordination/sched/copies.go
+++ b/internal/coordination/sched/copies.go
@@ -58,41 +58,38 @@
 		wanted := int(math.Ceil(inUse / copyLoad))
 		return min(wanted-copies, maxCopyLoads) - loading
 	}
-	if loading == 0 && u.inFlight >= minCrowdedUse && p.leastLoad(u.model) >= p.crowded() {
+	if loading > 0 || u.inFlight < minCrowdedUse {
+		return 0
+	}
+	if least, _ := p.copyLoads(u.model); least >= p.crowded() {
 		return 1
 	}
 	return 0
 }
 
-// leastLoad returns the requests in flight at the least loaded target that serves a model.
-func (p *Planner) leastLoad(model string) float64 {
-	least := math.Inf(1)
-	for _, w := range p.index.sorted {
-		if !w.Draining && w.Find(model) != nil {
-			least = min(least, float64(p.loads[w.ID]))
-		}
-	}
-	return least
-}
-
-// meanLoad returns the mean number of requests in flight at the targets that serve a model.
-func (p *Planner) meanLoad(model string) float64 {
+// copyLoads returns the least and the mean number of requests in flight at the targets that
+// serve a model, infinity and 0 if there are none.
+func (p *Planner) copyLoads(model string) (least, mean float64) {
+	least = math.Inf(1)
 	sum, n := 0, 0
 	for _, w := range p.index.sorted {
-		if !w.Draining && w.Find(model) != nil {
-			sum += p.loads[w.ID]
-			n++
+		if w.Draining || w.Find(model) == nil {
+			continue
 		}
+		least = min(least, float64(p.loads[w.ID]))
+		sum += p.loads[w.ID]
+		n++
 	}
-	return float64(sum) / float64(max(n, 1))
+	return least, float64(sum) / float64(max(n, 1))
 }
 
-// relieves reports whether a copy at a target would have less load than the present copies
-// of the model, given the requests that it would take over from them.
-func (p *Planner) relieves(w *targetState, u *usage) bool {
+// maxReliefLoad returns the number of requests in flight below which a target may get another
+// copy of a busy model: with the requests that the copy would take over, the target is to have
+// less load than the present ones.
+func (p *Planner) maxReliefLoad(u *usage) float64 {
 	taken := float64(u.inFlight+u.waiting) / float64(p.index.copies[u.model]+p.index.loading[u.model]+1)
-	load := float64(p.loads[w.ID])
-	return load < p.crowded() && load+taken < p.meanLoad(u.model)
+	_, mean := p.copyLoads(u.model)
+	return min(p.crowded(), mean-taken)
 }
 
 // drainCost returns the eviction score of a model's requests in flight at a target, and
--- a/internal/transport/meter/create.go
+++ b/internal/transport/meter/create.go
@@ -23,13 +23,13 @@
 	m.control = c.counter("chivecroft.control.io", "By", "Control traffic between instances.")
 	m.link = c.counter("chivecroft.link.io", "By", "Traffic with another region on connections that this entry opened, and with the platform.")
 	m.loads = c.counter("chivecroft.loads", "{load}", "Ended loads of models.")
-	m.idle = c.seconds("chivecroft.accelerator.idle.time", "Time for which accelerators were held by idle replicas.")
+	m.idle = c.floatCounter("chivecroft.accelerator.idle.time", "s", "Time for which accelerators were held by idle replicas.")
 	m.targetEnds = c.counter("chivecroft.target.ends", "{target}", "Targets that ended unplanned with requests in flight.")
 	m.blocks = c.gauge("chivecroft.prompt.blocks", "{block}", "Blocks of prompt parts that crash targets.")
 	m.limits = c.gauge("chivecroft.target.limits", "{target}", "Targets with a rate limit in force.")
-	m.proofAge = c.secondsGauge("chivecroft.config.proof.age", "Time since the active configuration was known to be the newest.")
-	m.quota = c.amount("chivecroft.quota.amount", "Amounts of teams' quotas by what became of them.")
-	m.quotaLevel = c.level("chivecroft.quota.level", "Level of each team's bucket at the lease holder.")
+	m.proofAge = c.floatGauge("chivecroft.config.proof.age", "s", "Time since the active configuration was known to be the newest.")
+	m.quota = c.floatCounter("chivecroft.quota.amount", "{unit}", "Amounts of teams' quotas by what became of them.")
+	m.quotaLevel = c.floatGauge("chivecroft.quota.level", "{unit}", "Level of each team's bucket at the lease holder.")
 	m.heldBytes = c.gauge("chivecroft.memory.held", "By", "Bytes held for callers by use.")
 	m.connections = c.gauge("chivecroft.caller.connections", "{connection}", "Connections of callers by state.")
 	m.refusedConnections = c.counter("chivecroft.caller.connections.refused", "{connection}", "Connections and heads of requests that were refused, by reason.")
@@ -61,26 +61,14 @@
 	return n
 }
 
-func (c *creator) amount(name, description string) metric.Float64Counter {
-	n, err := c.meter.Float64Counter(name, metric.WithUnit("{unit}"), metric.WithDescription(description))
+func (c *creator) floatCounter(name, unit, description string) metric.Float64Counter {
+	n, err := c.meter.Float64Counter(name, metric.WithUnit(unit), metric.WithDescription(description))
 	c.errs = append(c.errs, err)
 	return n
 }
 
-func (c *creator) level(name, description string) metric.Float64Gauge {
-	n, err := c.meter.Float64Gauge(name, metric.WithUnit("{unit}"), metric.WithDescription(description))
-	c.errs = append(c.errs, err)
-	return n
-}
-
-func (c *creator) seconds(name, description string) metric.Float64Counter {
-	n, err := c.meter.Float64Counter(name, metric.WithUnit("s"), metric.WithDescription(description))
-	c.errs = append(c.errs, err)
-	return n
-}
-
-func (c *creator) secondsGauge(name, description string) metric.Float64Gauge {
-	n, err := c.meter.Float64Gauge(name, metric.WithUnit("s"), metric.WithDescription(description))
+func (c *creator) floatGauge(name, unit, description string) metric.Float64Gauge {
+	n, err := c.meter.Float64Gauge(name, metric.WithUnit(unit), metric.WithDescription(description))
 	c.errs = append(c.errs, err)
 	return n
 }
