Planner: a model with a long queue gets further copies

Callers of a model that had become busy left by the hundreds for half a minute, while its only copy had 46 of 48 slots in use: with more requests queued than in flight, the load up to which a target may get another copy became negative, since queued requests counted as taken over by the new copy but not as load of the present one.

They now count on both sides, and a target that is crowded may get a copy if the present copies have twice its load. TestQueueBehindOneCopy fails without the change (1 copy).

--- a/internal/coordination/sched/copies.go
+++ b/internal/coordination/sched/copies.go
@@ -16,6 +16,9 @@
 	minCrowdedUse = 2
 	// maxCopyLoads limits the loads of one model that run at a time.
 	maxCopyLoads = 3
+	// reliefShare is how many times the load of a crowded target the copies of a model
+	// must have for the target to get another copy.
+	reliefShare = 2.0
 	// loadSeconds is the cost of loading a model at a target, in seconds for each request
 	// in flight there.
 	loadSeconds = 0.05
@@ -85,11 +88,15 @@
 
 // maxReliefLoad returns the number of requests in flight below which a target may get another
 // copy of a busy model: with the requests that the copy would take over, the target is to have
-// less load than the present ones.
+// less load than the present ones, where queued requests count as load of the present copies.
+// Targets that are crowded may get a copy only if the present ones are reliefShare times as
+// loaded.
 func (p *Planner) maxReliefLoad(u *usage) float64 {
-	taken := float64(u.inFlight+u.waiting) / float64(p.index.copies[u.model]+p.index.loading[u.model]+1)
+	copies := float64(p.index.copies[u.model])
+	taken := float64(u.inFlight+u.waiting) / (copies + float64(p.index.loading[u.model]) + 1)
 	_, mean := p.copyLoads(u.model)
-	return min(p.crowded(), mean-taken)
+	mean += float64(u.waiting) / max(copies, 1)
+	return min(max(p.crowded(), mean/reliefShare), mean-taken)
 }
 
 // drainCost returns the eviction score of a model's requests in flight at a target, and
--- a/internal/coordination/sched/copies_test.go
+++ b/internal/coordination/sched/copies_test.go
@@ -43,6 +43,19 @@
 	}
 }
 
+// TestQueueBehindOneCopy guards against a model of which more requests are queued than in
+// flight being left with its only copy.
+func TestQueueBehindOneCopy(t *testing.T) {
+	r := newFixture(testEngine(8), []string{"m0"}, []string{"m1"}, []string{"m2"}, []string{"m3"})
+	r.onEveryDisk()
+	d := inFlight("m0", 30, "r0")
+	d.Queued, d.LongestWaitMS = 45, 2000
+	r.run(2*fromDisk+time.Second, d, inFlight("m1", 4, "r1"), inFlight("m2", 4, "r2"))
+	if got := len(r.targetsWith("m0")); got < 3 {
+		t.Errorf("%d targets serve the model: %v", got, r.orders)
+	}
+}
+
 // TestBusyModelsAreSpread guards against another copy of a busy model at a target that is
 // as busy with other models while others are idle.
 func TestBusyModelsAreSpread(t *testing.T) {
