Planner: parallel loads from the weight store are learnt and handed on

Each new lease holder began with four loads from the weight store, beside those that its predecessors had ordered.

The limit begins at two, doubles while loads at the limit run at full speed, and falls as soon as a load takes longer than it would alone, not only at its end. The holder tells it to the others, and a successor begins with it. Loads that targets were found to carry out at the beginning of a term count from the first report on, and models that nobody asks for take half of the parallel loads at most.

--- a/internal/coordination/sched/choose.go
+++ b/internal/coordination/sched/choose.go
@@ -52,7 +52,7 @@
 
 // bestOptionAmong considers the targets with a rate limit, or those without.
 func (p *Planner) bestOptionAmong(now time.Time, uses map[string]*usage, n *loadRequest, isLimited bool) *loadOption {
-	canLoadFromStore := float64(p.index.storeJobs) < p.maxStoreLoads && p.canStartStoreLoad(now)
+	canLoadFromStore := p.canLoadFromStore(now, p.storeLimit.loads-1)
 	maxLoad := math.Inf(1)
 	if n.reason == reasonBusy {
 		maxLoad = p.maxReliefLoad(uses[n.model])
--- a/internal/coordination/sched/copies_test.go
+++ b/internal/coordination/sched/copies_test.go
@@ -113,6 +113,48 @@
 	}
 }
 
+// TestStoreLimit guards against parallel loads from the weight store that slow each other
+// down, and against too few where more run at full speed.
+func TestStoreLimit(t *testing.T) {
+	type load struct {
+		at                time.Duration
+		slowdown, running float64
+		hasEnded          bool
+	}
+	for _, c := range []struct {
+		name  string
+		loads []load
+		want  float64
+	}{
+		{"two at full speed", []load{{6 * time.Second, 1, 2, true}}, 4},
+		{"one of two", []load{{6 * time.Second, 1, 1, true}}, 2},
+		{"two slow each other down", []load{{26 * time.Second, 2, 2, true}}, 1},
+		{"found before the end", []load{{18 * time.Second, 1.4, 2, false}}, 1},
+		{"full speed before the end says nothing", []load{{time.Second, 0.1, 2, false}}, 2},
+		{"no new attempt soon after", []load{{26 * time.Second, 2, 2, true}, {40 * time.Second, 1, 1, true}}, 1},
+		{"an attempt later", []load{{26 * time.Second, 2, 2, true}, {90 * time.Second, 1, 1, true}}, 2},
+	} {
+		s := storeLimit{loads: initialStoreLoads}
+		for _, l := range c.loads {
+			s.observe(time.Unix(0, 0).Add(l.at), l.slowdown, l.running, l.hasEnded)
+		}
+		if s.loads != c.want {
+			t.Errorf("%s: a limit of %v, want %v", c.name, s.loads, c.want)
+		}
+	}
+}
+
+// TestStoreLoadsOfSuccessor guards against a successor that starts more loads from the
+// weight store than its predecessor has found to run at full speed.
+func TestStoreLoadsOfSuccessor(t *testing.T) {
+	r := newFixture(testEngine(8), []string{"m0"}, []string{"m1"}, []string{"m2"}, []string{"m3"})
+	WithStoreLoads(1)(r.Planner)
+	r.run(4*time.Second, queuedDemand("m4"), queuedDemand("m5"), queuedDemand("m6"))
+	if got := len(r.storeLoadTimes); got != 1 {
+		t.Errorf("%d loads from the weight store in parallel, want 1: %v", got, r.orders)
+	}
+}
+
 // TestLoadsOfFormerHolder guards against a new holder that starts loads from the weight
 // store beside those that its predecessor has ordered.
 func TestLoadsOfFormerHolder(t *testing.T) {
--- a/internal/coordination/sched/expect.go
+++ b/internal/coordination/sched/expect.go
@@ -59,7 +59,7 @@
 			q = append(q, max(w.job.expectedAt.Sub(now), 0))
 		}
 	}
-	for len(q) < int(p.maxStoreLoads) {
+	for len(q) < p.StoreLoads() {
 		q = append(q, 0)
 	}
 	return q
--- a/internal/coordination/sched/index.go
+++ b/internal/coordination/sched/index.go
@@ -57,7 +57,8 @@
 	for _, m := range w.OnDisk {
 		x.hasCopy[m] = true
 	}
-	if w.isForeignLoad {
+	if !w.busySince.IsZero() {
+		// It may turn out to be a load from elsewhere, which ends soon.
 		x.storeJobs++
 	}
 	if w.job == nil {
--- a/internal/coordination/sched/plan.go
+++ b/internal/coordination/sched/plan.go
@@ -22,6 +22,9 @@
 	recentPeriod = 10 * time.Second
 	// evictionSeconds is the cost in seconds of an eviction score of 1.
 	evictionSeconds = 0.5
+	// preloadShare is the share of the parallel loads from the weight store that may load
+	// models before any request asks for them.
+	preloadShare = 0.5
 	// unservedOnDiskSeconds is the cost of a load from the weight store at a target, for
 	// each model on its disk that no target serves: such a model cannot be loaded from
 	// this disk while the target is busy.
@@ -67,6 +70,10 @@
 	uses := p.uses(now)
 	p.loads = targetLoads(uses)
 	p.buildIndex()
+	if p.plannedFrom.IsZero() {
+		p.plannedFrom = now
+	}
+	p.observeStoreLoads(now)
 	actions := p.reportRequests(now)
 	actions = append(actions, p.continueJobs(now, uses)...)
 	actions = append(actions, p.adapterOrders(now, uses)...)
@@ -244,7 +251,7 @@
 // preload returns a model that no target has a copy of, to be loaded before any request
 // asks for it, or nil. It prefers the model with the most adapters.
 func (p *Planner) preload(now time.Time, uses map[string]*usage) *loadRequest {
-	if float64(p.index.storeJobs) >= p.maxStoreLoads || !p.canStartStoreLoad(now) {
+	if !p.canLoadFromStore(now, max(p.storeLimit.loads*preloadShare, 1)-1) {
 		return nil
 	}
 	var models []string
--- a/internal/coordination/sched/planner.go
+++ b/internal/coordination/sched/planner.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -26,17 +25,11 @@
 	busyPollInterval = 200 * time.Millisecond
 	// errorBackoff is how long a target that did not reply gets no orders.
 	errorBackoff = 500 * time.Millisecond
-	// initialStoreLoads is the number of parallel loads from the weight store until their
-	// durations have shown how many run at full speed.
-	initialStoreLoads = 4
 	// minForeignLoad is how long an order of a former holder is carried out before it
 	// counts as a load from the weight store. Loads from disk take less.
 	minForeignLoad = 2500 * time.Millisecond
 	// foreignLoadTime is the assumed duration of such a load.
 	foreignLoadTime = 12 * time.Second
-	// unslowedFactor is the multiple of its nominal duration up to which a load from the
-	// weight store was not slowed down by others.
-	unslowedFactor = 1.2
 )
 
 // Planner schedules the loads of one service's targets. It is not safe for concurrent
@@ -54,10 +47,10 @@
 	// window.
 	storeLoadStarts []time.Time
 	// window is the period over which the rate of loads from the weight store is limited.
-	window time.Duration
-	// maxStoreLoads is the estimated number of loads from the weight store that run at
-	// full speed in parallel.
-	maxStoreLoads float64
+	window     time.Duration
+	storeLimit storeLimit
+	// plannedFrom is the time of the first plan.
+	plannedFrom time.Time
 	// changedTargets are the targets whose loaded models may have changed.
 	changedTargets []string
 	index          *index
@@ -73,15 +66,32 @@
 	models []picker.Demand
 }
 
+// Option configures a Planner.
+type Option func(*Planner)
+
+// WithStoreLoads sets the number of parallel loads from the weight store at first, which a
+// former holder has found; 0 means that it is not known.
+func WithStoreLoads(n int) Option {
+	return func(p *Planner) {
+		if n > 0 {
+			p.storeLimit.loads = float64(n)
+		}
+	}
+}
+
 // NewPlanner returns a Planner without targets. The rate of loads from the weight store
 // is limited in each period of length window.
-func NewPlanner(service string, engine *fleet.Engine, window time.Duration, random *rand.Rand) *Planner {
-	return &Planner{
+func NewPlanner(service string, engine *fleet.Engine, window time.Duration, random *rand.Rand, opts ...Option) *Planner {
+	p := &Planner{
 		service: service, engine: engine, random: random, window: window,
 		workers: make(map[string]*targetState), demands: make(map[string]*demand), rates: make(map[string]*rate),
-		lost:          make(map[string][]lostLoad),
-		maxStoreLoads: initialStoreLoads, index: &index{}, expected: make(map[string]time.Time),
+		lost:       make(map[string][]lostLoad),
+		storeLimit: storeLimit{loads: initialStoreLoads}, index: &index{}, expected: make(map[string]time.Time),
 	}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
 }
 
 // SetEngine sets a new configuration of the service.
@@ -205,7 +215,7 @@
 	j := w.job
 	if w.Find(j.model) != nil {
 		if j.tier == TierStore {
-			p.adjustStoreLoads(now, j)
+			p.observeStoreLoad(now, j, true)
 		}
 		w.loadedAt[j.model] = now
 		w.job = nil
@@ -219,19 +229,6 @@
 	j.unloading = ""
 }
 
-// adjustStoreLoads estimates from the duration of a load how many loads from the weight
-// store run at full speed: n parallel loads of which k can run at full speed take n/k
-// times as long.
-func (p *Planner) adjustStoreLoads(now time.Time, j *job) {
-	nominal := p.engine.Models[j.model].FromStore
-	took := now.Sub(j.startedAt) - maxReportAge
-	slowdown := took.Seconds() / nominal.Seconds()
-	running := float64(p.index.storeJobs)
-	if slowdown > unslowedFactor {
-		p.maxStoreLoads = max(min(p.maxStoreLoads, math.Round(running/slowdown)), 1)
-	}
-}
-
 // Serving returns the models that a target can serve requests for.
 func (p *Planner) Serving(id string) []fleet.Loaded {
 	w := p.workers[id]
--- a/internal/coordination/sched/planner_test.go
+++ b/internal/coordination/sched/planner_test.go
@@ -450,7 +450,7 @@
 // single slot for loads from the weight store.
 func TestExpectedTellsTheQueue(t *testing.T) {
 	r := newFixture(testEngine(8), []string{"m0"}, []string{"m1"})
-	r.maxStoreLoads = 1
+	r.storeLimit.loads = 1
 	r.run(time.Second, queuedDemand("m4"), queuedDemand("m5"), queuedDemand("m6"))
 	e := r.Expected(r.now)
 	if e["m4"] > fromStore || e["m5"] < fromStore || e["m6"] < 2*fromStore-time.Second {
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -54,7 +54,10 @@
 	// configRevision is the store revision of config.
 	configRevision uint64
 	planners       map[string]*sched.Planner
-	updates        *updateLog
+	// storeLoads is how many loads from the weight store run in parallel at most, by
+	// service, as the holder has last told.
+	storeLoads map[string]int
+	updates    *updateLog
 	// permits issues the permits for targets that have named rate limits.
 	permits *quota.Ledger
 	// teamQuotas issues the permits of teams.
@@ -195,7 +198,8 @@
 			p.SetEngine(s.Engine)
 			continue
 		}
-		p := sched.NewPlanner(name, s.Engine, k.loadWindow, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+		p := sched.NewPlanner(name, s.Engine, k.loadWindow, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+			sched.WithStoreLoads(k.storeLoads[name]))
 		k.planners[name] = p
 		for _, r := range k.targets {
 			if r.Service == name {
@@ -343,7 +347,9 @@
 	out.Grants = k.permits.Ask(now, m.From, m.Wants)
 	out.Crashes = k.judgeCrashes(now, m, senders)
 	if k.status.CanOrder(now) {
-		for _, p := range k.planners {
+		out.StoreLoads = make(map[string]int, len(k.planners))
+		for service, p := range k.planners {
+			out.StoreLoads[service] = p.StoreLoads()
 			for model, in := range p.Expected(now) {
 				out.ReadyInMS[model] = in.Milliseconds()
 			}
@@ -352,6 +358,17 @@
 	return out, true
 }
 
+// setStoreLoads records what the holder has told of the weight store, so that a later term
+// of this instance begins with it.
+func (k *coordinator) setStoreLoads(loads map[string]int) {
+	if len(loads) == 0 {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.storeLoads = loads
+}
+
 // setLimits records the rate limits that an instance has heard of and has the other
 // instances told of what has changed.
 func (k *coordinator) setLimits(now time.Time, reports []quota.Report) {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -127,6 +127,9 @@
 	IsRedirect bool `json:"redirect,omitempty"`
 	// ReadyInMS is the expected time until each model can serve, in milliseconds.
 	ReadyInMS map[string]int64 `json:"expected,omitempty"`
+	// StoreLoads is how many loads from the weight store run in parallel at most, by
+	// service.
+	StoreLoads map[string]int `json:"storeLoads,omitempty"`
 	// Load is the load of all instances; nil if the request does not ask for it.
 	Load *load.Snapshot `json:"load,omitempty"`
 	// Grants answers the wants of the request.
@@ -393,6 +396,7 @@
 		e.dropUnlisted(r.Updates, time.Duration(r.RemovalDelayMS)*time.Millisecond)
 	}
 	e.picker.ApplyUpdates(r.Updates, expected)
+	e.coordinator.setStoreLoads(r.StoreLoads)
 	e.budget.SetInstances(r.Members)
 	if len(r.Readers) > 0 {
 		e.readers.Store(&r.Readers)
