--- a/internal/coordination/load/ramp.go
+++ b/internal/coordination/load/ramp.go
@@ -51,13 +51,16 @@
 	trouble map[int]*trouble
 	// onChange is told of each change of a limit.
 	onChange func(RampChange)
+	// isOff means that no target gets a limit. Starts and rejections are still reported.
+	isOff bool
 }
 
 // RampChange is a change of a target's limit.
 type RampChange struct {
 	// Target is the target's id.
 	Target string
-	// Limit is the new limit of all instances' requests in flight, 0 if it has ended.
+	// Limit is the new limit of all instances' requests in flight, 0 if it has ended or if
+	// targets get no limits.
 	Limit, Slots int
 	// Outcomes are what the change follows from; they are zero for a target that has
 	// started.
@@ -90,6 +93,9 @@
 
 func (r *Ramps) start(now time.Time, index, slots, limit int, o Outcomes) {
 	delete(r.trouble, index)
+	if r.isOff {
+		limit = 0
+	}
 	if limit >= slots {
 		delete(r.ramps, index)
 		return
@@ -132,7 +138,9 @@
 			continue
 		}
 		was, outcomes := p.limit, p.outcomes
-		p.step(now, inFlight(index))
+		if !r.isOff {
+			p.step(now, inFlight(index))
+		}
 		if p.limit >= p.slots || now.Sub(p.startedAt) > maxRamp {
 			delete(r.ramps, index)
 			p.limit = 0
--- a/internal/coordination/load/sums.go
+++ b/internal/coordination/load/sums.go
@@ -61,10 +61,13 @@
 // Sums adds up the reports of all instances at the lease holder. It is not safe for
 // concurrent use.
 type Sums struct {
-	term      int64
-	index     *Index
-	ramps     *Ramps
-	onRamp    func(RampChange)
+	term   int64
+	index  *Index
+	ramps  *Ramps
+	onRamp func(RampChange)
+	// withoutLimits means that targets get no limits after a start or recovery.
+	withoutLimits bool
+
 	startedAt time.Time
 	counts    []int
 	instances map[string]*contribution
@@ -110,6 +113,7 @@
 		c.Target = index.ID(c.index)
 		s.onRamp(c)
 	})
+	s.ramps.isOff = s.withoutLimits
 	return s
 }
 
@@ -122,6 +126,11 @@
 	return func(s *Sums) { s.onRamp = f }
 }
 
+// WithoutStartLimits sets no limits for targets that have just started or recovered.
+func WithoutStartLimits() Option {
+	return func(s *Sums) { s.withoutLimits = true }
+}
+
 // Term returns the term whose indexes the sums use.
 func (s *Sums) Term() int64 { return s.term }
 
--- a/internal/coordination/picker/picker.go
+++ b/internal/coordination/picker/picker.go
@@ -61,7 +61,10 @@
 	// snapshotAt.
 	arrivedHere map[string]int
 	snapshotAt  time.Time
-	sent        map[modelKey]int
+	// withoutLimits means that the limits of targets that have just started do not apply.
+	withoutLimits bool
+
+	sent map[modelKey]int
 	// paceToldAt is when a response of a service has last reported a pace, usualTimes the
 	// usual time to a response.
 	paceToldAt map[string]time.Time
@@ -260,7 +263,7 @@
 			Target: r, otherLoadAt: p.timer.Now(), rank: rank.Hash(p.name + "\x00" + r.ID),
 			slowness: 1, phase: p.random.Float64(), index: index, distance: p.distanceTo(r.Zone),
 		}
-		if _, ok := p.view.Age(p.timer.Now()); ok {
+		if _, ok := p.view.Age(p.timer.Now()); ok && !p.withoutLimits {
 			// The next snapshot says how many requests it may have.
 			known.limit = 1
 		}
--- a/internal/coordination/picker/ramp_test.go
+++ b/internal/coordination/picker/ramp_test.go
@@ -8,8 +8,8 @@
 // startWorld is a world of 84 instances with 6 busy targets, of which the first is about to
 // start.
 func startWorld(t *testing.T, hasLimits bool) (*world, *worldTarget) {
-	w := newWorld(t, 84, 6, 2*time.Second)
-	w.interval, w.hasLimits = 400*time.Millisecond, hasLimits
+	w := newWorldWithLimits(t, 84, 6, 2*time.Second, hasLimits)
+	w.interval = 400 * time.Millisecond
 	w.run(6*time.Second, startRate, everywhere)
 	return w, w.targets[0]
 }
--- a/internal/coordination/picker/shared.go
+++ b/internal/coordination/picker/shared.go
@@ -27,6 +27,11 @@
 	return func(p *Picker) { p.random = r }
 }
 
+// WithoutStartLimits ignores the limits of targets that have just started or recovered.
+func WithoutStartLimits() Option {
+	return func(p *Picker) { p.withoutLimits = true }
+}
+
 // LoadReport returns what to tell the lease holder about this instance's load, and resets
 // the count of arrivals.
 func (p *Picker) LoadReport() load.Report {
@@ -78,7 +83,9 @@
 	for _, r := range p.targets {
 		r.pace.Set(at, p.view.Pace(r.index))
 		r.slowness = r.pace.Current(now)
-		r.limit = p.view.Limit(r.index)
+		if !p.withoutLimits {
+			r.limit = p.view.Limit(r.index)
+		}
 		if r.others.at.After(at) {
 			continue
 		}
--- a/internal/coordination/picker/world_test.go
+++ b/internal/coordination/picker/world_test.go
@@ -29,8 +29,6 @@
 	interval    time.Duration
 	delay       time.Duration
 	isConnected bool
-	// hasLimits reports whether the holder limits targets that have just started.
-	hasLimits bool
 	// mean is the mean duration of a request.
 	mean    time.Duration
 	sums    *load.Sums
@@ -59,14 +57,25 @@
 }
 
 func newWorld(t *testing.T, instances, targets int, mean time.Duration) *world {
+	return newWorldWithLimits(t, instances, targets, mean, true)
+}
+
+// newWorldWithLimits returns a world in which targets that have just started or recovered
+// have limits, or none.
+func newWorldWithLimits(t *testing.T, instances, targets int, mean time.Duration, hasLimits bool) *world {
 	t.Helper()
+	var sumsOptions []load.Option
+	var options []Option
+	if !hasLimits {
+		sumsOptions, options = append(sumsOptions, load.WithoutStartLimits()), append(options, WithoutStartLimits())
+	}
 	w := &world{
 		t: t, timer: timer.NewVirtual(time.Unix(1_000_000, 0)), random: rand.New(rand.NewPCG(1, 2)),
 		service: "llm", model: "m", interval: 700 * time.Millisecond, delay: 20 * time.Millisecond, mean: mean,
 		isConnected: true, byID: make(map[string]*worldTarget),
-		hasLimits: true, index: load.NewIndex(),
+		index: load.NewIndex(),
 	}
-	w.sums = load.NewSums(worldTerm, w.index)
+	w.sums = load.NewSums(worldTerm, w.index, sumsOptions...)
 	w.choose = func(p *Picker, q Request) *Reservation { return p.acquireNow(q) }
 	var updates []Update
 	for i := range targets {
@@ -79,7 +88,7 @@
 		updates = append(updates, u)
 	}
 	for i := range instances {
-		p := New(w.timer, "a1", regions, WithName(fmt.Sprint(i)), WithRandom(rand.New(rand.NewPCG(uint64(i), 3))))
+		p := New(w.timer, "a1", regions, append(options, WithName(fmt.Sprint(i)), WithRandom(rand.New(rand.NewPCG(uint64(i), 3))))...)
 		p.ApplyUpdates(updates, nil)
 		p.ApplyLoad(worldTerm, nil, w.timer.Now())
 		w.pickers = append(w.pickers, p)
@@ -122,9 +131,6 @@
 	}
 	w.sums.Record(sentAt, p.name, &r)
 	s := w.sums.Snapshot(sentAt, p.name)
-	if s != nil && !w.hasLimits {
-		s.Limits = nil
-	}
 	w.timer.After(w.delay, func() { p.ApplyLoad(worldTerm, s, sentAt) })
 }
 
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -62,7 +62,10 @@
 	// crashes finds the parts of prompts that crash targets.
 	crashes *crash.Detector
 	// load sums the load that the instances report; nil before the first report.
-	load    *load.Sums
+	load *load.Sums
+	// withoutSlowStart means that targets get no limits after a start or recovery.
+	withoutSlowStart bool
+
 	members map[string]member
 	// tree knows the instances whose messages go to relays.
 	tree    *relay.Tree
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -129,6 +129,8 @@
 	metrics *instanceMetrics
 	// metricsPort is the port on which metrics are served, 0 for none.
 	metricsPort uint16
+	// withoutSlowStart means that targets get no limits after a start or recovery.
+	withoutSlowStart bool
 }
 
 // Option changes an Edge under construction.
@@ -145,20 +147,35 @@
 	return func(e *Edge) { e.bootFile = path }
 }
 
+// WithSlowStart says whether the requests at targets that have just started or recovered
+// are limited, as they are by default.
+func WithSlowStart(isOn bool) Option {
+	return func(e *Edge) { e.withoutSlowStart = !isOn }
+}
+
 // New returns an instance that is not started.
 func New(boot *platform.Boot, l *log.Logger, opts ...Option) *Edge {
 	e := &Edge{boot: boot, log: l, timer: timer.NewSystem()}
+	for _, opt := range opts {
+		opt(e)
+	}
 	e.health = newStoreHealth(e.timer, l)
 	e.bounds.Store(&boot.Bounds)
 	e.loopCtx, e.stopLoops = context.WithCancel(context.Background())
 	e.metrics = &instanceMetrics{log: l}
 	e.store = platform.NewStore(e.loopCtx, boot.Store, platform.WithStoreObserver(e.metrics.storeCallEnded))
 	e.demandSignal = make(chan struct{}, 1)
-	e.picker = picker.New(e.timer, boot.Zone, boot.Regions, picker.WithName(boot.Instance), picker.WithDemand(e.signalDemand),
-		picker.WithHoldObserver(e.onHoldChange),
-		picker.WithLimitObserver(e.onLimitChange), picker.WithLoadObserver(e.onLoadChange))
+	pickerOptions := []picker.Option{
+		picker.WithName(boot.Instance), picker.WithDemand(e.signalDemand), picker.WithHoldObserver(e.onHoldChange),
+		picker.WithLimitObserver(e.onLimitChange), picker.WithLoadObserver(e.onLoadChange),
+	}
+	if e.withoutSlowStart {
+		pickerOptions = append(pickerOptions, picker.WithoutStartLimits())
+	}
+	e.picker = picker.New(e.timer, boot.Zone, boot.Regions, pickerOptions...)
 	e.clock = timer.NewBoot()
 	e.coordinator = newCoordinator(e.loopCtx, boot, e.clock, l, e.metrics)
+	e.coordinator.withoutSlowStart = e.withoutSlowStart
 	e.proofs = proof.NewTracker()
 	e.peerClient = newPeerClient()
 	e.peerClient.now, e.peerClient.onProof = e.clock.Now, e.acceptProofHeader
@@ -187,9 +204,6 @@
 		proxy.WithObserver(e.metrics.requestEnded), proxy.WithCrashes(e.crashes, e.ends.hasCrashed),
 		proxy.WithEndCheck(e.ends.hasEnded), proxy.WithKeyProof(e.keysProven), proxy.WithPermits(e.permits),
 		proxy.WithBehind(e.configFollower.isBehind))
-	for _, opt := range opts {
-		opt(e)
-	}
 	return e
 }
 
--- a/internal/edge/load.go
+++ b/internal/edge/load.go
@@ -38,7 +38,11 @@
 // sums returns the sums of this term.
 func (k *coordinator) sums() *load.Sums {
 	if k.load == nil || k.load.Term() != k.term() {
-		k.load = load.NewSums(k.term(), k.updates.index, load.WithRampObserver(k.onRampChange))
+		opts := []load.Option{load.WithRampObserver(k.onRampChange)}
+		if k.withoutSlowStart {
+			opts = append(opts, load.WithoutStartLimits())
+		}
+		k.load = load.NewSums(k.term(), k.updates.index, opts...)
 	}
 	return k.load
 }
--- a/internal/edge/load_test.go
+++ b/internal/edge/load_test.go
@@ -156,6 +156,11 @@
 	if diff := cmp.Diff(map[int]int{1: 4}, limits()); diff != "" {
 		t.Errorf("limits after a removal (-want +got):\n%s", diff)
 	}
+	k.withoutSlowStart, k.load = true, nil
+	set("one", 3)
+	if got := limits(); len(got) > 0 {
+		t.Errorf("limits %v without slow start", got)
+	}
 }
 
 // TestNoSnapshotOfFew guards against sums that lack most instances: targets that are busy
