--- a/internal/coordination/load/ramp.go
+++ b/internal/coordination/load/ramp.go
@@ -62,6 +62,8 @@
 	// Limit is the new limit of all instances' requests in flight, 0 if it has ended or if
 	// targets get no limits.
 	Limit, Slots int
+	// Cause is why it has changed.
+	Cause string
 	// Outcomes are what the change follows from; they are zero for a target that has
 	// started.
 	Outcomes Outcomes
@@ -69,6 +71,19 @@
 	index int
 }
 
+// The causes of a change of a limit.
+const (
+	// CauseStarted means that the target has started.
+	CauseStarted = "started"
+	// CauseRejecting means that the target had no limit and has rejected or failed all
+	// requests for a while.
+	CauseRejecting = "rejecting"
+	// CauseAnswers means the answers of a period.
+	CauseAnswers = "answers"
+	// CauseTime means that the target has had a limit for the longest time.
+	CauseTime = "time"
+)
+
 type ramp struct {
 	slots, limit int
 	startedAt    time.Time
@@ -88,20 +103,23 @@
 
 // Start sets the first limit of a target that has started.
 func (r *Ramps) Start(now time.Time, index, slots int) {
-	r.start(now, index, slots, max(MinStartLimit, int(startShare*float64(slots))), Outcomes{})
+	r.start(now, index, slots, max(MinStartLimit, int(startShare*float64(slots))), CauseStarted, Outcomes{})
 }
 
-func (r *Ramps) start(now time.Time, index, slots, limit int, o Outcomes) {
+func (r *Ramps) start(now time.Time, index, slots, limit int, cause string, o Outcomes) {
 	delete(r.trouble, index)
 	if r.isOff {
 		limit = 0
 	}
 	if limit >= slots {
 		delete(r.ramps, index)
+		if cause == CauseStarted {
+			r.onChange(RampChange{index: index, Slots: slots, Cause: cause})
+		}
 		return
 	}
 	r.ramps[index] = &ramp{slots: slots, limit: limit, startedAt: now, steppedAt: now}
-	r.onChange(RampChange{index: index, Limit: limit, Slots: slots, Outcomes: o})
+	r.onChange(RampChange{index: index, Limit: limit, Slots: slots, Cause: cause, Outcomes: o})
 }
 
 // Stop forgets a target that is gone.
@@ -126,7 +144,7 @@
 	t.outcomes.add(o)
 	answered := t.outcomes.InTime + t.outcomes.Late
 	if t.outcomes.Rejected >= minTrouble && answered == 0 && float64(inFlight) < fullShare*float64(slots) {
-		r.start(now, index, slots, 1, t.outcomes)
+		r.start(now, index, slots, 1, CauseRejecting, t.outcomes)
 	}
 }
 
@@ -137,16 +155,19 @@
 		if now.Sub(p.steppedAt) < rampPeriod {
 			continue
 		}
-		was, outcomes := p.limit, p.outcomes
+		was, outcomes, cause := p.limit, p.outcomes, CauseAnswers
 		if !r.isOff {
 			p.step(now, inFlight(index))
 		}
-		if p.limit >= p.slots || now.Sub(p.startedAt) > maxRamp {
+		if isOver := now.Sub(p.startedAt) > maxRamp; isOver || p.limit >= p.slots {
 			delete(r.ramps, index)
+			if isOver {
+				cause = CauseTime
+			}
 			p.limit = 0
 		}
 		if p.limit != was {
-			r.onChange(RampChange{index: index, Limit: p.limit, Slots: p.slots, Outcomes: outcomes})
+			r.onChange(RampChange{index: index, Limit: p.limit, Slots: p.slots, Cause: cause, Outcomes: outcomes})
 		}
 	}
 	for index, t := range r.trouble {
--- a/internal/edge/load.go
+++ b/internal/edge/load.go
@@ -58,7 +58,7 @@
 
 // onRampChange logs a change of the limit of a target that has started or recovered.
 func (k *coordinator) onRampChange(c load.RampChange) {
-	k.log.Info().Str("target", c.Target).Int("limit", c.Limit).Int("slots", c.Slots).Int("inTime", c.Outcomes.InTime).
+	k.log.Info().Str("target", c.Target).Str("service", k.targets[c.Target].Service).Str("cause", c.Cause).Int("limit", c.Limit).Int("slots", c.Slots).Int("inTime", c.Outcomes.InTime).
 		Int("late", c.Outcomes.Late).Int("rejected", c.Outcomes.Rejected).Msg("limit of a starting target")
 }
 
--- a/internal/shell/account.go
+++ b/internal/shell/account.go
@@ -16,10 +16,11 @@
 
 // AccountCmd adds up how the requests ended that instances' logs tell of.
 type AccountCmd struct {
-	Files []string `arg:"" optional:"" help:"Logs of the instances; standard input if there are none." type:"existingfile"`
-	By    string   `help:"What to group requests by." enum:"none,route,model,target" default:"none"`
-	Load  bool     `help:"Compare the believed with the true load at the chosen targets instead. Needs the logs of all instances."`
-	JSON  bool     `help:"Print JSON."`
+	Files  []string `arg:"" optional:"" help:"Logs of the instances; standard input if there are none." type:"existingfile"`
+	By     string   `help:"What to group requests by." enum:"none,route,model,target" default:"none"`
+	Load   bool     `help:"Compare the believed with the true load at the chosen targets instead. Needs the logs of all instances."`
+	Starts bool     `help:"Show how targets that started or recovered came into use instead. Needs the logs of all instances."`
+	JSON   bool     `help:"Print JSON."`
 }
 
 // The ends of a request in an account. A late, refused or failed one has a cause too.
@@ -60,7 +61,10 @@
 	Pause   float64   `json:"pause"`
 	Took    float64   `json:"took"`
 	Sends   int       `json:"sends"`
-	Load    float64   `json:"load"`
+	Service string    `json:"service"`
+	// Sent is the time from the request's arrival to its last send; older logs lack it.
+	Sent *float64 `json:"sent"`
+	Load float64  `json:"load"`
 }
 
 // end tells how the request ended, and why.
@@ -141,23 +145,44 @@
 // Run reads the logs and prints the account. Requests that no route was found for are not
 // in it, nor are those that an instance had no time to log the end of.
 func (c *AccountCmd) Run(s Streams) error {
-	a, loads := newAccount(), newLoadAccount()
+	a, loads, starts := newAccount(), newLoadAccount(), newStartAccount()
 	broken := 0
+	// read reads a line of a message and reports whether that is what it is.
+	read := func(text, message string, l any, have *string) bool {
+		if !strings.Contains(text, `"`+message+`"`) {
+			return false
+		}
+		if err := json.Unmarshal([]byte(text), l); err != nil {
+			broken++
+			return false
+		}
+		return *have == message
+	}
 	bad, err := readLogs(c.Files, s.In, func(_, text string) {
-		if !strings.Contains(text, `"ended"`) {
-			return
+		if c.Starts {
+			var limit limitLine
+			var retry retryLine
+			switch {
+			case read(text, "limit of a starting target", &limit, &limit.Message):
+				starts.addLimit(&limit)
+				return
+			case read(text, "retry decision", &retry, &retry.Message):
+				starts.addRetry(&retry)
+				return
+			}
 		}
 		var l endedLine
-		if err := json.Unmarshal([]byte(text), &l); err != nil {
-			broken++
+		if !read(text, "ended", &l, &l.Message) || l.Route == "" || l.Request == "" {
 			return
 		}
-		if l.Message != "ended" || l.Route == "" || l.Request == "" {
-			return
+		switch {
+		case c.Starts:
+			starts.addEnd(&l)
+		case c.Load:
+			loads.add(&l)
 		}
 		end, cause := l.end()
 		a.add(l.group(c.By), end, cause)
-		loads.add(&l)
 	})
 	if err != nil {
 		return err
@@ -167,6 +192,10 @@
 	if len(rows) == 0 {
 		return trace.NotFound("the logs tell of the end of no request")
 	}
+	if c.Starts {
+		r := starts.report()
+		return r.print(s.Out, c.JSON)
+	}
 	if c.Load {
 		r := newLoadReport(loads.compare())
 		return r.print(s.Out, c.JSON)
--- a/internal/transport/proxy/outcome.go
+++ b/internal/transport/proxy/outcome.go
@@ -41,7 +41,8 @@
 // logDecision logs whether a request is sent again.
 func (x *exchange) logDecision(a *attempt, decision string) {
 	e := x.s.log.Info().Str("request", x.call.ID).Str("decision", decision).
-		Str("target", a.reservation.Target.ID).Int("sends", x.sends).Int("ran", x.possibleRuns)
+		Str("target", a.reservation.Target.ID).Int("sends", x.sends).Int("ran", x.possibleRuns).
+		Bool("notRun", a.notRun).Dur("sent", x.sentAt.Sub(x.arrived)).Dur("took", x.s.timer.Now().Sub(x.arrived))
 	if a.resp != nil {
 		e = e.Int("status", a.resp.StatusCode)
 	}
@@ -63,10 +64,14 @@
 		e.Goal, e.GapGoal = x.route.Goal, x.route.GapGoal
 	}
 	x.s.onEnded(e)
-	line := x.s.log.Info().Str("request", x.call.ID).Str("route", e.Route).Int64("version", x.version).Str("team", x.teamName()).
+	sent := time.Duration(0)
+	if x.sends > 0 {
+		sent = x.sentAt.Sub(x.arrived)
+	}
+	line := x.s.log.Info().Str("request", x.call.ID).Str("route", e.Route).Str("service", e.Service).Int64("version", x.version).Str("team", x.teamName()).
 		Str("model", x.call.Model).Str("adapter", x.call.Adapter).Str("target", x.target).
 		Int("status", x.status).Str("reason", x.reason).Int("sends", x.sends).Int("ran", x.possibleRuns).
-		Dur("waited", x.queueTime).Dur("began", x.timeToFirst).Dur("took", took).Dur("within", x.timeout).
+		Dur("waited", x.queueTime).Dur("sent", sent).Dur("began", x.timeToFirst).Dur("took", took).Dur("within", x.timeout).
 		Dur("goal", e.Goal).Dur("gapGoal", e.GapGoal).
 		Dur("pause", x.maxEventGap).Float64("load", x.load).Int("prompt", x.call.PromptTokens)
 	x.logQuota(x.logBlock(x.logLimit(line))).Msg("ended")
