Slow start: a higher limit while the other targets are busy

In a strained fleet, requests went to busy targets, and were late there, although a starting target would have answered them in time: its limit was only exceeded once all others were full. An instance now applies four times the limit while every other target that could take the request uses three quarters of its slots. The limit of a target that has rejected everything stays as it is.

--- a/internal/coordination/picker/choose.go
+++ b/internal/coordination/picker/choose.go
@@ -54,6 +54,8 @@
 type choiceTier struct {
 	// ejected selects the targets that are ejected, else those that are not.
 	ejected bool
+	// strained raises the limits of targets after their start or recovery.
+	strained bool
 	// beyondLimit includes targets above the limit after their start or recovery.
 	beyondLimit bool
 }
--- a/internal/coordination/picker/explain.go
+++ b/internal/coordination/picker/explain.go
@@ -156,7 +156,7 @@
 		if len(p.options) == 0 {
 			continue
 		}
-		used = tier
+		used = c.tier
 		probabilities := load.Probabilities(p.options, 1+c.sent)
 		if p.prefersLimited(&c) {
 			clear(probabilities)
--- a/internal/coordination/picker/picker.go
+++ b/internal/coordination/picker/picker.go
@@ -63,8 +63,9 @@
 	snapshotAt  time.Time
 	// withoutLimits means that the limits of targets that have just started do not apply.
 	withoutLimits bool
-
-	sent map[modelKey]int
+	// startLimits is the number of targets that have such a limit.
+	startLimits int
+	sent        map[modelKey]int
 	// paceToldAt is when a response of a service has last reported a pace, usualTimes the
 	// usual time to a response.
 	paceToldAt map[string]time.Time
@@ -266,6 +267,7 @@
 		if _, ok := p.view.Age(p.timer.Now()); ok && !p.withoutLimits {
 			// The next snapshot says how many requests it may have.
 			known.limit = 1
+			p.startLimits++
 		}
 		p.targets[r.ID] = known
 		return known
--- a/internal/coordination/picker/ramp.go
+++ b/internal/coordination/picker/ramp.go
@@ -14,6 +14,12 @@
 	// usualFactor is the multiple of the usual time to a response from which on one is
 	// late if the request has no goal.
 	usualFactor = 4
+	// busyShare is the share of its slots from which on a target is busy. Its answers may
+	// be late then.
+	busyShare = 0.75
+	// strainedFactor is the multiple of a starting target's limit that applies while all
+	// others are busy. Requests that would be late elsewhere lose little there.
+	strainedFactor = 4
 )
 
 // setChances sets the probability with which a request may go to each target that has a
@@ -22,11 +28,12 @@
 func (p *Picker) setChances(now time.Time) {
 	elapsed := now.Sub(p.snapshotAt).Seconds()
 	queued, inFlight := p.countQueued(), p.countInFlight()
+	p.startLimits = 0
 	for _, r := range p.targets {
 		if r.limit == 0 {
 			continue
 		}
-		room := max(float64(r.limit)-r.sharedLoad(), 0)
+		p.startLimits++
 		here := float64(p.arrivedHere[r.Service])
 		// Queued requests draw again, at the other instances probably as many as here.
 		all := p.view.ServiceRate(r.Service) * elapsed * (1 + float64(queued[r.Service])/max(here, 1))
@@ -36,7 +43,8 @@
 			// of all requests, no fewer may go there than have room at once.
 			all = min(all, max(inFlight[r.Service], 1))
 		}
-		r.chance = allowanceShare * room / all
+		r.chance = allowanceShare * max(float64(r.limit)-r.sharedLoad(), 0) / all
+		r.strainedChance = allowanceShare * max(float64(r.strainedLimit())-r.sharedLoad(), 0) / all
 	}
 	clear(p.arrivedHere)
 	p.snapshotAt = now
@@ -68,8 +76,39 @@
 }
 
 // isAllowed reports whether a request may go to a target that has a limit.
-func (r *target) isAllowed(q *Request) bool {
-	return r.sharedLoad() < float64(r.limit) && math.Mod(q.luck+r.phase, 1) < r.chance
+func (r *target) isAllowed(q *Request, strained bool) bool {
+	limit, chance := r.limit, r.chance
+	if strained {
+		limit, chance = r.strainedLimit(), r.strainedChance
+	}
+	return r.sharedLoad() < float64(limit) && math.Mod(q.luck+r.phase, 1) < chance
+}
+
+// strainedLimit returns the limit that applies while the other targets are busy. That of a
+// target that has rejected or failed requests stays as it is.
+func (r *target) strainedLimit() int {
+	if r.limit < load.MinStartLimit {
+		return r.limit
+	}
+	return min(strainedFactor*r.limit, r.Slots)
+}
+
+// isStrained reports whether some of the targets have a limit, and none of the others has
+// room without being busy.
+func (p *Picker) isStrained(now time.Time, q *Request, copies []*target) bool {
+	if p.startLimits == 0 {
+		return false
+	}
+	hasLimited := false
+	for _, r := range copies {
+		switch {
+		case r.limit > 0:
+			hasLimited = true
+		case r.sharedLoad() < busyShare*float64(r.Slots) && r.hindrance(now, q, choiceTier{}) == noObstacle:
+			return false
+		}
+	}
+	return hasLimited
 }
 
 // recordAnswer records that a response has begun, or has come as a whole.
--- a/internal/coordination/picker/ramp_test.go
+++ b/internal/coordination/picker/ramp_test.go
@@ -1,6 +1,7 @@
 package picker
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -127,3 +128,85 @@
 		t.Errorf("%d of %d requests found no target", refused, 2*perSecond)
 	}
 }
+
+// startPatterns are what the first target of a world does after its restart or failure.
+var startPatterns = []struct {
+	name string
+	// begin lets the pattern begin; step is called every 1.5 s after that.
+	begin func(w *world, r *worldTarget)
+	step  func(w *world, r *worldTarget)
+}{
+	{name: "nothing", begin: func(w *world, r *worldTarget) {}},
+	{name: "starts at full speed", begin: func(w *world, r *worldTarget) { w.restart(r) }},
+	{name: "starts cold", begin: func(w *world, r *worldTarget) {
+		startedAt := w.timer.Now()
+		r.capacity = func() int { return 4 + int(6*w.timer.Now().Sub(startedAt).Seconds()) }
+		w.restart(r)
+	}},
+	{name: "recovers at half its speed", begin: func(w *world, r *worldTarget) {
+		capacity := 0
+		r.rejects, r.capacity = true, func() int { return capacity }
+		w.timer.After(3*time.Second, func() {
+			capacity, r.slowness, r.pace = r.Slots, 2, func() float64 { return 2 }
+		})
+	}},
+	{name: "flaps", begin: func(_ *world, r *worldTarget) {
+		r.rejects, r.capacity = true, func() int { return 4 }
+	}, step: func(w *world, r *worldTarget) { w.restart(r) }},
+	{name: "rejects everything", begin: func(_ *world, r *worldTarget) {
+		r.rejects, r.capacity = true, func() int { return 0 }
+	}},
+}
+
+// startResult is what the callers get while a target follows a pattern.
+type startResult struct {
+	// inTime is the share of requests that are answered in time, bad the number that the
+	// target answered late or rejected.
+	inTime, bad float64
+	// full is when the target's requests reached the mean of the others.
+	full time.Duration
+}
+
+// playStart returns the mean result of several plays of a pattern with perSecond requests.
+func playStart(t *testing.T, pattern int, perSecond float64, hasLimits bool) (out startResult) {
+	const plays = 4
+	for seed := range uint64(plays) {
+		w := newWorldWithLimits(t, 84, 6, 2*time.Second, hasLimits)
+		w.interval, w.queues, w.random = 400*time.Millisecond, true, rand.New(rand.NewPCG(seed, 9))
+		w.run(6*time.Second, perSecond, everywhere)
+		r, c := w.targets[0], &startPatterns[pattern]
+		w.countFrom, w.calls, w.inTime, r.late, r.rejected = w.timer.Now(), 0, 0, 0, 0
+		c.begin(w, r)
+		full := time.Duration(0)
+		for i := range 90 {
+			if c.step != nil && i%15 == 0 {
+				c.step(w, r)
+			}
+			w.run(100*time.Millisecond, perSecond, everywhere)
+			sum := 0
+			for _, other := range w.targets[1:] {
+				sum += other.running
+			}
+			if full == 0 && i > 0 && r.running*(len(w.targets)-1) >= sum {
+				full = w.timer.Now().Sub(w.countFrom)
+			}
+		}
+		w.timer.Advance(worldGoal)
+		out.inTime += float64(w.inTime) / float64(w.calls) / plays
+		out.bad += float64(badRequests(r)) / plays
+		out.full += full / plays
+	}
+	return out
+}
+
+// TestCallersOfStartingTargets compares the share of requests that are answered in time
+// with and without limits of starting targets.
+func TestCallersOfStartingTargets(t *testing.T) {
+	for _, rate := range []float64{startRate, 100, 108} {
+		for i, c := range startPatterns {
+			with, without := playStart(t, i, rate, true), playStart(t, i, rate, false)
+			t.Logf("%-28s %3.0f/s: %.3f in time, %.3f without limits; %3.0f bad, %3.0f without; full after %s, %s without", c.name, rate,
+				with.inTime, without.inTime, with.bad, without.bad, with.full, without.full)
+		}
+	}
+}
--- a/internal/coordination/picker/shared.go
+++ b/internal/coordination/picker/shared.go
@@ -126,6 +126,8 @@
 
 // candidateSet holds the targets that can take a request.
 type candidateSet struct {
+	// tier is the tier, with strained set if it is so.
+	tier choiceTier
 	// copies are all targets that serve the request. The Picker's candidates are positions
 	// in it, its options the places of these.
 	copies []*target
@@ -179,6 +181,8 @@
 // collect sets the candidates and their places for a choice.
 func (p *Picker) collect(now time.Time, q *Request, tier choiceTier) candidateSet {
 	c := candidateSet{copies: p.copiesFor(q, p.hasFreshUpdates(now)), limitedAt: -1}
+	tier.strained = p.isStrained(now, q, c.copies)
+	c.tier = tier
 	list, options, fading := p.candidates[:0], p.options[:0], p.fading[:0]
 	limited, mean, most := p.share.InForce(), p.failureRates[q.Service], q.overcommit()
 	p.drawLuck(q)
--- a/internal/coordination/picker/target.go
+++ b/internal/coordination/picker/target.go
@@ -64,10 +64,13 @@
 	// slowness is the pace as of the latest figure or snapshot.
 	slowness float64
 	// limit is the limit of all instances' requests in flight while the target ramps up, 0
-	// for none. A request may go there with probability chance, its luck shifted by phase.
+	// for none. A request may go there with probability chance, or strainedChance if the other
+	// targets are busy, its luck shifted by phase.
 	limit  int
 	chance float64
-	phase  float64
+
+	strainedChance float64
+	phase          float64
 	// outcomes are those since the last load report, rejectedAt is when the target has last
 	// rejected a request or could not be reached.
 	outcomes   load.Outcomes
--- a/internal/coordination/picker/world_test.go
+++ b/internal/coordination/picker/world_test.go
@@ -38,6 +38,13 @@
 	byID    map[string]*worldTarget
 	refused int
 	choose  func(*Picker, Request) *Reservation
+	// queues has requests wait for a target and be sent again if they are rejected, and
+	// targets answer more slowly the busier they are.
+	queues bool
+	// calls counts the requests that arrived from countFrom on, inTime those of them whose
+	// response has begun within worldGoal.
+	countFrom     time.Time
+	inTime, calls int
 }
 
 // worldTarget is a target in a world.
@@ -158,17 +165,79 @@
 // send sends one request.
 func (w *world) send(p *Picker) {
 	now := w.timer.Now()
-	s := w.choose(p, Request{Service: w.service, Model: w.model, Arrived: now, Deadline: now.Add(10 * time.Second), Goal: worldGoal})
+	q := Request{Service: w.service, Model: w.model, Arrived: now, Deadline: now.Add(10 * time.Second), Goal: worldGoal}
+	if w.queues {
+		w.calls++
+		w.acquire(p, q)
+		return
+	}
+	s := w.choose(p, q)
 	if s == nil {
 		w.refused++
 		return
 	}
+	w.sendTo(p, q, s)
+}
+
+// acquire does what Acquire does, with a queued request that looks for its result at
+// intervals.
+func (w *world) acquire(p *Picker, q Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := w.timer.Now()
+	p.countArrival(&q)
+	if !p.takesTurn(&q) {
+		if s := p.tryAcquire(now, &q); s != nil {
+			w.timer.After(0, func() { w.sendTo(p, q, s) })
+			return
+		}
+		if p.refuse(now, &q) != nil {
+			w.refused++
+			return
+		}
+	}
+	queued := &queuedRequest{req: q, result: make(chan acquireResult, 1)}
+	p.enqueue(queued)
+	p.serve(now, &queued.req)
+	p.scheduleCheckLocked()
+	var look func()
+	look = func() {
+		select {
+		case a := <-queued.result:
+			if a.reservation == nil {
+				w.refused++
+				return
+			}
+			w.sendTo(p, q, a.reservation)
+		default:
+			w.timer.After(10*time.Millisecond, look)
+		}
+	}
+	look()
+}
+
+// busyDelay returns the mean time to a response at a target. Above three quarters of the
+// slots each request adds to it; with all slots in use half of the responses come later
+// than worldGoal.
+func (r *worldTarget) busyDelay() time.Duration {
+	const usual, each = 100 * time.Millisecond, 33 * time.Millisecond
+	over := max(r.running-r.Slots*3/4, 0)
+	return usual + time.Duration(over)*each
+}
+
+// sendTo sends a request to the target of a reservation.
+func (w *world) sendTo(p *Picker, q Request, s *Reservation) {
 	r := w.byID[s.Target.ID]
 	r.served++
 	isOver := r.capacity != nil && r.running >= r.capacity()
 	if isOver && r.rejects {
 		r.rejected++
-		w.timer.After(time.Millisecond, func() { s.Release(Outcome{Rejected: true}) })
+		w.timer.After(time.Millisecond, func() {
+			s.Release(Outcome{Rejected: true})
+			if w.queues {
+				w.acquire(p, q)
+			}
+		})
 		return
 	}
 	if r.isFailing {
@@ -181,6 +250,10 @@
 	if r.capacity != nil {
 		first = min(first, worldGoal/2)
 	}
+	if w.queues {
+		first = time.Duration((0.5 + w.random.Float64()) * r.slowness * float64(r.busyDelay()))
+		took += first
+	}
 	if isOver {
 		r.late++
 		first = 2 * worldGoal
@@ -198,6 +271,9 @@
 		return
 	}
 	w.timer.After(first, func() {
+		if !q.Arrived.Before(w.countFrom) && w.timer.Now().Sub(q.Arrived) <= worldGoal {
+			w.inTime++
+		}
 		s.ResponseBegan()
 		s.SetReportedPace(r.pace())
 	})
