--- a/internal/coordination/picker/ramp_test.go
+++ b/internal/coordination/picker/ramp_test.go
@@ -131,12 +131,12 @@
 
 // startPatterns are what the first target of a world does after its restart or failure.
 var startPatterns = []struct {
-	name string
+	name    string
+	rejects bool
 	// begin lets the pattern begin; step is called every 1.5 s after that.
 	begin func(w *world, r *worldTarget)
 	step  func(w *world, r *worldTarget)
 }{
-	{name: "nothing", begin: func(w *world, r *worldTarget) {}},
 	{name: "starts at full speed", begin: func(w *world, r *worldTarget) { w.restart(r) }},
 	{name: "starts cold", begin: func(w *world, r *worldTarget) {
 		startedAt := w.timer.Now()
@@ -150,10 +150,10 @@
 			capacity, r.slowness, r.pace = r.Slots, 2, func() float64 { return 2 }
 		})
 	}},
-	{name: "flaps", begin: func(_ *world, r *worldTarget) {
+	{name: "flaps", rejects: true, begin: func(_ *world, r *worldTarget) {
 		r.rejects, r.capacity = true, func() int { return 4 }
 	}, step: func(w *world, r *worldTarget) { w.restart(r) }},
-	{name: "rejects everything", begin: func(_ *world, r *worldTarget) {
+	{name: "rejects everything", rejects: true, begin: func(_ *world, r *worldTarget) {
 		r.rejects, r.capacity = true, func() int { return 0 }
 	}},
 }
@@ -199,14 +199,26 @@
 	return out
 }
 
-// TestCallersOfStartingTargets compares the share of requests that are answered in time
-// with and without limits of starting targets.
+// TestCallersOfStartingTargets guards against limits of starting targets that cost callers
+// answers in time, which other targets are too busy to give, and against targets that are
+// flooded although they reject requests. At 108 requests a second the other targets are
+// full while one is away.
 func TestCallersOfStartingTargets(t *testing.T) {
-	for _, rate := range []float64{startRate, 100, 108} {
+	const tolerance, maxBadShare, maxFull = 0.04, 0.4, 3 * time.Second
+	for _, rate := range []float64{startRate, 108} {
 		for i, c := range startPatterns {
 			with, without := playStart(t, i, rate, true), playStart(t, i, rate, false)
-			t.Logf("%-28s %3.0f/s: %.3f in time, %.3f without limits; %3.0f bad, %3.0f without; full after %s, %s without", c.name, rate,
-				with.inTime, without.inTime, with.bad, without.bad, with.full, without.full)
+			t.Logf("%-26s %3.0f/s: %.3f in time, %.3f without limits; %.0f bad, %.0f without; full after %.1fs, %.1fs without", c.name, rate,
+				with.inTime, without.inTime, with.bad, without.bad, with.full.Seconds(), without.full.Seconds())
+			if with.inTime < without.inTime-tolerance {
+				t.Errorf("%s, %g/s: %.3f in time, %.3f without limits", c.name, rate, with.inTime, without.inTime)
+			}
+			if c.rejects && with.bad > maxBadShare*without.bad {
+				t.Errorf("%s, %g/s: %.0f rejected, %.0f without limits", c.name, rate, with.bad, without.bad)
+			}
+			if i == 0 && rate > startRate && with.full > maxFull {
+				t.Errorf("%s, %g/s: in full use after %s", c.name, rate, with.full)
+			}
 		}
 	}
 }
