--- a/internal/shell/accountstarts.go
+++ b/internal/shell/accountstarts.go
@@ -372,6 +372,14 @@
 	}
 }
 
+// seconds returns a time in milliseconds as text, "-" if there is none.
+func seconds(isKnown bool, ms float64) string {
+	if !isKnown {
+		return "-"
+	}
+	return fmt.Sprintf("%.1f s", ms/1000)
+}
+
 // print writes the report as a table or as JSON.
 func (r *startReport) print(out io.Writer, asJSON bool) error {
 	if asJSON {
@@ -383,19 +391,19 @@
 		return fmt.Sprintf("%d\t%d\t%d\t%d\n", c.Sent, c.Late, c.Rejected, c.NoAnswer)
 	}
 	total := func(name string, t *startTotal) {
-		fmt.Fprintf(w, "%s\ttotal\t%d of %d\t\t%.1f s\t%s", name, t.Reached, t.Starts, t.FullUse/1000, counts(t.startCounts))
+		fmt.Fprintf(w, "%s\ttotal\t%d of %d\t\t%s\t%s", name, t.Reached, t.Starts, seconds(t.Reached > 0, t.FullUse), counts(t.startCounts))
 	}
 	for _, t := range r.Services {
 		for _, s := range r.Starts {
 			if s.Service != t.Service {
 				continue
 			}
-			full := "-"
+			full := 0.0
 			if s.FullUse != nil {
-				full = fmt.Sprintf("%.1f s", *s.FullUse/1000)
+				full = *s.FullUse
 			}
 			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s", s.Service, s.Target, s.Cause,
-				s.Ready.UTC().Format("15:04:05.000"), full, counts(s.startCounts))
+				s.Ready.UTC().Format("15:04:05.000"), seconds(s.FullUse != nil, full), counts(s.startCounts))
 		}
 		total(t.Service, t)
 	}
