--- a/internal/coordination/load/sums.go
+++ b/internal/coordination/load/sums.go
@@ -45,6 +45,9 @@
 	// Limits holds the limits of all instances' requests in flight at targets that have
 	// just started or recovered, by index.
 	Limits Counts `json:"limits,omitempty"`
+	// Firm holds 1 for each limit that follows from late or rejected requests. It applies
+	// however busy other targets are.
+	Firm Counts `json:"firm,omitempty"`
 	// Rates holds the requests that arrive per second at all instances, by service and
 	// model; the model of a plain service is empty.
 	Rates map[string]map[string]float64 `json:"rates,omitempty"`
@@ -61,10 +64,13 @@
 // Sums adds up the reports of all instances at the lease holder. It is not safe for
 // concurrent use.
 type Sums struct {
-	term      int64
-	index     *Index
-	ramps     *Ramps
-	onRamp    func(RampChange)
+	term   int64
+	index  *Index
+	ramps  *Ramps
+	onRamp func(RampChange)
+	// withoutLimits means that targets get no limits after a start or recovery.
+	withoutLimits bool
+
 	startedAt time.Time
 	counts    []int
 	instances map[string]*contribution
@@ -110,6 +116,7 @@
 		c.Target = index.ID(c.index)
 		s.onRamp(c)
 	})
+	s.ramps.isOff = s.withoutLimits
 	return s
 }
 
@@ -122,6 +129,11 @@
 	return func(s *Sums) { s.onRamp = f }
 }
 
+// WithoutStartLimits sets no limits for targets that have just started or recovered.
+func WithoutStartLimits() Option {
+	return func(s *Sums) { s.withoutLimits = true }
+}
+
 // Term returns the term whose indexes the sums use.
 func (s *Sums) Term() int64 { return s.term }
 
@@ -245,7 +257,8 @@
 		return nil
 	}
 	age := now.Sub(s.startedAt) - s.ages/time.Duration(s.reported)
-	out := &Snapshot{AgeMS: age.Milliseconds(), Counts: s.encode(), Paces: s.paceCounts, Limits: s.ramps.limits(), Rates: s.rates, Use: s.teams, Waiting: s.waitingNow}
+	out := &Snapshot{AgeMS: age.Milliseconds(), Counts: s.encode(), Paces: s.paceCounts, Rates: s.rates, Use: s.teams, Waiting: s.waitingNow}
+	out.Limits, out.Firm = s.ramps.limits()
 	if c := s.instances[to]; c != nil {
 		out.Seq = c.seq
 	}
--- a/internal/coordination/picker/shared.go
+++ b/internal/coordination/picker/shared.go
@@ -27,6 +27,11 @@
 	return func(p *Picker) { p.random = r }
 }
 
+// WithoutStartLimits ignores the limits of targets that have just started or recovered.
+func WithoutStartLimits() Option {
+	return func(p *Picker) { p.withoutLimits = true }
+}
+
 // LoadReport returns what to tell the lease holder about this instance's load, and resets
 // the count of arrivals.
 func (p *Picker) LoadReport() load.Report {
@@ -78,7 +83,9 @@
 	for _, r := range p.targets {
 		r.pace.Set(at, p.view.Pace(r.index))
 		r.slowness = r.pace.Current(now)
-		r.limit = p.view.Limit(r.index)
+		if !p.withoutLimits {
+			r.limit, r.isFirm = p.view.Limit(r.index), p.view.IsFirm(r.index)
+		}
 		if r.others.at.After(at) {
 			continue
 		}
@@ -119,6 +126,8 @@
 
 // candidateSet holds the targets that can take a request.
 type candidateSet struct {
+	// tier is the tier, with strained set if it is so.
+	tier choiceTier
 	// copies are all targets that serve the request. The Picker's candidates are positions
 	// in it, its options the places of these.
 	copies []*target
@@ -172,6 +181,9 @@
 // collect sets the candidates and their places for a choice.
 func (p *Picker) collect(now time.Time, q *Request, tier choiceTier) candidateSet {
 	c := candidateSet{copies: p.copiesFor(q, p.hasFreshUpdates(now)), limitedAt: -1}
+	tier.strained = p.isStrained(now, q, c.copies)
+	tier.isOnly = len(c.copies) == 1
+	c.tier = tier
 	list, options, fading := p.candidates[:0], p.options[:0], p.fading[:0]
 	limited, mean, most := p.share.InForce(), p.failureRates[q.Service], q.overcommit()
 	p.drawLuck(q)
