Starting instances wait for the holder's list of targets

After all of 300 instances had been killed, callers were refused for over 15 s. 117 instances, those of the region across the 60 Mbit/s link from the store, had no updates after 0.3 s and listed all targets at once. The lists choked the link, timed out and were repeated; the holder's updates, permits and proofs of the configuration did not come through.

An instance that knows a holder waits 1.5 to 3 s for its updates, unless the holder's address refuses connections. TestFollowerAwaitsTheHolder fails without the change.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -88,6 +88,8 @@
 	// readerRepliedAt is when a reader last replied to a request for changes, in
 	// nanoseconds of clock.
 	readerRepliedAt atomic.Int64
+	// refusedBy is the holder whose address has last refused a connection, nil if it has not.
+	refusedBy atomic.Pointer[netip.AddrPort]
 	// readerTurn counts the requests to readers.
 	readerTurn atomic.Int64
 	// demandSignal receives a value when a request begins to wait for a model.
@@ -420,7 +422,7 @@
 		batchDelay: targetBatchDelay, applyList: e.applyTargetList,
 		applyChange:   func(_ ports.Revision, item ports.Item) { e.applyTarget(item) },
 		canAskReaders: e.canAskReaders, isHolder: e.isHolder, fetchChanges: e.fetchChanges, changelog: deltas.New(maxKeptChanges),
-		clock: e.clock, updateAge: e.updateAge, updateWait: startTimeout,
+		clock: e.clock, updateAge: e.updateAge, updateWait: startTimeout, expectsUpdates: e.expectsUpdates,
 		hasFreshUpdates: e.hasFreshUpdates, onIdle: func() { e.coordinator.setHasFullList(false) },
 		// The holder's planners need to know which models targets have copies of, which
 		// the holder's updates do not contain.
--- a/internal/edge/follower.go
+++ b/internal/edge/follower.go
@@ -28,6 +28,12 @@
 	// startTimeout is how long an instance that starts waits for updates from an existing
 	// holder.
 	startTimeout = 300 * time.Millisecond
+	// holderUpdateWait is how long an instance that starts waits for updates instead, if it
+	// knows a holder that may be alive, and holderUpdateSpread a random time on top. A fleet that
+	// starts as a whole must not read the full list at once: 117 instances of one region
+	// choked the link to the store, and the holder's updates on it, for over 15 s.
+	holderUpdateWait   = 1500 * time.Millisecond
+	holderUpdateSpread = 1500 * time.Millisecond
 	// startPollInterval is how often a starting instance checks for updates.
 	startPollInterval = 10 * time.Millisecond
 	// idlePollInterval is how often an idle follower checks whether it must read again.
@@ -77,8 +83,11 @@
 	// set. changelog holds the changes that this instance sends to others.
 	fetchChanges func(context.Context, ports.Revision) (deltas.Changes, readerResult)
 	changelog    *deltas.Log
-	// updateWait is how long the follower waits for updates at the start.
-	updateWait time.Duration
+	// updateWait is how long the follower waits for updates at the start. expectsUpdates
+	// reports whether it waits for longer, since a holder is about to send them; nil if it
+	// never does.
+	updateWait     time.Duration
+	expectsUpdates func() bool
 	// remoteRevision is the newest revision that another instance has reported.
 	remoteRevision atomic.Uint64
 	// localRevision is the newest revision of the keys that this instance has.
@@ -152,11 +161,16 @@
 	}
 }
 
-// awaitUpdates waits at the start until updates of another instance come or updateWait is
-// over, unless this instance is the holder.
+// awaitUpdates waits at the start until updates of another instance come or it has waited for
+// long enough, unless this instance is the holder.
 func (f *follower) awaitUpdates(ctx context.Context) {
-	until := f.clock.Now().Add(f.updateWait)
-	for ctx.Err() == nil && f.clock.Now().Before(until) && !f.hasFreshUpdates() && !f.isHolder() {
+	start := f.clock.Now()
+	holderWait := holderUpdateWait + rand.N(holderUpdateSpread)
+	for ctx.Err() == nil && !f.hasFreshUpdates() && !f.isHolder() {
+		waited := f.clock.Now().Sub(start)
+		if waited >= holderWait || waited >= f.updateWait && (f.expectsUpdates == nil || !f.expectsUpdates()) {
+			return
+		}
 		sleep(ctx, startPollInterval)
 	}
 }
--- a/internal/edge/follower_test.go
+++ b/internal/edge/follower_test.go
@@ -85,6 +85,34 @@
 	}
 }
 
+// TestFollowerAwaitsTheHolder guards against all instances of a fleet that starts reading the
+// full list from the store although a holder is about to send it, and against waiting for a
+// holder that is dead.
+func TestFollowerAwaitsTheHolder(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		expects bool
+		min     time.Duration
+		max     time.Duration
+	}{
+		{"holder known", true, holderUpdateWait, time.Minute},
+		{"no holder, or its address refuses connections", false, startTimeout, holderUpdateWait},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			fd := &follower{
+				clock: timer.NewBoot(), updateWait: startTimeout, expectsUpdates: func() bool { return c.expects },
+				hasFreshUpdates: func() bool { return false }, isHolder: func() bool { return false },
+			}
+			start := time.Now()
+			fd.awaitUpdates(t.Context())
+			if waited := time.Since(start); waited < c.min || waited >= c.max {
+				t.Errorf("waited for %v", waited)
+			}
+		})
+	}
+}
+
 // TestFollowerSkipsChangesCoveredByUpdates reads a change late that the holder's updates
 // have already covered. It must not overwrite them.
 func TestFollowerSkipsChangesCoveredByUpdates(t *testing.T) {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -420,6 +420,14 @@
 	}
 }
 
+// expectsUpdates reports whether there is another holder that may be alive, and so will send
+// its updates.
+func (e *Edge) expectsUpdates() bool {
+	s := e.coordinator.holderStatus()
+	refused := e.refusedBy.Load()
+	return !s.IsHolder && s.Holder.IsValid() && (refused == nil || *refused != s.Holder)
+}
+
 // hasFreshUpdates reports whether the holder's updates are fresh, so that this instance
 // need not read the store itself.
 func (e *Edge) hasFreshUpdates() bool {
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"chivecroft.example/chivecroft/internal/coordination/crash"
@@ -231,9 +232,13 @@
 func (e *Edge) sendToHolder(ctx context.Context, holder netip.AddrPort, m *message, r exchangeRequest) (exchangeReply, error) {
 	sentAt, asOf := e.timer.Now(), e.clock.Now()
 	reply, err := e.peerClient.exchange(ctx, holder, pathExchange, r, exchangeTimeout)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		e.refusedBy.Store(&holder)
+	}
 	if err != nil {
 		return exchangeReply{}, err
 	}
+	e.refusedBy.Store(nil)
 	e.acceptProof(asOf, reply.Proof)
 	e.applyDirect(m, r, reply, sentAt, asOf)
 	if !reply.IsRedirect {
