Fakes: API keys, teams and quotas; one configuration writer for tests

Cause: the fake caller sent no key, the fake target ignored one that reached it, and the tests of internal/edge had two more writers of configurations and four copies of the code that sends a call. A fake target fails the test when it is sent a key, unless the test says that keys pass. WriteConfig takes a fake.Config and serves the tests of internal/edge, which send calls by rig.send.

--- a/cmd/chivecroft/soak_world_test.go
+++ b/cmd/chivecroft/soak_world_test.go
@@ -140,7 +140,10 @@
 		})
 	}
 	models := fake.Models{Names: soakModelNames(), Places: 3, Load: 800 * time.Millisecond}
-	w.store.WriteConfig(w.t, version, soakHost, routes, []string{"desk"}, map[string]fake.Models{"chat": models})
+	w.store.WriteConfig(w.t, fake.Config{
+		Version: version, Host: soakHost, Routes: routes, Plain: []string{"desk"},
+		Engines: map[string]fake.Models{"chat": models},
+	})
 	w.record.configured(version)
 }
 
--- a/internal/edge/crash_test.go
+++ b/internal/edge/crash_test.go
@@ -47,7 +47,6 @@
 	began    time.Time
 	took     time.Duration
 	isDeadly bool
-	status   int
 	isServed bool
 }
 
@@ -131,27 +130,17 @@
 
 // ask sends one request and records what became of it.
 func (c *crashRig) ask(ctx context.Context, e *Edge, id string, parts []string) {
-	call := fake.Call{ID: id, Host: "x.example", Path: "/draft/", Model: "m1", Prompt: fake.Prompt(parts...), Within: 4 * time.Second}
-	req, err := call.Request(ctx, e.boot.Callers)
-	if err != nil {
-		c.t.Error(err)
-		return
-	}
+	call := fake.Call{ID: id, Path: "/draft/", Model: "m1", Prompt: fake.Prompt(parts...), Within: 4 * time.Second}
 	out := crashOutcome{began: time.Now()}
-	resp, err := http.DefaultClient.Do(req)
-	if err == nil {
-		body, err := io.ReadAll(resp.Body)
-		resp.Body.Close()
-		out.status = resp.StatusCode
-		out.isServed = err == nil && resp.StatusCode == http.StatusOK && len(body) > 0
-	}
+	status, _, body := c.send(ctx, e, call)
+	out.isServed = status == http.StatusOK && len(body) > 0
 	if ctx.Err() != nil {
 		return
 	}
 	out.took = time.Since(out.began)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	out.isDeadly = c.isDeadly != nil && c.isDeadly(req.Header)
+	out.isDeadly = c.isDeadly != nil && c.isDeadly(http.Header{fake.PromptHeader: {call.Prompt}})
 	c.outcomes = append(c.outcomes, out)
 }
 
@@ -267,18 +256,9 @@
 	c.eventually("all instances block the part", all(true))
 	c.setDeadly(nil)
 	stop()
-	call := fake.Call{ID: "asked", Host: "x.example", Path: "/draft/", Model: "m1", Prompt: fake.Prompt("first", "c0", "bad", "own")}
-	req, err := call.Request(t.Context(), c.edges[0].boot.Callers)
-	if err != nil {
-		t.Fatal(err)
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		t.Fatal(err)
-	}
-	resp.Body.Close()
-	if after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); resp.StatusCode != http.StatusServiceUnavailable || err != nil || after < 200 {
-		t.Errorf("blocked request: %d, Retry-After %q", resp.StatusCode, resp.Header.Get("Retry-After"))
+	status, header, _ := c.send(t.Context(), c.edges[0], fake.Call{ID: "asked", Path: "/draft/", Model: "m1", Prompt: fake.Prompt("first", "c0", "bad", "own")})
+	if after, err := strconv.ParseFloat(header.Get("Retry-After"), 64); status != http.StatusServiceUnavailable || err != nil || after < 200 {
+		t.Errorf("blocked request: %d, Retry-After %q", status, header.Get("Retry-After"))
 	}
 	ask := func(handler http.HandlerFunc, method, path string) (int, string) {
 		w := httptest.NewRecorder()
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -68,26 +68,15 @@
 
 // config writes a configuration whose plain route has the given prefix.
 func (r *rig) config(version int, prefix string) {
-	models := []map[string]any{}
-	for _, m := range []string{"m1", "m2", "m3", "m4", "m5"} {
-		models = append(models, map[string]any{
-			"name": m, "weights_mb": 100, "load_s": 0.2, "disk_s": 0.1, "warm_s": 0.05,
-		})
-	}
-	r.store.Write(r.t, "op/config", map[string]any{
-		"version": version,
-		"routes": []map[string]any{
-			{"name": "chat", "host": "x.example", "path_prefix": "/chat/", "kind": "streaming", "sticky": true, "timeout_ms": 8000, "service": "llm", "max_attempts": 1},
-			{"name": "draft", "host": "x.example", "path_prefix": "/draft/", "kind": "streaming", "resumable": true, "sticky": true, "timeout_ms": 4000, "service": "llm", "max_attempts": 2},
-			{"name": "app", "host": "x.example", "path_prefix": prefix, "kind": "unsafe", "timeout_ms": 2000, "service": "desk", "max_attempts": 1},
-			{"name": "open", "host": "x.example", "path_prefix": "/open/", "kind": "unsafe", "timeout_ms": 2000, "service": "desk", "max_attempts": 1, "public": true},
-		},
-		"tenants": r.teams,
-		"services": []map[string]any{
-			{"name": "desk"},
-			{"name": "llm", "engine": map[string]any{"slots": 8, "weights_mb": 200, "adapter_slots": 2, "loads_per_s": 4, "models": models}},
+	r.store.WriteConfig(r.t, fake.Config{
+		Version: version, Host: "x.example", Plain: []string{"desk"}, Teams: r.teams,
+		Engines: map[string]fake.Models{"llm": {Names: []string{"m1", "m2", "m3", "m4", "m5"}, Places: 2, Load: 200 * time.Millisecond}},
+		Routes: []fake.Route{
+			{Name: "chat", Prefix: "/chat/", Kind: "streaming", Service: "llm", Timeout: 8 * time.Second, Attempts: 1},
+			{Name: "draft", Prefix: "/draft/", Kind: "streaming", Service: "llm", Timeout: 4 * time.Second, Attempts: 2, Resumable: true},
+			{Name: "app", Prefix: prefix, Kind: "unsafe", Service: "desk", Timeout: 2 * time.Second, Attempts: 1},
+			{Name: "open", Prefix: "/open/", Kind: "unsafe", Service: "desk", Timeout: 2 * time.Second, Attempts: 1, Public: true},
 		},
-		"limits": map[string]any{"max_body_bytes": 4096},
 	})
 }
 
@@ -175,31 +164,30 @@
 
 // callWithKey calls with an API key, unless that is empty.
 func (r *rig) callWithKey(e *Edge, path, model, key string) (int, string) {
-	ctx, cancel := context.WithTimeout(r.t.Context(), 10*time.Second)
+	status, _, body := r.send(r.t.Context(), e, fake.Call{ID: "call", Path: path, Model: model, Key: key, Body: "body"})
+	return status, body
+}
+
+// send sends a call and returns its answer, or status 0 and the error.
+func (r *rig) send(ctx context.Context, e *Edge, c fake.Call) (status int, header http.Header, body string) {
+	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost,
-		"http://"+e.boot.Callers.String()+path, strings.NewReader("body"))
+	c.Host = "x.example"
+	req, err := c.Request(ctx, e.boot.Callers)
 	if err != nil {
-		r.t.Fatal(err)
-	}
-	req.Host = "x.example"
-	req.Header.Set("Chivecroft-Attempt-Id", "call")
-	if model != "" {
-		req.Header.Set("Chivecroft-Model", model)
-	}
-	if key != "" {
-		req.Header.Set("Authorization", "Bearer "+key)
+		r.t.Error(err)
+		return 0, nil, err.Error()
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return 0, err.Error()
+		return 0, nil, err.Error()
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
+	data, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return 0, err.Error()
+		return 0, nil, err.Error()
 	}
-	return resp.StatusCode, string(body)
+	return resp.StatusCode, resp.Header, string(data)
 }
 
 // TestColdModelIsServed asks each of two instances for a model that no target has loaded.
--- a/internal/edge/limit_test.go
+++ b/internal/edge/limit_test.go
@@ -57,19 +57,10 @@
 }
 
 func (r *rig) pressOnce(ctx context.Context, e *Edge, path, model string, n int) pressed {
-	c := fake.Call{ID: strings.Join([]string{e.boot.Instance, model, strconv.Itoa(n)}, "-"), Host: "x.example", Path: path, Model: model, Body: "body"}
+	c := fake.Call{ID: strings.Join([]string{e.boot.Instance, model, strconv.Itoa(n)}, "-"), Path: path, Model: model, Body: "body"}
 	p := pressed{began: time.Now()}
-	req, err := c.Request(ctx, e.boot.Callers)
-	if err != nil {
-		r.t.Error(err)
-		return p
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err == nil {
-		p.status, p.retryAfter = resp.StatusCode, resp.Header.Get("Retry-After")
-		resp.Body.Close()
-	}
-	p.took = time.Since(p.began)
+	status, header, _ := r.send(ctx, e, c)
+	p.status, p.retryAfter, p.took = status, header.Get("Retry-After"), time.Since(p.began)
 	return p
 }
 
--- a/internal/edge/permits_test.go
+++ b/internal/edge/permits_test.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"context"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -13,15 +12,10 @@
 	"chivecroft.example/chivecroft/platform/fake"
 )
 
-// setTeams writes a configuration with a plain route and teams.
-func (r *rig) setTeams(version int, teams ...map[string]any) {
-	r.store.Write(r.t, "op/config", map[string]any{
-		"version": version, "tenants": teams,
-		"routes": []map[string]any{
-			{"name": "app", "host": "x.example", "path_prefix": "/app/", "kind": "unsafe", "timeout_ms": 2000, "service": "desk", "max_attempts": 1},
-		},
-		"services": []map[string]any{{"name": "desk"}},
-	})
+// setTeams writes a configuration with teams.
+func (r *rig) setTeams(version int, teams ...fake.Team) {
+	r.teams = teams
+	r.config(version, "/app/")
 	r.eventually("the configuration is in force", func() bool {
 		for _, e := range r.edges {
 			if c := e.config.Load(); c == nil || c.Version != int64(version) {
@@ -33,22 +27,9 @@
 }
 
 func (r *rig) callWithUsage(e *Edge, key, usage string) (status int, retryAfter string) {
-	ctx, cancel := context.WithTimeout(r.t.Context(), 5*time.Second)
-	defer cancel()
-	c := fake.Call{ID: "call-" + strconv.FormatInt(time.Now().UnixNano(), 36), Host: "x.example", Path: "/app/", Body: "body"}
-	req, err := c.Request(ctx, e.boot.Callers)
-	if err != nil {
-		r.t.Error(err)
-		return 0, ""
-	}
-	req.Header.Set("Authorization", "Bearer "+key)
-	req.Header.Set("Chivecroft-Token-Usage", usage)
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return 0, ""
-	}
-	resp.Body.Close()
-	return resp.StatusCode, resp.Header.Get("Retry-After")
+	c := fake.Call{ID: "call-" + strconv.FormatInt(time.Now().UnixNano(), 36), Path: "/app/", Key: key, Usage: usage, Body: "body"}
+	status, header, _ := r.send(r.t.Context(), e, c)
+	return status, header.Get("Retry-After")
 }
 
 // pressTeam has callers of a team ask at the instances for a time, and returns the numbers
@@ -78,15 +59,9 @@
 	return out
 }
 
-func quotaTeam(rate float64) map[string]any {
-	return map[string]any{
-		"name": "t", "api_keys": []string{"k"}, "priority": 1, "unit": "tokens", "plain_tokens": 200, "rate_per_s": rate, "burst": rate,
-	}
-}
-
 func newQuotaRig(t *testing.T, rate float64) *rig {
 	r := newRig(t, 3)
-	r.setTeams(2, quotaTeam(rate))
+	r.setTeams(2, fake.Team{Name: "t", Keys: []string{"k"}, Priority: 1, Unit: "tokens", Rate: rate, Burst: rate})
 	for _, e := range r.edges {
 		boot := *e.boot
 		boot.Bounds.QuotaWindow, boot.Bounds.QuotaExcess, boot.Bounds.QuotaSlack = 2*time.Second, 0.1, 11_000
--- a/internal/edge/where_test.go
+++ b/internal/edge/where_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+
+	"chivecroft.example/chivecroft/platform/fake"
 )
 
 // TestWhere asks an instance where requests would go and sends them. It guards against an
@@ -26,7 +28,7 @@
 	if w, err := e.where(WhereQuery{Host: "x.example", Path: "/chat/1", Model: "none"}); err != nil || w.Services[0].Choice.Refused == nil {
 		t.Errorf("unloaded model: %+v, %v", w, err)
 	}
-	r.setTeams(2, map[string]any{"name": "red", "api_keys": []string{"secret"}, "rate_per_s": 5, "burst": 20, "unit": "requests"})
+	r.setTeams(2, fake.Team{Name: "red", Keys: []string{"secret"}, Rate: 5, Burst: 20, Unit: "requests"})
 	w, err = e.where(WhereQuery{Host: "x.example", Path: "/app/", Team: "red"})
 	if err != nil || w.Services[0].Choice.Target != "d1" || w.Quota == nil {
 		t.Fatalf("app: %+v, %v", w, err)
--- a/internal/transport/proxy/keys_test.go
+++ b/internal/transport/proxy/keys_test.go
@@ -141,6 +141,7 @@
 // TestWithoutTeamsHeadersPass checks that a configuration without teams changes nothing.
 func TestWithoutTeamsHeadersPass(t *testing.T) {
 	near, _ := newTwoTargets(t)
+	near.AcceptsKeys = true
 	k := newKeyRig(t, near)
 	k.setTeams()
 	k.unproven.Store(true)
