Soak: revoked API keys and a team with ten times its load

Cause: the soak had no teams, so that nothing checked keys, teams and quotas under disturbances. Change: four teams with quotas; calls have keys and claim to be of other teams. Checked: no request with a revoked key reaches a target later than 5 s after the revocation, no window of 8 s is above its bound, targets are named the team of the key, other teams are served. The tests of cmd/chivecroft take free ports from fake.FreePorts, which returns none twice, and ask for readiness by one function.

--- a/cmd/chivecroft/harness_test.go
+++ b/cmd/chivecroft/harness_test.go
@@ -7,8 +7,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -16,7 +14,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -25,6 +22,7 @@
 	"chivecroft.example/chivecroft/internal/demo"
 	"chivecroft.example/chivecroft/internal/protocol/wire"
 	"chivecroft.example/chivecroft/internal/stand/target"
+	"chivecroft.example/chivecroft/platform/fake"
 )
 
 // binary is the program under test, built once.
@@ -283,36 +281,10 @@
 	s.list(ports.Instance{ID: id, Kind: ports.InstanceEntry, Zone: zone, Region: region, Addr: netip.MustParseAddrPort(addr)})
 }
 
-// Ports below those that the system gives to connections and to listeners that
-// ask for any: one that was free a moment ago would else be taken by one of them
-// before the process under test listens.
-const (
-	firstPort = 16000
-	lastPort  = 32000
-)
-
-// nextPort is the port that freeAddr tries next.
-var nextPort atomic.Int64
-
-func init() {
-	nextPort.Store(firstPort + rand.Int64N(lastPort-firstPort))
-}
-
-// freeAddr returns an address that nobody listens on and that it has not
-// returned before.
+// freeAddr returns an address that nobody listens on and that it has not returned before.
 func freeAddr(t testing.TB) string {
 	t.Helper()
-	for range lastPort - firstPort {
-		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err != nil {
-			continue
-		}
-		l.Close()
-		return l.Addr().String()
-	}
-	t.Fatalf("no port from %d to %d is free", firstPort, lastPort)
-	return ""
+	return fmt.Sprintf("127.0.0.1:%d", fake.FreePorts(t, 1))
 }
 
 // request sends one request and returns the status and the body.
--- a/cmd/chivecroft/memory_test.go
+++ b/cmd/chivecroft/memory_test.go
@@ -111,15 +111,10 @@
 
 func (s *crowdSystem) awaitReady(port uint16) {
 	s.t.Helper()
-	for range 500 {
-		resp, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d%s", port, fake.ReadyPath))
-		if err == nil {
-			resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				return
-			}
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if isReady(netip.AddrPortFrom(s.callers.Addr(), port)) {
+			return
 		}
-		time.Sleep(20 * time.Millisecond)
 	}
 	s.t.Fatalf("the process did not get ready; log:\n%s", s.log)
 }
--- a/cmd/chivecroft/soak_callers_test.go
+++ b/cmd/chivecroft/soak_callers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -38,9 +39,11 @@
 	once, stream bool
 }
 
+var lookups = callKind{"lookup", 1500 * time.Millisecond, 0.2, false, false}
+
 var callKinds = []callKind{
 	{"issue", 1500 * time.Millisecond, 0.3, true, false},
-	{"lookup", 1500 * time.Millisecond, 0.2, false, false},
+	lookups,
 	{"chat", 8 * time.Second, 0.35, false, true},
 	{"settle", 10 * time.Second, 0.15, true, true},
 }
@@ -62,18 +65,19 @@
 		}()
 	}
 	for i := range soakCallers {
-		start(func(ctx context.Context) { w.caller(ctx, i) })
+		start(func(ctx context.Context) { w.caller(ctx, fmt.Sprint("c", i), "") })
 	}
 	for _, in := range w.instances {
 		start(func(ctx context.Context) { w.askReady(ctx, in) })
 		start(func(ctx context.Context) { w.probe(ctx, in) })
+		start(func(ctx context.Context) { w.askWithRevokedKey(ctx, in) })
 	}
 }
 
 func (w *soakWorld) awaitReady() {
 	end := time.Now().Add(20 * time.Second)
 	for _, in := range w.instances {
-		for !isReady(in) {
+		for !isReady(in.ready) {
 			if time.Now().After(end) {
 				w.t.Fatalf("%s is not ready", in.id)
 			}
@@ -82,9 +86,10 @@
 	}
 }
 
-func isReady(in *soakInstance) bool {
+// isReady tells whether the instance with a port for readiness checks is ready.
+func isReady(at netip.AddrPort) bool {
 	client := http.Client{Timeout: readyEvery, Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := client.Get("http://" + in.ready.String() + fake.ReadyPath)
+	resp, err := client.Get("http://" + at.String() + fake.ReadyPath)
 	if err != nil {
 		return false
 	}
@@ -97,7 +102,7 @@
 	missed := 0
 	for ctx.Err() == nil {
 		missed++
-		if isReady(in) {
+		if isReady(in.ready) {
 			missed = 0
 		}
 		in.mu.Lock()
@@ -133,15 +138,16 @@
 	return nil
 }
 
-// caller sends one request after the other and keeps its connections.
-func (w *soakWorld) caller(ctx context.Context, num int) {
+// caller sends one request after the other, with keys of all teams or of one, and keeps its
+// connections.
+func (w *soakWorld) caller(ctx context.Context, name, team string) {
 	transport := &http.Transport{DialContext: w.dial, DisableCompression: true}
 	defer transport.CloseIdleConnections()
 	for n := 0; ctx.Err() == nil; n++ {
 		w.mu.Lock()
 		eager, rare, leaving := w.eager > 0, w.rare > 0, w.leaving
 		w.mu.Unlock()
-		c := &soakCall{id: fmt.Sprintf("c%d-%d", num, n), kind: drawKind(rare), began: time.Now()}
+		c := &soakCall{id: fmt.Sprintf("%s-%d", name, n), kind: drawKind(rare), began: time.Now()}
 		share := leaveShare
 		if leaving {
 			share = pressedLeaveShare
@@ -151,7 +157,7 @@
 			patience = time.Duration(rand.Int64N(int64(300 * time.Millisecond)))
 			c.leaves = true
 		}
-		w.call(transport, c, patience, drawModel(c.kind, rare))
+		w.call(transport, c, patience, drawModel(c.kind, rare), w.drawTeam(c, team))
 		w.record.called(c)
 		pause := time.Duration(rand.Int64N(int64(2 * callPause)))
 		if eager {
@@ -187,7 +193,7 @@
 }
 
 // call sends one request and takes its answer.
-func (w *soakWorld) call(transport *http.Transport, c *soakCall, patience time.Duration, model string) {
+func (w *soakWorld) call(transport *http.Transport, c *soakCall, patience time.Duration, model, claim string) {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
@@ -200,7 +206,10 @@
 	if c.kind.stream {
 		prompt = w.drawPrompt(c)
 	}
-	call := fake.Call{ID: c.id, Host: soakHost, Path: "/" + c.kind.name + "/", Model: model, Prompt: prompt, Within: c.kind.within, Body: "body of " + c.id}
+	call := fake.Call{
+		ID: c.id, Host: soakHost, Path: "/" + c.kind.name + "/", Model: model, Prompt: prompt, Within: c.kind.within, Body: "body of " + c.id,
+		Key: c.key, Team: claim, Usage: fmt.Sprintf("%d,20", c.tokens-20),
+	}
 	req, err := call.Request(httptrace.WithClientTrace(ctx, trace), netip.AddrPortFrom(netip.IPv4Unspecified(), 1))
 	if err != nil {
 		w.t.Error(err)
@@ -213,20 +222,11 @@
 		c.readAnswer(resp)
 		_ = resp.Body.Close()
 	}
-	c.err = firstError(err, c.err)
+	c.err = cmp.Or(err, c.err)
 	c.left = ctx.Err() != nil
 	c.ended = time.Now()
 }
 
-func firstError(errs ...error) error {
-	for _, err := range errs {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // readAnswer reads a body, or the events of a stream one by one.
 func (c *soakCall) readAnswer(resp *http.Response) {
 	if !c.kind.stream || resp.StatusCode != http.StatusOK {
@@ -260,7 +260,7 @@
 		version, ackedAt := w.record.newest()
 		incarnation, _ := in.life()
 		p := soakProbe{instance: in.id, incarnation: incarnation, version: version, acked: ackedAt, began: time.Now()}
-		call := fake.Call{ID: fmt.Sprintf("p-%s-%d", in.id, n), Host: soakHost, Path: fmt.Sprintf("/v%d/", version), Within: time.Second}
+		call := fake.Call{ID: fmt.Sprintf("p-%s-%d", in.id, n), Host: soakHost, Path: fmt.Sprintf("/v%d/", version), Team: soakTeams[0], Within: time.Second}
 		req, err := call.Request(ctx, in.callers)
 		if err != nil {
 			w.t.Error(err)
--- a/cmd/chivecroft/soak_disturb_test.go
+++ b/cmd/chivecroft/soak_disturb_test.go
@@ -16,6 +16,7 @@
 const (
 	allInstances = "all"
 	theStore     = "store"
+	allCallers   = "callers"
 	allTargets   = "targets"
 )
 
@@ -69,8 +70,12 @@
 		w.aside(e, "", func() { w.delayOrders(g, e.last) })
 	case changesConfig:
 		w.configure()
+	case revokesKey:
+		w.revoke(soakTeams[e.which%len(soakTeams)])
+	case pressesTeam:
+		w.aside(e, "", func() { w.pressTeam(soakTeams[e.which%len(soakTeams)], e.last) })
 	case leavesCallers, burstsOfCalls, burstsOfModels:
-		w.aside(e, "", func() { w.press(e) })
+		w.aside(e, allCallers, func() { w.press(e) })
 	}
 }
 
@@ -330,7 +335,7 @@
 	id := fake.CallID(req)
 	r := g.w.record
 	mode := g.mode()
-	r.arrived(g.service, id, f.ID)
+	r.arrived(soakArrival{id, g.service, f.ID, fake.TeamOf(req), time.Now()})
 	if mode == fillsTarget {
 		fake.Refuse(rw, req)
 		return
--- a/cmd/chivecroft/soak_judge_test.go
+++ b/cmd/chivecroft/soak_judge_test.go
@@ -44,6 +44,8 @@
 	r.judgeRepeats()
 	r.judgeLimits()
 	r.judgeDeadly()
+	r.judgeTeams()
+	r.judgeOthers()
 	w.judgeBlocks()
 	r.judgeRecovery(w.calmFrom)
 	for _, g := range w.targets {
@@ -240,11 +242,11 @@
 func (r *soakRecord) judgeRecovery(calmFrom time.Time) {
 	asked, served := 0, 0
 	for _, c := range r.calls {
-		if c.began.Before(calmFrom.Add(soakRecovery)) || c.leaves || c.left || c.isDeadly {
+		if c.began.Before(calmFrom.Add(soakRecovery)) || c.leaves || c.left || c.isDeadly || r.isRevoked(c) {
 			continue
 		}
 		asked++
-		if c.status == http.StatusOK && c.err == nil {
+		if c.isServed() {
 			served++
 		}
 	}
@@ -315,6 +317,6 @@
 			orders += len(f.Orders())
 		}
 	}
-	return fmt.Sprintf("%d calls: %v; %d probes, %d arrivals, %d orders, %d versions",
-		len(r.calls), ends, len(r.probes), len(r.arrivals), orders, r.version)
+	return fmt.Sprintf("%d calls: %v; %d probes, %d arrivals, %d orders, %d versions; %s",
+		len(r.calls), ends, len(r.probes), len(r.arrivals), orders, r.version, r.teamSummary())
 }
--- a/cmd/chivecroft/soak_plan_test.go
+++ b/cmd/chivecroft/soak_plan_test.go
@@ -51,6 +51,8 @@
 	leavesCallers  disturbance = "callers leave early"
 	burstsOfCalls  disturbance = "burst of calls"
 	burstsOfModels disturbance = "burst over rare models"
+	revokesKey     disturbance = "revoke API key"
+	pressesTeam    disturbance = "team sends ten times its load"
 )
 
 var disturbances = []disturbance{
@@ -129,6 +131,30 @@
 			last: 2*contactTime + time.Duration(random.Int64N(int64(2*contactTime))), share: 0.02 + 0.2*random.Float64(),
 		})
 	}
+	plan = append(plan, drawTeamPlan(random, within, len(kinds) == len(disturbances))...)
 	slices.SortStableFunc(plan, func(x, y event) int { return int(x.at - y.at) })
 	return plan
 }
+
+// drawTeamPlan draws one or two revocations and a team that sends more than usual, in half
+// of the seeds after the other disturbances. Of the revocations in seeds with faults, two in
+// three meet instances that cannot hear of them until they must refuse the key.
+func drawTeamPlan(random *rand.Rand, within time.Duration, withFaults bool) []event {
+	var plan []event
+	for n := 1 + random.IntN(2); n > 0; n-- {
+		e := event{kind: revokesKey, which: random.IntN(64), at: contactTime + time.Duration(random.Int64N(int64(within-contactTime)))}
+		plan = append(plan, e)
+		// A read that is under way when the disturbance begins ends before the revocation.
+		e.at -= time.Second
+		e.last = time.Second + soakBounds.Revocation + soakBounds.Revocation/4
+		e.kind = []disturbance{freezesInstance, refusesStore, revokesKey}[random.IntN(3)]
+		if e.holder = random.IntN(2) == 0; withFaults && e.kind != revokesKey {
+			plan = append(plan, e)
+		}
+	}
+	e := event{kind: pressesTeam, which: random.IntN(64), at: within + 2*contactTime, last: 6*time.Second + time.Duration(random.Int64N(int64(2*time.Second)))}
+	if random.IntN(2) == 0 {
+		e.at = time.Duration(random.Int64N(int64(within)))
+	}
+	return append(plan, e)
+}
--- a/cmd/chivecroft/soak_record_test.go
+++ b/cmd/chivecroft/soak_record_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"fmt"
+	"net/http"
+	"slices"
 	"sync"
 	"time"
+
+	"chivecroft.example/chivecroft/platform/fake"
 )
 
 // contactTime is for how long nothing may have disturbed an instance or the store
@@ -14,6 +18,8 @@
 type soakCall struct {
 	id           string
 	kind         callKind
+	team, key    string
+	tokens       int
 	instance     string
 	began, ended time.Time
 	// leaves tells that the caller meant to leave early, left that it did not get the
@@ -28,6 +34,9 @@
 	err      error
 }
 
+// isServed tells whether the caller got a whole success.
+func (c *soakCall) isServed() bool { return c.status == http.StatusOK && c.err == nil }
+
 // soakProbe is a question for the route of a version.
 type soakProbe struct {
 	instance     string
@@ -49,8 +58,8 @@
 
 // soakArrival is a request that reached a target.
 type soakArrival struct {
-	id, service, target string
-	at                  time.Time
+	id, service, target, team string
+	at                        time.Time
 }
 
 // soakSpan is the time of a disturbance, of which to is zero while it goes on.
@@ -67,6 +76,7 @@
 
 // soakRecord is what callers, targets and the store have seen.
 type soakRecord struct {
+	began    time.Time
 	mu       sync.Mutex
 	calls    []*soakCall
 	probes   []soakProbe
@@ -76,16 +86,23 @@
 	spans    []*soakSpan
 	stops    []*soakSpan
 	limits   []*soakLimit
+	pressing []*soakSpan
 	drained  map[string]time.Time
 	// deadly are the parts that have crashed targets.
-	deadly   []*deadlyPart
+	deadly []*deadlyPart
+	// revoked says when keys were revoked, amounts what ran of each team.
+	revoked  map[string]time.Time
+	amounts  map[string][]fake.Arrival
 	version  int
 	acked    time.Time
 	failures []string
 }
 
 func newSoakRecord() *soakRecord {
-	return &soakRecord{runs: make(map[string][]*soakRun), at: make(map[string]string), drained: make(map[string]time.Time)}
+	return &soakRecord{
+		runs: make(map[string][]*soakRun), at: make(map[string]string), drained: make(map[string]time.Time),
+		revoked: make(map[string]time.Time), amounts: make(map[string][]fake.Arrival),
+	}
 }
 
 func (r *soakRecord) fail(format string, args ...any) {
@@ -112,10 +129,10 @@
 	r.at[id] = instance
 }
 
-func (r *soakRecord) arrived(service, id, target string) {
+func (r *soakRecord) arrived(a soakArrival) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.arrivals = append(r.arrivals, soakArrival{id, service, target, time.Now()})
+	r.arrivals = append(r.arrivals, a)
 }
 
 // ran notes the beginning of a run and returns what notes its end.
@@ -190,16 +207,14 @@
 	return r.untroubled(from, to, instance, allInstances, theStore)
 }
 
-// untroubled is calm for anybody that is named, under the lock.
+// untroubled is calm for anybody that is named, or for all if nobody is, under the lock.
 func (r *soakRecord) untroubled(from, to time.Time, whom ...string) bool {
 	for _, s := range r.spans {
 		if !s.overlaps(from.Add(-contactTime), to) {
 			continue
 		}
-		for _, name := range whom {
-			if s.whom == name {
-				return false
-			}
+		if len(whom) == 0 || slices.Contains(whom, s.whom) {
+			return false
 		}
 	}
 	return true
--- a/cmd/chivecroft/soak_test.go
+++ b/cmd/chivecroft/soak_test.go
@@ -65,9 +65,9 @@
 	defer stop()
 	held := heldUp(ctx)
 	w.startCallers(ctx)
-	w.began = time.Now()
+	w.record.began = time.Now()
 	for _, e := range plan {
-		time.Sleep(time.Until(w.began.Add(e.at)))
+		time.Sleep(time.Until(w.record.began.Add(e.at)))
 		w.disturb(e)
 	}
 	w.disturbed.Wait()
--- a/cmd/chivecroft/soak_world_test.go
+++ b/cmd/chivecroft/soak_world_test.go
@@ -33,6 +33,7 @@
 var soakBounds = fake.Bounds{
 	Grace: 8 * time.Second, Drain: 2500 * time.Millisecond, ConfigApply: 2500 * time.Millisecond,
 	Handover: 3 * time.Second, RetryRatio: 0.05, RetryExtra: 8, RetryWindow: 10 * time.Second,
+	Revocation: 5 * time.Second, QuotaWindow: 8 * time.Second, QuotaExcess: 0.1, QuotaSlack: 11_000,
 }
 
 var soakZones = map[string]string{"za": "r1", "zb": "r1", "zc": "r2"}
@@ -44,7 +45,6 @@
 	store    *fake.Store
 	storeAt  netip.AddrPort
 	files    string
-	began    time.Time
 	calmFrom time.Time
 	record   *soakRecord
 	// disturbed counts the disturbances under way, calling the callers.
@@ -58,9 +58,12 @@
 	rules   map[int]rule
 	ruleNum int
 	version int
-	eager   int
-	rare    int
-	leaving bool
+	// revoked counts the revoked keys of each team; lastRevoked is the last of these teams.
+	revoked     map[string]int
+	lastRevoked string
+	eager       int
+	rare        int
+	leaving     bool
 }
 
 // soakInstance is one instance of the system, over all of its processes.
@@ -84,7 +87,7 @@
 func newSoakWorld(t *testing.T) *soakWorld {
 	w := &soakWorld{
 		t: t, net: newNetwork(t), store: fake.NewStore(t), files: t.TempDir(),
-		record: newSoakRecord(), rules: make(map[int]rule),
+		record: newSoakRecord(), rules: make(map[int]rule), revoked: make(map[string]int), lastRevoked: soakTeams[0],
 	}
 	if *soakLogs != "" {
 		w.files = filepath.Join(*soakLogs, strings.ReplaceAll(t.Name(), "/", "-"))
@@ -136,13 +139,13 @@
 	}
 	for v := max(version-soakRoutes, 1); v <= version; v++ {
 		routes = append(routes, fake.Route{
-			Prefix: fmt.Sprintf("/v%d/", v), Kind: "safe", Service: "desk", Timeout: time.Second, Attempts: 2,
+			Prefix: fmt.Sprintf("/v%d/", v), Kind: "safe", Service: "desk", Timeout: time.Second, Attempts: 2, Public: true,
 		})
 	}
 	models := fake.Models{Names: soakModelNames(), Places: 3, Load: 800 * time.Millisecond}
 	w.store.WriteConfig(w.t, fake.Config{
 		Version: version, Host: soakHost, Routes: routes, Plain: []string{"desk"},
-		Engines: map[string]fake.Models{"chat": models},
+		Engines: map[string]fake.Models{"chat": models}, Teams: w.teams(),
 	})
 	w.record.configured(version)
 }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	stdlog "log"
@@ -335,18 +334,21 @@
 	d := r.targets["d1"]
 	d.Behave(func(w http.ResponseWriter, req *http.Request) {
 		d.Sign(w, req)
-		if req.Header.Get("X-Slow") != "" {
+		if fake.CallID(req) == "slow" {
 			close(began)
 			time.Sleep(1500 * time.Millisecond)
 		}
 		_, _ = io.WriteString(w, "whole")
 	})
-	slow := make(chan error, 1)
-	go func() { slow <- r.slowCall(e) }()
+	slow := make(chan string, 1)
+	go func() {
+		_, _, body := r.send(t.Context(), e, fake.Call{ID: "slow", Path: "/app/"})
+		slow <- body
+	}()
 	select {
 	case <-began:
-	case err := <-slow:
-		t.Fatalf("the request ended before it reached its target: %v", err)
+	case body := <-slow:
+		t.Fatalf("the request ended before it reached its target: %s", body)
 	}
 	stopped := make(chan struct{})
 	go func() {
@@ -360,27 +362,8 @@
 			t.Errorf("request while stopping: %d %s", status, text)
 		}
 	}
-	if err := <-slow; err != nil {
-		t.Errorf("request that began before the stop: %v", err)
+	if body := <-slow; body != "whole" {
+		t.Errorf("request that began before the stop: %s", body)
 	}
 	<-stopped
 }
-
-func (r *rig) slowCall(e *Edge) error {
-	req, err := http.NewRequestWithContext(r.t.Context(), http.MethodPost, "http://"+e.boot.Callers.String()+"/app/", nil)
-	if err != nil {
-		return err
-	}
-	req.Host = "x.example"
-	req.Header.Set("Chivecroft-Attempt-Id", "slow")
-	req.Header.Set("X-Slow", "1")
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	if body, err := io.ReadAll(resp.Body); err != nil || string(body) != "whole" {
-		return errors.Join(err, fmt.Errorf("status %d, answer %q", resp.StatusCode, body))
-	}
-	return nil
-}
