Quotas: instances decide at once when the holder is dead

Instances asked a dead holder for 1.5 s before they admitted requests by themselves, longer than most requests wait. A refused connection now proves that the holder's process has ended; the instances share what its bucket had left, as told with each reply, and its refill. A successor that found its predecessor dead opens its buckets at once.

Without each of the conditions (fresh level, reservations awaited, reserve, one use per term, end of the refill, opening of the successor) a test fails.

--- a/internal/coordination/elect/part.go
+++ b/internal/coordination/elect/part.go
@@ -57,6 +57,9 @@
 	// IsHolder means that this instance is the holder; Token is its fencing token.
 	IsHolder bool
 	Token    uint64
+	// Former is the address of the last holder before this instance's term, which may be its
+	// own; it is invalid if there was none.
+	Former netip.AddrPort
 	// HeldUntil is the time until which this instance is certain to hold the key.
 	HeldUntil time.Time
 	// OrderFrom and OrderUntil bound the time in which this instance may send orders.
--- a/internal/coordination/elect/term.go
+++ b/internal/coordination/elect/term.go
@@ -35,7 +35,7 @@
 	p.handoverFrom = p.handoverStart(now)
 	from := timer.Later(now, p.handoverFrom.Add(p.handoverWait()))
 	p.missingSince = time.Time{}
-	p.status = Status{Holder: p.self, IsHolder: true, OrderFrom: from}
+	p.status = Status{Holder: p.self, IsHolder: true, OrderFrom: from, Former: p.lastRecord.Holder}
 	p.recordTag = p.nextTag()
 	effects := p.renew(now)
 	effects = append(effects, p.watchOwnKey(now)...)
--- a/internal/coordination/usage/alone.go
+++ b/internal/coordination/usage/alone.go
@@ -1,6 +1,7 @@
 package usage
 
 import (
+	"math"
 	"time"
 )
 
@@ -18,22 +19,48 @@
 	// aloneRetryAfter limits the Retry-After of a refusal without a holder, which may be
 	// back by then.
 	aloneRetryAfter = 5 * time.Second
+	// deadTime is how long the instances use the full refill of a dead holder's bucket. A
+	// successor begins at about its end, with an empty bucket.
+	deadTime = 1500 * time.Millisecond
+	// spareDeviations is the number of standard deviations of the use that are kept back of
+	// what a dead holder's bucket had left.
+	spareDeviations = 1
 	// assumedMembers is the number of instances until a holder has told it, that of a large
 	// fleet, since a smaller one would exceed the quotas there.
 	assumedMembers = 300
 )
 
+// Failure is why a message has got no reply.
+type Failure uint8
+
+const (
+	// NoReply means that nothing is known of the holder: it may be alive.
+	NoReply Failure = iota
+	// NotHolder means that the instance asked knows no holder and is none itself.
+	NotHolder
+	// HolderDead means that the holder's process has ended: its address refuses new
+	// connections.
+	HolderDead
+)
+
 // aloneBucket is an instance's part of a quota without a holder.
 type aloneBucket struct {
+	// spare is the instance's part of what a dead holder's bucket had left, in units, with its
+	// refill up to filledAt. It is negative as long as that is below the reserve.
+	spare    float64
+	filledAt time.Time
 	// level is what has been saved up at a time, as the time that it takes at the instance's
 	// part of the rate.
 	level time.Duration
 	at    time.Time
 }
 
-// IsAlone reports whether the instance decides without a holder: it has asked in vain for
-// aloneAfter, and has not heard of a holder since.
+// IsAlone reports whether the instance decides without a holder: the holder is dead, or the
+// instance has asked in vain for aloneAfter, and it has not heard of a holder since.
 func (s *Share) IsAlone(now time.Time) bool {
+	if !s.deadAt.IsZero() {
+		return true
+	}
 	if s.failedAt.IsZero() || s.failedAt.Before(s.repliedAt) {
 		return false
 	}
@@ -53,17 +80,78 @@
 	}
 	b := &t.alone
 	if b.at.IsZero() {
-		b.at = s.failedAt.Add(aloneAfter)
+		*b = s.openAlone(t, d.Amount)
+	}
+	b.fill(now, s.deadAt, t.limit.Rate*share)
+	spare := max(b.spare, 0)
+	needed := time.Duration(max(d.Amount-spare, 0) / rate * float64(time.Second))
+	saved := b.level
+	if now.After(b.at) {
+		saved, b.at = min(b.level+now.Sub(b.at), aloneTime), now
 	}
-	needed := time.Duration(d.Amount / rate * float64(time.Second))
-	saved := min(b.level+now.Sub(b.at), aloneTime)
-	b.at = now
-	if saved < needed && s.random()*float64(needed) >= float64(saved) {
-		b.level = 0
+	if have := spare + saved.Seconds()*rate; have < d.Amount && s.random()*d.Amount >= have {
+		b.spare, b.level = min(b.spare, 0), 0
 		out.RetryAfter = min(needed, aloneRetryAfter)
 		return out
 	}
-	b.level = max(saved-needed, 0)
+	b.spare, b.level = min(b.spare, max(b.spare-d.Amount, 0)), max(saved-needed, 0)
 	p := Permit{Team: d.Team, Amount: d.Amount, Start: now, Until: now.Add(permitLifetime), term: noTerm}
 	return Outcome{Permit: p, Share: share, IsAlone: true}
 }
+
+// openAlone returns the bucket at the beginning of a time without a holder. After one that did
+// not reply, nothing is known of what it has issued since. A dead one has issued nothing more:
+// the instances share what its bucket had left and its refill of deadTime. What it had reserved
+// ahead may start for up to maxDelay.
+func (s *Share) openAlone(t *teamShare, amount float64) aloneBucket {
+	if s.deadAt.IsZero() {
+		return aloneBucket{at: s.failedAt.Add(aloneAfter)}
+	}
+	out := aloneBucket{at: s.deadAt.Add(deadTime), filledAt: s.deadAt.Add(maxDelay)}
+	if !t.levelAt.IsZero() && s.deadAt.Sub(t.levelAt) < silentAfter && t.level > 0 {
+		out.spare, out.filledAt = t.level, s.deadAt
+	}
+	// All instances may be asked for their parts at once, and each decides at random.
+	total := out.spare + t.limit.Rate*out.at.Sub(out.filledAt).Seconds()
+	out.spare = (out.spare - spareDeviations*math.Sqrt(total*amount)) * s.shareOf(t)
+	return out
+}
+
+// fill adds the refill of a dead holder's bucket, at the instance's part of the rate.
+func (b *aloneBucket) fill(now, deadAt time.Time, rate float64) {
+	if end := deadAt.Add(deadTime); now.After(end) {
+		now = end
+	}
+	if !b.filledAt.IsZero() && now.After(b.filledAt) {
+		b.spare += rate * now.Sub(b.filledAt).Seconds()
+		b.filledAt = now
+	}
+}
+
+// noteFailure notes why the message that was sent at a time has got no reply.
+func (s *Share) noteFailure(now, sentAt time.Time, why Failure) {
+	s.isGone = s.isGone || why == NotHolder
+	if s.failedAt.IsZero() || sentAt.Before(s.failedAt) {
+		s.failedAt = sentAt
+	}
+	// An instance that is no longer the holder may end while another one issues permits. A term
+	// whose holder has replied after it was taken for dead is not ended a second time, since
+	// what the dead holder had left can be used only once.
+	if why == HolderDead && !s.isGone && s.deadAt.IsZero() && s.term != s.deadTerm {
+		s.deadAt, s.deadTerm = now, s.term
+	}
+}
+
+// DeadAt returns when the holder was found dead, zero if it was not.
+func (s *Share) DeadAt() time.Time { return s.deadAt }
+
+// isLate reports whether a reply is that of the dead holder, which was under way when it died.
+func (s *Share) isLate(sent *Sent, r Reply) bool {
+	return !s.deadAt.IsZero() && r.Term == s.deadTerm && sent.at.Before(s.deadAt)
+}
+
+// canAwaitSuccessor reports whether a request that was refused without a holder may wait for a
+// successor for the rest of its time: after the holder's death, one is about to begin.
+func (s *Share) canAwaitSuccessor(o Outcome) bool {
+	return o.Status == OverQuota && !s.deadAt.IsZero()
+}
--- a/internal/coordination/usage/fleet_test.go
+++ b/internal/coordination/usage/fleet_test.go
@@ -24,11 +24,13 @@
 // world is a fleet of Shares with one Ledger on virtual time. It stands for what package
 // edge and the network do.
 type world struct {
-	random  *rand.Rand
-	now     time.Time
-	ledger  *Ledger
-	term    int64
-	holder  bool
+	random *rand.Rand
+	now    time.Time
+	ledger *Ledger
+	term   int64
+	holder bool
+	// isDead means that the address of the last holder refuses new connections.
+	isDead  bool
 	teams   []*testTeam
 	members []*testMember
 	events  map[int64][]func()
@@ -45,10 +47,13 @@
 	load     float64
 	at       []int
 	smallest float64
-	owed     float64
+	// spread is the difference between the largest and the smallest amount.
+	spread float64
+	owed   float64
 	// arrivals are the amounts that reached targets, unused those returned by requests.
 	arrivals []arrival
 	offered  float64
+	requests int
 	unused   float64
 }
 
@@ -87,8 +92,11 @@
 
 func (w *world) newTerm() {
 	w.term++
-	w.holder = true
 	w.ledger = NewLedger(w.term, w.now)
+	if successor := w.members[w.random.IntN(len(w.members))]; w.isDead && !successor.cut {
+		w.ledger.SetDead(successor.share.DeadAt())
+	}
+	w.holder, w.isDead = true, false
 	w.ledger.SetTeams(w.now, bounds, w.limits())
 }
 
@@ -127,9 +135,14 @@
 // demand has a team's callers send what is due.
 func (w *world) demand(t *testTeam) {
 	for t.owed += t.load * t.Rate * step.Seconds(); t.owed > 0; {
-		amount := t.smallest + w.random.Float64()*min(10*t.smallest, 15_000-t.smallest)
+		spread := t.spread
+		if spread == 0 {
+			spread = min(10*t.smallest, 15_000-t.smallest)
+		}
+		amount := t.smallest + w.random.Float64()*spread
 		t.owed -= amount
 		t.offered += amount
+		t.requests++
 		m := w.members[t.at[w.random.IntN(len(t.at))]]
 		if w.now.Before(m.frozenUntil) {
 			continue
@@ -191,6 +204,10 @@
 	share := m.share
 	sent := share.Message(w.now)
 	ledger, delay := w.ledger, w.delay()
+	if w.isDead && !m.cut {
+		w.at(min(delay, replyTimeout), func() { w.fail(m, share, sent, HolderDead) })
+		return
+	}
 	w.at(delay, func() {
 		if m.cut || !w.holder || ledger != w.ledger {
 			return
@@ -203,13 +220,22 @@
 		})
 	})
 	w.at(replyTimeout, func() {
-		if m.share == share && !sent.isDone {
-			m.retryAt = w.now.Add(retryDelay)
-			w.thaw(m, func() { share.Fail(w.now, sent, !w.holder && !m.cut) })
+		why := NoReply
+		if !w.holder && !m.cut && !w.isDead {
+			why = NotHolder
 		}
+		w.fail(m, share, sent, why)
 	})
 }
 
+// fail ends a message without a reply.
+func (w *world) fail(m *testMember, share *Share, sent *Sent, why Failure) {
+	if m.share == share && !sent.isDone {
+		m.retryAt = w.now.Add(retryDelay)
+		w.thaw(m, func() { share.Fail(w.now, sent, why) })
+	}
+}
+
 // thaw calls do when an instance is not frozen.
 func (w *world) thaw(m *testMember, do func()) {
 	if wait := m.frozenUntil.Sub(w.now); wait > 0 {
@@ -233,6 +259,12 @@
 	w.at(max(gap, HolderGap), w.newTerm)
 }
 
+// killHolder ends the holder's process, and replaces it after a gap.
+func (w *world) killHolder(gap time.Duration) {
+	w.isDead = true
+	w.changeHolder(gap)
+}
+
 // check looks for windows over the bound.
 func (w *world) check(t rapid.TB) {
 	t.Helper()
@@ -301,7 +333,7 @@
 	team := w.teams[rapid.IntRange(0, len(w.teams)-1).Draw(t, "team")]
 	some := team.at[:rapid.IntRange(1, len(team.at)).Draw(t, "some")]
 	d := w.within(9 * time.Second)
-	switch rapid.SampledFrom([]string{"kill", "freeze", "cut", "busy", "holder", "outage", "load"}).Draw(t, "fault") {
+	switch rapid.SampledFrom([]string{"kill", "freeze", "cut", "busy", "holder", "dead", "outage", "load"}).Draw(t, "fault") {
 	case "kill":
 		for _, i := range some {
 			w.restart(i)
@@ -321,6 +353,8 @@
 		w.at(d, func() { w.isBusy = false })
 	case "holder":
 		w.changeHolder(w.within(3 * time.Second))
+	case "dead":
+		w.killHolder(w.within(3 * time.Second))
 	case "outage":
 		w.changeHolder(10 * time.Second)
 	case "load":
@@ -346,6 +380,19 @@
 				w.changeHolder(0)
 			}
 		}},
+		{"holder dies", func(w *world) { w.killHolder(2 * time.Second) }},
+		{"holder dies three times", func(w *world) {
+			for range 3 {
+				w.run(1500 * time.Millisecond)
+				w.killHolder(0)
+			}
+		}},
+		{"holder dies three times, each time for longer", func(w *world) {
+			for range 3 {
+				w.killHolder(1500 * time.Millisecond)
+				w.run(2500 * time.Millisecond)
+			}
+		}},
 		{"half of the requests return their permits late", func(w *world) { w.waste = 0.5; w.run(time.Second); w.waste = 0 }},
 		{"half of the callers' instances cut off", func(w *world) {
 			w.run(2 * time.Second)
@@ -365,6 +412,17 @@
 			w.check(t)
 		})
 	}
+	t.Run("holder dies as the load rises", func(t *testing.T) {
+		team := &testTeam{Limit: Limit{Team: "t", Rate: 230_000, Burst: 230_000, Largest: 15_000}, load: 0.9, smallest: 500, at: []int{0, 1, 2, 3}}
+		w := newWorld(9, 6, team)
+		w.run(10 * time.Second)
+		team.load = 0
+		w.run(time.Second)
+		team.load = 7
+		w.killHolder(time.Second)
+		w.run(12 * time.Second)
+		w.check(t)
+	})
 }
 
 // TestUseOfTheQuota has demand above the quota, evenly and at 3 of 84 instances: in steady
@@ -432,3 +490,79 @@
 		t.Errorf("the bucket has %.0f of %.0f tokens", level, team.Burst)
 	}
 }
+
+// TestHolderIsLost counts the requests that are admitted in the 3 s after the holder is lost, in
+// a fleet of 84 instances with teams at 0.55 of their quotas. It fails if instances wait for a
+// successor although they know that the holder is dead.
+func TestHolderIsLost(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		do    func(w *world)
+		least float64
+	}{
+		{"killed", func(w *world) { w.killHolder(2 * time.Second) }, 0.6},
+		{"not heard", func(w *world) { w.changeHolder(2 * time.Second) }, 0.2},
+		{"released", func(w *world) { w.changeHolder(800 * time.Millisecond) }, 0.6},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			sum := make(map[string]lossCount)
+			for seed := range uint64(20) {
+				w := newWorld(seed, 84)
+				for _, rate := range []float64{2700, 20_000, 60_000, 230_000} {
+					team := &testTeam{
+						Limit: Limit{Team: fmt.Sprintf("t%.0f", rate), Rate: rate, Burst: rate, Largest: 15_000},
+						load:  0.55, smallest: 500, spread: 13_000,
+					}
+					for i := range w.members {
+						team.at = append(team.at, i)
+					}
+					w.teams = append(w.teams, team)
+				}
+				w.setTeams()
+				w.run(15 * time.Second)
+				w.countLoss(sum, -1)
+				c.do(w)
+				w.run(3 * time.Second)
+				for _, team := range w.teams {
+					team.load = 0
+				}
+				w.run(patience + permitLifetime)
+				w.countLoss(sum, 1)
+				w.check(t)
+			}
+			for team, n := range sum {
+				t.Logf("%s: %.3f of the tokens, %.3f of the requests", team, n.arrived/n.offered, float64(n.served)/float64(n.requests))
+			}
+			if n := sum["t230000"]; float64(n.served) < c.least*float64(n.requests) {
+				t.Errorf("%d of %d requests of the largest team were served, wanted %.2f", n.served, n.requests, c.least)
+			}
+		})
+	}
+}
+
+// lossCount is what a team has offered and what of it has arrived.
+type lossCount struct {
+	offered, arrived float64
+	requests, served int
+}
+
+func (w *world) countLoss(sum map[string]lossCount, sign float64) {
+	for _, t := range w.teams {
+		n := sum[t.Team]
+		n.offered += sign * t.offered
+		n.requests += int(sign) * t.requests
+		n.served += int(sign) * len(t.arrivals)
+		for _, a := range t.arrivals {
+			n.arrived += sign * a.amount
+		}
+		sum[t.Team] = n
+	}
+}
+
+// setTeams tells all instances and the holder of the teams.
+func (w *world) setTeams() {
+	for _, m := range w.members {
+		m.share.SetTeams(bounds, w.limits())
+	}
+	w.ledger.SetTeams(w.now, bounds, w.limits())
+}
--- a/internal/coordination/usage/ledger.go
+++ b/internal/coordination/usage/ledger.go
@@ -39,6 +39,7 @@
 	bounds   Bounds
 	term     int64
 	start    time.Time
+	deadAt   time.Time
 	accounts map[string]*account
 	// heardAt is when each instance last sent a message.
 	heardAt map[string]time.Time
@@ -119,10 +120,18 @@
 	}
 }
 
+// SetDead tells that the last holder was found dead at a time, so that it has issued no permits
+// since. It must be called before the first SetTeams.
+func (l *Ledger) SetDead(at time.Time) { l.deadAt = at }
+
 // opening returns the first slot of a term. The reservations of the last holder may go on
 // for maxDelay; what the bounds leave of them need not be awaited.
 func (l *Ledger) opening(limit Limit, rate, capacity float64) int64 {
 	wait := (maxDelay - HolderGap).Seconds()
+	if !l.deadAt.IsZero() {
+		// Instances decide without a holder until their next message.
+		wait = min(wait, l.deadAt.Add(maxDelay+heartbeatInterval).Sub(l.start).Seconds())
+	}
 	if l.bounds.Window > 0 && rate > 0 {
 		wait -= (l.bounds.MaxUse(limit) - capacity - rate*l.bounds.span()) / rate
 	}
@@ -150,7 +159,7 @@
 	if m.IsIdle {
 		l.forget(m.From)
 	}
-	out := Reply{Term: l.term, Members: l.members, Shares: make(map[string]float64)}
+	out := Reply{Term: l.term, Members: l.members, Shares: make(map[string]float64), Levels: make(map[string]float64)}
 	for _, ask := range m.Asks {
 		out.Answers = append(out.Answers, l.answer(now, m.From, ask))
 	}
@@ -174,6 +183,8 @@
 	// Four digits suffice and keep the reply short.
 	u.told = math.Round(u.told*1e4) / 1e4
 	out.Shares[team] = u.told
+	a.calendar.advance(l.slot(now))
+	out.Levels[team] = math.Floor(a.calendar.current())
 	if a.isFilled(0) {
 		out.Filled = append(out.Filled, team)
 	}
--- a/internal/coordination/usage/message.go
+++ b/internal/coordination/usage/message.go
@@ -53,6 +53,8 @@
 	Answers []Answer `json:"answers,omitempty"`
 	// Shares is the instance's part of the recent grants of each team in the message.
 	Shares map[string]float64 `json:"shares,omitempty"`
+	// Levels are the levels of these teams' buckets, without reserved tokens.
+	Levels map[string]float64 `json:"levels,omitempty"`
 	// Filled lists the teams whose bucket has enough for prefetching.
 	Filled []string `json:"filled,omitempty"`
 }
--- a/internal/coordination/usage/share.go
+++ b/internal/coordination/usage/share.go
@@ -77,6 +77,8 @@
 	Demand
 	done   func(Outcome)
 	isDone bool
+	// refusal is the decision without a holder, while the request still waits for a successor.
+	refusal *Outcome
 }
 
 // Share holds an instance's permits and asks for further ones. It is not safe for
@@ -101,6 +103,10 @@
 	// isGone means that an instance has since said that it is no longer the holder.
 	failedAt time.Time
 	isGone   bool
+	// deadAt is when the holder was found dead, zero after the first reply to a later message,
+	// and deadTerm the term of the last one that was.
+	deadAt   time.Time
+	deadTerm int64
 }
 
 // teamShare is what an instance knows of a team's quota.
@@ -109,6 +115,9 @@
 	capacity float64
 	share    float64
 	isFilled bool
+	// level is the level of the holder's bucket at levelAt or later.
+	level   float64
+	levelAt time.Time
 	// demand and requests are the recent amounts and numbers of requests.
 	demand, requests average
 	// usedAt is when the last request came, zero after idleAfter, askedAt when the holder
@@ -138,7 +147,9 @@
 	if random == nil {
 		random = rand.Float64
 	}
-	return &Share{name: name, random: random, teams: make(map[string]*teamShare), members: assumedMembers}
+	return &Share{
+		name: name, random: random, teams: make(map[string]*teamShare), members: assumedMembers, deadTerm: noTerm,
+	}
 }
 
 // SetTeams sets the bounds and the quotas in force.
@@ -175,7 +186,13 @@
 		return Outcome{Permit: p, Share: s.shareOf(t)}, nil
 	}
 	if s.IsAlone(now) {
-		return s.decideAlone(now, t, d), nil
+		out := s.decideAlone(now, t, d)
+		if !s.canAwaitSuccessor(out) {
+			return out, nil
+		}
+		q := &Pending{Demand: d, done: done, refusal: &out}
+		s.queue = append(s.queue, q)
+		return Outcome{}, q
 	}
 	if t.refused.covers(now, d) {
 		return Outcome{Status: OverQuota, RetryAfter: t.refused.readyAt.Sub(now), Share: s.shareOf(t)}, nil
@@ -287,6 +304,7 @@
 	out.Message.Returns, s.returns = s.returns, nil
 	if !s.usedAt.IsZero() && now.Sub(s.usedAt) > idleAfter {
 		out.Message.IsIdle, s.usedAt, s.failedAt = true, time.Time{}, time.Time{}
+		s.deadAt = time.Time{}
 	}
 	return out
 }
@@ -342,11 +360,13 @@
 // Apply applies the reply to a message and completes its requests.
 func (s *Share) Apply(now time.Time, sent *Sent, r Reply) {
 	if sent.isDone || len(r.Answers) != len(sent.Message.Asks) {
-		s.Fail(now, sent, false)
+		s.Fail(now, sent, NoReply)
 		return
 	}
 	sent.isDone = true
-	s.noteReply(now, sent, r)
+	if !s.isLate(sent, r) {
+		s.noteReply(now, sent, r)
+	}
 	for i, q := range sent.pending {
 		s.applyAnswer(now, sent, q, r.Answers[i])
 	}
@@ -374,7 +394,7 @@
 		}
 	}
 	s.members = max(r.Members, 1)
-	s.failedAt, s.isGone = time.Time{}, false
+	s.failedAt, s.deadAt, s.isGone = time.Time{}, time.Time{}, false
 	if sent.at.After(s.repliedAt) {
 		s.repliedAt = sent.at
 	}
@@ -383,6 +403,11 @@
 			t.share, t.isFilled = share, false
 		}
 	}
+	for name, level := range r.Levels {
+		if t := s.teams[name]; t != nil && !sent.at.Before(t.levelAt) {
+			t.level, t.levelAt = level, sent.at
+		}
+	}
 	for _, name := range r.Filled {
 		if t := s.teams[name]; t != nil {
 			t.isFilled = true
@@ -437,8 +462,8 @@
 }
 
 // Fail notes that a message has got no reply. Its requests are asked for again, or decided
-// without a holder. isGone means that the instance asked has said that it is not the holder.
-func (s *Share) Fail(now time.Time, sent *Sent, isGone bool) {
+// without a holder.
+func (s *Share) Fail(now time.Time, sent *Sent, why Failure) {
 	if sent.isDone {
 		return
 	}
@@ -448,10 +473,7 @@
 			t.isPrefetching = false
 		}
 	}
-	s.isGone = s.isGone || isGone
-	if s.failedAt.IsZero() || sent.at.Before(s.failedAt) {
-		s.failedAt = sent.at
-	}
+	s.noteFailure(now, sent.at, why)
 	s.queue = append(sent.pending, s.queue...)
 	s.Expire(now)
 }
@@ -467,8 +489,16 @@
 		case q.isDone:
 		case t == nil:
 			s.finish(q, unlimited(now, q.Team))
-		case alone:
-			s.finish(q, s.decideAlone(now, t, q.Demand))
+		case !now.Before(q.Until) && q.refusal != nil:
+			s.finish(q, *q.refusal)
+		case alone && q.refusal == nil:
+			out := s.decideAlone(now, t, q.Demand)
+			if !s.canAwaitSuccessor(out) {
+				s.finish(q, out)
+				continue
+			}
+			q.refusal = &out
+			kept = append(kept, q)
 		case !now.Before(q.Until):
 			s.finish(q, Outcome{Status: NoHolder})
 		default:
--- a/internal/coordination/usage/usage_test.go
+++ b/internal/coordination/usage/usage_test.go
@@ -94,6 +94,84 @@
 	}
 }
 
+// TestDeadHolderLeavesItsLevel has an instance find the holder dead: it may use what the
+// holder's bucket had left, once, if it was told of that recently and nothing was reserved.
+func TestDeadHolderLeavesItsLevel(t *testing.T) {
+	s := (*Share)(nil)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	reply := func(ms int, sent *Sent, term int64, level float64) {
+		s.Apply(at(ms), sent, Reply{
+			Term: term, Members: 1, Answers: make([]Answer, len(sent.Message.Asks)),
+			Shares: map[string]float64{"t": 0.5}, Levels: map[string]float64{"t": level},
+		})
+	}
+	told := func(ms int, term int64, level float64) { reply(ms, s.Message(at(ms)), term, level) }
+	fail := func(ms int, why Failure) { s.Fail(at(ms), s.Message(at(ms)), why) }
+	ask := func(ms int) string {
+		out, pending := s.Request(at(ms), Demand{Team: "t", Amount: 15_000, Until: at(ms + 1000)}, func(Outcome) {})
+		if pending != nil {
+			return "waits"
+		}
+		return out.Status.String()
+	}
+	for _, c := range []struct {
+		name string
+		do   func() []string
+		want []string
+	}{
+		{"its part of the level", func() []string {
+			told(0, 1, 200_000)
+			fail(100, HolderDead)
+			return []string{ask(100), ask(100), ask(100), ask(100)}
+		}, []string{"granted", "granted", "granted", "waits"}},
+		{"no reply", func() []string { told(0, 1, 200_000); fail(100, NoReply); return []string{ask(100)} }, []string{"waits"}},
+		{"level told long ago", func() []string { told(0, 1, 200_000); fail(1300, HolderDead); return []string{ask(1300)} }, []string{"waits"}},
+		{"nothing left", func() []string { told(0, 1, -1); fail(100, HolderDead); return []string{ask(1000)} }, []string{"waits"}},
+		{"less than the reserve", func() []string { told(0, 1, 80_000); fail(100, HolderDead); return []string{ask(100)} }, []string{"waits"}},
+		{"no longer the holder", func() []string {
+			told(0, 1, 200_000)
+			fail(50, NotHolder)
+			fail(100, HolderDead)
+			return []string{ask(100)}
+		}, []string{"waits"}},
+		{"late reply", func() []string {
+			told(0, 1, 200_000)
+			late := s.Message(at(90))
+			fail(100, HolderDead)
+			reply(110, late, 1, 200_000)
+			return []string{ask(120)}
+		}, []string{"granted"}},
+		{"refill ends", func() []string {
+			told(0, 1, -1)
+			fail(100, HolderDead)
+			for range 45 {
+				ask(9000)
+			}
+			return []string{ask(9000)}
+		}, []string{"waits"}},
+		{"found dead twice", func() []string {
+			told(0, 1, 200_000)
+			fail(100, HolderDead)
+			for ask(100) == "granted" {
+			}
+			told(110, 1, 200_000)
+			fail(120, HolderDead)
+			first := ask(120)
+			told(130, 2, 200_000)
+			fail(140, HolderDead)
+			return []string{first, ask(140)}
+		}, []string{"waits", "granted"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s = NewShare("i", func() float64 { return 0.999999 })
+			s.SetTeams(bounds, []Limit{{Team: "t", Rate: 230_000, Burst: 230_000, Largest: 15_000}})
+			if diff := cmp.Diff(c.want, c.do()); diff != "" {
+				t.Errorf("requests (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // BenchmarkAsk measures an ask at the ledger among many teams under full load.
 func BenchmarkAsk(b *testing.B) {
 	var limits []Limit
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -197,6 +197,9 @@
 // updates at once.
 func (e *Edge) onHolderStatus(s elect.Status) {
 	was := e.coordinator.holderStatus()
+	if s.IsHolder && !was.IsHolder || s.Holder != was.Holder {
+		e.coordinator.teamQuotas.setDead(e.permits.noteHolder(s))
+	}
 	e.coordinator.setStatus(s)
 	if s.IsHolder && !was.IsHolder {
 		// The listener must not wait for a file.
--- a/internal/edge/permits.go
+++ b/internal/edge/permits.go
@@ -4,15 +4,18 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/netip"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
 
+	"chivecroft.example/chivecroft/internal/coordination/elect"
 	"chivecroft.example/chivecroft/internal/coordination/usage"
 	"chivecroft.example/chivecroft/internal/state/fleet"
 	"chivecroft.example/chivecroft/internal/state/timer"
@@ -36,6 +39,9 @@
 	maxLoggedSilent = 8
 	// maxPermitMessages limits the messages in flight.
 	maxPermitMessages = 32
+	// maxDeadAge is how long after the death of the last holder its successor relies on that it
+	// has issued nothing since. The address may belong to another process by then.
+	maxDeadAge = 10 * time.Second
 )
 
 // teamQuotas is the holder's Ledger for the present term.
@@ -46,6 +52,8 @@
 	limits []usage.Limit
 	// answeredAt is when this instance last issued permits.
 	answeredAt time.Time
+	// deadAt is when the last holder before this instance was found dead, zero if it was not.
+	deadAt time.Time
 }
 
 func newTeamQuotas() *teamQuotas { return &teamQuotas{ledger: usage.NewLedger(0, time.Time{})} }
@@ -56,9 +64,19 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.ledger = usage.NewLedger(term, timer.Later(now, q.answeredAt.Add(usage.HolderGap)))
+	if now.Sub(q.deadAt) < maxDeadAge {
+		q.ledger.SetDead(q.deadAt)
+	}
 	q.ledger.SetTeams(now, q.bounds, q.limits)
 }
 
+// setDead sets when the last holder before this instance was found dead.
+func (q *teamQuotas) setDead(at time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.deadAt = at
+}
+
 func (q *teamQuotas) setTeams(now time.Time, b usage.Bounds, limits []usage.Limit) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -162,6 +180,9 @@
 	// retryAt is when the next message may be sent after one without a reply.
 	retryAt time.Time
 	isAlone bool
+	// deadHolder is the address of the holder that was found dead last, unless there has been
+	// another one since.
+	deadHolder netip.AddrPort
 }
 
 func newPermitClient(e *Edge) *permitClient {
@@ -299,7 +320,8 @@
 
 // exchange sends a message and applies its reply.
 func (c *permitClient) exchange(ctx context.Context, sent *usage.Sent) {
-	r, isGone, err := c.ask(ctx, sent.Message)
+	to := c.e.coordinator.holderStatus()
+	r, why, err := c.ask(ctx, to, sent.Message)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inFlight--
@@ -308,61 +330,87 @@
 		c.share.Apply(now, sent, r)
 	} else {
 		c.retryAt = now.Add(permitRetryDelay)
-		c.share.Fail(now, sent, isGone)
+		c.share.Fail(now, sent, why)
+		if why == usage.HolderDead {
+			c.deadHolder = to.Holder
+		}
 	}
 	if alone := c.share.IsAlone(now); alone != c.isAlone {
 		c.isAlone = alone
-		c.e.log.Warn().Bool("alone", alone).Bool("holderGone", isGone).Err(err).Msg("permits without a holder")
+		c.e.log.Warn().Bool("alone", alone).Bool("holderGone", why == usage.NotHolder).
+			Bool("holderDead", why == usage.HolderDead).Str("asked", to.Holder.String()).Err(err).Msg("permits without a holder")
 	}
 }
 
 var errNoPermits = trace.CompareFailed("the instance asked for permits is not a steady holder")
 
-// ask sends a message to the holder. If that fails, isGone reports whether no holder is
-// known.
-func (c *permitClient) ask(ctx context.Context, m usage.Message) (r usage.Reply, isGone bool, err error) {
-	status := c.e.coordinator.holderStatus()
+// noteHolder notes a change of the holder. It returns when the former holder of a new term was
+// found dead, zero if it was not.
+func (c *permitClient) noteHolder(s elect.Status) (deadAt time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s.Holder.IsValid() && !s.IsHolder && s.Holder != c.deadHolder {
+		c.deadHolder = netip.AddrPort{}
+	}
+	if s.IsHolder && s.Former.IsValid() && s.Former == c.deadHolder {
+		return c.share.DeadAt()
+	}
+	return time.Time{}
+}
+
+// ask sends a message to the holder. If that fails, it returns what is known of why.
+func (c *permitClient) ask(ctx context.Context, status elect.Status, m usage.Message) (usage.Reply, usage.Failure, error) {
 	switch {
 	case status.IsHolder:
 		r, ok := c.e.coordinator.answerPermits(m)
 		if !ok {
-			return r, true, errNoPermits
+			return r, usage.NotHolder, errNoPermits
 		}
-		return r, false, nil
+		return r, usage.NoReply, nil
 	case !status.Holder.IsValid():
-		return r, true, errNoHolder
+		return usage.Reply{}, usage.NotHolder, errNoHolder
 	}
 	return c.e.peerClient.permits(ctx, status.Holder, m)
 }
 
 // permits sends a message to another instance.
-func (p *peerClient) permits(ctx context.Context, to netip.AddrPort, m usage.Message) (r usage.Reply, isGone bool, err error) {
-	data, err := json.Marshal(m)
-	if err != nil {
-		return r, false, err
-	}
+func (p *peerClient) permits(ctx context.Context, to netip.AddrPort, m usage.Message) (r usage.Reply, why usage.Failure, err error) {
 	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.String()+pathPermits, bytes.NewReader(data))
-	if err != nil {
-		return r, false, err
-	}
-	a, err := p.do(req, maxMessageBytes)
-	if err != nil {
-		return r, false, trace.Wrap(err, "permits from %s", to)
-	}
-	if a.status == http.StatusConflict {
+	a, err := p.postJSON(ctx, to, pathPermits, m)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		// Only a new connection can be refused: nothing listens at the address any more.
+		return r, usage.HolderDead, trace.Wrap(err, "permits from %s", to)
+	case err != nil:
+		return r, usage.NoReply, trace.Wrap(err, "permits from %s", to)
+	case a.status == http.StatusConflict:
 		var refusal permitRefusal
 		if err := json.Unmarshal(a.body, &refusal); err != nil {
-			return r, false, trace.BadParameter("refusal of permits from %s: %v", to, err)
+			return r, usage.NoReply, trace.BadParameter("refusal of permits from %s: %v", to, err)
 		}
-		return r, !refusal.Holder.IsValid(), errNoPermits
-	}
-	if a.status != http.StatusOK {
-		return r, false, trace.CompareFailed("permits from %s: HTTP status %d", to, a.status)
+		if !refusal.Holder.IsValid() {
+			why = usage.NotHolder
+		}
+		return r, why, errNoPermits
+	case a.status != http.StatusOK:
+		return r, usage.NoReply, trace.CompareFailed("permits from %s: HTTP status %d", to, a.status)
 	}
 	if err := json.Unmarshal(a.body, &r); err != nil {
-		return r, false, trace.BadParameter("permits from %s: %v", to, err)
+		return r, usage.NoReply, trace.BadParameter("permits from %s: %v", to, err)
+	}
+	return r, usage.NoReply, nil
+}
+
+// postJSON sends a value to another instance.
+func (p *peerClient) postJSON(ctx context.Context, to netip.AddrPort, path string, v any) (peerResponse, error) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return peerResponse{}, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.String()+path, bytes.NewReader(data))
+	if err != nil {
+		return peerResponse{}, err
 	}
-	return r, false, nil
+	return p.do(req, maxMessageBytes)
 }
--- a/internal/edge/permits_test.go
+++ b/internal/edge/permits_test.go
@@ -158,3 +158,24 @@
 		}
 	}
 }
+
+// TestDeadHolderIsNoticed kills the holder of a team with a full bucket: other instances must
+// serve the team before there is a successor, instead of waiting for one.
+func TestDeadHolderIsNoticed(t *testing.T) {
+	r := newQuotaRig(t, 400_000)
+	r.eventually("a holder is elected", func() bool { return r.holder(nil) != nil })
+	lost := r.holder(nil)
+	var others []*Edge
+	for _, e := range r.edges {
+		if e != lost {
+			others = append(others, e)
+		}
+	}
+	r.pressTeam(others, 1, 2*time.Second)
+	lost.kill()
+	// A lease lasts for a second.
+	got := r.pressTeam(others, 1, 700*time.Millisecond)
+	if got[http.StatusOK] < 10 || len(got) > 1 {
+		t.Errorf("statuses after the death of the holder: %v, wanted only 200", got)
+	}
+}
