Quotas: the successor takes over the ledger of the former holder

A successor started with empty buckets also when the former holder still answered, and refused requests within their quotas for about a second. The former holder hands it over once and grants nothing after that. What instances may have admitted without a holder in between is taken from the buckets.

The ledger of a term had the number of the term before, which is 0 in each first term of an instance, so that a permit of one holder could be returned to the next. It has its own now.

--- a/internal/coordination/elect/part.go
+++ b/internal/coordination/elect/part.go
@@ -69,9 +69,12 @@
 // IsSteady reports whether this instance is the holder and certain to keep the key for at
 // least steadyMargin, as it is while its renewals and checks succeed.
 func (s Status) IsSteady(now time.Time) bool {
-	return s.IsHolder && now.Add(steadyMargin).Before(s.HeldUntil)
+	return s.IsHolder && now.Before(s.SteadyUntil())
 }
 
+// SteadyUntil returns the time from which on IsSteady is false unless the term is extended.
+func (s Status) SteadyUntil() time.Time { return s.HeldUntil.Add(-steadyMargin) }
+
 // CanOrder reports whether this instance may send an order at the given time.
 func (s Status) CanOrder(now time.Time) bool {
 	return s.IsHolder && !now.Before(s.OrderFrom) && now.Before(s.OrderUntil)
--- a/internal/coordination/usage/fleet_test.go
+++ b/internal/coordination/usage/fleet_test.go
@@ -1,6 +1,8 @@
 package usage
 
 import (
+	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -29,6 +31,11 @@
 	ledger *Ledger
 	term   int64
 	holder bool
+	// former is the ledger of the last holder, until endedAt, if it can be handed over.
+	former  *Ledger
+	endedAt time.Time
+	// handoverBytes is the size of the last handover.
+	handoverBytes int
 	// isDead means that the address of the last holder refuses new connections.
 	isDead  bool
 	teams   []*testTeam
@@ -96,10 +103,26 @@
 	if successor := w.members[w.random.IntN(len(w.members))]; w.isDead && !successor.cut {
 		w.ledger.SetDead(successor.share.DeadAt())
 	}
+	w.takeOver()
 	w.holder, w.isDead = true, false
 	w.ledger.SetTeams(w.now, bounds, w.limits())
 }
 
+// takeOver hands the ledger of the former holder over, in JSON as on the network.
+func (w *world) takeOver() {
+	if w.former == nil || w.now.Sub(w.endedAt) > MaxHandoverAge {
+		return
+	}
+	data, err := json.Marshal(w.former.HandOver(w.now, w.endedAt))
+	var h Handover
+	if err = errors.Join(err, json.Unmarshal(data, &h)); err != nil {
+		panic(err)
+	}
+	w.handoverBytes = len(data)
+	w.ledger.TakeOver(w.now, &h)
+	w.former = nil
+}
+
 func (w *world) restart(i int) {
 	s := NewShare(fmt.Sprintf("i%d", i), w.random.Float64)
 	s.SetTeams(bounds, w.limits())
@@ -255,7 +278,7 @@
 
 // changeHolder replaces the holder after a gap without one.
 func (w *world) changeHolder(gap time.Duration) {
-	w.holder = false
+	w.holder, w.former = false, nil
 	w.at(max(gap, HolderGap), w.newTerm)
 }
 
@@ -265,6 +288,12 @@
 	w.changeHolder(gap)
 }
 
+// releaseLease ends the term of a holder that hands its ledger over to its successor.
+func (w *world) releaseLease(gap time.Duration) {
+	w.changeHolder(gap)
+	w.former, w.endedAt = w.ledger, w.now
+}
+
 // check looks for windows over the bound.
 func (w *world) check(t rapid.TB) {
 	t.Helper()
@@ -333,7 +362,7 @@
 	team := w.teams[rapid.IntRange(0, len(w.teams)-1).Draw(t, "team")]
 	some := team.at[:rapid.IntRange(1, len(team.at)).Draw(t, "some")]
 	d := w.within(9 * time.Second)
-	switch rapid.SampledFrom([]string{"kill", "freeze", "cut", "busy", "holder", "dead", "outage", "load"}).Draw(t, "fault") {
+	switch rapid.SampledFrom([]string{"kill", "freeze", "cut", "busy", "holder", "dead", "release", "outage", "load"}).Draw(t, "fault") {
 	case "kill":
 		for _, i := range some {
 			w.restart(i)
@@ -355,6 +384,8 @@
 		w.changeHolder(w.within(3 * time.Second))
 	case "dead":
 		w.killHolder(w.within(3 * time.Second))
+	case "release":
+		w.releaseLease(w.within(MaxHandoverAge))
 	case "outage":
 		w.changeHolder(10 * time.Second)
 	case "load":
@@ -393,6 +424,18 @@
 				w.run(2500 * time.Millisecond)
 			}
 		}},
+		{"holder releases the lease three times", func(w *world) {
+			for range 3 {
+				w.run(time.Second)
+				w.releaseLease(0)
+			}
+		}},
+		{"holder releases the lease three times, successors are late", func(w *world) {
+			for range 3 {
+				w.releaseLease(MaxHandoverAge)
+				w.run(MaxHandoverAge + time.Second)
+			}
+		}},
 		{"half of the requests return their permits late", func(w *world) { w.waste = 0.5; w.run(time.Second); w.waste = 0 }},
 		{"half of the callers' instances cut off", func(w *world) {
 			w.run(2 * time.Second)
@@ -502,7 +545,8 @@
 	}{
 		{"killed", func(w *world) { w.killHolder(2 * time.Second) }, 0.6},
 		{"not heard", func(w *world) { w.changeHolder(2 * time.Second) }, 0.2},
-		{"released", func(w *world) { w.changeHolder(800 * time.Millisecond) }, 0.6},
+		{"released", func(w *world) { w.releaseLease(800 * time.Millisecond) }, 0.9},
+		{"released, handover lost", func(w *world) { w.changeHolder(800 * time.Millisecond) }, 0.6},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			sum := make(map[string]lossCount)
--- /dev/null
+++ b/internal/coordination/usage/handover.go
@@ -0,0 +1,123 @@
+package usage
+
+import (
+	"math"
+	"time"
+)
+
+// MaxHandoverAge is how long after the end of a term its ledger may be handed over. An
+// instance that held the lease in between without being heard of would have issued permits
+// that the ledger lacks; its term and the lease after it last longer.
+const MaxHandoverAge = 3 * time.Second
+
+// Handover is the state of a Ledger, which the former holder sends to its successor.
+type Handover struct {
+	// Term is the term of the ledger and Slot its present slot. The successor counts on from
+	// there, so that permits of that term can still be returned.
+	Term int64 `json:"term"`
+	Slot int64 `json:"slot"`
+	// IdleMS is the time since the former holder stopped issuing permits, in milliseconds.
+	IdleMS int64 `json:"idleMs"`
+	// Accounts are the buckets by team.
+	Accounts map[string]HandoverAccount `json:"accounts"`
+	// Silent are the instances that may be cut off.
+	Silent []string `json:"silent,omitempty"`
+}
+
+// HandoverAccount is the state of a team's bucket.
+type HandoverAccount struct {
+	Rate     float64 `json:"rate"`
+	Capacity float64 `json:"capacity"`
+	// First is the oldest slot whose grants can be returned, Level the level at its beginning.
+	First int64   `json:"first"`
+	Level float64 `json:"level"`
+	// Granted are the grants of the slots from First on, also those reserved ahead.
+	Granted []float64 `json:"granted,omitempty"`
+	// Uses are the recent grants by instance.
+	Uses map[string]float64 `json:"uses,omitempty"`
+}
+
+// HandOver returns the state of the Ledger, which grants nothing from then on. endedAt is when
+// its term ended.
+func (l *Ledger) HandOver(now, endedAt time.Time) Handover {
+	out := Handover{
+		Term: l.term, Slot: l.slot(now), IdleMS: now.Sub(endedAt).Milliseconds(),
+		Accounts: make(map[string]HandoverAccount, len(l.accounts)), Silent: l.silent,
+	}
+	for team, a := range l.accounts {
+		if l.slot(now) < a.calendar.now {
+			// The bucket has not opened yet, so that it holds nothing.
+			continue
+		}
+		a.calendar.advance(l.slot(now))
+		h := HandoverAccount{
+			Rate: a.rate, Capacity: a.capacity, First: a.calendar.first, Level: a.calendar.base,
+			Uses: make(map[string]float64, len(a.uses)),
+		}
+		for slot := h.First; slot <= a.calendar.last; slot++ {
+			h.Granted = append(h.Granted, *a.calendar.at(slot))
+		}
+		for name, u := range a.uses {
+			if sum := math.Floor(u.value(now)); sum > 0 {
+				h.Uses[name] = sum
+			}
+		}
+		out.Accounts[team] = h
+	}
+	l.accounts = make(map[string]*account)
+	return out
+}
+
+// TakeOver continues with the ledger of the former holder. It must be called before SetTeams.
+// Time that passed on the way counts as not passed, so that it refills no bucket.
+//
+// Instances that have asked in vain since the end of that term may have decided without a
+// holder, and go on until their next message; what they have admitted is taken from the
+// buckets.
+func (l *Ledger) TakeOver(now time.Time, h *Handover) {
+	l.start = now.Add(-time.Duration(h.Slot) * slotTime)
+	l.former, l.silent = h.Term, h.Silent
+	alone := time.Duration(h.IdleMS)*time.Millisecond + heartbeatInterval - aloneAfter
+	for team, account := range h.Accounts {
+		a, ok := account.restore(now, h.Slot)
+		if !ok {
+			continue
+		}
+		if alone > 0 {
+			a.calendar.grant(h.Slot, alonePart*a.rate*alone.Seconds())
+		}
+		l.accounts[team] = a
+		for name := range a.uses {
+			l.heardAt[name] = now
+		}
+	}
+	for _, name := range h.Silent {
+		l.heardAt[name] = now.Add(-silentAfter - time.Millisecond)
+	}
+	for _, a := range l.accounts {
+		// An instance that does not find the successor counts as cut off.
+		for name, u := range a.uses {
+			u.told, u.toldAt = min(u.sum/max(a.total.sum, 1), 1), l.heardAt[name]
+		}
+	}
+}
+
+// restore returns the account as of a slot. It returns false if the state is not consistent.
+func (h *HandoverAccount) restore(now time.Time, slot int64) (*account, bool) {
+	last := h.First + int64(len(h.Granted)) - 1
+	if h.First > slot || last < slot || last > slot+futureSlots+1 || h.First < slot-pastSlots-1 || !(h.Level <= h.Capacity) {
+		return nil, false
+	}
+	a := &account{rate: h.Rate, capacity: h.Capacity, uses: make(map[string]*use), calendar: newCalendar(h.Rate, h.Capacity, h.First)}
+	c := a.calendar
+	c.base, c.level = h.Level, h.Level
+	for i, amount := range h.Granted {
+		c.grant(h.First+int64(i), amount)
+	}
+	c.now, c.level = slot, c.replay(h.First, slot, h.Level)
+	for name, sum := range h.Uses {
+		a.use(name).add(now, sum)
+		a.total.add(now, sum)
+	}
+	return a, true
+}
--- a/internal/coordination/usage/ledger.go
+++ b/internal/coordination/usage/ledger.go
@@ -36,9 +36,13 @@
 // Ledger issues the permits of all instances. The lease holder has one for its term. It is
 // not safe for concurrent use.
 type Ledger struct {
-	bounds   Bounds
-	term     int64
-	start    time.Time
+	bounds Bounds
+	term   int64
+	// former is the term whose ledger was taken over, 0 for none.
+	former int64
+	// start is the beginning of slot 0, openFrom that of the term.
+	start, openFrom time.Time
+	// deadAt is when the last holder was found dead, zero if it was not.
 	deadAt   time.Time
 	accounts map[string]*account
 	// heardAt is when each instance last sent a message.
@@ -89,7 +93,7 @@
 // HolderGap after the last permit of an earlier term.
 func NewLedger(term int64, start time.Time) *Ledger {
 	return &Ledger{
-		term: term, start: start, accounts: make(map[string]*account),
+		term: term, start: start, openFrom: start, accounts: make(map[string]*account),
 		heardAt: make(map[string]time.Time), members: 1, totals: make(map[string]Totals),
 	}
 }
@@ -124,18 +128,19 @@
 // since. It must be called before the first SetTeams.
 func (l *Ledger) SetDead(at time.Time) { l.deadAt = at }
 
-// opening returns the first slot of a term. The reservations of the last holder may go on
+// opening returns the first slot of a bucket that starts empty. The reservations of the last holder may go on
 // for maxDelay; what the bounds leave of them need not be awaited.
 func (l *Ledger) opening(limit Limit, rate, capacity float64) int64 {
 	wait := (maxDelay - HolderGap).Seconds()
 	if !l.deadAt.IsZero() {
 		// Instances decide without a holder until their next message.
-		wait = min(wait, l.deadAt.Add(maxDelay+heartbeatInterval).Sub(l.start).Seconds())
+		wait = min(wait, l.deadAt.Add(maxDelay+heartbeatInterval).Sub(l.openFrom).Seconds())
 	}
 	if l.bounds.Window > 0 && rate > 0 {
 		wait -= (l.bounds.MaxUse(limit) - capacity - rate*l.bounds.span()) / rate
 	}
-	return int64(math.Ceil(max(wait, 0) / slotTime.Seconds()))
+	from := l.openFrom.Add(time.Duration(max(wait, 0) * float64(time.Second))).Sub(l.start)
+	return int64((from + slotTime - 1) / slotTime)
 }
 
 func (l *Ledger) slot(now time.Time) int64 { return int64(now.Sub(l.start) / slotTime) }
@@ -151,7 +156,7 @@
 	l.members = max(members, 1)
 	l.heardAt[m.From] = now
 	l.sweep(now)
-	if m.Term == l.term {
+	if m.Term == l.term || l.former != 0 && m.Term == l.former {
 		for _, r := range m.Returns {
 			l.takeBack(now, m.From, r)
 		}
@@ -159,7 +164,7 @@
 	if m.IsIdle {
 		l.forget(m.From)
 	}
-	out := Reply{Term: l.term, Members: l.members, Shares: make(map[string]float64), Levels: make(map[string]float64)}
+	out := Reply{Term: l.term, Former: l.former, Members: l.members, Shares: make(map[string]float64), Levels: make(map[string]float64)}
 	for _, ask := range m.Asks {
 		out.Answers = append(out.Answers, l.answer(now, m.From, ask))
 	}
--- a/internal/coordination/usage/message.go
+++ b/internal/coordination/usage/message.go
@@ -38,7 +38,7 @@
 type Message struct {
 	From string `json:"from"`
 	Asks []Ask  `json:"asks,omitempty"`
-	// Returns are of the term Term.
+	// Returns are of the term Term, or of the one whose ledger its holder has taken over.
 	Term    int64      `json:"term,omitempty"`
 	Returns []Returned `json:"returns,omitempty"`
 	// IsIdle means that the instance no longer uses its shares and asks nothing for a while.
@@ -48,6 +48,8 @@
 // Reply is the holder's reply to a Message, with one answer for each of its asks.
 type Reply struct {
 	Term int64 `json:"term"`
+	// Former is the term whose ledger the holder has taken over; its permits can be returned.
+	Former int64 `json:"former,omitempty"`
 	// Members is the number of instances.
 	Members int      `json:"members"`
 	Answers []Answer `json:"answers,omitempty"`
--- a/internal/coordination/usage/share.go
+++ b/internal/coordination/usage/share.go
@@ -93,8 +93,9 @@
 	returns []Returned
 	// isPoolLow means that prefetched permits are about to run out.
 	isPoolLow bool
-	term      int64
-	members   int
+	// term is that of the last reply, former the one before it if its permits can be returned.
+	term, former int64
+	members      int
 	// repliedAt is when the last message was sent that a holder has replied to, sentAt when
 	// the last was sent, usedAt when the last request came, zero once the holder was told
 	// that none came for idleAfter.
@@ -148,7 +149,7 @@
 		random = rand.Float64
 	}
 	return &Share{
-		name: name, random: random, teams: make(map[string]*teamShare), members: assumedMembers, deadTerm: noTerm,
+		name: name, random: random, teams: make(map[string]*teamShare), members: assumedMembers, former: noTerm, deadTerm: noTerm,
 	}
 }
 
@@ -256,7 +257,7 @@
 
 // Return takes back a permit whose request has not run and will not.
 func (s *Share) Return(p Permit) {
-	if p.Amount > 0 && p.term == s.term && len(s.returns) < maxReturns {
+	if p.Amount > 0 && p.term != noTerm && (p.term == s.term || p.term == s.former) && len(s.returns) < maxReturns {
 		s.returns = append(s.returns, Returned{Team: p.Team, Amount: p.Amount, Slot: p.slot})
 	}
 }
@@ -386,7 +387,12 @@
 
 func (s *Share) noteReply(now time.Time, sent *Sent, r Reply) {
 	if r.Term != s.term {
-		s.term, s.returns = r.Term, nil
+		if s.former = noTerm; r.Former != 0 && r.Former == s.term {
+			s.former = s.term
+		} else {
+			s.returns = nil
+		}
+		s.term = r.Term
 	}
 	if s.IsAlone(now) {
 		for _, t := range s.teams {
@@ -474,6 +480,10 @@
 		}
 	}
 	s.noteFailure(now, sent.at, why)
+	if why == NotHolder && sent.Message.Term == s.term {
+		// The message was certainly not taken.
+		s.returns = append(s.returns, sent.Message.Returns[:min(len(sent.Message.Returns), maxReturns-len(s.returns))]...)
+	}
 	s.queue = append(sent.pending, s.queue...)
 	s.Expire(now)
 }
--- a/internal/coordination/usage/usage_test.go
+++ b/internal/coordination/usage/usage_test.go
@@ -172,6 +172,112 @@
 	}
 }
 
+// TestLedgerIsHandedOver hands a ledger with a reservation over: the successor must continue with
+// the levels, take back permits of the former term once, and count what instances may have
+// admitted without a holder. The former holder must grant nothing more.
+func TestLedgerIsHandedOver(t *testing.T) {
+	limit := Limit{Team: "t", Rate: 1000, Burst: 1000, Largest: 1}
+	now := start.Add(10 * time.Second)
+	for _, c := range []struct {
+		name   string
+		idle   time.Duration
+		change func(*Handover)
+		want   []float64
+	}{
+		{"at once", 0, nil, []float64{-300, 0, 0}},
+		{"after a time without a holder", 1800 * time.Millisecond, nil, []float64{400, 400, 400}},
+		{"without the team", 0, func(h *Handover) { delete(h.Accounts, "t") }, []float64{0, 0, 0}},
+		{"grants beyond the calendar", 0, func(h *Handover) {
+			a := h.Accounts["t"]
+			a.Granted = make([]float64, 5*ringSlots)
+			h.Accounts["t"] = a
+		}, []float64{0, 0, 0}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			old, next := newFullLedger(limit), NewLedger(2, now.Add(c.idle))
+			ask := func(l *Ledger, at time.Time, amount float64) Answer {
+				m := Message{From: "i", Asks: []Ask{{Team: "t", Amount: amount, MaxDelayMS: 1000}}}
+				return l.Answer(at, 1, m).Answers[0]
+			}
+			ask(old, now, 1000)
+			reserved := ask(old, now, 300)
+			h := old.HandOver(now.Add(c.idle), now)
+			if a := ask(old, now, 100); a.Granted > 0 {
+				t.Errorf("the former holder has granted %+v", a)
+			}
+			if c.change != nil {
+				c.change(&h)
+			}
+			at := now.Add(c.idle)
+			next.TakeOver(at, &h)
+			next.SetTeams(at, bounds, []Limit{limit})
+			got := []float64{next.Levels(at)["t"]}
+			for range 2 {
+				next.Answer(at, 1, Message{From: "i", Term: 1, Returns: []Returned{{"t", 300, reserved.Slot}}})
+				got = append(got, next.Levels(at)["t"])
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("levels (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestSilentInstancesAreHandedOver hands over a ledger for which an instance is cut off: its part
+// must stay kept back, and that of one that does not find the successor must be.
+func TestSilentInstancesAreHandedOver(t *testing.T) {
+	old, next := newFullLedger(Limit{Team: "t", Rate: 1000, Burst: 1000}), NewLedger(2, start)
+	at := func(ms int) time.Time { return start.Add(10*time.Second + time.Duration(ms)*time.Millisecond) }
+	var got [][]string
+	ask := func(l *Ledger, ms int, names ...string) {
+		for _, name := range names {
+			l.Answer(at(ms), 3, Message{From: name, Asks: []Ask{{Team: "t", Amount: 100, MaxDelayMS: 1000}}})
+		}
+		got = append(got, l.Silent())
+	}
+	ask(old, 0, "cut", "lost", "well")
+	ask(old, 700, "lost", "well")
+	ask(old, 1300, "lost", "well")
+	h := old.HandOver(at(1300), at(1300))
+	next.TakeOver(at(1300), &h)
+	next.SetTeams(at(1300), bounds, []Limit{{Team: "t", Rate: 1000, Burst: 1000}})
+	ask(next, 1300, "well")
+	ask(next, 2600, "well")
+	if diff := cmp.Diff([][]string{nil, nil, {"cut"}, {"cut"}, {"cut", "lost"}}, got); diff != "" {
+		t.Errorf("silent instances (-want +got):\n%s", diff)
+	}
+}
+
+// TestReturnsDuringAChange has an instance return a permit while the holder changes: it may be
+// credited only by a ledger that knows it, and only once.
+func TestReturnsDuringAChange(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		why  Failure
+		next Reply
+		want int
+	}{
+		{"ledger taken over", NotHolder, Reply{Term: 2, Former: 1}, 1},
+		{"new ledger", NotHolder, Reply{Term: 2}, 0},
+		{"another ledger taken over", NotHolder, Reply{Term: 3, Former: 2}, 0},
+		{"message may have been taken", NoReply, Reply{Term: 2, Former: 1}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := NewShare("i", nil)
+			s.SetTeams(bounds, []Limit{{Team: "t", Rate: 1000, Burst: 1000}})
+			s.Apply(start, s.Message(start), Reply{Term: 1})
+			s.Return(Permit{Team: "t", Amount: 1, term: 1})
+			s.Fail(start, s.Message(start), c.why)
+			late := s.Message(start)
+			late.Message.Returns, s.returns = nil, late.Message.Returns
+			s.Apply(start, late, c.next)
+			if got := len(s.Message(start).Message.Returns); got != c.want {
+				t.Errorf("%d permits returned, wanted %d", got, c.want)
+			}
+		})
+	}
+}
+
 // BenchmarkAsk measures an ask at the ledger among many teams under full load.
 func BenchmarkAsk(b *testing.B) {
 	var limits []Limit
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -111,10 +111,14 @@
 	k.updates = newUpdateLog()
 	k.permits = quota.NewLedger()
 	k.crashes = crash.NewDetector()
-	k.teamQuotas.startTerm(k.term(), k.clock.Now())
 	k.load = nil
+	if was.IsHolder {
+		k.teamQuotas.endTerm(k.clock.Now(), was.SteadyUntil())
+	}
 	if s.IsHolder {
 		k.termID = s.OrderFrom.UnixNano()
+		isOwn := s.Former == s.Holder
+		k.teamQuotas.startTerm(k.termID, k.clock.Now(), isOwn, s.Former.IsValid() && !isOwn)
 		k.startTerm()
 	}
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -202,8 +202,11 @@
 	}
 	e.coordinator.setStatus(s)
 	if s.IsHolder && !was.IsHolder {
-		// The listener must not wait for a file.
+		// The listener must wait neither for a file nor for another instance.
 		go e.ReloadFile()
+		if s.Former.IsValid() && s.Former != s.Holder {
+			go e.takeOverLedger(e.loopCtx, s, s.OrderFrom.UnixNano())
+		}
 	}
 	if s.Holder.IsValid() && s.Holder != was.Holder {
 		e.signalDemand()
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -224,6 +224,10 @@
 		e.servePermits(w, r)
 		return
 	}
+	if r.URL.Path == pathLedger && r.Method == http.MethodPost {
+		e.serveLedger(w, r)
+		return
+	}
 	if r.URL.Path == pathCrashes && r.Method == http.MethodPost {
 		e.serveCrashes(w, r)
 		return
--- a/internal/edge/permits.go
+++ b/internal/edge/permits.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"net/netip"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -18,7 +17,6 @@
 	"chivecroft.example/chivecroft/internal/coordination/elect"
 	"chivecroft.example/chivecroft/internal/coordination/usage"
 	"chivecroft.example/chivecroft/internal/state/fleet"
-	"chivecroft.example/chivecroft/internal/state/timer"
 	"chivecroft.example/chivecroft/platform"
 )
 
@@ -35,84 +33,10 @@
 	permitIdleWait = time.Second
 	// largestTokens is the number of tokens of the largest plausible request.
 	largestTokens = 15_000
-	// maxLoggedSilent limits the instances in a log line.
-	maxLoggedSilent = 8
 	// maxPermitMessages limits the messages in flight.
 	maxPermitMessages = 32
-	// maxDeadAge is how long after the death of the last holder its successor relies on that it
-	// has issued nothing since. The address may belong to another process by then.
-	maxDeadAge = 10 * time.Second
 )
 
-// teamQuotas is the holder's Ledger for the present term.
-type teamQuotas struct {
-	mu     sync.Mutex
-	ledger *usage.Ledger
-	bounds usage.Bounds
-	limits []usage.Limit
-	// answeredAt is when this instance last issued permits.
-	answeredAt time.Time
-	// deadAt is when the last holder before this instance was found dead, zero if it was not.
-	deadAt time.Time
-}
-
-func newTeamQuotas() *teamQuotas { return &teamQuotas{ledger: usage.NewLedger(0, time.Time{})} }
-
-// startTerm replaces the Ledger by an empty one. Another instance waits for longer than
-// HolderGap before it takes the place of the last holder, but not the last holder itself.
-func (q *teamQuotas) startTerm(term int64, now time.Time) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.ledger = usage.NewLedger(term, timer.Later(now, q.answeredAt.Add(usage.HolderGap)))
-	if now.Sub(q.deadAt) < maxDeadAge {
-		q.ledger.SetDead(q.deadAt)
-	}
-	q.ledger.SetTeams(now, q.bounds, q.limits)
-}
-
-// setDead sets when the last holder before this instance was found dead.
-func (q *teamQuotas) setDead(at time.Time) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.deadAt = at
-}
-
-func (q *teamQuotas) setTeams(now time.Time, b usage.Bounds, limits []usage.Limit) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.bounds, q.limits = b, limits
-	q.ledger.SetTeams(now, b, limits)
-}
-
-func (q *teamQuotas) levels(now time.Time) map[string]float64 {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.ledger.Levels(now)
-}
-
-// answerPermits answers an instance's message. It returns false if this instance is not the
-// holder, is not sure that it still is, or has no configuration.
-func (k *coordinator) answerPermits(m usage.Message) (usage.Reply, bool) {
-	k.mu.Lock()
-	isSteady := k.status.IsSteady(k.clock.Now()) && k.config != nil
-	members := len(k.members)
-	k.mu.Unlock()
-	if !isSteady {
-		return usage.Reply{}, false
-	}
-	q := k.teamQuotas
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.answeredAt = k.clock.Now()
-	before := q.ledger.Silent()
-	out := q.ledger.Answer(q.answeredAt, members, m)
-	if silent := q.ledger.Silent(); !slices.Equal(before, silent) {
-		k.log.Info().Int("instances", len(silent)).Strs("names", silent[:min(len(silent), maxLoggedSilent)]).
-			Msg("quotas kept back for silent instances")
-	}
-	return out, true
-}
-
 // permitRefusal is the body of the response of an instance that is not the holder, with the
 // holder that it knows.
 type permitRefusal struct {
@@ -328,6 +252,9 @@
 	now := c.e.clock.Now()
 	if err == nil {
 		c.share.Apply(now, sent, r)
+		if !to.IsHolder {
+			c.e.coordinator.teamQuotas.dropFormer()
+		}
 	} else {
 		c.retryAt = now.Add(permitRetryDelay)
 		c.share.Fail(now, sent, why)
--- a/internal/edge/permits_test.go
+++ b/internal/edge/permits_test.go
@@ -179,3 +179,32 @@
 		t.Errorf("statuses after the death of the holder: %v, wanted only 200", got)
 	}
 }
+
+// TestLedgerIsHandedOver stops the holder as planned: the successor must continue with the levels
+// of its buckets, so that no request of a team within its quota is over it, and nobody may get
+// them a second time.
+func TestLedgerIsHandedOver(t *testing.T) {
+	r := newQuotaRig(t, 400_000)
+	r.eventually("a holder is elected", func() bool { return r.holder(nil) != nil })
+	lost := r.holder(nil)
+	var others []*Edge
+	for _, e := range r.edges {
+		if e != lost {
+			others = append(others, e)
+		}
+	}
+	r.pressTeam(others, 1, 2*time.Second)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(lost.Stop)
+	got := r.pressTeam(others, 1, 2500*time.Millisecond)
+	if got[http.StatusTooManyRequests] > 0 || got[http.StatusOK] == 0 {
+		t.Errorf("statuses during a planned stop of the holder: %v, wanted no 429", got)
+	}
+	h, err := others[0].peerClient.ledger(t.Context(), lost.boot.Peer, ledgerRequest{From: "x", Term: 1})
+	if successor := r.holder(lost); successor == nil {
+		t.Error("no successor within 2.5 s")
+	} else if term := successor.coordinator.term(); h != nil || err == nil || !strings.Contains(err.Error(), strconv.FormatInt(term, 10)) {
+		t.Errorf("a second request for the ledger got %v, %v; wanted a refusal that names the term %d", h, err, term)
+	}
+}
