Quotas: a lost idle message is sent again, limited charge after a handover

An instance says once that it no longer uses its share. If that message failed, as during a change of the holder, the holder kept its part back for 11 s; with a ledger taken over this would also hold for the successor. It is sent again.

--- a/internal/coordination/usage/fleet_test.go
+++ b/internal/coordination/usage/fleet_test.go
@@ -549,7 +549,7 @@
 		{"released, handover lost", func(w *world) { w.changeHolder(800 * time.Millisecond) }, 0.6},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			sum := make(map[string]lossCount)
+			sum, size := make(map[string]lossCount), 0
 			for seed := range uint64(20) {
 				w := newWorld(seed, 84)
 				for _, rate := range []float64{2700, 20_000, 60_000, 230_000} {
@@ -572,8 +572,10 @@
 				}
 				w.run(patience + permitLifetime)
 				w.countLoss(sum, 1)
+				size = max(size, w.handoverBytes)
 				w.check(t)
 			}
+			t.Logf("handover of up to %d bytes", size)
 			for team, n := range sum {
 				t.Logf("%s: %.3f of the tokens, %.3f of the requests", team, n.arrived/n.offered, float64(n.served)/float64(n.requests))
 			}
--- a/internal/coordination/usage/handover.go
+++ b/internal/coordination/usage/handover.go
@@ -73,7 +73,8 @@
 //
 // Instances that have asked in vain since the end of that term may have decided without a
 // holder, and go on until their next message; what they have admitted is taken from the
-// buckets.
+// buckets, but no more than these have, since a successor without a ledger starts with empty
+// buckets as well.
 func (l *Ledger) TakeOver(now time.Time, h *Handover) {
 	l.start = now.Add(-time.Duration(h.Slot) * slotTime)
 	l.former, l.silent = h.Term, h.Silent
@@ -84,7 +85,7 @@
 			continue
 		}
 		if alone > 0 {
-			a.calendar.grant(h.Slot, alonePart*a.rate*alone.Seconds())
+			a.calendar.grant(h.Slot, min(alonePart*a.rate*alone.Seconds(), max(a.calendar.current(), 0)))
 		}
 		l.accounts[team] = a
 		for name := range a.uses {
--- a/internal/coordination/usage/share.go
+++ b/internal/coordination/usage/share.go
@@ -480,6 +480,10 @@
 		}
 	}
 	s.noteFailure(now, sent.at, why)
+	if sent.Message.IsIdle && s.usedAt.IsZero() {
+		// A holder that has not been told keeps the instance's part back.
+		s.usedAt = sent.at.Add(-idleAfter - 1)
+	}
 	if why == NotHolder && sent.Message.Term == s.term {
 		// The message was certainly not taken.
 		s.returns = append(s.returns, sent.Message.Returns[:min(len(sent.Message.Returns), maxReturns-len(s.returns))]...)
--- a/internal/coordination/usage/usage_test.go
+++ b/internal/coordination/usage/usage_test.go
@@ -186,6 +186,7 @@
 	}{
 		{"at once", 0, nil, []float64{-300, 0, 0}},
 		{"after a time without a holder", 1800 * time.Millisecond, nil, []float64{400, 400, 400}},
+		{"after a long time without one", 2900 * time.Millisecond, nil, []float64{0, 0, 0}},
 		{"without the team", 0, func(h *Handover) { delete(h.Accounts, "t") }, []float64{0, 0, 0}},
 		{"grants beyond the calendar", 0, func(h *Handover) {
 			a := h.Accounts["t"]
@@ -278,6 +279,32 @@
 	}
 }
 
+// TestIdleIsToldAgain loses the message with which an instance says that it no longer uses its
+// share: it must be sent again, since the holder keeps the share back otherwise.
+func TestIdleIsToldAgain(t *testing.T) {
+	s := NewShare("i", nil)
+	s.SetTeams(bounds, []Limit{{Team: "t", Rate: 1000, Burst: 1000}})
+	_, q := s.Request(start, Demand{Team: "t", Amount: 1, Until: start}, func(Outcome) {})
+	s.Cancel(q)
+	var got []bool
+	for i := range 3 {
+		now := start.Add(idleAfter + time.Second*time.Duration(i+1))
+		if _, isUsed := s.NextHeartbeat(now); !isUsed {
+			break
+		}
+		sent := s.Message(now)
+		got = append(got, sent.Message.IsIdle)
+		if i == 0 {
+			s.Fail(now, sent, NotHolder)
+		} else {
+			s.Apply(now, sent, Reply{Answers: make([]Answer, len(sent.Message.Asks))})
+		}
+	}
+	if diff := cmp.Diff([]bool{true, true}, got); diff != "" {
+		t.Errorf("messages that say so (-want +got):\n%s", diff)
+	}
+}
+
 // BenchmarkAsk measures an ask at the ledger among many teams under full load.
 func BenchmarkAsk(b *testing.B) {
 	var limits []Limit
