--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -213,10 +213,16 @@
 // updates at once.
 func (e *Edge) onHolderStatus(s elect.Status) {
 	was := e.coordinator.holderStatus()
+	if s.IsHolder && !was.IsHolder || s.Holder != was.Holder {
+		e.coordinator.teamQuotas.setDead(e.permits.noteHolder(s))
+	}
 	e.coordinator.setStatus(s)
 	if s.IsHolder && !was.IsHolder {
-		// The listener must not wait for a file.
+		// The listener must wait neither for a file nor for another instance.
 		go e.ReloadFile()
+		if s.Former.IsValid() && s.Former != s.Holder {
+			go e.takeOverLedger(e.loopCtx, s, s.OrderFrom.UnixNano())
+		}
 	}
 	if s.Holder.IsValid() && s.Holder != was.Holder {
 		e.signalDemand()
--- a/internal/edge/permits.go
+++ b/internal/edge/permits.go
@@ -4,18 +4,19 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/netip"
-	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
 
+	"chivecroft.example/chivecroft/internal/coordination/elect"
 	"chivecroft.example/chivecroft/internal/coordination/usage"
 	"chivecroft.example/chivecroft/internal/state/fleet"
-	"chivecroft.example/chivecroft/internal/state/timer"
 	"chivecroft.example/chivecroft/platform"
 )
 
@@ -32,69 +33,10 @@
 	permitIdleWait = time.Second
 	// largestTokens is the number of tokens of the largest plausible request.
 	largestTokens = 15_000
-	// maxLoggedSilent limits the instances in a log line.
-	maxLoggedSilent = 8
 	// maxPermitMessages limits the messages in flight.
 	maxPermitMessages = 32
 )
 
-// teamQuotas is the holder's Ledger for the present term.
-type teamQuotas struct {
-	mu     sync.Mutex
-	ledger *usage.Ledger
-	bounds usage.Bounds
-	limits []usage.Limit
-	// answeredAt is when this instance last issued permits.
-	answeredAt time.Time
-}
-
-func newTeamQuotas() *teamQuotas { return &teamQuotas{ledger: usage.NewLedger(0, time.Time{})} }
-
-// startTerm replaces the Ledger by an empty one. Another instance waits for longer than
-// HolderGap before it takes the place of the last holder, but not the last holder itself.
-func (q *teamQuotas) startTerm(term int64, now time.Time) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.ledger = usage.NewLedger(term, timer.Later(now, q.answeredAt.Add(usage.HolderGap)))
-	q.ledger.SetTeams(now, q.bounds, q.limits)
-}
-
-func (q *teamQuotas) setTeams(now time.Time, b usage.Bounds, limits []usage.Limit) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.bounds, q.limits = b, limits
-	q.ledger.SetTeams(now, b, limits)
-}
-
-func (q *teamQuotas) levels(now time.Time) map[string]float64 {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.ledger.Levels(now)
-}
-
-// answerPermits answers an instance's message. It returns false if this instance is not the
-// holder, is not sure that it still is, or has no configuration.
-func (k *coordinator) answerPermits(m usage.Message) (usage.Reply, bool) {
-	k.mu.Lock()
-	isSteady := k.status.IsSteady(k.clock.Now()) && k.config != nil
-	members := len(k.members)
-	k.mu.Unlock()
-	if !isSteady {
-		return usage.Reply{}, false
-	}
-	q := k.teamQuotas
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.answeredAt = k.clock.Now()
-	before := q.ledger.Silent()
-	out := q.ledger.Answer(q.answeredAt, members, m)
-	if silent := q.ledger.Silent(); !slices.Equal(before, silent) {
-		k.log.Info().Int("instances", len(silent)).Strs("names", silent[:min(len(silent), maxLoggedSilent)]).
-			Msg("quotas kept back for silent instances")
-	}
-	return out, true
-}
-
 // permitRefusal is the body of the response of an instance that is not the holder, with the
 // holder that it knows.
 type permitRefusal struct {
@@ -162,6 +104,9 @@
 	// retryAt is when the next message may be sent after one without a reply.
 	retryAt time.Time
 	isAlone bool
+	// deadHolder is the address of the holder that was found dead last, unless there has been
+	// another one since.
+	deadHolder netip.AddrPort
 }
 
 func newPermitClient(e *Edge) *permitClient {
@@ -299,70 +244,100 @@
 
 // exchange sends a message and applies its reply.
 func (c *permitClient) exchange(ctx context.Context, sent *usage.Sent) {
-	r, isGone, err := c.ask(ctx, sent.Message)
+	to := c.e.coordinator.holderStatus()
+	r, why, err := c.ask(ctx, to, sent.Message)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inFlight--
 	now := c.e.clock.Now()
 	if err == nil {
 		c.share.Apply(now, sent, r)
+		if !to.IsHolder {
+			c.e.coordinator.teamQuotas.dropFormer()
+		}
 	} else {
 		c.retryAt = now.Add(permitRetryDelay)
-		c.share.Fail(now, sent, isGone)
+		c.share.Fail(now, sent, why)
+		if why == usage.HolderDead {
+			c.deadHolder = to.Holder
+		}
 	}
 	if alone := c.share.IsAlone(now); alone != c.isAlone {
 		c.isAlone = alone
-		c.e.log.Warn().Bool("alone", alone).Bool("holderGone", isGone).Err(err).Msg("permits without a holder")
+		c.e.log.Warn().Bool("alone", alone).Bool("holderGone", why == usage.NotHolder).
+			Bool("holderDead", why == usage.HolderDead).Str("asked", to.Holder.String()).Err(err).Msg("permits without a holder")
 	}
 }
 
 var errNoPermits = trace.CompareFailed("the instance asked for permits is not a steady holder")
 
-// ask sends a message to the holder. If that fails, isGone reports whether no holder is
-// known.
-func (c *permitClient) ask(ctx context.Context, m usage.Message) (r usage.Reply, isGone bool, err error) {
-	status := c.e.coordinator.holderStatus()
+// noteHolder notes a change of the holder. It returns when the former holder of a new term was
+// found dead, zero if it was not.
+func (c *permitClient) noteHolder(s elect.Status) (deadAt time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s.Holder.IsValid() && !s.IsHolder && s.Holder != c.deadHolder {
+		c.deadHolder = netip.AddrPort{}
+	}
+	if s.IsHolder && s.Former.IsValid() && s.Former == c.deadHolder {
+		return c.share.DeadAt()
+	}
+	return time.Time{}
+}
+
+// ask sends a message to the holder. If that fails, it returns what is known of why.
+func (c *permitClient) ask(ctx context.Context, status elect.Status, m usage.Message) (usage.Reply, usage.Failure, error) {
 	switch {
 	case status.IsHolder:
 		r, ok := c.e.coordinator.answerPermits(m)
 		if !ok {
-			return r, true, errNoPermits
+			return r, usage.NotHolder, errNoPermits
 		}
-		return r, false, nil
+		return r, usage.NoReply, nil
 	case !status.Holder.IsValid():
-		return r, true, errNoHolder
+		return usage.Reply{}, usage.NotHolder, errNoHolder
 	}
 	return c.e.peerClient.permits(ctx, status.Holder, m)
 }
 
 // permits sends a message to another instance.
-func (p *peerClient) permits(ctx context.Context, to netip.AddrPort, m usage.Message) (r usage.Reply, isGone bool, err error) {
-	data, err := json.Marshal(m)
-	if err != nil {
-		return r, false, err
-	}
+func (p *peerClient) permits(ctx context.Context, to netip.AddrPort, m usage.Message) (r usage.Reply, why usage.Failure, err error) {
 	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.String()+pathPermits, bytes.NewReader(data))
-	if err != nil {
-		return r, false, err
-	}
-	a, err := p.do(req, maxMessageBytes)
-	if err != nil {
-		return r, false, trace.Wrap(err, "permits from %s", to)
-	}
-	if a.status == http.StatusConflict {
+	a, err := p.postJSON(ctx, to, pathPermits, m)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		// Only a new connection can be refused: nothing listens at the address any more.
+		return r, usage.HolderDead, trace.Wrap(err, "permits from %s", to)
+	case err != nil:
+		return r, usage.NoReply, trace.Wrap(err, "permits from %s", to)
+	case a.status == http.StatusConflict:
 		var refusal permitRefusal
 		if err := json.Unmarshal(a.body, &refusal); err != nil {
-			return r, false, trace.BadParameter("refusal of permits from %s: %v", to, err)
+			return r, usage.NoReply, trace.BadParameter("refusal of permits from %s: %v", to, err)
 		}
-		return r, !refusal.Holder.IsValid(), errNoPermits
-	}
-	if a.status != http.StatusOK {
-		return r, false, trace.CompareFailed("permits from %s: HTTP status %d", to, a.status)
+		if !refusal.Holder.IsValid() {
+			why = usage.NotHolder
+		}
+		return r, why, errNoPermits
+	case a.status != http.StatusOK:
+		return r, usage.NoReply, trace.CompareFailed("permits from %s: HTTP status %d", to, a.status)
 	}
 	if err := json.Unmarshal(a.body, &r); err != nil {
-		return r, false, trace.BadParameter("permits from %s: %v", to, err)
+		return r, usage.NoReply, trace.BadParameter("permits from %s: %v", to, err)
+	}
+	return r, usage.NoReply, nil
+}
+
+// postJSON sends a value to another instance.
+func (p *peerClient) postJSON(ctx context.Context, to netip.AddrPort, path string, v any) (peerResponse, error) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return peerResponse{}, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.String()+path, bytes.NewReader(data))
+	if err != nil {
+		return peerResponse{}, err
 	}
-	return r, false, nil
+	return p.do(req, maxMessageBytes)
 }
