Refusals of requests behind a rate limit always have a Retry-After

A queued request whose deadline passed just before the queue was checked, while its permit was due, was refused with the time until the permit: 0, so that the header was left out. The arrival of another request was enough for that, since a pass for one that has just arrived judges no deadlines of others. It is refused for its deadline now, as in every other pass. This was the empty Retry-After of TestFleetKeepsTheLimitOfATarget: the new test gave "limited" with 0 s before, and passes now.

Other refusals with 503 that could lack the header, or say 0.00: a time below the resolution of the header is rounded up to it; a queued request whose block is lifted while it is being refused is told 2 s; and a block whose trial is due, 1 s, in which that is usually decided. A block that only an operator can lift still names no time.

Run: go test -race -count=1 ./internal/coordination/picker ./internal/transport/proxy (ok).

--- a/internal/coordination/picker/limit.go
+++ b/internal/coordination/picker/limit.go
@@ -132,6 +132,10 @@
 	if !at.isOnly || p.isLoadedBefore(now, q) {
 		return nil
 	}
+	if !now.Before(q.until()) {
+		// The wait for the permit says nothing about when to come back; it may be 0.
+		return p.refuse(now, q)
+	}
 	retryAfter := at.wait
 	switch {
 	case at.isKnown && !now.Add(at.wait).After(q.until()):
--- a/internal/coordination/picker/limit_test.go
+++ b/internal/coordination/picker/limit_test.go
@@ -104,6 +104,26 @@
 	}
 }
 
+// TestLateCheckOfAWaitingRequest guards against a refusal with no time after which to come
+// back: the deadline of a request passes while its permit is due, and another request
+// arrives before the queue is checked.
+func TestLateCheckOfAWaitingRequest(t *testing.T) {
+	r, near := limited(t)
+	r.reply(near, 0, 500)
+	r.mu.Lock()
+	r.checkScheduled = true
+	r.mu.Unlock()
+	q := r.request("m")
+	q.Deadline = r.timer.Now().Add(600 * time.Millisecond)
+	p := r.acquire(t.Context(), q)
+	r.waitForQueue(t, 1)
+	r.timer.Advance(601 * time.Millisecond)
+	r.acquire(t.Context(), r.request("m"))
+	if diff := cmp.Diff(&Refusal{Reason: ReasonDeadline, RetryAfter: defaultRetryAfter}, p.refusal(t)); diff != "" {
+		t.Errorf("refusal (-want +got):\n%s", diff)
+	}
+}
+
 // TestSilentHolderDoesNotHoldRequests checks that requests for a target with a limit wait
 // no longer for word of the holder than for that of a load.
 func TestSilentHolderDoesNotHoldRequests(t *testing.T) {
--- a/internal/coordination/picker/queue.go
+++ b/internal/coordination/picker/queue.go
@@ -149,7 +149,8 @@
 	p.scheduleCheckLocked()
 }
 
-// RefuseBlocked refuses the queued requests for which isBlocked returns true.
+// RefuseBlocked refuses the queued requests for which isBlocked returns true. The block says
+// when to come back, unless it is lifted by then.
 func (p *Picker) RefuseBlocked(isBlocked func(*Request) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -157,7 +158,7 @@
 		if !isBlocked(&w.req) {
 			return false
 		}
-		p.leave(w, acquireResult{err: &Refusal{Reason: ReasonBlocked}})
+		p.leave(w, acquireResult{err: &Refusal{Reason: ReasonBlocked, RetryAfter: defaultRetryAfter}})
 		return true
 	})
 }
--- a/internal/transport/proxy/crash.go
+++ b/internal/transport/proxy/crash.go
@@ -57,14 +57,14 @@
 	return true
 }
 
-// untilTrial returns the time for which the block of the request is certain to last, 0 if
-// only an operator can say.
+// untilTrial returns the time for which the block of the request is certain to last, or in
+// which its trial is decided if that is due; 0 if only an operator can say.
 func (x *exchange) untilTrial() time.Duration {
 	at, ok := x.block.TrialAt()
 	if !ok {
 		return 0
 	}
-	return max(at.Sub(x.s.timer.Now()), 0)
+	return max(at.Sub(x.s.timer.Now()), suspectRetryAfter)
 }
 
 // admit returns errBlocked if the request has been blocked while it was queued, and
--- a/internal/transport/proxy/server.go
+++ b/internal/transport/proxy/server.go
@@ -247,10 +247,11 @@
 }
 
 // refuse ends a request that has not run and never will. A retryAfter of 0 tells the
-// caller nothing about when to come back.
+// caller nothing about when to come back; a shorter time than the resolution would be 0 in
+// the header.
 func (x *exchange) refuse(status int, reason string, retryAfter time.Duration) {
 	if retryAfter > 0 {
-		name, value := x.s.codec.RetryAfter(retryAfter)
+		name, value := x.s.codec.RetryAfter(max(retryAfter, retryAfterResolution))
 		x.w.Header().Set(name, value)
 	}
 	x.respond(status, reason)
