Crash detector: an answer proves its parts as of its beginning

A proof voids what a part was accused of before. It was dated when the answer had gone on for 100 ms or was complete, so an answer that had begun before targets ended under the part, and went on while they did, voided the evidence of those ends.

Run: go test -race -count=1 ./internal/coordination/crash (ok), -run TestSurvivedPartTurnsDeadly without the change (fails).

--- a/internal/coordination/crash/fleet_test.go
+++ b/internal/coordination/crash/fleet_test.go
@@ -144,6 +144,21 @@
 	checkVerdict(t, w, before, w.Now().Add(-time.Second))
 }
 
+// TestSurvivedPartTurnsDeadly guards against the loss of evidence to answers that began before
+// the crashes and were complete after them. Targets have survived the part until then.
+func TestSurvivedPartTurnsDeadly(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newWorld(seed, 6, 18)
+		w.deadlyShare = 0.3
+		w.call(load(18), w.Now().Add(20*time.Second))
+		w.run(4 * time.Second)
+		before, _ := w.soundShare(time.Time{}, w.Now().Add(-time.Second))
+		w.isDeadly = true
+		w.run(16 * time.Second)
+		checkVerdict(t, w, before, w.Now().Add(-time.Second))
+	}
+}
+
 // TestKillBesideTheCrashes guards against slow blocks while targets end for other reasons.
 func TestKillBesideTheCrashes(t *testing.T) {
 	w, before := startWorld(0x1f2, 13, 9, 25*time.Second)
--- a/internal/coordination/crash/monitor.go
+++ b/internal/coordination/crash/monitor.go
@@ -266,7 +266,7 @@
 	case f.beganAt.IsZero():
 		f.begin(now)
 	case now.Sub(f.beganAt) >= provedAfter:
-		f.prove(now)
+		f.prove(f.beganAt)
 	}
 }
 
@@ -283,7 +283,10 @@
 		return
 	}
 	if !f.proved {
-		f.prove(f.monitor.timer.Now())
+		if f.beganAt.IsZero() {
+			f.begin(f.monitor.timer.Now())
+		}
+		f.prove(f.beganAt)
 	}
 	f.End()
 }
@@ -298,14 +301,16 @@
 	delete(f.monitor.flights, f)
 }
 
-func (f *Flight) prove(now time.Time) {
+// prove records that the target has survived the answer that began at a time. It says nothing
+// about what targets ended under later, while the answer went on.
+func (f *Flight) prove(at time.Time) {
 	f.proved = true
 	m := f.monitor
 	m.mu.Lock()
 	m.proved++
 	urgent := false
 	for _, s := range f.request.subjects(f.request.Parts) {
-		m.proofs.set(s, now)
+		m.proofs.set(s, at)
 		urgent = urgent || m.isAwaited(s)
 	}
 	m.mu.Unlock()
--- a/internal/coordination/crash/proofs.go
+++ b/internal/coordination/crash/proofs.go
@@ -15,7 +15,11 @@
 	return proofs{young: make(map[Subject]time.Time), old: make(map[Subject]time.Time)}
 }
 
+// set records a proof. One of an answer that began before that of a known proof adds nothing.
 func (p *proofs) set(s Subject, at time.Time) {
+	if !at.After(p.at(s)) {
+		return
+	}
 	if _, known := p.young[s]; !known && len(p.young) >= maxProofs {
 		p.old = p.young
 		p.young = make(map[Subject]time.Time)
