--- a/internal/coordination/daily/keeper.go
+++ b/internal/coordination/daily/keeper.go
@@ -62,7 +62,10 @@
 
 // kept is what an entry has told.
 type kept struct {
-	seq    uint64
+	// seq is the last message that was taken, newest the highest that has come.
+	seq, newest uint64
+	// exact means that the entry, as of its newest message, tells of every outcome at once,
+	// and that the copy holds all that it has told.
 	exact  bool
 	heard  time.Time
 	keys   map[uint32]dated
@@ -104,32 +107,41 @@
 }
 
 // keep takes what an entry tells. Totals after a gap are no copy of what it has
-// counted; it is asked for all of them, and the copy no longer counts as exact.
+// counted; it is asked for all of them, and the copy no longer counts as exact. Nor does
+// it when the messages before the gap come late: the entry may have left this neighbour
+// for another meanwhile.
 func (k *Keeper) keep(now time.Time, tell ports.TellCounts) (ports.TellReply, error) {
 	c := k.copies[tell.Origin]
 	if c != nil && tell.Seq <= c.seq {
 		return ports.TellReply{}, nil
 	}
-	if !tell.Whole && (c == nil || tell.Seq != c.seq+1) {
-		if c != nil {
-			c.exact = false
-		}
-		return ports.TellReply{Resend: true}, nil
-	}
 	if c == nil && len(k.copies) >= maxCopies {
 		return ports.TellReply{}, trace.LimitExceeded("the counts of %d entries are kept already", maxCopies)
 	}
+	if c == nil {
+		c = newKept(now)
+	}
+	newest := max(tell.Seq, c.newest)
+	if !tell.Whole && (c.seq == 0 || tell.Seq != c.seq+1) {
+		c.exact, c.newest = false, newest
+		k.copies[tell.Origin] = c
+		return ports.TellReply{Resend: true}, nil
+	}
 	if tell.Whole {
-		c = &kept{keys: make(map[uint32]dated), totals: make(map[dated]uint64)}
+		c = newKept(now)
 	}
 	if err := c.take(tell.Counts); err != nil {
 		return ports.TellReply{}, err
 	}
-	c.seq, c.exact, c.heard = tell.Seq, tell.Exact, now
+	c.seq, c.newest, c.exact, c.heard = tell.Seq, newest, tell.Exact && tell.Seq == newest, now
 	k.copies[tell.Origin] = c
 	return ports.TellReply{}, nil
 }
 
+func newKept(now time.Time) *kept {
+	return &kept{heard: now, keys: make(map[uint32]dated), totals: make(map[dated]uint64)}
+}
+
 func (c *kept) take(counts []ports.ToldCount) error {
 	for _, one := range counts {
 		if one.Key != nil {
--- a/internal/coordination/daily/keeper_test.go
+++ b/internal/coordination/daily/keeper_test.go
@@ -101,6 +101,29 @@
 answer 2 resend false err false
 ports.KVGet {day/2026-03-28/e1-4}
 put day/2026-03-28/e1-4 expect 30 seq 7 kept true refused/late 2 served/ 8
+`},
+		{"is not exact after a gap, whatever comes late", func(s *keepScript) {
+			s.tell(1, true, true, counted(1, KindServed, "", 5))
+			s.tell(3, false, false)
+			s.tell(2, false, true, ports.ToldCount{ID: 1, Total: 8})
+			s.quiet()
+			s.done(ports.KVNotFound)
+			s.done(ports.KVOK)
+		}, `answer 1 resend false err false
+answer 3 resend true err false
+answer 2 resend false err false
+ports.KVGet {day/2026-03-28/e1-4}
+put day/2026-03-28/e1-4 expect 0 seq 0 kept false served/ 8
+`},
+		{"is not exact if the first message comes after a later one", func(s *keepScript) {
+			s.tell(2, false, false)
+			s.tell(1, true, true, counted(1, KindServed, "", 5))
+			s.quiet()
+			s.done(ports.KVNotFound)
+		}, `answer 2 resend true err false
+answer 1 resend false err false
+ports.KVGet {day/2026-03-28/e1-4}
+put day/2026-03-28/e1-4 expect 0 seq 0 kept false served/ 5
 `},
 		{"takes nothing away from a row that is further", func(s *keepScript) {
 			s.tell(1, true, true, counted(1, KindServed, "", 5))
