--- a/internal/coordination/daily/teller.go
+++ b/internal/coordination/daily/teller.go
@@ -52,6 +52,10 @@
 	Exact   bool
 }
 
+// Left notes that a neighbour is no longer told, since it answered late or not at all. What
+// is counted until another one answers may be kept by nobody.
+type Left struct{ Neighbour string }
+
 // IsEvent marks an event.
 func (Counted) IsEvent() {}
 
@@ -82,6 +86,8 @@
 	// avoided are the neighbours that failed, with the time of it.
 	avoided  map[string]time.Time
 	chooseAt time.Time
+	// left are those that have not been noted yet.
+	left []string
 
 	seq uint64
 	// whole means that the next message holds all totals.
@@ -202,6 +208,7 @@
 
 func (t *Teller) avoid(now time.Time) {
 	t.avoided[t.keeper.ID] = now
+	t.left = append(t.left, t.keeper.ID)
 	t.chooseAt = time.Time{}
 	t.flights = nil
 }
@@ -307,14 +314,19 @@
 	}
 }
 
-// report notes what is told, if that has changed.
+// report notes the neighbours that were left, and what is told if that has changed.
 func (t *Teller) report() []ports.Effect {
+	var effects []ports.Effect
+	for _, id := range t.left {
+		effects = append(effects, ports.Note{Value: Left{Neighbour: id}})
+	}
+	t.left = nil
 	told := Told{Through: t.through, Exact: t.exact && t.trusted}
 	if told == t.reported {
-		return nil
+		return effects
 	}
 	t.reported = told
-	return []ports.Effect{ports.Note{Value: told}}
+	return append(effects, ports.Note{Value: told})
 }
 
 // arm waits for what is due next: a message, or an answer that is late.
--- a/internal/coordination/daily/telling.go
+++ b/internal/coordination/daily/telling.go
@@ -18,6 +18,7 @@
 	loop     *drive.Loop
 	recorder *Recorder
 	timer    timer.Service
+	onLeft   func(Left)
 
 	mu      sync.Mutex
 	told    Told
@@ -35,9 +36,20 @@
 	w.once.Do(func() { close(w.done) })
 }
 
+// TellingOption changes a Telling under construction.
+type TellingOption func(*Telling)
+
+// WithLeft calls f for each neighbour that is left; f must not block.
+func WithLeft(f func(Left)) TellingOption {
+	return func(t *Telling) { t.onLeft = f }
+}
+
 // NewTelling returns a driver that runs teller through env.
-func NewTelling(teller *Teller, env ports.Env) *Telling {
-	t := &Telling{recorder: teller.recorder, timer: env.Timer, waiting: make(map[*waiter]struct{})}
+func NewTelling(teller *Teller, env ports.Env, opts ...TellingOption) *Telling {
+	t := &Telling{recorder: teller.recorder, timer: env.Timer, onLeft: func(Left) {}, waiting: make(map[*waiter]struct{})}
+	for _, opt := range opts {
+		opt(t)
+	}
 	t.loop = drive.NewLoop(teller, env, drive.WithListener(t.listen))
 	return t
 }
@@ -94,6 +106,10 @@
 }
 
 func (t *Telling) listen(value any) {
+	if left, ok := value.(Left); ok {
+		t.onLeft(left)
+		return
+	}
 	told, ok := value.(Told)
 	if !ok {
 		return
--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -97,7 +97,9 @@
 		Instance: e.self.ID, Incarnation: e.self.Incarnation, Zone: e.self.Zone, Location: e.settings.Entry.Location,
 	}, e.recorder, fork())
 	p.writer = loop(e.writer)
-	e.telling = daily.NewTelling(daily.NewTeller(e.self, e.writer.Nonce(), e.recorder), env)
+	e.telling = daily.NewTelling(daily.NewTeller(e.self, e.writer.Nonce(), e.recorder), env, daily.WithLeft(func(n daily.Left) {
+		e.log.Info().Str("neighbour", n.Neighbour).Msg("neighbour left")
+	}))
 	p.keeper = loop(daily.NewKeeper())
 	p.pruner = loop(daily.NewPruner(e.settings.Entry.Location, e.settings.Entry.DaysKept, fork()))
 	p.reader = loop(daily.NewReader(e.settings.Entry.Location, daily.DefaultGoals()))
