Crash detector: evidence from before a lift does not count at a new holder

An operator lifts a block at one instance. If the holder changed before all instances had heard of that, those that had not sent the new holder all their accusations, and the new holder blocked the part again, with no further crash. It ignores what a part was accused of before a block with it was lifted.

--- a/internal/coordination/crash/detector.go
+++ b/internal/coordination/crash/detector.go
@@ -164,12 +164,26 @@
 		e := d.endOf(a.Service, a.Target, sent, at)
 		r := Request{Service: a.Service, Model: q.Model, Adapter: q.Adapter, Parts: q.Parts}
 		for _, s := range r.subjects(q.Parts) {
-			d.link(s, e, sent, q.Parts)
+			if !d.isLiftedSince(s, e.at) {
+				d.link(s, e, sent, q.Parts)
+			}
 		}
 		d.failTrial(&r, at, now)
 	}
 }
 
+// isLiftedSince reports whether a block with a part was lifted after a time. What the part was
+// accused of before does not count, also if an instance that has not heard of that reports it
+// to a new holder.
+func (d *Detector) isLiftedSince(s Subject, at time.Time) bool {
+	for key, b := range d.blocks.blocks {
+		if b.Lifted && key.Service == s.Service && !at.After(b.since) && slices.Contains(key.parts(), s.Part) {
+			return true
+		}
+	}
+	return false
+}
+
 // endOf returns the end of a target of which a request accuses a part. Instances see it at
 // slightly different times. A request that was sent after a known end accuses a part of
 // another one: the target has started again under the same identity.
--- a/internal/coordination/crash/detector_test.go
+++ b/internal/coordination/crash/detector_test.go
@@ -54,3 +54,41 @@
 		t.Errorf("blocked %v, want %s alone", blocked, deadly)
 	}
 }
+
+// TestLiftOutlivesTheHolder guards against a part that is blocked again without another crash:
+// a new holder hears that the block was lifted, and then the evidence that led to it, from
+// an instance that has not heard of that.
+func TestLiftOutlivesTheHolder(t *testing.T) {
+	d, now := NewDetector(), time.Unix(1000, 0)
+	accuse := func(name string, endAge time.Duration) {
+		d.Report(now, &Report{Accusations: []Accusation{{
+			Target: fleet.Identity{ID: name, Born: 1}, Service: service,
+			Requests: []Accused{{
+				Model: "m0", Parts: []Part{Part("x" + name), deadly},
+				SentAgeMS: endAge.Milliseconds() + 100, EndAgeMS: endAge.Milliseconds(),
+			}},
+		}}})
+	}
+	judge := func() (blocked []Block) {
+		for range 100 {
+			now = now.Add(20 * time.Millisecond)
+			blocked = append(blocked, d.Judge(now, 500*time.Millisecond, func(string) int { return 6 })...)
+		}
+		return blocked
+	}
+	key := newBlockKey(service, "", []Part{deadly})
+	d.Report(now, &Report{Blocks: []Block{{BlockKey: key, Revision: 2, Lifted: true, AgeMS: 500}}})
+	for i, name := range []string{"a", "b", "c", "d"} {
+		accuse(name, time.Duration(5-i)*time.Second)
+	}
+	if got := judge(); len(got) > 0 {
+		t.Errorf("blocked again: %+v", got)
+	}
+	for _, name := range []string{"e", "f", "g", "h"} {
+		accuse(name, 0)
+		now = now.Add(time.Second)
+	}
+	if got := judge(); len(got) != 1 || got[0].BlockKey != key {
+		t.Errorf("blocked %+v after more crashes, want %s", got, deadly)
+	}
+}
