--- a/cmd/chivecroft/day_test.go
+++ b/cmd/chivecroft/day_test.go
@@ -148,8 +148,10 @@
 	})
 }
 
-// dayDeployment is one zone with three entries.
-func dayDeployment(t *testing.T) (*system, []string) {
+// dayDeployment is one zone with three entries, and the account of the calls that it took to
+// see that they serve. The page has it once all rows are written, which takes as long as the
+// machine needs.
+func dayDeployment(t *testing.T) (*system, []string, *tally) {
 	s := newSystem(t)
 	s.startTarget("bul-a-t1", "bul-a", "bulacan")
 	s.startService("bul-a-s1", "bul-a", "bulacan")
@@ -161,15 +163,24 @@
 		t.Fatalf("patch: exit %d\n%s", code, out)
 	}
 	s.settled(1, ids...)
+	var asked uint64
 	for _, id := range ids {
 		s.eventually(19*time.Second, func() string {
+			asked++
 			if status, text := s.request(http.MethodGet, s.callers[id]+"/services/ticket-desk/seats", "", nil); status != http.StatusOK {
 				return id + ": " + text
 			}
 			return ""
 		})
 	}
-	return s, ids
+	var first *tally
+	s.eventually(19*time.Second, func() string {
+		if first = reported(s.day(ids[0])); first.Arrived != asked {
+			return fmt.Sprintf("the page has %d calls of %d", first.Arrived, asked)
+		}
+		return ""
+	})
+	return s, ids, first
 }
 
 // TestDayAfterQuietKills kills two entries after their rows were written: the
@@ -177,9 +188,7 @@
 // the two ended without their last word.
 func TestDayAfterQuietKills(t *testing.T) {
 	t.Parallel()
-	s, ids := dayDeployment(t)
-	time.Sleep(writeInterval)
-	want := reported(s.day(ids[0]))
+	s, ids, want := dayDeployment(t)
 	for n, victim := range []string{"bul-a-e1", "bul-a-e2"} {
 		s.counted(want, fmt.Sprintf("before-%d", n), ids, 6, 5)
 		time.Sleep(writeInterval)
@@ -250,9 +259,7 @@
 // that the page counts it as finished.
 func TestDayAfterKillsUnderLoad(t *testing.T) {
 	t.Parallel()
-	s, ids := dayDeployment(t)
-	time.Sleep(writeInterval)
-	mine := reported(s.day(ids[0]))
+	s, ids, mine := dayDeployment(t)
 	var late uint64
 	for n, victim := range []string{"bul-a-e1", "bul-a-e2"} {
 		late += s.killedUnderLoad(mine, fmt.Sprintf("under-%d", n), victim, ids)
