Proxy: one function decides the route and whether it is public

The route of a request was selected by routePath, whereas isPublic matched r.URL.Path. For the absolute form without a path (GET http://host) the first is "/" and the second is empty. A route with an empty prefix then decided on the key of a request that takes another route, and without such a route a configuration that made the route private did not apply to queued requests.

matchRoute replaces both. TestRouteDecidesOnKey failed before for three request lines: two were served without a key (200, want 401), one was rejected although its route is public (401, want 200). Paths that begin with two slashes were decided alike before; the test keeps that.

--- a/internal/transport/proxy/keys.go
+++ b/internal/transport/proxy/keys.go
@@ -120,7 +120,7 @@
 
 // isPublic reports whether a configuration asks for no key of the request.
 func (x *exchange) isPublic(cfg *fleet.Config) bool {
-	if route := cfg.Match(x.r.Host, x.r.URL.Path); route != nil {
+	if route := matchRoute(cfg, x.r); route != nil {
 		return route.Public
 	}
 	return x.route.Public
--- a/internal/transport/proxy/keys_test.go
+++ b/internal/transport/proxy/keys_test.go
@@ -1,9 +1,11 @@
 package proxy_test
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -374,3 +376,52 @@
 		t.Errorf("status without and with a proof (-want +got):\n%s", diff)
 	}
 }
+
+// TestRouteDecidesOnKey guards against a key that is required by another route than the one
+// that the request takes, for request targets whose path is empty or begins with two slashes.
+func TestRouteDecidesOnKey(t *testing.T) {
+	for _, c := range []struct {
+		line string
+		// public is the path prefix of the route that needs no key.
+		public string
+		want   int
+	}{
+		{"GET http://x.example HTTP/1.1", "", http.StatusUnauthorized},
+		{"GET http://x.example HTTP/1.1", "/", http.StatusOK},
+		{"GET http://x.example?a HTTP/1.1", "", http.StatusUnauthorized},
+		{"GET http://x.example/ HTTP/1.1", "/", http.StatusOK},
+		{"OPTIONS http://x.example HTTP/1.1", "/", http.StatusUnauthorized},
+		{"GET //a HTTP/1.1", "/", http.StatusUnauthorized},
+		{"GET //a HTTP/1.1", "//", http.StatusOK},
+		{"GET http://x.example//a HTTP/1.1", "/", http.StatusUnauthorized},
+		{"GET http://x.example//a HTTP/1.1", "//", http.StatusOK},
+	} {
+		t.Run(c.line+" public "+c.public, func(t *testing.T) {
+			near, _ := newTwoTargets(t)
+			k := newKeyRig(t, near)
+			first := k.config.Routes[0]
+			k.config.Routes = nil
+			for _, prefix := range []string{"", "/", "//"} {
+				first.Name, first.PathPrefix, first.Public = "route "+prefix, prefix, prefix == c.public
+				k.config.Routes = append(k.config.Routes, first)
+			}
+			if err := k.config.Index(); err != nil {
+				t.Fatal(err)
+			}
+			conn, err := net.Dial("tcp", k.front.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			fmt.Fprintf(conn, "%s\r\nHost: x.example\r\nChivecroft-Attempt-Id: route\r\nContent-Length: 0\r\n\r\n", c.line)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp.Body.Close()
+			if resp.StatusCode != c.want {
+				t.Errorf("status %d, want %d", resp.StatusCode, c.want)
+			}
+		})
+	}
+}
--- a/internal/transport/proxy/path.go
+++ b/internal/transport/proxy/path.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"net/url"
 	"strings"
+
+	"chivecroft.example/chivecroft/internal/state/fleet"
 )
 
 var errPath = errors.New("path of the request cannot be forwarded unchanged")
@@ -46,11 +48,14 @@
 	return "/", nil
 }
 
-// routePath returns the path that decides on the route of a request. The absolute form
-// without a path means the path "/", except that OPTIONS then asks about the whole server.
-func routePath(r *http.Request) string {
-	if r.URL.Path == "" && r.URL.Host != "" && r.Method != http.MethodOptions {
-		return "/"
+// matchRoute returns the route of a request in a configuration, nil if there is none. The
+// absolute form without a path means the path "/", except that OPTIONS then asks about the
+// whole server. Both the choice of targets and whether a key is required follow from the
+// returned route.
+func matchRoute(cfg *fleet.Config, r *http.Request) *fleet.Route {
+	path := r.URL.Path
+	if path == "" && r.URL.Host != "" && r.Method != http.MethodOptions {
+		path = "/"
 	}
-	return r.URL.Path
+	return cfg.Match(r.Host, path)
 }
--- a/internal/transport/proxy/server.go
+++ b/internal/transport/proxy/server.go
@@ -200,7 +200,7 @@
 		return false
 	}
 	x.version = cfg.Version
-	x.route = cfg.Match(x.r.Host, routePath(x.r))
+	x.route = matchRoute(cfg, x.r)
 	if x.route == nil && s.mayLackRoutes(cfg) {
 		x.refuse(http.StatusServiceUnavailable, "configBehind", behindRetryAfter)
 		return false
