Test for clients that misuse the ready, peer and metrics ports

300 clients at each of the three ports reconnect for four seconds: a quarter is silent, a quarter sends a head without end, a quarter stops just short of the end of a 4 MB body, a quarter sends requests without reading. One connection sends messages of another instance meanwhile.

--- /dev/null
+++ b/cmd/chivecroft/memory_control_test.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"chivecroft.example/chivecroft/internal/coordination/relay"
+	"chivecroft.example/chivecroft/platform/fake"
+)
+
+// controlCallers is the number of clients at each port for others than callers. It is more
+// than the limit of each, and all together are more than the process has descriptors for.
+const controlCallers = 300
+
+// misuse plays a client that keeps a connection: one that is silent, one whose head does not
+// end, one whose body stops just short of its end, and one that asks without reading.
+func misuse(n int, c net.Conn, paths [2]string) {
+	var err error
+	switch n % 4 {
+	case 0:
+	case 1:
+		for lines := shortLines(n); err == nil; {
+			_, err = io.WriteString(c, head(n, paths[0])+lines)
+		}
+	case 2:
+		_, _ = io.WriteString(c, head(n, paths[0])+fmt.Sprintf("Content-Length: %d\r\n\r\n", crowdBodyBytes))
+		for piece := strings.Repeat("x", crowdBodyBytes/8-1); err == nil; {
+			_, err = io.WriteString(c, piece)
+		}
+	case 3:
+		get := fmt.Sprintf("GET %s HTTP/1.1\r\nHost: x\r\n\r\n", paths[1])
+		for err == nil {
+			_, err = io.WriteString(c, strings.Repeat(get, 100))
+		}
+		return
+	}
+	awaitEnd(c)
+}
+
+// TestControlPorts guards against clients at the ready, peer and metrics ports that use
+// memory and descriptors without limit, or that keep messages of other instances out.
+func TestControlPorts(t *testing.T) {
+	s := startCrowdSystem(t)
+	ports := map[string][2]string{
+		s.ready.String():   {fake.ReadyPath, fake.ReadyPath},
+		s.peer.String():    {"/exchange", "/config"},
+		s.metrics.String(): {"/metrics", "/metrics"},
+	}
+	s.play(func() {
+		end := time.Now().Add(crowdTime)
+		var all sync.WaitGroup
+		for addr, paths := range ports {
+			for n := range controlCallers {
+				all.Go(func() {
+					for time.Now().Before(end) {
+						s.connect(addr, end, func(c net.Conn) { misuse(n, c, paths) })
+						time.Sleep(100 * time.Millisecond)
+					}
+				})
+			}
+		}
+		all.Go(func() { s.sendMessages(end) })
+		all.Wait()
+	})
+	s.awaitReady()
+}
+
+// sendMessages sends the messages of another instance on one connection. None may be lost.
+func (s *crowdSystem) sendMessages(end time.Time) {
+	client := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxConnsPerHost: 1}}
+	defer client.CloseIdleConnections()
+	message := relay.AppendDemand([]byte(`{"from":"i1","zone":"za"}`+"\n"), nil)
+	for time.Now().Before(end) {
+		resp, err := client.Post("http://"+s.peer.String()+"/exchange", "", bytes.NewReader(message))
+		if err != nil {
+			s.t.Errorf("a message of another instance was lost: %v", err)
+			return
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusConflict {
+			s.t.Errorf("a message of another instance was answered %d", resp.StatusCode)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
--- a/cmd/chivecroft/memory_crowd_test.go
+++ b/cmd/chivecroft/memory_crowd_test.go
@@ -38,20 +38,23 @@
 		end := time.Now().Add(d)
 		var all sync.WaitGroup
 		for n := range callers {
-			all.Go(func() {
-				c, err := net.Dial("tcp", s.callers.String())
-				if err != nil {
-					return
-				}
-				defer c.Close()
-				_ = c.SetDeadline(end)
-				caller(n, c)
-			})
+			all.Go(func() { s.connect(s.callers.String(), end, func(c net.Conn) { caller(n, c) }) })
 		}
 		all.Wait()
 	}
 }
 
+// connect opens a connection and has it played until the given time.
+func (s *crowdSystem) connect(addr string, end time.Time, play func(c net.Conn)) {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	_ = c.SetDeadline(end)
+	play(c)
+}
+
 // awaitEnd reads what comes until the connection ends or the crowd's time is over.
 func awaitEnd(c net.Conn) { _, _ = io.Copy(io.Discard, c) }
 
--- a/cmd/chivecroft/memory_test.go
+++ b/cmd/chivecroft/memory_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -41,13 +42,14 @@
 
 // crowdSystem is one process of the system with its store and a target.
 type crowdSystem struct {
-	t       *testing.T
-	cmd     *exec.Cmd
-	log     *output
-	ended   chan struct{}
-	store   *fake.Store
-	target  *fake.Target
-	callers netip.AddrPort
+	t      *testing.T
+	cmd    *exec.Cmd
+	log    *output
+	ended  chan struct{}
+	store  *fake.Store
+	target *fake.Target
+
+	callers, ready, peer, metrics netip.AddrPort
 }
 
 // startCrowdSystem runs a process with the limits of the tests and waits until it is ready.
@@ -58,8 +60,10 @@
 	s.target.Slots = crowdSlots
 	s.store.List(t, s.target, "desk", "ready")
 	s.store.Write(t, "op/config", crowdConfig(1, crowdHeaderBytes))
-	port := fake.FreePorts(t, 3)
-	s.callers = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)
+	port := fake.FreePorts(t, 4)
+	for i, addr := range []*netip.AddrPort{&s.callers, &s.ready, &s.peer, &s.metrics} {
+		*addr = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port+uint16(i))
+	}
 	boot := fake.Boot{
 		Instance: "i0", Zone: "za", Zones: soakZones, Callers: port, Ready: port + 1, Peer: port + 2,
 		Store: s.store.Addr(), Bootstrap: true, Bounds: soakBounds, MemoryMB: crowdMemoryMB, MaxFDs: crowdMaxFDs,
@@ -68,7 +72,7 @@
 	if err := os.WriteFile(file, []byte(boot.YAML()), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	s.cmd = exec.Command(binary, "serve", "--boot", file)
+	s.cmd = exec.Command(binary, "serve", "--boot", file, "--metrics-port", strconv.Itoa(int(s.metrics.Port())))
 	s.cmd.Stdout, s.cmd.Stderr = s.log, s.log
 	s.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := s.cmd.Start(); err != nil {
@@ -82,7 +86,7 @@
 		_ = s.cmd.Process.Kill()
 		<-s.ended
 	})
-	s.awaitReady(port + 1)
+	s.awaitReady()
 	return s
 }
 
@@ -109,10 +113,10 @@
 	}
 }
 
-func (s *crowdSystem) awaitReady(port uint16) {
+func (s *crowdSystem) awaitReady() {
 	s.t.Helper()
 	for range 500 {
-		resp, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d%s", port, fake.ReadyPath))
+		resp, err := http.Get("http://" + s.ready.String() + fake.ReadyPath)
 		if err == nil {
 			resp.Body.Close()
 			if resp.StatusCode == http.StatusOK {
