Limits for the ready, peer and metrics ports

Connections to these ports were bounded by nothing: their number, their bodies and answers appeared in no accounting.

The three servers now accept through transport/accept, each with a limit on its connections, an account of bytes and its own times. For a new connection the oldest without a request is closed; one that has sent a readable message goes last, and not for many that have not. A request of an unknown connection that takes over 3 s may be closed for a new one, since no instance waits longer. All ports share one pool of descriptors, of which callers leave as many as the fleet has instances. An instance limits its permit messages in flight by the size of the fleet, since each has a connection to the holder.

Invalid messages wrote one log line each; they are counted now like other refusals, with one line a second for each port and reason, and the address of the latest sender.

--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -139,8 +139,7 @@
 	}
 	var kept []crash.Kept
 	if err := json.NewDecoder(io.LimitReader(r.Body, maxMessageBytes)).Decode(&kept); err != nil {
-		e.log.Warn().Err(err).Str("peer", r.RemoteAddr).Msg("invalid message rejected")
-		w.WriteHeader(http.StatusBadRequest)
+		rejectMessage(w, r, err)
 		return
 	}
 	e.crashes.Keep(kept)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -42,9 +42,6 @@
 	// maxElectionDelay is how long a machine with hardly any processor time waits before
 	// it tries to become the holder.
 	maxElectionDelay = 300 * time.Millisecond
-	// headerTimeout limits how long a request header may take to arrive on the ports that
-	// are not for callers.
-	headerTimeout = 10 * time.Second
 )
 
 // Edge is one instance of the system.
@@ -90,6 +87,8 @@
 	readerRepliedAt atomic.Int64
 	// readerTurn counts the requests to readers.
 	readerTurn atomic.Int64
+	// members is the number of instances, as the holder last said.
+	members atomic.Int64
 	// demandSignal receives a value when a request begins to wait for a model.
 	demandSignal chan struct{}
 	// crashes knows which parts of prompts crash targets, ends finds out whether targets
@@ -111,12 +110,14 @@
 	callers   *callerServer
 	// account is the account of the bytes that callers and targets make this process hold,
 	// listener accepts callers' connections, refusals counts those that were refused.
-	account  *budget.Account
+	account *budget.Account
+	// pool limits the descriptors of all ports.
 	listener *accept.Listener
 	refusals *refusalLog
+	pool     *accept.Pool
 	// readyServer serves the platform's readiness checks, peerServer other instances, and
-	// metricsServer, which may be nil, operators.
-	readyServer, peerServer, metricsServer *http.Server
+	// metricsServer, which may not listen, operators.
+	readyServer, peerServer, metricsServer *controlServer
 
 	// bounds are those of the most recently read boot file, bootFile is its path, empty if
 	// it is not read again.
@@ -180,8 +181,14 @@
 	e.ends = newEndChecker(e.picker.IsLeaving, e.onTargetEnd)
 	e.permits = newPermitClient(e)
 	e.account = budget.NewAccount(memoryBudget(boot.MemoryBytes), time.Now)
-	e.refusals = newRefusalLog(l)
-	e.listener = accept.NewListener(e.account, accept.WithMaxConns(maxCallerConns(boot)), accept.WithObserver(e.refusals.add))
+	e.refusals = newRefusalLog(l, "callers")
+	e.pool = accept.NewPool(sharedDescriptors(boot))
+	e.pool.SetReserve(reservedConns(boot, 0))
+	e.listener = accept.NewListener(e.account, accept.WithMaxConns(maxCallerConns(boot)), accept.WithPool(e.pool, callerCost),
+		accept.WithObserver(e.refusals.add))
+	e.readyServer = newControlServer(readyLimits(boot), e.pool, l)
+	e.peerServer = newControlServer(peerLimits(boot), e.pool, l)
+	e.metricsServer = newControlServer(metricsLimits(boot), e.pool, l)
 	e.proxy = proxy.NewServer(platform.Codec{}, e.picker, e.budget, e.timer, proxy.WithLogger(l),
 		proxy.WithAccount(e.account), proxy.WithIdleConnections(maxIdleTargetConns(boot)),
 		proxy.WithObserver(e.metrics.requestEnded), proxy.WithCrashes(e.crashes, e.ends.hasCrashed),
@@ -265,15 +272,13 @@
 	e.callers = newCallerServer(e.proxy, e.listener)
 	limitRuntime(e.boot.MemoryBytes)
 	go e.memoryLoop(e.loopCtx)
-	e.readyServer = newControlServer(http.HandlerFunc(e.serveReady), maxReadyBodyBytes)
 	if err := e.callers.start(ctx, e.boot.Callers.String(), e.log); err != nil {
 		return err
 	}
-	if _, err := listen(ctx, e.readyServer, e.boot.Ready.String(), e.log); err != nil {
+	if err := e.readyServer.start(ctx, e.boot.Ready.String(), http.HandlerFunc(e.serveReady), e.log); err != nil {
 		return err
 	}
-	e.peerServer = newControlServer(http.HandlerFunc(e.servePeer), maxMessageBytes)
-	if _, err := listen(ctx, e.peerServer, e.boot.Peer.String(), e.log); err != nil {
+	if err := e.peerServer.start(ctx, e.boot.Peer.String(), http.HandlerFunc(e.servePeer), e.log); err != nil {
 		return err
 	}
 	e.election.Post(elect.Start{})
@@ -284,23 +289,20 @@
 	go e.copyLoop(e.loopCtx)
 	go e.proofLoop(e.loopCtx)
 	go e.permits.run(e.loopCtx)
-	metrics, err := e.metrics.start(ctx, e.boot.Instance, e.boot.Zone, e.boot.Addr, e.metricsPort,
-		map[string]http.HandlerFunc{BlocksPath: e.serveBlocks, LiftPath: e.serveLift, WherePath: e.serveWhere})
-	if err != nil {
-		return err
+	if e.metricsPort != 0 {
+		handlers := map[string]http.HandlerFunc{BlocksPath: e.serveBlocks, LiftPath: e.serveLift, WherePath: e.serveWhere}
+		at := netip.AddrPortFrom(e.boot.Addr, e.metricsPort)
+		if err := e.metrics.start(ctx, e.boot.Instance, e.boot.Zone, e.metricsServer, at, handlers); err != nil {
+			return err
+		}
 	}
-	e.metricsServer = metrics
 	e.log.Info().Str("instance", e.boot.Instance).Str("zone", e.boot.Zone).
 		Str("callers", e.boot.Callers.String()).Str("store", e.boot.Store.String()).Msg("started")
 	return nil
 }
 
-// listen serves s at addr until the server or the listener is closed.
-func listen(ctx context.Context, s *http.Server, addr string, lg *log.Logger) (net.Listener, error) {
-	return listenThrough(ctx, s, addr, lg, func(l net.Listener) net.Listener { return l })
-}
-
-// listenThrough does the same on the connections of a listener that wraps the one of addr.
+// listenThrough serves s at addr, on the connections of a listener that wraps the one of
+// addr, until the server or the listener is closed.
 func listenThrough(ctx context.Context, s *http.Server, addr string, lg *log.Logger, wrap func(net.Listener) net.Listener) (net.Listener, error) {
 	var lc net.ListenConfig
 	l, err := lc.Listen(ctx, "tcp", addr)
@@ -316,6 +318,11 @@
 	return l, nil
 }
 
+// controlServers returns the servers for others than callers.
+func (e *Edge) controlServers() []*controlServer {
+	return []*controlServer{e.readyServer, e.peerServer, e.metricsServer}
+}
+
 // serveReady responds to the platform's readiness check: 200 if new callers should be
 // sent here, else 503.
 func (e *Edge) serveReady(w http.ResponseWriter, r *http.Request) {
--- a/internal/edge/encoding.go
+++ b/internal/edge/encoding.go
@@ -49,6 +49,9 @@
 // writeBody writes the body of a response to r, compressed if it is large and the other
 // instance accepts that.
 func writeBody(w http.ResponseWriter, r *http.Request, data []byte) {
+	if !chargeAnswer(w, r, len(data)) {
+		return
+	}
 	if len(data) >= minCompressedBytes && strings.Contains(r.Header.Get("Accept-Encoding"), encodingGzip) {
 		data = compress(data)
 		w.Header().Set("Content-Encoding", encodingGzip)
@@ -66,7 +69,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return io.ReadAll(io.LimitReader(z, limit))
+	var out io.Reader = z
+	if m, ok := body.(*chargedMessage); ok {
+		out = m.uncompressed(z)
+	}
+	return io.ReadAll(io.LimitReader(out, limit))
 }
 
 // uncompress returns the data that compress has compressed.
--- a/internal/edge/holderloss_test.go
+++ b/internal/edge/holderloss_test.go
@@ -13,7 +13,7 @@
 	e.stopLoops()
 	e.election.Stop()
 	e.callers.close()
-	for _, s := range []*http.Server{e.readyServer, e.peerServer} {
+	for _, s := range e.controlServers() {
 		_ = s.Close()
 	}
 }
--- a/internal/edge/memory.go
+++ b/internal/edge/memory.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"runtime/debug"
 	"sync"
 	"time"
@@ -39,17 +38,17 @@
 	idleShare      = 0.125
 	// minCallerConns is the smallest limit on connections of callers.
 	minCallerConns = 16
-)
-
-// Limits of the servers for others than callers.
-const (
-	// controlHeaderBytes limits their heads.
-	controlHeaderBytes  = 16 << 10
-	controlIdleTimeout  = 2 * time.Minute
-	controlReadTimeout  = 10 * time.Second
-	controlWriteTimeout = 30 * time.Second
-	maxReadyBodyBytes   = 1 << 10
-	maxMetricsBodyBytes = 64 << 10
+	// ownShare is for connections that this process opens to the store and other instances,
+	// and for listeners.
+	ownShare    = 1.0 / 32
+	minOwnConns = 16
+	// peerPortShare and smallPortShare limit the connections of the ports for others than
+	// callers as parts of what all ports share.
+	peerPortShare  = 0.38
+	smallPortShare = 1.0 / 32
+	// callerCost is the number of descriptors of a caller's connection: one is for the
+	// connection to a target.
+	callerCost = 2
 )
 
 // memoryInterval is the interval of the metrics of memory and of the log lines about
@@ -96,14 +95,22 @@
 	return max(float64(boot.MaxDescriptors-reservedDescriptors), 0)
 }
 
-// newControlServer returns a server for others than callers with limits on heads, bodies
-// and their times.
-func newControlServer(handler http.Handler, maxBodyBytes int64) *http.Server {
-	return &http.Server{
-		Handler: http.MaxBytesHandler(handler, maxBodyBytes), MaxHeaderBytes: controlHeaderBytes,
-		ReadHeaderTimeout: headerTimeout, ReadTimeout: controlReadTimeout, WriteTimeout: controlWriteTimeout,
-		IdleTimeout: controlIdleTimeout,
+// sharedDescriptors returns the descriptors that the connections of all ports use together,
+// 0 for no limit.
+func sharedDescriptors(boot *platform.Boot) int {
+	if boot.MaxDescriptors <= 0 {
+		return 0
 	}
+	usable := usableDescriptors(boot)
+	own := max(int(ownShare*usable), minOwnConns)
+	return max(int(usable)-own-maxIdleTargetConns(boot), callerCost*minCallerConns+3*minControlConns)
+}
+
+// reservedConns returns the descriptors that callers' connections leave to the other ports in
+// a fleet of the given number of instances: each may be the holder, to which all connect.
+func reservedConns(boot *platform.Boot, members int) int {
+	peers := min(members+members/4+minControlConns, peerLimits(boot).conns)
+	return peers + readyLimits(boot).conns + metricsLimits(boot).conns
 }
 
 // memoryLoop records the use of memory and logs refusals.
@@ -116,45 +123,77 @@
 			return
 		case <-tick.C:
 		}
-		held := make(map[string]int64)
-		for _, u := range budget.Uses() {
-			held[u.String()] = e.account.Held(u)
-		}
+		held := heldBytes(e.account)
 		conns := e.listener.Counts()
 		e.metrics.memoryUsed(held, conns, e.refusals.flush(held, conns))
+		e.pool.SetReserve(reservedConns(e.boot, int(e.members.Load())))
+		for _, s := range e.controlServers() {
+			e.metrics.controlPortUsed(s)
+		}
 	}
 }
 
-// refusalLog counts the connections and heads that were refused, and writes at most one
-// line for each reason in memoryInterval.
+func heldBytes(account *budget.Account) map[string]int64 {
+	held := make(map[string]int64)
+	for _, u := range budget.Uses() {
+		held[u.String()] = account.Held(u)
+	}
+	return held
+}
+
+// refusalLog counts the connections, heads and messages that a port has refused, and writes
+// at most one line for each reason in memoryInterval.
 type refusalLog struct {
-	log *log.Logger
+	log  *log.Logger
+	port string
 
 	mu     sync.Mutex
-	counts map[string]int64
+	counts map[string]*refusals
+}
+
+// refusals are those for one reason. peer and err are of the latest one, if known.
+type refusals struct {
+	count int64
+	peer  string
+	err   error
 }
 
-func newRefusalLog(l *log.Logger) *refusalLog {
-	return &refusalLog{log: l, counts: make(map[string]int64)}
+func newRefusalLog(l *log.Logger, port string) *refusalLog {
+	return &refusalLog{log: l, port: port, counts: make(map[string]*refusals)}
 }
 
-func (r *refusalLog) add(reason accept.Reason) {
+func (r *refusalLog) add(reason accept.Reason) { r.addFrom(reason, "", nil) }
+
+// addFrom counts a refusal of a message, which has an error, from an address.
+func (r *refusalLog) addFrom(reason accept.Reason, peer string, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.counts[string(reason)]++
+	n := r.counts[string(reason)]
+	if n == nil {
+		n = new(refusals)
+		r.counts[string(reason)] = n
+	}
+	n.count++
+	n.peer, n.err = peer, err
 }
 
 // flush logs and returns the counts since the last call.
 func (r *refusalLog) flush(held map[string]int64, conns map[string]int) map[string]int64 {
 	r.mu.Lock()
-	counts := r.counts
-	r.counts = make(map[string]int64)
+	byReason := r.counts
+	r.counts = make(map[string]*refusals)
 	r.mu.Unlock()
-	for reason, n := range counts {
-		r.log.Warn().Str("reason", reason).Int64("count", n).Int64("heads", held[budget.Heads.String()]).
+	counts := make(map[string]int64, len(byReason))
+	for reason, n := range byReason {
+		counts[reason] = n.count
+		line := r.log.Warn().Str("port", r.port).Str("reason", reason).Int64("count", n.count).
+			Int64("heads", held[budget.Heads.String()]).
 			Int64("bodies", held[budget.Bodies.String()]).Int64("answers", held[budget.Answers.String()]).
-			Int64("streams", held[budget.Streams.String()]).Int("connections", conns["new"]+conns["head"]+conns["busy"]+conns["idle"]).
-			Msg("connections refused")
+			Int64("streams", held[budget.Streams.String()]).Int("connections", conns["new"]+conns["head"]+conns["busy"]+conns["idle"])
+		if n.peer != "" {
+			line = line.Str("peer", n.peer).Err(n.err)
+		}
+		line.Msg("connections refused")
 	}
 	return counts
 }
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/netip"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -35,15 +33,11 @@
 	storeCalls atomic.Int64
 }
 
-// start creates the meter and serves it on a port, with more handlers by their paths, unless
-// the port is 0.
-func (m *instanceMetrics) start(ctx context.Context, instance, zone string, addr netip.Addr, port uint16, more map[string]http.HandlerFunc) (*http.Server, error) {
-	if port == 0 {
-		return nil, nil
-	}
+// start creates the meter and serves it at an address, with more handlers by their paths.
+func (m *instanceMetrics) start(ctx context.Context, instance, zone string, s *controlServer, at netip.AddrPort, more map[string]http.HandlerFunc) error {
 	mt, err := meter.New(instance, zone)
 	if err != nil {
-		return nil, trace.Wrap(err, "create the meter")
+		return trace.Wrap(err, "create the meter")
 	}
 	m.meter.Store(mt)
 	mux := http.NewServeMux()
@@ -51,10 +45,7 @@
 	for path, handler := range more {
 		mux.Handle(path, handler)
 	}
-	s := newControlServer(mux, maxMetricsBodyBytes)
-	at := net.JoinHostPort(addr.String(), strconv.Itoa(int(port)))
-	_, err = listen(ctx, s, at, m.log)
-	return s, err
+	return s.start(ctx, at.String(), mux, m.log)
 }
 
 // requestEnded counts a finished request.
@@ -160,6 +151,23 @@
 	}
 }
 
+// controlPortUsed records the bytes and connections of a port for others than callers, and
+// its refusals since the last call.
+func (m *instanceMetrics) controlPortUsed(s *controlServer) {
+	held, conns, refused := s.observe()
+	mt := m.meter.Load()
+	if mt == nil {
+		return
+	}
+	mt.PortBytes(s.port, held)
+	for state, n := range conns {
+		mt.PortConnections(s.port, state, n)
+	}
+	for reason, n := range refused {
+		mt.PortRefused(s.port, reason, n)
+	}
+}
+
 // orderEnded counts a finished order to load a model.
 func (m *instanceMetrics) orderEnded(a sched.Action, taken bool) {
 	if mt := m.meter.Load(); mt != nil && a.Operation == sched.Load && a.Adapter == "" {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"net/netip"
 	"time"
@@ -44,6 +45,9 @@
 	planInterval = 50 * time.Millisecond
 )
 
+// errNoSender is the error of a message that does not say who has sent it.
+var errNoSender = errors.New("the message names no sender")
+
 // exchangeRequest is the body of a POST to /exchange, with which an instance tells the
 // holder its demand.
 type exchangeRequest struct {
@@ -238,10 +242,10 @@
 	}
 	m, err := readExchange(r)
 	if err != nil {
-		e.log.Warn().Err(err).Str("peer", r.RemoteAddr).Msg("invalid message rejected")
-		w.WriteHeader(http.StatusBadRequest)
+		rejectMessage(w, r, err)
 		return
 	}
+	acceptMessage(r)
 	out, ok := handle(m)
 	if !ok {
 		w.WriteHeader(http.StatusConflict)
@@ -268,7 +272,7 @@
 		return exchangeRequest{}, err
 	}
 	if m.From == "" {
-		return exchangeRequest{}, trace.BadParameter("the message names no sender")
+		return exchangeRequest{}, errNoSender
 	}
 	demand, err := relay.DecodeDemand(binary)
 	m.Demand = demand
@@ -394,6 +398,7 @@
 	}
 	e.picker.ApplyUpdates(r.Updates, expected)
 	e.budget.SetInstances(r.Members)
+	e.members.Store(int64(r.Members))
 	if len(r.Readers) > 0 {
 		e.readers.Store(&r.Readers)
 	}
--- a/internal/edge/permits.go
+++ b/internal/edge/permits.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -34,8 +33,11 @@
 	largestTokens = 15_000
 	// maxLoggedSilent limits the instances in a log line.
 	maxLoggedSilent = 8
-	// maxPermitMessages limits the messages in flight.
+	// maxPermitMessages limits the messages in flight of an instance, maxPermitConns those of
+	// all instances, since each has a connection to the holder. Asks that come meanwhile go
+	// with the next message.
 	maxPermitMessages = 32
+	maxPermitConns    = maxPeerConns * 3 / 4
 )
 
 // teamQuotas is the holder's Ledger for the present term.
@@ -104,11 +106,15 @@
 // servePermits answers the message of another instance.
 func (e *Edge) servePermits(w http.ResponseWriter, r *http.Request) {
 	var m usage.Message
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxMessageBytes)).Decode(&m); err != nil || m.From == "" {
-		e.log.Warn().Err(err).Str("peer", r.RemoteAddr).Msg("invalid permit message rejected")
-		w.WriteHeader(http.StatusBadRequest)
+	err := json.NewDecoder(r.Body).Decode(&m)
+	if err == nil && m.From == "" {
+		err = errNoSender
+	}
+	if err != nil {
+		rejectMessage(w, r, err)
 		return
 	}
+	acceptMessage(r)
 	out, ok := e.coordinator.answerPermits(m)
 	if ok {
 		e.writeJSON(w, r, out)
@@ -274,6 +280,12 @@
 	}
 }
 
+// permitMessages returns how many messages an instance may have in flight in a fleet of the
+// given number of instances.
+func permitMessages(members int) int {
+	return min(max(maxPermitConns/max(members, 1), 1), maxPermitMessages)
+}
+
 // next returns the message that is due or, if none is, the time until one may be.
 func (c *permitClient) next() (*usage.Sent, time.Duration) {
 	c.mu.Lock()
@@ -283,7 +295,7 @@
 	if wait := c.retryAt.Sub(now); wait > 0 {
 		return nil, wait
 	}
-	if c.inFlight >= maxPermitMessages {
+	if c.inFlight >= permitMessages(int(c.e.members.Load())) {
 		return nil, permitBatchTime
 	}
 	heartbeat, isUsed := c.share.NextHeartbeat(now)
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -92,10 +92,8 @@
 	<-handedOver
 	e.stopLoops()
 	e.election.Stop()
-	_ = e.readyServer.Close()
-	_ = e.peerServer.Close()
-	if e.metricsServer != nil {
-		_ = e.metricsServer.Close()
+	for _, s := range e.controlServers() {
+		_ = s.Close()
 	}
 	e.log.Info().Int("cut", cut).Dur("took", e.timer.Now().Sub(start)).Msg("stopped")
 }
--- a/internal/transport/accept/conn.go
+++ b/internal/transport/accept/conn.go
@@ -59,6 +59,10 @@
 	listener *Listener
 	// revoked is set when the bytes of an incomplete head are needed.
 	revoked atomic.Bool
+	// known is set once a control port has received a valid message.
+	known atomic.Bool
+	// slow is set when a write has timed out.
+	slow atomic.Bool
 
 	mu    sync.Mutex
 	phase phase
@@ -244,7 +248,7 @@
 		retryAfter = connRetryAfter
 	}
 	_ = c.Conn.SetDeadline(time.Now().Add(lingerTime))
-	if _, err := c.Write(refusal(status, retryAfter)); err == nil {
+	if _, err := c.Conn.Write(refusal(status, retryAfter)); err == nil {
 		_ = c.CloseWrite()
 		_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
 	}
@@ -377,10 +381,14 @@
 }
 
 // evictionRank returns how readily the connection is closed for a new one, 0 for not at
-// all, and since when it is in its state.
+// all, and since when it is in its state. At callers' ports one with an incomplete head is
+// closed before one that has sent nothing, before one that callers no longer rely on.
 func (c *Conn) evictionRank() (int, time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.listener.isControl {
+		return c.controlRank(), c.since
+	}
 	switch c.phase {
 	case phaseHead:
 		return 3, c.since
@@ -396,10 +404,27 @@
 	return 0, c.since
 }
 
-// evict closes the connection unless it has a request by now.
+// controlRank returns the rank at a control port, under the lock.
+func (c *Conn) controlRank() int {
+	known := c.known.Load()
+	switch {
+	case c.phase == phaseClosed:
+		// A refused client is still read from.
+		return 4
+	case c.phase != phaseBusy && known:
+		return 1
+	case c.phase != phaseBusy:
+		return 3
+	case !known && time.Since(c.since) > slowRequest:
+		return 2
+	}
+	return 0
+}
+
+// evict closes the connection unless it has a request by now that may not be closed.
 func (c *Conn) evict() bool {
 	c.mu.Lock()
-	if c.phase == phaseBusy {
+	if c.phase == phaseBusy && (!c.listener.isControl || c.controlRank() == 0) {
 		c.mu.Unlock()
 		return false
 	}
@@ -409,6 +434,16 @@
 	return true
 }
 
+// Write writes a part of a response. At control ports a reader that is too slow is
+// counted; others' responses have their own deadlines.
+func (c *Conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil && c.listener.isControl && errors.Is(err, os.ErrDeadlineExceeded) && !c.slow.Swap(true) {
+		c.listener.observe(ReasonSlowReader)
+	}
+	return n, err
+}
+
 func (c *Conn) stateName() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/transport/accept/conn_test.go
+++ b/internal/transport/accept/conn_test.go
@@ -51,8 +51,11 @@
 }
 
 func (s *served) answer(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == "/hold" {
+	switch r.URL.Path {
+	case "/hold":
 		<-s.release
+	case "/known":
+		MarkKnown(r.Context())
 	}
 	n, err := io.Copy(io.Discard, r.Body)
 	if err != nil {
@@ -178,6 +181,89 @@
 	}
 }
 
+// TestControlRules guards against connections at a control port that keep others out: for a
+// new one the oldest without a request must go, those with a valid message last, and a
+// listener must not use the descriptors of others.
+func TestControlRules(t *testing.T) {
+	pool := NewPool(5)
+	s := serve(t, 0, Limits{}, WithMaxConns(4), WithPool(pool, 1), WithControlRules())
+	type client struct {
+		net.Conn
+		reader *bufio.Reader
+	}
+	dial := func() client {
+		c, err := net.Dial("tcp", s.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+		return client{c, bufio.NewReader(c)}
+	}
+	ask := func(c client, path string) string {
+		_, _ = io.WriteString(c, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
+		resp, err := http.ReadResponse(c.reader, nil)
+		if err != nil {
+			return "end"
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		return resp.Status
+	}
+	known := dial()
+	if got := ask(known, "/known"); got != "200 OK" {
+		t.Fatalf("the first got %s", got)
+	}
+	// Each of these has been answered, or is silent, and gives way to a later one.
+	for n := range 20 {
+		c := dial()
+		if n%2 == 0 {
+			if got := ask(c, "/"); got != "200 OK" {
+				t.Fatalf("connection %d got %s", n, got)
+			}
+		}
+	}
+	if got := ask(known, "/known"); got != "200 OK" {
+		t.Errorf("the connection with a valid message got %s", got)
+	}
+	// Requests in progress are not closed, nor is the known connection for many unknown.
+	var busy []client
+	for range 3 {
+		c := dial()
+		_, _ = io.WriteString(c, "GET /hold HTTP/1.1\r\nHost: h\r\n\r\n")
+		busy = append(busy, c)
+		time.Sleep(50 * time.Millisecond)
+	}
+	if got := ask(dial(), "/"); got != "503 Service Unavailable" && got != "end" {
+		t.Errorf("one connection too many got %s", got)
+	}
+	if got := ask(known, "/known"); got != "200 OK" {
+		t.Errorf("the connection with a valid message got %s beside busy ones", got)
+	}
+	// After slowRequest they may be closed.
+	time.Sleep(slowRequest)
+	if got := ask(dial(), "/"); got != "200 OK" {
+		t.Errorf("a new connection got %s beside slow requests", got)
+	}
+	if got := ask(busy[0], "/"); got != "end" {
+		t.Errorf("the oldest slow request got %s", got)
+	}
+	close(s.release)
+	if got := s.l.count(); got > 4 || got != pool.control {
+		t.Errorf("%d connections use %d descriptors", got, pool.control)
+	}
+	pool.SetReserve(5)
+	if pool.take(1, false) {
+		t.Error("a caller got a descriptor that is reserved")
+	}
+	pool.SetReserve(0)
+	if !pool.take(5-pool.control, false) || pool.take(1, false) || pool.take(1, true) {
+		t.Error("the pool of 5 does not end there")
+	}
+	if got := ask(dial(), "/"); got != "200 OK" {
+		t.Errorf("with an empty pool a new connection got %s", got)
+	}
+}
+
 // TestIdleTimeoutChange guards against an idle timeout that does not apply to connections
 // that are idle when it changes.
 func TestIdleTimeoutChange(t *testing.T) {
--- a/internal/transport/accept/doc.go
+++ b/internal/transport/accept/doc.go
@@ -11,5 +11,7 @@
 //	Listener.Handler    the head is complete; the body is what its header says
 //	Listener.OnState    the response is complete and the next head may come
 //
-// A connection whose request has reached the handler is never closed here.
+// A connection of a caller whose request has reached the handler is never closed here.
+// WithControlRules sets other rules for the ports of the platform, instances and operators.
+// A Pool limits the descriptors of several listeners together.
 package accept
--- a/internal/transport/accept/listener.go
+++ b/internal/transport/accept/listener.go
@@ -32,6 +32,12 @@
 	extraShare = 0.125
 	// connRetryAfter is the Retry-After of a connection that is refused.
 	connRetryAfter = time.Second
+	// slowRequest is the time after which a request at a control port may be closed for a
+	// new connection. The instances that send messages wait up to 3 s for a reply.
+	slowRequest = 3 * time.Second
+	// unknownShare is the part of a control port's connections up to which one that has
+	// sent no valid message takes the place of an idle one that has.
+	unknownShare = 0.25
 )
 
 // Limits are the limits on a connection. Zero values stand for the defaults.
@@ -70,6 +76,7 @@
 	ReasonEmptyLines  Reason = "emptyLines"
 	ReasonTimeout     Reason = "headTimeout"
 	ReasonMemory      Reason = "headMemory"
+	ReasonSlowReader  Reason = "slowReader"
 )
 
 // Listener accepts the connections of callers.
@@ -79,6 +86,12 @@
 	maxConns int
 	observe  func(Reason)
 	limits   atomic.Pointer[Limits]
+	// pool limits the descriptors of several listeners, of which a connection uses cost.
+	pool *Pool
+	cost int
+	// isControl reports whether the port is for others than callers.
+	isControl   bool
+	socketBytes int
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
@@ -92,6 +105,24 @@
 	return func(l *Listener) { l.maxConns = n }
 }
 
+// WithPool has each connection use cost descriptors of a pool.
+func WithPool(p *Pool, cost int) Option {
+	return func(l *Listener) { l.pool, l.cost = p, cost }
+}
+
+// WithSocketBytes limits what the kernel holds of a connection in each direction.
+func WithSocketBytes(n int) Option {
+	return func(l *Listener) { l.socketBytes = n }
+}
+
+// WithControlRules sets the rules of ports for others than callers, who can repeat what
+// they ask for. For a new connection the oldest without a request is closed, however
+// short it has been idle, else one whose request takes long. Connections that MarkKnown
+// has marked are closed last, and not for many that it has not marked.
+func WithControlRules() Option {
+	return func(l *Listener) { l.isControl = true }
+}
+
 // WithObserver calls observe for each refusal. It must not block.
 func WithObserver(observe func(Reason)) Option {
 	return func(l *Listener) { l.observe = observe }
@@ -99,7 +130,10 @@
 
 // NewListener returns a listener without connections. Its inner listener is set by Wrap.
 func NewListener(account *budget.Account, opts ...Option) *Listener {
-	l := &Listener{account: account, observe: func(Reason) {}, conns: make(map[*Conn]struct{})}
+	l := &Listener{
+		account: account, observe: func(Reason) {}, conns: make(map[*Conn]struct{}), pool: NewPool(0),
+		socketBytes: socketBytes,
+	}
 	for _, opt := range opts {
 		opt(l)
 	}
@@ -142,8 +176,8 @@
 			return nil, err
 		}
 		if tcp, ok := raw.(*net.TCPConn); ok {
-			_ = tcp.SetReadBuffer(socketBytes)
-			_ = tcp.SetWriteBuffer(socketBytes)
+			_ = tcp.SetReadBuffer(l.socketBytes)
+			_ = tcp.SetWriteBuffer(l.socketBytes)
 		}
 		if c := l.admit(raw); c != nil {
 			return c, nil
@@ -160,6 +194,11 @@
 	if !l.makeRoom() {
 		return nil
 	}
+	for !l.pool.take(l.cost, l.isControl) {
+		if !l.evict() {
+			return nil
+		}
+	}
 	c := newConn(l, raw)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -186,20 +225,22 @@
 	return len(l.conns)
 }
 
-// evict closes a connection that has no request: one with an incomplete head before one
-// that has sent nothing, before one that callers no longer rely on, the oldest first.
+// evict closes the connection of the highest rank, the oldest first.
 func (l *Listener) evict() bool {
 	var victim *Conn
-	var rank int
+	var rank, unknown int
 	var since time.Time
 	for _, c := range l.open() {
+		if !c.known.Load() {
+			unknown++
+		}
 		r, at := c.evictionRank()
 		if r == 0 || victim != nil && (r < rank || r == rank && !at.Before(since)) {
 			continue
 		}
 		victim, rank, since = c, r, at
 	}
-	if victim == nil || !victim.evict() {
+	if victim == nil || victim.known.Load() && float64(unknown) >= unknownShare*float64(l.maxConns) || !victim.evict() {
 		return false
 	}
 	l.observe(ReasonEvicted)
@@ -209,7 +250,10 @@
 func (l *Listener) remove(c *Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.conns, c)
+	if _, ok := l.conns[c]; ok {
+		delete(l.conns, c)
+		l.pool.release(l.cost, l.isControl)
+	}
 }
 
 // Counts returns the number of connections by state: new, head, busy, idle.
@@ -225,6 +269,13 @@
 
 type connKey struct{}
 
+// MarkKnown marks the connection of a request as one that has sent a valid message.
+func MarkKnown(ctx context.Context) {
+	if c, ok := ctx.Value(connKey{}).(*Conn); ok {
+		c.known.Store(true)
+	}
+}
+
 // Context adds a connection to the context of its requests.
 func (l *Listener) Context(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, c)
--- a/internal/transport/meter/create.go
+++ b/internal/transport/meter/create.go
@@ -33,6 +33,9 @@
 	m.heldBytes = c.gauge("chivecroft.memory.held", "By", "Bytes held for callers by use.")
 	m.connections = c.gauge("chivecroft.caller.connections", "{connection}", "Connections of callers by state.")
 	m.refusedConnections = c.counter("chivecroft.caller.connections.refused", "{connection}", "Connections and heads of requests that were refused, by reason.")
+	m.portBytes = c.gauge("chivecroft.port.memory.held", "By", "Bytes held at the ports for others than callers.")
+	m.portConnections = c.gauge("chivecroft.port.connections", "{connection}", "Connections of the ports for others than callers by port and state.")
+	m.portRefused = c.counter("chivecroft.port.refused", "{refusal}", "Connections, heads and messages that the ports for others than callers have refused, by port and reason.")
 	return trace.NewAggregate(c.errs...)
 }
 
--- a/internal/transport/meter/meter.go
+++ b/internal/transport/meter/meter.go
@@ -94,6 +94,9 @@
 	heldBytes          metric.Int64Gauge
 	connections        metric.Int64Gauge
 	refusedConnections metric.Int64Counter
+	portBytes          metric.Int64Gauge
+	portConnections    metric.Int64Gauge
+	portRefused        metric.Int64Counter
 }
 
 // New returns a meter that marks its series with the instance and zone.
@@ -293,3 +296,20 @@
 func (m *Meter) RefusedConnections(reason string, n int64) {
 	m.refusedConnections.Add(context.Background(), n, metric.WithAttributes(attribute.String("error.type", reason)))
 }
+
+// PortBytes records the bytes that a port for others than callers holds.
+func (m *Meter) PortBytes(port string, n int64) {
+	m.portBytes.Record(context.Background(), n, metric.WithAttributes(attribute.String("port", port)))
+}
+
+// PortConnections records the connections of such a port in one state.
+func (m *Meter) PortConnections(port, state string, n int) {
+	m.portConnections.Record(context.Background(), int64(n),
+		metric.WithAttributes(attribute.String("port", port), attribute.String("state", state)))
+}
+
+// PortRefused counts what such a port has refused.
+func (m *Meter) PortRefused(port, reason string, n int64) {
+	m.portRefused.Add(context.Background(), n,
+		metric.WithAttributes(attribute.String("port", port), attribute.String("error.type", reason)))
+}
