Control ports: new connections of other addresses and unread messages are kept

At control ports the connection to close is now chosen from the address with the most connections, and an address with more does not displace one with fewer. A connection with bytes that were not read yet, or with a complete head that waits for memory, has a request. The next candidate is tried if one cannot be closed. The time after which a request may be closed for a new connection is set for each port. The clients of the test have another loopback address than the instance, as they would have on another machine; their number, behaviour and the bounds are unchanged.

--- a/cmd/chivecroft/memory_control_test.go
+++ b/cmd/chivecroft/memory_control_test.go
@@ -53,6 +53,8 @@
 		s.peer.String():    {"/exchange", "/config"},
 		s.metrics.String(): {"/metrics", "/metrics"},
 	}
+	// The clients are on another machine than the instance that sends messages.
+	outside := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 2)}}
 	s.play(func() {
 		end := time.Now().Add(crowdTime)
 		var all sync.WaitGroup
@@ -60,7 +62,7 @@
 			for n := range controlCallers {
 				all.Go(func() {
 					for time.Now().Before(end) {
-						s.connect(addr, end, func(c net.Conn) { misuse(n, c, paths) })
+						s.connect(outside, addr, end, func(c net.Conn) { misuse(n, c, paths) })
 						time.Sleep(100 * time.Millisecond)
 					}
 				})
@@ -77,16 +79,16 @@
 	client := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxConnsPerHost: 1}}
 	defer client.CloseIdleConnections()
 	message := relay.AppendDemand([]byte(`{"from":"i1","zone":"za"}`+"\n"), nil)
-	for time.Now().Before(end) {
+	for n := 1; time.Now().Before(end); n++ {
 		resp, err := client.Post("http://"+s.peer.String()+"/exchange", "", bytes.NewReader(message))
 		if err != nil {
-			s.t.Errorf("a message of another instance was lost: %v", err)
+			s.t.Errorf("message %d of another instance was lost: %v", n, err)
 			return
 		}
 		_, _ = io.Copy(io.Discard, resp.Body)
 		resp.Body.Close()
 		if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusConflict {
-			s.t.Errorf("a message of another instance was answered %d", resp.StatusCode)
+			s.t.Errorf("message %d of another instance was answered %d", n, resp.StatusCode)
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
--- a/cmd/chivecroft/memory_crowd_test.go
+++ b/cmd/chivecroft/memory_crowd_test.go
@@ -38,15 +38,15 @@
 		end := time.Now().Add(d)
 		var all sync.WaitGroup
 		for n := range callers {
-			all.Go(func() { s.connect(s.callers.String(), end, func(c net.Conn) { caller(n, c) }) })
+			all.Go(func() { s.connect(new(net.Dialer), s.callers.String(), end, func(c net.Conn) { caller(n, c) }) })
 		}
 		all.Wait()
 	}
 }
 
 // connect opens a connection and has it played until the given time.
-func (s *crowdSystem) connect(addr string, end time.Time, play func(c net.Conn)) {
-	c, err := net.Dial("tcp", addr)
+func (s *crowdSystem) connect(d *net.Dialer, addr string, end time.Time, play func(c net.Conn)) {
+	c, err := d.DialContext(s.t.Context(), "tcp", addr)
 	if err != nil {
 		return
 	}
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -48,6 +49,7 @@
 const (
 	reasonInvalidMessage accept.Reason = "invalidMessage"
 	reasonMessageMemory  accept.Reason = "messageMemory"
+	reasonMessageTimeout accept.Reason = "messageTimeout"
 	reasonAnswerMemory   accept.Reason = "answerMemory"
 )
 
@@ -62,6 +64,8 @@
 	bodyBytes                 int64
 	socketBytes               int
 	header, read, write, idle time.Duration
+	// slow is the time after which a request may be closed for a new connection.
+	slow time.Duration
 }
 
 // readyLimits returns the limits of the port for the platform's readiness checks.
@@ -70,6 +74,7 @@
 		port: "ready", conns: controlConns(boot, maxReadyConns, smallPortShare),
 		memory: controlMemory(boot, controlMemoryShare), bodyBytes: maxReadyBodyBytes, socketBytes: controlSocketBytes,
 		header: 2 * time.Second, read: 2 * time.Second, write: 5 * time.Second, idle: 30 * time.Second,
+		slow: 100 * time.Millisecond,
 	}
 }
 
@@ -80,6 +85,7 @@
 		port: "peer", conns: controlConns(boot, maxPeerConns, peerPortShare),
 		memory: controlMemory(boot, peerMemoryShare), bodyBytes: maxMessageBytes, socketBytes: peerSocketBytes,
 		header: 2 * time.Second, read: 5 * time.Second, write: 10 * time.Second, idle: 30 * time.Second,
+		slow: configTimeout,
 	}
 }
 
@@ -89,6 +95,7 @@
 		port: "metrics", conns: controlConns(boot, maxMetricsConns, smallPortShare),
 		memory: controlMemory(boot, controlMemoryShare), bodyBytes: maxMetricsBodyBytes, socketBytes: controlSocketBytes,
 		header: 2 * time.Second, read: 5 * time.Second, write: 10 * time.Second, idle: 2 * time.Minute,
+		slow: time.Second,
 	}
 }
 
@@ -122,7 +129,7 @@
 	s := &controlServer{port: limits.port, bodyBytes: limits.bodyBytes, account: budget.NewAccount(limits.memory, time.Now)}
 	s.refusals = newRefusalLog(l, limits.port)
 	s.listener = accept.NewListener(s.account, accept.WithMaxConns(limits.conns), accept.WithPool(pool, 1),
-		accept.WithSocketBytes(limits.socketBytes), accept.WithControlRules(), accept.WithObserver(s.refusals.add))
+		accept.WithSocketBytes(limits.socketBytes), accept.WithControlRules(limits.slow), accept.WithObserver(s.refusals.add))
 	s.listener.SetLimits(accept.Limits{
 		HeaderBytes: controlHeaderBytes, HeaderTimeout: limits.header, IdleTimeout: limits.idle,
 	})
@@ -228,8 +235,11 @@
 // rejectMessage responds to a message that could not be read.
 func rejectMessage(w http.ResponseWriter, r *http.Request, err error) {
 	reason, status := reasonInvalidMessage, http.StatusBadRequest
-	if errors.Is(err, errMessageMemory) {
+	switch {
+	case errors.Is(err, errMessageMemory):
 		reason, status = reasonMessageMemory, http.StatusServiceUnavailable
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		reason, status = reasonMessageTimeout, http.StatusRequestTimeout
 	}
 	if m, ok := r.Body.(*chargedMessage); ok {
 		m.server.refusals.addFrom(reason, r.RemoteAddr, err)
--- a/internal/transport/accept/conn.go
+++ b/internal/transport/accept/conn.go
@@ -8,6 +8,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"chivecroft.example/chivecroft/internal/coordination/budget"
@@ -407,15 +408,17 @@
 // controlRank returns the rank at a control port, under the lock.
 func (c *Conn) controlRank() int {
 	known := c.known.Load()
+	// A complete head may be waiting for bytes.
+	busy := c.phase == phaseBusy || c.phase == phaseHead && c.scan.ended
 	switch {
 	case c.phase == phaseClosed:
 		// A refused client is still read from.
 		return 4
-	case c.phase != phaseBusy && known:
+	case !busy && known:
 		return 1
-	case c.phase != phaseBusy:
+	case !busy:
 		return 3
-	case !known && time.Since(c.since) > slowRequest:
+	case !known && time.Since(c.since) > c.listener.slowRequest:
 		return 2
 	}
 	return 0
@@ -424,7 +427,12 @@
 // evict closes the connection unless it has a request by now that may not be closed.
 func (c *Conn) evict() bool {
 	c.mu.Lock()
-	if c.phase == phaseBusy && (!c.listener.isControl || c.controlRank() == 0) {
+	keep := c.phase == phaseBusy
+	if c.listener.isControl {
+		// The server may not have had the time to read a message that has arrived.
+		keep = c.controlRank() == 0 || (c.phase == phaseNew || c.phase == phaseIdle) && hasUnread(c.Conn)
+	}
+	if keep {
 		c.mu.Unlock()
 		return false
 	}
@@ -434,6 +442,23 @@
 	return true
 }
 
+// hasUnread reports whether bytes have arrived on a connection that were not read.
+func hasUnread(conn net.Conn) bool {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		n, _, _ = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
+}
+
 // Write writes a part of a response. At control ports a reader that is too slow is
 // counted; others' responses have their own deadlines.
 func (c *Conn) Write(p []byte) (int, error) {
--- a/internal/transport/accept/conn_test.go
+++ b/internal/transport/accept/conn_test.go
@@ -185,14 +185,15 @@
 // new one the oldest without a request must go, those with a valid message last, and a
 // listener must not use the descriptors of others.
 func TestControlRules(t *testing.T) {
+	const slowRequest = time.Second
 	pool := NewPool(5)
-	s := serve(t, 0, Limits{}, WithMaxConns(4), WithPool(pool, 1), WithControlRules())
+	s := serve(t, 0, Limits{}, WithMaxConns(4), WithPool(pool, 1), WithControlRules(slowRequest))
 	type client struct {
 		net.Conn
 		reader *bufio.Reader
 	}
-	dial := func() client {
-		c, err := net.Dial("tcp", s.addr)
+	dialFrom := func(ip string) client {
+		c, err := (&net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}).Dial("tcp", s.addr)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -200,6 +201,7 @@
 		_ = c.SetDeadline(time.Now().Add(5 * time.Second))
 		return client{c, bufio.NewReader(c)}
 	}
+	dial := func() client { return dialFrom("127.0.0.1") }
 	ask := func(c client, path string) string {
 		_, _ = io.WriteString(c, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
 		resp, err := http.ReadResponse(c.reader, nil)
@@ -213,6 +215,7 @@
 	if got := ask(known, "/known"); got != "200 OK" {
 		t.Fatalf("the first got %s", got)
 	}
+	other := dialFrom("127.0.0.2")
 	// Each of these has been answered, or is silent, and gives way to a later one.
 	for n := range 20 {
 		c := dial()
@@ -225,6 +228,11 @@
 	if got := ask(known, "/known"); got != "200 OK" {
 		t.Errorf("the connection with a valid message got %s", got)
 	}
+	if got := ask(other, "/"); got != "200 OK" {
+		t.Errorf("the only connection from another address got %s", got)
+	}
+	other.Close()
+	time.Sleep(50 * time.Millisecond)
 	// Requests in progress are not closed, nor is the known connection for many unknown.
 	var busy []client
 	for range 3 {
--- a/internal/transport/accept/listener.go
+++ b/internal/transport/accept/listener.go
@@ -1,9 +1,12 @@
 package accept
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -32,9 +35,6 @@
 	extraShare = 0.125
 	// connRetryAfter is the Retry-After of a connection that is refused.
 	connRetryAfter = time.Second
-	// slowRequest is the time after which a request at a control port may be closed for a
-	// new connection. The instances that send messages wait up to 3 s for a reply.
-	slowRequest = 3 * time.Second
 	// unknownShare is the part of a control port's connections up to which one that has
 	// sent no valid message takes the place of an idle one that has.
 	unknownShare = 0.25
@@ -89,8 +89,10 @@
 	// pool limits the descriptors of several listeners, of which a connection uses cost.
 	pool *Pool
 	cost int
-	// isControl reports whether the port is for others than callers.
+	// isControl reports whether the port is for others than callers. There, a request that
+	// takes longer than slowRequest may be closed for a new connection.
 	isControl   bool
+	slowRequest time.Duration
 	socketBytes int
 
 	mu    sync.Mutex
@@ -117,10 +119,10 @@
 
 // WithControlRules sets the rules of ports for others than callers, who can repeat what
 // they ask for. For a new connection the oldest without a request is closed, however
-// short it has been idle, else one whose request takes long. Connections that MarkKnown
-// has marked are closed last, and not for many that it has not marked.
-func WithControlRules() Option {
-	return func(l *Listener) { l.isControl = true }
+// short it has been idle, else one whose request takes longer than slow. Connections that
+// MarkKnown has marked are closed last, and not for many that it has not marked.
+func WithControlRules(slow time.Duration) Option {
+	return func(l *Listener) { l.isControl, l.slowRequest = true, slow }
 }
 
 // WithObserver calls observe for each refusal. It must not block.
@@ -191,11 +193,11 @@
 
 // admit returns the connection for raw, nil if there are too many.
 func (l *Listener) admit(raw net.Conn) *Conn {
-	if !l.makeRoom() {
+	if !l.makeRoom(raw) {
 		return nil
 	}
 	for !l.pool.take(l.cost, l.isControl) {
-		if !l.evict() {
+		if !l.evict(raw) {
 			return nil
 		}
 	}
@@ -206,10 +208,10 @@
 	return c
 }
 
-// makeRoom returns false if no more connection may be opened.
-func (l *Listener) makeRoom() bool {
+// makeRoom returns false if raw may not be opened.
+func (l *Listener) makeRoom(raw net.Conn) bool {
 	n := l.count()
-	if l.maxConns <= 0 || n < l.maxConns || l.evict() {
+	if l.maxConns <= 0 || n < l.maxConns || l.evict(raw) {
 		return true
 	}
 	if float64(n) >= (1+extraShare)*float64(l.maxConns) || !l.account.RevokeBody() {
@@ -225,26 +227,59 @@
 	return len(l.conns)
 }
 
-// evict closes the connection of the highest rank, the oldest first.
-func (l *Listener) evict() bool {
-	var victim *Conn
-	var rank, unknown int
-	var since time.Time
+// candidate is a connection that may be closed for a new one.
+type candidate struct {
+	conn  *Conn
+	rank  int
+	since time.Time
+	// sameAddr is the number of connections from its address.
+	sameAddr int
+}
+
+// evict closes a connection for raw: that of the highest rank, the oldest first. At control
+// ports it is one from the address with the most connections, and none from an address with
+// fewer than that of raw has: instances have few.
+func (l *Listener) evict(raw net.Conn) bool {
+	var all []candidate
+	unknown, byAddr := 0, make(map[netip.Addr]int)
 	for _, c := range l.open() {
 		if !c.known.Load() {
 			unknown++
 		}
-		r, at := c.evictionRank()
-		if r == 0 || victim != nil && (r < rank || r == rank && !at.Before(since)) {
+		if l.isControl {
+			byAddr[addrOf(c)]++
+		}
+		if rank, since := c.evictionRank(); rank > 0 {
+			all = append(all, candidate{conn: c, rank: rank, since: since})
+		}
+	}
+	if l.isControl {
+		for i := range all {
+			all[i].sameAddr = byAddr[addrOf(all[i].conn)]
+		}
+	}
+	slices.SortFunc(all, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(b.sameAddr, a.sameAddr), a.since.Compare(b.since))
+	})
+	tooManyUnknown := float64(unknown) >= unknownShare*float64(l.maxConns)
+	for _, v := range all {
+		if v.sameAddr < byAddr[addrOf(raw)] || v.conn.known.Load() && tooManyUnknown {
 			continue
 		}
-		victim, rank, since = c, r, at
+		if v.conn.evict() {
+			l.observe(ReasonEvicted)
+			return true
+		}
 	}
-	if victim == nil || victim.known.Load() && float64(unknown) >= unknownShare*float64(l.maxConns) || !victim.evict() {
-		return false
+	return false
+}
+
+// addrOf returns the address of the other side.
+func addrOf(c net.Conn) netip.Addr {
+	if a, ok := c.RemoteAddr().(*net.TCPAddr); ok {
+		return a.AddrPort().Addr().Unmap()
 	}
-	l.observe(ReasonEvicted)
-	return true
+	return netip.Addr{}
 }
 
 func (l *Listener) remove(c *Conn) {
