Peer port: charge the compressed size of answers

A list of all targets for 22 relays at once would exceed the port's account if its uncompressed size counted, which is garbage once it is compressed. The two tests of package accept share the reading of a status.

--- a/internal/edge/encoding.go
+++ b/internal/edge/encoding.go
@@ -49,11 +49,14 @@
 // writeBody writes the body of a response to r, compressed if it is large and the other
 // instance accepts that.
 func writeBody(w http.ResponseWriter, r *http.Request, data []byte) {
+	isCompressed := len(data) >= minCompressedBytes && strings.Contains(r.Header.Get("Accept-Encoding"), encodingGzip)
+	if isCompressed {
+		data = compress(data)
+	}
 	if !chargeAnswer(w, r, len(data)) {
 		return
 	}
-	if len(data) >= minCompressedBytes && strings.Contains(r.Header.Get("Accept-Encoding"), encodingGzip) {
-		data = compress(data)
+	if isCompressed {
 		w.Header().Set("Content-Encoding", encodingGzip)
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
--- a/internal/transport/accept/conn_test.go
+++ b/internal/transport/accept/conn_test.go
@@ -142,6 +142,16 @@
 	t.Errorf("%d bytes of heads and %d connections are left", s.account.Held(budget.Heads), s.l.count())
 }
 
+// status returns that of the next response, "end" if there is none.
+func status(c net.Conn) string {
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return "end"
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.Status
+}
+
 // TestConnectionLimit guards against connections without a request that keep others out,
 // and against one with a request that is closed for a new one.
 func TestConnectionLimit(t *testing.T) {
@@ -157,25 +167,18 @@
 		time.Sleep(50 * time.Millisecond)
 		return c
 	}
-	answer := func(c net.Conn) string {
-		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-		if err != nil {
-			return "end"
-		}
-		return resp.Status
-	}
 	busy := dial("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n")
 	partial := dial("GET /hold HTTP/1.1\r\n")
 	second := dial("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n")
-	if got := answer(partial); got != "end" {
+	if got := status(partial); got != "end" {
 		t.Errorf("the incomplete head got %s", got)
 	}
-	if got := answer(dial("")); got != "503 Service Unavailable" {
+	if got := status(dial("")); got != "503 Service Unavailable" {
 		t.Errorf("one connection too many got %s", got)
 	}
 	close(s.release)
 	for _, c := range []net.Conn{busy, second} {
-		if got := answer(c); got != "200 OK" {
+		if got := status(c); got != "200 OK" {
 			t.Errorf("a request got %s", got)
 		}
 	}
@@ -188,28 +191,19 @@
 	const slowRequest = time.Second
 	pool := NewPool(5)
 	s := serve(t, 0, Limits{}, WithMaxConns(4), WithPool(pool, 1), WithControlRules(slowRequest))
-	type client struct {
-		net.Conn
-		reader *bufio.Reader
-	}
-	dialFrom := func(ip string) client {
+	dialFrom := func(ip string) net.Conn {
 		c, err := (&net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}).Dial("tcp", s.addr)
 		if err != nil {
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { c.Close() })
 		_ = c.SetDeadline(time.Now().Add(5 * time.Second))
-		return client{c, bufio.NewReader(c)}
+		return c
 	}
-	dial := func() client { return dialFrom("127.0.0.1") }
-	ask := func(c client, path string) string {
+	dial := func() net.Conn { return dialFrom("127.0.0.1") }
+	ask := func(c net.Conn, path string) string {
 		_, _ = io.WriteString(c, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
-		resp, err := http.ReadResponse(c.reader, nil)
-		if err != nil {
-			return "end"
-		}
-		_, _ = io.Copy(io.Discard, resp.Body)
-		return resp.Status
+		return status(c)
 	}
 	known := dial()
 	if got := ask(known, "/known"); got != "200 OK" {
@@ -234,7 +228,7 @@
 	other.Close()
 	time.Sleep(50 * time.Millisecond)
 	// Requests in progress are not closed, nor is the known connection for many unknown.
-	var busy []client
+	var busy []net.Conn
 	for range 3 {
 		c := dial()
 		_, _ = io.WriteString(c, "GET /hold HTTP/1.1\r\nHost: h\r\n\r\n")
