Control ports: crowded addresses give way, silent connections may stay idle

Readiness checks on new connections were answered 503 in 13 of 23 cases while 75 clients sent requests without reading: each of their connections had a request or unread bytes. If no connection may be closed otherwise, an address with more than a quarter of the limit now gives up its oldest one.

The servers' ReadTimeout closed connections on which nothing had been sent after 5 s. Go's client keeps such connections for up to 15 s, so that it could use one that was about to be closed. The idle timeout holds for them, and the time of a body is counted from the end of its head.

--- a/cmd/chivecroft/memory_control_test.go
+++ b/cmd/chivecroft/memory_control_test.go
@@ -69,11 +69,30 @@
 			}
 		}
 		all.Go(func() { s.sendMessages(end) })
+		all.Go(func() { s.checkReadiness(end) })
 		all.Wait()
 	})
 	s.awaitReady()
 }
 
+// checkReadiness asks as the platform does, on new connections. A check without an answer
+// would take the instance's callers away.
+func (s *crowdSystem) checkReadiness(end time.Time) {
+	client := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for n := 1; time.Now().Before(end); n++ {
+		resp, err := client.Get("http://" + s.ready.String() + fake.ReadyPath)
+		if err != nil {
+			s.t.Errorf("readiness check %d: %v", n, err)
+			return
+		}
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			s.t.Errorf("readiness check %d was answered %d", n, resp.StatusCode)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
 // sendMessages sends the messages of another instance on one connection. None may be lost.
 func (s *crowdSystem) sendMessages(end time.Time) {
 	client := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxConnsPerHost: 1}}
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -63,7 +63,7 @@
 	memory                    int64
 	bodyBytes                 int64
 	socketBytes               int
-	header, read, write, idle time.Duration
+	header, body, write, idle time.Duration
 	// slow is the time after which a request may be closed for a new connection.
 	slow time.Duration
 }
@@ -73,7 +73,7 @@
 	return controlLimits{
 		port: "ready", conns: controlConns(boot, maxReadyConns, smallPortShare),
 		memory: controlMemory(boot, controlMemoryShare), bodyBytes: maxReadyBodyBytes, socketBytes: controlSocketBytes,
-		header: 2 * time.Second, read: 2 * time.Second, write: 5 * time.Second, idle: 30 * time.Second,
+		header: 2 * time.Second, body: 2 * time.Second, write: 5 * time.Second, idle: 30 * time.Second,
 		slow: 100 * time.Millisecond,
 	}
 }
@@ -84,7 +84,7 @@
 	return controlLimits{
 		port: "peer", conns: controlConns(boot, maxPeerConns, peerPortShare),
 		memory: controlMemory(boot, peerMemoryShare), bodyBytes: maxMessageBytes, socketBytes: peerSocketBytes,
-		header: 2 * time.Second, read: 5 * time.Second, write: 10 * time.Second, idle: 30 * time.Second,
+		header: 2 * time.Second, body: 5 * time.Second, write: 10 * time.Second, idle: 30 * time.Second,
 		slow: configTimeout,
 	}
 }
@@ -94,7 +94,7 @@
 	return controlLimits{
 		port: "metrics", conns: controlConns(boot, maxMetricsConns, smallPortShare),
 		memory: controlMemory(boot, controlMemoryShare), bodyBytes: maxMetricsBodyBytes, socketBytes: controlSocketBytes,
-		header: 2 * time.Second, read: 5 * time.Second, write: 10 * time.Second, idle: 2 * time.Minute,
+		header: 2 * time.Second, body: 5 * time.Second, write: 10 * time.Second, idle: 2 * time.Minute,
 		slow: time.Second,
 	}
 }
@@ -119,22 +119,28 @@
 	listener *accept.Listener
 	account  *budget.Account
 	refusals *refusalLog
-	// bodyBytes limits the body of a request.
+	// bodyBytes limits the body of a request, bodyTime the time until it is complete.
 	bodyBytes int64
+	bodyTime  time.Duration
 }
 
 // newControlServer returns a server that does not listen yet and whose connections use the
 // descriptors of the pool. Its handler is set before it starts.
 func newControlServer(limits controlLimits, pool *accept.Pool, l *log.Logger) *controlServer {
-	s := &controlServer{port: limits.port, bodyBytes: limits.bodyBytes, account: budget.NewAccount(limits.memory, time.Now)}
+	s := &controlServer{
+		port: limits.port, bodyBytes: limits.bodyBytes, bodyTime: limits.body,
+		account: budget.NewAccount(limits.memory, time.Now),
+	}
 	s.refusals = newRefusalLog(l, limits.port)
 	s.listener = accept.NewListener(s.account, accept.WithMaxConns(limits.conns), accept.WithPool(pool, 1),
 		accept.WithSocketBytes(limits.socketBytes), accept.WithControlRules(limits.slow), accept.WithObserver(s.refusals.add))
 	s.listener.SetLimits(accept.Limits{
 		HeaderBytes: controlHeaderBytes, HeaderTimeout: limits.header, IdleTimeout: limits.idle,
 	})
+	// A ReadTimeout would also close connections on which nothing has been sent yet, of which
+	// Go's client keeps some: the idle timeout is for these.
 	s.Server = http.Server{
-		MaxHeaderBytes: 2 * controlHeaderBytes, ReadTimeout: limits.read, WriteTimeout: limits.write, IdleTimeout: limits.idle,
+		MaxHeaderBytes: 2 * controlHeaderBytes, WriteTimeout: limits.write, IdleTimeout: limits.idle,
 		ConnState: s.listener.OnState, ConnContext: s.listener.Context,
 	}
 	return s
@@ -161,6 +167,8 @@
 		defer m.answer.Close()
 		if r.ContentLength == 0 {
 			m.body.Complete()
+		} else {
+			_ = control.SetReadDeadline(time.Now().Add(s.bodyTime))
 		}
 		r.Body = m
 		next.ServeHTTP(w, r)
--- a/internal/edge/control_test.go
+++ b/internal/edge/control_test.go
@@ -48,7 +48,7 @@
 			}
 			s := newControlServer(controlLimits{
 				port: "test", conns: 8, memory: 1 << 20, bodyBytes: bodyBytes, socketBytes: 64 << 10,
-				header: 200 * time.Millisecond, read: 400 * time.Millisecond, write: 800 * time.Millisecond, idle: time.Second,
+				header: 200 * time.Millisecond, body: 400 * time.Millisecond, write: 800 * time.Millisecond, idle: time.Second,
 			}, accept.NewPool(0), &log.Logger{Writer: log.IOWriter{Writer: io.Discard}})
 			handler := func(w http.ResponseWriter, r *http.Request) {
 				switch r.URL.Path {
--- a/internal/transport/accept/conn.go
+++ b/internal/transport/accept/conn.go
@@ -424,11 +424,15 @@
 	return 0
 }
 
-// evict closes the connection unless it has a request by now that may not be closed.
-func (c *Conn) evict() bool {
+// evict closes the connection unless it has a request by now that may not be closed. With
+// force, at control ports, it is closed all the same.
+func (c *Conn) evict(force bool) bool {
 	c.mu.Lock()
 	keep := c.phase == phaseBusy
-	if c.listener.isControl {
+	switch {
+	case force:
+		keep = false
+	case c.listener.isControl:
 		// The server may not have had the time to read a message that has arrived.
 		keep = c.controlRank() == 0 || (c.phase == phaseNew || c.phase == phaseIdle) && hasUnread(c.Conn)
 	}
--- a/internal/transport/accept/listener.go
+++ b/internal/transport/accept/listener.go
@@ -36,7 +36,8 @@
 	// connRetryAfter is the Retry-After of a connection that is refused.
 	connRetryAfter = time.Second
 	// unknownShare is the part of a control port's connections up to which one that has
-	// sent no valid message takes the place of an idle one that has.
+	// sent no valid message takes the place of an idle one that has. An address with more
+	// than that gives way to others, also with its requests.
 	unknownShare = 0.25
 )
 
@@ -249,7 +250,7 @@
 		if l.isControl {
 			byAddr[addrOf(c)]++
 		}
-		if rank, since := c.evictionRank(); rank > 0 {
+		if rank, since := c.evictionRank(); rank > 0 || l.isControl {
 			all = append(all, candidate{conn: c, rank: rank, since: since})
 		}
 	}
@@ -261,12 +262,22 @@
 	slices.SortFunc(all, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(b.sameAddr, a.sameAddr), a.since.Compare(b.since))
 	})
-	tooManyUnknown := float64(unknown) >= unknownShare*float64(l.maxConns)
+	share := int(unknownShare * float64(l.maxConns))
+	var own int
+	if l.isControl {
+		own = byAddr[addrOf(raw)]
+	}
 	for _, v := range all {
-		if v.sameAddr < byAddr[addrOf(raw)] || v.conn.known.Load() && tooManyUnknown {
+		if v.sameAddr < own || v.conn.known.Load() && unknown >= share {
 			continue
 		}
-		if v.conn.evict() {
+		if v.conn.evict(false) {
+			l.observe(ReasonEvicted)
+			return true
+		}
+	}
+	for _, v := range all {
+		if v.sameAddr > share && own < share && !v.conn.known.Load() && v.conn.evict(true) {
 			l.observe(ReasonEvicted)
 			return true
 		}
