Control ports: bound the closed connections that have not ended

A connection that was closed for a new one no longer counted, although its goroutines went on, on a busy machine for milliseconds each. An answer with all metrics is charged with an estimated 256 KB.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -40,6 +40,9 @@
 	// messageCost is what a byte of a message costs with the growth of its buffer and the
 	// objects that it is decoded into.
 	messageCost = 3
+	// metricsAnswerCost is charged for all metrics, which exist as objects while they are
+	// written: estimated, not measured.
+	metricsAnswerCost = 256 << 10
 	// messageWait is how long a message waits for bytes that are about to be released.
 	messageWait         = 300 * time.Millisecond
 	messageWaitInterval = 5 * time.Millisecond
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -41,7 +41,12 @@
 	}
 	m.meter.Store(mt)
 	mux := http.NewServeMux()
-	mux.Handle(MetricsPath, mt.Handler())
+	metrics := mt.Handler()
+	mux.HandleFunc(MetricsPath, func(w http.ResponseWriter, r *http.Request) {
+		if chargeAnswer(w, r, metricsAnswerCost) {
+			metrics.ServeHTTP(w, r)
+		}
+	})
 	for path, handler := range more {
 		mux.Handle(path, handler)
 	}
--- a/internal/transport/accept/conn.go
+++ b/internal/transport/accept/conn.go
@@ -62,6 +62,8 @@
 	revoked atomic.Bool
 	// known is set once a control port has received a valid message.
 	known atomic.Bool
+	// isEvicted and hasEnded are guarded by the listener's lock.
+	isEvicted, hasEnded bool
 	// slow is set when a write has timed out.
 	slow atomic.Bool
 
@@ -442,6 +444,7 @@
 	}
 	c.phase = phaseClosed
 	c.mu.Unlock()
+	c.listener.noteEviction(c)
 	_ = c.Close()
 	return true
 }
--- a/internal/transport/accept/listener.go
+++ b/internal/transport/accept/listener.go
@@ -39,6 +39,9 @@
 	// sent no valid message takes the place of an idle one that has. An address with more
 	// than that gives way to others, also with its requests.
 	unknownShare = 0.25
+	// minEnding is the smallest limit on closed connections of a control port whose
+	// goroutines have not ended: on a busy machine that takes some milliseconds each.
+	minEnding = 128
 )
 
 // Limits are the limits on a connection. Zero values stand for the defaults.
@@ -98,6 +101,9 @@
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
+	// ending is the number of connections that were closed for new ones and whose
+	// goroutines have not ended.
+	ending int
 }
 
 // Option changes a Listener under construction.
@@ -212,6 +218,10 @@
 // makeRoom returns false if raw may not be opened.
 func (l *Listener) makeRoom(raw net.Conn) bool {
 	n := l.count()
+	if l.isControl && l.countEnding() >= max(l.maxConns, minEnding) {
+		// Requests of closed connections use memory until they have noticed.
+		return false
+	}
 	if l.maxConns <= 0 || n < l.maxConns || l.evict(raw) {
 		return true
 	}
@@ -222,6 +232,12 @@
 	return true
 }
 
+func (l *Listener) countEnding() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ending
+}
+
 func (l *Listener) count() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -285,6 +301,26 @@
 	return false
 }
 
+// noteEviction records that c is closed for another connection.
+func (l *Listener) noteEviction(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !c.hasEnded && !c.isEvicted {
+		c.isEvicted = true
+		l.ending++
+	}
+}
+
+// noteEnd records that the goroutine of c has ended.
+func (l *Listener) noteEnd(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.isEvicted && !c.hasEnded {
+		l.ending--
+	}
+	c.hasEnded = true
+}
+
 // addrOf returns the address of the other side.
 func addrOf(c net.Conn) netip.Addr {
 	if a, ok := c.RemoteAddr().(*net.TCPAddr); ok {
@@ -345,8 +381,13 @@
 
 // OnState is to be called by the ConnState hook of the server.
 func (l *Listener) OnState(conn net.Conn, state http.ConnState) {
-	if c, ok := conn.(*Conn); ok && state == http.StateIdle {
+	c, ok := conn.(*Conn)
+	switch {
+	case !ok:
+	case state == http.StateIdle:
 		c.idle()
+	case state == http.StateClosed:
+		l.noteEnd(c)
 	}
 }
 
