--- a/internal/edge/ledger.go
+++ b/internal/edge/ledger.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
+	"errors"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -210,14 +210,21 @@
 	return h, q.takenBy
 }
 
+// errNoTerm is the error of a request for the ledger that does not say for which term.
+var errNoTerm = errors.New("the request names no term")
+
 // serveLedger answers the request of a successor.
 func (e *Edge) serveLedger(w http.ResponseWriter, r *http.Request) {
 	var m ledgerRequest
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxMessageBytes)).Decode(&m); err != nil || m.Term == 0 {
-		e.log.Warn().Err(err).Str("peer", r.RemoteAddr).Msg("invalid ledger request rejected")
-		w.WriteHeader(http.StatusBadRequest)
+	err := json.NewDecoder(r.Body).Decode(&m)
+	if err == nil && m.Term == 0 {
+		err = errNoTerm
+	}
+	if err != nil {
+		rejectMessage(w, r, err)
 		return
 	}
+	acceptMessage(r)
 	h, takenBy := e.coordinator.handOver(m)
 	if h != nil {
 		e.log.Info().Str("to", m.From).Int64("term", m.Term).Int("teams", len(h.Accounts)).Int64("idleMs", h.IdleMS).
--- a/internal/transport/accept/conn.go
+++ b/internal/transport/accept/conn.go
@@ -8,6 +8,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"chivecroft.example/chivecroft/internal/coordination/budget"
@@ -59,6 +60,12 @@
 	listener *Listener
 	// revoked is set when the bytes of an incomplete head are needed.
 	revoked atomic.Bool
+	// known is set once a control port has received a valid message.
+	known atomic.Bool
+	// isEvicted and hasEnded are guarded by the listener's lock.
+	isEvicted, hasEnded bool
+	// slow is set when a write has timed out.
+	slow atomic.Bool
 
 	mu    sync.Mutex
 	phase phase
@@ -244,7 +251,7 @@
 		retryAfter = connRetryAfter
 	}
 	_ = c.Conn.SetDeadline(time.Now().Add(lingerTime))
-	if _, err := c.Write(refusal(status, retryAfter)); err == nil {
+	if _, err := c.Conn.Write(refusal(status, retryAfter)); err == nil {
 		_ = c.CloseWrite()
 		_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
 	}
@@ -377,10 +384,14 @@
 }
 
 // evictionRank returns how readily the connection is closed for a new one, 0 for not at
-// all, and since when it is in its state.
+// all, and since when it is in its state. At callers' ports one with an incomplete head is
+// closed before one that has sent nothing, before one that callers no longer rely on.
 func (c *Conn) evictionRank() (int, time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.listener.isControl {
+		return c.controlRank(), c.since
+	}
 	switch c.phase {
 	case phaseHead:
 		return 3, c.since
@@ -396,19 +407,75 @@
 	return 0, c.since
 }
 
-// evict closes the connection unless it has a request by now.
-func (c *Conn) evict() bool {
+// controlRank returns the rank at a control port, under the lock.
+func (c *Conn) controlRank() int {
+	known := c.known.Load()
+	// A complete head may be waiting for bytes.
+	busy := c.phase == phaseBusy || c.phase == phaseHead && c.scan.ended
+	switch {
+	case c.phase == phaseClosed:
+		// A refused client is still read from.
+		return 4
+	case !busy && known:
+		return 1
+	case !busy:
+		return 3
+	case !known && time.Since(c.since) > c.listener.slowRequest:
+		return 2
+	}
+	return 0
+}
+
+// evict closes the connection unless it has a request by now that may not be closed. With
+// force, at control ports, it is closed all the same.
+func (c *Conn) evict(force bool) bool {
 	c.mu.Lock()
-	if c.phase == phaseBusy {
+	keep := c.phase == phaseBusy
+	switch {
+	case force:
+		keep = false
+	case c.listener.isControl:
+		// The server may not have had the time to read a message that has arrived.
+		keep = c.controlRank() == 0 || (c.phase == phaseNew || c.phase == phaseIdle) && hasUnread(c.Conn)
+	}
+	if keep {
 		c.mu.Unlock()
 		return false
 	}
 	c.phase = phaseClosed
 	c.mu.Unlock()
+	c.listener.noteEviction(c)
 	_ = c.Close()
 	return true
 }
 
+// hasUnread reports whether bytes have arrived on a connection that were not read.
+func hasUnread(conn net.Conn) bool {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		n, _, _ = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
+}
+
+// Write writes a part of a response. At control ports a reader that is too slow is
+// counted; others' responses have their own deadlines.
+func (c *Conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil && c.listener.isControl && errors.Is(err, os.ErrDeadlineExceeded) && !c.slow.Swap(true) {
+		c.listener.observe(ReasonSlowReader)
+	}
+	return n, err
+}
+
 func (c *Conn) stateName() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/transport/accept/listener.go
+++ b/internal/transport/accept/listener.go
@@ -1,9 +1,12 @@
 package accept
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -32,6 +35,13 @@
 	extraShare = 0.125
 	// connRetryAfter is the Retry-After of a connection that is refused.
 	connRetryAfter = time.Second
+	// unknownShare is the part of a control port's connections up to which one that has
+	// sent no valid message takes the place of an idle one that has. An address with more
+	// than that gives way to others, also with its requests.
+	unknownShare = 0.25
+	// minEnding is the smallest limit on closed connections of a control port whose
+	// goroutines have not ended: on a busy machine that takes some milliseconds each.
+	minEnding = 128
 )
 
 // Limits are the limits on a connection. Zero values stand for the defaults.
@@ -70,6 +80,7 @@
 	ReasonEmptyLines  Reason = "emptyLines"
 	ReasonTimeout     Reason = "headTimeout"
 	ReasonMemory      Reason = "headMemory"
+	ReasonSlowReader  Reason = "slowReader"
 )
 
 // Listener accepts the connections of callers.
@@ -79,9 +90,20 @@
 	maxConns int
 	observe  func(Reason)
 	limits   atomic.Pointer[Limits]
+	// pool limits the descriptors of several listeners, of which a connection uses cost.
+	pool *Pool
+	cost int
+	// isControl reports whether the port is for others than callers. There, a request that
+	// takes longer than slowRequest may be closed for a new connection.
+	isControl   bool
+	slowRequest time.Duration
+	socketBytes int
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
+	// ending is the number of connections that were closed for new ones and whose
+	// goroutines have not ended.
+	ending int
 }
 
 // Option changes a Listener under construction.
@@ -92,6 +114,24 @@
 	return func(l *Listener) { l.maxConns = n }
 }
 
+// WithPool has each connection use cost descriptors of a pool.
+func WithPool(p *Pool, cost int) Option {
+	return func(l *Listener) { l.pool, l.cost = p, cost }
+}
+
+// WithSocketBytes limits what the kernel holds of a connection in each direction.
+func WithSocketBytes(n int) Option {
+	return func(l *Listener) { l.socketBytes = n }
+}
+
+// WithControlRules sets the rules of ports for others than callers, who can repeat what
+// they ask for. For a new connection the oldest without a request is closed, however
+// short it has been idle, else one whose request takes longer than slow. Connections that
+// MarkKnown has marked are closed last, and not for many that it has not marked.
+func WithControlRules(slow time.Duration) Option {
+	return func(l *Listener) { l.isControl, l.slowRequest = true, slow }
+}
+
 // WithObserver calls observe for each refusal. It must not block.
 func WithObserver(observe func(Reason)) Option {
 	return func(l *Listener) { l.observe = observe }
@@ -99,7 +139,10 @@
 
 // NewListener returns a listener without connections. Its inner listener is set by Wrap.
 func NewListener(account *budget.Account, opts ...Option) *Listener {
-	l := &Listener{account: account, observe: func(Reason) {}, conns: make(map[*Conn]struct{})}
+	l := &Listener{
+		account: account, observe: func(Reason) {}, conns: make(map[*Conn]struct{}), pool: NewPool(0),
+		socketBytes: socketBytes,
+	}
 	for _, opt := range opts {
 		opt(l)
 	}
@@ -142,8 +185,8 @@
 			return nil, err
 		}
 		if tcp, ok := raw.(*net.TCPConn); ok {
-			_ = tcp.SetReadBuffer(socketBytes)
-			_ = tcp.SetWriteBuffer(socketBytes)
+			_ = tcp.SetReadBuffer(l.socketBytes)
+			_ = tcp.SetWriteBuffer(l.socketBytes)
 		}
 		if c := l.admit(raw); c != nil {
 			return c, nil
@@ -157,9 +200,14 @@
 
 // admit returns the connection for raw, nil if there are too many.
 func (l *Listener) admit(raw net.Conn) *Conn {
-	if !l.makeRoom() {
+	if !l.makeRoom(raw) {
 		return nil
 	}
+	for !l.pool.take(l.cost, l.isControl) {
+		if !l.evict(raw) {
+			return nil
+		}
+	}
 	c := newConn(l, raw)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -167,10 +215,14 @@
 	return c
 }
 
-// makeRoom returns false if no more connection may be opened.
-func (l *Listener) makeRoom() bool {
+// makeRoom returns false if raw may not be opened.
+func (l *Listener) makeRoom(raw net.Conn) bool {
 	n := l.count()
-	if l.maxConns <= 0 || n < l.maxConns || l.evict() {
+	if l.isControl && l.countEnding() >= max(l.maxConns, minEnding) {
+		// Requests of closed connections use memory until they have noticed.
+		return false
+	}
+	if l.maxConns <= 0 || n < l.maxConns || l.evict(raw) {
 		return true
 	}
 	if float64(n) >= (1+extraShare)*float64(l.maxConns) || !l.account.RevokeBody() {
@@ -180,36 +232,110 @@
 	return true
 }
 
+func (l *Listener) countEnding() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ending
+}
+
 func (l *Listener) count() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return len(l.conns)
 }
 
-// evict closes a connection that has no request: one with an incomplete head before one
-// that has sent nothing, before one that callers no longer rely on, the oldest first.
-func (l *Listener) evict() bool {
-	var victim *Conn
-	var rank int
-	var since time.Time
+// candidate is a connection that may be closed for a new one.
+type candidate struct {
+	conn  *Conn
+	rank  int
+	since time.Time
+	// sameAddr is the number of connections from its address.
+	sameAddr int
+}
+
+// evict closes a connection for raw: that of the highest rank, the oldest first. At control
+// ports it is one from the address with the most connections, and none from an address with
+// fewer than that of raw has: instances have few.
+func (l *Listener) evict(raw net.Conn) bool {
+	var all []candidate
+	unknown, byAddr := 0, make(map[netip.Addr]int)
 	for _, c := range l.open() {
-		r, at := c.evictionRank()
-		if r == 0 || victim != nil && (r < rank || r == rank && !at.Before(since)) {
+		if !c.known.Load() {
+			unknown++
+		}
+		if l.isControl {
+			byAddr[addrOf(c)]++
+		}
+		if rank, since := c.evictionRank(); rank > 0 || l.isControl {
+			all = append(all, candidate{conn: c, rank: rank, since: since})
+		}
+	}
+	if l.isControl {
+		for i := range all {
+			all[i].sameAddr = byAddr[addrOf(all[i].conn)]
+		}
+	}
+	slices.SortFunc(all, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(b.sameAddr, a.sameAddr), a.since.Compare(b.since))
+	})
+	share := int(unknownShare * float64(l.maxConns))
+	var own int
+	if l.isControl {
+		own = byAddr[addrOf(raw)]
+	}
+	for _, v := range all {
+		if v.sameAddr < own || v.conn.known.Load() && unknown >= share {
 			continue
 		}
-		victim, rank, since = c, r, at
+		if v.conn.evict(false) {
+			l.observe(ReasonEvicted)
+			return true
+		}
 	}
-	if victim == nil || !victim.evict() {
-		return false
+	for _, v := range all {
+		if v.sameAddr > share && own < share && !v.conn.known.Load() && v.conn.evict(true) {
+			l.observe(ReasonEvicted)
+			return true
+		}
 	}
-	l.observe(ReasonEvicted)
-	return true
+	return false
+}
+
+// noteEviction records that c is closed for another connection.
+func (l *Listener) noteEviction(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !c.hasEnded && !c.isEvicted {
+		c.isEvicted = true
+		l.ending++
+	}
+}
+
+// noteEnd records that the goroutine of c has ended.
+func (l *Listener) noteEnd(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.isEvicted && !c.hasEnded {
+		l.ending--
+	}
+	c.hasEnded = true
+}
+
+// addrOf returns the address of the other side.
+func addrOf(c net.Conn) netip.Addr {
+	if a, ok := c.RemoteAddr().(*net.TCPAddr); ok {
+		return a.AddrPort().Addr().Unmap()
+	}
+	return netip.Addr{}
 }
 
 func (l *Listener) remove(c *Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.conns, c)
+	if _, ok := l.conns[c]; ok {
+		delete(l.conns, c)
+		l.pool.release(l.cost, l.isControl)
+	}
 }
 
 // Counts returns the number of connections by state: new, head, busy, idle.
@@ -225,6 +351,13 @@
 
 type connKey struct{}
 
+// MarkKnown marks the connection of a request as one that has sent a valid message.
+func MarkKnown(ctx context.Context) {
+	if c, ok := ctx.Value(connKey{}).(*Conn); ok {
+		c.known.Store(true)
+	}
+}
+
 // Context adds a connection to the context of its requests.
 func (l *Listener) Context(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, c)
@@ -248,8 +381,13 @@
 
 // OnState is to be called by the ConnState hook of the server.
 func (l *Listener) OnState(conn net.Conn, state http.ConnState) {
-	if c, ok := conn.(*Conn); ok && state == http.StateIdle {
+	c, ok := conn.(*Conn)
+	switch {
+	case !ok:
+	case state == http.StateIdle:
 		c.idle()
+	case state == http.StateClosed:
+		l.noteEnd(c)
 	}
 }
 
