Quotas: instances decide at once when the holder's ledger has stopped

A holder whose lease is in doubt refused permits without a reason, and instances asked in vain for 1.5 s. Its refusal names the stopped term now, and an instance of that term decides by itself at once. A ledger that resumes or is handed over is charged for the instances it has told, until they say what they have admitted.

--- a/internal/coordination/usage/alone.go
+++ b/internal/coordination/usage/alone.go
@@ -22,6 +22,14 @@
 	// deadTime is how long the instances use the full refill of a dead holder's bucket. A
 	// successor begins at about its end, with an empty bucket.
 	deadTime = 1500 * time.Millisecond
+	// stopTime is how long an instance decides without a holder, from the sending of a message, after
+	// the holder has told it that its ledger has stopped. An instance with waiting requests is told
+	// again before that; a ledger that goes on is charged for this time.
+	stopTime = 350 * time.Millisecond
+	// longStop is the length of a stop after which what the ledger had reserved has certainly started.
+	longStop = 2 * time.Second
+	// stopSpare is the part of a stopped ledger's bucket that the instances may use.
+	stopSpare = 0.5
 	// spareDeviations is the number of standard deviations of the use that are kept back of
 	// what a dead holder's bucket had left.
 	spareDeviations = 1
@@ -55,10 +63,10 @@
 	at    time.Time
 }
 
-// IsAlone reports whether the instance decides without a holder: the holder is dead, or the
-// instance has asked in vain for aloneAfter, and it has not heard of a holder since.
+// IsAlone reports whether the instance decides without a holder: the holder is dead, its ledger has
+// stopped, or the instance has asked in vain for aloneAfter, and it has not heard of a holder since.
 func (s *Share) IsAlone(now time.Time) bool {
-	if !s.deadAt.IsZero() {
+	if !s.deadAt.IsZero() || s.isStopped(now) {
 		return true
 	}
 	if s.failedAt.IsZero() || s.failedAt.Before(s.repliedAt) {
@@ -95,6 +103,9 @@
 		return out
 	}
 	b.spare, b.level = min(b.spare, max(b.spare-d.Amount, 0)), max(saved-needed, 0)
+	if s.isStopped(now) {
+		t.admitted += d.Amount
+	}
 	p := Permit{Team: d.Team, Amount: d.Amount, Start: now, Until: now.Add(permitLifetime), term: noTerm}
 	return Outcome{Permit: p, Share: share, IsAlone: true}
 }
@@ -105,6 +116,13 @@
 // ahead may start for up to maxDelay.
 func (s *Share) openAlone(t *teamShare, amount float64) aloneBucket {
 	if s.deadAt.IsZero() {
+		if !s.stoppedAt.IsZero() {
+			out := aloneBucket{at: s.stoppedAt}
+			if !t.levelAt.IsZero() && s.stoppedAt.Sub(t.levelAt) < silentAfter && t.level > 0 {
+				out.spare = stopSpare * t.level * s.shareOf(t)
+			}
+			return out
+		}
 		return aloneBucket{at: s.failedAt.Add(aloneAfter)}
 	}
 	out := aloneBucket{at: s.deadAt.Add(deadTime), filledAt: s.deadAt.Add(maxDelay)}
@@ -145,13 +163,41 @@
 // DeadAt returns when the holder was found dead, zero if it was not.
 func (s *Share) DeadAt() time.Time { return s.deadAt }
 
-// isLate reports whether a reply is that of the dead holder, which was under way when it died.
+// Stopped notes that the instance asked has refused a message because its ledger has stopped. Only
+// that of the present term counts.
+func (s *Share) Stopped(now time.Time, sent *Sent, stop Stop) {
+	if !sent.isDone && stop.Term == s.term && s.term != 0 {
+		at := now.Add(-time.Duration(stop.ForMS) * time.Millisecond)
+		// The time on the way differs between messages. A ledger that has gone on in the meantime
+		// was charged only for its last stop, so that nothing is left of the time before.
+		if s.stoppedAt.IsZero() || at.Sub(s.stoppedAt) > stopTime {
+			s.stoppedAt = at
+			for _, t := range s.teams {
+				t.alone = aloneBucket{}
+			}
+		}
+		if sent.at.After(s.toldStopAt) {
+			// The time without a holder that is not heard begins only now.
+			s.toldStopAt, s.failedAt = sent.at, sent.at
+		}
+	}
+	s.Fail(now, sent, NotHolder)
+}
+
+// isStopped reports whether the holder has told lately that its ledger has stopped.
+func (s *Share) isStopped(now time.Time) bool {
+	return !s.stoppedAt.IsZero() && now.Sub(s.toldStopAt) < stopTime
+}
+
+// isLate reports whether a reply was under way when the holder died or its ledger stopped.
 func (s *Share) isLate(sent *Sent, r Reply) bool {
-	return !s.deadAt.IsZero() && r.Term == s.deadTerm && sent.at.Before(s.deadAt)
+	return !s.deadAt.IsZero() && r.Term == s.deadTerm && sent.at.Before(s.deadAt) ||
+		!s.stoppedAt.IsZero() && r.Term == s.term && sent.at.Before(s.toldStopAt)
 }
 
 // canAwaitSuccessor reports whether a request that was refused without a holder may wait for a
-// successor for the rest of its time: after the holder's death, one is about to begin.
-func (s *Share) canAwaitSuccessor(o Outcome) bool {
-	return o.Status == OverQuota && !s.deadAt.IsZero()
+// successor for the rest of its time: after the holder's death, one is about to begin. A ledger that has
+// stopped may also go on.
+func (s *Share) canAwaitSuccessor(o Outcome, now time.Time) bool {
+	return o.Status == OverQuota && (!s.deadAt.IsZero() || s.isStopped(now))
 }
--- a/internal/coordination/usage/fleet_test.go
+++ b/internal/coordination/usage/fleet_test.go
@@ -34,6 +34,8 @@
 	// former is the ledger of the last holder, until endedAt, if it can be handed over.
 	former  *Ledger
 	endedAt time.Time
+	// stoppedAt is when the ledger of a holder that still answers has stopped, zero if it has not.
+	stoppedAt time.Time
 	// handoverBytes is the size of the last handover.
 	handoverBytes int
 	// isDead means that the address of the last holder refuses new connections.
@@ -46,6 +48,8 @@
 	loss, waste float64
 	// isBusy means that requests wait for a target until their permits have almost expired.
 	isBusy bool
+	// patience is how long a request waits for its permit.
+	patience time.Duration
 }
 
 type testTeam struct {
@@ -79,7 +83,7 @@
 func newWorld(seed uint64, instances int, teams ...*testTeam) *world {
 	w := &world{
 		random: rand.New(rand.NewPCG(seed, 1)), now: start, teams: teams, holder: true, term: 1,
-		events: make(map[int64][]func()),
+		events: make(map[int64][]func()), patience: patience,
 	}
 	for i := range instances {
 		w.members = append(w.members, &testMember{})
@@ -104,7 +108,7 @@
 		w.ledger.SetDead(successor.share.DeadAt())
 	}
 	w.takeOver()
-	w.holder, w.isDead = true, false
+	w.holder, w.isDead, w.stoppedAt = true, false, time.Time{}
 	w.ledger.SetTeams(w.now, bounds, w.limits())
 }
 
@@ -170,7 +174,7 @@
 		if w.now.Before(m.frozenUntil) {
 			continue
 		}
-		d := Demand{Team: t.Team, Amount: amount, Priority: w.random.IntN(3), Until: w.now.Add(patience)}
+		d := Demand{Team: t.Team, Amount: amount, Priority: w.random.IntN(3), Until: w.now.Add(w.patience)}
 		share := m.share
 		if out, pending := share.Request(w.now, d, func(o Outcome) { w.use(m, share, t, o) }); pending == nil {
 			w.use(m, share, t, out)
@@ -232,7 +236,17 @@
 		return
 	}
 	w.at(delay, func() {
-		if m.cut || !w.holder || ledger != w.ledger {
+		if m.cut || ledger != w.ledger || !w.holder && w.stoppedAt.IsZero() {
+			return
+		}
+		if !w.stoppedAt.IsZero() {
+			stop, _ := ledger.Stop(w.now, w.stoppedAt, sent.Message)
+			w.at(w.delay(), func() {
+				if m.share == share && !m.cut && !sent.isDone {
+					m.retryAt = w.now.Add(retryDelay)
+					w.thaw(m, func() { share.Stopped(w.now, sent, stop) })
+				}
+			})
 			return
 		}
 		r := ledger.Answer(w.now, len(w.members), sent.Message)
@@ -278,7 +292,7 @@
 
 // changeHolder replaces the holder after a gap without one.
 func (w *world) changeHolder(gap time.Duration) {
-	w.holder, w.former = false, nil
+	w.holder, w.former, w.stoppedAt = false, nil, time.Time{}
 	w.at(max(gap, HolderGap), w.newTerm)
 }
 
@@ -290,8 +304,36 @@
 
 // releaseLease ends the term of a holder that hands its ledger over to its successor.
 func (w *world) releaseLease(gap time.Duration) {
+	stoppedAt := w.now
+	if !w.stoppedAt.IsZero() {
+		stoppedAt = w.stoppedAt
+	}
 	w.changeHolder(gap)
-	w.former, w.endedAt = w.ledger, w.now
+	w.former, w.endedAt, w.stoppedAt = w.ledger, stoppedAt, stoppedAt
+}
+
+// stopLedger stops the ledger of a holder that still answers, for a time after which it resumes, is
+// handed over, or is succeeded by an empty one.
+func (w *world) stopLedger(d time.Duration, end string) {
+	if !w.holder || !w.stoppedAt.IsZero() {
+		return
+	}
+	ledger, stoppedAt := w.ledger, w.now
+	if w.stoppedAt = stoppedAt; end != "resumes" {
+		d = max(d, HolderGap)
+	}
+	w.at(d, func() {
+		switch {
+		case w.ledger != ledger || !w.holder || w.stoppedAt != stoppedAt:
+			return
+		case end == "resumes":
+			w.stoppedAt = time.Time{}
+			return
+		case end == "handed over":
+			w.former, w.endedAt = ledger, stoppedAt
+		}
+		w.newTerm()
+	})
 }
 
 // check looks for windows over the bound.
@@ -362,7 +404,7 @@
 	team := w.teams[rapid.IntRange(0, len(w.teams)-1).Draw(t, "team")]
 	some := team.at[:rapid.IntRange(1, len(team.at)).Draw(t, "some")]
 	d := w.within(9 * time.Second)
-	switch rapid.SampledFrom([]string{"kill", "freeze", "cut", "busy", "holder", "dead", "release", "outage", "load"}).Draw(t, "fault") {
+	switch rapid.SampledFrom([]string{"kill", "freeze", "cut", "busy", "holder", "dead", "release", "stop", "outage", "load"}).Draw(t, "fault") {
 	case "kill":
 		for _, i := range some {
 			w.restart(i)
@@ -386,6 +428,8 @@
 		w.killHolder(w.within(3 * time.Second))
 	case "release":
 		w.releaseLease(w.within(MaxHandoverAge))
+	case "stop":
+		w.stopLedger(300*time.Millisecond+w.within(2700*time.Millisecond), rapid.SampledFrom([]string{"resumes", "handed over", "lost"}).Draw(t, "end"))
 	case "outage":
 		w.changeHolder(10 * time.Second)
 	case "load":
@@ -436,6 +480,16 @@
 				w.run(MaxHandoverAge + time.Second)
 			}
 		}},
+		{"ledger stops and resumes", func(w *world) { w.stopLedger(300*time.Millisecond, "resumes") }},
+		{"ledger stops and resumes three times", func(w *world) {
+			for range 3 {
+				w.stopLedger(time.Second, "resumes")
+				w.run(1200 * time.Millisecond)
+			}
+		}},
+		{"ledger stops and is handed over", func(w *world) { w.stopLedger(1500*time.Millisecond, "handed over") }},
+		{"ledger stops for long and is handed over", func(w *world) { w.stopLedger(2900*time.Millisecond, "handed over") }},
+		{"ledger stops and is lost", func(w *world) { w.stopLedger(0, "lost") }},
 		{"half of the requests return their permits late", func(w *world) { w.waste = 0.5; w.run(time.Second); w.waste = 0 }},
 		{"half of the callers' instances cut off", func(w *world) {
 			w.run(2 * time.Second)
@@ -539,14 +593,19 @@
 // successor although they know that the holder is dead.
 func TestHolderIsLost(t *testing.T) {
 	for _, c := range []struct {
-		name  string
-		do    func(w *world)
-		least float64
+		name string
+		do   func(w *world)
+		// patience is how long requests wait for a permit.
+		patience time.Duration
+		least    float64
 	}{
-		{"killed", func(w *world) { w.killHolder(2 * time.Second) }, 0.6},
-		{"not heard", func(w *world) { w.changeHolder(2 * time.Second) }, 0.2},
-		{"released", func(w *world) { w.releaseLease(800 * time.Millisecond) }, 0.9},
-		{"released, handover lost", func(w *world) { w.changeHolder(800 * time.Millisecond) }, 0.6},
+		{"killed", func(w *world) { w.killHolder(2 * time.Second) }, patience, 0.6},
+		{"not heard", func(w *world) { w.changeHolder(2 * time.Second) }, patience, 0.2},
+		{"released", func(w *world) { w.releaseLease(800 * time.Millisecond) }, patience, 0.9},
+		{"released, handover lost", func(w *world) { w.changeHolder(800 * time.Millisecond) }, patience, 0.6},
+		{"stopped, resumes", func(w *world) { w.stopLedger(1100*time.Millisecond, "resumes") }, 300 * time.Millisecond, 0.78},
+		{"stopped, handed over", func(w *world) { w.stopLedger(1100*time.Millisecond, "handed over") }, 300 * time.Millisecond, 0.77},
+		{"stopped, succeeded without it", func(w *world) { w.stopLedger(1100*time.Millisecond, "lost") }, 300 * time.Millisecond, 0.6},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			sum, size := make(map[string]lossCount), 0
@@ -564,6 +623,7 @@
 				}
 				w.setTeams()
 				w.run(15 * time.Second)
+				w.patience = c.patience
 				w.countLoss(sum, -1)
 				c.do(w)
 				w.run(3 * time.Second)
--- a/internal/coordination/usage/handover.go
+++ b/internal/coordination/usage/handover.go
@@ -1,7 +1,9 @@
 package usage
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -18,6 +20,11 @@
 	Slot int64 `json:"slot"`
 	// IdleMS is the time since the former holder stopped issuing permits, in milliseconds.
 	IdleMS int64 `json:"idleMs"`
+	// StoppedMS is the time since the ledger stopped, in milliseconds, if instances were told so.
+	StoppedMS int64 `json:"stoppedMs,omitempty"`
+	// ToldStop are these instances, Members the number of all.
+	ToldStop []string `json:"toldStop,omitempty"`
+	Members  int      `json:"members,omitempty"`
 	// Accounts are the buckets by team.
 	Accounts map[string]HandoverAccount `json:"accounts"`
 	// Silent are the instances that may be cut off.
@@ -44,6 +51,10 @@
 		Term: l.term, Slot: l.slot(now), IdleMS: now.Sub(endedAt).Milliseconds(),
 		Accounts: make(map[string]HandoverAccount, len(l.accounts)), Silent: l.silent,
 	}
+	if !l.stoppedAt.IsZero() {
+		out.StoppedMS, out.Members = max(now.Sub(l.stoppedAt).Milliseconds(), 1), l.members
+		out.ToldStop = slices.Sorted(maps.Keys(l.toldStop))
+	}
 	for team, a := range l.accounts {
 		if l.slot(now) < a.calendar.now {
 			// The bucket has not opened yet, so that it holds nothing.
@@ -74,17 +85,19 @@
 // Instances that have asked in vain since the end of that term may have decided without a
 // holder, and go on until their next message; what they have admitted is taken from the
 // buckets, but no more than these have, since a successor without a ledger starts with empty
-// buckets as well.
+// buckets as well. What others may have admitted because they were told that the ledger has stopped is
+// taken in full: it begins before the reservations of that term have ended.
 func (l *Ledger) TakeOver(now time.Time, h *Handover) {
 	l.start = now.Add(-time.Duration(h.Slot) * slotTime)
 	l.former, l.silent = h.Term, h.Silent
+	stop := time.Duration(h.StoppedMS) * time.Millisecond
 	alone := time.Duration(h.IdleMS)*time.Millisecond + heartbeatInterval - aloneAfter
 	for team, account := range h.Accounts {
 		a, ok := account.restore(now, h.Slot)
 		if !ok {
 			continue
 		}
-		if alone > 0 {
+		if alone > 0 && stop == 0 {
 			a.calendar.grant(h.Slot, min(alonePart*a.rate*alone.Seconds(), max(a.calendar.current(), 0)))
 		}
 		l.accounts[team] = a
@@ -100,6 +113,84 @@
 		for name, u := range a.uses {
 			u.told, u.toldAt = min(u.sum/max(a.total.sum, 1), 1), l.heardAt[name]
 		}
+		a.charge(h.Slot, stop, h.ToldStop, h.Members)
+	}
+}
+
+// Stop refuses a message, since the Ledger issues no permits since a time. It returns what the instance
+// is told, false if no request of it waits. The Ledger resumes with its next answer.
+func (l *Ledger) Stop(now, since time.Time, m Message) (Stop, bool) {
+	if !slices.ContainsFunc(m.Asks, func(a Ask) bool { return a.Amount > 0 && !a.IsPrefetch }) {
+		return Stop{}, false
+	}
+	if l.stoppedAt.IsZero() {
+		l.stoppedAt, l.toldStop = since, make(map[string]bool)
+	}
+	l.toldStop[m.From] = true
+	return Stop{Term: l.term, ForMS: now.Sub(l.stoppedAt).Milliseconds()}, true
+}
+
+// resume charges the buckets for what the instances may have admitted while the Ledger had stopped.
+// None counts as silent for that time.
+func (l *Ledger) resume(now time.Time) {
+	if l.stoppedAt.IsZero() {
+		return
+	}
+	d := now.Sub(l.stoppedAt)
+	for name, at := range l.heardAt {
+		l.heardAt[name] = at.Add(d)
+	}
+	for _, a := range l.accounts {
+		for _, u := range a.uses {
+			u.toldAt = u.toldAt.Add(d)
+		}
+		a.calendar.advance(l.slot(now))
+		a.charge(a.calendar.now, d, slices.Sorted(maps.Keys(l.toldStop)), l.members)
+	}
+	l.stoppedAt, l.toldStop = time.Time{}, nil
+}
+
+// charge takes what the instances that were told of a stop may admit until they notice its end out of a
+// bucket. If that is more than it has, it grants nothing until it is refilled. After a long stop nothing
+// that was reserved can still start, so that an empty bucket is as safe as that of a successor.
+func (a *account) charge(slot int64, stop time.Duration, told []string, members int) {
+	if stop <= 0 {
+		return
+	}
+	part, sum := alonePart*a.rate*(stop+stopTime).Seconds()+stopSpare*a.capacity, 0.0
+	for _, name := range told {
+		u := a.use(name)
+		u.charged = part / float64(max(members, 1))
+		if !u.toldAt.IsZero() {
+			u.charged = part * u.told
+		}
+		sum += u.charged
+	}
+	a.chargedAt, a.chargedAll = slot, true
+	if have := max(a.calendar.current(), 0); stop > longStop && sum > have {
+		for _, name := range told {
+			a.uses[name].charged *= have / sum
+		}
+		sum, a.chargedAll = have, false
+	}
+	a.calendar.grant(slot, sum)
+}
+
+// settle replaces an instance's part of the charge for a stop by what it has admitted.
+func (l *Ledger) settle(now time.Time, m Message) {
+	for team, a := range l.accounts {
+		u := a.uses[m.From]
+		if u == nil || u.charged == 0 && m.Admitted[team] == 0 {
+			continue
+		}
+		more := max(m.Admitted[team], 0) - u.charged
+		u.charged = 0
+		a.calendar.advance(l.slot(now))
+		if more <= 0 {
+			a.calendar.giveBack(a.chargedAt, -more)
+		} else if a.chargedAll {
+			a.calendar.grant(a.calendar.now, min(more, a.capacity))
+		}
 	}
 }
 
--- a/internal/coordination/usage/ledger.go
+++ b/internal/coordination/usage/ledger.go
@@ -43,7 +43,11 @@
 	// start is the beginning of slot 0, openFrom that of the term.
 	start, openFrom time.Time
 	// deadAt is when the last holder was found dead, zero if it was not.
-	deadAt   time.Time
+	deadAt time.Time
+	// stoppedAt is when the Ledger stopped, if an instance was told so, zero otherwise.
+	stoppedAt time.Time
+	// toldStop are the instances that were told.
+	toldStop map[string]bool
 	accounts map[string]*account
 	// heardAt is when each instance last sent a message.
 	heardAt map[string]time.Time
@@ -65,6 +69,9 @@
 	calendar *calendar
 	uses     map[string]*use
 	total    average
+	// chargedAt is the slot of the last charge for a stop, chargedAll whether nothing was left out.
+	chargedAt  int64
+	chargedAll bool
 }
 
 // use is what an instance uses of a team's quota. told is the part that it was told of at
@@ -73,6 +80,8 @@
 	average
 	told   float64
 	toldAt time.Time
+	// charged is its part of the charge for a stop, until it tells what it has admitted.
+	charged float64
 }
 
 // average is an exponentially decaying sum.
@@ -154,12 +163,14 @@
 // Answer answers a message. members is the number of instances.
 func (l *Ledger) Answer(now time.Time, members int, m Message) Reply {
 	l.members = max(members, 1)
+	l.resume(now)
 	l.heardAt[m.From] = now
 	l.sweep(now)
 	if m.Term == l.term || l.former != 0 && m.Term == l.former {
 		for _, r := range m.Returns {
 			l.takeBack(now, m.From, r)
 		}
+		l.settle(now, m)
 	}
 	if m.IsIdle {
 		l.forget(m.From)
--- a/internal/coordination/usage/message.go
+++ b/internal/coordination/usage/message.go
@@ -41,6 +41,9 @@
 	// Returns are of the term Term, or of the one whose ledger its holder has taken over.
 	Term    int64      `json:"term,omitempty"`
 	Returns []Returned `json:"returns,omitempty"`
+	// Admitted is what the instance has admitted by team because the ledger of Term had stopped, as far as
+	// no holder has replied since.
+	Admitted map[string]float64 `json:"admitted,omitempty"`
 	// IsIdle means that the instance no longer uses its shares and asks nothing for a while.
 	IsIdle bool `json:"idle,omitempty"`
 }
@@ -60,3 +63,11 @@
 	// Filled lists the teams whose bucket has enough for prefetching.
 	Filled []string `json:"filled,omitempty"`
 }
+
+// Stop tells that the Ledger of a term issues no permits, at least until its holder is certain of its
+// lease again.
+type Stop struct {
+	Term int64 `json:"term"`
+	// ForMS is the time since the last permit may have been issued, in milliseconds.
+	ForMS int64 `json:"forMs"`
+}
--- a/internal/coordination/usage/share.go
+++ b/internal/coordination/usage/share.go
@@ -108,6 +108,9 @@
 	// and deadTerm the term of the last one that was.
 	deadAt   time.Time
 	deadTerm int64
+	// stoppedAt is when the ledger of the present term has stopped, zero if it has not; toldStopAt is
+	// when the last message was sent whose answer said so.
+	stoppedAt, toldStopAt time.Time
 }
 
 // teamShare is what an instance knows of a team's quota.
@@ -128,6 +131,8 @@
 	isPrefetching   bool
 	refused         refusal
 	alone           aloneBucket
+	// admitted is what was admitted while the ledger had stopped, until a holder replies.
+	admitted float64
 }
 
 // refusal is the last refusal of the holder. Until a time, it would refuse any request that
@@ -188,7 +193,7 @@
 	}
 	if s.IsAlone(now) {
 		out := s.decideAlone(now, t, d)
-		if !s.canAwaitSuccessor(out) {
+		if !s.canAwaitSuccessor(out, now) {
 			return out, nil
 		}
 		q := &Pending{Demand: d, done: done, refusal: &out}
@@ -271,7 +276,12 @@
 	if s.usedAt.IsZero() {
 		return 0, false
 	}
-	return max(heartbeatInterval-now.Sub(s.sentAt), 0), true
+	interval := heartbeatInterval
+	if !s.stoppedAt.IsZero() && now.Sub(s.stoppedAt) < MaxHandoverAge {
+		// Until the ledger knows what was admitted, it keeps back more.
+		interval = stopTime / 2
+	}
+	return max(interval-now.Sub(s.sentAt), 0), true
 }
 
 // Sent is a message with the requests that it asks for.
@@ -303,9 +313,17 @@
 		}
 	}
 	out.Message.Returns, s.returns = s.returns, nil
+	for name, t := range s.teams {
+		if t.admitted > 0 {
+			if out.Message.Admitted == nil {
+				out.Message.Admitted = make(map[string]float64)
+			}
+			out.Message.Admitted[name] = t.admitted
+		}
+	}
 	if !s.usedAt.IsZero() && now.Sub(s.usedAt) > idleAfter {
 		out.Message.IsIdle, s.usedAt, s.failedAt = true, time.Time{}, time.Time{}
-		s.deadAt = time.Time{}
+		s.deadAt, s.stoppedAt = time.Time{}, time.Time{}
 	}
 	return out
 }
@@ -365,6 +383,11 @@
 		return
 	}
 	sent.isDone = true
+	for name, amount := range sent.Message.Admitted {
+		if t := s.teams[name]; t != nil {
+			t.admitted = max(t.admitted-amount, 0)
+		}
+	}
 	if !s.isLate(sent, r) {
 		s.noteReply(now, sent, r)
 	}
@@ -394,13 +417,13 @@
 		}
 		s.term = r.Term
 	}
-	if s.IsAlone(now) {
+	if s.IsAlone(now) || !s.stoppedAt.IsZero() {
 		for _, t := range s.teams {
 			t.alone = aloneBucket{}
 		}
 	}
 	s.members = max(r.Members, 1)
-	s.failedAt, s.deadAt, s.isGone = time.Time{}, time.Time{}, false
+	s.failedAt, s.deadAt, s.stoppedAt, s.isGone = time.Time{}, time.Time{}, time.Time{}, false
 	if sent.at.After(s.repliedAt) {
 		s.repliedAt = sent.at
 	}
@@ -507,7 +530,7 @@
 			s.finish(q, *q.refusal)
 		case alone && q.refusal == nil:
 			out := s.decideAlone(now, t, q.Demand)
-			if !s.canAwaitSuccessor(out) {
+			if !s.canAwaitSuccessor(out, now) {
 				s.finish(q, out)
 				continue
 			}
--- a/internal/edge/ledger.go
+++ b/internal/edge/ledger.go
@@ -39,6 +39,8 @@
 	limits []usage.Limit
 	// answeredAt is when this instance last issued permits.
 	answeredAt time.Time
+	// hasAnswered tells whether it was in the present term.
+	hasAnswered bool
 	// deadAt is when the last holder before this instance was found dead, zero if it was not.
 	deadAt time.Time
 	// awaitedUntil is the time until which the ledger of the last holder is awaited, zero if it
@@ -68,7 +70,7 @@
 	case isAwaited:
 		q.awaitedUntil = now.Add(ledgerTimeout)
 	}
-	q.former, q.takenBy = nil, 0
+	q.former, q.takenBy, q.hasAnswered = nil, 0, false
 	q.newLedger(now, h)
 }
 
@@ -154,12 +156,33 @@
 	return q.ledger.Levels(now)
 }
 
-// answerPermits answers an instance's message. It returns false if this instance is not the
+// stop returns the error of a message to an instance that issues no permits: a stopError if that is
+// because its lease has been in doubt since steadyUntil or its term has ended, and nobody has got its
+// ledger since.
+func (q *teamQuotas) stop(now, steadyUntil time.Time, m usage.Message) error {
+	ledger, since := q.former, q.endedAt
+	if q.term != 0 {
+		ledger, since = q.ledger, timer.Later(steadyUntil, q.answeredAt)
+		if !q.hasAnswered {
+			ledger = nil
+		}
+	}
+	if ledger == nil || q.takenBy != 0 || since.After(now) {
+		return errNoPermits
+	}
+	if stop, ok := ledger.Stop(now, since, m); ok {
+		return stopError{stop}
+	}
+	return errNoPermits
+}
+
+// answerPermits answers an instance's message. It returns an error if this instance is not the
 // holder, is not sure that it still is, has no configuration, or awaits the ledger of the last
 // holder.
-func (k *coordinator) answerPermits(m usage.Message) (usage.Reply, bool) {
+func (k *coordinator) answerPermits(m usage.Message) (usage.Reply, error) {
 	k.mu.Lock()
 	isSteady := k.status.IsSteady(k.clock.Now()) && k.config != nil
+	steadyUntil := k.status.SteadyUntil()
 	members := len(k.members)
 	k.mu.Unlock()
 	q := k.teamQuotas
@@ -167,16 +190,16 @@
 	defer q.mu.Unlock()
 	now := k.clock.Now()
 	if !isSteady || q.term == 0 || q.takenBy != 0 || now.Before(q.awaitedUntil) {
-		return usage.Reply{}, false
+		return usage.Reply{}, q.stop(now, steadyUntil, m)
 	}
-	q.answeredAt = now
+	q.answeredAt, q.hasAnswered = now, true
 	before := q.ledger.Silent()
 	out := q.ledger.Answer(q.answeredAt, members, m)
 	if silent := q.ledger.Silent(); !slices.Equal(before, silent) {
 		k.log.Info().Int("instances", len(silent)).Strs("names", silent[:min(len(silent), maxLoggedSilent)]).
 			Msg("quotas kept back for silent instances")
 	}
-	return out, true
+	return out, nil
 }
 
 // ledgerRequest asks for the ledger of the last holder for a term.
--- a/internal/edge/permits.go
+++ b/internal/edge/permits.go
@@ -40,9 +40,10 @@
 )
 
 // permitRefusal is the body of the response of an instance that is not the holder, with the
-// holder that it knows.
+// holder that it knows. Stop says that its own ledger has stopped.
 type permitRefusal struct {
 	Holder netip.AddrPort `json:"holder,omitzero"`
+	Stop   *usage.Stop    `json:"stop,omitempty"`
 }
 
 // servePermits answers the message of another instance.
@@ -57,12 +58,15 @@
 		return
 	}
 	acceptMessage(r)
-	out, ok := e.coordinator.answerPermits(m)
-	if ok {
+	out, err := e.coordinator.answerPermits(m)
+	if err == nil {
 		e.writeJSON(w, r, out)
 		return
 	}
 	refusal := permitRefusal{}
+	if stop := (stopError{}); errors.As(err, &stop) {
+		refusal.Stop = &stop.Stop
+	}
 	if s := e.coordinator.holderStatus(); !s.IsHolder {
 		refusal.Holder = s.Holder
 	}
@@ -269,7 +273,12 @@
 		}
 	} else {
 		c.retryAt = now.Add(permitRetryDelay)
-		c.share.Fail(now, sent, why)
+		stop := stopError{}
+		if errors.As(err, &stop) {
+			c.share.Stopped(now, sent, stop.Stop)
+		} else {
+			c.share.Fail(now, sent, why)
+		}
 		if why == usage.HolderDead {
 			c.deadHolder = to.Holder
 		}
@@ -277,12 +286,18 @@
 	if alone := c.share.IsAlone(now); alone != c.isAlone {
 		c.isAlone = alone
 		c.e.log.Warn().Bool("alone", alone).Bool("holderGone", why == usage.NotHolder).
-			Bool("holderDead", why == usage.HolderDead).Str("asked", to.Holder.String()).Err(err).Msg("permits without a holder")
+			Bool("holderDead", why == usage.HolderDead).Bool("ledgerStopped", errors.As(err, &stopError{})).
+			Str("asked", to.Holder.String()).Err(err).Msg("permits without a holder")
 	}
 }
 
 var errNoPermits = trace.CompareFailed("the instance asked for permits is not a steady holder")
 
+// stopError is the error of a message to an instance whose ledger has stopped.
+type stopError struct{ usage.Stop }
+
+func (stopError) Error() string { return "the ledger of the instance asked for permits has stopped" }
+
 // noteHolder notes a change of the holder. It returns when the former holder of a new term was
 // found dead, zero if it was not.
 func (c *permitClient) noteHolder(s elect.Status) (deadAt time.Time) {
@@ -301,13 +316,18 @@
 func (c *permitClient) ask(ctx context.Context, status elect.Status, m usage.Message) (usage.Reply, usage.Failure, error) {
 	switch {
 	case status.IsHolder:
-		r, ok := c.e.coordinator.answerPermits(m)
-		if !ok {
-			return r, usage.NotHolder, errNoPermits
+		r, err := c.e.coordinator.answerPermits(m)
+		if err != nil {
+			return r, usage.NotHolder, err
 		}
 		return r, usage.NoReply, nil
 	case !status.Holder.IsValid():
-		return usage.Reply{}, usage.NotHolder, errNoHolder
+		// The ledger of an own term may have stopped.
+		_, err := c.e.coordinator.answerPermits(m)
+		if !errors.As(err, &stopError{}) {
+			err = errNoHolder
+		}
+		return usage.Reply{}, usage.NotHolder, err
 	}
 	return c.e.peerClient.permits(ctx, status.Holder, m)
 }
@@ -331,6 +351,9 @@
 		if !refusal.Holder.IsValid() {
 			why = usage.NotHolder
 		}
+		if refusal.Stop != nil {
+			return r, why, stopError{*refusal.Stop}
+		}
 		return r, why, errNoPermits
 	case a.status != http.StatusOK:
 		return r, usage.NoReply, trace.CompareFailed("permits from %s: HTTP status %d", to, a.status)
