Quotas: a stop of the ledger is told and charged by team

The charge covered all teams of an instance that was told of a stop, which cost the smallest teams more than they gained. Only the teams whose requests were refused are decided on and charged now.

--- a/internal/coordination/usage/alone.go
+++ b/internal/coordination/usage/alone.go
@@ -63,10 +63,9 @@
 	at    time.Time
 }
 
-// IsAlone reports whether the instance decides without a holder: the holder is dead, its ledger has
-// stopped, or the instance has asked in vain for aloneAfter, and it has not heard of a holder since.
+// IsAlone reports whether the instance decides without a holder: the holder is dead, or the instance has asked in vain for aloneAfter, and it has not heard of a holder since.
 func (s *Share) IsAlone(now time.Time) bool {
-	if !s.deadAt.IsZero() || s.isStopped(now) {
+	if !s.deadAt.IsZero() {
 		return true
 	}
 	if s.failedAt.IsZero() || s.failedAt.Before(s.repliedAt) {
@@ -103,7 +102,7 @@
 		return out
 	}
 	b.spare, b.level = min(b.spare, max(b.spare-d.Amount, 0)), max(saved-needed, 0)
-	if s.isStopped(now) {
+	if s.isStopped(now, t) {
 		t.admitted += d.Amount
 	}
 	p := Permit{Team: d.Team, Amount: d.Amount, Start: now, Until: now.Add(permitLifetime), term: noTerm}
@@ -176,6 +175,11 @@
 				t.alone = aloneBucket{}
 			}
 		}
+		for _, ask := range sent.Message.Asks {
+			if t := s.teams[ask.Team]; t != nil && ask.isForRequest() && sent.at.After(t.toldStopAt) {
+				t.toldStopAt = sent.at
+			}
+		}
 		if sent.at.After(s.toldStopAt) {
 			// The time without a holder that is not heard begins only now.
 			s.toldStopAt, s.failedAt = sent.at, sent.at
@@ -184,9 +188,14 @@
 	s.Fail(now, sent, NotHolder)
 }
 
-// isStopped reports whether the holder has told lately that its ledger has stopped.
-func (s *Share) isStopped(now time.Time) bool {
-	return !s.stoppedAt.IsZero() && now.Sub(s.toldStopAt) < stopTime
+// HasStopped reports whether the holder has told that its ledger has stopped, and no holder has replied
+// since.
+func (s *Share) HasStopped() bool { return !s.stoppedAt.IsZero() }
+
+// isStopped reports whether the holder has told lately that it issues no permits for a team because its
+// ledger has stopped.
+func (s *Share) isStopped(now time.Time, t *teamShare) bool {
+	return !s.stoppedAt.IsZero() && now.Sub(t.toldStopAt) < stopTime
 }
 
 // isLate reports whether a reply was under way when the holder died or its ledger stopped.
@@ -198,6 +207,6 @@
 // canAwaitSuccessor reports whether a request that was refused without a holder may wait for a
 // successor for the rest of its time: after the holder's death, one is about to begin. A ledger that has
 // stopped may also go on.
-func (s *Share) canAwaitSuccessor(o Outcome, now time.Time) bool {
-	return o.Status == OverQuota && (!s.deadAt.IsZero() || s.isStopped(now))
+func (s *Share) canAwaitSuccessor(o Outcome, t *teamShare, now time.Time) bool {
+	return o.Status == OverQuota && (!s.deadAt.IsZero() || s.isStopped(now, t))
 }
--- a/internal/coordination/usage/fleet_test.go
+++ b/internal/coordination/usage/fleet_test.go
@@ -240,7 +240,7 @@
 			return
 		}
 		if !w.stoppedAt.IsZero() {
-			stop, _ := ledger.Stop(w.now, w.stoppedAt, sent.Message)
+			stop := ledger.Stop(w.now, w.stoppedAt, sent.Message)
 			w.at(w.delay(), func() {
 				if m.share == share && !m.cut && !sent.isDone {
 					m.retryAt = w.now.Add(retryDelay)
--- a/internal/coordination/usage/handover.go
+++ b/internal/coordination/usage/handover.go
@@ -1,9 +1,7 @@
 package usage
 
 import (
-	"maps"
 	"math"
-	"slices"
 	"time"
 )
 
@@ -22,9 +20,6 @@
 	IdleMS int64 `json:"idleMs"`
 	// StoppedMS is the time since the ledger stopped, in milliseconds, if instances were told so.
 	StoppedMS int64 `json:"stoppedMs,omitempty"`
-	// ToldStop are these instances, Members the number of all.
-	ToldStop []string `json:"toldStop,omitempty"`
-	Members  int      `json:"members,omitempty"`
 	// Accounts are the buckets by team.
 	Accounts map[string]HandoverAccount `json:"accounts"`
 	// Silent are the instances that may be cut off.
@@ -42,6 +37,8 @@
 	Granted []float64 `json:"granted,omitempty"`
 	// Uses are the recent grants by instance.
 	Uses map[string]float64 `json:"uses,omitempty"`
+	// Stopped are the parts of the quota of the instances that were told of the stop.
+	Stopped map[string]float64 `json:"stopped,omitempty"`
 }
 
 // HandOver returns the state of the Ledger, which grants nothing from then on. endedAt is when
@@ -52,8 +49,7 @@
 		Accounts: make(map[string]HandoverAccount, len(l.accounts)), Silent: l.silent,
 	}
 	if !l.stoppedAt.IsZero() {
-		out.StoppedMS, out.Members = max(now.Sub(l.stoppedAt).Milliseconds(), 1), l.members
-		out.ToldStop = slices.Sorted(maps.Keys(l.toldStop))
+		out.StoppedMS = max(now.Sub(l.stoppedAt).Milliseconds(), 1)
 	}
 	for team, a := range l.accounts {
 		if l.slot(now) < a.calendar.now {
@@ -63,7 +59,7 @@
 		a.calendar.advance(l.slot(now))
 		h := HandoverAccount{
 			Rate: a.rate, Capacity: a.capacity, First: a.calendar.first, Level: a.calendar.base,
-			Uses: make(map[string]float64, len(a.uses)),
+			Uses: make(map[string]float64, len(a.uses)), Stopped: make(map[string]float64),
 		}
 		for slot := h.First; slot <= a.calendar.last; slot++ {
 			h.Granted = append(h.Granted, *a.calendar.at(slot))
@@ -72,6 +68,9 @@
 			if sum := math.Floor(u.value(now)); sum > 0 {
 				h.Uses[name] = sum
 			}
+			if u.stopShare > 0 {
+				h.Stopped[name] = u.stopShare
+			}
 		}
 		out.Accounts[team] = h
 	}
@@ -97,9 +96,7 @@
 		if !ok {
 			continue
 		}
-		if alone > 0 && stop == 0 {
-			a.calendar.grant(h.Slot, min(alonePart*a.rate*alone.Seconds(), max(a.calendar.current(), 0)))
-		}
+		a.chargeSilent(h.Slot, alone)
 		l.accounts[team] = a
 		for name := range a.uses {
 			l.heardAt[name] = now
@@ -113,21 +110,28 @@
 		for name, u := range a.uses {
 			u.told, u.toldAt = min(u.sum/max(a.total.sum, 1), 1), l.heardAt[name]
 		}
-		a.charge(h.Slot, stop, h.ToldStop, h.Members)
+		a.charge(h.Slot, stop)
 	}
 }
 
 // Stop refuses a message, since the Ledger issues no permits since a time. It returns what the instance
-// is told, false if no request of it waits. The Ledger resumes with its next answer.
-func (l *Ledger) Stop(now, since time.Time, m Message) (Stop, bool) {
-	if !slices.ContainsFunc(m.Asks, func(a Ask) bool { return a.Amount > 0 && !a.IsPrefetch }) {
-		return Stop{}, false
-	}
+// is told. It decides on the teams of the requests in the message by itself until the Ledger resumes,
+// which is with its next answer.
+func (l *Ledger) Stop(now, since time.Time, m Message) Stop {
 	if l.stoppedAt.IsZero() {
-		l.stoppedAt, l.toldStop = since, make(map[string]bool)
+		l.stoppedAt = since
+	}
+	for _, ask := range m.Asks {
+		a := l.accounts[ask.Team]
+		if !ask.isForRequest() || a == nil {
+			continue
+		}
+		u := a.use(m.From)
+		if u.stopShare = u.told; u.toldAt.IsZero() {
+			u.stopShare = 1 / float64(l.members)
+		}
 	}
-	l.toldStop[m.From] = true
-	return Stop{Term: l.term, ForMS: now.Sub(l.stoppedAt).Milliseconds()}, true
+	return Stop{Term: l.term, ForMS: now.Sub(l.stoppedAt).Milliseconds()}
 }
 
 // resume charges the buckets for what the instances may have admitted while the Ledger had stopped.
@@ -145,37 +149,42 @@
 			u.toldAt = u.toldAt.Add(d)
 		}
 		a.calendar.advance(l.slot(now))
-		a.charge(a.calendar.now, d, slices.Sorted(maps.Keys(l.toldStop)), l.members)
+		a.charge(a.calendar.now, d)
+		a.chargeSilent(a.calendar.now, d+heartbeatInterval-aloneAfter)
 	}
-	l.stoppedAt, l.toldStop = time.Time{}, nil
+	l.stoppedAt = time.Time{}
 }
 
 // charge takes what the instances that were told of a stop may admit until they notice its end out of a
 // bucket. If that is more than it has, it grants nothing until it is refilled. After a long stop nothing
 // that was reserved can still start, so that an empty bucket is as safe as that of a successor.
-func (a *account) charge(slot int64, stop time.Duration, told []string, members int) {
+func (a *account) charge(slot int64, stop time.Duration) {
 	if stop <= 0 {
 		return
 	}
 	part, sum := alonePart*a.rate*(stop+stopTime).Seconds()+stopSpare*a.capacity, 0.0
-	for _, name := range told {
-		u := a.use(name)
-		u.charged = part / float64(max(members, 1))
-		if !u.toldAt.IsZero() {
-			u.charged = part * u.told
-		}
+	for _, u := range a.uses {
+		u.charged, u.stopShare = part*u.stopShare, 0
 		sum += u.charged
 	}
 	a.chargedAt, a.chargedAll = slot, true
 	if have := max(a.calendar.current(), 0); stop > longStop && sum > have {
-		for _, name := range told {
-			a.uses[name].charged *= have / sum
+		for _, u := range a.uses {
+			u.charged *= have / sum
 		}
 		sum, a.chargedAll = have, false
 	}
 	a.calendar.grant(slot, sum)
 }
 
+// chargeSilent takes what instances that have asked in vain may have admitted in a time out of a bucket,
+// as far as it has that.
+func (a *account) chargeSilent(slot int64, d time.Duration) {
+	if d > 0 {
+		a.calendar.grant(slot, min(alonePart*a.rate*d.Seconds(), max(a.calendar.current(), 0)))
+	}
+}
+
 // settle replaces an instance's part of the charge for a stop by what it has admitted.
 func (l *Ledger) settle(now time.Time, m Message) {
 	for team, a := range l.accounts {
@@ -211,5 +220,8 @@
 		a.use(name).add(now, sum)
 		a.total.add(now, sum)
 	}
+	for name, share := range h.Stopped {
+		a.use(name).stopShare = min(max(share, 0), 1)
+	}
 	return a, true
 }
--- a/internal/coordination/usage/ledger.go
+++ b/internal/coordination/usage/ledger.go
@@ -46,9 +46,7 @@
 	deadAt time.Time
 	// stoppedAt is when the Ledger stopped, if an instance was told so, zero otherwise.
 	stoppedAt time.Time
-	// toldStop are the instances that were told.
-	toldStop map[string]bool
-	accounts map[string]*account
+	accounts  map[string]*account
 	// heardAt is when each instance last sent a message.
 	heardAt map[string]time.Time
 	sweptAt time.Time
@@ -80,6 +78,8 @@
 	average
 	told   float64
 	toldAt time.Time
+	// stopShare is its part of the quota if it was told of the present stop, 0 otherwise.
+	stopShare float64
 	// charged is its part of the charge for a stop, until it tells what it has admitted.
 	charged float64
 }
--- a/internal/coordination/usage/message.go
+++ b/internal/coordination/usage/message.go
@@ -13,6 +13,9 @@
 	IsPrefetch bool `json:"prefetch,omitempty"`
 }
 
+// isForRequest reports whether a request waits for the permit.
+func (a Ask) isForRequest() bool { return a.Amount > 0 && !a.IsPrefetch }
+
 // Answer answers an Ask.
 type Answer struct {
 	// Granted is the amount of the permit, 0 for a refusal, and Slot its place in the
@@ -65,7 +68,7 @@
 }
 
 // Stop tells that the Ledger of a term issues no permits, at least until its holder is certain of its
-// lease again.
+// lease again. It refuses a message, and is about the teams of its requests.
 type Stop struct {
 	Term int64 `json:"term"`
 	// ForMS is the time since the last permit may have been issued, in milliseconds.
--- a/internal/coordination/usage/share.go
+++ b/internal/coordination/usage/share.go
@@ -133,6 +133,8 @@
 	alone           aloneBucket
 	// admitted is what was admitted while the ledger had stopped, until a holder replies.
 	admitted float64
+	// toldStopAt is when the last message with a request of the team was sent to a stopped ledger.
+	toldStopAt time.Time
 }
 
 // refusal is the last refusal of the holder. Until a time, it would refuse any request that
@@ -191,9 +193,9 @@
 	if p, ok := s.takeFromPool(t, d.Amount, now); ok {
 		return Outcome{Permit: p, Share: s.shareOf(t)}, nil
 	}
-	if s.IsAlone(now) {
+	if s.IsAlone(now) || s.isStopped(now, t) {
 		out := s.decideAlone(now, t, d)
-		if !s.canAwaitSuccessor(out, now) {
+		if !s.canAwaitSuccessor(out, t, now) {
 			return out, nil
 		}
 		q := &Pending{Demand: d, done: done, refusal: &out}
@@ -528,9 +530,9 @@
 			s.finish(q, unlimited(now, q.Team))
 		case !now.Before(q.Until) && q.refusal != nil:
 			s.finish(q, *q.refusal)
-		case alone && q.refusal == nil:
+		case q.refusal == nil && (alone || s.isStopped(now, t)):
 			out := s.decideAlone(now, t, q.Demand)
-			if !s.canAwaitSuccessor(out, now) {
+			if !s.canAwaitSuccessor(out, t, now) {
 				s.finish(q, out)
 				continue
 			}
--- a/internal/edge/ledger.go
+++ b/internal/edge/ledger.go
@@ -170,10 +170,7 @@
 	if ledger == nil || q.takenBy != 0 || since.After(now) {
 		return errNoPermits
 	}
-	if stop, ok := ledger.Stop(now, since, m); ok {
-		return stopError{stop}
-	}
-	return errNoPermits
+	return stopError{ledger.Stop(now, since, m)}
 }
 
 // answerPermits answers an instance's message. It returns an error if this instance is not the
--- a/internal/edge/permits.go
+++ b/internal/edge/permits.go
@@ -283,7 +283,7 @@
 			c.deadHolder = to.Holder
 		}
 	}
-	if alone := c.share.IsAlone(now); alone != c.isAlone {
+	if alone := c.share.IsAlone(now) || c.share.HasStopped(); alone != c.isAlone {
 		c.isAlone = alone
 		c.e.log.Warn().Bool("alone", alone).Bool("holderGone", why == usage.NotHolder).
 			Bool("holderDead", why == usage.HolderDead).Bool("ledgerStopped", errors.As(err, &stopError{})).
