--- a/internal/edge/permits_test.go
+++ b/internal/edge/permits_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -155,6 +156,21 @@
 	}
 }
 
+// TestStoppedLedgerIsTold takes the store away from the holder, which refuses permits from then on:
+// other instances must serve a team within its quota at once, and may not wait as for a silent holder.
+func TestStoppedLedgerIsTold(t *testing.T) {
+	r := newQuotaRig(t, 400_000)
+	r.eventually("a holder is elected", func() bool { return r.holder(nil) != nil })
+	holder := r.holder(nil)
+	others := slices.DeleteFunc(slices.Clone(r.edges), func(e *Edge) bool { return e == holder })
+	r.pressTeam(others, 1, 2*time.Second)
+	r.store.Refuse.Store(http.StatusServiceUnavailable)
+	got := r.pressTeam(others, 1, 1500*time.Millisecond)
+	if got[http.StatusOK] < 60 || got[http.StatusServiceUnavailable] > 0 {
+		t.Errorf("statuses while the holder has no store: %v, wanted 200 only", got)
+	}
+}
+
 // TestLedgerIsHandedOver stops the holder as planned: the successor must continue with the levels
 // of its buckets, so that no request of a team within its quota is over it, and nobody may get
 // them a second time.
