--- a/internal/coordination/usage/doc.go
+++ b/internal/coordination/usage/doc.go
@@ -9,6 +9,7 @@
 //	Share.Apply      the asks get their outcomes
 //	Share.Return     a permit whose request never ran is returned with the next message
 //	Share.Fail       a message has no reply: its asks are repeated
+//	Ledger.Stop      the holder's lease is in doubt: it tells so, and Share.Stopped decides without it
 //	Ledger.HandOver  the former holder gives up its state, with which Ledger.TakeOver goes on
 //
 // A permit has a start and an expiry, so that a window of time has no more than the rate of
