Merge of the quotas while a holder that is alive has lost its lease

Its refusal says that the ledger has stopped; instances decide at once, and what they may have admitted is charged when the ledger resumes or is handed over.

--- a/internal/coordination/usage/handover.go
+++ b/internal/coordination/usage/handover.go
@@ -18,6 +18,8 @@
 	Slot int64 `json:"slot"`
 	// IdleMS is the time since the former holder stopped issuing permits, in milliseconds.
 	IdleMS int64 `json:"idleMs"`
+	// StoppedMS is the time since the ledger stopped, in milliseconds, if instances were told so.
+	StoppedMS int64 `json:"stoppedMs,omitempty"`
 	// Accounts are the buckets by team.
 	Accounts map[string]HandoverAccount `json:"accounts"`
 	// Silent are the instances that may be cut off.
@@ -35,6 +37,8 @@
 	Granted []float64 `json:"granted,omitempty"`
 	// Uses are the recent grants by instance.
 	Uses map[string]float64 `json:"uses,omitempty"`
+	// Stopped are the parts of the quota of the instances that were told of the stop.
+	Stopped map[string]float64 `json:"stopped,omitempty"`
 }
 
 // HandOver returns the state of the Ledger, which grants nothing from then on. endedAt is when
@@ -44,6 +48,9 @@
 		Term: l.term, Slot: l.slot(now), IdleMS: now.Sub(endedAt).Milliseconds(),
 		Accounts: make(map[string]HandoverAccount, len(l.accounts)), Silent: l.silent,
 	}
+	if !l.stoppedAt.IsZero() {
+		out.StoppedMS = max(now.Sub(l.stoppedAt).Milliseconds(), 1)
+	}
 	for team, a := range l.accounts {
 		if l.slot(now) < a.calendar.now {
 			// The bucket has not opened yet, so that it holds nothing.
@@ -52,7 +59,7 @@
 		a.calendar.advance(l.slot(now))
 		h := HandoverAccount{
 			Rate: a.rate, Capacity: a.capacity, First: a.calendar.first, Level: a.calendar.base,
-			Uses: make(map[string]float64, len(a.uses)),
+			Uses: make(map[string]float64, len(a.uses)), Stopped: make(map[string]float64),
 		}
 		for slot := h.First; slot <= a.calendar.last; slot++ {
 			h.Granted = append(h.Granted, *a.calendar.at(slot))
@@ -61,6 +68,9 @@
 			if sum := math.Floor(u.value(now)); sum > 0 {
 				h.Uses[name] = sum
 			}
+			if u.stopShare > 0 {
+				h.Stopped[name] = u.stopShare
+			}
 		}
 		out.Accounts[team] = h
 	}
@@ -74,19 +84,19 @@
 // Instances that have asked in vain since the end of that term may have decided without a
 // holder, and go on until their next message; what they have admitted is taken from the
 // buckets, but no more than these have, since a successor without a ledger starts with empty
-// buckets as well.
+// buckets as well. What others may have admitted because they were told that the ledger has stopped is
+// taken in full: it begins before the reservations of that term have ended.
 func (l *Ledger) TakeOver(now time.Time, h *Handover) {
 	l.start = now.Add(-time.Duration(h.Slot) * slotTime)
 	l.former, l.silent = h.Term, h.Silent
+	stop := time.Duration(h.StoppedMS) * time.Millisecond
 	alone := time.Duration(h.IdleMS)*time.Millisecond + heartbeatInterval - aloneAfter
 	for team, account := range h.Accounts {
 		a, ok := account.restore(now, h.Slot)
 		if !ok {
 			continue
 		}
-		if alone > 0 {
-			a.calendar.grant(h.Slot, min(alonePart*a.rate*alone.Seconds(), max(a.calendar.current(), 0)))
-		}
+		a.chargeSilent(h.Slot, alone)
 		l.accounts[team] = a
 		for name := range a.uses {
 			l.heardAt[name] = now
@@ -100,6 +110,96 @@
 		for name, u := range a.uses {
 			u.told, u.toldAt = min(u.sum/max(a.total.sum, 1), 1), l.heardAt[name]
 		}
+		a.charge(h.Slot, stop)
+	}
+}
+
+// Stop refuses a message, since the Ledger issues no permits since a time. It returns what the instance
+// is told. It decides on the teams of the requests in the message by itself until the Ledger resumes,
+// which is with its next answer.
+func (l *Ledger) Stop(now, since time.Time, m Message) Stop {
+	if l.stoppedAt.IsZero() {
+		l.stoppedAt = since
+	}
+	for _, ask := range m.Asks {
+		a := l.accounts[ask.Team]
+		if !ask.isForRequest() || a == nil {
+			continue
+		}
+		u := a.use(m.From)
+		if u.stopShare = u.told; u.toldAt.IsZero() {
+			u.stopShare = 1 / float64(l.members)
+		}
+	}
+	return Stop{Term: l.term, ForMS: now.Sub(l.stoppedAt).Milliseconds()}
+}
+
+// resume charges the buckets for what the instances may have admitted while the Ledger had stopped.
+// None counts as silent for that time.
+func (l *Ledger) resume(now time.Time) {
+	if l.stoppedAt.IsZero() {
+		return
+	}
+	d := now.Sub(l.stoppedAt)
+	for name, at := range l.heardAt {
+		l.heardAt[name] = at.Add(d)
+	}
+	for _, a := range l.accounts {
+		for _, u := range a.uses {
+			u.toldAt = u.toldAt.Add(d)
+		}
+		a.calendar.advance(l.slot(now))
+		a.charge(a.calendar.now, d)
+		a.chargeSilent(a.calendar.now, d+heartbeatInterval-aloneAfter)
+	}
+	l.stoppedAt = time.Time{}
+}
+
+// charge takes what the instances that were told of a stop may admit until they notice its end out of a
+// bucket. If that is more than it has, it grants nothing until it is refilled. After a long stop nothing
+// that was reserved can still start, so that an empty bucket is as safe as that of a successor.
+func (a *account) charge(slot int64, stop time.Duration) {
+	if stop <= 0 {
+		return
+	}
+	part, sum := alonePart*a.rate*(stop+stopTime).Seconds()+stopSpare*a.capacity, 0.0
+	for _, u := range a.uses {
+		u.charged, u.stopShare = part*u.stopShare, 0
+		sum += u.charged
+	}
+	a.chargedAt, a.chargedAll = slot, true
+	if have := max(a.calendar.current(), 0); stop > longStop && sum > have {
+		for _, u := range a.uses {
+			u.charged *= have / sum
+		}
+		sum, a.chargedAll = have, false
+	}
+	a.calendar.grant(slot, sum)
+}
+
+// chargeSilent takes what instances that have asked in vain may have admitted in a time out of a bucket,
+// as far as it has that.
+func (a *account) chargeSilent(slot int64, d time.Duration) {
+	if d > 0 {
+		a.calendar.grant(slot, min(alonePart*a.rate*d.Seconds(), max(a.calendar.current(), 0)))
+	}
+}
+
+// settle replaces an instance's part of the charge for a stop by what it has admitted.
+func (l *Ledger) settle(now time.Time, m Message) {
+	for team, a := range l.accounts {
+		u := a.uses[m.From]
+		if u == nil || u.charged == 0 && m.Admitted[team] == 0 {
+			continue
+		}
+		more := max(m.Admitted[team], 0) - u.charged
+		u.charged = 0
+		a.calendar.advance(l.slot(now))
+		if more <= 0 {
+			a.calendar.giveBack(a.chargedAt, -more)
+		} else if a.chargedAll {
+			a.calendar.grant(a.calendar.now, min(more, a.capacity))
+		}
 	}
 }
 
@@ -120,5 +220,8 @@
 		a.use(name).add(now, sum)
 		a.total.add(now, sum)
 	}
+	for name, share := range h.Stopped {
+		a.use(name).stopShare = min(max(share, 0), 1)
+	}
 	return a, true
 }
--- a/internal/coordination/usage/ledger.go
+++ b/internal/coordination/usage/ledger.go
@@ -43,8 +43,10 @@
 	// start is the beginning of slot 0, openFrom that of the term.
 	start, openFrom time.Time
 	// deadAt is when the last holder was found dead, zero if it was not.
-	deadAt   time.Time
-	accounts map[string]*account
+	deadAt time.Time
+	// stoppedAt is when the Ledger stopped, if an instance was told so, zero otherwise.
+	stoppedAt time.Time
+	accounts  map[string]*account
 	// heardAt is when each instance last sent a message.
 	heardAt map[string]time.Time
 	sweptAt time.Time
@@ -65,6 +67,9 @@
 	calendar *calendar
 	uses     map[string]*use
 	total    average
+	// chargedAt is the slot of the last charge for a stop, chargedAll whether nothing was left out.
+	chargedAt  int64
+	chargedAll bool
 }
 
 // use is what an instance uses of a team's quota. told is the part that it was told of at
@@ -73,6 +78,10 @@
 	average
 	told   float64
 	toldAt time.Time
+	// stopShare is its part of the quota if it was told of the present stop, 0 otherwise.
+	stopShare float64
+	// charged is its part of the charge for a stop, until it tells what it has admitted.
+	charged float64
 }
 
 // average is an exponentially decaying sum.
@@ -154,12 +163,14 @@
 // Answer answers a message. members is the number of instances.
 func (l *Ledger) Answer(now time.Time, members int, m Message) Reply {
 	l.members = max(members, 1)
+	l.resume(now)
 	l.heardAt[m.From] = now
 	l.sweep(now)
 	if m.Term == l.term || l.former != 0 && m.Term == l.former {
 		for _, r := range m.Returns {
 			l.takeBack(now, m.From, r)
 		}
+		l.settle(now, m)
 	}
 	if m.IsIdle {
 		l.forget(m.From)
