Shorter tests of accepted connections

Names and cases of all tests are the same as before (go test -list and -v), as are bounds and assertions; two failure messages name the circumstance first. The time limit of 5 s on a connection now begins when it is opened in TestIdleTimeoutChange, too.

--- a/internal/transport/accept/conn_test.go
+++ b/internal/transport/accept/conn_test.go
@@ -65,16 +65,24 @@
 	_, _ = fmt.Fprintf(w, "%d", n)
 }
 
-// exchange sends text on one connection and returns the statuses and bodies of up to
-// answers responses.
-func (s *served) exchange(t testing.TB, text string, answers int) []string {
+// dial opens a connection from a loopback address, which is closed when the test ends.
+func (s *served) dial(t testing.TB, from string) net.Conn {
 	t.Helper()
-	c, err := net.Dial("tcp", s.addr)
+	c, err := (&net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}).Dial("tcp", s.addr)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer c.Close()
+	t.Cleanup(func() { c.Close() })
 	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	return c
+}
+
+// exchange sends text on one connection and returns the statuses and bodies of up to
+// answers responses.
+func (s *served) exchange(t testing.TB, text string, answers int) []string {
+	t.Helper()
+	c := s.dial(t, "127.0.0.1")
+	defer c.Close()
 	go func() { _, _ = io.WriteString(c, text) }()
 	var out []string
 	for r := bufio.NewReader(c); len(out) < answers; {
@@ -89,6 +97,7 @@
 }
 
 const (
+	hold    = "GET /hold HTTP/1.1\r\nHost: h\r\n\r\n"
 	get     = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 	post    = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello"
 	chunked = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
@@ -157,19 +166,14 @@
 func TestConnectionLimit(t *testing.T) {
 	s := serve(t, 0, Limits{}, WithMaxConns(2))
 	dial := func(text string) net.Conn {
-		c, err := net.Dial("tcp", s.addr)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { c.Close() })
-		_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+		c := s.dial(t, "127.0.0.1")
 		_, _ = io.WriteString(c, text)
 		time.Sleep(50 * time.Millisecond)
 		return c
 	}
-	busy := dial("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n")
+	busy := dial(hold)
 	partial := dial("GET /hold HTTP/1.1\r\n")
-	second := dial("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n")
+	second := dial(hold)
 	if got := status(partial); got != "end" {
 		t.Errorf("the incomplete head got %s", got)
 	}
@@ -191,25 +195,22 @@
 	const slowRequest = time.Second
 	pool := NewPool(5)
 	s := serve(t, 0, Limits{}, WithMaxConns(4), WithPool(pool, 1), WithControlRules(slowRequest))
-	dialFrom := func(ip string) net.Conn {
-		c, err := (&net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}).Dial("tcp", s.addr)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { c.Close() })
-		_ = c.SetDeadline(time.Now().Add(5 * time.Second))
-		return c
-	}
-	dial := func() net.Conn { return dialFrom("127.0.0.1") }
+	dial := func() net.Conn { return s.dial(t, "127.0.0.1") }
 	ask := func(c net.Conn, path string) string {
 		_, _ = io.WriteString(c, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
 		return status(c)
 	}
+	expect := func(c net.Conn, path, want, what string) {
+		t.Helper()
+		if got := ask(c, path); got != want {
+			t.Errorf("%s got %s", what, got)
+		}
+	}
 	known := dial()
 	if got := ask(known, "/known"); got != "200 OK" {
 		t.Fatalf("the first got %s", got)
 	}
-	other := dialFrom("127.0.0.2")
+	other := s.dial(t, "127.0.0.2")
 	// Each of these has been answered, or is silent, and gives way to a later one.
 	for n := range 20 {
 		c := dial()
@@ -219,36 +220,26 @@
 			}
 		}
 	}
-	if got := ask(known, "/known"); got != "200 OK" {
-		t.Errorf("the connection with a valid message got %s", got)
-	}
-	if got := ask(other, "/"); got != "200 OK" {
-		t.Errorf("the only connection from another address got %s", got)
-	}
+	expect(known, "/known", "200 OK", "the connection with a valid message")
+	expect(other, "/", "200 OK", "the only connection from another address")
 	other.Close()
 	time.Sleep(50 * time.Millisecond)
 	// Requests in progress are not closed, nor is the known connection for many unknown.
 	var busy []net.Conn
 	for range 3 {
 		c := dial()
-		_, _ = io.WriteString(c, "GET /hold HTTP/1.1\r\nHost: h\r\n\r\n")
+		_, _ = io.WriteString(c, hold)
 		busy = append(busy, c)
 		time.Sleep(50 * time.Millisecond)
 	}
 	if got := ask(dial(), "/"); got != "503 Service Unavailable" && got != "end" {
 		t.Errorf("one connection too many got %s", got)
 	}
-	if got := ask(known, "/known"); got != "200 OK" {
-		t.Errorf("the connection with a valid message got %s beside busy ones", got)
-	}
+	expect(known, "/known", "200 OK", "beside busy ones the connection with a valid message")
 	// After slowRequest they may be closed.
 	time.Sleep(slowRequest)
-	if got := ask(dial(), "/"); got != "200 OK" {
-		t.Errorf("a new connection got %s beside slow requests", got)
-	}
-	if got := ask(busy[0], "/"); got != "end" {
-		t.Errorf("the oldest slow request got %s", got)
-	}
+	expect(dial(), "/", "200 OK", "beside slow requests a new connection")
+	expect(busy[0], "/", "end", "the oldest slow request")
 	close(s.release)
 	if got := s.l.count(); got > 4 || got != pool.control {
 		t.Errorf("%d connections use %d descriptors", got, pool.control)
@@ -261,27 +252,20 @@
 	if !pool.take(5-pool.control, false) || pool.take(1, false) || pool.take(1, true) {
 		t.Error("the pool of 5 does not end there")
 	}
-	if got := ask(dial(), "/"); got != "200 OK" {
-		t.Errorf("with an empty pool a new connection got %s", got)
-	}
+	expect(dial(), "/", "200 OK", "with an empty pool a new connection")
 }
 
 // TestIdleTimeoutChange guards against an idle timeout that does not apply to connections
 // that are idle when it changes.
 func TestIdleTimeoutChange(t *testing.T) {
 	s := serve(t, 0, Limits{IdleTimeout: time.Minute})
-	c, err := net.Dial("tcp", s.addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
+	c := s.dial(t, "127.0.0.1")
 	_, _ = io.WriteString(c, get)
 	r := bufio.NewReader(c)
 	if _, err := http.ReadResponse(r, nil); err != nil {
 		t.Fatal(err)
 	}
 	s.l.SetLimits(Limits{IdleTimeout: 50 * time.Millisecond})
-	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
 	if _, err := io.Copy(io.Discard, r); err != nil {
 		t.Errorf("the connection stays open: %v", err)
 	}
