Shorter tests of an instance

The table of targets that end before their bodies keeps only the column in which its cases differ. The rig with keys waits for a holder itself, as both of its tests did.

Names and cases of all tests are the same as before (go test -list and -v), as are bounds and assertions.

--- a/internal/edge/changes_test.go
+++ b/internal/edge/changes_test.go
@@ -75,12 +75,9 @@
 	f.replaceDeskTarget(maxUpdateAge + 600*time.Millisecond)
 	f.eventually("a new holder is elected", func() bool { return f.rig.holder(f.holder) != nil })
 	f.eventually("all instances have fresh updates", func() bool {
-		for _, e := range f.others {
-			if !e.coordinator.holderStatus().IsHolder && !e.hasFreshUpdates() {
-				return false
-			}
-		}
-		return true
+		return holdsForAll(f.others, func(e *Edge) bool {
+			return e.coordinator.holderStatus().IsHolder || e.hasFreshUpdates()
+		})
 	})
 	// A watch of the holder's key that began before they stopped watching it ends now.
 	checkStoreCalls(1)
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -10,6 +10,7 @@
 	"net/http/httputil"
 	"net/netip"
 	"net/url"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -157,6 +158,11 @@
 	r.t.Fatalf("condition not met within ten seconds: %s", what)
 }
 
+// holdsForAll tells whether a condition holds for all of some instances.
+func holdsForAll(edges []*Edge, holds func(*Edge) bool) bool {
+	return !slices.ContainsFunc(edges, func(e *Edge) bool { return !holds(e) })
+}
+
 func (r *rig) call(e *Edge, path, model string) (int, string) {
 	return r.callWithKey(e, path, model, "")
 }
@@ -276,12 +282,10 @@
 	r.store.List(t, r.targets["d1"], "desk", "ready")
 	r.store.Unlist("d2")
 	r.eventually("all instances follow later changes", func() bool {
-		for _, e := range r.edges {
-			if _, body := r.call(e, "/app/", ""); body != "answer of d1" {
-				return false
-			}
-		}
-		return true
+		return holdsForAll(r.edges, func(e *Edge) bool {
+			_, body := r.call(e, "/app/", "")
+			return body == "answer of d1"
+		})
 	})
 }
 
--- a/internal/edge/ends_test.go
+++ b/internal/edge/ends_test.go
@@ -40,25 +40,19 @@
 // although its target has ended before it was, as a leaving target does when its time is
 // over.
 func TestTargetEndsBeforeItsBody(t *testing.T) {
-	for _, c := range []struct {
-		name, target, service, path, model, body string
-		isLeaving                                bool
-	}{
-		{"stream", "e1", "llm", "/chat/", "m1", fake.Event(1), false},
-		{"stream of a leaving target", "e1", "llm", "/chat/", "m1", fake.Event(1), true},
-	} {
-		t.Run(c.name, func(t *testing.T) {
+	for name, isLeaving := range map[string]bool{"stream": false, "stream of a leaving target": true} {
+		t.Run(name, func(t *testing.T) {
 			r := newRig(t, 1)
-			e, f := r.edges[0], r.targets[c.target]
-			began, release := unframedBody(r, f, c.body)
+			e, f := r.edges[0], r.targets["e1"]
+			began, release := unframedBody(r, f, fake.Event(1))
 			got := make(chan int, 1)
 			go func() {
-				status, _ := r.call(e, c.path, c.model)
+				status, _ := r.call(e, "/chat/", "m1")
 				got <- status
 			}()
 			<-began
-			if c.isLeaving {
-				r.store.List(t, f, c.service, "draining")
+			if isLeaving {
+				r.store.List(t, f, "llm", "draining")
 				r.eventually("the target is known to be leaving", func() bool {
 					return e.picker.IsLeaving(fleet.Identity{ID: f.ID, Born: f.Born})
 				})
--- a/internal/edge/follower_test.go
+++ b/internal/edge/follower_test.go
@@ -12,33 +12,42 @@
 	"chivecroft.example/chivecroft/platform/fake"
 )
 
-// TestFollowerReadsStoreWhenHolderFetchFails has fresh updates report a newer revision
-// that the holder fails to send. The follower must read it from the store.
-func TestFollowerReadsStoreWhenHolderFetchFails(t *testing.T) {
-	f := fake.NewStore(t)
-	f.Write(t, "op/config", map[string]any{"version": 3})
-	f.Slow.Store(int64(4 * idlePollInterval))
+// startFollower runs a follower of the configuration in a store until the test ends, and
+// returns the revisions of the lists that it reads.
+func startFollower(t *testing.T, store *fake.Store, configure func(*follower)) <-chan ports.Revision {
 	l := discardLogger()
-	got := make(chan ports.Item, 1)
+	got := make(chan ports.Revision, 1)
 	fd := &follower{
-		name: "config", prefix: "op/config", store: platform.NewStore(t.Context(), f.Addr()),
+		name: "config", prefix: "op/config", store: platform.NewStore(t.Context(), store.Addr()),
 		health: newStoreHealth(timer.NewSystem(), l), log: l,
-		applyList:       func(items []ports.Item) { got <- items[0] },
-		applyChange:     func(ports.Revision, ports.Item) {},
-		hasFreshUpdates: func() bool { return true }, onIdle: func() {},
-		fetchFromHolder: func(context.Context) ([]ports.Item, bool) { return nil, false },
-		needsList:       func() bool { return false }, canAskReaders: func() bool { return false },
-		isHolder: func() bool { return false },
-		clock:    timer.NewBoot(), updateAge: func() time.Duration { return 0 },
+		applyList:   func(items []ports.Item) { got <- items[0].Revision },
+		applyChange: func(ports.Revision, ports.Item) {}, onIdle: func() {},
+		needsList: func() bool { return false }, canAskReaders: func() bool { return false },
+		isHolder: func() bool { return false }, clock: timer.NewBoot(),
 	}
-	fd.noteUpdate(1, 0)
+	configure(fd)
 	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
+	t.Cleanup(cancel)
 	go fd.run(ctx)
+	return got
+}
+
+// TestFollowerReadsStoreWhenHolderFetchFails has fresh updates report a newer revision
+// that the holder fails to send. The follower must read it from the store.
+func TestFollowerReadsStoreWhenHolderFetchFails(t *testing.T) {
+	f := fake.NewStore(t)
+	f.Write(t, "op/config", map[string]any{"version": 3})
+	f.Slow.Store(int64(4 * idlePollInterval))
+	got := startFollower(t, f, func(fd *follower) {
+		fd.hasFreshUpdates = func() bool { return true }
+		fd.updateAge = func() time.Duration { return 0 }
+		fd.fetchFromHolder = func(context.Context) ([]ports.Item, bool) { return nil, false }
+		fd.noteUpdate(1, 0)
+	})
 	select {
-	case item := <-got:
-		if item.Revision != 1 {
-			t.Errorf("read revision %d", item.Revision)
+	case revision := <-got:
+		if revision != 1 {
+			t.Errorf("read revision %d", revision)
 		}
 	case <-time.After(5 * time.Second):
 		t.Error("the newer revision is never read")
@@ -51,30 +60,19 @@
 	store := fake.NewStore(t)
 	store.Write(t, "op/config", map[string]any{"version": 3})
 	store.Refuse.Store(http.StatusServiceUnavailable)
-	l := discardLogger()
-	got := make(chan ports.Revision, 1)
 	copies := 0
-	fd := &follower{
-		name: "config", prefix: "op/config", store: platform.NewStore(t.Context(), store.Addr()),
-		health: newStoreHealth(timer.NewSystem(), l), log: l,
-		applyList:       func(items []ports.Item) { got <- items[0].Revision },
-		applyChange:     func(ports.Revision, ports.Item) {},
-		hasFreshUpdates: func() bool { return false }, onIdle: func() {},
-		readCopy: func() ([]ports.Item, ports.Revision, bool) {
+	got := startFollower(t, store, func(fd *follower) {
+		fd.hasFreshUpdates = func() bool { return false }
+		fd.updateAge = func() time.Duration { return time.Hour }
+		fd.readCopy = func() ([]ports.Item, ports.Revision, bool) {
 			copies++
 			if copies < 3 {
 				return nil, 0, false
 			}
 			store.Refuse.Store(0)
 			return []ports.Item{{Key: "op/config", Revision: 42}}, 42, true
-		},
-		needsList: func() bool { return false }, canAskReaders: func() bool { return false },
-		isHolder: func() bool { return false },
-		clock:    timer.NewBoot(), updateAge: func() time.Duration { return time.Hour },
-	}
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	go fd.run(ctx)
+		}
+	})
 	select {
 	case revision := <-got:
 		if revision != 42 {
--- a/internal/edge/load_test.go
+++ b/internal/edge/load_test.go
@@ -13,6 +13,16 @@
 	"chivecroft.example/chivecroft/internal/state/timer"
 )
 
+// acquire reserves a target of the plain service for a request that arrives now.
+func acquire(t *testing.T, p *picker.Picker, now time.Time, exclude ...fleet.Identity) *picker.Reservation {
+	t.Helper()
+	s, err := p.Acquire(t.Context(), picker.Request{Service: "desk", Arrived: now, Deadline: now.Add(time.Second), Exclude: exclude})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
 // TestLoadOfOthers exchanges messages of two instances with a holder. It guards against a
 // load that is counted for another target or twice, also for plain services.
 func TestLoadOfOthers(t *testing.T) {
@@ -49,27 +59,17 @@
 	}
 	exchange(busy, "i2")
 	exchange(idle, "i3")
-	choose := func(p *picker.Picker, exclude string) *picker.Reservation {
-		t.Helper()
-		s, err := p.Acquire(t.Context(), picker.Request{
-			Service: "desk", Arrived: clock.Now(), Deadline: clock.Now().Add(time.Second),
-			Exclude: []fleet.Identity{{ID: exclude, Born: 1}},
-		})
-		if err != nil {
-			t.Fatal(err)
-		}
-		return s
-	}
+	one, two := fleet.Identity{ID: "one", Born: 1}, fleet.Identity{ID: "two", Born: 1}
 	for range 6 {
-		choose(busy, "two")
+		acquire(t, busy, clock.Now(), two)
 	}
 	clock.Advance(time.Second)
 	exchange(busy, "i2")
 	exchange(idle, "i3")
 	var got []float64
 	for _, p := range []*picker.Picker{busy, idle} {
-		for _, other := range []string{"two", "one"} {
-			s := choose(p, other)
+		for _, other := range []fleet.Identity{two, one} {
+			s := acquire(t, p, clock.Now(), other)
 			got = append(got, s.Load)
 			s.Release(picker.Outcome{})
 		}
--- a/internal/edge/proof_test.go
+++ b/internal/edge/proof_test.go
@@ -31,7 +31,8 @@
 	return resp, err
 }
 
-// newKeyRig returns a rig with bounded revocation whose team red has the key k1.
+// newKeyRig returns a rig with a holder and bounded revocation, whose team red has the key
+// k1.
 func newKeyRig(t *testing.T, instances int) *rig {
 	r := newRig(t, 0)
 	r.revocation = testRevocation
@@ -41,6 +42,7 @@
 		r.start()
 	}
 	r.eventually("all instances accept the key", func() bool { return r.statuses("k1", nil) == http.StatusOK })
+	r.eventually("a holder is elected", func() bool { return r.holder(nil) != nil })
 	return r
 }
 
@@ -67,7 +69,6 @@
 // new keys.
 func TestRevokedKeyWhileCutOff(t *testing.T) {
 	r := newKeyRig(t, 4)
-	r.eventually("a holder is elected", func() bool { return r.holder(nil) != nil })
 	var alone *Edge
 	for _, e := range r.edges {
 		if e != r.holder(nil) {
@@ -141,7 +142,6 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			r := newKeyRig(t, 5)
-			r.eventually("a holder is elected", func() bool { return r.holder(nil) != nil })
 			time.Sleep(time.Second)
 			lost := disturb(r)
 			for end := time.Now().Add(testRevocation + 2*time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
--- a/internal/edge/relay_test.go
+++ b/internal/edge/relay_test.go
@@ -30,6 +30,11 @@
 	return newFleetWithReaders(t, instances, func(r *rig) { r.relayZoneSize = smallZoneSize })
 }
 
+// peerOf returns the address at which instance i gets messages in tests without a network.
+func peerOf(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1)
+}
+
 // TestOnlyRelaysSendToTheHolder guards against messages to the holder that grow with the
 // zone, and against instances that the holder takes for lost since relays report them. A
 // new target and a new configuration must reach all instances through the relays.
@@ -41,12 +46,10 @@
 	f.replaceDeskTarget(time.Second)
 	f.config(9, "/ninth/")
 	f.eventually("all have the configuration", func() bool {
-		for _, e := range f.edges {
-			if status, _ := f.call(e, "/ninth/", ""); status != http.StatusOK {
-				return false
-			}
-		}
-		return true
+		return holdsForAll(f.edges, func(e *Edge) bool {
+			status, _ := f.call(e, "/ninth/", "")
+			return status == http.StatusOK
+		})
 	})
 	if got := f.holder.coordinator.counts(); got != [2]int{7, 3} {
 		t.Errorf("%d instances, %d of them send to the holder", got[0], got[1])
@@ -61,8 +64,7 @@
 	k.setHasFullList(true)
 	k.setHolder(true)
 	send := func(i int, hadRelays bool) bool {
-		peer := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1)
-		r, _ := k.handleExchange(exchangeRequest{From: targetName(i), Zone: "a", Peer: peer, HadRelays: hadRelays})
+		r, _ := k.handleExchange(exchangeRequest{From: targetName(i), Zone: "a", Peer: peerOf(i), HadRelays: hadRelays})
 		return r.HasRelays
 	}
 	got := []bool{send(1, false), send(1, true)}
@@ -95,21 +97,13 @@
 // the others, or count their own requests among these.
 func TestLoadOfOthersBehindRelays(t *testing.T) {
 	f := newFleetWithRelays(t, 7)
-	acquire := func(e *Edge) *picker.Reservation {
-		t.Helper()
-		now := e.timer.Now()
-		s, err := e.picker.Acquire(t.Context(), picker.Request{Service: "desk", Arrived: now, Deadline: now.Add(time.Second)})
-		if err != nil {
-			t.Fatal(err)
-		}
-		return s
-	}
+	busy := f.others[0]
 	for range 3 {
-		defer acquire(f.others[0]).Release(picker.Outcome{})
+		defer acquire(t, busy.picker, busy.timer.Now()).Release(picker.Outcome{})
 	}
 	for _, e := range f.edges {
 		f.eventually(e.boot.Instance+" knows the three requests", func() bool {
-			s := acquire(e)
+			s := acquire(t, e.picker, e.timer.Now())
 			defer s.Release(picker.Outcome{})
 			return s.Load == 3
 		})
@@ -122,12 +116,7 @@
 	f.readers[0].kill()
 	f.replaceDeskTarget(exchangeInterval + relayTimeout + time.Second)
 	f.eventually("all instances have fresh updates through a relay", func() bool {
-		for _, e := range f.others {
-			if !e.hasFreshUpdates() {
-				return false
-			}
-		}
-		return f.holder.coordinator.counts()[1] <= 3
+		return holdsForAll(f.others, (*Edge).hasFreshUpdates) && f.holder.coordinator.counts()[1] <= 3
 	})
 }
 
@@ -139,15 +128,9 @@
 	f.holder.Stop()
 	f.eventually("all instances know the new holder", func() bool {
 		next := f.rig.holder(f.holder)
-		if next == nil {
-			return false
-		}
-		for _, e := range f.others {
-			if e.coordinator.holderStatus().Holder != next.boot.Peer && e != next {
-				return false
-			}
-		}
-		return true
+		return next != nil && holdsForAll(f.others, func(e *Edge) bool {
+			return e == next || e.coordinator.holderStatus().Holder == next.boot.Peer
+		})
 	})
 }
 
@@ -202,8 +185,7 @@
 	k := newTestCoordinator(t)
 	k.setHasFullList(true)
 	k.setHolder(true)
-	peer := netip.MustParseAddrPort("10.0.0.1:1")
-	live := []relay.Child{{Name: "i3", Zone: "a", Peer: peer, Cores: 0.5}}
+	live := []relay.Child{{Name: "i3", Zone: "a", Peer: peerOf(1), Cores: 0.5}}
 	k.handleExchange(exchangeRequest{From: "i3", Seq: 1})
 	var got [][2]int
 	var known uint64
@@ -218,7 +200,7 @@
 	if diff := cmp.Diff([][2]int{{2, 1}, {2, 1}, {2, 1}}, got); diff != "" {
 		t.Errorf("members and senders (-want +got):\n%s", diff)
 	}
-	if k.members["i3"].peer != peer || relay.NameChildren(live, known).List != nil {
+	if k.members["i3"].peer != peerOf(1) || relay.NameChildren(live, known).List != nil {
 		t.Errorf("member %+v, known %d", k.members["i3"], known)
 	}
 }
@@ -234,8 +216,7 @@
 	k.setHasFullList(true)
 	k.setHolder(true)
 	send := func(i int, needsFull bool) exchangeReply {
-		peer := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1)
-		r, _ := k.handleExchange(exchangeRequest{From: targetName(i), Zone: "a", Peer: peer, Cores: 1 / float64(i), NeedsFull: needsFull})
+		r, _ := k.handleExchange(exchangeRequest{From: targetName(i), Zone: "a", Peer: peerOf(i), Cores: 1 / float64(i), NeedsFull: needsFull})
 		return r
 	}
 	for i := range 6 {
@@ -271,12 +252,7 @@
 	f.holder.kill()
 	f.replaceDeskTarget(maxUpdateAge + 600*time.Millisecond)
 	f.eventually("all instances have fresh updates", func() bool {
-		for _, e := range f.edges {
-			if e != f.holder && !e.isHolder() && !e.hasFreshUpdates() {
-				return false
-			}
-		}
-		return true
+		return holdsForAll(f.edges, func(e *Edge) bool { return e == f.holder || e.isHolder() || e.hasFreshUpdates() })
 	})
 }
 
