Shorter tests with crowds

Names and cases of all tests are the same as before (go test -list), as are sizes, limits and assertions.

--- a/cmd/chivecroft/memory_control_test.go
+++ b/cmd/chivecroft/memory_control_test.go
@@ -22,23 +22,15 @@
 // misuse plays a client that keeps a connection: one that is silent, one whose head does not
 // end, one whose body stops just short of its end, and one that asks without reading.
 func misuse(n int, c net.Conn, paths [2]string) {
-	var err error
 	switch n % 4 {
 	case 0:
 	case 1:
-		for lines := shortLines(n); err == nil; {
-			_, err = io.WriteString(c, head(n, paths[0])+lines)
-		}
+		writeWithoutEnd(c, head(n, paths[0])+shortLines(n))
 	case 2:
 		_, _ = io.WriteString(c, head(n, paths[0])+fmt.Sprintf("Content-Length: %d\r\n\r\n", crowdBodyBytes))
-		for piece := strings.Repeat("x", crowdBodyBytes/8-1); err == nil; {
-			_, err = io.WriteString(c, piece)
-		}
+		writeWithoutEnd(c, strings.Repeat("x", crowdBodyBytes/8-1))
 	case 3:
-		get := fmt.Sprintf("GET %s HTTP/1.1\r\nHost: x\r\n\r\n", paths[1])
-		for err == nil {
-			_, err = io.WriteString(c, strings.Repeat(get, 100))
-		}
+		writeWithoutEnd(c, strings.Repeat(fmt.Sprintf("GET %s HTTP/1.1\r\nHost: x\r\n\r\n", paths[1]), 100))
 		return
 	}
 	awaitEnd(c)
--- a/cmd/chivecroft/memory_crowd_test.go
+++ b/cmd/chivecroft/memory_crowd_test.go
@@ -26,6 +26,9 @@
 	chunkBytes  = 16 << 10
 )
 
+// noBody ends the head of a request without a body.
+const noBody = "Content-Length: 0\r\n\r\n"
+
 // crowd opens connections side by side and has each played by one caller until crowdTime
 // is over.
 func (s *crowdSystem) crowd(callers int, caller func(n int, c net.Conn)) func() {
@@ -58,6 +61,14 @@
 // awaitEnd reads what comes until the connection ends or the crowd's time is over.
 func awaitEnd(c net.Conn) { _, _ = io.Copy(io.Discard, c) }
 
+// writeWithoutEnd writes the same text again and again until the connection ends or the
+// crowd's time is over.
+func writeWithoutEnd(c net.Conn, text string) {
+	for err := error(nil); err == nil; {
+		_, err = io.WriteString(c, text)
+	}
+}
+
 // holdRequests makes the target keep requests open while the crowd plays.
 func (s *crowdSystem) holdRequests() {
 	s.target.Behave(func(w http.ResponseWriter, r *http.Request) {
@@ -94,26 +105,23 @@
 	return b.String()
 }
 
-// TestShortHeaderLines guards against heads of legal size whose lines cost many times
-// their bytes once they are objects.
-func TestShortHeaderLines(t *testing.T) {
+// playHeads plays a crowd whose requests have the given header lines and no body.
+func playHeads(t *testing.T, lines func(n int) string) {
+	t.Helper()
 	s := startCrowdSystem(t)
 	s.holdRequests()
 	s.play(s.crowd(headCallers, func(n int, c net.Conn) {
-		_, _ = io.WriteString(c, head(n, "/plain/x")+shortLines(n)+"Content-Length: 0\r\n\r\n")
+		_, _ = io.WriteString(c, head(n, "/plain/x")+lines(n)+noBody)
 		awaitEnd(c)
 	}))
 }
 
+// TestShortHeaderLines guards against heads of legal size whose lines cost many times
+// their bytes once they are objects.
+func TestShortHeaderLines(t *testing.T) { playHeads(t, shortLines) }
+
 // TestOddHeaderLines guards against irregular header lines.
-func TestOddHeaderLines(t *testing.T) {
-	s := startCrowdSystem(t)
-	s.holdRequests()
-	s.play(s.crowd(headCallers, func(n int, c net.Conn) {
-		_, _ = io.WriteString(c, head(n, "/plain/x")+oddLines(n)+"Content-Length: 0\r\n\r\n")
-		awaitEnd(c)
-	}))
-}
+func TestOddHeaderLines(t *testing.T) { playHeads(t, oddLines) }
 
 // TestLargeHeads guards against heads over the limit that stop short of their end.
 func TestLargeHeads(t *testing.T) {
@@ -128,10 +136,8 @@
 func TestEndlessHeads(t *testing.T) {
 	s := startCrowdSystem(t)
 	s.play(s.crowd(headCallers, func(n int, c net.Conn) {
-		_, err := io.WriteString(c, head(n, "/plain/x"))
-		for lines := shortLines(n); err == nil; {
-			_, err = io.WriteString(c, lines)
-		}
+		_, _ = io.WriteString(c, head(n, "/plain/x"))
+		writeWithoutEnd(c, shortLines(n))
 	}))
 }
 
@@ -140,13 +146,10 @@
 func TestEndlessEmptyLines(t *testing.T) {
 	s := startCrowdSystem(t)
 	s.play(s.crowd(emptyCallers, func(n int, c net.Conn) {
-		var err error
 		if n%2 == 0 {
-			_, err = io.WriteString(c, head(n, "/plain/x")+"Content-Length: 0\r\n\r\n")
-		}
-		for lines := strings.Repeat("\r\n", 1000); err == nil; {
-			_, err = io.WriteString(c, lines)
+			_, _ = io.WriteString(c, head(n, "/plain/x")+noBody)
 		}
+		writeWithoutEnd(c, strings.Repeat("\r\n", 1000))
 	}))
 }
 
@@ -202,14 +205,10 @@
 		switch n % 3 {
 		case 1:
 			_, _ = io.WriteString(c, "0\r\n")
-			for lines := strings.Repeat("x: y\r\n", 500); err == nil; {
-				_, err = io.WriteString(c, lines)
-			}
+			writeWithoutEnd(c, strings.Repeat("x: y\r\n", 500))
 		case 2:
 			_, _ = io.WriteString(c, "1;")
-			for extension := strings.Repeat("e=1;", 500); err == nil; {
-				_, err = io.WriteString(c, extension)
-			}
+			writeWithoutEnd(c, strings.Repeat("e=1;", 500))
 		}
 		awaitEnd(c)
 	}))
@@ -240,7 +239,7 @@
 			path = "/stream/x"
 		}
 		_ = c.(*net.TCPConn).SetReadBuffer(chunkBytes)
-		_, _ = io.WriteString(c, head(n, path)+"Content-Length: 0\r\n\r\n")
+		_, _ = io.WriteString(c, head(n, path)+noBody)
 		<-stopped
 	}))
 }
@@ -268,7 +267,7 @@
 	defer c.Close()
 	status := func(lines string) string {
 		_ = c.SetDeadline(time.Now().Add(5 * time.Second))
-		_, _ = io.WriteString(c, head(1, "/plain/x")+lines+"Content-Length: 0\r\n\r\n")
+		_, _ = io.WriteString(c, head(1, "/plain/x")+lines+noBody)
 		b := make([]byte, 4<<10)
 		n, _ := c.Read(b)
 		line, _, _ := strings.Cut(string(b[:n]), "\r\n")
