Shorter tests of the account

They now check the exit code, the output and that nothing goes to standard error in one comparison. Names and cases are the same as before.

--- a/internal/shell/accountload_test.go
+++ b/internal/shell/accountload_test.go
@@ -1,7 +1,6 @@
 package shell
 
 import (
-	"bytes"
 	"fmt"
 	"math"
 	"strings"
@@ -31,12 +30,7 @@
 	line("r5", "b", 0, 0, 100, 50, 0, 1)
 	line("r6", "b", 200, 0, 100, 50, 0, 1)
 	line("r7", "b", 250, 0, 100, 50, 9, 2)
-	var out, errs bytes.Buffer
-	s := Streams{In: strings.NewReader(b.String()), Out: &out, Err: &errs}
-	if code := Run([]string{"account", "--load"}, s); code != ExitDone {
-		t.Fatalf("exit code %d: %s", code, errs.String())
-	}
-	want := "true load  requests  late     believed\n" +
+	want := "exit 0\nout: true load  requests  late     believed\n" +
 		"0-3        6         0.0 %    1.0\n" +
 		"4-7        1         100.0 %  1.0\n" +
 		"8-11       0         0.0 %    0.0\n" +
@@ -46,7 +40,7 @@
 		"36-47      0         0.0 %    0.0\n" +
 		"48+        0         0.0 %    0.0\n" +
 		"rank correlation 0.83\n"
-	if diff := cmp.Diff(want, out.String()); diff != "" {
+	if diff := cmp.Diff(want, called(b.String(), "account", "--load")); diff != "" {
 		t.Errorf("account (-want +got):\n%s", diff)
 	}
 }
--- a/internal/shell/accountstarts_test.go
+++ b/internal/shell/accountstarts_test.go
@@ -1,7 +1,6 @@
 package shell
 
 import (
-	"bytes"
 	"fmt"
 	"strings"
 	"testing"
@@ -59,18 +58,14 @@
 	// It rejects everything again and never recovers.
 	limit(6000, "d", "rejecting")
 	ended("d", 6100, 6200, 0, 1, 503, "full")
-	var out, errs bytes.Buffer
-	s := Streams{In: strings.NewReader(b.String()), Out: &out, Err: &errs}
-	if code := Run([]string{"account", "--starts"}, s); code != ExitDone {
-		t.Fatalf("exit code %d: %s", code, errs.String())
-	}
-	want := `service  target  cause      ready         full use  sent  late  rejected  no answer
+	want := `exit 0
+out: service  target  cause      ready         full use  sent  late  rejected  no answer
 llm      c       started    03:04:06.000  2.5 s     3     1     0         0
 llm      d       rejecting  03:04:09.000  -         3     0     1         1
 llm      total   1 of 2                   2.5 s     6     1     1         1
 all      total   1 of 2                   2.5 s     6     1     1         1
 `
-	if diff := cmp.Diff(want, out.String()); diff != "" {
+	if diff := cmp.Diff(want, called(b.String(), "account", "--starts")); diff != "" {
 		t.Errorf("account (-want +got):\n%s", diff)
 	}
 }
