Process of the crowd tests as in the other tests

The system under a crowd embeds the package's process and is killed by its kill. Tests, limits and the signal at the parent's death are the same.

--- a/cmd/chivecroft/memory_test.go
+++ b/cmd/chivecroft/memory_test.go
@@ -42,10 +42,8 @@
 
 // crowdSystem is one process of the system with its store and a target.
 type crowdSystem struct {
+	*process
 	t      *testing.T
-	cmd    *exec.Cmd
-	log    *output
-	ended  chan struct{}
 	store  *fake.Store
 	target *fake.Target
 
@@ -55,7 +53,7 @@
 // startCrowdSystem runs a process with the limits of the tests and waits until it is ready.
 func startCrowdSystem(t *testing.T) *crowdSystem {
 	t.Helper()
-	s := &crowdSystem{t: t, log: new(output), ended: make(chan struct{}), store: fake.NewStore(t)}
+	s := &crowdSystem{t: t, store: fake.NewStore(t)}
 	s.target = fake.NewTarget(t, "t0", "za", 0)
 	s.target.Slots = crowdSlots
 	s.store.List(t, s.target, "desk", "ready")
@@ -72,7 +70,8 @@
 	if err := os.WriteFile(file, []byte(boot.YAML()), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	s.cmd = exec.Command(binary, "serve", "--boot", file, "--metrics-port", strconv.Itoa(int(s.metrics.Port())))
+	cmd := exec.Command(binary, "serve", "--boot", file, "--metrics-port", strconv.Itoa(int(s.metrics.Port())))
+	s.process = &process{cmd: cmd, log: new(output), ended: make(chan struct{})}
 	s.cmd.Stdout, s.cmd.Stderr = s.log, s.log
 	s.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := s.cmd.Start(); err != nil {
@@ -82,10 +81,7 @@
 		_ = s.cmd.Wait()
 		close(s.ended)
 	}()
-	t.Cleanup(func() {
-		_ = s.cmd.Process.Kill()
-		<-s.ended
-	})
+	t.Cleanup(s.kill)
 	s.awaitReady()
 	return s
 }
