Proof tests: write the cases of TestProofCounts as steps

Each case was a function of three to five lines that repeated the calls of a tracker; it is now a list of steps on one line.

--- a/internal/coordination/proof/tracker_test.go
+++ b/internal/coordination/proof/tracker_test.go
@@ -56,7 +56,7 @@
 }
 
 func newModel() *model {
-	m := &model{now: time.Unix(1_000_000, 0), store: []written{{revision: 1, at: time.Unix(999_000, 0)}}}
+	m := &model{now: start, store: []written{{revision: 1, at: time.Unix(999_000, 0)}}}
 	for range 4 {
 		m.nodes = append(m.nodes, &node{tracker: proof.NewTracker()})
 	}
@@ -229,63 +229,61 @@
 	})
 }
 
+// start is when the cases of TestProofCounts and TestMargin begin.
+var start = time.Unix(1_000_000, 0)
+
+func at(ms int) time.Time { return start.Add(age(ms)) }
+
+func age(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+// step is something that a tracker is told.
+type step func(*proof.Tracker)
+
+func active(revision uint64) step {
+	return func(k *proof.Tracker) { k.Activate(revision) }
+}
+
+func skipped(previous, revision uint64) step {
+	return func(k *proof.Tracker) { k.Skip(previous, revision) }
+}
+
+func own(askedMS int, revision uint64) step {
+	return func(k *proof.Tracker) { k.RecordOwn(at(askedMS), revision) }
+}
+
+func reply(askedMS int, revision uint64, ageMS int) step {
+	return func(k *proof.Tracker) {
+		k.RecordReply(at(askedMS), proof.Proof{Revision: revision, Age: age(ageMS)})
+	}
+}
+
 // TestProofCounts checks that a proof counts from the moment before its question, with the
 // age that another instance gave, and only for the configuration that it is of.
 func TestProofCounts(t *testing.T) {
-	start := time.Unix(1_000_000, 0)
-	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
-	age := func(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
 	for _, c := range []struct {
-		name string
-		do   func(*proof.Tracker)
+		name  string
+		steps []step
 		// want is the age at 1000 ms, below 0 for no proof.
 		want time.Duration
 	}{
-		{"nothing known", func(*proof.Tracker) {}, -1},
-		{"active without a proof", func(k *proof.Tracker) { k.Activate(7) }, -1},
-		{"own", func(k *proof.Tracker) { k.Activate(7); k.RecordOwn(at(400), 7) }, age(600)},
-		{"own before it is active", func(k *proof.Tracker) { k.RecordOwn(at(400), 7); k.Activate(7) }, age(600)},
-		{"another's", func(k *proof.Tracker) {
-			k.Activate(7)
-			k.RecordReply(at(900), proof.Proof{Revision: 7, Age: age(300)})
-		}, age(400)},
-		{"an older one later", func(k *proof.Tracker) {
-			k.Activate(7)
-			k.RecordOwn(at(800), 7)
-			k.RecordReply(at(900), proof.Proof{Revision: 7, Age: age(300)})
-		}, age(200)},
-		{"of an older configuration", func(k *proof.Tracker) {
-			k.Activate(7)
-			k.RecordReply(at(900), proof.Proof{Revision: 6})
-		}, -1},
-		{"of a newer configuration", func(k *proof.Tracker) {
-			k.Activate(7)
-			k.RecordReply(at(900), proof.Proof{Revision: 8})
-		}, -1},
-		{"kept when a newer one is active", func(k *proof.Tracker) {
-			k.Activate(7)
-			k.RecordOwn(at(400), 7)
-			k.Activate(8)
-		}, age(600)},
-		{"past a rejected one", func(k *proof.Tracker) {
-			k.Activate(7)
-			k.Skip(7, 9)
-			k.RecordOwn(at(400), 9)
-		}, age(600)},
-		{"past a rejected one and an unseen one", func(k *proof.Tracker) {
-			k.Activate(7)
-			k.Skip(8, 9)
-			k.RecordOwn(at(400), 9)
-		}, -1},
-		{"own, although a newer one is known", func(k *proof.Tracker) {
-			k.Activate(7)
-			k.RecordReply(at(300), proof.Proof{Revision: 8})
-			k.RecordOwn(at(400), 7)
-		}, -1},
+		{"nothing known", nil, -1},
+		{"active without a proof", []step{active(7)}, -1},
+		{"own", []step{active(7), own(400, 7)}, age(600)},
+		{"own before it is active", []step{own(400, 7), active(7)}, age(600)},
+		{"another's", []step{active(7), reply(900, 7, 300)}, age(400)},
+		{"an older one later", []step{active(7), own(800, 7), reply(900, 7, 300)}, age(200)},
+		{"of an older configuration", []step{active(7), reply(900, 6, 0)}, -1},
+		{"of a newer configuration", []step{active(7), reply(900, 8, 0)}, -1},
+		{"kept when a newer one is active", []step{active(7), own(400, 7), active(8)}, age(600)},
+		{"past a rejected one", []step{active(7), skipped(7, 9), own(400, 9)}, age(600)},
+		{"past a rejected one and an unseen one", []step{active(7), skipped(8, 9), own(400, 9)}, -1},
+		{"own, although a newer one is known", []step{active(7), reply(300, 8, 0), own(400, 7)}, -1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			k := proof.NewTracker()
-			c.do(k)
+			for _, do := range c.steps {
+				do(k)
+			}
 			got := time.Duration(-1)
 			if p, ok := k.Proof(at(1000)); ok {
 				got = p.Age
@@ -300,7 +298,6 @@
 // TestMargin checks that keys are no longer accepted a margin before the bound.
 func TestMargin(t *testing.T) {
 	k := proof.NewTracker()
-	start := time.Unix(1_000_000, 0)
 	k.Activate(1)
 	k.RecordOwn(start, 1)
 	for _, c := range []struct {
