Load tests: keep what an instance believes in an array

The world of the relays filled up a shorter slice in two places; an array of the number of targets needs neither. The check and its cases are the same. 5 lines fewer; go test -race passes.

--- a/internal/coordination/load/collector_test.go
+++ b/internal/coordination/load/collector_test.go
@@ -35,7 +35,7 @@
 	movedAt time.Time
 	sentAt  time.Time
 	// others is what the instance believes, at the age that it believes.
-	others []int
+	others [worldTargets + 1]int
 }
 
 // relayWorld is a holder, relays and their children.
@@ -125,7 +125,8 @@
 	}
 	x.collector.SetSnapshot(7, s, w.now)
 	if others, ok := x.Apply(s, w.now); ok {
-		x.others = others
+		clear(x.others[:])
+		copy(x.others[:], others)
 		w.check(x)
 	}
 }
@@ -152,11 +153,7 @@
 				least += low
 			}
 		}
-		got := 0
-		if target < len(x.others) {
-			got = x.others[target]
-		}
-		if got < least || got > most {
+		if got := x.others[target]; got < least || got > most {
 			w.t.Fatalf("%s believes %d of the others at target %d at age %s; they had %d to %d", x.name, got, target, age, least, most)
 		}
 	}
@@ -189,7 +186,7 @@
 			w.sendDue(func() int { return worldOdds })
 		}
 		for _, x := range w.all {
-			want := make([]int, worldTargets+1)
+			var want [worldTargets + 1]int
 			for _, y := range w.all {
 				for i, n := range y.inFlight {
 					if y != x {
@@ -197,9 +194,7 @@
 					}
 				}
 			}
-			got := make([]int, worldTargets+1)
-			copy(got, x.others)
-			if diff := cmp.Diff(want, got); diff != "" {
+			if diff := cmp.Diff(want, x.others); diff != "" {
 				t.Fatalf("%s at rest (-want +got):\n%s", x.name, diff)
 			}
 		}
