Budget tests: one guard for the actions on a holding

Four actions of TestAccountReturnsToZero each checked that there is a holding and drew one; withOne does that.

--- a/internal/coordination/budget/account_test.go
+++ b/internal/coordination/budget/account_test.go
@@ -24,7 +24,14 @@
 		a := NewAccount(testBudget, c.now)
 		var held []*Holding
 		revoked := make(map[*Holding]bool)
-		pick := func(t *rapid.T) *Holding { return held[rapid.IntRange(0, len(held)-1).Draw(t, "which")] }
+		// withOne does something with one of the holdings if there are any.
+		withOne := func(do func(*rapid.T, *Holding)) func(*rapid.T) {
+			return func(t *rapid.T) {
+				if len(held) > 0 {
+					do(t, held[rapid.IntRange(0, len(held)-1).Draw(t, "which")])
+				}
+			}
+		}
 		t.Repeat(map[string]func(*rapid.T){
 			"open": func(t *rapid.T) {
 				h := new(Holding)
@@ -36,28 +43,18 @@
 				})
 				held = append(held, h)
 			},
-			"reserve": func(t *rapid.T) {
-				if len(held) > 0 {
-					pick(t).Reserve(rapid.Int64Range(0, testBudget/4).Draw(t, "bytes"))
-				}
-			},
-			"release": func(t *rapid.T) {
-				if len(held) > 0 {
-					pick(t).Release(rapid.Int64Range(0, testBudget).Draw(t, "bytes"))
-				}
-			},
-			"complete": func(t *rapid.T) {
-				if len(held) > 0 {
-					if h := pick(t); h.Complete() == revoked[h] {
-						t.Fatal("complete and revoked")
-					}
-				}
-			},
-			"close": func(t *rapid.T) {
-				if len(held) > 0 {
-					pick(t).Close()
+			"reserve": withOne(func(t *rapid.T, h *Holding) {
+				h.Reserve(rapid.Int64Range(0, testBudget/4).Draw(t, "bytes"))
+			}),
+			"release": withOne(func(t *rapid.T, h *Holding) {
+				h.Release(rapid.Int64Range(0, testBudget).Draw(t, "bytes"))
+			}),
+			"complete": withOne(func(t *rapid.T, h *Holding) {
+				if h.Complete() == revoked[h] {
+					t.Fatal("complete and revoked")
 				}
-			},
+			}),
+			"close":  withOne(func(_ *rapid.T, h *Holding) { h.Close() }),
 			"revoke": func(*rapid.T) { a.RevokeBody() },
 			"wait":   func(t *rapid.T) { c.at = c.at.Add(stallTime / 2) },
 			"": func(t *rapid.T) {
