--- a/internal/coordination/relay/world_test.go
+++ b/internal/coordination/relay/world_test.go
@@ -14,9 +14,8 @@
 
 // world is a holder, two relays and their children, whose messages may be lost.
 type world struct {
-	t     *rapid.T
-	now   time.Time
-	start time.Time
+	t   *rapid.T
+	now time.Time
 
 	term, version uint64
 	// targets holds the state of each target at the holder, log what changed when.
@@ -29,7 +28,6 @@
 
 	relays, children []*node
 	arrived          int
-	terms            int
 }
 
 type entryAt struct {
@@ -55,8 +53,7 @@
 }
 
 func newWorld(t *rapid.T) *world {
-	w := &world{t: t, now: time.UnixMilli(1e12), term: 1, terms: 1}
-	w.start = w.now
+	w := &world{t: t, now: time.UnixMilli(1e12), term: 1}
 	w.targets, w.log = make(map[string]int), make(map[string]entryAt)
 	w.reset()
 	for i := range 6 {
@@ -79,7 +76,6 @@
 func (w *world) newTerm() {
 	w.now = w.now.Add(time.Second)
 	w.term++
-	w.terms++
 	w.version = 0
 	clear(w.log)
 	for id := range w.targets {
@@ -283,7 +279,7 @@
 		if queued != want {
 			t.Fatalf("the holder sums up %d queued requests of %d", queued, want)
 		}
-		if w.terms == 1 && w.counted != w.arrived {
+		if w.term == 1 && w.counted != w.arrived {
 			t.Fatalf("the holder has counted %d arrivals of %d", w.counted, w.arrived)
 		}
 	})
