--- a/internal/coordination/budget/account_test.go
+++ b/internal/coordination/budget/account_test.go
@@ -7,21 +7,18 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"chivecroft.example/chivecroft/internal/state/timer"
 )
 
 const testBudget = 1 << 20
 
-// clock is a time that a test sets.
-type clock struct{ at time.Time }
-
-func (c *clock) now() time.Time { return c.at }
-
 // TestAccountReturnsToZero guards against bytes that are not given back on some path, and
 // against a budget that is exceeded.
 func TestAccountReturnsToZero(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := &clock{at: time.Unix(0, 0)}
-		a := NewAccount(testBudget, c.now)
+		c := timer.NewVirtual(time.Unix(0, 0))
+		a := NewAccount(testBudget, c.Now)
 		var held []*Holding
 		revoked := make(map[*Holding]bool)
 		// withOne does something with one of the holdings if there are any.
@@ -56,7 +53,7 @@
 			}),
 			"close":  withOne(func(_ *rapid.T, h *Holding) { h.Close() }),
 			"revoke": func(*rapid.T) { a.RevokeBody() },
-			"wait":   func(t *rapid.T) { c.at = c.at.Add(stallTime / 2) },
+			"wait":   func(t *rapid.T) { c.Advance(stallTime / 2) },
 			"": func(t *rapid.T) {
 				if a.total > testBudget || a.total < 0 || a.large > share(testBudget, largeShare) {
 					t.Fatalf("%d bytes held, %d of them by large arrivals", a.total, a.large)
@@ -75,8 +72,8 @@
 // TestWhoGetsBytes guards against large bodies that take what small requests and answers
 // need, and against a victim that is not the one to release first.
 func TestWhoGetsBytes(t *testing.T) {
-	c := &clock{at: time.Unix(0, 0)}
-	a := NewAccount(testBudget, c.now)
+	c := timer.NewVirtual(time.Unix(0, 0))
+	a := NewAccount(testBudget, c.Now)
 	var victim string
 	open := func(name string, use Use) *Holding {
 		h := new(Holding)
@@ -103,7 +100,7 @@
 	expect("after that", third.Reserve(150_000), Granted, "first")
 	expect("the largest itself", second.Reserve(300_000), Refused, "first")
 	expect("a small body", open("small", Bodies).Reserve(SmallBytes), Granted, "first")
-	c.at = c.at.Add(stallTime)
+	c.Advance(stallTime)
 	expect("one has stopped", second.Reserve(300_000), Wait, "third stalled")
 	third.Close()
 	expect("an answer", open("answer", Answers).Reserve(testBudget/2), Granted, "third stalled")
@@ -117,8 +114,8 @@
 // TestRevokeBody guards against connections that are held by bodies that hardly arrive, and
 // against a body that is revoked while it arrives as fast as others.
 func TestRevokeBody(t *testing.T) {
-	c := &clock{at: time.Unix(0, 0)}
-	a := NewAccount(0, c.now)
+	c := timer.NewVirtual(time.Unix(0, 0))
+	a := NewAccount(0, c.Now)
 	var revoked []string
 	holdings := make(map[string]*Holding)
 	for _, name := range []string{"whole", "slow", "stopped", "new"} {
@@ -131,7 +128,7 @@
 	}
 	holdings["whole"].Complete()
 	for range int(slowTime / stallTime) {
-		c.at = c.at.Add(stallTime)
+		c.Advance(stallTime)
 		holdings["slow"].Progress()
 	}
 	got := []bool{a.RevokeBody(), a.RevokeBody(), a.RevokeBody()}
