--- a/internal/coordination/proof/tracker_test.go
+++ b/internal/coordination/proof/tracker_test.go
@@ -1,6 +1,7 @@
 package proof_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -67,13 +68,7 @@
 
 // after returns the configurations after a revision.
 func (m *model) after(revision uint64) []written {
-	var out []written
-	for _, w := range m.store {
-		if w.revision > revision {
-			out = append(out, w)
-		}
-	}
-	return out
+	return slices.DeleteFunc(slices.Clone(m.store), func(w written) bool { return w.revision <= revision })
 }
 
 // apply handles a configuration as package edge does.
