--- a/internal/coordination/picker/explain_test.go
+++ b/internal/coordination/picker/explain_test.go
@@ -60,7 +60,7 @@
 // TestExplainProbabilities compares the probabilities by a load snapshot with many choices
 // of the same state. It guards against probabilities that are not those of the choice.
 func TestExplainProbabilities(t *testing.T) {
-	w := newWorld(t, 6, 4, time.Second)
+	w := newWorld(6, 4, time.Second)
 	w.run(4*time.Second, 60, everywhere)
 	w.restart(w.targets[1])
 	w.run(time.Second, 60, everywhere)
@@ -89,7 +89,7 @@
 // counts a request.
 func TestExplainChangesNothing(t *testing.T) {
 	run := func(explains bool) []string {
-		w := newWorld(t, 3, 4, time.Second)
+		w := newWorld(3, 4, time.Second)
 		var chosen []string
 		w.choose = func(p *Picker, q Request) *Reservation {
 			if explains {
--- a/internal/coordination/picker/pace_test.go
+++ b/internal/coordination/picker/pace_test.go
@@ -38,7 +38,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			const perSecond = 200
-			w := newWorld(t, 40, 10, time.Second)
+			w := newWorld(40, 10, time.Second)
 			w.model = c.model
 			slow := w.targets[0]
 			slow.slowness = 4
@@ -62,7 +62,7 @@
 func TestFlutteringPace(t *testing.T) {
 	const perSecond = 200
 	measure := func(isFluttering bool) float64 {
-		w := newWorld(t, 40, 10, time.Second)
+		w := newWorld(40, 10, time.Second)
 		for _, r := range w.targets {
 			r.pace = func() float64 {
 				if !isFluttering {
--- a/internal/coordination/picker/ramp_test.go
+++ b/internal/coordination/picker/ramp_test.go
@@ -8,8 +8,8 @@
 
 // startWorld is a world of 84 instances with 6 busy targets, of which the first is about to
 // start.
-func startWorld(t *testing.T, hasLimits bool) (*world, *worldTarget) {
-	w := newWorldWithLimits(t, 84, 6, 2*time.Second, hasLimits)
+func startWorld(hasLimits bool) (*world, *worldTarget) {
+	w := newWorldWithLimits(84, 6, 2*time.Second, hasLimits)
 	w.interval = 400 * time.Millisecond
 	w.run(6*time.Second, startRate, everywhere)
 	return w, w.targets[0]
@@ -26,9 +26,9 @@
 type startCounts struct{ bad, served, running int }
 
 // measureStart plays with the first target of a startWorld, with and without limits.
-func measureStart(t *testing.T, play func(w *world, r *worldTarget)) (with, without startCounts) {
+func measureStart(play func(w *world, r *worldTarget)) (with, without startCounts) {
 	measure := func(hasLimits bool) startCounts {
-		w, r := startWorld(t, hasLimits)
+		w, r := startWorld(hasLimits)
 		before := r.served
 		play(w, r)
 		return startCounts{badRequests(r), r.served - before, r.running}
@@ -58,7 +58,7 @@
 // second. It guards against a target that all instances fill at once after its start, and
 // against one that stays idle.
 func TestColdStart(t *testing.T) {
-	with, without := measureStart(t, func(w *world, r *worldTarget) {
+	with, without := measureStart(func(w *world, r *worldTarget) {
 		startCold(w, r)
 		w.run(8*time.Second, startRate, everywhere)
 	})
@@ -71,7 +71,7 @@
 func TestRecoveryAtHalfSpeed(t *testing.T) {
 	// Of all rejections, after are those after the recovery.
 	measure := func(hasLimits bool) (all, after, served, running int) {
-		w, r := startWorld(t, hasLimits)
+		w, r := startWorld(hasLimits)
 		r.rejectBeyond(0)
 		w.run(3*time.Second, startRate, everywhere)
 		r.recoverSlow(24)
@@ -88,7 +88,7 @@
 // TestRejectsAll has a target reject everything for 10 s. It guards against a target that
 // looks empty to all instances and is sent every other request.
 func TestRejectsAll(t *testing.T) {
-	with, without := measureStart(t, func(w *world, r *worldTarget) {
+	with, without := measureStart(func(w *world, r *worldTarget) {
 		r.rejectBeyond(0)
 		w.run(10*time.Second, startRate, everywhere)
 	})
@@ -99,7 +99,7 @@
 // TestFlapping has a target restart every 1.5 s, each time with room for 4 requests. It
 // guards against a limit that outlasts an incarnation, or is lost with it.
 func TestFlapping(t *testing.T) {
-	with, without := measureStart(t, func(w *world, r *worldTarget) {
+	with, without := measureStart(func(w *world, r *worldTarget) {
 		r.rejectBeyond(4)
 		for range 6 {
 			w.restart(r)
@@ -112,7 +112,7 @@
 
 // TestLimitEnds guards against a limit that stays although the target answers in time.
 func TestLimitEnds(t *testing.T) {
-	w, r := startWorld(t, true)
+	w, r := startWorld(true)
 	r.capacity = func() int { return r.Slots }
 	w.restart(r)
 	w.run(10*time.Second, startRate, everywhere)
@@ -126,7 +126,7 @@
 // there at once.
 func TestShortRequestsAtStart(t *testing.T) {
 	const perSecond = 80
-	w := newWorld(t, 4, 1, 5*time.Millisecond)
+	w := newWorld(4, 1, 5*time.Millisecond)
 	w.model, w.interval = "", 350*time.Millisecond
 	w.run(4*time.Second, perSecond, everywhere)
 	w.restart(w.targets[0])
@@ -170,10 +170,10 @@
 }
 
 // playStart returns the mean result of several plays of a pattern with perSecond requests.
-func playStart(t *testing.T, pattern int, perSecond float64, hasLimits bool) (out startResult) {
+func playStart(pattern int, perSecond float64, hasLimits bool) (out startResult) {
 	const plays = 4
 	for seed := range uint64(plays) {
-		w := newWorldWithLimits(t, 84, 6, 2*time.Second, hasLimits)
+		w := newWorldWithLimits(84, 6, 2*time.Second, hasLimits)
 		w.interval, w.queues, w.random = 400*time.Millisecond, true, rand.New(rand.NewPCG(seed, 9))
 		w.run(6*time.Second, perSecond, everywhere)
 		r, c := w.targets[0], &startPatterns[pattern]
@@ -209,7 +209,7 @@
 	const tolerance, maxBadShare, maxFull = 0.04, 0.4, 3 * time.Second
 	for _, rate := range []float64{startRate, 108} {
 		for i, c := range startPatterns {
-			with, without := playStart(t, i, rate, true), playStart(t, i, rate, false)
+			with, without := playStart(i, rate, true), playStart(i, rate, false)
 			t.Logf("%-26s %3.0f/s: %.3f in time, %.3f without limits; %.0f bad, %.0f without; full after %.1fs, %.1fs without", c.name, rate,
 				with.inTime, without.inTime, with.bad, without.bad, with.full.Seconds(), without.full.Seconds())
 			if with.inTime < without.inTime-tolerance {
--- a/internal/coordination/picker/shared_test.go
+++ b/internal/coordination/picker/shared_test.go
@@ -45,7 +45,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			measure := func(change func(*world)) float64 {
-				w := newWorld(t, 300, 20, c.mean)
+				w := newWorld(300, 20, c.mean)
 				w.interval = 780 * time.Millisecond
 				change(w)
 				w.run(4*c.mean, c.perSecond, everywhere)
@@ -64,7 +64,7 @@
 // guards against choices by a snapshot that is too old, and against a change of mode that
 // is not observed.
 func TestSnapshotLost(t *testing.T) {
-	w := newWorld(t, 6, 4, time.Second)
+	w := newWorld(6, 4, time.Second)
 	var got []LoadChange
 	w.pickers[0].onLoadChange = func(c LoadChange) { got = append(got, c) }
 	w.run(4*time.Second, 40, everywhere)
@@ -90,7 +90,7 @@
 // TestAloneAsBefore guards against a change of the choice without a snapshot: the target of
 // the lowest cost by this instance's own observations is chosen, and pace has no effect.
 func TestAloneAsBefore(t *testing.T) {
-	w := newWorld(t, 1, 3, time.Second)
+	w := newWorld(1, 3, time.Second)
 	w.isConnected = false
 	p := w.pickers[0]
 	for _, r := range p.targets {
@@ -109,7 +109,7 @@
 // target that attracts requests because it looks empty.
 func TestFailingTarget(t *testing.T) {
 	const perSecond = 100
-	w := newWorld(t, 30, 6, 2*time.Second)
+	w := newWorld(30, 6, 2*time.Second)
 	w.run(5*time.Second, perSecond, everywhere)
 	r := w.targets[0]
 	r.isFailing, r.capacity = true, func() int { return r.Slots }
@@ -130,7 +130,7 @@
 func TestUnevenDemand(t *testing.T) {
 	const perSecond = 100
 	measure := func(isConnected bool) float64 {
-		w := newWorld(t, 84, 12, 4*time.Second)
+		w := newWorld(84, 12, 4*time.Second)
 		w.interval, w.isConnected = 520*time.Millisecond, isConnected
 		busy := func(i int) bool { return i < 3 || w.random.IntN(250) == 0 }
 		w.run(12*time.Second, perSecond, busy)
--- a/internal/coordination/picker/teams_test.go
+++ b/internal/coordination/picker/teams_test.go
@@ -38,8 +38,8 @@
 }
 
 // newTeamWorld returns a teamWorld with targets of the given slots.
-func newTeamWorld(t *testing.T, instances, targets, slots int) *teamWorld {
-	w := &teamWorld{world: newWorld(t, instances, targets, time.Second), slots: slots}
+func newTeamWorld(instances, targets, slots int) *teamWorld {
+	w := &teamWorld{world: newWorld(instances, targets, time.Second), slots: slots}
 	for _, p := range w.pickers {
 		for _, r := range p.targets {
 			r.Slots, r.update.Slots = slots, slots
@@ -181,7 +181,7 @@
 // with room for 16,000 tokens/s, fifteen teams with 1,200 tokens/s each and one with
 // 12,000, in requests of 100 tokens.
 func TestHotTeam(t *testing.T) {
-	w := newTeamWorld(t, 1, 1, 16)
+	w := newTeamWorld(1, 1, 16)
 	w.offerTeams(100, 1200, first, first)
 	w.runFor(5 * time.Second)
 	w.reset()
@@ -195,7 +195,7 @@
 // ones, and the reverse. Load: one instance with room for 16,000 tokens/s, two teams with
 // 20,000 tokens/s each, one in requests of 2,000 tokens, one in requests of 200.
 func TestRequestSizes(t *testing.T) {
-	w := newTeamWorld(t, 1, 1, 16)
+	w := newTeamWorld(1, 1, 16)
 	w.offer(teamLoad{"large", "m", 2000, 10, first})
 	w.offer(teamLoad{"small", "m", 200, 100, first})
 	w.runFor(5 * time.Second)
@@ -211,7 +211,7 @@
 // requests for a rare model, and a usual team with requests for both; the target of the
 // rare model is half busy.
 func TestRareModel(t *testing.T) {
-	w := newTeamWorld(t, 1, 2, 8)
+	w := newTeamWorld(1, 2, 8)
 	w.serveOnly("e1", "rare")
 	w.offer(teamLoad{"hot", "m", 400, 240, first})
 	w.offer(teamLoad{"usual", "m", 400, 5, first})
@@ -230,7 +230,7 @@
 // tokens that run for 2 s, fifteen teams with 14,000 tokens/s each at all instances and one
 // with 140,000 at three. The bounds allow for about 120 requests of a team.
 func TestSharesOfFleet(t *testing.T) {
-	w := newTeamWorld(t, 84, 12, 16)
+	w := newTeamWorld(84, 12, 16)
 	w.interval = 520 * time.Millisecond
 	w.offerTeams(2000, 14_000, firstThree, anywhere)
 	w.runFor(10 * time.Second)
--- a/internal/coordination/picker/world_test.go
+++ b/internal/coordination/picker/world_test.go
@@ -19,11 +19,9 @@
 
 // world is a fleet of instances with one lease holder and a service on virtual time.
 type world struct {
-	t       *testing.T
-	timer   *timer.Virtual
-	random  *rand.Rand
-	service string
-	model   string
+	timer  *timer.Virtual
+	random *rand.Rand
+	model  string
 	// interval is the time between two messages of an instance to the holder, which
 	// answers after delay. A false isConnected loses them.
 	interval    time.Duration
@@ -63,22 +61,21 @@
 	pace func() float64
 }
 
-func newWorld(t *testing.T, instances, targets int, mean time.Duration) *world {
-	return newWorldWithLimits(t, instances, targets, mean, true)
+func newWorld(instances, targets int, mean time.Duration) *world {
+	return newWorldWithLimits(instances, targets, mean, true)
 }
 
 // newWorldWithLimits returns a world in which targets that have just started or recovered
 // have limits, or none.
-func newWorldWithLimits(t *testing.T, instances, targets int, mean time.Duration, hasLimits bool) *world {
-	t.Helper()
+func newWorldWithLimits(instances, targets int, mean time.Duration, hasLimits bool) *world {
 	var sumsOptions []load.Option
 	var options []Option
 	if !hasLimits {
 		sumsOptions, options = append(sumsOptions, load.WithoutStartLimits()), append(options, WithoutStartLimits())
 	}
 	w := &world{
-		t: t, timer: timer.NewVirtual(time.Unix(1_000_000, 0)), random: rand.New(rand.NewPCG(1, 2)),
-		service: "llm", model: "m", interval: 700 * time.Millisecond, delay: 20 * time.Millisecond, mean: mean,
+		timer: timer.NewVirtual(time.Unix(1_000_000, 0)), random: rand.New(rand.NewPCG(1, 2)),
+		model: "m", interval: 700 * time.Millisecond, delay: 20 * time.Millisecond, mean: mean,
 		isConnected: true, byID: make(map[string]*worldTarget),
 		index: load.NewIndex(),
 	}
@@ -165,7 +162,7 @@
 // send sends one request.
 func (w *world) send(p *Picker) {
 	now := w.timer.Now()
-	q := Request{Service: w.service, Model: w.model, Arrived: now, Deadline: now.Add(10 * time.Second), Goal: worldGoal}
+	q := Request{Service: "llm", Model: w.model, Arrived: now, Deadline: now.Add(10 * time.Second), Goal: worldGoal}
 	if w.queues {
 		w.calls++
 		w.acquire(p, q)
