Relay tests: compare sorted lists with cmpopts

TestSumHasEveryField sorted by a transformer of its own, which did not see a name that came twice; cmpopts.SortSlices does.

--- a/internal/coordination/relay/codec_test.go
+++ b/internal/coordination/relay/codec_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"reflect"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"pgregory.net/rapid"
 
 	"chivecroft.example/chivecroft/internal/coordination/picker"
@@ -72,13 +74,7 @@
 		s := newSum()
 		s.add([]picker.Demand{d})
 		s.add([]picker.Demand{{Service: d.Service, Model: d.Model}})
-		sorted := cmp.Transformer("set", func(list []string) map[string]bool {
-			out := make(map[string]bool)
-			for _, item := range list {
-				out[item] = true
-			}
-			return out
-		})
+		sorted := cmpopts.SortSlices(strings.Compare)
 		if diff := cmp.Diff([]picker.Demand{d}, s.list(), sorted); diff != "" {
 			t.Fatalf("sum (-want +got):\n%s", diff)
 		}
