--- a/internal/coordination/picker/shared_test.go
+++ b/internal/coordination/picker/shared_test.go
@@ -45,19 +45,17 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			measure := func(change func(*world)) float64 {
-				w := newWorld(t, 300, 20, c.mean)
+				w := newWorld(300, 20, c.mean)
 				w.interval = 780 * time.Millisecond
 				change(w)
 				w.run(4*c.mean, c.perSecond, everywhere)
-				return w.meanBusiest(8*time.Second, c.perSecond)
+				return w.meanBusiest(8*time.Second, c.perSecond, everywhere)
 			}
 			shared := measure(func(*world) {})
 			least := measure(func(w *world) { w.choose = chooseLeast })
 			alone := measure(func(w *world) { w.isConnected = false })
-			t.Logf("busiest over mean: %.2f, least loaded %.2f, without snapshots %.2f", shared, least, alone)
-			if shared > c.most || shared > c.overLeast*least || shared > c.overAlone*alone {
-				t.Errorf("busiest over mean %.2f, least loaded %.2f, without snapshots %.2f", shared, least, alone)
-			}
+			report(t, shared > c.most || shared > c.overLeast*least || shared > c.overAlone*alone,
+				"busiest over mean %.2f, least loaded %.2f, without snapshots %.2f", shared, least, alone)
 		})
 	}
 }
@@ -66,7 +64,7 @@
 // guards against choices by a snapshot that is too old, and against a change of mode that
 // is not observed.
 func TestSnapshotLost(t *testing.T) {
-	w := newWorld(t, 6, 4, time.Second)
+	w := newWorld(6, 4, time.Second)
 	var got []LoadChange
 	w.pickers[0].onLoadChange = func(c LoadChange) { got = append(got, c) }
 	w.run(4*time.Second, 40, everywhere)
@@ -92,7 +90,7 @@
 // TestAloneAsBefore guards against a change of the choice without a snapshot: the target of
 // the lowest cost by this instance's own observations is chosen, and pace has no effect.
 func TestAloneAsBefore(t *testing.T) {
-	w := newWorld(t, 1, 3, time.Second)
+	w := newWorld(1, 3, time.Second)
 	w.isConnected = false
 	p := w.pickers[0]
 	for _, r := range p.targets {
@@ -111,17 +109,15 @@
 // target that attracts requests because it looks empty.
 func TestFailingTarget(t *testing.T) {
 	const perSecond = 100
-	w := newWorld(t, 30, 6, 2*time.Second)
+	w := newWorld(30, 6, 2*time.Second)
 	w.run(5*time.Second, perSecond, everywhere)
 	r := w.targets[0]
 	r.isFailing, r.capacity = true, func() int { return r.Slots }
 	served := r.served
 	w.run(10*time.Second, perSecond, everywhere)
 	failed := r.served - served
-	t.Logf("%d of %d requests failed", failed, int(10*perSecond))
-	if share := float64(failed) / (10 * perSecond); share > 0.065 {
-		t.Errorf("the failing target got %.2f of the requests", share)
-	}
+	share := float64(failed) / (10 * perSecond)
+	report(t, share > 0.065, "the failing target got %d of %d requests, a share of %.2f", failed, int(10*perSecond), share)
 	r.isFailing = false
 	w.run(15*time.Second, perSecond, everywhere)
 	if r.running < 16 {
@@ -134,22 +130,14 @@
 func TestUnevenDemand(t *testing.T) {
 	const perSecond = 100
 	measure := func(isConnected bool) float64 {
-		w := newWorld(t, 84, 12, 4*time.Second)
+		w := newWorld(84, 12, 4*time.Second)
 		w.interval, w.isConnected = 520*time.Millisecond, isConnected
 		busy := func(i int) bool { return i < 3 || w.random.IntN(250) == 0 }
 		w.run(12*time.Second, perSecond, busy)
-		sum, n := 0.0, 80
-		for range n {
-			w.run(100*time.Millisecond, perSecond, busy)
-			sum += w.busiest()
-		}
-		return sum / float64(n)
+		return w.meanBusiest(8*time.Second, perSecond, busy)
 	}
 	shared, alone := measure(true), measure(false)
-	t.Logf("busiest over mean: %.2f, without snapshots %.2f", shared, alone)
-	if shared > 1.25 {
-		t.Errorf("busiest over mean %.2f, without snapshots %.2f", shared, alone)
-	}
+	report(t, shared > 1.25, "busiest over mean %.2f, without snapshots %.2f", shared, alone)
 }
 
 // BenchmarkChoose guards against a choice among 140 targets of 4,000 that takes more than
