A new holder asks targets for reports some at a time, and rests between plans

After all of 300 instances before 2,800 targets had been killed, the new holder asked all targets for their reports at once. Over 2,400 requests timed out within 3 s and were repeated, while other instances and relays got no replies. At most 64 are in flight now, those of targets with a job first, and the time to the next plan is at least four times that of the last one.

TestReportsOfManyTargets fails without the limit.

--- a/internal/coordination/sched/plan.go
+++ b/internal/coordination/sched/plan.go
@@ -129,16 +129,28 @@
 	return list
 }
 
+// reportRequests returns the report requests that are due, those of targets with a job first,
+// as far as not too many are in flight.
 func (p *Planner) reportRequests(now time.Time) []Action {
-	var out []Action
-	// reportRequests returns the report requests that are due.
+	room := maxReportsInFlight
 	for _, w := range p.index.sorted {
-		if w.reportAt.IsZero() || now.Before(w.reportAt) || w.reportInFlight || w.orderInFlight {
-			continue
+		if w.reportInFlight {
+			room--
+		}
+	}
+	var out []Action
+	for _, hasJob := range []bool{true, false} {
+		for _, w := range p.index.sorted {
+			if len(out) >= room {
+				return out
+			}
+			if (w.job != nil) != hasJob || !w.isReportDue(now) {
+				continue
+			}
+			w.reportAt = time.Time{}
+			w.reportInFlight = true
+			out = append(out, Action{To: w.Target})
 		}
-		w.reportAt = time.Time{}
-		w.reportInFlight = true
-		out = append(out, Action{To: w.Target})
 	}
 	return out
 }
--- a/internal/coordination/sched/planner.go
+++ b/internal/coordination/sched/planner.go
@@ -18,6 +18,10 @@
 	// unloadPollDelay is the time from the acceptance of an unload to the request for a
 	// report.
 	unloadPollDelay = earlyLoadDelay + maxEarlyLoads*earlyLoadInterval
+	// maxReportsInFlight limits the reports that are requested at the same time. A new holder
+	// needs one of each target; 2,800 requests at once timed out, were repeated, and kept the
+	// holder from answering the other instances.
+	maxReportsInFlight = 64
 	// maxListAge is the maximum age of a target's description in the list.
 	maxListAge = 4 * time.Second
 	// busyPollInterval is the interval between report requests to a target that is busy
--- a/internal/coordination/sched/planner_test.go
+++ b/internal/coordination/sched/planner_test.go
@@ -446,6 +446,30 @@
 	}
 }
 
+// TestReportsOfManyTargets guards against a new holder that asks all targets of a large fleet
+// for their reports at once: it is to ask each, some at a time.
+func TestReportsOfManyTargets(t *testing.T) {
+	r := newFixture(testEngine(1), make([][]string, 3*maxReportsInFlight)...)
+	asked := make(map[string]bool)
+	for range 4 {
+		actions := r.Plan(r.now)
+		if len(actions) > maxReportsInFlight {
+			t.Fatalf("%d reports at once, at most %d wanted", len(actions), maxReportsInFlight)
+		}
+		if more := r.Plan(r.now); len(actions) == maxReportsInFlight && len(more) > 0 {
+			t.Errorf("%d more while %d are in flight", len(more), len(actions))
+		}
+		for _, a := range actions {
+			asked[a.To.ID] = true
+			r.ReportDone(r.now, a.To.ID, fleet.Report{Identity: a.To.Identity}, nil)
+		}
+		r.now = r.now.Add(planStep)
+	}
+	if len(asked) != len(r.targets) {
+		t.Errorf("%d of %d targets were asked", len(asked), len(r.targets))
+	}
+}
+
 // TestExpectedTellsTheQueue checks that the expected time grows along the queue for a
 // single slot for loads from the weight store.
 func TestExpectedTellsTheQueue(t *testing.T) {
--- a/internal/coordination/sched/target.go
+++ b/internal/coordination/sched/target.go
@@ -151,6 +151,11 @@
 	return out
 }
 
+// isReportDue reports whether a report is to be requested now.
+func (w *targetState) isReportDue(now time.Time) bool {
+	return !w.reportAt.IsZero() && !now.Before(w.reportAt) && !w.reportInFlight && !w.orderInFlight
+}
+
 // requestReport schedules a report request unless an earlier one is scheduled.
 func (w *targetState) requestReport(at time.Time) {
 	if w.reportAt.IsZero() || at.Before(w.reportAt) {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -43,6 +43,10 @@
 	holderCheckInterval = 1500 * time.Millisecond
 	// planInterval is the interval at which the holder runs the planners.
 	planInterval = 50 * time.Millisecond
+	// planRest is how many times as long as a plan the time to the next one is at least. A
+	// plan for some thousand targets takes as long as planInterval, and other instances wait
+	// for their replies meanwhile.
+	planRest = 4
 )
 
 // errNoSender is the error of a message that does not say who has sent it.
@@ -452,8 +456,9 @@
 func (e *Edge) planLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		if e.isHolder() {
+			began := e.timer.Now()
 			e.coordinator.sendDueOrders()
-			sleep(ctx, planInterval)
+			sleep(ctx, max(planInterval, planRest*e.timer.Now().Sub(began)))
 			continue
 		}
 		sleep(ctx, urgentExchangeInterval)
