Starting instances wait for the holder's list for 3 to 6 s

With 2,800 targets a list is some megabytes, and the holder's updates take longer than 3 s to reach all of 300 instances that start together: 52 of them began to list the targets themselves and choked the link between regions again.

--- a/internal/edge/follower.go
+++ b/internal/edge/follower.go
@@ -32,8 +32,8 @@
 	// knows a holder that may be alive, and holderUpdateSpread a random time on top. A fleet that
 	// starts as a whole must not read the full list at once: 117 instances of one region
 	// choked the link to the store, and the holder's updates on it, for over 15 s.
-	holderUpdateWait   = 1500 * time.Millisecond
-	holderUpdateSpread = 1500 * time.Millisecond
+	holderUpdateWait   = 3 * time.Second
+	holderUpdateSpread = 3 * time.Second
 	// startPollInterval is how often a starting instance checks for updates.
 	startPollInterval = 10 * time.Millisecond
 	// idlePollInterval is how often an idle follower checks whether it must read again.
