--- a/internal/coordination/load/ramp.go
+++ b/internal/coordination/load/ramp.go
@@ -9,23 +9,16 @@
 	// snapshots, so that the outcomes are those of the limit in force.
 	rampPeriod = 600 * time.Millisecond
 	// MinStartLimit is the least number of requests in flight that a target may have at
-	// its start. startShare is the same as a share of its slots.
+	// its start. Limits below it are for targets that reject or fail requests. startShare
+	// is the same as a share of its slots.
 	MinStartLimit = 2
 	startShare    = 1.0 / 16
-	// ProbeLimit is the limit of a target that rejects or fails everything: one request at a
-	// time, however many are in flight there from before. Streams of half a minute would
-	// otherwise keep a target that has recovered without requests.
-	ProbeLimit = 1
-	// minUsed is the share of the limit that must be used or answered in time for the limit
-	// to grow.
-	minUsed = 0.5
 	// maxBadShare is the share of late and rejected requests in a period from which on the
 	// limit is halved, maxGoodShare that up to which it is doubled. Some answers are late at
 	// any target of a busy service.
 	maxBadShare  = 0.5
 	maxGoodShare = 0.25
-	// maxRamp is how long a target has a limit at most, from its start or from the last
-	// period in which it rejected everything.
+	// maxRamp is how long a target has a limit at most.
 	maxRamp = 8 * time.Second
 	// troubleWindow is the period in which a target that rejects everything is detected,
 	// minTrouble the number of rejections that this takes.
@@ -93,12 +86,9 @@
 
 type ramp struct {
 	slots, limit int
-	// isFirm means that the limit follows from late or rejected requests.
-	isFirm bool
-
-	startedAt time.Time
-	steppedAt time.Time
-	outcomes  Outcomes
+	startedAt    time.Time
+	steppedAt    time.Time
+	outcomes     Outcomes
 }
 
 type trouble struct {
@@ -128,7 +118,7 @@
 		}
 		return
 	}
-	r.ramps[index] = &ramp{slots: slots, limit: limit, isFirm: cause == CauseRejecting, startedAt: now, steppedAt: now}
+	r.ramps[index] = &ramp{slots: slots, limit: limit, startedAt: now, steppedAt: now}
 	r.onChange(RampChange{index: index, Limit: limit, Slots: slots, Cause: cause, Outcomes: o})
 }
 
@@ -154,7 +144,7 @@
 	t.outcomes.add(o)
 	answered := t.outcomes.InTime + t.outcomes.Late
 	if t.outcomes.Rejected >= minTrouble && answered == 0 && float64(inFlight) < fullShare*float64(slots) {
-		r.start(now, index, slots, ProbeLimit, CauseRejecting, t.outcomes)
+		r.start(now, index, slots, 1, CauseRejecting, t.outcomes)
 	}
 }
 
@@ -162,8 +152,7 @@
 // all instances at a target.
 func (r *Ramps) Step(now time.Time, inFlight func(index int) int) {
 	for index, p := range r.ramps {
-		hasRecovered := p.limit == ProbeLimit && p.outcomes.InTime > 0
-		if now.Sub(p.steppedAt) < rampPeriod && !hasRecovered {
+		if now.Sub(p.steppedAt) < rampPeriod {
 			continue
 		}
 		was, outcomes, cause := p.limit, p.outcomes, CauseAnswers
@@ -188,48 +177,38 @@
 	}
 }
 
-// step changes the limit after a period, which goes on as long as there is no outcome. The
-// limit stays as it is if hardly any of it was used. Requests in flight beyond the limit
-// were sent before the instances knew it; the next limit is based on them, so that the
-// target gets new ones before all of them have ended.
+// step changes the limit after a period. It stays as it is without any outcome, and if
+// less than half of it was used. Requests in flight beyond the limit were sent before the
+// instances knew it; the target is to get new ones before all of them have ended.
 func (p *ramp) step(now time.Time, inFlight int) {
-	o := p.outcomes
-	bad := o.Late + o.Rejected
-	all := bad + o.InTime
-	if all == 0 {
-		return
-	}
-	used := max(p.limit, min(inFlight, p.slots))
-	p.isFirm = float64(bad) > maxGoodShare*float64(all)
-	isUsed := minUsed*float64(p.limit) <= float64(max(inFlight, o.InTime))
-	switch {
-	case o.Rejected == all:
-		p.limit = max(p.limit/2, ProbeLimit)
-		p.startedAt = now
+	bad := p.outcomes.Late + p.outcomes.Rejected
+	isUsed := 2*inFlight >= p.limit || p.outcomes.InTime >= p.limit
+	switch all := bad + p.outcomes.InTime; {
+	case all == 0, !isUsed && bad == 0:
+	case p.outcomes.Rejected == all:
+		// What is in flight from before says little about what the target takes now.
+		p.limit = max(max(p.limit, min(inFlight, p.slots)/2)/2, 1)
 	case float64(bad) > maxBadShare*float64(all):
-		p.limit = max(used/2, ProbeLimit)
-	case !p.isFirm && (isUsed || bad > 0):
-		p.limit = 2 * used
+		p.limit = max(max(p.limit, min(inFlight, p.slots))/2, 1)
+	case float64(bad) <= maxGoodShare*float64(all):
+		p.limit = 2 * max(p.limit, min(inFlight, p.slots))
 	}
 	p.outcomes = Outcomes{}
 	p.steppedAt = now
 }
 
-// limits returns the limits by index, and 1 for each that is firm.
-func (r *Ramps) limits() (limits, firm Counts) {
+// limits returns the limits by index.
+func (r *Ramps) limits() Counts {
 	if len(r.ramps) == 0 {
-		return nil, nil
+		return nil
 	}
 	highest := 0
 	for index := range r.ramps {
 		highest = max(highest, index)
 	}
-	dense, ones := make([]int, highest+1), make([]int, highest+1)
+	dense := make([]int, highest+1)
 	for index, p := range r.ramps {
 		dense[index] = p.limit
-		if p.isFirm && p.limit > 0 {
-			ones[index] = 1
-		}
 	}
-	return newCounts(dense), newCounts(ones)
+	return newCounts(dense)
 }
--- a/internal/coordination/load/sums.go
+++ b/internal/coordination/load/sums.go
@@ -45,9 +45,6 @@
 	// Limits holds the limits of all instances' requests in flight at targets that have
 	// just started or recovered, by index.
 	Limits Counts `json:"limits,omitempty"`
-	// Firm holds 1 for each limit that follows from late or rejected requests. It applies
-	// however busy other targets are.
-	Firm Counts `json:"firm,omitempty"`
 	// Rates holds the requests that arrive per second at all instances, by service and
 	// model; the model of a plain service is empty.
 	Rates map[string]map[string]float64 `json:"rates,omitempty"`
@@ -257,8 +254,7 @@
 		return nil
 	}
 	age := now.Sub(s.startedAt) - s.ages/time.Duration(s.reported)
-	out := &Snapshot{AgeMS: age.Milliseconds(), Counts: s.encode(), Paces: s.paceCounts, Rates: s.rates, Use: s.teams, Waiting: s.waitingNow}
-	out.Limits, out.Firm = s.ramps.limits()
+	out := &Snapshot{AgeMS: age.Milliseconds(), Counts: s.encode(), Paces: s.paceCounts, Limits: s.ramps.limits(), Rates: s.rates, Use: s.teams, Waiting: s.waitingNow}
 	if c := s.instances[to]; c != nil {
 		out.Seq = c.seq
 	}
--- a/internal/coordination/load/view.go
+++ b/internal/coordination/load/view.go
@@ -29,7 +29,6 @@
 	waiting Waiting
 	paces   map[int]float64
 	limits  map[int]int
-	firm    map[int]bool
 	isValid bool
 }
 
@@ -42,7 +41,7 @@
 // NewView returns a View without a snapshot. The reports are numbered from now on, so that
 // those of an instance that restarts follow its earlier ones.
 func NewView(now time.Time) *View {
-	return &View{seq: uint64(max(now.UnixNano(), 0)), paces: make(map[int]float64), limits: make(map[int]int), firm: make(map[int]bool)}
+	return &View{seq: uint64(max(now.UnixNano(), 0)), paces: make(map[int]float64), limits: make(map[int]int)}
 }
 
 // Report returns the next report.
@@ -91,10 +90,6 @@
 	for i, limit := range s.Limits.all() {
 		v.limits[i] = limit
 	}
-	clear(v.firm)
-	for i := range s.Firm.all() {
-		v.firm[i] = true
-	}
 	v.dueAt = sentAt.Add(snapshotInterval(s))
 	return others, true
 }
@@ -142,10 +137,6 @@
 // index, 0 for none.
 func (v *View) Limit(index int) int { return v.limits[index] }
 
-// IsFirm reports whether the limit of the target with an index follows from late or
-// rejected requests.
-func (v *View) IsFirm(index int) bool { return v.firm[index] }
-
 // ServiceRate returns the requests for all models of a service that arrive per second at
 // all instances.
 func (v *View) ServiceRate(service string) float64 {
--- a/internal/coordination/picker/choose.go
+++ b/internal/coordination/picker/choose.go
@@ -58,8 +58,6 @@
 	strained bool
 	// beyondLimit includes targets above the limit after their start or recovery.
 	beyondLimit bool
-	// isOnly means that the request has only one target, whose limit does not help it.
-	isOnly bool
 }
 
 // choiceTiers are tried in order. A request that only a starting target can serve is better
--- a/internal/coordination/picker/obstacle.go
+++ b/internal/coordination/picker/obstacle.go
@@ -41,7 +41,7 @@
 		return o
 	}
 	switch {
-	case r.limit > 0 && (!tier.beyondLimit || r.isFirm && !tier.isOnly) && !r.isAllowed(q, tier.strained):
+	case r.limit > 0 && !tier.beyondLimit && !r.isAllowed(q, tier.strained):
 		return obstacleStartLimit
 	case r.isEjected(now) != tier.ejected:
 		return ejectionObstacle(tier.ejected)
--- a/internal/coordination/picker/picker.go
+++ b/internal/coordination/picker/picker.go
@@ -65,10 +65,7 @@
 	withoutLimits bool
 	// startLimits is the number of targets that have such a limit.
 	startLimits int
-	// snapshotInterval is the time between the last two snapshots.
-	snapshotInterval time.Duration
-
-	sent map[modelKey]int
+	sent        map[modelKey]int
 	// paceToldAt is when a response of a service has last reported a pace, usualTimes the
 	// usual time to a response.
 	paceToldAt map[string]time.Time
@@ -268,7 +265,9 @@
 			slowness: 1, phase: p.random.Float64(), index: index, distance: p.distanceTo(r.Zone),
 		}
 		if _, ok := p.view.Age(p.timer.Now()); ok && !p.withoutLimits {
-			p.limitStart(known)
+			// The next snapshot says how many requests it may have.
+			known.limit = 1
+			p.startLimits++
 		}
 		p.targets[r.ID] = known
 		return known
--- a/internal/coordination/picker/ramp.go
+++ b/internal/coordination/picker/ramp.go
@@ -20,55 +20,36 @@
 	// strainedFactor is the multiple of a starting target's limit that applies while all
 	// others are busy. Requests that would be late elsewhere lose little there.
 	strainedFactor = 8
-	// strainedProbes is the number of requests that a target which rejects everything gets
-	// with one snapshot while all others are busy.
-	strainedProbes = 3
 )
 
 // setChances sets the probability with which a request may go to each target that has a
 // limit until the next snapshot, so that all instances together use the room below the
 // limit although the part of each is less than one request.
 func (p *Picker) setChances(now time.Time) {
-	p.snapshotInterval = now.Sub(p.snapshotAt)
+	elapsed := now.Sub(p.snapshotAt).Seconds()
 	queued, inFlight := p.countQueued(), p.countInFlight()
 	p.startLimits = 0
 	for _, r := range p.targets {
-		if r.limit > 0 {
-			p.startLimits++
-			p.setChance(r, queued[r.Service], inFlight[r.Service])
+		if r.limit == 0 {
+			continue
 		}
+		p.startLimits++
+		here := float64(p.arrivedHere[r.Service])
+		// Queued requests draw again, at the other instances probably as many as here.
+		all := p.view.ServiceRate(r.Service) * elapsed * (1 + float64(queued[r.Service])/max(here, 1))
+		all = max(all, here, 1)
+		if r.limit >= load.MinStartLimit {
+			// Requests that end before the next snapshot make room for others: as a share
+			// of all requests, no fewer may go there than have room at once.
+			all = min(all, max(inFlight[r.Service], 1))
+		}
+		r.chance = allowanceShare * max(float64(r.limit)-r.sharedLoad(), 0) / all
+		r.strainedChance = max(float64(r.strainedLimit())-r.sharedLoad(), 0) / all
 	}
 	clear(p.arrivedHere)
 	p.snapshotAt = now
 }
 
-// setChance sets the probabilities of a target. Its service has queued requests at this
-// instance and inFlight requests of all instances.
-func (p *Picker) setChance(r *target, queued int, inFlight float64) {
-	here := float64(p.arrivedHere[r.Service])
-	// Queued requests draw again, at the other instances probably as many as here.
-	all := p.view.ServiceRate(r.Service) * p.snapshotInterval.Seconds() * (1 + float64(queued)/max(here, 1))
-	all = max(all, here, 1)
-	if r.limit >= load.MinStartLimit {
-		// Requests that end before the next snapshot make room for others: as a share
-		// of all requests, no fewer may go there than have room at once.
-		all = min(all, max(inFlight, 1))
-	}
-	r.chance = allowanceShare * r.room(r.limit) / all
-	r.strainedChance = r.room(r.strainedLimit()) / all
-	if r.limit == load.ProbeLimit {
-		r.strainedChance *= strainedProbes
-	}
-}
-
-// limitStart limits a target that this instance sees for the first time. The next snapshot
-// says how many requests it may have.
-func (p *Picker) limitStart(r *target) {
-	r.limit = load.MinStartLimit
-	p.startLimits++
-	p.setChance(r, p.countQueued()[r.Service], p.countInFlight()[r.Service])
-}
-
 // countInFlight returns the requests of all instances by service.
 func (p *Picker) countInFlight() map[string]float64 {
 	out := make(map[string]float64)
@@ -100,42 +81,34 @@
 	if strained {
 		limit, chance = r.strainedLimit(), r.strainedChance
 	}
-	return r.room(limit) > 0 && math.Mod(q.luck+r.phase, 1) < chance
-}
-
-// room returns how many requests of all instances a limit leaves room for.
-func (r *target) room(limit int) float64 {
-	if limit == load.ProbeLimit {
-		return 1
-	}
-	return max(float64(limit)-r.sharedLoad(), 0)
+	return r.sharedLoad() < float64(limit) && math.Mod(q.luck+r.phase, 1) < chance
 }
 
-// strainedLimit returns the limit that applies while the other targets are busy.
+// strainedLimit returns the limit that applies while the other targets are busy. That of a
+// target that has rejected or failed requests stays as it is.
 func (r *target) strainedLimit() int {
-	if r.isFirm || r.limit == load.ProbeLimit {
+	if r.limit < load.MinStartLimit {
 		return r.limit
 	}
 	return min(strainedFactor*r.limit, r.Slots)
 }
 
-// isStrained reports whether some of the targets have a limit, and the others that take
-// requests are busy on average.
+// isStrained reports whether some of the targets have a limit, and none of the others has
+// room without being busy.
 func (p *Picker) isStrained(now time.Time, q *Request, copies []*target) bool {
 	if p.startLimits == 0 {
 		return false
 	}
-	hasLimited, inFlight, slots := false, 0.0, 0
+	hasLimited := false
 	for _, r := range copies {
 		switch {
 		case r.limit > 0:
 			hasLimited = true
-		case r.hindrance(now, q, choiceTier{}) == noObstacle:
-			inFlight += r.sharedLoad()
-			slots += r.Slots
+		case r.sharedLoad() < busyShare*float64(r.Slots) && r.hindrance(now, q, choiceTier{}) == noObstacle:
+			return false
 		}
 	}
-	return hasLimited && inFlight >= busyShare*float64(slots)
+	return hasLimited
 }
 
 // recordAnswer records that a response has begun, or has come as a whole.
--- a/internal/coordination/picker/shared.go
+++ b/internal/coordination/picker/shared.go
@@ -84,7 +84,7 @@
 		r.pace.Set(at, p.view.Pace(r.index))
 		r.slowness = r.pace.Current(now)
 		if !p.withoutLimits {
-			r.limit, r.isFirm = p.view.Limit(r.index), p.view.IsFirm(r.index)
+			r.limit = p.view.Limit(r.index)
 		}
 		if r.others.at.After(at) {
 			continue
@@ -182,7 +182,6 @@
 func (p *Picker) collect(now time.Time, q *Request, tier choiceTier) candidateSet {
 	c := candidateSet{copies: p.copiesFor(q, p.hasFreshUpdates(now)), limitedAt: -1}
 	tier.strained = p.isStrained(now, q, c.copies)
-	tier.isOnly = len(c.copies) == 1
 	c.tier = tier
 	list, options, fading := p.candidates[:0], p.options[:0], p.fading[:0]
 	limited, mean, most := p.share.InForce(), p.failureRates[q.Service], q.overcommit()
--- a/internal/coordination/picker/target.go
+++ b/internal/coordination/picker/target.go
@@ -71,8 +71,6 @@
 
 	strainedChance float64
 	phase          float64
-	// isFirm means that the limit applies however busy other targets are.
-	isFirm bool
 	// outcomes are those since the last load report, rejectedAt is when the target has last
 	// rejected a request or could not be reached.
 	outcomes   load.Outcomes
