--- a/internal/coordination/picker/explain.go
+++ b/internal/coordination/picker/explain.go
@@ -7,9 +7,9 @@
 	"chivecroft.example/chivecroft/internal/state/fleet"
 )
 
-// luckSteps is the number of evenly spaced values of a request's luck over which
+// drawSteps is the number of evenly spaced values of a request's random number over which
 // probabilities are averaged. It bounds how long the Picker is locked.
-const luckSteps = 32
+const drawSteps = 32
 
 // Explanation says where a request would go now and why.
 type Explanation struct {
@@ -136,19 +136,20 @@
 	steps := 1
 	for _, r := range copies {
 		if r.limit > 0 {
-			steps = luckSteps
+			steps = drawSteps
 		}
 	}
 	for i := range steps {
-		// Luck that is set is not drawn.
-		q.luck, q.luckOf = (float64(i)+0.5)/float64(steps), p.snapshotAt
-		p.judgeLuck(now, q, copies, 1/float64(steps), out)
+		// A number that is set is not drawn.
+		q.draw, q.drawnFor = (float64(i)+0.5)/float64(steps), p.snapshotAt
+		p.judgeDraw(now, q, copies, 1/float64(steps), out)
 	}
 	return out
 }
 
-// judgeLuck adds the verdicts for the request's luck, which has a probability of weight.
-func (p *Picker) judgeLuck(now time.Time, q *Request, copies []*target, weight float64, out map[*target]verdict) {
+// judgeDraw adds the verdicts for the request's random number, which has a probability of
+// weight.
+func (p *Picker) judgeDraw(now time.Time, q *Request, copies []*target, weight float64, out map[*target]verdict) {
 	used, chances := choiceTiers[0], map[*target]float64{}
 	costs := map[*target]float64{}
 	for _, tier := range choiceTiers {
--- a/internal/coordination/picker/picker.go
+++ b/internal/coordination/picker/picker.go
@@ -70,13 +70,13 @@
 	// usual time to a response.
 	paceToldAt map[string]time.Time
 	usualTimes map[modelKey]*usualTime
-	// candidates holds positions in a list of copies. It, options and fading are kept from
+	// candidates holds positions in a list of copies. It, options and othersCost are kept from
 	// one choice to the next to save allocations.
 	candidates []int
 	options    []load.Place
-	// fading is the part of each option's start that the requests of others make up, some
+	// othersCost is the part of each option's start that the requests of others make up, some
 	// of which have ended since the snapshot.
-	fading []float64
+	othersCost []float64
 
 	// limited holds the requests for models that were refused because of rate limits since
 	// the last call of Demand, at most maxLimited.
--- a/internal/coordination/picker/ramp.go
+++ b/internal/coordination/picker/ramp.go
@@ -68,10 +68,11 @@
 	return out
 }
 
-// drawLuck draws the luck of a request unless it has been drawn since the last snapshot.
-func (p *Picker) drawLuck(q *Request) {
-	if q.luckOf.IsZero() || q.luckOf != p.snapshotAt {
-		q.luck, q.luckOf = p.random.Float64(), p.snapshotAt
+// drawNumber draws the random number of a request unless it has been drawn since the last
+// snapshot.
+func (p *Picker) drawNumber(q *Request) {
+	if q.drawnFor.IsZero() || q.drawnFor != p.snapshotAt {
+		q.draw, q.drawnFor = p.random.Float64(), p.snapshotAt
 	}
 }
 
@@ -81,7 +82,7 @@
 	if strained {
 		limit, chance = r.strainedLimit(), r.strainedChance
 	}
-	return r.sharedLoad() < float64(limit) && math.Mod(q.luck+r.phase, 1) < chance
+	return r.sharedLoad() < float64(limit) && math.Mod(q.draw+r.phase, 1) < chance
 }
 
 // strainedLimit returns the limit that applies while the other targets are busy. That of a
--- a/internal/coordination/picker/request.go
+++ b/internal/coordination/picker/request.go
@@ -38,10 +38,10 @@
 	// WaitUntil is when the caller stops waiting for a response to begin; the request is
 	// not queued beyond it. It is zero if there is no such time before Deadline.
 	WaitUntil time.Time
-	// luck decides at random whether the request may go to targets that have a limit. It is
-	// drawn once for each load snapshot, that of luckOf.
-	luck   float64
-	luckOf time.Time
+	// draw is a random number that decides whether the request may go to targets that have a
+	// limit. It is drawn once for each load snapshot, that of drawnFor.
+	draw     float64
+	drawnFor time.Time
 	// Exclude lists the targets that have already been tried.
 	Exclude []fleet.Identity
 }
--- a/internal/coordination/picker/shared.go
+++ b/internal/coordination/picker/shared.go
@@ -168,7 +168,7 @@
 	c.sent = p.sentByOthers(now, q)
 	c.kept = keptShare(c.sent, c.others)
 	for i := range p.options {
-		p.options[i].Start -= (1 - c.kept) * p.fading[i]
+		p.options[i].Start -= (1 - c.kept) * p.othersCost[i]
 	}
 	return c
 }
@@ -183,9 +183,9 @@
 	c := candidateSet{copies: p.copiesFor(q, p.hasFreshUpdates(now)), limitedAt: -1}
 	tier.strained = p.isStrained(now, q, c.copies)
 	c.tier = tier
-	list, options, fading := p.candidates[:0], p.options[:0], p.fading[:0]
+	list, options, othersCost := p.candidates[:0], p.options[:0], p.othersCost[:0]
 	limited, mean, most := p.share.InForce(), p.failureRates[q.Service], q.overcommit()
-	p.drawLuck(q)
+	p.drawNumber(q)
 	for i, r := range c.copies {
 		if !r.isUnhindered(q, tier) && r.hindrance(now, q, tier) != noObstacle || r.isFull(most) ||
 			limited && p.share.Blocks(r.Identity, now) {
@@ -194,14 +194,14 @@
 		list = append(list, i)
 		option, step := p.option(now, q, r, mean, limited)
 		options = append(options, option)
-		fading = append(fading, step*r.others.count)
+		othersCost = append(othersCost, step*r.others.count)
 		c.others += r.others.count
 		last := len(options) - 1
 		if r.limit > 0 && (c.limitedAt < 0 || options[last].Start < options[c.limitedAt].Start) {
 			c.limitedAt = last
 		}
 	}
-	p.candidates, p.options, p.fading = list, options, fading
+	p.candidates, p.options, p.othersCost = list, options, othersCost
 	return c
 }
 
--- a/internal/coordination/picker/target.go
+++ b/internal/coordination/picker/target.go
@@ -65,7 +65,7 @@
 	slowness float64
 	// limit is the limit of all instances' requests in flight while the target ramps up, 0
 	// for none. A request may go there with probability chance, or strainedChance if the other
-	// targets are busy, its luck shifted by phase.
+	// targets are busy, its random number shifted by phase.
 	limit  int
 	chance float64
 
--- a/internal/coordination/usage/alone.go
+++ b/internal/coordination/usage/alone.go
@@ -63,7 +63,8 @@
 	at    time.Time
 }
 
-// IsAlone reports whether the instance decides without a holder: the holder is dead, or the instance has asked in vain for aloneAfter, and it has not heard of a holder since.
+// IsAlone reports whether the instance decides without a holder: the holder is dead, or the
+// instance has asked in vain for aloneAfter, and it has not heard of a holder since.
 func (s *Share) IsAlone(now time.Time) bool {
 	if !s.deadAt.IsZero() {
 		return true
@@ -114,19 +115,15 @@
 // the instances share what its bucket had left and its refill of deadTime. What it had reserved
 // ahead may start for up to maxDelay.
 func (s *Share) openAlone(t *teamShare, amount float64) aloneBucket {
-	if s.deadAt.IsZero() {
-		if !s.stoppedAt.IsZero() {
-			out := aloneBucket{at: s.stoppedAt}
-			if !t.levelAt.IsZero() && s.stoppedAt.Sub(t.levelAt) < silentAfter && t.level > 0 {
-				out.spare = stopSpare * t.level * s.shareOf(t)
-			}
-			return out
-		}
+	switch {
+	case s.deadAt.IsZero() && s.stoppedAt.IsZero():
 		return aloneBucket{at: s.failedAt.Add(aloneAfter)}
+	case s.deadAt.IsZero():
+		return aloneBucket{at: s.stoppedAt, spare: stopSpare * t.levelAsOf(s.stoppedAt) * s.shareOf(t)}
 	}
 	out := aloneBucket{at: s.deadAt.Add(deadTime), filledAt: s.deadAt.Add(maxDelay)}
-	if !t.levelAt.IsZero() && s.deadAt.Sub(t.levelAt) < silentAfter && t.level > 0 {
-		out.spare, out.filledAt = t.level, s.deadAt
+	if level := t.levelAsOf(s.deadAt); level > 0 {
+		out.spare, out.filledAt = level, s.deadAt
 	}
 	// All instances may be asked for their parts at once, and each decides at random.
 	total := out.spare + t.limit.Rate*out.at.Sub(out.filledAt).Seconds()
@@ -134,6 +131,15 @@
 	return out
 }
 
+// levelAsOf returns the level of the team's bucket that was last told, 0 if that was too long
+// before a time or is unknown.
+func (t *teamShare) levelAsOf(at time.Time) float64 {
+	if t.levelAt.IsZero() || at.Sub(t.levelAt) >= silentAfter {
+		return 0
+	}
+	return max(t.level, 0)
+}
+
 // fill adds the refill of a dead holder's bucket, at the instance's part of the rate.
 func (b *aloneBucket) fill(now, deadAt time.Time, rate float64) {
 	if end := deadAt.Add(deadTime); now.After(end) {
