--- a/review/scenes/main_test.go
+++ b/review/scenes/main_test.go
@@ -20,13 +20,16 @@
 // sceneLimit is the longest time of a scene.
 const sceneLimit = 110 * time.Second
 
-// scenes are the cases by their names. Each returns whether the rule was broken.
+// scenes are the cases by their names, and three that the report tells of beside the cases.
+// Each returns whether the rule was broken.
 var scenes = map[string]func(*world) (bool, error){
 	"adapters": lateAdapter,
 	"resume":   resumedRequest,
 	"entry":    foreignEntry,
 	"path":     escapedPath,
 	"gone":     goneReplica,
+	"rest":     restForgotten,
+	"refusal":  signedRefusal,
 }
 
 // TestMain plays a scene if the only argument names one. There are no tests, so that the
