An entry with missing fields names no target

Cause: DecodeTarget asked for service, address, zone, slots and state only. An entry without version, sequence, cold_remaining_ms and born was taken for that of a new incarnation.

Evidence: the platform's page lists all nine fields, born at the top level of all that a target says of itself, and says that an entry in which fields are missing or of another type names no target.

The odd entries of the older tests have the new fields as well, so that each is still refused for its own fault.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -262,11 +262,13 @@
 	r := newRig(t, 3)
 	r.target("desk", fake.NewTarget(t, "d2", "a1", 0))
 	deep := strings.Repeat("[", 10_001) + strings.Repeat("]", 10_001)
+	const rest = `"version":"v1","cold_remaining_ms":0,"sequence":7,"born":1}`
 	for _, odd := range []string{
 		deep, `{"service":` + deep + `}`, `{"slots":1e400}`,
-		`{"service":"desk","address":"127.0.0.1:65536","zone":"a1","slots":4,"state":"ready"}`,
-		`{"service":"desk","address":"127.0.0.1:0","zone":"a1","slots":4,"state":"ready"}`,
-		`{"service":"desk","address":"127.0.0.1:9","zone":"` + strings.Repeat("z", 900_000) + `","slots":4,"state":"ready"}`,
+		`{"service":"desk","address":"127.0.0.1:65536","zone":"a1","slots":4,"state":"ready",` + rest,
+		`{"service":"desk","address":"127.0.0.1:0","zone":"a1","slots":4,"state":"ready",` + rest,
+		`{"service":"desk","address":"127.0.0.1:9","zone":"` + strings.Repeat("z", 900_000) + `","slots":4,"state":"ready",` + rest,
+		`{"service":"desk","address":"` + r.targets["d1"].Addr().String() + `","zone":"a1","slots":8,"state":"ready"}`,
 	} {
 		r.store.Write(t, "servers/d1", []byte(odd))
 		for i := range 6 {
