A departure outlives the change of who decides

Cause: an instance has two records of the targets, that of its picker, which follows the holder's updates, and that of its coordinator, which only its own reads of the store change. The second one stays as it was when the instance last read the store, and is what it publishes as a new holder. Targets that are missing from its first list are kept for the removal delay if a call to the store has failed, as if their entries had just expired, and its first full update has all instances put them back into use.

Change: package depart remembers which targets have left and until when each may still be used. Package edge applies what it learns of targets in one place (targetNews), whatever its source, to picker and coordinator alike, so that what the holder says of a departure reaches the coordinator of its successor. The time for which a missing target may be used begins once, with the first news of its departure.

All five hold now, and a target that registers again is in use within 2 s. TestLapsedTargetsStayInUse, the other side, held before and holds. TestVanishedTargetIsRemovedAfterDelay and TestNewHolderDropsUnlistedTargets now go through targetNews, which has taken over removeAfter and retain; what they ask is unchanged.

--- a/internal/coordination/picker/picker.go
+++ b/internal/coordination/picker/picker.go
@@ -292,8 +292,8 @@
 		p.dropCopies()
 		return
 	}
-	if r.expiresAt.IsZero() {
-		r.expiresAt = p.timer.Now().Add(removalDelay)
+	if until := p.timer.Now().Add(removalDelay); r.expiresAt.IsZero() || until.Before(r.expiresAt) {
+		r.expiresAt = until
 		r.mayPause = true
 		p.timer.After(removalDelay, func() { p.removeExpired(id) })
 	}
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -11,6 +11,7 @@
 	"github.com/phuslu/log"
 
 	"chivecroft.example/chivecroft/internal/coordination/crash"
+	"chivecroft.example/chivecroft/internal/coordination/depart"
 	"chivecroft.example/chivecroft/internal/coordination/elect"
 	"chivecroft.example/chivecroft/internal/coordination/load"
 	"chivecroft.example/chivecroft/internal/coordination/picker"
@@ -40,8 +41,9 @@
 	mu      sync.Mutex
 	status  elect.Status
 	targets map[string]fleet.Target
-	// absent holds the targets that are missing from the store and may reappear.
-	absent map[string]bool
+	// departures holds the targets that have left the store. Those that are among targets all
+	// the same may be alive, and are removed later.
+	departures *depart.Log
 	// leaving holds the incarnations of targets that have announced that they are
 	// leaving. Descriptions of these incarnations that say otherwise are outdated.
 	leaving *recent.Set[fleet.Identity]
@@ -86,7 +88,7 @@
 func newCoordinator(ctx context.Context, boot *platform.Boot, clock *timer.Boot, l *log.Logger, m *instanceMetrics) *coordinator {
 	return &coordinator{
 		ctx: ctx, self: boot.Instance, engines: platform.NewEngines(), clock: clock, log: l, metrics: m,
-		loadWindow: boot.Bounds.LoadWindow, targets: make(map[string]fleet.Target), absent: make(map[string]bool),
+		loadWindow: boot.Bounds.LoadWindow, targets: make(map[string]fleet.Target), departures: depart.NewLog(),
 		leaving: picker.NewLeavingSet(), updates: newUpdateLog(), permits: quota.NewLedger(), crashes: crash.NewDetector(),
 		planners: make(map[string]*sched.Planner), members: make(map[string]member), tree: relay.NewTree(),
 		teamQuotas: newTeamQuotas(), relayZoneSize: relayZoneSize,
@@ -226,7 +228,6 @@
 	r.Draining = r.Draining || k.leaving.Has(r.Identity)
 	was, isKnown := k.targets[r.ID]
 	k.targets[r.ID] = r
-	delete(k.absent, r.ID)
 	if !k.status.IsHolder {
 		return
 	}
@@ -260,41 +261,9 @@
 	k.sums().Ramps().Stop(k.updates.remove(id))
 }
 
-// removeAfter removes a target that is missing from the list, unless it reappears within
-// delay.
-func (k *coordinator) removeAfter(id string, delay time.Duration) {
-	if delay <= 0 {
-		k.removeTarget(id)
-		return
-	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.absent[id] {
-		return
-	}
-	k.absent[id] = true
-	k.clock.After(delay, func() { k.removeAbsent(id) })
-}
-
-func (k *coordinator) removeAbsent(id string) {
-	k.mu.Lock()
-	gone := k.absent[id]
-	delete(k.absent, id)
-	k.mu.Unlock()
-	if gone {
-		k.removeTarget(id)
-	}
-}
-
-// retain removes the targets that a full list does not contain. This instance may have
-// read its own list long ago, when it was last the holder or had no updates.
-func (k *coordinator) retain(listed map[string]bool, delay time.Duration) {
-	for _, id := range k.unlisted(listed) {
-		k.removeAfter(id, delay)
-	}
-}
-
-func (k *coordinator) unlisted(listed map[string]bool) []string {
+// missingFrom returns the ids of known targets that are missing from a full list. This
+// instance may have read its own list long ago, when it was last the holder or had no updates.
+func (k *coordinator) missingFrom(listed map[string]bool) []string {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var out []string
--- a/internal/edge/coordinator_test.go
+++ b/internal/edge/coordinator_test.go
@@ -1,17 +1,32 @@
 package edge
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
 	"chivecroft.example/chivecroft/internal/coordination/elect"
+	"chivecroft.example/chivecroft/internal/coordination/picker"
+	"chivecroft.example/chivecroft/internal/coordination/ports"
 	"chivecroft.example/chivecroft/internal/state/fleet"
 	"chivecroft.example/chivecroft/internal/state/timer"
 	"chivecroft.example/chivecroft/platform"
+	"chivecroft.example/chivecroft/platform/fake"
 )
 
+func newTestPicker() *picker.Picker { return picker.New(timer.NewSystem(), "a1", nil) }
+
+// targetItem returns the entry of a target that is ready.
+func targetItem(t *testing.T, id string, revision ports.Revision) ports.Item {
+	value, err := json.Marshal(fake.NewTarget(t, id, "a1", 0).Entry("desk", "ready"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ports.Item{Key: platform.TargetPrefix + id, Value: value, Revision: revision}
+}
+
 func newTestCoordinator(t *testing.T) *coordinator {
 	l := discardLogger()
 	k := newCoordinator(t.Context(), &platform.Boot{Instance: "i1"}, timer.NewBoot(), l, &instanceMetrics{log: l})
@@ -35,7 +50,7 @@
 	if _, ok := k.handleExchange(exchangeRequest{From: "i2"}); ok {
 		t.Error("updates before a list was read")
 	}
-	k.retain(map[string]bool{"stays": true}, 0)
+	newTargetNews(newTestPicker(), k, k.log).applyList([]ports.Item{targetItem(t, "stays", 3)}, 0)
 	k.setHasFullList(true)
 	r, ok := k.handleExchange(exchangeRequest{From: "i2"})
 	var got []string
@@ -80,10 +95,11 @@
 	k := newTestCoordinator(t)
 	k.setHasFullList(true)
 	k.setHolder(true)
-	back := fleet.Target{Identity: fleet.Identity{ID: "back", Born: 1}, Service: "desk"}
-	for _, id := range []string{"back", "lost"} {
-		k.setTarget(fleet.Target{Identity: fleet.Identity{ID: id, Born: 1}, Service: "desk"})
-		k.removeAfter(id, leaseRecoveryTime)
+	news := newTargetNews(newTestPicker(), k, k.log)
+	for i, id := range []string{"back", "lost"} {
+		item := targetItem(t, id, ports.Revision(1+i))
+		news.applyChange(item, 0)
+		news.applyChange(ports.Item{Key: item.Key, Revision: ports.Revision(3 + i), Deleted: true}, leaseRecoveryTime)
 	}
 	count := func() int {
 		k.mu.Lock()
@@ -93,7 +109,7 @@
 	if n := count(); n != 2 {
 		t.Errorf("%d targets right after they vanished", n)
 	}
-	k.setTarget(back)
+	news.applyChange(targetItem(t, "back", 5), 0)
 	time.Sleep(leaseRecoveryTime + 200*time.Millisecond)
 	if n := count(); n != 1 {
 		t.Errorf("%d targets after the removal delay", n)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -65,6 +64,8 @@
 	hasRelays      atomic.Bool
 	configFollower *follower
 	targetFollower *follower
+	// news applies what this instance learns of targets.
+	news *targetNews
 	// targetsKnown reports whether a list of targets or an update has been received.
 	targetsKnown atomic.Bool
 	stopping     atomic.Bool
@@ -179,6 +180,7 @@
 	e.clock = timer.NewBoot()
 	e.coordinator = newCoordinator(e.loopCtx, boot, e.clock, l, e.metrics)
 	e.coordinator.withoutSlowStart = e.withoutSlowStart
+	e.news = newTargetNews(e.picker, e.coordinator, l)
 	e.proofs = proof.NewTracker()
 	e.peerClient = newPeerClient()
 	e.peerClient.now, e.peerClient.onProof = e.clock.Now, e.acceptProofHeader
@@ -433,7 +435,9 @@
 	return &follower{
 		name: "targets", prefix: platform.TargetPrefix, store: e.store, health: e.health, log: e.log,
 		batchDelay: targetBatchDelay, applyList: e.applyTargetList,
-		applyChange:   func(_ ports.Revision, item ports.Item) { e.applyTarget(item) },
+		applyChange: func(_ ports.Revision, item ports.Item) {
+			e.news.applyChange(item, e.health.removalDelay())
+		},
 		canAskReaders: e.canAskReaders, isHolder: e.isHolder, fetchChanges: e.fetchChanges, changelog: deltas.New(maxKeptChanges),
 		clock: e.clock, updateAge: e.updateAge, updateWait: startTimeout, expectsUpdates: e.expectsUpdates,
 		hasFreshUpdates: e.hasFreshUpdates, onIdle: func() { e.coordinator.setHasFullList(false) },
@@ -444,45 +448,7 @@
 }
 
 func (e *Edge) applyTargetList(items []ports.Item) {
-	listed := make(map[string]bool, len(items))
-	for _, item := range items {
-		listed[targetID(item)] = true
-		e.applyTarget(item)
-	}
-	for _, id := range e.picker.MissingFrom(listed) {
-		e.dropTarget(id)
-	}
-	e.coordinator.retain(listed, e.health.removalDelay())
+	e.news.applyList(items, e.health.removalDelay())
 	e.targetsKnown.Store(true)
 	e.coordinator.setHasFullList(true)
 }
-
-func targetID(item ports.Item) string {
-	return strings.TrimPrefix(item.Key, platform.TargetPrefix)
-}
-
-func (e *Edge) applyTarget(item ports.Item) {
-	id := targetID(item)
-	if item.Deleted {
-		e.dropTarget(id)
-		return
-	}
-	r, err := platform.DecodeTarget(item.Key, item.Value)
-	if err != nil {
-		e.log.Warn().Err(err).Uint64("revision", uint64(item.Revision)).Msg("invalid target entry ignored")
-		e.picker.Remove(id, 0)
-		e.coordinator.removeTarget(id)
-		return
-	}
-	e.log.Debug().Str("target", id).Bool("draining", r.Draining).Int("models", len(r.Models)).
-		Uint64("revision", uint64(item.Revision)).Msg("target updated")
-	e.picker.SetTarget(r)
-	e.coordinator.setTarget(r)
-}
-
-func (e *Edge) dropTarget(id string) {
-	removalDelay := e.health.removalDelay()
-	e.log.Info().Str("target", id).Dur("doubt", removalDelay).Msg("target removed from the store")
-	e.picker.Remove(id, removalDelay)
-	e.coordinator.removeAfter(id, removalDelay)
-}
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -12,6 +12,7 @@
 	"net/url"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -35,6 +36,8 @@
 	edges   []*Edge
 	// cut makes an instance's calls to the store fail.
 	cut map[string]*atomic.Bool
+	// links holds the instances' links to the store.
+	links map[string]*storeLink
 	// apart makes an instance's calls to other instances fail.
 	apart map[string]*atomic.Bool
 	// teams are those of configurations written from now on, and revocation the bound of
@@ -47,7 +50,7 @@
 }
 
 func newRig(t *testing.T, instances int, opts ...func(*rig)) *rig {
-	r := &rig{t: t, store: fake.NewStore(t), targets: make(map[string]*fake.Target), cut: make(map[string]*atomic.Bool), apart: make(map[string]*atomic.Bool)}
+	r := &rig{t: t, store: fake.NewStore(t), targets: make(map[string]*fake.Target), cut: make(map[string]*atomic.Bool), links: make(map[string]*storeLink), apart: make(map[string]*atomic.Bool)}
 	for _, opt := range opts {
 		opt(r)
 	}
@@ -117,18 +120,69 @@
 	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: r.store.Addr().String()})
 	// A call that its instance cancels is expected and not logged.
 	proxy.ErrorLog = stdlog.New(io.Discard, "", 0)
-	link := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		if cut.Load() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		proxy.ServeHTTP(w, req)
-	}))
+	link := &storeLink{proxy: proxy, cut: cut, watches: make(map[*http.Request]context.CancelFunc)}
+	r.links[instance] = link
+	server := httptest.NewServer(link)
 	r.t.Cleanup(func() {
-		link.CloseClientConnections()
-		link.Close()
+		server.CloseClientConnections()
+		server.Close()
 	})
-	return netip.MustParseAddrPort(link.Listener.Addr().String())
+	return netip.MustParseAddrPort(server.Listener.Addr().String())
+}
+
+// storeLink passes the calls of one instance on to the store.
+type storeLink struct {
+	proxy http.Handler
+	// cut makes calls fail.
+	cut *atomic.Bool
+	// onGrant, if set, is called when the instance asks for a lease.
+	onGrant atomic.Pointer[func()]
+
+	mu sync.Mutex
+	// watches holds the watches that wait.
+	watches map[*http.Request]context.CancelFunc
+}
+
+func (l *storeLink) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if l.cut.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	switch req.URL.Path {
+	case "/api/kv-lease":
+		if f := l.onGrant.Load(); f != nil {
+			(*f)()
+		}
+	case "/api/kv-watch":
+		l.watch(w, req)
+		return
+	}
+	l.proxy.ServeHTTP(w, req)
+}
+
+func (l *storeLink) watch(w http.ResponseWriter, req *http.Request) {
+	ctx, cancel := context.WithCancel(req.Context())
+	defer cancel()
+	l.mu.Lock()
+	l.watches[req] = cancel
+	l.mu.Unlock()
+	l.proxy.ServeHTTP(w, req.WithContext(ctx))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.watches[req] == nil {
+		panic(http.ErrAbortHandler)
+	}
+	delete(l.watches, req)
+}
+
+// resetWatches ends the connections on which watches wait.
+func (l *storeLink) resetWatches() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, cancel := range l.watches {
+		cancel()
+	}
+	clear(l.watches)
 }
 
 func (r *rig) isReady(e *Edge) bool {
--- /dev/null
+++ b/internal/edge/leaving_test.go
@@ -0,0 +1,231 @@
+package edge
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"chivecroft.example/chivecroft/platform/fake"
+)
+
+const (
+	// drainBound is how long after its departure a target may get requests.
+	drainBound = 2500 * time.Millisecond
+	// returnBound is the time within which a target that has registered is in use everywhere.
+	returnBound = 2 * time.Second
+)
+
+// fleetWithoutTarget is a rig whose target d1 has left while all was calm. Each instance has
+// read its entry itself before.
+type fleetWithoutTarget struct {
+	*rig
+	holder *Edge
+	leftAt time.Time
+	// out holds the instances that are no longer asked.
+	out sync.Map
+}
+
+func newFleetWithoutTarget(t *testing.T) *fleetWithoutTarget {
+	f := &fleetWithoutTarget{rig: newRig(t, 4)}
+	f.target("desk", fake.NewTarget(t, "d2", "a1", 0))
+	f.eventually("a holder is elected", func() bool { return f.rig.holder(nil) != nil })
+	first := f.rig.holder(nil)
+	first.kill()
+	f.out.Store(first, true)
+	f.eventually("all instances follow the store", func() bool {
+		return holdsForAll(f.live(), func(e *Edge) bool { return e.updateAge() > maxUpdateAge+300*time.Millisecond })
+	})
+	f.store.List(t, f.targets["d1"], "desk", "ready")
+	f.eventually("all instances have updates of a new holder", func() bool {
+		f.holder = f.rig.holder(first)
+		return f.holder != nil && holdsForAll(f.live(), func(e *Edge) bool { return e == f.holder || e.hasFreshUpdates() })
+	})
+	time.Sleep(time.Second)
+	f.store.Unlist("d1")
+	f.leftAt = time.Now()
+	time.Sleep(time.Second)
+	return f
+}
+
+func (f *fleetWithoutTarget) live() []*Edge {
+	var out []*Edge
+	for _, e := range f.edges {
+		if _, isOut := f.out.Load(e); !isOut {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// resetSuccessor ends the watches of the first instance that asks for a lease from now on.
+func (f *fleetWithoutTarget) resetSuccessor() {
+	var once sync.Once
+	for _, link := range f.links {
+		reset := func() { once.Do(link.resetWatches) }
+		link.onGrant.Store(&reset)
+	}
+}
+
+func (f *fleetWithoutTarget) refuse(d time.Duration) {
+	f.store.Refuse.Store(http.StatusServiceUnavailable)
+	time.Sleep(d)
+	f.store.Refuse.Store(0)
+}
+
+// countLate calls all instances until the returned function is called, which returns the number
+// of requests that d1 got after it should have been out of use.
+func (f *fleetWithoutTarget) countLate() func() int64 {
+	var late atomic.Int64
+	done := make(chan struct{})
+	var wait sync.WaitGroup
+	for _, e := range f.edges {
+		wait.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				case <-time.After(20 * time.Millisecond):
+				}
+				if _, isOut := f.out.Load(e); isOut {
+					return
+				}
+				sentAt := time.Now()
+				if _, body := f.call(e, "/app/", ""); body == "answer of d1" && sentAt.Sub(f.leftAt) > drainBound {
+					late.Add(1)
+				}
+			}
+		})
+	}
+	return func() int64 {
+		close(done)
+		wait.Wait()
+		return late.Load()
+	}
+}
+
+// TestLeftTargetStaysOut changes the holder in several ways while the store is disturbed. It
+// guards against a new holder that puts a target back into use which left long before, since
+// it takes its own former copy for entries that the store has lost. A target that registers
+// again must be in use at once.
+func TestLeftTargetStaysOut(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		disturb func(*fleetWithoutTarget)
+	}{
+		{"holder killed, watches of its successor reset", func(f *fleetWithoutTarget) {
+			f.resetSuccessor()
+			f.holder.kill()
+		}},
+		{"holder killed, store away for four seconds", func(f *fleetWithoutTarget) {
+			f.holder.kill()
+			f.refuse(4 * time.Second)
+		}},
+		{"holder frozen, watches of its successor reset", func(f *fleetWithoutTarget) {
+			f.resetSuccessor()
+			f.holder.coordinator.mu.Lock()
+			time.Sleep(6 * time.Second)
+			f.holder.coordinator.mu.Unlock()
+		}},
+		{"holder stopped, watches of its successor reset", func(f *fleetWithoutTarget) {
+			f.resetSuccessor()
+			go f.holder.Stop()
+		}},
+		{"holder killed while the store flaps", func(f *fleetWithoutTarget) {
+			for i := range 5 {
+				if i == 1 {
+					f.holder.kill()
+				}
+				f.refuse(500 * time.Millisecond)
+				time.Sleep(500 * time.Millisecond)
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleetWithoutTarget(t)
+			f.out.Store(f.holder, true)
+			late := f.countLate()
+			c.disturb(f)
+			f.eventually("there is a new holder", func() bool { return f.rig.holder(f.holder) != nil })
+			time.Sleep(drainBound + time.Second)
+			if n := late(); n > 0 {
+				t.Errorf("%d requests reached the target later than %s after it had left", n, drainBound)
+			}
+			f.store.List(t, f.targets["d1"], "desk", "ready")
+			returnedAt := time.Now()
+			for _, e := range f.live() {
+				f.eventually("the target that has returned is in use", func() bool {
+					_, body := f.call(e, "/app/", "")
+					return body == "answer of d1"
+				})
+			}
+			if took := time.Since(returnedAt); took > returnBound {
+				t.Errorf("the target was in use again after %s", took)
+			}
+		})
+	}
+}
+
+// TestLapsedTargetsStayInUse takes the store away until the entries of all targets have
+// expired, which register again after it is back. It guards against live targets that are
+// taken for ones that have left.
+func TestLapsedTargetsStayInUse(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		disturb func(*fleetWithoutTarget)
+	}{
+		{"holder stays", func(*fleetWithoutTarget) {}},
+		{"holder killed meanwhile", func(f *fleetWithoutTarget) {
+			f.out.Store(f.holder, true)
+			f.holder.kill()
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleetWithoutTarget(t)
+			var failed atomic.Int64
+			done := make(chan struct{})
+			var wait sync.WaitGroup
+			for _, e := range f.live() {
+				wait.Go(func() {
+					for !isClosed(done) {
+						status, _ := f.call(e, "/app/", "")
+						if _, isOut := f.out.Load(e); status != http.StatusOK && !isOut {
+							failed.Add(1)
+						}
+						time.Sleep(20 * time.Millisecond)
+					}
+				})
+			}
+			f.store.Refuse.Store(http.StatusServiceUnavailable)
+			for _, link := range f.links {
+				link.resetWatches()
+			}
+			c.disturb(f)
+			for _, id := range []string{"d2", "e1", "e2"} {
+				f.store.Unlist(id)
+			}
+			time.Sleep(4 * time.Second)
+			f.store.Refuse.Store(0)
+			time.Sleep(leaseRecoveryTime - 500*time.Millisecond)
+			f.store.List(t, f.targets["d2"], "desk", "ready")
+			time.Sleep(2 * leaseRecoveryTime)
+			close(done)
+			wait.Wait()
+			if n := failed.Load(); n > 0 {
+				t.Errorf("%d requests failed although their target was alive", n)
+			}
+		})
+	}
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -410,10 +410,9 @@
 	for model, in := range r.ReadyInMS {
 		expected[model] = now.Add(time.Duration(in) * time.Millisecond)
 	}
-	if r.Full {
-		e.dropUnlisted(r.Updates, time.Duration(r.RemovalDelayMS)*time.Millisecond)
-	}
-	e.picker.ApplyUpdates(r.Updates, expected)
+	e.news.applyUpdates(updates{
+		list: r.Updates, isFull: r.Full, removalDelay: time.Duration(r.RemovalDelayMS) * time.Millisecond, expected: expected,
+	})
 	e.coordinator.setStoreLoads(r.StoreLoads)
 	e.budget.SetInstances(r.Members)
 	e.members.Store(int64(r.Members))
@@ -427,18 +426,6 @@
 	e.targetFollower.coveredRevision.Store(r.TargetsThrough)
 }
 
-// dropUnlisted removes the targets that the holder's full list does not contain. The
-// holder decides how long they are kept, since the list is its own.
-func (e *Edge) dropUnlisted(listed []picker.Update, delay time.Duration) {
-	present := make(map[string]bool, len(listed))
-	for i := range listed {
-		present[listed[i].ID] = true
-	}
-	for _, id := range e.picker.MissingFrom(present) {
-		e.picker.Remove(id, delay)
-	}
-}
-
 // expectsUpdates reports whether there is another holder that may be alive, and so will send
 // its updates.
 func (e *Edge) expectsUpdates() bool {
