News from before a target's departure changes nothing

An instance that had read a target's departure itself used it again for as long as an older piece of news was the last one, so for as long as the store was away.

Cause: the order of arrival decided what was newer. A list of the store that was asked for before the departure, a reader's list or change of an earlier revision, and the updates of a holder that had read less, at its first full update or later, each put the target back into use.

Evidence: TestOutdatedNewsOfATarget plays each of them after a departure that was read, and after one that the holder told of.

Change: depart.Log keeps the store revision at which an entry was last known to be missing, and Judge compares it with that of each description that comes later. Updates of the holder carry a revision at which the target's entry was there, or was missing if it is gone. It changes only when the holder lists or sees the target return, so that heartbeats cause no updates. A list that this instance asked the store for after the departure counts whatever its revisions: what is remembered never outlives a fresh registration. Two lines tell what was decided: "target is back in use" and "outdated description of a target ignored", with the source, its revision and the age of the departure; "target removed from the store" now comes for each source and names it.

--- a/internal/coordination/picker/target.go
+++ b/internal/coordination/picker/target.go
@@ -113,22 +113,26 @@
 	Limit float64 `json:"limit,omitempty"`
 	// Index is the target's number in load reports and snapshots of the holder's term.
 	Index int `json:"index,omitempty"`
-	// Gone means that the target has left the platform's list; only its id is set then.
+	// Gone means that the target has left the platform's list; only its id and the revision
+	// are set then.
 	Gone bool `json:"gone,omitempty"`
+	// Revision is a revision of the store at which the target's entry was there or, if the
+	// target is gone, at which it was missing; 0 if unknown.
+	Revision uint64 `json:"revision,omitempty"`
 }
 
 // NewUpdate returns an update that says that a target serves models.
 func NewUpdate(r *fleet.Target, models []fleet.Loaded) Update {
 	return Update{
 		Identity: r.Identity, Service: r.Service, Addr: r.Addr, Zone: r.Zone, Slots: r.Slots,
-		Draining: r.Draining, Models: models,
+		Draining: r.Draining, Models: models, Revision: r.Revision,
 	}
 }
 
 // Equal reports whether two updates are equal.
 func (n *Update) Equal(o *Update) bool {
 	return n.Identity == o.Identity && n.Service == o.Service && n.Addr == o.Addr && n.Zone == o.Zone &&
-		n.Index == o.Index && n.Slots == o.Slots && n.Limit == o.Limit && n.Draining == o.Draining && n.Gone == o.Gone &&
+		n.Index == o.Index && n.Slots == o.Slots && n.Limit == o.Limit && n.Draining == o.Draining && n.Gone == o.Gone && n.Revision == o.Revision &&
 		slices.EqualFunc(n.Models, o.Models, func(x, y fleet.Loaded) bool {
 			return x.Model == y.Model && slices.Equal(x.Adapters, y.Adapters)
 		})
@@ -137,7 +141,7 @@
 func (n *Update) target() fleet.Target {
 	return fleet.Target{
 		Identity: n.Identity, Service: n.Service, Addr: n.Addr, Zone: n.Zone, Slots: n.Slots,
-		Draining: n.Draining, Holding: fleet.Holding{Models: n.Models},
+		Draining: n.Draining, Holding: fleet.Holding{Models: n.Models}, Revision: n.Revision,
 	}
 }
 
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -258,7 +258,8 @@
 		p.Remove(id)
 	}
 	delete(k.targets, id)
-	k.sums().Ramps().Stop(k.updates.remove(id))
+	d, _ := k.departures.Find(id)
+	k.sums().Ramps().Stop(k.updates.remove(id, uint64(d.Revision)))
 }
 
 // missingFrom returns the ids of known targets that are missing from a full list. This
@@ -275,6 +276,17 @@
 	return out
 }
 
+// knownRevision returns the revision that the other instances have been told of a target, or
+// that of its description if they have not been told of this incarnation.
+func (k *coordinator) knownRevision(r *fleet.Target) uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if have, isKnown := k.targets[r.ID]; isKnown && have.Identity == r.Identity {
+		return have.Revision
+	}
+	return r.Revision
+}
+
 // setHasFullList sets whether the targets come from a full list.
 func (k *coordinator) setHasFullList(listed bool) {
 	k.mu.Lock()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -376,8 +376,8 @@
 	}
 	return &follower{
 		name: "config", prefix: platform.ConfigKey, store: e.store, health: e.health, log: e.log,
-		applyList: func(items []ports.Item) {
-			for _, item := range items {
+		applyList: func(list itemList) {
+			for _, item := range list.items {
 				apply(0, item)
 			}
 			e.coordinator.setConfigRead()
@@ -436,7 +436,7 @@
 		name: "targets", prefix: platform.TargetPrefix, store: e.store, health: e.health, log: e.log,
 		batchDelay: targetBatchDelay, applyList: e.applyTargetList,
 		applyChange: func(_ ports.Revision, item ports.Item) {
-			e.news.applyChange(item, e.health.removalDelay())
+			e.news.applyChange(item, e.targetFollower.from, e.health.removalDelay())
 		},
 		canAskReaders: e.canAskReaders, isHolder: e.isHolder, fetchChanges: e.fetchChanges, changelog: deltas.New(maxKeptChanges),
 		clock: e.clock, updateAge: e.updateAge, updateWait: startTimeout, expectsUpdates: e.expectsUpdates,
@@ -447,8 +447,8 @@
 	}
 }
 
-func (e *Edge) applyTargetList(items []ports.Item) {
-	e.news.applyList(items, e.health.removalDelay())
+func (e *Edge) applyTargetList(list itemList) {
+	e.news.applyList(list, e.health.removalDelay())
 	e.targetsKnown.Store(true)
 	e.coordinator.setHasFullList(true)
 }
--- a/internal/edge/follower.go
+++ b/internal/edge/follower.go
@@ -45,6 +45,17 @@
 	maxRetryDelay = 1500 * time.Millisecond
 )
 
+// itemList is a full list of the keys that a follower follows.
+type itemList struct {
+	items []ports.Item
+	// through is the store revision that the list is of, or an earlier one; 0 if unknown.
+	through ports.Revision
+	from    origin
+	// askedAt is when this instance asked the store for the list, zero if it has it from
+	// another instance or a copy.
+	askedAt time.Time
+}
+
 // follower keeps up to date with all keys that begin with a prefix. It gets them from the
 // holder's updates, from readers or from the store itself.
 type follower struct {
@@ -57,7 +68,7 @@
 	batchDelay time.Duration
 	// applyList applies a full list of items, applyChange an item that was written or
 	// deleted after a previous revision of the same key, 0 for none.
-	applyList   func([]ports.Item)
+	applyList   func(list itemList)
 	applyChange func(previous ports.Revision, item ports.Item)
 	// onRead is called after a call to the store, sent after askedAt, has returned and its
 	// reply has been applied, with the newest revision of the configuration; nil if this
@@ -127,8 +138,10 @@
 	listDelay time.Duration
 	// refusedSince is since when readers have refused requests because they still get
 	// updates from the holder.
-	refusedSince  time.Time
-	revision      ports.Revision
+	refusedSince time.Time
+	revision     ports.Revision
+	// from is where the changes that are being applied come from.
+	from          origin
 	itemRevisions map[string]ports.Revision
 }
 
@@ -211,20 +224,20 @@
 	if !ok {
 		return false
 	}
-	f.reset(items, through)
+	f.reset(itemList{items: items, through: through, from: originStore})
 	return true
 }
 
-// reset replaces all items by those as of a store revision.
-func (f *follower) reset(items []ports.Item, through ports.Revision) {
-	f.revision = through
+// reset replaces all items by those of a list.
+func (f *follower) reset(list itemList) {
+	f.revision = list.through
 	if f.changelog != nil {
-		f.changelog.Replace(items, through)
+		f.changelog.Replace(list.items, list.through)
 	}
-	f.resetRevisions(items)
-	f.applyList(items)
+	f.resetRevisions(list.items)
+	f.applyList(list)
 	f.hasList.Store(true)
-	f.readThrough.Store(uint64(through))
+	f.readThrough.Store(uint64(list.through))
 }
 
 // lacksList reports whether a full list is needed and has not been read.
@@ -257,7 +270,7 @@
 		return false
 	}
 	f.resetRevisions(items)
-	f.applyList(items)
+	f.applyList(itemList{items: items, from: originHolder})
 	return true
 }
 
@@ -338,7 +351,7 @@
 		return false
 	}
 	f.log.Info().Str("feed", f.name).Int("items", len(items)).Uint64("revision", uint64(first)).Msg("list read")
-	f.reset(items, first)
+	f.reset(itemList{items: items, through: first, from: originStore, askedAt: askedAt})
 	if f.onRead != nil {
 		f.onRead(askedAt, newestRevision(items))
 	}
--- a/internal/edge/follower_test.go
+++ b/internal/edge/follower_test.go
@@ -20,7 +20,7 @@
 	fd := &follower{
 		name: "config", prefix: "op/config", store: platform.NewStore(t.Context(), store.Addr()),
 		health: newStoreHealth(timer.NewSystem(), l), log: l,
-		applyList:   func(items []ports.Item) { got <- items[0].Revision },
+		applyList:   func(list itemList) { got <- list.items[0].Revision },
 		applyChange: func(ports.Revision, ports.Item) {}, onIdle: func() {},
 		needsList: func() bool { return false }, canAskReaders: func() bool { return false },
 		isHolder: func() bool { return false }, clock: timer.NewBoot(),
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -15,6 +15,7 @@
 	"chivecroft.example/chivecroft/internal/coordination/elect"
 	"chivecroft.example/chivecroft/internal/coordination/load"
 	"chivecroft.example/chivecroft/internal/coordination/picker"
+	"chivecroft.example/chivecroft/internal/coordination/ports"
 	"chivecroft.example/chivecroft/internal/coordination/quota"
 	"chivecroft.example/chivecroft/internal/coordination/relay"
 	"chivecroft.example/chivecroft/internal/state/fleet"
@@ -404,14 +405,15 @@
 }
 
 // applyUpdates applies the updates in a reply of the holder or a relay.
-func (e *Edge) applyUpdates(r exchangeReply) {
+func (e *Edge) applyUpdates(r exchangeReply, from origin) {
 	now := e.timer.Now().Add(-time.Duration(r.AgeMS) * time.Millisecond)
 	expected := make(map[string]time.Time, len(r.ReadyInMS))
 	for model, in := range r.ReadyInMS {
 		expected[model] = now.Add(time.Duration(in) * time.Millisecond)
 	}
 	e.news.applyUpdates(updates{
-		list: r.Updates, isFull: r.Full, removalDelay: time.Duration(r.RemovalDelayMS) * time.Millisecond, expected: expected,
+		list: r.Updates, from: from, through: ports.Revision(r.TargetsThrough),
+		isFull: r.Full, removalDelay: time.Duration(r.RemovalDelayMS) * time.Millisecond, expected: expected,
 	})
 	e.coordinator.setStoreLoads(r.StoreLoads)
 	e.budget.SetInstances(r.Members)
--- a/internal/edge/source.go
+++ b/internal/edge/source.go
@@ -90,7 +90,7 @@
 	}
 	if len(items) > 0 {
 		f.resetRevisions(items)
-		f.applyList(items)
+		f.applyList(itemList{items: items, from: originReader})
 		// There is only one key, so a watch may continue from its revision.
 		f.updatesThrough.Store(f.localRevision.Load())
 	}
@@ -143,6 +143,7 @@
 // nextChanges waits for changes from a reader, or from the store if no reader can help.
 func (f *follower) nextChanges(ctx context.Context, isNeedless func() bool) ports.KVReply {
 	result := readerUnavailable
+	f.from = originReader
 	if f.fetchChanges != nil && f.shouldAskReaders() {
 		var changes deltas.Changes
 		changes, result = f.fetchChanges(ctx, f.revision)
@@ -150,6 +151,7 @@
 			return f.applyReaderChanges(ctx, changes, result)
 		}
 	}
+	f.from = originStore
 	reply := f.callStore(ports.KVWatch{Prefix: f.prefix, After: f.revision, Wait: f.nextWatchTimeout()}, isNeedless)
 	f.isProbing = reply.Status != ports.KVOK
 	if result == readerStoreDown && reply.Status == ports.KVOK {
@@ -174,7 +176,7 @@
 // full result at once.
 func (f *follower) applyReaderChanges(ctx context.Context, changes deltas.Changes, result readerResult) ports.KVReply {
 	if changes.IsFullList {
-		f.reset(changes.Items, changes.Through)
+		f.reset(itemList{items: changes.Items, through: changes.Through, from: originReader})
 		return ports.KVReply{Status: ports.KVOK, Revision: changes.Through}
 	}
 	if result != readerAnswered {
--- a/internal/edge/targets.go
+++ b/internal/edge/targets.go
@@ -15,9 +15,20 @@
 	"chivecroft.example/chivecroft/platform"
 )
 
+// origin tells where news of targets comes from, for logs.
+type origin string
+
+// The origins of news.
+const (
+	originStore  origin = "store"
+	originReader origin = "reader"
+	originHolder origin = "holder"
+	originRelay  origin = "relay"
+)
+
 // targetNews applies what this instance learns of targets, one piece at a time, to the
-// picker, which sends requests, and the coordinator, which tells other instances. What it
-// knows of a departure outlives a change of the lease holder.
+// picker, which sends requests, and the coordinator, which tells other instances. News from
+// before a target's departure changes nothing, whatever its source.
 type targetNews struct {
 	picker      *picker.Picker
 	coordinator *coordinator
@@ -36,8 +47,9 @@
 
 // entry is the news that one item of the store is.
 type entry struct {
-	id     string
-	target fleet.Target
+	id       string
+	revision ports.Revision
+	target   fleet.Target
 	// isThere reports whether the item describes a target. If not, the target may be used for
 	// usableFor.
 	isThere   bool
@@ -47,7 +59,7 @@
 // decodeEntry decodes an item. An item that describes no valid target names none to use; one
 // that was deleted may belong to a target that is alive, and is used for removalDelay.
 func (n *targetNews) decodeEntry(item ports.Item, removalDelay time.Duration) entry {
-	out := entry{id: targetID(item)}
+	out := entry{id: targetID(item), revision: item.Revision}
 	if item.Deleted {
 		out.usableFor = removalDelay
 		return out
@@ -59,6 +71,7 @@
 	}
 	n.log.Debug().Str("target", out.id).Bool("draining", r.Draining).Int("models", len(r.Models)).
 		Uint64("revision", uint64(item.Revision)).Msg("target updated")
+	r.Revision = uint64(item.Revision)
 	out.target, out.isThere = r, true
 	return out
 }
@@ -69,53 +82,78 @@
 
 // applyChange applies an item that has been written or deleted. A target that is missing is
 // used for removalDelay.
-func (n *targetNews) applyChange(item ports.Item, removalDelay time.Duration) {
+func (n *targetNews) applyChange(item ports.Item, from origin, removalDelay time.Duration) {
 	e := n.decodeEntry(item, removalDelay)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.applyEntry(&e)
+	n.applyEntry(&e, from, time.Time{})
 }
 
 // applyList applies a full list of the store's items. Targets that it lacks are used for
 // removalDelay.
-func (n *targetNews) applyList(items []ports.Item, removalDelay time.Duration) {
-	entries := make([]entry, len(items))
-	listed := make(map[string]bool, len(items))
-	for i, item := range items {
+func (n *targetNews) applyList(list itemList, removalDelay time.Duration) {
+	entries := make([]entry, len(list.items))
+	listed := make(map[string]bool, len(list.items))
+	for i, item := range list.items {
 		entries[i] = n.decodeEntry(item, removalDelay)
 		listed[entries[i].id] = true
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for i := range entries {
-		n.applyEntry(&entries[i])
+		n.applyEntry(&entries[i], list.from, list.askedAt)
 	}
 	for _, id := range n.picker.MissingFrom(listed) {
-		n.leave(id, removalDelay)
+		n.leave(id, list.through, list.from, removalDelay)
 	}
 	for _, id := range n.coordinator.missingFrom(listed) {
-		n.leave(id, removalDelay)
+		n.leave(id, list.through, list.from, removalDelay)
 	}
 }
 
-// applyEntry applies an item.
-func (n *targetNews) applyEntry(e *entry) {
+// applyEntry applies an item that was read from the store by this instance at askedAt, or by
+// another one if that is zero.
+func (n *targetNews) applyEntry(e *entry, from origin, askedAt time.Time) {
 	if !e.isThere {
-		n.leave(e.id, e.usableFor)
+		n.leave(e.id, e.revision, from, e.usableFor)
+		return
+	}
+	verdict := n.judge(e.id, e.revision, from, askedAt)
+	if verdict == depart.Outdated {
 		return
 	}
-	n.departures.Return(e.id)
-	n.picker.SetTarget(e.target)
-	n.coordinator.setTarget(e.target)
+	r := e.target
+	if verdict == depart.Present && askedAt.IsZero() {
+		// The other instances need not hear of each revision of an entry that has stayed.
+		r.Revision = n.coordinator.knownRevision(&r)
+	}
+	n.picker.SetTarget(r)
+	n.coordinator.setTarget(r)
 }
 
-// leave records that a target's entry is missing, and removes the target once it may no longer
-// be used.
-func (n *targetNews) leave(id string, usableFor time.Duration) {
+// judge compares a description of a target as of a revision with the target's departure.
+func (n *targetNews) judge(id string, revision ports.Revision, from origin, askedAt time.Time) depart.Verdict {
+	d, verdict := n.departures.Judge(id, revision, askedAt)
+	if verdict == depart.Present {
+		return verdict
+	}
+	message := "target is back in use"
+	if verdict == depart.Outdated {
+		message = "outdated description of a target ignored"
+	}
+	n.log.Info().Str("target", id).Str("from", string(from)).Uint64("revision", uint64(revision)).
+		Uint64("leftBefore", uint64(d.Revision)).Dur("leftFor", n.clock.Now().Sub(d.NotedAt)).Msg(message)
+	return verdict
+}
+
+// leave records that a target's entry was missing at a revision, and removes the target once
+// it may no longer be used.
+func (n *targetNews) leave(id string, revision ports.Revision, from origin, usableFor time.Duration) {
 	now := n.clock.Now()
-	d := n.departures.Leave(id, now, usableFor)
+	d := n.departures.Leave(id, revision, now, usableFor)
 	if d.NotedAt.Equal(now) {
-		n.log.Info().Str("target", id).Dur("doubt", usableFor).Msg("target removed from the store")
+		n.log.Info().Str("target", id).Str("from", string(from)).Uint64("revision", uint64(revision)).
+			Dur("doubt", usableFor).Msg("target removed from the store")
 	}
 	n.expire(id, d.UsableUntil.Sub(now))
 }
@@ -143,6 +181,9 @@
 // updates is what the lease holder says of the targets, itself or through a relay.
 type updates struct {
 	list []picker.Update
+	from origin
+	// through is the store revision up to which the holder has read the targets.
+	through ports.Revision
 	// isFull reports whether targets that are not in the list have left. They may be used for
 	// removalDelay.
 	isFull       bool
@@ -151,41 +192,62 @@
 	expected map[string]time.Time
 }
 
-// applyUpdates applies the holder's updates. Those of this instance to itself, as the holder,
-// only tell its picker which models are loaded: it follows the store.
+// applyUpdates applies the holder's updates.
 func (n *targetNews) applyUpdates(u updates) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if !n.coordinator.holderStatus().IsHolder {
-		n.noteDepartures(&u)
+	if n.coordinator.holderStatus().IsHolder {
+		n.applyOwn(&u)
+		return
 	}
-	n.picker.ApplyUpdates(u.list, u.expected)
+	listed := make(map[string]bool, len(u.list))
+	var current []picker.Update
+	for i := range u.list {
+		listed[u.list[i].ID] = true
+		if n.acceptUpdate(&u.list[i], &u) {
+			current = append(current, u.list[i])
+		}
+	}
+	if u.isFull {
+		n.dropUnlisted(listed, &u)
+	}
+	n.picker.ApplyUpdates(current, u.expected)
 }
 
-// noteDepartures records which targets have left and which are there, as the holder says.
-func (n *targetNews) noteDepartures(u *updates) {
-	listed := make(map[string]bool, len(u.list))
+// applyOwn applies this instance's updates to itself as the holder. They tell its picker which
+// models are loaded; it learns from the store which targets there are.
+func (n *targetNews) applyOwn(u *updates) {
+	var current []picker.Update
 	for i := range u.list {
 		p := &u.list[i]
-		listed[p.ID] = true
-		if p.Gone {
-			n.leave(p.ID, 0)
-		} else {
-			n.departures.Return(p.ID)
+		if p.Gone || n.judge(p.ID, ports.Revision(p.Revision), u.from, time.Time{}) != depart.Outdated {
+			current = append(current, *p)
 		}
 	}
-	if u.isFull {
-		n.dropUnlisted(listed, u)
+	n.picker.ApplyUpdates(current, u.expected)
+}
+
+// acceptUpdate reports whether an update is to be applied. It records the departure that it
+// may tell of.
+func (n *targetNews) acceptUpdate(p *picker.Update, u *updates) bool {
+	revision := ports.Revision(p.Revision)
+	if p.Gone {
+		if revision == 0 {
+			revision = u.through
+		}
+		n.leave(p.ID, revision, u.from, 0)
+		return true
 	}
+	return n.judge(p.ID, revision, u.from, time.Time{}) != depart.Outdated
 }
 
 // dropUnlisted removes the targets that the holder's full list does not contain. The holder
 // decides how long they are kept, since the list is its own.
 func (n *targetNews) dropUnlisted(listed map[string]bool, u *updates) {
 	for _, id := range n.picker.MissingFrom(listed) {
-		n.leave(id, u.removalDelay)
+		n.leave(id, u.through, u.from, u.removalDelay)
 	}
 	for _, id := range n.coordinator.missingFrom(listed) {
-		n.leave(id, u.removalDelay)
+		n.leave(id, u.through, u.from, u.removalDelay)
 	}
 }
--- /dev/null
+++ b/internal/edge/targets_test.go
@@ -0,0 +1,104 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"chivecroft.example/chivecroft/internal/coordination/picker"
+	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/platform"
+)
+
+// newInstance returns an instance that does not run, and knows the target "one" as of revision
+// 5 unless it is new.
+func newInstance(t *testing.T, isNew bool) *Edge {
+	e := New(&platform.Boot{Instance: "i2", Zone: "a1"}, discardLogger())
+	t.Cleanup(e.stopLoops)
+	if !isNew {
+		e.news.applyChange(targetItem(t, "one", 5), originStore, 0)
+	}
+	return e
+}
+
+// uses reports whether the instance sends requests to the target "one".
+func (e *Edge) uses() bool { return len(e.picker.MissingFrom(nil)) > 0 }
+
+// deletion returns the news that the entry of "one" was deleted at a revision.
+func deletion(revision ports.Revision) ports.Item {
+	return ports.Item{Key: platform.TargetPrefix + "one", Revision: revision, Deleted: true}
+}
+
+// updateOf returns the holder's update of "one" as of a revision.
+func updateOf(t *testing.T, revision ports.Revision) picker.Update {
+	r, err := platform.DecodeTarget(platform.TargetPrefix+"one", targetItem(t, "one", revision).Value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Revision = uint64(revision)
+	return picker.NewUpdate(&r, nil)
+}
+
+// TestOutdatedNewsOfATarget has a target's entry deleted at revision 20, and news of the target
+// come afterwards. It guards against news from before the departure that put the target back
+// into use, for as long as the store is away, and against a departure that outlives a fresh
+// registration.
+func TestOutdatedNewsOfATarget(t *testing.T) {
+	list := func(askedAt time.Time, through, revision ports.Revision) func(*testing.T, *Edge) {
+		return func(t *testing.T, e *Edge) {
+			e.news.applyList(itemList{items: []ports.Item{targetItem(t, "one", revision)}, through: through, askedAt: askedAt}, 0)
+		}
+	}
+	update := func(isFull bool, revision ports.Revision) func(*testing.T, *Edge) {
+		return func(t *testing.T, e *Edge) {
+			e.applyUpdates(exchangeReply{
+				Full: isFull, TargetsThrough: uint64(revision), Updates: []picker.Update{updateOf(t, revision)},
+			}, originHolder)
+		}
+	}
+	longAgo := time.Unix(1, 0)
+	for _, c := range []struct {
+		name  string
+		apply func(*testing.T, *Edge)
+		want  bool
+	}{
+		{"a list that was asked for before", list(longAgo, 15, 5), false},
+		{"a reader's list of an earlier revision", list(time.Time{}, 15, 5), false},
+		{"the first updates of a holder that is behind", update(true, 15), false},
+		{"a later update of a holder that is behind", update(false, 15), false},
+		{"a change that is read late", func(t *testing.T, e *Edge) {
+			e.news.applyChange(targetItem(t, "one", 18), originReader, 0)
+		}, false},
+		{"the entry written again", func(t *testing.T, e *Edge) {
+			e.news.applyChange(targetItem(t, "one", 22), originStore, 0)
+		}, true},
+		{"a list with the entry written again", list(longAgo, 22, 22), true},
+		{"a holder that has read the entry written again", update(false, 22), true},
+		{"a list of an older copy of the store, asked for later", list(time.Now().Add(time.Hour), 15, 5), true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for _, from := range []struct {
+				name  string
+				leave func(*Edge)
+			}{
+				{"own", func(e *Edge) { e.news.applyChange(deletion(20), originStore, 0) }},
+				{"holder", func(e *Edge) {
+					gone := picker.Update{Gone: true, Revision: 20}
+					gone.ID = "one"
+					e.applyUpdates(exchangeReply{TargetsThrough: 20, Updates: []picker.Update{gone}}, originHolder)
+				}},
+			} {
+				e := newInstance(t, false)
+				from.leave(e)
+				if e.uses() {
+					t.Fatalf("%s news: the target that has left is in use", from.name)
+				}
+				c.apply(t, e)
+				if diff := cmp.Diff(c.want, e.uses()); diff != "" {
+					t.Errorf("%s news: in use (-want +got):\n%s", from.name, diff)
+				}
+			}
+		})
+	}
+}
--- a/internal/edge/updatelog.go
+++ b/internal/edge/updatelog.go
@@ -36,13 +36,13 @@
 	r.entries[n.ID] = &updateEntry{version: r.version, update: n}
 }
 
-// remove adds an update that a target is gone. It returns the target's former number for
-// load reports, 0 if it had none.
-func (r *updateLog) remove(id string) int {
+// remove adds an update that a target is gone, its entry having been missing at a revision of
+// the store. It returns the target's former number for load reports, 0 if it had none.
+func (r *updateLog) remove(id string, revision uint64) int {
 	if entry := r.entries[id]; entry == nil || entry.update.Gone {
 		return 0
 	}
-	n := picker.Update{Gone: true}
+	n := picker.Update{Gone: true, Revision: revision}
 	n.ID = id
 	r.set(n)
 	return r.index.Release(id)
--- a/internal/state/fleet/target.go
+++ b/internal/state/fleet/target.go
@@ -25,6 +25,8 @@
 	Draining bool
 	// Remaining is the time until the target is removed, or 0 if the target states none.
 	Remaining time.Duration
+	// Revision is a revision of the store at which the target's entry was there, 0 if unknown.
+	Revision uint64
 	Holding
 }
 
