The time until which a missing target may be used is told

Cause: the holder keeps a target whose entry may have expired for its removal delay and told nobody. The others used it until the update that it is gone, up to a message's interval later, or for a removal delay of their own. A successor's first update began that time anew.

Evidence: TestTimeOfRemovalIsTold. An instance without a later update used the target without end.

Change: updates carry removalMs, the time that is left, counted at each sender from one end that is never put off: the holder works it out for each reply, a relay for what it has held meanwhile, and the receiver counts it from when it sent its request. An instance that knows of the departure keeps its own end if that is earlier, and does not take the target up again; one that has just started uses it until the end.

--- a/internal/coordination/picker/target.go
+++ b/internal/coordination/picker/target.go
@@ -117,8 +117,11 @@
 	// are set then.
 	Gone bool `json:"gone,omitempty"`
 	// Revision is a revision of the store at which the target's entry was there or, if the
-	// target is gone, at which it was missing; 0 if unknown.
+	// target is gone or is to be removed, at which it was missing; 0 if unknown.
 	Revision uint64 `json:"revision,omitempty"`
+	// RemovalMS is how long the target may still be used, in milliseconds, if its entry is
+	// missing although it may be alive; 0 if the entry is there.
+	RemovalMS int64 `json:"removalMs,omitempty"`
 }
 
 // NewUpdate returns an update that says that a target serves models.
@@ -129,7 +132,7 @@
 	}
 }
 
-// Equal reports whether two updates are equal.
+// Equal reports whether two updates are equal, but for the time until a removal.
 func (n *Update) Equal(o *Update) bool {
 	return n.Identity == o.Identity && n.Service == o.Service && n.Addr == o.Addr && n.Zone == o.Zone &&
 		n.Index == o.Index && n.Slots == o.Slots && n.Limit == o.Limit && n.Draining == o.Draining && n.Gone == o.Gone && n.Revision == o.Revision &&
--- a/internal/coordination/relay/copy.go
+++ b/internal/coordination/relay/copy.go
@@ -41,6 +41,25 @@
 type copyEntry struct {
 	version uint64
 	update  picker.Update
+	// usableUntil is until when a target that has left may be used; zero if it has not.
+	usableUntil time.Time
+}
+
+func newCopyEntry(version uint64, asOf time.Time, u picker.Update) copyEntry {
+	e := copyEntry{version: version, update: u}
+	if u.RemovalMS > 0 {
+		e.usableUntil = asOf.Add(time.Duration(u.RemovalMS) * time.Millisecond)
+	}
+	return e
+}
+
+// updateAt returns the update as the holder would have sent it at asOf.
+func (e *copyEntry) updateAt(asOf time.Time) picker.Update {
+	u := e.update
+	if !e.usableUntil.IsZero() {
+		u.RemovalMS = max(e.usableUntil.Sub(asOf).Milliseconds(), 1)
+	}
+	return u
 }
 
 // NewCopy returns an empty Copy.
@@ -70,7 +89,7 @@
 		c.base = s.Version
 	}
 	for i := range updates {
-		c.entries[updates[i].ID] = copyEntry{s.Version, updates[i]}
+		c.entries[updates[i].ID] = newCopyEntry(s.Version, asOf, updates[i])
 	}
 	if isSameTerm {
 		// Messages of the same time may name older revisions with a newer version.
@@ -99,7 +118,7 @@
 	isFull = at.Term != c.state.Term || at.Version < c.base || at.Version == 0
 	for _, entry := range c.entries {
 		if isFull && !entry.update.Gone || !isFull && entry.version > at.Version {
-			updates = append(updates, entry.update)
+			updates = append(updates, entry.updateAt(c.asOf))
 		}
 	}
 	return updates, isFull
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -149,7 +149,11 @@
 	}
 	u := picker.NewUpdate(r, models)
 	u.Limit = limit
-	k.updates.set(u)
+	d, hasLeft := k.departures.Find(r.ID)
+	if hasLeft {
+		u.Revision = uint64(d.Revision)
+	}
+	k.updates.set(u, d.UsableUntil)
 }
 
 // memberPeers returns the peer addresses of the other instances that exchange messages with
@@ -262,6 +266,15 @@
 	k.sums().Ramps().Stop(k.updates.remove(id, uint64(d.Revision)))
 }
 
+// announceRemoval has the other instances told until when a target that has left may be used.
+func (k *coordinator) announceRemoval(id string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if r, isKnown := k.targets[id]; isKnown && k.status.IsHolder {
+		k.publish(&r)
+	}
+}
+
 // missingFrom returns the ids of known targets that are missing from a full list. This
 // instance may have read its own list long ago, when it was last the holder or had no updates.
 func (k *coordinator) missingFrom(listed map[string]bool) []string {
@@ -323,7 +336,7 @@
 	}
 	members, senders := k.pruneMembers(now)
 	out := exchangeReply{
-		Term: k.term(), Version: k.updates.version, Full: after == 0, Updates: k.updates.after(after),
+		Term: k.term(), Version: k.updates.version, Full: after == 0, Updates: k.updates.after(after, now),
 		Members: members, Senders: senders, ChildrenKnown: known, Readers: readers, ConfigRevision: k.configRevision, ReadyInMS: make(map[string]int64),
 	}
 	out.HasRelays = k.hasRelays(&m, now)
--- a/internal/edge/coordinator_test.go
+++ b/internal/edge/coordinator_test.go
@@ -104,7 +104,7 @@
 	count := func() int {
 		k.mu.Lock()
 		defer k.mu.Unlock()
-		return len(k.updates.after(0))
+		return len(k.updates.after(0, k.clock.Now()))
 	}
 	if n := count(); n != 2 {
 		t.Errorf("%d targets right after they vanished", n)
--- a/internal/edge/health_test.go
+++ b/internal/edge/health_test.go
@@ -53,7 +53,7 @@
 			}
 			e.health.record(ports.KVUnavailable, nil)
 			updates := []picker.Update{{Identity: fleet.Identity{ID: "stays", Born: 1}, Service: "desk", Slots: 1}}
-			e.applyUpdates(exchangeReply{Full: true, Updates: updates, RemovalDelayMS: c.removalDelay.Milliseconds()}, originHolder)
+			e.applyUpdates(exchangeReply{Full: true, Updates: updates, RemovalDelayMS: c.removalDelay.Milliseconds()}, originHolder, e.clock.Now())
 			listed := map[string]bool{"stays": true, "gone": true}
 			for _, id := range e.picker.MissingFrom(nil) {
 				delete(listed, id)
--- a/internal/edge/load_test.go
+++ b/internal/edge/load_test.go
@@ -85,7 +85,7 @@
 func TestIndexesOfTargets(t *testing.T) {
 	u := newUpdateLog()
 	set := func(id string, slots int) {
-		u.set(picker.Update{Identity: fleet.Identity{ID: id}, Slots: slots})
+		u.set(picker.Update{Identity: fleet.Identity{ID: id}, Slots: slots}, time.Time{})
 	}
 	set("a", 1)
 	set("b", 1)
@@ -93,7 +93,7 @@
 	u.remove("b", 0)
 	set("c", 1)
 	got := make(map[string]int)
-	for _, n := range u.after(0) {
+	for _, n := range u.after(0, time.Time{}) {
 		got[n.ID] = n.Index
 	}
 	if diff := cmp.Diff(map[string]int{"a": 1, "c": 3}, got); diff != "" {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -404,15 +404,16 @@
 	})
 }
 
-// applyUpdates applies the updates in a reply of the holder or a relay.
-func (e *Edge) applyUpdates(r exchangeReply, from origin) {
+// applyUpdates applies the updates in a reply of the holder or a relay, which say what the
+// holder knew at asOf or later.
+func (e *Edge) applyUpdates(r exchangeReply, from origin, asOf time.Time) {
 	now := e.timer.Now().Add(-time.Duration(r.AgeMS) * time.Millisecond)
 	expected := make(map[string]time.Time, len(r.ReadyInMS))
 	for model, in := range r.ReadyInMS {
 		expected[model] = now.Add(time.Duration(in) * time.Millisecond)
 	}
 	e.news.applyUpdates(updates{
-		list: r.Updates, from: from, through: ports.Revision(r.TargetsThrough),
+		list: r.Updates, from: from, through: ports.Revision(r.TargetsThrough), asOf: asOf,
 		isFull: r.Full, removalDelay: time.Duration(r.RemovalDelayMS) * time.Millisecond, expected: expected,
 	})
 	e.coordinator.setStoreLoads(r.StoreLoads)
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -255,7 +255,7 @@
 		e.readers.Store(&reply.Readers)
 		e.hasRelays.Store(reply.HasRelays)
 	} else if merged, ok := e.held.adopt(reply, asOf); ok {
-		e.applyUpdates(merged, originHolder)
+		e.applyUpdates(merged, originHolder, asOf)
 	}
 	e.applyLoad(&reply, sentAt, asOf)
 	e.crashes.Apply(reply.Term, &m.crashes, &reply.Crashes)
@@ -309,7 +309,7 @@
 		e.election.Post(elect.SetHolder{Holder: reply.Holder})
 	}
 	e.applyPermits(exchangeRequest{}, reply, sentAt.Add(-age))
-	e.applyUpdates(merged, originRelay)
+	e.applyUpdates(merged, originRelay, asOf.Add(-age))
 	e.applyLoad(&reply, sentAt, asOf)
 	e.crashes.Apply(reply.Term, &crash.Report{}, &reply.Crashes)
 	e.noteUpdatedAt(asOf.Add(-age))
--- a/internal/edge/targets.go
+++ b/internal/edge/targets.go
@@ -166,6 +166,7 @@
 		return
 	}
 	n.picker.Remove(id, usableFor)
+	n.coordinator.announceRemoval(id)
 	n.clock.After(usableFor, func() { n.removeExpired(id) })
 }
 
@@ -182,8 +183,10 @@
 type updates struct {
 	list []picker.Update
 	from origin
-	// through is the store revision up to which the holder has read the targets.
+	// through is the store revision up to which the holder has read the targets. asOf is when
+	// the holder said it or earlier.
 	through ports.Revision
+	asOf    time.Time
 	// isFull reports whether targets that are not in the list have left. They may be used for
 	// removalDelay.
 	isFull       bool
@@ -212,6 +215,11 @@
 		n.dropUnlisted(listed, &u)
 	}
 	n.picker.ApplyUpdates(current, u.expected)
+	for i := range current {
+		if d, hasLeft := n.departures.Find(current[i].ID); hasLeft {
+			n.expire(current[i].ID, d.UsableUntil.Sub(n.clock.Now()))
+		}
+	}
 }
 
 // applyOwn applies this instance's updates to itself as the holder. They tell its picker which
@@ -220,7 +228,7 @@
 	var current []picker.Update
 	for i := range u.list {
 		p := &u.list[i]
-		if p.Gone || n.judge(p.ID, ports.Revision(p.Revision), u.from, time.Time{}) != depart.Outdated {
+		if p.Gone || p.RemovalMS == 0 && n.judge(p.ID, ports.Revision(p.Revision), u.from, time.Time{}) != depart.Outdated {
 			current = append(current, *p)
 		}
 	}
@@ -231,12 +239,24 @@
 // may tell of.
 func (n *targetNews) acceptUpdate(p *picker.Update, u *updates) bool {
 	revision := ports.Revision(p.Revision)
-	if p.Gone {
+	switch {
+	case p.Gone:
 		if revision == 0 {
 			revision = u.through
 		}
 		n.leave(p.ID, revision, u.from, 0)
 		return true
+	case p.RemovalMS > 0:
+		now := n.clock.Now()
+		usableFor := u.asOf.Add(time.Duration(p.RemovalMS) * time.Millisecond).Sub(now)
+		_, isKnown := n.departures.Find(p.ID)
+		d := n.departures.Leave(p.ID, revision, now, usableFor)
+		if isKnown {
+			// It is in use here for as long as it may be, or no more.
+			n.expire(p.ID, d.UsableUntil.Sub(now))
+			return false
+		}
+		return usableFor > 0
 	}
 	return n.judge(p.ID, revision, u.from, time.Time{}) != depart.Outdated
 }
--- a/internal/edge/targets_test.go
+++ b/internal/edge/targets_test.go
@@ -54,7 +54,7 @@
 		return func(t *testing.T, e *Edge) {
 			e.applyUpdates(exchangeReply{
 				Full: isFull, TargetsThrough: uint64(revision), Updates: []picker.Update{updateOf(t, revision)},
-			}, originHolder)
+			}, originHolder, e.clock.Now())
 		}
 	}
 	longAgo := time.Unix(1, 0)
@@ -86,7 +86,7 @@
 				{"holder", func(e *Edge) {
 					gone := picker.Update{Gone: true, Revision: 20}
 					gone.ID = "one"
-					e.applyUpdates(exchangeReply{TargetsThrough: 20, Updates: []picker.Update{gone}}, originHolder)
+					e.applyUpdates(exchangeReply{TargetsThrough: 20, Updates: []picker.Update{gone}}, originHolder, e.clock.Now())
 				}},
 			} {
 				e := newInstance(t, false)
@@ -102,3 +102,49 @@
 		})
 	}
 }
+
+// updatesOf returns what the holder e tells an instance that knows nothing yet.
+func updatesOf(t *testing.T, e *Edge) exchangeReply {
+	e.coordinator.setHasFullList(true)
+	r, ok := e.coordinator.handleExchange(exchangeRequest{From: "i9"})
+	if !ok {
+		t.Fatal("no updates")
+	}
+	return r
+}
+
+// TestTimeOfRemovalIsTold has the holder miss a target's entry while the store is disturbed. It
+// guards against instances that use the target until a later update, and against a time that
+// begins anew with each message and each holder.
+func TestTimeOfRemovalIsTold(t *testing.T) {
+	const delay = 600 * time.Millisecond
+	holder := newInstance(t, false)
+	holder.coordinator.setConfig(nil, 0)
+	holder.coordinator.setConfigRead()
+	holder.coordinator.setHolder(true)
+	holder.news.applyChange(deletion(20), originStore, delay)
+	first := updatesOf(t, holder)
+	instance, late, knows := newInstance(t, false), newInstance(t, true), newInstance(t, false)
+	knows.news.applyChange(deletion(20), originStore, 0)
+	for _, e := range []*Edge{instance, knows} {
+		e.applyUpdates(first, originHolder, e.clock.Now())
+	}
+	time.Sleep(delay / 2)
+	second := updatesOf(t, holder)
+	second.Term++
+	for _, e := range []*Edge{instance, late, knows} {
+		e.applyUpdates(second, originHolder, e.clock.Now())
+	}
+	got := []bool{holder.uses(), instance.uses(), late.uses(), knows.uses()}
+	time.Sleep(delay/2 + 100*time.Millisecond)
+	for _, e := range []*Edge{holder, instance, late, knows} {
+		got = append(got, e.uses())
+		// A holder whose clock is behind has not removed it yet.
+		e.applyUpdates(second, originRelay, e.clock.Now())
+		got = append(got, e != holder && e.uses())
+	}
+	want := []bool{true, true, true, false, false, false, false, false, false, false, false, false}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("in use (-want +got):\n%s", diff)
+	}
+}
--- a/internal/edge/updatelog.go
+++ b/internal/edge/updatelog.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"time"
+
 	"chivecroft.example/chivecroft/internal/coordination/load"
 	"chivecroft.example/chivecroft/internal/coordination/picker"
 )
@@ -17,23 +19,35 @@
 type updateEntry struct {
 	version uint64
 	update  picker.Update
+	// usableUntil is until when a target that has left may be used; zero if it has not.
+	usableUntil time.Time
+}
+
+// updateAt returns the update as it is sent at now.
+func (e *updateEntry) updateAt(now time.Time) picker.Update {
+	u := e.update
+	if !e.usableUntil.IsZero() {
+		u.RemovalMS = max(e.usableUntil.Sub(now).Milliseconds(), 1)
+	}
+	return u
 }
 
 func newUpdateLog() *updateLog {
 	return &updateLog{entries: make(map[string]*updateEntry), index: load.NewIndex()}
 }
 
-// set adds an update of a target unless it equals the last.
-func (r *updateLog) set(n picker.Update) {
+// set adds an update of a target, which may be used until a time if that is not zero, unless it
+// equals the last.
+func (r *updateLog) set(n picker.Update, usableUntil time.Time) {
 	if !n.Gone {
 		n.Index = r.index.Assign(n.ID, n.Slots)
 	}
 	entry := r.entries[n.ID]
-	if entry != nil && entry.update.Equal(&n) {
+	if entry != nil && entry.update.Equal(&n) && entry.usableUntil.Equal(usableUntil) {
 		return
 	}
 	r.version++
-	r.entries[n.ID] = &updateEntry{version: r.version, update: n}
+	r.entries[n.ID] = &updateEntry{version: r.version, update: n, usableUntil: usableUntil}
 }
 
 // remove adds an update that a target is gone, its entry having been missing at a revision of
@@ -44,17 +58,17 @@
 	}
 	n := picker.Update{Gone: true, Revision: revision}
 	n.ID = id
-	r.set(n)
+	r.set(n, time.Time{})
 	return r.index.Release(id)
 }
 
-// after returns the updates after a version. For version 0 it returns those of all
-// targets that exist.
-func (r *updateLog) after(version uint64) []picker.Update {
+// after returns the updates after a version, as they are sent at now. For version 0 it returns
+// those of all targets that exist.
+func (r *updateLog) after(version uint64, now time.Time) []picker.Update {
 	var out []picker.Update
 	for _, entry := range r.entries {
 		if entry.version > version && (version > 0 || !entry.update.Gone) {
-			out = append(out, entry.update)
+			out = append(out, entry.updateAt(now))
 		}
 	}
 	return out
