A successor knows which targets drain

What callers saw: nothing that was traced; found while looking for the kin of the takeover's fault.

Cause: that a target drains, told by the holder, reached the picker of an instance and not its coordinator. As the next holder, with its calls failing and the target's entry gone, it told instances that had just started that the target takes requests.

Change: what the holder says of draining is kept for a later term of this instance, as a target's own word and its entry are; an entry that says so is remembered in the same set, so that an older one does not undo it.

Measured: TestSuccessorKnowsWhatIsDraining failed before ("the target is told as one that takes requests") and passes; TestAnnouncedLeavingReachesAllInstances and TestLeavingWordReachesAll pass.

--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -229,7 +229,10 @@
 }
 
 func (k *coordinator) setTargetLocked(r fleet.Target) {
-	r.Draining = r.Draining || k.leaving.Has(r.Identity)
+	if r.Draining {
+		k.leaving.Add(r.Identity)
+	}
+	r.Draining = k.leaving.Has(r.Identity)
 	was, isKnown := k.targets[r.ID]
 	k.targets[r.ID] = r
 	if !k.status.IsHolder {
@@ -255,6 +258,18 @@
 	k.setTargetLocked(r)
 }
 
+// noteDraining records that the holder has said that a target is draining. This instance may
+// become the holder before it reads that itself.
+func (k *coordinator) noteDraining(id fleet.Identity) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.leaving.Add(id)
+	if r, isKnown := k.targets[id.ID]; isKnown && r.Identity == id {
+		r.Draining = true
+		k.targets[id.ID] = r
+	}
+}
+
 func (k *coordinator) removeTarget(id string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/edge/targets.go
+++ b/internal/edge/targets.go
@@ -258,7 +258,13 @@
 		}
 		return usableFor > 0
 	}
-	return n.judge(p.ID, revision, u.from, time.Time{}) != depart.Outdated
+	if n.judge(p.ID, revision, u.from, time.Time{}) == depart.Outdated {
+		return false
+	}
+	if p.Draining {
+		n.coordinator.noteDraining(p.Identity)
+	}
+	return true
 }
 
 // dropUnlisted removes the targets that the holder's full list does not contain. The holder
--- a/internal/edge/targets_test.go
+++ b/internal/edge/targets_test.go
@@ -148,3 +148,21 @@
 		t.Errorf("in use (-want +got):\n%s", diff)
 	}
 }
+
+// TestSuccessorKnowsWhatIsDraining has the holder tell of a target that is draining, and ends
+// before the target's entry does. It guards against a successor that takes its own former copy of
+// the entry, and has instances that have just started use the target.
+func TestSuccessorKnowsWhatIsDraining(t *testing.T) {
+	e := newInstance(t, false)
+	draining := updateOf(t, 7)
+	draining.Draining = true
+	e.applyUpdates(exchangeReply{TargetsThrough: 7, Updates: []picker.Update{draining}}, originHolder, e.clock.Now())
+	e.coordinator.setConfigRead()
+	e.coordinator.setHolder(true)
+	e.news.applyList(itemList{through: 20, askedAt: e.clock.Now()}, leaseRecoveryTime)
+	for _, u := range updatesOf(t, e).Updates {
+		if !u.Draining {
+			t.Errorf("the target is told as one that takes requests: %+v", u)
+		}
+	}
+}
