A target that has returned is told anew by a successor

Cause: to save updates for heartbeats, an instance kept the revision at which it had first known a target while it saw no departure. One that follows a reader may see only the latest change of a key, so that a departure and a return between two replies passed unseen. As the next holder it told of the target as of before, and instances that knew of the departure took that for outdated. Besides, a target whose time was over when an update of it came stayed until the next one.

Change: only the holder keeps a revision that it has told, and only over changes, of which it misses none; lists and other instances take that of the entry. The time that an update tells goes the way of all departures (leave).

Measured: TestReturnIsToldByASuccessor failed before in both cases and passes; the other tests of targetNews pass.

--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -304,12 +304,13 @@
 	return out
 }
 
-// knownRevision returns the revision that the other instances have been told of a target, or
-// that of its description if they have not been told of this incarnation.
-func (k *coordinator) knownRevision(r *fleet.Target) uint64 {
+// toldRevision returns the revision that this instance has told the others of a target as the
+// holder, or that of its description if there is none. The holder misses no change between two
+// revisions of an entry.
+func (k *coordinator) toldRevision(r *fleet.Target) uint64 {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if have, isKnown := k.targets[r.ID]; isKnown && have.Identity == r.Identity {
+	if have, isKnown := k.targets[r.ID]; isKnown && k.status.IsHolder && have.Identity == r.Identity {
 		return have.Revision
 	}
 	return r.Revision
--- a/internal/edge/targets.go
+++ b/internal/edge/targets.go
@@ -54,6 +54,8 @@
 	// usableFor.
 	isThere   bool
 	usableFor time.Duration
+	// isListed reports whether the item comes from a full list. Changes before it may be unknown.
+	isListed bool
 }
 
 // decodeEntry decodes an item. An item that describes no valid target names none to use; one
@@ -96,6 +98,7 @@
 	listed := make(map[string]bool, len(list.items))
 	for i, item := range list.items {
 		entries[i] = n.decodeEntry(item, removalDelay)
+		entries[i].isListed = true
 		listed[entries[i].id] = true
 	}
 	n.mu.Lock()
@@ -123,9 +126,9 @@
 		return
 	}
 	r := e.target
-	if verdict == depart.Present && askedAt.IsZero() {
+	if verdict == depart.Present && !e.isListed {
 		// The other instances need not hear of each revision of an entry that has stayed.
-		r.Revision = n.coordinator.knownRevision(&r)
+		r.Revision = n.coordinator.toldRevision(&r)
 	}
 	n.picker.SetTarget(r)
 	n.coordinator.setTarget(r)
@@ -247,16 +250,11 @@
 		n.leave(p.ID, revision, u.from, 0)
 		return true
 	case p.RemovalMS > 0:
-		now := n.clock.Now()
-		usableFor := u.asOf.Add(time.Duration(p.RemovalMS) * time.Millisecond).Sub(now)
+		usableFor := u.asOf.Add(time.Duration(p.RemovalMS) * time.Millisecond).Sub(n.clock.Now())
 		_, isKnown := n.departures.Find(p.ID)
-		d := n.departures.Leave(p.ID, revision, now, usableFor)
-		if isKnown {
-			// It is in use here for as long as it may be, or no more.
-			n.expire(p.ID, d.UsableUntil.Sub(now))
-			return false
-		}
-		return usableFor > 0
+		n.leave(p.ID, revision, u.from, usableFor)
+		// A target whose departure was known is in use for as long as it may be, or no more.
+		return !isKnown && usableFor > 0
 	}
 	if n.judge(p.ID, revision, u.from, time.Time{}) == depart.Outdated {
 		return false
--- a/internal/edge/targets_test.go
+++ b/internal/edge/targets_test.go
@@ -166,3 +166,30 @@
 		}
 	}
 }
+
+// TestReturnIsToldByASuccessor has a target leave and return while an instance follows a reader,
+// which sends the latest change only. It guards against a target that stays out of use at the
+// instances that know of its departure, since the successor tells of it as it was before.
+func TestReturnIsToldByASuccessor(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		apply func(*Edge)
+	}{
+		{"change", func(e *Edge) { e.news.applyChange(targetItem(t, "one", 22), originReader, 0) }},
+		{"full list", func(e *Edge) {
+			e.news.applyList(itemList{items: []ports.Item{targetItem(t, "one", 22)}, through: 30, from: originReader}, 0)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			successor, other := newInstance(t, false), newInstance(t, false)
+			other.news.applyChange(deletion(20), originStore, 0)
+			c.apply(successor)
+			successor.coordinator.setConfigRead()
+			successor.coordinator.setHolder(true)
+			other.applyUpdates(updatesOf(t, successor), originHolder, other.clock.Now())
+			if !other.uses() {
+				t.Error("the target that has returned is not in use")
+			}
+		})
+	}
+}
