A call that fails is no outage in which entries expire

What callers saw: a target got requests up to 3.4 s after it had left, if the holder's watch of the targets had gone silent just before: the watch was given up after up to 2.2 s, and its failure added a removal delay of 2 s.

Cause: any failed call started the removal delay, which is meant for entries of live targets that expired while the store was away.

Evidence: TestTargetLeavesWhileAWatchIsSilent, with all other calls to the store answered.

Change: an entry is removed after three heartbeats without a renewal, so an outage shorter than one heartbeat (heartbeat_ms of the boot file) costs a live target one renewal at most. The removal delay is granted only if the latest outage, from the last answer to any call until the first one after its last failure, was at least that long. Outages less than two heartbeats apart count as one, since renewals may have failed in each. Where the beginning is unknown, or the boot file names no heartbeat, the delay is granted as before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -163,11 +163,11 @@
 	for _, opt := range opts {
 		opt(e)
 	}
-	e.health = newStoreHealth(e.timer, l)
+	e.health = newStoreHealth(e.timer, l, boot.Heartbeat)
 	e.bounds.Store(&boot.Bounds)
 	e.loopCtx, e.stopLoops = context.WithCancel(context.Background())
 	e.metrics = &instanceMetrics{log: l}
-	e.store = platform.NewStore(e.loopCtx, boot.Store, platform.WithStoreObserver(e.metrics.storeCallEnded))
+	e.store = platform.NewStore(e.loopCtx, boot.Store, platform.WithStoreObserver(e.onStoreCall))
 	e.demandSignal = make(chan struct{}, 1)
 	pickerOptions := []picker.Option{
 		picker.WithName(boot.Instance), picker.WithDemand(e.signalDemand), picker.WithHoldObserver(e.onHoldChange),
@@ -218,6 +218,12 @@
 	return e
 }
 
+// onStoreCall counts a finished call to the store and notes whether the store has answered.
+func (e *Edge) onStoreCall(kind, key string, status ports.KVStatus) {
+	e.metrics.storeCallEnded(kind, key, status)
+	e.health.hear(status)
+}
+
 // onHolderStatus handles a change of the election status. A new holder is asked for
 // updates at once.
 func (e *Edge) onHolderStatus(s elect.Status) {
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -44,6 +44,8 @@
 	// instances started from now on.
 	teams      []fake.Team
 	revocation time.Duration
+	// heartbeat is that of targets which instances started from now on are told of.
+	heartbeat time.Duration
 	// relayZoneSize replaces the size of zones without relays, if it is not 0, for
 	// instances started from now on.
 	relayZoneSize int
@@ -92,7 +94,7 @@
 		Regions: map[string]string{"a1": "a"}, Store: r.linkToStore(name),
 		Callers: netip.AddrPortFrom(loopback, port), Ready: netip.AddrPortFrom(loopback, port+1),
 		Peer:        netip.AddrPortFrom(loopback, port+2),
-		StoreTTLMin: time.Second,
+		StoreTTLMin: time.Second, Heartbeat: r.heartbeat,
 		Bounds: platform.Bounds{
 			StopGrace: 8 * time.Second, OrderHandover: 3 * time.Second, RetryRatio: 0.2, RetryExtra: 50,
 			RetryWindow: 10 * time.Second, LoadWindow: 5 * time.Second, Revocation: r.revocation,
@@ -120,7 +122,7 @@
 	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: r.store.Addr().String()})
 	// A call that its instance cancels is expected and not logged.
 	proxy.ErrorLog = stdlog.New(io.Discard, "", 0)
-	link := &storeLink{proxy: proxy, cut: cut, watches: make(map[*http.Request]context.CancelFunc)}
+	link := &storeLink{proxy: proxy, cut: cut, watches: make(map[*http.Request]context.CancelFunc), silent: make(map[*http.Request]bool)}
 	r.links[instance] = link
 	server := httptest.NewServer(link)
 	r.t.Cleanup(func() {
@@ -139,8 +141,9 @@
 	onGrant atomic.Pointer[func()]
 
 	mu sync.Mutex
-	// watches holds the watches that wait.
+	// watches holds the watches that wait, silent those whose reply never comes.
 	watches map[*http.Request]context.CancelFunc
+	silent  map[*http.Request]bool
 }
 
 func (l *storeLink) ServeHTTP(w http.ResponseWriter, req *http.Request) {
@@ -166,7 +169,7 @@
 	l.mu.Lock()
 	l.watches[req] = cancel
 	l.mu.Unlock()
-	l.proxy.ServeHTTP(w, req.WithContext(ctx))
+	l.proxy.ServeHTTP(watchWriter{w, l, req}, req.WithContext(ctx))
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.watches[req] == nil {
@@ -175,6 +178,34 @@
 	delete(l.watches, req)
 }
 
+// watchWriter writes the reply to a watch unless it is silent.
+type watchWriter struct {
+	http.ResponseWriter
+	link *storeLink
+	req  *http.Request
+}
+
+func (w watchWriter) WriteHeader(status int) {
+	w.link.mu.Lock()
+	isSilent := w.link.silent[w.req]
+	w.link.mu.Unlock()
+	if isSilent {
+		<-w.req.Context().Done()
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// silenceWatches has no reply come to the watches of keys with a prefix that wait.
+func (l *storeLink) silenceWatches(prefix string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for req := range l.watches {
+		if req.URL.Query().Get("path_prefix") == prefix {
+			l.silent[req] = true
+		}
+	}
+}
+
 // resetWatches ends the connections on which watches wait.
 func (l *storeLink) resetWatches() {
 	l.mu.Lock()
--- a/internal/edge/follower_test.go
+++ b/internal/edge/follower_test.go
@@ -19,7 +19,7 @@
 	got := make(chan ports.Revision, 1)
 	fd := &follower{
 		name: "config", prefix: "op/config", store: platform.NewStore(t.Context(), store.Addr()),
-		health: newStoreHealth(timer.NewSystem(), l), log: l,
+		health: newStoreHealth(timer.NewSystem(), l, 0), log: l,
 		applyList:   func(list itemList) { got <- list.items[0].Revision },
 		applyChange: func(ports.Revision, ports.Item) {}, onIdle: func() {},
 		needsList: func() bool { return false }, canAskReaders: func() bool { return false },
--- a/internal/edge/health.go
+++ b/internal/edge/health.go
@@ -18,6 +18,10 @@
 type storeHealth struct {
 	timer timer.Service
 	log   *log.Logger
+	// heartbeat is the interval at which targets renew their entries. An entry outlives two
+	// renewals that fail; an outage shorter than the interval takes at most one. 0 means that it
+	// is not known.
+	heartbeat time.Duration
 
 	mu   sync.Mutex
 	down bool
@@ -27,10 +31,62 @@
 	answeredAt time.Time
 	// recoveredAt is when the latest outage ended, zero if there has been none.
 	recoveredAt time.Time
+	// heardAt is when any call was last answered.
+	heardAt time.Time
+	outage  outage
 }
 
-func newStoreHealth(t timer.Service, l *log.Logger) *storeHealth {
-	return &storeHealth{timer: t, log: l}
+// outage is the latest time during which calls failed. Such times that are less than two
+// heartbeats apart count as one, since a target's renewals may have failed in each.
+type outage struct {
+	// since is when a call was last answered before, zero if none was. until is when one was
+	// answered after the last failure, zero if none was.
+	since, until time.Time
+	hasBegun     bool
+}
+
+// noteFailure records that a call has failed, the last answer having come at heardAt.
+func (o *outage) noteFailure(heardAt time.Time, heartbeat time.Duration) {
+	isNew := !o.until.IsZero() && heardAt.Sub(o.until) >= 2*heartbeat
+	if !o.hasBegun || isNew {
+		o.since = heardAt
+	}
+	o.until, o.hasBegun = time.Time{}, true
+}
+
+// noteAnswer records that a call was answered at a time.
+func (o *outage) noteAnswer(at time.Time) {
+	if o.until.IsZero() {
+		o.until = at
+	}
+}
+
+// isShorterThan reports whether the outage is known to be shorter than d.
+func (o *outage) isShorterThan(d time.Duration, now time.Time) bool {
+	until := o.until
+	if until.IsZero() {
+		until = now
+	}
+	return !o.since.IsZero() && until.Sub(o.since) < d
+}
+
+func newStoreHealth(t timer.Service, l *log.Logger, heartbeat time.Duration) *storeHealth {
+	return &storeHealth{timer: t, log: l, heartbeat: heartbeat}
+}
+
+// hear records the end of any call to the store.
+func (h *storeHealth) hear(status ports.KVStatus) {
+	if status == ports.KVUnavailable || status == ports.KVUnknown {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.hearLocked()
+}
+
+func (h *storeHealth) hearLocked() {
+	h.heardAt = h.timer.Now()
+	h.outage.noteAnswer(h.heardAt)
 }
 
 // record records the result of a call.
@@ -38,6 +94,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	failed := status == ports.KVUnavailable || status == ports.KVUnknown
+	if failed {
+		h.outage.noteFailure(h.heardAt, h.heartbeat)
+	}
 	switch {
 	case failed && !h.down:
 		h.log.Warn().Err(err).Msg("store unreachable")
@@ -48,6 +107,7 @@
 	h.down = failed
 	if !failed {
 		h.answeredAt = h.timer.Now()
+		h.hearLocked()
 	}
 }
 
@@ -80,12 +140,14 @@
 func (h *storeHealth) removalDelay() time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.down {
-		return leaseRecoveryTime
-	}
 	now := h.timer.Now()
 	adopted := max(h.adoptedUntil.Sub(now), 0)
-	if h.recoveredAt.IsZero() {
+	switch {
+	case h.outage.isShorterThan(h.heartbeat, now):
+		return adopted
+	case h.down:
+		return leaseRecoveryTime
+	case h.recoveredAt.IsZero():
 		return adopted
 	}
 	return max(leaseRecoveryTime-now.Sub(h.recoveredAt), adopted)
--- a/internal/edge/health_test.go
+++ b/internal/edge/health_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -17,7 +18,7 @@
 // of the store and for a short time after it, however long the outage was.
 func TestRemovalDelayEndsAfterOutage(t *testing.T) {
 	clock := timer.NewVirtual(time.Unix(1_000_000, 0))
-	h := newStoreHealth(clock, discardLogger())
+	h := newStoreHealth(clock, discardLogger(), 0)
 	h.record(ports.KVOK, nil)
 	got := []time.Duration{h.removalDelay()}
 	h.record(ports.KVUnavailable, nil)
@@ -68,3 +69,46 @@
 		})
 	}
 }
+
+// TestShortOutagesDelayNoRemoval plays answers and failures of calls to the store. It guards
+// against a removal delay after one failed call, in whose time no entry can have expired, and
+// against none after an outage in which entries can.
+func TestShortOutagesDelayNoRemoval(t *testing.T) {
+	const heartbeat = 1200 * time.Millisecond
+	step := 100 * time.Millisecond
+	for _, c := range []struct {
+		name string
+		// calls has one call each step: + if it is answered, - if it fails, blank for none.
+		calls     string
+		heartbeat time.Duration
+		want      time.Duration
+	}{
+		{"one failed call", "+++-+", heartbeat, 0},
+		{"an outage shorter than a heartbeat", "+++----------+", heartbeat, 0},
+		{"an outage of a heartbeat", "+++------------+", heartbeat, leaseRecoveryTime},
+		{"an outage that lasts", "+++-------------", heartbeat, leaseRecoveryTime},
+		{"one failed call before any answer", "-+", heartbeat, leaseRecoveryTime},
+		{"no calls for a while, and one fails", "+               -+", heartbeat, leaseRecoveryTime},
+		{"a store that flaps", "+++-----+++++-----+++++-----+", heartbeat, leaseRecoveryTime},
+		{"a store that answers a few calls", "+++---+---+---+---+", heartbeat, leaseRecoveryTime},
+		{"a failed call long after another", "+++-+" + strings.Repeat("+", 24) + "-+", heartbeat, 0},
+		{"heartbeat not known", "+++-+", 0, leaseRecoveryTime},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			clock := timer.NewVirtual(time.Unix(1_000_000, 0))
+			h := newStoreHealth(clock, discardLogger(), c.heartbeat)
+			for _, call := range c.calls {
+				clock.Advance(step)
+				switch call {
+				case '+':
+					h.record(ports.KVOK, nil)
+				case '-':
+					h.record(ports.KVUnavailable, nil)
+				}
+			}
+			if got := h.removalDelay(); got != c.want {
+				t.Errorf("removal delay %s, want %s", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/edge/leaving_test.go
+++ b/internal/edge/leaving_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"chivecroft.example/chivecroft/platform"
 	"chivecroft.example/chivecroft/platform/fake"
 )
 
@@ -27,8 +28,8 @@
 	out sync.Map
 }
 
-func newFleetWithoutTarget(t *testing.T) *fleetWithoutTarget {
-	f := &fleetWithoutTarget{rig: newRig(t, 4)}
+func newFleetWithoutTarget(t *testing.T, opts ...func(*rig)) *fleetWithoutTarget {
+	f := &fleetWithoutTarget{rig: newRig(t, 4, opts...)}
 	f.target("desk", fake.NewTarget(t, "d2", "a1", 0))
 	f.eventually("a holder is elected", func() bool { return f.rig.holder(nil) != nil })
 	first := f.rig.holder(nil)
@@ -49,6 +50,9 @@
 	return f
 }
 
+// withHeartbeat has instances know the interval at which targets renew their entries.
+func withHeartbeat(r *rig) { r.heartbeat = 1200 * time.Millisecond }
+
 func (f *fleetWithoutTarget) live() []*Edge {
 	var out []*Edge
 	for _, e := range f.edges {
@@ -184,7 +188,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			f := newFleetWithoutTarget(t)
+			f := newFleetWithoutTarget(t, withHeartbeat)
 			var failed atomic.Int64
 			done := make(chan struct{})
 			var wait sync.WaitGroup
@@ -229,3 +233,28 @@
 		return false
 	}
 }
+
+// TestTargetLeavesWhileAWatchIsSilent has the holder's watch of the targets go silent while other
+// calls to the store are answered. It guards against a target that has left and is used for longer
+// than allowed, since one call that failed was taken for an outage in which entries expire.
+func TestTargetLeavesWhileAWatchIsSilent(t *testing.T) {
+	r := newRig(t, 3, withHeartbeat)
+	r.target("desk", fake.NewTarget(t, "d2", "a1", 0))
+	r.eventually("a holder is elected", func() bool { return r.holder(nil) != nil })
+	time.Sleep(time.Second)
+	r.links[r.holder(nil).boot.Instance].silenceWatches(platform.TargetPrefix)
+	r.store.Unlist("d1")
+	leftAt := time.Now()
+	var latest time.Duration
+	for sentAt := leftAt; sentAt.Sub(leftAt) < 2*drainBound; sentAt = time.Now() {
+		for _, e := range r.edges {
+			if _, body := r.call(e, "/app/", ""); body == "answer of d1" {
+				latest = sentAt.Sub(leftAt)
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if latest > drainBound {
+		t.Errorf("the target got a request %s after it had left", latest)
+	}
+}
