edge: the tracker of targets is called that

Change: targetNews is targetTracker, entry storeEntry, updates updateSet; comments speak of descriptions. Nothing else changes.

Measured: the tests of the tracker, of new holders and of package depart pass.

--- a/internal/coordination/depart/log_test.go
+++ b/internal/coordination/depart/log_test.go
@@ -14,7 +14,7 @@
 var start = time.Unix(1_000_000, 0)
 
 // TestJudge compares descriptions of a target with its departure at revision 20. It guards
-// against old news that put the target back into use, and against a departure that outlives the
+// against outdated descriptions that put the target back into use, and against a departure that outlives the
 // target's next registration.
 func TestJudge(t *testing.T) {
 	for _, c := range []struct {
@@ -44,7 +44,7 @@
 	}
 }
 
-// TestLeaveTwice guards against a target whose use is prolonged by each piece of news that it
+// TestLeaveTwice guards against a target whose use is prolonged by each report that it
 // has left.
 func TestLeaveTwice(t *testing.T) {
 	l := depart.NewLog()
--- a/internal/edge/coordinator_test.go
+++ b/internal/edge/coordinator_test.go
@@ -50,7 +50,7 @@
 	if _, ok := k.handleExchange(exchangeRequest{From: "i2"}); ok {
 		t.Error("updates before a list was read")
 	}
-	newTargetNews(newTestPicker(), k, k.log).applyList(itemList{items: []ports.Item{targetItem(t, "stays", 3)}, through: 3}, 0)
+	newTargetTracker(newTestPicker(), k, k.log).applyList(itemList{items: []ports.Item{targetItem(t, "stays", 3)}, through: 3}, 0)
 	k.setHasFullList(true)
 	r, ok := k.handleExchange(exchangeRequest{From: "i2"})
 	var got []string
@@ -95,11 +95,11 @@
 	k := newTestCoordinator(t)
 	k.setHasFullList(true)
 	k.setHolder(true)
-	news := newTargetNews(newTestPicker(), k, k.log)
+	tracker := newTargetTracker(newTestPicker(), k, k.log)
 	for i, id := range []string{"back", "lost"} {
 		item := targetItem(t, id, ports.Revision(1+i))
-		news.applyChange(item, originStore, 0)
-		news.applyChange(ports.Item{Key: item.Key, Revision: ports.Revision(3 + i), Deleted: true}, originStore, leaseRecoveryTime)
+		tracker.applyChange(item, originStore, 0)
+		tracker.applyChange(ports.Item{Key: item.Key, Revision: ports.Revision(3 + i), Deleted: true}, originStore, leaseRecoveryTime)
 	}
 	count := func() int {
 		k.mu.Lock()
@@ -109,7 +109,7 @@
 	if n := count(); n != 2 {
 		t.Errorf("%d targets right after they vanished", n)
 	}
-	news.applyChange(targetItem(t, "back", 5), originStore, 0)
+	tracker.applyChange(targetItem(t, "back", 5), originStore, 0)
 	time.Sleep(leaseRecoveryTime + 200*time.Millisecond)
 	if n := count(); n != 1 {
 		t.Errorf("%d targets after the removal delay", n)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -64,8 +64,8 @@
 	hasRelays      atomic.Bool
 	configFollower *follower
 	targetFollower *follower
-	// news applies what this instance learns of targets.
-	news *targetNews
+	// tracker applies what this instance learns of targets.
+	tracker *targetTracker
 	// targetsKnown reports whether a list of targets or an update has been received.
 	targetsKnown atomic.Bool
 	stopping     atomic.Bool
@@ -180,7 +180,7 @@
 	e.clock = timer.NewBoot()
 	e.coordinator = newCoordinator(e.loopCtx, boot, e.clock, l, e.metrics)
 	e.coordinator.withoutSlowStart = e.withoutSlowStart
-	e.news = newTargetNews(e.picker, e.coordinator, l)
+	e.tracker = newTargetTracker(e.picker, e.coordinator, l)
 	e.proofs = proof.NewTracker()
 	e.peerClient = newPeerClient()
 	e.peerClient.now, e.peerClient.onProof = e.clock.Now, e.acceptProofHeader
@@ -442,7 +442,7 @@
 		name: "targets", prefix: platform.TargetPrefix, store: e.store, health: e.health, log: e.log,
 		batchDelay: targetBatchDelay, applyList: e.applyTargetList,
 		applyChange: func(_ ports.Revision, item ports.Item) {
-			e.news.applyChange(item, e.targetFollower.from, e.health.removalDelay())
+			e.tracker.applyChange(item, e.targetFollower.from, e.health.removalDelay())
 		},
 		canAskReaders: e.canAskReaders, isHolder: e.isHolder, fetchChanges: e.fetchChanges, changelog: deltas.New(maxKeptChanges),
 		clock: e.clock, updateAge: e.updateAge, updateWait: startTimeout, expectsUpdates: e.expectsUpdates,
@@ -454,7 +454,7 @@
 }
 
 func (e *Edge) applyTargetList(list itemList) {
-	e.news.applyList(list, e.health.removalDelay())
+	e.tracker.applyList(list, e.health.removalDelay())
 	e.targetsKnown.Store(true)
 	e.coordinator.setHasFullList(true)
 }
--- a/internal/edge/targets.go
+++ b/internal/edge/targets.go
@@ -15,10 +15,10 @@
 	"chivecroft.example/chivecroft/platform"
 )
 
-// origin tells where news of targets comes from, for logs.
+// origin tells where a description of targets comes from, for logs.
 type origin string
 
-// The origins of news.
+// The origins of descriptions.
 const (
 	originStore  origin = "store"
 	originReader origin = "reader"
@@ -26,10 +26,10 @@
 	originRelay  origin = "relay"
 )
 
-// targetNews applies what this instance learns of targets, one piece at a time, to the
-// picker, which sends requests, and the coordinator, which tells other instances. News from
-// before a target's departure changes nothing, whatever its source.
-type targetNews struct {
+// targetTracker applies what this instance learns of targets, one piece at a time, to the
+// picker, which sends requests, and the coordinator, which tells other instances. A description
+// from before a target's departure changes nothing, whatever its source.
+type targetTracker struct {
 	picker      *picker.Picker
 	coordinator *coordinator
 	departures  *depart.Log
@@ -41,18 +41,18 @@
 	mu sync.Mutex
 }
 
-func newTargetNews(p *picker.Picker, k *coordinator, l *log.Logger) *targetNews {
-	return &targetNews{picker: p, coordinator: k, departures: k.departures, clock: k.clock, log: l}
+func newTargetTracker(p *picker.Picker, k *coordinator, l *log.Logger) *targetTracker {
+	return &targetTracker{picker: p, coordinator: k, departures: k.departures, clock: k.clock, log: l}
 }
 
-// entry is the news that one item of the store is.
-type entry struct {
+// storeEntry is a decoded item of the store.
+type storeEntry struct {
 	id       string
 	revision ports.Revision
 	target   fleet.Target
-	// isThere reports whether the item describes a target. If not, the target may be used for
+	// isPresent reports whether the item describes a target. If not, the target may be used for
 	// usableFor.
-	isThere   bool
+	isPresent bool
 	usableFor time.Duration
 	// isListed reports whether the item comes from a full list. Changes before it may be unknown.
 	isListed bool
@@ -60,21 +60,21 @@
 
 // decodeEntry decodes an item. An item that describes no valid target names none to use; one
 // that was deleted may belong to a target that is alive, and is used for removalDelay.
-func (n *targetNews) decodeEntry(item ports.Item, removalDelay time.Duration) entry {
-	out := entry{id: targetID(item), revision: item.Revision}
+func (t *targetTracker) decodeEntry(item ports.Item, removalDelay time.Duration) storeEntry {
+	out := storeEntry{id: targetID(item), revision: item.Revision}
 	if item.Deleted {
 		out.usableFor = removalDelay
 		return out
 	}
 	r, err := platform.DecodeTarget(item.Key, item.Value)
 	if err != nil {
-		n.log.Warn().Err(err).Uint64("revision", uint64(item.Revision)).Msg("invalid target entry ignored")
+		t.log.Warn().Err(err).Uint64("revision", uint64(item.Revision)).Msg("invalid target entry ignored")
 		return out
 	}
-	n.log.Debug().Str("target", out.id).Bool("draining", r.Draining).Int("models", len(r.Models)).
+	t.log.Debug().Str("target", out.id).Bool("draining", r.Draining).Int("models", len(r.Models)).
 		Uint64("revision", uint64(item.Revision)).Msg("target updated")
 	r.Revision = uint64(item.Revision)
-	out.target, out.isThere = r, true
+	out.target, out.isPresent = r, true
 	return out
 }
 
@@ -84,59 +84,59 @@
 
 // applyChange applies an item that has been written or deleted. A target that is missing is
 // used for removalDelay.
-func (n *targetNews) applyChange(item ports.Item, from origin, removalDelay time.Duration) {
-	e := n.decodeEntry(item, removalDelay)
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.applyEntry(&e, from, time.Time{})
+func (t *targetTracker) applyChange(item ports.Item, from origin, removalDelay time.Duration) {
+	e := t.decodeEntry(item, removalDelay)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.applyEntry(&e, from, time.Time{})
 }
 
 // applyList applies a full list of the store's items. Targets that it lacks are used for
 // removalDelay.
-func (n *targetNews) applyList(list itemList, removalDelay time.Duration) {
-	entries := make([]entry, len(list.items))
+func (t *targetTracker) applyList(list itemList, removalDelay time.Duration) {
+	entries := make([]storeEntry, len(list.items))
 	listed := make(map[string]bool, len(list.items))
 	for i, item := range list.items {
-		entries[i] = n.decodeEntry(item, removalDelay)
+		entries[i] = t.decodeEntry(item, removalDelay)
 		entries[i].isListed = true
 		listed[entries[i].id] = true
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	for i := range entries {
-		n.applyEntry(&entries[i], list.from, list.askedAt)
+		t.applyEntry(&entries[i], list.from, list.askedAt)
 	}
-	for _, id := range n.picker.MissingFrom(listed) {
-		n.leave(id, list.through, list.from, removalDelay)
+	for _, id := range t.picker.MissingFrom(listed) {
+		t.leave(id, list.through, list.from, removalDelay)
 	}
-	for _, id := range n.coordinator.missingFrom(listed) {
-		n.leave(id, list.through, list.from, removalDelay)
+	for _, id := range t.coordinator.missingFrom(listed) {
+		t.leave(id, list.through, list.from, removalDelay)
 	}
 }
 
 // applyEntry applies an item that was read from the store by this instance at askedAt, or by
 // another one if that is zero.
-func (n *targetNews) applyEntry(e *entry, from origin, askedAt time.Time) {
-	if !e.isThere {
-		n.leave(e.id, e.revision, from, e.usableFor)
+func (t *targetTracker) applyEntry(e *storeEntry, from origin, askedAt time.Time) {
+	if !e.isPresent {
+		t.leave(e.id, e.revision, from, e.usableFor)
 		return
 	}
-	verdict := n.judge(e.id, e.revision, from, askedAt)
+	verdict := t.judge(e.id, e.revision, from, askedAt)
 	if verdict == depart.Outdated {
 		return
 	}
 	r := e.target
 	if verdict == depart.Present && !e.isListed {
 		// The other instances need not hear of each revision of an entry that has stayed.
-		r.Revision = n.coordinator.toldRevision(&r)
+		r.Revision = t.coordinator.toldRevision(&r)
 	}
-	n.picker.SetTarget(r)
-	n.coordinator.setTarget(r)
+	t.picker.SetTarget(r)
+	t.coordinator.setTarget(r)
 }
 
 // judge compares a description of a target as of a revision with the target's departure.
-func (n *targetNews) judge(id string, revision ports.Revision, from origin, askedAt time.Time) depart.Verdict {
-	d, verdict := n.departures.Judge(id, revision, askedAt)
+func (t *targetTracker) judge(id string, revision ports.Revision, from origin, askedAt time.Time) depart.Verdict {
+	d, verdict := t.departures.Judge(id, revision, askedAt)
 	if verdict == depart.Present {
 		return verdict
 	}
@@ -144,46 +144,46 @@
 	if verdict == depart.Outdated {
 		message = "outdated description of a target ignored"
 	}
-	n.log.Info().Str("target", id).Str("from", string(from)).Uint64("revision", uint64(revision)).
-		Uint64("leftBefore", uint64(d.Revision)).Dur("leftFor", n.clock.Now().Sub(d.NotedAt)).Msg(message)
+	t.log.Info().Str("target", id).Str("from", string(from)).Uint64("revision", uint64(revision)).
+		Uint64("leftBefore", uint64(d.Revision)).Dur("leftFor", t.clock.Now().Sub(d.NotedAt)).Msg(message)
 	return verdict
 }
 
 // leave records that a target's entry was missing at a revision, and removes the target once
 // it may no longer be used.
-func (n *targetNews) leave(id string, revision ports.Revision, from origin, usableFor time.Duration) {
-	now := n.clock.Now()
-	d := n.departures.Leave(id, revision, now, usableFor)
+func (t *targetTracker) leave(id string, revision ports.Revision, from origin, usableFor time.Duration) {
+	now := t.clock.Now()
+	d := t.departures.Leave(id, revision, now, usableFor)
 	if d.NotedAt.Equal(now) {
-		n.log.Info().Str("target", id).Str("from", string(from)).Uint64("revision", uint64(revision)).
+		t.log.Info().Str("target", id).Str("from", string(from)).Uint64("revision", uint64(revision)).
 			Dur("doubt", usableFor).Msg("target removed from the store")
 	}
-	n.expire(id, d.UsableUntil.Sub(now))
+	t.expire(id, d.UsableUntil.Sub(now))
 }
 
 // expire removes a target that has left after usableFor, at once if that is not above 0.
-func (n *targetNews) expire(id string, usableFor time.Duration) {
+func (t *targetTracker) expire(id string, usableFor time.Duration) {
 	if usableFor <= 0 {
-		n.picker.Remove(id, 0)
-		n.coordinator.removeTarget(id)
+		t.picker.Remove(id, 0)
+		t.coordinator.removeTarget(id)
 		return
 	}
-	n.picker.Remove(id, usableFor)
-	n.coordinator.announceRemoval(id)
-	n.clock.After(usableFor, func() { n.removeExpired(id) })
+	t.picker.Remove(id, usableFor)
+	t.coordinator.announceRemoval(id)
+	t.clock.After(usableFor, func() { t.removeExpired(id) })
 }
 
 // removeExpired removes a target unless it has returned meanwhile.
-func (n *targetNews) removeExpired(id string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if d, hasLeft := n.departures.Find(id); hasLeft && !n.clock.Now().Before(d.UsableUntil) {
-		n.expire(id, 0)
+func (t *targetTracker) removeExpired(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if d, hasLeft := t.departures.Find(id); hasLeft && !t.clock.Now().Before(d.UsableUntil) {
+		t.expire(id, 0)
 	}
 }
 
-// updates is what the lease holder says of the targets, itself or through a relay.
-type updates struct {
+// updateSet is what the lease holder says of the targets, itself or through a relay.
+type updateSet struct {
 	list []picker.Update
 	from origin
 	// through is the store revision up to which the holder has read the targets. asOf is when
@@ -199,79 +199,79 @@
 }
 
 // applyUpdates applies the holder's updates.
-func (n *targetNews) applyUpdates(u updates) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.coordinator.holderStatus().IsHolder {
-		n.applyOwn(&u)
+func (t *targetTracker) applyUpdates(u updateSet) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.coordinator.holderStatus().IsHolder {
+		t.applyOwn(&u)
 		return
 	}
 	listed := make(map[string]bool, len(u.list))
 	var current []picker.Update
 	for i := range u.list {
 		listed[u.list[i].ID] = true
-		if n.acceptUpdate(&u.list[i], &u) {
+		if t.acceptUpdate(&u.list[i], &u) {
 			current = append(current, u.list[i])
 		}
 	}
 	if u.isFull {
-		n.dropUnlisted(listed, &u)
+		t.dropUnlisted(listed, &u)
 	}
-	n.picker.ApplyUpdates(current, u.expected)
+	t.picker.ApplyUpdates(current, u.expected)
 	for i := range current {
-		if d, hasLeft := n.departures.Find(current[i].ID); hasLeft {
-			n.expire(current[i].ID, d.UsableUntil.Sub(n.clock.Now()))
+		if d, hasLeft := t.departures.Find(current[i].ID); hasLeft {
+			t.expire(current[i].ID, d.UsableUntil.Sub(t.clock.Now()))
 		}
 	}
 }
 
 // applyOwn applies this instance's updates to itself as the holder. They tell its picker which
 // models are loaded; it learns from the store which targets there are.
-func (n *targetNews) applyOwn(u *updates) {
+func (t *targetTracker) applyOwn(u *updateSet) {
 	var current []picker.Update
 	for i := range u.list {
 		p := &u.list[i]
-		if p.Gone || p.RemovalMS == 0 && n.judge(p.ID, ports.Revision(p.Revision), u.from, time.Time{}) != depart.Outdated {
+		if p.Gone || p.RemovalMS == 0 && t.judge(p.ID, ports.Revision(p.Revision), u.from, time.Time{}) != depart.Outdated {
 			current = append(current, *p)
 		}
 	}
-	n.picker.ApplyUpdates(current, u.expected)
+	t.picker.ApplyUpdates(current, u.expected)
 }
 
 // acceptUpdate reports whether an update is to be applied. It records the departure that it
 // may tell of.
-func (n *targetNews) acceptUpdate(p *picker.Update, u *updates) bool {
+func (t *targetTracker) acceptUpdate(p *picker.Update, u *updateSet) bool {
 	revision := ports.Revision(p.Revision)
 	switch {
 	case p.Gone:
 		if revision == 0 {
 			revision = u.through
 		}
-		n.leave(p.ID, revision, u.from, 0)
+		t.leave(p.ID, revision, u.from, 0)
 		return true
 	case p.RemovalMS > 0:
-		usableFor := u.asOf.Add(time.Duration(p.RemovalMS) * time.Millisecond).Sub(n.clock.Now())
-		_, isKnown := n.departures.Find(p.ID)
-		n.leave(p.ID, revision, u.from, usableFor)
+		usableFor := u.asOf.Add(time.Duration(p.RemovalMS) * time.Millisecond).Sub(t.clock.Now())
+		_, isKnown := t.departures.Find(p.ID)
+		t.leave(p.ID, revision, u.from, usableFor)
 		// A target whose departure was known is in use for as long as it may be, or no more.
 		return !isKnown && usableFor > 0
 	}
-	if n.judge(p.ID, revision, u.from, time.Time{}) == depart.Outdated {
+	if t.judge(p.ID, revision, u.from, time.Time{}) == depart.Outdated {
 		return false
 	}
 	if p.Draining {
-		n.coordinator.noteDraining(p.Identity)
+		t.coordinator.noteDraining(p.Identity)
 	}
 	return true
 }
 
 // dropUnlisted removes the targets that the holder's full list does not contain. The holder
 // decides how long they are kept, since the list is its own.
-func (n *targetNews) dropUnlisted(listed map[string]bool, u *updates) {
-	for _, id := range n.picker.MissingFrom(listed) {
-		n.leave(id, u.through, u.from, u.removalDelay)
+func (t *targetTracker) dropUnlisted(listed map[string]bool, u *updateSet) {
+	for _, id := range t.picker.MissingFrom(listed) {
+		t.leave(id, u.through, u.from, u.removalDelay)
 	}
-	for _, id := range n.coordinator.missingFrom(listed) {
-		n.leave(id, u.through, u.from, u.removalDelay)
+	for _, id := range t.coordinator.missingFrom(listed) {
+		t.leave(id, u.through, u.from, u.removalDelay)
 	}
 }
--- a/internal/edge/targets_test.go
+++ b/internal/edge/targets_test.go
@@ -17,7 +17,7 @@
 	e := New(&platform.Boot{Instance: "i2", Zone: "a1"}, discardLogger())
 	t.Cleanup(e.stopLoops)
 	if !isNew {
-		e.news.applyChange(targetItem(t, "one", 5), originStore, 0)
+		e.tracker.applyChange(targetItem(t, "one", 5), originStore, 0)
 	}
 	return e
 }
@@ -25,7 +25,7 @@
 // uses reports whether the instance sends requests to the target "one".
 func (e *Edge) uses() bool { return len(e.picker.MissingFrom(nil)) > 0 }
 
-// deletion returns the news that the entry of "one" was deleted at a revision.
+// deletion returns the item that says that the entry of "one" was deleted at a revision.
 func deletion(revision ports.Revision) ports.Item {
 	return ports.Item{Key: platform.TargetPrefix + "one", Revision: revision, Deleted: true}
 }
@@ -40,14 +40,14 @@
 	return picker.NewUpdate(&r, nil)
 }
 
-// TestOutdatedNewsOfATarget has a target's entry deleted at revision 20, and news of the target
-// come afterwards. It guards against news from before the departure that put the target back
+// TestOutdatedNewsOfATarget has a target's entry deleted at revision 20, and descriptions of
+// the target come afterwards. It guards against those from before the departure that put it back
 // into use, for as long as the store is away, and against a departure that outlives a fresh
 // registration.
 func TestOutdatedNewsOfATarget(t *testing.T) {
 	list := func(askedAt time.Time, through, revision ports.Revision) func(*testing.T, *Edge) {
 		return func(t *testing.T, e *Edge) {
-			e.news.applyList(itemList{items: []ports.Item{targetItem(t, "one", revision)}, through: through, askedAt: askedAt}, 0)
+			e.tracker.applyList(itemList{items: []ports.Item{targetItem(t, "one", revision)}, through: through, askedAt: askedAt}, 0)
 		}
 	}
 	update := func(isFull bool, revision ports.Revision) func(*testing.T, *Edge) {
@@ -68,10 +68,10 @@
 		{"the first updates of a holder that is behind", update(true, 15), false},
 		{"a later update of a holder that is behind", update(false, 15), false},
 		{"a change that is read late", func(t *testing.T, e *Edge) {
-			e.news.applyChange(targetItem(t, "one", 18), originReader, 0)
+			e.tracker.applyChange(targetItem(t, "one", 18), originReader, 0)
 		}, false},
 		{"the entry written again", func(t *testing.T, e *Edge) {
-			e.news.applyChange(targetItem(t, "one", 22), originStore, 0)
+			e.tracker.applyChange(targetItem(t, "one", 22), originStore, 0)
 		}, true},
 		{"a list with the entry written again", list(longAgo, 22, 22), true},
 		{"a holder that has read the entry written again", update(false, 22), true},
@@ -82,7 +82,7 @@
 				name  string
 				leave func(*Edge)
 			}{
-				{"own", func(e *Edge) { e.news.applyChange(deletion(20), originStore, 0) }},
+				{"own", func(e *Edge) { e.tracker.applyChange(deletion(20), originStore, 0) }},
 				{"holder", func(e *Edge) {
 					gone := picker.Update{Gone: true, Revision: 20}
 					gone.ID = "one"
@@ -92,11 +92,11 @@
 				e := newInstance(t, false)
 				from.leave(e)
 				if e.uses() {
-					t.Fatalf("%s news: the target that has left is in use", from.name)
+					t.Fatalf("%s departure: the target that has left is in use", from.name)
 				}
 				c.apply(t, e)
 				if diff := cmp.Diff(c.want, e.uses()); diff != "" {
-					t.Errorf("%s news: in use (-want +got):\n%s", from.name, diff)
+					t.Errorf("%s departure: in use (-want +got):\n%s", from.name, diff)
 				}
 			}
 		})
@@ -122,10 +122,10 @@
 	holder.coordinator.setConfig(nil, 0)
 	holder.coordinator.setConfigRead()
 	holder.coordinator.setHolder(true)
-	holder.news.applyChange(deletion(20), originStore, delay)
+	holder.tracker.applyChange(deletion(20), originStore, delay)
 	first := updatesOf(t, holder)
 	instance, late, knows := newInstance(t, false), newInstance(t, true), newInstance(t, false)
-	knows.news.applyChange(deletion(20), originStore, 0)
+	knows.tracker.applyChange(deletion(20), originStore, 0)
 	for _, e := range []*Edge{instance, knows} {
 		e.applyUpdates(first, originHolder, e.clock.Now())
 	}
@@ -159,7 +159,7 @@
 	e.applyUpdates(exchangeReply{TargetsThrough: 7, Updates: []picker.Update{draining}}, originHolder, e.clock.Now())
 	e.coordinator.setConfigRead()
 	e.coordinator.setHolder(true)
-	e.news.applyList(itemList{through: 20, askedAt: e.clock.Now()}, leaseRecoveryTime)
+	e.tracker.applyList(itemList{through: 20, askedAt: e.clock.Now()}, leaseRecoveryTime)
 	for _, u := range updatesOf(t, e).Updates {
 		if !u.Draining {
 			t.Errorf("the target is told as one that takes requests: %+v", u)
@@ -175,14 +175,14 @@
 		name  string
 		apply func(*Edge)
 	}{
-		{"change", func(e *Edge) { e.news.applyChange(targetItem(t, "one", 22), originReader, 0) }},
+		{"change", func(e *Edge) { e.tracker.applyChange(targetItem(t, "one", 22), originReader, 0) }},
 		{"full list", func(e *Edge) {
-			e.news.applyList(itemList{items: []ports.Item{targetItem(t, "one", 22)}, through: 30, from: originReader}, 0)
+			e.tracker.applyList(itemList{items: []ports.Item{targetItem(t, "one", 22)}, through: 30, from: originReader}, 0)
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			successor, other := newInstance(t, false), newInstance(t, false)
-			other.news.applyChange(deletion(20), originStore, 0)
+			other.tracker.applyChange(deletion(20), originStore, 0)
 			c.apply(successor)
 			successor.coordinator.setConfigRead()
 			successor.coordinator.setHolder(true)
