An update of a target that may still be used is applied

Cause: an instance that knew of a departure dropped the holder's update of the target, also while the target may still be used. With it went the models that the target serves, and its number in the load reports of a new term.

Change: such an update is applied and the target keeps its time. The holder's updates to itself and to others go the same way but for what is recorded of departures (noteUpdate, isCurrent).

Measured: TestUpdateOfATargetThatMayBeUsed failed before ("refused: noTarget") and passes; the other tests of the tracker, TestLeftTargetStaysOut and TestLapsedTargetsStayInUse pass.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -412,7 +412,7 @@
 	for model, in := range r.ReadyInMS {
 		expected[model] = now.Add(time.Duration(in) * time.Millisecond)
 	}
-	e.tracker.applyUpdates(updateSet{
+	e.tracker.applyUpdates(&updateSet{
 		list: r.Updates, from: from, through: ports.Revision(r.TargetsThrough), asOf: asOf,
 		isFull: r.Full, removalDelay: time.Duration(r.RemovalDelayMS) * time.Millisecond, expected: expected,
 	})
--- a/internal/edge/targets.go
+++ b/internal/edge/targets.go
@@ -198,71 +198,63 @@
 	expected map[string]time.Time
 }
 
-// applyUpdates applies the holder's updates.
-func (t *targetTracker) applyUpdates(u updateSet) {
+// applyUpdates applies the holder's updates. Those of this instance to itself, as the holder, only
+// tell its picker which models are loaded: it learns from the store which targets there are.
+func (t *targetTracker) applyUpdates(u *updateSet) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.coordinator.holderStatus().IsHolder {
-		t.applyOwn(&u)
-		return
-	}
+	isOwn := t.coordinator.holderStatus().IsHolder
 	listed := make(map[string]bool, len(u.list))
 	var current []picker.Update
 	for i := range u.list {
-		listed[u.list[i].ID] = true
-		if t.acceptUpdate(&u.list[i], &u) {
-			current = append(current, u.list[i])
+		p := &u.list[i]
+		listed[p.ID] = true
+		if !isOwn {
+			t.noteUpdate(p, u)
+		}
+		if t.isCurrent(p, u) {
+			current = append(current, *p)
 		}
 	}
-	if u.isFull {
-		t.dropUnlisted(listed, &u)
+	if u.isFull && !isOwn {
+		t.dropUnlisted(listed, u)
 	}
 	t.picker.ApplyUpdates(current, u.expected)
 	for i := range current {
+		// Targets that have left keep the time until which they may be used.
 		if d, hasLeft := t.departures.Find(current[i].ID); hasLeft {
-			t.expire(current[i].ID, d.UsableUntil.Sub(t.clock.Now()))
+			t.picker.Remove(current[i].ID, d.UsableUntil.Sub(t.clock.Now()))
 		}
 	}
 }
 
-// applyOwn applies this instance's updates to itself as the holder. They tell its picker which
-// models are loaded; it learns from the store which targets there are.
-func (t *targetTracker) applyOwn(u *updateSet) {
-	var current []picker.Update
-	for i := range u.list {
-		p := &u.list[i]
-		if p.Gone || p.RemovalMS == 0 && t.judge(p.ID, ports.Revision(p.Revision), u.from, time.Time{}) != depart.Outdated {
-			current = append(current, *p)
-		}
+// noteUpdate records the departure that an update tells of, or that the target is draining.
+func (t *targetTracker) noteUpdate(p *picker.Update, u *updateSet) {
+	revision := ports.Revision(p.Revision)
+	switch {
+	case p.Gone && revision == 0:
+		t.leave(p.ID, u.through, u.from, 0)
+	case p.Gone:
+		t.leave(p.ID, revision, u.from, 0)
+	case p.RemovalMS > 0:
+		until := u.asOf.Add(time.Duration(p.RemovalMS) * time.Millisecond)
+		t.leave(p.ID, revision, u.from, until.Sub(t.clock.Now()))
+	case p.Draining:
+		t.coordinator.noteDraining(p.Identity)
 	}
-	t.picker.ApplyUpdates(current, u.expected)
 }
 
-// acceptUpdate reports whether an update is to be applied. It records the departure that it
-// may tell of.
-func (t *targetTracker) acceptUpdate(p *picker.Update, u *updateSet) bool {
-	revision := ports.Revision(p.Revision)
+// isCurrent reports whether an update is to be applied: whether it is newer than the target's
+// departure, or the target may still be used.
+func (t *targetTracker) isCurrent(p *picker.Update, u *updateSet) bool {
 	switch {
 	case p.Gone:
-		if revision == 0 {
-			revision = u.through
-		}
-		t.leave(p.ID, revision, u.from, 0)
 		return true
 	case p.RemovalMS > 0:
-		usableFor := u.asOf.Add(time.Duration(p.RemovalMS) * time.Millisecond).Sub(t.clock.Now())
-		_, isKnown := t.departures.Find(p.ID)
-		t.leave(p.ID, revision, u.from, usableFor)
-		// A target whose departure was known is in use for as long as it may be, or no more.
-		return !isKnown && usableFor > 0
-	}
-	if t.judge(p.ID, revision, u.from, time.Time{}) == depart.Outdated {
-		return false
-	}
-	if p.Draining {
-		t.coordinator.noteDraining(p.Identity)
+		d, _ := t.departures.Find(p.ID)
+		return d.UsableUntil.After(t.clock.Now())
 	}
-	return true
+	return t.judge(p.ID, ports.Revision(p.Revision), u.from, time.Time{}) != depart.Outdated
 }
 
 // dropUnlisted removes the targets that the holder's full list does not contain. The holder
--- a/internal/edge/targets_test.go
+++ b/internal/edge/targets_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"chivecroft.example/chivecroft/internal/coordination/picker"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/state/fleet"
 	"chivecroft.example/chivecroft/platform"
 )
 
@@ -193,3 +195,21 @@
 		})
 	}
 }
+
+// TestUpdateOfATargetThatMayBeUsed has a new holder tell of a target whose departure the instance
+// knows and which may still be used. It guards against what else the update says being dropped:
+// the models, and the number of the target in the holder's term.
+func TestUpdateOfATargetThatMayBeUsed(t *testing.T) {
+	e := newInstance(t, false)
+	e.tracker.applyChange(deletion(20), originStore, time.Minute)
+	u := updateOf(t, 20)
+	u.Models, u.RemovalMS = []fleet.Loaded{{Model: "m9"}}, 1000
+	e.applyUpdates(exchangeReply{Full: true, TargetsThrough: 25, Updates: []picker.Update{u}}, originHolder, e.clock.Now())
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	r, err := e.picker.Acquire(ctx, picker.Request{Service: "desk", Model: "m9", Deadline: time.Now().Add(time.Second)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Release(picker.Outcome{})
+}
