Answers without a gap rule out that entries have expired

Cause: an outage was measured by the calls that failed in it. In outages shorter than a call's timeout few or none fail, so that several in a row, in which a target's renewals failed, looked like one short one.

Change: the delay is granted as it was before, after any failed call, unless answers have come without a gap of more than half a second for three heartbeats, the life of an entry that is not renewed. The holder gets an answer every 250 ms at least while the store is there, so this rules out a store that was away; where calls are rarer it rules out nothing.

TestAnswersWithoutAGapDelayNoRemoval takes the place of TestShortOutagesDelayNoRemoval, whose cases of short outages were wrong; it is as strict on the failed call beside answers. TestTargetLeavesWhileAWatchIsSilent passes.

--- a/internal/edge/health.go
+++ b/internal/edge/health.go
@@ -14,13 +14,20 @@
 // may be missing, because their leases expired during the outage.
 const leaseRecoveryTime = 2 * time.Second
 
+const (
+	// leaseHeartbeats is the number of heartbeats after which an entry expires that is not
+	// renewed.
+	leaseHeartbeats = 3
+	// maxAnswerGap is the longest time between two answers of a store that is there all the
+	// while. The holder, which renews its lease, gets one at least twice as often.
+	maxAnswerGap = 500 * time.Millisecond
+)
+
 // storeHealth tracks whether calls to the store succeed.
 type storeHealth struct {
 	timer timer.Service
 	log   *log.Logger
-	// heartbeat is the interval at which targets renew their entries. An entry outlives two
-	// renewals that fail; an outage shorter than the interval takes at most one. 0 means that it
-	// is not known.
+	// heartbeat is the interval at which targets renew their entries, 0 if it is not known.
 	heartbeat time.Duration
 
 	mu   sync.Mutex
@@ -31,43 +38,9 @@
 	answeredAt time.Time
 	// recoveredAt is when the latest outage ended, zero if there has been none.
 	recoveredAt time.Time
-	// heardAt is when any call was last answered.
-	heardAt time.Time
-	outage  outage
-}
-
-// outage is the latest time during which calls failed. Such times that are less than two
-// heartbeats apart count as one, since a target's renewals may have failed in each.
-type outage struct {
-	// since is when a call was last answered before, zero if none was. until is when one was
-	// answered after the last failure, zero if none was.
-	since, until time.Time
-	hasBegun     bool
-}
-
-// noteFailure records that a call has failed, the last answer having come at heardAt.
-func (o *outage) noteFailure(heardAt time.Time, heartbeat time.Duration) {
-	isNew := !o.until.IsZero() && heardAt.Sub(o.until) >= 2*heartbeat
-	if !o.hasBegun || isNew {
-		o.since = heardAt
-	}
-	o.until, o.hasBegun = time.Time{}, true
-}
-
-// noteAnswer records that a call was answered at a time.
-func (o *outage) noteAnswer(at time.Time) {
-	if o.until.IsZero() {
-		o.until = at
-	}
-}
-
-// isShorterThan reports whether the outage is known to be shorter than d.
-func (o *outage) isShorterThan(d time.Duration, now time.Time) bool {
-	until := o.until
-	if until.IsZero() {
-		until = now
-	}
-	return !o.since.IsZero() && until.Sub(o.since) < d
+	// heardAt is when any call was last answered, steadySince since when answers have come
+	// without a gap.
+	heardAt, steadySince time.Time
 }
 
 func newStoreHealth(t timer.Service, l *log.Logger, heartbeat time.Duration) *storeHealth {
@@ -85,8 +58,17 @@
 }
 
 func (h *storeHealth) hearLocked() {
-	h.heardAt = h.timer.Now()
-	h.outage.noteAnswer(h.heardAt)
+	now := h.timer.Now()
+	if now.Sub(h.heardAt) > maxAnswerGap {
+		h.steadySince = now
+	}
+	h.heardAt = now
+}
+
+// isSteady reports whether answers have come without a gap for as long as an entry lives that is
+// not renewed, so that none has expired because the store was away.
+func (h *storeHealth) isSteady(now time.Time) bool {
+	return h.heartbeat > 0 && now.Sub(h.heardAt) <= maxAnswerGap && now.Sub(h.steadySince) >= leaseHeartbeats*h.heartbeat
 }
 
 // record records the result of a call.
@@ -94,9 +76,6 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	failed := status == ports.KVUnavailable || status == ports.KVUnknown
-	if failed {
-		h.outage.noteFailure(h.heardAt, h.heartbeat)
-	}
 	switch {
 	case failed && !h.down:
 		h.log.Warn().Err(err).Msg("store unreachable")
@@ -143,7 +122,7 @@
 	now := h.timer.Now()
 	adopted := max(h.adoptedUntil.Sub(now), 0)
 	switch {
-	case h.outage.isShorterThan(h.heartbeat, now):
+	case h.isSteady(now):
 		return adopted
 	case h.down:
 		return leaseRecoveryTime
--- a/internal/edge/health_test.go
+++ b/internal/edge/health_test.go
@@ -70,12 +70,13 @@
 	}
 }
 
-// TestShortOutagesDelayNoRemoval plays answers and failures of calls to the store. It guards
-// against a removal delay after one failed call, in whose time no entry can have expired, and
-// against none after an outage in which entries can.
-func TestShortOutagesDelayNoRemoval(t *testing.T) {
+// TestAnswersWithoutAGapDelayNoRemoval plays answers and failures of calls to the store. It guards
+// against a removal delay after one failed call to a store that was there all the while, and
+// against none after a time in which entries of live targets can have expired.
+func TestAnswersWithoutAGapDelayNoRemoval(t *testing.T) {
 	const heartbeat = 1200 * time.Millisecond
 	step := 100 * time.Millisecond
+	steady := strings.Repeat("+", 40)
 	for _, c := range []struct {
 		name string
 		// calls has one call each step: + if it is answered, - if it fails, blank for none.
@@ -83,16 +84,17 @@
 		heartbeat time.Duration
 		want      time.Duration
 	}{
-		{"one failed call", "+++-+", heartbeat, 0},
-		{"an outage shorter than a heartbeat", "+++----------+", heartbeat, 0},
-		{"an outage of a heartbeat", "+++------------+", heartbeat, leaseRecoveryTime},
-		{"an outage that lasts", "+++-------------", heartbeat, leaseRecoveryTime},
-		{"one failed call before any answer", "-+", heartbeat, leaseRecoveryTime},
-		{"no calls for a while, and one fails", "+               -+", heartbeat, leaseRecoveryTime},
-		{"a store that flaps", "+++-----+++++-----+++++-----+", heartbeat, leaseRecoveryTime},
-		{"a store that answers a few calls", "+++---+---+---+---+", heartbeat, leaseRecoveryTime},
-		{"a failed call long after another", "+++-+" + strings.Repeat("+", 24) + "-+", heartbeat, 0},
-		{"heartbeat not known", "+++-+", 0, leaseRecoveryTime},
+		{"one call fails", steady + "-+", heartbeat, 0},
+		{"one call fails, and was the last one", steady + "-", heartbeat, 0},
+		{"calls fail beside others that are answered", steady + "-+--+---+", heartbeat, 0},
+		{"no answer for more than half a second", steady + "------+", heartbeat, leaseRecoveryTime},
+		{"no answer for more than half a second, and no call fails", steady + "      +-+", heartbeat, leaseRecoveryTime},
+		{"a store that flaps, and one call fails", steady + strings.Repeat("      ++++++", 3) + "-+", heartbeat, leaseRecoveryTime},
+		{"answers for less than three heartbeats", strings.Repeat("+", 35) + "-", heartbeat, leaseRecoveryTime},
+		{"no answer before", "-+", heartbeat, leaseRecoveryTime},
+		{"no answer since", steady + "-      ", heartbeat, leaseRecoveryTime},
+		{"no call for a while, and one fails", steady + "               -+", heartbeat, leaseRecoveryTime},
+		{"heartbeat not known", steady + "-+", 0, leaseRecoveryTime},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			clock := timer.NewVirtual(time.Unix(1_000_000, 0))
