--- a/internal/coordination/picker/target.go
+++ b/internal/coordination/picker/target.go
@@ -141,6 +141,15 @@
 		})
 }
 
+// WithRemoval returns the update as it is sent at a time, of a target that has left and may be
+// used until another one. If that is zero the target has not left.
+func (n Update) WithRemoval(until, at time.Time) Update {
+	if !until.IsZero() {
+		n.RemovalMS = max(until.Sub(at).Milliseconds(), 1)
+	}
+	return n
+}
+
 func (n *Update) target() fleet.Target {
 	return fleet.Target{
 		Identity: n.Identity, Service: n.Service, Addr: n.Addr, Zone: n.Zone, Slots: n.Slots,
--- a/internal/coordination/relay/copy.go
+++ b/internal/coordination/relay/copy.go
@@ -53,15 +53,6 @@
 	return e
 }
 
-// updateAt returns the update as the holder would have sent it at asOf.
-func (e *copyEntry) updateAt(asOf time.Time) picker.Update {
-	u := e.update
-	if !e.usableUntil.IsZero() {
-		u.RemovalMS = max(e.usableUntil.Sub(asOf).Milliseconds(), 1)
-	}
-	return u
-}
-
 // NewCopy returns an empty Copy.
 func NewCopy() *Copy { return &Copy{entries: make(map[string]copyEntry)} }
 
@@ -118,7 +109,7 @@
 	isFull = at.Term != c.state.Term || at.Version < c.base || at.Version == 0
 	for _, entry := range c.entries {
 		if isFull && !entry.update.Gone || !isFull && entry.version > at.Version {
-			updates = append(updates, entry.updateAt(c.asOf))
+			updates = append(updates, entry.update.WithRemoval(entry.usableUntil, c.asOf))
 		}
 	}
 	return updates, isFull
--- a/internal/edge/health.go
+++ b/internal/edge/health.go
@@ -47,17 +47,18 @@
 	return &storeHealth{timer: t, log: l, heartbeat: heartbeat}
 }
 
+// isUnanswered reports whether the store has given no answer to a call that ended so.
+func isUnanswered(status ports.KVStatus) bool {
+	return status == ports.KVUnavailable || status == ports.KVUnknown
+}
+
 // hear records the end of any call to the store.
 func (h *storeHealth) hear(status ports.KVStatus) {
-	if status == ports.KVUnavailable || status == ports.KVUnknown {
+	if isUnanswered(status) {
 		return
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.hearLocked()
-}
-
-func (h *storeHealth) hearLocked() {
 	now := h.timer.Now()
 	if now.Sub(h.heardAt) > maxAnswerGap {
 		h.steadySince = now
@@ -71,11 +72,11 @@
 	return h.heartbeat > 0 && now.Sub(h.heardAt) <= maxAnswerGap && now.Sub(h.steadySince) >= leaseHeartbeats*h.heartbeat
 }
 
-// record records the result of a call.
+// record records the result of a follower's call, which hear has been told of as well.
 func (h *storeHealth) record(status ports.KVStatus, err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	failed := status == ports.KVUnavailable || status == ports.KVUnknown
+	failed := isUnanswered(status)
 	switch {
 	case failed && !h.down:
 		h.log.Warn().Err(err).Msg("store unreachable")
@@ -86,7 +87,6 @@
 	h.down = failed
 	if !failed {
 		h.answeredAt = h.timer.Now()
-		h.hearLocked()
 	}
 }
 
--- a/internal/edge/targets.go
+++ b/internal/edge/targets.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"strings"
 	"sync"
 	"time"
@@ -106,12 +107,7 @@
 	for i := range entries {
 		t.applyEntry(&entries[i], list.from, list.askedAt)
 	}
-	for _, id := range t.picker.MissingFrom(listed) {
-		t.leave(id, list.through, list.from, removalDelay)
-	}
-	for _, id := range t.coordinator.missingFrom(listed) {
-		t.leave(id, list.through, list.from, removalDelay)
-	}
+	t.leaveUnlisted(listed, list.through, list.from, removalDelay)
 }
 
 // applyEntry applies an item that was read from the store by this instance at askedAt, or by
@@ -161,6 +157,16 @@
 	t.expire(id, d.UsableUntil.Sub(now))
 }
 
+// leaveUnlisted records that the known targets that a full list as of a revision lacks have left.
+func (t *targetTracker) leaveUnlisted(listed map[string]bool, revision ports.Revision, from origin, usableFor time.Duration) {
+	for _, id := range t.picker.MissingFrom(listed) {
+		t.leave(id, revision, from, usableFor)
+	}
+	for _, id := range t.coordinator.missingFrom(listed) {
+		t.leave(id, revision, from, usableFor)
+	}
+}
+
 // expire removes a target that has left after usableFor, at once if that is not above 0.
 func (t *targetTracker) expire(id string, usableFor time.Duration) {
 	if usableFor <= 0 {
@@ -217,7 +223,8 @@
 		}
 	}
 	if u.isFull && !isOwn {
-		t.dropUnlisted(listed, u)
+		// The holder decides how long they are kept, since the list is its own.
+		t.leaveUnlisted(listed, u.through, u.from, u.removalDelay)
 	}
 	t.picker.ApplyUpdates(current, u.expected)
 	for i := range current {
@@ -232,10 +239,8 @@
 func (t *targetTracker) noteUpdate(p *picker.Update, u *updateSet) {
 	revision := ports.Revision(p.Revision)
 	switch {
-	case p.Gone && revision == 0:
-		t.leave(p.ID, u.through, u.from, 0)
 	case p.Gone:
-		t.leave(p.ID, revision, u.from, 0)
+		t.leave(p.ID, cmp.Or(revision, u.through), u.from, 0)
 	case p.RemovalMS > 0:
 		until := u.asOf.Add(time.Duration(p.RemovalMS) * time.Millisecond)
 		t.leave(p.ID, revision, u.from, until.Sub(t.clock.Now()))
@@ -256,14 +261,3 @@
 	}
 	return t.judge(p.ID, ports.Revision(p.Revision), u.from, time.Time{}) != depart.Outdated
 }
-
-// dropUnlisted removes the targets that the holder's full list does not contain. The holder
-// decides how long they are kept, since the list is its own.
-func (t *targetTracker) dropUnlisted(listed map[string]bool, u *updateSet) {
-	for _, id := range t.picker.MissingFrom(listed) {
-		t.leave(id, u.through, u.from, u.removalDelay)
-	}
-	for _, id := range t.coordinator.missingFrom(listed) {
-		t.leave(id, u.through, u.from, u.removalDelay)
-	}
-}
--- a/internal/edge/updatelog.go
+++ b/internal/edge/updatelog.go
@@ -23,15 +23,6 @@
 	usableUntil time.Time
 }
 
-// updateAt returns the update as it is sent at now.
-func (e *updateEntry) updateAt(now time.Time) picker.Update {
-	u := e.update
-	if !e.usableUntil.IsZero() {
-		u.RemovalMS = max(e.usableUntil.Sub(now).Milliseconds(), 1)
-	}
-	return u
-}
-
 func newUpdateLog() *updateLog {
 	return &updateLog{entries: make(map[string]*updateEntry), index: load.NewIndex()}
 }
@@ -68,7 +59,7 @@
 	var out []picker.Update
 	for _, entry := range r.entries {
 		if entry.version > version && (version > 0 || !entry.update.Gone) {
-			out = append(out, entry.updateAt(now))
+			out = append(out, entry.update.WithRemoval(entry.usableUntil, now))
 		}
 	}
 	return out
