--- a/cmd/chivecroft/soak_world_test.go
+++ b/cmd/chivecroft/soak_world_test.go
@@ -84,18 +84,24 @@
 	rotated bool
 }
 
-func newSoakWorld(t *testing.T) *soakWorld {
+// newEmptyWorld returns a deployment with a store alone.
+func newEmptyWorld(t *testing.T, logs string) *soakWorld {
 	w := &soakWorld{
 		t: t, net: newNetwork(t), store: fake.NewStore(t), files: t.TempDir(),
 		record: newSoakRecord(), rules: make(map[int]rule), revoked: make(map[string]int), lastRevoked: soakTeams[0],
 	}
-	if *soakLogs != "" {
-		w.files = filepath.Join(*soakLogs, strings.ReplaceAll(t.Name(), "/", "-"))
+	if logs != "" {
+		w.files = filepath.Join(logs, strings.ReplaceAll(t.Name(), "/", "-"))
 		if err := os.MkdirAll(w.files, 0o755); err != nil {
 			t.Fatal(err)
 		}
 	}
 	w.storeAt = netip.MustParseAddrPort(w.net.relay(w.store.Addr().String(), end{"store", "platform"}))
+	return w
+}
+
+func newSoakWorld(t *testing.T) *soakWorld {
+	w := newEmptyWorld(t, *soakLogs)
 	w.configure()
 	zones := []string{"za", "zb", "zc"}
 	for i := range soakEngines + soakDesks {
