gate, platform: an order without a response is reset at its end

One way for an order to arrive after its sender's time: it lies in the kernel of its sender, whose link to the target is slow or cut, when the sender gives it up, ends or is killed. A normal close goes on delivering it.

Now the connection of an order discards what has not been received until the first byte of the response: SO_LINGER is 0 until then, so that an expired order, the end of the process and a kill reset it.

--- a/internal/transport/gate/conn.go
+++ b/internal/transport/gate/conn.go
@@ -35,6 +35,9 @@
 	net.Conn
 	onClose func(*conn)
 	opened  time.Time
+	// unanswered is the connection while its end discards what has not been received, else nil.
+	// Only Read uses it.
+	unanswered *net.TCPConn
 
 	mu      sync.Mutex
 	call    *Call
@@ -48,6 +51,16 @@
 // NetConn returns the connection that was wrapped.
 func (c *conn) NetConn() net.Conn { return c.Conn }
 
+// Read reads from the connection. The first bytes show that the request has been received.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 && c.unanswered != nil {
+		_ = c.unanswered.SetLinger(-1)
+		c.unanswered = nil
+	}
+	return n, err
+}
+
 // Write calls the guard of the current call before each write. A retired connection fails
 // before its first byte, and the transport then uses another.
 func (c *conn) Write(b []byte) (int, error) {
--- a/internal/transport/gate/dialer.go
+++ b/internal/transport/gate/dialer.go
@@ -26,6 +26,8 @@
 	watch  Watch
 	// receiveBytes limits the kernel's receive buffer of a connection, 0 for its default.
 	receiveBytes int
+	// resetsUnanswered is set by WithResetUnanswered.
+	resetsUnanswered bool
 
 	mu    sync.Mutex
 	conns map[string]map[*conn]struct{}
@@ -50,6 +52,12 @@
 	return func(d *Dialer) { d.receiveBytes = bytes }
 }
 
+// WithResetUnanswered makes a connection that ends before the first byte of a response, also by
+// the end of the process, discard what the other side has not received.
+func WithResetUnanswered() Option {
+	return func(d *Dialer) { d.resetsUnanswered = true }
+}
+
 // NewDialer returns a dialer without connections.
 func NewDialer(opts ...Option) *Dialer {
 	d := &Dialer{
@@ -95,6 +103,10 @@
 		Conn: d.watch.Watched(raw, address), opened: time.Now(),
 		onClose: func(c *conn) { d.remove(address, c) },
 	}
+	if tcp, ok := raw.(*net.TCPConn); ok && d.resetsUnanswered {
+		_ = tcp.SetLinger(0)
+		c.unanswered = tcp
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.conns[address] == nil {
