elect, edge: a successor counts the handover from the last arrival

Cause: the successor counted lease_ms from when its predecessor had stopped sending, while the rule judges what arrives. After a planned stop nothing but a few store calls lay between: an order that was on its way for 250 ms arrived 2.86 s before the next holder's first one. After other ends of a term 150 ms were left for an order's way, which may take 800 ms, besides 1.5 s in which a holder could go on without having seen its key.

Now a term has three ends: an order is checked up to 0.7 s after the last proof of the key, it arrives up to 0.8 s later (platform.OrderTimeout, after which it is reset), and the next holder's follows lease_ms after that. The record of a holder says how long after the loss of the key its orders may arrive, and a successor waits for that. A planned stop first stops the orders, waits until each has a response or has been on its way for 0.8 s, and only then says "settled" and gives up the key. So that the shorter validity of proofs pauses no orders, renewals and reads of the key are sent four times a second without waiting for earlier replies, in place of one renewal at a time and a watch.

The wait after a holder is lost with its machine stays at 4.5 s (0.7 + 0.8 + 3) after the end of its lease.

--- a/internal/coordination/elect/doc.go
+++ b/internal/coordination/elect/doc.go
@@ -3,14 +3,24 @@
 // The holder owns a key of the metadata store under a lease. It learns late that it has
 // lost the key in two cases: if it is cut off from the store, and if the key was deleted
 // although the lease is still renewed. The holder therefore sends orders only while both
-// its last renewal and its last check of the key are fresh. A new holder waits until the
-// former one must have stopped, plus the platform's minimum time between the orders of
-// two holders.
+// its last renewal and its last read of the key are fresh.
 //
-// A second key, the record, has no lease and names the last holder. An instance that
-// finds itself or nobody there need not wait, since the orders of one instance are those
-// of one holder. The revision of the record is the fencing token, so tokens only
-// increase.
+// The rule is about arrivals: two holders may not reach a target within the handover, the
+// platform's minimum time between the orders of two holders. An order that has been checked
+// arrives later, at the latest after the time that its sender gives it. So a holder has three
+// ends, one after the other:
+//
+//	the last order is checked     up to orderValidity after the last proof of the key
+//	the last order has arrived    up to the order time later; the holder resets what has not
+//	the next holder's first one   the handover after that
+//
+// A second key, the record, has no lease and names the last holder and how long after the loss
+// of the key its orders may arrive. The next holder waits for that time and
+// the handover, counted from when it has found the key missing. After a planned stop it waits
+// for the handover only: the former holder stops its orders, waits for those on their way and
+// writes that into the record before it gives up the key. An instance that finds itself in the
+// record need not wait, since the orders of one instance are those of one holder. The revision
+// of the record is the fencing token, so tokens only increase.
 //
 // Package edge runs the Part of each instance and acts on its Status.
 package elect
--- a/internal/coordination/elect/elect_test.go
+++ b/internal/coordination/elect/elect_test.go
@@ -21,7 +21,11 @@
 const (
 	testTTL      = time.Second
 	testHandover = 3 * time.Second
-	tick         = 10 * time.Millisecond
+	// testOrderTime is the time from the check of an order to its arrival, testArrival that from
+	// the loss of the key.
+	testOrderTime = 800 * time.Millisecond
+	testArrival   = 1500 * time.Millisecond
+	tick          = 10 * time.Millisecond
 )
 
 // fixture is a store with several instances on virtual time.
@@ -70,7 +74,7 @@
 
 func (r *fixture) start(i int) {
 	nd := r.nodes[i]
-	part := NewPart(address(i), testTTL, r.handover, r.random)
+	part := NewPart(address(i), testTTL, r.handover, r.random, WithOrderTime(testOrderTime))
 	nd.status = Status{}
 	nd.loop = drive.NewLoop(&freezablePart{part: part, node: nd}, ports.Env{KV: nd.kv, Timer: r.timer},
 		drive.WithListener(func(v any) { nd.status = v.(Status) }))
@@ -236,7 +240,7 @@
 				r.advance(c.after)
 				r.setHandover(raised)
 			}
-			r.advance(raised + testTTL + keyCheckTTL + time.Second)
+			r.advance(raised + testTTL + testArrival + time.Second)
 			if r.violation != "" || r.holder == first {
 				t.Errorf("holder %d, former holder %d: %s", r.holder, first, r.violation)
 			}
@@ -295,7 +299,7 @@
 		nd.loop.Stop()
 		f := &compactedKV{KV: nd.kv}
 		stores = append(stores, f)
-		nd.loop = drive.NewLoop(NewPart(address(i), testTTL, testHandover, r.random),
+		nd.loop = drive.NewLoop(NewPart(address(i), testTTL, testHandover, r.random, WithOrderTime(testOrderTime)),
 			ports.Env{KV: f, Timer: r.timer}, drive.WithListener(func(v any) { nd.status = v.(Status) }))
 		nd.loop.Post(Start{})
 	}
@@ -424,7 +428,7 @@
 		nd := &node{kv: world.NewKV(r.store, r.timer, r.random)}
 		nd.kv.SetFaults(world.KVFaults{Down: true})
 		r.nodes = append(r.nodes, nd)
-		part := NewPart(address(i), testTTL, testHandover, r.random)
+		part := NewPart(address(i), testTTL, testHandover, r.random, WithOrderTime(testOrderTime))
 		nd.loop = drive.NewLoop(part, ports.Env{KV: countingKV{nd.kv, &calls}, Timer: r.timer},
 			drive.WithListener(func(v any) { nd.status = v.(Status) }))
 		nd.loop.Post(Start{})
@@ -466,7 +470,7 @@
 		r.advance(tick)
 	}
 	const calls = 200 * time.Millisecond
-	if took, limit := r.timer.Now().Sub(killed), testTTL+keyCheckTTL+testHandover+calls; took > limit {
+	if took, limit := r.timer.Now().Sub(killed), testTTL+testArrival+testHandover+calls; took > limit {
 		t.Errorf("orders may be sent %v after the kill, at most %v expected", took, limit)
 	}
 }
@@ -482,7 +486,7 @@
 		nd := &node{kv: world.NewKV(r.store, r.timer, r.random)}
 		nd.kv.SetFaults(world.KVFaults{Latency: 8 * time.Millisecond})
 		r.nodes = append(r.nodes, nd)
-		part := NewPart(address(i), testTTL, testHandover, r.random)
+		part := NewPart(address(i), testTTL, testHandover, r.random, WithOrderTime(testOrderTime))
 		nd.loop = drive.NewLoop(part, ports.Env{KV: countingKV{nd.kv, &calls[i]}, Timer: r.timer},
 			drive.WithListener(func(v any) { nd.status = v.(Status) }))
 		nd.loop.Post(Start{})
@@ -523,7 +527,7 @@
 	delayed.kv.SetFaults(world.KVFaults{Latency: 8 * time.Millisecond})
 	r.nodes = append(r.nodes, delayed)
 	start := func() {
-		part := NewPart(address(1), testTTL, testHandover, r.random, WithAcquireDelay(delay))
+		part := NewPart(address(1), testTTL, testHandover, r.random, WithOrderTime(testOrderTime), WithAcquireDelay(delay))
 		delayed.loop = drive.NewLoop(part, ports.Env{KV: delayed.kv, Timer: r.timer},
 			drive.WithListener(func(v any) { delayed.status = v.(Status) }))
 		delayed.loop.Post(Start{})
--- a/internal/coordination/elect/part.go
+++ b/internal/coordination/elect/part.go
@@ -1,7 +1,6 @@
 package elect
 
 import (
-	"encoding/json"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -18,23 +17,23 @@
 )
 
 const (
-	// renewInterval is the interval of lease renewals; there are several within the
-	// lease's duration.
-	renewInterval = 250 * time.Millisecond
-	// holderWatchTimeout is the timeout of the holder's watch of its key.
-	holderWatchTimeout = 600 * time.Millisecond
-	// idleWatchTimeout is the timeout of the other instances' watches.
-	idleWatchTimeout = 20 * time.Second
+	// proofInterval is the interval at which the holder renews its lease and reads its key.
+	proofInterval = 250 * time.Millisecond
+	// maxProofCalls limits the renewals and reads that have no reply yet.
+	maxProofCalls = 10
+	// orderValidity is how long after the latest renewal and read of the key were sent an
+	// order may be sent. The successor of a holder that has lost its key waits for it, so it is
+	// no longer than the next proof takes while the store answers slowly.
+	orderValidity = 700 * time.Millisecond
 	// watchDelay is the time from finding another holder to watching its key.
 	watchDelay = 300 * time.Millisecond
-	// firstWatchTimeout is short, since no order can be sent before the first check of
-	// the key.
-	firstWatchTimeout = 30 * time.Millisecond
-	// keyCheckTTL is how long a successful check of the key is valid.
-	keyCheckTTL = 1500 * time.Millisecond
-	// orderMargin is subtracted from the end of a term, so that an order arrives before
-	// it.
-	orderMargin = 150 * time.Millisecond
+	// idleWatchTimeout is the timeout of the watches of instances that are not the holder.
+	idleWatchTimeout = 20 * time.Second
+	// keyReadTTL is how long a read of the key shows that this instance holds it, for
+	// anything but orders.
+	keyReadTTL = 1500 * time.Millisecond
+	// heldMargin is subtracted from the end of a term, so that a message arrives before it.
+	heldMargin = 150 * time.Millisecond
 	// steadyMargin is the minimum remaining time of a term while renewals succeed.
 	steadyMargin = 300 * time.Millisecond
 	// startJitter spreads the first calls of instances that start at the same time.
@@ -80,14 +79,6 @@
 	return s.IsHolder && !now.Before(s.OrderFrom) && now.Before(s.OrderUntil)
 }
 
-// holderValue is the value of both keys.
-type holderValue struct {
-	Holder netip.AddrPort `json:"holder"`
-	// Released means that the holder has stopped sending orders before it revoked its
-	// lease.
-	Released bool `json:"released,omitempty"`
-}
-
 // phase is the state of a Part.
 type phase uint8
 
@@ -144,6 +135,9 @@
 	// hasDeferred means that the last holder has been given its time to return.
 	hasDeferred bool
 
+	// orderTime is the longest time from the check of an order to its arrival.
+	orderTime time.Duration
+
 	lease ports.LeaseID
 	// keyRevision is the revision of the key, seenRevision that of the store at the last
 	// check of the key.
@@ -161,14 +155,19 @@
 	// renewedAt and checkedAt are the times from which the last successful renewal and
 	// check of the key count.
 	renewedAt, checkedAt time.Time
-	renewal, keyCheck    pendingCall
-	recordTag            ports.Tag
+	// proofs are the renewals and reads of the key that have no reply yet, proofTag is the tag
+	// of the timer for the next ones.
+	proofs    map[ports.Tag]proofCall
+	proofTag  ports.Tag
+	recordTag ports.Tag
 }
 
 // Start starts the state machine.
 type Start struct{}
 
-// Release makes the holder give up the key, for a planned stop.
+// Release makes the holder give up the key, for a planned stop. The instance sends no more
+// orders, and each of its orders has either been answered or been on its way for the time of
+// WithOrderTime: the next holder relies on it.
 type Release struct{}
 
 // HolderUnresponsive means that the holder does not reply; the key is read again.
@@ -217,10 +216,16 @@
 	return func(p *Part) { p.acquireDelay = d }
 }
 
+// WithOrderTime sets the longest time from the check of an order to its arrival at a target
+// that reads what it is sent.
+func WithOrderTime(d time.Duration) Option {
+	return func(p *Part) { p.orderTime = d }
+}
+
 // NewPart returns the Part of the instance with the peer port self. Leases last ttl, and
 // handover is the minimum time between the orders of two holders.
 func NewPart(self netip.AddrPort, ttl, handover time.Duration, random *rand.Rand, opts ...Option) *Part {
-	p := &Part{self: self, ttl: ttl, handover: handover, random: random}
+	p := &Part{self: self, ttl: ttl, handover: handover, random: random, proofs: make(map[ports.Tag]proofCall)}
 	for _, opt := range opts {
 		opt(p)
 	}
@@ -271,10 +276,8 @@
 
 func (p *Part) timerFired(now time.Time, tag ports.Tag) []ports.Effect {
 	switch {
-	case p.phase == phaseHold && tag == p.renewal.tag:
-		return p.renew(now)
-	case p.phase == phaseHold && tag == p.keyCheck.tag:
-		return p.watchOwnKey(now)
+	case p.phase == phaseHold && tag == p.proofTag:
+		return p.prove(now)
 	case p.phase == phaseHold && tag == p.recordTag:
 		return p.writeRecord()
 	case tag == p.tag && p.phase == phaseBeforeWatch:
@@ -286,11 +289,11 @@
 }
 
 func (p *Part) callDone(now time.Time, tag ports.Tag, r ports.KVReply) []ports.Effect {
+	if call, isProof := p.proofs[tag]; isProof {
+		delete(p.proofs, tag)
+		return p.proofDone(call, r)
+	}
 	switch {
-	case p.phase == phaseHold && tag == p.renewal.tag:
-		return p.renewDone(now, r)
-	case p.phase == phaseHold && tag == p.keyCheck.tag:
-		return p.keyCheckDone(now, r)
 	case p.phase == phaseHold && tag == p.recordTag:
 		return p.recordDone(r)
 	case tag != p.tag:
@@ -339,21 +342,3 @@
 	spread := time.Duration(p.random.Int64N(int64(p.retryDelay)))
 	return p.delayPhase(phaseReadKey, p.retryDelay/2+spread)
 }
-
-func (v holderValue) encode() []byte {
-	data, err := json.Marshal(v)
-	if err != nil {
-		// No field of the value can fail to be encoded.
-		panic(err)
-	}
-	return data
-}
-
-// decode decodes a value. An invalid one names no holder.
-func decode(data []byte) holderValue {
-	var v holderValue
-	if err := json.Unmarshal(data, &v); err != nil {
-		return holderValue{}
-	}
-	return v
-}
--- a/internal/coordination/elect/term.go
+++ b/internal/coordination/elect/term.go
@@ -7,22 +7,10 @@
 	"chivecroft.example/chivecroft/internal/state/timer"
 )
 
-// pendingCall is a call that is made in addition to that of the current phase.
-type pendingCall struct {
-	tag  ports.Tag
-	sent time.Time
-	// wait is the timeout of a watch, 0 for other calls.
-	wait time.Duration
-}
-
-// observedUntil returns the time up to which the reply of a call describes the store. A
-// watch that ends with its timeout shows that there was no change until then; the reply
-// of any other call counts from when the call was sent.
-func (c pendingCall) observedUntil(now time.Time) time.Time {
-	if end := c.sent.Add(c.wait); !end.After(now) {
-		return end
-	}
-	return c.sent
+// proofCall is a renewal of the lease or a read of the key.
+type proofCall struct {
+	sent      time.Time
+	isRenewal bool
 }
 
 // startTerm begins a term as the holder. The lease has just been granted, but only
@@ -32,14 +20,13 @@
 	p.tag = 0
 	p.isRecorded = false
 	p.renewedAt, p.checkedAt = time.Time{}, time.Time{}
+	clear(p.proofs)
 	p.handoverFrom = p.handoverStart(now)
 	from := timer.Later(now, p.handoverFrom.Add(p.handoverWait()))
 	p.missingSince = time.Time{}
 	p.status = Status{Holder: p.self, IsHolder: true, OrderFrom: from, Former: p.lastRecord.Holder}
 	p.recordTag = p.nextTag()
-	effects := p.renew(now)
-	effects = append(effects, p.watchOwnKey(now)...)
-	return append(effects, ports.ArmTimer{Tag: p.recordTag, After: from.Sub(now)})
+	return append(p.prove(now), ports.ArmTimer{Tag: p.recordTag, After: from.Sub(now)})
 }
 
 // setHandover changes the handover. A term in which orders may already have been sent goes
@@ -71,17 +58,16 @@
 	return p.missingSince
 }
 
-// handoverWait returns the time after which a former holder has certainly stopped, plus
-// the handover. There is no wait if this instance was the last holder or if there was
-// none, and only the handover if the last holder has released the key.
+// handoverWait returns the time after which no order of a former holder is on its way, plus
+// the handover. There is no wait if this instance was the last holder or if there was none.
 func (p *Part) handoverWait() time.Duration {
 	switch {
 	case !p.lastRecord.Holder.IsValid(), p.lastRecord.Holder == p.self:
 		return 0
-	case p.lastRecord.Released:
+	case p.lastRecord.Settled:
 		return p.handover
 	}
-	return max(keyCheckTTL, p.ttl) + p.handover
+	return p.lastRecord.arrival() + p.handover
 }
 
 // writeRecord names this instance in the record as the one that may have sent the latest
@@ -89,7 +75,7 @@
 func (p *Part) writeRecord() []ports.Effect {
 	p.recordTag = p.nextTag()
 	return []ports.Effect{ports.KVCall{Tag: p.recordTag, Req: ports.KVPut{
-		Key: recordKey, Value: holderValue{Holder: p.self}.encode(), Expect: p.recordRevision,
+		Key: recordKey, Value: p.ownRecord().encode(), Expect: p.recordRevision,
 	}}}
 }
 
@@ -104,97 +90,79 @@
 	if r.Status != ports.KVOK {
 		return p.endTerm()
 	}
+	p.lastRecord, p.recordRevision = p.ownRecord(), r.Revision
 	p.isRecorded = true
-	p.recordRevision = r.Revision
 	p.status.Token = uint64(r.Revision)
 	p.extendTerm()
 	return nil
 }
 
-func (p *Part) renew(now time.Time) []ports.Effect {
-	if !p.renewedAt.IsZero() && now.Sub(p.renewedAt) > p.ttl {
+// prove renews the lease and reads the key, without waiting for earlier replies: while the
+// store answers slowly, proofs arrive as often as otherwise.
+func (p *Part) prove(now time.Time) []ports.Effect {
+	if !p.renewedAt.IsZero() && now.Sub(p.renewedAt) > p.ttl+proofInterval {
 		return p.endTerm()
 	}
-	p.renewal = pendingCall{tag: p.nextTag(), sent: now}
-	return []ports.Effect{ports.KVCall{Tag: p.renewal.tag, Req: ports.KVRenew{Lease: p.lease}}}
-}
-
-func (p *Part) renewDone(now time.Time, r ports.KVReply) []ports.Effect {
-	switch r.Status {
-	case ports.KVOK:
-		p.renewedAt = p.renewal.sent
-		p.extendTerm()
-	case ports.KVNotFound:
-		return p.endTerm()
-	default:
-		if p.renewedAt.IsZero() {
-			return p.endTerm()
-		}
-	}
-	p.renewal.tag = p.nextTag()
-	return []ports.Effect{ports.ArmTimer{Tag: p.renewal.tag, After: max(renewInterval-now.Sub(p.renewal.sent), 0)}}
-}
-
-// watchOwnKey watches this instance's key. A watch without a change confirms the key.
-func (p *Part) watchOwnKey(now time.Time) []ports.Effect {
-	wait := holderWatchTimeout
-	if p.checkedAt.IsZero() {
-		wait = firstWatchTimeout
+	p.proofTag = p.nextTag()
+	effects := []ports.Effect{ports.ArmTimer{Tag: p.proofTag, After: proofInterval}}
+	if len(p.proofs) >= maxProofCalls {
+		return effects
 	}
-	p.keyCheck = pendingCall{tag: p.nextTag(), sent: now, wait: wait}
-	return []ports.Effect{ports.KVCall{Tag: p.keyCheck.tag, Req: ports.KVWatch{
-		Prefix: leaseKey, After: p.seenRevision, Wait: wait,
-	}}}
+	return append(effects,
+		p.proofEffect(proofCall{sent: now, isRenewal: true}, ports.KVRenew{Lease: p.lease}),
+		p.proofEffect(proofCall{sent: now}, ports.KVGet{Key: leaseKey}))
 }
 
-// readOwnKey reads this instance's key if the store no longer has the history that a
-// watch needs.
-func (p *Part) readOwnKey(now time.Time) []ports.Effect {
-	p.keyCheck = pendingCall{tag: p.nextTag(), sent: now}
-	return []ports.Effect{ports.KVCall{Tag: p.keyCheck.tag, Req: ports.KVGet{Key: leaseKey}}}
+func (p *Part) proofEffect(c proofCall, req ports.KVRequest) ports.Effect {
+	tag := p.nextTag()
+	p.proofs[tag] = c
+	return ports.KVCall{Tag: tag, Req: req}
 }
 
-func (p *Part) keyCheckDone(now time.Time, r ports.KVReply) []ports.Effect {
+// proofDone handles the reply to a renewal or to a read of the key. It shows the state of the
+// store as of when the call was sent or later.
+func (p *Part) proofDone(c proofCall, r ports.KVReply) []ports.Effect {
+	if p.phase != phaseHold {
+		return nil
+	}
 	item, ok := r.Item()
 	switch {
-	case r.Status == ports.KVOK && (!ok || !item.Deleted && item.Revision == p.keyRevision):
+	case r.Status == ports.KVNotFound, r.Status == ports.KVOK && !c.isRenewal && (!ok || item.Revision != p.keyRevision):
+		return p.endTerm()
+	case r.Status == ports.KVOK && c.isRenewal:
+		p.renewedAt = timer.Later(p.renewedAt, c.sent)
+		p.extendTerm()
+	case r.Status == ports.KVOK:
 		p.seenRevision = max(p.seenRevision, r.Revision)
-		p.checkedAt = p.keyCheck.observedUntil(now)
+		p.checkedAt = timer.Later(p.checkedAt, c.sent)
 		p.extendTerm()
-		return p.watchOwnKey(now)
-	case r.Status == ports.KVConflict:
-		return p.readOwnKey(now)
-	case r.Status == ports.KVOK, r.Status == ports.KVNotFound:
+	case c.isRenewal && p.renewedAt.IsZero():
 		return p.endTerm()
 	}
-	p.keyCheck.tag = p.nextTag()
-	return []ports.Effect{ports.ArmTimer{Tag: p.keyCheck.tag, After: minRetryDelay}}
+	return nil
 }
 
-// extendTerm updates the time until which orders may be sent. It is bounded by the lease
-// since the last renewal and by keyCheckTTL since the last check of the key.
+// extendTerm updates the times until which this instance holds the key and may send orders.
 func (p *Part) extendTerm() {
 	if p.renewedAt.IsZero() || p.checkedAt.IsZero() {
 		return
 	}
-	until := p.renewedAt.Add(p.ttl)
-	if seen := p.checkedAt.Add(keyCheckTTL); seen.Before(until) {
-		until = seen
-	}
-	p.status.HeldUntil = until.Add(-orderMargin)
+	until := timer.Earlier(p.renewedAt.Add(p.ttl), p.checkedAt.Add(keyReadTTL))
+	p.status.HeldUntil = until.Add(-heldMargin)
 	if p.isRecorded {
-		p.status.OrderUntil = p.status.HeldUntil
+		p.status.OrderUntil = timer.Earlier(p.renewedAt, p.checkedAt).Add(orderValidity)
 	}
 }
 
 func (p *Part) endTerm() []ports.Effect {
 	p.status = Status{}
+	clear(p.proofs)
 	return p.readKey()
 }
 
-// release writes to the record that no more orders follow, so that the next holder need
-// not wait for the end of the lease, and then revokes the lease. Another instance makes no
-// more calls, and keeps the holder that it knows to exchange messages with it until it ends.
+// release writes to the record that no order is on its way any more, so that the next holder
+// need not wait for that, and then revokes the lease. Another instance makes no more calls,
+// and keeps the holder that it knows to exchange messages with it until it ends.
 func (p *Part) release() []ports.Effect {
 	if p.phase != phaseHold {
 		p.status = Status{Holder: p.status.Holder}
@@ -202,12 +170,13 @@
 		return nil
 	}
 	p.status = Status{}
+	clear(p.proofs)
 	if !p.isRecorded {
 		return p.revokeLease()
 	}
-	return p.call(phaseRelease, ports.KVPut{
-		Key: recordKey, Value: holderValue{Holder: p.self, Released: true}.encode(), Expect: p.recordRevision,
-	})
+	settled := p.lastRecord
+	settled.Settled = true
+	return p.call(phaseRelease, ports.KVPut{Key: recordKey, Value: settled.encode(), Expect: p.recordRevision})
 }
 
 func (p *Part) revokeLease() []ports.Effect {
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -70,6 +70,10 @@
 	load *load.Sums
 	// withoutSlowStart means that targets get no limits after a start or recovery.
 	withoutSlowStart bool
+	// ordersInFlight counts the orders that may be on their way; none is added once
+	// hasStoppedOrders is set.
+	ordersInFlight   sync.WaitGroup
+	hasStoppedOrders bool
 
 	members map[string]member
 	// tree knows the instances whose messages go to relays.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -193,7 +193,7 @@
 	}
 	part := elect.NewPart(boot.Peer, boot.StoreTTLMin, boot.Bounds.OrderHandover,
 		rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		elect.WithAcquireDelay(electionDelay(boot.Cores)))
+		elect.WithAcquireDelay(electionDelay(boot.Cores)), elect.WithOrderTime(platform.OrderTimeout))
 	e.election = drive.NewLoop(part, ports.Env{KV: e.store, Timer: e.clock}, drive.WithListener(func(v any) {
 		e.onHolderStatus(v.(elect.Status))
 	}))
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"time"
+
 	"github.com/gravitational/trace"
 
 	"chivecroft.example/chivecroft/internal/coordination/sched"
@@ -13,20 +15,40 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.clock.Now()
-	if !k.status.CanOrder(now) {
+	if !k.mayOrder(now) {
 		return
 	}
 	for _, p := range k.planners {
 		for _, a := range p.Plan(now) {
-			if a.IsReportRequest() {
-				go k.requestReport(p, a)
-			} else {
-				go k.sendOrder(p, a, k.status.Token)
-			}
+			k.carryOut(p, a)
 		}
 	}
 }
 
+// carryOut begins to request a report or to send an order.
+func (k *coordinator) carryOut(p *sched.Planner, a sched.Action) {
+	if a.IsReportRequest() {
+		go k.requestReport(p, a)
+		return
+	}
+	k.ordersInFlight.Add(1)
+	go k.sendOrder(p, a, k.status.Token)
+}
+
+// mayOrder reports whether orders may be sent now.
+func (k *coordinator) mayOrder(now time.Time) bool {
+	return !k.hasStoppedOrders && k.status.CanOrder(now)
+}
+
+// stopOrders makes this instance send no more orders, and waits until none of them is on its
+// way any more.
+func (k *coordinator) stopOrders() {
+	k.mu.Lock()
+	k.hasStoppedOrders = true
+	k.mu.Unlock()
+	k.ordersInFlight.Wait()
+}
+
 func (k *coordinator) requestReport(p *sched.Planner, a sched.Action) {
 	r, err := k.engines.Report(k.ctx, a.To.Addr)
 	if err != nil {
@@ -41,11 +63,11 @@
 // continueJob continues a target's job, now or when its load should have finished.
 func (k *coordinator) continueJob(p *sched.Planner, id string) {
 	now := k.clock.Now()
-	if !k.status.CanOrder(now) || !k.isCurrentPlanner(p) {
+	if !k.mayOrder(now) || !k.isCurrentPlanner(p) {
 		return
 	}
 	if a, ok := p.NextLoad(now, id); ok {
-		go k.sendOrder(p, a, k.status.Token)
+		k.carryOut(p, a)
 		return
 	}
 	if at, ok := p.NextLoadTime(id); ok && now.Before(at) {
@@ -69,27 +91,45 @@
 
 func (k *coordinator) sendOrder(p *sched.Planner, a sched.Action, token uint64) {
 	began := k.clock.Now()
+	var checkedAt time.Time
 	result, err := k.engines.Order(k.ctx, a.To.Addr, a.To.ID, platform.Order{
 		Operation: toOperation(a.Operation), Model: a.Model, Adapter: a.Adapter,
 		Expected: a.Expected, Holder: k.self, Token: token,
-	}, func() error { return k.checkMayOrder(token) })
+	}, func() error {
+		checkedAt = k.clock.Now()
+		return k.checkMayOrder(checkedAt, token)
+	})
+	now := k.clock.Now()
 	k.log.Info().Str("target", a.To.ID).Str("operation", a.Operation.String()).Str("model", a.Model).
 		Str("adapter", a.Adapter).Int64("expected", a.Expected).Str("tier", a.Tier.String()).
 		Str("why", a.Reason).Str("result", result.String()).Uint64("token", token).
-		Dur("took", max(k.clock.Now().Sub(began), 0)).Err(err).Msg("order finished")
+		Dur("took", max(now.Sub(began), 0)).Err(err).Msg("order finished")
 	k.metrics.orderEnded(a, result == platform.OrderTaken)
+	defer k.settleOrder(now, result, checkedAt)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	p.OrderDone(k.clock.Now(), a, toResult(result))
 	k.continueJob(p, a.To.ID)
 }
 
+// settleOrder ends the time in which an order counts as on its way: with its response, and
+// without one when it has been on its way for as long as it can be.
+func (k *coordinator) settleOrder(now time.Time, result platform.OrderResult, checkedAt time.Time) {
+	rest := checkedAt.Add(platform.OrderTimeout).Sub(now)
+	if result == platform.OrderUnknown && rest > 0 {
+		k.clock.After(rest, k.ordersInFlight.Done)
+		return
+	}
+	k.ordersInFlight.Done()
+}
+
 var errNotHolder = trace.CompareFailed("this instance is no longer the holder and may not send orders")
 
 // checkMayOrder is called immediately before an order is written.
-func (k *coordinator) checkMayOrder(token uint64) error {
-	s := k.holderStatus()
-	if s.Token != token || !s.CanOrder(k.clock.Now()) {
+func (k *coordinator) checkMayOrder(now time.Time, token uint64) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.status.Token != token || !k.mayOrder(now) {
 		return errNotHolder
 	}
 	return nil
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -65,7 +65,7 @@
 	e.ReloadFile()
 	e.proxy.CloseConnections()
 	e.log.Info().Int("active", e.proxy.Active()).Dur("grace", e.bounds.Load().StopGrace).Msg("stopping")
-	e.election.Post(elect.Release{})
+	go e.releaseHolder()
 	grace := e.bounds.Load().StopGrace
 	refuseAt := min(refuseAfter, time.Duration(refuseShare*float64(grace)))
 	for {
@@ -100,3 +100,9 @@
 	}
 	e.log.Info().Int("cut", cut).Dur("took", e.timer.Now().Sub(start)).Msg("stopped")
 }
+
+// releaseHolder gives up the lease once none of this instance's orders is on its way any more.
+func (e *Edge) releaseHolder() {
+	e.coordinator.stopOrders()
+	e.election.Post(elect.Release{})
+}
--- a/internal/state/timer/timer.go
+++ b/internal/state/timer/timer.go
@@ -95,3 +95,11 @@
 	}
 	return y
 }
+
+// Earlier returns the earlier one of two times.
+func Earlier(x, y time.Time) time.Time {
+	if x.Before(y) {
+		return x
+	}
+	return y
+}
