elect: a holder that comes back keeps its fencing token

Cause: a holder that is killed and started again finds itself in the record and goes on at once, as the orders of one machine are those of one holder. But it wrote the record anew and took its new revision as its token, while orders of its former process may be on their way for 0.8 s with the old one. The record now holds the token, and an instance that finds itself there goes on with it.

TestRestartedHolderContinuesAtOnce wanted a higher token, which is the fault; it now wants the same token, which leaves as little room.

--- a/internal/coordination/elect/doc.go
+++ b/internal/coordination/elect/doc.go
@@ -19,8 +19,9 @@
 // the handover, counted from when it has found the key missing. After a planned stop it waits
 // for the handover only: the former holder stops its orders, waits for those on their way and
 // writes that into the record before it gives up the key. An instance that finds itself in the
-// record need not wait, since the orders of one instance are those of one holder. The revision
-// of the record is the fencing token, so tokens only increase.
+// record need not wait, and goes on with the same token, so that late orders of its former
+// process have no lower one. Otherwise the revision of the record is the token, so tokens only
+// increase.
 //
 // Package edge runs the Part of each instance and acts on its Status.
 package elect
--- a/internal/coordination/elect/elect_test.go
+++ b/internal/coordination/elect/elect_test.go
@@ -150,8 +150,9 @@
 	}
 }
 
-// TestRestartedHolderContinuesAtOnce checks that a restarted holder need not wait, since
-// its next incarnation counts as the same holder.
+// TestRestartedHolderContinuesAtOnce checks that a restarted holder need not wait, since its
+// next incarnation counts as the same holder. It guards against a higher token, after which an
+// order of the former incarnation that is still on its way would arrive with a lower one.
 func TestRestartedHolderContinuesAtOnce(t *testing.T) {
 	r := newFixture(3, 2)
 	r.advance(time.Second)
@@ -161,7 +162,7 @@
 	r.start(first)
 	r.advance(300 * time.Millisecond)
 	s := r.nodes[first].status
-	if !s.CanOrder(r.timer.Now()) || s.Token <= token {
+	if !s.CanOrder(r.timer.Now()) || s.Token != token {
 		t.Errorf("status after the restart: %+v, token before it: %d", s, token)
 	}
 }
--- a/internal/coordination/elect/record.go
+++ b/internal/coordination/elect/record.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"net/netip"
 	"time"
+
+	"chivecroft.example/chivecroft/internal/coordination/ports"
 )
 
 // unknownArrival is used for records without ArrivalMS. Their holders sent orders for up to
@@ -13,6 +15,8 @@
 // holderValue is the value of both keys. That of the lease key has the holder only.
 type holderValue struct {
 	Holder netip.AddrPort `json:"holder"`
+	// Token is the fencing token of the holder's orders, 0 if it is the revision of this value.
+	Token uint64 `json:"token,omitempty"`
 	// ArrivalMS is how long after the loss of the key an order of the holder may arrive.
 	ArrivalMS int64 `json:"arrivalMs,omitempty"`
 	// Settled means that the holder has stopped sending orders, and that none of them is on its
@@ -46,7 +50,21 @@
 	return time.Duration(v.ArrivalMS) * time.Millisecond
 }
 
-// ownRecord returns the value by which this instance records that it may send orders.
+// tokenOf returns the fencing token that a record written at a revision stands for.
+func tokenOf(v holderValue, revision ports.Revision) uint64 {
+	if v.Token != 0 {
+		return v.Token
+	}
+	return uint64(revision)
+}
+
+// ownRecord returns the value by which this instance records that it may send orders. After its
+// own term it keeps the token: orders of a former process on this machine may still be on
+// their way, and must not arrive with a lower token than later ones.
 func (p *Part) ownRecord() holderValue {
-	return holderValue{Holder: p.self, ArrivalMS: (orderValidity + p.orderTime).Milliseconds()}
+	v := holderValue{Holder: p.self, ArrivalMS: (orderValidity + p.orderTime).Milliseconds()}
+	if p.lastRecord.Holder == p.self {
+		v.Token = tokenOf(p.lastRecord, p.recordRevision)
+	}
+	return v
 }
--- a/internal/coordination/elect/term.go
+++ b/internal/coordination/elect/term.go
@@ -71,7 +71,7 @@
 }
 
 // writeRecord names this instance in the record as the one that may have sent the latest
-// orders. The revision of the record is the fencing token.
+// orders.
 func (p *Part) writeRecord() []ports.Effect {
 	p.recordTag = p.nextTag()
 	return []ports.Effect{ports.KVCall{Tag: p.recordTag, Req: ports.KVPut{
@@ -92,7 +92,7 @@
 	}
 	p.lastRecord, p.recordRevision = p.ownRecord(), r.Revision
 	p.isRecorded = true
-	p.status.Token = uint64(r.Revision)
+	p.status.Token = tokenOf(p.lastRecord, r.Revision)
 	p.extendTerm()
 	return nil
 }
@@ -175,7 +175,7 @@
 		return p.revokeLease()
 	}
 	settled := p.lastRecord
-	settled.Settled = true
+	settled.Token, settled.Settled = tokenOf(p.lastRecord, p.recordRevision), true
 	return p.call(phaseRelease, ports.KVPut{Key: recordKey, Value: settled.encode(), Expect: p.recordRevision})
 }
 
