sched, edge: orders to a target that stood still wait for its first response

Cause: an order that a target's kernel has taken stays readable there, also after the connection was reset (tried on Linux, before and after the accept). A target that stands still for longer than the change of the holder takes reads the former holder's order as it goes on, next to one of the new holder.

Once no order of the former holder can be on its way, the new holder requests a report from each target, and orders to a target follow lease_ms after its first response. The wait of other targets doesn't change: these reports come before the first orders are due. After a planned stop at which every target has responded none of this is needed; the record says so (hasUnread). The price is one more report per target after other changes of the holder.

--- a/internal/coordination/elect/part.go
+++ b/internal/coordination/elect/part.go
@@ -61,6 +61,11 @@
 	Former netip.AddrPort
 	// HeldUntil is the time until which this instance is certain to hold the key.
 	HeldUntil time.Time
+	// SettledAt is the time from which no order of a former holder is on its way to a target
+	// that reads what it is sent. Orders to one that has not read since then must wait for
+	// Handover after it has. Both are zero if no order of a former holder can be unread.
+	SettledAt time.Time
+	Handover  time.Duration
 	// OrderFrom and OrderUntil bound the time in which this instance may send orders.
 	OrderFrom, OrderUntil time.Time
 }
@@ -74,6 +79,12 @@
 // SteadyUntil returns the time from which on IsSteady is false unless the term is extended.
 func (s Status) SteadyUntil() time.Time { return s.HeldUntil.Add(-steadyMargin) }
 
+// IsSettled reports whether this instance is the holder and no order of a former one is on its
+// way to a target that reads what it is sent, although a target may not have read it.
+func (s Status) IsSettled(now time.Time) bool {
+	return s.IsHolder && s.Handover > 0 && !now.Before(s.SettledAt)
+}
+
 // CanOrder reports whether this instance may send an order at the given time.
 func (s Status) CanOrder(now time.Time) bool {
 	return s.IsHolder && !now.Before(s.OrderFrom) && now.Before(s.OrderUntil)
@@ -167,8 +178,9 @@
 
 // Release makes the holder give up the key, for a planned stop. The instance sends no more
 // orders, and each of its orders has either been answered or been on its way for the time of
-// WithOrderTime: the next holder relies on it.
-type Release struct{}
+// WithOrderTime: the next holder relies on it. HasUnread means that a target may not have read
+// all of them, since it has not responded.
+type Release struct{ HasUnread bool }
 
 // HolderUnresponsive means that the holder does not reply; the key is read again.
 type HolderUnresponsive struct{}
@@ -263,7 +275,7 @@
 			p.status = Status{Holder: e.Holder}
 		}
 	case Release:
-		return p.release()
+		return p.release(e.HasUnread)
 	case SetHandover:
 		return p.setHandover(now, e.Handover)
 	case ports.TimerFired:
--- a/internal/coordination/elect/record.go
+++ b/internal/coordination/elect/record.go
@@ -22,6 +22,8 @@
 	// Settled means that the holder has stopped sending orders, and that none of them is on its
 	// way any more.
 	Settled bool `json:"settled,omitempty"`
+	// HasUnread means that a target may not have read all orders of a holder that has settled.
+	HasUnread bool `json:"hasUnread,omitempty"`
 }
 
 func (v holderValue) encode() []byte {
--- a/internal/coordination/elect/term.go
+++ b/internal/coordination/elect/term.go
@@ -25,6 +25,7 @@
 	from := timer.Later(now, p.handoverFrom.Add(p.handoverWait()))
 	p.missingSince = time.Time{}
 	p.status = Status{Holder: p.self, IsHolder: true, OrderFrom: from, Former: p.lastRecord.Holder}
+	p.setSettled()
 	p.recordTag = p.nextTag()
 	return append(p.prove(now), ports.ArmTimer{Tag: p.recordTag, After: from.Sub(now)})
 }
@@ -41,6 +42,7 @@
 	}
 	isTimerPending := now.Before(p.status.OrderFrom) && !p.isRecorded
 	p.status.OrderFrom = from
+	p.setSettled()
 	if !isTimerPending {
 		return nil
 	}
@@ -61,13 +63,32 @@
 // handoverWait returns the time after which no order of a former holder is on its way, plus
 // the handover. There is no wait if this instance was the last holder or if there was none.
 func (p *Part) handoverWait() time.Duration {
-	switch {
-	case !p.lastRecord.Holder.IsValid(), p.lastRecord.Holder == p.self:
+	if !p.hasFormer() {
 		return 0
-	case p.lastRecord.Settled:
-		return p.handover
 	}
-	return p.lastRecord.arrival() + p.handover
+	return p.settleTime() + p.handover
+}
+
+// hasFormer reports whether another instance may have sent orders before this term.
+func (p *Part) hasFormer() bool {
+	return p.lastRecord.Holder.IsValid() && p.lastRecord.Holder != p.self
+}
+
+// settleTime returns the time after which no order of the former holder is on its way.
+func (p *Part) settleTime() time.Duration {
+	if p.lastRecord.Settled {
+		return 0
+	}
+	return p.lastRecord.arrival()
+}
+
+// setSettled sets SettledAt and Handover of the status.
+func (p *Part) setSettled() {
+	isRead := p.lastRecord.Settled && !p.lastRecord.HasUnread
+	if !p.hasFormer() || isRead {
+		return
+	}
+	p.status.SettledAt, p.status.Handover = p.handoverFrom.Add(p.settleTime()), p.handover
 }
 
 // writeRecord names this instance in the record as the one that may have sent the latest
@@ -163,7 +184,7 @@
 // release writes to the record that no order is on its way any more, so that the next holder
 // need not wait for that, and then revokes the lease. Another instance makes no more calls,
 // and keeps the holder that it knows to exchange messages with it until it ends.
-func (p *Part) release() []ports.Effect {
+func (p *Part) release(hasUnread bool) []ports.Effect {
 	if p.phase != phaseHold {
 		p.status = Status{Holder: p.status.Holder}
 		p.phase = phaseStopped
@@ -175,7 +196,8 @@
 		return p.revokeLease()
 	}
 	settled := p.lastRecord
-	settled.Token, settled.Settled = tokenOf(p.lastRecord, p.recordRevision), true
+	settled.Token = tokenOf(p.lastRecord, p.recordRevision)
+	settled.Settled, settled.HasUnread = true, hasUnread
 	return p.call(phaseRelease, ports.KVPut{Key: recordKey, Value: settled.encode(), Expect: p.recordRevision})
 }
 
--- a/internal/coordination/sched/plan.go
+++ b/internal/coordination/sched/plan.go
@@ -88,6 +88,13 @@
 	return actions
 }
 
+// PlanReports returns the report requests that are due, for a holder that may not send orders
+// yet.
+func (p *Planner) PlanReports(now time.Time) []Action {
+	p.buildIndex()
+	return p.reportRequests(now)
+}
+
 // uses sums the demand of all instances and forgets demand older than demandTTL.
 func (p *Planner) uses(now time.Time) map[string]*usage {
 	uses := make(map[string]*usage)
--- a/internal/coordination/sched/planner.go
+++ b/internal/coordination/sched/planner.go
@@ -53,6 +53,10 @@
 	// window is the period over which the rate of loads from the weight store is limited.
 	window     time.Duration
 	storeLimit storeLimit
+	// handover is the minimum time between the orders of a former holder and of this one at a
+	// target; it concerns the targets known before handoverEnd.
+	handover    time.Duration
+	handoverEnd time.Time
 	// plannedFrom is the time of the first plan.
 	plannedFrom time.Time
 	// changedTargets are the targets whose loaded models may have changed.
@@ -101,11 +105,18 @@
 // SetEngine sets a new configuration of the service.
 func (p *Planner) SetEngine(e *fleet.Engine) { p.engine = e }
 
+// SetHandover makes orders to each target that is known before end wait until d after a first
+// response to a request for a report. The target may have stood still, with orders of a former
+// holder unread, until that response. Requests begin once that holder's orders have settled.
+func (p *Planner) SetHandover(d time.Duration, end time.Time) { p.handover, p.handoverEnd = d, end }
+
 // SetTarget adds a target or updates its description from the list.
 func (p *Planner) SetTarget(now time.Time, r fleet.Target) {
 	w := p.workers[r.ID]
 	if w == nil || w.Born != r.Born {
+		isNew := w == nil || w.respondedAt.IsZero()
 		w = &targetState{Target: r, loadedAt: make(map[string]time.Time)}
+		w.awaitsHandover = isNew && p.handover > 0 && now.Before(p.handoverEnd)
 		w.requestReport(now)
 		p.workers[r.ID] = w
 		p.markChanged(w)
@@ -183,6 +194,9 @@
 		// Another incarnation has replied; the list will contain it later.
 		w.invalidate(now.Add(errorBackoff))
 		return
+	case now.Before(p.orderTime(now, w)):
+		w.requestReport(p.orderTime(now, w))
+		return
 	case r.Orders < w.acceptedOrders:
 		w.requestReport(now.Add(busyPollInterval / 2))
 		return
@@ -197,6 +211,18 @@
 	p.applyReport(now, w, r)
 }
 
+// orderTime returns when orders to a target that has just responded may begin. No order of a
+// former holder is unread there any more.
+func (p *Planner) orderTime(now time.Time, w *targetState) time.Time {
+	if !w.awaitsHandover {
+		return now
+	}
+	if w.respondedAt.IsZero() {
+		w.respondedAt = now
+	}
+	return w.respondedAt.Add(p.handover)
+}
+
 // applyReport applies the report of a target that is carrying out no order.
 func (p *Planner) applyReport(now time.Time, w *targetState, r fleet.Report) {
 	w.Holding = r.Holding
--- a/internal/coordination/sched/target.go
+++ b/internal/coordination/sched/target.go
@@ -32,6 +32,10 @@
 	// isCertain means that the target's models are known as of acceptedOrders and that it
 	// is carrying out no order.
 	isCertain bool
+	// awaitsHandover means that the target may have unread orders of a former holder until
+	// it first responds, which was at respondedAt.
+	awaitsHandover bool
+	respondedAt    time.Time
 	// lastOrderAt is when the target last accepted an order.
 	lastOrderAt time.Time
 	// isLimited means that the target has named a rate limit.
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -74,6 +74,9 @@
 	// hasStoppedOrders is set.
 	ordersInFlight   sync.WaitGroup
 	hasStoppedOrders bool
+	// unread holds the targets that have not responded since an order to them was given up, and
+	// when that was.
+	unread map[fleet.Identity]time.Time
 
 	members map[string]member
 	// tree knows the instances whose messages go to relays.
@@ -94,6 +97,7 @@
 		ctx: ctx, self: boot.Instance, engines: platform.NewEngines(), clock: clock, log: l, metrics: m,
 		loadWindow: boot.Bounds.LoadWindow, targets: make(map[string]fleet.Target), departures: depart.NewLog(),
 		leaving: picker.NewLeavingSet(), updates: newUpdateLog(), permits: quota.NewLedger(), crashes: crash.NewDetector(),
+		unread:   make(map[fleet.Identity]time.Time),
 		planners: make(map[string]*sched.Planner), members: make(map[string]member), tree: relay.NewTree(),
 		teamQuotas: newTeamQuotas(), relayZoneSize: relayZoneSize,
 	}
@@ -111,6 +115,7 @@
 			Dur("ordersIn", max(s.OrderFrom.Sub(k.clock.Now()), 0)).Msg("holder changed")
 	}
 	if was.IsHolder == s.IsHolder {
+		k.setHandovers()
 		return
 	}
 	if was.IsHolder {
@@ -218,6 +223,7 @@
 		p := sched.NewPlanner(name, s.Engine, k.loadWindow, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 			sched.WithStoreLoads(k.storeLoads[name]))
 		k.planners[name] = p
+		k.setHandover(p)
 		for _, r := range k.targets {
 			if r.Service == name {
 				p.SetTarget(k.clock.Now(), r)
@@ -226,6 +232,17 @@
 	}
 }
 
+// setHandovers has all planners wait for targets that may have unread orders of a former holder.
+func (k *coordinator) setHandovers() {
+	for _, p := range k.planners {
+		k.setHandover(p)
+	}
+}
+
+func (k *coordinator) setHandover(p *sched.Planner) {
+	p.SetHandover(k.status.Handover, k.status.OrderFrom.Add(k.status.Handover))
+}
+
 func (k *coordinator) setTarget(r fleet.Target) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -280,6 +297,7 @@
 	if p := k.planners[k.targets[id].Service]; p != nil {
 		p.Remove(id)
 	}
+	delete(k.unread, k.targets[id].Identity)
 	delete(k.targets, id)
 	d, _ := k.departures.Find(id)
 	k.sums().Ramps().Stop(k.updates.remove(id, uint64(d.Revision)))
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -1,26 +1,34 @@
 package edge
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
 
 	"chivecroft.example/chivecroft/internal/coordination/sched"
+	"chivecroft.example/chivecroft/internal/state/fleet"
 	"chivecroft.example/chivecroft/platform"
 )
 
 // sendDueOrders sends the orders and report requests that are due according to the
-// planners.
+// planners. While this instance waits for the orders of a former holder to settle, it only
+// requests reports.
 func (k *coordinator) sendDueOrders() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.clock.Now()
-	if !k.mayOrder(now) {
-		return
-	}
 	for _, p := range k.planners {
-		for _, a := range p.Plan(now) {
-			k.carryOut(p, a)
+		switch {
+		case k.mayOrder(now):
+			for _, a := range p.Plan(now) {
+				k.carryOut(p, a)
+			}
+		case k.status.IsSettled(now):
+			for _, a := range p.PlanReports(now) {
+				k.carryOut(p, a)
+			}
 		}
 	}
 }
@@ -41,21 +49,30 @@
 }
 
 // stopOrders makes this instance send no more orders, and waits until none of them is on its
-// way any more.
-func (k *coordinator) stopOrders() {
+// way any more. It reports whether a target may not have read all of them.
+func (k *coordinator) stopOrders() (hasUnread bool) {
 	k.mu.Lock()
 	k.hasStoppedOrders = true
 	k.mu.Unlock()
 	k.ordersInFlight.Wait()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return slices.ContainsFunc(slices.Collect(maps.Keys(k.unread)), func(id fleet.Identity) bool {
+		return k.targets[id.ID].Identity == id
+	})
 }
 
 func (k *coordinator) requestReport(p *sched.Planner, a sched.Action) {
+	began := k.clock.Now()
 	r, err := k.engines.Report(k.ctx, a.To.Addr)
 	if err != nil {
 		k.log.Info().Str("target", a.To.ID).Err(err).Msg("report request failed")
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if err == nil && began.After(k.unread[a.To.Identity]) {
+		delete(k.unread, a.To.Identity)
+	}
 	p.ReportDone(k.clock.Now(), a.To.ID, r, err)
 	k.continueJob(p, a.To.ID)
 }
@@ -108,6 +125,9 @@
 	defer k.settleOrder(now, result, checkedAt)
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if result == platform.OrderUnknown {
+		k.unread[a.To.Identity] = now
+	}
 	p.OrderDone(k.clock.Now(), a, toResult(result))
 	k.continueJob(p, a.To.ID)
 }
--- a/internal/edge/orders_test.go
+++ b/internal/edge/orders_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"chivecroft.example/chivecroft/internal/coordination/sched"
 	"chivecroft.example/chivecroft/internal/stand/socket"
 	"chivecroft.example/chivecroft/internal/state/fleet"
@@ -17,12 +19,13 @@
 // one yet. It guards against a successor that counts the handover from before its arrival.
 func TestStopAwaitsOrdersOnTheirWay(t *testing.T) {
 	for _, c := range []struct {
-		name  string
-		delay time.Duration
-		least time.Duration
+		name      string
+		delay     time.Duration
+		least     time.Duration
+		hasUnread bool
 	}{
-		{"answered late", 500 * time.Millisecond, 500 * time.Millisecond},
-		{"not answered", 5 * time.Second, platform.OrderTimeout},
+		{"answered late", 500 * time.Millisecond, 500 * time.Millisecond, false},
+		{"not answered", 5 * time.Second, platform.OrderTimeout, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -44,10 +47,13 @@
 			k.carryOut(sched.NewPlanner("llm", &fleet.Engine{}, time.Second, nil), sched.Action{To: target, Model: "m1"})
 			k.mu.Unlock()
 			<-arrived
-			k.stopOrders()
+			hasUnread := k.stopOrders()
 			if took := time.Since(began); took < c.least {
 				t.Errorf("orders have stopped %v after the last one was sent, at least %v expected", took, c.least)
 			}
+			if diff := cmp.Diff(c.hasUnread, hasUnread); diff != "" {
+				t.Errorf("unread orders (-want +got):\n%s", diff)
+			}
 			if k.mayOrder(k.clock.Now()) {
 				t.Error("orders may still be sent")
 			}
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -103,6 +103,6 @@
 
 // releaseHolder gives up the lease once none of this instance's orders is on its way any more.
 func (e *Edge) releaseHolder() {
-	e.coordinator.stopOrders()
-	e.election.Post(elect.Release{})
+	hasUnread := e.coordinator.stopOrders()
+	e.election.Post(elect.Release{HasUnread: hasUnread})
 }
