elect: a term ends when the store comes back from an older copy

Cause: the record of the holder, its revision (the fencing token) and the key were relied upon as if the store lost nothing. The copy may name a holder before the last one, or none, and gives revisions out again.

A reply carries the store's era (ports.KVReply.Era). One with a higher era ends the term and whatever acquisition is under way; one of an earlier era that comes late counts as lost. Tokens are the era times 2^32 plus the revision, so that they only rise; the era stands in the record.

--- a/internal/coordination/elect/doc.go
+++ b/internal/coordination/elect/doc.go
@@ -14,14 +14,18 @@
 //	the last order has arrived    up to the order time later; the holder resets what has not
 //	the next holder's first one   the handover after that
 //
-// A second key, the record, has no lease and names the last holder and how long after the loss
-// of the key its orders may arrive. The next holder waits for that time and
+// A second key, the record, has no lease and names the last holder, its fencing token and how
+// long after the loss of the key its orders may arrive. The next holder waits for that time and
 // the handover, counted from when it has found the key missing. After a planned stop it waits
 // for the handover only: the former holder stops its orders, waits for those on their way and
 // writes that into the record before it gives up the key. An instance that finds itself in the
 // record need not wait, and goes on with the same token, so that late orders of its former
-// process have no lower one. Otherwise the revision of the record is the token, so tokens only
-// increase.
+// process have no lower one.
+//
+// The store may come back from an older copy, with a higher era. The record may then name a
+// holder before the last one, and revisions are given out again. Each reply with a higher era
+// therefore ends the term, a record of another era is not relied upon, and the era is a part
+// of fencing tokens, so that tokens only increase.
 //
 // Package edge runs the Part of each instance and acts on its Status.
 package elect
--- a/internal/coordination/elect/part.go
+++ b/internal/coordination/elect/part.go
@@ -146,6 +146,11 @@
 	// hasDeferred means that the last holder has been given its time to return.
 	hasDeferred bool
 
+	// era is that of the latest reply; hasEra is false before the first one.
+	era    uint64
+	hasEra bool
+	// isFirstStart means that a store without a record has never had one.
+	isFirstStart bool
 	// orderTime is the longest time from the check of an order to its arrival.
 	orderTime time.Duration
 
@@ -234,6 +239,12 @@
 	return func(p *Part) { p.orderTime = d }
 }
 
+// WithFirstStart tells that the whole system starts for the first time, so that a store without
+// a record has never had one.
+func WithFirstStart() Option {
+	return func(p *Part) { p.isFirstStart = true }
+}
+
 // NewPart returns the Part of the instance with the peer port self. Leases last ttl, and
 // handover is the minimum time between the orders of two holders.
 func NewPart(self netip.AddrPort, ttl, handover time.Duration, random *rand.Rand, opts ...Option) *Part {
@@ -301,6 +312,10 @@
 }
 
 func (p *Part) callDone(now time.Time, tag ports.Tag, r ports.KVReply) []ports.Effect {
+	r, hasRisen := p.noteEra(r)
+	if hasRisen {
+		return p.restart()
+	}
 	if call, isProof := p.proofs[tag]; isProof {
 		delete(p.proofs, tag)
 		return p.proofDone(call, r)
--- a/internal/coordination/elect/record.go
+++ b/internal/coordination/elect/record.go
@@ -12,11 +12,18 @@
 // 1.35 s after they had lost the key, and gave each of them 0.8 s.
 const unknownArrival = 2300 * time.Millisecond
 
+// eraStep is added to fencing tokens for each era of the store. It exceeds the number of
+// revisions that a store can lose when it comes back from an older copy.
+const eraStep = 1 << 32
+
 // holderValue is the value of both keys. That of the lease key has the holder only.
 type holderValue struct {
 	Holder netip.AddrPort `json:"holder"`
-	// Token is the fencing token of the holder's orders, 0 if it is the revision of this value.
+	// Token is the fencing token of the holder's orders, 0 if it follows from the revision of
+	// this value.
 	Token uint64 `json:"token,omitempty"`
+	// Era is the store's era as of the holder's term.
+	Era uint64 `json:"era,omitempty"`
 	// ArrivalMS is how long after the loss of the key an order of the holder may arrive.
 	ArrivalMS int64 `json:"arrivalMs,omitempty"`
 	// Settled means that the holder has stopped sending orders, and that none of them is on its
@@ -57,16 +64,62 @@
 	if v.Token != 0 {
 		return v.Token
 	}
-	return uint64(revision)
+	return v.Era*eraStep + uint64(revision)
 }
 
 // ownRecord returns the value by which this instance records that it may send orders. After its
 // own term it keeps the token: orders of a former process on this machine may still be on
 // their way, and must not arrive with a lower token than later ones.
 func (p *Part) ownRecord() holderValue {
-	v := holderValue{Holder: p.self, ArrivalMS: (orderValidity + p.orderTime).Milliseconds()}
-	if p.lastRecord.Holder == p.self {
+	v := holderValue{Holder: p.self, Era: p.era, ArrivalMS: (orderValidity + p.orderTime).Milliseconds()}
+	if p.lastRecord.Holder == p.self && p.isRecordCurrent() {
 		v.Token = tokenOf(p.lastRecord, p.recordRevision)
 	}
 	return v
 }
+
+// isRecordCurrent reports whether the record certainly names the last instance that may have
+// sent orders. A store that has come back from an older copy may have lost a later record.
+func (p *Part) isRecordCurrent() bool {
+	if !p.lastRecord.Holder.IsValid() {
+		return p.era == 0 || p.isFirstStart
+	}
+	return p.lastRecord.Era == p.era
+}
+
+// noteEra compares the era of a reply with that of the latest one. It reports whether the
+// store has come back from an older copy since. A reply of before that counts as lost.
+func (p *Part) noteEra(r ports.KVReply) (reply ports.KVReply, hasRisen bool) {
+	switch r.Status {
+	case ports.KVUnavailable, ports.KVUnknown, ports.KVInvalid:
+		return r, false
+	case ports.KVOK, ports.KVConflict, ports.KVNotFound:
+	}
+	switch {
+	case !p.hasEra:
+		p.era, p.hasEra = r.Era, true
+	case r.Era > p.era:
+		p.era, p.isFirstStart = r.Era, false
+		return r, true
+	case r.Era < p.era:
+		return ports.KVReply{Status: ports.KVUnknown}, false
+	}
+	return r, false
+}
+
+// restart looks for the holder again, since the store has come back from an older copy. What
+// was read before it shows nothing.
+func (p *Part) restart() []ports.Effect {
+	p.missingSince, p.hasDeferred = time.Time{}, false
+	switch p.phase {
+	case phasePassive, phaseStopped:
+		return nil
+	case phaseRelease:
+		// The number of the lease may have been given to another instance.
+		p.phase = phaseStopped
+		return nil
+	case phaseReadKey, phaseWatch, phaseBeforeWatch, phaseReadLast, phaseDefer, phaseGrant, phaseAcquire,
+		phaseReadRecord, phaseHold:
+	}
+	return p.endTerm()
+}
--- a/internal/coordination/elect/term.go
+++ b/internal/coordination/elect/term.go
@@ -71,12 +71,16 @@
 
 // hasFormer reports whether another instance may have sent orders before this term.
 func (p *Part) hasFormer() bool {
-	return p.lastRecord.Holder.IsValid() && p.lastRecord.Holder != p.self
+	isOwn := !p.lastRecord.Holder.IsValid() || p.lastRecord.Holder == p.self
+	return !isOwn || !p.isRecordCurrent()
 }
 
 // settleTime returns the time after which no order of the former holder is on its way.
 func (p *Part) settleTime() time.Duration {
-	if p.lastRecord.Settled {
+	switch {
+	case !p.isRecordCurrent():
+		return max(unknownArrival, p.lastRecord.arrival())
+	case p.lastRecord.Settled:
 		return 0
 	}
 	return p.lastRecord.arrival()
@@ -84,7 +88,7 @@
 
 // setSettled sets SettledAt and Handover of the status.
 func (p *Part) setSettled() {
-	isRead := p.lastRecord.Settled && !p.lastRecord.HasUnread
+	isRead := p.isRecordCurrent() && p.lastRecord.Settled && !p.lastRecord.HasUnread
 	if !p.hasFormer() || isRead {
 		return
 	}
--- a/internal/coordination/ports/kv.go
+++ b/internal/coordination/ports/kv.go
@@ -150,7 +150,10 @@
 	Lease    LeaseID
 	// More is set if a list was truncated at its limit.
 	More bool
-	Err  error
+	// Era rises each time that the service comes back from an older copy of its data. It is 0
+	// if the service does not tell it.
+	Era uint64
+	Err error
 }
 
 // Item returns the first item, and false if there is none.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -191,9 +191,14 @@
 	if boot.Bootstrap {
 		e.configFollower.updateWait, e.targetFollower.updateWait = bootstrapTimeout, bootstrapTimeout
 	}
+	electOptions := []elect.Option{
+		elect.WithAcquireDelay(electionDelay(boot.Cores)), elect.WithOrderTime(platform.OrderTimeout),
+	}
+	if boot.Bootstrap {
+		electOptions = append(electOptions, elect.WithFirstStart())
+	}
 	part := elect.NewPart(boot.Peer, boot.StoreTTLMin, boot.Bounds.OrderHandover,
-		rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		elect.WithAcquireDelay(electionDelay(boot.Cores)), elect.WithOrderTime(platform.OrderTimeout))
+		rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), electOptions...)
 	e.election = drive.NewLoop(part, ports.Env{KV: e.store, Timer: e.clock}, drive.WithListener(func(v any) {
 		e.onHolderStatus(v.(elect.Status))
 	}))
