edge: a new holder reads the boot file again right before its first order

Callers could see: orders of two holders within a raised lease_ms.

Cause: the file may change without a signal. A new holder read it when its term began, 3 to 5 s before its first order.

It is read once more 100 ms before the first order.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -38,6 +38,8 @@
 	// targetBatchDelay is the delay between watches of the targets, so that one watch
 	// returns several changes.
 	targetBatchDelay = 150 * time.Millisecond
+	// reloadLead is how long before its first order a new holder reads the boot file again.
+	reloadLead = 100 * time.Millisecond
 	// maxElectionDelay is how long a machine with hardly any processor time waits before
 	// it tries to become the holder.
 	maxElectionDelay = 300 * time.Millisecond
@@ -237,6 +239,10 @@
 		e.coordinator.teamQuotas.setDead(e.permits.noteHolder(s))
 	}
 	e.coordinator.setStatus(s)
+	if s.IsHolder && s.OrderFrom != was.OrderFrom {
+		// The file may change without a signal while the orders of a former holder settle.
+		e.clock.After(s.OrderFrom.Sub(e.clock.Now())-reloadLead, e.ReloadFile)
+	}
 	if s.IsHolder && !was.IsHolder {
 		// The listener must wait neither for a file nor for another instance.
 		go e.ReloadFile()
