--- a/internal/coordination/elect/part.go
+++ b/internal/coordination/elect/part.go
@@ -64,6 +64,9 @@
 	HeldUntil time.Time
 	// OrderFrom and OrderUntil bound the time in which this instance may send orders.
 	OrderFrom, OrderUntil time.Time
+	// Start tells how the term of this instance has begun, Ended why it is over.
+	Start TermStart
+	Ended EndReason
 }
 
 // IsSteady reports whether this instance is the holder and certain to keep the key for at
--- a/internal/coordination/elect/term.go
+++ b/internal/coordination/elect/term.go
@@ -35,7 +35,7 @@
 	p.handoverFrom = p.handoverStart(now)
 	from := timer.Later(now, p.handoverFrom.Add(p.handoverWait()))
 	p.missingSince = time.Time{}
-	p.status = Status{Holder: p.self, IsHolder: true, OrderFrom: from, Former: p.lastRecord.Holder}
+	p.status = Status{Holder: p.self, IsHolder: true, OrderFrom: from, Former: p.lastRecord.Holder, Start: p.termStart()}
 	p.recordTag = p.nextTag()
 	effects := p.renew(now)
 	effects = append(effects, p.watchOwnKey(now)...)
@@ -102,7 +102,7 @@
 		return []ports.Effect{ports.ArmTimer{Tag: p.recordTag, After: minRetryDelay}}
 	}
 	if r.Status != ports.KVOK {
-		return p.endTerm()
+		return p.endTerm(EndNotRecorded)
 	}
 	p.isRecorded = true
 	p.recordRevision = r.Revision
@@ -113,7 +113,7 @@
 
 func (p *Part) renew(now time.Time) []ports.Effect {
 	if !p.renewedAt.IsZero() && now.Sub(p.renewedAt) > p.ttl {
-		return p.endTerm()
+		return p.endTerm(EndNotRenewed)
 	}
 	p.renewal = pendingCall{tag: p.nextTag(), sent: now}
 	return []ports.Effect{ports.KVCall{Tag: p.renewal.tag, Req: ports.KVRenew{Lease: p.lease}}}
@@ -125,10 +125,10 @@
 		p.renewedAt = p.renewal.sent
 		p.extendTerm()
 	case ports.KVNotFound:
-		return p.endTerm()
+		return p.endTerm(EndLeaseLost)
 	default:
 		if p.renewedAt.IsZero() {
-			return p.endTerm()
+			return p.endTerm(EndNotRenewed)
 		}
 	}
 	p.renewal.tag = p.nextTag()
@@ -165,7 +165,7 @@
 	case r.Status == ports.KVConflict:
 		return p.readOwnKey(now)
 	case r.Status == ports.KVOK, r.Status == ports.KVNotFound:
-		return p.endTerm()
+		return p.endTerm(EndKeyLost)
 	}
 	p.keyCheck.tag = p.nextTag()
 	return []ports.Effect{ports.ArmTimer{Tag: p.keyCheck.tag, After: minRetryDelay}}
@@ -187,8 +187,8 @@
 	}
 }
 
-func (p *Part) endTerm() []ports.Effect {
-	p.status = Status{}
+func (p *Part) endTerm(why EndReason) []ports.Effect {
+	p.status = Status{Ended: why}
 	return p.readKey()
 }
 
@@ -201,7 +201,7 @@
 		p.phase = phaseStopped
 		return nil
 	}
-	p.status = Status{}
+	p.status = Status{Ended: EndStopped}
 	if !p.isRecorded {
 		return p.revokeLease()
 	}
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -70,6 +70,7 @@
 	load *load.Sums
 	// withoutSlowStart means that targets get no limits after a start or recovery.
 	withoutSlowStart bool
+	termOrders       termOrders
 
 	members map[string]member
 	// tree knows the instances whose messages go to relays.
@@ -106,6 +107,7 @@
 		k.log.Info().Str("holder", s.Holder.String()).Bool("mine", s.IsHolder).Uint64("token", s.Token).
 			Dur("ordersIn", max(s.OrderFrom.Sub(k.clock.Now()), 0)).Msg("holder changed")
 	}
+	k.logTerm(was, s)
 	if was.IsHolder == s.IsHolder {
 		return
 	}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -173,10 +173,25 @@
 	}
 }
 
-// orderEnded counts a finished order to load a model.
-func (m *instanceMetrics) orderEnded(a sched.Action, taken bool) {
-	if mt := m.meter.Load(); mt != nil && a.Operation == sched.Load && a.Adapter == "" {
-		mt.Load(a.Model, toTier(a.Tier), taken)
+// orderEnded counts a finished order by its result, and one to load a model by its tier.
+func (m *instanceMetrics) orderEnded(a sched.Action, result platform.OrderResult, c orderCheck) {
+	mt := m.meter.Load()
+	if mt == nil {
+		return
+	}
+	mt.Order(result.String(), c.result.String())
+	if c.result == checkPassed {
+		mt.OrderTermLeft(c.termLeft)
+	}
+	if a.Operation == sched.Load && a.Adapter == "" {
+		mt.Load(a.Model, toTier(a.Tier), result == platform.OrderTaken)
+	}
+}
+
+// termEnded counts the end of a term as the holder.
+func (m *instanceMetrics) termEnded(why elect.EndReason) {
+	if mt := m.meter.Load(); mt != nil {
+		mt.TermEnd(why.String())
 	}
 }
 
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -1,8 +1,6 @@
 package edge
 
 import (
-	"github.com/gravitational/trace"
-
 	"chivecroft.example/chivecroft/internal/coordination/sched"
 	"chivecroft.example/chivecroft/platform"
 )
@@ -69,32 +67,24 @@
 
 func (k *coordinator) sendOrder(p *sched.Planner, a sched.Action, token uint64) {
 	began := k.clock.Now()
+	var check orderCheck
 	result, err := k.engines.Order(k.ctx, a.To.Addr, a.To.ID, platform.Order{
 		Operation: toOperation(a.Operation), Model: a.Model, Adapter: a.Adapter,
 		Expected: a.Expected, Holder: k.self, Token: token,
-	}, func() error { return k.checkMayOrder(token) })
-	k.log.Info().Str("target", a.To.ID).Str("operation", a.Operation.String()).Str("model", a.Model).
-		Str("adapter", a.Adapter).Int64("expected", a.Expected).Str("tier", a.Tier.String()).
-		Str("why", a.Reason).Str("result", result.String()).Uint64("token", token).
-		Dur("took", max(k.clock.Now().Sub(began), 0)).Err(err).Msg("order finished")
-	k.metrics.orderEnded(a, result == platform.OrderTaken)
+	}, func() error {
+		check = k.checkOrder(token)
+		return check.err()
+	})
+	k.orderEnded(a, token, began, check, result, err)
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if check.result == checkPassed {
+		k.termOrders.inFlight--
+	}
 	p.OrderDone(k.clock.Now(), a, toResult(result))
 	k.continueJob(p, a.To.ID)
 }
 
-var errNotHolder = trace.CompareFailed("this instance is no longer the holder and may not send orders")
-
-// checkMayOrder is called immediately before an order is written.
-func (k *coordinator) checkMayOrder(token uint64) error {
-	s := k.holderStatus()
-	if s.Token != token || !s.CanOrder(k.clock.Now()) {
-		return errNotHolder
-	}
-	return nil
-}
-
 func toOperation(o sched.Operation) platform.Operation {
 	if o == sched.Unload {
 		return platform.OperationUnload
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -51,6 +51,7 @@
 	before := e.bounds.Swap(&boot.Bounds)
 	e.budget.SetLimits(retryLimits(boot.Bounds))
 	e.election.Post(elect.SetHandover{Handover: boot.Bounds.OrderHandover})
+	e.coordinator.logHandover(before.OrderHandover, boot.Bounds.OrderHandover)
 	e.setQuotas(e.config.Load())
 	e.log.Info().Bool("changed", *before != boot.Bounds).
 		Bool("restartNeeded", boot.Callers != e.boot.Callers || boot.Store != e.boot.Store || boot.Peer != e.boot.Peer).
--- a/internal/transport/meter/meter.go
+++ b/internal/transport/meter/meter.go
@@ -32,6 +32,7 @@
 // Bounds of the histograms' buckets in seconds.
 var (
 	waitBuckets  = []float64{0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 1.3, 2, 5, 10, 20, 40, 80, 160}
+	termBuckets  = []float64{0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.85, 1, 1.5}
 	tokenBuckets = []float64{0.005, 0.01, 0.02, 0.031, 0.05, 0.1, 0.25, 0.5, 1, 2.5}
 )
 
@@ -83,6 +84,8 @@
 	control    metric.Int64Counter
 	link       metric.Int64Counter
 	loads      metric.Int64Counter
+	orders     metric.Int64Counter
+	termEnds   metric.Int64Counter
 	idle       metric.Float64Counter
 	limits     metric.Int64Gauge
 	targetEnds metric.Int64Counter
@@ -91,6 +94,8 @@
 	quota      metric.Float64Counter
 	quotaLevel metric.Float64Gauge
 
+	orderTermLeft metric.Float64Histogram
+
 	heldBytes          metric.Int64Gauge
 	connections        metric.Int64Gauge
 	refusedConnections metric.Int64Counter
@@ -214,6 +219,25 @@
 	))
 }
 
+// Order counts an ended order to a target by its result and by what the check before its
+// write has found.
+func (m *Meter) Order(result, check string) {
+	m.orders.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.String("chivecroft.result", result),
+		attribute.String("chivecroft.check", check),
+	))
+}
+
+// OrderTermLeft records the time from the check of an order to the end of its sender's term.
+func (m *Meter) OrderTermLeft(d time.Duration) {
+	m.orderTermLeft.Record(context.Background(), d.Seconds())
+}
+
+// TermEnd counts a term as the lease holder that has ended.
+func (m *Meter) TermEnd(reason string) {
+	m.termEnds.Add(context.Background(), 1, metric.WithAttributes(attribute.String("chivecroft.reason", reason)))
+}
+
 // IdleAccelerator adds to the time for which accelerators were held by idle replicas.
 func (m *Meter) IdleAccelerator(model string, d time.Duration) {
 	m.idle.Add(context.Background(), d.Seconds(), metric.WithAttributes(m.model(model)))
--- a/internal/transport/meter/meter_test.go
+++ b/internal/transport/meter/meter_test.go
@@ -62,6 +62,9 @@
 	m.TargetEnd("assist")
 	m.Blocks(1)
 	m.ProofAge(1500 * time.Millisecond)
+	m.Order("taken", "passed")
+	m.OrderTermLeft(460 * time.Millisecond)
+	m.TermEnd("stopped")
 	labels := `{chivecroft_class="interactive",chivecroft_service="assist",chivecroft_tenant="desk"`
 	cases := []struct{ part, want string }{
 		{"queue_wait_duration_seconds_sum", `chivecroft_queue_wait_duration_seconds_sum` + labels + `} 0.03`},
@@ -80,6 +83,9 @@
 		{"target_limits", `chivecroft_target_limits 2`},
 		{"prompt_blocks", `chivecroft_prompt_blocks 1`},
 		{"config_proof_age", `chivecroft_config_proof_age_seconds 1.5`},
+		{"chivecroft_orders", `chivecroft_orders_total{chivecroft_check="passed",chivecroft_result="taken"} 1`},
+		{"term_left_seconds_sum", `chivecroft_order_term_left_seconds_sum 0.46`},
+		{"term_ends", `chivecroft_term_ends_total{chivecroft_reason="stopped"} 1`},
 		{"target_ends", `chivecroft_target_ends_total{chivecroft_service="assist"} 1`},
 	}
 	for _, c := range cases {
