--- a/internal/coordination/elect/record.go
+++ b/internal/coordination/elect/record.go
@@ -121,5 +121,5 @@
 	case phaseReadKey, phaseWatch, phaseBeforeWatch, phaseReadLast, phaseDefer, phaseGrant, phaseAcquire,
 		phaseReadRecord, phaseHold:
 	}
-	return p.endTerm()
+	return p.endTerm(EndOlderCopy)
 }
--- a/internal/coordination/elect/term.go
+++ b/internal/coordination/elect/term.go
@@ -24,7 +24,7 @@
 	p.handoverFrom = p.handoverStart(now)
 	from := timer.Later(now, p.handoverFrom.Add(p.handoverWait()))
 	p.missingSince = time.Time{}
-	p.status = Status{Holder: p.self, IsHolder: true, OrderFrom: from, Former: p.lastRecord.Holder}
+	p.status = Status{Holder: p.self, IsHolder: true, OrderFrom: from, Former: p.lastRecord.Holder, Start: p.termStart()}
 	p.setSettled()
 	p.recordTag = p.nextTag()
 	return append(p.prove(now), ports.ArmTimer{Tag: p.recordTag, After: from.Sub(now)})
@@ -113,7 +113,7 @@
 		return []ports.Effect{ports.ArmTimer{Tag: p.recordTag, After: minRetryDelay}}
 	}
 	if r.Status != ports.KVOK {
-		return p.endTerm()
+		return p.endTerm(EndNotRecorded)
 	}
 	p.lastRecord, p.recordRevision = p.ownRecord(), r.Revision
 	p.isRecorded = true
@@ -126,7 +126,7 @@
 // store answers slowly, proofs arrive as often as otherwise.
 func (p *Part) prove(now time.Time) []ports.Effect {
 	if !p.renewedAt.IsZero() && now.Sub(p.renewedAt) > p.ttl+proofInterval {
-		return p.endTerm()
+		return p.endTerm(EndNotRenewed)
 	}
 	p.proofTag = p.nextTag()
 	effects := []ports.Effect{ports.ArmTimer{Tag: p.proofTag, After: proofInterval}}
@@ -152,8 +152,10 @@
 	}
 	item, ok := r.Item()
 	switch {
+	case r.Status == ports.KVNotFound && c.isRenewal:
+		return p.endTerm(EndLeaseLost)
 	case r.Status == ports.KVNotFound, r.Status == ports.KVOK && !c.isRenewal && (!ok || item.Revision != p.keyRevision):
-		return p.endTerm()
+		return p.endTerm(EndKeyLost)
 	case r.Status == ports.KVOK && c.isRenewal:
 		p.renewedAt = timer.Later(p.renewedAt, c.sent)
 		p.extendTerm()
@@ -162,7 +164,7 @@
 		p.checkedAt = timer.Later(p.checkedAt, c.sent)
 		p.extendTerm()
 	case c.isRenewal && p.renewedAt.IsZero():
-		return p.endTerm()
+		return p.endTerm(EndNotRenewed)
 	}
 	return nil
 }
@@ -179,8 +181,8 @@
 	}
 }
 
-func (p *Part) endTerm() []ports.Effect {
-	p.status = Status{}
+func (p *Part) endTerm(why EndReason) []ports.Effect {
+	p.status = Status{Ended: why}
 	clear(p.proofs)
 	return p.readKey()
 }
@@ -194,7 +196,7 @@
 		p.phase = phaseStopped
 		return nil
 	}
-	p.status = Status{}
+	p.status = Status{Ended: EndStopped}
 	clear(p.proofs)
 	if !p.isRecorded {
 		return p.revokeLease()
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -76,7 +76,8 @@
 	hasStoppedOrders bool
 	// unread holds the targets that have not responded since an order to them was given up, and
 	// when that was.
-	unread map[fleet.Identity]time.Time
+	unread     map[fleet.Identity]time.Time
+	termOrders termOrders
 
 	members map[string]member
 	// tree knows the instances whose messages go to relays.
@@ -114,6 +115,7 @@
 		k.log.Info().Str("holder", s.Holder.String()).Bool("mine", s.IsHolder).Uint64("token", s.Token).
 			Dur("ordersIn", max(s.OrderFrom.Sub(k.clock.Now()), 0)).Msg("holder changed")
 	}
+	k.logTerm(was, s)
 	if was.IsHolder == s.IsHolder {
 		k.setHandovers()
 		return
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/gravitational/trace"
-
 	"chivecroft.example/chivecroft/internal/coordination/sched"
 	"chivecroft.example/chivecroft/internal/state/fleet"
 	"chivecroft.example/chivecroft/platform"
@@ -108,25 +106,23 @@
 
 func (k *coordinator) sendOrder(p *sched.Planner, a sched.Action, token uint64) {
 	began := k.clock.Now()
-	var checkedAt time.Time
+	var check orderCheck
 	result, err := k.engines.Order(k.ctx, a.To.Addr, a.To.ID, platform.Order{
 		Operation: toOperation(a.Operation), Model: a.Model, Adapter: a.Adapter,
 		Expected: a.Expected, Holder: k.self, Token: token,
 	}, func() error {
-		checkedAt = k.clock.Now()
-		return k.checkMayOrder(checkedAt, token)
+		check = k.checkOrder(token)
+		return check.err()
 	})
-	now := k.clock.Now()
-	k.log.Info().Str("target", a.To.ID).Str("operation", a.Operation.String()).Str("model", a.Model).
-		Str("adapter", a.Adapter).Int64("expected", a.Expected).Str("tier", a.Tier.String()).
-		Str("why", a.Reason).Str("result", result.String()).Uint64("token", token).
-		Dur("took", max(now.Sub(began), 0)).Err(err).Msg("order finished")
-	k.metrics.orderEnded(a, result == platform.OrderTaken)
-	defer k.settleOrder(now, result, checkedAt)
+	k.orderEnded(a, token, began, check, result, err)
+	defer k.settleOrder(result, check)
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if check.result == checkPassed {
+		k.termOrders.inFlight--
+	}
 	if result == platform.OrderUnknown {
-		k.unread[a.To.Identity] = now
+		k.unread[a.To.Identity] = k.clock.Now()
 	}
 	p.OrderDone(k.clock.Now(), a, toResult(result))
 	k.continueJob(p, a.To.ID)
@@ -134,8 +130,8 @@
 
 // settleOrder ends the time in which an order counts as on its way: with its response, and
 // without one when it has been on its way for as long as it can be.
-func (k *coordinator) settleOrder(now time.Time, result platform.OrderResult, checkedAt time.Time) {
-	rest := checkedAt.Add(platform.OrderTimeout).Sub(now)
+func (k *coordinator) settleOrder(result platform.OrderResult, c orderCheck) {
+	rest := c.at.Add(platform.OrderTimeout).Sub(k.clock.Now())
 	if result == platform.OrderUnknown && rest > 0 {
 		k.clock.After(rest, k.ordersInFlight.Done)
 		return
@@ -143,18 +139,6 @@
 	k.ordersInFlight.Done()
 }
 
-var errNotHolder = trace.CompareFailed("this instance is no longer the holder and may not send orders")
-
-// checkMayOrder is called immediately before an order is written.
-func (k *coordinator) checkMayOrder(now time.Time, token uint64) error {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.status.Token != token || !k.mayOrder(now) {
-		return errNotHolder
-	}
-	return nil
-}
-
 func toOperation(o sched.Operation) platform.Operation {
 	if o == sched.Unload {
 		return platform.OperationUnload
