--- a/internal/stand/kvmem/store.go
+++ b/internal/stand/kvmem/store.go
@@ -30,6 +30,9 @@
 	leases   map[ports.LeaseID]*lease
 	next     ports.LeaseID
 	waiters  map[*waiter]struct{}
+	// era counts how often the store has come back from a copy.
+	era    uint64
+	isAway bool
 }
 
 type lease struct {
@@ -78,6 +81,9 @@
 func (s *Store) apply(req ports.KVRequest) (ports.KVReply, []func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.isAway {
+		return ports.KVReply{Status: ports.KVUnavailable}, nil
+	}
 	before := s.revision
 	var reply ports.KVReply
 	switch r := req.(type) {
@@ -96,6 +102,7 @@
 	case ports.KVRevoke:
 		reply = s.revoke(r.Lease)
 	}
+	reply.Era = s.era
 	if s.revision == before {
 		return reply, nil
 	}
@@ -242,8 +249,7 @@
 
 func (s *Store) watch(r ports.KVWatch, done func(ports.KVReply)) {
 	s.mu.Lock()
-	if changes := s.changes(r); len(changes) > 0 {
-		reply := ports.KVReply{Items: changes, Revision: s.revision}
+	if reply, isDone := s.watchNow(r); isDone {
 		s.mu.Unlock()
 		done(reply)
 		return
@@ -254,11 +260,25 @@
 	s.mu.Unlock()
 }
 
+// watchNow returns the reply to a watch that need not wait.
+func (s *Store) watchNow(r ports.KVWatch) (reply ports.KVReply, isDone bool) {
+	changes := s.changes(r)
+	switch {
+	case s.isAway:
+		return ports.KVReply{Status: ports.KVUnavailable}, true
+	case s.era > 0 && r.After > s.revision:
+		return ports.KVReply{Status: ports.KVConflict, Revision: s.revision, Era: s.era}, true
+	case len(changes) > 0:
+		return ports.KVReply{Items: changes, Revision: s.revision, Era: s.era}, true
+	}
+	return ports.KVReply{}, false
+}
+
 func (s *Store) giveUp(w *waiter) {
 	s.mu.Lock()
 	_, waiting := s.waiters[w]
 	delete(s.waiters, w)
-	reply := ports.KVReply{Revision: s.revision}
+	reply := ports.KVReply{Revision: s.revision, Era: s.era}
 	s.mu.Unlock()
 	if waiting {
 		w.done(reply)
@@ -275,7 +295,7 @@
 		}
 		delete(s.waiters, w)
 		w.cancel()
-		reply := ports.KVReply{Items: changes, Revision: s.revision}
+		reply := ports.KVReply{Items: changes, Revision: s.revision, Era: s.era}
 		wake = append(wake, func() { w.done(reply) })
 	}
 	return wake
