elect: a late first reply shows nothing about the first start

What callers saw: in the first start of the system, an instance that reached the store only after it had come back from a copy without a record took it for one that has never had a record, and sent orders at once, while orders of the first holder could still arrive.

Cause: WithFirstStart had no end. An instance notices a rise of the era only after its first reply.

Change: the first reply counts for that only within a second of the start of the process.

Measured: TestFirstStartBeforeOlderCopy fails before ("an order of instance 1 arrives 0s after one of instance 0", frozen and cut off) and passes now, as do the other tests of the package.

--- a/internal/coordination/elect/apart_test.go
+++ b/internal/coordination/elect/apart_test.go
@@ -111,3 +111,32 @@
 	age := time.Duration(rapid.IntRange(0, int(maxCopyAge/time.Millisecond)).Draw(t, "age")) * time.Millisecond
 	r.restore(away, age)
 }
+
+// TestFirstStartBeforeOlderCopy keeps an instance from the store during the first start of the
+// system, until the store has come back from a copy without a record. It guards against an
+// instance that takes such a store for one that has never had a record, and orders at once.
+func TestFirstStartBeforeOlderCopy(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		begin, end func(r *fixture, i int)
+	}{
+		{"frozen", (*fixture).freeze, (*fixture).unfreeze},
+		{"cut off", func(r *fixture, i int) { r.nodes[i].kv.SetFaults(world.KVFaults{Down: true}) }, func(r *fixture, _ int) { r.heal() }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newFixture(2, 1)
+			c.begin(r, 1)
+			r.advance(2 * time.Second)
+			if r.holder != 0 {
+				t.Fatalf("holder %d, want 0", r.holder)
+			}
+			r.kill(0)
+			r.restore(0, maxCopyAge)
+			c.end(r, 1)
+			r.advance(afterCopy + retried)
+			if r.violation != "" || r.holder != 1 {
+				t.Errorf("holder %d: %s", r.holder, r.violation)
+			}
+		})
+	}
+}
--- a/internal/coordination/elect/part.go
+++ b/internal/coordination/elect/part.go
@@ -36,6 +36,9 @@
 	heldMargin = 150 * time.Millisecond
 	// steadyMargin is the minimum remaining time of a term while renewals succeed.
 	steadyMargin = 300 * time.Millisecond
+	// firstReplyTime is how long after its start an instance takes a store without a record for
+	// one that has never had one. Later the store may have lost it.
+	firstReplyTime = time.Second
 	// startJitter spreads the first calls of instances that start at the same time.
 	startJitter = 80 * time.Millisecond
 	// deferDelay and deferJitter determine how long an instance waits for the last holder
@@ -154,6 +157,7 @@
 	hasEra bool
 	// isFirstStart means that a store without a record has never had one.
 	isFirstStart bool
+	startedAt    time.Time
 	// orderTime is the longest time from the check of an order to its arrival.
 	orderTime time.Duration
 
@@ -271,6 +275,7 @@
 func (p *Part) step(now time.Time, ev ports.Event) []ports.Effect {
 	switch e := ev.(type) {
 	case Start:
+		p.startedAt = now
 		return p.delayPhase(phaseReadKey, time.Duration(p.random.Int64N(int64(startJitter))))
 	case HolderUnresponsive:
 		if p.phase == phaseWatch || p.phase == phaseBeforeWatch {
@@ -315,7 +320,7 @@
 }
 
 func (p *Part) callDone(now time.Time, tag ports.Tag, r ports.KVReply) []ports.Effect {
-	r, hasRisen := p.noteEra(r)
+	r, hasRisen := p.noteEra(now, r)
 	if hasRisen {
 		return p.restart()
 	}
--- a/internal/coordination/elect/record.go
+++ b/internal/coordination/elect/record.go
@@ -89,7 +89,7 @@
 
 // noteEra compares the era of a reply with that of the latest one. It reports whether the
 // store has come back from an older copy since. A reply of before that counts as lost.
-func (p *Part) noteEra(r ports.KVReply) (reply ports.KVReply, hasRisen bool) {
+func (p *Part) noteEra(now time.Time, r ports.KVReply) (reply ports.KVReply, hasRisen bool) {
 	switch r.Status {
 	case ports.KVUnavailable, ports.KVUnknown, ports.KVInvalid:
 		return r, false
@@ -98,6 +98,7 @@
 	switch {
 	case !p.hasEra:
 		p.era, p.hasEra = r.Era, true
+		p.isFirstStart = p.isFirstStart && now.Sub(p.startedAt) <= firstReplyTime
 	case r.Era > p.era:
 		p.era, p.isFirstStart = r.Era, false
 		return r, true
