edge: a former holder that its successor asks for the ledger issues no more permits of teams

A holder answers messages about quotas until 1.05 s after its last read of its key; if the key is lost while the lease is renewed, it learns of that from its next read only, which may be slow. The successor begins 0.5 s after the loss at the earliest. It asks the former holder for its ledger, but one that was certain of its term refused and went on, and the successor began a second ledger.

Cause: the request of a successor named no order of terms, so that the former holder could not tell it from a late one of a term before its own. elect.Status.TermNumber (era of the store and revision of the key) orders the terms of all instances. A request of a later term ends the issuing at once and gets the ledger; one of an earlier term, or without a number, gets nothing, as before.

TestSupersededHolderIssuesNoPermits failed before ("ledger handed over: false, answer to the next message: <nil>") and passes. TestTermNumbersRise covers planned stop, restart, lost key and kill.

--- a/internal/coordination/elect/part.go
+++ b/internal/coordination/elect/part.go
@@ -59,6 +59,9 @@
 	// IsHolder means that this instance is the holder; Token is its fencing token.
 	IsHolder bool
 	Token    uint64
+	// TermNumber orders the terms of all instances: a later one has a higher number. It is 0
+	// if this instance is not the holder.
+	TermNumber uint64
 	// Former is the address of the last holder before this instance's term, which may be its
 	// own; it is invalid if there was none.
 	Former netip.AddrPort
--- a/internal/coordination/elect/record.go
+++ b/internal/coordination/elect/record.go
@@ -12,7 +12,7 @@
 // 1.35 s after they had lost the key, and gave each of them 0.8 s.
 const unknownArrival = 2300 * time.Millisecond
 
-// eraStep is added to fencing tokens for each era of the store. It exceeds the number of
+// eraStep is added to fencing tokens and term numbers for each era of the store. It exceeds the number of
 // revisions that a store can lose when it comes back from an older copy.
 const eraStep = 1 << 32
 
--- a/internal/coordination/elect/term.go
+++ b/internal/coordination/elect/term.go
@@ -24,12 +24,17 @@
 	p.handoverFrom = p.handoverStart(now)
 	from := timer.Later(now, p.handoverFrom.Add(p.handoverWait()))
 	p.missingSince = time.Time{}
-	p.status = Status{Holder: p.self, IsHolder: true, OrderFrom: from, Former: p.lastRecord.Holder, Start: p.termStart()}
+	p.status = Status{
+		Holder: p.self, IsHolder: true, OrderFrom: from, Former: p.lastRecord.Holder, Start: p.termStart(), TermNumber: p.termNumber(),
+	}
 	p.setSettled()
 	p.recordTag = p.nextTag()
 	return append(p.prove(now), ports.ArmTimer{Tag: p.recordTag, After: from.Sub(now)})
 }
 
+// termNumber returns the number of the term. Each term writes the key anew.
+func (p *Part) termNumber() uint64 { return p.era*eraStep + uint64(p.keyRevision) }
+
 // setHandover changes the handover. A term in which orders may already have been sent goes
 // on. In one that still waits for a former holder, the wait is extended, and the record is
 // written at its end.
--- a/internal/edge/ledger.go
+++ b/internal/edge/ledger.go
@@ -203,6 +203,8 @@
 type ledgerRequest struct {
 	From string `json:"from"`
 	Term int64  `json:"term"`
+	// TermNumber orders the term among those of all instances.
+	TermNumber uint64 `json:"termNumber,omitempty"`
 }
 
 // ledgerRefusal is the body of a response without a ledger. TakenBy is the term of the
@@ -212,21 +214,26 @@
 }
 
 // handOver returns the ledger of this instance's last term for a successor's, and nil if it is
-// not available. A holder that is no longer certain of its term ends issuing permits with it; one
+// not available. A holder that is no longer certain of its term ends issuing permits with it, and
+// so does one whose successor asks before it has learned that it has lost the key. Otherwise one
 // that is certain hands nothing over.
 func (k *coordinator) handOver(m ledgerRequest) (h *usage.Handover, takenBy int64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now, q := k.clock.Now(), k.teamQuotas
-	if k.status.IsSteady(now) {
+	isSuperseded := k.status.IsHolder && m.TermNumber > k.status.TermNumber
+	if k.status.IsSteady(now) && !isSuperseded {
 		return nil, 0
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if k.status.IsHolder && q.takenBy == 0 && q.awaitedUntil.IsZero() {
-		q.former, q.endedAt = q.ledger, k.status.SteadyUntil()
+		q.former, q.endedAt = q.ledger, timer.Earlier(now, k.status.SteadyUntil())
 	}
 	h = q.handOverFormer(m.Term, now)
+	if isSuperseded {
+		q.takenBy = m.Term
+	}
 	return h, q.takenBy
 }
 
@@ -264,7 +271,7 @@
 // takeOverLedger asks the last holder for its ledger at the beginning of a term.
 func (e *Edge) takeOverLedger(ctx context.Context, s elect.Status, term int64) {
 	began := e.clock.Now()
-	h, err := e.peerClient.ledger(ctx, s.Former, ledgerRequest{From: e.boot.Instance, Term: term})
+	h, err := e.peerClient.ledger(ctx, s.Former, ledgerRequest{From: e.boot.Instance, Term: term, TermNumber: s.TermNumber})
 	now := e.clock.Now()
 	if isTaken := e.coordinator.teamQuotas.finish(term, now, h); !isTaken {
 		e.log.Warn().Str("from", s.Former.String()).Err(err).Dur("took", now.Sub(began)).Msg("quota ledger not taken over")
