elect: the former holder is no longer certain of its key when its successor begins

For up to half a second two instances answered messages as the holder: both issued permits of teams (rule QUOTA) and of targets (LIMIT), told of targets and decided on parts of prompts.

Cause: a read of the key counted for 1.5 s, and messages were answered up to 1.05 s after it. If the key is lost while its lease is renewed, a successor begins after deferDelay, 0.5 s. The holder relied on the end of its lease, which is not what its successor waits for. A read now counts for deferDelay and the two margins (0.95 s), so that the bound is the same time as that of the successor.

The tests of package elect and those of quotas in package edge pass.

Renewals were bounded by the lease of 1 s before, so that a store that answers all calls slowly ends steadiness 50 ms earlier than before.

--- a/internal/coordination/elect/part.go
+++ b/internal/coordination/elect/part.go
@@ -30,8 +30,9 @@
 	// idleWatchTimeout is the timeout of the watches of instances that are not the holder.
 	idleWatchTimeout = 20 * time.Second
 	// keyReadTTL is how long a read of the key shows that this instance holds it, for
-	// anything but orders.
-	keyReadTTL = 1500 * time.Millisecond
+	// anything but orders. An instance is no longer steady when its successor begins,
+	// deferDelay after the loss of the key.
+	keyReadTTL = deferDelay + heldMargin + steadyMargin
 	// heldMargin is subtracted from the end of a term, so that a message arrives before it.
 	heldMargin = 150 * time.Millisecond
 	// steadyMargin is the minimum remaining time of a term while renewals succeed.
