edge: a relay has a block before it tells the block's version

Callers saw: nothing that was traced to this; a request with a blocked part may be sent to targets by the instances behind a relay (rule BUDGET), as long as no other block changes.

Cause: a relay stored the version of the blocks with the holder's updates, and the blocks themselves after it had applied all updates. An instance that asked in between got the new version with the old blocks, and was told no blocks as long as the version stayed the same.

The blocks are applied first now. TestRelayTellsBlocksWithTheirVersion failed before ("replied true with version 3 of the blocks and 0 blocks") and passes, three times, as does TestBlockIsSeenAndLifted.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -248,9 +248,11 @@
 }
 
 // applyDirect applies the holder's reply. The permits come first: what they say of the
-// holder's term decides what the limits in the updates mean.
+// holder's term decides what the limits in the updates mean. The blocks come before their
+// version, which this instance tells others as a relay.
 func (e *Edge) applyDirect(m *message, r exchangeRequest, reply exchangeReply, sentAt, asOf time.Time) {
 	e.applyPermits(r, reply, sentAt)
+	e.crashes.Apply(reply.Term, &m.crashes, &reply.Crashes)
 	if reply.IsRedirect {
 		e.readers.Store(&reply.Readers)
 		e.hasRelays.Store(reply.HasRelays)
@@ -258,7 +260,6 @@
 		e.applyUpdates(merged, originHolder, asOf)
 	}
 	e.applyLoad(&reply, sentAt, asOf)
-	e.crashes.Apply(reply.Term, &m.crashes, &reply.Crashes)
 }
 
 // exchangeWithRelays sends the message to the first relay that replies. It returns false
--- a/internal/edge/relay_test.go
+++ b/internal/edge/relay_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"chivecroft.example/chivecroft/internal/coordination/crash"
 	"chivecroft.example/chivecroft/internal/coordination/picker"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 	"chivecroft.example/chivecroft/internal/coordination/relay"
@@ -280,3 +281,31 @@
 		t.Errorf("fetched %+v, %t", items, ok)
 	}
 }
+
+// TestRelayTellsBlocksWithTheirVersion asks a relay while it applies a reply of the holder. It
+// guards against an instance that takes the version of a block and not the block itself, which it
+// is then told no more.
+func TestRelayTellsBlocksWithTheirVersion(t *testing.T) {
+	e := New(&platform.Boot{Instance: "i1", Zone: "a1"}, discardLogger())
+	defer e.stopLoops()
+	now := e.clock.Now()
+	e.noteUpdatedAt(now)
+	block := crash.Block{BlockKey: crash.BlockKey{Service: "desk", Parts: "bad"}, Revision: 1}
+	reply := exchangeReply{Term: 1, Version: 5, Full: true, Crashes: crash.Reply{Version: 3, Blocks: []crash.Block{block}}}
+	e.tracker.mu.Lock()
+	applied := make(chan struct{})
+	go func() {
+		defer close(applied)
+		e.applyDirect(&message{}, exchangeRequest{}, reply, e.timer.Now(), now)
+	}()
+	for e.held.position().Version == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	r, ok := e.relayExchange(exchangeRequest{From: "i2", Term: 1, Version: 4, Blocks: 2})
+	e.tracker.mu.Unlock()
+	<-applied
+	if !ok || r.Crashes.Version != 3 || len(r.Crashes.Blocks) != 1 {
+		t.Errorf("replied %t with version %d of the blocks and %d blocks, wanted version 3 with the block",
+			ok, r.Crashes.Version, len(r.Crashes.Blocks))
+	}
+}
