quota: a test of holders that follow each other without a gap

TestFleetsOfAllSizesKeepTheLimit gains the case of five changes of the holder, 0.9 s apart and without a time in which nobody issues permits. It passed at once: a ledger begins without tokens, and the permits of the former one end 500 ms after the message that asked for them. How much of the limit is used is not checked, as in the other cases with a lost holder: 7 requests of 12 came in 25 s at 0.5 a second with six instances.

--- a/internal/coordination/quota/fleet_test.go
+++ b/internal/coordination/quota/fleet_test.go
@@ -264,6 +264,11 @@
 		{"calm", calm, 0.8},
 		{"holder lost", func(w *world) { w.loseHolder(1500 * time.Millisecond) }, 0},
 		{"holder lost for long", func(w *world) { w.loseHolder(15 * time.Second) }, 0},
+		{"holder replaced at once, five times", func(w *world) {
+			for i := range 5 {
+				w.at(contact+time.Duration(i+1)*900*time.Millisecond, func() { w.loseHolder(0) })
+			}
+		}, 0},
 		{"holder frozen", func(w *world) { w.freezeHolder(2 * time.Second) }, 0},
 		{"half of the fleet cut off", func(w *world) { w.cut(len(w.members)/2, 15*time.Second) }, 0},
 		{"instances restart", func(w *world) {
