sched: a new holder counts the loads from the weight store that the former one may have started

Where many run at full speed, two holders together could start twice as many loads in a window as one may (rule CEILING).

Cause: the rate of loads is limited by the starts that the planner itself has made. A successor sends its first order 3 s after a former holder that has stopped as planned, a restarted holder at once, and the window is 5 s. A planner of a term with a former holder now counts, in its first window, as many starts as that one may have made: its parallel loads, doubled since the limit may just have been halved, each time that the shortest load fits into the window, and no more than the window allows.

With 4 parallel loads and 4.2 loads a second 13 of 21 remain for the first 5 s.

--- a/internal/coordination/sched/plan.go
+++ b/internal/coordination/sched/plan.go
@@ -72,6 +72,7 @@
 	p.buildIndex()
 	if p.plannedFrom.IsZero() {
 		p.plannedFrom = now
+		p.countFormerLoads(now)
 	}
 	p.observeStoreLoads(now)
 	actions := p.reportRequests(now)
@@ -223,7 +224,12 @@
 // store in every window.
 func (p *Planner) canStartStoreLoad(now time.Time) bool {
 	p.storeLoadStarts = slices.DeleteFunc(p.storeLoadStarts, func(t time.Time) bool { return now.Sub(t) > p.window })
-	return float64(len(p.storeLoadStarts)+1) <= max(p.engine.LoadsPerSec*p.window.Seconds(), 1)
+	return len(p.storeLoadStarts) < p.maxStoreLoads()
+}
+
+// maxStoreLoads returns how many loads from the weight store may start in a window.
+func (p *Planner) maxStoreLoads() int {
+	return max(int(p.engine.LoadsPerSec*p.window.Seconds()), 1)
 }
 
 // loadRequests returns the models to load, most urgent first.
--- a/internal/coordination/sched/planner.go
+++ b/internal/coordination/sched/planner.go
@@ -59,6 +59,8 @@
 	handoverEnd time.Time
 	// plannedFrom is the time of the first plan.
 	plannedFrom time.Time
+	// hasFormer means that a former holder may have started loads in the window before it.
+	hasFormer bool
 	// changedTargets are the targets whose loaded models may have changed.
 	changedTargets []string
 	index          *index
@@ -87,6 +89,12 @@
 	}
 }
 
+// WithFormerHolder tells that there was a holder before, which may have started loads from the
+// weight store up to the first plan.
+func WithFormerHolder() Option {
+	return func(p *Planner) { p.hasFormer = true }
+}
+
 // NewPlanner returns a Planner without targets. The rate of loads from the weight store
 // is limited in each period of length window.
 func NewPlanner(service string, engine *fleet.Engine, window time.Duration, random *rand.Rand, opts ...Option) *Planner {
--- a/internal/coordination/sched/storeload.go
+++ b/internal/coordination/sched/storeload.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -44,6 +45,27 @@
 	}
 }
 
+// countFormerLoads counts as many loads from the weight store as a former holder may have started
+// in a window: those that run in parallel, each time that the shortest of them fits into it. Its
+// limit may just have been twice the one that it has told.
+func (p *Planner) countFormerLoads(now time.Time) {
+	if !p.hasFormer {
+		return
+	}
+	shortest := p.window
+	for _, m := range p.engine.Models {
+		if m.FromStore > 0 {
+			shortest = min(shortest, m.FromStore)
+		}
+	}
+	rounds := 1
+	if shortest > 0 {
+		rounds += int(p.window / shortest)
+	}
+	n := min(2*p.StoreLoads()*rounds, p.maxStoreLoads())
+	p.storeLoadStarts = slices.Repeat([]time.Time{now}, n)
+}
+
 // StoreLoads returns the number of loads from the weight store that run in parallel at most.
 func (p *Planner) StoreLoads() int { return int(p.storeLimit.loads) }
 
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -222,8 +222,11 @@
 			p.SetEngine(s.Engine)
 			continue
 		}
-		p := sched.NewPlanner(name, s.Engine, k.loadWindow, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-			sched.WithStoreLoads(k.storeLoads[name]))
+		opts := []sched.Option{sched.WithStoreLoads(k.storeLoads[name])}
+		if k.status.Former.IsValid() {
+			opts = append(opts, sched.WithFormerHolder())
+		}
+		p := sched.NewPlanner(name, s.Engine, k.loadWindow, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), opts...)
 		k.planners[name] = p
 		k.setHandover(p)
 		for _, r := range k.targets {
