crash: a permission to try a blocked part ends

Callers saw: nothing yet; a part that crashes targets could end several at once when it came back, minutes after its trials were permitted.

Cause: the holder permits one trial at a time and takes one that is over 30 s old for ended. An instance kept its permission until a request used it, however late. Where requests with the part come in waves, each instance could hold one.

A permission now ends at the instance after half of the holder's time. TestUnusedTrialEnds failed before ("-false +true") and passes; the tests of the package pass.

--- a/internal/coordination/crash/detector.go
+++ b/internal/coordination/crash/detector.go
@@ -51,6 +51,9 @@
 	suspectChain = 2
 	// trialTime is how long a permitted trial may take before another one is permitted.
 	trialTime = 30 * time.Second
+	// trialValidity is how long an instance may use its permission for a trial. It is well
+	// below trialTime, so that no two instances have one.
+	trialValidity = trialTime / 2
 	// testTime is how long a permitted request with a suspect may take to show whether its
 	// target survives, before another one is permitted.
 	testTime = time.Second
--- a/internal/coordination/crash/exchange.go
+++ b/internal/coordination/crash/exchange.go
@@ -114,7 +114,7 @@
 		m.reported[p.Subject] = m.proofs.at(p.Subject)
 	}
 	for _, key := range r.Trials {
-		m.trials[key] = struct{}{}
+		m.trials[key] = now
 	}
 	for _, key := range sent.Wanted {
 		delete(m.wanted, key)
--- a/internal/coordination/crash/monitor.go
+++ b/internal/coordination/crash/monitor.go
@@ -63,9 +63,9 @@
 	// heardAt is when the holder last replied.
 	heardAt time.Time
 	// wanted holds the blocks for whose trial a request has come, trials those that may be
-	// tried.
+	// tried and when the holder has permitted that.
 	wanted map[BlockKey]struct{}
-	trials map[BlockKey]struct{}
+	trials map[BlockKey]time.Time
 	// awaiting holds the suspects that the holder has to permit a request with, permitted
 	// when it did.
 	guarded   []Subject
@@ -107,7 +107,7 @@
 		timer: t, onChange: func(Change) {}, onUnreported: func() {},
 		flights: make(map[*Flight]struct{}), proofs: newProofs(), marks: make(map[Subject]mark),
 		blocks: newBlockSet(), alone: newBlockSet(), revised: make(map[BlockKey]int64), reported: make(map[Subject]time.Time),
-		wanted: make(map[BlockKey]struct{}), trials: make(map[BlockKey]struct{}),
+		wanted: make(map[BlockKey]struct{}), trials: make(map[BlockKey]time.Time),
 		awaiting: make(map[Subject]struct{}), permitted: make(map[Subject]time.Time), heardAt: t.Now(),
 	}
 	for _, opt := range opts {
@@ -128,7 +128,7 @@
 	if b == nil {
 		return nil
 	}
-	if _, ok := m.trials[b.BlockKey]; ok {
+	if at, ok := m.trials[b.BlockKey]; ok && m.timer.Now().Sub(at) < trialValidity {
 		return nil
 	}
 	if due, ok := b.TrialAt(); ok && !m.timer.Now().Before(due) {
