crash: a new holder reckons with a trial that the former one has permitted

Callers saw: nothing yet; a part that still crashes targets ended one target more for each change of the holder around a trial.

Cause: which trials are permitted is known to the holder alone. A new one permitted another trial at once, beside the one under way, and an end of a target under that one didn't prolong the block, so that the next trial was due at once.

A new holder permits none for the time that a trial may take, and counts the end of a target under a request that was sent when a trial was due as a failed trial. TestTrialOfAFormerHolder failed before (a trial permitted at the beginning) and passes; the tests of the package pass.

--- a/internal/coordination/crash/detector.go
+++ b/internal/coordination/crash/detector.go
@@ -87,6 +87,9 @@
 	// chain is the number of ends that lead to a block at the least.
 	chain int
 
+	// startedAt is when the Detector was first told something. A former holder may have
+	// permitted trials before.
+	startedAt          time.Time
 	judgedAt, prunedAt time.Time
 	// settledAt is up to when ends count, since all reports of them have come.
 	settledAt time.Time
@@ -130,6 +133,9 @@
 
 // Report applies what an instance reports.
 func (d *Detector) Report(now time.Time, r *Report) {
+	if d.startedAt.IsZero() {
+		d.startedAt = now
+	}
 	for _, b := range r.Blocks {
 		if d.blocks.merge(b, now) {
 			d.version++
@@ -171,7 +177,7 @@
 				d.link(s, e, sent, q.Parts)
 			}
 		}
-		d.failTrial(&r, at, now)
+		d.failTrial(&r, sent, at, now)
 	}
 }
 
@@ -279,14 +285,16 @@
 	}
 }
 
-// failTrial prolongs a block after a trial that ended another target.
-func (d *Detector) failTrial(r *Request, at, now time.Time) {
+// failTrial prolongs a block after a trial that ended another target. A request that was sent
+// when a trial was due counts as one that a former holder has permitted, if this one has not.
+func (d *Detector) failTrial(r *Request, sent, at, now time.Time) {
 	b := d.blocks.find(r)
 	if b == nil {
 		return
 	}
 	tried, ok := d.tried[b.BlockKey]
-	if !ok || at.Before(tried) {
+	due, isAllowed := b.TrialAt()
+	if ok && at.Before(tried) || !ok && (!isAllowed || sent.Before(due)) {
 		return
 	}
 	delete(d.tried, b.BlockKey)
@@ -362,7 +370,7 @@
 		return false
 	}
 	due, ok := b.TrialAt()
-	if !ok || now.Before(due) || now.Sub(d.tried[key]) < trialTime {
+	if !ok || now.Before(due) || now.Sub(timer.Later(d.tried[key], d.startedAt)) < trialTime {
 		return false
 	}
 	d.tried[key] = now
--- a/internal/coordination/crash/trial_test.go
+++ b/internal/coordination/crash/trial_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"chivecroft.example/chivecroft/internal/state/fleet"
 	"chivecroft.example/chivecroft/internal/state/timer"
 )
 
@@ -29,3 +30,29 @@
 		t.Errorf("a request may be sent at once and when others may get a permission (-want +got):\n%s", diff)
 	}
 }
+
+// TestTrialOfAFormerHolder begins a term while an instance may still try a part that the former
+// holder has permitted it to try. It guards against a second trial at the same time, and against one
+// right after the first has ended a target.
+func TestTrialOfAFormerHolder(t *testing.T) {
+	d, now := NewDetector(), time.Unix(1000, 0)
+	b := blockedPart()
+	b.AgeMS = trialDelays[0].Milliseconds()
+	isPermitted := func(at time.Time) bool {
+		return len(d.Reply(at, &Report{Wanted: []BlockKey{b.BlockKey}}, true).Trials) > 0
+	}
+	d.Report(now, &Report{Blocks: []Block{b}})
+	got := []bool{isPermitted(now), isPermitted(now.Add(trialTime - time.Millisecond))}
+	now = now.Add(trialTime)
+	d.Report(now, &Report{Accusations: []Accusation{{
+		Target: fleet.Identity{ID: "t1", Born: 1}, Service: service,
+		Requests: []Accused{{Parts: []Part{deadly}, SentAgeMS: 2000, EndAgeMS: 1000}},
+	}}})
+	got = append(got, isPermitted(now))
+	if diff := cmp.Diff([]bool{false, false, false}, got); diff != "" {
+		t.Errorf("trial permitted at the beginning, just before its time and after the former one failed (-want +got):\n%s", diff)
+	}
+	if !isPermitted(now.Add(trialDelays[1])) {
+		t.Error("no trial permitted after the delay that follows a failed one")
+	}
+}
