sched, edge: a new holder knows the loads whose replies the former one has lost

Callers saw: nothing that was traced to this; a target that started again could be ordered to load more than it holds, and crash (rule LIMIT).

Cause: a load whose reply was lost may be carried out seconds later, also by the next incarnation of its target if that has accepted as many orders.

The holder tells the other instances of these loads beside the number of parallel loads, and a new one begins with what it was told last.

--- a/internal/coordination/sched/lost.go
+++ b/internal/coordination/sched/lost.go
@@ -21,6 +21,39 @@
 	until    time.Time
 }
 
+// LostLoad tells a later holder of a load of a model whose reply was lost.
+type LostLoad struct {
+	Target   string `json:"target"`
+	Born     int64  `json:"born"`
+	Model    string `json:"model"`
+	Expected int64  `json:"expected"`
+	// RestMS is how much longer it may still be carried out, in milliseconds.
+	RestMS int64 `json:"restMs"`
+}
+
+// LostLoads returns the loads of models whose replies were lost and that may still be carried out.
+func (p *Planner) LostLoads(now time.Time) []LostLoad {
+	var out []LostLoad
+	for id, loads := range p.lost {
+		for _, l := range loads {
+			if rest := l.until.Sub(now); rest > 0 {
+				out = append(out, LostLoad{id, l.born, l.model, l.expected, rest.Milliseconds()})
+			}
+		}
+	}
+	return out
+}
+
+// WithLostLoads sets the loads that the planner of a former holder had lost as of a time.
+func WithLostLoads(at time.Time, loads []LostLoad) Option {
+	return func(p *Planner) {
+		for _, l := range loads {
+			until := at.Add(time.Duration(l.RestMS) * time.Millisecond)
+			p.lost[l.Target] = append(p.lost[l.Target], lostLoad{l.Born, l.Model, l.Expected, until})
+		}
+	}
+}
+
 // noteLost records a load whose reply was lost.
 func (p *Planner) noteLost(now time.Time, a Action) {
 	if a.Operation != Load || a.Adapter != "" {
--- a/internal/coordination/sched/successor_test.go
+++ b/internal/coordination/sched/successor_test.go
@@ -16,9 +16,10 @@
 // replacePlanner has another holder's Planner go on, which knows of the former one what instances
 // are told. It begins ordersGap after the last plan.
 func (r *fixture) replacePlanner() {
-	loads := r.StoreLoads()
+	loads, lost, at := r.StoreLoads(), r.LostLoads(r.now), r.now
 	r.now = r.now.Add(ordersGap)
-	r.Planner = NewPlanner("llm", r.engine, r.window, rand.New(rand.NewPCG(2, 2)), WithStoreLoads(loads), WithFormerHolder())
+	r.Planner = NewPlanner("llm", r.engine, r.window, rand.New(rand.NewPCG(2, 2)),
+		WithStoreLoads(loads), WithFormerHolder(), WithLostLoads(at, lost))
 	r.completeDue()
 	for _, p := range r.targets {
 		p.recordReport(r.now)
@@ -54,3 +55,33 @@
 		}
 	}
 }
+
+// TestLateLoadOfAFormerHolder is TestLateLoadAtTheNextIncarnation with a change of the holder after
+// the load whose reply was lost. It guards against a target that is ordered to load more than it
+// holds by two holders together.
+func TestLateLoadOfAFormerHolder(t *testing.T) {
+	r := newFixture(testEngine(4), nil)
+	p := r.targets["r0"]
+	p.OnDisk = []string{"m0", "m1", "m2", "m3"}
+	r.SetTarget(r.now, p.describe())
+	for _, m := range []string{"m0", "m1"} {
+		r.run(3*time.Second, queuedDemand(m))
+	}
+	adapter := queuedDemand("m0")
+	adapter.Adapters = []string{"a1"}
+	r.run(time.Second, adapter)
+	r.loseNext, r.lateAfter = 1, 14*time.Second
+	r.run(planStep, queuedDemand("m3"))
+	r.restart(p)
+	r.replacePlanner()
+	for _, m := range []string{"m0", "m1", "m2"} {
+		r.run(3*time.Second, queuedDemand(m))
+	}
+	r.run(lostLoadTTL, queuedDemand("m2"))
+	if len(r.violations) > 0 {
+		t.Error(r.violations)
+	}
+	if got := r.targetsWith("m2"); len(got) == 0 {
+		t.Errorf("m2 was never loaded; orders: %v", r.orders)
+	}
+}
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -59,7 +59,11 @@
 	// storeLoads is how many loads from the weight store run in parallel at most, by
 	// service, as the holder has last told.
 	storeLoads map[string]int
-	updates    *updateLog
+	// lostLoads are the loads whose replies the holder has lost, by service, as it told them at
+	// lostLoadsAt.
+	lostLoads   map[string][]sched.LostLoad
+	lostLoadsAt time.Time
+	updates     *updateLog
 	// permits issues the permits for targets that have named rate limits.
 	permits *quota.Ledger
 	// teamQuotas issues the permits of teams.
@@ -222,7 +226,9 @@
 			p.SetEngine(s.Engine)
 			continue
 		}
-		opts := []sched.Option{sched.WithStoreLoads(k.storeLoads[name])}
+		opts := []sched.Option{
+			sched.WithStoreLoads(k.storeLoads[name]), sched.WithLostLoads(k.lostLoadsAt, k.lostLoads[name]),
+		}
 		if k.status.Former.IsValid() {
 			opts = append(opts, sched.WithFormerHolder())
 		}
@@ -392,8 +398,12 @@
 	out.Crashes = k.judgeCrashes(now, m, senders)
 	if k.status.CanOrder(now) {
 		out.StoreLoads = make(map[string]int, len(k.planners))
+		out.LostLoads = make(map[string][]sched.LostLoad)
 		for service, p := range k.planners {
 			out.StoreLoads[service] = p.StoreLoads()
+			if lost := p.LostLoads(now); len(lost) > 0 {
+				out.LostLoads[service] = lost
+			}
 			for model, in := range p.Expected(now) {
 				out.ReadyInMS[model] = in.Milliseconds()
 			}
@@ -402,15 +412,17 @@
 	return out, true
 }
 
-// setStoreLoads records what the holder has told of the weight store, so that a later term
-// of this instance begins with it.
-func (k *coordinator) setStoreLoads(loads map[string]int) {
-	if len(loads) == 0 {
+// setLoads records what the holder has told of the weight store and of loads whose replies it
+// has lost, so that a later term of this instance begins with it. A holder that may not order
+// tells neither.
+func (k *coordinator) setLoads(storeLoads map[string]int, lost map[string][]sched.LostLoad) {
+	if len(storeLoads) == 0 {
 		return
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.storeLoads = loads
+	k.storeLoads = storeLoads
+	k.lostLoads, k.lostLoadsAt = lost, k.clock.Now()
 }
 
 // setLimits records the rate limits that an instance has heard of and has the other
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -18,6 +18,7 @@
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 	"chivecroft.example/chivecroft/internal/coordination/quota"
 	"chivecroft.example/chivecroft/internal/coordination/relay"
+	"chivecroft.example/chivecroft/internal/coordination/sched"
 	"chivecroft.example/chivecroft/internal/state/fleet"
 	"chivecroft.example/chivecroft/internal/transport/gate"
 )
@@ -142,6 +143,8 @@
 	// StoreLoads is how many loads from the weight store run in parallel at most, by
 	// service.
 	StoreLoads map[string]int `json:"storeLoads,omitempty"`
+	// LostLoads are the loads whose replies the holder has lost, by service.
+	LostLoads map[string][]sched.LostLoad `json:"lostLoads,omitempty"`
 	// Load is the load of all instances; nil if the request does not ask for it.
 	Load *load.Snapshot `json:"load,omitempty"`
 	// Grants answers the wants of the request.
@@ -416,7 +419,7 @@
 		list: r.Updates, from: from, through: ports.Revision(r.TargetsThrough), asOf: asOf,
 		isFull: r.Full, removalDelay: time.Duration(r.RemovalDelayMS) * time.Millisecond, expected: expected,
 	})
-	e.coordinator.setStoreLoads(r.StoreLoads)
+	e.coordinator.setLoads(r.StoreLoads, r.LostLoads)
 	e.budget.SetInstances(r.Members)
 	e.members.Store(int64(r.Members))
 	if len(r.Readers) > 0 {
