orders test: what a link or target held back arrives without a further delay

In long plays with held links or targets that stand still, an order that had been held back for seconds was to arrive up to another 0.8 s after the link was healed, beyond thaw_slack_ms: no link does that. Only long plays with -orders.sides are affected.

--- a/cmd/chivecroft/orders_ends_test.go
+++ b/cmd/chivecroft/orders_ends_test.go
@@ -212,6 +212,7 @@
 		case 2:
 			f.StandStill(true)
 			time.Sleep(4 * time.Second)
+			w.resumed(f.ID)
 			f.StandStill(false)
 		case 3:
 			f.DelayReplies(last / 5)
--- a/cmd/chivecroft/orders_world_test.go
+++ b/cmd/chivecroft/orders_world_test.go
@@ -46,6 +46,8 @@
 	recordMu sync.Mutex
 	// excuses are the ends of freezes and of cuts of links to targets.
 	excuses []excuse
+	// resumes are the ends of times in which a target stood still.
+	resumes []excuse
 	// handovers are the changes of the handover.
 	handovers []handoverChange
 	// heldUps are the spans in which the test's own process got no processor time.
@@ -110,15 +112,16 @@
 	f := fake.NewTarget(w.t, id, zone, 200*time.Millisecond, models...)
 	f.Places = ordersModels
 	f.Listed = netip.MustParseAddrPort(w.net.relay(f.Addr().String(), end{id, zone}))
-	f.DelayOrders(w.delayOrder)
+	f.DelayOrders(func(o fake.Order) time.Duration { return w.delayOrder(o, id) })
 	w.targets = append(w.targets, &soakTarget{w: w.soakWorld, slot: slot, zone: zone, service: "chat", fake: f})
 	w.store.List(w.t, f, "chat", "ready")
 }
 
 // delayOrder draws how late an order arrives: half of them are quick, the others late. It tells
-// of those that are late.
-func (w *ordersWorld) delayOrder(o fake.Order) time.Duration {
-	if w.late == 0 {
+// of those that are late. What a link or a target that stood still has held back has been on
+// its way for long enough, and arrives at once.
+func (w *ordersWorld) delayOrder(o fake.Order, target string) time.Duration {
+	if w.late == 0 || w.isHeldBack(o.Holder, target) {
 		return 0
 	}
 	delay := time.Duration((1 - lateShare) * rand.Float64() * float64(w.late))
@@ -185,6 +188,24 @@
 	w.excuses = append(w.excuses, excuse{instance, target, time.Now()})
 }
 
+// resumed notes that a target reads again what it is sent.
+func (w *ordersWorld) resumed(target string) {
+	w.recordMu.Lock()
+	defer w.recordMu.Unlock()
+	w.resumes = append(w.resumes, excuse{target: target, at: time.Now()})
+}
+
+// isHeldBack reports whether a link or a target has just let go of what it held back.
+func (w *ordersWorld) isHeldBack(instance, target string) bool {
+	w.recordMu.Lock()
+	defer w.recordMu.Unlock()
+	isLink := func(e excuse) bool {
+		return e.instance == instance && e.target == target && time.Since(e.at) < thawSlack
+	}
+	isTarget := func(e excuse) bool { return e.target == target && time.Since(e.at) < thawSlack }
+	return slices.ContainsFunc(w.excuses, isLink) || slices.ContainsFunc(w.resumes, isTarget)
+}
+
 func (w *ordersWorld) isExcused(o arrivedOrder) bool {
 	return slices.ContainsFunc(w.excuses, func(e excuse) bool {
 		isMeant := e.instance == o.Holder && (e.target == "" || e.target == o.target)
