--- a/internal/edge/terms.go
+++ b/internal/edge/terms.go
@@ -28,9 +28,12 @@
 // termBegan logs the wait at the start of a term. The key may have been found missing
 // before, which counts for the wait.
 func (k *coordinator) termBegan(now time.Time, s elect.Status) {
-	k.log.Info().Str("instance", k.self).Str("former", s.Former.String()).Uint64("formerRecord", uint64(s.Start.Record)).
-		Str("wait", s.Start.Wait.String()).Dur("waited", max(now.Sub(s.Start.CountedFrom), 0)).
-		Dur("ordersIn", max(s.OrderFrom.Sub(now), 0)).Msg("term began")
+	line := k.log.Info().Str("instance", k.self).Str("wait", s.Start.Wait.String()).
+		Dur("waited", max(now.Sub(s.Start.CountedFrom), 0)).Dur("ordersIn", max(s.OrderFrom.Sub(now), 0))
+	if s.Former.IsValid() {
+		line = line.Str("former", s.Former.String()).Uint64("formerRecord", uint64(s.Start.Record))
+	}
+	line.Msg("term began")
 }
 
 // termEnded logs and counts the end of a term. Orders in flight have passed their check and
