chivecroft orders: orders of two instances that are too near at a target, and why

Change: a command finds them in the logs of all instances, with the bounds of the time between their arrivals, and names the cause where lines of terms tell it.

--- a/internal/edge/ordercheck.go
+++ b/internal/edge/ordercheck.go
@@ -99,7 +99,7 @@
 // orderEnded logs and counts an order that has ended.
 func (k *coordinator) orderEnded(a sched.Action, token uint64, began time.Time, c orderCheck, result platform.OrderResult, err error) {
 	now := k.clock.Now()
-	line := k.log.Info().Str("target", a.To.ID).Str("operation", a.Operation.String()).Str("model", a.Model).
+	line := k.log.Info().Str("instance", k.self).Str("target", a.To.ID).Str("operation", a.Operation.String()).Str("model", a.Model).
 		Str("adapter", a.Adapter).Int64("expected", a.Expected).Str("tier", a.Tier.String()).
 		Str("why", a.Reason).Str("result", result.String()).Uint64("token", token).
 		Dur("took", max(now.Sub(began), 0)).Str("check", c.result.String())
--- a/internal/shell/commands.go
+++ b/internal/shell/commands.go
@@ -30,6 +30,7 @@
 	Demo    DemoCmd      `cmd:"" help:"Run stand-ins and entries of two zones in one process."`
 	Explain ExplainCmd   `cmd:"" help:"Print what logs say of one request."`
 	Account AccountCmd   `cmd:"" help:"Add up how the requests ended that logs tell of."`
+	Orders  OrdersCmd    `cmd:"" help:"Find orders of two instances that are too near at one target."`
 	Blocks  BlocksCmd    `cmd:"" help:"Show or lift the blocks of prompt parts that crash targets."`
 	Where   WhereCmd     `cmd:"" help:"Show where a request would go now and why, without sending it."`
 	Check   CheckCmd     `cmd:"" help:"Check a file of settings."`
