--- a/internal/stand/socket/memory.go
+++ b/internal/stand/socket/memory.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 )
 
 // Endless is an answer that does not end: Text, and then Piece again and again.
@@ -46,13 +47,43 @@
 	for range calls {
 		ended.Go(func() { call(ctx) })
 	}
-	sent.Wait()
+	if !isDoneBefore(&sent, &ended) {
+		t.Errorf("some of %d calls ended before they had connected", calls)
+	}
 	held := heapBytes() - before
 	cancel()
 	ended.Wait()
 	return held
 }
 
+// closeTime is how long a server takes at most to notice that its clients have gone.
+const closeTime = time.Second
+
+// isDoneBefore waits until first is done, and reports whether it is within closeTime of the end of
+// last.
+func isDoneBefore(first, last *sync.WaitGroup) bool {
+	firstDone, lastDone := make(chan struct{}), make(chan struct{})
+	go func() {
+		first.Wait()
+		close(firstDone)
+	}()
+	go func() {
+		last.Wait()
+		close(lastDone)
+	}()
+	select {
+	case <-firstDone:
+		return true
+	case <-lastDone:
+	}
+	select {
+	case <-firstDone:
+		return true
+	case <-time.After(closeTime):
+		return false
+	}
+}
+
 // stall reads a request, writes size bytes of the answer, calls full and keeps the connection
 // until the client closes it. If the client closes it before, full is called then.
 func (e Endless) stall(conn *net.TCPConn, size int, full func()) {
