elect: table of ends: successors that wait, reads or renewals that fail, copies of the former term

Faults planted in the election showed three that no test found in a reasonable number of runs: orders for as long as renewals succeed, a record of another era that is relied upon, and a successor that writes "settled" for a former holder in its own planned stop.

--- a/internal/coordination/elect/ends_test.go
+++ b/internal/coordination/elect/ends_test.go
@@ -20,11 +20,15 @@
 	continued = proofInterval + calls
 	// retried is the longest delay after which an instance calls the store again.
 	retried = maxRetryDelay * 3 / 2
+	// deferral is the longest time for which others leave the key to the last holder.
+	deferral = deferDelay + deferJitter
 	// outage is how long faults of the store last, away how long the store is away before it
 	// comes back from a copy.
 	outage = 8 * time.Second
 	away   = 300 * time.Millisecond
 	raise  = time.Second
+	// formerTerm is the age of a copy from the term of the first holder, in that of the second.
+	formerTerm = 7 * time.Second
 )
 
 // termEnd is a way in which the term of a holder ends or may end.
@@ -69,10 +73,7 @@
 }
 
 // cutOff cuts an instance off from the store for the time of an outage.
-func cutOff(r *fixture, i int) {
-	r.nodes[i].kv.SetFaults(world.KVFaults{Down: true})
-	r.timer.After(outage, func() { r.nodes[i].kv.SetFaults(world.KVFaults{Latency: 8 * time.Millisecond}) })
-}
+func cutOff(r *fixture, i int) { withFaults(world.KVFaults{Down: true})(r, i) }
 
 // afterDelay calls end after the time in which another instance defers or waits.
 func afterDelay(d time.Duration, end func(*fixture, int), then func(*fixture)) func(*fixture, int) {
@@ -83,6 +84,35 @@
 	}
 }
 
+// successor returns an instance that has acquired the key after the end of another.
+func (r *fixture) successor() int {
+	for range int(afterLoss / tick) {
+		for i, nd := range r.nodes {
+			if nd.status.IsHolder && i != r.holder {
+				return i
+			}
+		}
+		r.advance(tick)
+	}
+	return -1
+}
+
+// thenSuccessor kills the holder and ends the term of its successor while that waits.
+func thenSuccessor(end func(*fixture, int)) func(*fixture, int) {
+	return func(r *fixture, i int) {
+		r.kill(i)
+		end(r, r.successor())
+	}
+}
+
+// withFaults changes the calls of an instance to the store for the time of an outage.
+func withFaults(f world.KVFaults) func(*fixture, int) {
+	return func(r *fixture, i int) {
+		r.nodes[i].kv.SetFaults(f)
+		r.timer.After(outage, func() { r.nodes[i].kv.SetFaults(world.KVFaults{Latency: 8 * time.Millisecond}) })
+	}
+}
+
 func restoreFrom(age time.Duration) func(*fixture) {
 	return func(r *fixture) { r.restore(away, age) }
 }
@@ -122,6 +152,14 @@
 		freezeFor(3*time.Second)(r, i)
 		r.deleteKey()
 	}, testArrival + testHandover + calls},
+	{"lost key of a holder whose reads fail", func(r *fixture, i int) {
+		withFaults(world.KVFaults{Latency: 8 * time.Millisecond, NoReads: true})(r, i)
+		r.deleteKey()
+	}, testArrival + testHandover + calls},
+	{"holder whose renewals fail", withFaults(world.KVFaults{Latency: 8 * time.Millisecond, NoWrites: true}), afterLoss},
+	{"planned stop of the successor", thenSuccessor((*fixture).stop), deferral + afterLoss + calls},
+	{"kill of the successor", thenSuccessor((*fixture).kill), deferral + testTTL + afterLoss + calls},
+	{"restart of the successor", thenSuccessor((*fixture).restart), deferral + afterLoss + startJitter + calls},
 	{"holder without store", cutOff, afterLoss},
 	{"outage of the store", during(world.KVFaults{Down: true}), outage + retried + testArrival + testHandover + calls},
 	{"slow store", during(world.KVFaults{Latency: 500 * time.Millisecond}), calls},
@@ -142,6 +180,8 @@
 	{"lowered handover after a kill", afterDelay(2*time.Second, (*fixture).kill, changeHandover(-raise)), afterLoss},
 	{"older copy of the same term", afterDelay(0, noEnd, restoreFrom(copyInterval)), away + afterCopy},
 	{"older copy of before the term", afterDelay(0, noEnd, restoreFrom(maxCopyAge)), away + afterCopy},
+	{"older copy of the former term", afterDelay(0, noEnd, restoreFrom(formerTerm)), away + afterCopy},
+	{"older copy of the former term and a kill", afterDelay(0, (*fixture).kill, restoreFrom(formerTerm)), away + afterCopy},
 	{"older copy twice", func(r *fixture, _ int) {
 		r.restore(away, 2*time.Second)
 		r.advance(calls)
--- a/internal/stand/world/kv.go
+++ b/internal/stand/world/kv.go
@@ -24,6 +24,8 @@
 	Latency time.Duration
 	// Down makes every call fail without effect.
 	Down bool
+	// NoReads and NoWrites make every call of that kind fail without effect.
+	NoReads, NoWrites bool
 	// LoseAnswers is the share of calls whose answer is lost after the effect.
 	LoseAnswers float64
 	// LateWrites is how much later a write without an answer may take effect.
@@ -49,9 +51,10 @@
 
 // Call carries out one request under the faults.
 func (k *KV) Call(req ports.KVRequest, done func(ports.KVReply)) {
-	k.calls[KindOf(req)]++
+	kind := KindOf(req)
+	k.calls[kind]++
 	f := k.faults
-	if f.Down {
+	if f.Down || f.NoReads && kind == "read" || f.NoWrites && kind == "write" {
 		k.timer.After(f.Latency, func() { done(ports.KVReply{Status: ports.KVUnavailable}) })
 		return
 	}
