--- a/internal/coordination/elect/part.go
+++ b/internal/coordination/elect/part.go
@@ -78,6 +78,10 @@
 	// Start tells how the term of this instance has begun, Ended why it is over.
 	Start TermStart
 	Ended EndReason
+	// Era is the store's era as of the latest reply, Restores how often the store has come back
+	// from an older copy since this instance started.
+	Era      uint64
+	Restores int
 }
 
 // IsSteady reports whether this instance is the holder and certain to keep the key for at
@@ -159,6 +163,8 @@
 	// era is that of the latest reply; hasEra is false before the first one.
 	era    uint64
 	hasEra bool
+	// restores counts the rises of the era.
+	restores int
 	// isFirstStart means that a store without a record has never had one.
 	isFirstStart bool
 	startedAt    time.Time
@@ -270,6 +276,7 @@
 func (p *Part) Step(now time.Time, ev ports.Event) []ports.Effect {
 	before := p.status
 	effects := p.step(now, ev)
+	p.status.Era, p.status.Restores = p.era, p.restores
 	if p.status != before {
 		effects = append(effects, ports.Note{Value: p.status})
 	}
--- a/internal/coordination/elect/reasons_test.go
+++ b/internal/coordination/elect/reasons_test.go
@@ -11,10 +11,12 @@
 	"chivecroft.example/chivecroft/internal/stand/world"
 )
 
-// refusingKV answers renewals as if the lease had expired, once it is told to.
+// refusingKV answers renewals as if the lease had expired, once it is told to, and names an
+// era in its replies.
 type refusingKV struct {
 	ports.KV
 	refuses bool
+	era     uint64
 }
 
 // Call answers a renewal or passes the call on.
@@ -23,7 +25,10 @@
 		done(ports.KVReply{Status: ports.KVNotFound})
 		return
 	}
-	k.KV.Call(req, done)
+	k.KV.Call(req, func(r ports.KVReply) {
+		r.Era = k.era
+		done(r)
+	})
 }
 
 // record restarts an instance and records the reasons for which its terms end. It returns
@@ -54,6 +59,7 @@
 		{EndStopped, func(r *fixture, _ *refusingKV) { r.nodes[0].loop.Post(Release{}) }},
 		{EndKeyLost, func(r *fixture, _ *refusingKV) { r.deleteKey() }},
 		{EndLeaseLost, func(_ *fixture, kv *refusingKV) { kv.refuses = true }},
+		{EndOlderCopy, func(_ *fixture, kv *refusingKV) { kv.era++ }},
 		{EndNotRenewed, func(r *fixture, _ *refusingKV) { r.nodes[0].kv.SetFaults(world.KVFaults{Down: true}) }},
 	} {
 		t.Run(c.want.String(), func(t *testing.T) {
@@ -65,6 +71,10 @@
 			if diff := cmp.Diff([]EndReason{c.want}, (*ended)[:min(len(*ended), 1)]); diff != "" {
 				t.Errorf("reasons (-want +got):\n%s", diff)
 			}
+			s := r.nodes[0].status
+			if s.Era != kv.era || s.Restores != int(kv.era) {
+				t.Errorf("status %+v, era of the store: %d", s, kv.era)
+			}
 		})
 	}
 }
--- a/internal/coordination/elect/record.go
+++ b/internal/coordination/elect/record.go
@@ -101,6 +101,7 @@
 		p.isFirstStart = p.isFirstStart && now.Sub(p.startedAt) <= firstReplyTime
 	case r.Era > p.era:
 		p.era, p.isFirstStart = r.Era, false
+		p.restores++
 		return r, true
 	case r.Era < p.era:
 		return ports.KVReply{Status: ports.KVUnknown}, false
--- a/internal/coordination/sched/planner.go
+++ b/internal/coordination/sched/planner.go
@@ -231,6 +231,16 @@
 	return w.respondedAt.Add(p.handover)
 }
 
+// RespondedAt returns when a target first responded for whose orders a handover counts from
+// then; it is zero if the target has not responded or needs no wait.
+func (p *Planner) RespondedAt(id string) time.Time {
+	w := p.workers[id]
+	if w == nil {
+		return time.Time{}
+	}
+	return w.respondedAt
+}
+
 // applyReport applies the report of a target that is carrying out no order.
 func (p *Planner) applyReport(now time.Time, w *targetState, r fleet.Report) {
 	w.Holding = r.Holding
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -188,6 +188,13 @@
 	}
 }
 
+// storeRestored counts that the store has come back from an older copy.
+func (m *instanceMetrics) storeRestored() {
+	if mt := m.meter.Load(); mt != nil {
+		mt.StoreRestored()
+	}
+}
+
 // termEnded counts the end of a term as the holder.
 func (m *instanceMetrics) termEnded(why elect.EndReason) {
 	if mt := m.meter.Load(); mt != nil {
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -1,12 +1,9 @@
 package edge
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"chivecroft.example/chivecroft/internal/coordination/sched"
-	"chivecroft.example/chivecroft/internal/state/fleet"
 	"chivecroft.example/chivecroft/platform"
 )
 
@@ -51,13 +48,25 @@
 func (k *coordinator) stopOrders() (hasUnread bool) {
 	k.mu.Lock()
 	k.hasStoppedOrders = true
+	stop := k.newOrderStop()
 	k.mu.Unlock()
 	k.ordersInFlight.Wait()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return slices.ContainsFunc(slices.Collect(maps.Keys(k.unread)), func(id fleet.Identity) bool {
-		return k.targets[id.ID].Identity == id
-	})
+	stop.unread = k.countUnread()
+	k.logStop(stop)
+	return stop.unread > 0
+}
+
+// countUnread returns the number of listed targets that may not have read all orders.
+func (k *coordinator) countUnread() int {
+	n := 0
+	for id := range k.unread {
+		if k.targets[id.ID].Identity == id {
+			n++
+		}
+	}
+	return n
 }
 
 func (k *coordinator) requestReport(p *sched.Planner, a sched.Action) {
@@ -71,7 +80,11 @@
 	if err == nil && began.After(k.unread[a.To.Identity]) {
 		delete(k.unread, a.To.Identity)
 	}
+	wasAwaited := p.RespondedAt(a.To.ID).IsZero()
 	p.ReportDone(k.clock.Now(), a.To.ID, r, err)
+	if at := p.RespondedAt(a.To.ID); wasAwaited && !at.IsZero() {
+		k.logLateTarget(a.To.ID, at)
+	}
 	k.continueJob(p, a.To.ID)
 }
 
--- a/internal/edge/terms.go
+++ b/internal/edge/terms.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"net/netip"
 	"time"
 
 	"chivecroft.example/chivecroft/internal/coordination/elect"
@@ -10,6 +11,9 @@
 // term: its start, the start of its orders, and its end.
 func (k *coordinator) logTerm(was, s elect.Status) {
 	now := k.clock.Now()
+	if s.Restores > was.Restores {
+		k.storeRestored(was, s)
+	}
 	switch {
 	case s.IsHolder && !was.IsHolder:
 		k.termOrders.start()
@@ -51,6 +55,63 @@
 	k.metrics.termEnded(why)
 }
 
+// storeRestored logs and counts that the store has come back from an older copy. What this
+// instance knew of the holder is dropped, and its own term ends.
+func (k *coordinator) storeRestored(was, s elect.Status) {
+	k.log.Warn().Str("instance", k.self).Uint64("era", s.Era).Uint64("eraBefore", was.Era).Bool("mine", was.IsHolder).
+		Str("holder", addrText(was.Holder)).Uint64("token", was.Token).Msg("store back from an older copy")
+	k.metrics.storeRestored()
+}
+
+// addrText returns an address as it is written in log lines, empty for none.
+func addrText(at netip.AddrPort) string {
+	if !at.IsValid() {
+		return ""
+	}
+	return at.String()
+}
+
+// orderStop describes how the orders of a holder stop.
+type orderStop struct {
+	began    time.Time
+	isHolder bool
+	token    uint64
+	// inFlight is how many orders had passed their check and had no answer at the beginning,
+	// unread how many targets may not have read all orders at the end.
+	inFlight, unread int
+}
+
+func (k *coordinator) newOrderStop() orderStop {
+	return orderStop{
+		began: k.clock.Now(), isHolder: k.status.IsHolder, token: k.status.Token, inFlight: k.termOrders.inFlight,
+	}
+}
+
+// logStop logs that the orders of a holder have stopped. The lease is given up from then on.
+func (k *coordinator) logStop(s orderStop) {
+	if !s.isHolder {
+		return
+	}
+	k.log.Info().Str("instance", k.self).Uint64("token", s.token).Int("inFlight", s.inFlight).Int("unread", s.unread).
+		Dur("took", max(k.clock.Now().Sub(s.began), 0)).Msg("orders stopped")
+}
+
+// minLateTarget is how much later than those to others orders to a target begin that are worth
+// a line; the first responses of a large fleet take part of it.
+const minLateTarget = time.Second
+
+// logLateTarget logs that the orders to a target begin later than the term allows, since the
+// target has responded late to the new holder.
+func (k *coordinator) logLateTarget(id string, respondedAt time.Time) {
+	from := respondedAt.Add(k.status.Handover)
+	late := from.Sub(k.status.OrderFrom)
+	if !k.status.IsHolder || late < minLateTarget {
+		return
+	}
+	k.log.Info().Str("instance", k.self).Str("target", id).Uint64("token", k.status.Token).Dur("late", late).
+		Dur("ordersIn", max(from.Sub(k.clock.Now()), 0)).Msg("orders wait for a target")
+}
+
 // logHandover logs a change of the minimum time between the orders of two holders.
 func (k *coordinator) logHandover(was, handover time.Duration) {
 	if was == handover {
--- a/internal/edge/terms_test.go
+++ b/internal/edge/terms_test.go
@@ -175,3 +175,84 @@
 		})
 	}
 }
+
+// TestStopLine stops the orders of a holder while one is in flight, and of an instance that is
+// not the holder.
+func TestStopLine(t *testing.T) {
+	k, lines := newRecordedCoordinator(t)
+	read, unread := fleet.Identity{ID: "e1", Born: 1}, fleet.Identity{ID: "e2", Born: 1}
+	for _, id := range []fleet.Identity{read, unread} {
+		k.setTarget(fleet.Target{Identity: id, Service: "llm"})
+	}
+	now := k.clock.Now()
+	k.setStatus(elect.Status{IsHolder: true, Token: 5, OrderFrom: now, OrderUntil: now.Add(time.Second)})
+	k.termOrders.pass(now)
+	k.ordersInFlight.Add(1)
+	const answer = 60 * time.Millisecond
+	k.clock.After(answer, k.ordersInFlight.Done)
+	k.unread[unread] = now
+	k.unread[fleet.Identity{ID: "e1"}] = now
+	k.stopOrders()
+	k.setStatus(elect.Status{Ended: elect.EndStopped})
+	k.stopOrders()
+	got := lines.take(t, "orders stopped")
+	for _, l := range got {
+		within(l, "took", answer, answer+time.Second)
+	}
+	want := []map[string]any{{"message": "orders stopped", "instance": "i1", "token": 5.0, "inFlight": 1.0, "unread": 1.0, "took": true}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("lines (-want +got):\n%s", diff)
+	}
+}
+
+// TestRestoreLine has the store come back from an older copy during a term, and later once more.
+func TestRestoreLine(t *testing.T) {
+	k, lines := newRecordedCoordinator(t)
+	self := netip.MustParseAddrPort("10.1.0.1:7000")
+	k.setStatus(elect.Status{Holder: self, IsHolder: true, Token: 5, Era: 1})
+	k.setStatus(elect.Status{Era: 2, Restores: 1, Ended: elect.EndOlderCopy})
+	k.setStatus(elect.Status{Era: 2, Restores: 1})
+	k.setStatus(elect.Status{Era: 4, Restores: 2})
+	want := []map[string]any{
+		{"message": "store back from an older copy", "instance": "i1", "era": 2.0, "eraBefore": 1.0, "mine": true, "holder": self.String(), "token": 5.0},
+		{"message": "term ended", "instance": "i1", "token": 5.0, "reason": "olderCopy", "orders": 0.0, "inFlight": 0.0},
+		{"message": "store back from an older copy", "instance": "i1", "era": 4.0, "eraBefore": 2.0, "mine": false, "holder": "", "token": 0.0},
+	}
+	if diff := cmp.Diff(want, lines.take(t, "store back from an older copy, term ended")); diff != "" {
+		t.Errorf("lines (-want +got):\n%s", diff)
+	}
+}
+
+// TestLateTargetLine has targets respond to a new holder in time, and two seconds after its
+// first orders.
+func TestLateTargetLine(t *testing.T) {
+	k, lines := newRecordedCoordinator(t)
+	const handover = 3 * time.Second
+	late := fake.NewTarget(t, "e2", "a1", 0, "m1")
+	for _, c := range []struct {
+		id      string
+		settled time.Duration
+	}{{"e1", 0}, {"e2", handover + 2*time.Second}} {
+		now := k.clock.Now()
+		k.setStatus(elect.Status{})
+		k.setStatus(elect.Status{
+			IsHolder: true, Token: 5, SettledAt: now.Add(-c.settled), Handover: handover, OrderFrom: now.Add(handover - c.settled),
+		})
+		p := sched.NewPlanner("llm", &fleet.Engine{}, time.Second, rand.New(rand.NewPCG(1, 1)))
+		p.SetHandover(handover, now.Add(time.Minute))
+		target := fleet.Target{Identity: fleet.Identity{ID: c.id, Born: late.Born}, Addr: late.Addr()}
+		late.ID = c.id
+		p.SetTarget(now, target)
+		k.requestReport(p, sched.Action{To: target})
+		k.requestReport(p, sched.Action{To: target})
+	}
+	got := lines.take(t, "orders wait for a target")
+	for _, l := range got {
+		within(l, "late", handover+2*time.Second, handover+3*time.Second)
+		within(l, "ordersIn", handover-time.Second, handover)
+	}
+	want := []map[string]any{{"message": "orders wait for a target", "instance": "i1", "target": "e2", "token": 5.0, "late": true, "ordersIn": true}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("lines (-want +got):\n%s", diff)
+	}
+}
--- a/internal/shell/orders_test.go
+++ b/internal/shell/orders_test.go
@@ -48,16 +48,16 @@
 		write func(o *ordersLog)
 		want  []nearOrders
 	}{
-		{"on its way at a planned stop", func(o *ordersLog) { o.end(150, "i1", 7); o.begin(3160, "i2", 9, "released", 3005) }, pair(9, causeOnItsWay)},
-		{"wait too short", func(o *ordersLog) { o.end(150, "i1", 7); o.begin(3160, "i2", 9, "released", 2900) }, pair(9, causeShortWait)},
+		{"on its way at a planned stop", func(o *ordersLog) { o.end(150, "i1", 7); o.begin(3160, "i2", 9, "settled", 3005) }, pair(9, causeOnItsWay)},
+		{"wait too short", func(o *ordersLog) { o.end(150, "i1", 7); o.begin(3160, "i2", 9, "settled", 2900) }, pair(9, causeShortWait)},
 		{"no wait", func(o *ordersLog) { o.end(150, "i1", 7); o.begin(3160, "i2", 9, "noFormer", 0) }, pair(9, causeNoWait)},
-		{"lower token", func(o *ordersLog) { o.end(150, "i1", 7); o.begin(3160, "i2", 6, "released", 3005) }, pair(6, causeToken)},
-		{"same token", func(o *ordersLog) { o.begin(3160, "i2", 7, "released", 3005) }, pair(7, causeToken)},
-		{"killed sender", func(o *ordersLog) { o.begin(3160, "i2", 9, "notReleased", 4500) }, pair(9, causeUnknown)},
+		{"lower token", func(o *ordersLog) { o.end(150, "i1", 7); o.begin(3160, "i2", 6, "settled", 3005) }, pair(6, causeToken)},
+		{"same token", func(o *ordersLog) { o.begin(3160, "i2", 7, "settled", 3005) }, pair(7, causeToken)},
+		{"killed sender", func(o *ordersLog) { o.begin(3160, "i2", 9, "notSettled", 4500) }, pair(9, causeUnknown)},
 		{"on its way at the first of two terms with one token", func(o *ordersLog) {
 			o.end(150, "i1", 7)
 			o.end(900, "i1", 7)
-			o.begin(3160, "i2", 9, "released", 3005)
+			o.begin(3160, "i2", 9, "settled", 3005)
 		}, pair(9, causeOnItsWay)},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/transport/meter/create.go
+++ b/internal/transport/meter/create.go
@@ -26,6 +26,7 @@
 	m.orders = c.counter("chivecroft.orders", "{order}", "Ended orders to targets by result, and by what the check before their write has found.")
 	m.orderTermLeft = c.histogram("chivecroft.order.term_left", "Time from the check of an order to the end of its sender's term, as it was known then.", termBuckets)
 	m.termEnds = c.counter("chivecroft.term.ends", "{term}", "Terms as the lease holder that have ended, by reason.")
+	m.restores = c.counter("chivecroft.kv.restores", "{restore}", "Times that the store came back from an older copy, as the election has seen it.")
 	m.idle = c.floatCounter("chivecroft.accelerator.idle.time", "s", "Time for which accelerators were held by idle replicas.")
 	m.targetEnds = c.counter("chivecroft.target.ends", "{target}", "Targets that ended unplanned with requests in flight.")
 	m.blocks = c.gauge("chivecroft.prompt.blocks", "{block}", "Blocks of prompt parts that crash targets.")
--- a/internal/transport/meter/meter.go
+++ b/internal/transport/meter/meter.go
@@ -86,6 +86,7 @@
 	loads      metric.Int64Counter
 	orders     metric.Int64Counter
 	termEnds   metric.Int64Counter
+	restores   metric.Int64Counter
 	idle       metric.Float64Counter
 	limits     metric.Int64Gauge
 	targetEnds metric.Int64Counter
@@ -238,6 +239,11 @@
 	m.termEnds.Add(context.Background(), 1, metric.WithAttributes(attribute.String("chivecroft.reason", reason)))
 }
 
+// StoreRestored counts that the store has come back from an older copy.
+func (m *Meter) StoreRestored() {
+	m.restores.Add(context.Background(), 1)
+}
+
 // IdleAccelerator adds to the time for which accelerators were held by idle replicas.
 func (m *Meter) IdleAccelerator(model string, d time.Duration) {
 	m.idle.Add(context.Background(), d.Seconds(), metric.WithAttributes(m.model(model)))
--- a/internal/transport/meter/meter_test.go
+++ b/internal/transport/meter/meter_test.go
@@ -65,6 +65,7 @@
 	m.Order("taken", "passed")
 	m.OrderTermLeft(460 * time.Millisecond)
 	m.TermEnd("stopped")
+	m.StoreRestored()
 	labels := `{chivecroft_class="interactive",chivecroft_service="assist",chivecroft_tenant="desk"`
 	cases := []struct{ part, want string }{
 		{"queue_wait_duration_seconds_sum", `chivecroft_queue_wait_duration_seconds_sum` + labels + `} 0.03`},
@@ -85,6 +86,7 @@
 		{"config_proof_age", `chivecroft_config_proof_age_seconds 1.5`},
 		{"chivecroft_orders", `chivecroft_orders_total{chivecroft_check="passed",chivecroft_result="taken"} 1`},
 		{"term_left_seconds_sum", `chivecroft_order_term_left_seconds_sum 0.46`},
+		{"kv_restores", `chivecroft_kv_restores_total 1`},
 		{"term_ends", `chivecroft_term_ends_total{chivecroft_reason="stopped"} 1`},
 		{"target_ends", `chivecroft_target_ends_total{chivecroft_service="assist"} 1`},
 	}
