elect: the wait for a former holder goes on over terms of the successor

What callers saw: no orders for 10.5 s after the kill of a holder, where 6.3 s were due, if the store did not answer the successor's write of the record.

Cause: the successor then begins another term, and its wait for the former holder began again, although it had waited as long as needed.

Change: while the record has the same revision, no other instance can have sent orders since the earlier term, since each one writes the record first and its write would fail; so the wait counts from where it did. A copy of the store ends that.

--- a/internal/coordination/elect/ends_test.go
+++ b/internal/coordination/elect/ends_test.go
@@ -160,6 +160,14 @@
 	{"planned stop of the successor", thenSuccessor((*fixture).stop), deferral + afterLoss + calls},
 	{"kill of the successor", thenSuccessor((*fixture).kill), deferral + testTTL + afterLoss + calls},
 	{"restart of the successor", thenSuccessor((*fixture).restart), deferral + afterLoss + startJitter + calls},
+	{"kill, and a successor whose record has no answer", func(r *fixture, i int) {
+		r.kill(i)
+		next := r.nodes[r.successor()]
+		r.advance(next.status.OrderFrom.Sub(r.timer.Now()) - tick)
+		next.kv.SetFaults(world.KVFaults{Latency: 8 * time.Millisecond, LoseAnswers: 1, LateWrites: lateWrites})
+		r.advance(calls)
+		next.kv.SetFaults(world.KVFaults{Latency: 8 * time.Millisecond})
+	}, afterLoss + 2*minRetryDelay + calls},
 	{"holder without store", cutOff, afterLoss},
 	{"outage of the store", during(world.KVFaults{Down: true}), outage + retried + testArrival + testHandover + calls},
 	{"slow store", during(world.KVFaults{Latency: 500 * time.Millisecond}), calls},
--- a/internal/coordination/elect/part.go
+++ b/internal/coordination/elect/part.go
@@ -181,9 +181,10 @@
 	recordRevision ports.Revision
 	// isRecorded means that the record names this instance.
 	isRecorded bool
-	// handoverFrom is the time from which the wait for a former holder counts in the
-	// current term.
-	handoverFrom time.Time
+	// handoverFrom is the time from which the wait for a former holder counts in the latest
+	// term, handoverRecord the revision of the record that names that holder.
+	handoverFrom   time.Time
+	handoverRecord ports.Revision
 
 	// renewedAt and checkedAt are the times from which the last successful renewal and
 	// check of the key count.
--- a/internal/coordination/elect/record.go
+++ b/internal/coordination/elect/record.go
@@ -112,7 +112,7 @@
 // restart looks for the holder again, since the store has come back from an older copy. What
 // was read before it shows nothing.
 func (p *Part) restart() []ports.Effect {
-	p.missingSince, p.hasDeferred = time.Time{}, false
+	p.missingSince, p.handoverFrom, p.hasDeferred = time.Time{}, time.Time{}, false
 	switch p.phase {
 	case phasePassive, phaseStopped:
 		return nil
--- a/internal/coordination/elect/term.go
+++ b/internal/coordination/elect/term.go
@@ -21,7 +21,7 @@
 	p.isRecorded = false
 	p.renewedAt, p.checkedAt = time.Time{}, time.Time{}
 	clear(p.proofs)
-	p.handoverFrom = p.handoverStart(now)
+	p.handoverFrom, p.handoverRecord = p.handoverStart(now), p.recordRevision
 	from := timer.Later(now, p.handoverFrom.Add(p.handoverWait()))
 	p.missingSince = time.Time{}
 	p.status = Status{
@@ -57,8 +57,12 @@
 
 // handoverStart returns the time from which the wait for a former holder counts. It is
 // the time when the key was found missing, if the record shows that no other instance has
-// become the holder and sent orders since then.
+// become the holder and sent orders since then. While the record is the same as in an earlier
+// term of this instance, nobody has, and the wait goes on from there.
 func (p *Part) handoverStart(now time.Time) time.Time {
+	if !p.handoverFrom.IsZero() && p.recordRevision == p.handoverRecord {
+		return p.handoverFrom
+	}
 	if p.missingSince.IsZero() || p.recordRevision > p.missingRevision {
 		return now
 	}
