elect: table of ends: a successor that stops while the former holder's orders are on their way

A successor that writes "settled" for a former holder in its own planned stop was found by no test.

Measured: planted in a scratch copy, this fails three cases of TestEndsOfTerms now; all pass on this code.

--- a/internal/coordination/elect/ends_test.go
+++ b/internal/coordination/elect/ends_test.go
@@ -158,6 +158,11 @@
 	}, testArrival + testHandover + calls},
 	{"holder whose renewals fail", withFaults(world.KVFaults{Latency: 8 * time.Millisecond, NoWrites: true}), afterLoss},
 	{"planned stop of the successor", thenSuccessor((*fixture).stop), deferral + afterLoss + calls},
+	{"planned stop of the successor of one that is cut off", func(r *fixture, i int) {
+		cutOff(r, i)
+		r.deleteKey()
+		r.stop(r.successor())
+	}, deferral + testArrival + testHandover + calls},
 	{"kill of the successor", thenSuccessor((*fixture).kill), deferral + testTTL + afterLoss + calls},
 	{"restart of the successor", thenSuccessor((*fixture).restart), deferral + afterLoss + startJitter + calls},
 	{"kill, and a successor whose record has no answer", func(r *fixture, i int) {
