edge: a holder doesn't go on with its ledger after another holder

Cause: an instance that becomes the holder again within 3 s of its last term goes on with its own ledger, on the grounds that a term of another one lasts longer. A planned stop ends one sooner. Only an instance that had itself got permits from that holder dropped its ledger.

An instance that has known another holder since doesn't use its ledger any more; it still hands it over. TestLedgerEndsWithAnotherHolder failed before ("-false +true") and passes. What remains is an instance that stands still over the whole term of the other one.

--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -120,6 +120,9 @@
 			Dur("ordersIn", max(s.OrderFrom.Sub(k.clock.Now()), 0)).Msg("holder changed")
 	}
 	k.logTerm(was, s)
+	if s.Holder.IsValid() && !s.IsHolder {
+		k.teamQuotas.noteSuccessor()
+	}
 	if was.IsHolder == s.IsHolder {
 		k.setHandovers()
 		return
--- a/internal/edge/ledger.go
+++ b/internal/edge/ledger.go
@@ -51,6 +51,8 @@
 	former  *usage.Ledger
 	endedAt time.Time
 	takenBy int64
+	// hasSuccessor means that another instance has been the holder since this one's last term.
+	hasSuccessor bool
 }
 
 func newTeamQuotas() *teamQuotas { return &teamQuotas{ledger: usage.NewLedger(0, time.Time{})} }
@@ -65,12 +67,12 @@
 	q.term, q.awaitedUntil = term, time.Time{}
 	var h *usage.Handover
 	switch {
-	case isOwn:
+	case isOwn && !q.hasSuccessor:
 		h = q.handOverFormer(term, now)
 	case isAwaited:
 		q.awaitedUntil = now.Add(ledgerTimeout)
 	}
-	q.former, q.takenBy, q.hasAnswered = nil, 0, false
+	q.former, q.takenBy, q.hasAnswered, q.hasSuccessor = nil, 0, false, false
 	q.newLedger(now, h)
 }
 
@@ -136,6 +138,14 @@
 	q.former = nil
 }
 
+// noteSuccessor notes that another instance is the holder. It may still ask for the ledger of this
+// instance's last term.
+func (q *teamQuotas) noteSuccessor() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.hasSuccessor = true
+}
+
 // setDead sets when the last holder before this instance was found dead.
 func (q *teamQuotas) setDead(at time.Time) {
 	q.mu.Lock()
--- a/internal/edge/ledger_test.go
+++ b/internal/edge/ledger_test.go
@@ -1,9 +1,12 @@
 package edge
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"chivecroft.example/chivecroft/internal/coordination/elect"
 	"chivecroft.example/chivecroft/internal/coordination/usage"
 )
@@ -45,3 +48,29 @@
 		})
 	}
 }
+
+// TestLedgerEndsWithAnotherHolder has an instance become the holder again soon after its last term.
+// It guards against one that goes on with its own ledger although another instance has issued
+// permits meanwhile, which the ledger counts as unused.
+func TestLedgerEndsWithAnotherHolder(t *testing.T) {
+	self, other := netip.MustParseAddrPort("10.0.0.1:7"), netip.MustParseAddrPort("10.0.0.2:7")
+	var got []bool
+	for _, between := range []elect.Status{{}, {Holder: other}} {
+		k := newTeamHolder(t, 7)
+		first := k.term()
+		now := k.clock.Now()
+		k.setStatus(elect.Status{})
+		k.setStatus(between)
+		k.setStatus(elect.Status{
+			Holder: self, Former: self, IsHolder: true, TermNumber: 9, OrderFrom: now.Add(time.Second), HeldUntil: now.Add(time.Minute),
+		})
+		r, err := k.answerPermits(usage.Message{From: "i2"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		got = append(got, r.Former == first)
+	}
+	if diff := cmp.Diff([]bool{true, false}, got); diff != "" {
+		t.Errorf("the ledger goes on without and with another holder (-want +got):\n%s", diff)
+	}
+}
