edge: a stop awaits the orders of a killed process of the same machine

Callers would have seen orders of two instances at a target within lease_ms: a holder is killed with orders on their way, its next process takes the key again at once and is stopped in a plan within 0.8 s. It had no order of its own in flight, and wrote `settled`, so that its successor counted lease_ms from then.

A process now counts the orders of a former one as on their way until OrderTimeout after its own start; all of them were sent before it. Only a stop within 0.8 s of the start takes longer.

TestStopAwaitsOrdersOfAFormerProcess failed before: stopped after 42 us, 800 ms expected.

--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -74,8 +74,8 @@
 	load *load.Sums
 	// withoutSlowStart means that targets get no limits after a start or recovery.
 	withoutSlowStart bool
-	// ordersInFlight counts the orders that may be on their way; none is added once
-	// hasStoppedOrders is set.
+	// ordersInFlight counts the orders that may be on their way, those of a former process as
+	// one; none is added once hasStoppedOrders is set.
 	ordersInFlight   sync.WaitGroup
 	hasStoppedOrders bool
 	// unread holds the targets that have not responded since an order to them was given up, and
@@ -98,7 +98,7 @@
 }
 
 func newCoordinator(ctx context.Context, boot *platform.Boot, clock *timer.Boot, l *log.Logger, m *instanceMetrics) *coordinator {
-	return &coordinator{
+	k := &coordinator{
 		ctx: ctx, self: boot.Instance, engines: platform.NewEngines(), clock: clock, log: l, metrics: m,
 		loadWindow: boot.Bounds.LoadWindow, targets: make(map[string]fleet.Target), departures: depart.NewLog(),
 		leaving: picker.NewLeavingSet(), updates: newUpdateLog(), permits: quota.NewLedger(), crashes: crash.NewDetector(),
@@ -106,6 +106,8 @@
 		planners: make(map[string]*sched.Planner), members: make(map[string]member), tree: relay.NewTree(),
 		teamQuotas: newTeamQuotas(), relayZoneSize: relayZoneSize,
 	}
+	k.awaitFormerProcess()
+	return k
 }
 
 // setStatus sets the election status. A new term starts without the state of an earlier
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -58,6 +58,13 @@
 	return stop.unread > 0
 }
 
+// awaitFormerProcess lets the orders of a former process on this machine, which may have been
+// killed, count as on their way until the last of them has arrived.
+func (k *coordinator) awaitFormerProcess() {
+	k.ordersInFlight.Add(1)
+	k.clock.After(platform.OrderTimeout, k.ordersInFlight.Done)
+}
+
 // countUnread returns the number of listed targets that may not have read all orders.
 func (k *coordinator) countUnread() int {
 	n := 0
--- a/internal/edge/orders_test.go
+++ b/internal/edge/orders_test.go
@@ -60,3 +60,16 @@
 		})
 	}
 }
+
+// TestStopAwaitsOrdersOfAFormerProcess stops an instance right after its start. It guards against
+// a successor that counts the handover from before the arrival of the orders that a killed
+// process of the same machine has sent.
+func TestStopAwaitsOrdersOfAFormerProcess(t *testing.T) {
+	began := time.Now()
+	k := newTestCoordinator(t)
+	k.setHolder(true)
+	k.stopOrders()
+	if took := time.Since(began); took < platform.OrderTimeout {
+		t.Errorf("orders have stopped %v after the start, at least %v expected", took, platform.OrderTimeout)
+	}
+}
