sched, edge: a target that comes back to the list holds orders of a former holder

Callers would have seen orders of two instances at a target within lease_ms. A target that stands still sends no heartbeats either: its entry leaves the store after three of them, and is back when the target goes on and reads what the former holder sent. The planner made only targets wait that it first knew within 2 * lease_ms, and forgot them with their entry.

Targets that were born before the end of the wait now wait too, whenever their entry comes, and a response counts although the entry has left since. A target that starts within lease_ms after the first orders waits lease_ms longer.

--- a/internal/coordination/sched/handover_test.go
+++ b/internal/coordination/sched/handover_test.go
@@ -17,7 +17,7 @@
 	r := newFixture(testEngine(4), []string{"m0"}, []string{"m1"})
 	began := r.now
 	r.Planner = NewPlanner("llm", r.engine, 5*time.Second, r.random)
-	r.SetHandover(handover, began.Add(2*handover))
+	r.SetHandover(handover, began.Add(2*handover), began.Add(2*handover))
 	for _, w := range r.targets {
 		r.SetTarget(r.now, w.describe())
 	}
--- a/internal/coordination/sched/planner.go
+++ b/internal/coordination/sched/planner.go
@@ -54,9 +54,12 @@
 	window     time.Duration
 	storeLimit storeLimit
 	// handover is the minimum time between the orders of a former holder and of this one at a
-	// target; it concerns the targets known before handoverEnd.
+	// target; it concerns the targets known before handoverEnd or born before bornBefore.
 	handover    time.Duration
 	handoverEnd time.Time
+	bornBefore  time.Time
+	// respondedAt is when incarnations of targets first responded, also those that have left.
+	respondedAt map[fleet.Identity]time.Time
 	// plannedFrom is the time of the first plan.
 	plannedFrom time.Time
 	// hasFormer means that a former holder may have started loads in the window before it.
@@ -101,7 +104,7 @@
 	p := &Planner{
 		service: service, engine: engine, random: random, window: window,
 		workers: make(map[string]*targetState), demands: make(map[string]*demand), rates: make(map[string]*rate),
-		lost:       make(map[string][]lostLoad),
+		lost: make(map[string][]lostLoad), respondedAt: make(map[fleet.Identity]time.Time),
 		storeLimit: storeLimit{loads: initialStoreLoads}, index: &index{}, expected: make(map[string]time.Time),
 	}
 	for _, opt := range opts {
@@ -113,18 +116,21 @@
 // SetEngine sets a new configuration of the service.
 func (p *Planner) SetEngine(e *fleet.Engine) { p.engine = e }
 
-// SetHandover makes orders to each target that is known before end wait until d after a first
-// response to a request for a report. The target may have stood still, with orders of a former
-// holder unread, until that response. Requests begin once that holder's orders have settled.
-func (p *Planner) SetHandover(d time.Duration, end time.Time) { p.handover, p.handoverEnd = d, end }
+// SetHandover makes orders to each target that may hold orders of a former holder wait until d
+// after its first response to a request for a report. It may have stood still, with those orders
+// unread, until that response. Such a target is known before end, or was born before bornBefore by
+// the time of day: the entry of one that stands still leaves the list, and is back later. Requests
+// begin once the former holder's orders have settled.
+func (p *Planner) SetHandover(d time.Duration, end, bornBefore time.Time) {
+	p.handover, p.handoverEnd, p.bornBefore = d, end, bornBefore
+}
 
 // SetTarget adds a target or updates its description from the list.
 func (p *Planner) SetTarget(now time.Time, r fleet.Target) {
 	w := p.workers[r.ID]
 	if w == nil || w.Born != r.Born {
-		isNew := w == nil || w.respondedAt.IsZero()
-		w = &targetState{Target: r, loadedAt: make(map[string]time.Time)}
-		w.awaitsHandover = isNew && p.handover > 0 && now.Before(p.handoverEnd)
+		awaits := p.awaitsHandover(now, w, &r)
+		w = &targetState{Target: r, loadedAt: make(map[string]time.Time), awaitsHandover: awaits}
 		w.requestReport(now)
 		p.workers[r.ID] = w
 		p.markChanged(w)
@@ -143,6 +149,16 @@
 	p.markChanged(w)
 }
 
+// awaitsHandover reports whether an incarnation of a target may hold unread orders of a former
+// holder. before is what is known of the one before it, nil if there is none.
+func (p *Planner) awaitsHandover(now time.Time, before *targetState, r *fleet.Target) bool {
+	if before != nil && p.HasResponded(before.Identity) {
+		return false
+	}
+	wasThere := now.Before(p.handoverEnd) || time.UnixMilli(r.Born).Before(p.bornBefore)
+	return p.handover > 0 && wasThere
+}
+
 // sameModels reports whether both lists contain the same models, regardless of adapters.
 func sameModels(x, y []fleet.Loaded) bool {
 	if len(x) != len(y) {
@@ -202,6 +218,9 @@
 		// Another incarnation has replied; the list will contain it later.
 		w.invalidate(now.Add(errorBackoff))
 		return
+	}
+	p.noteResponse(now, w)
+	switch {
 	case now.Before(p.orderTime(now, w)):
 		w.requestReport(p.orderTime(now, w))
 		return
@@ -219,26 +238,34 @@
 	p.applyReport(now, w, r)
 }
 
-// orderTime returns when orders to a target that has just responded may begin. No order of a
-// former holder is unread there any more.
+// noteResponse records that a target has responded to this planner.
+func (p *Planner) noteResponse(now time.Time, w *targetState) {
+	if !p.HasResponded(w.Identity) {
+		p.respondedAt[w.Identity] = now
+	}
+}
+
+// HasResponded reports whether an incarnation of a target has responded to this planner, so that
+// it has no order of a former holder unread.
+func (p *Planner) HasResponded(id fleet.Identity) bool { return !p.respondedAt[id].IsZero() }
+
+// orderTime returns when orders to a target that has responded may begin. No order of a former
+// holder is unread there any more.
 func (p *Planner) orderTime(now time.Time, w *targetState) time.Time {
 	if !w.awaitsHandover {
 		return now
 	}
-	if w.respondedAt.IsZero() {
-		w.respondedAt = now
-	}
-	return w.respondedAt.Add(p.handover)
+	return p.respondedAt[w.Identity].Add(p.handover)
 }
 
 // RespondedAt returns when a target first responded for whose orders a handover counts from
 // then; it is zero if the target has not responded or needs no wait.
 func (p *Planner) RespondedAt(id string) time.Time {
 	w := p.workers[id]
-	if w == nil {
+	if w == nil || !w.awaitsHandover {
 		return time.Time{}
 	}
-	return w.respondedAt
+	return p.respondedAt[w.Identity]
 }
 
 // applyReport applies the report of a target that is carrying out no order.
--- a/internal/coordination/sched/target.go
+++ b/internal/coordination/sched/target.go
@@ -33,9 +33,8 @@
 	// is carrying out no order.
 	isCertain bool
 	// awaitsHandover means that the target may have unread orders of a former holder until
-	// it first responds, which was at respondedAt.
+	// it first responds.
 	awaitsHandover bool
-	respondedAt    time.Time
 	// lastOrderAt is when the target last accepted an order.
 	lastOrderAt time.Time
 	// isLimited means that the target has named a rate limit.
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -256,7 +256,8 @@
 }
 
 func (k *coordinator) setHandover(p *sched.Planner) {
-	p.SetHandover(k.status.Handover, k.status.OrderFrom.Add(k.status.Handover))
+	end := k.status.OrderFrom.Add(k.status.Handover)
+	p.SetHandover(k.status.Handover, end, time.Now().Add(end.Sub(k.clock.Now())))
 }
 
 func (k *coordinator) setTarget(r fleet.Target) {
--- a/internal/edge/terms_test.go
+++ b/internal/edge/terms_test.go
@@ -239,7 +239,7 @@
 			IsHolder: true, Token: 5, SettledAt: now.Add(-c.settled), Handover: handover, OrderFrom: now.Add(handover - c.settled),
 		})
 		p := sched.NewPlanner("llm", &fleet.Engine{}, time.Second, rand.New(rand.NewPCG(1, 1)))
-		p.SetHandover(handover, now.Add(time.Minute))
+		p.SetHandover(handover, now.Add(time.Minute), time.Now())
 		target := fleet.Target{Identity: fleet.Identity{ID: c.id, Born: late.Born}, Addr: late.Addr()}
 		late.ID = c.id
 		p.SetTarget(now, target)
