edge: a planned stop tells of unread orders of all kinds

Callers would have seen orders of two instances at a target within lease_ms: after a planned stop whose record says that no target has orders unread, the successor orders each target at once. It said so although a target had not responded since the holder before, whose orders it may not have read, and although the entry of a target with an unread order had left the store, as it does while the target stands still. Planned stops that follow each other lead there.

A target counts now until it has responded in this term, and for a minute after its entry has left.

TestStopTellsOfUnreadOrders failed before in both cases: no unread orders.

--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -78,8 +78,8 @@
 	// one; none is added once hasStoppedOrders is set.
 	ordersInFlight   sync.WaitGroup
 	hasStoppedOrders bool
-	// unread holds the targets that have not responded since an order to them was given up, and
-	// when that was.
+	// unread holds the targets that have not responded since an order to them was given up or
+	// since their entry has left the store, and when that was.
 	unread     map[fleet.Identity]time.Time
 	termOrders termOrders
 
@@ -314,7 +314,9 @@
 	if p := k.planners[k.targets[id].Service]; p != nil {
 		p.Remove(id)
 	}
-	delete(k.unread, k.targets[id].Identity)
+	if r, isListed := k.targets[id]; isListed {
+		k.noteRemoved(r)
+	}
 	delete(k.targets, id)
 	d, _ := k.departures.Find(id)
 	k.sums().Ramps().Stop(k.updates.remove(id, uint64(d.Revision)))
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"chivecroft.example/chivecroft/internal/coordination/sched"
+	"chivecroft.example/chivecroft/internal/state/fleet"
 	"chivecroft.example/chivecroft/platform"
 )
 
@@ -65,17 +66,49 @@
 	k.clock.After(platform.OrderTimeout, k.ordersInFlight.Done)
 }
 
-// countUnread returns the number of listed targets that may not have read all orders.
+// unreadTTL is how long after its entry has left the store a target counts that may not have read
+// all orders. It may be alive, and come back.
+const unreadTTL = time.Minute
+
+// countUnread returns the number of targets that may not have read all orders, of this holder or
+// of one before it.
 func (k *coordinator) countUnread() int {
 	n := 0
-	for id := range k.unread {
-		if k.targets[id.ID].Identity == id {
+	for _, r := range k.targets {
+		if k.mayHoldUnread(r) {
+			n++
+		}
+	}
+	for id, at := range k.unread {
+		_, isListed := k.targets[id.ID]
+		if !isListed && k.clock.Now().Sub(at) < unreadTTL {
 			n++
 		}
 	}
 	return n
 }
 
+// mayHoldUnread reports whether a listed target may not have read all orders: it has not responded
+// since one was given up, or not in this term.
+func (k *coordinator) mayHoldUnread(r fleet.Target) bool {
+	_, isUnread := k.unread[r.Identity]
+	p := k.planners[r.Service]
+	return isUnread || p != nil && !p.HasResponded(r.Identity)
+}
+
+// noteRemoved keeps a target that may hold unread orders for unreadTTL after its removal.
+func (k *coordinator) noteRemoved(r fleet.Target) {
+	now := k.clock.Now()
+	for id, at := range k.unread {
+		if _, isListed := k.targets[id.ID]; !isListed && now.Sub(at) >= unreadTTL {
+			delete(k.unread, id)
+		}
+	}
+	if k.mayHoldUnread(r) {
+		k.unread[r.Identity] = now
+	}
+}
+
 func (k *coordinator) requestReport(p *sched.Planner, a sched.Action) {
 	began := k.clock.Now()
 	r, err := k.engines.Report(k.ctx, a.To.Addr)
