--- a/internal/coordination/relay/copy_test.go
+++ b/internal/coordination/relay/copy_test.go
@@ -29,3 +29,24 @@
 		t.Errorf("time until the removal in ms (-want +got):\n%s", diff)
 	}
 }
+
+// TestLateMessageOfAFormerHolder guards against the updates of a former holder, passed on late by a
+// relay, in place of those of its successor.
+func TestLateMessageOfAFormerHolder(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	c := NewCopy()
+	adopt := func(term int64, version uint64, asOf time.Duration, id string) bool {
+		update := picker.Update{Identity: fleet.Identity{ID: id, Born: 1}}
+		return c.Adopt(State{Position: Position{Term: term, Version: version}}, start.Add(asOf), true, []picker.Update{update})
+	}
+	got := []bool{
+		adopt(9, 4, time.Second, "old"), adopt(3, 1, 2*time.Second, "new"),
+		adopt(9, 5, 1900*time.Millisecond, "old"), adopt(9, 5, 2*time.Second, "old"),
+	}
+	if diff := cmp.Diff([]bool{true, true, false, false}, got); diff != "" {
+		t.Errorf("messages that were taken (-want +got):\n%s", diff)
+	}
+	if updates, _ := c.After(Position{}); len(updates) != 1 || updates[0].ID != "new" {
+		t.Errorf("updates %v, wanted those of the successor", updates)
+	}
+}
