--- a/internal/edge/terms_test.go
+++ b/internal/edge/terms_test.go
@@ -256,3 +256,17 @@
 		t.Errorf("lines (-want +got):\n%s", diff)
 	}
 }
+
+// TestHandoverLine reads settings again that have the same handover, and then another one.
+func TestHandoverLine(t *testing.T) {
+	k, lines := newRecordedCoordinator(t)
+	k.setStatus(elect.Status{IsHolder: true, Token: 5})
+	k.logHandover(3*time.Second, 3*time.Second)
+	k.logHandover(3*time.Second, 20*time.Second)
+	want := []map[string]any{
+		{"message": "handover changed", "instance": "i1", "was": 3000.0, "handover": 20000.0, "mine": true, "token": 5.0},
+	}
+	if diff := cmp.Diff(want, lines.take(t, "handover changed")); diff != "" {
+		t.Errorf("lines (-want +got):\n%s", diff)
+	}
+}
