edge test: a stop awaits an order whose connection was closed

Without the wait for the rest of OrderTimeout (settleOrder) the test passed: an order that is not answered ends by its own timeout. The new case, a connection closed without an answer, fails then: stopped after 4.8 ms, 800 ms expected. The tests of stops first let the orders of a former process end, so that they show the wait for their own ones.

--- a/internal/edge/orders_test.go
+++ b/internal/edge/orders_test.go
@@ -26,6 +26,7 @@
 	}{
 		{"answered late", 500 * time.Millisecond, 500 * time.Millisecond, false},
 		{"not answered", 5 * time.Second, platform.OrderTimeout, true},
+		{"connection closed without an answer", -1, platform.OrderTimeout, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -35,10 +36,15 @@
 					return
 				}
 				arrived <- struct{}{}
+				if c.delay < 0 {
+					return
+				}
 				time.Sleep(c.delay)
 				_, _ = io.WriteString(conn, "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
 			})
 			k := newTestCoordinator(t)
+			// No order of a former process is on its way any more.
+			k.ordersInFlight.Wait()
 			target := fleet.Target{Identity: fleet.Identity{ID: "e1", Born: 1}, Addr: at, Service: "llm"}
 			k.setTarget(target)
 			k.setHolder(true)
--- a/internal/edge/terms_test.go
+++ b/internal/edge/terms_test.go
@@ -180,6 +180,8 @@
 // not the holder.
 func TestStopLine(t *testing.T) {
 	k, lines := newRecordedCoordinator(t)
+	// No order of a former process is on its way any more.
+	k.ordersInFlight.Wait()
 	read, unread := fleet.Identity{ID: "e1", Born: 1}, fleet.Identity{ID: "e2", Born: 1}
 	for _, id := range []fleet.Identity{read, unread} {
 		k.setTarget(fleet.Target{Identity: id, Service: "llm"})
