elect: a record that can't be read is not that of a first start

Callers could see orders of two instances within lease_ms: a record that names its holder in a form that this version can't decode, as a later one may write it, counted as a store in which nobody has sent orders before, so that the instance ordered at once. It now waits as for any unknown former holder.

TestUnreadableRecord failed before: reason noFormer, first orders after 0.65 s (the deferral), want 5.3 s. Found by reading.

--- a/internal/coordination/elect/record.go
+++ b/internal/coordination/elect/record.go
@@ -79,10 +79,14 @@
 }
 
 // isRecordCurrent reports whether the record certainly names the last instance that may have
-// sent orders. A store that has come back from an older copy may have lost a later record.
+// sent orders. A store that has come back from an older copy may have lost a later record, and a
+// record that names no holder can't be read.
 func (p *Part) isRecordCurrent() bool {
-	if !p.lastRecord.Holder.IsValid() {
+	switch {
+	case p.recordRevision == 0:
 		return p.era == 0 || p.isFirstStart
+	case !p.lastRecord.Holder.IsValid():
+		return false
 	}
 	return p.lastRecord.Era == p.era
 }
