elect, edge: a holder that comes back waits for targets with orders of the holder before it

A holder had taken over while a target stood still with an order of its predecessor unread, lost its term as the machine was busy and began another one at once. It found itself in the record, and had no wait for that target any more.

The record of a holder that has taken over now says hasUnread until each target has responded (elect.TargetsRead), which is usually 3 s before its first order, so that it costs no further write. A holder that comes back to such a record orders each target lease_ms after its first response; otherwise it goes on at once as before.

--- a/internal/coordination/elect/doc.go
+++ b/internal/coordination/elect/doc.go
@@ -11,7 +11,7 @@
 // ends, one after the other:
 //
 //	the last order is checked     up to orderValidity after the last proof of the key
-//	the last order has arrived    up to the order time later; the holder resets what has not
+//	the last order has arrived    up to the order time later, when its connection is reset
 //	the next holder's first one   the handover after that
 //
 // A second key, the record, has no lease and names the last holder, its fencing token and how
--- a/internal/coordination/elect/ownreturn_test.go
+++ b/internal/coordination/elect/ownreturn_test.go
@@ -7,22 +7,37 @@
 	"github.com/google/go-cmp/cmp"
 )
 
-// TestOwnReturnAwaitsTargets restarts a holder that has taken over from another instance, before
-// it has said that all targets have responded. It guards against orders to a target that has not read those
-// of the instance before.
+// TestOwnReturnAwaitsTargets restarts a holder that has taken over from another instance. It guards
+// against orders to a target that has not read those of the instance before, and against a
+// wait once all targets have responded.
 func TestOwnReturnAwaitsTargets(t *testing.T) {
-	r := newFixture(3, 1)
-	r.advance(time.Second)
-	first := r.holder
-	r.kill(first)
-	r.advance(afterLoss + calls)
-	second := r.holder
-	if second == first || r.nodes[second].status.Handover != testHandover {
-		t.Fatalf("holder %d after %d, status %+v", second, first, r.nodes[second].status)
-	}
-	r.restart(second)
-	r.advance(500 * time.Millisecond)
-	if diff := cmp.Diff(testHandover, r.nodes[second].status.Handover); diff != "" {
-		t.Errorf("handover that targets without a response are waited for (-want +got):\n%s", diff)
+	for _, c := range []struct {
+		name string
+		read bool
+		want time.Duration
+	}{
+		{"before all targets have responded", false, testHandover},
+		{"after all targets have responded", true, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newFixture(3, 1)
+			r.advance(time.Second)
+			first := r.holder
+			r.kill(first)
+			second := r.successor()
+			if handover := r.nodes[second].status.Handover; handover != testHandover {
+				t.Fatalf("the successor waits %v after a response, want %v", handover, testHandover)
+			}
+			if c.read {
+				r.nodes[second].loop.Post(TargetsRead{TermNumber: r.nodes[second].status.TermNumber})
+			}
+			r.advance(afterLoss)
+			r.restart(second)
+			r.advance(500 * time.Millisecond)
+			s := r.nodes[second].status
+			if diff := cmp.Diff(c.want, s.Handover); diff != "" || !s.CanOrder(r.timer.Now()) {
+				t.Errorf("wait after a response of a target, in the status %+v (-want +got):\n%s", s, diff)
+			}
+		})
 	}
 }
--- a/internal/coordination/elect/part.go
+++ b/internal/coordination/elect/part.go
@@ -181,6 +181,8 @@
 	recordRevision ports.Revision
 	// isRecorded means that the record names this instance.
 	isRecorded bool
+	// hasUnread means that a target may have orders of a former holder unread.
+	hasUnread bool
 	// handoverFrom is the time from which the wait for a former holder counts in the latest
 	// term, handoverRecord the revision of the record that names that holder.
 	handoverFrom   time.Time
@@ -205,6 +207,10 @@
 // all of them, since it has not responded.
 type Release struct{ HasUnread bool }
 
+// TargetsRead tells the holder of a term that each target has responded since the orders of a
+// former holder have settled, so that it has none of them unread.
+type TargetsRead struct{ TermNumber uint64 }
+
 // HolderUnresponsive means that the holder does not reply; the key is read again.
 type HolderUnresponsive struct{}
 
@@ -239,6 +245,9 @@
 // IsEvent implements ports.Event.
 func (Release) IsEvent() {}
 
+// IsEvent implements ports.Event.
+func (TargetsRead) IsEvent() {}
+
 // IsEvent implements ports.Event.
 func (HolderUnresponsive) IsEvent() {}
 
@@ -307,6 +316,8 @@
 		}
 	case Release:
 		return p.release(e.HasUnread)
+	case TargetsRead:
+		p.hasUnread = p.hasUnread && e.TermNumber != p.status.TermNumber
 	case SetHandover:
 		return p.setHandover(now, e.Handover)
 	case ports.TimerFired:
--- a/internal/coordination/elect/record.go
+++ b/internal/coordination/elect/record.go
@@ -8,8 +8,8 @@
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 )
 
-// unknownArrival is used for records without ArrivalMS. Their holders sent orders for up to
-// 1.35 s after they had lost the key, and gave each of them 0.8 s.
+// unknownArrival is used if no record tells the ArrivalMS of the last holder. One of a former
+// version sends orders for up to 1.35 s after it has lost the key, and gives each of them 0.8 s.
 const unknownArrival = 2300 * time.Millisecond
 
 // eraStep is added to fencing tokens and term numbers for each era of the store. It exceeds the number of
@@ -29,7 +29,8 @@
 	// Settled means that the holder has stopped sending orders, and that none of them is on its
 	// way any more.
 	Settled bool `json:"settled,omitempty"`
-	// HasUnread means that a target may not have read all orders of a holder that has settled.
+	// HasUnread means that a target may not have read all orders of the holder before this one or,
+	// of a holder that has settled, of either.
 	HasUnread bool `json:"hasUnread,omitempty"`
 }
 
@@ -71,7 +72,7 @@
 // own term it keeps the token: orders of a former process on this machine may still be on
 // their way, and must not arrive with a lower token than later ones.
 func (p *Part) ownRecord() holderValue {
-	v := holderValue{Holder: p.self, Era: p.era, ArrivalMS: (orderValidity + p.orderTime).Milliseconds()}
+	v := holderValue{Holder: p.self, Era: p.era, ArrivalMS: (orderValidity + p.orderTime).Milliseconds(), HasUnread: p.hasUnread}
 	if p.lastRecord.Holder == p.self && p.isRecordCurrent() {
 		v.Token = tokenOf(p.lastRecord, p.recordRevision)
 	}
--- a/internal/coordination/elect/term.go
+++ b/internal/coordination/elect/term.go
@@ -28,6 +28,7 @@
 		Holder: p.self, IsHolder: true, OrderFrom: from, Former: p.lastRecord.Holder, Start: p.termStart(), TermNumber: p.termNumber(),
 	}
 	p.setSettled()
+	p.hasUnread = p.status.Handover > 0
 	p.recordTag = p.nextTag()
 	return append(p.prove(now), ports.ArmTimer{Tag: p.recordTag, After: from.Sub(now)})
 }
@@ -95,13 +96,19 @@
 	return p.lastRecord.arrival()
 }
 
-// setSettled sets SettledAt and Handover of the status.
+// setSettled sets SettledAt and Handover of the status. A holder that comes back to its own record
+// may find there that targets have orders of the holder before it unread, which have settled.
 func (p *Part) setSettled() {
-	isRead := p.isRecordCurrent() && p.lastRecord.Settled && !p.lastRecord.HasUnread
-	if !p.hasFormer() || isRead {
+	hasNoUnread := p.isRecordCurrent() && p.lastRecord.Settled && !p.lastRecord.HasUnread
+	switch {
+	case p.hasFormer() && !hasNoUnread:
+		p.status.SettledAt = p.handoverFrom.Add(p.settleTime())
+	case !p.hasFormer() && p.lastRecord.HasUnread:
+		p.status.SettledAt = p.handoverFrom
+	default:
 		return
 	}
-	p.status.SettledAt, p.status.Handover = p.handoverFrom.Add(p.settleTime()), p.handover
+	p.status.Handover = p.handover
 }
 
 // writeRecord names this instance in the record as the one that may have sent the latest
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -75,13 +75,15 @@
 	// withoutSlowStart means that targets get no limits after a start or recovery.
 	withoutSlowStart bool
 	// ordersInFlight counts the orders that may be on their way, those of a former process as
-	// one; none is added once hasStoppedOrders is set.
+	// one, also after they were given up; none is added once hasStoppedOrders is set.
 	ordersInFlight   sync.WaitGroup
 	hasStoppedOrders bool
 	// unread holds the targets that have not responded since an order to them was given up or
 	// since their entry has left the store, and when that was.
-	unread     map[fleet.Identity]time.Time
-	termOrders termOrders
+	unread map[fleet.Identity]time.Time
+	// hasToldRead means that in the present term each target has responded.
+	hasToldRead bool
+	termOrders  termOrders
 
 	members map[string]member
 	// tree knows the instances whose messages go to relays.
@@ -132,6 +134,7 @@
 	if was.IsHolder {
 		k.formerMembers = k.memberPeers()
 	}
+	k.hasToldRead = false
 	k.planners = make(map[string]*sched.Planner)
 	k.members = make(map[string]member)
 	k.tree = relay.NewTree()
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -96,6 +96,18 @@
 	return isUnread || p != nil && !p.HasResponded(r.Identity)
 }
 
+// takeTargetsRead reports, once in a term, that each target has responded since the orders of a
+// former holder have settled.
+func (k *coordinator) takeTargetsRead() (termNumber uint64, isRead bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.status.Handover == 0 || k.hasToldRead || !k.hasFullList || k.config == nil || k.countUnread() > 0 {
+		return 0, false
+	}
+	k.hasToldRead = true
+	return k.status.TermNumber, true
+}
+
 // noteRemoved keeps a target that may hold unread orders for unreadTTL after its removal.
 func (k *coordinator) noteRemoved(r fleet.Target) {
 	now := k.clock.Now()
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -457,6 +457,9 @@
 		if e.isHolder() {
 			began := e.timer.Now()
 			e.coordinator.sendDueOrders()
+			if term, isRead := e.coordinator.takeTargetsRead(); isRead {
+				e.election.Post(elect.TargetsRead{TermNumber: term})
+			}
 			sleep(ctx, max(planInterval, planRest*e.timer.Now().Sub(began)))
 			continue
 		}
--- a/internal/edge/unread_test.go
+++ b/internal/edge/unread_test.go
@@ -46,3 +46,30 @@
 		})
 	}
 }
+
+// TestTargetsReadIsToldOnce has a new holder hear from its only target. It guards against a record
+// that keeps naming unread orders, and against one that no longer names them too early.
+func TestTargetsReadIsToldOnce(t *testing.T) {
+	const handover = 3 * time.Second
+	target := fleet.Target{Identity: fleet.Identity{ID: "e1", Born: 1}, Service: "llm"}
+	k := newTestCoordinator(t)
+	k.setConfig(&fleet.Config{Version: 2, Services: map[string]fleet.Service{"llm": {Engine: &fleet.Engine{}}}}, 2)
+	k.setTarget(target)
+	now := k.clock.Now()
+	k.setStatus(elect.Status{IsHolder: true, TermNumber: 7, SettledAt: now, Handover: handover, OrderFrom: now.Add(handover)})
+	k.setHasFullList(true)
+	var got []uint64
+	take := func() {
+		term, _ := k.takeTargetsRead()
+		got = append(got, term)
+	}
+	take()
+	k.mu.Lock()
+	k.planners["llm"].ReportDone(now, target.ID, fleet.Report{Identity: target.Identity}, nil)
+	k.mu.Unlock()
+	take()
+	take()
+	if diff := cmp.Diff([]uint64{0, 7, 0}, got); diff != "" {
+		t.Errorf("terms told before the response, after it and again (-want +got):\n%s", diff)
+	}
+}
