elect, edge: a record says unread orders until the handover has passed since the responses

A target responded to a new holder, and may just have read an order of the holder before; the new one was killed 2.6 s later, came back to its own record and ordered at once. The record no longer said hasUnread, since each target had responded.

elect.TargetsRead now comes when the handover has passed since each target's response. That is when the first orders are due, so the record is put off by up to 150 ms for it; orders to a target begin no later than before, as they follow its response in any case.

TestTargetsReadIsToldOnce failed before (told at the response), TestOwnReturnAwaitsTargets covers both sides.

--- a/internal/coordination/elect/fixture_test.go
+++ b/internal/coordination/elect/fixture_test.go
@@ -49,6 +49,8 @@
 	judge   judge
 	// violation is the first one that the judge has found.
 	violation string
+	// areTargetsSilent means that no target responds to a new holder.
+	areTargetsSilent bool
 	// longestPause is the longest time without an order since markPause.
 	longestPause time.Duration
 }
@@ -63,6 +65,10 @@
 	// stopping means that the instance sends no more orders. It releases the key when
 	// all of them have arrived; released is set from then on.
 	stopping, released bool
+	// askedAt is when the instance first asked the targets for reports in the term askedTerm;
+	// readTerm is the latest term whose handover has passed since.
+	askedAt             time.Time
+	askedTerm, readTerm uint64
 }
 
 func newFixture(n int, seed uint64) *fixture {
@@ -204,6 +210,25 @@
 	}
 }
 
+// answerReports tells each new holder when the handover has passed since the targets have
+// responded, which they do at once unless they are silent.
+func (r *fixture) answerReports() {
+	now := r.timer.Now()
+	for _, nd := range r.nodes {
+		term := nd.status.TermNumber
+		if nd.frozen || r.areTargetsSilent || !nd.status.IsSettled(now) || nd.readTerm == term {
+			continue
+		}
+		if nd.askedTerm != term {
+			nd.askedTerm, nd.askedAt = term, now
+		}
+		if now.Sub(nd.askedAt) >= nd.status.Handover {
+			nd.readTerm = term
+			nd.loop.Post(TargetsRead{TermNumber: term})
+		}
+	}
+}
+
 // deliverOrders passes the orders that have arrived to the judge.
 func (r *fixture) deliverOrders() {
 	now := r.timer.Now()
@@ -242,6 +267,7 @@
 	for end := r.timer.Now().Add(d); r.timer.Now().Before(end); {
 		r.timer.Advance(tick)
 		r.sendOrders()
+		r.answerReports()
 		r.deliverOrders()
 		r.releaseSettled()
 		r.keepCopy()
--- a/internal/coordination/elect/ownreturn_test.go
+++ b/internal/coordination/elect/ownreturn_test.go
@@ -8,19 +8,20 @@
 )
 
 // TestOwnReturnAwaitsTargets restarts a holder that has taken over from another instance. It guards
-// against orders to a target that has not read those of the instance before, and against a
-// wait once all targets have responded.
+// against orders to a target that has just read those of the instance before or has not read
+// them yet, and against a wait once the handover has passed since all targets have responded.
 func TestOwnReturnAwaitsTargets(t *testing.T) {
 	for _, c := range []struct {
-		name string
-		read bool
-		want time.Duration
+		name             string
+		areTargetsSilent bool
+		want             time.Duration
 	}{
-		{"before all targets have responded", false, testHandover},
-		{"after all targets have responded", true, 0},
+		{"before all targets have responded", true, testHandover},
+		{"after all targets have responded", false, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			r := newFixture(3, 1)
+			r.areTargetsSilent = c.areTargetsSilent
 			r.advance(time.Second)
 			first := r.holder
 			r.kill(first)
@@ -28,9 +29,6 @@
 			if handover := r.nodes[second].status.Handover; handover != testHandover {
 				t.Fatalf("the successor waits %v after a response, want %v", handover, testHandover)
 			}
-			if c.read {
-				r.nodes[second].loop.Post(TargetsRead{TermNumber: r.nodes[second].status.TermNumber})
-			}
 			r.advance(afterLoss)
 			r.restart(second)
 			r.advance(500 * time.Millisecond)
--- a/internal/coordination/elect/part.go
+++ b/internal/coordination/elect/part.go
@@ -40,6 +40,10 @@
 	// firstReplyTime is how long after its start an instance takes a store without a record for
 	// one that has never had one. Later the store may have lost it.
 	firstReplyTime = time.Second
+	// unreadTime is how much longer than for the handover a new holder waits for the responses of
+	// all targets, so that its record need not say that it lacks some. The first orders follow
+	// these responses in any case.
+	unreadTime = 150 * time.Millisecond
 	// startJitter spreads the first calls of instances that start at the same time.
 	startJitter = 80 * time.Millisecond
 	// deferDelay and deferJitter determine how long an instance waits for the last holder
@@ -181,8 +185,10 @@
 	recordRevision ports.Revision
 	// isRecorded means that the record names this instance.
 	isRecorded bool
-	// hasUnread means that a target may have orders of a former holder unread.
-	hasUnread bool
+	// hasUnread means that a target may have read orders of a former holder within the handover,
+	// or not yet; isRecordPutOff that the record waits for the end of that.
+	hasUnread      bool
+	isRecordPutOff bool
 	// handoverFrom is the time from which the wait for a former holder counts in the latest
 	// term, handoverRecord the revision of the record that names that holder.
 	handoverFrom   time.Time
@@ -207,8 +213,8 @@
 // all of them, since it has not responded.
 type Release struct{ HasUnread bool }
 
-// TargetsRead tells the holder of a term that each target has responded since the orders of a
-// former holder have settled, so that it has none of them unread.
+// TargetsRead tells the holder of a term that the handover has passed since each target has
+// responded, so that an order of this instance comes too soon after those of a former one at none.
 type TargetsRead struct{ TermNumber uint64 }
 
 // HolderUnresponsive means that the holder does not reply; the key is read again.
@@ -317,7 +323,7 @@
 	case Release:
 		return p.release(e.HasUnread)
 	case TargetsRead:
-		p.hasUnread = p.hasUnread && e.TermNumber != p.status.TermNumber
+		return p.targetsRead(e.TermNumber)
 	case SetHandover:
 		return p.setHandover(now, e.Handover)
 	case ports.TimerFired:
@@ -333,7 +339,7 @@
 	case p.phase == phaseHold && tag == p.proofTag:
 		return p.prove(now)
 	case p.phase == phaseHold && tag == p.recordTag:
-		return p.writeRecord()
+		return p.recordDue(now)
 	case tag == p.tag && p.phase == phaseBeforeWatch:
 		return p.watchKey()
 	case tag == p.tag:
--- a/internal/coordination/elect/record.go
+++ b/internal/coordination/elect/record.go
@@ -29,8 +29,8 @@
 	// Settled means that the holder has stopped sending orders, and that none of them is on its
 	// way any more.
 	Settled bool `json:"settled,omitempty"`
-	// HasUnread means that a target may not have read all orders of the holder before this one or,
-	// of a holder that has settled, of either.
+	// HasUnread means that a target may have read orders of the holder before this one within the
+	// handover, or not yet; if the holder has settled, that it may not have read all orders of either.
 	HasUnread bool `json:"hasUnread,omitempty"`
 }
 
--- a/internal/coordination/elect/term.go
+++ b/internal/coordination/elect/term.go
@@ -28,7 +28,7 @@
 		Holder: p.self, IsHolder: true, OrderFrom: from, Former: p.lastRecord.Holder, Start: p.termStart(), TermNumber: p.termNumber(),
 	}
 	p.setSettled()
-	p.hasUnread = p.status.Handover > 0
+	p.hasUnread, p.isRecordPutOff = p.status.Handover > 0, false
 	p.recordTag = p.nextTag()
 	return append(p.prove(now), ports.ArmTimer{Tag: p.recordTag, After: from.Sub(now)})
 }
@@ -111,6 +111,31 @@
 	p.status.Handover = p.handover
 }
 
+// recordDue writes the record once orders may be sent, if the targets don't delay it.
+func (p *Part) recordDue(now time.Time) []ports.Effect {
+	rest := p.status.OrderFrom.Add(unreadTime).Sub(now)
+	if !p.hasUnread || p.isRecordPutOff || rest <= 0 {
+		p.isRecordPutOff = false
+		return p.writeRecord()
+	}
+	p.isRecordPutOff = true
+	p.recordTag = p.nextTag()
+	return []ports.Effect{ports.ArmTimer{Tag: p.recordTag, After: rest}}
+}
+
+// targetsRead notes that no target may have read orders of a former holder too recently.
+func (p *Part) targetsRead(termNumber uint64) []ports.Effect {
+	if p.phase != phaseHold || termNumber != p.status.TermNumber {
+		return nil
+	}
+	p.hasUnread = false
+	if !p.isRecordPutOff {
+		return nil
+	}
+	p.isRecordPutOff = false
+	return p.writeRecord()
+}
+
 // writeRecord names this instance in the record as the one that may have sent the latest
 // orders.
 func (p *Part) writeRecord() []ports.Effect {
--- a/internal/coordination/sched/planner.go
+++ b/internal/coordination/sched/planner.go
@@ -249,6 +249,12 @@
 // it has no order of a former holder unread.
 func (p *Planner) HasResponded(id fleet.Identity) bool { return !p.respondedAt[id].IsZero() }
 
+// HasWaited reports whether an incarnation of a target has responded to this planner, and the
+// handover has passed since.
+func (p *Planner) HasWaited(now time.Time, id fleet.Identity) bool {
+	return p.HasResponded(id) && !now.Before(p.respondedAt[id].Add(p.handover))
+}
+
 // orderTime returns when orders to a target that has responded may begin. No order of a former
 // holder is unread there any more.
 func (p *Planner) orderTime(now time.Time, w *targetState) time.Time {
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -81,7 +81,8 @@
 	// unread holds the targets that have not responded since an order to them was given up or
 	// since their entry has left the store, and when that was.
 	unread map[fleet.Identity]time.Time
-	// hasToldRead means that in the present term each target has responded.
+	// hasToldRead means that in the present term the handover has passed since each target has
+	// responded.
 	hasToldRead bool
 	termOrders  termOrders
 
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -96,18 +96,30 @@
 	return isUnread || p != nil && !p.HasResponded(r.Identity)
 }
 
-// takeTargetsRead reports, once in a term, that each target has responded since the orders of a
-// former holder have settled.
+// takeTargetsRead reports, once in a term, that the handover has passed since each target has
+// responded to this holder.
 func (k *coordinator) takeTargetsRead() (termNumber uint64, isRead bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.status.Handover == 0 || k.hasToldRead || !k.hasFullList || k.config == nil || k.countUnread() > 0 {
+	if k.status.Handover == 0 || k.hasToldRead || !k.hasFullList || k.config == nil || k.awaitsTarget() {
 		return 0, false
 	}
 	k.hasToldRead = true
 	return k.status.TermNumber, true
 }
 
+// awaitsTarget reports whether a target may have read orders of a former holder within the
+// handover, or not yet.
+func (k *coordinator) awaitsTarget() bool {
+	now := k.clock.Now()
+	for _, r := range k.targets {
+		if p := k.planners[r.Service]; p != nil && !p.HasWaited(now, r.Identity) {
+			return true
+		}
+	}
+	return false
+}
+
 // noteRemoved keeps a target that may hold unread orders for unreadTTL after its removal.
 func (k *coordinator) noteRemoved(r fleet.Target) {
 	now := k.clock.Now()
--- a/internal/edge/unread_test.go
+++ b/internal/edge/unread_test.go
@@ -7,6 +7,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"chivecroft.example/chivecroft/internal/coordination/elect"
+	"chivecroft.example/chivecroft/internal/coordination/sched"
 	"chivecroft.example/chivecroft/internal/state/fleet"
 )
 
@@ -64,12 +65,17 @@
 		got = append(got, term)
 	}
 	take()
-	k.mu.Lock()
-	k.planners["llm"].ReportDone(now, target.ID, fleet.Report{Identity: target.Identity}, nil)
-	k.mu.Unlock()
-	take()
+	for _, at := range []time.Duration{-handover + time.Second, -handover} {
+		k.mu.Lock()
+		k.planners["llm"] = sched.NewPlanner("llm", &fleet.Engine{}, time.Second, nil)
+		k.setHandover(k.planners["llm"])
+		k.planners["llm"].SetTarget(now.Add(at), target)
+		k.planners["llm"].ReportDone(now.Add(at), target.ID, fleet.Report{Identity: target.Identity}, nil)
+		k.mu.Unlock()
+		take()
+	}
 	take()
-	if diff := cmp.Diff([]uint64{0, 7, 0}, got); diff != "" {
-		t.Errorf("terms told before the response, after it and again (-want +got):\n%s", diff)
+	if diff := cmp.Diff([]uint64{0, 0, 7, 0}, got); diff != "" {
+		t.Errorf("terms told before a response, within the handover, after it and again (-want +got):\n%s", diff)
 	}
 }
