elect: remove what proofs in place of a watch left without use

While the holder watched its key, its term kept the revision that the watch goes on from. It reads the key now, and a watch of another holder's key begins with the revision of its own read, so that writing seenRevision in a term has no effect. Proofs without a reply are forgotten where a term ends, so that they need not be cleared at its start, nor be told from those of an earlier phase.

--- a/internal/coordination/elect/acquire.go
+++ b/internal/coordination/elect/acquire.go
@@ -118,7 +118,7 @@
 	default:
 		return p.retry()
 	}
-	p.keyRevision, p.seenRevision = r.Revision, r.Revision
+	p.keyRevision = r.Revision
 	return p.call(phaseReadRecord, ports.KVGet{Key: recordKey})
 }
 
--- a/internal/coordination/elect/part.go
+++ b/internal/coordination/elect/part.go
@@ -176,8 +176,8 @@
 	orderTime time.Duration
 
 	lease ports.LeaseID
-	// keyRevision is the revision of the key, seenRevision that of the store at the last
-	// check of the key.
+	// keyRevision is the revision of the key, seenRevision that of the store up to which the
+	// watch of another holder's key has seen it.
 	keyRevision  ports.Revision
 	seenRevision ports.Revision
 	// lastRecord is the record as read under the lease, recordRevision its revision.
@@ -197,8 +197,8 @@
 	// renewedAt and checkedAt are the times from which the last successful renewal and
 	// check of the key count.
 	renewedAt, checkedAt time.Time
-	// proofs are the renewals and reads of the key that have no reply yet, proofTag is the tag
-	// of the timer for the next ones.
+	// proofs are the renewals and reads of the key that have no reply yet, none outside a term;
+	// proofTag is the tag of the timer for the next ones.
 	proofs    map[ports.Tag]proofCall
 	proofTag  ports.Tag
 	recordTag ports.Tag
--- a/internal/coordination/elect/term.go
+++ b/internal/coordination/elect/term.go
@@ -20,7 +20,6 @@
 	p.tag = 0
 	p.isRecorded = false
 	p.renewedAt, p.checkedAt = time.Time{}, time.Time{}
-	clear(p.proofs)
 	p.handoverFrom, p.handoverRecord = p.handoverStart(now), p.recordRevision
 	from := timer.Later(now, p.handoverFrom.Add(p.handoverWait()))
 	p.missingSince = time.Time{}
@@ -188,9 +187,6 @@
 // proofDone handles the reply to a renewal or to a read of the key. It shows the state of the
 // store as of when the call was sent or later.
 func (p *Part) proofDone(c proofCall, r ports.KVReply) []ports.Effect {
-	if p.phase != phaseHold {
-		return nil
-	}
 	item, ok := r.Item()
 	switch {
 	case r.Status == ports.KVNotFound && c.isRenewal:
@@ -201,7 +197,6 @@
 		p.renewedAt = timer.Later(p.renewedAt, c.sent)
 		p.extendTerm()
 	case r.Status == ports.KVOK:
-		p.seenRevision = max(p.seenRevision, r.Revision)
 		p.checkedAt = timer.Later(p.checkedAt, c.sent)
 		p.extendTerm()
 	case c.isRenewal && p.renewedAt.IsZero():
