edge: a new holder without a wait reads its boot file once

The file was read at the beginning of a term and again right before its first order. Where there is no wait, both came at the same moment. The second reading is now left out unless it comes later than the first one.

The tests of reloads, stops, terms and orders pass with the race detector.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -239,9 +239,9 @@
 		e.coordinator.teamQuotas.setDead(e.permits.noteHolder(s))
 	}
 	e.coordinator.setStatus(s)
-	if s.IsHolder && s.OrderFrom != was.OrderFrom {
+	if wait := s.OrderFrom.Sub(e.clock.Now()) - reloadLead; s.IsHolder && s.OrderFrom != was.OrderFrom && wait > 0 {
 		// The file may change without a signal while the orders of a former holder settle.
-		e.clock.After(s.OrderFrom.Sub(e.clock.Now())-reloadLead, e.ReloadFile)
+		e.clock.After(wait, e.ReloadFile)
 	}
 	if s.IsHolder && !was.IsHolder {
 		// The listener must wait neither for a file nor for another instance.
