elect test, sched test: one piece of code for what stood several times

Five tests of the election started an instance on a connection of their own with the same lines; the fixture has startOn for it. TestLateLoadOfAFormerHolder repeated TestLateLoadAtTheNextIncarnation but for the change of the holder; both call checkLateLoad.

All assertions and times stay. Without the loads that a successor is told of, TestLateLoadOfAFormerHolder fails as before.

--- a/internal/coordination/elect/elect_test.go
+++ b/internal/coordination/elect/elect_test.go
@@ -6,7 +6,6 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"chivecroft.example/chivecroft/internal/coordination/drive"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 	"chivecroft.example/chivecroft/internal/stand/world"
 )
@@ -158,9 +157,7 @@
 		nd.loop.Stop()
 		f := &compactedKV{KV: nd.kv}
 		stores = append(stores, f)
-		nd.loop = drive.NewLoop(NewPart(address(i), testTTL, testHandover, r.random, WithOrderTime(testOrderTime)),
-			ports.Env{KV: f, Timer: r.timer}, drive.WithListener(func(v any) { nd.status = v.(Status) }))
-		nd.loop.Post(Start{})
+		r.startOn(i, f)
 	}
 	r.advance(time.Second)
 	first, token := r.holder, r.nodes[r.holder].status.Token
@@ -213,10 +210,7 @@
 		nd := &node{kv: world.NewKV(r.store, r.timer, r.random)}
 		nd.kv.SetFaults(world.KVFaults{Down: true})
 		r.nodes = append(r.nodes, nd)
-		part := NewPart(address(i), testTTL, testHandover, r.random, WithOrderTime(testOrderTime))
-		nd.loop = drive.NewLoop(part, ports.Env{KV: countingKV{nd.kv, &calls}, Timer: r.timer},
-			drive.WithListener(func(v any) { nd.status = v.(Status) }))
-		nd.loop.Post(Start{})
+		r.startOn(i, countingKV{nd.kv, &calls})
 	}
 	r.timer.Advance(outage)
 	if limit := instances * int(outage/time.Second); calls > limit {
@@ -271,10 +265,7 @@
 		nd := &node{kv: world.NewKV(r.store, r.timer, r.random)}
 		nd.kv.SetFaults(world.KVFaults{Latency: 8 * time.Millisecond})
 		r.nodes = append(r.nodes, nd)
-		part := NewPart(address(i), testTTL, testHandover, r.random, WithOrderTime(testOrderTime))
-		nd.loop = drive.NewLoop(part, ports.Env{KV: countingKV{nd.kv, &calls[i]}, Timer: r.timer},
-			drive.WithListener(func(v any) { nd.status = v.(Status) }))
-		nd.loop.Post(Start{})
+		r.startOn(i, countingKV{nd.kv, &calls[i]})
 	}
 	r.advance(time.Second)
 	first := r.holder
@@ -311,12 +302,7 @@
 	delayed := &node{kv: world.NewKV(r.store, r.timer, r.random)}
 	delayed.kv.SetFaults(world.KVFaults{Latency: 8 * time.Millisecond})
 	r.nodes = append(r.nodes, delayed)
-	start := func() {
-		part := NewPart(address(1), testTTL, testHandover, r.random, WithOrderTime(testOrderTime), WithAcquireDelay(delay))
-		delayed.loop = drive.NewLoop(part, ports.Env{KV: delayed.kv, Timer: r.timer},
-			drive.WithListener(func(v any) { delayed.status = v.(Status) }))
-		delayed.loop.Post(Start{})
-	}
+	start := func() { r.start(1, WithAcquireDelay(delay)) }
 	start()
 	r.advance(time.Second)
 	if delayed.status.IsHolder || delayed.status.Holder != address(0) {
--- a/internal/coordination/elect/fixture_test.go
+++ b/internal/coordination/elect/fixture_test.go
@@ -99,11 +99,14 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7000)
 }
 
-func (r *fixture) start(i int, opts ...Option) {
+func (r *fixture) start(i int, opts ...Option) { r.startOn(i, r.nodes[i].kv, opts...) }
+
+// startOn starts an instance on a connection to the store, with a new Part.
+func (r *fixture) startOn(i int, kv ports.KV, opts ...Option) {
 	nd := r.nodes[i]
 	part := NewPart(address(i), testTTL, r.handover, r.random, append(opts, WithOrderTime(testOrderTime))...)
 	nd.status = Status{}
-	nd.loop = drive.NewLoop(&freezablePart{part: part, node: nd}, ports.Env{KV: nd.kv, Timer: r.timer},
+	nd.loop = drive.NewLoop(&freezablePart{part: part, node: nd}, ports.Env{KV: kv, Timer: r.timer},
 		drive.WithListener(func(v any) { nd.status = v.(Status) }))
 	nd.loop.Post(Start{})
 }
--- a/internal/coordination/elect/steady_test.go
+++ b/internal/coordination/elect/steady_test.go
@@ -4,7 +4,6 @@
 	"testing"
 	"time"
 
-	"chivecroft.example/chivecroft/internal/coordination/drive"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
 )
 
@@ -32,9 +31,7 @@
 			nd.loop.Stop()
 			f := &deafKV{KV: nd.kv}
 			stores = append(stores, f)
-			nd.loop = drive.NewLoop(NewPart(address(i), testTTL, testHandover, r.random, WithOrderTime(testOrderTime)),
-				ports.Env{KV: f, Timer: r.timer}, drive.WithListener(func(v any) { nd.status = v.(Status) }))
-			nd.loop.Post(Start{})
+			r.startOn(i, f)
 		}
 		r.advance(8*time.Second + time.Duration(seed)*17*time.Millisecond)
 		former := r.holderNow()
--- a/internal/coordination/sched/planner_test.go
+++ b/internal/coordination/sched/planner_test.go
@@ -554,6 +554,13 @@
 // carried out by the target's next incarnation, when that has accepted as many orders and
 // has no memory left.
 func TestLateLoadAtTheNextIncarnation(t *testing.T) {
+	checkLateLoad(t, 12*time.Second, func(*fixture) {})
+}
+
+// checkLateLoad has the reply to a load be lost, which its target's next incarnation carries out
+// after a time. then is called once the target has been restarted.
+func checkLateLoad(t *testing.T, after time.Duration, then func(*fixture)) {
+	t.Helper()
 	r := newFixture(testEngine(4), nil)
 	p := r.targets["r0"]
 	p.OnDisk = []string{"m0", "m1", "m2", "m3"}
@@ -564,9 +571,10 @@
 	adapter := queuedDemand("m0")
 	adapter.Adapters = []string{"a1"}
 	r.run(time.Second, adapter)
-	r.loseNext, r.lateAfter = 1, 12*time.Second
+	r.loseNext, r.lateAfter = 1, after
 	r.run(planStep, queuedDemand("m3"))
 	r.restart(p)
+	then(r)
 	for _, m := range []string{"m0", "m1", "m2"} {
 		r.run(3*time.Second, queuedDemand(m))
 	}
--- a/internal/coordination/sched/successor_test.go
+++ b/internal/coordination/sched/successor_test.go
@@ -60,28 +60,5 @@
 // the load whose reply was lost. It guards against a target that is ordered to load more than it
 // holds by two holders together.
 func TestLateLoadOfAFormerHolder(t *testing.T) {
-	r := newFixture(testEngine(4), nil)
-	p := r.targets["r0"]
-	p.OnDisk = []string{"m0", "m1", "m2", "m3"}
-	r.SetTarget(r.now, p.describe())
-	for _, m := range []string{"m0", "m1"} {
-		r.run(3*time.Second, queuedDemand(m))
-	}
-	adapter := queuedDemand("m0")
-	adapter.Adapters = []string{"a1"}
-	r.run(time.Second, adapter)
-	r.loseNext, r.lateAfter = 1, 14*time.Second
-	r.run(planStep, queuedDemand("m3"))
-	r.restart(p)
-	r.replacePlanner()
-	for _, m := range []string{"m0", "m1", "m2"} {
-		r.run(3*time.Second, queuedDemand(m))
-	}
-	r.run(lostLoadTTL, queuedDemand("m2"))
-	if len(r.violations) > 0 {
-		t.Error(r.violations)
-	}
-	if got := r.targetsWith("m2"); len(got) == 0 {
-		t.Errorf("m2 was never loaded; orders: %v", r.orders)
-	}
+	checkLateLoad(t, 14*time.Second, (*fixture).replacePlanner)
 }
