edge: logs and counters say where a configuration and a departure came from

Lines on configurations, lists and departures now name era, revision and source; a feed that gets a reply of another era says how far it had read, and what is ignored as older is logged once a reply and counted (chivecroft_outdated_total, chivecroft_config_version, _activations_total). No decision is changed. Tests of edge and meter pass.

--- a/internal/edge/copy.go
+++ b/internal/edge/copy.go
@@ -111,7 +111,7 @@
 	}
 	s, item, err := decompressCopy(copyItem)
 	if err != nil {
-		e.log.Warn().Err(err).Msg("copy of the configuration is damaged")
+		e.log.Warn().Err(err).Uint64("era", r.Era).Msg("copy of the configuration is damaged")
 		return nil, 0, false
 	}
 	return e.verifyCopy(s, item)
@@ -136,7 +136,7 @@
 	case r.Status == ports.KVOK && r.Revision >= s.revision:
 		e.noteConfigRead(askedAt, s.revision)
 		e.snapshot.Store(s)
-		e.log.Info().Uint64("revision", uint64(s.revision)).Msg("configuration read from its copy")
+		e.log.Info().Uint64("revision", uint64(s.revision)).Uint64("era", r.Era).Msg("configuration read from its copy")
 		return []ports.Item{item}, r.Revision, true
 	case r.Status == ports.KVConflict && len(r.Items) == 1 && r.Items[0].Revision > s.revision:
 		e.noteConfigRead(askedAt, r.Items[0].Revision)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -190,6 +190,8 @@
 	e.collector = load.NewCollector()
 	e.configFollower = e.newConfigFollower()
 	e.targetFollower = e.newTargetFollower()
+	e.tracker.era = e.targetFollower.era.Load
+	e.tracker.onOutdated = func() { e.metrics.outdatedIgnored(e.targetFollower.name, 1) }
 	if boot.Bootstrap {
 		e.configFollower.updateWait, e.targetFollower.updateWait = bootstrapTimeout, bootstrapTimeout
 	}
@@ -382,24 +384,25 @@
 }
 
 func (e *Edge) newConfigFollower() *follower {
-	apply := func(previous ports.Revision, item ports.Item) {
+	apply := func(previous ports.Revision, item ports.Item, from origin) {
 		switch {
 		case item.Key != platform.ConfigKey:
 		case item.Deleted:
 			e.skipConfig(previous, item)
 		default:
-			e.applyConfig(previous, item)
+			e.applyConfig(previous, item, from)
 		}
 	}
 	return &follower{
 		name: "config", prefix: platform.ConfigKey, store: e.store, health: e.health, log: e.log,
 		applyList: func(list itemList) {
 			for _, item := range list.items {
-				apply(0, item)
+				apply(0, item, list.from)
 			}
 			e.coordinator.setConfigRead()
 		},
-		applyChange: apply, watchTime: e.configWatchTimeout, onRead: e.noteConfigRead,
+		applyChange: func(previous ports.Revision, item ports.Item) { apply(previous, item, e.configFollower.from) },
+		onOutdated:  e.metrics.outdatedIgnored, watchTime: e.configWatchTimeout, onRead: e.noteConfigRead,
 		hasFreshUpdates: e.hasFreshUpdates, onIdle: func() {}, fetchFromHolder: e.fetchNewestConfig,
 		canAskReaders: e.canAskReaders, fetchItems: e.fetchConfigFromReaders, isHolder: e.isHolder,
 		clock: e.clock, updateAge: e.updateAge,
@@ -413,7 +416,7 @@
 
 // applyConfig makes a configuration active unless the active one is as new. previous is
 // the revision that was read before it, 0 if others may be in between.
-func (e *Edge) applyConfig(previous ports.Revision, item ports.Item) {
+func (e *Edge) applyConfig(previous ports.Revision, item ports.Item, from origin) {
 	c, err := platform.DecodeConfig(item.Value)
 	if err != nil {
 		e.log.Error().Err(err).Uint64("revision", uint64(item.Revision)).Msg("configuration rejected")
@@ -421,6 +424,10 @@
 		return
 	}
 	if have := e.config.Load(); have != nil && have.Version >= c.Version && !e.activeItem.isRewrittenAs(item) {
+		e.log.Info().Int64("version", c.Version).Int64("active", have.Version).Uint64("revision", uint64(item.Revision)).
+			Uint64("activeRevision", uint64(e.activeItem.revision)).Uint64("era", e.configFollower.era.Load()).
+			Str("from", string(from)).Msg("configuration not newer than the active one")
+		e.metrics.outdatedIgnored(e.configFollower.name, 1)
 		e.skipConfig(previous, item)
 		return
 	}
@@ -436,7 +443,8 @@
 	e.activeItem = newActiveItem(item)
 	e.proofs.Activate(uint64(item.Revision))
 	e.log.Info().Int64("version", c.Version).Uint64("revision", uint64(item.Revision)).
-		Int("routes", len(c.Routes)).Int("bytes", len(item.Value)).Msg("configuration active")
+		Uint64("era", e.configFollower.era.Load()).Str("from", string(from)).Int("routes", len(c.Routes)).Int("bytes", len(item.Value)).Msg("configuration active")
+	e.metrics.configActivated(c.Version, from)
 }
 
 // updateSnapshot keeps a configuration for other instances, unless it is there already
@@ -455,6 +463,7 @@
 		applyChange: func(_ ports.Revision, item ports.Item) {
 			e.tracker.applyChange(item, e.targetFollower.from, e.health.removalDelay())
 		},
+		onOutdated:    e.metrics.outdatedIgnored,
 		canAskReaders: e.canAskReaders, isHolder: e.isHolder, fetchChanges: e.fetchChanges, changelog: deltas.New(maxKeptChanges),
 		clock: e.clock, updateAge: e.updateAge, updateWait: startTimeout, expectsUpdates: e.expectsUpdates,
 		hasFreshUpdates: e.hasFreshUpdates, onIdle: func() { e.coordinator.setHasFullList(false) },
--- a/internal/edge/follower.go
+++ b/internal/edge/follower.go
@@ -50,7 +50,9 @@
 	items []ports.Item
 	// through is the store revision that the list is of, or an earlier one; 0 if unknown.
 	through ports.Revision
-	from    origin
+	// era is the store's era as of the list, 0 if unknown.
+	era  uint64
+	from origin
 	// askedAt is when this instance asked the store for the list, zero if it has it from
 	// another instance or a copy.
 	askedAt time.Time
@@ -82,7 +84,7 @@
 	hasFreshUpdates func() bool
 	onIdle          func()
 	// fetchFromHolder reads the keys from the holder; nil if only the store has them.
-	fetchFromHolder func(context.Context) ([]ports.Item, bool)
+	fetchFromHolder func(context.Context) (itemList, bool)
 	// readCopy reads the keys from a copy in the store that is smaller than the list; nil
 	// if there is none.
 	readCopy func() ([]ports.Item, ports.Revision, bool)
@@ -140,9 +142,14 @@
 	// updates from the holder.
 	refusedSince time.Time
 	revision     ports.Revision
-	// from is where the changes that are being applied come from.
+	// from is where the changes that are being applied come from, era the store's era as of the
+	// latest reply.
 	from          origin
+	era           atomic.Uint64
 	itemRevisions map[string]ports.Revision
+	// onOutdated is called with the number of changes that were ignored as older than what is
+	// known; nil if nobody counts them.
+	onOutdated func(feed string, count int)
 }
 
 // run follows the keys until ctx ends. While the holder's updates are fresh it is idle,
@@ -224,7 +231,7 @@
 	if !ok {
 		return false
 	}
-	f.reset(itemList{items: items, through: through, from: originStore})
+	f.reset(itemList{items: items, through: through, from: originCopy})
 	return true
 }
 
@@ -265,12 +272,12 @@
 	if f.fetchFromHolder == nil {
 		return false
 	}
-	items, ok := f.fetchFromHolder(ctx)
+	list, ok := f.fetchFromHolder(ctx)
 	if !ok {
 		return false
 	}
-	f.resetRevisions(items)
-	f.applyList(itemList{items: items, from: originHolder})
+	f.resetRevisions(list.items)
+	f.applyList(list)
 	return true
 }
 
@@ -291,10 +298,22 @@
 	f.health.record(reply.Status, reply.Err)
 	if reply.Status == ports.KVOK {
 		f.storeSeenAt.Store(f.clock.Now().UnixNano())
+		f.noteEra(reply)
 	}
 	return reply
 }
 
+// noteEra logs that the store's era differs from that of the latest reply.
+func (f *follower) noteEra(reply ports.KVReply) {
+	before := f.era.Swap(reply.Era)
+	if before == reply.Era {
+		return
+	}
+	f.log.Info().Str("feed", f.name).Uint64("era", reply.Era).Uint64("eraBefore", before).Uint64("revision", uint64(f.revision)).
+		Uint64("localRevision", f.localRevision.Load()).Uint64("remoteRevision", f.remoteRevision.Load()).
+		Uint64("storeRevision", uint64(reply.Revision)).Msg("followed store has another era")
+}
+
 // isReadNeedless reports whether the holder's updates are fresh and report nothing that
 // this instance lacks. Calls in progress would then only use up the link to the store.
 func (f *follower) isReadNeedless() bool {
@@ -350,8 +369,9 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	f.log.Info().Str("feed", f.name).Int("items", len(items)).Uint64("revision", uint64(first)).Msg("list read")
-	f.reset(itemList{items: items, through: first, from: originStore, askedAt: askedAt})
+	f.log.Info().Str("feed", f.name).Int("items", len(items)).Uint64("revision", uint64(first)).
+		Uint64("era", f.era.Load()).Msg("list read")
+	f.reset(itemList{items: items, through: first, era: f.era.Load(), from: originStore, askedAt: askedAt})
 	if f.onRead != nil {
 		f.onRead(askedAt, newestRevision(items))
 	}
@@ -409,9 +429,11 @@
 }
 
 func (f *follower) apply(reply ports.KVReply) {
+	var outdated []ports.Item
 	for _, item := range reply.Items {
 		f.revision = max(f.revision, item.Revision)
 		if item.Revision <= f.itemRevisions[item.Key] || uint64(item.Revision) <= f.coveredRevision.Load() {
+			outdated = append(outdated, item)
 			continue
 		}
 		previous := f.itemRevisions[item.Key]
@@ -423,6 +445,22 @@
 	if f.changelog != nil {
 		f.changelog.Add(reply.Items, f.revision)
 	}
+	f.noteOutdated(outdated)
+}
+
+// noteOutdated logs and counts the changes of one reply that were ignored, since newer ones are
+// known. The last of them stands for all.
+func (f *follower) noteOutdated(changes []ports.Item) {
+	if len(changes) == 0 {
+		return
+	}
+	last := changes[len(changes)-1]
+	f.log.Info().Str("feed", f.name).Str("from", string(f.from)).Int("changes", len(changes)).Str("key", last.Key).
+		Uint64("revision", uint64(last.Revision)).Uint64("era", f.era.Load()).Uint64("known", uint64(f.itemRevisions[last.Key])).
+		Uint64("covered", f.coveredRevision.Load()).Msg("outdated changes ignored")
+	if f.onOutdated != nil {
+		f.onOutdated(f.name, len(changes))
+	}
 }
 
 // sleep waits for d, or until ctx ends.
--- a/internal/edge/follower_test.go
+++ b/internal/edge/follower_test.go
@@ -41,7 +41,7 @@
 	got := startFollower(t, f, func(fd *follower) {
 		fd.hasFreshUpdates = func() bool { return true }
 		fd.updateAge = func() time.Duration { return 0 }
-		fd.fetchFromHolder = func(context.Context) ([]ports.Item, bool) { return nil, false }
+		fd.fetchFromHolder = func(context.Context) (itemList, bool) { return itemList{}, false }
 		fd.noteUpdate(1, 0)
 	})
 	select {
@@ -115,7 +115,10 @@
 // have already covered. It must not overwrite them.
 func TestFollowerSkipsChangesCoveredByUpdates(t *testing.T) {
 	var got []ports.Revision
-	fd := &follower{itemRevisions: make(map[string]ports.Revision), applyChange: func(_ ports.Revision, item ports.Item) { got = append(got, item.Revision) }}
+	fd := &follower{
+		log: discardLogger(), itemRevisions: make(map[string]ports.Revision),
+		applyChange: func(_ ports.Revision, item ports.Item) { got = append(got, item.Revision) },
+	}
 	fd.coveredRevision.Store(7)
 	fd.apply(ports.KVReply{Items: []ports.Item{{Key: "a", Revision: 6}, {Key: "b", Revision: 8}}, Revision: 8})
 	if len(got) != 1 || got[0] != 8 {
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -195,6 +195,20 @@
 	}
 }
 
+// outdatedIgnored counts what a feed has brought that was ignored as older than what is known.
+func (m *instanceMetrics) outdatedIgnored(feed string, count int) {
+	if mt := m.meter.Load(); mt != nil {
+		mt.OutdatedIgnored(feed, count)
+	}
+}
+
+// configActivated records the version of the active configuration and where it came from.
+func (m *instanceMetrics) configActivated(version int64, from origin) {
+	if mt := m.meter.Load(); mt != nil {
+		mt.ConfigActivated(version, string(from))
+	}
+}
+
 // termEnded counts the end of a term as the holder.
 func (m *instanceMetrics) termEnded(why elect.EndReason) {
 	if mt := m.meter.Load(); mt != nil {
--- a/internal/edge/relay_test.go
+++ b/internal/edge/relay_test.go
@@ -276,9 +276,9 @@
 		r.snapshot.Store(newConfigSnapshot(ports.Item{Key: platform.ConfigKey, Revision: 9, Value: []byte("{}")}))
 		r.configFollower.localRevision.Store(9)
 	})
-	items, ok := child.fetchNewestConfig(t.Context())
-	if !ok || len(items) != 1 || items[0].Revision != 9 {
-		t.Errorf("fetched %+v, %t", items, ok)
+	list, ok := child.fetchNewestConfig(t.Context())
+	if !ok || len(list.items) != 1 || list.items[0].Revision != 9 {
+		t.Errorf("fetched %+v, %t", list.items, ok)
 	}
 }
 
--- a/internal/edge/snapshot.go
+++ b/internal/edge/snapshot.go
@@ -140,17 +140,18 @@
 // fetchNewestConfig requests the configuration that the updates name from a relay of the
 // zone, which has it from the holder, and from the holder itself if no relay has it in
 // time. All instances of a large fleet at once would saturate the holder's link.
-func (e *Edge) fetchNewestConfig(ctx context.Context) ([]ports.Item, bool) {
+func (e *Edge) fetchNewestConfig(ctx context.Context) (itemList, bool) {
 	until := e.timer.Now().Add(relayConfigTimeout)
 	for relays := e.relaysToAsk(); len(relays) > 0 && ctx.Err() == nil && e.timer.Now().Before(until); {
 		for _, from := range relays {
 			if item, ok := e.fetchConfigFromRelay(ctx, from); ok {
-				return []ports.Item{item}, true
+				return itemList{items: []ports.Item{item}, from: originRelay}, true
 			}
 		}
 		sleep(ctx, idlePollInterval)
 	}
-	return e.fetchConfigFromHolder(ctx)
+	items, ok := e.fetchConfigFromHolder(ctx)
+	return itemList{items: items, from: originHolder}, ok
 }
 
 func (e *Edge) fetchConfigFromRelay(ctx context.Context, from netip.AddrPort) (ports.Item, bool) {
--- a/internal/edge/targets.go
+++ b/internal/edge/targets.go
@@ -16,7 +16,7 @@
 	"chivecroft.example/chivecroft/platform"
 )
 
-// origin tells where a description of targets comes from, for logs.
+// origin tells where a configuration or a description of targets comes from, for logs.
 type origin string
 
 // The origins of descriptions.
@@ -25,6 +25,8 @@
 	originReader origin = "reader"
 	originHolder origin = "holder"
 	originRelay  origin = "relay"
+	// originCopy is the compressed copy of the configuration in the store.
+	originCopy origin = "copy"
 )
 
 // targetTracker applies what this instance learns of targets, one piece at a time, to the
@@ -37,13 +39,18 @@
 	// clock is the coordinator's, which goes on while the machine is suspended.
 	clock timer.Service
 	log   *log.Logger
+	// era returns the store's era as of the latest list or change.
+	era func() uint64
+	// onOutdated is called when a description is ignored as outdated.
+	onOutdated func()
 
 	// mu keeps the picker, the coordinator and departures in step.
 	mu sync.Mutex
 }
 
 func newTargetTracker(p *picker.Picker, k *coordinator, l *log.Logger) *targetTracker {
-	return &targetTracker{picker: p, coordinator: k, departures: k.departures, clock: k.clock, log: l}
+	return &targetTracker{picker: p, coordinator: k, departures: k.departures, clock: k.clock, log: l,
+		era: func() uint64 { return 0 }, onOutdated: func() {}}
 }
 
 // storeEntry is a decoded item of the store.
@@ -139,9 +146,10 @@
 	message := "target is back in use"
 	if verdict == depart.Outdated {
 		message = "outdated description of a target ignored"
+		t.onOutdated()
 	}
 	t.log.Info().Str("target", id).Str("from", string(from)).Uint64("revision", uint64(revision)).
-		Uint64("leftBefore", uint64(d.Revision)).Dur("leftFor", t.clock.Now().Sub(d.NotedAt)).Msg(message)
+		Uint64("leftBefore", uint64(d.Revision)).Uint64("era", t.era()).Dur("leftFor", t.clock.Now().Sub(d.NotedAt)).Msg(message)
 	return verdict
 }
 
@@ -152,7 +160,7 @@
 	d := t.departures.Leave(id, revision, now, usableFor)
 	if d.NotedAt.Equal(now) {
 		t.log.Info().Str("target", id).Str("from", string(from)).Uint64("revision", uint64(revision)).
-			Dur("doubt", usableFor).Msg("target removed from the store")
+			Uint64("era", t.era()).Dur("doubt", usableFor).Msg("target removed from the store")
 	}
 	t.expire(id, d.UsableUntil.Sub(now))
 }
--- a/internal/transport/meter/meter.go
+++ b/internal/transport/meter/meter.go
@@ -87,6 +87,9 @@
 	orders     metric.Int64Counter
 	termEnds   metric.Int64Counter
 	restores   metric.Int64Counter
+	outdated   metric.Int64Counter
+	activated  metric.Int64Counter
+	version    metric.Int64Gauge
 	idle       metric.Float64Counter
 	limits     metric.Int64Gauge
 	targetEnds metric.Int64Counter
@@ -244,6 +247,17 @@
 	m.restores.Add(context.Background(), 1)
 }
 
+// OutdatedIgnored adds to the changes of a feed that were ignored as older than what is known.
+func (m *Meter) OutdatedIgnored(feed string, count int) {
+	m.outdated.Add(context.Background(), int64(count), metric.WithAttributes(attribute.String("chivecroft.feed", feed)))
+}
+
+// ConfigActivated counts a configuration that has become active by its source, and records its version.
+func (m *Meter) ConfigActivated(version int64, source string) {
+	m.activated.Add(context.Background(), 1, metric.WithAttributes(attribute.String("chivecroft.source", source)))
+	m.version.Record(context.Background(), version)
+}
+
 // IdleAccelerator adds to the time for which accelerators were held by idle replicas.
 func (m *Meter) IdleAccelerator(model string, d time.Duration) {
 	m.idle.Add(context.Background(), d.Seconds(), metric.WithAttributes(m.model(model)))
--- a/internal/transport/meter/meter_test.go
+++ b/internal/transport/meter/meter_test.go
@@ -66,6 +66,8 @@
 	m.OrderTermLeft(460 * time.Millisecond)
 	m.TermEnd("stopped")
 	m.StoreRestored()
+	m.OutdatedIgnored("config", 3)
+	m.ConfigActivated(7, "relay")
 	labels := `{chivecroft_class="interactive",chivecroft_service="assist",chivecroft_tenant="desk"`
 	cases := []struct{ part, want string }{
 		{"queue_wait_duration_seconds_sum", `chivecroft_queue_wait_duration_seconds_sum` + labels + `} 0.03`},
@@ -87,6 +89,9 @@
 		{"chivecroft_orders", `chivecroft_orders_total{chivecroft_check="passed",chivecroft_result="taken"} 1`},
 		{"term_left_seconds_sum", `chivecroft_order_term_left_seconds_sum 0.46`},
 		{"kv_restores", `chivecroft_kv_restores_total 1`},
+		{"outdated", `chivecroft_outdated_total{chivecroft_feed="config"} 3`},
+		{"config_version", `chivecroft_config_version 7`},
+		{"config_activations", `chivecroft_config_activations_total{chivecroft_source="relay"} 1`},
 		{"term_ends", `chivecroft_term_ends_total{chivecroft_reason="stopped"} 1`},
 		{"target_ends", `chivecroft_target_ends_total{chivecroft_service="assist"} 1`},
 	}
