--- a/internal/edge/targets.go
+++ b/internal/edge/targets.go
@@ -49,8 +49,10 @@
 }
 
 func newTargetTracker(p *picker.Picker, k *coordinator, l *log.Logger) *targetTracker {
-	return &targetTracker{picker: p, coordinator: k, departures: k.departures, clock: k.clock, log: l,
-		era: func() uint64 { return 0 }, onOutdated: func() {}}
+	return &targetTracker{
+		picker: p, coordinator: k, departures: k.departures, clock: k.clock, log: l,
+		era: func() uint64 { return 0 }, onOutdated: func() {},
+	}
 }
 
 // storeEntry is a decoded item of the store.
