--- a/internal/coordination/deltas/deltas.go
+++ b/internal/coordination/deltas/deltas.go
@@ -6,17 +6,19 @@
 	"sync"
 
 	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/state/eras"
 )
 
-// Log holds the latest change of each key in a range of revisions of the store. A
+// Log holds the latest change of each key in a range of revisions of one history of the store. A
 // deleted key is kept as a deletion. A Log is safe for concurrent use.
 type Log struct {
 	// maxItems is the number of droppable changes above which the older half is dropped.
 	maxItems int
 
 	mu sync.Mutex
-	// All changes after the revision after, up to and including through, are known.
-	after, through ports.Revision
+	// All changes after the revision after, up to and including through, are known. Both are of the
+	// same era, as are the items.
+	after, through eras.Revision
 	// isComplete means that all existing keys are known, including those that have not
 	// changed since after.
 	isComplete bool
@@ -30,8 +32,8 @@
 	// if IsFullList is set.
 	Items      []ports.Item
 	IsFullList bool
-	// Through is the revision up to which Items are complete.
-	Through ports.Revision
+	// Through is the revision up to which Items are complete. Their revisions are of its era.
+	Through eras.Revision
 }
 
 // New returns an empty Log. It keeps up to maxItems changes; once all keys are known,
@@ -42,10 +44,10 @@
 
 // StartAfter announces that the changes after a revision follow. The known changes are
 // kept if the new ones leave no gap.
-func (l *Log) StartAfter(after ports.Revision) {
+func (l *Log) StartAfter(after eras.Revision) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if after >= l.after && after <= l.through {
+	if !l.after.After(after) && !after.After(l.through) {
 		return
 	}
 	l.after, l.through, l.isComplete = after, after, false
@@ -53,7 +55,7 @@
 }
 
 // Replace replaces the contents by a full list of the keys as of the revision through.
-func (l *Log) Replace(items []ports.Item, through ports.Revision) {
+func (l *Log) Replace(items []ports.Item, through eras.Revision) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.after, l.through, l.isComplete = through, through, true
@@ -65,16 +67,19 @@
 }
 
 // Add adds the changes since the last ones, up to the revision through. Changes that are
-// already known have no effect.
-func (l *Log) Add(changes []ports.Item, through ports.Revision) {
+// already known have no effect, nor have those of another history.
+func (l *Log) Add(changes []ports.Item, through eras.Revision) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if through.Era != l.through.Era {
+		return
+	}
 	for _, item := range changes {
 		if item.Revision > l.items[item.Key].Revision {
 			l.items[item.Key] = item
 		}
 	}
-	l.through = max(l.through, through)
+	l.through = l.through.Later(through)
 	l.trim()
 	if len(changes) > 0 {
 		l.notify()
@@ -87,19 +92,19 @@
 }
 
 // Since returns the changes after a revision, or all existing keys if those changes are
-// no longer known. It returns false if neither is known.
-func (l *Log) Since(revision ports.Revision) (Changes, bool) {
+// no longer known or the revision is of another history. It returns false if neither is known.
+func (l *Log) Since(revision eras.Revision) (Changes, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	page := Changes{Through: l.through}
-	if revision < l.after {
+	if revision.Era != l.through.Era || l.after.After(revision) {
 		if !l.isComplete {
 			return Changes{}, false
 		}
 		page.IsFullList = true
 	}
 	for _, item := range l.items {
-		if page.IsFullList && !item.Deleted || !page.IsFullList && item.Revision > revision {
+		if page.IsFullList && !item.Deleted || !page.IsFullList && uint64(item.Revision) > revision.Number {
 			page.Items = append(page.Items, item)
 		}
 	}
@@ -128,7 +133,7 @@
 	}
 	slices.SortFunc(old, byRevision)
 	for _, item := range old[:len(old)/2] {
-		l.after = max(l.after, item.Revision)
+		l.after.Number = max(l.after.Number, uint64(item.Revision))
 		delete(l.items, item.Key)
 	}
 }
--- a/internal/coordination/depart/doc.go
+++ b/internal/coordination/depart/doc.go
@@ -12,6 +12,10 @@
 //  2. Log.Judge tells whether a later description of the target rests on an entry that was
 //     there after the departure, or is outdated.
 //
+// The store may come back from an older copy, in which the entry of a target is there that has
+// left since. Such an entry is Unproven until it is certain to have been written after the return,
+// or has been there for longer than the lease of an entry that nobody renews.
+//
 // Package edge keeps one Log for each instance. It does no I/O and is safe for concurrent
 // use.
 package depart
--- a/internal/coordination/picker/target.go
+++ b/internal/coordination/picker/target.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"chivecroft.example/chivecroft/internal/coordination/load"
+	"chivecroft.example/chivecroft/internal/state/eras"
 	"chivecroft.example/chivecroft/internal/state/fleet"
 )
 
@@ -117,8 +118,8 @@
 	// are set then.
 	Gone bool `json:"gone,omitempty"`
 	// Revision is a revision of the store at which the target's entry was there or, if the
-	// target is gone or is to be removed, at which it was missing; 0 if unknown.
-	Revision uint64 `json:"revision,omitempty"`
+	// target is gone or is to be removed, at which it was missing.
+	Revision eras.Revision `json:"revision,omitzero"`
 	// RemovalMS is how long the target may still be used, in milliseconds, if its entry is
 	// missing although it may be alive; 0 if the entry is there.
 	RemovalMS int64 `json:"removalMs,omitempty"`
--- a/internal/coordination/ports/kv.go
+++ b/internal/coordination/ports/kv.go
@@ -1,6 +1,10 @@
 package ports
 
-import "time"
+import (
+	"time"
+
+	"chivecroft.example/chivecroft/internal/state/eras"
+)
 
 // KV is the client of the platform's key-value service.
 type KV interface {
@@ -9,8 +13,9 @@
 	Call(req KVRequest, done func(KVReply))
 }
 
-// Revision is the number of a write in the KV service. As the expected revision of a key,
-// zero means that the key must not exist.
+// Revision is the number of a write in one history of the KV service. As the expected revision of a
+// key, zero means that the key must not exist. Numbers of replies of different eras can't be
+// compared: see eras.Revision.
 type Revision uint64
 
 // LeaseID identifies a lease of the KV service; zero means no lease.
@@ -156,6 +161,11 @@
 	Err error
 }
 
+// Reached returns the revision that the service has told, in its era.
+func (r KVReply) Reached() eras.Revision {
+	return eras.Revision{Era: r.Era, Number: uint64(r.Revision)}
+}
+
 // Item returns the first item, and false if there is none.
 func (r KVReply) Item() (Item, bool) {
 	if len(r.Items) == 0 {
--- a/internal/coordination/proof/tracker.go
+++ b/internal/coordination/proof/tracker.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"chivecroft.example/chivecroft/internal/state/eras"
 	"chivecroft.example/chivecroft/internal/state/timer"
 )
 
@@ -15,13 +16,13 @@
 // Proof states that the store had acknowledged no configuration after Revision before a
 // moment that was Age ago.
 type Proof struct {
-	Revision uint64
+	Revision eras.Revision
 	Age      time.Duration
 }
 
 // moment is a proof as an instance keeps it.
 type moment struct {
-	revision uint64
+	revision eras.Revision
 	at       time.Time
 }
 
@@ -31,9 +32,9 @@
 	mu sync.Mutex
 	// active is the revision of the active configuration, covered that of the newest one
 	// that was seen, given that all configurations in between were rejected.
-	active, covered uint64
+	active, covered eras.Revision
 	// newest is the newest revision that is known to exist.
-	newest uint64
+	newest eras.Revision
 	// provenAt is the moment before which the store had acknowledged no configuration
 	// after covered, zero if there is no proof.
 	provenAt time.Time
@@ -47,10 +48,10 @@
 // RecordOwn records that a call to the store, sent after askedAt, has returned and showed
 // that no configuration is newer than revision. It is ignored if a newer one is known to
 // exist all the same.
-func (t *Tracker) RecordOwn(askedAt time.Time, revision uint64) {
+func (t *Tracker) RecordOwn(askedAt time.Time, revision eras.Revision) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if revision >= t.newest {
+	if !t.newest.After(revision) {
 		t.record(moment{revision, askedAt})
 	}
 }
@@ -64,12 +65,12 @@
 }
 
 func (t *Tracker) record(m moment) {
-	t.newest = max(t.newest, m.revision)
+	t.newest = t.newest.Later(m.revision)
 	switch {
-	case m.revision == 0 || m.revision < t.active:
-	case m.revision <= t.covered:
+	case m.revision.IsZero() || t.active.After(m.revision):
+	case !m.revision.After(t.covered):
 		t.provenAt = timer.Later(t.provenAt, m.at)
-	case m.revision > t.pending.revision:
+	case m.revision.After(t.pending.revision):
 		t.pending = m
 	case m.revision == t.pending.revision:
 		t.pending.at = timer.Later(t.pending.at, m.at)
@@ -79,10 +80,10 @@
 // Activate records that the configuration of a revision is active. It must not be called
 // before requests are checked against that configuration. The proof of an older one
 // remains, since all that was acknowledged before its moment is older than revision too.
-func (t *Tracker) Activate(revision uint64) {
+func (t *Tracker) Activate(revision eras.Revision) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if revision < t.covered {
+	if t.covered.After(revision) {
 		t.provenAt = time.Time{}
 	}
 	t.active = revision
@@ -90,24 +91,24 @@
 }
 
 // Skip records that the configuration of a revision was rejected, so that the active one
-// stays in force. previous is the revision before it if that is known, else 0: a
+// stays in force. previous is the revision before it if that is known, else zero: a
 // configuration that was not seen may be in force elsewhere.
-func (t *Tracker) Skip(previous, revision uint64) {
+func (t *Tracker) Skip(previous, revision eras.Revision) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.newest = max(t.newest, revision)
-	if t.active > 0 && previous == t.covered && revision > t.covered {
+	t.newest = t.newest.Later(revision)
+	if !t.active.IsZero() && previous == t.covered && revision.After(t.covered) {
 		t.cover(revision)
 	}
 }
 
-func (t *Tracker) cover(revision uint64) {
+func (t *Tracker) cover(revision eras.Revision) {
 	t.covered = revision
-	t.newest = max(t.newest, revision)
+	t.newest = t.newest.Later(revision)
 	if t.pending.revision == revision {
 		t.provenAt = timer.Later(t.provenAt, t.pending.at)
 	}
-	if t.pending.revision <= revision {
+	if !t.pending.revision.After(revision) {
 		t.pending = moment{}
 	}
 }
@@ -117,14 +118,14 @@
 func (t *Tracker) HasGap() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.newest > t.covered
+	return t.newest.After(t.covered)
 }
 
 // Proof returns the proof of the active configuration, false if there is none.
 func (t *Tracker) Proof(now time.Time) (Proof, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.active == 0 || t.provenAt.IsZero() {
+	if t.active.IsZero() || t.provenAt.IsZero() {
 		return Proof{}, false
 	}
 	return Proof{Revision: t.active, Age: max(now.Sub(t.provenAt), 0)}, true
--- a/internal/coordination/proof/tracker_test.go
+++ b/internal/coordination/proof/tracker_test.go
@@ -9,10 +9,14 @@
 	"pgregory.net/rapid"
 
 	"chivecroft.example/chivecroft/internal/coordination/proof"
+	"chivecroft.example/chivecroft/internal/state/eras"
 )
 
 const bound = 5 * time.Second
 
+// rev returns a revision of a store that tells no era.
+func rev(number uint64) eras.Revision { return eras.Revision{Number: number} }
+
 // written is a configuration in the model's store.
 type written struct {
 	revision uint64
@@ -78,11 +82,11 @@
 	}
 	n.seen = max(n.seen, w.revision)
 	if w.invalid || w.revision <= n.active {
-		n.tracker.Skip(previous, w.revision)
+		n.tracker.Skip(rev(previous), rev(w.revision))
 		return
 	}
 	n.active = w.revision
-	n.tracker.Activate(w.revision)
+	n.tracker.Activate(rev(w.revision))
 }
 
 // answer computes a reply as of now.
@@ -119,7 +123,7 @@
 			n.apply(previous, w)
 		}
 		n.through = max(q.revision, n.through)
-		n.tracker.RecordOwn(q.askedAt, n.seen)
+		n.tracker.RecordOwn(q.askedAt, rev(n.seen))
 	}
 }
 
@@ -235,20 +239,20 @@
 type step func(*proof.Tracker)
 
 func active(revision uint64) step {
-	return func(k *proof.Tracker) { k.Activate(revision) }
+	return func(k *proof.Tracker) { k.Activate(rev(revision)) }
 }
 
 func skipped(previous, revision uint64) step {
-	return func(k *proof.Tracker) { k.Skip(previous, revision) }
+	return func(k *proof.Tracker) { k.Skip(rev(previous), rev(revision)) }
 }
 
 func own(askedMS int, revision uint64) step {
-	return func(k *proof.Tracker) { k.RecordOwn(at(askedMS), revision) }
+	return func(k *proof.Tracker) { k.RecordOwn(at(askedMS), rev(revision)) }
 }
 
 func reply(askedMS int, revision uint64, ageMS int) step {
 	return func(k *proof.Tracker) {
-		k.RecordReply(at(askedMS), proof.Proof{Revision: revision, Age: age(ageMS)})
+		k.RecordReply(at(askedMS), proof.Proof{Revision: rev(revision), Age: age(ageMS)})
 	}
 }
 
@@ -293,8 +297,8 @@
 // TestMargin checks that keys are no longer accepted a margin before the bound.
 func TestMargin(t *testing.T) {
 	k := proof.NewTracker()
-	k.Activate(1)
-	k.RecordOwn(start, 1)
+	k.Activate(rev(1))
+	k.RecordOwn(start, rev(1))
 	for _, c := range []struct {
 		after time.Duration
 		want  bool
--- a/internal/coordination/relay/copy.go
+++ b/internal/coordination/relay/copy.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"chivecroft.example/chivecroft/internal/coordination/picker"
+	"chivecroft.example/chivecroft/internal/state/eras"
 )
 
 // Position identifies a state of the holder's updates.
@@ -16,11 +17,12 @@
 // State is a position and the store revisions that belong to it.
 type State struct {
 	Position
-	// Config is the revision of the configuration.
-	Config uint64
+	// Config is the revision of the configuration, ConfigVersion its version.
+	Config        eras.Revision
+	ConfigVersion int64
 	// ConfigThrough and TargetsThrough are the revisions up to which the holder has read
-	// configurations and targets. ConfigThrough is 0 if it may lack a configuration.
-	ConfigThrough, TargetsThrough uint64
+	// configurations and targets. ConfigThrough is unknown if it may lack a configuration.
+	ConfigThrough, TargetsThrough eras.Revision
 }
 
 // Copy is an instance's copy of the holder's updates. It is not safe for concurrent use.
@@ -84,11 +86,12 @@
 	}
 	if isSameTerm {
 		// Messages of the same time may name older revisions with a newer version.
-		s.Config = max(s.Config, c.state.Config)
-		if s.ConfigThrough > 0 {
-			s.ConfigThrough = max(s.ConfigThrough, c.state.ConfigThrough)
+		s.Config = s.Config.Later(c.state.Config)
+		s.ConfigVersion = max(s.ConfigVersion, c.state.ConfigVersion)
+		if !s.ConfigThrough.IsZero() {
+			s.ConfigThrough = s.ConfigThrough.Later(c.state.ConfigThrough)
 		}
-		s.TargetsThrough = max(s.TargetsThrough, c.state.TargetsThrough)
+		s.TargetsThrough = s.TargetsThrough.Later(c.state.TargetsThrough)
 	}
 	if !isSameTerm || asOf.After(c.asOf) {
 		c.asOf = asOf
@@ -99,8 +102,8 @@
 
 // isBehind reports whether a state of the same term has something that the copy lacks.
 func (c *Copy) isBehind(s State) bool {
-	return s.Version > c.state.Version || s.Config > c.state.Config ||
-		s.ConfigThrough > c.state.ConfigThrough || s.TargetsThrough > c.state.TargetsThrough
+	return s.Version > c.state.Version || s.Config.After(c.state.Config) || s.ConfigVersion > c.state.ConfigVersion ||
+		s.ConfigThrough.After(c.state.ConfigThrough) || s.TargetsThrough.After(c.state.TargetsThrough)
 }
 
 // After returns the updates that an instance at a position lacks. isFull means that these
--- a/internal/coordination/relay/copy_test.go
+++ b/internal/coordination/relay/copy_test.go
@@ -7,6 +7,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"chivecroft.example/chivecroft/internal/coordination/picker"
+	"chivecroft.example/chivecroft/internal/state/eras"
 	"chivecroft.example/chivecroft/internal/state/fleet"
 )
 
@@ -16,7 +17,7 @@
 func TestCopyKeepsTheTimeOfRemoval(t *testing.T) {
 	start := time.Unix(1_000_000, 0)
 	c := NewCopy()
-	leaving := picker.Update{Identity: fleet.Identity{ID: "a", Born: 1}, Revision: 20, RemovalMS: 1500}
+	leaving := picker.Update{Identity: fleet.Identity{ID: "a", Born: 1}, Revision: eras.Revision{Number: 20}, RemovalMS: 1500}
 	c.Adopt(State{Position: Position{Term: 1, Version: 1}}, start, true, []picker.Update{leaving})
 	var got []int64
 	for i, after := range []time.Duration{0, 400 * time.Millisecond, 3 * time.Second} {
--- a/internal/coordination/relay/world_test.go
+++ b/internal/coordination/relay/world_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"chivecroft.example/chivecroft/internal/coordination/picker"
+	"chivecroft.example/chivecroft/internal/state/eras"
 )
 
 // world is a holder, two relays and their children, whose messages may be lost.
@@ -109,7 +110,7 @@
 }
 
 func (w *world) state() State {
-	return State{Position: Position{int64(w.term), w.version}, TargetsThrough: w.version} //nolint:gosec // small
+	return State{Position: Position{int64(w.term), w.version}, TargetsThrough: eras.Revision{Number: w.version}} //nolint:gosec // small
 }
 
 func (w *world) after(at Position) ([]picker.Update, bool) {
--- a/internal/edge/broken_test.go
+++ b/internal/edge/broken_test.go
@@ -41,8 +41,8 @@
 			at := socket.Listen(t, socket.Answer(h.Answer("200 OK", headerRevision+": 7\r\n", "{}")))
 			p := newPeerClient()
 			_, exchanged := p.exchange(t.Context(), at, pathExchange, exchangeRequest{From: "i1"}, time.Second)
-			_, fetched := p.config(t.Context(), at, 0, 0)
-			_, changed := p.changes(t.Context(), at, 0)
+			_, fetched := p.config(t.Context(), at, knownConfig{}, 0)
+			_, changed := p.changes(t.Context(), at, rev(0))
 			_, _, permitted := p.permits(t.Context(), at, usage.Message{})
 			_, handedOver := p.ledger(t.Context(), at, ledgerRequest{From: "i1", Term: 1})
 			got := []bool{
@@ -91,7 +91,7 @@
 			ask  func(*peerClient, context.Context, netip.AddrPort) error
 		}{
 			{"config", maxConfigBytes / 2, func(p *peerClient, ctx context.Context, at netip.AddrPort) error {
-				_, err := p.config(ctx, at, 0, 0)
+				_, err := p.config(ctx, at, knownConfig{}, 0)
 				return err
 			}},
 			{"exchange", maxMessageBytes / 2, func(p *peerClient, ctx context.Context, at netip.AddrPort) error {
@@ -127,7 +127,7 @@
 		p := newPeerClient()
 		posted := p.post(t.Context(), at, pathCrashes, []byte("[]"))
 		_, exchanged := p.exchange(t.Context(), at, pathExchange, exchangeRequest{From: "i1"}, time.Second)
-		_, fetched := p.config(t.Context(), at, 0, 0)
+		_, fetched := p.config(t.Context(), at, knownConfig{}, 0)
 		if posted == nil || exchanged == nil || fetched == nil {
 			t.Errorf("%q: %v, %v, %v", text, posted, exchanged, fetched)
 		}
--- a/internal/edge/changes.go
+++ b/internal/edge/changes.go
@@ -16,6 +16,7 @@
 	"chivecroft.example/chivecroft/internal/coordination/deltas"
 	"chivecroft.example/chivecroft/internal/coordination/elect"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/state/eras"
 )
 
 // Limits of following the targets through a reader.
@@ -33,8 +34,9 @@
 
 // changes is a reader's response to /changes: what it has read from the store.
 type changes struct {
-	// Through is the store revision up to which Items contains all changes.
-	Through ports.Revision `json:"through"`
+	// Through is the store revision up to which Items contains all changes. Their revisions are of
+	// its era.
+	Through eras.Revision `json:"through"`
 	// Holder is the peer address of the holder that the reader knows.
 	Holder netip.AddrPort `json:"holder,omitzero"`
 	Items  []change       `json:"items,omitempty"`
@@ -71,7 +73,7 @@
 // store itself.
 func (e *Edge) serveChanges(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
-	after, err := strconv.ParseUint(query.Get(queryAfter), 10, 64)
+	after, err := eras.Parse(query.Get(queryAfter))
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
@@ -81,11 +83,11 @@
 		return
 	}
 	changed := e.targetFollower.changelog.Changed()
-	out, ok := e.changesAfter(ports.Revision(after))
+	out, ok := e.changesAfter(after)
 	if ok && !out.Full && !out.StoreDown && len(out.Items) == 0 {
 		waitMS, _ := strconv.ParseInt(query.Get(queryWait), 10, 64)
 		waitFor(r.Context(), changed, min(time.Duration(waitMS)*time.Millisecond, maxChangesWait))
-		out, ok = e.changesAfter(ports.Revision(after))
+		out, ok = e.changesAfter(after)
 	}
 	if !ok {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -96,7 +98,7 @@
 
 // changesAfter returns the changes after a revision. It returns false if this instance
 // does not have all of them or is stopping.
-func (e *Edge) changesAfter(after ports.Revision) (changes, bool) {
+func (e *Edge) changesAfter(after eras.Revision) (changes, bool) {
 	if e.stopping.Load() {
 		return changes{}, false
 	}
@@ -122,7 +124,7 @@
 
 // fetchChanges asks the readers for the changes after a revision. The first reader
 // alternates, so that one whose watch has stalled delays nothing.
-func (e *Edge) fetchChanges(ctx context.Context, after ports.Revision) (deltas.Changes, readerResult) {
+func (e *Edge) fetchChanges(ctx context.Context, after eras.Revision) (deltas.Changes, readerResult) {
 	readers := e.readersToAsk()
 	if e.readerTurn.Add(1)%2 == 0 {
 		slices.Reverse(readers)
@@ -132,7 +134,7 @@
 	})
 }
 
-func (e *Edge) fetchChangesFrom(ctx context.Context, from netip.AddrPort, after ports.Revision) (deltas.Changes, error) {
+func (e *Edge) fetchChangesFrom(ctx context.Context, from netip.AddrPort, after eras.Revision) (deltas.Changes, error) {
 	c, err := e.peerClient.changes(ctx, from, after)
 	if err != nil {
 		return deltas.Changes{}, err
@@ -142,6 +144,9 @@
 		e.noteReadersStoreDown()
 		return deltas.Changes{}, errStoreDown
 	}
+	if !e.history.Note(e.clock.Now(), c.Through) || !c.Full && c.Through.Era != after.Era {
+		return deltas.Changes{}, errNotCurrent
+	}
 	e.readerRepliedAt.Store(e.clock.Now().UnixNano())
 	if c.Holder.IsValid() {
 		e.election.Post(elect.SetHolder{Holder: c.Holder})
@@ -163,11 +168,11 @@
 var errHasUpdates = errors.New("the instance gets updates from the holder")
 
 // changes requests the changes after a revision from another instance.
-func (p *peerClient) changes(ctx context.Context, from netip.AddrPort, after ports.Revision) (changes, error) {
+func (p *peerClient) changes(ctx context.Context, from netip.AddrPort, after eras.Revision) (changes, error) {
 	ctx, cancel := context.WithTimeout(ctx, readerTimeout)
 	defer cancel()
 	query := url.Values{
-		queryAfter: {strconv.FormatUint(uint64(after), 10)},
+		queryAfter: {after.String()},
 		queryWait:  {strconv.FormatInt(maxChangesWait.Milliseconds(), 10)},
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from.String()+pathChanges+"?"+query.Encode(), nil)
--- a/internal/edge/changes_test.go
+++ b/internal/edge/changes_test.go
@@ -130,12 +130,12 @@
 	e := New(&platform.Boot{Instance: "i1", Zone: "a1"}, discardLogger())
 	defer e.stopLoops()
 	e.updatedAt.Store(e.clock.Now().Add(-maxUpdateAge).UnixNano())
-	e.targetFollower.changelog.Replace([]ports.Item{{Key: "servers/d1", Revision: 3}}, 5)
-	if got, ok := e.changesAfter(2); ok {
+	e.targetFollower.changelog.Replace([]ports.Item{{Key: "servers/d1", Revision: 3}}, rev(5))
+	if got, ok := e.changesAfter(rev(2)); ok {
 		t.Errorf("returned %+v", got)
 	}
 	e.targetFollower.hasList.Store(true)
-	if got, ok := e.changesAfter(2); !ok || !got.Full || len(got.Items) != 1 {
+	if got, ok := e.changesAfter(rev(2)); !ok || !got.Full || len(got.Items) != 1 {
 		t.Errorf("after a list: returned %+v, %t", got, ok)
 	}
 }
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -18,6 +18,7 @@
 	"chivecroft.example/chivecroft/internal/coordination/quota"
 	"chivecroft.example/chivecroft/internal/coordination/relay"
 	"chivecroft.example/chivecroft/internal/coordination/sched"
+	"chivecroft.example/chivecroft/internal/state/eras"
 	"chivecroft.example/chivecroft/internal/state/fleet"
 	"chivecroft.example/chivecroft/internal/state/recent"
 	"chivecroft.example/chivecroft/internal/state/timer"
@@ -44,6 +45,7 @@
 	// departures holds the targets that have left the store. Those that are among targets all
 	// the same may be alive, and are removed later.
 	departures *depart.Log
+	history    *eras.History
 	// leaving holds the incarnations of targets that have announced that they are
 	// leaving. Descriptions of these incarnations that say otherwise are outdated.
 	leaving *recent.Set[fleet.Identity]
@@ -54,7 +56,7 @@
 	// not it had one.
 	configRead bool
 	// configRevision is the store revision of config.
-	configRevision uint64
+	configRevision eras.Revision
 	planners       map[string]*sched.Planner
 	// storeLoads is how many loads from the weight store run in parallel at most, by
 	// service, as the holder has last told.
@@ -100,10 +102,10 @@
 	formerMembers []netip.AddrPort
 }
 
-func newCoordinator(ctx context.Context, boot *platform.Boot, clock *timer.Boot, l *log.Logger, m *instanceMetrics) *coordinator {
+func newCoordinator(ctx context.Context, boot *platform.Boot, clock *timer.Boot, l *log.Logger, m *instanceMetrics, h *eras.History) *coordinator {
 	k := &coordinator{
 		ctx: ctx, self: boot.Instance, engines: platform.NewEngines(), clock: clock, log: l, metrics: m,
-		loadWindow: boot.Bounds.LoadWindow, targets: make(map[string]fleet.Target), departures: depart.NewLog(),
+		loadWindow: boot.Bounds.LoadWindow, targets: make(map[string]fleet.Target), departures: depart.NewLog(h, entryLease(boot.Heartbeat)), history: h,
 		leaving: picker.NewLeavingSet(), updates: newUpdateLog(), permits: quota.NewLedger(), crashes: crash.NewDetector(),
 		unread:   make(map[fleet.Identity]time.Time),
 		planners: make(map[string]*sched.Planner), members: make(map[string]member), tree: relay.NewTree(),
@@ -175,7 +177,7 @@
 	u.Limit = limit
 	d, hasLeft := k.departures.Find(r.ID)
 	if hasLeft {
-		u.Revision = uint64(d.Revision)
+		u.Revision = d.Revision
 	}
 	k.updates.set(u, d.UsableUntil)
 }
@@ -211,7 +213,7 @@
 	return k.status
 }
 
-func (k *coordinator) setConfig(c *fleet.Config, revision uint64) {
+func (k *coordinator) setConfig(c *fleet.Config, revision eras.Revision) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.config = c
--- a/internal/edge/coordinator_test.go
+++ b/internal/edge/coordinator_test.go
@@ -10,6 +10,7 @@
 	"chivecroft.example/chivecroft/internal/coordination/elect"
 	"chivecroft.example/chivecroft/internal/coordination/picker"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/state/eras"
 	"chivecroft.example/chivecroft/internal/state/fleet"
 	"chivecroft.example/chivecroft/internal/state/timer"
 	"chivecroft.example/chivecroft/platform"
@@ -18,19 +19,22 @@
 
 func newTestPicker() *picker.Picker { return picker.New(timer.NewSystem(), "a1", nil) }
 
+// newTestHistory returns a history of which nothing is known.
+func newTestHistory() *eras.History { return eras.NewHistory(func(eras.Return) {}) }
+
 // targetItem returns the entry of a target that is ready.
-func targetItem(t *testing.T, id string, revision ports.Revision) ports.Item {
+func targetItem(t *testing.T, id string, revision ports.Revision) storeItem {
 	value, err := json.Marshal(fake.NewTarget(t, id, "a1", 0).Entry("desk", "ready"))
 	if err != nil {
 		t.Fatal(err)
 	}
-	return ports.Item{Key: platform.TargetPrefix + id, Value: value, Revision: revision}
+	return dated(0, ports.Item{Key: platform.TargetPrefix + id, Value: value, Revision: revision})
 }
 
 func newTestCoordinator(t *testing.T) *coordinator {
 	l := discardLogger()
-	k := newCoordinator(t.Context(), &platform.Boot{Instance: "i1"}, timer.NewBoot(), l, &instanceMetrics{log: l})
-	k.setConfig(&fleet.Config{Version: 1}, 1)
+	k := newCoordinator(t.Context(), &platform.Boot{Instance: "i1"}, timer.NewBoot(), l, &instanceMetrics{log: l}, newTestHistory())
+	k.setConfig(&fleet.Config{Version: 1}, rev(1))
 	return k
 }
 
@@ -50,7 +54,7 @@
 	if _, ok := k.handleExchange(exchangeRequest{From: "i2"}); ok {
 		t.Error("updates before a list was read")
 	}
-	newTargetTracker(newTestPicker(), k, k.log).applyList(itemList{items: []ports.Item{targetItem(t, "stays", 3)}, through: 3}, 0)
+	newTargetTracker(newTestPicker(), k, k.log).applyList(itemList{items: []storeItem{targetItem(t, "stays", 3)}, through: rev(3)}, 0)
 	k.setHasFullList(true)
 	r, ok := k.handleExchange(exchangeRequest{From: "i2"})
 	var got []string
@@ -99,7 +103,7 @@
 	for i, id := range []string{"back", "lost"} {
 		item := targetItem(t, id, ports.Revision(1+i))
 		tracker.applyChange(item, originStore, 0)
-		tracker.applyChange(ports.Item{Key: item.Key, Revision: ports.Revision(3 + i), Deleted: true}, originStore, leaseRecoveryTime)
+		tracker.applyChange(dated(0, ports.Item{Key: item.Key, Revision: ports.Revision(3 + i), Deleted: true}), originStore, leaseRecoveryTime)
 	}
 	count := func() int {
 		k.mu.Lock()
--- a/internal/edge/copy_test.go
+++ b/internal/edge/copy_test.go
@@ -26,8 +26,8 @@
 	if !ok {
 		return false
 	}
-	s, err := decodeSnapshot(item)
-	return err == nil && s.revision == config.Revision
+	s, err := decodeSnapshot(dated(0, item))
+	return err == nil && s.revision == rev(config.Revision)
 }
 
 // TestStartReadsTheCopy starts an instance beside others. It must read the configuration
@@ -73,17 +73,17 @@
 
 // TestSnapshotRoundTrip encodes and decodes a configuration.
 func TestSnapshotRoundTrip(t *testing.T) {
-	item := ports.Item{Key: platform.ConfigKey, Value: []byte(`{"version":3}`), Revision: 41}
-	packed, err := newConfigSnapshot(item).encode()
+	item := dated(2, ports.Item{Key: platform.ConfigKey, Value: []byte(`{"version":3}`), Revision: 41})
+	packed, err := newConfigSnapshot(item, 3).encode()
 	if err != nil {
 		t.Fatal(err)
 	}
-	back, err := decodeSnapshot(ports.Item{Key: configCopyKey, Value: packed, Revision: 42})
+	back, err := decodeSnapshot(dated(2, ports.Item{Key: configCopyKey, Value: packed, Revision: 42}))
 	if err != nil {
 		t.Fatal(err)
 	}
 	got, err := back.item()
-	if diff := cmp.Diff(item, got); diff != "" || err != nil {
+	if diff := cmp.Diff(item, got, cmp.AllowUnexported(storeItem{})); diff != "" || err != nil {
 		t.Errorf("(-want +got):\n%s%v", diff, err)
 	}
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -26,6 +26,7 @@
 	"chivecroft.example/chivecroft/internal/coordination/quota"
 	"chivecroft.example/chivecroft/internal/coordination/relay"
 	"chivecroft.example/chivecroft/internal/coordination/retry"
+	"chivecroft.example/chivecroft/internal/state/eras"
 	"chivecroft.example/chivecroft/internal/state/fleet"
 	"chivecroft.example/chivecroft/internal/state/timer"
 	"chivecroft.example/chivecroft/internal/transport/accept"
@@ -50,7 +51,7 @@
 	boot   *platform.Boot
 	log    *log.Logger
 	timer  timer.Service
-	store  *platform.Store
+	store  *eraStore
 	health *storeHealth
 	picker *picker.Picker
 	budget *retry.Budget
@@ -59,6 +60,11 @@
 	config atomic.Pointer[fleet.Config]
 	// snapshot is the active configuration in the form that is sent to other instances.
 	snapshot atomic.Pointer[configSnapshot]
+	// received is the configuration that another instance or the copy in the store has last sent; it
+	// becomes the snapshot once it is active.
+	received atomic.Pointer[configSnapshot]
+	// history is that of the store.
+	history *eras.History
 	// readers holds the peer addresses of the readers of this instance's zone, as the
 	// holder last sent them.
 	readers atomic.Pointer[[]netip.AddrPort]
@@ -169,7 +175,12 @@
 	e.bounds.Store(&boot.Bounds)
 	e.loopCtx, e.stopLoops = context.WithCancel(context.Background())
 	e.metrics = &instanceMetrics{log: l}
-	e.store = platform.NewStore(e.loopCtx, boot.Store, platform.WithStoreObserver(e.onStoreCall))
+	e.clock = timer.NewBoot()
+	e.history = eras.NewHistory(e.onReturn)
+	e.store = &eraStore{
+		client:  platform.NewStore(e.loopCtx, boot.Store, platform.WithStoreObserver(e.onStoreCall)),
+		history: e.history, now: e.clock.Now, onOutdated: func() { e.metrics.outdatedIgnored("reply", 1) },
+	}
 	e.demandSignal = make(chan struct{}, 1)
 	pickerOptions := []picker.Option{
 		picker.WithName(boot.Instance), picker.WithDemand(e.signalDemand), picker.WithHoldObserver(e.onHoldChange),
@@ -179,8 +190,7 @@
 		pickerOptions = append(pickerOptions, picker.WithoutStartLimits())
 	}
 	e.picker = picker.New(e.timer, boot.Zone, boot.Regions, pickerOptions...)
-	e.clock = timer.NewBoot()
-	e.coordinator = newCoordinator(e.loopCtx, boot, e.clock, l, e.metrics)
+	e.coordinator = newCoordinator(e.loopCtx, boot, e.clock, l, e.metrics, e.history)
 	e.coordinator.withoutSlowStart = e.withoutSlowStart
 	e.tracker = newTargetTracker(e.picker, e.coordinator, l)
 	e.proofs = proof.NewTracker()
@@ -190,7 +200,6 @@
 	e.collector = load.NewCollector()
 	e.configFollower = e.newConfigFollower()
 	e.targetFollower = e.newTargetFollower()
-	e.tracker.era = e.targetFollower.era.Load
 	e.tracker.onOutdated = func() { e.metrics.outdatedIgnored(e.targetFollower.name, 1) }
 	if boot.Bootstrap {
 		e.configFollower.updateWait, e.targetFollower.updateWait = bootstrapTimeout, bootstrapTimeout
@@ -233,6 +242,13 @@
 	e.health.hear(status)
 }
 
+// onReturn handles that the store has come back from an older copy.
+func (e *Edge) onReturn(r eras.Return) {
+	e.health.recordReturn()
+	e.log.Info().Uint64("era", r.Era).Uint64("eraBefore", r.EraBefore).Int("dropped", r.Dropped).Stringer("first", e.history.First()).
+		Msg("store history begins anew")
+}
+
 // onHolderStatus handles a change of the election status. A new holder is asked for
 // updates at once.
 func (e *Edge) onHolderStatus(s elect.Status) {
@@ -384,7 +400,7 @@
 }
 
 func (e *Edge) newConfigFollower() *follower {
-	apply := func(previous ports.Revision, item ports.Item, from origin) {
+	apply := func(previous eras.Revision, item storeItem, from origin) {
 		switch {
 		case item.Key != platform.ConfigKey:
 		case item.Deleted:
@@ -394,14 +410,14 @@
 		}
 	}
 	return &follower{
-		name: "config", prefix: platform.ConfigKey, store: e.store, health: e.health, log: e.log,
+		name: "config", prefix: platform.ConfigKey, store: e.store, health: e.health, history: e.history, log: e.log,
 		applyList: func(list itemList) {
 			for _, item := range list.items {
-				apply(0, item, list.from)
+				apply(eras.Revision{}, item, list.from)
 			}
 			e.coordinator.setConfigRead()
 		},
-		applyChange: func(previous ports.Revision, item ports.Item) { apply(previous, item, e.configFollower.from) },
+		applyChange: func(previous eras.Revision, item storeItem) { apply(previous, item, e.configFollower.from) },
 		onOutdated:  e.metrics.outdatedIgnored, watchTime: e.configWatchTimeout, onRead: e.noteConfigRead,
 		hasFreshUpdates: e.hasFreshUpdates, onIdle: func() {}, fetchFromHolder: e.fetchNewestConfig,
 		canAskReaders: e.canAskReaders, fetchItems: e.fetchConfigFromReaders, isHolder: e.isHolder,
@@ -415,18 +431,18 @@
 func (e *Edge) isHolder() bool { return e.coordinator.holderStatus().IsHolder }
 
 // applyConfig makes a configuration active unless the active one is as new. previous is
-// the revision that was read before it, 0 if others may be in between.
-func (e *Edge) applyConfig(previous ports.Revision, item ports.Item, from origin) {
+// the revision that was read before it, unknown if others may be in between.
+func (e *Edge) applyConfig(previous eras.Revision, item storeItem, from origin) {
 	c, err := platform.DecodeConfig(item.Value)
 	if err != nil {
-		e.log.Error().Err(err).Uint64("revision", uint64(item.Revision)).Msg("configuration rejected")
+		e.log.Error().Err(err).Stringer("revision", item.at).Str("from", string(from)).Msg("configuration rejected")
 		e.skipConfig(previous, item)
 		return
 	}
+	e.configFollower.localVersion.Store(max(e.configFollower.localVersion.Load(), c.Version))
 	if have := e.config.Load(); have != nil && have.Version >= c.Version && !e.activeItem.isRewrittenAs(item) {
-		e.log.Info().Int64("version", c.Version).Int64("active", have.Version).Uint64("revision", uint64(item.Revision)).
-			Uint64("activeRevision", uint64(e.activeItem.revision)).Uint64("era", e.configFollower.era.Load()).
-			Str("from", string(from)).Msg("configuration not newer than the active one")
+		e.log.Info().Int64("version", c.Version).Int64("active", have.Version).Stringer("revision", item.at).
+			Stringer("activeRevision", e.activeItem.revision).Str("from", string(from)).Msg("configuration not newer than the active one")
 		e.metrics.outdatedIgnored(e.configFollower.name, 1)
 		e.skipConfig(previous, item)
 		return
@@ -435,32 +451,34 @@
 	e.listener.SetLimits(accept.Limits{
 		HeaderBytes: c.Limits.HeaderBytes, HeaderTimeout: c.Limits.HeaderTimeout, IdleTimeout: c.Limits.IdleTimeout,
 	})
-	e.coordinator.setConfig(c, uint64(item.Revision))
+	e.coordinator.setConfig(c, item.at)
 	e.setQuotas(c)
 	// The instance may report that it is ready only from here on.
 	e.config.Store(c)
-	e.updateSnapshot(item)
+	e.updateSnapshot(item, c.Version)
 	e.activeItem = newActiveItem(item)
-	e.proofs.Activate(uint64(item.Revision))
-	e.log.Info().Int64("version", c.Version).Uint64("revision", uint64(item.Revision)).
-		Uint64("era", e.configFollower.era.Load()).Str("from", string(from)).Int("routes", len(c.Routes)).Int("bytes", len(item.Value)).Msg("configuration active")
+	e.proofs.Activate(item.at)
+	e.log.Info().Int64("version", c.Version).Stringer("revision", item.at).
+		Str("from", string(from)).Int("routes", len(c.Routes)).Int("bytes", len(item.Value)).Msg("configuration active")
 	e.metrics.configActivated(c.Version, from)
 }
 
-// updateSnapshot keeps a configuration for other instances, unless it is there already
-// because it came from one.
-func (e *Edge) updateSnapshot(item ports.Item) {
-	if have := e.snapshot.Load(); have != nil && have.revision == item.Revision {
-		return
+// updateSnapshot keeps the active configuration for other instances, in the form in which it came
+// from one if it did.
+func (e *Edge) updateSnapshot(item storeItem, version int64) {
+	s := e.received.Swap(nil)
+	if s == nil || s.revision != item.at {
+		s = newConfigSnapshot(item, version)
 	}
-	e.snapshot.Store(newConfigSnapshot(item))
+	s.version = version
+	e.snapshot.Store(s)
 }
 
 func (e *Edge) newTargetFollower() *follower {
 	return &follower{
-		name: "targets", prefix: platform.TargetPrefix, store: e.store, health: e.health, log: e.log,
+		name: "targets", prefix: platform.TargetPrefix, store: e.store, health: e.health, history: e.history, log: e.log,
 		batchDelay: targetBatchDelay, applyList: e.applyTargetList,
-		applyChange: func(_ ports.Revision, item ports.Item) {
+		applyChange: func(_ eras.Revision, item storeItem) {
 			e.tracker.applyChange(item, e.targetFollower.from, e.health.removalDelay())
 		},
 		onOutdated:    e.metrics.outdatedIgnored,
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -36,6 +36,9 @@
 		Term: k.term(), Version: k.updates.version, Full: after == 0, Updates: k.updates.after(after, now),
 		Members: members, Senders: senders, ChildrenKnown: known, Readers: readers, ConfigRevision: k.configRevision, ReadyInMS: make(map[string]int64),
 	}
+	if k.config != nil {
+		out.ConfigVersion = k.config.Version
+	}
 	out.HasRelays = k.hasRelays(&m, now)
 	if out.HasRelays && k.shouldRedirect(&m, out.Full) {
 		out.IsRedirect, out.Updates = true, nil
--- a/internal/edge/follower.go
+++ b/internal/edge/follower.go
@@ -10,6 +10,7 @@
 
 	"chivecroft.example/chivecroft/internal/coordination/deltas"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/state/eras"
 	"chivecroft.example/chivecroft/internal/state/timer"
 	"chivecroft.example/chivecroft/platform"
 )
@@ -45,37 +46,67 @@
 	maxRetryDelay = 1500 * time.Millisecond
 )
 
+// storeItem is an item of the store.
+type storeItem struct {
+	ports.Item
+	// at is the item's revision as it was told.
+	at eras.Revision
+}
+
+// dated returns an item that was told in an era.
+func dated(era uint64, item ports.Item) storeItem {
+	return storeItem{Item: item, at: eras.Revision{Era: era, Number: uint64(item.Revision)}}
+}
+
 // itemList is a full list of the keys that a follower follows.
 type itemList struct {
-	items []ports.Item
-	// through is the store revision that the list is of, or an earlier one; 0 if unknown.
-	through ports.Revision
-	// era is the store's era as of the list, 0 if unknown.
-	era  uint64
-	from origin
+	items []storeItem
+	// through is the store revision that the list is of, or an earlier one.
+	through eras.Revision
+	from    origin
 	// askedAt is when this instance asked the store for the list, zero if it has it from
 	// another instance or a copy.
 	askedAt time.Time
 }
 
+// newItemList returns a list whose items were told in the era of the revision through.
+func newItemList(items []ports.Item, through eras.Revision, from origin) itemList {
+	out := itemList{through: through, from: from}
+	for _, item := range items {
+		out.items = append(out.items, dated(through.Era, item))
+	}
+	return out
+}
+
+// plain returns the items without their eras.
+func (l *itemList) plain() []ports.Item {
+	out := make([]ports.Item, len(l.items))
+	for i, item := range l.items {
+		out[i] = item.Item
+	}
+	return out
+}
+
 // follower keeps up to date with all keys that begin with a prefix. It gets them from the
 // holder's updates, from readers or from the store itself.
 type follower struct {
 	name   string
 	prefix string
-	store  *platform.Store
+	store  *eraStore
 	health *storeHealth
-	log    *log.Logger
+	// history is the store's; what is told of a former one is thrown away.
+	history *eras.History
+	log     *log.Logger
 	// batchDelay is the delay between two watches, so that changes are read together.
 	batchDelay time.Duration
 	// applyList applies a full list of items, applyChange an item that was written or
-	// deleted after a previous revision of the same key, 0 for none.
+	// deleted after a previous revision of the same key, zero for none.
 	applyList   func(list itemList)
-	applyChange func(previous ports.Revision, item ports.Item)
+	applyChange func(previous eras.Revision, item storeItem)
 	// onRead is called after a call to the store, sent after askedAt, has returned and its
 	// reply has been applied, with the newest revision of the configuration; nil if this
 	// follows other keys. watchTime returns the time of a watch; nil for watchTimeout.
-	onRead    func(askedAt time.Time, newest ports.Revision)
+	onRead    func(askedAt time.Time, newest eras.Revision)
 	watchTime func() time.Duration
 	// askedAt is when the latest call to the store was made.
 	askedAt time.Time
@@ -87,35 +118,40 @@
 	fetchFromHolder func(context.Context) (itemList, bool)
 	// readCopy reads the keys from a copy in the store that is smaller than the list; nil
 	// if there is none.
-	readCopy func() ([]ports.Item, ports.Revision, bool)
+	readCopy func() (itemList, bool)
 	// canAskReaders reports whether readers read the keys for this instance. fetchItems
 	// gets the keys from them, and returns no items if there is nothing newer.
 	canAskReaders func() bool
-	fetchItems    func(context.Context) ([]ports.Item, readerResult)
+	fetchItems    func(context.Context) (itemList, readerResult)
 	// fetchChanges gets the changes after a revision from a reader; nil if fetchItems is
 	// set. changelog holds the changes that this instance sends to others.
-	fetchChanges func(context.Context, ports.Revision) (deltas.Changes, readerResult)
+	fetchChanges func(context.Context, eras.Revision) (deltas.Changes, readerResult)
 	changelog    *deltas.Log
 	// updateWait is how long the follower waits for updates at the start. expectsUpdates
 	// reports whether it waits for longer, since a holder is about to send them; nil if it
 	// never does.
 	updateWait     time.Duration
 	expectsUpdates func() bool
-	// remoteRevision is the newest revision that another instance has reported.
-	remoteRevision atomic.Uint64
-	// localRevision is the newest revision of the keys that this instance has.
-	localRevision atomic.Uint64
+	// remoteRevision is the newest revision that another instance has reported, remoteVersion
+	// the newest version if the key is the configuration. A version outlives a return of the
+	// store from an older copy.
+	remoteRevision eras.Cell
+	remoteVersion  atomic.Int64
+	// localRevision is the newest revision of the keys that this instance has, localVersion the
+	// newest version that it has seen.
+	localRevision eras.Cell
+	localVersion  atomic.Int64
 	// updatesThrough is the store revision up to which the updates of another instance
 	// contain all changes of the keys. readThrough is the one up to which this instance
 	// has read them from the store.
-	updatesThrough atomic.Uint64
-	readThrough    atomic.Uint64
+	updatesThrough eras.Cell
+	readThrough    eras.Cell
 	// lastMark records how far the updates reached. It is replaced when it is older than
 	// changesOverlap.
 	lastMark atomic.Pointer[updateMark]
 	// coveredRevision is the newest revision up to which updates contain all changes. An
 	// older change that is read late must not overwrite them.
-	coveredRevision atomic.Uint64
+	coveredRevision eras.Cell
 	// isHolder reports whether this instance sends updates to the others. needsList
 	// reports whether it needs a full list rather than only changes, and hasList whether
 	// the changes it has follow a list that it has read.
@@ -141,12 +177,11 @@
 	// refusedSince is since when readers have refused requests because they still get
 	// updates from the holder.
 	refusedSince time.Time
-	revision     ports.Revision
-	// from is where the changes that are being applied come from, era the store's era as of the
-	// latest reply.
+	// revision is how far this instance has read the keys.
+	revision eras.Revision
+	// from is where the changes that are being applied come from.
 	from          origin
-	era           atomic.Uint64
-	itemRevisions map[string]ports.Revision
+	itemRevisions map[string]eras.Revision
 	// onOutdated is called with the number of changes that were ignored as older than what is
 	// known; nil if nobody counts them.
 	onOutdated func(feed string, count int)
@@ -155,7 +190,7 @@
 // run follows the keys until ctx ends. While the holder's updates are fresh it is idle,
 // and reads only what the updates report as changed.
 func (f *follower) run(ctx context.Context) {
-	f.itemRevisions = make(map[string]ports.Revision)
+	f.itemRevisions = make(map[string]eras.Revision)
 	f.awaitUpdates(ctx)
 	for ctx.Err() == nil {
 		if f.tryHolder(ctx) {
@@ -170,14 +205,15 @@
 	}
 }
 
-// noteUpdate records the newest revision of the keys that the holder has seen, and the
+// noteUpdate records the newest revision and version of the keys that the holder has seen, and the
 // store revision up to which it has read all changes.
-func (f *follower) noteUpdate(revision, through uint64) {
+func (f *follower) noteUpdate(revision eras.Revision, version int64, through eras.Revision) {
 	f.remoteRevision.Store(revision)
+	f.remoteVersion.Store(version)
 	f.updatesThrough.Store(through)
 	now := f.clock.Now()
 	if have := f.lastMark.Load(); have == nil || now.Sub(have.at) > changesOverlap {
-		f.lastMark.Store(&updateMark{revision: ports.Revision(through), at: now, earlier: have.revisionOf()})
+		f.lastMark.Store(&updateMark{revision: through, at: now, earlier: have.revisionOf()})
 	}
 }
 
@@ -210,15 +246,15 @@
 // tryResume continues from where the holder's updates ended. All instances lose them at
 // the same time, and full lists for all of them would saturate the links between regions.
 func (f *follower) tryResume() bool {
-	through := f.updatesThrough.Swap(0)
-	if through == 0 || f.isBehind() || f.needsList() {
+	through := f.updatesThrough.Swap(eras.Revision{})
+	if through.IsZero() || !f.history.IsPresent(through) || f.isBehind() || f.needsList() {
 		return false
 	}
-	f.revision = f.resumeRevision(ports.Revision(through))
+	f.revision = f.resumeRevision(through)
 	f.hasList.Store(false)
 	f.isProbing = true
 	f.startChangelog(f.revision)
-	f.log.Info().Str("feed", f.name).Uint64("revision", through).Msg("following the store")
+	f.log.Info().Str("feed", f.name).Stringer("revision", through).Msg("following the store")
 	return true
 }
 
@@ -227,11 +263,11 @@
 	if f.readCopy == nil {
 		return false
 	}
-	items, through, ok := f.readCopy()
+	list, ok := f.readCopy()
 	if !ok {
 		return false
 	}
-	f.reset(itemList{items: items, through: through, from: originCopy})
+	f.reset(list)
 	return true
 }
 
@@ -239,12 +275,12 @@
 func (f *follower) reset(list itemList) {
 	f.revision = list.through
 	if f.changelog != nil {
-		f.changelog.Replace(list.items, list.through)
+		f.changelog.Replace(list.plain(), list.through)
 	}
 	f.resetRevisions(list.items)
 	f.applyList(list)
 	f.hasList.Store(true)
-	f.readThrough.Store(uint64(list.through))
+	f.readThrough.Store(list.through)
 }
 
 // lacksList reports whether a full list is needed and has not been read.
@@ -274,16 +310,18 @@
 	}
 	list, ok := f.fetchFromHolder(ctx)
 	if !ok {
+		// A store that has come back from an older copy may not have what the holder names for some time.
+		sleep(ctx, idlePollInterval)
 		return false
 	}
-	f.resetRevisions(list.items)
 	f.applyList(list)
+	f.resetRevisions(list.items)
 	return true
 }
 
-// isBehind reports whether another instance has seen a newer revision than this one.
+// isBehind reports whether another instance has seen a newer revision or version than this one.
 func (f *follower) isBehind() bool {
-	return f.remoteRevision.Load() > f.localRevision.Load()
+	return f.remoteRevision.Load().After(f.localRevision.Load()) || f.remoteVersion.Load() > f.localVersion.Load()
 }
 
 // callStore calls the store and cancels the call once isNeedless returns true.
@@ -298,19 +336,14 @@
 	f.health.record(reply.Status, reply.Err)
 	if reply.Status == ports.KVOK {
 		f.storeSeenAt.Store(f.clock.Now().UnixNano())
-		f.noteEra(reply)
 	}
 	return reply
 }
 
-// noteEra logs that the store's era differs from that of the latest reply.
+// noteEra logs that a reply is of another era than what was read before.
 func (f *follower) noteEra(reply ports.KVReply) {
-	before := f.era.Swap(reply.Era)
-	if before == reply.Era {
-		return
-	}
-	f.log.Info().Str("feed", f.name).Uint64("era", reply.Era).Uint64("eraBefore", before).Uint64("revision", uint64(f.revision)).
-		Uint64("localRevision", f.localRevision.Load()).Uint64("remoteRevision", f.remoteRevision.Load()).
+	f.log.Info().Str("feed", f.name).Uint64("era", reply.Era).Uint64("eraBefore", f.revision.Era).Stringer("revision", f.revision).
+		Stringer("localRevision", f.localRevision.Load()).Stringer("remoteRevision", f.remoteRevision.Load()).
 		Uint64("storeRevision", uint64(reply.Revision)).Msg("followed store has another era")
 }
 
@@ -335,10 +368,10 @@
 }
 
 // readList reads all items. Its pages are not a snapshot, so the watch continues from the
-// revision of the first page.
+// revision of the first page. A page of another era begins the list anew.
 func (f *follower) readList(ctx context.Context) bool {
 	var items []ports.Item
-	var first ports.Revision
+	var first eras.Revision
 	var askedAt time.Time
 	after := ""
 	for ctx.Err() == nil {
@@ -357,8 +390,12 @@
 			continue
 		}
 		f.listDelay = 0
-		if first == 0 {
-			first, askedAt = reply.Revision, f.askedAt
+		if after != "" && reply.Era != first.Era {
+			items, after = nil, ""
+			continue
+		}
+		if after == "" {
+			first, askedAt = reply.Reached(), f.askedAt
 		}
 		items = append(items, reply.Items...)
 		if !reply.More || len(reply.Items) == 0 {
@@ -369,16 +406,17 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	f.log.Info().Str("feed", f.name).Int("items", len(items)).Uint64("revision", uint64(first)).
-		Uint64("era", f.era.Load()).Msg("list read")
-	f.reset(itemList{items: items, through: first, era: f.era.Load(), from: originStore, askedAt: askedAt})
+	f.log.Info().Str("feed", f.name).Int("items", len(items)).Stringer("revision", first).Msg("list read")
+	list := newItemList(items, first, originStore)
+	list.askedAt = askedAt
+	f.reset(list)
 	if f.onRead != nil {
-		f.onRead(askedAt, newestRevision(items))
+		f.onRead(askedAt, newestRevision(list.items))
 	}
 	return true
 }
 
-func (f *follower) resetRevisions(items []ports.Item) {
+func (f *follower) resetRevisions(items []storeItem) {
 	clear(f.itemRevisions)
 	for _, item := range items {
 		f.noteRevision(item)
@@ -386,11 +424,9 @@
 }
 
 // noteRevision records an item's revision.
-func (f *follower) noteRevision(item ports.Item) {
-	f.itemRevisions[item.Key] = item.Revision
-	if r := uint64(item.Revision); r > f.localRevision.Load() {
-		f.localRevision.Store(r)
-	}
+func (f *follower) noteRevision(item storeItem) {
+	f.itemRevisions[item.Key] = item.at
+	f.localRevision.Raise(item.at)
 }
 
 // watch applies changes until the store's history no longer reaches back far enough.
@@ -410,7 +446,7 @@
 				sleep(ctx, f.batchDelay)
 			}
 		case ports.KVConflict:
-			f.log.Info().Str("feed", f.name).Uint64("revision", uint64(f.revision)).Msg("store history no longer available")
+			f.log.Info().Str("feed", f.name).Stringer("revision", f.revision).Msg("store history no longer available")
 			return
 		default:
 			if f.hasFreshUpdates() || f.lacksList() {
@@ -429,10 +465,11 @@
 }
 
 func (f *follower) apply(reply ports.KVReply) {
-	var outdated []ports.Item
-	for _, item := range reply.Items {
-		f.revision = max(f.revision, item.Revision)
-		if item.Revision <= f.itemRevisions[item.Key] || uint64(item.Revision) <= f.coveredRevision.Load() {
+	var outdated []storeItem
+	for _, read := range reply.Items {
+		item := dated(reply.Era, read)
+		f.revision = f.revision.Later(item.at)
+		if !item.at.After(f.itemRevisions[item.Key]) || !item.at.After(f.coveredRevision.Load()) {
 			outdated = append(outdated, item)
 			continue
 		}
@@ -440,8 +477,8 @@
 		f.noteRevision(item)
 		f.applyChange(previous, item)
 	}
-	f.revision = max(f.revision, reply.Revision)
-	f.readThrough.Store(uint64(f.revision))
+	f.revision = f.revision.Later(reply.Reached())
+	f.readThrough.Store(f.revision)
 	if f.changelog != nil {
 		f.changelog.Add(reply.Items, f.revision)
 	}
@@ -450,14 +487,14 @@
 
 // noteOutdated logs and counts the changes of one reply that were ignored, since newer ones are
 // known. The last of them stands for all.
-func (f *follower) noteOutdated(changes []ports.Item) {
+func (f *follower) noteOutdated(changes []storeItem) {
 	if len(changes) == 0 {
 		return
 	}
 	last := changes[len(changes)-1]
 	f.log.Info().Str("feed", f.name).Str("from", string(f.from)).Int("changes", len(changes)).Str("key", last.Key).
-		Uint64("revision", uint64(last.Revision)).Uint64("era", f.era.Load()).Uint64("known", uint64(f.itemRevisions[last.Key])).
-		Uint64("covered", f.coveredRevision.Load()).Msg("outdated changes ignored")
+		Stringer("revision", last.at).Stringer("known", f.itemRevisions[last.Key]).
+		Stringer("covered", f.coveredRevision.Load()).Msg("outdated changes ignored")
 	if f.onOutdated != nil {
 		f.onOutdated(f.name, len(changes))
 	}
--- a/internal/edge/follower_test.go
+++ b/internal/edge/follower_test.go
@@ -7,21 +7,28 @@
 	"time"
 
 	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/state/eras"
 	"chivecroft.example/chivecroft/internal/state/timer"
 	"chivecroft.example/chivecroft/platform"
 	"chivecroft.example/chivecroft/platform/fake"
 )
 
+// newTestStore returns a client of a store.
+func newTestStore(t *testing.T, store *fake.Store) *eraStore {
+	client := platform.NewStore(t.Context(), store.Addr())
+	return &eraStore{client: client, history: newTestHistory(), now: time.Now, onOutdated: func() {}}
+}
+
 // startFollower runs a follower of the configuration in a store until the test ends, and
 // returns the revisions of the lists that it reads.
 func startFollower(t *testing.T, store *fake.Store, configure func(*follower)) <-chan ports.Revision {
 	l := discardLogger()
 	got := make(chan ports.Revision, 1)
 	fd := &follower{
-		name: "config", prefix: "op/config", store: platform.NewStore(t.Context(), store.Addr()),
+		name: "config", prefix: "op/config", store: newTestStore(t, store),
 		health: newStoreHealth(timer.NewSystem(), l, 0), log: l,
-		applyList:   func(list itemList) { got <- list.items[0].Revision },
-		applyChange: func(ports.Revision, ports.Item) {}, onIdle: func() {},
+		applyList: func(list itemList) { got <- list.items[0].Revision }, history: newTestHistory(),
+		applyChange: func(eras.Revision, storeItem) {}, onIdle: func() {},
 		needsList: func() bool { return false }, canAskReaders: func() bool { return false },
 		isHolder: func() bool { return false }, clock: timer.NewBoot(),
 	}
@@ -42,7 +49,7 @@
 		fd.hasFreshUpdates = func() bool { return true }
 		fd.updateAge = func() time.Duration { return 0 }
 		fd.fetchFromHolder = func(context.Context) (itemList, bool) { return itemList{}, false }
-		fd.noteUpdate(1, 0)
+		fd.noteUpdate(rev(1), 0, rev(0))
 	})
 	select {
 	case revision := <-got:
@@ -64,13 +71,13 @@
 	got := startFollower(t, store, func(fd *follower) {
 		fd.hasFreshUpdates = func() bool { return false }
 		fd.updateAge = func() time.Duration { return time.Hour }
-		fd.readCopy = func() ([]ports.Item, ports.Revision, bool) {
+		fd.readCopy = func() (itemList, bool) {
 			copies++
 			if copies < 3 {
-				return nil, 0, false
+				return itemList{}, false
 			}
 			store.Refuse.Store(0)
-			return []ports.Item{{Key: "op/config", Revision: 42}}, 42, true
+			return newItemList([]ports.Item{{Key: "op/config", Revision: 42}}, rev(42), originCopy), true
 		}
 	})
 	select {
@@ -116,10 +123,10 @@
 func TestFollowerSkipsChangesCoveredByUpdates(t *testing.T) {
 	var got []ports.Revision
 	fd := &follower{
-		log: discardLogger(), itemRevisions: make(map[string]ports.Revision),
-		applyChange: func(_ ports.Revision, item ports.Item) { got = append(got, item.Revision) },
+		log: discardLogger(), itemRevisions: make(map[string]eras.Revision),
+		applyChange: func(_ eras.Revision, item storeItem) { got = append(got, item.Revision) },
 	}
-	fd.coveredRevision.Store(7)
+	fd.coveredRevision.Store(rev(7))
 	fd.apply(ports.KVReply{Items: []ports.Item{{Key: "a", Revision: 6}, {Key: "b", Revision: 8}}, Revision: 8})
 	if len(got) != 1 || got[0] != 8 {
 		t.Errorf("applied changes %v", got)
--- a/internal/edge/health.go
+++ b/internal/edge/health.go
@@ -23,6 +23,19 @@
 	maxAnswerGap = 500 * time.Millisecond
 )
 
+// unknownEntryLease is how long the entry of a target that has ended is there at most after a return of the
+// store, if the interval of heartbeats is not known.
+const unknownEntryLease = 10 * time.Second
+
+// entryLease is how long the entry of a target that has ended is there at most after a return of the
+// store: its lease begins anew.
+func entryLease(heartbeat time.Duration) time.Duration {
+	if heartbeat <= 0 {
+		return unknownEntryLease
+	}
+	return leaseHeartbeats*heartbeat + leaseRecoveryTime
+}
+
 // storeHealth tracks whether calls to the store succeed.
 type storeHealth struct {
 	timer timer.Service
@@ -90,6 +103,15 @@
 	}
 }
 
+// recordReturn records that the store has come back from an older copy. Entries that were written since
+// are missing until their targets write them again.
+func (h *storeHealth) recordReturn() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.timer.Now()
+	h.recoveredAt, h.steadySince = now, now
+}
+
 // isDown reports whether the latest call failed.
 func (h *storeHealth) isDown() bool {
 	h.mu.Lock()
--- a/internal/edge/knowntargets.go
+++ b/internal/edge/knowntargets.go
@@ -1,6 +1,9 @@
 package edge
 
-import "chivecroft.example/chivecroft/internal/state/fleet"
+import (
+	"chivecroft.example/chivecroft/internal/state/eras"
+	"chivecroft.example/chivecroft/internal/state/fleet"
+)
 
 func (k *coordinator) setTarget(r fleet.Target) {
 	k.mu.Lock()
@@ -61,7 +64,7 @@
 	}
 	delete(k.targets, id)
 	d, _ := k.departures.Find(id)
-	k.sums().Ramps().Stop(k.updates.remove(id, uint64(d.Revision)))
+	k.sums().Ramps().Stop(k.updates.remove(id, d.Revision))
 }
 
 // announceRemoval has the other instances told until when a target that has left may be used.
@@ -90,7 +93,7 @@
 // toldRevision returns the revision that this instance has told the others of a target as the
 // holder, or that of its description if there is none. The holder misses no change between two
 // revisions of an entry.
-func (k *coordinator) toldRevision(r *fleet.Target) uint64 {
+func (k *coordinator) toldRevision(r *fleet.Target) eras.Revision {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if have, isKnown := k.targets[r.ID]; isKnown && k.status.IsHolder && have.Identity == r.Identity {
--- a/internal/edge/load_test.go
+++ b/internal/edge/load_test.go
@@ -90,7 +90,7 @@
 	set("a", 1)
 	set("b", 1)
 	set("a", 2)
-	u.remove("b", 0)
+	u.remove("b", rev(0))
 	set("c", 1)
 	got := make(map[string]int)
 	for _, n := range u.after(0, time.Time{}) {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -15,10 +15,10 @@
 	"chivecroft.example/chivecroft/internal/coordination/elect"
 	"chivecroft.example/chivecroft/internal/coordination/load"
 	"chivecroft.example/chivecroft/internal/coordination/picker"
-	"chivecroft.example/chivecroft/internal/coordination/ports"
 	"chivecroft.example/chivecroft/internal/coordination/quota"
 	"chivecroft.example/chivecroft/internal/coordination/relay"
 	"chivecroft.example/chivecroft/internal/coordination/sched"
+	"chivecroft.example/chivecroft/internal/state/eras"
 	"chivecroft.example/chivecroft/internal/state/fleet"
 	"chivecroft.example/chivecroft/internal/transport/gate"
 )
@@ -123,13 +123,17 @@
 	Readers []netip.AddrPort `json:"readers,omitempty"`
 	// HasRelays means that the instances of the zone send their messages to its readers.
 	HasRelays bool `json:"hasRelays,omitempty"`
-	// ConfigRevision is the store revision of the configuration. ConfigThrough and
-	// TargetsThrough are the store revisions up to which the holder has read
+	// ConfigRevision is the store revision of the configuration, ConfigVersion its version.
+	// ConfigThrough and TargetsThrough are the store revisions up to which the holder has read
 	// configurations and targets.
-	ConfigRevision uint64          `json:"config"`
-	ConfigThrough  uint64          `json:"configThrough,omitempty"`
-	TargetsThrough uint64          `json:"newsThrough,omitempty"`
+	ConfigRevision eras.Revision   `json:"config"`
+	ConfigVersion  int64           `json:"configVersion,omitempty"`
+	ConfigThrough  eras.Revision   `json:"configThrough,omitzero"`
+	TargetsThrough eras.Revision   `json:"newsThrough,omitzero"`
 	Updates        []picker.Update `json:"news,omitempty"`
+	// HistoryFrom is the lowest revision that the store is known to have reached after it came
+	// back from an older copy; unknown if the replying instance has not heard of that.
+	HistoryFrom eras.Revision `json:"historyFrom,omitzero"`
 	// Full reports whether targets without an update are gone. For RemovalDelayMS
 	// milliseconds they are to be kept, since some may reappear after an outage of the
 	// store.
@@ -394,7 +398,7 @@
 func (e *Edge) handleExchange(m exchangeRequest) (exchangeReply, bool) {
 	config, targets := e.configThrough(), e.targetFollower.readThrough.Load()
 	r, ok := e.coordinator.handleExchange(m)
-	r.ConfigThrough, r.TargetsThrough = config, targets
+	r.ConfigThrough, r.TargetsThrough, r.HistoryFrom = config, targets, e.history.First()
 	r.RemovalDelayMS = e.health.removalDelay().Milliseconds()
 	r.Proof = e.proofNote()
 	return r, ok
@@ -410,13 +414,14 @@
 // applyUpdates applies the updates in a reply of the holder or a relay, which say what the
 // holder knew at asOf or later.
 func (e *Edge) applyUpdates(r exchangeReply, from origin, asOf time.Time) {
+	isPresent := e.noteHistory(&r)
 	now := e.timer.Now().Add(-time.Duration(r.AgeMS) * time.Millisecond)
 	expected := make(map[string]time.Time, len(r.ReadyInMS))
 	for model, in := range r.ReadyInMS {
 		expected[model] = now.Add(time.Duration(in) * time.Millisecond)
 	}
 	e.tracker.applyUpdates(&updateSet{
-		list: r.Updates, from: from, through: ports.Revision(r.TargetsThrough), asOf: asOf,
+		list: r.Updates, from: from, through: r.TargetsThrough, asOf: asOf,
 		isFull: r.Full, removalDelay: time.Duration(r.RemovalDelayMS) * time.Millisecond, expected: expected,
 	})
 	e.coordinator.setLoads(r.StoreLoads, r.LostLoads)
@@ -427,11 +432,24 @@
 	}
 	e.hasRelays.Store(r.HasRelays)
 	e.targetsKnown.Store(true)
-	e.configFollower.noteUpdate(r.ConfigRevision, r.ConfigThrough)
-	e.targetFollower.noteUpdate(0, r.TargetsThrough)
+	if !isPresent {
+		return
+	}
+	e.configFollower.noteUpdate(r.ConfigRevision, r.ConfigVersion, r.ConfigThrough)
+	e.targetFollower.noteUpdate(eras.Revision{}, 0, r.TargetsThrough)
 	e.targetFollower.coveredRevision.Store(r.TargetsThrough)
 }
 
+// noteHistory records what a reply says of the store's history. It returns false if its sender knows a
+// former one only, whose revisions say nothing of the present one.
+func (e *Edge) noteHistory(r *exchangeReply) bool {
+	now := e.clock.Now()
+	if !r.HistoryFrom.IsZero() {
+		e.history.Note(now, r.HistoryFrom)
+	}
+	return r.TargetsThrough.IsZero() || e.history.Note(now, r.TargetsThrough)
+}
+
 // expectsUpdates reports whether there is another holder that may be alive, and so will send
 // its updates.
 func (e *Edge) expectsUpdates() bool {
--- a/internal/edge/proof.go
+++ b/internal/edge/proof.go
@@ -8,8 +8,8 @@
 	"strings"
 	"time"
 
-	"chivecroft.example/chivecroft/internal/coordination/ports"
 	"chivecroft.example/chivecroft/internal/coordination/proof"
+	"chivecroft.example/chivecroft/internal/state/eras"
 	"chivecroft.example/chivecroft/platform"
 )
 
@@ -28,7 +28,7 @@
 
 // proofNote is the proof of an instance in its reply to another.
 type proofNote struct {
-	Revision uint64 `json:"revision"`
+	Revision eras.Revision `json:"revision"`
 	// AgeMS is the age at the time of the reply in milliseconds, rounded up.
 	AgeMS int64 `json:"ageMs"`
 }
@@ -53,7 +53,7 @@
 // setProofHeader adds this instance's proof to a reply to /config.
 func (e *Edge) setProofHeader(h http.Header) {
 	if n := e.proofNote(); n != nil {
-		h.Set(headerProof, strconv.FormatUint(n.Revision, 10)+" "+strconv.FormatInt(n.AgeMS, 10))
+		h.Set(headerProof, n.Revision.String()+" "+strconv.FormatInt(n.AgeMS, 10))
 	}
 }
 
@@ -64,7 +64,7 @@
 		return
 	}
 	revision, age, _ := strings.Cut(text, " ")
-	r, err1 := strconv.ParseUint(revision, 10, 64)
+	r, err1 := eras.Parse(revision)
 	ms, err2 := strconv.ParseInt(age, 10, 64)
 	if err1 != nil || err2 != nil {
 		e.log.Warn().Str("proof", text).Msg("unreadable proof ignored")
@@ -73,40 +73,44 @@
 	e.acceptProof(askedAt, &proofNote{Revision: r, AgeMS: ms})
 }
 
-// noteConfigRead records the proof that a call to the store, sent after askedAt, has given.
-func (e *Edge) noteConfigRead(askedAt time.Time, newest ports.Revision) {
-	e.proofs.RecordOwn(askedAt, uint64(newest))
+// noteConfigRead records the proof that a call to the store, sent after askedAt, has given. A store that has
+// just come back from an older copy may lack a configuration that the operators write again.
+func (e *Edge) noteConfigRead(askedAt time.Time, newest eras.Revision) {
+	if age, hasReturned := e.history.Age(askedAt); hasReturned && age < leaseRecoveryTime {
+		return
+	}
+	e.proofs.RecordOwn(askedAt, newest)
 }
 
 // configThrough returns the store revision up to which this instance has seen all
-// configurations, 0 if it may lack one: another instance would not look for it either.
-func (e *Edge) configThrough() uint64 {
+// configurations, an unknown one if it may lack one: another instance would not look for it either.
+func (e *Edge) configThrough() eras.Revision {
 	through := e.configFollower.readThrough.Load()
 	if e.proofs.HasGap() {
-		return 0
+		return eras.Revision{}
 	}
 	return through
 }
 
 // skipConfig handles a configuration that does not replace the active one. previous is the
-// revision that was read before it, 0 if others may be in between.
-func (e *Edge) skipConfig(previous ports.Revision, item ports.Item) {
-	e.proofs.Skip(uint64(previous), uint64(item.Revision))
+// revision that was read before it, unknown if others may be in between.
+func (e *Edge) skipConfig(previous eras.Revision, item storeItem) {
+	e.proofs.Skip(previous, item.at)
 }
 
 // activeItem identifies the value of the active configuration in the store.
 type activeItem struct {
-	revision ports.Revision
+	revision eras.Revision
 	digest   [sha256.Size]byte
 }
 
-func newActiveItem(item ports.Item) activeItem {
-	return activeItem{revision: item.Revision, digest: sha256.Sum256(item.Value)}
+func newActiveItem(item storeItem) activeItem {
+	return activeItem{revision: item.at, digest: sha256.Sum256(item.Value)}
 }
 
 // isRewrittenAs reports whether an item holds the same value, written once more.
-func (a *activeItem) isRewrittenAs(item ports.Item) bool {
-	return item.Revision > a.revision && sha256.Sum256(item.Value) == a.digest
+func (a *activeItem) isRewrittenAs(item storeItem) bool {
+	return item.at.After(a.revision) && sha256.Sum256(item.Value) == a.digest
 }
 
 // isRevocationBounded reports whether a key must be accepted nowhere some time after its
@@ -144,7 +148,7 @@
 		text = "proof of the configuration expired"
 		line = e.log.Warn()
 	}
-	line.Bool("known", ok).Dur("age", p.Age).Uint64("revision", p.Revision).
+	line.Bool("known", ok).Dur("age", p.Age).Stringer("revision", p.Revision).
 		Dur("bound", e.bounds.Load().Revocation).Msg(text)
 }
 
@@ -163,13 +167,13 @@
 	}
 }
 
-// newestRevision returns the newest revision of the configuration among items, 0 if it is
+// newestRevision returns the newest revision of the configuration among items, an unknown one if it is
 // not among them.
-func newestRevision(items []ports.Item) ports.Revision {
+func newestRevision(items []storeItem) eras.Revision {
 	for _, item := range items {
 		if item.Key == platform.ConfigKey {
-			return item.Revision
+			return item.at
 		}
 	}
-	return 0
+	return eras.Revision{}
 }
--- a/internal/edge/readers.go
+++ b/internal/edge/readers.go
@@ -8,7 +8,6 @@
 	"slices"
 	"time"
 
-	"chivecroft.example/chivecroft/internal/coordination/ports"
 	"chivecroft.example/chivecroft/internal/coordination/relay"
 	"chivecroft.example/chivecroft/internal/state/rank"
 )
@@ -155,27 +154,27 @@
 }
 
 // fetchConfigFromReaders gets the newest configuration from a reader.
-func (e *Edge) fetchConfigFromReaders(ctx context.Context) ([]ports.Item, readerResult) {
+func (e *Edge) fetchConfigFromReaders(ctx context.Context) (itemList, readerResult) {
 	readers := e.readersToAsk()
 	until := e.timer.Now().Add(readerTotalTimeout)
 	for ctx.Err() == nil && e.timer.Now().Before(until) {
-		items, result := askInTurn(e, readers, func(from netip.AddrPort) ([]ports.Item, error) {
+		items, result := askInTurn(e, readers, func(from netip.AddrPort) ([]storeItem, error) {
 			return e.fetchConfigFrom(ctx, from)
 		})
 		if result != readerUnavailable || e.hasFreshUpdates() {
-			return items, result
+			return itemList{items: items, from: originReader}, result
 		}
 		sleep(ctx, readerRetryDelay)
 	}
-	return nil, readerUnavailable
+	return itemList{}, readerUnavailable
 }
 
 // fetchConfigFrom returns the reader's configuration, or no item if this instance has the
 // newest one.
-func (e *Edge) fetchConfigFrom(ctx context.Context, from netip.AddrPort) ([]ports.Item, error) {
+func (e *Edge) fetchConfigFrom(ctx context.Context, from netip.AddrPort) ([]storeItem, error) {
 	ctx, cancel := context.WithTimeout(ctx, readerTimeout)
 	defer cancel()
-	s, err := e.peerClient.config(ctx, from, e.configFollower.localRevision.Load(), 0)
+	s, err := e.peerClient.config(ctx, from, e.knownConfig(), 0)
 	if errors.Is(err, errNoNewer) {
 		return nil, nil
 	}
@@ -186,5 +185,5 @@
 	if !ok {
 		return nil, errNotCurrent
 	}
-	return []ports.Item{item}, nil
+	return []storeItem{item}, nil
 }
--- a/internal/edge/readers_test.go
+++ b/internal/edge/readers_test.go
@@ -124,7 +124,7 @@
 	defer e.stopLoops()
 	e.coordinator.setStatus(elect.Status{Holder: netip.MustParseAddrPort(silent.Addr().String())})
 	e.updatedAt.Store(e.clock.Now().UnixNano())
-	e.configFollower.noteUpdate(1000, 0)
+	e.configFollower.noteUpdate(rev(1000), 0, rev(0))
 	began := time.Now()
 	go e.configFollower.run(e.loopCtx)
 	r.eventually("the configuration is active", func() bool { return e.config.Load() != nil })
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -15,6 +15,7 @@
 	"chivecroft.example/chivecroft/internal/coordination/load"
 	"chivecroft.example/chivecroft/internal/coordination/quota"
 	"chivecroft.example/chivecroft/internal/coordination/relay"
+	"chivecroft.example/chivecroft/internal/state/eras"
 )
 
 const (
@@ -356,7 +357,7 @@
 	out := e.held.reply(e.clock.Now(), relay.Position{Term: m.Term, Version: m.Version})
 	if e.proofs.HasGap() {
 		// This instance may lack a configuration. Its children would not look for it either.
-		out.ConfigThrough = 0
+		out.ConfigThrough = eras.Revision{}
 	}
 	out.Proof = e.proofNote()
 	out.Load = e.relayLoad(&m, out.Term)
@@ -424,13 +425,14 @@
 	defer h.mu.Unlock()
 	state := relay.State{
 		Position: relay.Position{Term: r.Term, Version: r.Version},
-		Config:   r.ConfigRevision, ConfigThrough: r.ConfigThrough, TargetsThrough: r.TargetsThrough,
+		Config:   r.ConfigRevision, ConfigVersion: r.ConfigVersion, ConfigThrough: r.ConfigThrough, TargetsThrough: r.TargetsThrough,
 	}
 	if !h.copy.Adopt(state, asOf, r.Full, r.Updates) {
 		return r, false
 	}
 	state = h.copy.State()
-	r.ConfigRevision, r.ConfigThrough, r.TargetsThrough = state.Config, state.ConfigThrough, state.TargetsThrough
+	r.ConfigRevision, r.ConfigVersion = state.Config, state.ConfigVersion
+	r.ConfigThrough, r.TargetsThrough = state.ConfigThrough, state.TargetsThrough
 	h.last = r
 	h.last.Updates, h.last.Grants, h.last.Readers = nil, nil, nil
 	h.last.Load, h.last.Proof = nil, nil
--- a/internal/edge/relay_test.go
+++ b/internal/edge/relay_test.go
@@ -161,16 +161,16 @@
 	defer e.stopLoops()
 	asOf := e.clock.Now().Add(-maxUpdateAge)
 	one := picker.Update{Identity: fleet.Identity{ID: "one", Born: 1}, Service: "desk"}
-	e.held.adopt(exchangeReply{Term: 1, Version: 4, Full: true, Updates: []picker.Update{one}, ConfigThrough: 7}, asOf)
+	e.held.adopt(exchangeReply{Term: 1, Version: 4, Full: true, Updates: []picker.Update{one}, ConfigThrough: rev(7)}, asOf)
 	e.noteUpdatedAt(asOf)
 	if r, ok := e.relayExchange(exchangeRequest{From: "i2"}); ok {
 		t.Errorf("replied with %+v", r)
 	}
 	asOf = e.clock.Now().Add(-100 * time.Millisecond)
-	e.held.adopt(exchangeReply{Term: 1, Version: 5, ConfigThrough: 8}, asOf)
+	e.held.adopt(exchangeReply{Term: 1, Version: 5, ConfigThrough: rev(8)}, asOf)
 	e.noteUpdatedAt(asOf)
 	r, ok := e.relayExchange(exchangeRequest{From: "i2", Term: 1, Version: 3})
-	if !ok || !r.Full || len(r.Updates) != 1 || r.Version != 5 || r.ConfigThrough != 8 || r.AgeMS < 100 {
+	if !ok || !r.Full || len(r.Updates) != 1 || r.Version != 5 || r.ConfigThrough != rev(8) || r.AgeMS < 100 {
 		t.Errorf("replied with %+v, %t", r, ok)
 	}
 	r, ok = e.relayExchange(exchangeRequest{From: "i2", Term: 1, Version: 4})
@@ -263,7 +263,7 @@
 	newEdge := func(name string, peer netip.AddrPort) *Edge {
 		e := New(&platform.Boot{Instance: name, Zone: "a1", Peer: peer}, discardLogger())
 		t.Cleanup(e.stopLoops)
-		e.configFollower.noteUpdate(9, 0)
+		e.configFollower.noteUpdate(rev(9), 0, rev(0))
 		return e
 	}
 	r := newEdge("i1", netip.MustParseAddrPort("127.0.0.1:1"))
@@ -273,8 +273,8 @@
 	child.hasRelays.Store(true)
 	child.readers.Store(&[]netip.AddrPort{netip.MustParseAddrPort(server.Listener.Addr().String())})
 	time.AfterFunc(100*time.Millisecond, func() {
-		r.snapshot.Store(newConfigSnapshot(ports.Item{Key: platform.ConfigKey, Revision: 9, Value: []byte("{}")}))
-		r.configFollower.localRevision.Store(9)
+		r.snapshot.Store(newConfigSnapshot(dated(0, ports.Item{Key: platform.ConfigKey, Revision: 9, Value: []byte("{}")}), 0))
+		r.configFollower.localRevision.Store(rev(9))
 	})
 	list, ok := child.fetchNewestConfig(t.Context())
 	if !ok || len(list.items) != 1 || list.items[0].Revision != 9 {
--- a/internal/edge/size_test.go
+++ b/internal/edge/size_test.go
@@ -100,7 +100,7 @@
 		{"no updates", encodeReply(exchangeReply{
 			Term: 1766000000000000000, Version: 12345, Members: 1000, AgeMS: 120,
 			Readers:        []netip.AddrPort{netip.MustParseAddrPort("10.3.1.38:9464"), netip.MustParseAddrPort("10.3.1.39:9464")},
-			ConfigRevision: 1234567, ConfigThrough: 1234599, TargetsThrough: 1234599,
+			ConfigRevision: rev(1234567), ConfigThrough: rev(1234599), TargetsThrough: rev(1234599),
 		}), decodeReply},
 		{"20 updates", encodeReply(exchangeReply{Updates: largeUpdates(r, 20), ReadyInMS: expected}), decodeReply},
 		{"all updates", encodeReply(exchangeReply{Updates: largeUpdates(r, largeTargets)}), decodeReply},
--- a/internal/edge/snapshot.go
+++ b/internal/edge/snapshot.go
@@ -15,6 +15,7 @@
 	"github.com/gravitational/trace"
 
 	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/state/eras"
 	"chivecroft.example/chivecroft/platform"
 )
 
@@ -22,10 +23,13 @@
 const (
 	pathConfig     = "/config"
 	headerRevision = "X-Revision"
+	headerVersion  = "X-Version"
 	// headerStoreDown is set if the instance's calls to the store fail.
 	headerStoreDown = "X-Store-Away"
-	// queryAfter is the revision that the requesting instance has.
-	queryAfter = "after"
+	// queryAfter is the revision that the requesting instance has, queryVersion the version of its
+	// configuration.
+	queryAfter   = "after"
+	queryVersion = "version"
 	// configTimeout allows for a large configuration over a narrow link.
 	configTimeout = 3 * time.Second
 	// maxConfigBytes is at least what a reply of the store can hold.
@@ -36,7 +40,9 @@
 // compressed, since many instances request it at once over narrow links; the first
 // request triggers the compression.
 type configSnapshot struct {
-	revision ports.Revision
+	revision eras.Revision
+	// version is 0 if it is not known yet.
+	version int64
 
 	mu         sync.Mutex
 	value      []byte
@@ -44,13 +50,13 @@
 }
 
 // newConfigSnapshot returns a snapshot of an uncompressed configuration.
-func newConfigSnapshot(item ports.Item) *configSnapshot {
-	return &configSnapshot{revision: item.Revision, value: item.Value}
+func newConfigSnapshot(item storeItem, version int64) *configSnapshot {
+	return &configSnapshot{revision: item.at, version: version, value: item.Value}
 }
 
 // newCompressedSnapshot returns a snapshot of a compressed configuration.
-func newCompressedSnapshot(revision ports.Revision, compressed []byte) *configSnapshot {
-	return &configSnapshot{revision: revision, compressed: compressed}
+func newCompressedSnapshot(revision eras.Revision, version int64, compressed []byte) *configSnapshot {
+	return &configSnapshot{revision: revision, version: version, compressed: compressed}
 }
 
 // compress returns the compressed value and keeps it in place of the uncompressed one.
@@ -73,29 +79,37 @@
 }
 
 // item returns the uncompressed configuration as an item of the store.
-func (s *configSnapshot) item() (ports.Item, error) {
+func (s *configSnapshot) item() (storeItem, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	value := s.value
 	if s.compressed != nil {
 		var err error
 		if value, err = uncompress(s.compressed); err != nil {
-			return ports.Item{}, err
+			return storeItem{}, err
 		}
 	}
-	return ports.Item{Key: platform.ConfigKey, Value: value, Revision: s.revision}, nil
+	item := ports.Item{Key: platform.ConfigKey, Value: value, Revision: ports.Revision(s.revision.Number)}
+	return dated(s.revision.Era, item), nil
+}
+
+// isNewerThan reports whether an instance with a revision and a version, 0 if it has not told it,
+// lacks the configuration.
+func (s *configSnapshot) isNewerThan(revision eras.Revision, version int64) bool {
+	return s.revision.After(revision) || version > 0 && s.version > version
 }
 
 // serveConfig sends the configuration to an instance that has an older one. It responds
 // with 204 if the instance has the newest one, and with 503 if it cannot tell.
 func (e *Edge) serveConfig(w http.ResponseWriter, r *http.Request) {
-	after, _ := strconv.ParseUint(r.URL.Query().Get(queryAfter), 10, 64)
+	after, _ := eras.Parse(r.URL.Query().Get(queryAfter))
+	version, _ := strconv.ParseInt(r.URL.Query().Get(queryVersion), 10, 64)
 	waitMS, _ := strconv.ParseInt(r.URL.Query().Get(queryWait), 10, 64)
 	e.awaitConfig(r.Context(), min(time.Duration(waitMS)*time.Millisecond, maxConfigWait))
 	e.setProofHeader(w.Header())
 	s := e.snapshot.Load()
 	switch {
-	case s != nil && uint64(s.revision) > after:
+	case s != nil && s.isNewerThan(after, version):
 		e.writeSnapshot(w, s)
 	case e.configFollower.isCurrent():
 		w.WriteHeader(http.StatusNoContent)
@@ -122,7 +136,8 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	w.Header().Set(headerRevision, strconv.FormatUint(uint64(s.revision), 10))
+	w.Header().Set(headerRevision, s.revision.String())
+	w.Header().Set(headerVersion, strconv.FormatInt(s.version, 10))
 	w.Header().Set("Content-Length", strconv.Itoa(len(compressed)))
 	_, _ = w.Write(compressed)
 }
@@ -145,7 +160,7 @@
 	for relays := e.relaysToAsk(); len(relays) > 0 && ctx.Err() == nil && e.timer.Now().Before(until); {
 		for _, from := range relays {
 			if item, ok := e.fetchConfigFromRelay(ctx, from); ok {
-				return itemList{items: []ports.Item{item}, from: originRelay}, true
+				return itemList{items: []storeItem{item}, from: originRelay}, true
 			}
 		}
 		sleep(ctx, idlePollInterval)
@@ -154,14 +169,14 @@
 	return itemList{items: items, from: originHolder}, ok
 }
 
-func (e *Edge) fetchConfigFromRelay(ctx context.Context, from netip.AddrPort) (ports.Item, bool) {
+func (e *Edge) fetchConfigFromRelay(ctx context.Context, from netip.AddrPort) (storeItem, bool) {
 	ctx, cancel := context.WithTimeout(ctx, configTimeout)
 	defer cancel()
 	late := time.AfterFunc(readerTimeout, cancel)
 	defer late.Stop()
-	s, err := e.peerClient.config(ctx, from, e.configFollower.localRevision.Load(), maxConfigWait, func() { late.Stop() })
+	s, err := e.peerClient.config(ctx, from, e.knownConfig(), maxConfigWait, func() { late.Stop() })
 	if err != nil {
-		return ports.Item{}, false
+		return storeItem{}, false
 	}
 	return e.acceptSnapshot(s)
 }
@@ -169,29 +184,40 @@
 // fetchConfigFromHolder requests the configuration from the holder. It gives up when the
 // holder's updates are no longer fresh, since waiting for a silent holder would keep the
 // instance from asking elsewhere.
-func (e *Edge) fetchConfigFromHolder(ctx context.Context) ([]ports.Item, bool) {
+func (e *Edge) fetchConfigFromHolder(ctx context.Context) ([]storeItem, bool) {
 	ctx, cancel := context.WithTimeout(ctx, configTimeout)
 	defer cancel()
 	updatesEnded, stop := contextUntil(func() bool { return !e.hasFreshUpdates() })
 	defer stop()
 	defer context.AfterFunc(updatesEnded, cancel)()
-	s, err := e.peerClient.config(ctx, e.coordinator.holderStatus().Holder, 0, 0)
+	s, err := e.peerClient.config(ctx, e.coordinator.holderStatus().Holder, knownConfig{}, 0)
 	if err != nil {
 		e.log.Info().Err(err).Msg("cannot fetch the configuration from the holder")
 		return nil, false
 	}
 	item, ok := e.acceptSnapshot(s)
-	return []ports.Item{item}, ok
+	return []storeItem{item}, ok
+}
+
+// knownConfig is what an instance says of its configuration when it asks for a newer one.
+type knownConfig struct {
+	revision eras.Revision
+	version  int64
+}
+
+func (e *Edge) knownConfig() knownConfig {
+	return knownConfig{e.configFollower.localRevision.Load(), e.configFollower.localVersion.Load()}
 }
 
-// acceptSnapshot decodes a snapshot from another instance and keeps it to be sent on.
-func (e *Edge) acceptSnapshot(s *configSnapshot) (ports.Item, bool) {
+// acceptSnapshot decodes a snapshot from another instance and keeps it to be sent on once it is
+// active.
+func (e *Edge) acceptSnapshot(s *configSnapshot) (storeItem, bool) {
 	item, err := s.item()
 	if err != nil {
 		e.log.Warn().Err(err).Msg("configuration from another instance is damaged")
-		return ports.Item{}, false
+		return storeItem{}, false
 	}
-	e.snapshot.Store(s)
+	e.received.Store(s)
 	return item, true
 }
 
@@ -205,11 +231,11 @@
 	errStoreDown = errors.New("the instance cannot reach the store")
 )
 
-// config requests a configuration newer than a revision from another instance, which may
+// config requests a configuration newer than the known one from another instance, which may
 // wait for one for the given time. It calls the functions began once the response has
 // begun.
-func (p *peerClient) config(ctx context.Context, from netip.AddrPort, after uint64, wait time.Duration, began ...func()) (*configSnapshot, error) {
-	query := url.Values{queryAfter: {strconv.FormatUint(after, 10)}}
+func (p *peerClient) config(ctx context.Context, from netip.AddrPort, have knownConfig, wait time.Duration, began ...func()) (*configSnapshot, error) {
+	query := url.Values{queryAfter: {have.revision.String()}, queryVersion: {strconv.FormatInt(have.version, 10)}}
 	if wait > 0 {
 		query.Set(queryWait, strconv.FormatInt(wait.Milliseconds(), 10))
 	}
@@ -232,9 +258,10 @@
 		}
 		return nil, errNotCurrent
 	}
-	revision, err := strconv.ParseUint(a.header.Get(headerRevision), 10, 64)
+	revision, err := eras.Parse(a.header.Get(headerRevision))
 	if err != nil || a.status != http.StatusOK {
 		return nil, trace.NotFound("configuration from %s: HTTP status %d", from, a.status)
 	}
-	return newCompressedSnapshot(ports.Revision(revision), a.body), nil
+	version, _ := strconv.ParseInt(a.header.Get(headerVersion), 10, 64)
+	return newCompressedSnapshot(revision, version, a.body), nil
 }
--- a/internal/edge/source.go
+++ b/internal/edge/source.go
@@ -7,6 +7,7 @@
 
 	"chivecroft.example/chivecroft/internal/coordination/deltas"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/state/eras"
 )
 
 // readerResult is the result of asking readers.
@@ -84,13 +85,13 @@
 	if f.fetchItems == nil || !f.shouldAskReaders() {
 		return false
 	}
-	items, result := f.fetchItems(ctx)
+	list, result := f.fetchItems(ctx)
 	if f.shouldReadStore(result) {
 		return false
 	}
-	if len(items) > 0 {
-		f.resetRevisions(items)
-		f.applyList(itemList{items: items, from: originReader})
+	if len(list.items) > 0 {
+		f.applyList(list)
+		f.resetRevisions(list.items)
 		// There is only one key, so a watch may continue from its revision.
 		f.updatesThrough.Store(f.localRevision.Load())
 	}
@@ -104,20 +105,20 @@
 	if f.fetchItems == nil || !f.shouldAskReaders() {
 		return false
 	}
-	f.updatesThrough.Store(uint64(f.revision))
+	f.updatesThrough.Store(f.revision)
 	return true
 }
 
 // updateMark is a revision that updates have reached, and the one that they had reached
 // at least changesOverlap earlier.
 type updateMark struct {
-	revision, earlier ports.Revision
+	revision, earlier eras.Revision
 	at                time.Time
 }
 
-func (t *updateMark) revisionOf() ports.Revision {
+func (t *updateMark) revisionOf() eras.Revision {
 	if t == nil {
-		return 0
+		return eras.Revision{}
 	}
 	return t.revision
 }
@@ -125,16 +126,19 @@
 // resumeRevision returns where to continue reading after updates that reached a revision.
 // It is earlier than that if other instances, whose updates may be older, will ask for
 // changes.
-func (f *follower) resumeRevision(through ports.Revision) ports.Revision {
+func (f *follower) resumeRevision(through eras.Revision) eras.Revision {
 	mark := f.lastMark.Load()
-	if f.changelog == nil || f.canAskReaders() || mark == nil || mark.earlier == 0 {
+	if f.changelog == nil || f.canAskReaders() || mark == nil || mark.earlier.IsZero() || mark.earlier.Era != through.Era {
 		return through
 	}
-	return min(through, mark.earlier)
+	if through.After(mark.earlier) {
+		return mark.earlier
+	}
+	return through
 }
 
 // startChangelog makes the changelog begin after a revision.
-func (f *follower) startChangelog(revision ports.Revision) {
+func (f *follower) startChangelog(revision eras.Revision) {
 	if f.changelog != nil {
 		f.changelog.StartAfter(revision)
 	}
@@ -152,8 +156,14 @@
 		}
 	}
 	f.from = originStore
-	reply := f.callStore(ports.KVWatch{Prefix: f.prefix, After: f.revision, Wait: f.nextWatchTimeout()}, isNeedless)
+	after := ports.Revision(f.revision.Number)
+	reply := f.callStore(ports.KVWatch{Prefix: f.prefix, After: after, Wait: f.nextWatchTimeout()}, isNeedless)
 	f.isProbing = reply.Status != ports.KVOK
+	if reply.Status == ports.KVOK && reply.Era != f.revision.Era {
+		// The store has read on from a number of its present history, where it stands for another change.
+		f.noteEra(reply)
+		return ports.KVReply{Status: ports.KVConflict, Era: reply.Era}
+	}
 	if result == readerStoreDown && reply.Status == ports.KVOK {
 		// Only the readers are cut off.
 		f.directUntil = f.clock.Now().Add(directReadTime)
@@ -176,11 +186,14 @@
 // full result at once.
 func (f *follower) applyReaderChanges(ctx context.Context, changes deltas.Changes, result readerResult) ports.KVReply {
 	if changes.IsFullList {
-		f.reset(itemList{items: changes.Items, through: changes.Through, from: originReader})
-		return ports.KVReply{Status: ports.KVOK, Revision: changes.Through}
+		f.reset(newItemList(changes.Items, changes.Through, originReader))
+		return ports.KVReply{Status: ports.KVOK, Revision: ports.Revision(changes.Through.Number), Era: changes.Through.Era}
 	}
 	if result != readerAnswered {
 		sleep(ctx, readerRetryDelay)
+		return ports.KVReply{Status: ports.KVOK, Era: f.revision.Era}
+	}
+	return ports.KVReply{
+		Status: ports.KVOK, Items: changes.Items, Revision: ports.Revision(changes.Through.Number), Era: changes.Through.Era,
 	}
-	return ports.KVReply{Status: ports.KVOK, Items: changes.Items, Revision: changes.Through}
 }
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -162,8 +162,8 @@
 			t.Errorf("status %d on a removed route", status)
 		}
 	}
-	if item, _ := r.item(platform.ConfigKey); uint64(item.Revision) != late.configFollower.localRevision.Load() {
-		t.Errorf("configuration of revision %d active, want %d", late.configFollower.localRevision.Load(), item.Revision)
+	if item, _ := r.item(platform.ConfigKey); rev(item.Revision) != late.configFollower.localRevision.Load() {
+		t.Errorf("configuration of revision %s active, want %d", late.configFollower.localRevision.Load(), item.Revision)
 	}
 }
 
--- a/internal/edge/successor_test.go
+++ b/internal/edge/successor_test.go
@@ -16,7 +16,7 @@
 	config := &fleet.Config{Version: 1, Services: map[string]fleet.Service{"llm": {Engine: &fleet.Engine{}}}}
 	former, successor := newTestCoordinator(t), newTestCoordinator(t)
 	for _, k := range []*coordinator{former, successor} {
-		k.setConfig(config, 1)
+		k.setConfig(config, rev(1))
 		k.setHasFullList(true)
 	}
 	former.setHolder(true)
--- a/internal/edge/targets.go
+++ b/internal/edge/targets.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"strings"
 	"sync"
 	"time"
@@ -10,7 +11,7 @@
 
 	"chivecroft.example/chivecroft/internal/coordination/depart"
 	"chivecroft.example/chivecroft/internal/coordination/picker"
-	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/state/eras"
 	"chivecroft.example/chivecroft/internal/state/fleet"
 	"chivecroft.example/chivecroft/internal/state/timer"
 	"chivecroft.example/chivecroft/platform"
@@ -36,11 +37,13 @@
 	picker      *picker.Picker
 	coordinator *coordinator
 	departures  *depart.Log
+	history     *eras.History
+	// unproven holds what is to be applied of targets by their ids once it is certain that they are
+	// there: see depart.Unproven.
+	unproven map[string]heldBack
 	// clock is the coordinator's, which goes on while the machine is suspended.
 	clock timer.Service
 	log   *log.Logger
-	// era returns the store's era as of the latest list or change.
-	era func() uint64
 	// onOutdated is called when a description is ignored as outdated.
 	onOutdated func()
 
@@ -50,15 +53,21 @@
 
 func newTargetTracker(p *picker.Picker, k *coordinator, l *log.Logger) *targetTracker {
 	return &targetTracker{
-		picker: p, coordinator: k, departures: k.departures, clock: k.clock, log: l,
-		era: func() uint64 { return 0 }, onOutdated: func() {},
+		picker: p, coordinator: k, departures: k.departures, history: k.history, unproven: make(map[string]heldBack),
+		clock: k.clock, log: l, onOutdated: func() {},
 	}
 }
 
+// heldBack is a description of a target that can't be judged yet.
+type heldBack struct {
+	apply func()
+	from  origin
+}
+
 // storeEntry is a decoded item of the store.
 type storeEntry struct {
 	id       string
-	revision ports.Revision
+	revision eras.Revision
 	target   fleet.Target
 	// isPresent reports whether the item describes a target. If not, the target may be used for
 	// usableFor.
@@ -70,31 +79,31 @@
 
 // decodeEntry decodes an item. An item that describes no valid target names none to use; one
 // that was deleted may belong to a target that is alive, and is used for removalDelay.
-func (t *targetTracker) decodeEntry(item ports.Item, removalDelay time.Duration) storeEntry {
-	out := storeEntry{id: targetID(item), revision: item.Revision}
+func (t *targetTracker) decodeEntry(item storeItem, removalDelay time.Duration) storeEntry {
+	out := storeEntry{id: targetID(item), revision: item.at}
 	if item.Deleted {
 		out.usableFor = removalDelay
 		return out
 	}
 	r, err := platform.DecodeTarget(item.Key, item.Value)
 	if err != nil {
-		t.log.Warn().Err(err).Uint64("revision", uint64(item.Revision)).Msg("invalid target entry ignored")
+		t.log.Warn().Err(err).Stringer("revision", item.at).Msg("invalid target entry ignored")
 		return out
 	}
 	t.log.Debug().Str("target", out.id).Bool("draining", r.Draining).Int("models", len(r.Models)).
-		Uint64("revision", uint64(item.Revision)).Msg("target updated")
-	r.Revision = uint64(item.Revision)
+		Stringer("revision", item.at).Msg("target updated")
+	r.Revision = item.at
 	out.target, out.isPresent = r, true
 	return out
 }
 
-func targetID(item ports.Item) string {
+func targetID(item storeItem) string {
 	return strings.TrimPrefix(item.Key, platform.TargetPrefix)
 }
 
 // applyChange applies an item that has been written or deleted. A target that is missing is
 // used for removalDelay.
-func (t *targetTracker) applyChange(item ports.Item, from origin, removalDelay time.Duration) {
+func (t *targetTracker) applyChange(item storeItem, from origin, removalDelay time.Duration) {
 	e := t.decodeEntry(item, removalDelay)
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -126,49 +135,96 @@
 		t.leave(e.id, e.revision, from, e.usableFor)
 		return
 	}
-	verdict := t.judge(e.id, e.revision, from, askedAt)
-	if verdict == depart.Outdated {
+	verdict := t.judge(depart.Description{ID: e.id, Born: e.target.Born, Revision: e.revision, AskedAt: askedAt}, from)
+	if verdict == depart.Unproven {
+		later := *e
+		t.awaitProof(e.id, heldBack{func() { t.applyEntry(&later, from, askedAt) }, from})
+	}
+	if verdict == depart.Outdated || verdict == depart.Unproven {
 		return
 	}
 	r := e.target
 	if verdict == depart.Present && !e.isListed {
-		// The other instances need not hear of each revision of an entry that has stayed.
-		r.Revision = t.coordinator.toldRevision(&r)
+		r.Revision = t.toldRevision(&r)
 	}
 	t.picker.SetTarget(r)
 	t.coordinator.setTarget(r)
 }
 
-// judge compares a description of a target as of a revision with the target's departure.
-func (t *targetTracker) judge(id string, revision ports.Revision, from origin, askedAt time.Time) depart.Verdict {
-	d, verdict := t.departures.Judge(id, revision, askedAt)
-	if verdict == depart.Present {
-		return verdict
+// toldRevision returns the revision of an entry that has stayed as the other instances are told. They
+// need not hear of each one, but of one that shows that the entry outlasted a return of the store.
+func (t *targetTracker) toldRevision(r *fleet.Target) eras.Revision {
+	told := t.coordinator.toldRevision(r)
+	if !t.history.IsNew(told) && t.history.IsNew(r.Revision) {
+		return r.Revision
 	}
+	return told
+}
+
+// judge compares a description of a target with the target's departure.
+func (t *targetTracker) judge(about depart.Description, from origin) depart.Verdict {
+	now := t.clock.Now()
+	d, verdict := t.departures.Judge(now, about)
 	message := "target is back in use"
-	if verdict == depart.Outdated {
+	switch verdict {
+	case depart.Present:
+		return verdict
+	case depart.Returned:
+	case depart.Outdated:
 		message = "outdated description of a target ignored"
 		t.onOutdated()
+	case depart.Unproven:
+		message = "description of a target held back, since it may be from before the store came back"
 	}
-	t.log.Info().Str("target", id).Str("from", string(from)).Uint64("revision", uint64(revision)).
-		Uint64("leftBefore", uint64(d.Revision)).Uint64("era", t.era()).Dur("leftFor", t.clock.Now().Sub(d.NotedAt)).Msg(message)
+	t.log.Info().Str("target", about.ID).Str("from", string(from)).Stringer("revision", about.Revision).
+		Stringer("leftBefore", d.Revision).Dur("leftFor", now.Sub(d.NotedAt)).Msg(message)
 	return verdict
 }
 
+// awaitProof applies, under the lock, a description of a target that was held back once it can be
+// judged. Only the latest one of each target is kept.
+func (t *targetTracker) awaitProof(id string, h heldBack) {
+	_, isWaiting := t.unproven[id]
+	t.unproven[id] = h
+	if isWaiting {
+		return
+	}
+	t.clock.After(t.departures.WaitForProof(t.clock.Now()), func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		if latest, isLeft := t.unproven[id]; isLeft {
+			delete(t.unproven, id)
+			latest.apply()
+		}
+	})
+}
+
+// dropOwnReads drops what this instance has held back of its own reads or a reader's. It no longer follows the
+// store, and would not hear that an entry is gone.
+func (t *targetTracker) dropOwnReads() {
+	maps.DeleteFunc(t.unproven, func(_ string, h heldBack) bool { return h.from == originStore || h.from == originReader })
+}
+
 // leave records that a target's entry was missing at a revision, and removes the target once
 // it may no longer be used.
-func (t *targetTracker) leave(id string, revision ports.Revision, from origin, usableFor time.Duration) {
+func (t *targetTracker) leave(id string, revision eras.Revision, from origin, usableFor time.Duration) {
 	now := t.clock.Now()
-	d := t.departures.Leave(id, revision, now, usableFor)
+	d, hasLeft := t.departures.Leave(id, revision, now, usableFor)
+	if !hasLeft {
+		t.log.Info().Str("target", id).Str("from", string(from)).Stringer("revision", revision).Msg("outdated departure of a target ignored")
+		t.onOutdated()
+		return
+	}
+	delete(t.unproven, id)
 	if d.NotedAt.Equal(now) {
-		t.log.Info().Str("target", id).Str("from", string(from)).Uint64("revision", uint64(revision)).
-			Uint64("era", t.era()).Dur("doubt", usableFor).Msg("target removed from the store")
+		t.log.Info().Str("target", id).Str("from", string(from)).Stringer("revision", revision).
+			Dur("doubt", usableFor).Msg("target removed from the store")
 	}
 	t.expire(id, d.UsableUntil.Sub(now))
 }
 
 // leaveUnlisted records that the known targets that a full list as of a revision lacks have left.
-func (t *targetTracker) leaveUnlisted(listed map[string]bool, revision ports.Revision, from origin, usableFor time.Duration) {
+func (t *targetTracker) leaveUnlisted(listed map[string]bool, revision eras.Revision, from origin, usableFor time.Duration) {
 	for _, id := range t.picker.MissingFrom(listed) {
 		t.leave(id, revision, from, usableFor)
 	}
@@ -204,7 +260,7 @@
 	from origin
 	// through is the store revision up to which the holder has read the targets. asOf is when
 	// the holder said it or earlier.
-	through ports.Revision
+	through eras.Revision
 	asOf    time.Time
 	// isFull reports whether targets that are not in the list have left. They may be used for
 	// removalDelay.
@@ -222,6 +278,9 @@
 	isOwn := t.coordinator.holderStatus().IsHolder
 	listed := make(map[string]bool, len(u.list))
 	var current []picker.Update
+	if !isOwn {
+		t.dropOwnReads()
+	}
 	for i := range u.list {
 		p := &u.list[i]
 		listed[p.ID] = true
@@ -247,13 +306,12 @@
 
 // noteUpdate records the departure that an update tells of, or that the target is draining.
 func (t *targetTracker) noteUpdate(p *picker.Update, u *updateSet) {
-	revision := ports.Revision(p.Revision)
 	switch {
 	case p.Gone:
-		t.leave(p.ID, cmp.Or(revision, u.through), u.from, 0)
+		t.leave(p.ID, cmp.Or(p.Revision, u.through), u.from, 0)
 	case p.RemovalMS > 0:
 		until := u.asOf.Add(time.Duration(p.RemovalMS) * time.Millisecond)
-		t.leave(p.ID, revision, u.from, until.Sub(t.clock.Now()))
+		t.leave(p.ID, p.Revision, u.from, until.Sub(t.clock.Now()))
 	case p.Draining:
 		t.coordinator.noteDraining(p.Identity)
 	}
@@ -264,10 +322,25 @@
 func (t *targetTracker) isCurrent(p *picker.Update, u *updateSet) bool {
 	switch {
 	case p.Gone:
-		return true
+		_, hasLeft := t.departures.Find(p.ID)
+		return hasLeft
 	case p.RemovalMS > 0:
 		d, _ := t.departures.Find(p.ID)
 		return d.UsableUntil.After(t.clock.Now())
 	}
-	return t.judge(p.ID, ports.Revision(p.Revision), u.from, time.Time{}) != depart.Outdated
+	switch t.judge(depart.Description{ID: p.ID, Born: p.Born, Revision: p.Revision}, u.from) {
+	case depart.Present, depart.Returned:
+		return true
+	case depart.Outdated:
+	case depart.Unproven:
+		t.awaitProof(p.ID, heldBack{func() { t.applyLate(p, u) }, u.from})
+	}
+	return false
+}
+
+// applyLate applies an update that was held back until it could be judged.
+func (t *targetTracker) applyLate(p *picker.Update, u *updateSet) {
+	if t.isCurrent(p, u) {
+		t.picker.ApplyUpdates([]picker.Update{*p}, nil)
+	}
 }
--- a/internal/edge/targets_test.go
+++ b/internal/edge/targets_test.go
@@ -9,6 +9,7 @@
 
 	"chivecroft.example/chivecroft/internal/coordination/picker"
 	"chivecroft.example/chivecroft/internal/coordination/ports"
+	"chivecroft.example/chivecroft/internal/state/eras"
 	"chivecroft.example/chivecroft/internal/state/fleet"
 	"chivecroft.example/chivecroft/platform"
 )
@@ -24,12 +25,15 @@
 	return e
 }
 
+// rev returns a revision of a store that tells no era.
+func rev(number ports.Revision) eras.Revision { return eras.Revision{Number: uint64(number)} }
+
 // uses reports whether the instance sends requests to the target "one".
 func (e *Edge) uses() bool { return len(e.picker.MissingFrom(nil)) > 0 }
 
 // deletion returns the item that says that the entry of "one" was deleted at a revision.
-func deletion(revision ports.Revision) ports.Item {
-	return ports.Item{Key: platform.TargetPrefix + "one", Revision: revision, Deleted: true}
+func deletion(revision ports.Revision) storeItem {
+	return dated(0, ports.Item{Key: platform.TargetPrefix + "one", Revision: revision, Deleted: true})
 }
 
 // updateOf returns the holder's update of "one" as of a revision.
@@ -38,7 +42,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.Revision = uint64(revision)
+	r.Revision = rev(revision)
 	return picker.NewUpdate(&r, nil)
 }
 
@@ -49,13 +53,13 @@
 func TestOutdatedNewsOfATarget(t *testing.T) {
 	list := func(askedAt time.Time, through, revision ports.Revision) func(*testing.T, *Edge) {
 		return func(t *testing.T, e *Edge) {
-			e.tracker.applyList(itemList{items: []ports.Item{targetItem(t, "one", revision)}, through: through, askedAt: askedAt}, 0)
+			e.tracker.applyList(itemList{items: []storeItem{targetItem(t, "one", revision)}, through: rev(through), askedAt: askedAt}, 0)
 		}
 	}
 	update := func(isFull bool, revision ports.Revision) func(*testing.T, *Edge) {
 		return func(t *testing.T, e *Edge) {
 			e.applyUpdates(exchangeReply{
-				Full: isFull, TargetsThrough: uint64(revision), Updates: []picker.Update{updateOf(t, revision)},
+				Full: isFull, TargetsThrough: rev(revision), Updates: []picker.Update{updateOf(t, revision)},
 			}, originHolder, e.clock.Now())
 		}
 	}
@@ -86,9 +90,9 @@
 			}{
 				{"own", func(e *Edge) { e.tracker.applyChange(deletion(20), originStore, 0) }},
 				{"holder", func(e *Edge) {
-					gone := picker.Update{Gone: true, Revision: 20}
+					gone := picker.Update{Gone: true, Revision: rev(20)}
 					gone.ID = "one"
-					e.applyUpdates(exchangeReply{TargetsThrough: 20, Updates: []picker.Update{gone}}, originHolder, e.clock.Now())
+					e.applyUpdates(exchangeReply{TargetsThrough: rev(20), Updates: []picker.Update{gone}}, originHolder, e.clock.Now())
 				}},
 			} {
 				e := newInstance(t, false)
@@ -121,7 +125,7 @@
 func TestTimeOfRemovalIsTold(t *testing.T) {
 	const delay = 600 * time.Millisecond
 	holder := newInstance(t, false)
-	holder.coordinator.setConfig(nil, 0)
+	holder.coordinator.setConfig(nil, rev(0))
 	holder.coordinator.setConfigRead()
 	holder.coordinator.setHolder(true)
 	holder.tracker.applyChange(deletion(20), originStore, delay)
@@ -158,10 +162,10 @@
 	e := newInstance(t, false)
 	draining := updateOf(t, 7)
 	draining.Draining = true
-	e.applyUpdates(exchangeReply{TargetsThrough: 7, Updates: []picker.Update{draining}}, originHolder, e.clock.Now())
+	e.applyUpdates(exchangeReply{TargetsThrough: rev(7), Updates: []picker.Update{draining}}, originHolder, e.clock.Now())
 	e.coordinator.setConfigRead()
 	e.coordinator.setHolder(true)
-	e.tracker.applyList(itemList{through: 20, askedAt: e.clock.Now()}, leaseRecoveryTime)
+	e.tracker.applyList(itemList{through: rev(20), askedAt: e.clock.Now()}, leaseRecoveryTime)
 	for _, u := range updatesOf(t, e).Updates {
 		if !u.Draining {
 			t.Errorf("the target is told as one that takes requests: %+v", u)
@@ -179,7 +183,7 @@
 	}{
 		{"change", func(e *Edge) { e.tracker.applyChange(targetItem(t, "one", 22), originReader, 0) }},
 		{"full list", func(e *Edge) {
-			e.tracker.applyList(itemList{items: []ports.Item{targetItem(t, "one", 22)}, through: 30, from: originReader}, 0)
+			e.tracker.applyList(itemList{items: []storeItem{targetItem(t, "one", 22)}, through: rev(30), from: originReader}, 0)
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -204,7 +208,7 @@
 	e.tracker.applyChange(deletion(20), originStore, time.Minute)
 	u := updateOf(t, 20)
 	u.Models, u.RemovalMS = []fleet.Loaded{{Model: "m9"}}, 1000
-	e.applyUpdates(exchangeReply{Full: true, TargetsThrough: 25, Updates: []picker.Update{u}}, originHolder, e.clock.Now())
+	e.applyUpdates(exchangeReply{Full: true, TargetsThrough: rev(25), Updates: []picker.Update{u}}, originHolder, e.clock.Now())
 	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
 	r, err := e.picker.Acquire(ctx, picker.Request{Service: "desk", Model: "m9", Deadline: time.Now().Add(time.Second)})
--- a/internal/edge/unread_test.go
+++ b/internal/edge/unread_test.go
@@ -38,7 +38,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			k := newTestCoordinator(t)
-			k.setConfig(config, 2)
+			k.setConfig(config, rev(2))
 			k.setTarget(standing)
 			c.begin(k)
 			if diff := cmp.Diff(true, k.stopOrders()); diff != "" {
@@ -54,7 +54,7 @@
 	const handover = 3 * time.Second
 	target := fleet.Target{Identity: fleet.Identity{ID: "e1", Born: 1}, Service: "llm"}
 	k := newTestCoordinator(t)
-	k.setConfig(&fleet.Config{Version: 2, Services: map[string]fleet.Service{"llm": {Engine: &fleet.Engine{}}}}, 2)
+	k.setConfig(&fleet.Config{Version: 2, Services: map[string]fleet.Service{"llm": {Engine: &fleet.Engine{}}}}, rev(2))
 	k.setTarget(target)
 	now := k.clock.Now()
 	k.setStatus(elect.Status{IsHolder: true, TermNumber: 7, SettledAt: now, Handover: handover, OrderFrom: now.Add(handover)})
--- a/internal/edge/updatelog.go
+++ b/internal/edge/updatelog.go
@@ -5,6 +5,7 @@
 
 	"chivecroft.example/chivecroft/internal/coordination/load"
 	"chivecroft.example/chivecroft/internal/coordination/picker"
+	"chivecroft.example/chivecroft/internal/state/eras"
 )
 
 // updateLog holds the latest update of each target that the holder sends to the other
@@ -43,7 +44,7 @@
 
 // remove adds an update that a target is gone, its entry having been missing at a revision of
 // the store. It returns the target's former number for load reports, 0 if it had none.
-func (r *updateLog) remove(id string, revision uint64) int {
+func (r *updateLog) remove(id string, revision eras.Revision) int {
 	if entry := r.entries[id]; entry == nil || entry.update.Gone {
 		return 0
 	}
--- a/internal/state/fleet/target.go
+++ b/internal/state/fleet/target.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"chivecroft.example/chivecroft/internal/state/eras"
 )
 
 // Identity identifies one incarnation of a target. An address does not identify a target,
@@ -25,8 +27,8 @@
 	Draining bool
 	// Remaining is the time until the target is removed, or 0 if the target states none.
 	Remaining time.Duration
-	// Revision is a revision of the store at which the target's entry was there, 0 if unknown.
-	Revision uint64
+	// Revision is a revision of the store at which the target's entry was there.
+	Revision eras.Revision
 	Holding
 }
 
