soak: the store comes back from an older copy

Half of the seeds with faults draw one or two returns, from a copy of up to 10 s before, with up to 63 other writes before anybody is answered; what was lost is written again up to 1 s later. fake.Store tries a write again while the store is away or another write comes between, as operators and targets do.

--- a/cmd/chivecroft/soak_disturb_test.go
+++ b/cmd/chivecroft/soak_disturb_test.go
@@ -52,6 +52,8 @@
 		w.net.silence(func(end, end) bool { return true })
 	case refusesStore, slowsStore, losesAnswers, forgetsStore:
 		w.troubleStore(e)
+	case returnsStore:
+		w.aside(e, "", func() { w.returnStore(e) })
 	case killsTarget:
 		w.aside(e, allTargets, func() { w.crash(g, e) })
 	case drainsTarget:
@@ -263,6 +265,31 @@
 	})
 }
 
+// mostCopyAge is the greatest age of a copy from which the store comes back, mostAway for how long it is
+// away, and mostWriteAgain how late after its return what was lost is written again.
+const (
+	mostCopyAge    = 10 * time.Second
+	mostAway       = time.Second
+	mostWriteAgain = time.Second
+)
+
+// returnStore copies the store and lets it come back from the copy later. One return follows the other.
+func (w *soakWorld) returnStore(e event) {
+	backup := w.store.KV.Copy()
+	time.Sleep(e.last)
+	w.returning.Lock()
+	defer w.returning.Unlock()
+	done := w.note(theStore, e.kind)
+	defer done()
+	w.store.RestoreWith(w.t, backup, time.Duration(e.share*float64(mostAway)), func() {
+		for range e.other {
+			w.store.Write(w.t, "op/other", []byte("x"))
+		}
+	})
+	time.Sleep(time.Duration((1 - e.share) * float64(mostWriteAgain)))
+	w.store.WriteAgain(w.t, "")
+}
+
 // crash ends a target at once; its entry lapses later, and another one takes its
 // place under the same id or a new one.
 func (w *soakWorld) crash(g *soakTarget, e event) {
--- a/cmd/chivecroft/soak_plan_test.go
+++ b/cmd/chivecroft/soak_plan_test.go
@@ -31,6 +31,8 @@
 	slowsStore   disturbance = "store slow"
 	losesAnswers disturbance = "store loses answers"
 	forgetsStore disturbance = "store forgets history"
+	// returnsStore lets the store come back from a copy of up to mostCopyAge before.
+	returnsStore disturbance = "store back from an older copy"
 	// The link of one instance to one target, and silence on all open connections.
 	holdsTargetLink disturbance = "hold link to target"
 	cutsTargetLink  disturbance = "cut link to target"
@@ -132,6 +134,15 @@
 		})
 	}
 	plan = append(plan, drawTeamPlan(random, within, len(kinds) == len(disturbances))...)
+	// And returns of the store, in half of the seeds with faults; some follow each other.
+	if len(kinds) == len(disturbances) && random.IntN(2) == 0 {
+		for n := 1 + random.IntN(2); n > 0; n-- {
+			plan = append(plan, event{
+				kind: returnsStore, at: time.Duration(random.Int64N(int64(within))),
+				last: time.Duration(random.Int64N(int64(mostCopyAge))), other: random.IntN(64), share: random.Float64(),
+			})
+		}
+	}
 	slices.SortStableFunc(plan, func(x, y event) int { return int(x.at - y.at) })
 	return plan
 }
--- a/cmd/chivecroft/soak_world_test.go
+++ b/cmd/chivecroft/soak_world_test.go
@@ -50,6 +50,8 @@
 	// disturbed counts the disturbances under way, calling the callers.
 	disturbed sync.WaitGroup
 	calling   sync.WaitGroup
+	// returning is held while the store comes back from an older copy.
+	returning sync.Mutex
 
 	instances []*soakInstance
 	targets   []*soakTarget
