--- a/cmd/chivecroft/returns_test.go
+++ b/cmd/chivecroft/returns_test.go
@@ -15,6 +15,7 @@
 	returnsSeeds = flag.Int("returns.seeds", 0, "play that many drawn returns of the store, one after the other")
 	returnsFirst = flag.Uint64("returns.first", 1, "first of these seeds")
 	returnsLogs  = flag.String("returns.logs", "", "folder for the instances' logs, kept after the test")
+	returnsMore  = flag.Int("returns.more", 0, "number of further instances in the largest zone, which has relays from 25 on")
 	returnsBusy  = flag.Int("returns.busy", 0, "number of processes that are busy beside")
 )
 
--- a/cmd/chivecroft/returns_world_test.go
+++ b/cmd/chivecroft/returns_world_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -82,7 +83,7 @@
 	for i := range returnsTargets {
 		w.startTarget(i, zones[i%len(zones)])
 	}
-	for i, zone := range returnsZones {
+	for i, zone := range slices.Concat(returnsZones, slices.Repeat([]string{"zb"}, *returnsMore)) {
 		w.instances = append(w.instances, w.newInstance(i, zone))
 	}
 	for _, in := range w.instances {
