--- a/internal/edge/era_test.go
+++ b/internal/edge/era_test.go
@@ -220,6 +220,28 @@
 	}
 }
 
+// TestFirstProofAfterAReturnComesEarly guards against keys that are refused after a return for the time of a watch longer
+// than need be.
+func TestFirstProofAfterAReturnComesEarly(t *testing.T) {
+	e := newInstance(t, true)
+	bounds := *e.bounds.Load()
+	bounds.Revocation = testRevocation
+	e.bounds.Store(&bounds)
+	now := e.clock.Now()
+	e.history.Note(now, inEra(1, 30))
+	got := []time.Duration{e.configWatchTimeout()}
+	for _, ago := range []time.Duration{leaseRecoveryTime - 300*time.Millisecond, leaseRecoveryTime + 10*time.Millisecond, time.Minute} {
+		e.history = newTestHistory()
+		e.history.Note(now, inEra(1, 30))
+		e.history.Note(e.clock.Now().Add(-ago), inEra(2, 30))
+		got = append(got, e.configWatchTimeout().Round(50*time.Millisecond))
+	}
+	want := []time.Duration{strictWatchTimeout, 300 * time.Millisecond, probeWatchTimeout, strictWatchTimeout}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("times of watches (-want +got):\n%s", diff)
+	}
+}
+
 // TestLateReplyOfAFormerHistory guards against a reply that a link has held back over a return of the store.
 func TestLateReplyOfAFormerHistory(t *testing.T) {
 	outdated := 0
--- a/internal/edge/proof.go
+++ b/internal/edge/proof.go
@@ -117,12 +117,20 @@
 // removal.
 func (e *Edge) isRevocationBounded() bool { return e.bounds.Load().Revocation > 0 }
 
-// configWatchTimeout is the time of one watch of the configuration.
+// configWatchTimeout is the time of one watch of the configuration. The first one that proves something
+// after the store has come back begins and ends early, since proofs may be about to expire.
 func (e *Edge) configWatchTimeout() time.Duration {
-	if e.isRevocationBounded() {
+	if !e.isRevocationBounded() {
+		return watchTimeout
+	}
+	age, hasReturned := e.history.Age(e.clock.Now())
+	switch {
+	case !hasReturned || age >= leaseRecoveryTime+probeWatchTimeout:
 		return strictWatchTimeout
+	case age >= leaseRecoveryTime:
+		return probeWatchTimeout
 	}
-	return watchTimeout
+	return max(min(strictWatchTimeout, leaseRecoveryTime-age), time.Millisecond)
 }
 
 // keysProven reports whether API keys may be accepted.
