--- a/cmd/chivecroft/returns_world_test.go
+++ b/cmd/chivecroft/returns_world_test.go
@@ -70,6 +70,14 @@
 	status       int
 }
 
+// processID identifies a process of an instance.
+type processID struct {
+	instance    string
+	incarnation int
+}
+
+func (c *returnsCall) process() processID { return processID{c.instance, c.incarnation} }
+
 // returnsArrival is a request that reached a target.
 type returnsArrival struct {
 	target, instance string
@@ -274,6 +282,10 @@
 		w.endAfter(w.holder(), syscall.SIGKILL, returned, later)
 	case stopsHolder:
 		w.endAfter(w.holder(), syscall.SIGTERM, returned, later)
+	case killsHolderBeside:
+		w.end(w.holder(), syscall.SIGKILL)
+	case stopsHolderBeside:
+		w.end(w.holder(), syscall.SIGTERM)
 	case restartsOne:
 		w.endAfter(one, syscall.SIGKILL, returned, later/2)
 	default:
