edge: a holder that started after a return of the store learns the members' version

An instance that is killed and back at once may be the holder again with what the copy has, and answers 404 on routes that were acknowledged, until the operators have written again. Members now tell the version of their configuration once the store has come back; a holder that has an older one refuses unknown routes with 503 (configBehind) and asks that member. A version that nobody can send is asked for with growing delays.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -63,6 +63,8 @@
 	// received is the configuration that another instance or the copy in the store has last sent; it
 	// becomes the snapshot once it is active.
 	received atomic.Pointer[configSnapshot]
+	// isFetchingConfig is set while the configuration of a member is asked for.
+	isFetchingConfig atomic.Bool
 	// history is that of the store.
 	history *eras.History
 	// readers holds the peer addresses of the readers of this instance's zone, as the
--- a/internal/edge/era_test.go
+++ b/internal/edge/era_test.go
@@ -115,6 +115,46 @@
 	}
 }
 
+// TestHolderAsksAMemberForItsVersion has a holder that has started after a return know version 3 from the store, while
+// a member has version 4. It guards against a holder that refuses routes of version 4 until the operators write it again.
+func TestHolderAsksAMemberForItsVersion(t *testing.T) {
+	store := fake.NewStore(t)
+	store.Write(t, platform.ConfigKey, map[string]any{"version": 3})
+	holder := New(&platform.Boot{Instance: "i1", Zone: "a1", Store: store.Addr()}, discardLogger())
+	t.Cleanup(holder.stopLoops)
+	holder.coordinator.setHolder(true)
+	go holder.configFollower.run(holder.loopCtx)
+	await := func(version int64) {
+		t.Helper()
+		for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+			if c := holder.config.Load(); c != nil && c.Version == version {
+				return
+			}
+		}
+		t.Fatalf("version %d is not active", version)
+	}
+	await(3)
+	has := newInstance(t, true)
+	has.readConfig(configItem(4, inEra(1, 36)))
+	server := httptest.NewServer(http.HandlerFunc(has.servePeer))
+	t.Cleanup(server.Close)
+	if m := has.newMessage(); m.ConfigVersion != 0 {
+		t.Errorf("version %d told although the store has not come back", m.ConfigVersion)
+	}
+	has.history.Note(has.clock.Now(), inEra(1, 36))
+	has.history.Note(has.clock.Now(), inEra(2, 20))
+	m := has.newMessage().exchangeRequest
+	m.Peer = netip.MustParseAddrPort(server.Listener.Addr().String())
+	holder.handleExchange(m)
+	if !holder.configFollower.isBehind() {
+		t.Error("the holder does not know that it is behind")
+	}
+	await(4)
+	if holder.configFollower.isBehind() {
+		t.Error("the holder is still behind")
+	}
+}
+
 // TestCopyOfAnotherHistory guards against a compressed copy that is taken for the configuration of a number
 // of another history, and against one that counts as damaged.
 func TestCopyOfAnotherHistory(t *testing.T) {
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -63,6 +63,16 @@
 	return out, true
 }
 
+// peerOf returns the peer address of the sender of a message, an invalid one if it is not known.
+func (k *coordinator) peerOf(m *exchangeRequest) netip.AddrPort {
+	if m.Peer.IsValid() {
+		return m.Peer
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.members[m.From].peer
+}
+
 // setLoads records what the holder has told of the weight store and of loads whose replies it
 // has lost, so that a later term of this instance begins with it. A holder that may not order
 // tells neither.
--- a/internal/edge/follower.go
+++ b/internal/edge/follower.go
@@ -141,6 +141,8 @@
 	// newest version that it has seen.
 	localRevision eras.Cell
 	localVersion  atomic.Int64
+	// offered is a list from a member of the fleet that is still to be applied, nil for none.
+	offered atomic.Pointer[itemList]
 	// updatesThrough is the store revision up to which the updates of another instance
 	// contain all changes of the keys. readThrough is the one up to which this instance
 	// has read them from the store.
@@ -174,6 +176,8 @@
 	isProbing bool
 	// listDelay is the delay after the latest failed list, 0 if it did not fail.
 	listDelay time.Duration
+	// fetchDelay is the delay after the latest failed fetch from the holder, 0 if it did not fail.
+	fetchDelay time.Duration
 	// refusedSince is since when readers have refused requests because they still get
 	// updates from the holder.
 	refusedSince time.Time
@@ -209,7 +213,7 @@
 // store revision up to which it has read all changes.
 func (f *follower) noteUpdate(revision eras.Revision, version int64, through eras.Revision) {
 	f.remoteRevision.Store(revision)
-	f.remoteVersion.Store(version)
+	f.raiseRemoteVersion(version)
 	f.updatesThrough.Store(through)
 	now := f.clock.Now()
 	if have := f.lastMark.Load(); have == nil || now.Sub(have.at) > changesOverlap {
@@ -217,6 +221,16 @@
 	}
 }
 
+// raiseRemoteVersion records a version that another instance has. Versions only grow.
+func (f *follower) raiseRemoteVersion(version int64) {
+	for {
+		have := f.remoteVersion.Load()
+		if version <= have || f.remoteVersion.CompareAndSwap(have, version) {
+			return
+		}
+	}
+}
+
 // awaitUpdates waits at the start until updates of another instance come or it has waited for
 // long enough, unless this instance is the holder.
 func (f *follower) awaitUpdates(ctx context.Context) {
@@ -297,6 +311,7 @@
 	if f.isBehind() {
 		return f.tryFetch(ctx)
 	}
+	f.fetchDelay = 0
 	f.hasList.Store(false)
 	f.onIdle()
 	sleep(ctx, idlePollInterval)
@@ -311,7 +326,7 @@
 	list, ok := f.fetchFromHolder(ctx)
 	if !ok {
 		// A store that has come back from an older copy may not have what the holder names for some time.
-		sleep(ctx, idlePollInterval)
+		f.fetchDelay = backOff(ctx, max(f.fetchDelay, idlePollInterval))
 		return false
 	}
 	f.applyList(list)
@@ -432,9 +447,13 @@
 // watch applies changes until the store's history no longer reaches back far enough.
 func (f *follower) watch(ctx context.Context) {
 	delay := minRetryDelay
-	isNeedless := func() bool { return f.isReadNeedless() || f.lacksList() }
+	isNeedless := func() bool { return f.isReadNeedless() || f.lacksList() || f.offered.Load() != nil }
 	for ctx.Err() == nil && !f.hasFreshUpdates() && !f.lacksList() && !f.shouldReturnToReaders() {
 		reply := f.nextChanges(ctx, isNeedless)
+		if list := f.offered.Swap(nil); list != nil {
+			f.applyList(*list)
+			continue
+		}
 		switch reply.Status {
 		case ports.KVOK:
 			delay = minRetryDelay
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -97,6 +97,9 @@
 	// NeedsFull means that the instance's relays have not replied since the holder has told
 	// it to ask them for the full list.
 	NeedsFull bool `json:"needsFull,omitempty"`
+	// ConfigVersion is the version of the sender's configuration, if the store has come back from an
+	// older copy: a holder that has started since may have read an older one there.
+	ConfigVersion int64 `json:"configVersion,omitempty"`
 	// Blocks is the version of the blocked parts that the instance has; for relays, which
 	// get no crash reports.
 	Blocks uint64 `json:"blocks,omitempty"`
@@ -396,6 +399,7 @@
 // handleExchange responds to an instance's message as the holder. The read revisions are
 // loaded first, so that the updates contain everything up to them.
 func (e *Edge) handleExchange(m exchangeRequest) (exchangeReply, bool) {
+	e.noteMemberConfig(&m)
 	config, targets := e.configThrough(), e.targetFollower.readThrough.Load()
 	r, ok := e.coordinator.handleExchange(m)
 	r.ConfigThrough, r.TargetsThrough, r.HistoryFrom = config, targets, e.history.First()
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -97,6 +97,9 @@
 	out.blocks = out.crashes.Version
 	out.From, out.Term, out.Version = e.boot.Instance, at.Term, at.Version
 	out.HadRelays = e.hasRelays.Load()
+	if _, hasReturned := e.history.Age(now); hasReturned {
+		out.ConfigVersion = e.configFollower.localVersion.Load()
+	}
 	if e.isDemandDue(now) {
 		out.Demand = e.children.Take(now, e.picker.Demand())
 		out.load = e.loadReport()
--- a/internal/edge/snapshot.go
+++ b/internal/edge/snapshot.go
@@ -221,6 +221,38 @@
 	return item, true
 }
 
+// noteMemberConfig asks the sender of a message for its configuration if that is of a newer version than
+// this instance has seen. Until then routes that it may have are not refused as unknown.
+func (e *Edge) noteMemberConfig(m *exchangeRequest) {
+	f := e.configFollower
+	if m.ConfigVersion <= f.localVersion.Load() {
+		return
+	}
+	f.raiseRemoteVersion(m.ConfigVersion)
+	from := e.coordinator.peerOf(m)
+	if !from.IsValid() || !e.isFetchingConfig.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer e.isFetchingConfig.Store(false)
+		e.fetchConfigFromMember(from)
+	}()
+}
+
+// fetchConfigFromMember has the follower of the configuration apply that of another instance.
+func (e *Edge) fetchConfigFromMember(from netip.AddrPort) {
+	ctx, cancel := context.WithTimeout(e.loopCtx, configTimeout)
+	defer cancel()
+	s, err := e.peerClient.config(ctx, from, e.knownConfig(), 0)
+	if err != nil {
+		e.log.Info().Err(err).Str("from", from.String()).Msg("cannot fetch the configuration from a member")
+		return
+	}
+	if item, ok := e.acceptSnapshot(s); ok {
+		e.configFollower.offered.Store(&itemList{items: []storeItem{item}, from: originMember})
+	}
+}
+
 var (
 	// errNoNewer means that the other instance has no newer configuration.
 	errNoNewer = errors.New("no newer configuration")
--- a/internal/edge/targets.go
+++ b/internal/edge/targets.go
@@ -26,6 +26,8 @@
 	originReader origin = "reader"
 	originHolder origin = "holder"
 	originRelay  origin = "relay"
+	// originMember is another instance that the holder has asked.
+	originMember origin = "member"
 	// originCopy is the compressed copy of the configuration in the store.
 	originCopy origin = "copy"
 )
