edge: a holder that started after a return of the store learns which targets have left

As the holder, an instance without memory of before uses a target whose entry is the copy's, and goes on to as long as the entry is there, while the members hold it back. They now tell it so, with the lowest revision that the store had reached after its return, from which the holder knows which entries are certainly new.

--- a/internal/edge/era_test.go
+++ b/internal/edge/era_test.go
@@ -240,6 +240,38 @@
 	}
 }
 
+// TestHolderHearsOfTargetsOfTheCopy has a holder that has started after a return tell of a target whose entry is the
+// copy's, to a member that knows of its departure. It guards against a holder that goes on to use the target.
+func TestHolderHearsOfTargetsOfTheCopy(t *testing.T) {
+	holder, member := newInstance(t, true), newInstance(t, false)
+	holder.history.Note(holder.clock.Now(), inEra(2, 25))
+	list := func(at uint64) {
+		item := dated(2, targetItem(t, "one", ports.Revision(at)).Item)
+		holder.applyTargetList(itemList{items: []storeItem{item}, through: inEra(2, 25), from: originStore, askedAt: holder.clock.Now()})
+	}
+	list(5)
+	holder.coordinator.setConfigRead()
+	holder.coordinator.setHolder(true)
+	member.history.Note(member.clock.Now(), inEra(1, 15))
+	member.tracker.applyChange(dated(1, deletion(20).Item), originStore, 0)
+	member.history.Note(member.clock.Now(), inEra(2, 18))
+	told := updatesOf(t, holder)
+	told.TargetsThrough = inEra(2, 25)
+	member.applyUpdates(told, originHolder, member.clock.Now())
+	m := member.newMessage().exchangeRequest
+	if !holder.uses() || len(m.Left) != 1 {
+		t.Fatalf("in use at the holder: %t, told of %v", holder.uses(), m.Left)
+	}
+	holder.handleExchange(m)
+	if holder.uses() {
+		t.Error("the holder uses a target that has left")
+	}
+	list(26)
+	if !holder.uses() {
+		t.Error("the holder does not use a target that is there")
+	}
+}
+
 // TestNoProofRightAfterAReturn guards against a read of a store that has just come back from an older copy, in which the
 // version that withdraws a key may be lost, as a proof that the key is in force.
 func TestNoProofRightAfterAReturn(t *testing.T) {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -100,11 +100,21 @@
 	// ConfigVersion is the version of the sender's configuration, if the store has come back from an
 	// older copy: a holder that has started since may have read an older one there.
 	ConfigVersion int64 `json:"configVersion,omitempty"`
+	// HistoryFrom is as in a reply, and Left lists targets that have left, as the sender knows, although the
+	// holder tells of an entry: that may be of the older copy.
+	HistoryFrom eras.Revision    `json:"historyFrom,omitzero"`
+	Left        []departedTarget `json:"left,omitempty"`
 	// Blocks is the version of the blocked parts that the instance has; for relays, which
 	// get no crash reports.
 	Blocks uint64 `json:"blocks,omitempty"`
 }
 
+// departedTarget is a target whose entry was missing at a revision of the store.
+type departedTarget struct {
+	ID       string        `json:"id"`
+	Revision eras.Revision `json:"revision"`
+}
+
 // exchangeReply is the holder's response to an exchangeRequest.
 type exchangeReply struct {
 	Term    int64  `json:"holding"`
@@ -400,6 +410,10 @@
 // loaded first, so that the updates contain everything up to them.
 func (e *Edge) handleExchange(m exchangeRequest) (exchangeReply, bool) {
 	e.noteMemberConfig(&m)
+	if len(m.Left) > 0 {
+		e.history.Adopt(e.clock.Now(), m.HistoryFrom)
+		e.tracker.applyLeft(m.Left)
+	}
 	config, targets := e.configThrough(), e.targetFollower.readThrough.Load()
 	r, ok := e.coordinator.handleExchange(m)
 	r.ConfigThrough, r.TargetsThrough, r.HistoryFrom = config, targets, e.history.First()
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -99,6 +99,7 @@
 	out.HadRelays = e.hasRelays.Load()
 	if _, hasReturned := e.history.Age(now); hasReturned {
 		out.ConfigVersion = e.configFollower.localVersion.Load()
+		out.HistoryFrom, out.Left = e.history.First(), e.tracker.heldBackUpdates()
 	}
 	if e.isDemandDue(now) {
 		out.Demand = e.children.Take(now, e.picker.Demand())
--- a/internal/edge/targets.go
+++ b/internal/edge/targets.go
@@ -201,6 +201,35 @@
 	})
 }
 
+// maxLeft limits the targets of which a message says that they have left.
+const maxLeft = 64
+
+// heldBackUpdates returns the targets of which the holder tells although they have left, as far as is known
+// here.
+func (t *targetTracker) heldBackUpdates() []departedTarget {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []departedTarget
+	for id, h := range t.unproven {
+		d, hasLeft := t.departures.Find(id)
+		if hasLeft && (h.from == originHolder || h.from == originRelay) && len(out) < maxLeft {
+			out = append(out, departedTarget{id, d.Revision})
+		}
+	}
+	return out
+}
+
+// applyLeft applies what a member says of targets that have left, to the holder.
+func (t *targetTracker) applyLeft(left []departedTarget) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, d := range left[:min(len(left), maxLeft)] {
+		if _, isKnown := t.departures.Find(d.ID); !isKnown {
+			t.leave(d.ID, d.Revision, originMember, 0)
+		}
+	}
+}
+
 // dropOwnReads drops what this instance has held back of its own reads or a reader's. It no longer follows the
 // store, and would not hear that an entry is gone.
 func (t *targetTracker) dropOwnReads() {
--- a/internal/state/eras/history.go
+++ b/internal/state/eras/history.go
@@ -64,6 +64,20 @@
 	return true
 }
 
+// Adopt records at now what another instance knows of the return with which the present history began: the
+// lowest revision that the store had reached afterwards. An instance that has started since knows nothing of it.
+func (h *History) Adopt(now time.Time, first Revision) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if first.IsZero() || !h.hasEra || first.Era != h.era {
+		return
+	}
+	if !h.hasReturned {
+		h.hasReturned, h.since, h.first = true, now, noRevision
+	}
+	h.lowerFirst(first.Number)
+}
+
 // lowerFirst notes that the store had reached a number when it had come back.
 func (h *History) lowerFirst(number uint64) {
 	if h.hasReturned && number > 0 {
