edge: updates of a former history of the store do not count as fresh

An instance that knows of the store's return dropped the revisions of a holder's updates that were of the former history, but took them as a sign that it need not read the store itself: versions and leavings would be missed for as long as that holder goes on. Such a reply now counts as lost.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"chivecroft.example/chivecroft/internal/coordination/crash"
 	"chivecroft.example/chivecroft/internal/coordination/elect"
 	"chivecroft.example/chivecroft/internal/coordination/load"
@@ -39,6 +41,10 @@
 // updates are not fresh.
 var errNotFresh = errors.New("the instance has no fresh updates")
 
+// errFormerUpdates is returned if the other instance's updates are of the store's history before it came back from
+// an older copy. An instance that has nothing else reads the store itself.
+var errFormerUpdates = errors.New("the updates are of a former history of the store")
+
 // sender is the state of the exchange loop.
 type sender struct {
 	route  *relay.Route
@@ -244,6 +250,9 @@
 		return exchangeReply{}, err
 	}
 	e.refusedBy.Store(nil)
+	if !e.noteHistory(&reply) {
+		return exchangeReply{}, trace.Wrap(errFormerUpdates, "exchange with %s", holder)
+	}
 	e.acceptProof(asOf, reply.Proof)
 	e.applyDirect(m, r, reply, sentAt, asOf)
 	if !reply.IsRedirect {
@@ -297,6 +306,9 @@
 	r.Blocks = m.blocks
 	sentAt, asOf := e.timer.Now(), e.clock.Now()
 	reply, err := e.peerClient.exchange(ctx, to, pathRelay, r, relayTimeout)
+	if err == nil && !e.noteHistory(&reply) {
+		err = trace.Wrap(errFormerUpdates, "exchange with %s", to)
+	}
 	e.settle(m, r, to.String(), to, err)
 	if err != nil {
 		return 0, err
