edge: a term that is lost and won again in the wait for a former holder has an identity of its own

Cause, by reading and a test: the updates of a term are numbered, and a term was named by the time at which its orders begin. A holder that loses its key in the wait for a former holder (after a kill or a return of the store, 5 s) and wins it again has the same time, and numbers its updates anew. Members take those for older ones of the same term, and count as up to date meanwhile. Terms now rise at an instance. TestTermBegunAgainIsAnother failed ("the leaving is missed") and passes. The users' cases may be this one too: it needs no return of the store.

--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -95,7 +95,7 @@
 	// relayZoneSize is the number of instances up to which a zone has no relays.
 	relayZoneSize int
 	// termID identifies the term. It is the time at which orders were to begin, which may
-	// be put off later.
+	// be put off later, or above the one before.
 	termID int64
 	// formerMembers are the peer addresses of the other instances at the end of this
 	// instance's latest term.
@@ -150,7 +150,8 @@
 		k.teamQuotas.endTerm(k.clock.Now(), was.SteadyUntil())
 	}
 	if s.IsHolder {
-		k.termID = s.OrderFrom.UnixNano()
+		// A term that is lost and won again in the wait for a former holder has the same OrderFrom.
+		k.termID = max(k.termID+1, s.OrderFrom.UnixNano())
 		isOwn := s.Former == s.Holder
 		k.teamQuotas.startTerm(k.termID, k.clock.Now(), isOwn, s.Former.IsValid() && !isOwn)
 		k.startTerm()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -267,7 +267,7 @@
 		// The listener must wait neither for a file nor for another instance.
 		go e.ReloadFile()
 		if s.Former.IsValid() && s.Former != s.Holder {
-			go e.takeOverLedger(e.loopCtx, s, s.OrderFrom.UnixNano())
+			go e.takeOverLedger(e.loopCtx, s, e.coordinator.presentTerm())
 		}
 	}
 	if s.Holder.IsValid() && s.Holder != was.Holder {
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -194,6 +194,13 @@
 // not taken for its own.
 func (k *coordinator) term() int64 { return k.termID }
 
+// presentTerm is like term, for callers without the lock.
+func (k *coordinator) presentTerm() int64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.term()
+}
+
 // refreshUpdates adds the targets that the planners have changed to the update log.
 func (k *coordinator) refreshUpdates() {
 	for _, p := range k.planners {
